Agree on verdicts, messages, settings and the outside interfaces

Cause: router, agent, stand-ins and platform client are to be written side by side and need one set of types and two HTTP contracts. Change: the workspace of four packages, the common types (verdict, wire messages, bundle, settings, store), the policy protocol, and the reference pages of the worker's and the platform's API. Ruled out: protobuf, since unions of msgspec structs need no generator and decode to immutable typed objects.

--- /dev/null
+++ b/packages/bench/src/lacewing_bench/__init__.py
@@ -0,0 +1,1 @@
+"""lacewing_bench."""
--- /dev/null
+++ b/packages/common/src/lacewing_common/__init__.py
@@ -0,0 +1,1 @@
+"""Hold what the router, the agent and the command line share."""
--- /dev/null
+++ b/packages/common/src/lacewing_common/log.py
@@ -0,0 +1,62 @@
+"""Set up structlog: JSON lines, a fixed prefix for each part."""
+
+import logging
+import sys
+from enum import Enum
+
+import structlog
+from structlog.typing import EventDict
+from structlog.typing import FilteringBoundLogger
+from structlog.typing import WrappedLogger
+
+
+class Part(Enum):
+    """Name the parts of the system that write logs."""
+
+    MAIN = 'main'
+    CALLERS = 'callers'
+    ROUTING = 'routing'
+    LINK = 'link'
+    ATTEMPT = 'attempt'
+    WORKER = 'worker'
+    CLAIMS = 'claims'
+    MEMBERS = 'members'
+    BUNDLE = 'bundle'
+    PLATFORM = 'platform'
+    PLACEMENT = 'placement'
+    LIMITS = 'limits'
+    AUDIT = 'audit'
+    STANDIN = 'standin'
+
+
+def _prefix(
+    _logger: WrappedLogger, _method: str, event: EventDict
+) -> EventDict:
+    part = event.pop('part', Part.MAIN.value)
+    event['event'] = f'{part}: {event["event"]}'
+    return event
+
+
+def set_up_logs(level: str, process_id: str) -> None:
+    """Write JSON lines of at least ``level`` to standard output."""
+    number = logging.getLevelNamesMapping()[level.upper()]
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            _prefix,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt='iso', utc=True),
+            structlog.processors.format_exc_info,
+            structlog.processors.JSONRenderer(),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(number),
+        logger_factory=structlog.PrintLoggerFactory(sys.stdout),
+        cache_logger_on_first_use=False,
+    )
+    structlog.contextvars.bind_contextvars(process=process_id)
+
+
+def get_log(part: Part) -> FilteringBoundLogger:
+    """Return the logger of one part."""
+    log: FilteringBoundLogger = structlog.get_logger(part=part.value)
+    return log
--- /dev/null
+++ b/packages/common/src/lacewing_common/store.py
@@ -0,0 +1,97 @@
+"""Describe the platform's object API as the system uses it."""
+
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+MUST_NOT_EXIST = 0
+
+
+class StoreFault(Enum):
+    """Tell why a call to the platform failed.
+
+    CONFLICT, NOT_FOUND and RATE_LIMITED: surely without effect.
+    UNAVAILABLE: the call never reached the platform; without effect.
+    UNKNOWN: the answer was lost; the change may have taken effect, so the
+    caller reads back before it decides.
+    """
+
+    CONFLICT = 'conflict'
+    NOT_FOUND = 'not-found'
+    RATE_LIMITED = 'rate-limited'
+    UNAVAILABLE = 'unavailable'
+    UNKNOWN = 'unknown'
+
+
+@dataclass(frozen=True)
+class StoreError:
+    """Report a failed call and what the reader can do about it."""
+
+    fault: StoreFault
+    message: str
+
+
+@dataclass(frozen=True)
+class StoredObject:
+    """Hold one object; ``version`` grows with each change, from 1."""
+
+    kind: str
+    name: str
+    version: int
+    value: bytes
+
+
+class VmState(Enum):
+    """Tell whether the platform keeps a VM."""
+
+    LIVE = 'live'
+    LEAVING = 'leaving'
+
+
+@dataclass(frozen=True)
+class Vm:
+    """Hold one row of the platform's lagging VM list."""
+
+    vm_id: str
+    address: str
+    availability_zone: str
+    state: VmState
+
+
+class ObjectReads(Protocol):
+    """Query the platform's objects."""
+
+    async def get(self, kind: str, name: str) -> StoredObject | StoreError:
+        """Read one object."""
+
+    async def list_names(
+        self, kind: str
+    ) -> tuple[StoredObject, ...] | StoreError:
+        """Read all objects of a kind, without their values."""
+
+    def watch(
+        self, kind: str, name: str, after: int
+    ) -> AsyncIterator[StoredObject | StoreError]:
+        """Yield each change of one object after a version."""
+
+    async def vms(self) -> tuple[Vm, ...] | StoreError:
+        """Read the lagging VM list."""
+
+
+class ObjectWrites(Protocol):
+    """Change the platform's objects, only by conditional updates."""
+
+    async def put(
+        self, kind: str, name: str, value: bytes, expect: int
+    ) -> StoredObject | StoreError:
+        """Write if the version is ``expect`` (0: must not exist)."""
+
+    async def delete(
+        self, kind: str, name: str, expect: int
+    ) -> None | StoreError:
+        """Delete if the version is ``expect``."""
+
+
+class ObjectStore(ObjectReads, ObjectWrites, Protocol):
+    """Read and change the platform's objects."""
--- /dev/null
+++ b/packages/common/src/lacewing_common/wire.py
@@ -0,0 +1,219 @@
+"""Define the messages between routers and agents.
+
+A router keeps one stream open to an agent and sends ``RouterFrame``s; the
+agent answers with ``AgentFrame``s. Many attempts share the stream. The
+messages are msgspec structs, the kin of frozen dataclasses that can be told
+apart by a tag on the wire.
+"""
+
+from typing import TypeAlias
+
+import msgspec
+
+from lacewing_common.identity import Place
+from lacewing_common.identity import ProcessName
+from lacewing_common.verdict import Reason
+from lacewing_common.verdict import Refusal
+from lacewing_common.verdict import Verdict
+
+
+class Message(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """Mark a struct as a wire message."""
+
+
+class AttemptId(msgspec.Struct, frozen=True, array_like=True):
+    """Name one attempt to run a request on one agent.
+
+    ``router`` is the router's name with its incarnation; ``sequence`` grows
+    by one with each attempt of that incarnation; ``agent_incarnation`` is
+    the run of the agent that the attempt was meant for.
+    """
+
+    router: str
+    sequence: int
+    agent_incarnation: int
+
+    def __str__(self) -> str:
+        return f'{self.router}-{self.sequence}-{self.agent_incarnation:x}'
+
+
+class LoadReport(msgspec.Struct, frozen=True, array_like=True):
+    """Report a worker's load as its agent sees it.
+
+    ``queued`` and ``running`` count requests; ``backlog_ms`` is the expected
+    milliseconds before a new request starts; ``age_ms`` is the age of the
+    engine's own figures when the report was made.
+    """
+
+    queued: int = 0
+    running: int = 0
+    backlog_ms: float = 0.0
+    age_ms: float = 0.0
+
+
+class CacheReport(msgspec.Struct, frozen=True, array_like=True):
+    """Report what an engine truly reused for one request.
+
+    ``epoch`` names the engine's run, ``hit_blocks`` the blocks reused out of
+    ``prompt_blocks``; ``width`` is the number of workers over which the
+    agent asks routers to spread this prefix (1: keep it here).
+    """
+
+    epoch: str = ''
+    hit_blocks: int = 0
+    prompt_blocks: int = 0
+    width: int = 1
+
+
+class Hello(Message, frozen=True, tag='hello'):
+    """Open a link from a router."""
+
+    name: ProcessName
+    place: Place
+    bundle_number: int
+
+
+class Start(Message, frozen=True, tag='start'):
+    """Ask an agent to run a request on its worker.
+
+    ``budget_ms``: milliseconds left until the first token is due.
+    ``blocks``: the prompt's block hashes, 8 bytes each, joined.
+    ``levels``: block counts at which a nested level ends.
+    ``oldest_open``: the router's lowest sequence that it may still ask about.
+    """
+
+    attempt: AttemptId
+    request_id: str
+    team: str
+    service: str
+    method: str
+    path: str
+    content_type: str
+    body: bytes
+    model: str = ''
+    adapter: str = ''
+    weights: str = ''
+    salt: bytes = b''
+    epoch: str = ''
+    stream: bool = False
+    idempotent: bool = True
+    idempotency_key: str = ''
+    priority: int = 0
+    budget_ms: float = 0.0
+    blocks: bytes = b''
+    levels: tuple[int, ...] = ()
+    bundle_number: int = 0
+    oldest_open: int = 0
+    traceparent: str = ''
+
+
+class Ask(Message, frozen=True, tag='ask'):
+    """Ask what became of an attempt; resume its answer from ``offset``.
+
+    An agent that never saw the attempt closes its id for ever before it
+    replies, so that a late ``Start`` cannot run it.
+    """
+
+    attempt: AttemptId
+    offset: int
+
+
+class Cancel(Message, frozen=True, tag='cancel'):
+    """Stop an attempt whose caller has gone."""
+
+    attempt: AttemptId
+
+
+class Ack(Message, frozen=True, tag='ack'):
+    """Confirm the answer's bytes up to ``offset`` for flow control."""
+
+    attempt: AttemptId
+    offset: int
+
+
+class Welcome(Message, frozen=True, tag='welcome'):
+    """Answer a Hello with the agent and its worker.
+
+    ``models``: ``model:weights`` or ``model:weights:adapter`` now loaded.
+    """
+
+    name: ProcessName
+    place: Place
+    service: str
+    epoch: str
+    models: tuple[str, ...]
+    load: LoadReport
+    leaving: bool
+    bundle_number: int
+
+
+class Accepted(Message, frozen=True, tag='accepted'):
+    """Confirm that an attempt is recorded and will run."""
+
+    attempt: AttemptId
+
+
+class Refused(Message, frozen=True, tag='refused'):
+    """Refuse or fail an attempt with a verdict; the attempt has ended."""
+
+    attempt: AttemptId
+    verdict: Verdict
+    reason: Reason
+    text: str
+    retry_after_s: float | None
+    load: LoadReport
+    epoch: str = ''
+
+    @property
+    def refusal(self) -> Refusal:
+        """Return the refusal that this message carries."""
+        return Refusal(
+            self.verdict, self.reason, self.text, self.retry_after_s
+        )
+
+
+class Head(Message, frozen=True, tag='head'):
+    """Start the answer: HTTP status and content type of the worker."""
+
+    attempt: AttemptId
+    status: int
+    content_type: str
+
+
+class Data(Message, frozen=True, tag='data'):
+    """Carry answer bytes; ``offset`` counts bytes before this payload.
+
+    A payload of a stream ends at the end of a server-sent event.
+    """
+
+    attempt: AttemptId
+    offset: int
+    payload: bytes
+
+
+class End(Message, frozen=True, tag='end'):
+    """End a whole answer of ``length`` bytes."""
+
+    attempt: AttemptId
+    length: int
+    prompt_tokens: int
+    output_tokens: int
+    cache: CacheReport
+    load: LoadReport
+
+
+class WorkerChanged(Message, frozen=True, tag='worker'):
+    """Tell routers of a worker's new epoch, models or leaving state."""
+
+    epoch: str
+    models: tuple[str, ...]
+    load: LoadReport
+    leaving: bool
+
+
+RouterFrame: TypeAlias = Hello | Start | Ask | Cancel | Ack
+AgentFrame: TypeAlias = (
+    Welcome | Accepted | Refused | Head | Data | End | WorkerChanged
+)
+
+LINK_METHOD = '/lacewing.Peer/Link'
