Agree on what the daemon gives to its role

Cause: router, agent and the daemon's entry are written side by side. Change: runtime protocols for bundle, members, status and drain. Measured: nothing runs yet; formatter, linter and mypy are clean.

--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/runtime.py
@@ -0,0 +1,80 @@
+"""Describe what the daemon gives to its role, router or agent."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from lacewing_common.bundle import RolledBundle
+from lacewing_common.identity import ProcessName
+from lacewing_common.settings import Settings
+
+
+class BundleSource(Protocol):
+    """Give the bundle in force."""
+
+    @property
+    def current(self) -> RolledBundle:
+        """Return the bundle in force; number 0 before the first."""
+
+    def on_change(self, callback: Callable[[RolledBundle], None]) -> None:
+        """Call back after each change, with the new bundle."""
+
+
+class MemberSource(Protocol):
+    """Give the peers' addresses as far as they are known."""
+
+    def agent_addresses(self) -> tuple[str, ...]:
+        """Return ``ip:port`` of each agent not known to have left."""
+
+    def leaving(self, address: str) -> bool:
+        """Tell whether the platform says that an agent's VM is leaving."""
+
+
+class Ready(Protocol):
+    """Tell whether a role can serve."""
+
+    def __call__(self) -> bool:
+        """Return true when requests are taken."""
+
+
+@dataclass(frozen=True)
+class RoleStatus:
+    """Hold what a role reports on ``/status``; names to plain values."""
+
+    ready: bool
+    epoch: str
+    open_requests: int
+
+
+class RunningRole(Protocol):
+    """Control a started role, router or agent."""
+
+    @property
+    def status(self) -> RoleStatus:
+        """Return the role's status."""
+
+    @property
+    def peers_address(self) -> str:
+        """Return the ``ip:port`` it listens on for peers, or ''."""
+
+    @property
+    def callers_address(self) -> str:
+        """Return the ``ip:port`` it listens on for callers, or ''."""
+
+    async def drain(self) -> None:
+        """Take no new work; return when all open work has ended."""
+
+    async def close(self) -> None:
+        """Close listeners and links."""
+
+
+@dataclass(frozen=True)
+class Runtime:
+    """Hold what every role gets from the daemon."""
+
+    name: ProcessName
+    settings: Settings
+    bundles: BundleSource
+    members: MemberSource
+    stopping: asyncio.Event
