Say how answers are windowed, asked for and forgotten

Cause: router and agent need one bound for unconfirmed answer bytes, the meaning of an Ask on a live link, and the name of a loaded adapter. Change: ANSWER_WINDOW_BYTES (256 KiB) and three doc comments in wire.py; no message changes its shape. An agent names a loaded adapter model:weights:adapter@version, so that an older version isn't taken for the one in force.

--- a/packages/common/src/lacewing_common/wire.py
+++ b/packages/common/src/lacewing_common/wire.py
@@ -16,6 +16,10 @@
 from lacewing_common.verdict import Refusal
 from lacewing_common.verdict import Verdict
 
+# An agent sends at most so many bytes of an answer beyond the last Ack.
+# Without a bound a caller that reads slowly would fill the router's memory.
+ANSWER_WINDOW_BYTES = 256 * 1024
+
 
 class Message(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """Mark a struct as a wire message."""
@@ -111,7 +115,9 @@
     """Ask what became of an attempt; resume its answer from ``offset``.
 
     An agent that never saw the attempt closes its id for ever before it
-    replies, so that a late ``Start`` cannot run it.
+    replies, so that a late ``Start`` cannot run it. One that runs or ran it
+    replies Accepted, then Head, Data from ``offset`` on and End, as far as
+    there are any; an Ask on a link that was never broken does the same.
     """
 
     attempt: AttemptId
@@ -125,7 +131,11 @@
 
 
 class Ack(Message, frozen=True, tag='ack'):
-    """Confirm the answer's bytes up to ``offset`` for flow control."""
+    """Confirm the answer's bytes up to ``offset`` for flow control.
+
+    The last one, at the length that End gave, lets the agent forget the
+    answer.
+    """
 
     attempt: AttemptId
     offset: int
@@ -134,7 +144,8 @@
 class Welcome(Message, frozen=True, tag='welcome'):
     """Answer a Hello with the agent and its worker.
 
-    ``models``: ``model:weights`` or ``model:weights:adapter`` now loaded.
+    ``models``: ``model:weights`` or, for each adapter of it,
+    ``model:weights:adapter@version``, as now loaded.
     """
 
     name: ProcessName
