--- /dev/null
+++ b/packages/bench/src/lacewing_bench/standins/_counts.py
@@ -0,0 +1,51 @@
+"""Count what a stand-in worker truly did, for checks and reports.
+
+The counts belong to the test and not to the worker: a crash keeps them.
+"""
+
+from collections import Counter
+from dataclasses import dataclass
+from dataclasses import field
+
+from lacewing_bench.standins._generation import Generation
+
+
+@dataclass
+class EngineCounts:
+    """Count an engine's work.
+
+    ``executions``: by request id, counted as a request enters the batch.
+    ``busy_s``: seconds of steps, as priced.
+    """
+
+    executions: Counter[str] = field(default_factory=Counter)
+    prefilled_tokens: int = 0
+    hit_tokens: int = 0
+    prompt_tokens: int = 0
+    completed: int = 0
+    cancelled: int = 0
+    busy_s: float = 0.0
+    peak_running: int = 0
+    loading: int = 0
+    peak_loading: int = 0
+    loads: int = 0
+
+    def admit(self, generation: Generation, running: int) -> None:
+        """Count a request that entered the batch."""
+        self.executions[generation.request_id] += 1
+        self.hit_tokens += generation.cached_tokens
+        self.prompt_tokens += generation.request.prompt_tokens
+        self.peak_running = max(self.peak_running, running)
+
+
+@dataclass
+class PlainCounts:
+    """Count a plain service's executions.
+
+    ``by_key`` counts by Idempotency-Key, where one was given.
+    """
+
+    executions: Counter[str] = field(default_factory=Counter)
+    by_key: Counter[str] = field(default_factory=Counter)
+    completed: int = 0
+    peak_running: int = 0
