--- /dev/null
+++ b/packages/common/src/lacewing_common/platform_client.py
@@ -0,0 +1,269 @@
+"""Use the platform's object API over HTTP."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from random import Random
+from urllib.parse import quote
+
+import msgspec
+
+from lacewing_common._platform_http import Answer
+from lacewing_common._platform_http import Call
+from lacewing_common._platform_http import HttpCaller
+from lacewing_common._platform_http import NoAnswer
+from lacewing_common.backoff import Backoff
+from lacewing_common.store import MUST_NOT_EXIST
+from lacewing_common.store import StoredObject
+from lacewing_common.store import StoreError
+from lacewing_common.store import StoreFault
+from lacewing_common.store import Vm
+
+_FAULTS = {
+    404: StoreFault.NOT_FOUND,
+    412: StoreFault.CONFLICT,
+    413: StoreFault.TOO_LARGE,
+    429: StoreFault.RATE_LIMITED,
+    503: StoreFault.UNAVAILABLE,
+}
+
+
+@dataclass(frozen=True)
+class ClientOptions:
+    """Bound the calls to the platform.
+
+    The first wait after a cut watch spreads over ``watch_backoff_base_s``,
+    so that a thousand processes cut at once stay within the read rate.
+    """
+
+    connect_timeout_s: float = 1.0
+    request_timeout_s: float = 3.0
+    watch_wait_s: float = 25.0
+    watch_backoff_base_s: float = 1.0
+    watch_backoff_cap_s: float = 8.0
+    calls_at_once: int = 16
+    watches_at_once: int = 16
+    ca_file: str | None = None
+
+
+class _NameRow(msgspec.Struct, frozen=True):
+    name: str
+    version: int
+
+
+@dataclass(frozen=True)
+class _Deleted:
+    version: int
+
+
+class PlatformClient:
+    """Read and change the platform's objects over HTTP.
+
+    ``platform`` is a base URL or ``ip:port``. Create and close it inside a
+    running event loop. Watches have slots of their own, so that a write
+    never waits behind them.
+    """
+
+    def __init__(
+        self,
+        platform: str,
+        options: ClientOptions | None = None,
+        random: Random | None = None,
+    ) -> None:
+        self._options = options or ClientOptions()
+        self._random = random or Random()
+        base_url = platform if '://' in platform else f'http://{platform}'
+        self._calls = self._caller(base_url, self._options.calls_at_once)
+        self._watches = self._caller(base_url, self._options.watches_at_once)
+
+    def close(self) -> None:
+        """Close all connections; end or cancel calls and watches before."""
+        self._calls.close()
+        self._watches.close()
+
+    async def get(self, kind: str, name: str) -> StoredObject | StoreError:
+        """Read one object."""
+        answer = await self._call('GET', _object_path(kind, name))
+        if isinstance(answer, StoreError):
+            return answer
+        return _stored(kind, name, answer)
+
+    async def list_names(
+        self, kind: str
+    ) -> tuple[StoredObject, ...] | StoreError:
+        """Read all objects of a kind, without their values."""
+        answer = await self._call('GET', f'/objects/{quote(kind, safe="")}')
+        if isinstance(answer, StoreError):
+            return answer
+        try:
+            rows = msgspec.json.decode(answer.body, type=list[_NameRow])
+        except msgspec.DecodeError as error:
+            return _malformed(f'a list of names: {error}')
+        found = []
+        for row in rows:
+            found.append(StoredObject(kind, row.name, row.version, b''))
+        return tuple(found)
+
+    async def vms(self) -> tuple[Vm, ...] | StoreError:
+        """Read the lagging VM list."""
+        answer = await self._call('GET', '/vms')
+        if isinstance(answer, StoreError):
+            return answer
+        try:
+            return msgspec.json.decode(answer.body, type=tuple[Vm, ...])
+        except msgspec.DecodeError as error:
+            return _malformed(f'a list of VMs: {error}')
+
+    async def put(
+        self, kind: str, name: str, value: bytes, expect: int
+    ) -> StoredObject | StoreError:
+        """Write if the version is ``expect`` (0: must not exist)."""
+        answer = await self._call(
+            'PUT', _object_path(kind, name), _condition(expect), value
+        )
+        if isinstance(answer, StoreError):
+            return answer
+        version = _version(answer)
+        if version is None:
+            return StoreError(
+                StoreFault.UNKNOWN,
+                f'expected an ETag with the new version of {kind}/{name}',
+            )
+        return StoredObject(kind, name, version, value)
+
+    async def delete(
+        self, kind: str, name: str, expect: int
+    ) -> None | StoreError:
+        """Delete if the version is ``expect``."""
+        answer = await self._call(
+            'DELETE', _object_path(kind, name), _condition(expect)
+        )
+        return answer if isinstance(answer, StoreError) else None
+
+    async def watch(
+        self, kind: str, name: str, after: int
+    ) -> AsyncIterator[StoredObject | StoreError]:
+        """Yield each change of one object after a version.
+
+        Changes that follow each other fast may show as the last of them. A
+        delete shows as NOT_FOUND, and the watch goes on. Each failed call
+        shows as its error, then the watch retries with backoff for ever.
+        """
+        backoff = Backoff(
+            self._options.watch_backoff_base_s,
+            self._options.watch_backoff_cap_s,
+            self._random,
+        )
+        while True:
+            change = await self._next_change(kind, name, after)
+            if change is None:
+                backoff.reset()
+                continue
+            if isinstance(change, StoreError):
+                yield change
+                await asyncio.sleep(_delay_s(change, backoff))
+                continue
+            backoff.reset()
+            after = change.version
+            if isinstance(change, _Deleted):
+                yield _not_found(kind, name)
+                continue
+            yield change
+
+    async def _next_change(
+        self, kind: str, name: str, after: int
+    ) -> StoredObject | _Deleted | StoreError | None:
+        wait_s = self._options.watch_wait_s
+        path = f'{_object_path(kind, name)}?watch={after}&wait_s={wait_s}'
+        timeout_s = wait_s + self._options.request_timeout_s
+        answer = await self._watches.call(Call('GET', path, timeout_s))
+        if isinstance(answer, NoAnswer):
+            return StoreError(StoreFault.UNAVAILABLE, answer.message)
+        if answer.status == 304:
+            return None
+        version = _version(answer)
+        if answer.status == 404 and version is not None and version > after:
+            return _Deleted(version)
+        if answer.status != 200:
+            return _error(answer, is_read=True)
+        if version is None or version <= after:
+            return _malformed(f'a version of {kind}/{name} above {after}')
+        return StoredObject(kind, name, version, answer.body)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        headers: dict[str, str] | None = None,
+        body: bytes | None = None,
+    ) -> Answer | StoreError:
+        timeout_s = self._options.request_timeout_s
+        call = Call(method, path, timeout_s, headers or {}, body)
+        answer = await self._calls.call(call)
+        if isinstance(answer, Answer):
+            if answer.status == 200:
+                return answer
+            return _error(answer, call.is_read)
+        if call.is_read or not answer.sent:
+            return StoreError(StoreFault.UNAVAILABLE, answer.message)
+        return StoreError(StoreFault.UNKNOWN, answer.message)
+
+    def _caller(self, base_url: str, at_once: int) -> HttpCaller:
+        return HttpCaller(
+            base_url,
+            at_once,
+            self._options.connect_timeout_s,
+            self._options.ca_file,
+        )
+
+
+def _object_path(kind: str, name: str) -> str:
+    return f'/objects/{quote(kind, safe="")}/{quote(name, safe="")}'
+
+
+def _condition(expect: int) -> dict[str, str]:
+    if expect == MUST_NOT_EXIST:
+        return {'If-None-Match': '*'}
+    return {'If-Match': f'"{expect}"'}
+
+
+def _version(answer: Answer) -> int | None:
+    text = answer.headers.get('Etag', '').strip('"')
+    return int(text) if text.isdigit() else None
+
+
+def _stored(kind: str, name: str, answer: Answer) -> StoredObject | StoreError:
+    version = _version(answer)
+    if version is None:
+        return _malformed(f'an ETag with the version of {kind}/{name}')
+    return StoredObject(kind, name, version, answer.body)
+
+
+def _error(answer: Answer, is_read: bool) -> StoreError:
+    fault = _FAULTS.get(answer.status)
+    if fault is None and 400 <= answer.status < 500:
+        fault = StoreFault.REJECTED
+    if fault is None:
+        fault = StoreFault.UNAVAILABLE if is_read else StoreFault.UNKNOWN
+    text = answer.body[:200].decode(errors='replace')
+    message = f'the platform answered {answer.status}: {text}'
+    return StoreError(fault, message, _retry_after_s(answer))
+
+
+def _retry_after_s(answer: Answer) -> float | None:
+    text = answer.headers.get('Retry-After', '')
+    return float(text) if text.isdigit() else None
+
+
+def _delay_s(error: StoreError, backoff: Backoff) -> float:
+    return (error.retry_after_s or 0.0) + backoff.next_s()
+
+
+def _malformed(expected: str) -> StoreError:
+    return StoreError(
+        StoreFault.UNAVAILABLE, f'expected from the platform {expected}'
+    )
+
+
+def _not_found(kind: str, name: str) -> StoreError:
+    return StoreError(StoreFault.NOT_FOUND, f'{kind}/{name} does not exist')
--- a/packages/common/src/lacewing_common/store.py
+++ b/packages/common/src/lacewing_common/store.py
@@ -11,8 +11,10 @@
 class StoreFault(Enum):
     """Tell why a call to the platform failed.
 
-    CONFLICT, NOT_FOUND and RATE_LIMITED: surely without effect.
-    UNAVAILABLE: the call never reached the platform; without effect.
+    CONFLICT, NOT_FOUND, RATE_LIMITED, TOO_LARGE and REJECTED: surely
+    without effect. REJECTED: the platform did not understand the call.
+    UNAVAILABLE: a read failed, or a write never reached the platform or was
+    refused in an outage; without effect.
     UNKNOWN: the answer was lost; the change may have taken effect, so the
     caller reads back before it decides.
     """
@@ -20,16 +22,22 @@
     CONFLICT = 'conflict'
     NOT_FOUND = 'not-found'
     RATE_LIMITED = 'rate-limited'
+    TOO_LARGE = 'too-large'
+    REJECTED = 'rejected'
     UNAVAILABLE = 'unavailable'
     UNKNOWN = 'unknown'
 
 
 @dataclass(frozen=True)
 class StoreError:
-    """Report a failed call and what the reader can do about it."""
+    """Report a failed call and what the reader can do about it.
+
+    ``retry_after_s`` is the platform's advice in seconds, if it gave any.
+    """
 
     fault: StoreFault
     message: str
+    retry_after_s: float | None = None
 
 
 @dataclass(frozen=True)
