--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+# Targets for developers; each makes the virtual environment on first use.
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := common daemon ctl
+DECLARED := constraints.txt $(wildcard packages/*/pyproject.toml)
+
+.PHONY: test check format clean
+
+test: $(VENV)/.made
+	.ci/run
+
+check: $(VENV)/.made
+	PATH="$(CURDIR)/$(BIN):$$PATH" tools/check
+
+format: $(VENV)/.made
+	$(BIN)/ruff check -q --fix . ; $(BIN)/ruff format .
+
+$(VENV)/.made: $(DECLARED)
+	$(PYTHON) -m venv $(VENV)
+	PIP_CONSTRAINT=constraints.txt $(BIN)/python -m pip install -q \
+		$(PACKAGES:%=-e packages/%) -e 'packages/bench[checks]'
+	touch $@
+
+clean:
+	rm -rf $(VENV) build
--- /dev/null
+++ b/packages/bench/src/lacewing_bench/testrun/__init__.py
@@ -0,0 +1,1 @@
+"""Run all scenarios and give the verdict of continuous integration."""
--- /dev/null
+++ b/packages/common/src/lacewing_common/exits.py
@@ -0,0 +1,15 @@
+"""Name the exit codes of both binaries."""
+
+from enum import IntEnum
+
+SIGNAL_BASE = 128
+
+
+class Exit(IntEnum):
+    """Tell why a process ended; 128 + n: ended at once by signal n."""
+
+    OK = 0
+    FAILED = 1
+    USAGE = 2
+    ADDRESS_IN_USE = 3
+    DRAIN_INCOMPLETE = 4
--- a/packages/common/src/lacewing_common/settings.py
+++ b/packages/common/src/lacewing_common/settings.py
@@ -1,6 +1,9 @@
 """Read and check the JSON settings of a daemon."""
 
+from enum import Enum
+from ipaddress import ip_address
 from pathlib import Path
+from urllib.parse import urlsplit
 
 import msgspec
 
@@ -12,6 +15,18 @@
     """Name the wrong field, what was expected and what came."""
 
 
+_PORTS = 65536
+
+
+class LogLevel(Enum):
+    """Name the least level of the log lines written."""
+
+    DEBUG = 'debug'
+    INFO = 'info'
+    WARNING = 'warning'
+    ERROR = 'error'
+
+
 class Setting(msgspec.Struct, frozen=True, kw_only=True):
     """Mark a group of settings."""
 
@@ -22,6 +37,11 @@
     host: str
     port: int
 
+    @property
+    def is_loopback(self) -> bool:
+        """Tell whether only this machine can reach the address."""
+        return ip_address(self.host).is_loopback
+
     def __str__(self) -> str:
         if ':' in self.host:
             return f'[{self.host}]:{self.port}'
@@ -56,7 +76,13 @@
 
 
 class Settings(Setting, forbid_unknown_fields=True, frozen=True):
-    """Hold all settings of one daemon."""
+    """Hold all settings of one daemon.
+
+    ``platform`` is the base URL of the platform's API, '' for none;
+    ``seeds`` are the ``ip:port`` of agents known from the start;
+    ``allow_plain`` permits listening off loopback without TLS;
+    ``drain_s`` bounds the seconds that open requests get after SIGTERM.
+    """
 
     role: Role
     process_id: str
@@ -66,7 +92,7 @@
     seeds: tuple[str, ...] = ()
     worker: WorkerSettings | None = None
     bundle_file: str = ''
-    log_level: str = 'info'
+    log_level: LogLevel = LogLevel.INFO
     tls: TlsFiles | None = None
     allow_plain: bool = False
     drain_s: float = 30.0
@@ -75,11 +101,21 @@
 def parse_address(text: str) -> Address:
     """Read ``ip:port`` or ``[ip]:port``; raise SettingsError otherwise."""
     host, colon, port = text.rpartition(':')
-    if not colon or not port.isdigit():
-        raise SettingsError(
-            f'expected an address such as 127.0.0.1:7400, got {text!r}'
-        )
-    return Address(host.strip('[]'), int(port))
+    host = host.strip('[]')
+    if not colon or not port.isdecimal() or int(port) >= _PORTS:
+        raise _not_an_address(text)
+    try:
+        ip_address(host)
+    except ValueError as error:
+        raise _not_an_address(text) from error
+    return Address(host, int(port))
+
+
+def _not_an_address(text: str) -> SettingsError:
+    return SettingsError(
+        'expected an IP number and a port such as 127.0.0.1:7400,'
+        f' got {text!r}'
+    )
 
 
 def parse_settings(text: bytes) -> Settings:
@@ -102,20 +138,73 @@
 
 
 def _check(settings: Settings) -> None:
-    addresses = [
+    _check_names(settings)
+    _check_listen(settings)
+    for index, seed in enumerate(settings.seeds):
+        _check_address(f'$.seeds[{index}]', seed)
+    if settings.platform:
+        _check_url('$.platform', settings.platform)
+    if settings.drain_s <= 0:
+        raise SettingsError(
+            f'expected seconds above 0, got {settings.drain_s}'
+            ' - at `$.drain_s`'
+        )
+    _check_worker(settings)
+
+
+def _check_names(settings: Settings) -> None:
+    named = [
+        ('$.process_id', settings.process_id),
+        ('$.place.region', settings.place.region),
+        ('$.place.availability_zone', settings.place.availability_zone),
+    ]
+    for field, text in named:
+        if not text:
+            raise SettingsError(f"expected a name, got '' - at `{field}`")
+
+
+def _check_listen(settings: Settings) -> None:
+    listen = [
         ('$.listen.peers', settings.listen.peers),
         ('$.listen.operators', settings.listen.operators),
         ('$.listen.callers', settings.listen.callers),
     ]
-    for index, seed in enumerate(settings.seeds):
-        addresses.append((f'$.seeds[{index}]', seed))
-    for field, text in addresses:
-        try:
-            parse_address(text)
-        except SettingsError as error:
-            raise SettingsError(f'{error} - at `{field}`') from error
-    if settings.role is Role.AGENT and settings.worker is None:
+    for field, text in listen:
+        address = _check_address(field, text)
+        if address.is_loopback:
+            continue
+        if settings.tls is not None or settings.allow_plain:
+            continue
+        raise SettingsError(
+            f'expected TLS for {address}, which other machines can reach:'
+            ' set `$.tls`, listen on loopback, or set `$.allow_plain` to'
+            f' true - at `{field}`'
+        )
+
+
+def _check_worker(settings: Settings) -> None:
+    if settings.role is Role.ROUTER:
+        return
+    if settings.worker is None:
         raise SettingsError(
             'expected the worker of this agent: give its url and service'
             ' - at `$.worker`'
         )
+    _check_url('$.worker.url', settings.worker.url)
+
+
+def _check_address(field: str, text: str) -> Address:
+    try:
+        return parse_address(text)
+    except SettingsError as error:
+        raise SettingsError(f'{error} - at `{field}`') from error
+
+
+def _check_url(field: str, text: str) -> None:
+    parts = urlsplit(text)
+    if parts.scheme in ('http', 'https') and parts.netloc:
+        return
+    raise SettingsError(
+        f'expected a URL such as http://127.0.0.1:8000, got {text!r}'
+        f' - at `{field}`'
+    )
--- /dev/null
+++ b/packages/common/src/lacewing_common/status.py
@@ -0,0 +1,34 @@
+"""Describe what a process answers on ``/status``."""
+
+import msgspec
+
+from lacewing_common.identity import Place
+from lacewing_common.identity import Role
+
+
+class Addresses(msgspec.Struct, frozen=True):
+    """Hold the ``ip:port`` of each listener; '' where there is none."""
+
+    peers: str = ''
+    callers: str = ''
+    operators: str = ''
+
+
+class ProcessStatus(msgspec.Struct, frozen=True):
+    """Report one process.
+
+    ``epoch`` names the run of an agent's worker, '' on a router.
+    ``bundle_number`` is 0 before the first bundle.
+    """
+
+    process_id: str
+    incarnation: int
+    role: Role
+    place: Place
+    epoch: str
+    bundle_number: int
+    bundle_digest: str
+    ready: bool
+    stopping: bool
+    open_requests: int
+    addresses: Addresses
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/_operators.py
@@ -0,0 +1,99 @@
+"""Serve operators over HTTP: health, readiness, metrics and status."""
+
+from typing import Protocol
+
+import msgspec
+from lacewing_common.settings import Address
+from lacewing_common.settings import parse_address
+from lacewing_common.settings import Settings
+from lacewing_common.status import ProcessStatus
+from lacewing_common.tls import ClientCertificate
+from lacewing_common.tls import server_context
+from prometheus_client import CONTENT_TYPE_LATEST
+from prometheus_client import generate_latest
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application
+from tornado.web import RequestHandler
+
+_OK = 200
+_UNAVAILABLE = 503
+
+
+class StatusSource(Protocol):
+    """Give the status of this process."""
+
+    def __call__(self) -> ProcessStatus:
+        """Return the status as of now."""
+
+
+class _Health(RequestHandler):
+    def get(self) -> None:
+        """Answer as long as the event loop runs."""
+        self.set_header('Content-Type', 'text/plain')
+        self.finish('ok\n')
+
+
+class _Query(RequestHandler):
+    def initialize(self, source: StatusSource) -> None:
+        """Take the source of the status."""
+        self._source = source
+
+
+class _Readiness(_Query):
+    def get(self) -> None:
+        """Answer 200 while requests are taken, else 503."""
+        ready = self._source().ready
+        self.set_status(_OK if ready else _UNAVAILABLE)
+        self.set_header('Content-Type', 'text/plain')
+        self.finish('ready\n' if ready else 'not ready\n')
+
+
+class _Metrics(RequestHandler):
+    def get(self) -> None:
+        """Answer in Prometheus' text format."""
+        self.set_header('Content-Type', CONTENT_TYPE_LATEST)
+        self.finish(generate_latest())
+
+
+class _Status(_Query):
+    def get(self) -> None:
+        """Answer with the process' status as JSON."""
+        self.set_header('Content-Type', 'application/json')
+        self.finish(msgspec.json.encode(self._source()))
+
+
+class OperatorsServer:
+    """Listen for operators."""
+
+    def __init__(self, settings: Settings, source: StatusSource) -> None:
+        self._settings = settings
+        self._server = HTTPServer(
+            Application(
+                [
+                    ('/healthz', _Health),
+                    ('/readyz', _Readiness, {'source': source}),
+                    ('/metrics', _Metrics),
+                    ('/status', _Status, {'source': source}),
+                ],
+                log_function=_log_nothing,
+            ),
+            ssl_options=server_context(settings, ClientCertificate.OPERATORS),
+        )
+
+    def listen(self) -> Address:
+        """Bind the address of the settings; return the one in use."""
+        wanted = parse_address(self._settings.listen.operators)
+        sockets = bind_sockets(wanted.port, wanted.host)
+        self._server.add_sockets(sockets)
+        host, port = sockets[0].getsockname()[:2]
+        return Address(host, port)
+
+    async def close(self) -> None:
+        """Stop listening and close the connections."""
+        self._server.stop()
+        await self._server.close_all_connections()
+
+
+def _log_nothing(_handler: RequestHandler) -> None:
+    """Keep scrapes and probes out of the logs."""
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/_serve.py
@@ -0,0 +1,133 @@
+"""Run one daemon from its start to the end of its drain."""
+
+import asyncio
+import errno
+from collections.abc import Coroutine
+from pathlib import Path
+
+from lacewing_common.exits import Exit
+from lacewing_common.identity import new_incarnation
+from lacewing_common.identity import ProcessName
+from lacewing_common.log import get_log
+from lacewing_common.log import Part
+from lacewing_common.settings import Settings
+from lacewing_common.status import Addresses
+from lacewing_common.status import ProcessStatus
+
+from lacewing_daemon._operators import OperatorsServer
+from lacewing_daemon._roles import start_role
+from lacewing_daemon._signals import on_hangup
+from lacewing_daemon._signals import StopSignals
+from lacewing_daemon.bundles import FileBundles
+from lacewing_daemon.members import KnownMembers
+from lacewing_daemon.runtime import RoleStatus
+from lacewing_daemon.runtime import RunningRole
+from lacewing_daemon.runtime import Runtime
+
+_NOT_STARTED = RoleStatus(ready=False, epoch='', open_requests=0)
+
+
+class _Daemon:
+    """Hold the parts of a running daemon and report on them."""
+
+    def __init__(self, settings: Settings) -> None:
+        self._log = get_log(Part.MAIN)
+        self._settings = settings
+        self._signals = StopSignals()
+        self._bundles = FileBundles(_bundle_path(settings))
+        self._members = KnownMembers(settings.seeds)
+        self._runtime = Runtime(
+            name=ProcessName(settings.process_id, new_incarnation()),
+            settings=settings,
+            bundles=self._bundles,
+            members=self._members,
+            stopping=self._signals.stopping,
+        )
+        self._operators = OperatorsServer(settings, self._status)
+        self._operators_address = ''
+        self._role: RunningRole | None = None
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def run(self) -> Exit:
+        """Serve until a stop signal, then drain."""
+        self._signals.listen()
+        on_hangup(self._bundles.reload)
+        self._bundles.reload()
+        self._operators_address = str(self._operators.listen())
+        self._follow(self._bundles.follow())
+        self._role = await start_role(self._runtime)
+        addresses = self._status().addresses
+        self._log.info(
+            'Listening.',
+            peers=addresses.peers,
+            callers=addresses.callers,
+            operators=addresses.operators,
+        )
+        await self._signals.stopping.wait()
+        return await self._stop(self._role)
+
+    def _follow(self, source: Coroutine[None, None, None]) -> None:
+        self._tasks.append(asyncio.create_task(source))
+
+    async def _stop(self, role: RunningRole) -> Exit:
+        ended = Exit.OK
+        try:
+            async with asyncio.timeout(self._settings.drain_s):
+                await role.drain()
+        except TimeoutError:
+            ended = Exit.DRAIN_INCOMPLETE
+            self._log.warning(
+                'Drain period over.', open=role.status.open_requests
+            )
+        await role.close()
+        await self._operators.close()
+        for task in self._tasks:
+            task.cancel()
+        self._log.info('Stopped.', code=ended.value)
+        return ended
+
+    def _status(self) -> ProcessStatus:
+        role = self._role
+        status = _NOT_STARTED if role is None else role.status
+        bundle = self._bundles.current
+        stopping = self._signals.stopping.is_set()
+        return ProcessStatus(
+            process_id=self._settings.process_id,
+            incarnation=self._runtime.name.incarnation,
+            role=self._settings.role,
+            place=self._settings.place,
+            epoch=status.epoch,
+            bundle_number=bundle.number,
+            bundle_digest=bundle.digest,
+            ready=status.ready and not stopping,
+            stopping=stopping,
+            open_requests=status.open_requests,
+            addresses=self._addresses(),
+        )
+
+    def _addresses(self) -> Addresses:
+        if self._role is None:
+            return Addresses(operators=self._operators_address)
+        return Addresses(
+            peers=self._role.peers_address,
+            callers=self._role.callers_address,
+            operators=self._operators_address,
+        )
+
+
+async def serve(settings: Settings) -> Exit:
+    """Run a daemon; return why it ended."""
+    log = get_log(Part.MAIN)
+    try:
+        return await _Daemon(settings).run()
+    except OSError as error:
+        if error.errno not in (errno.EADDRINUSE, errno.EADDRNOTAVAIL):
+            raise
+        log.error('Cannot listen.', error=str(error))
+        return Exit.ADDRESS_IN_USE
+
+
+def _bundle_path(settings: Settings) -> Path | None:
+    if not settings.bundle_file:
+        return None
+    return Path(settings.bundle_file)
