Show the fleet's status and launch one on a machine

Cause: operators had no view of the processes, and the demo, the load tool and the failure tests need a whole deployment at hand. Change: lacewingctl status asks all operators' listeners; routers follow the platform's VM list about every 2 s and keep the last one in an outage; lacewing_bench.fleet starts the platform, the stand-ins, agents and routers of Moravia or Lahore, kills, freezes and restarts them by their ids and always ends them, also when the launcher is killed. Ruled out: a pipe for each process, whose reader would share the load tool's event loop; the output goes to a file. Before: nothing.

--- /dev/null
+++ b/packages/bench/src/lacewing_bench/fleet/_daemon.py
@@ -0,0 +1,71 @@
+"""Start and restart one router or agent."""
+
+from pathlib import Path
+
+from lacewing_common.identity import Role
+from lacewing_common.settings import Listen
+from lacewing_common.status import Addresses
+
+from lacewing_bench.fleet._layout import Common
+from lacewing_bench.fleet._layout import daemon_settings
+from lacewing_bench.fleet._layout import Slot
+from lacewing_bench.fleet._layout import write_json
+from lacewing_bench.fleet._process import FleetProcess
+
+_LISTENING = 'main: Listening.'
+
+
+class Daemon:
+    """Hold one daemon, its settings and the addresses of its last start."""
+
+    def __init__(
+        self, slot: Slot, common: Common, worker_url: str, directory: Path
+    ) -> None:
+        self._slot = slot
+        self._common = common
+        self._worker_url = worker_url
+        self._path = directory / f'{slot.process_id}.json'
+        self._addresses = Addresses()
+        self._process = FleetProcess(
+            slot.process_id,
+            'lacewing_daemon.main',
+            ['--settings', str(self._path)],
+            directory,
+        )
+
+    @property
+    def slot(self) -> Slot:
+        """Return what runs where."""
+        return self._slot
+
+    @property
+    def process(self) -> FleetProcess:
+        """Return the process."""
+        return self._process
+
+    @property
+    def addresses(self) -> Addresses:
+        """Return the addresses of the last start."""
+        return self._addresses
+
+    async def start(self, same_address: bool) -> None:
+        """Start with the last start's addresses, or with new ones."""
+        listen = self._listen() if same_address else Listen()
+        settings = daemon_settings(
+            self._slot, self._common, listen, self._worker_url
+        )
+        write_json(self._path, settings)
+        self._process.start()
+        lines = await self._process.lines(_LISTENING)
+        line = lines[0]
+        self._addresses = Addresses(line.peers, line.callers, line.operators)
+
+    def _listen(self) -> Listen:
+        last = self._addresses
+        if self._slot.role is Role.AGENT:
+            return Listen(peers=last.peers, operators=last.operators)
+        return Listen(
+            peers=last.peers or Listen().peers,
+            operators=last.operators,
+            callers=last.callers,
+        )
--- /dev/null
+++ b/packages/bench/src/lacewing_bench/fleet/_layout.py
@@ -0,0 +1,137 @@
+"""Write the settings of each process of a fleet."""
+
+import json
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+from lacewing_common.identity import Place
+from lacewing_common.identity import Role
+from lacewing_common.settings import Listen
+from lacewing_common.settings import LogLevel
+from lacewing_common.settings import Settings
+from lacewing_common.settings import TlsFiles
+from lacewing_common.settings import WorkerSettings
+
+from lacewing_bench.fleet._bundle import adapters
+from lacewing_bench.fleet._deployment import Deployment
+from lacewing_bench.fleet._deployment import MODEL_WEIGHTS
+from lacewing_bench.standins import EngineConfig
+from lacewing_bench.standins import KvConfig
+from lacewing_bench.standins import LoadedAdapter
+from lacewing_bench.standins import LoadedModel
+from lacewing_bench.standins import PlainConfig
+from lacewing_bench.standins import StandinsConfig
+
+KV_STORE = 'kv-1'
+
+
+@dataclass(frozen=True)
+class Slot:
+    """Name one process of the system and say where it runs.
+
+    ``worker`` and ``service`` are '' for a router.
+    """
+
+    process_id: str
+    role: Role
+    zone: str
+    worker: str = ''
+    service: str = ''
+
+
+@dataclass(frozen=True)
+class Common:
+    """Hold what all daemons of a fleet share."""
+
+    region: str
+    platform_url: str
+    bundle_file: Path
+    log_level: LogLevel
+    drain_s: float
+    tls: TlsFiles | None
+
+
+def router_slots(deployment: Deployment) -> tuple[Slot, ...]:
+    """Place the routers over the zones in turn."""
+    slots: list[Slot] = []
+    for index in range(deployment.routers):
+        zone = deployment.zones[index % len(deployment.zones)]
+        slots.append(Slot(f'router-{index + 1}', Role.ROUTER, zone))
+    return tuple(slots)
+
+
+def agent_slots(deployment: Deployment) -> tuple[Slot, ...]:
+    """Place an agent beside each worker, over the zones in turn."""
+    groups = [
+        (deployment.model_service, deployment.model_workers),
+        (deployment.plain_service, deployment.plain_workers),
+    ]
+    slots: list[Slot] = []
+    for service, number in groups:
+        for index in range(number):
+            zone = deployment.zones[index % len(deployment.zones)]
+            worker = f'{service}-{index + 1}'
+            slot = Slot(f'agent-{worker}', Role.AGENT, zone, worker, service)
+            slots.append(slot)
+    return tuple(slots)
+
+
+def standins(deployment: Deployment, platform_url: str) -> StandinsConfig:
+    """Describe all stand-in workers of a deployment."""
+    workers: list[EngineConfig | PlainConfig | KvConfig] = []
+    for slot in agent_slots(deployment):
+        if slot.service == deployment.model_service:
+            workers.append(_engine(deployment, slot.worker, platform_url))
+            continue
+        workers.append(PlainConfig(name=slot.worker))
+    workers.append(KvConfig(name=KV_STORE))
+    return StandinsConfig(workers=tuple(workers))
+
+
+def _engine(
+    deployment: Deployment, name: str, platform_url: str
+) -> EngineConfig:
+    loaded: list[LoadedAdapter] = []
+    for adapter in adapters(deployment):
+        loaded.append(
+            LoadedAdapter(name=adapter.name, version=adapter.version)
+        )
+    model = LoadedModel(
+        id=deployment.model, weights=MODEL_WEIGHTS, adapters=tuple(loaded)
+    )
+    return EngineConfig(
+        name=name,
+        models=(model,),
+        platform=platform_url,
+        costs=deployment.costs,
+    )
+
+
+def daemon_settings(
+    slot: Slot, common: Common, listen: Listen, worker_url: str
+) -> Settings:
+    """Make the settings of one daemon."""
+    worker = None
+    if slot.role is Role.AGENT:
+        worker = WorkerSettings(url=worker_url, service=slot.service)
+    return Settings(
+        role=slot.role,
+        process_id=slot.process_id,
+        place=Place(common.region, slot.zone),
+        listen=listen,
+        platform=common.platform_url,
+        worker=worker,
+        bundle_file=str(common.bundle_file),
+        log_level=common.log_level,
+        tls=common.tls,
+        drain_s=common.drain_s,
+    )
+
+
+def write_json(path: Path, value: object) -> None:
+    """Write a value in place of a file, whole or not at all."""
+    text = json.dumps(msgspec.to_builtins(value), indent=2)
+    fresh = path.with_suffix('.new')
+    fresh.write_text(text)
+    fresh.replace(path)
--- a/packages/bench/src/lacewing_bench/testrun/__main__.py
+++ b/packages/bench/src/lacewing_bench/testrun/__main__.py
@@ -1,5 +1,6 @@
 """Run behave on all features: ``python -m lacewing_bench.testrun``."""
 
+import signal
 import sys
 from pathlib import Path
 
@@ -30,6 +31,9 @@
         print(f'testrun: {error}')
         print('0 passed, 1 failed')
         return 1
+    # Without this a time limit would end the run before the scenario under
+    # way has ended its processes.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     runner = Runner(Configuration(_BEHAVE + sys.argv[1:]))
     broken = runner.run()
     counts = count(runner.features)
--- /dev/null
+++ b/packages/ctl/src/lacewing_ctl/_operators_client.py
@@ -0,0 +1,84 @@
+"""Ask the operators' listeners of many processes at once."""
+
+import asyncio
+from dataclasses import dataclass
+
+import pycurl
+from lacewing_common.settings import TlsFiles
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.curl_httpclient import CurlError
+from tornado.httpclient import HTTPRequest
+
+_TIMEOUT_S = 3.0
+_CALLS_AT_ONCE = 64
+_OK = 200
+
+
+@dataclass(frozen=True)
+class Unanswered:
+    """Report a process that gave no answer to a query."""
+
+    address: str
+    message: str
+
+
+class OperatorsClient:
+    """Read from operators' listeners; create it inside an event loop."""
+
+    def __init__(self, tls: TlsFiles | None) -> None:
+        self._tls = tls
+        self._client = CurlAsyncHTTPClient(
+            force_instance=True, max_clients=_CALLS_AT_ONCE
+        )
+
+    async def get(self, address: str, path: str) -> bytes | Unanswered:
+        """Read one path of one process."""
+        try:
+            response = await self._client.fetch(
+                self._request(address, path), raise_error=False
+            )
+        except CurlError as error:
+            return Unanswered(address, error.message or str(error))
+        if response.code != _OK:
+            return Unanswered(address, f'HTTP status {response.code}')
+        return response.body
+
+    async def get_all(
+        self, addresses: tuple[str, ...], path: str
+    ) -> list[bytes | Unanswered]:
+        """Read one path of many processes, in their order."""
+        calls = [self.get(address, path) for address in addresses]
+        return await asyncio.gather(*calls)
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._client.close()
+
+    def _request(self, address: str, path: str) -> HTTPRequest:
+        if self._tls is None:
+            return HTTPRequest(
+                f'http://{address}{path}',
+                request_timeout=_TIMEOUT_S,
+                prepare_curl_callback=_prepare,
+            )
+        return HTTPRequest(
+            f'https://{address}{path}',
+            request_timeout=_TIMEOUT_S,
+            ca_certs=self._tls.authority,
+            client_cert=self._tls.certificate,
+            client_key=self._tls.key,
+            prepare_curl_callback=_prepare_tls,
+        )
+
+
+def _prepare(curl: pycurl.Curl) -> None:
+    curl.setopt(pycurl.NOPROXY, '*')
+
+
+def _prepare_tls(curl: pycurl.Curl) -> None:
+    """Know a process by its authority, not by its address.
+
+    VMs are replaced at any time and their addresses are used again.
+    """
+    _prepare(curl)
+    curl.setopt(pycurl.SSL_VERIFYHOST, 0)
--- /dev/null
+++ b/packages/ctl/src/lacewing_ctl/_queries/__init__.py
@@ -0,0 +1,1 @@
+"""Hold what only reads."""
--- a/packages/daemon/src/lacewing_daemon/_serve.py
+++ b/packages/daemon/src/lacewing_daemon/_serve.py
@@ -4,12 +4,15 @@
 import errno
 from collections.abc import Coroutine
 from pathlib import Path
+from random import Random
 
 from lacewing_common.exits import Exit
 from lacewing_common.identity import new_incarnation
 from lacewing_common.identity import ProcessName
+from lacewing_common.identity import Role
 from lacewing_common.log import get_log
 from lacewing_common.log import Part
+from lacewing_common.platform_client import PlatformClient
 from lacewing_common.settings import Settings
 from lacewing_common.status import Addresses
 from lacewing_common.status import ProcessStatus
@@ -19,6 +22,7 @@
 from lacewing_daemon._signals import on_hangup
 from lacewing_daemon._signals import StopSignals
 from lacewing_daemon.bundles import FileBundles
+from lacewing_daemon.members import follow_vm_list
 from lacewing_daemon.members import KnownMembers
 from lacewing_daemon.runtime import RoleStatus
 from lacewing_daemon.runtime import RunningRole
@@ -45,6 +49,7 @@
         )
         self._operators = OperatorsServer(settings, self._status)
         self._operators_address = ''
+        self._platform: PlatformClient | None = None
         self._role: RunningRole | None = None
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -55,6 +60,7 @@
         self._bundles.reload()
         self._operators_address = str(self._operators.listen())
         self._follow(self._bundles.follow())
+        self._follow_platform()
         self._role = await start_role(self._runtime)
         addresses = self._status().addresses
         self._log.info(
@@ -69,6 +75,15 @@
     def _follow(self, source: Coroutine[None, None, None]) -> None:
         self._tasks.append(asyncio.create_task(source))
 
+    def _follow_platform(self) -> None:
+        if not self._settings.platform:
+            return
+        if self._settings.role is not Role.ROUTER:
+            return
+        self._platform = PlatformClient(self._settings.platform)
+        follow = follow_vm_list(self._platform, self._members, Random())
+        self._follow(follow)
+
     async def _stop(self, role: RunningRole) -> Exit:
         ended = Exit.OK
         try:
@@ -83,6 +98,8 @@
         await self._operators.close()
         for task in self._tasks:
             task.cancel()
+        if self._platform is not None:
+            self._platform.close()
         self._log.info('Stopped.', code=ended.value)
         return ended
 
