Prove the platform client against each fault

Cause: the client and the stand-in had only been run by hand, and the claim that libcurl repeats a write by itself was not shown.

Change: 44 scenarios, most over HTTP and over the in-memory fake: versions, conflicts, lost answers, late writes, outages by 503, cut and refused connections, a watch across an outage and a delete, rate limits on a stopped clock, 1 MB, odd names, VM lag, weight loads, the process.

Before: no scenario.

Conclusion: a lost answer is told from a failure and resolved without a second write. TLS to the platform is not tried yet.

--- /dev/null
+++ b/features/support/platform_bench.py
@@ -0,0 +1,267 @@
+"""Hold the platform, its clock and a store for the steps."""
+
+import asyncio
+import json
+import subprocess
+from asyncio import Runner
+from asyncio import Task
+from collections.abc import Callable
+from typing import Any
+from urllib.error import HTTPError
+from urllib.request import Request
+from urllib.request import urlopen
+
+import msgspec
+from lacewing_bench.fakes import FakeStore
+from lacewing_bench.platform import FaultSwitches
+from lacewing_bench.platform import ObjectKey
+from lacewing_bench.platform import PlatformServer
+from lacewing_bench.platform import PlatformService
+from lacewing_bench.platform import PlatformSettings
+from lacewing_bench.platform import WeightSettings
+from lacewing_common.platform_client import ClientOptions
+from lacewing_common.platform_client import PlatformClient
+from lacewing_common.put_resolving import put_resolving
+from lacewing_common.store import MUST_NOT_EXIST
+from lacewing_common.store import StoredObject
+from lacewing_common.store import StoreError
+from lacewing_common.store import StoreFault
+from tornado.httpclient import AsyncHTTPClient
+
+PATIENCE_S = 20.0
+SHORT_S = 0.2
+POLL_S = 0.01
+Result = StoredObject | StoreError | None
+
+
+class StoppedClock:
+    """Tell a time that moves only when a step says so."""
+
+    def __init__(self) -> None:
+        self.now_s = 0.0
+
+    def __call__(self) -> float:
+        """Return the time in seconds."""
+        return self.now_s
+
+
+class InterruptedStore:
+    """Let something happen after the first write and after some reads."""
+
+    def __init__(
+        self,
+        store: PlatformClient | FakeStore,
+        after_write: Callable[[], None],
+        after_reads: Callable[[], None],
+        reads: int,
+    ) -> None:
+        self._store = store
+        self._after_write = after_write
+        self._after_reads = after_reads
+        self._reads_left = reads
+        self._wrote = False
+        self.list_names = store.list_names
+        self.watch = store.watch
+        self.vms = store.vms
+        self.delete = store.delete
+
+    async def get(self, kind: str, name: str) -> StoredObject | StoreError:
+        """Read, then let something happen if it is the last of the reads."""
+        result = await self._store.get(kind, name)
+        self._reads_left -= 1
+        if self._reads_left == 0:
+            self._after_reads()
+        return result
+
+    async def put(
+        self, kind: str, name: str, value: bytes, expect: int
+    ) -> StoredObject | StoreError:
+        """Write, then let something happen if it is the first write."""
+        result = await self._store.put(kind, name, value, expect)
+        if not self._wrote:
+            self._wrote = True
+            self._after_write()
+        return result
+
+
+class Bench:
+    """Hold what a scenario works with."""
+
+    def __init__(self, runner: Runner) -> None:
+        self.runner = runner
+        self.clock = StoppedClock()
+        settings = PlatformSettings(
+            weights=WeightSettings(load_s=0.05, loads_at_once=2)
+        )
+        self.service = PlatformService(settings, self.clock)
+        self.server = PlatformServer(settings, self.service)
+        self.store: PlatformClient | FakeStore | InterruptedStore
+        self.client: PlatformClient | None = None
+        self.result: Result = None
+        self.status = 0
+        self.losses: list[bool] = []
+        self.shown: asyncio.Queue[StoredObject | StoreError] = asyncio.Queue()
+        self.watch: Task[None] | None = None
+        self.writing: Task[Result] | None = None
+
+    def set_faults(self, **changes: object) -> None:
+        """Replace all fault switches."""
+        self.service.set_faults(msgspec.convert(changes, FaultSwitches))
+
+    def create(self, path: str, value: bytes) -> None:
+        """Create an object and keep the result."""
+        self.write(path, value, MUST_NOT_EXIST)
+
+    def write(self, path: str, value: bytes, expect: int) -> None:
+        """Write an object and keep the result."""
+        kind, name = split(path)
+        self.result = self.runner.run(
+            self.store.put(kind, name, value, expect)
+        )
+
+    def write_resolving(self, path: str, value: bytes, expect: int) -> None:
+        """Write an object, resolve a lost answer, keep the result."""
+        kind, name = split(path)
+        self.result = self.runner.run(
+            put_resolving(self.store, kind, name, value, expect)
+        )
+
+    def read(self, path: str) -> None:
+        """Read an object and keep the result."""
+        kind, name = split(path)
+        self.result = self.runner.run(self.store.get(kind, name))
+
+    def create_many(self, prefix: str, count: int) -> None:
+        """Create objects and keep which answers were lost."""
+        self.losses = []
+        for number in range(count):
+            self.create(f'{prefix}/{number}', b'x')
+            self.losses.append(fault(self.result) is StoreFault.UNKNOWN)
+
+    def next_shown(self) -> StoredObject | StoreError:
+        """Return what the watch shows next."""
+        return self.runner.run(asyncio.wait_for(self.shown.get(), PATIENCE_S))
+
+    def wait_until(self, condition: Callable[[], bool]) -> None:
+        """Run the loop until a condition holds; fail when it never does."""
+        self.runner.run(until(condition))
+
+    def close_store(self) -> None:
+        """End the watch and close the client."""
+        if self.watch is not None:
+            self.runner.run(end_task(self.watch))
+            self.watch = None
+        if self.writing is not None:
+            self.runner.run(end_task(self.writing))
+            self.writing = None
+        if self.client is not None:
+            self.client.close()
+            self.client = None
+
+    def close(self) -> None:
+        """Close all."""
+        self.close_store()
+        self.runner.run(self.server.close())
+
+    def write_as_another(self, path: str, value: bytes) -> None:
+        """Write behind the faults, as another writer."""
+        key = ObjectKey(*split(path))
+        found = self.service.objects.version(key)
+        self.service.objects.put(key, value, found)
+
+
+def split(path: str) -> tuple[str, str]:
+    """Split a path into kind and name."""
+    kind, _slash, name = path.partition('/')
+    return kind, name
+
+
+def fault(result: Result) -> StoreFault | None:
+    """Return the fault of a result, or None."""
+    return result.fault if isinstance(result, StoreError) else None
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    """Wait until a condition holds."""
+    async with asyncio.timeout(PATIENCE_S):
+        while not condition():
+            await asyncio.sleep(POLL_S)
+
+
+async def end_task(task: Task[Any]) -> None:
+    """Cancel a task and wait for its end."""
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+
+
+async def follow(bench: Bench, path: str, after: int) -> None:
+    """Put what a watch yields into the bench's queue."""
+    kind, name = split(path)
+    async for change in bench.store.watch(kind, name, after):
+        bench.shown.put_nowait(change)
+
+
+async def start_task(bench: Bench, path: str, after: int) -> None:
+    """Start a watch."""
+    bench.watch = asyncio.create_task(follow(bench, path, after))
+
+
+def fetch(url: str, method: str = 'GET', body: object = None) -> Any:
+    """Call a stand-in that runs as a process; return the JSON."""
+    data = None if body is None else json.dumps(body).encode()
+    request = Request(url, data, method=method)
+    with urlopen(request, timeout=PATIENCE_S) as response:
+        return json.loads(response.read())
+
+
+def fetch_failure(
+    url: str, method: str = 'GET', body: object = None
+) -> tuple[int, str]:
+    """Call a stand-in that refuses; return status and text."""
+    try:
+        fetch(url, method, body)
+    except HTTPError as error:
+        return error.code, error.read().decode()
+    raise AssertionError(f'expected {method} {url} to be refused')
+
+
+def end_process(process: 'subprocess.Popen[bytes]') -> None:
+    """End a process that a scenario started."""
+    process.kill()
+    process.communicate()
+
+
+async def load_at_once(bench: Bench, count: int) -> None:
+    """Load weights in parallel."""
+    loads = []
+    for _number in range(count):
+        loads.append(fetch_status(bench, '/weights/tutor/1', 'GET'))
+    assert await asyncio.gather(*loads) == [200] * count
+
+
+async def fetch_status(bench: Bench, path: str, method: str) -> int:
+    """Call the stand-in of the scenario; return the status."""
+    client = AsyncHTTPClient(force_instance=True)
+    response = await client.fetch(
+        bench.server.url + path,
+        method=method,
+        body=b'x' if method == 'PUT' else None,
+        raise_error=False,
+    )
+    client.close()
+    return response.code
+
+
+async def new_client(
+    bench: Bench, options: ClientOptions, address: str = ''
+) -> PlatformClient:
+    """Open the HTTP client inside the loop."""
+    return PlatformClient(address or bench.server.address, options)
+
+
+async def start_write(bench: Bench, path: str) -> Task[Result]:
+    """Start a write and leave it under way."""
+    kind, name = split(path)
+    return asyncio.create_task(
+        bench.store.put(kind, name, b'x', MUST_NOT_EXIST)
+    )
--- a/packages/bench/src/lacewing_bench/platform/_server.py
+++ b/packages/bench/src/lacewing_bench/platform/_server.py
@@ -45,6 +45,11 @@
         """Return the base URL."""
         return f'http://{self._listen}'
 
+    @property
+    def listening(self) -> bool:
+        """Tell whether it listens now."""
+        return self._server is not None
+
     async def start(self) -> None:
         """Listen; after a close, on the same port as before."""
         sockets = bind_sockets(
