Route requests over one link to each agent

Cause: callers need an HTTP API, and their requests an agent. Ruled out: asyncio.Queue for each attempt, whose cost per item is several times that of a deque with one waiter; a ping on each link, which at 890 links is the whole control allowance (an Ask on silence replaces it). The CPU per relayed token is not measured yet. Streams cut after bytes went out end with an error event; continuing elsewhere is not there.

--- /dev/null
+++ b/features/router.feature
@@ -0,0 +1,162 @@
+Feature: A router takes callers' requests and has agents run them
+  Every answer reaches its own caller once and whole, and a refusal says
+  truly whether the request may have run.
+
+  Background:
+    Given a router whose bundle has the teams "rahmat" and "brno"
+
+  Scenario: A whole answer comes back with its verdict
+    Given an agent of "tutor" that answers
+    When "rahmat" asks the model "handbook"
+    Then the status is 200 and the verdict is "ran"
+    And the answer is the agent's, with the caller's request id
+    And the agent was given the prompt's hashes and the text unchanged
+
+  Scenario: A stream comes back as the agent sent it
+    Given an agent of "tutor" that streams 5 tokens
+    When "rahmat" asks the model "handbook" for a stream
+    Then the status is 200 and the verdict is "ran"
+    And the caller got 5 tokens, each once and in order, then the end
+
+  Scenario: A plain service gets the call as it came
+    Given an agent of "registry" that answers
+    When "rahmat" posts "{}" to "/services/registry/records?year=1"
+    Then the status is 200 and the verdict is "ran"
+    And the agent got "POST" on "/records?year=1" as idempotent
+
+  Scenario Outline: What cannot be served is refused with the reason
+    When a caller sends <request>
+    Then the status is <status> and the verdict is "not-run"
+    And the error has the code "<code>" and says "<message>"
+
+    Examples:
+      | request                                | status | code                | message                        |
+      | no key                                 | 401    | invalid_team_key    | Authorization: Bearer          |
+      | a wrong key                            | 401    | invalid_team_key    | no team has this key           |
+      | a model of another team's service      | 403    | service_not_allowed | may not call the service       |
+      | another team's plain service           | 403    | service_not_allowed | may not call the service       |
+      | an unknown model                       | 404    | unknown_model       | no service runs the model      |
+      | an unknown adapter                     | 404    | unknown_model       | has no adapter                 |
+      | an unknown service                     | 404    | unknown_service     | name of a plain service        |
+      | an unknown path                        | 404    | unknown_path        | /v1/chat/completions           |
+      | a GET of chat completions              | 405    | unknown_path        | does not take the method       |
+      | a body that is not JSON                | 400    | bad_request         | expected a JSON object         |
+      | a model that is a number               | 400    | bad_request         | Expected `str`, got `int`      |
+      | messages without a role                | 400    | bad_request         | missing required field `role`  |
+      | no tokens asked for                    | 400    | bad_request         | max_tokens of at least 1       |
+      | JSON nested 65 deep in an unread field | 400    | bad_request         | at most 64 levels              |
+      | JSON nested 5000 deep                  | 400    | bad_request         | at most 64 levels              |
+      | a body above 4 MB                      | 413    | request_too_large   | at most 4194304 bytes          |
+      | a chunked body above 4 MB              | 413    | request_too_large   | at most 4194304 bytes          |
+      | a path with an encoded slash           | 400    | bad_request         | without empty or dot segments  |
+      | a path with dots                       | 400    | bad_request         | without empty or dot segments  |
+
+  Scenario: The models are those that the team may call
+    When "rahmat" lists the models
+    Then the models are "handbook, handbook:urdu"
+
+  Scenario: A request that comes before any link is up is served
+    # Symptom: the first requests after a cold start fail.
+    # Sequence: router starts; a request arrives; the agent answers later.
+    # Cause: no worker is eligible until the first Welcome.
+    Given the address of an agent of "tutor" that is not up yet
+    When "rahmat" asks the model "handbook" and the agent comes up meanwhile
+    Then the status is 200 and the verdict is "ran"
+
+  Scenario: A request that no worker can serve is refused at once
+    Given an agent of "registry" that answers
+    When "rahmat" asks the model "handbook"
+    Then the status is 503 and the verdict is "not-run"
+    And the error has the code "no_worker_available" and says "tutor"
+    And the answer says when to come back
+
+  Scenario: A refusal that did not run is tried on another worker
+    Given an agent of "tutor" that refuses with "queue_full"
+    And an agent of "tutor" that answers
+    When "rahmat" asks the model "handbook" until both agents were asked
+    Then every status was 200
+    And no request was started more than once on one agent
+
+  Scenario: Retries are bounded by a budget
+    # Symptom: an overload doubles itself.
+    # Sequence: all workers refuse; each request is tried on each of them.
+    # Cause: retries without a budget.
+    Given 3 agents of "tutor" that refuse with "queue_full"
+    When "rahmat" asks the model "handbook" 40 times
+    Then every status was 503 and every verdict "not-run"
+    And at most 54 attempts were made
+
+  Scenario Outline: A call that must not be repeated runs at most once
+    # Symptom: a certificate is issued twice.
+    # Sequence: the agent accepts the call and then fails or goes away.
+    # Cause: the router takes the call for lost and sends it elsewhere.
+    Given 2 agents of "registry" that <fault>
+    When "rahmat" posts "{}" to "/services/registry/certificates/7"
+    Then the status is 502 and the verdict is "may-have-run"
+    And 1 attempt was made in all
+
+    Examples:
+      | fault                                 |
+      | fail and may have run it              |
+      | restart after they accepted a request |
+
+  Scenario: A call that must not be repeated is retried when it did not run
+    Given an agent of "registry" that refuses with "draining"
+    And an agent of "registry" that answers
+    When "rahmat" posts to certificates until both agents were asked
+    Then every status was 200
+    And no request was started more than once on one agent
+
+  Scenario: A repeatable request runs elsewhere when its agent restarts
+    # Symptom: a request fails though another worker could answer it.
+    # Sequence: the agent accepts, restarts, and knows nothing of it.
+    # Cause: the new incarnation cannot give the old one's answer.
+    Given an agent of "tutor" that restarts once after it accepted a request
+    And an agent of "tutor" that answers
+    When "rahmat" asks the model "handbook" until both agents were asked
+    Then every status was 200
+
+  Scenario: A broken link is re-attached where the answer stopped
+    # Symptom: the caller sees a token twice, or misses one.
+    # Sequence: 3 of 6 tokens arrive; the link breaks; it comes back.
+    # Cause: the answer is resumed at another byte than the next one.
+    Given an agent of "tutor" that streams 6 tokens and cuts the link after 3
+    When "rahmat" asks the model "handbook" for a stream
+    Then the caller got 6 tokens, each once and in order, then the end
+    And the agent was asked to resume after 3 tokens
+    And 1 attempt was made in all
+
+  Scenario: Frames of other attempts and repeated bytes are dropped
+    # Symptom: a caller reads part of another caller's answer.
+    # Sequence: amid an answer a frame of another attempt arrives, and a
+    # payload that had arrived before.
+    # Cause: frames are taken by their sequence or order alone.
+    Given an agent of "tutor" that streams 6 tokens with crossed and repeated frames
+    When "rahmat" asks the model "handbook" for a stream
+    Then the caller got 6 tokens, each once and in order, then the end
+    And the router counted dropped frames
+
+  Scenario: A caller that hangs up stops the request at its worker
+    # Symptom: engines compute answers that nobody reads.
+    # Sequence: the caller reads two tokens and closes its connection.
+    # Cause: the router goes on reading the answer.
+    Given an agent of "tutor" that streams 6 tokens and holds after 2
+    When "rahmat" reads 2 tokens of a stream and hangs up
+    Then the agent is told to cancel the attempt
+    And the router has no open requests
+
+  Scenario: Draining finishes open answers and refuses new requests
+    # Symptom: a restart of a router cuts answers.
+    # Sequence: a stream is open; the router drains; a request comes.
+    # Cause: the router ends before its callers have their answers.
+    Given an agent of "tutor" that streams 6 tokens and holds after 2
+    When the router drains while "rahmat" reads a stream
+    Then a new request is refused with 503 "draining" and its connection closed
+    And the drain ends only after the open stream got all 6 tokens
+
+  Scenario: A leaving agent gets no new work and finishes the old
+    Given an agent of "tutor" that streams 6 tokens and holds after 2
+    And an agent of "tutor" that answers
+    When the first agent leaves while it streams to "rahmat"
+    Then the next 5 requests go to the second agent
+    And the open stream gets all 6 tokens
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/router/_attempt.py
@@ -0,0 +1,302 @@
+"""Run one request on one agent and read its answer in order."""
+
+import asyncio
+import time
+from typing import Protocol
+from typing import TypeAlias
+
+from lacewing_common.identity import ProcessName
+from lacewing_common.verdict import may_have_run
+from lacewing_common.verdict import not_run
+from lacewing_common.verdict import Reason
+from lacewing_common.verdict import Refusal
+from lacewing_common.wire import Accepted
+from lacewing_common.wire import Ack
+from lacewing_common.wire import Ask
+from lacewing_common.wire import AttemptId
+from lacewing_common.wire import Data
+from lacewing_common.wire import End
+from lacewing_common.wire import Head
+from lacewing_common.wire import Refused
+from lacewing_common.wire import RouterFrame
+
+from lacewing_daemon.router._mailbox import AnswerFrame
+from lacewing_daemon.router._mailbox import Interrupt
+from lacewing_daemon.router._mailbox import Item
+from lacewing_daemon.router._mailbox import Mailbox
+from lacewing_daemon.router._metrics import DROPPED_FRAMES
+from lacewing_daemon.router._metrics import REATTACHED
+
+# Confirming each token would double the frames of a link; confirming rarely
+# makes the agent keep more of each answer.
+ACK_STEP_BYTES = 16 * 1024
+
+Progress: TypeAlias = Head | bytes | End | Refusal
+
+
+class AttemptLink(Protocol):
+    """Carry an attempt's frames to its agent."""
+
+    @property
+    def up(self) -> bool:
+        """Tell whether frames can be sent."""
+
+    @property
+    def process(self) -> ProcessName | None:
+        """Return the agent's last known name."""
+
+    def send(self, frame: RouterFrame) -> None:
+        """Queue a frame; it is lost when the link is down."""
+
+
+class Attempt:
+    """Read the answer of one attempt.
+
+    ``budget_s`` bounds the answer, ``reattach_s`` the wait for a broken
+    link, both in seconds.
+    """
+
+    def __init__(
+        self,
+        attempt_id: AttemptId,
+        link: AttemptLink,
+        blocks: int,
+        budget_s: float,
+        reattach_s: float,
+    ) -> None:
+        self._id = attempt_id
+        self._link = link
+        self._blocks = blocks
+        self._reattach_s = reattach_s
+        self._mailbox = Mailbox()
+        self._loop = asyncio.get_running_loop()
+        self._expiry = self._loop.call_later(
+            budget_s, self._mailbox.put_first, Interrupt.EXPIRED
+        )
+        self._reattach_expiry: asyncio.TimerHandle | None = None
+        self._started_at = time.monotonic()
+        self._first_byte_at: float | None = None
+        self._sent = False
+        self._accepted = False
+        self._down = False
+        self._ended = False
+        self._has_head = False
+        self._received = 0
+        self._acked = 0
+
+    @property
+    def id(self) -> AttemptId:
+        """Return the id that its frames carry."""
+        return self._id
+
+    @property
+    def blocks(self) -> int:
+        """Return the number of prompt blocks."""
+        return self._blocks
+
+    @property
+    def ended(self) -> bool:
+        """Tell whether the agent said that it has ended."""
+        return self._ended
+
+    @property
+    def sent(self) -> bool:
+        """Tell whether any byte of it may have left this router."""
+        return self._sent
+
+    @property
+    def accepted(self) -> bool:
+        """Tell whether the agent confirmed that it will run."""
+        return self._accepted
+
+    @property
+    def has_first_byte(self) -> bool:
+        """Tell whether any answer byte came."""
+        return self._first_byte_at is not None
+
+    @property
+    def received(self) -> int:
+        """Return the number of answer bytes received in order."""
+        return self._received
+
+    @property
+    def started_at_s(self) -> float:
+        """Return the reading of ``time.monotonic`` at its start."""
+        return self._started_at
+
+    @property
+    def first_byte_ms(self) -> float | None:
+        """Return milliseconds from its start to the first answer byte."""
+        if self._first_byte_at is None:
+            return None
+        return (self._first_byte_at - self._started_at) * 1000
+
+    def mark_sent(self) -> None:
+        """Note that its Start is about to be written."""
+        self._sent = True
+
+    def deliver(self, frame: AnswerFrame) -> None:
+        """Take a frame that the link read for this attempt."""
+        self._mailbox.put(frame)
+
+    def interrupt(self, cause: Interrupt) -> None:
+        """Tell the reader of something that is not a frame."""
+        if cause is Interrupt.CALLER_GONE:
+            self._mailbox.put_first(cause)
+            return
+        self._mailbox.put(cause)
+
+    async def receive(self) -> Progress:
+        """Return what comes next: Head once, bytes in order, End or Refusal.
+
+        No byte comes twice and none is left out. After End or a Refusal
+        nothing more comes.
+        """
+        while True:
+            item = await self._mailbox.get()
+            if type(item) is Data:
+                payload = self._in_order(item)
+                if not payload:
+                    continue
+                return self._with_waiting(payload)
+            progress = self._other(item)
+            if progress is not None:
+                return progress
+
+    def confirm(self) -> None:
+        """Tell the agent that the caller has what was received so far."""
+        if self._received - self._acked < ACK_STEP_BYTES:
+            return
+        self._acked = self._received
+        self._link.send(Ack(self._id, self._received))
+
+    def close(self) -> None:
+        """Stop its timers."""
+        self._expiry.cancel()
+        if self._reattach_expiry is not None:
+            self._reattach_expiry.cancel()
+
+    def _with_waiting(self, payload: bytes) -> bytes:
+        # One write for all that waits: under load tokens come faster than
+        # the caller's socket is written.
+        pieces = [payload]
+        while type(self._mailbox.peek()) is Data:
+            item = self._mailbox.take()
+            assert isinstance(item, Data)
+            pieces.append(self._in_order(item))
+        if len(pieces) == 1:
+            return payload
+        return b''.join(pieces)
+
+    def _in_order(self, data: Data) -> bytes:
+        """Return the bytes that are new, empty for a repeated payload."""
+        if not self._has_head:
+            DROPPED_FRAMES.labels('data-before-head').inc()
+            return b''
+        payload = data.payload
+        skip = self._received - data.offset
+        if skip < 0:
+            # A gap means that the agent sent past what it was asked for.
+            # The bytes between would be missing at the caller; asking again
+            # from the last good byte fills them.
+            DROPPED_FRAMES.labels('gap').inc()
+            self._link.send(Ask(self._id, self._received))
+            return b''
+        if skip > 0:
+            payload = payload[skip:]
+            DROPPED_FRAMES.labels('repeated').inc()
+        self._received += len(payload)
+        if self._first_byte_at is None:
+            self._first_byte_at = time.monotonic()
+        return payload
+
+    def _other(self, item: Item) -> Progress | None:
+        if isinstance(item, Interrupt):
+            return self._interrupted(item)
+        if isinstance(item, Accepted):
+            self._accepted = True
+            return None
+        if isinstance(item, Head):
+            return self._first_head(item)
+        if isinstance(item, End):
+            return self._whole(item)
+        if isinstance(item, Refused):
+            self._ended = True
+            return item.refusal
+        return None
+
+    def _first_head(self, head: Head) -> Head | None:
+        self._accepted = True
+        if self._has_head:
+            return None
+        self._has_head = True
+        return head
+
+    def _whole(self, end: End) -> End | None:
+        if not self._has_head or end.length != self._received:
+            # An End that doesn't fit the bytes received would pass a cut
+            # answer as a whole one.
+            DROPPED_FRAMES.labels('end-out-of-order').inc()
+            self._link.send(Ask(self._id, self._received))
+            return None
+        self._ended = True
+        self._link.send(Ack(self._id, end.length))
+        return end
+
+    def _interrupted(self, cause: Interrupt) -> Refusal | None:
+        if cause is Interrupt.LINK_DOWN:
+            return self._link_down()
+        if cause is Interrupt.LINK_UP:
+            return self._link_up()
+        if cause is Interrupt.REATTACH_EXPIRED:
+            return self._unreachable()
+        if cause is Interrupt.CALLER_GONE:
+            return may_have_run(Reason.CALLER_GONE, 'the caller hung up')
+        return self._expired()
+
+    def _link_down(self) -> Refusal | None:
+        if not self._sent:
+            return not_run(
+                Reason.AGENT_UNREACHABLE,
+                'the link to the agent broke before the request was sent',
+                retry_after_s=1.0,
+            )
+        self._down = True
+        if self._reattach_expiry is None:
+            self._reattach_expiry = self._loop.call_later(
+                self._reattach_s,
+                self._mailbox.put,
+                Interrupt.REATTACH_EXPIRED,
+            )
+        return None
+
+    def _link_up(self) -> Refusal | None:
+        process = self._link.process
+        if process is None:
+            return None
+        if process.incarnation != self._id.agent_incarnation:
+            return may_have_run(
+                Reason.AGENT_RESTARTED,
+                'the agent restarted and no longer knows the request',
+            )
+        self._down = False
+        if self._reattach_expiry is not None:
+            self._reattach_expiry.cancel()
+            self._reattach_expiry = None
+        REATTACHED.inc()
+        self._link.send(Ask(self._id, self._received))
+        return None
+
+    def _unreachable(self) -> Refusal | None:
+        if not self._down:
+            return None
+        return may_have_run(
+            Reason.AGENT_UNREACHABLE,
+            f'the agent could not be reached for {self._reattach_s:.1f} s',
+        )
+
+    def _expired(self) -> Refusal:
+        text = 'the answer was not complete before the deadline'
+        if not self._sent:
+            return not_run(Reason.DEADLINE, text, retry_after_s=1.0)
+        return may_have_run(Reason.DEADLINE, text)
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/router/_callers.py
@@ -0,0 +1,316 @@
+"""Take callers' HTTP requests."""
+
+import re
+import secrets
+from typing import Any
+from urllib.parse import unquote_to_bytes
+
+import msgspec
+from lacewing_common.bundle import Service
+from lacewing_common.bundle import Team
+from lacewing_common.verdict import may_have_run
+from lacewing_common.verdict import not_run
+from lacewing_common.verdict import Reason
+from lacewing_common.verdict import Refusal
+from tornado.web import RequestHandler
+from tornado.web import stream_request_body
+
+from lacewing_daemon.router._call import Asked
+from lacewing_daemon.router._call import Call
+from lacewing_daemon.router._call import JSON
+from lacewing_daemon.router._call import model_call
+from lacewing_daemon.router._call import plain_call
+from lacewing_daemon.router._exchange import Exchange
+from lacewing_daemon.router._metrics import REQUESTS
+from lacewing_daemon.router._parse import bad_request
+from lacewing_daemon.router._parse import CHAT_PATH
+from lacewing_daemon.router._parse import COMPLETION_PATH
+from lacewing_daemon.router._parse import MAX_BODY_BYTES
+from lacewing_daemon.router._parse import parse_chat
+from lacewing_daemon.router._parse import parse_completion
+from lacewing_daemon.router._parse import too_large
+from lacewing_daemon.router._reply import CallerReply
+from lacewing_daemon.router._reply import REQUEST_ID_HEADER
+from lacewing_daemon.router._serving import Serving
+
+BUNDLE_WAIT_S = 1.7
+_REQUEST_ID_BYTES = 16
+
+_REQUEST_ID = re.compile(r'[A-Za-z0-9._:-]{1,128}')
+_TRACEPARENT = re.compile(r'[0-9a-f]{2}-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}')
+_NO_SERVICE = ''
+_WRONG_METHOD = 405
+_SERVER_FAULT = 500
+
+
+class ModelEntry(msgspec.Struct, frozen=True):
+    """Describe one model to a caller."""
+
+    id: str
+    object: str = 'model'
+
+
+class ModelList(msgspec.Struct, frozen=True):
+    """List the models that a team may call."""
+
+    data: tuple[ModelEntry, ...]
+    object: str = 'list'
+
+
+@stream_request_body
+class CallerHandler(RequestHandler):
+    """Check key and size, then serve one request."""
+
+    def initialize(self, serving: Serving) -> None:
+        """Take what all requests share."""
+        self._serving = serving
+        self._request_id = _request_id(self.request.headers)
+        self._reply = CallerReply(self, self._request_id)
+        self._exchange: Exchange | None = None
+        self._pieces: list[bytes] = []
+        self._size = 0
+        self._opened = False
+        self._service_name = _NO_SERVICE
+
+    def set_default_headers(self) -> None:
+        """Leave the server's name out."""
+        self.clear_header('Server')
+
+    def compute_etag(self) -> str | None:
+        """Send no ETag: answers are not to be cached."""
+        return None
+
+    async def prepare(self) -> None:
+        """Refuse what can be refused before the body is read."""
+        self._serving.request_opened()
+        self._opened = True
+        if self._serving.draining:
+            self.set_header('Connection', 'close')
+            await self._refuse(_draining())
+            return
+        if not await self._serving.wait_for_bundle(BUNDLE_WAIT_S):
+            await self._refuse(_no_bundle())
+            return
+        found = self._serving.catalog.team(
+            self.request.headers.get('Authorization', '')
+        )
+        if isinstance(found, Refusal):
+            await self._refuse(found)
+            return
+        self._team: Team = found
+
+    def data_received(self, chunk: bytes) -> None:
+        """Collect the body up to the limit, and drop what is beyond."""
+        self._size += len(chunk)
+        if self._size > MAX_BODY_BYTES:
+            # Read to its end: closing at once would reset the connection,
+            # and the caller would see that instead of the 413.
+            self._pieces.clear()
+            return
+        self._pieces.append(chunk)
+
+    def on_connection_close(self) -> None:
+        """Stop the request of a caller that hung up."""
+        self._reply.hang_up()
+        if self._exchange is not None:
+            self._exchange.hang_up()
+            return
+        self._end()
+
+    def on_finish(self) -> None:
+        """Count the end of the request."""
+        REQUESTS.labels(
+            self._service_name,
+            str(self._reply.status),
+            self._reply.verdict.value,
+        ).inc()
+
+    def write_error(self, status_code: int, **_details: Any) -> None:
+        """Answer what tornado refuses, and faults of our own."""
+        self._reply.fail(self._fault(status_code), status_code)
+        self._end()
+
+    def _fault(self, status_code: int) -> Refusal:
+        if status_code == _WRONG_METHOD:
+            return not_run(
+                Reason.UNKNOWN_PATH,
+                f'{self.request.path!r} does not take the method'
+                f' {self.request.method}',
+            )
+        if status_code < _SERVER_FAULT:
+            return bad_request('expected a well-formed HTTP request')
+        text = 'the router failed; its log tells more under this request id'
+        if self._exchange is None:
+            return not_run(Reason.INTERNAL, text)
+        return may_have_run(Reason.INTERNAL, text)
+
+    async def _refuse(self, refusal: Refusal) -> None:
+        await self._reply.refuse(refusal)
+        self._end()
+
+    def _asked(self, path: str) -> Asked:
+        headers = self.request.headers
+        traceparent = headers.get('traceparent', '')
+        if not _TRACEPARENT.fullmatch(traceparent):
+            traceparent = ''
+        return Asked(
+            request_id=self._request_id,
+            method=self.request.method or '',
+            path=path,
+            content_type=headers.get('Content-Type', JSON),
+            body=b''.join(self._pieces),
+            idempotency_key=headers.get('Idempotency-Key', ''),
+            traceparent=traceparent,
+        )
+
+    async def _serve(self, call: Call | Refusal) -> None:
+        if self._size > MAX_BODY_BYTES:
+            call = too_large(self._size)
+        if isinstance(call, Refusal):
+            await self._refuse(call)
+            return
+        self._service_name = call.service.name
+        if self._serving.draining:
+            self.set_header('Connection', 'close')
+        self._exchange = Exchange(self._serving, call, self._reply)
+        # The request ends when its last byte has been written and not
+        # before: a drain that ended sooner would cut it.
+        try:
+            await self._exchange.run()
+        finally:
+            self._end()
+
+    def _end(self) -> None:
+        if not self._opened:
+            return
+        self._opened = False
+        self._serving.request_ended()
+
+
+class ModelHandler(CallerHandler):
+    """Serve chat and text completions."""
+
+    async def post(self) -> None:
+        """Serve one completion."""
+        await self._serve(self._call())
+
+    def _call(self) -> Call | Refusal:
+        path = self.request.path
+        asked = self._asked(path)
+        parse = parse_completion
+        if path == CHAT_PATH:
+            parse = parse_chat
+        prompt = parse(asked.body)
+        if isinstance(prompt, Refusal):
+            return prompt
+        return model_call(asked, self._team, prompt, self._serving.catalog)
+
+
+class ModelsHandler(CallerHandler):
+    """List models."""
+
+    async def get(self) -> None:
+        """List the models that the team may call."""
+        names = self._serving.catalog.models_of(self._team)
+        listed = ModelList(tuple(ModelEntry(name) for name in names))
+        await self._reply.whole(200, JSON, msgspec.json.encode(listed))
+        self._end()
+
+
+class PlainHandler(CallerHandler):
+    """Serve calls of plain services."""
+
+    async def get(self) -> None:
+        """Pass a call on, whatever its method."""
+        await self._serve(self._call())
+
+    post = put = patch = delete = head = options = get
+
+    def _call(self) -> Call | Refusal:
+        _, _, name, rest = self.request.path.split('/', 3)
+        path = f'/{rest}'
+        checked = _checked_path(path)
+        if isinstance(checked, Refusal):
+            return checked
+        catalog = self._serving.catalog
+        service: Service | Refusal = catalog.plain_service(self._team, name)
+        if isinstance(service, Refusal):
+            return service
+        full = path
+        if self.request.query:
+            full = f'{path}?{self.request.query}'
+        asked = self._asked(full)
+        return plain_call(asked, self._team, service, catalog.number, checked)
+
+
+class UnknownHandler(CallerHandler):
+    """Refuse paths that the API does not have."""
+
+    async def get(self) -> None:
+        """Refuse, whatever the method."""
+        await self._refuse(
+            not_run(
+                Reason.UNKNOWN_PATH,
+                f'expected {CHAT_PATH}, {COMPLETION_PATH}, /v1/models or'
+                f' /services/<service>/<path>, got {self.request.path!r}',
+            )
+        )
+
+    post = put = patch = delete = head = options = get
+
+
+def routes(serving: Serving) -> list[Any]:
+    """Return the URL table of the callers' API."""
+    shared = {'serving': serving}
+    return [
+        (CHAT_PATH, ModelHandler, shared),
+        (COMPLETION_PATH, ModelHandler, shared),
+        ('/v1/models', ModelsHandler, shared),
+        ('/services/[^/]+/.*', PlainHandler, shared),
+        ('.*', UnknownHandler, shared),
+    ]
+
+
+def _request_id(headers: Any) -> str:
+    given = headers.get(REQUEST_ID_HEADER, '')
+    if _REQUEST_ID.fullmatch(given):
+        return str(given)
+    return secrets.token_hex(_REQUEST_ID_BYTES)
+
+
+def _checked_path(path: str) -> str | Refusal:
+    """Decode a path, or refuse one that can be read in two ways.
+
+    A worker may resolve ``..``, ``//`` or ``%2F`` where this router would
+    not: a call that must not be repeated would pass as repeatable, and run
+    twice after a fault.
+    """
+    try:
+        decoded = unquote_to_bytes(path).decode()
+    except UnicodeDecodeError:
+        return bad_request(f'expected a path in UTF-8, got {path!r}')
+    parts = decoded.split('/')[1:]
+    dotted = '.' in parts or '..' in parts
+    empty = '' in parts[:-1]
+    if dotted or empty or decoded.count('/') != path.count('/'):
+        return bad_request(
+            f'expected a path without empty or dot segments and encoded'
+            f' slashes, got {path!r}'
+        )
+    return decoded
+
+
+def _draining() -> Refusal:
+    return not_run(
+        Reason.DRAINING,
+        'this router is shutting down; repeat the request',
+        retry_after_s=1.0,
+    )
+
+
+def _no_bundle() -> Refusal:
+    return not_run(
+        Reason.NOT_READY,
+        'no bundle is in force at this router yet; repeat the request',
+        retry_after_s=1.0,
+    )
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/router/_exchange.py
@@ -0,0 +1,302 @@
+"""Serve one request: choose a worker, attempt, relay, retry."""
+
+import time
+from dataclasses import dataclass
+
+from lacewing_common.verdict import not_run
+from lacewing_common.verdict import Reason
+from lacewing_common.verdict import Refusal
+from lacewing_common.verdict import Verdict
+from lacewing_common.wire import AttemptId
+from lacewing_common.wire import CacheReport
+from lacewing_common.wire import End
+from lacewing_common.wire import Start
+
+from lacewing_daemon.router._attempt import Attempt
+from lacewing_daemon.router._baselines import no_worker
+from lacewing_daemon.router._call import Call
+from lacewing_daemon.router._call import renewed
+from lacewing_daemon.router._explain import Outcome
+from lacewing_daemon.router._link import Link
+from lacewing_daemon.router._mailbox import Interrupt
+from lacewing_daemon.router._metrics import ATTEMPTS
+from lacewing_daemon.router._metrics import FIRST_TOKEN_SECONDS
+from lacewing_daemon.router._metrics import HIT_BLOCKS
+from lacewing_daemon.router._metrics import PROMPT_BLOCKS
+from lacewing_daemon.router._metrics import RETRIES
+from lacewing_daemon.router._metrics import RETRIES_DENIED
+from lacewing_daemon.router._policy import Observation
+from lacewing_daemon.router._policy import RoutingRequest
+from lacewing_daemon.router._relay import relay_stream
+from lacewing_daemon.router._relay import relay_whole
+from lacewing_daemon.router._reply import Reply
+from lacewing_daemon.router._serving import Serving
+
+_MS_PER_S = 1000.0
+_ANSWERED = 'answered'
+
+# How long an attempt waits for a broken link before it counts as lost. A
+# request that can run elsewhere waits only for a quick reconnect; one that
+# can't has nowhere else to get its answer from.
+REATTACH_MOVABLE_S = 0.5
+REATTACH_BOUND_S = 15.0
+
+_ELSEWHERE_IF_NOT_RUN = frozenset(
+    (
+        Reason.QUEUE_FULL,
+        Reason.DEADLINE,
+        Reason.DRAINING,
+        Reason.NOT_READY,
+        Reason.STALE_EPOCH,
+        Reason.STALE_WEIGHTS,
+        Reason.ATTEMPT_CLOSED,
+        Reason.AGENT_RESTARTED,
+        Reason.AGENT_UNREACHABLE,
+        Reason.WORKER_UNREACHABLE,
+        Reason.WORKER_FAILED,
+    )
+)
+_ELSEWHERE_IF_REPEATABLE = frozenset(
+    (
+        Reason.STALE_EPOCH,
+        Reason.AGENT_RESTARTED,
+        Reason.AGENT_UNREACHABLE,
+        Reason.WORKER_UNREACHABLE,
+        Reason.WORKER_FAILED,
+        Reason.ANSWER_MISMATCHED,
+        Reason.STREAM_BROKEN,
+    )
+)
+
+
+@dataclass(frozen=True)
+class _Opened:
+    """Hold an attempt with the link and the request it was chosen for."""
+
+    attempt: Attempt
+    link: Link
+    routing: RoutingRequest
+
+
+class Exchange:
+    """Serve one request from its first attempt to its final answer."""
+
+    def __init__(self, serving: Serving, call: Call, reply: Reply) -> None:
+        self._serving = serving
+        self._call = call
+        self._reply = reply
+        self._attempt: Attempt | None = None
+        self._gone = False
+        self._tried: tuple[str, ...] = ()
+        self._began_s = time.monotonic()
+        self._answer_by_s = self._began_s + call.service.answer_ms / _MS_PER_S
+        self._start_by_s = self._began_s
+        self._renew_start_deadline()
+        self._record = serving.decisions.open(
+            call.asked.request_id, call.team.name, call.service.name
+        )
+
+    def hang_up(self) -> None:
+        """Stop: the caller has gone."""
+        self._gone = True
+        # A call that must not run twice goes on: its outcome is kept at the
+        # agent for the caller that asks again.
+        if self._attempt is not None and self._call.idempotent:
+            self._attempt.interrupt(Interrupt.CALLER_GONE)
+
+    async def run(self) -> None:
+        """Answer the caller, whatever happens."""
+        self._serving.budget(self._call.service.name).add_request()
+        while True:
+            refusal = await self._try_once()
+            if refusal is None:
+                return
+            refusal = self._final(refusal)
+            if refusal is None:
+                continue
+            await self._reply.refuse(refusal)
+            return
+
+    async def _try_once(self) -> Refusal | None:
+        """Make one attempt; None when the caller has its whole answer."""
+        opened = await self._open()
+        if isinstance(opened, Refusal):
+            return opened
+        self._attempt = opened.attempt
+        result = await self._relay(opened.attempt)
+        self._attempt = None
+        self._close(opened)
+        self._learn(opened, result)
+        if isinstance(result, End):
+            return None
+        return result
+
+    async def _open(self) -> _Opened | Refusal:
+        call = renewed(self._call, self._serving.catalog)
+        if isinstance(call, Refusal):
+            return call
+        self._call = call
+        links = self._serving.links
+        service = call.service
+        refusal = await links.wait_for_worker(
+            service.name, call.needs, self._start_by_s
+        )
+        if refusal is not None:
+            return refusal
+        if self._gone:
+            return not_run(Reason.CALLER_GONE, 'the caller hung up')
+        by_id: dict[str, Link] = {}
+        for link in links.eligible(service.name, call.needs):
+            if link.process_id not in self._tried:
+                by_id[link.process_id] = link
+        routing = self._routing_request()
+        if not by_id:
+            return no_worker(routing)
+        views = [link.view for link in by_id.values()]
+        choice = self._serving.knowledge.policy(service).choose(routing, views)
+        if isinstance(choice, Refusal):
+            return choice
+        self._record.chose(choice)
+        return self._start(by_id[choice.process_id], routing)
+
+    def _start(self, link: Link, routing: RoutingRequest) -> _Opened:
+        process = link.process
+        assert process is not None
+        sequences = self._serving.sequences
+        attempt_id = AttemptId(
+            str(self._serving.name), sequences.open(), process.incarnation
+        )
+        reattach_s = REATTACH_BOUND_S
+        if self._call.idempotent:
+            reattach_s = REATTACH_MOVABLE_S
+        attempt = Attempt(
+            attempt_id,
+            link,
+            len(self._call.chain.blocks),
+            self._answer_by_s - time.monotonic(),
+            reattach_s,
+        )
+        link.start(attempt, self._start_frame(attempt_id, link, routing))
+        return _Opened(attempt, link, routing)
+
+    def _start_frame(
+        self, attempt_id: AttemptId, link: Link, routing: RoutingRequest
+    ) -> Start:
+        call = self._call
+        asked = call.asked
+        model = ''
+        adapter = ''
+        if call.prompt is not None:
+            model = call.prompt.model
+            adapter = call.prompt.adapter
+        return Start(
+            attempt=attempt_id,
+            request_id=asked.request_id,
+            team=call.team.name,
+            service=call.service.name,
+            method=asked.method,
+            path=asked.path,
+            content_type=asked.content_type,
+            body=asked.body,
+            model=model,
+            adapter=adapter,
+            weights=call.weights,
+            salt=call.salt,
+            epoch=link.epoch,
+            stream=call.stream,
+            idempotent=call.idempotent,
+            idempotency_key=asked.idempotency_key,
+            priority=call.service.priority,
+            budget_ms=routing.budget_ms,
+            blocks=b''.join(call.chain.blocks),
+            levels=call.chain.levels,
+            bundle_number=call.bundle_number,
+            oldest_open=self._serving.sequences.oldest_open,
+            traceparent=asked.traceparent,
+        )
+
+    def _routing_request(self) -> RoutingRequest:
+        left_s = self._start_by_s - time.monotonic()
+        return RoutingRequest(
+            request_id=self._call.asked.request_id,
+            team=self._call.team.name,
+            service=self._call.service,
+            chain=self._call.chain,
+            priority=self._call.service.priority,
+            budget_ms=max(1.0, left_s * _MS_PER_S),
+            tried=self._tried,
+        )
+
+    async def _relay(self, attempt: Attempt) -> End | Refusal:
+        if self._call.stream:
+            return await relay_stream(attempt, self._reply)
+        return await relay_whole(attempt, self._reply)
+
+    def _close(self, opened: _Opened) -> None:
+        self._serving.sequences.close(opened.attempt.id.sequence)
+        if self._call.idempotent:
+            opened.link.abandon(opened.attempt)
+            return
+        opened.link.release(opened.attempt)
+
+    def _learn(self, opened: _Opened, result: End | Refusal) -> None:
+        name = self._call.service.name
+        first_byte_ms = opened.attempt.first_byte_ms
+        self._tried += (opened.link.process_id,)
+        if isinstance(result, Refusal):
+            code = result.reason.value
+            ATTEMPTS.labels(name, code).inc()
+            self._record.came(
+                Outcome(
+                    code, result.verdict.value, first_byte_ms, CacheReport()
+                )
+            )
+            return
+        ATTEMPTS.labels(name, _ANSWERED).inc()
+        HIT_BLOCKS.labels(name).inc(result.cache.hit_blocks)
+        PROMPT_BLOCKS.labels(name).inc(result.cache.prompt_blocks)
+        if first_byte_ms is not None:
+            FIRST_TOKEN_SECONDS.labels(name).observe(first_byte_ms / _MS_PER_S)
+        self._record.came(
+            Outcome(_ANSWERED, Verdict.RAN.value, first_byte_ms, result.cache)
+        )
+        self._serving.knowledge.observe(
+            Observation(
+                opened.routing,
+                opened.link.process_id,
+                result.cache,
+                result.load,
+                first_byte_ms,
+            )
+        )
+
+    def _final(self, refusal: Refusal) -> Refusal | None:
+        """Return the refusal to send, or None to try elsewhere."""
+        if not self._may_go_elsewhere(refusal):
+            return refusal
+        service = self._call.service.name
+        if not self._serving.budget(service).take():
+            RETRIES_DENIED.labels(service).inc()
+            return refusal
+        RETRIES.labels(service, refusal.reason.value).inc()
+        return None
+
+    def _may_go_elsewhere(self, refusal: Refusal) -> bool:
+        if self._gone or self._reply.started:
+            return False
+        if refusal.verdict is Verdict.NOT_RUN:
+            if refusal.reason not in _ELSEWHERE_IF_NOT_RUN:
+                return False
+            return time.monotonic() < self._start_by_s
+        if not self._call.idempotent:
+            return False
+        if refusal.reason not in _ELSEWHERE_IF_REPEATABLE:
+            return False
+        self._renew_start_deadline()
+        return time.monotonic() < self._start_by_s
+
+    def _renew_start_deadline(self) -> None:
+        # The fault of a worker must not leave the next one too little time.
+        budget_s = self._call.service.first_token_ms / _MS_PER_S
+        start_by_s = time.monotonic() + budget_s
+        self._start_by_s = min(start_by_s, self._answer_by_s)
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/router/_links.py
@@ -0,0 +1,195 @@
+"""Follow the known agents with one link each."""
+
+import asyncio
+import random
+import ssl
+import time
+
+from lacewing_common.log import get_log
+from lacewing_common.log import Part
+from lacewing_common.settings import parse_address
+from lacewing_common.settings import SettingsError
+from lacewing_common.verdict import not_run
+from lacewing_common.verdict import Reason
+from lacewing_common.verdict import Refusal
+from lacewing_common.wire import Hello
+
+from lacewing_daemon.router._knowledge import Knowledge
+from lacewing_daemon.router._link import Link
+from lacewing_daemon.runtime import Runtime
+
+POLL_S = 0.5
+
+_log = get_log(Part.MEMBERS)
+
+
+class Links:
+    """Hold the links and know which workers are eligible."""
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        knowledge: Knowledge,
+        rng: random.Random,
+        tls: ssl.SSLContext | None,
+    ) -> None:
+        self._runtime = runtime
+        self._knowledge = knowledge
+        self._rng = rng
+        self._tls = tls
+        self._links: dict[str, Link] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._eligible: dict[tuple[str, str], tuple[Link, ...]] = {}
+        self._leaving: frozenset[str] = frozenset()
+        self._changed = asyncio.Event()
+
+    @property
+    def any_known(self) -> bool:
+        """Tell whether the address of some agent is known."""
+        return bool(self._links)
+
+    def eligible(self, service: str, needs: str) -> tuple[Link, ...]:
+        """Return the links whose workers may run a request.
+
+        ``needs`` is the ``model:weights`` that must be loaded, or ''.
+        """
+        key = (service, needs)
+        found = self._eligible.get(key)
+        if found is None:
+            found = self._find_eligible(service, needs)
+            self._eligible[key] = found
+        return found
+
+    def hello(self) -> Hello:
+        """Return the greeting that opens a link."""
+        return Hello(
+            self._runtime.name,
+            self._runtime.settings.place,
+            self._runtime.bundles.current.number,
+        )
+
+    def link_changed(self) -> None:
+        """Note that a link's worker, models or state changed."""
+        self._eligible.clear()
+        self._changed.set()
+
+    def worker_forgotten(self, process_id: str) -> None:
+        """Note that a worker restarted or its agent did."""
+        self._knowledge.forget(process_id)
+
+    async def wait_for_worker(
+        self, service: str, needs: str, until_s: float
+    ) -> Refusal | None:
+        """Wait until some worker is eligible, or refuse at ``until_s``.
+
+        ``until_s`` is a reading of ``time.monotonic``. Refuses at once when
+        no known agent may come to serve the request.
+        """
+        while not self.eligible(service, needs):
+            self._follow()
+            left_s = until_s - time.monotonic()
+            if left_s <= 0 or not self._may_come(service):
+                return self._no_worker(service, needs)
+            self._changed.clear()
+            waiting = asyncio.ensure_future(self._changed.wait())
+            await asyncio.wait([waiting], timeout=left_s)
+            waiting.cancel()
+        return None
+
+    async def run(self) -> None:
+        """Follow the members until cancelled."""
+        try:
+            while True:
+                self._follow()
+                self._check_silence()
+                await asyncio.sleep(POLL_S)
+        finally:
+            await self._close_all()
+
+    def _follow(self) -> None:
+        members = self._runtime.members
+        wanted = set(members.agent_addresses())
+        for address in wanted - set(self._links):
+            self._add(address)
+        for address in set(self._links) - wanted:
+            # Open answers still come over a link whose agent has left the
+            # list: the list lags, and streams of a leaving VM must finish.
+            if self._links[address].open_attempts == 0:
+                self._remove(address)
+        leaving = frozenset(
+            address for address in self._links if members.leaving(address)
+        )
+        if leaving != self._leaving:
+            self._leaving = leaving
+            self.link_changed()
+
+    def _check_silence(self) -> None:
+        for link in self._links.values():
+            link.check_silence()
+
+    def _add(self, address: str) -> None:
+        try:
+            parsed = parse_address(address)
+        except SettingsError as error:
+            _log.warning('Agent address ignored.', error=str(error))
+            return
+        link = Link(parsed, self, self._rng, self._tls)
+        self._links[address] = link
+        self._tasks[address] = asyncio.create_task(link.run())
+        self.link_changed()
+
+    def _remove(self, address: str) -> None:
+        link = self._links.pop(address)
+        self._tasks.pop(address).cancel()
+        self._knowledge.forget(link.process_id)
+        self.link_changed()
+
+    async def _close_all(self) -> None:
+        tasks = list(self._tasks.values())
+        for task in tasks:
+            task.cancel()
+        if tasks:
+            await asyncio.wait(tasks)
+
+    def _find_eligible(self, service: str, needs: str) -> tuple[Link, ...]:
+        found: list[Link] = []
+        suspects: list[Link] = []
+        for address, link in self._links.items():
+            if not link.up or link.leaving or address in self._leaving:
+                continue
+            if link.service != service:
+                continue
+            if needs and needs not in link.models:
+                continue
+            if link.suspect:
+                suspects.append(link)
+                continue
+            found.append(link)
+        return tuple(found or suspects)
+
+    def _may_come(self, service: str) -> bool:
+        # A link that is not up yet, or again, and a worker that still loads
+        # the model: failing their requests would turn each restart and each
+        # new weights version into errors.
+        for address, link in self._links.items():
+            if link.leaving or address in self._leaving:
+                continue
+            if link.process is None or link.service == service:
+                return True
+        return False
+
+    def _no_worker(self, service: str, needs: str) -> Refusal:
+        wanted = f'service {service!r}'
+        if needs:
+            wanted = f'{wanted} with {needs!r} loaded'
+        if not self.any_known:
+            return not_run(
+                Reason.NOT_READY,
+                f'no agent is known yet; expected one of {wanted}',
+                retry_after_s=1.0,
+            )
+        return not_run(
+            Reason.NO_WORKER,
+            f'no worker of {wanted} takes requests now',
+            retry_after_s=1.0,
+        )
--- a/packages/daemon/src/lacewing_daemon/router/_policy.py
+++ b/packages/daemon/src/lacewing_daemon/router/_policy.py
@@ -33,16 +33,17 @@
 class WorkerView:
     """Hold what a router knows of one eligible worker.
 
-    ``load`` is the last report, ``load_age_s`` its age in seconds,
-    ``in_flight`` this router's own open attempts there and
-    ``in_flight_blocks`` the prompt blocks of those without a first token.
+    ``load`` is the last report, ``load_at_s`` the reading of
+    ``time.monotonic`` when it came, ``in_flight`` this router's own open
+    attempts there and ``in_flight_blocks`` the prompt blocks of those
+    without a first token.
     """
 
     process_id: str
     place: Place
     epoch: str
     load: LoadReport
-    load_age_s: float
+    load_at_s: float
     in_flight: int
     in_flight_blocks: int
 
