Give the engine stand-in orders, events, KV and counts

Cause: the thin stand-in could not be ordered, followed or checked, so nothing above it could be tested against a fault. The load report uses hits as found on arrival, since the exact figure walks every queued prompt at each step; /truth walks them. Before: no scenarios.

--- a/packages/bench/src/lacewing_bench/standins/_batch.py
+++ b/packages/bench/src/lacewing_bench/standins/_batch.py
@@ -75,19 +75,28 @@
         """Return the number of requests in the queue."""
         return len(self._waiting)
 
-    def waiting_prefill_tokens(self) -> int:
-        """Count the prompt tokens yet to compute, queued or running."""
+    def expected_prefill_tokens(self) -> int:
+        """Count the prompt tokens to compute, by the hits on arrival."""
         tokens = 0
         for generation in self._running:
-            tokens += max(generation.prefill_left, 0)
+            tokens += generation.prefill_left
         for _, _, generation in self._waiting:
-            hits = self._cache.hit_blocks(generation.blocks)
-            tokens += generation.prefill_left - hits * BLOCK_TOKENS
+            tokens += generation.expected_prefill
+        return tokens
+
+    def missing_prefill_tokens(self) -> int:
+        """Count the prompt tokens to compute, by the cache as it is."""
+        tokens = 0
+        for generation in self._running:
+            tokens += generation.prefill_left
+        for _, _, generation in self._waiting:
+            tokens += self._missing(generation)
         return tokens
 
     def add(self, generation: Generation) -> None:
         """Queue a request, after others of its priority."""
         self._arrivals += 1
+        generation.expected_prefill = self._missing(generation)
         heapq.heappush(
             self._waiting,
             (-generation.priority, self._arrivals, generation),
@@ -197,6 +206,10 @@
         done = generation.request.prompt_tokens - generation.prefill_left
         self._cache.extend(generation.lease, done // BLOCK_TOKENS)
 
+    def _missing(self, generation: Generation) -> int:
+        hits = self._cache.hit_blocks(generation.blocks)
+        return generation.prefill_left - hits * BLOCK_TOKENS
+
     def _leave(self, generation: Generation, ending: Ending) -> None:
         generation.finish(ending)
         self._remove(generation)
--- a/packages/bench/src/lacewing_bench/standins/_counts.py
+++ b/packages/bench/src/lacewing_bench/standins/_counts.py
@@ -15,7 +15,7 @@
     """Count an engine's work.
 
     ``executions``: by request id, counted as a request enters the batch.
-    ``busy_s``: seconds of steps, as priced.
+    ``busy_s``: seconds of steps, as priced. ``loading``: loads under way.
     """
 
     executions: Counter[str] = field(default_factory=Counter)
@@ -27,8 +27,9 @@
     busy_s: float = 0.0
     peak_running: int = 0
     loading: int = 0
-    peak_loading: int = 0
     loads: int = 0
+    imported_blocks: int = 0
+    exported_blocks: int = 0
 
     def admit(self, generation: Generation, running: int) -> None:
         """Count a request that entered the batch."""
--- a/packages/bench/src/lacewing_bench/standins/_engine.py
+++ b/packages/bench/src/lacewing_bench/standins/_engine.py
@@ -9,13 +9,20 @@
 from lacewing_bench.standins._blocks import block_hashes
 from lacewing_bench.standins._cache import BlockCache
 from lacewing_bench.standins._counts import EngineCounts
+from lacewing_bench.standins._engine_control import CONTROL_ROUTES
 from lacewing_bench.standins._engine_http import GENERATION_ROUTES
 from lacewing_bench.standins._generation import Generation
 from lacewing_bench.standins._journal import Journal
 from lacewing_bench.standins._load import Load
-from lacewing_bench.standins._orders import LoadedModels
+from lacewing_bench.standins._models import LoadedModels
+from lacewing_bench.standins._orders import Order
+from lacewing_bench.standins._orders import OrderFailed
+from lacewing_bench.standins._orders import Orders
+from lacewing_bench.standins._orders import OrderState
+from lacewing_bench.standins._orders import StaleFence
 from lacewing_bench.standins._settings import EngineConfig
 from lacewing_bench.standins._settings import LoadedModel
+from lacewing_bench.standins._transfer import Transfers
 from lacewing_bench.standins._worker import Worker
 
 _KEPT_GENERATIONS = 2000
@@ -28,10 +35,14 @@
 
     def __init__(self, config: EngineConfig) -> None:
         super().__init__(
-            config.name, config.port, config.load_lag_ms, GENERATION_ROUTES
+            config.name,
+            config.port,
+            config.load_lag_ms,
+            [*GENERATION_ROUTES, *CONTROL_ROUTES],
         )
         self.config = config
         self.counts = EngineCounts()
+        self._transfers = Transfers()
         self._known: OrderedDict[str, Generation] = OrderedDict()
         self._stepping: asyncio.Task[None] | None = None
 
@@ -42,6 +53,13 @@
         self.journal = Journal(self.epoch, self.faults)
         self.cache = BlockCache(self.config.capacity_blocks, self.journal)
         self.batch = Batch(self.config, self.cache, self)
+        self.orders = Orders(
+            self.epoch,
+            self.models,
+            self.config.max_models,
+            self._load_weights,
+            self.cache.clear,
+        )
         self._stepping = asyncio.create_task(self.batch.run())
 
     def end_epoch(self) -> None:
@@ -52,6 +70,11 @@
         self.journal.close()
         self._known.clear()
 
+    async def close(self) -> None:
+        """Stop listening and drop all connections and requests."""
+        await super().close()
+        self._transfers.close()
+
     def find(self, request_id: str) -> Generation | None:
         """Return the latest request of an id."""
         return self._known.get(request_id)
@@ -75,6 +98,34 @@
         self.record_load()
         return generation
 
+    async def carry_out(
+        self, order: Order
+    ) -> OrderState | StaleFence | OrderFailed:
+        """Change models or role as ordered."""
+        honour = self.faults.now.honour_fencing
+        if honour is None:
+            honour = self.config.honours_fencing
+        return await self.orders.carry_out(order, honour)
+
+    async def export_kv(self, store: str, blocks: tuple[bytes, ...]) -> int:
+        """Put the leading blocks that are cached into a store."""
+        cached = blocks[: self.cache.hit_blocks(blocks)]
+        moved = await self._transfers.export_blocks(store, cached)
+        await self._spend_on_blocks(moved)
+        self.counts.exported_blocks += moved
+        return moved
+
+    async def import_kv(self, store: str, blocks: tuple[bytes, ...]) -> int:
+        """Cache the leading blocks that a store holds."""
+        cache = self.cache
+        came = await self._transfers.import_blocks(store, blocks)
+        await self._spend_on_blocks(came)
+        held = cache.insert(blocks[:came])
+        cache.flush()
+        self.counts.imported_blocks += held
+        self.record_load()
+        return held
+
     def record_load(self) -> None:
         """Record the load from now on."""
         self.history.record(
@@ -82,7 +133,7 @@
                 self.epoch,
                 self.batch.running,
                 self.batch.waiting,
-                self.batch.waiting_prefill_tokens(),
+                self.batch.expected_prefill_tokens(),
                 len(self.cache),
                 self.cache.capacity,
             )
@@ -96,6 +147,24 @@
         """Wait while frozen."""
         await self.faults.pause.over()
 
+    async def _spend_on_blocks(self, count: int) -> None:
+        cost_ms = self.config.costs.kv_block_ms * count
+        await asyncio.sleep(cost_ms * self.slowness() / 1000)
+
+    async def _load_weights(self, model: str, version: str) -> str:
+        counts = self.counts
+        counts.loads += 1
+        counts.loading += 1
+        try:
+            if self.config.platform:
+                return await self._transfers.fetch_weights(
+                    self.config.platform, model, version
+                )
+            await asyncio.sleep(self.config.costs.load_ms / 1000)
+            return ''
+        finally:
+            counts.loading -= 1
+
     def _forget_finished(self) -> None:
         # A generation that still runs is kept, however old: its reader may
         # come back for it.
--- a/packages/bench/src/lacewing_bench/standins/_engine_http.py
+++ b/packages/bench/src/lacewing_bench/standins/_engine_http.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING
 
 import msgspec
+from tornado.web import HTTPError
 
 from lacewing_bench.answers import BadRequest
 from lacewing_bench.answers import CHAT_PATH
@@ -92,6 +93,13 @@
         if self._reader is not None:
             self._reader.end()
 
+    def last_event_id(self) -> int:
+        """Return the last event that the reader has; 0: none."""
+        given = self.request.headers.get(LAST_EVENT_ID, '0')
+        if not given.isdigit():
+            raise HTTPError(400, f'expected an event number, got {given!r}')
+        return int(given)
+
     async def stream(
         self, generation: Generation, after: int, cut: int | None
     ) -> None:
@@ -176,7 +184,7 @@
         if generation is None:
             self.refuse(404, f'expected a known request, got {request_id!r}')
             return
-        after = int(self.request.headers.get(LAST_EVENT_ID, '0'))
+        after = self.last_event_id()
         self.set_header(REQUEST_ID, request_id)
         await self.stream(generation, after, None)
 
--- a/packages/bench/src/lacewing_bench/standins/_generation.py
+++ b/packages/bench/src/lacewing_bench/standins/_generation.py
@@ -73,6 +73,7 @@
         self.priority = priority
         self.lease: Lease | None = None
         self.prefill_left = request.prompt_tokens
+        self.expected_prefill = request.prompt_tokens
         self.cached_tokens = 0
         self.events: list[bytes] = []
         self.finished = asyncio.Event()
--- a/packages/bench/src/lacewing_bench/standins/_journal.py
+++ b/packages/bench/src/lacewing_bench/standins/_journal.py
@@ -54,6 +54,7 @@
         self._sequence = 0
         self._kept: deque[_Kept] = deque(maxlen=_KEPT_EVENTS)
         self._changed = asyncio.Event()
+        self._closed = False
 
     @property
     def epoch(self) -> str:
@@ -65,6 +66,11 @@
         """Return the latest event's number."""
         return self._sequence
 
+    @property
+    def closed(self) -> bool:
+        """Tell whether no more events will come."""
+        return self._closed
+
     def publish(self, kind: EventKind, blocks: tuple[bytes, ...]) -> None:
         """Number and keep an event, unless a fault loses it."""
         self._sequence += 1
@@ -80,9 +86,14 @@
         self._kept.append(_Kept(visible_at, self._sequence, rendered))
         self._changed.set()
 
+    def wake(self) -> None:
+        """Wake the readers."""
+        self._changed.set()
+
     def close(self) -> None:
         """Wake the readers for the last time."""
-        self._changed.set()
+        self._closed = True
+        self.wake()
 
     def after(self, sequence: int) -> tuple[_Kept, ...]:
         """Return the visible events after a number, oldest first."""
--- a/packages/bench/src/lacewing_bench/standins/_settings.py
+++ b/packages/bench/src/lacewing_bench/standins/_settings.py
@@ -60,6 +60,7 @@
     models: tuple[LoadedModel, ...] = ()
     capacity_blocks: int = 4096
     max_running: int = 32
+    max_models: int = 2
     load_lag_ms: float = 250.0
     honours_fencing: bool = True
     platform: str = ''
