Cross and delay a KV store's answers, count double executions

A store's late and crossed answers were accepted as switches and had no effect. Change: a scenario runs an id twice and compares all executions; a store's reads can be late and crossed, and a scenario shows that an engine imports no crossed block.

--- a/features/standins.feature
+++ b/features/standins.feature
@@ -24,9 +24,11 @@
     Given the stand-in engine "e1" with {}
     When "e1" is asked a prompt "A" of 2 blocks and 6 bytes as "r1"
     And "e1" is asked a prompt "A" of 2 blocks and 6 bytes as "r2"
+    And "e1" is asked "why" for 1 tokens as "r2"
     Then the usage of "r1" is 130 prompt tokens, 0 cached
-    And the usage of "r2" is 130 prompt tokens, 128 cached
-    And /counts of "e1" shows {"prefilled_tokens": 132, "hit_tokens": 128}
+    And the usage of "r2" is 1 prompt tokens, 0 cached
+    And /counts of "e1" shows {"prefilled_tokens": 133, "hit_tokens": 128}
+    And /counts of "e1" shows {"executions": {"r1": 1, "r2": 2}}
 
   Scenario: A cut stream is resumed without a gap
     Given the stand-in engine "e1" with {}
@@ -137,9 +139,22 @@
     Then "k1" holds 3 blocks of the prompt "A"
     When "e2" imports the prompt "A" from "k1"
     Then "e2" holds 3 blocks of the prompt "A"
+    And /counts of "e2" shows {"imported_blocks": 3, "loads": 0}
     When "k1" is given the faults {"crash": {}}
     Then "k1" holds 0 blocks of the prompt "A"
 
+  Scenario: Crossed blocks of a store are not imported
+    A store answers two concurrent reads with each other's bytes. An engine
+    that took them would compute on a prompt that nobody sent.
+
+    Given the stand-in engines "e1" and "e2"
+    And the stand-in KV store "k1"
+    When "e1" is asked a prompt "A" of 3 blocks and 0 bytes as "r1"
+    And "e1" exports the prompt "A" to "k1"
+    And "k1" is given the faults {"crossed": {"requests": 2}}
+    Then "e2" imports 0 blocks of the prompt "A" from "k1"
+    And "e2" imports 3 blocks of the prompt "A" from "k1"
+
   Scenario: A crash loses cache and requests, and starts another epoch
     An engine that came back with its epoch or blocks would hide a router
     that relies on the cache of a dead engine.
--- a/features/steps/standins_steps.py
+++ b/features/steps/standins_steps.py
@@ -186,7 +186,7 @@
     context: Context, name: str, letter: str, store: str
 ) -> None:
     """Move blocks into a store."""
-    _move(bench_of(context), name, '/kv/export', letter, store)
+    _move(bench_of(context), name, '/kv/export', letter, store, 3)
 
 
 @when('"{name}" imports the prompt "{letter}" from "{store}"')
@@ -194,15 +194,25 @@
     context: Context, name: str, letter: str, store: str
 ) -> None:
     """Move blocks out of a store."""
-    _move(bench_of(context), name, '/kv/import', letter, store)
+    then_imports(context, name, 3, letter, store)
 
 
-def _move(bench: Bench, name: str, path: str, letter: str, store: str) -> None:
+@then('"{name}" imports {n:d} blocks of the prompt "{letter}" from "{store}"')
+def then_imports(
+    context: Context, name: str, n: int, letter: str, store: str
+) -> None:
+    """Move blocks out of a store and count them."""
+    _move(bench_of(context), name, '/kv/import', letter, store, n)
+
+
+def _move(
+    bench: Bench, name: str, path: str, letter: str, store: str, n: int
+) -> None:
     url = f'http://{bench.workers[store].address}'
     moved = bench.get(
         name, path, {'store': url, 'blocks': block_names(letter)}
     )
-    assert moved == {'blocks': 3}, moved
+    assert moved == {'blocks': n}, moved
 
 
 @when('"{name}" gets the calls "{first}" and "{second}" at once')
--- a/packages/bench/src/lacewing_bench/standins/_kv.py
+++ b/packages/bench/src/lacewing_bench/standins/_kv.py
@@ -1,5 +1,6 @@
 """Stand in for the store of kept KV cache."""
 
+import asyncio
 from collections import OrderedDict
 
 import msgspec
@@ -103,12 +104,15 @@
 class BlockHandler(KvHandler):
     """Serve one block."""
 
-    def get(self, block: str) -> None:
+    async def get(self, block: str) -> None:
         """Answer a block's bytes."""
         value = self.worker.get(block)
         if value is None:
             self.refuse(404, f'expected a held block, got {block}')
             return
+        faults = self.worker.faults
+        value = await faults.crossing.swap(value)
+        await asyncio.sleep(faults.take_delay())
         self.set_header('Content-Type', 'application/octet-stream')
         self.write(value)
 
