Serve routers from an agent beside each worker

Cause: nothing stood between routers and workers, so that no process could say whether a request had run.

Change: grpclib server with one task per link; attempts recorded before the worker sees a byte and kept apart from the links; weighted fair admission; answers checked by id, events by number, broken answers fetched again from the engine; drain. worker.concurrency in the settings bounds what the worker runs at once (32, as the stand-ins batch).

Ruled out: tornado's header_callback, which runs after the first body bytes of a short answer; libcurl's own retry on a kept connection, which would run a call twice, is off for calls that must not be repeated.

Before: no agent.

Conclusion: thin but whole, so that routers can be built against it.

--- a/packages/common/src/lacewing_common/settings.py
+++ b/packages/common/src/lacewing_common/settings.py
@@ -69,10 +69,15 @@
 
 
 class WorkerSettings(Setting, forbid_unknown_fields=True, frozen=True):
-    """Tell an agent of its worker: base URL and service."""
+    """Tell an agent of its worker: base URL and service.
+
+    ``concurrency`` is the number of requests that the worker runs at once;
+    more wait at the agent, where teams get their shares.
+    """
 
     url: str
     service: str
+    concurrency: int = 32
 
 
 class Settings(Setting, forbid_unknown_fields=True, frozen=True):
@@ -191,6 +196,11 @@
             ' - at `$.worker`'
         )
     _check_url('$.worker.url', settings.worker.url)
+    if settings.worker.concurrency < 1:
+        raise SettingsError(
+            f'expected at least 1, got {settings.worker.concurrency}'
+            ' - at `$.worker.concurrency`'
+        )
 
 
 def _check_address(field: str, text: str) -> Address:
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/agent/_agent.py
@@ -0,0 +1,298 @@
+"""Put the agent's parts together and run them."""
+
+import asyncio
+import contextlib
+import socket
+import time
+from collections.abc import Coroutine
+
+import grpclib.const
+from grpclib.config import Configuration
+from grpclib.server import Server
+from grpclib.server import Stream
+from lacewing_common.codec import FromAgent
+from lacewing_common.codec import FromRouter
+from lacewing_common.codec import MsgpackCodec
+from lacewing_common.log import get_log
+from lacewing_common.log import Part
+from lacewing_common.settings import Address
+from lacewing_common.settings import parse_address
+from lacewing_common.settings import SettingsError
+from lacewing_common.settings import WorkerSettings
+from lacewing_common.tls import ClientCertificate
+from lacewing_common.tls import server_context
+from lacewing_common.verdict import not_run
+from lacewing_common.verdict import Reason
+from lacewing_common.verdict import Refusal
+from lacewing_common.wire import Ack
+from lacewing_common.wire import AgentFrame
+from lacewing_common.wire import Ask
+from lacewing_common.wire import Cancel
+from lacewing_common.wire import LINK_METHOD
+from lacewing_common.wire import LoadReport
+from lacewing_common.wire import RouterFrame
+from lacewing_common.wire import Start
+from lacewing_common.wire import Welcome
+from lacewing_common.wire import WorkerChanged
+
+from lacewing_daemon.agent._admission import FairAdmission
+from lacewing_daemon.agent._attempt import Attempt
+from lacewing_daemon.agent._attempts import Attempts
+from lacewing_daemon.agent._link import Link
+from lacewing_daemon.agent._load import LoadView
+from lacewing_daemon.agent._metrics import LINKS
+from lacewing_daemon.agent._runner import Runner
+from lacewing_daemon.agent._watch import WorkerWatch
+from lacewing_daemon.agent._worker import Worker
+from lacewing_daemon.runtime import RoleStatus
+from lacewing_daemon.runtime import Runtime
+
+_QUEUE_LIMIT = 256
+_DRAIN_STEP_S = 0.02
+_CLOSE_S = 2.0
+
+# A router's VM that vanishes sends no end of its connection; pings find out
+# so that its attempts count as orphaned.
+_PING_EVERY_S = 10.0
+_PING_TIMEOUT_S = 5.0
+
+_log = get_log(Part.LINK)
+
+
+class Agent:
+    """Serve routers on behalf of one worker."""
+
+    def __init__(self, runtime: Runtime, settings: WorkerSettings) -> None:
+        self._runtime = runtime
+        self._settings = settings
+        self._worker = Worker(settings.url)
+        self._admission = FairAdmission(
+            settings.concurrency, _QUEUE_LIMIT, self._share_of
+        )
+        self._load = LoadView(self._admission)
+        self._runner = Runner(
+            self._worker, self._admission, self._load, runtime.bundles
+        )
+        self._watch = WorkerWatch(
+            self._worker, self._load, self._worker_changed
+        )
+        self._attempts = Attempts(runtime.name.incarnation)
+        self._links: set[Link] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._leaving = False
+        self._server = Server(
+            [self], codec=MsgpackCodec(), config=_server_config()
+        )
+        self._peers_address = ''
+
+    @property
+    def status(self) -> RoleStatus:
+        """Return the role's status."""
+        ready = bool(self._watch.epoch) and not self._leaving
+        return RoleStatus(ready, self._watch.epoch, self._attempts.open_count)
+
+    @property
+    def peers_address(self) -> str:
+        """Return the ``ip:port`` on which routers connect."""
+        return self._peers_address
+
+    @property
+    def callers_address(self) -> str:
+        """Return '': an agent has no callers."""
+        return ''
+
+    def __mapping__(self) -> dict[str, grpclib.const.Handler]:
+        """Map the link's method for grpclib."""
+        return {
+            LINK_METHOD: grpclib.const.Handler(
+                self._serve_link,
+                grpclib.const.Cardinality.STREAM_STREAM,
+                FromRouter,
+                FromAgent,
+            )
+        }
+
+    async def start(self) -> None:
+        """Look at the worker once, then listen."""
+        await self._watch.poll()
+        address = parse_address(self._runtime.settings.listen.peers)
+        sock = _listening_socket(address.host, address.port)
+        await self._server.start(
+            sock=sock,
+            ssl=server_context(
+                self._runtime.settings, ClientCertificate.PEERS
+            ),
+        )
+        host, port = sock.getsockname()[:2]
+        self._peers_address = str(Address(host, port))
+        self._spawn(self._watch.run())
+
+    async def drain(self) -> None:
+        """Refuse new work; return when the open attempts have ended."""
+        self._leaving = True
+        self._worker_changed()
+        deadline = time.monotonic() + self._runtime.settings.drain_s
+        while time.monotonic() < deadline:
+            if not self._owes_answers():
+                return
+            await asyncio.sleep(_DRAIN_STEP_S)
+        _log.warning('drain ran out of time', open=self._attempts.open_count)
+
+    async def close(self) -> None:
+        """Close links and listener."""
+        for link in list(self._links):
+            link.close()
+        deadline = time.monotonic() + _CLOSE_S
+        while self._links and time.monotonic() < deadline:
+            await asyncio.sleep(_DRAIN_STEP_S)
+        self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._server.wait_closed(), _CLOSE_S)
+        self._worker.close()
+
+    def welcome(self) -> Welcome:
+        """Return the answer to a Hello."""
+        return Welcome(
+            self._runtime.name,
+            self._runtime.settings.place,
+            self._settings.service,
+            self._watch.epoch,
+            self._watch.models,
+            self._load.report(),
+            self._leaving,
+            self._runtime.bundles.current.number,
+        )
+
+    def load(self) -> LoadReport:
+        """Return the load now."""
+        return self._load.report()
+
+    def start_attempt(self, start: Start) -> Attempt | Refusal:
+        """Record and run an attempt, or find it."""
+        known = self._attempts.find(start.attempt)
+        found = self._attempts.begin(start, self._unfit(start))
+        if isinstance(found, Attempt) and found is not known:
+            self._spawn(self._runner.run(found))
+        return found
+
+    def ask(self, ask: Ask) -> Attempt | Refusal:
+        """Find an attempt or close it for ever."""
+        found = self._attempts.ask(ask.attempt)
+        if isinstance(found, Attempt):
+            found.acknowledge(ask.offset)
+        return found
+
+    def cancel(self, cancel: Cancel) -> Refusal | None:
+        """Stop an attempt, or close it if it was never seen."""
+        found = self._attempts.ask(cancel.attempt)
+        if isinstance(found, Refusal):
+            return found
+        found.cancel()
+        return None
+
+    def acknowledge(self, ack: Ack) -> None:
+        """Let go of confirmed bytes."""
+        attempt = self._attempts.find(ack.attempt)
+        if attempt is not None:
+            attempt.acknowledge(ack.offset)
+
+    def link_opened(self, link: Link, router: str) -> None:
+        """Take a new link."""
+        self._links.add(link)
+        self._attempts.link_opened(router)
+        LINKS.inc()
+
+    def link_closed(self, link: Link, router: str) -> None:
+        """Take a link's end."""
+        self._links.discard(link)
+        self._attempts.link_closed(router)
+        LINKS.dec()
+
+    async def _serve_link(
+        self, stream: Stream[RouterFrame, AgentFrame]
+    ) -> None:
+        await Link(stream, self).serve()
+
+    def _unfit(self, start: Start) -> Refusal | None:
+        """Refuse, before it is recorded, what cannot run here."""
+        if self._leaving:
+            return not_run(Reason.DRAINING, 'this worker is leaving')
+        if start.service != self._settings.service:
+            return not_run(
+                Reason.UNKNOWN_SERVICE,
+                f'this worker serves {self._settings.service!r},'
+                f' not {start.service!r}',
+            )
+        return self._stale(start)
+
+    def _stale(self, start: Start) -> Refusal | None:
+        models = self._watch.models
+        if not start.model or not start.weights or not models:
+            return None
+        wanted = f'{start.model}:{start.weights}'
+        if wanted in models:
+            return None
+        return not_run(
+            Reason.STALE_WEIGHTS,
+            f'{wanted} is not loaded here; loaded: {", ".join(models)}',
+        )
+
+    def _owes_answers(self) -> bool:
+        for attempt in self._attempts.all():
+            if attempt.outcome is None:
+                return True
+            if attempt.attached and not attempt.delivered:
+                return True
+        return False
+
+    def _worker_changed(self) -> None:
+        frame = WorkerChanged(
+            self._watch.epoch,
+            self._watch.models,
+            self._load.report(),
+            self._leaving,
+        )
+        for link in self._links:
+            link.notify(frame)
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _share_of(self, team: str) -> float:
+        for known in self._runtime.bundles.current.bundle.teams:
+            if known.name == team:
+                return known.share
+        return 1.0
+
+
+async def start_agent(runtime: Runtime) -> Agent:
+    """Start the agent that the settings describe."""
+    settings = runtime.settings.worker
+    if settings is None:
+        raise SettingsError('expected a worker - at `$.worker`')
+    agent = Agent(runtime, settings)
+    await agent.start()
+    return agent
+
+
+def _server_config() -> Configuration:
+    return Configuration(
+        _keepalive_time=_PING_EVERY_S,
+        _keepalive_timeout=_PING_TIMEOUT_S,
+        _http2_max_pings_without_data=0,
+        _http2_min_sent_ping_interval_without_data=_PING_EVERY_S / 2,
+    )
+
+
+def _listening_socket(host: str, port: int) -> socket.socket:
+    family = socket.AF_INET6 if ':' in host else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((host, port))
+    sock.setblocking(False)
+    return sock
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/agent/_attempt.py
@@ -0,0 +1,258 @@
+"""Hold one attempt: what was asked, how far it is, what it answered."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from enum import Enum
+from typing import Protocol
+
+import msgspec
+from lacewing_common.verdict import Refusal
+from lacewing_common.verdict import Verdict
+from lacewing_common.wire import ANSWER_WINDOW_BYTES
+from lacewing_common.wire import AttemptId
+from lacewing_common.wire import CacheReport
+from lacewing_common.wire import End
+from lacewing_common.wire import Head
+from lacewing_common.wire import LoadReport
+from lacewing_common.wire import Refused
+from lacewing_common.wire import Start
+
+from lacewing_daemon.agent._answer import KeptAnswer
+from lacewing_daemon.agent._metrics import ATTEMPTS_ENDED
+from lacewing_daemon.agent._metrics import ATTEMPTS_OPEN
+
+Outcome = End | Refused
+
+
+class Phase(Enum):
+    """Tell how far an attempt is.
+
+    QUEUED: the worker has not seen a byte. SENT: it may have. ENDED: the
+    outcome is known and won't change.
+    """
+
+    QUEUED = 'queued'
+    SENT = 'sent'
+    ENDED = 'ended'
+
+
+class Flow(Protocol):
+    """Stop and go on reading an answer from the worker."""
+
+    def pause(self) -> None:
+        """Stop reading."""
+
+    def resume(self) -> None:
+        """Go on reading."""
+
+
+class Attempt:
+    """Record one attempt and its answer.
+
+    It outlives the link that started it: the link only reads from it.
+    """
+
+    def __init__(self, start: Start) -> None:
+        self._start = start
+        self._phase = Phase.QUEUED
+        self._answer = KeptAnswer()
+        self._head: Head | None = None
+        self._outcome: Outcome | None = None
+        self._on_change: Callable[[], None] | None = None
+        self._flow: Flow | None = None
+        self._paused = False
+        self._cancelled = False
+        self._on_cancel: Callable[[], None] | None = None
+        self._delivered = False
+        self._orphaned_at = 0.0
+        self._ended_at = 0.0
+        self._ended = asyncio.Event()
+        ATTEMPTS_OPEN.inc()
+
+    @property
+    def attempt_id(self) -> AttemptId:
+        """Return the attempt's id."""
+        return self._start.attempt
+
+    @property
+    def start(self) -> Start:
+        """Return the request; its body is empty once the attempt ended."""
+        return self._start
+
+    @property
+    def phase(self) -> Phase:
+        """Return how far the attempt is."""
+        return self._phase
+
+    @property
+    def answer(self) -> KeptAnswer:
+        """Return the answer's bytes."""
+        return self._answer
+
+    @property
+    def head(self) -> Head | None:
+        """Return the start of the answer, once known."""
+        return self._head
+
+    @property
+    def outcome(self) -> Outcome | None:
+        """Return how the attempt ended, once known."""
+        return self._outcome
+
+    @property
+    def attached(self) -> bool:
+        """Tell whether a link reads the answer."""
+        return self._on_change is not None
+
+    @property
+    def cancelled(self) -> bool:
+        """Tell whether the attempt is to be stopped."""
+        return self._cancelled
+
+    @property
+    def delivered(self) -> bool:
+        """Tell whether a link has sent the outcome."""
+        return self._delivered
+
+    @property
+    def orphaned_at(self) -> float:
+        """Return the monotonic time at which the last link broke."""
+        return self._orphaned_at
+
+    @property
+    def ended_at(self) -> float:
+        """Return the monotonic time of the outcome."""
+        return self._ended_at
+
+    @property
+    def ended(self) -> asyncio.Event:
+        """Return the event set when the outcome is known."""
+        return self._ended
+
+    def attach(self, on_change: Callable[[], None]) -> None:
+        """Call a link back whenever there is more to send."""
+        self._on_change = on_change
+
+    def detach(self, on_change: Callable[[], None]) -> None:
+        """Stop calling back, unless another link took over."""
+        if self._on_change is not on_change:
+            return
+        self._on_change = None
+        self._orphaned_at = time.monotonic()
+
+    def mark_delivered(self) -> None:
+        """Record that a link has sent the outcome."""
+        self._delivered = True
+
+    def mark_sent(self) -> None:
+        """Record that the worker may see the request from now on."""
+        if self._phase is Phase.QUEUED:
+            self._phase = Phase.SENT
+
+    def on_cancel(self, callback: Callable[[], None] | None) -> None:
+        """Set how the present step is stopped; None: it cannot be."""
+        self._on_cancel = callback
+
+    def cancel(self) -> None:
+        """Stop the attempt if its present step can be stopped."""
+        if self._outcome is not None or self._on_cancel is None:
+            return
+        self._cancelled = True
+        self._on_cancel()
+
+    def use_flow(self, flow: Flow | None) -> None:
+        """Take the exchange that now feeds the answer."""
+        self._flow = flow
+        self._paused = False
+        self._pause_if_full()
+
+    def put_head(self, status: int, content_type: str) -> None:
+        """Take the start of the answer; only the first counts."""
+        if self._head is not None or self._outcome is not None:
+            return
+        self._head = Head(self.attempt_id, status, content_type)
+        self._changed()
+
+    def put(self, payload: bytes) -> None:
+        """Take bytes of the answer that end where an event ends."""
+        if self._outcome is not None or not payload:
+            return
+        self._answer.append(payload)
+        self._pause_if_full()
+        self._changed()
+
+    def put_whole(self, body: bytes) -> None:
+        """Take a whole body."""
+        if self._outcome is not None or not body:
+            return
+        self._answer.append_whole(body)
+        self._changed()
+
+    def acknowledge(self, offset: int) -> None:
+        """Let go of bytes that the router has; read on if that helps."""
+        self._answer.acknowledge(offset)
+        self._changed()
+        if not self._paused or self._flow is None:
+            return
+        if self._answer.unacknowledged > ANSWER_WINDOW_BYTES // 2:
+            return
+        self._paused = False
+        self._flow.resume()
+
+    def finish(
+        self, prompt_tokens: int, output_tokens: int, cache: CacheReport
+    ) -> None:
+        """End with a whole answer."""
+        self._end(
+            End(
+                self.attempt_id,
+                self._answer.length,
+                prompt_tokens,
+                output_tokens,
+                cache,
+                LoadReport(),
+            ),
+            Verdict.RAN,
+        )
+
+    def refuse(self, refusal: Refusal, epoch: str = '') -> None:
+        """End with a refusal."""
+        self._end(
+            Refused(
+                self.attempt_id,
+                refusal.verdict,
+                refusal.reason,
+                refusal.message,
+                refusal.retry_after_s,
+                LoadReport(),
+                epoch,
+            ),
+            refusal.verdict,
+        )
+
+    def _end(self, outcome: Outcome, verdict: Verdict) -> None:
+        if self._outcome is not None:
+            return
+        self._outcome = outcome
+        self._phase = Phase.ENDED
+        self._flow = None
+        self._on_cancel = None
+        self._ended_at = time.monotonic()
+        self._start = msgspec.structs.replace(self._start, body=b'')
+        self._ended.set()
+        ATTEMPTS_OPEN.dec()
+        ATTEMPTS_ENDED.labels(verdict.value).inc()
+        self._changed()
+
+    def _changed(self) -> None:
+        if self._on_change is not None:
+            self._on_change()
+
+    def _pause_if_full(self) -> None:
+        if self._paused or self._flow is None:
+            return
+        if self._answer.unacknowledged <= ANSWER_WINDOW_BYTES:
+            return
+        self._paused = True
+        self._flow.pause()
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/agent/_runner.py
@@ -0,0 +1,305 @@
+"""Bring one attempt from the queue through the worker to its end."""
+
+import asyncio
+import time
+
+from lacewing_common.bundle import ServiceKind
+from lacewing_common.log import get_log
+from lacewing_common.log import Part
+from lacewing_common.verdict import may_have_run
+from lacewing_common.verdict import not_run
+from lacewing_common.verdict import Reason
+from lacewing_common.verdict import Refusal
+from lacewing_common.wire import CacheReport
+from lacewing_common.wire import Start
+
+from lacewing_daemon.agent._admission import Admission
+from lacewing_daemon.agent._admission import AdmissionRequest
+from lacewing_daemon.agent._attempt import Attempt
+from lacewing_daemon.agent._load import LoadView
+from lacewing_daemon.agent._metrics import RESUMED
+from lacewing_daemon.agent._receiver import Mode
+from lacewing_daemon.agent._receiver import Receiver
+from lacewing_daemon.agent._worker import Broken
+from lacewing_daemon.agent._worker import Whole
+from lacewing_daemon.agent._worker import Worker
+from lacewing_daemon.agent._worker import WorkerRequest
+from lacewing_daemon.runtime import BundleSource
+
+_HASH_BYTES = 8
+_RESUME_TRIES = 4
+_RESUME_PAUSE_S = 0.02
+_DEFAULT_ANSWER_S = 120.0
+
+_CONFLICT = 409
+_NOT_FOUND = 404
+_TOO_MANY = 429
+_FIRST_FAILURE = 500
+
+_log = get_log(Part.ATTEMPT)
+
+
+class Runner:
+    """Run attempts on one worker."""
+
+    def __init__(
+        self,
+        worker: Worker,
+        admission: Admission,
+        load: LoadView,
+        bundles: BundleSource,
+    ) -> None:
+        self._worker = worker
+        self._admission = admission
+        self._load = load
+        self._bundles = bundles
+
+    async def run(self, attempt: Attempt) -> None:
+        """Bring a recorded attempt to its end."""
+        try:
+            await self._admit(attempt)
+        except Exception:
+            _log.exception('attempt failed', attempt=str(attempt.attempt_id))
+            attempt.refuse(
+                may_have_run(Reason.INTERNAL, 'the agent failed inside')
+            )
+
+    async def _admit(self, attempt: Attempt) -> None:
+        turn = self._admission.enter(_admission_request(attempt.start))
+        if isinstance(turn, Refusal):
+            attempt.refuse(turn)
+            return
+        attempt.on_cancel(turn.abandon)
+        refusal = await turn.wait()
+        if refusal is not None:
+            attempt.refuse(refusal)
+            return
+        try:
+            await self._run_on_worker(attempt)
+        finally:
+            turn.release()
+
+    async def _run_on_worker(self, attempt: Attempt) -> None:
+        start = attempt.start
+        from_engine = self._from_engine(start)
+        receiver = Receiver(attempt, from_engine)
+        if start.idempotent:
+            attempt.on_cancel(receiver.abort)
+        else:
+            attempt.on_cancel(None)
+        attempt.mark_sent()
+        sent_at = time.monotonic()
+        result = await self._worker.exchange(
+            self._first_request(start), receiver
+        )
+        if isinstance(result, Broken) and not result.reached:
+            attempt.refuse(
+                not_run(
+                    Reason.WORKER_UNREACHABLE,
+                    f'the worker did not take the request: {result.message}',
+                )
+            )
+            return
+        refusal = self._settle(attempt, receiver, result)
+        if refusal is not None and from_engine and not attempt.cancelled:
+            refusal = await self._resume(attempt, receiver, refusal)
+        if attempt.cancelled and attempt.outcome is None:
+            await self._stop(attempt, from_engine)
+            return
+        if refusal is not None:
+            attempt.refuse(refusal, _epoch(receiver))
+            return
+        self._learn(receiver, sent_at)
+
+    def _settle(
+        self, attempt: Attempt, receiver: Receiver, result: Whole | Broken
+    ) -> Refusal | None:
+        """End the attempt if its answer is whole; else say what is wrong."""
+        if receiver.mismatched:
+            return may_have_run(
+                Reason.ANSWER_MISMATCHED,
+                'the worker sent the answer of another request',
+            )
+        if receiver.reader.done:
+            _finish(attempt, receiver)
+            return None
+        if isinstance(result, Broken):
+            return may_have_run(
+                Reason.STREAM_BROKEN,
+                f'the answer broke off: {result.message}',
+            )
+        if receiver.mode is Mode.EVENTS:
+            return may_have_run(
+                Reason.STREAM_BROKEN, 'the answer ended before its last event'
+            )
+        if receiver.mode is Mode.RAW:
+            _finish(attempt, receiver)
+            return None
+        refusal = _engine_refusal(attempt, receiver, result)
+        if refusal is not None:
+            return refusal
+        if not receiver.take_whole():
+            return may_have_run(
+                Reason.ANSWER_MISMATCHED,
+                'the worker sent the answer of another request',
+            )
+        _finish(attempt, receiver)
+        return None
+
+    async def _resume(
+        self, attempt: Attempt, receiver: Receiver, refusal: Refusal
+    ) -> Refusal | None:
+        """Fetch the rest of an answer from the engine that has it."""
+        epoch = _epoch(receiver)
+        tries = 0
+        while tries < _RESUME_TRIES and _worth_resuming(refusal):
+            if attempt.cancelled:
+                return refusal
+            last = receiver.reader.last
+            RESUMED.inc()
+            result = await self._worker.exchange(
+                _resume_request(attempt.start, last), receiver
+            )
+            if isinstance(result, Broken) and not result.reached:
+                return refusal
+            if epoch and _epoch(receiver) not in ('', epoch):
+                return may_have_run(
+                    Reason.STALE_EPOCH,
+                    'the worker restarted and lost the answer',
+                )
+            epoch = epoch or _epoch(receiver)
+            if _unknown_to_engine(result):
+                return refusal
+            settled = self._settle(attempt, receiver, result)
+            if settled is None:
+                return None
+            refusal = settled
+            if receiver.reader.last > last:
+                tries = 0
+                continue
+            tries += 1
+            await asyncio.sleep(_RESUME_PAUSE_S * 2**tries)
+        return refusal
+
+    async def _stop(self, attempt: Attempt, from_engine: bool) -> None:
+        if from_engine:
+            await self._worker.cancel(str(attempt.attempt_id))
+        attempt.refuse(
+            may_have_run(
+                Reason.CALLER_GONE, 'stopped at the worker: nobody waits'
+            )
+        )
+
+    def _learn(self, receiver: Receiver, sent_at: float) -> None:
+        if receiver.first_byte_at is None:
+            return
+        usage = receiver.usage
+        cached = usage.cached_tokens
+        self._load.observe_first_token(
+            receiver.first_byte_at - sent_at, usage.prompt_tokens - cached
+        )
+
+    def _from_engine(self, start: Start) -> bool:
+        for service in self._bundles.current.bundle.services:
+            if service.name == start.service:
+                return service.kind is ServiceKind.MODEL
+        return bool(start.model)
+
+    def _answer_s(self, name: str) -> float:
+        for service in self._bundles.current.bundle.services:
+            if service.name == name:
+                return service.answer_ms / 1000
+        return _DEFAULT_ANSWER_S
+
+    def _first_request(self, start: Start) -> WorkerRequest:
+        return WorkerRequest(
+            start.method,
+            start.path,
+            _headers(start, self._from_engine(start)),
+            start.body if start.body or start.method != 'GET' else None,
+            start.idempotent,
+            self._answer_s(start.service),
+        )
+
+
+def _admission_request(start: Start) -> AdmissionRequest:
+    blocks = len(start.blocks) // _HASH_BYTES
+    return AdmissionRequest(
+        start.team, start.priority, blocks + 1.0, start.budget_ms / 1000
+    )
+
+
+def _headers(start: Start, from_engine: bool) -> tuple[tuple[str, str], ...]:
+    headers = [
+        ('X-Request-Id', str(start.attempt)),
+        ('X-Priority', str(start.priority)),
+    ]
+    if start.content_type:
+        headers.append(('Content-Type', start.content_type))
+    if start.traceparent:
+        headers.append(('traceparent', start.traceparent))
+    if start.idempotency_key and not from_engine:
+        headers.append(('Idempotency-Key', start.idempotency_key))
+    if from_engine:
+        headers.append(('X-Cache-Salt', start.salt.hex()))
+        headers.append(('X-Weights-Version', start.weights))
+    return tuple(headers)
+
+
+def _resume_request(start: Start, last: int) -> WorkerRequest:
+    request_id = str(start.attempt)
+    headers = (('X-Request-Id', request_id),)
+    if not start.stream:
+        return WorkerRequest('GET', f'/requests/{request_id}/answer', headers)
+    return WorkerRequest(
+        'GET',
+        f'/requests/{request_id}/stream',
+        (*headers, ('Last-Event-ID', str(last))),
+    )
+
+
+def _engine_refusal(
+    attempt: Attempt, receiver: Receiver, result: Whole
+) -> Refusal | None:
+    # A refusal proves "not run" only with this request's id on it and only
+    # in answer to its first and only sending.
+    status = result.start.status
+    echoed = result.start.request_id == str(attempt.attempt_id)
+    echoed = echoed and not receiver.resumed and not result.resent
+    if status == _CONFLICT and echoed:
+        return not_run(
+            Reason.STALE_WEIGHTS,
+            'the worker has not loaded these weights: ' + receiver.error_text,
+        )
+    if status == _NOT_FOUND and echoed:
+        return not_run(
+            Reason.UNKNOWN_MODEL,
+            'the worker has not loaded this model: ' + receiver.error_text,
+        )
+    vague = status in (_CONFLICT, _NOT_FOUND, _TOO_MANY)
+    if vague or status >= _FIRST_FAILURE:
+        return may_have_run(
+            Reason.WORKER_FAILED,
+            f'the worker answered {status}: {receiver.error_text}',
+        )
+    return None
+
+
+def _worth_resuming(refusal: Refusal) -> bool:
+    return refusal.reason in (Reason.STREAM_BROKEN, Reason.ANSWER_MISMATCHED)
+
+
+def _unknown_to_engine(result: Whole | Broken) -> bool:
+    return isinstance(result, Whole) and result.start.status == _NOT_FOUND
+
+
+def _epoch(receiver: Receiver) -> str:
+    return receiver.start.epoch if receiver.start is not None else ''
+
+
+def _finish(attempt: Attempt, receiver: Receiver) -> None:
+    usage = receiver.usage
+    cache = CacheReport()
+    if usage.prompt_tokens:
+        cache = usage.cache_report(_epoch(receiver))
+    attempt.finish(usage.prompt_tokens, usage.completion_tokens, cache)
