--- a/packages/bench/src/lacewing_bench/demo/_explain.py
+++ b/packages/bench/src/lacewing_bench/demo/_explain.py
@@ -50,7 +50,7 @@
     def reason(self) -> str:
         """Return why that agent was chosen and what came true."""
         if not self.decisions:
-            return 'not routed'
+            return 'answered by the router itself'
         decision = self.decisions[-1]
         said = [f'{decision.choice.policy} of {_candidates(decision)}']
         expected = _expected(decision.choice)
