Test the agent over the wire and bound what it remembers

Cause: the agent had no scenario, kept every attempt for ever, sent one message for each frame, and asked plain services for /v1/models, which they execute as a call.

Frames that wait for a link leave as one Batch. A plain service is asked for its load only. wire.py: comments alone (a Start is sent once; a Cancel closes; an empty epoch).

Found by the scenarios: a listening socket made without its protocol number leaves Nagle's algorithm on, as asyncio looks at that number; a start and a link took 48 ms in place of 7. And virtual time shared by all priorities let an urgent request push back its team's others.

Ruled out: the worker's side as cause of the 40 ms (a refused worker showed them too).

--- /dev/null
+++ b/features/steps/agent_steps.py
@@ -0,0 +1,522 @@
+"""Drive an agent over the wire protocol, beside a scripted worker."""
+
+import asyncio
+import socket
+import time
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+from behave.runner import Context
+from lacewing_common.bundle import ServiceKind
+from lacewing_common.identity import new_incarnation
+from lacewing_common.identity import ProcessName
+from lacewing_common.wire import Ack
+from lacewing_common.wire import ANSWER_WINDOW_BYTES
+from lacewing_common.wire import Ask
+from lacewing_common.wire import Cancel
+from lacewing_common.wire import End
+from lacewing_common.wire import Refused
+from lacewing_daemon.agent._attempt import Attempt
+from prometheus_client import REGISTRY
+from support.agent_bench import AgentBench
+from support.agent_bench import bench_of
+from support.agent_bench import Seen
+from support.scripted_worker import stream_text
+from support.scripted_worker import whole_text
+
+# What one read from the worker and one frame may add to a full window.
+SLACK_BYTES = 128 * 1024
+
+_PARTS = {
+    'events': 'event',
+    'gaps': 'gap',
+    'answers': 'answer',
+    'bodies': 'body',
+}
+
+
+def _dropped() -> dict[str, float]:
+    name = 'lacewing_agent_mismatched_answers_total'
+    counts: dict[str, float] = {}
+    for part in _PARTS.values():
+        counts[part] = REGISTRY.get_sample_value(name, {'part': part}) or 0.0
+    return counts
+
+
+def _seen(context: Context, router: str, sequence: int) -> Seen:
+    return bench_of(context).router(router).seen.setdefault(sequence, Seen())
+
+
+def _attempt(context: Context, router: str, sequence: int) -> Attempt | None:
+    bench = bench_of(context)
+    attempt_id = bench.routers[router].attempt(sequence)
+    return bench.agent._attempts.find(attempt_id)
+
+
+def _held(bench: AgentBench) -> int:
+    return sum(one.answer.held for one in bench.agent._attempts.all())
+
+
+@given('an agent beside a {kind} worker')
+def given_agent(context: Context, kind: str) -> None:
+    """Start a worker and its agent."""
+    bench = bench_of(context)
+    bench.run(bench.start_agent(ServiceKind(kind)))
+    context.dropped = _dropped()
+
+
+@given('an agent with {slots:d} slot beside a model worker')
+def given_small_agent(context: Context, slots: int) -> None:
+    """Start an agent that lets few requests run at once."""
+    bench = bench_of(context)
+    bench.slots = slots
+    bench.run(bench.start_agent(ServiceKind.MODEL))
+
+
+@given('the worker holds each stream after event {number:d}')
+def given_hold(context: Context, number: int) -> None:
+    """Stop streams, and plain calls, until the worker goes on."""
+    bench_of(context).worker.plan.hold_after = number
+
+
+@given('the worker streams {count:d} events of {size:d} bytes')
+def given_long(context: Context, count: int, size: int) -> None:
+    """Make the streams long."""
+    plan = bench_of(context).worker.plan
+    plan.events = count
+    plan.event_bytes = size
+
+
+@given("the worker's body has {size:d} bytes")
+def given_body(context: Context, size: int) -> None:
+    """Make the whole answers long."""
+    bench_of(context).worker.plan.body_bytes = size
+
+
+@given('the worker slips in an event of another request')
+def given_foreign(context: Context) -> None:
+    """Write a foreign event before the third."""
+    bench_of(context).worker.plan.cross_before = 3
+
+
+@given('the worker skips event {number:d}')
+def given_skip(context: Context, number: int) -> None:
+    """Leave an event out."""
+    bench_of(context).worker.plan.skip = number
+
+
+@given('the worker crosses the next {part}')
+def given_crossed(context: Context, part: str) -> None:
+    """Answer with another request's header or body."""
+    setattr(bench_of(context).worker.plan, f'cross_{part}', True)
+
+
+@given('the worker cuts the stream after event {number:d}')
+def given_cut(context: Context, number: int) -> None:
+    """Close the connection in mid stream."""
+    bench_of(context).worker.plan.cut_after = number
+
+
+@given('the worker forgets all requests')
+def given_forgets(context: Context) -> None:
+    """Know no request when asked to resume it."""
+    bench_of(context).worker.forgets = True
+
+
+@given('the worker answers with status {status:d}')
+def given_status(context: Context, status: int) -> None:
+    """Refuse each request."""
+    bench_of(context).worker.plan.status = status
+
+
+@given('the worker is gone')
+def given_gone(context: Context) -> None:
+    """Refuse connections."""
+    bench = bench_of(context)
+    bench.run(bench.worker.close())
+
+
+@when('the worker will vanish with the next call')
+def when_vanish(context: Context) -> None:
+    """Run the next call and close its connection."""
+    bench_of(context).worker.plan.vanish = True
+
+
+@when('the worker goes on')
+def when_goes_on(context: Context) -> None:
+    """Let the held streams go on."""
+    bench_of(context).worker.plan.go_on.set()
+
+
+@when('the worker comes back as "{epoch}"')
+def when_restarted(context: Context, epoch: str) -> None:
+    """Start another epoch."""
+    bench_of(context).worker.epoch = epoch
+
+
+@when('"{router}" starts stream {sequence:d}')
+def when_stream(context: Context, router: str, sequence: int) -> None:
+    """Start a streamed request."""
+    bench = bench_of(context)
+    bench.run(bench.router(router).start(sequence))
+
+
+@when('"{router}" starts stream {sequence:d} of weights "{weights}"')
+def when_weights(
+    context: Context, router: str, sequence: int, weights: str
+) -> None:
+    """Start a request for other weights."""
+    bench = bench_of(context)
+    bench.run(bench.router(router).start(sequence, weights=weights))
+
+
+@when('"{router}" starts stream {sequence:d} due in {budget:d} ms')
+def when_due(
+    context: Context, router: str, sequence: int, budget: int
+) -> None:
+    """Start a request with little time."""
+    bench = bench_of(context)
+    bench.run(bench.router(router).start(sequence, budget_ms=float(budget)))
+
+
+@when('"{router}" starts stream {sequence:d} of priority {priority:d}')
+def when_priority(
+    context: Context, router: str, sequence: int, priority: int
+) -> None:
+    """Start an urgent request."""
+    bench = bench_of(context)
+    bench.run(bench.router(router).start(sequence, priority=priority))
+
+
+@when('"{router}" starts stream {sequence:d} with none older open')
+def when_floor(context: Context, router: str, sequence: int) -> None:
+    """Start a request that raises the floor to itself."""
+    bench = bench_of(context)
+    bench.run(bench.router(router).start(sequence, oldest_open=sequence))
+
+
+@when('"{router}" starts {count:d} streams of team "{team}" from {first:d}')
+def when_team(
+    context: Context, router: str, count: int, team: str, first: int
+) -> None:
+    """Start several requests of a team."""
+    bench = bench_of(context)
+    for sequence in range(first, first + count):
+        bench.run(bench.router(router).start(sequence, team=team))
+
+
+@when('"{router}" starts {kind:w} {sequence:d}')
+def when_other(
+    context: Context, router: str, kind: str, sequence: int
+) -> None:
+    """Start a request for a whole answer, or a plain call."""
+    bench = bench_of(context)
+    fields: dict[str, object] = {'stream': False}
+    if kind == 'call':
+        fields |= _call(idempotent=True)
+    bench.run(bench.router(router).start(sequence, **fields))
+
+
+@when('"{router}" starts call {sequence:d} that must not be repeated')
+def when_once(context: Context, router: str, sequence: int) -> None:
+    """Start a plain call that is not idempotent."""
+    bench = bench_of(context)
+    fields = _call(idempotent=False)
+    bench.run(bench.router(router).start(sequence, **fields))
+
+
+def _call(idempotent: bool) -> dict[str, object]:
+    return {
+        'path': '/certificates',
+        'model': '',
+        'weights': '',
+        'stream': False,
+        'idempotent': idempotent,
+    }
+
+
+@when('"{router}" asks for {sequence:d}')
+def when_asks(context: Context, router: str, sequence: int) -> None:
+    """Ask from the last byte received."""
+    bench = bench_of(context)
+    link = bench.router(router)
+    seen = _seen(context, router, sequence)
+    seen.outcomes_before = len(seen.outcomes)
+    offset = len(seen.payload)
+    bench.run(link.send(Ask(link.attempt(sequence), offset)))
+
+
+@when('"{router}" cancels {sequence:d}')
+def when_cancels(context: Context, router: str, sequence: int) -> None:
+    """Cancel an attempt."""
+    bench = bench_of(context)
+    link = bench.router(router)
+    bench.run(link.send(Cancel(link.attempt(sequence))))
+
+
+@when('"{router}" confirms {sequence:d} as it comes')
+def when_confirms(context: Context, router: str, sequence: int) -> None:
+    """Confirm all bytes until the outcome is there."""
+    seen = _seen(context, router, sequence)
+    link = bench_of(context).router(router)
+
+    async def confirm() -> None:
+        while not seen.outcomes:
+            await link.send(Ack(link.attempt(sequence), len(seen.payload)))
+            await asyncio.sleep(0.001)
+
+    bench_of(context).run(asyncio.wait_for(confirm(), 30))
+
+
+@when('the link of "{router}" breaks')
+def when_breaks(context: Context, router: str) -> None:
+    """Drop the connection and wait until the agent has noticed."""
+    bench = bench_of(context)
+    bench.run(bench.router(router).break_link())
+    bench.wait(lambda: not bench.agent._links)
+
+
+@when('"{router}" links again')
+def when_links(context: Context, router: str) -> None:
+    """Open another link; an old one may still be open."""
+    bench = bench_of(context)
+    bench.run(bench.router(router).link())
+
+
+@when('the agent restarts')
+def when_agent_restarts(context: Context) -> None:
+    """Replace the agent by one with an empty memory."""
+    bench = bench_of(context)
+    bench.run(bench.restart_agent())
+
+
+@when('the agent begins to drain')
+def when_drains(context: Context) -> None:
+    """Start the drain and leave it running."""
+    bench = bench_of(context)
+    bench.draining = bench.loop.create_task(bench.agent.drain())
+
+
+@when('{seconds:d} s later the agent sweeps')
+def when_sweeps(context: Context, seconds: int) -> None:
+    """Sweep as of a later time."""
+    bench_of(context).agent._sweeper.sweep(time.monotonic() + seconds)
+
+
+@when('{count:d} other routers have come and gone since')
+def when_others(context: Context, count: int) -> None:
+    """Let more routers pass than the agent keeps numbers of."""
+    attempts = bench_of(context).agent._attempts
+    for number in range(count):
+        name = str(ProcessName(f'other-{number}', new_incarnation()))
+        attempts.link_opened(name)
+        attempts.link_closed(name)
+    attempts.forget_idle(time.monotonic() + 1000)
+
+
+@when('the worker has begun {sequence:d} of "{router}"')
+def when_begun(context: Context, sequence: int, router: str) -> None:
+    """Wait until the worker runs an attempt."""
+    bench = bench_of(context)
+    request_id = str(bench.router(router).attempt(sequence))
+    bench.wait(lambda: bench.worker.runs[request_id] == 1)
+
+
+@when('the agent has the outcome of {sequence:d} from "{router}"')
+@then('the agent has the outcome of {sequence:d} from "{router}"')
+def then_known(context: Context, sequence: int, router: str) -> None:
+    """Wait until an attempt has ended."""
+
+    def ended() -> bool:
+        attempt = _attempt(context, router, sequence)
+        return attempt is not None and attempt.outcome is not None
+
+    bench_of(context).wait(ended)
+
+
+@when('"{router}" has the outcome of {sequence:d}')
+@then('"{router}" has the outcome of {sequence:d}')
+def then_outcome(context: Context, router: str, sequence: int) -> None:
+    """Wait for End or Refused."""
+    seen = _seen(context, router, sequence)
+    bench_of(context).wait(lambda: seen.outcomes)
+
+
+@when('"{router}" has {count:d} events of {sequence:d}')
+@then('"{router}" has {count:d} events of {sequence:d}')
+def then_events(
+    context: Context, router: str, count: int, sequence: int
+) -> None:
+    """Wait for whole events."""
+    seen = _seen(context, router, sequence)
+    bench_of(context).wait(lambda: seen.payload.count(b'\n\n') == count)
+
+
+@then('"{router}" has the whole {kind:w} {sequence:d}, each byte once')
+def then_whole(
+    context: Context, router: str, kind: str, sequence: int
+) -> None:
+    """Compare an answer byte by byte."""
+    bench = bench_of(context)
+    seen = _seen(context, router, sequence)
+    bench.wait(lambda: seen.outcomes)
+    request_id = str(bench.router(router).attempt(sequence))
+    text = stream_text if kind == 'stream' else whole_text
+    assert bytes(seen.payload) == text(request_id, bench.worker.plan)
+    assert (seen.repeated, seen.gaps) == (0, 0), seen
+    assert isinstance(seen.outcomes[0], End), seen.outcomes
+    assert seen.outcomes[0].length == len(seen.payload)
+    assert len(seen.outcomes) == 1, seen.outcomes
+
+
+@then('"{router}" has the whole answer {sequence:d}')
+def then_whole_answer(context: Context, router: str, sequence: int) -> None:
+    """Compare a whole answer byte by byte."""
+    then_whole(context, router, 'answer', sequence)
+
+
+@then('"{router}" has the answer "{text}" to call {sequence:d}')
+def then_call(context: Context, router: str, text: str, sequence: int) -> None:
+    """Compare a plain answer."""
+    seen = _seen(context, router, sequence)
+    bench_of(context).wait(lambda: seen.outcomes)
+    assert seen.payload == text.encode(), seen
+    assert seen.head is not None and seen.head.status == 200, seen
+    assert isinstance(seen.outcomes[0], End), seen
+
+
+@then(
+    'the end of {sequence:d} for "{router}" reports {hit:d} of {blocks:d}'
+    ' blocks reused by "{epoch}"'
+)
+def then_cache(
+    context: Context,
+    sequence: int,
+    router: str,
+    hit: int,
+    blocks: int,
+    epoch: str,
+) -> None:
+    """Look at the cache report."""
+    end = _seen(context, router, sequence).outcomes[0]
+    assert isinstance(end, End)
+    cache = end.cache
+    found = (cache.epoch, cache.hit_blocks, cache.prompt_blocks)
+    assert found == (epoch, hit, blocks), end
+
+
+@then('{sequence:d} of "{router}" is refused as "{verdict}" for "{reason}"')
+def then_refused(
+    context: Context, sequence: int, router: str, verdict: str, reason: str
+) -> None:
+    """Look at the outcome that followed the last frame sent."""
+    seen = _seen(context, router, sequence)
+    bench_of(context).wait(lambda: len(seen.outcomes) > seen.outcomes_before)
+    refused = seen.outcomes[-1]
+    assert isinstance(refused, Refused), refused
+    found = (refused.verdict.value, refused.reason.value)
+    assert found == (verdict, reason), refused
+
+
+@then('the refusal of {sequence:d} for "{router}" says when to come back')
+def then_retry_after(context: Context, sequence: int, router: str) -> None:
+    """Look at the time to retry after."""
+    refused = _seen(context, router, sequence).outcomes[0]
+    assert isinstance(refused, Refused)
+    assert refused.retry_after_s is not None and refused.retry_after_s > 0
+
+
+@then('the worker ran {sequence:d} of "{router}" {count:d} time')
+@then('the worker ran {sequence:d} of "{router}" {count:d} times')
+def then_ran(context: Context, sequence: int, router: str, count: int) -> None:
+    """Count the runs where they happen."""
+    bench = bench_of(context)
+    request_id = str(bench.router(router).attempt(sequence))
+    assert bench.worker.runs[request_id] == count, bench.worker.runs
+
+
+@then('the worker ran them in the order {numbers}')
+def then_order(context: Context, numbers: str) -> None:
+    """Look at the order in which the worker got the requests."""
+    bench = bench_of(context)
+    expected = []
+    for number in numbers.split():
+        expected.append(str(bench.router('r1').attempt(int(number))))
+    assert bench.worker.order == expected, bench.worker.order
+
+
+@then('the worker was told to cancel {sequence:d} of "{router}"')
+def then_cancelled(context: Context, sequence: int, router: str) -> None:
+    """Wait for the cancel."""
+    bench = bench_of(context)
+    request_id = str(bench.routers[router].attempt(sequence))
+    bench.wait(lambda: request_id in bench.worker.cancelled)
+
+
+@then('the count of {part} dropped has grown')
+def then_dropped(context: Context, part: str) -> None:
+    """Look at the agent's count."""
+    name = _PARTS[part]
+    assert _dropped()[name] > context.dropped[name], _dropped()
+
+
+@then('"{router}" gets no more than the window of {sequence:d} unconfirmed')
+def then_window(context: Context, router: str, sequence: int) -> None:
+    """Wait until the window is full and look on."""
+    bench = bench_of(context)
+    seen = _seen(context, router, sequence)
+    bench.wait(lambda: len(seen.payload) >= ANSWER_WINDOW_BYTES)
+    bench.run(asyncio.sleep(0.1))
+    assert len(seen.payload) <= ANSWER_WINDOW_BYTES + SLACK_BYTES
+
+
+@then('the agent holds no more than the window and the worker waits')
+def then_bounded(context: Context) -> None:
+    """Look at the agent's memory and at what the worker could write."""
+    bench = bench_of(context)
+    plan = bench.worker.plan
+    assert _held(bench) <= ANSWER_WINDOW_BYTES + SLACK_BYTES, _held(bench)
+    assert bench.worker.written < plan.events * plan.event_bytes
+
+
+@then("the agent remembers no router's history")
+def then_no_history(context: Context) -> None:
+    """Look at the table."""
+    assert not list(bench_of(context).agent._attempts.histories())
+
+
+@then('"{router}" hears that the worker is leaving')
+def then_leaving(context: Context, router: str) -> None:
+    """Wait for the notice."""
+    link = bench_of(context).router(router)
+    bench_of(context).wait(lambda: any(one.leaving for one in link.changes))
+
+
+@then('"{router}" hears of "{epoch}"')
+def then_epoch(context: Context, router: str, epoch: str) -> None:
+    """Wait for the notice."""
+    link = bench_of(context).router(router)
+    bench_of(context).wait(
+        lambda: any(one.epoch == epoch for one in link.changes)
+    )
+
+
+@then("the agent's connections have Nagle's algorithm off")
+def then_no_delay(context: Context) -> None:
+    """Look at the accepted sockets."""
+    server: Any = bench_of(context).agent._server
+    for handler in server._handlers:
+        for stream in handler._tasks:
+            sock = stream._transport.get_extra_info('socket')
+            assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+    assert server._handlers
+
+
+@then('the agent has drained')
+def then_drained(context: Context) -> None:
+    """Wait for the end of the drain."""
+    bench = bench_of(context)
+    assert bench.draining is not None
+    bench.run(asyncio.wait_for(bench.draining, 10))
--- a/packages/common/src/lacewing_common/wire.py
+++ b/packages/common/src/lacewing_common/wire.py
@@ -80,6 +80,9 @@
 class Start(Message, frozen=True, tag='start'):
     """Ask an agent to run a request on its worker.
 
+    A router sends the Start of an attempt once; in doubt it asks. On that
+    rests an agent's "not run" to a Start meant for its earlier run.
+
     ``budget_ms``: milliseconds left until the first token is due.
     ``blocks``: the prompt's block hashes, 8 bytes each, joined.
     ``levels``: block counts at which a nested level ends.
@@ -125,7 +128,11 @@
 
 
 class Cancel(Message, frozen=True, tag='cancel'):
-    """Stop an attempt whose caller has gone."""
+    """Stop an attempt whose caller has gone; there is no reply.
+
+    One never seen is closed for ever. A call that is not idempotent and has
+    reached the worker goes on, and its outcome is kept.
+    """
 
     attempt: AttemptId
 
@@ -214,7 +221,11 @@
 
 
 class WorkerChanged(Message, frozen=True, tag='worker'):
-    """Tell routers of a worker's new epoch, models or leaving state."""
+    """Tell routers of a worker's new epoch, models or leaving state.
+
+    An empty ``epoch``, here or in Welcome, says that the worker does not
+    answer its agent.
+    """
 
     epoch: str
     models: tuple[str, ...]
--- a/packages/daemon/src/lacewing_daemon/agent/_agent.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_agent.py
@@ -2,14 +2,14 @@
 
 import asyncio
 import contextlib
-import socket
 import time
 from collections.abc import Coroutine
 
 import grpclib.const
-from grpclib.config import Configuration
 from grpclib.server import Server
 from grpclib.server import Stream
+from lacewing_common.bundle import RolledBundle
+from lacewing_common.bundle import ServiceKind
 from lacewing_common.codec import FromAgent
 from lacewing_common.codec import FromRouter
 from lacewing_common.codec import MsgpackCodec
@@ -25,7 +25,7 @@
 from lacewing_common.verdict import Reason
 from lacewing_common.verdict import Refusal
 from lacewing_common.wire import Ack
-from lacewing_common.wire import AgentFrame
+from lacewing_common.wire import AgentMessage
 from lacewing_common.wire import Ask
 from lacewing_common.wire import Cancel
 from lacewing_common.wire import LINK_METHOD
@@ -39,9 +39,13 @@
 from lacewing_daemon.agent._attempt import Attempt
 from lacewing_daemon.agent._attempts import Attempts
 from lacewing_daemon.agent._link import Link
+from lacewing_daemon.agent._listener import listening_socket
+from lacewing_daemon.agent._listener import server_config
 from lacewing_daemon.agent._load import LoadView
 from lacewing_daemon.agent._metrics import LINKS
 from lacewing_daemon.agent._runner import Runner
+from lacewing_daemon.agent._sweeper import KeepLimits
+from lacewing_daemon.agent._sweeper import Sweeper
 from lacewing_daemon.agent._watch import WorkerWatch
 from lacewing_daemon.agent._worker import Worker
 from lacewing_daemon.runtime import RoleStatus
@@ -50,11 +54,7 @@
 _QUEUE_LIMIT = 256
 _DRAIN_STEP_S = 0.02
 _CLOSE_S = 2.0
-
-# A router's VM that vanishes sends no end of its connection; pings find out
-# so that its attempts count as orphaned.
-_PING_EVERY_S = 10.0
-_PING_TIMEOUT_S = 5.0
+_KEEP_LIMITS = KeepLimits()
 
 _log = get_log(Part.LINK)
 
@@ -62,10 +62,15 @@
 class Agent:
     """Serve routers on behalf of one worker."""
 
-    def __init__(self, runtime: Runtime, settings: WorkerSettings) -> None:
+    def __init__(
+        self,
+        runtime: Runtime,
+        settings: WorkerSettings,
+        limits: KeepLimits = _KEEP_LIMITS,
+    ) -> None:
         self._runtime = runtime
         self._settings = settings
-        self._worker = Worker(settings.url)
+        self._worker = Worker(settings.url, settings.concurrency)
         self._admission = FairAdmission(
             settings.concurrency, _QUEUE_LIMIT, self._share_of
         )
@@ -74,14 +79,15 @@
             self._worker, self._admission, self._load, runtime.bundles
         )
         self._watch = WorkerWatch(
-            self._worker, self._load, self._worker_changed
+            self._worker, self._load, self._is_engine, self._worker_changed
         )
         self._attempts = Attempts(runtime.name.incarnation)
+        self._sweeper = Sweeper(self._attempts, limits)
         self._links: set[Link] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._leaving = False
         self._server = Server(
-            [self], codec=MsgpackCodec(), config=_server_config()
+            [self], codec=MsgpackCodec(), config=server_config()
         )
         self._peers_address = ''
 
@@ -114,9 +120,10 @@
 
     async def start(self) -> None:
         """Look at the worker once, then listen."""
+        self._runtime.bundles.on_change(self._bundle_changed)
         await self._watch.poll()
         address = parse_address(self._runtime.settings.listen.peers)
-        sock = _listening_socket(address.host, address.port)
+        sock = listening_socket(address.host, address.port)
         await self._server.start(
             sock=sock,
             ssl=server_context(
@@ -126,6 +133,7 @@
         host, port = sock.getsockname()[:2]
         self._peers_address = str(Address(host, port))
         self._spawn(self._watch.run())
+        self._spawn(self._sweeper.run())
 
     async def drain(self) -> None:
         """Refuse new work; return when the open attempts have ended."""
@@ -185,13 +193,11 @@
             found.acknowledge(ask.offset)
         return found
 
-    def cancel(self, cancel: Cancel) -> Refusal | None:
+    def cancel(self, cancel: Cancel) -> None:
         """Stop an attempt, or close it if it was never seen."""
         found = self._attempts.ask(cancel.attempt)
-        if isinstance(found, Refusal):
-            return found
-        found.cancel()
-        return None
+        if isinstance(found, Attempt):
+            found.cancel()
 
     def acknowledge(self, ack: Ack) -> None:
         """Let go of confirmed bytes."""
@@ -212,7 +218,7 @@
         LINKS.dec()
 
     async def _serve_link(
-        self, stream: Stream[RouterFrame, AgentFrame]
+        self, stream: Stream[RouterFrame, AgentMessage]
     ) -> None:
         await Link(stream, self).serve()
 
@@ -222,7 +228,7 @@
             return not_run(Reason.DRAINING, 'this worker is leaving')
         if start.service != self._settings.service:
             return not_run(
-                Reason.UNKNOWN_SERVICE,
+                Reason.NOT_READY,
                 f'this worker serves {self._settings.service!r},'
                 f' not {start.service!r}',
             )
@@ -235,11 +241,21 @@
         wanted = f'{start.model}:{start.weights}'
         if wanted in models:
             return None
+        self._watch.look_soon()
         return not_run(
             Reason.STALE_WEIGHTS,
             f'{wanted} is not loaded here; loaded: {", ".join(models)}',
         )
 
+    def _is_engine(self) -> bool:
+        for service in self._runtime.bundles.current.bundle.services:
+            if service.name == self._settings.service:
+                return service.kind is ServiceKind.MODEL
+        return False
+
+    def _bundle_changed(self, _bundle: RolledBundle) -> None:
+        self._watch.look_soon()
+
     def _owes_answers(self) -> bool:
         for attempt in self._attempts.all():
             if attempt.outcome is None:
@@ -278,21 +294,3 @@
     agent = Agent(runtime, settings)
     await agent.start()
     return agent
-
-
-def _server_config() -> Configuration:
-    return Configuration(
-        _keepalive_time=_PING_EVERY_S,
-        _keepalive_timeout=_PING_TIMEOUT_S,
-        _http2_max_pings_without_data=0,
-        _http2_min_sent_ping_interval_without_data=_PING_EVERY_S / 2,
-    )
-
-
-def _listening_socket(host: str, port: int) -> socket.socket:
-    family = socket.AF_INET6 if ':' in host else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_STREAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind((host, port))
-    sock.setblocking(False)
-    return sock
--- a/packages/daemon/src/lacewing_daemon/agent/_attempt.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_attempt.py
@@ -193,12 +193,18 @@
         """Let go of bytes that the router has; read on if that helps."""
         self._answer.acknowledge(offset)
         self._changed()
-        if not self._paused or self._flow is None:
-            return
-        if self._answer.unacknowledged > ANSWER_WINDOW_BYTES // 2:
+        self._resume_if_room()
+
+    def keep_outcome_only(self) -> None:
+        """Read an answer that fills its window to its end, unkept.
+
+        Nobody reads it, but the call must not be stopped and its slot must
+        come free.
+        """
+        if not self._paused:
             return
-        self._paused = False
-        self._flow.resume()
+        self._answer.drop()
+        self._resume_if_room()
 
     def finish(
         self, prompt_tokens: int, output_tokens: int, cache: CacheReport
@@ -249,10 +255,18 @@
         if self._on_change is not None:
             self._on_change()
 
+    def _resume_if_room(self) -> None:
+        if not self._paused or self._flow is None:
+            return
+        if self._answer.held > ANSWER_WINDOW_BYTES // 2:
+            return
+        self._paused = False
+        self._flow.resume()
+
     def _pause_if_full(self) -> None:
         if self._paused or self._flow is None:
             return
-        if self._answer.unacknowledged <= ANSWER_WINDOW_BYTES:
+        if self._answer.held <= ANSWER_WINDOW_BYTES:
             return
         self._paused = True
         self._flow.pause()
--- a/packages/daemon/src/lacewing_daemon/agent/_fair_queue.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_fair_queue.py
@@ -12,6 +12,12 @@
 _SMALLEST_SHARE = 0.001
 
 
+@dataclass(frozen=True)
+class _Lane:
+    priority: int
+    team: str
+
+
 @dataclass(order=True)
 class _Entry(Generic[T]):
     rank: int
@@ -27,15 +33,16 @@
     Start-time fair queueing: a request's tag is the greater of the queue's
     virtual time and the finish tag of its team's last request, which lies
     cost / share further. The lowest tag goes first, so a team that sends
-    ten times as much waits behind itself and not before the others.
+    ten times as much waits behind itself and not before the others. Each
+    priority has a virtual time of its own.
     """
 
     def __init__(self, share_of: Callable[[str], float]) -> None:
         self._share_of = share_of
         self._heap: list[_Entry[T]] = []
         self._entries: dict[int, _Entry[T]] = {}
-        self._finish: dict[str, float] = {}
-        self._virtual = 0.0
+        self._finish: dict[_Lane, float] = {}
+        self._virtual: dict[int, float] = {}
         self._order = 0
 
     def __len__(self) -> int:
@@ -52,9 +59,11 @@
 
     def push(self, team: str, priority: int, cost: float, item: T) -> None:
         """Add a request of a team."""
-        start = max(self._virtual, self._finish.get(team, 0.0))
+        lane = _Lane(priority, team)
+        now = self._virtual.get(priority, 0.0)
+        start = max(now, self._finish.get(lane, 0.0))
         share = max(self._share_of(team), _SMALLEST_SHARE)
-        self._finish[team] = start + cost / share
+        self._finish[lane] = start + cost / share
         self._order += 1
         entry = _Entry(-priority, start, self._order, item)
         self._entries[id(item)] = entry
@@ -67,7 +76,8 @@
             if entry.removed:
                 continue
             del self._entries[id(entry.item)]
-            self._virtual = max(self._virtual, entry.start)
+            now = self._virtual.get(-entry.rank, 0.0)
+            self._virtual[-entry.rank] = max(now, entry.start)
             self._forget_past()
             return entry.item
         return None
@@ -84,7 +94,7 @@
         if self._entries:
             return
         self._finish = {
-            team: finish
-            for team, finish in self._finish.items()
-            if finish > self._virtual
+            lane: finish
+            for lane, finish in self._finish.items()
+            if finish > self._virtual.get(lane.priority, 0.0)
         }
--- a/packages/daemon/src/lacewing_daemon/agent/_link.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_link.py
@@ -12,9 +12,12 @@
 from lacewing_common.verdict import Refusal
 from lacewing_common.wire import Ack
 from lacewing_common.wire import AgentFrame
+from lacewing_common.wire import AgentMessage
 from lacewing_common.wire import Ask
 from lacewing_common.wire import AttemptId
+from lacewing_common.wire import Batch
 from lacewing_common.wire import Cancel
+from lacewing_common.wire import Data
 from lacewing_common.wire import Hello
 from lacewing_common.wire import LoadReport
 from lacewing_common.wire import Refused
@@ -26,6 +29,8 @@
 from lacewing_daemon.agent._delivery import Delivery
 
 _MOST_NOTICES = 1000
+_MOST_FRAMES = 256
+_MESSAGE_BYTES = 64 * 1024
 
 _log = get_log(Part.LINK)
 
@@ -36,8 +41,8 @@
     async def recv_message(self) -> RouterFrame | None:
         """Return the next frame; None at the end."""
 
-    async def send_message(self, message: AgentFrame) -> None:
-        """Send a frame once the connection has room."""
+    async def send_message(self, message: AgentMessage) -> None:
+        """Send a message once the connection has room."""
 
 
 class Desk(Protocol):
@@ -55,7 +60,7 @@
     def ask(self, ask: Ask) -> Attempt | Refusal:
         """Find an attempt or close it for ever."""
 
-    def cancel(self, cancel: Cancel) -> Refusal | None:
+    def cancel(self, cancel: Cancel) -> None:
         """Stop an attempt, or close it if it was never seen."""
 
     def acknowledge(self, ack: Ack) -> None:
@@ -148,9 +153,7 @@
             self._desk.acknowledge(frame)
             return
         if isinstance(frame, Cancel):
-            refusal = self._desk.cancel(frame)
-            if refusal is not None:
-                self._refuse(frame.attempt, refusal)
+            self._desk.cancel(frame)
             return
         offset = 0
         if isinstance(frame, Start):
@@ -198,25 +201,46 @@
             await self._wake.wait()
             self._wake.clear()
             while self._notices or self._due:
-                await self._write_next()
+                await self._write_waiting()
             if self._closing:
                 return
 
-    async def _write_next(self) -> None:
-        if self._notices:
-            await self._stream.send_message(self._notices.popleft())
-            self._room.set()
-            return
-        delivery = self._due.popleft()
-        delivery.due = False
-        frame = delivery.next_frame(self._desk.load())
-        if frame is None:
-            return
-        self._now_due(delivery)
-        await self._stream.send_message(frame)
-        if delivery.done:
+    async def _write_waiting(self) -> None:
+        """Send what waits now as one message."""
+        frames: list[AgentFrame] = []
+        ended: list[Delivery] = []
+        load = self._desk.load()
+        size = 0
+        while self._notices and len(frames) < _MOST_FRAMES:
+            frames.append(self._notices.popleft())
+        while self._due and len(frames) < _MOST_FRAMES:
+            if size > _MESSAGE_BYTES:
+                break
+            delivery = self._due.popleft()
+            delivery.due = False
+            frame = delivery.next_frame(load)
+            if frame is None:
+                continue
+            frames.append(frame)
+            if isinstance(frame, Data):
+                size += len(frame.payload)
+            if delivery.done:
+                ended.append(delivery)
+                continue
+            self._now_due(delivery)
+        await self._send(frames)
+        for delivery in ended:
             self._forget(delivery)
 
+    async def _send(self, frames: list[AgentFrame]) -> None:
+        if not frames:
+            return
+        message: AgentMessage = frames[0]
+        if len(frames) > 1:
+            message = Batch(tuple(frames))
+        await self._stream.send_message(message)
+        self._room.set()
+
     def _forget(self, delivery: Delivery) -> None:
         attempt = delivery.attempt
         attempt.mark_delivered()
--- a/packages/daemon/src/lacewing_daemon/agent/_receiver.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_receiver.py
@@ -9,11 +9,11 @@
 from lacewing_daemon.agent._events import Usage
 from lacewing_daemon.agent._metrics import MISMATCHED
 from lacewing_daemon.agent._metrics import PAUSES
-from lacewing_daemon.agent._worker import AnswerStart
-from lacewing_daemon.agent._worker import Transfer
+from lacewing_daemon.agent._transfer import AnswerStart
+from lacewing_daemon.agent._transfer import Transfer
 
 # A longer whole answer of an engine is no answer of ours.
-MAX_WHOLE_BYTES = 16 * 1024 * 1024
+MAX_WHOLE_BYTES = 4 * 1024 * 1024
 
 _EVENT_STREAM = 'text/event-stream'
 _OK = 200
--- a/packages/daemon/src/lacewing_daemon/agent/_runner.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_runner.py
@@ -14,19 +14,19 @@
 from lacewing_common.wire import Start
 
 from lacewing_daemon.agent._admission import Admission
-from lacewing_daemon.agent._admission import AdmissionRequest
 from lacewing_daemon.agent._attempt import Attempt
 from lacewing_daemon.agent._load import LoadView
 from lacewing_daemon.agent._metrics import RESUMED
 from lacewing_daemon.agent._receiver import Mode
 from lacewing_daemon.agent._receiver import Receiver
+from lacewing_daemon.agent._requests import admission_request
+from lacewing_daemon.agent._requests import first_request
+from lacewing_daemon.agent._requests import resume_request
 from lacewing_daemon.agent._worker import Broken
 from lacewing_daemon.agent._worker import Whole
 from lacewing_daemon.agent._worker import Worker
-from lacewing_daemon.agent._worker import WorkerRequest
 from lacewing_daemon.runtime import BundleSource
 
-_HASH_BYTES = 8
 _RESUME_TRIES = 4
 _RESUME_PAUSE_S = 0.02
 _DEFAULT_ANSWER_S = 120.0
@@ -65,7 +65,7 @@
             )
 
     async def _admit(self, attempt: Attempt) -> None:
-        turn = self._admission.enter(_admission_request(attempt.start))
+        turn = self._admission.enter(admission_request(attempt.start))
         if isinstance(turn, Refusal):
             attempt.refuse(turn)
             return
@@ -75,6 +75,11 @@
             attempt.refuse(refusal)
             return
         try:
+            if attempt.cancelled:
+                attempt.refuse(
+                    not_run(Reason.CALLER_GONE, 'the caller went while queued')
+                )
+                return
             await self._run_on_worker(attempt)
         finally:
             turn.release()
@@ -89,9 +94,10 @@
             attempt.on_cancel(None)
         attempt.mark_sent()
         sent_at = time.monotonic()
-        result = await self._worker.exchange(
-            self._first_request(start), receiver
+        request = first_request(
+            start, from_engine, self._answer_s(start.service)
         )
+        result = await self._worker.exchange(request, receiver)
         if isinstance(result, Broken) and not result.reached:
             attempt.refuse(
                 not_run(
@@ -158,7 +164,7 @@
             last = receiver.reader.last
             RESUMED.inc()
             result = await self._worker.exchange(
-                _resume_request(attempt.start, last), receiver
+                resume_request(attempt.start, last), receiver
             )
             if isinstance(result, Broken) and not result.reached:
                 return refusal
@@ -211,52 +217,6 @@
                 return service.answer_ms / 1000
         return _DEFAULT_ANSWER_S
 
-    def _first_request(self, start: Start) -> WorkerRequest:
-        return WorkerRequest(
-            start.method,
-            start.path,
-            _headers(start, self._from_engine(start)),
-            start.body if start.body or start.method != 'GET' else None,
-            start.idempotent,
-            self._answer_s(start.service),
-        )
-
-
-def _admission_request(start: Start) -> AdmissionRequest:
-    blocks = len(start.blocks) // _HASH_BYTES
-    return AdmissionRequest(
-        start.team, start.priority, blocks + 1.0, start.budget_ms / 1000
-    )
-
-
-def _headers(start: Start, from_engine: bool) -> tuple[tuple[str, str], ...]:
-    headers = [
-        ('X-Request-Id', str(start.attempt)),
-        ('X-Priority', str(start.priority)),
-    ]
-    if start.content_type:
-        headers.append(('Content-Type', start.content_type))
-    if start.traceparent:
-        headers.append(('traceparent', start.traceparent))
-    if start.idempotency_key and not from_engine:
-        headers.append(('Idempotency-Key', start.idempotency_key))
-    if from_engine:
-        headers.append(('X-Cache-Salt', start.salt.hex()))
-        headers.append(('X-Weights-Version', start.weights))
-    return tuple(headers)
-
-
-def _resume_request(start: Start, last: int) -> WorkerRequest:
-    request_id = str(start.attempt)
-    headers = (('X-Request-Id', request_id),)
-    if not start.stream:
-        return WorkerRequest('GET', f'/requests/{request_id}/answer', headers)
-    return WorkerRequest(
-        'GET',
-        f'/requests/{request_id}/stream',
-        (*headers, ('Last-Event-ID', str(last))),
-    )
-
 
 def _engine_refusal(
     attempt: Attempt, receiver: Receiver, result: Whole
@@ -273,7 +233,7 @@
         )
     if status == _NOT_FOUND and echoed:
         return not_run(
-            Reason.UNKNOWN_MODEL,
+            Reason.NOT_READY,
             'the worker has not loaded this model: ' + receiver.error_text,
         )
     vague = status in (_CONFLICT, _NOT_FOUND, _TOO_MANY)
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/agent/_transfer.py
@@ -0,0 +1,135 @@
+"""Control one HTTP exchange with the worker and read its headers."""
+
+from dataclasses import dataclass
+from io import BytesIO
+
+import pycurl
+
+_FIRST_FINAL_STATUS = 200
+
+
+@dataclass(frozen=True)
+class AnswerStart:
+    """Hold the status and the headers that matter of an answer."""
+
+    status: int
+    content_type: str
+    request_id: str
+    epoch: str
+
+
+class Transfer:
+    """Pause, go on with or abort one HTTP exchange."""
+
+    def __init__(self) -> None:
+        self._handle: pycurl.Curl | None = None
+        self._aborted = False
+        self._body_read = False
+        self._resent = False
+
+    @property
+    def resent(self) -> bool:
+        """Tell whether the request went out a second time."""
+        return self._resent
+
+    @property
+    def aborted(self) -> bool:
+        """Tell whether the exchange was given up."""
+        return self._aborted
+
+    @property
+    def body_read(self) -> bool:
+        """Tell whether any byte of the request's body may have left."""
+        return self._body_read
+
+    def pause(self) -> None:
+        """Stop reading the answer; the worker's socket fills up."""
+        self._set_pause(pycurl.PAUSE_RECV)
+
+    def resume(self) -> None:
+        """Read the answer on."""
+        self._set_pause(pycurl.PAUSE_CONT)
+
+    def abort(self) -> None:
+        """Close the connection at once.
+
+        The progress callback ends the transfer; pausing and going on makes
+        libcurl call it now and not at its next second.
+        """
+        self._aborted = True
+        self._set_pause(pycurl.PAUSE_RECV)
+        self._set_pause(pycurl.PAUSE_CONT)
+
+    def begin(self, handle: pycurl.Curl, body: bytes | None) -> None:
+        """Take the handle that runs the exchange."""
+        self._handle = handle
+        handle.setopt(pycurl.NOPROGRESS, 0)
+        handle.setopt(pycurl.XFERINFOFUNCTION, self._progress)
+        if body:
+            self._watch_body(handle, body)
+
+    def end(self) -> None:
+        """Let go of the handle, which serves another exchange now."""
+        self._handle = None
+
+    def _watch_body(self, handle: pycurl.Curl, body: bytes) -> None:
+        source = BytesIO(body)
+
+        def read(size: int) -> bytes:
+            self._body_read = True
+            return source.read(size)
+
+        def seek(offset: int, origin: int) -> int:
+            self._resent = True
+            source.seek(offset, origin)
+            return pycurl.SEEKFUNC_OK
+
+        handle.setopt(pycurl.READFUNCTION, read)
+        handle.setopt(pycurl.SEEKFUNCTION, seek)
+
+    def _progress(self, *_counts: float) -> int:
+        return 1 if self._aborted else 0
+
+    def _set_pause(self, bits: int) -> None:
+        if self._handle is None:
+            return
+        try:
+            self._handle.pause(bits)
+        except pycurl.error:
+            # The transfer failed while it was paused; the exchange reports
+            # that by itself.
+            return
+
+
+class HeaderLines:
+    """Collect header lines inside libcurl, read them outside of it."""
+
+    def __init__(self) -> None:
+        self._lines: list[bytes] = []
+
+    def collect(self, line: bytes) -> None:
+        """Take one line; called by libcurl."""
+        if line.startswith(b'HTTP/'):
+            self._lines.clear()
+        self._lines.append(line)
+
+    def parse(self) -> AnswerStart | None:
+        """Return the start of the final answer, or None before it."""
+        if not self._lines:
+            return None
+        words = self._lines[0].split(None, 2)
+        if len(words) < 2 or not words[1].isdigit():
+            return None
+        status = int(words[1])
+        if status < _FIRST_FINAL_STATUS:
+            return None
+        fields: dict[str, str] = {}
+        for line in self._lines[1:]:
+            name, _, value = line.decode('latin1').partition(':')
+            fields[name.strip().lower()] = value.strip()
+        return AnswerStart(
+            status,
+            fields.get('content-type', ''),
+            fields.get('x-request-id', ''),
+            fields.get('x-engine-epoch', ''),
+        )
--- a/packages/daemon/src/lacewing_daemon/agent/_watch.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_watch.py
@@ -17,6 +17,7 @@
 
 _PERIOD_S = 1.0
 _JITTER = 0.2
+_SHORTEST_S = 0.05
 
 _T = TypeVar('_T')
 
@@ -67,10 +68,12 @@
         self,
         worker: Worker,
         load: LoadView,
+        is_engine: Callable[[], bool],
         on_change: Callable[[], None],
     ) -> None:
         self._worker = worker
         self._load = load
+        self._is_engine = is_engine
         self._on_change = on_change
         self._epoch = ''
         self._models: tuple[str, ...] = ()
@@ -100,11 +103,16 @@
             except TimeoutError:
                 continue
             self._soon.clear()
+            await asyncio.sleep(_SHORTEST_S)
 
     async def poll(self) -> None:
         """Read load and models once."""
         load = _decode(await self._worker.get('/load'), EngineLoad)
-        models = _decode(await self._worker.get('/v1/models'), ModelList)
+        models: ModelList | None = None
+        if self._is_engine():
+            # To a plain service any path is a call that it would execute.
+            found = await self._worker.get('/v1/models')
+            models = _decode(found, ModelList)
         if load is None:
             self._set('', ())
             return
--- a/packages/daemon/src/lacewing_daemon/agent/_worker.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_worker.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from io import BytesIO
 from typing import Protocol
 
 import pycurl
@@ -10,12 +9,17 @@
 from tornado.curl_httpclient import CurlError
 from tornado.httpclient import HTTPRequest
 
+from lacewing_daemon.agent._transfer import AnswerStart
+from lacewing_daemon.agent._transfer import HeaderLines
+from lacewing_daemon.agent._transfer import Transfer
+
 CONNECT_TIMEOUT_S = 2.0
 POLL_TIMEOUT_S = 2.0
-_MAX_CLIENTS = 512
+# Polls, cancels and resumed answers beside the requests that hold slots.
+_SPARE_CLIENTS = 16
 # Bodies are bounded by the answer window, not by the client.
 _MAX_BODY_BYTES = 1 << 40
-_FIRST_FINAL_STATUS = 200
+_OK = 200
 
 
 @dataclass(frozen=True)
@@ -35,16 +39,6 @@
     stall_s: float = 120.0
 
 
-@dataclass(frozen=True)
-class AnswerStart:
-    """Hold the status and the headers that matter of an answer."""
-
-    status: int
-    content_type: str
-    request_id: str
-    epoch: str
-
-
 @dataclass(frozen=True)
 class Whole:
     """Report an answer that arrived to its end.
@@ -69,89 +63,6 @@
     message: str
 
 
-class Transfer:
-    """Pause, go on with or abort one HTTP exchange."""
-
-    def __init__(self) -> None:
-        self._handle: pycurl.Curl | None = None
-        self._aborted = False
-        self._body_read = False
-        self._resent = False
-
-    @property
-    def resent(self) -> bool:
-        """Tell whether the request went out a second time."""
-        return self._resent
-
-    @property
-    def aborted(self) -> bool:
-        """Tell whether the exchange was given up."""
-        return self._aborted
-
-    @property
-    def body_read(self) -> bool:
-        """Tell whether any byte of the request's body may have left."""
-        return self._body_read
-
-    def pause(self) -> None:
-        """Stop reading the answer; the worker's socket fills up."""
-        self._set_pause(pycurl.PAUSE_RECV)
-
-    def resume(self) -> None:
-        """Read the answer on."""
-        self._set_pause(pycurl.PAUSE_CONT)
-
-    def abort(self) -> None:
-        """Close the connection at once.
-
-        The progress callback ends the transfer; pausing and going on makes
-        libcurl call it now and not at its next second.
-        """
-        self._aborted = True
-        self._set_pause(pycurl.PAUSE_RECV)
-        self._set_pause(pycurl.PAUSE_CONT)
-
-    def begin(self, handle: pycurl.Curl, body: bytes | None) -> None:
-        """Take the handle that runs the exchange."""
-        self._handle = handle
-        handle.setopt(pycurl.NOPROGRESS, 0)
-        handle.setopt(pycurl.XFERINFOFUNCTION, self._progress)
-        if body:
-            self._watch_body(handle, body)
-
-    def end(self) -> None:
-        """Let go of the handle, which serves another exchange now."""
-        self._handle = None
-
-    def _watch_body(self, handle: pycurl.Curl, body: bytes) -> None:
-        source = BytesIO(body)
-
-        def read(size: int) -> bytes:
-            self._body_read = True
-            return source.read(size)
-
-        def seek(offset: int, origin: int) -> int:
-            self._resent = True
-            source.seek(offset, origin)
-            return pycurl.SEEKFUNC_OK
-
-        handle.setopt(pycurl.READFUNCTION, read)
-        handle.setopt(pycurl.SEEKFUNCTION, seek)
-
-    def _progress(self, *_counts: float) -> int:
-        return 1 if self._aborted else 0
-
-    def _set_pause(self, bits: int) -> None:
-        if self._handle is None:
-            return
-        try:
-            self._handle.pause(bits)
-        except pycurl.error:
-            # The transfer failed while it was paused; the exchange reports
-            # that by itself.
-            return
-
-
 class AnswerSink(Protocol):
     """Take an answer as it arrives."""
 
@@ -165,48 +76,28 @@
         """Take bytes of the body."""
 
 
-class _Headers:
-    """Collect header lines inside libcurl, read them outside of it."""
-
-    def __init__(self) -> None:
-        self._lines: list[bytes] = []
-
-    def collect(self, line: bytes) -> None:
-        """Take one line; called by libcurl."""
-        if line.startswith(b'HTTP/'):
-            self._lines.clear()
-        self._lines.append(line)
-
-    def parse(self) -> AnswerStart | None:
-        """Return the start of the final answer, or None before it."""
-        if not self._lines:
-            return None
-        words = self._lines[0].split(None, 2)
-        if len(words) < 2 or not words[1].isdigit():
-            return None
-        status = int(words[1])
-        if status < _FIRST_FINAL_STATUS:
-            return None
-        fields: dict[str, str] = {}
-        for line in self._lines[1:]:
-            name, _, value = line.decode('latin1').partition(':')
-            fields[name.strip().lower()] = value.strip()
-        return AnswerStart(
-            status,
-            fields.get('content-type', ''),
-            fields.get('x-request-id', ''),
-            fields.get('x-engine-epoch', ''),
-        )
+class _Client(CurlAsyncHTTPClient):
+    """Leave no timer behind."""
+
+    def close(self) -> None:
+        """Close all connections and the timer.
+
+        Ending exchanges under way, libcurl sets the timer anew; firing
+        later, it would find no client and log an ``AttributeError``.
+        """
+        super().close()
+        if self._timeout is not None:
+            self.io_loop.remove_timeout(self._timeout)
 
 
 class Worker:
     """Hold the HTTP client for one worker."""
 
-    def __init__(self, url: str) -> None:
+    def __init__(self, url: str, concurrency: int) -> None:
         self._url = url.rstrip('/')
-        self._client = CurlAsyncHTTPClient(
+        self._client = _Client(
             force_instance=True,
-            max_clients=_MAX_CLIENTS,
+            max_clients=concurrency + _SPARE_CLIENTS,
             max_body_size=_MAX_BODY_BYTES,
         )
 
@@ -215,7 +106,7 @@
     ) -> Whole | Broken:
         """Send a request and feed its answer to a sink."""
         transfer = Transfer()
-        headers = _Headers()
+        headers = HeaderLines()
         started: list[AnswerStart] = []
 
         def start() -> None:
@@ -263,7 +154,7 @@
             response = await self._client.fetch(request, raise_error=False)
         except CurlError as error:
             return Broken(error.errno != pycurl.E_COULDNT_CONNECT, str(error))
-        if response.code != _FIRST_FINAL_STATUS:
+        if response.code != _OK:
             return Broken(True, f'{path}: status {response.code}')
         return response.body
 
@@ -281,7 +172,7 @@
             response = await self._client.fetch(request, raise_error=False)
         except CurlError:
             return False
-        return bool(response.code == _FIRST_FINAL_STATUS)
+        return bool(response.code == _OK)
 
     def close(self) -> None:
         """Close all connections."""
