--- a/features/standins.feature
+++ b/features/standins.feature
@@ -113,7 +113,7 @@
     And "e1" is ordered to load "w5" with the fencing number 5
     And "e1" is ordered to load "w4" with the fencing number 4
     Then the last order is answered <status>
-    And "e1" serves the weights "<weights>"
+    And /v1/models of "e1" shows {"data": [{"id": "diag", "weights": "<weights>", "adapters": []}]}
     And a request for other weights than "<weights>" is refused by "e1" with 409
 
     Examples:
@@ -128,16 +128,16 @@
     When "e1" is asked a prompt "A" of 2 blocks and 0 bytes as "r1"
     And "e1" is ordered to load "w5" with the fencing number 1
     Then /counts of "platform" shows {"executions": {"": 1}}
-    And "e1" serves the weights "w5"
+    And /v1/models of "e1" shows {"data": [{"id": "diag", "weights": "w5", "adapters": []}]}
     And "e1" holds 0 blocks of the prompt "A"
 
   Scenario: Kept KV cache moves to another engine
     Given the stand-in engines "e1" and "e2"
-    And the stand-in KV store "k1"
+    And the stand-in KV store "k1" with {}
     When "e1" is asked a prompt "A" of 3 blocks and 0 bytes as "r1"
-    And "e1" exports the prompt "A" to "k1"
+    And "e1" exports 3 blocks of the prompt "A" at "k1"
     Then "k1" holds 3 blocks of the prompt "A"
-    When "e2" imports the prompt "A" from "k1"
+    When "e2" imports 3 blocks of the prompt "A" at "k1"
     Then "e2" holds 3 blocks of the prompt "A"
     And /counts of "e2" shows {"imported_blocks": 3, "loads": 0}
     When "k1" is given the faults {"crash": {}}
@@ -148,12 +148,13 @@
     that took them would compute on a prompt that nobody sent.
 
     Given the stand-in engines "e1" and "e2"
-    And the stand-in KV store "k1"
+    And the stand-in KV store "k1" with {}
     When "e1" is asked a prompt "A" of 3 blocks and 0 bytes as "r1"
-    And "e1" exports the prompt "A" to "k1"
+    And "e1" exports 3 blocks of the prompt "A" at "k1"
     And "k1" is given the faults {"crossed": {"requests": 2}}
-    Then "e2" imports 0 blocks of the prompt "A" from "k1"
-    And "e2" imports 3 blocks of the prompt "A" from "k1"
+    And "e2" imports 0 blocks of the prompt "A" at "k1"
+    And "e2" imports 3 blocks of the prompt "A" at "k1"
+    Then "e2" holds 3 blocks of the prompt "A"
 
   Scenario: A crash loses cache and requests, and starts another epoch
     An engine that came back with its epoch or blocks would hide a router
--- a/features/steps/standins_check_steps.py
+++ b/features/steps/standins_check_steps.py
@@ -190,14 +190,6 @@
     assert json.loads(response.body)['fence'] == 5, response.body
 
 
-@then('"{name}" serves the weights "{weights}"')
-def then_serves(context: Context, name: str, weights: str) -> None:
-    """Look at the loaded models."""
-    models = bench_of(context).get(name, '/v1/models')['data']
-    found = [(model['id'], model['weights']) for model in models]
-    assert found == [('diag', weights)], models
-
-
 @then(
     'a request for other weights than "{weights}" is refused by "{name}"'
     ' with {status:d}'
--- a/features/steps/standins_steps.py
+++ b/features/steps/standins_steps.py
@@ -12,7 +12,6 @@
 from behave.runner import Context
 from lacewing_bench.standins import ConfigError
 from lacewing_bench.standins import parse_config
-from support.standins_bench import Bench
 from support.standins_bench import bench_of
 from support.standins_bench import block_names
 from support.standins_bench import long_prompt
@@ -38,12 +37,6 @@
     bench_of(context).add(_KINDS[kind], name, settings)
 
 
-@given('the stand-in KV store "{name}"')
-def given_store(context: Context, name: str) -> None:
-    """Start a store."""
-    bench_of(context).add('kv', name, '{}')
-
-
 @given('the stand-in engine "{name}" that fetches weights from "{platform}"')
 def given_fetching(context: Context, name: str, platform: str) -> None:
     """Start an engine with a weight store."""
@@ -181,37 +174,16 @@
     context.order = bench.run(bench.fetch(name, '/orders', order))
 
 
-@when('"{name}" exports the prompt "{letter}" to "{store}"')
-def when_exported(
-    context: Context, name: str, letter: str, store: str
-) -> None:
-    """Move blocks into a store."""
-    _move(bench_of(context), name, '/kv/export', letter, store, 3)
-
-
-@when('"{name}" imports the prompt "{letter}" from "{store}"')
-def when_imported(
-    context: Context, name: str, letter: str, store: str
-) -> None:
-    """Move blocks out of a store."""
-    then_imports(context, name, 3, letter, store)
-
-
-@then('"{name}" imports {n:d} blocks of the prompt "{letter}" from "{store}"')
-def then_imports(
-    context: Context, name: str, n: int, letter: str, store: str
-) -> None:
-    """Move blocks out of a store and count them."""
-    _move(bench_of(context), name, '/kv/import', letter, store, n)
-
-
-def _move(
-    bench: Bench, name: str, path: str, letter: str, store: str, n: int
+@when('"{name}" {moves} {n:d} blocks of the prompt "{letter}" at "{store}"')
+def when_moved(
+    context: Context, name: str, moves: str, n: int, letter: str, store: str
 ) -> None:
+    """Move blocks between an engine and a store and count them."""
+    bench = bench_of(context)
+    path = {'exports': '/kv/export', 'imports': '/kv/import'}[moves]
     url = f'http://{bench.workers[store].address}'
-    moved = bench.get(
-        name, path, {'store': url, 'blocks': block_names(letter)}
-    )
+    query = {'store': url, 'blocks': block_names(letter)}
+    moved = bench.get(name, path, query)
     assert moved == {'blocks': n}, moved
 
 
--- a/features/support/standins_bench.py
+++ b/features/support/standins_bench.py
@@ -86,14 +86,16 @@
         if kind == 'engine':
             settings = {'models': _MODELS, 'costs': _COSTS, **settings}
             engine = msgspec.convert(settings, EngineConfig)
-            self.workers[name] = self.run(_started(Engine, engine))
+            self.workers[name] = Engine(engine)
         elif kind == 'plain':
             settings = {'service_ms': 1.0, **settings}
             plain = msgspec.convert(settings, PlainConfig)
-            self.workers[name] = self.run(_started(PlainService, plain))
+            self.workers[name] = PlainService(plain)
         else:
             store = msgspec.convert(settings, KvConfig)
-            self.workers[name] = self.run(_started(KvStore, store))
+            self.workers[name] = KvStore(store)
+        # Built outside of the loop, as the process builds its workers.
+        self.run(self.workers[name].start())
         self.first_epoch = self.workers[name].epoch
 
     async def fetch(
@@ -251,12 +253,6 @@
         self._client.close()
 
 
-async def _started(kind: Any, config: Any) -> Any:
-    worker = kind(config)
-    await worker.start()
-    return worker
-
-
 def bench_of(context: Context) -> Bench:
     """Return the scenario's bench, made at its first use."""
     if not hasattr(context, 'bench'):
--- a/packages/bench/src/lacewing_bench/standins/_engine.py
+++ b/packages/bench/src/lacewing_bench/standins/_engine.py
@@ -42,7 +42,7 @@
         )
         self.config = config
         self.counts = EngineCounts()
-        self._transfers = Transfers()
+        self._transfers: Transfers | None = None
         self._known: OrderedDict[str, Generation] = OrderedDict()
         self._stepping: asyncio.Task[None] | None = None
 
@@ -70,10 +70,22 @@
         self.journal.close()
         self._known.clear()
 
+    @property
+    def transfers(self) -> Transfers:
+        """Return the engine's way out, made at its first use.
+
+        Its client belongs to the loop that runs when it is made: made
+        before the loop, its calls would never end.
+        """
+        if self._transfers is None:
+            self._transfers = Transfers()
+        return self._transfers
+
     async def close(self) -> None:
         """Stop listening and drop all connections and requests."""
         await super().close()
-        self._transfers.close()
+        if self._transfers is not None:
+            self._transfers.close()
 
     def find(self, request_id: str) -> Generation | None:
         """Return the latest request of an id."""
@@ -110,7 +122,7 @@
     async def export_kv(self, store: str, blocks: tuple[bytes, ...]) -> int:
         """Put the leading blocks that are cached into a store."""
         cached = blocks[: self.cache.hit_blocks(blocks)]
-        moved = await self._transfers.export_blocks(store, cached)
+        moved = await self.transfers.export_blocks(store, cached)
         await self._spend_on_blocks(moved)
         self.counts.exported_blocks += moved
         return moved
@@ -118,7 +130,7 @@
     async def import_kv(self, store: str, blocks: tuple[bytes, ...]) -> int:
         """Cache the leading blocks that a store holds."""
         cache = self.cache
-        came = await self._transfers.import_blocks(store, blocks)
+        came = await self.transfers.import_blocks(store, blocks)
         await self._spend_on_blocks(came)
         held = cache.insert(blocks[:came])
         cache.flush()
@@ -157,7 +169,7 @@
         counts.loading += 1
         try:
             if self.config.platform:
-                return await self._transfers.fetch_weights(
+                return await self.transfers.fetch_weights(
                     self.config.platform, model, version
                 )
             await asyncio.sleep(self.config.costs.load_ms / 1000)
