Split, check, sign and guard bundles

Cause: the bundle was a file that each process numbered by itself; nobody signed it, and any change moved all of it.

Operators' Ed25519 keys are in the bundle; a bundle is signed off, and rolled under its number, with keys of the one in force before. The proof in the head carries each earlier change of operators, so that a cold process follows from the root operators, and BundleGuard refuses a proof that leaves out a change it has seen.

--- /dev/null
+++ b/features/steps/bundle_steps.py
@@ -0,0 +1,145 @@
+"""Sign bundles and offer them to a process."""
+
+import msgspec
+from behave import given
+from behave import then
+from behave import when
+from behave.runner import Context
+from lacewing_common.bundle import Policies
+from lacewing_common.bundles import BundleGuard
+from lacewing_common.bundles import SignOffRole
+from lacewing_common.document import Document
+from support.bundle_bench import BundleBench
+
+
+@given('a bundle by the operators "{names}"')
+def start_bundle(context: Context, names: str) -> None:
+    """Make a bundle and a process that knows its operators as the root."""
+    bench = BundleBench()
+    bench.list_operators(names.split(', '))
+    bench.guard = BundleGuard(bench.bundle.operators)
+    context.bundles = bench
+
+
+@given('the policy asks for a separate approver')
+def ask_for_approver(context: Context) -> None:
+    """Change the policy of the bundle."""
+    context.bundles.separate_approver()
+
+
+@when('the policy no longer asks for an approver')
+def ask_for_no_approver(context: Context) -> None:
+    """Turn the policy off in the next bundle."""
+    bench = context.bundles
+    bench.bundle = msgspec.structs.replace(bench.bundle, policies=Policies())
+
+
+@when('the sign-offs are dropped')
+def drop_sign_offs(context: Context) -> None:
+    """Begin to sign anew."""
+    context.bundles.sign_offs = []
+
+
+@when('the operators become "{names}"')
+def change_operators(context: Context, names: str) -> None:
+    """Rotate the keys of the bundle."""
+    context.bundles.list_operators(names.split(', '))
+
+
+@when('"{name}" is listed with the key of "{other}"')
+def share_key(context: Context, name: str, other: str) -> None:
+    """List one key under two names."""
+    bench = context.bundles
+    key = msgspec.structs.replace(bench.key(other), operator=name)
+    bench.keys[name] = key
+
+
+@when('"{operator}" signs as "{role}"')
+def sign(context: Context, operator: str, role: str) -> None:
+    """Sign the bundle as it is now."""
+    context.bundles.sign(operator, SignOffRole(role))
+
+
+@when('the share of a team becomes {share:g}')
+def edit(context: Context, share: float) -> None:
+    """Edit the bundle."""
+    context.bundles.set_share(share)
+
+
+@when('"{operator}" rolls it')
+def roll(context: Context, operator: str) -> None:
+    """Offer what a roll would put in force."""
+    bench = context.bundles
+    bench.offer(bench.document(operator))
+
+
+@when('"{operator}" signs and rolls it')
+def sign_and_roll(context: Context, operator: str) -> None:
+    """Sign as the author and roll."""
+    sign(context, operator, 'author')
+    roll(context, operator)
+
+
+@when('a peer offers it under the number {number:d}')
+def renumber(context: Context, number: int) -> None:
+    """Offer the bundle in force under a number that nobody rolled."""
+    bench = context.bundles
+    head = msgspec.structs.replace(bench.in_force.head, version=number)
+    bench.offer(Document(head, bench.in_force.parts))
+
+
+@when('a peer offers it with one byte of a part changed')
+def change_byte(context: Context) -> None:
+    """Offer the bundle in force with another part."""
+    bench = context.bundles
+    parts = list(bench.in_force.parts)
+    parts[1] = parts[1].replace(b'ab', b'ac', 1)
+    bench.offer(Document(bench.in_force.head, tuple(parts)))
+
+
+@when('"{operator}" forges roll {number:d} from the proof of roll 1')
+def forge(context: Context, operator: str, number: int) -> None:
+    """Leave the later changes of operators out of the proof."""
+    bench = context.bundles
+    present = bench.in_force
+    head = msgspec.structs.replace(bench.first.head, version=number - 1)
+    bench.in_force = Document(head, bench.first.parts)
+    forged = bench.document(operator)
+    bench.in_force = present
+    bench.offer(forged)
+
+
+@when('that was roll 1')
+def keep_first(context: Context) -> None:
+    """Keep the document in force for a forger."""
+    context.bundles.first = context.bundles.in_force
+
+
+@when('a cold process starts')
+def start_cold(context: Context) -> None:
+    """Offer the bundle in force to a process that knows only the root."""
+    bench = context.bundles
+    bench.guard = BundleGuard(context.root)
+    bench.offer(bench.in_force)
+
+
+@given('the root operators are those of now')
+def keep_root(context: Context) -> None:
+    """Keep the operators of now for cold processes."""
+    context.root = context.bundles.bundle.operators
+
+
+@then('the process uses roll {number:d}')
+def uses(context: Context, number: int) -> None:
+    """Check that the last offer was accepted."""
+    bench = context.bundles
+    assert bench.refusal is None, bench.refusal
+    assert bench.in_force.head.version == number, bench.in_force.head.version
+
+
+@then('the process refuses it: "{text}"')
+def refuses(context: Context, text: str) -> None:
+    """Check why the last offer was refused."""
+    refusal = context.bundles.refusal
+    assert refusal is not None
+    assert text in refusal.message, refusal.message
--- /dev/null
+++ b/features/support/bundle_bench.py
@@ -0,0 +1,120 @@
+"""Hold operators, a bundle and a guard for the steps."""
+
+from hashlib import sha256
+
+import msgspec
+from lacewing_common.bundle import Adapter
+from lacewing_common.bundle import Bundle
+from lacewing_common.bundle import Model
+from lacewing_common.bundle import Policies
+from lacewing_common.bundle import Service
+from lacewing_common.bundle import ServiceKind
+from lacewing_common.bundle import Team
+from lacewing_common.bundles import BundleGuard
+from lacewing_common.bundles import contents_of_parts
+from lacewing_common.bundles import new_key
+from lacewing_common.bundles import OperatorKey
+from lacewing_common.bundles import RollOrder
+from lacewing_common.bundles import sign_off
+from lacewing_common.bundles import SignOff
+from lacewing_common.bundles import SignOffRole
+from lacewing_common.bundles import split
+from lacewing_common.bundles import succeed
+from lacewing_common.document import Document
+from lacewing_common.verdict import Refusal
+
+AT = '2026-01-01T00:00:00+00:00'
+_SERVICES = ('diagnostic', 'registry')
+
+
+def make_team(name: str, share: float = 1.0) -> Team:
+    """Make a team that calls both services."""
+    return Team(
+        name=name,
+        key_hashes=(sha256(name.encode()).hexdigest(),),
+        services=_SERVICES,
+        share=share,
+    )
+
+
+def make_bundle(teams: int = 2) -> Bundle:
+    """Make a valid bundle but for its operators."""
+    adapter = Adapter(name='recall', version='a1', adapter_gb=1.0)
+    model = Model(
+        name='motor', weights='w1', adapters=(adapter,), weights_gb=14.0
+    )
+    return Bundle(
+        teams=tuple(make_team(f'team-{n}') for n in range(teams)),
+        services=(
+            Service(
+                name='diagnostic',
+                kind=ServiceKind.MODEL,
+                models=('motor',),
+                worker_memory_gb=16.0,
+            ),
+            Service(name='registry', kind=ServiceKind.PLAIN),
+        ),
+        models=(model,),
+        prefix_secret='ab' * 16,
+    )
+
+
+class BundleBench:
+    """Sign and guard without a platform."""
+
+    def __init__(self) -> None:
+        self.keys: dict[str, OperatorKey] = {}
+        self.bundle = make_bundle()
+        self.sign_offs: list[SignOff] = []
+        self.in_force: Document | None = None
+        self.refusal: Refusal | None = None
+        self.guard = BundleGuard(())
+
+    def key(self, operator: str) -> OperatorKey:
+        """Return the key of an operator, made at first use."""
+        if operator not in self.keys:
+            self.keys[operator] = new_key(operator)
+        return self.keys[operator]
+
+    def list_operators(self, names: list[str]) -> None:
+        """Make these the operators of the bundle."""
+        operators = tuple(self.key(name).public for name in names)
+        self.bundle = msgspec.structs.replace(self.bundle, operators=operators)
+
+    def separate_approver(self) -> None:
+        """Ask for an approver who is not the author."""
+        self.bundle = msgspec.structs.replace(
+            self.bundle, policies=Policies(separate_approver=True)
+        )
+
+    def set_share(self, share: float) -> None:
+        """Edit the bundle."""
+        teams = list(self.bundle.teams)
+        teams[0] = msgspec.structs.replace(teams[0], share=share)
+        self.bundle = msgspec.structs.replace(self.bundle, teams=tuple(teams))
+
+    def sign(self, operator: str, role: SignOffRole) -> None:
+        """Sign the bundle as it is now."""
+        digest = contents_of_parts(split(self.bundle)).digest
+        self.sign_offs.append(sign_off(digest, role, AT, self.key(operator)))
+
+    def document(self, operator: str) -> Document:
+        """Make the document that a roll by an operator would put in force."""
+        order = RollOrder(
+            parts=split(self.bundle),
+            sign_offs=tuple(self.sign_offs),
+            at=AT,
+            nonce=f'{operator}-{len(self.sign_offs)}',
+        )
+        made = succeed(self.in_force, order, self.key(operator))
+        assert isinstance(made, Document), made
+        return made
+
+    def offer(self, document: Document) -> None:
+        """Let the process check a document, and use it if it may."""
+        self.refusal = self.guard(document)
+        if self.refusal is not None:
+            return
+        self.guard.remember(document)
+        self.in_force = document
+        self.sign_offs = []
--- a/packages/common/src/lacewing_common/bundle.py
+++ b/packages/common/src/lacewing_common/bundle.py
@@ -47,18 +47,43 @@
 
 
 class Adapter(Part, forbid_unknown_fields=True, frozen=True):
-    """Name an adapter of a model and the version in force."""
+    """Name an adapter of a model and the version in force.
+
+    ``adapter_gb`` is the memory that this version needs, 0: not known.
+    """
 
     name: str
     version: str
+    adapter_gb: float = 0.0
 
 
 class Model(Part, forbid_unknown_fields=True, frozen=True):
-    """Name a model, the weights version in force and its adapters."""
+    """Name a model, the weights version in force and its adapters.
+
+    ``weights_gb`` is the memory that this version needs, 0: not known.
+    """
 
     name: str
     weights: str
     adapters: tuple[Adapter, ...] = ()
+    weights_gb: float = 0.0
+
+
+class Operator(Part, forbid_unknown_fields=True, frozen=True):
+    """Name a person who signs bundles, with an Ed25519 public key (hex)."""
+
+    name: str
+    public_key: str
+
+
+class Policies(Part, forbid_unknown_fields=True, frozen=True):
+    """Rule how the next bundle is signed off.
+
+    With ``separate_approver`` a second operator has to approve what the
+    author signed.
+    """
+
+    separate_approver: bool = False
 
 
 class CostWeights(Part, forbid_unknown_fields=True, frozen=True):
@@ -73,6 +98,8 @@
 
     ``at_most_once_paths`` are path prefixes whose calls must not be
     repeated. ``loads_at_once`` bounds concurrent weight loads.
+    ``worker_memory_gb`` is what one worker has for weights and adapters,
+    0: not known.
     """
 
     name: str
@@ -87,18 +114,22 @@
     continue_elsewhere: bool = True
     fencing_honoured: bool = True
     loads_at_once: int = 2
+    worker_memory_gb: float = 0.0
 
 
 class Bundle(Part, forbid_unknown_fields=True, frozen=True):
     """Hold all that operators configure.
 
-    ``prefix_secret`` (hex) keys the prefix hashes.
+    ``prefix_secret`` (hex) keys the prefix hashes. ``operators`` and
+    ``policies`` decide who may sign the next bundle.
     """
 
     teams: tuple[Team, ...] = ()
     services: tuple[Service, ...] = ()
     models: tuple[Model, ...] = ()
     prefix_secret: str = ''
+    operators: tuple[Operator, ...] = ()
+    policies: Policies = Policies()
 
 
 class RolledBundle(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/packages/common/src/lacewing_common/bundles/_guard.py
@@ -0,0 +1,81 @@
+"""Check a bundle before a process uses it or offers it to a peer."""
+
+from lacewing_common.bundle import Operator
+from lacewing_common.bundles._check import check_bundle
+from lacewing_common.bundles._parts import join
+from lacewing_common.bundles._proof import check_proof
+from lacewing_common.bundles._proof import links_after
+from lacewing_common.bundles._proof import read_proof
+from lacewing_common.bundles._proof import TrustLink
+from lacewing_common.bundles._sign_off import root_trust
+from lacewing_common.document import Document
+from lacewing_common.document import DocumentHead
+from lacewing_common.document import DocumentKind
+from lacewing_common.document import DocumentName
+from lacewing_common.document import part_digest
+from lacewing_common.verdict import not_run
+from lacewing_common.verdict import Reason
+from lacewing_common.verdict import Refusal
+
+BUNDLE = DocumentName(DocumentKind.BUNDLE, 'bundle')
+
+
+class BundleGuard:
+    """Be the ``DocumentGuard`` of bundles.
+
+    ``remember`` belongs in the ``on_change`` of the documents. Without it a
+    key that operators have withdrawn could still sign: its holder would
+    offer a proof that ends before the withdrawal, under a higher number, and
+    a process would show that number with nobody having rolled it. A process
+    that remembers refuses each proof without the changes it has seen.
+    """
+
+    def __init__(self, root_operators: tuple[Operator, ...]) -> None:
+        self._root = root_trust(root_operators)
+        self._links: tuple[TrustLink, ...] = ()
+        self._number = 0
+
+    def __call__(self, document: Document) -> Refusal | None:
+        """Return why a bundle is not acceptable, or None."""
+        head = document.head
+        if head.document != BUNDLE:
+            return _refuse(f'unexpected document {head.document}')
+        digests = tuple(part_digest(part) for part in document.parts)
+        if digests != head.parts:
+            return _refuse('the parts do not match the digests of the head')
+        refusal = check_proof(head, self._root) or self._check_links(head)
+        if refusal is not None:
+            return refusal
+        bundle = join(document.parts)
+        if isinstance(bundle, Refusal):
+            return bundle
+        problems = check_bundle(bundle)
+        if problems:
+            return _refuse(str(problems[0]))
+        return None
+
+    def remember(self, document: Document) -> None:
+        """Keep the changes of trust of a bundle now in force."""
+        links = links_after(document)
+        if isinstance(links, Refusal) or document.head.version < self._number:
+            return
+        self._number = document.head.version
+        self._links = links
+
+    def _check_links(self, head: DocumentHead) -> Refusal | None:
+        if head.version <= self._number:
+            return None
+        proof = read_proof(head)
+        if isinstance(proof, Refusal):
+            return proof
+        if proof.links[: len(self._links)] == self._links:
+            return None
+        return not_run(
+            Reason.BUNDLE_NOT_SIGNED,
+            'bundle: its proof leaves out a change of operators that is in'
+            ' force here',
+        )
+
+
+def _refuse(message: str) -> Refusal:
+    return not_run(Reason.BUNDLE_INVALID, message)
--- /dev/null
+++ b/packages/common/src/lacewing_common/bundles/_proof.py
@@ -0,0 +1,145 @@
+"""Prove to a process that knows the root operators who rolled a bundle.
+
+Operators' keys are part of the bundle, and a bundle is signed with keys of the
+one in force before. A cold process has not seen those earlier bundles, so the
+proof carries each trust part since the first, with the signatures that put it
+in force; nothing else of the earlier bundles.
+"""
+
+import msgspec
+
+from lacewing_common.bundles._parts import bundle_digest
+from lacewing_common.bundles._parts import contents_of
+from lacewing_common.bundles._parts import read_trust
+from lacewing_common.bundles._parts import rest_digest
+from lacewing_common.bundles._parts import TrustPart
+from lacewing_common.bundles._sign_off import check_roll
+from lacewing_common.bundles._sign_off import check_sign_offs
+from lacewing_common.bundles._sign_off import Roll
+from lacewing_common.bundles._sign_off import SignOff
+from lacewing_common.document import Document
+from lacewing_common.document import DocumentHead
+from lacewing_common.document import part_digest
+from lacewing_common.verdict import not_run
+from lacewing_common.verdict import Reason
+from lacewing_common.verdict import Refusal
+
+
+class TrustLink(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold one roll that changed the trust, with what proves it.
+
+    ``trust`` is the trust part; ``rest`` the digest over the other parts.
+    """
+
+    trust: bytes
+    rest: str
+    sign_offs: tuple[SignOff, ...]
+    roll: Roll
+
+    @property
+    def digest(self) -> str:
+        """Return the digest of the bundle that was rolled."""
+        return bundle_digest(part_digest(self.trust), self.rest)
+
+
+class Proof(msgspec.Struct, frozen=True, kw_only=True):
+    """Prove a head: earlier changes of trust, sign-offs and the roll."""
+
+    links: tuple[TrustLink, ...]
+    sign_offs: tuple[SignOff, ...]
+    roll: Roll
+
+
+def encode_proof(proof: Proof) -> bytes:
+    """Encode for ``DocumentHead.proof``."""
+    return msgspec.json.encode(proof)
+
+
+def read_proof(head: DocumentHead) -> Proof | Refusal:
+    """Read the proof of a head, without checking it."""
+    try:
+        return msgspec.json.decode(head.proof, type=Proof)
+    except msgspec.DecodeError as error:
+        return _invalid(f'proof: {error}')
+
+
+def links_after(document: Document) -> tuple[TrustLink, ...] | Refusal:
+    """Return the links that the next roll after a document carries."""
+    proof = read_proof(document.head)
+    if isinstance(proof, Refusal):
+        return proof
+    contents = contents_of(document.head.parts)
+    if isinstance(contents, Refusal):
+        return contents
+    trust = document.parts[0]
+    if proof.links and proof.links[-1].trust == trust:
+        return proof.links
+    link = TrustLink(
+        trust=trust,
+        rest=rest_digest(contents.rest),
+        sign_offs=proof.sign_offs,
+        roll=proof.roll,
+    )
+    return (*proof.links, link)
+
+
+def check_proof(head: DocumentHead, root: TrustPart) -> Refusal | None:
+    """Check the signatures of a head, back to the root operators."""
+    proof = read_proof(head)
+    if isinstance(proof, Refusal):
+        return proof
+    contents = contents_of(head.parts)
+    if isinstance(contents, Refusal):
+        return contents
+    trust = _follow_links(proof.links, root)
+    if isinstance(trust, Refusal):
+        return trust
+    if proof.links and proof.links[-1].roll.number >= head.version:
+        return _invalid('a change of trust is newer than the roll itself')
+    if proof.roll.number != head.version:
+        return _invalid(
+            f'the signed number is {proof.roll.number}, the head says'
+            f' {head.version}'
+        )
+    return _check(proof.sign_offs, proof.roll, contents.digest, trust)
+
+
+def trust_in_force(
+    links: tuple[TrustLink, ...], root: TrustPart
+) -> TrustPart | Refusal:
+    """Return the trust after checked links."""
+    if not links:
+        return root
+    return read_trust(links[-1].trust)
+
+
+def _follow_links(
+    links: tuple[TrustLink, ...], root: TrustPart
+) -> TrustPart | Refusal:
+    trust = root
+    number = 0
+    for link in links:
+        refusal = _check(link.sign_offs, link.roll, link.digest, trust)
+        if refusal is not None:
+            return refusal
+        if link.roll.number <= number:
+            return _invalid('the changes of trust are not in order')
+        number = link.roll.number
+        read = read_trust(link.trust)
+        if isinstance(read, Refusal):
+            return read
+        trust = read
+    return trust
+
+
+def _check(
+    sign_offs: tuple[SignOff, ...], roll: Roll, digest: str, trust: TrustPart
+) -> Refusal | None:
+    refusal = check_sign_offs(sign_offs, digest, trust)
+    if refusal is not None:
+        return refusal
+    return check_roll(roll, digest, trust)
+
+
+def _invalid(message: str) -> Refusal:
+    return not_run(Reason.BUNDLE_INVALID, f'bundle: {message}')
--- /dev/null
+++ b/packages/common/src/lacewing_common/bundles/_succeed.py
@@ -0,0 +1,87 @@
+"""Make the document that follows the one in force."""
+
+from dataclasses import dataclass
+
+from lacewing_common.bundles._guard import BUNDLE
+from lacewing_common.bundles._parts import contents_of_parts
+from lacewing_common.bundles._proof import encode_proof
+from lacewing_common.bundles._proof import links_after
+from lacewing_common.bundles._proof import Proof
+from lacewing_common.bundles._proof import read_proof
+from lacewing_common.bundles._proof import TrustLink
+from lacewing_common.bundles._sign_off import Roll
+from lacewing_common.bundles._sign_off import sign_roll
+from lacewing_common.bundles._sign_off import SignOff
+from lacewing_common.bundles._signatures import OperatorKey
+from lacewing_common.document import Document
+from lacewing_common.document import DocumentHead
+from lacewing_common.document import part_digest
+from lacewing_common.document_objects import encode_head
+from lacewing_common.verdict import Refusal
+
+
+@dataclass(frozen=True)
+class RollOrder:
+    """Hold what an operator wants to put in force.
+
+    ``nonce`` is new for each order and kept with it, so that a repeated
+    order is known for what it is. ``at`` is the time in ISO 8601. ``again``
+    is the number of the roll that a rollback repeats, else 0.
+    """
+
+    parts: tuple[bytes, ...]
+    sign_offs: tuple[SignOff, ...]
+    at: str
+    nonce: str
+    again: int = 0
+
+    @property
+    def digest(self) -> str:
+        """Return the digest of the bundle."""
+        return contents_of_parts(self.parts).digest
+
+
+def succeed(
+    previous: Document | None, order: RollOrder, key: OperatorKey
+) -> Document | Refusal:
+    """Make the document of an order, with the next number, signed."""
+    links: tuple[TrustLink, ...] = ()
+    number = 1
+    previous_head = ''
+    previous_bundle = ''
+    if previous is not None:
+        after = links_after(previous)
+        if isinstance(after, Refusal):
+            return after
+        proof = read_proof(previous.head)
+        if isinstance(proof, Refusal):
+            return proof
+        links = after
+        number = previous.head.version + 1
+        previous_head = head_digest(previous.head)
+        previous_bundle = proof.roll.digest
+    roll = Roll(
+        number=number,
+        digest=order.digest,
+        previous=previous_head,
+        previous_bundle=previous_bundle,
+        operator=key.operator,
+        at=order.at,
+        nonce=order.nonce,
+        again=order.again,
+    )
+    proof = Proof(
+        links=links, sign_offs=order.sign_offs, roll=sign_roll(roll, key)
+    )
+    head = DocumentHead(
+        document=BUNDLE,
+        version=number,
+        parts=tuple(part_digest(part) for part in order.parts),
+        proof=encode_proof(proof),
+    )
+    return Document(head, order.parts)
+
+
+def head_digest(head: DocumentHead) -> str:
+    """Return the digest that names a head in the history."""
+    return part_digest(encode_head(head))
--- /dev/null
+++ b/packages/common/src/lacewing_common/document_objects.py
@@ -0,0 +1,34 @@
+"""Lay documents out as objects of the platform.
+
+Parts are immutable objects named by their digest; the head of a document is
+one object, replaced by conditional updates only.
+"""
+
+import msgspec
+
+from lacewing_common.document import DocumentHead
+from lacewing_common.document import DocumentKind
+from lacewing_common.document import DocumentName
+
+HEADS = 'heads'
+PARTS = 'parts'
+
+
+def head_object(document: DocumentName) -> str:
+    """Return the name of a document's head among the heads."""
+    if document.kind is DocumentKind.BUNDLE:
+        return document.name
+    return f'{document.kind.value}-{document.name}'
+
+
+def encode_head(head: DocumentHead) -> bytes:
+    """Encode a head as the value of its object."""
+    return msgspec.json.encode(head)
+
+
+def decode_head(value: bytes) -> DocumentHead | None:
+    """Read the value of a head's object; None when it is malformed."""
+    try:
+        return msgspec.json.decode(value, type=DocumentHead)
+    except msgspec.DecodeError:
+        return None
--- a/packages/common/src/lacewing_common/verdict.py
+++ b/packages/common/src/lacewing_common/verdict.py
@@ -44,6 +44,8 @@
     PLATFORM_UNAVAILABLE = 'platform_unavailable'
     CLAIM_EXISTS = 'idempotency_key_in_use'
     KEY_REUSED = 'idempotency_key_reused'
+    BUNDLE_INVALID = 'bundle_invalid'
+    BUNDLE_NOT_SIGNED = 'bundle_not_signed_off'
     CALLER_GONE = 'caller_gone'
     INTERNAL = 'internal_error'
 
