Go on with a cut stream on another worker

Cause: a stream whose worker vanished after bytes had gone out ended with an error event, though its service allows the rest to be computed elsewhere from the prompt and the text so far. Change: the router keeps the text of each open stream, unparsed up to 16 KiB, and continues with it as a last assistant message; events are renumbered and carry the first chunk's id. A stream that lacks only its end is ended. Where going on is not allowed the error event's verdict is 'ran'. A fault of the router itself amid an answer breaks the connection, since tornado would end it as if it were whole. A broken link counts as back only when the agent speaks of the attempt again. A link that is silent with attempts open is asked, then left out of the choice, then broken. Ruled out: a field of our own for the text so far; engines know a last assistant message, and the stand-in already continues from one. Confirming bytes before the caller's socket took them (mutation) fails 'A slow caller holds the agent back'. A request without max_tokens is continued without one.

--- a/features/router.feature
+++ b/features/router.feature
@@ -160,3 +160,68 @@
     When the first agent leaves while it streams to "rahmat"
     Then the next 5 requests go to the second agent
     And the open stream gets all 6 tokens
+
+  Scenario: A stream cut for good goes on at another worker
+    # Symptom: a caller's stream ends amid a sentence, or repeats words.
+    # Sequence: 3 of 6 words arrive; the agent vanishes with its worker.
+    # Cause: the rest exists nowhere; another worker has to continue from
+    # the prompt and the words so far.
+    Given an agent of "tutor" that chats 6 words and vanishes after 3
+    And an agent of "tutor" that chats 6 words
+    When "rahmat" asks the model "handbook" for 6 words until the first vanishes
+    Then every stream has 6 words, one id, events numbered in order, its end
+    And the usage counts 6 words of answer to 20 of prompt
+    And the second agent was asked for 3 words after "w1 w2 w3"
+
+  Scenario: A stream that lacks only its end is ended
+    # Symptom: an answer that was complete is reported as cut.
+    # Sequence: all words and the last chunk arrive; the agent vanishes.
+    # Cause: the end mark is taken for a part of the answer.
+    Given an agent of "tutor" that chats 6 words and vanishes after 7
+    When "rahmat" asks the model "handbook" for 6 words until the first vanishes
+    Then every stream has 6 words, one id, events numbered in order, its end
+
+  Scenario: A cut stream that must not go on elsewhere ends with an error
+    # Symptom: a caller takes half an answer for a whole one.
+    # Sequence: 3 of 6 words arrive; the worker fails.
+    # Cause: the connection ends as after a whole answer.
+    Given 2 agents of "motors" that chat 6 words and fail after 3
+    When "brno" asks the model "diagnosis" for 6 words
+    Then the stream has 3 words and then an error event with "stream_broken"
+    And 1 attempt was made in all
+
+  Scenario: A fault of the router amid a stream breaks the connection
+    # Symptom: a caller takes half an answer for a whole one.
+    # Sequence: an exception ends the handler after the first words.
+    # Cause: the server library ends the chunked answer as usual.
+    Given an agent of "tutor" that streams 6 tokens
+    When the router fails amid a stream to "rahmat"
+    Then the caller sees that the answer was cut
+
+  Scenario: A request to an agent that falls silent runs elsewhere
+    # Symptom: requests wait for their deadline after a VM has gone.
+    # Sequence: the agent accepts, then nothing comes, not even a reset.
+    # Cause: a silent link looks like a slow worker.
+    Given an agent of "tutor" that freezes after it accepted a request
+    And an agent of "tutor" that answers
+    When "rahmat" asks the model "handbook" until both agents were asked
+    Then every status was 200
+
+  Scenario: A slow caller holds the agent back
+    # Symptom: a router's memory grows with callers that read slowly.
+    # Sequence: an agent sends a long answer; the caller doesn't read it.
+    # Cause: bytes are confirmed before the caller's socket took them.
+    Given an agent of "registry" that answers 32 MB and obeys the window
+    When "rahmat" asks for it and reads only once the agent is held back
+    Then the caller has all 32 MB
+
+  Scenario: A roll of new weights moves requests to workers that have them
+    # Symptom: an answer comes from older weights, or reuses their cache.
+    # Sequence: a roll changes the weights; one of two workers has them.
+    # Cause: a router goes on asking for what it asked for before.
+    Given an agent of "tutor" that answers
+    And an answering agent of "tutor" with the weights "w2"
+    When a bundle with the weights "w2" is rolled
+    And "rahmat" asks the model "handbook" 4 times
+    Then every status was 200
+    And only the second agent was asked, under the weights "w2"
--- a/features/steps/router_steps.py
+++ b/features/steps/router_steps.py
@@ -8,11 +8,14 @@
 from dataclasses import replace
 from threading import Thread
 from typing import Any
+from unittest.mock import patch
 
 from behave import given
 from behave import then
 from behave import when
 from behave.runner import Context
+from lacewing_bench.fake_agent import chat_events
+from lacewing_bench.fake_agent import ChatPart
 from lacewing_bench.fake_agent import FakeAgent
 from lacewing_bench.fake_agent import Script
 from lacewing_bench.fake_agent import until
@@ -34,6 +37,7 @@
 from lacewing_daemon.router import RunningRouter
 from lacewing_daemon.router import start_router
 from lacewing_daemon.router._keys import hash_key
+from lacewing_daemon.router._transcript import Transcript
 from prometheus_client import REGISTRY
 
 SECRET = '00' * 32
@@ -43,7 +47,11 @@
 ]
 CHAT = '/v1/chat/completions'
 EVENT_STREAM = 'text/event-stream'
-MODELS = ('handbook:w1', 'handbook:w1:urdu@2')
+MODELS = {
+    'tutor': ('handbook:w1', 'handbook:w1:urdu@2'),
+    'motors': ('diagnosis:w1',),
+    'registry': (),
+}
 LIMIT_S = 30
 MB = 1024 * 1024
 
@@ -63,7 +71,7 @@
         return error
 
 
-def _bundle() -> Bundle:
+def _bundle(weights: str = 'w1') -> Bundle:
     tutor = Service(
         name='tutor',
         kind=ServiceKind.MODEL,
@@ -79,7 +87,10 @@
         first_token_ms=8000.0,
     )
     motors = Service(
-        name='motors', kind=ServiceKind.MODEL, models=('diagnosis',)
+        name='motors',
+        kind=ServiceKind.MODEL,
+        models=('diagnosis',),
+        continue_elsewhere=False,
     )
     recalls = Service(name='recalls', kind=ServiceKind.PLAIN)
     return Bundle(
@@ -89,7 +100,7 @@
         ),
         services=(tutor, registry, motors, recalls),
         models=(
-            Model('handbook', 'w1', (Adapter('urdu', '2'),)),
+            Model('handbook', weights, (Adapter('urdu', '2'),)),
             Model('diagnosis', 'w1'),
         ),
         prefix_secret=SECRET,
@@ -106,6 +117,7 @@
     context.answers = []
     context.callers = 0
     bundles = FakeBundles()
+    context.bundles = bundles
     bundles.roll(_bundle())
     router = context.loop.call(_start(bundles, context.members))
     context.router = router
@@ -118,29 +130,45 @@
 
 
 def _add_agent(
-    context: Context, service: str, *scripts: Script, up: bool = True
+    context: Context,
+    service: str,
+    *scripts: Script,
+    up: bool = True,
+    models: tuple[str, ...] | None = None,
 ) -> FakeAgent:
-    agent: FakeAgent = context.loop.call(_agent(context, service, scripts, up))
+    if models is None:
+        models = MODELS[service]
+    made = _agent(context, service, models, scripts)
+    agent: FakeAgent = context.loop.call(made)
+    if not up:
+        context.loop.call(agent.close())
+    context.members.addresses += (agent.address,)
+    if up:
+        context.loop.call(until(lambda: agent.linked))
     return agent
 
 
 async def _agent(
-    context: Context, service: str, scripts: tuple[Script, ...], up: bool
+    context: Context,
+    service: str,
+    models: tuple[str, ...],
+    scripts: tuple[Script, ...],
 ) -> FakeAgent:
+    # grpclib's server belongs to the loop that makes it.
     name = f'agent-{len(context.agents) + 1}'
-    models = MODELS if service == 'tutor' else ()
     agent = FakeAgent(name, service, models, scripts)
     await agent.listen()
     context.agents.append(agent)
     context.resources.callback(lambda: context.loop.call(agent.close()))
-    if not up:
-        await agent.close()
-    context.members.addresses += (agent.address,)
-    if up:
-        await until(lambda: agent.linked)
     return agent
 
 
+def _chat_script(count: int) -> Script:
+    return Script(
+        content_type=EVENT_STREAM, chat=ChatPart('chatcmpl-fake', count)
+    )
+
+
 def _tokens(count: int) -> tuple[bytes, ...]:
     events: list[bytes] = []
     for number in range(1, count + 1):
@@ -248,6 +276,58 @@
     _add_agent(context, service, replace(_stream(count), hold_after=held))
 
 
+@given('an agent of "{service}" that chats {count:d} words')
+def given_chatting(context: Context, service: str, count: int) -> None:
+    """Add an agent that streams a chat, or the rest of one."""
+    _add_agent(context, service, _chat_script(count))
+
+
+@given(
+    'an agent of "{service}" that chats {count:d} words and vanishes'
+    ' after {last:d}'
+)
+def given_vanishing(
+    context: Context, service: str, count: int, last: int
+) -> None:
+    """Add an agent that goes away for good amid a stream."""
+    script = replace(_chat_script(count), vanish_after=last)
+    _add_agent(context, service, script)
+
+
+@given(
+    '{agents:d} agents of "{service}" that chat {count:d} words and fail'
+    ' after {last:d}'
+)
+def given_failing_amid(
+    context: Context, agents: int, service: str, count: int, last: int
+) -> None:
+    """Add agents whose worker fails amid a stream."""
+    script = replace(_chat_script(count), fail_after=last)
+    for _ in range(agents):
+        _add_agent(context, service, script)
+
+
+@given('an agent of "{service}" that freezes after it accepted a request')
+def given_freezing(context: Context, service: str) -> None:
+    """Add an agent that falls silent with its links open."""
+    _add_agent(context, service, Script(freeze_on_accept=True))
+
+
+@given('an agent of "{service}" that answers {size:d} MB and obeys the window')
+def given_large(context: Context, service: str, size: int) -> None:
+    """Add an agent with a long answer."""
+    piece = b'x' * (64 * 1024)
+    chunks = (piece,) * (size * MB // len(piece))
+    _add_agent(context, service, Script(chunks=chunks, obey_window=True))
+
+
+@given('an answering agent of "{service}" with the weights "{weights}"')
+def given_weights(context: Context, service: str, weights: str) -> None:
+    """Add an agent whose worker has other weights."""
+    models = (f'handbook:{weights}',)
+    _add_agent(context, service, Script(), models=models)
+
+
 class Caller:
     """Hold one connection of a caller, for one request."""
 
@@ -425,6 +505,67 @@
     return read
 
 
+@when(
+    '"rahmat" asks the model "handbook" for {count:d} words until the first'
+    ' vanishes'
+)
+def when_words_asked(context: Context, count: int) -> None:
+    """Ask for streams until one was served by the first agent."""
+    while not context.agents[0].seen.starts:
+        body = _chat(stream=True, max_tokens=count)
+        _ask(context, 'POST', CHAT, body)
+
+
+@when('"brno" asks the model "diagnosis" for {count:d} words')
+def when_diagnosis_asked(context: Context, count: int) -> None:
+    """Ask for a stream that may not go on elsewhere."""
+    body = _chat(stream=True, max_tokens=count, model='diagnosis')
+    _ask(context, 'POST', CHAT, body, 'key-brno')
+
+
+@when('the router fails amid a stream to "rahmat"')
+def when_router_fails(context: Context) -> None:
+    """Raise where the first payload is noted, after the answer's head."""
+    fault = RuntimeError('a fault made by a test')
+    with patch.object(Transcript, 'add', side_effect=fault):
+        response = Caller(context).send('POST', CHAT, _chat(stream=True))
+        try:
+            response.read()
+        except http.client.IncompleteRead as error:
+            context.cut = error
+
+
+@when('"rahmat" asks for it and reads only once the agent is held back')
+def when_read_slowly(context: Context) -> None:
+    """Send a call, wait until nothing moves any more, then read."""
+    caller = Caller(context)
+    response = caller.send('GET', '/services/registry/records')
+    agent = context.agents[0]
+    context.loop.call(_until_quiet(agent))
+    assert agent.held_back, 'expected the agent to wait for the caller'
+    context.length = len(response.read())
+    caller.connection.close()
+
+
+async def _until_quiet(agent: FakeAgent) -> None:
+    quiet = 0
+    acks = -1
+    while quiet < 20:
+        await asyncio.sleep(0.01)
+        quiet = quiet + 1 if len(agent.seen.acks) == acks else 0
+        acks = len(agent.seen.acks)
+
+
+@when('a bundle with the weights "{weights}" is rolled')
+def when_rolled(context: Context, weights: str) -> None:
+    """Roll a bundle on the router's loop."""
+    context.loop.call(_roll(context.bundles, _bundle(weights)))
+
+
+async def _roll(bundles: FakeBundles, bundle: Bundle) -> None:
+    bundles.roll(bundle)
+
+
 @when('the router drains while "rahmat" reads a stream')
 def when_drained(context: Context) -> None:
     """Start a drain amid a stream."""
@@ -486,6 +627,97 @@
     assert context.answer.body == b''.join(_tokens(count)), context.answer
 
 
+def _chunks(answer: Answer) -> list[dict[str, Any]]:
+    """Check the numbers and the end; return the chunks between."""
+    events = answer.body.decode().split('\n\n')
+    assert events.pop() == '', answer
+    chunks: list[dict[str, Any]] = []
+    for number, event in enumerate(events, start=1):
+        head, data = event.split('\n')
+        assert head == f'id: {number}', answer
+        if number == len(events):
+            assert data == 'data: [DONE]', answer
+            return chunks
+        chunks.append(json.loads(data.removeprefix('data: ')))
+    raise AssertionError(f'expected events, got {answer}')
+
+
+@then(
+    'every stream has {count:d} words, one id, events numbered in order,'
+    ' its end'
+)
+def then_words(context: Context, count: int) -> None:
+    """Check each stream as a caller's library would read it."""
+    for answer in context.answers:
+        chunks = _chunks(answer)
+        assert {chunk['id'] for chunk in chunks} == {'chatcmpl-fake'}, chunks
+        deltas = [chunk['choices'][0]['delta'] for chunk in chunks]
+        text = ''.join(delta.get('content', '') for delta in deltas)
+        assert text == ''.join(f' w{n}' for n in range(1, count + 1)), text
+        roles = [delta['role'] for delta in deltas if 'role' in delta]
+        assert roles == ['assistant'], roles
+        assert chunks[-1]['choices'][0]['finish_reason'] == 'length', chunks
+
+
+@then('the usage counts {answer:d} words of answer to {prompt:d} of prompt')
+def then_usage(context: Context, answer: int, prompt: int) -> None:
+    """Check the last chunk of the continued stream."""
+    usage = _chunks(context.answer)[-1]['usage']
+    assert usage['completion_tokens'] == answer, usage
+    assert usage['prompt_tokens'] == prompt, usage
+
+
+@then('the second agent was asked for {count:d} words after "{words}"')
+def then_continued(context: Context, count: int, words: str) -> None:
+    """Check the body and the hashes of the continuation."""
+    start = context.agents[1].seen.starts[-1]
+    body = json.loads(start.body)
+    assert body['max_tokens'] == count, body
+    assert body['messages'][:-1] == MESSAGES, body
+    said = body['messages'][-1]
+    assert said == {'role': 'assistant', 'content': f' {words}'}, said
+    first = context.agents[0].seen.starts[0]
+    assert start.blocks.startswith(first.blocks), start
+
+
+@then('the stream has {count:d} words and then an error event with "{code}"')
+def then_error_event(context: Context, count: int, code: str) -> None:
+    """Check the words and the last event."""
+    words = chat_events(ChatPart('chatcmpl-fake', 6))[:count]
+    body = context.answer.body
+    assert body.startswith(b''.join(words)), body
+    last = body.removeprefix(b''.join(words)).decode()
+    event, data, *rest = last.split('\n')
+    assert event == 'event: error', last
+    assert rest == ['', ''], last
+    error = json.loads(data.removeprefix('data: '))['error']
+    assert error['code'] == code, error
+    assert error['verdict'] == 'ran', error
+
+
+@then('the caller sees that the answer was cut')
+def then_cut(context: Context) -> None:
+    """Check that the chunked answer had no end."""
+    assert isinstance(context.cut, http.client.IncompleteRead)
+
+
+@then('the caller has all {size:d} MB')
+def then_all(context: Context, size: int) -> None:
+    """Check the length of the answer."""
+    assert context.length == size * MB, context.length
+
+
+@then('only the second agent was asked, under the weights "{weights}"')
+def then_weights(context: Context, weights: str) -> None:
+    """Check the Starts and their salt."""
+    first, second = context.agents
+    assert not first.seen.starts, first.seen
+    salt = cache_salt(bytes.fromhex(SECRET), 'rahmat', 'handbook', '', weights)
+    for start in second.seen.starts:
+        assert start.weights == weights, start
+        assert start.salt == salt, start
+
+
 @then('the agent got "{method}" on "{path}" as idempotent')
 def then_plain(context: Context, method: str, path: str) -> None:
     """Check the Start of a plain call."""
--- a/packages/bench/src/lacewing_bench/fake_agent.py
+++ b/packages/bench/src/lacewing_bench/fake_agent/_agent.py
@@ -1,9 +1,10 @@
-"""Fake an agent at its end of the link, for focused tests of a router."""
+"""Speak the link protocol by scripts."""
 
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 from typing import Any
 
 from grpclib.const import Cardinality
@@ -21,6 +22,7 @@
 from lacewing_common.wire import Accepted
 from lacewing_common.wire import Ack
 from lacewing_common.wire import AgentFrame
+from lacewing_common.wire import ANSWER_WINDOW_BYTES
 from lacewing_common.wire import Ask
 from lacewing_common.wire import AttemptId
 from lacewing_common.wire import CacheReport
@@ -36,31 +38,11 @@
 from lacewing_common.wire import Welcome
 from lacewing_common.wire import WorkerChanged
 
-Link = Stream[Any, Any]
-
+from lacewing_bench.fake_agent._chat import chat_events
+from lacewing_bench.fake_agent._chat import rest_of
+from lacewing_bench.fake_agent._script import Script
 
-@dataclass(frozen=True)
-class Script:
-    """Say how a fake agent treats one Start.
-
-    ``refuse`` ends it at once with ``verdict``. The counts name the number
-    of ``chunks`` after which a fault comes: the link is cut, the agent goes
-    away for good, a frame of another attempt or a repeated payload is sent,
-    nothing more comes until the test lets it go on, or the stream fails.
-    """
-
-    chunks: tuple[bytes, ...] = (b'{"ok": true}',)
-    content_type: str = 'application/json'
-    status: int = 200
-    refuse: Reason | None = None
-    verdict: Verdict = Verdict.NOT_RUN
-    cut_link_after: int | None = None
-    vanish_after: int | None = None
-    restart_on_accept: bool = False
-    cross_after: int | None = None
-    repeat_after: int | None = None
-    hold_after: int | None = None
-    fail_after: int | None = None
+Link = Stream[Any, Any]
 
 
 @dataclass
@@ -70,7 +52,10 @@
     start: Start
     script: Script
     sent: int = 0
+    acked: int = 0
     cancelled: bool = False
+    held_back: bool = False
+    acked_more: asyncio.Event = field(default_factory=asyncio.Event)
 
 
 @dataclass
@@ -98,6 +83,8 @@
     ) -> None:
         self.seen = Seen()
         self.go_on = asyncio.Event()
+        self._thawed = asyncio.Event()
+        self._thawed.set()
         self.crossed_to = AttemptId('router-other.1', 999, 1)
         self._name = ProcessName(name, new_incarnation())
         self._service = service
@@ -114,6 +101,11 @@
         """Return the ``ip:port`` it listens on."""
         return f'127.0.0.1:{self._port}'
 
+    @property
+    def held_back(self) -> bool:
+        """Tell whether the answer window now holds back some answer."""
+        return any(run.held_back for run in self._runs.values())
+
     @property
     def linked(self) -> bool:
         """Tell whether some router greeted it."""
@@ -164,6 +156,7 @@
 
     async def _serve(self, link: Link) -> None:
         await link.recv_message()
+        await self._thawed.wait()
         await link.send_message(
             Welcome(
                 name=self._name,
@@ -179,6 +172,7 @@
         self._links.append(link)
         try:
             async for frame in link:
+                await self._thawed.wait()
                 self._take(link, frame)
         finally:
             self._links.remove(link)
@@ -200,10 +194,18 @@
             return
         if isinstance(frame, Ack):
             self.seen.acks.append(frame)
+            run = self._runs.get(frame.attempt)
+            if run is not None:
+                run.acked = frame.offset
+                run.acked_more.set()
 
     def _start(self, start: Start) -> Run:
         number = min(len(self.seen.starts), len(self._scripts)) - 1
-        run = Run(start, self._scripts[number])
+        script = self._scripts[number]
+        if script.chat is not None:
+            part = rest_of(script.chat, start.body)
+            script = replace(script, chunks=chat_events(part))
+        run = Run(start, script)
         self._runs[start.attempt] = run
         return run
 
@@ -243,6 +245,9 @@
             )
             return
         await link.send_message(Accepted(attempt))
+        if script.freeze_on_accept:
+            self._thawed.clear()
+            return
         if script.restart_on_accept:
             await self.restart()
             return
@@ -257,6 +262,8 @@
             payload = script.chunks[run.sent]
             offset = sum(map(len, script.chunks[: run.sent]))
             run.sent += 1
+            if script.obey_window:
+                await self._wait_for_window(run, offset + len(payload))
             await link.send_message(Data(attempt, offset, payload))
         length = sum(map(len, script.chunks))
         cache = CacheReport('epoch-1', 1, 2)
@@ -264,6 +271,13 @@
             End(attempt, length, 8, len(script.chunks), cache, LoadReport())
         )
 
+    async def _wait_for_window(self, run: Run, end: int) -> None:
+        while end - run.acked > ANSWER_WINDOW_BYTES:
+            run.held_back = True
+            run.acked_more.clear()
+            await run.acked_more.wait()
+            run.held_back = False
+
     async def _fault(self, link: Link, run: Run) -> bool:
         """Bring the fault that is due; false when the link is gone."""
         script = run.script
@@ -284,7 +298,7 @@
             )
             return False
         if run.sent == script.cut_link_after:
-            run.script = _without_cut(script)
+            run.script = replace(script, cut_link_after=None)
             _cut(link)
             return False
         if run.sent == script.vanish_after:
@@ -298,10 +312,6 @@
     stream.connection.close()
 
 
-def _without_cut(script: Script) -> Script:
-    return Script(script.chunks, script.content_type, script.status)
-
-
 def _chunks_before(chunks: tuple[bytes, ...], offset: int) -> int:
     count = 0
     length = 0
--- a/packages/daemon/src/lacewing_daemon/router/_attempt.py
+++ b/packages/daemon/src/lacewing_daemon/router/_attempt.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from dataclasses import dataclass
 from typing import Protocol
 from typing import TypeAlias
 
@@ -49,25 +50,32 @@
         """Queue a frame; it is lost when the link is down."""
 
 
-class Attempt:
-    """Read the answer of one attempt.
+@dataclass(frozen=True)
+class ReattachBounds:
+    """Bound the wait for a broken link, in seconds.
 
-    ``budget_s`` bounds the answer, ``reattach_s`` the wait for a broken
-    link, both in seconds.
+    ``empty_s`` holds before the first answer byte, ``begun_s`` after it.
     """
 
+    empty_s: float
+    begun_s: float
+
+
+class Attempt:
+    """Read the answer of one attempt, which ``budget_s`` seconds bound."""
+
     def __init__(
         self,
         attempt_id: AttemptId,
         link: AttemptLink,
         blocks: int,
         budget_s: float,
-        reattach_s: float,
+        reattach: ReattachBounds,
     ) -> None:
         self._id = attempt_id
         self._link = link
         self._blocks = blocks
-        self._reattach_s = reattach_s
+        self._reattach = reattach
         self._mailbox = Mailbox()
         self._loop = asyncio.get_running_loop()
         self._expiry = self._loop.call_later(
@@ -78,7 +86,6 @@
         self._first_byte_at: float | None = None
         self._sent = False
         self._accepted = False
-        self._down = False
         self._ended = False
         self._has_head = False
         self._received = 0
@@ -154,6 +161,8 @@
         """
         while True:
             item = await self._mailbox.get()
+            if self._reattach_expiry is not None:
+                self._check_reattached(item)
             if type(item) is Data:
                 payload = self._in_order(item)
                 if not payload:
@@ -176,6 +185,15 @@
         if self._reattach_expiry is not None:
             self._reattach_expiry.cancel()
 
+    def _check_reattached(self, item: Item) -> None:
+        if isinstance(item, Interrupt):
+            return
+        # Only an answer to the Ask shows that the attempt is back: an agent
+        # may greet and then never speak of it.
+        assert self._reattach_expiry is not None
+        self._reattach_expiry.cancel()
+        self._reattach_expiry = None
+
     def _with_waiting(self, payload: bytes) -> bytes:
         # One write for all that waits: under load tokens come faster than
         # the caller's socket is written.
@@ -249,11 +267,16 @@
         if cause is Interrupt.LINK_UP:
             return self._link_up()
         if cause is Interrupt.REATTACH_EXPIRED:
-            return self._unreachable()
+            return self._still_unreachable()
         if cause is Interrupt.CALLER_GONE:
             return may_have_run(Reason.CALLER_GONE, 'the caller hung up')
         return self._expired()
 
+    def _reattach_s(self) -> float:
+        if self.has_first_byte:
+            return self._reattach.begun_s
+        return self._reattach.empty_s
+
     def _link_down(self) -> Refusal | None:
         if not self._sent:
             return not_run(
@@ -261,10 +284,9 @@
                 'the link to the agent broke before the request was sent',
                 retry_after_s=1.0,
             )
-        self._down = True
         if self._reattach_expiry is None:
             self._reattach_expiry = self._loop.call_later(
-                self._reattach_s,
+                self._reattach_s(),
                 self._mailbox.put,
                 Interrupt.REATTACH_EXPIRED,
             )
@@ -279,20 +301,17 @@
                 Reason.AGENT_RESTARTED,
                 'the agent restarted and no longer knows the request',
             )
-        self._down = False
-        if self._reattach_expiry is not None:
-            self._reattach_expiry.cancel()
-            self._reattach_expiry = None
         REATTACHED.inc()
         self._link.send(Ask(self._id, self._received))
         return None
 
-    def _unreachable(self) -> Refusal | None:
-        if not self._down:
+    def _still_unreachable(self) -> Refusal | None:
+        if self._reattach_expiry is None:
+            # A frame came just before the time was over.
             return None
         return may_have_run(
             Reason.AGENT_UNREACHABLE,
-            f'the agent could not be reached for {self._reattach_s:.1f} s',
+            f'the agent could not be reached for {self._reattach_s():.1f} s',
         )
 
     def _expired(self) -> Refusal:
--- a/packages/daemon/src/lacewing_daemon/router/_callers.py
+++ b/packages/daemon/src/lacewing_daemon/router/_callers.py
@@ -8,6 +8,8 @@
 import msgspec
 from lacewing_common.bundle import Service
 from lacewing_common.bundle import Team
+from lacewing_common.log import get_log
+from lacewing_common.log import Part
 from lacewing_common.verdict import may_have_run
 from lacewing_common.verdict import not_run
 from lacewing_common.verdict import Reason
@@ -36,6 +38,8 @@
 BUNDLE_WAIT_S = 1.7
 _REQUEST_ID_BYTES = 16
 
+_log = get_log(Part.CALLERS)
+
 _REQUEST_ID = re.compile(r'[A-Za-z0-9._:-]{1,128}')
 _TRACEPARENT = re.compile(r'[0-9a-f]{2}-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}')
 _NO_SERVICE = ''
@@ -125,6 +129,15 @@
             self._reply.verdict.value,
         ).inc()
 
+    def send_error(self, status_code: int = 500, **details: Any) -> None:
+        """Answer a fault; break the connection of a begun answer."""
+        if self._reply.started:
+            # tornado would end the answer as if it were whole: the caller
+            # would take a cut one for complete.
+            self._reply.cut()
+            return
+        super().send_error(status_code, **details)
+
     def write_error(self, status_code: int, **_details: Any) -> None:
         """Answer what tornado refuses, and faults of our own."""
         self._reply.fail(self._fault(status_code), status_code)
--- a/packages/daemon/src/lacewing_daemon/router/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/router/_exchange.py
@@ -10,16 +10,25 @@
 from lacewing_common.wire import AttemptId
 from lacewing_common.wire import CacheReport
 from lacewing_common.wire import End
-from lacewing_common.wire import Start
 
 from lacewing_daemon.router._attempt import Attempt
+from lacewing_daemon.router._attempt import ReattachBounds
 from lacewing_daemon.router._baselines import no_worker
 from lacewing_daemon.router._call import Call
 from lacewing_daemon.router._call import renewed
+from lacewing_daemon.router._continuation import closing_events
+from lacewing_daemon.router._continuation import continued
+from lacewing_daemon.router._continuation import is_complete
+from lacewing_daemon.router._continuation import Joiner
+from lacewing_daemon.router._continuation import may_be_continued
+from lacewing_daemon.router._continuation import may_continue
+from lacewing_daemon.router._elsewhere import is_fault
+from lacewing_daemon.router._elsewhere import is_not_run_here
 from lacewing_daemon.router._explain import Outcome
 from lacewing_daemon.router._link import Link
 from lacewing_daemon.router._mailbox import Interrupt
 from lacewing_daemon.router._metrics import ATTEMPTS
+from lacewing_daemon.router._metrics import CONTINUED_STREAMS
 from lacewing_daemon.router._metrics import FIRST_TOKEN_SECONDS
 from lacewing_daemon.router._metrics import HIT_BLOCKS
 from lacewing_daemon.router._metrics import PROMPT_BLOCKS
@@ -31,6 +40,9 @@
 from lacewing_daemon.router._relay import relay_whole
 from lacewing_daemon.router._reply import Reply
 from lacewing_daemon.router._serving import Serving
+from lacewing_daemon.router._start_frame import start_frame
+from lacewing_daemon.router._start_frame import StartTerms
+from lacewing_daemon.router._transcript import Transcript
 
 _MS_PER_S = 1000.0
 _ANSWERED = 'answered'
@@ -41,33 +53,6 @@
 REATTACH_MOVABLE_S = 0.5
 REATTACH_BOUND_S = 15.0
 
-_ELSEWHERE_IF_NOT_RUN = frozenset(
-    (
-        Reason.QUEUE_FULL,
-        Reason.DEADLINE,
-        Reason.DRAINING,
-        Reason.NOT_READY,
-        Reason.STALE_EPOCH,
-        Reason.STALE_WEIGHTS,
-        Reason.ATTEMPT_CLOSED,
-        Reason.AGENT_RESTARTED,
-        Reason.AGENT_UNREACHABLE,
-        Reason.WORKER_UNREACHABLE,
-        Reason.WORKER_FAILED,
-    )
-)
-_ELSEWHERE_IF_REPEATABLE = frozenset(
-    (
-        Reason.STALE_EPOCH,
-        Reason.AGENT_RESTARTED,
-        Reason.AGENT_UNREACHABLE,
-        Reason.WORKER_UNREACHABLE,
-        Reason.WORKER_FAILED,
-        Reason.ANSWER_MISMATCHED,
-        Reason.STREAM_BROKEN,
-    )
-)
-
 
 @dataclass(frozen=True)
 class _Opened:
@@ -84,8 +69,11 @@
     def __init__(self, serving: Serving, call: Call, reply: Reply) -> None:
         self._serving = serving
         self._call = call
+        self._original = call
         self._reply = reply
         self._attempt: Attempt | None = None
+        self._transcript = Transcript()
+        self._joiner: Joiner | None = None
         self._gone = False
         self._tried: tuple[str, ...] = ()
         self._began_s = time.monotonic()
@@ -111,31 +99,46 @@
             refusal = await self._try_once()
             if refusal is None:
                 return
+            if self._reply.started and await self._completed():
+                return
             refusal = self._final(refusal)
             if refusal is None:
                 continue
             await self._reply.refuse(refusal)
             return
 
+    async def _completed(self) -> bool:
+        """End a stream of which only the end was cut off."""
+        call = self._original
+        if not may_continue(call, self._transcript):
+            return False
+        if not is_complete(call, self._transcript):
+            return False
+        await self._reply.write(closing_events(call, self._transcript))
+        await self._reply.end()
+        return True
+
     async def _try_once(self) -> Refusal | None:
         """Make one attempt; None when the caller has its whole answer."""
         opened = await self._open()
         if isinstance(opened, Refusal):
             return opened
         self._attempt = opened.attempt
-        result = await self._relay(opened.attempt)
-        self._attempt = None
-        self._close(opened)
+        try:
+            result = await self._relay(opened.attempt)
+        finally:
+            self._attempt = None
+            self._close(opened)
         self._learn(opened, result)
         if isinstance(result, End):
             return None
         return result
 
     async def _open(self) -> _Opened | Refusal:
-        call = renewed(self._call, self._serving.catalog)
-        if isinstance(call, Refusal):
-            return call
-        self._call = call
+        refusal = self._renew_call()
+        if refusal is not None:
+            return refusal
+        call = self._call
         links = self._serving.links
         service = call.service
         refusal = await links.wait_for_worker(
@@ -159,6 +162,18 @@
         self._record.chose(choice)
         return self._start(by_id[choice.process_id], routing)
 
+    def _renew_call(self) -> Refusal | None:
+        if self._reply.started:
+            # A stream that goes on elsewhere stays with its weights: the
+            # rest would not follow from the text so far on others.
+            return None
+        call = renewed(self._call, self._serving.catalog)
+        if isinstance(call, Refusal):
+            return call
+        self._call = call
+        self._original = call
+        return None
+
     def _start(self, link: Link, routing: RoutingRequest) -> _Opened:
         process = link.process
         assert process is not None
@@ -166,54 +181,21 @@
         attempt_id = AttemptId(
             str(self._serving.name), sequences.open(), process.incarnation
         )
-        reattach_s = REATTACH_BOUND_S
-        if self._call.idempotent:
-            reattach_s = REATTACH_MOVABLE_S
         attempt = Attempt(
             attempt_id,
             link,
             len(self._call.chain.blocks),
             self._answer_by_s - time.monotonic(),
-            reattach_s,
+            self._reattach_bounds(),
         )
-        link.start(attempt, self._start_frame(attempt_id, link, routing))
-        return _Opened(attempt, link, routing)
-
-    def _start_frame(
-        self, attempt_id: AttemptId, link: Link, routing: RoutingRequest
-    ) -> Start:
-        call = self._call
-        asked = call.asked
-        model = ''
-        adapter = ''
-        if call.prompt is not None:
-            model = call.prompt.model
-            adapter = call.prompt.adapter
-        return Start(
-            attempt=attempt_id,
-            request_id=asked.request_id,
-            team=call.team.name,
-            service=call.service.name,
-            method=asked.method,
-            path=asked.path,
-            content_type=asked.content_type,
-            body=asked.body,
-            model=model,
-            adapter=adapter,
-            weights=call.weights,
-            salt=call.salt,
-            epoch=link.epoch,
-            stream=call.stream,
-            idempotent=call.idempotent,
-            idempotency_key=asked.idempotency_key,
-            priority=call.service.priority,
-            budget_ms=routing.budget_ms,
-            blocks=b''.join(call.chain.blocks),
-            levels=call.chain.levels,
-            bundle_number=call.bundle_number,
-            oldest_open=self._serving.sequences.oldest_open,
-            traceparent=asked.traceparent,
+        terms = StartTerms(
+            attempt_id,
+            link.epoch,
+            routing.budget_ms,
+            sequences.oldest_open,
         )
+        link.start(attempt, start_frame(self._call, terms))
+        return _Opened(attempt, link, routing)
 
     def _routing_request(self) -> RoutingRequest:
         left_s = self._start_by_s - time.monotonic()
@@ -227,9 +209,19 @@
             tried=self._tried,
         )
 
+    def _reattach_bounds(self) -> ReattachBounds:
+        call = self._call
+        if not call.idempotent:
+            return ReattachBounds(REATTACH_BOUND_S, REATTACH_BOUND_S)
+        if call.stream and not may_be_continued(call):
+            return ReattachBounds(REATTACH_MOVABLE_S, REATTACH_BOUND_S)
+        return ReattachBounds(REATTACH_MOVABLE_S, REATTACH_MOVABLE_S)
+
     async def _relay(self, attempt: Attempt) -> End | Refusal:
         if self._call.stream:
-            return await relay_stream(attempt, self._reply)
+            return await relay_stream(
+                attempt, self._reply, self._transcript, self._joiner
+            )
         return await relay_whole(attempt, self._reply)
 
     def _close(self, opened: _Opened) -> None:
@@ -272,29 +264,41 @@
 
     def _final(self, refusal: Refusal) -> Refusal | None:
         """Return the refusal to send, or None to try elsewhere."""
-        if not self._may_go_elsewhere(refusal):
-            return refusal
+        if self._gone or not self._may_go_elsewhere(refusal):
+            return self._told(refusal)
         service = self._call.service.name
         if not self._serving.budget(service).take():
             RETRIES_DENIED.labels(service).inc()
-            return refusal
+            return self._told(refusal)
         RETRIES.labels(service, refusal.reason.value).inc()
+        if self._reply.started:
+            self._continue()
         return None
 
+    def _told(self, refusal: Refusal) -> Refusal:
+        if not self._reply.started:
+            return refusal
+        return Refusal(
+            Verdict.RAN,
+            Reason.STREAM_BROKEN,
+            f'the answer is not complete: {refusal.message}',
+        )
+
     def _may_go_elsewhere(self, refusal: Refusal) -> bool:
-        if self._gone or self._reply.started:
-            return False
-        if refusal.verdict is Verdict.NOT_RUN:
-            if refusal.reason not in _ELSEWHERE_IF_NOT_RUN:
+        if self._reply.started:
+            if not may_continue(self._original, self._transcript):
                 return False
-            return time.monotonic() < self._start_by_s
-        if not self._call.idempotent:
-            return False
-        if refusal.reason not in _ELSEWHERE_IF_REPEATABLE:
+        if is_fault(refusal) and self._call.idempotent:
+            self._renew_start_deadline()
+        elif not is_not_run_here(refusal):
             return False
-        self._renew_start_deadline()
         return time.monotonic() < self._start_by_s
 
+    def _continue(self) -> None:
+        CONTINUED_STREAMS.inc()
+        self._call = continued(self._original, self._transcript)
+        self._joiner = Joiner(self._transcript)
+
     def _renew_start_deadline(self) -> None:
         # The fault of a worker must not leave the next one too little time.
         budget_s = self._call.service.first_token_ms / _MS_PER_S
