Keep one curl client without its known faults

Cause: tornado's curl client leaves a timer when it is closed with calls under way, which then logs an AttributeError; the mending stood in two places and was missing in three. Agents of plain workers let 32 calls through where the worker runs 8, so that the queue stood in the worker. Change: lacewing_common.curl holds the client and the proxy switch; the launcher tells each agent its worker's concurrency; the drain limit is tested at agents too; the reference names worker.concurrency. Before: drain limit shown for routers only. Left: caller.py and the agent's worker client, which others are editing, still have a client of their own.

--- a/features/daemon.feature
+++ b/features/daemon.feature
@@ -68,11 +68,16 @@
     And "router-1" gets SIGTERM
     Then "router-1" exits with code 143
 
-  Scenario: A drain that takes too long ends and says so
+  Scenario Outline: A drain that takes too long ends and says so
     Given a fleet with a drain period of 0.3 s
     And 1 callers read streams of 100000 tokens
-    When "router-1" gets SIGTERM
-    Then "router-1" exits with code 4
+    When "<name>" gets SIGTERM
+    Then "<name>" exits with code 4
+
+    Examples:
+      | name               |
+      | router-1           |
+      | agent-diagnostic-1 |
 
   Scenario: A listen address in use is told by the exit code
     Given a fleet of 1 router(s), 1 model worker(s) and 0 plain worker(s)
--- a/packages/bench/src/lacewing_bench/fleet/_http.py
+++ b/packages/bench/src/lacewing_bench/fleet/_http.py
@@ -3,8 +3,8 @@
 import json
 from typing import Any
 
-import pycurl
-from tornado.curl_httpclient import CurlAsyncHTTPClient
+from lacewing_common.curl import connect_directly
+from lacewing_common.curl import CurlClient
 from tornado.httpclient import HTTPRequest
 from tornado.httpclient import HTTPResponse
 
@@ -16,7 +16,7 @@
     """Send small JSON calls to the processes of a fleet."""
 
     def __init__(self, ca_file: str | None) -> None:
-        self._client = CurlAsyncHTTPClient(
+        self._client = CurlClient(
             force_instance=True, max_clients=_CALLS_AT_ONCE
         )
         self._ca_file = ca_file
@@ -28,7 +28,7 @@
                 url,
                 request_timeout=_TIMEOUT_S,
                 ca_certs=self._ca_file,
-                prepare_curl_callback=_prepare,
+                prepare_curl_callback=connect_directly,
             ),
             raise_error=False,
         )
@@ -42,7 +42,7 @@
                 headers={'Content-Type': 'application/json'},
                 body=json.dumps(value),
                 request_timeout=_TIMEOUT_S,
-                prepare_curl_callback=_prepare,
+                prepare_curl_callback=connect_directly,
             )
         )
         return json.loads(response.body) if response.body else None
@@ -50,7 +50,3 @@
     def close(self) -> None:
         """Close all connections."""
         self._client.close()
-
-
-def _prepare(curl: pycurl.Curl) -> None:
-    curl.setopt(pycurl.NOPROXY, '*')
--- a/packages/bench/src/lacewing_bench/fleet/_layout.py
+++ b/packages/bench/src/lacewing_bench/fleet/_layout.py
@@ -30,7 +30,8 @@
 class Slot:
     """Name one process of the system and say where it runs.
 
-    ``worker`` and ``service`` are '' for a router.
+    ``worker`` and ``service`` are '' for a router; ``concurrency`` is the
+    number of requests that the worker runs at once.
     """
 
     process_id: str
@@ -38,6 +39,7 @@
     zone: str
     worker: str = ''
     service: str = ''
+    concurrency: int = 0
 
 
 @dataclass(frozen=True)
@@ -63,18 +65,33 @@
 
 def agent_slots(deployment: Deployment) -> tuple[Slot, ...]:
     """Place an agent beside each worker, over the zones in turn."""
-    groups = [
-        (deployment.model_service, deployment.model_workers),
-        (deployment.plain_service, deployment.plain_workers),
-    ]
+    models = _group(
+        deployment,
+        deployment.model_service,
+        deployment.model_workers,
+        EngineConfig(name='').max_running,
+    )
+    plains = _group(
+        deployment,
+        deployment.plain_service,
+        deployment.plain_workers,
+        PlainConfig(name='').max_running,
+    )
+    return (*models, *plains)
+
+
+def _group(
+    deployment: Deployment, service: str, number: int, concurrency: int
+) -> list[Slot]:
     slots: list[Slot] = []
-    for service, number in groups:
-        for index in range(number):
-            zone = deployment.zones[index % len(deployment.zones)]
-            worker = f'{service}-{index + 1}'
-            slot = Slot(f'agent-{worker}', Role.AGENT, zone, worker, service)
-            slots.append(slot)
-    return tuple(slots)
+    for index in range(number):
+        zone = deployment.zones[index % len(deployment.zones)]
+        worker = f'{service}-{index + 1}'
+        slot = Slot(
+            f'agent-{worker}', Role.AGENT, zone, worker, service, concurrency
+        )
+        slots.append(slot)
+    return slots
 
 
 def standins(deployment: Deployment, platform_url: str) -> StandinsConfig:
@@ -114,7 +131,11 @@
     """Make the settings of one daemon."""
     worker = None
     if slot.role is Role.AGENT:
-        worker = WorkerSettings(url=worker_url, service=slot.service)
+        worker = WorkerSettings(
+            url=worker_url,
+            service=slot.service,
+            concurrency=slot.concurrency,
+        )
     return Settings(
         role=slot.role,
         process_id=slot.process_id,
--- a/packages/common/src/lacewing_common/_platform_http.py
+++ b/packages/common/src/lacewing_common/_platform_http.py
@@ -7,11 +7,13 @@
 from dataclasses import field
 
 import pycurl
-from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.curl_httpclient import CurlError
 from tornado.httpclient import HTTPRequest
 from tornado.httpclient import HTTPResponse
 
+from lacewing_common.curl import connect_directly
+from lacewing_common.curl import CurlClient
+
 _USER_AGENT = 'lacewing'
 # With these libcurl ends a call before it has sent a byte of the request.
 _NEVER_SENT = (
@@ -55,19 +57,9 @@
     message: str
 
 
-class _CurlClient(CurlAsyncHTTPClient):
+class _CurlClient(CurlClient):
     """Give each curl error its response, which holds the connect time."""
 
-    def close(self) -> None:
-        """Close all connections and the timer.
-
-        Ending calls under way, libcurl sets the timer anew; firing later, it
-        would find no client and log an ``AttributeError``.
-        """
-        super().close()
-        if self._timeout is not None:
-            self.io_loop.remove_timeout(self._timeout)
-
     def fetch_impl(
         self, request: HTTPRequest, callback: Callable[[HTTPResponse], None]
     ) -> None:
@@ -141,7 +133,7 @@
 
 
 def _prepare_read(curl: pycurl.Curl) -> None:
-    curl.setopt(pycurl.NOPROXY, '*')
+    connect_directly(curl)
     curl.setopt(pycurl.PATH_AS_IS, 1)
     curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
 
--- a/packages/ctl/src/lacewing_ctl/_operators_client.py
+++ b/packages/ctl/src/lacewing_ctl/_operators_client.py
@@ -4,8 +4,9 @@
 from dataclasses import dataclass
 
 import pycurl
+from lacewing_common.curl import connect_directly
+from lacewing_common.curl import CurlClient
 from lacewing_common.settings import TlsFiles
-from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.curl_httpclient import CurlError
 from tornado.httpclient import HTTPRequest
 
@@ -27,7 +28,7 @@
 
     def __init__(self, tls: TlsFiles | None) -> None:
         self._tls = tls
-        self._client = CurlAsyncHTTPClient(
+        self._client = CurlClient(
             force_instance=True, max_clients=_CALLS_AT_ONCE
         )
 
@@ -59,7 +60,7 @@
             return HTTPRequest(
                 f'http://{address}{path}',
                 request_timeout=_TIMEOUT_S,
-                prepare_curl_callback=_prepare,
+                prepare_curl_callback=connect_directly,
             )
         return HTTPRequest(
             f'https://{address}{path}',
@@ -71,14 +72,10 @@
         )
 
 
-def _prepare(curl: pycurl.Curl) -> None:
-    curl.setopt(pycurl.NOPROXY, '*')
-
-
 def _prepare_tls(curl: pycurl.Curl) -> None:
     """Know a process by its authority, not by its address.
 
     VMs are replaced at any time and their addresses are used again.
     """
-    _prepare(curl)
+    connect_directly(curl)
     curl.setopt(pycurl.SSL_VERIFYHOST, 0)
