--- /dev/null
+++ b/packages/bench/src/lacewing_bench/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Compare routing policies on whole fleets, in fair and foul weather."""
--- a/packages/bench/src/lacewing_bench/caller.py
+++ b/packages/bench/src/lacewing_bench/caller.py
@@ -50,7 +50,8 @@
 
     ``text`` is what the model said, or the body of any other answer;
     ``status`` is 599 when the connection broke; ``whole`` tells that the
-    answer came to its end.
+    answer came to its end; ``retry_after_s`` says when to ask again, None
+    when the answer doesn't; ``sent`` is false when no connection was made.
     """
 
     status: int
@@ -61,6 +62,8 @@
     cached_tokens: int | None
     whole: bool
     first_ms: float
+    retry_after_s: float | None = None
+    sent: bool = True
 
 
 class Progress:
@@ -96,12 +99,15 @@
     """Call routers with the keys of the teams."""
 
     def __init__(
-        self, keys: Mapping[str, str], ca_file: str | None = None
+        self,
+        keys: Mapping[str, str],
+        ca_file: str | None = None,
+        calls_at_once: int = _CALLS_AT_ONCE,
     ) -> None:
         self._keys = keys
         self._ca_file = ca_file
         self._client = CurlAsyncHTTPClient(
-            force_instance=True, max_clients=_CALLS_AT_ONCE
+            force_instance=True, max_clients=calls_at_once
         )
 
     async def send(
@@ -110,7 +116,7 @@
         """Send one request to the router at a base URL."""
         progress = progress or Progress()
         started = time.monotonic()
-        status, headers, unbroken = NO_ANSWER, {}, False
+        status, headers, unbroken, sent = NO_ANSWER, {}, False, True
         try:
             response = await self._client.fetch(
                 self._request(url, call, progress), raise_error=False
@@ -118,9 +124,11 @@
             status = response.code
             headers = dict(response.headers)
             unbroken = response.error is None or status != NO_ANSWER
-        except CurlError:
+            sent = not _is_unsent(response.error)
+        except CurlError as error:
             # The connection broke before or within the answer.
             unbroken = False
+            sent = not _is_unsent(error)
         read = _read_whole(progress.body)
         if call.streamed and status in (_OK, NO_ANSWER):
             read = _read_stream(progress.body)
@@ -133,6 +141,8 @@
             cached_tokens=read.cached_tokens,
             whole=unbroken and read.whole,
             first_ms=(progress.first_at - started) * 1000,
+            retry_after_s=_seconds(headers.get('Retry-After', '')),
+            sent=sent,
         )
 
     def close(self) -> None:
@@ -220,5 +230,15 @@
     return cached
 
 
+def _seconds(text: str) -> float | None:
+    return float(text) if text.isdigit() else None
+
+
+def _is_unsent(error: BaseException | None) -> bool:
+    if not isinstance(error, CurlError):
+        return False
+    return bool(error.errno == pycurl.E_COULDNT_CONNECT)
+
+
 def _prepare(curl: pycurl.Curl) -> None:
     curl.setopt(pycurl.NOPROXY, '*')
--- a/packages/bench/src/lacewing_bench/fleet/_bundle.py
+++ b/packages/bench/src/lacewing_bench/fleet/_bundle.py
@@ -6,6 +6,7 @@
 from lacewing_common.bundle import Bundle
 from lacewing_common.bundle import CostWeights
 from lacewing_common.bundle import Model
+from lacewing_common.bundle import PolicyName
 from lacewing_common.bundle import Service
 from lacewing_common.bundle import ServiceKind
 from lacewing_common.bundle import Team
@@ -24,11 +25,16 @@
     return keys
 
 
-def make_bundle(deployment: Deployment) -> Bundle:
-    """Make the bundle that gives each team all services."""
+def make_bundle(
+    deployment: Deployment, policy: PolicyName = PolicyName.EXPECTED_COST
+) -> Bundle:
+    """Make the bundle that gives each team all services.
+
+    ``policy`` chooses the model workers.
+    """
     return Bundle(
         teams=_teams(deployment),
-        services=_services(deployment),
+        services=_services(deployment, policy),
         models=(
             Model(
                 name=deployment.model,
@@ -64,7 +70,9 @@
     return tuple(teams)
 
 
-def _services(deployment: Deployment) -> tuple[Service, ...]:
+def _services(
+    deployment: Deployment, policy: PolicyName
+) -> tuple[Service, ...]:
     weights = CostWeights(
         tail=deployment.tail_weight,
         recomputation=deployment.recomputation_weight,
@@ -73,6 +81,7 @@
         name=deployment.model_service,
         kind=ServiceKind.MODEL,
         models=(deployment.model,),
+        policy=policy,
         weights=weights,
         loads_at_once=deployment.loads_at_once,
     )
--- a/packages/bench/src/lacewing_bench/fleet/_deployment.py
+++ b/packages/bench/src/lacewing_bench/fleet/_deployment.py
@@ -22,7 +22,8 @@
     """Hold the sizes of one deployment.
 
     Routers and workers are spread over the zones in turn. ``at_most_once``
-    are path prefixes of the plain service whose calls must not be repeated.
+    are path prefixes of the plain service whose calls must not be repeated;
+    ``capacity_blocks`` is the size of each engine's cache.
     """
 
     name: str
@@ -40,6 +41,7 @@
     recomputation_weight: float
     teams: tuple[TeamSize, ...]
     costs: EngineCosts = field(default_factory=EngineCosts)
+    capacity_blocks: int = 4096
 
     def sized(
         self,
--- a/packages/bench/src/lacewing_bench/fleet/_fleet.py
+++ b/packages/bench/src/lacewing_bench/fleet/_fleet.py
@@ -11,6 +11,7 @@
 
 import msgspec
 from lacewing_common.bundle import Bundle
+from lacewing_common.bundle import PolicyName
 from lacewing_common.identity import Role
 from lacewing_common.settings import LogLevel
 from lacewing_common.settings import TlsFiles
@@ -46,9 +47,11 @@
     """Vary how a fleet is run.
 
     ``standin_processes`` spreads the stand-in workers; ``vm_lag_s`` is the
-    lag of the platform's VM list once the fleet has started.
+    lag of the platform's VM list once the fleet has started; ``policy``
+    chooses the model workers.
     """
 
+    policy: PolicyName = PolicyName.EXPECTED_COST
     standin_processes: int = 1
     vm_lag_s: float = 1.0
     drain_s: float = 30.0
@@ -119,6 +122,15 @@
         """Return the process ids of all processes."""
         return tuple(process.pid for process in self._processes.values())
 
+    @property
+    def pids_by_name(self) -> Mapping[str, int]:
+        """Return the process id of each process that runs."""
+        return {
+            name: process.pid
+            for name, process in self._processes.items()
+            if process.exit_code is None
+        }
+
     @property
     def bundle_file(self) -> Path:
         """Return the path of the bundle that all daemons read."""
@@ -160,7 +172,7 @@
         """Start everything; return when each router takes requests."""
         tls = self._options.tls
         self._client = ControlClient(None if tls is None else tls.authority)
-        self.write_bundle(make_bundle(self._deployment))
+        self.write_bundle(make_bundle(self._deployment, self._options.policy))
         await self._start_platform()
         await self._start_standins()
         await self._start_daemons(Role.AGENT)
--- a/packages/bench/src/lacewing_bench/fleet/_layout.py
+++ b/packages/bench/src/lacewing_bench/fleet/_layout.py
@@ -121,6 +121,7 @@
         name=name,
         models=(model,),
         platform=platform_url,
+        capacity_blocks=deployment.capacity_blocks,
         costs=deployment.costs,
     )
 
--- a/packages/bench/src/lacewing_bench/standins/__init__.py
+++ b/packages/bench/src/lacewing_bench/standins/__init__.py
@@ -1,5 +1,6 @@
 """Offer stand-ins of the workers that the system routes to."""
 
+from lacewing_bench.standins._blocks import BLOCK_TOKENS
 from lacewing_bench.standins._engine import Engine
 from lacewing_bench.standins._faults import Crash
 from lacewing_bench.standins._faults import CrossedAnswers
@@ -22,6 +23,7 @@
 from lacewing_bench.standins._settings import StandinsConfig
 
 __all__ = [
+    'BLOCK_TOKENS',
     'ConfigError',
     'Crash',
     'CrossedAnswers',
--- a/packages/bench/src/lacewing_bench/standins/_batch.py
+++ b/packages/bench/src/lacewing_bench/standins/_batch.py
@@ -199,12 +199,15 @@
         self._host.record_load()
 
     def _prefill(self, generation: Generation, tokens: int) -> None:
+        before = generation.prompt_tokens - generation.prefill_left
         generation.prefill_left -= tokens
         self._host.counts.prefilled_tokens += tokens
-        if generation.lease is None:
+        lease = generation.lease
+        if lease is None:
             return
-        done = generation.prompt_tokens - generation.prefill_left
-        self._cache.extend(generation.lease, done // BLOCK_TOKENS)
+        done = (before + tokens) // BLOCK_TOKENS
+        self._host.counts.prefill(lease.blocks[before // BLOCK_TOKENS : done])
+        self._cache.extend(lease, done)
 
     def _missing(self, generation: Generation) -> int:
         hits = self._cache.hit_blocks(generation.blocks)
--- a/packages/bench/src/lacewing_bench/standins/_counts.py
+++ b/packages/bench/src/lacewing_bench/standins/_counts.py
@@ -30,6 +30,19 @@
     loads: int = 0
     imported_blocks: int = 0
     exported_blocks: int = 0
+    _prefilled_blocks: Counter[bytes] = field(default_factory=Counter)
+
+    @property
+    def prefilled_blocks(self) -> Counter[bytes]:
+        """Return how often each block was computed.
+
+        Reported apart from the other counts, for there are many.
+        """
+        return self._prefilled_blocks
+
+    def prefill(self, blocks: tuple[bytes, ...]) -> None:
+        """Count blocks that were computed whole."""
+        self._prefilled_blocks.update(blocks)
 
     def admit(self, generation: Generation, running: int) -> None:
         """Count a request that entered the batch."""
--- a/packages/bench/src/lacewing_bench/standins/_engine_control.py
+++ b/packages/bench/src/lacewing_bench/standins/_engine_control.py
@@ -138,6 +138,27 @@
         self.reply(self.worker.counts)
 
 
+class BlockCounts(msgspec.Struct, frozen=True):
+    """Hold how often each block (hex) was computed."""
+
+    blocks: dict[str, int]
+
+
+class BlockCountsHandler(EngineHandler):
+    """Report how often each block was computed."""
+
+    frozen_by_pause = False
+
+    def get(self) -> None:
+        """Answer the count of each block."""
+        counted = self.worker.counts.prefilled_blocks
+        self.reply(
+            BlockCounts(
+                {block.hex(): times for block, times in counted.items()}
+            )
+        )
+
+
 class ResetHandler(EngineHandler):
     """Forget what the engine did."""
 
@@ -193,6 +214,7 @@
     (r'/orders/state', OrderStateHandler),
     (r'/kv/(export|import)', TransferHandler),
     (r'/counts', CountsHandler),
+    (r'/counts/blocks', BlockCountsHandler),
     (r'/counts/reset', ResetHandler),
     (r'/truth', TruthHandler),
 ]
