Roll bundles once, upon the roll they were edited from

Cause: nothing gave a roll its number; the last writer of a file won, and a lost answer from the platform left an operator with a guess.

Change: parts and replaced heads are immutable objects named by their digest; one head object is replaced by a conditional update and signs the digest of the head before it. An order keeps its nonce; after a lost answer or a crash it is looked for under the next number of the chain. The loser is told who rolled when and what differs. Settings list the root operators.

Conclusion: the head's version decides, and the chain tells afterwards whose number it was. Finding an old order reads one head for each roll since.

--- /dev/null
+++ b/features/rolls.feature
@@ -0,0 +1,104 @@
+Feature: Bundles are rolled once, one after the other
+
+  Scenario: A roll, an edit, a rollback
+    Given a platform and the operators "ana, bob"
+    When "ana" edits the share to 2
+    And "ana" rolls the edit
+    Then roll 1 is in force
+    When "bob" edits the share to 3
+    And "bob" rolls the edit
+    Then roll 2 is in force
+    When "ana" rolls back to roll 1
+    Then roll 3 is in force
+    And rolls 1 and 3 are of the same bundle
+    And the history has 3 rolls
+
+  Scenario Outline: A lost answer leads to one roll
+    # Symptom: one change is rolled twice, or its operator is told that she lost
+    # to herself. Sequence: a write of the roll takes effect, its answer gets
+    # lost, the operator's machine writes again. Cause: a lost answer taken for
+    # a failure.
+    Given a platform and the operators "ana, bob"
+    When "ana" edits the share to 2
+    And "ana" rolls the edit
+    And "ana" edits the share to 3
+    And the answers of the next <lost> writes to the platform get lost
+    And "ana" rolls the edit
+    Then roll 2 is in force
+    And the history has 2 rolls
+    When "ana" rolls the same edit again
+    Then roll 2 is in force
+    And the history has 2 rolls
+
+    Examples:
+      | lost |
+      | 1    |
+      | 2    |
+      | 3    |
+      | 5    |
+
+  Scenario: The loser of two operators is told who, when and what
+    # Symptom: an operator's change disappears without a word. Sequence: ana and
+    # bob edit roll 1, bob rolls, ana rolls. Cause: the last writer wins.
+    Given a platform and the operators "ana, bob"
+    When "ana" edits the share to 2
+    And "ana" rolls the edit
+    And "ana" edits the share to 3
+    And "bob" edits the share to 4
+    And "bob" rolls the edit
+    Then roll 2 is in force
+    When "ana" rolls the edit
+    Then the roll fails as "conflict": "roll 2 by 'bob' at 2026-01-01T00:00:00+00:00 is in force; this bundle was edited from roll 1"
+    And the roll fails as "conflict": "theirs -> yours: teams.team-0.share: 4.0 -> 3.0"
+    And the history has 2 rolls
+
+  Scenario: A rolled edit is found although others rolled since
+    # Symptom: an operator whose machine crashed rolls her change a second time,
+    # over what others rolled since. Sequence: ana's roll takes effect, her
+    # machine crashes, bob rolls, ana runs the command again. Cause: only the
+    # head in force is compared, not the history.
+    Given a platform and the operators "ana, bob"
+    When "ana" edits the share to 2
+    And "ana" rolls the edit
+    And "bob" edits the share to 4
+    And "bob" rolls the edit
+    And "ana" rolls the same edit again
+    Then the operator is told that roll 1 took effect
+    And the history has 2 rolls
+
+  Scenario Outline: A lost answer is judged by the history, not by the head
+    # Symptom: an operator is told that she lost and rolls again, though her
+    # bundle was in force. Sequence: ana's roll takes effect, its answer is
+    # lost, bob rolls, ana reads back and finds bob's head. Cause: only the
+    # head in force is compared.
+    Given a platform and the operators "ana, bob"
+    When "ana" edits the share to 2
+    And "ana" rolls the edit, its answer is lost and "bob" rolls <times> times before it is read back
+    Then the operator is told that roll 1 took effect
+    When "ana" rolls the same edit again
+    Then the operator is told that roll 1 took effect
+    And the history has <all> rolls
+
+    Examples:
+      | times | all |
+      | 1     | 2   |
+      | 2     | 3   |
+
+  Scenario: A part that was tampered with is refused
+    Given a platform and the operators "ana, bob"
+    When "ana" edits the share to 2
+    And "ana" rolls the edit
+    And a part of the bundle in force is tampered with at the platform
+    Then reading the bundle in force fails: "tampered with"
+
+  Scenario: 200 racing rolls with lost answers make one linear history
+    # Symptom: the fleet goes back to an older bundle, or two operators believe
+    # that theirs is in force. Sequence: four operators read, edit and roll at
+    # once while answers get lost. Cause: numbers given without a conditional
+    # update, or a lost answer that is rolled again under the next number.
+    Given a platform and the operators "ana, bob, cleo, dan"
+    And a platform that is slow and loses 20% of the answers
+    When 200 rolls of all operators race
+    Then one linear history holds exactly the 200 rolls that won
+    And some operators lost and some answers were lost
+    And the process that followed saw no revert
--- a/features/settings.feature
+++ b/features/settings.feature
@@ -23,6 +23,8 @@
       | process_id      | ""                 | $.process_id        | expected a name       |
       | drain_s         | 0                  | $.drain_s           | seconds above 0       |
       | bundle_file     | "absent.json"      | $.bundle_file       | No such file          |
+      | root_operators  | [{"name": "ana", "public_key": "ab"}] | $.root_operators[0].public_key | lacewingctl keys new |
+      | root_operators  | [{"name": "", "public_key": ""}]      | $.root_operators[0].name       | a name of its own    |
       | role            | "agent"            | $.worker            | url and service       |
 
   Scenario: --check accepts settings that are right
--- /dev/null
+++ b/packages/common/src/lacewing_common/rolls/__init__.py
@@ -0,0 +1,25 @@
+"""Roll bundles at the platform and read their history."""
+
+from lacewing_common.rolls._diff import diff_bundles
+from lacewing_common.rolls._diff import Difference
+from lacewing_common.rolls._errors import RollError
+from lacewing_common.rolls._errors import RollFault
+from lacewing_common.rolls._patient import Patience
+from lacewing_common.rolls._reads import BundleReads
+from lacewing_common.rolls._reads import HistoryEntry
+from lacewing_common.rolls._reads import StoredHead
+from lacewing_common.rolls._writes import BundleWrites
+from lacewing_common.rolls._writes import Rolled
+
+__all__ = [
+    'BundleReads',
+    'BundleWrites',
+    'Difference',
+    'HistoryEntry',
+    'Patience',
+    'RollError',
+    'RollFault',
+    'Rolled',
+    'StoredHead',
+    'diff_bundles',
+]
--- /dev/null
+++ b/packages/common/src/lacewing_common/rolls/_patient.py
@@ -0,0 +1,76 @@
+"""Repeat calls to the platform that failed without effect."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+from typing import TypeVar
+
+from lacewing_common.backoff import Backoff
+from lacewing_common.store import MUST_NOT_EXIST
+from lacewing_common.store import ObjectStore
+from lacewing_common.store import StoredObject
+from lacewing_common.store import StoreError
+from lacewing_common.store import StoreFault
+
+T = TypeVar('T')
+_PASSING = (StoreFault.RATE_LIMITED, StoreFault.UNAVAILABLE)
+
+
+@dataclass(frozen=True)
+class Patience:
+    """Bound how long a call is repeated, in seconds."""
+
+    give_up_after_s: float = 30.0
+    backoff_base_s: float = 0.05
+    backoff_cap_s: float = 2.0
+
+
+async def patiently(
+    call: Callable[[], Awaitable[T | StoreError]],
+    patience: Patience,
+    random: Random,
+) -> T | StoreError:
+    """Repeat a call while the platform is limited or unavailable."""
+    backoff = Backoff(patience.backoff_base_s, patience.backoff_cap_s, random)
+    loop = asyncio.get_running_loop()
+    give_up_at = loop.time() + patience.give_up_after_s
+    while True:
+        answer = await call()
+        if not isinstance(answer, StoreError):
+            return answer
+        if answer.fault not in _PASSING or loop.time() > give_up_at:
+            return answer
+        await asyncio.sleep((answer.retry_after_s or 0.0) + backoff.next_s())
+
+
+async def put_part(
+    store: ObjectStore,
+    kind: str,
+    digest: str,
+    part: bytes,
+    patience: Patience,
+    random: Random,
+) -> None | StoreError:
+    """Write an immutable part; one that exists is the same part.
+
+    The name is the digest of the bytes, so that a lost answer needs no
+    reading back: the write is repeated and meets its own part.
+    """
+    loop = asyncio.get_running_loop()
+    give_up_at = loop.time() + patience.give_up_after_s
+
+    async def put() -> StoredObject | StoreError:
+        return await store.put(kind, digest, part, MUST_NOT_EXIST)
+
+    while True:
+        answer = await patiently(put, patience, random)
+        if isinstance(answer, StoredObject):
+            return None
+        if answer.fault is StoreFault.CONFLICT:
+            return None
+        if answer.fault is not StoreFault.UNKNOWN:
+            return answer
+        if loop.time() > give_up_at:
+            return answer
--- /dev/null
+++ b/packages/common/src/lacewing_common/rolls/_reads.py
@@ -0,0 +1,182 @@
+"""Read the bundle in force and its history from the platform."""
+
+import asyncio
+from dataclasses import dataclass
+from random import Random
+
+import msgspec
+
+from lacewing_common.bundles import BUNDLE
+from lacewing_common.bundles import BundleGuard
+from lacewing_common.bundles import Proof
+from lacewing_common.bundles import read_proof
+from lacewing_common.document import Document
+from lacewing_common.document import DocumentHead
+from lacewing_common.document import part_digest
+from lacewing_common.document_objects import decode_head
+from lacewing_common.document_objects import head_object
+from lacewing_common.document_objects import HEADS
+from lacewing_common.document_objects import PARTS
+from lacewing_common.rolls._errors import from_store
+from lacewing_common.rolls._errors import RollError
+from lacewing_common.rolls._errors import RollFault
+from lacewing_common.rolls._patient import Patience
+from lacewing_common.rolls._patient import patiently
+from lacewing_common.store import ObjectStore
+from lacewing_common.store import StoredObject
+from lacewing_common.store import StoreError
+from lacewing_common.store import StoreFault
+from lacewing_common.verdict import Refusal
+
+HEAD_NAME = head_object(BUNDLE)
+_READS_AT_ONCE = 16
+_NO_HEAD = 'no bundle has been rolled yet'
+
+
+@dataclass(frozen=True)
+class StoredHead:
+    """Hold a head, its proof, its bytes and the version of its object.
+
+    ``version`` is 0 for a head of the history.
+    """
+
+    head: DocumentHead
+    proof: Proof
+    value: bytes
+    version: int = 0
+
+    @property
+    def digest(self) -> str:
+        """Return the digest that names this head in the history."""
+        return part_digest(self.value)
+
+
+class HistoryEntry(msgspec.Struct, frozen=True, kw_only=True):
+    """Tell of one roll: who put which bundle in force, and who signed it.
+
+    ``again`` is the number of the roll that a rollback repeats, else 0.
+    """
+
+    number: int
+    digest: str
+    operator: str
+    at: str
+    signed_by: tuple[str, ...]
+    again: int
+    previous_bundle: str
+
+
+class BundleReads:
+    """Query the bundles of the platform; check each before it is given."""
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        guard: BundleGuard,
+        patience: Patience | None = None,
+        random: Random | None = None,
+    ) -> None:
+        self._store = store
+        self._guard = guard
+        self._patience = patience or Patience()
+        self._random = random or Random()
+        self._slots = asyncio.Semaphore(_READS_AT_ONCE)
+
+    async def head(self) -> StoredHead | RollError:
+        """Read the head in force, without its parts."""
+        stored = await self._get(HEADS, HEAD_NAME)
+        if isinstance(stored, StoreError):
+            if stored.fault is StoreFault.NOT_FOUND:
+                return RollError(RollFault.NOT_FOUND, _NO_HEAD)
+            return from_store(stored, 'the head of the bundle')
+        return _read_head(stored.value, stored.version)
+
+    async def document(self, stored: StoredHead) -> Document | RollError:
+        """Read the parts of a head and check the whole."""
+        calls = [self._part(digest) for digest in stored.head.parts]
+        parts: list[bytes] = []
+        for part in await asyncio.gather(*calls):
+            if isinstance(part, RollError):
+                return part
+            parts.append(part)
+        document = Document(stored.head, tuple(parts))
+        refusal = self._guard(document)
+        if refusal is not None:
+            return RollError(RollFault.REFUSED, refusal.message)
+        return document
+
+    async def head_at(self, number: int) -> StoredHead | RollError:
+        """Read the head of one roll, following the chain backwards."""
+        stored = await self.head()
+        while isinstance(stored, StoredHead):
+            if stored.head.version == number:
+                return stored
+            if stored.head.version < number or not stored.proof.roll.previous:
+                return RollError(
+                    RollFault.NOT_FOUND, f'there is no roll {number}'
+                )
+            stored = await self.before(stored)
+        return stored
+
+    async def before(self, stored: StoredHead) -> StoredHead | RollError:
+        """Read the head that a head replaced."""
+        value = await self._part(stored.proof.roll.previous)
+        if isinstance(value, RollError):
+            return value
+        return _read_head(value, 0)
+
+    async def history(
+        self, limit: int
+    ) -> tuple[HistoryEntry, ...] | RollError:
+        """Read the last rolls, newest first."""
+        entries: list[HistoryEntry] = []
+        stored = await self.head()
+        while isinstance(stored, StoredHead):
+            entries.append(_entry(stored))
+            if len(entries) >= limit or not stored.proof.roll.previous:
+                return tuple(entries)
+            stored = await self.before(stored)
+        if stored.fault is RollFault.NOT_FOUND and not entries:
+            return ()
+        return stored
+
+    async def _part(self, digest: str) -> bytes | RollError:
+        stored = await self._get(PARTS, digest)
+        if isinstance(stored, StoreError):
+            return from_store(stored, f'part {digest}')
+        if part_digest(stored.value) != digest:
+            return RollError(
+                RollFault.REFUSED, f'the part {digest} was tampered with'
+            )
+        return stored.value
+
+    async def _get(self, kind: str, name: str) -> StoredObject | StoreError:
+        async with self._slots:
+            return await patiently(
+                lambda: self._store.get(kind, name),
+                self._patience,
+                self._random,
+            )
+
+
+def _read_head(value: bytes, version: int) -> StoredHead | RollError:
+    head = decode_head(value)
+    if head is None:
+        return RollError(RollFault.REFUSED, 'the head is malformed')
+    proof = read_proof(head)
+    if isinstance(proof, Refusal):
+        return RollError(RollFault.REFUSED, proof.message)
+    return StoredHead(head, proof, value, version)
+
+
+def _entry(stored: StoredHead) -> HistoryEntry:
+    roll = stored.proof.roll
+    return HistoryEntry(
+        number=roll.number,
+        digest=roll.digest,
+        operator=roll.operator,
+        at=roll.at,
+        signed_by=tuple(each.operator for each in stored.proof.sign_offs),
+        again=roll.again,
+        previous_bundle=roll.previous_bundle,
+    )
--- a/packages/common/src/lacewing_common/settings.py
+++ b/packages/common/src/lacewing_common/settings.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from lacewing_common.bundle import Operator
 from lacewing_common.identity import Place
 from lacewing_common.identity import Role
 
@@ -16,6 +17,8 @@
 
 
 _PORTS = 65536
+_PUBLIC_KEY_HEX = 64
+_HEX = frozenset('0123456789abcdef')
 
 
 class LogLevel(Enum):
@@ -86,7 +89,8 @@
     ``platform`` is the base URL of the platform's API, '' for none;
     ``seeds`` are the ``ip:port`` of agents known from the start;
     ``allow_plain`` permits listening off loopback without TLS;
-    ``drain_s`` bounds the seconds that open requests get after SIGTERM.
+    ``drain_s`` bounds the seconds that open requests get after SIGTERM;
+    ``root_operators`` may sign the first bundle, see docs/reference.
     """
 
     role: Role
@@ -97,6 +101,7 @@
     seeds: tuple[str, ...] = ()
     worker: WorkerSettings | None = None
     bundle_file: str = ''
+    root_operators: tuple[Operator, ...] = ()
     log_level: LogLevel = LogLevel.INFO
     tls: TlsFiles | None = None
     allow_plain: bool = False
@@ -154,6 +159,7 @@
             f'expected seconds above 0, got {settings.drain_s}'
             ' - at `$.drain_s`'
         )
+    _check_root_operators(settings)
     _check_worker(settings)
 
 
@@ -187,6 +193,28 @@
         )
 
 
+def _check_root_operators(settings: Settings) -> None:
+    names: set[str] = set()
+    for index, operator in enumerate(settings.root_operators):
+        field = f'$.root_operators[{index}]'
+        if not operator.name or operator.name in names:
+            raise SettingsError(
+                f'expected a name of its own, got {operator.name!r}'
+                f' - at `{field}.name`'
+            )
+        names.add(operator.name)
+        if not _is_public_key(operator.public_key):
+            raise SettingsError(
+                'expected an Ed25519 public key as 64 hex digits, as'
+                f' "lacewingctl keys new" prints it, got'
+                f' {operator.public_key!r} - at `{field}.public_key`'
+            )
+
+
+def _is_public_key(text: str) -> bool:
+    return len(text) == _PUBLIC_KEY_HEX and _HEX.issuperset(text)
+
+
 def _check_worker(settings: Settings) -> None:
     if settings.role is Role.ROUTER:
         return
