Claim calls with an idempotency key before they run

Cause: an at-most-once call was protected against retries by routers, but not against a caller that repeats it: the repeat, a new attempt, ran the call again.

Change: the agent that admits such a call writes a claim into the platform before the worker sees a byte. 64 ranges of keys per service, one object and one writer task each; what waits together goes into one update conditional on the object's version. Routers rank agents for a range and not for a load, so that repeats meet at one agent. Outcomes up to 4 KB are kept and replayed, "not run" withdraws the claim, and whatever nobody knows is told as "may have run".

The claim is taken before the call queues: a slot held while the platform is slow would stop the calls that need none. A "not run" after the claim is held back until the withdrawal is written, since the router goes elsewhere with it. CLAIM_EXISTS is told with "may-have-run" and not "not-run": a caller told "not run" might take a new key.

Faults of the platform, restarts and the bounds get their scenarios next.

--- a/packages/common/src/lacewing_common/wire.py
+++ b/packages/common/src/lacewing_common/wire.py
@@ -199,11 +199,15 @@
 
 
 class Head(Message, frozen=True, tag='head'):
-    """Start the answer: HTTP status and content type of the worker."""
+    """Start the answer: HTTP status and content type of the worker.
+
+    ``replayed``: the answer was kept from an earlier attempt of the call.
+    """
 
     attempt: AttemptId
     status: int
     content_type: str
+    replayed: bool = False
 
 
 class Data(Message, frozen=True, tag='data'):
--- a/packages/daemon/src/lacewing_daemon/_serve.py
+++ b/packages/daemon/src/lacewing_daemon/_serve.py
@@ -3,6 +3,7 @@
 import asyncio
 import errno
 from collections.abc import Coroutine
+from dataclasses import replace
 from pathlib import Path
 from random import Random
 
@@ -81,9 +82,10 @@
     async def _follow_platform(self) -> None:
         if not self._settings.platform:
             return
+        self._platform = PlatformClient(self._settings.platform)
+        self._runtime = replace(self._runtime, store=self._platform)
         if self._settings.role is not Role.ROUTER:
             return
-        self._platform = PlatformClient(self._settings.platform)
         vm_list = VmListFollower(self._platform, self._members, Random())
         await vm_list.read_first()
         self._follow(vm_list.follow())
--- a/packages/daemon/src/lacewing_daemon/agent/_agent.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_agent.py
@@ -48,6 +48,9 @@
 from lacewing_daemon.agent._sweeper import Sweeper
 from lacewing_daemon.agent._watch import WorkerWatch
 from lacewing_daemon.agent._worker import Worker
+from lacewing_daemon.claims import ClaimedRuns
+from lacewing_daemon.claims import ClaimLimits
+from lacewing_daemon.claims import Claims
 from lacewing_daemon.runtime import RoleStatus
 from lacewing_daemon.runtime import Runtime
 
@@ -55,6 +58,7 @@
 _DRAIN_STEP_S = 0.02
 _CLOSE_S = 2.0
 _KEEP_LIMITS = KeepLimits()
+_CLAIM_LIMITS = ClaimLimits()
 
 _log = get_log(Part.LINK)
 
@@ -67,6 +71,7 @@
         runtime: Runtime,
         settings: WorkerSettings,
         limits: KeepLimits = _KEEP_LIMITS,
+        claim_limits: ClaimLimits = _CLAIM_LIMITS,
     ) -> None:
         self._runtime = runtime
         self._settings = settings
@@ -75,8 +80,13 @@
             settings.concurrency, _QUEUE_LIMIT, self._share_of
         )
         self._load = LoadView(self._admission)
+        self._claims = Claims(runtime.store, settings.service, claim_limits)
         self._runner = Runner(
-            self._worker, self._admission, self._load, runtime.bundles
+            self._worker,
+            self._admission,
+            self._load,
+            runtime.bundles,
+            ClaimedRuns(self._claims),
         )
         self._watch = WorkerWatch(
             self._worker, self._load, self._is_engine, self._worker_changed
@@ -142,6 +152,7 @@
         deadline = time.monotonic() + self._runtime.settings.drain_s
         while time.monotonic() < deadline:
             if not self._owes_answers():
+                await self._claims.flush(deadline - time.monotonic())
                 return
             await asyncio.sleep(_DRAIN_STEP_S)
         _log.warning('drain ran out of time', open=self._attempts.open_count)
@@ -157,6 +168,7 @@
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._claims.close()
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self._server.wait_closed(), _CLOSE_S)
         self._worker.close()
--- a/packages/daemon/src/lacewing_daemon/agent/_attempt.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_attempt.py
@@ -68,6 +68,9 @@
         self._orphaned_at = 0.0
         self._ended_at = 0.0
         self._ended = asyncio.Event()
+        self._holds_not_run = False
+        self._held_refusal: Refusal | None = None
+        self._copy_payload: Callable[[bytes], None] | None = None
         ATTEMPTS_OPEN.inc()
 
     @property
@@ -130,6 +133,19 @@
         """Return the event set when the outcome is known."""
         return self._ended
 
+    @property
+    def held_refusal(self) -> Refusal | None:
+        """Return the "not run" that was held back."""
+        return self._held_refusal
+
+    def hold_not_run(self) -> None:
+        """Hold a refusal as not run back until it is refused again."""
+        self._holds_not_run = True
+
+    def copy_payload(self, take: Callable[[bytes], None]) -> None:
+        """Hand each piece of the answer on as it comes."""
+        self._copy_payload = take
+
     def attach(self, on_change: Callable[[], None]) -> None:
         """Call a link back whenever there is more to send."""
         self._on_change = on_change
@@ -167,11 +183,13 @@
         self._paused = False
         self._pause_if_full()
 
-    def put_head(self, status: int, content_type: str) -> None:
+    def put_head(
+        self, status: int, content_type: str, replayed: bool = False
+    ) -> None:
         """Take the start of the answer; only the first counts."""
         if self._head is not None or self._outcome is not None:
             return
-        self._head = Head(self.attempt_id, status, content_type)
+        self._head = Head(self.attempt_id, status, content_type, replayed)
         self._changed()
 
     def put(self, payload: bytes) -> None:
@@ -179,6 +197,8 @@
         if self._outcome is not None or not payload:
             return
         self._answer.append(payload)
+        if self._copy_payload is not None:
+            self._copy_payload(payload)
         self._pause_if_full()
         self._changed()
 
@@ -224,6 +244,11 @@
 
     def refuse(self, refusal: Refusal, epoch: str = '') -> None:
         """End with a refusal."""
+        if self._holds_not_run and refusal.verdict is Verdict.NOT_RUN:
+            self._holds_not_run = False
+            self._held_refusal = refusal
+            self._on_cancel = None
+            return
         self._end(
             Refused(
                 self.attempt_id,
--- a/packages/daemon/src/lacewing_daemon/agent/_runner.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_runner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from functools import partial
 
 from lacewing_common.bundle import ServiceKind
 from lacewing_common.log import get_log
@@ -25,6 +26,7 @@
 from lacewing_daemon.agent._worker import Broken
 from lacewing_daemon.agent._worker import Whole
 from lacewing_daemon.agent._worker import Worker
+from lacewing_daemon.claims import ClaimedRuns
 from lacewing_daemon.runtime import BundleSource
 
 _RESUME_TRIES = 4
@@ -48,15 +50,22 @@
         admission: Admission,
         load: LoadView,
         bundles: BundleSource,
+        claimed: ClaimedRuns,
     ) -> None:
         self._worker = worker
         self._admission = admission
         self._load = load
         self._bundles = bundles
+        self._claimed = claimed
 
     async def run(self, attempt: Attempt) -> None:
         """Bring a recorded attempt to its end."""
         try:
+            if self._claimed.needs_claim(attempt.start):
+                # Claimed before it queues: a slot held while the platform
+                # is slow would stop the calls that need no claim.
+                await self._claimed.run(attempt, partial(self._admit, attempt))
+                return
             await self._admit(attempt)
         except Exception:
             _log.exception('attempt failed', attempt=str(attempt.attempt_id))
--- a/packages/daemon/src/lacewing_daemon/router/_errors.py
+++ b/packages/daemon/src/lacewing_daemon/router/_errors.py
@@ -8,6 +8,7 @@
 VERDICT_HEADER = 'Lacewing-Verdict'
 DEFAULT_RETRY_AFTER_S = 1.0
 
+_CONFLICT = 409
 _BAD_GATEWAY = 502
 _STATUS = {
     Reason.BAD_REQUEST: 400,
@@ -16,7 +17,9 @@
     Reason.UNKNOWN_SERVICE: 404,
     Reason.UNKNOWN_MODEL: 404,
     Reason.UNKNOWN_PATH: 404,
-    Reason.CLAIM_EXISTS: 409,
+    Reason.CLAIM_EXISTS: _CONFLICT,
+    Reason.OUTCOME_UNKNOWN: _CONFLICT,
+    Reason.ANSWER_NOT_KEPT: _CONFLICT,
     Reason.TOO_LARGE: 413,
     Reason.KEY_REUSED: 422,
     Reason.TEAM_LIMIT: 429,
@@ -33,7 +36,7 @@
     401: 'authentication_error',
     403: 'permission_error',
     404: 'not_found_error',
-    409: 'conflict_error',
+    _CONFLICT: 'conflict_error',
     413: 'invalid_request_error',
     422: 'invalid_request_error',
     429: 'rate_limit_error',
@@ -41,7 +44,7 @@
     _UNAVAILABLE: 'unavailable_error',
 }
 _SERVER_ERROR = 'server_error'
-_WITH_RETRY_AFTER = (429, _UNAVAILABLE)
+_WITH_RETRY_AFTER = (_CONFLICT, 429, _UNAVAILABLE)
 
 
 class ErrorDetail(msgspec.Struct, frozen=True):
@@ -78,9 +81,12 @@
 
 def retry_after_of(refusal: Refusal) -> str | None:
     """Return the Retry-After header in whole seconds, or None."""
-    if status_of(refusal) not in _WITH_RETRY_AFTER:
-        return None
+    status = status_of(refusal)
     seconds = refusal.retry_after_s
+    if status == _CONFLICT and seconds is None:
+        return None
+    if status not in _WITH_RETRY_AFTER:
+        return None
     if seconds is None:
         seconds = DEFAULT_RETRY_AFTER_S
     return str(max(1, round(seconds)))
--- a/packages/daemon/src/lacewing_daemon/router/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/router/_exchange.py
@@ -15,6 +15,8 @@
 from lacewing_daemon.router._attempt import ReattachBounds
 from lacewing_daemon.router._call import Call
 from lacewing_daemon.router._call import renewed
+from lacewing_daemon.router._claimed_choice import claimed_choice
+from lacewing_daemon.router._claimed_choice import needs_claim
 from lacewing_daemon.router._continuation import closing_events
 from lacewing_daemon.router._continuation import continued
 from lacewing_daemon.router._continuation import is_complete
@@ -152,7 +154,10 @@
         workers = workers.without(self._tried)
         routing = self._routing_request()
         policy = self._serving.knowledge.policy(service)
-        choice = policy.choose(routing, workers)
+        if needs_claim(call):
+            choice = claimed_choice(call, routing, workers)
+        else:
+            choice = policy.choose(routing, workers)
         if isinstance(choice, Refusal):
             return choice
         self._record.chose(choice)
--- a/packages/daemon/src/lacewing_daemon/router/_relay.py
+++ b/packages/daemon/src/lacewing_daemon/router/_relay.py
@@ -81,6 +81,8 @@
 async def _relay_rest(
     attempt: Attempt, reply: Reply, head: Head
 ) -> End | Refusal:
+    if head.replayed:
+        reply.mark_replayed()
     pieces: list[bytes] = []
     size = 0
     while True:
--- a/packages/daemon/src/lacewing_daemon/router/_reply.py
+++ b/packages/daemon/src/lacewing_daemon/router/_reply.py
@@ -15,6 +15,7 @@
 from lacewing_daemon.router._metrics import RELAYED_BYTES
 
 REQUEST_ID_HEADER = 'X-Request-Id'
+REPLAYED_HEADER = 'Idempotency-Replayed'
 JSON_TYPE = 'application/json'
 EVENT_STREAM_TYPE = 'text/event-stream'
 
@@ -30,6 +31,9 @@
     def gone(self) -> bool:
         """Tell whether the caller hung up."""
 
+    def mark_replayed(self) -> None:
+        """Tell the caller that the answer is that of an earlier attempt."""
+
     async def start(self, status: int, content_type: str) -> None:
         """Send the head of an answer of unknown length."""
 
@@ -88,6 +92,10 @@
         """Note that the caller hung up."""
         self._gone = True
 
+    def mark_replayed(self) -> None:
+        """Tell the caller that the answer is that of an earlier attempt."""
+        self._handler.set_header(REPLAYED_HEADER, 'true')
+
     async def start(self, status: int, content_type: str) -> None:
         """Send the head of an answer of unknown length."""
         self._head(status, content_type, Verdict.RAN)
--- a/packages/daemon/src/lacewing_daemon/runtime.py
+++ b/packages/daemon/src/lacewing_daemon/runtime.py
@@ -9,6 +9,7 @@
 from lacewing_common.bundle import RolledBundle
 from lacewing_common.identity import ProcessName
 from lacewing_common.settings import Settings
+from lacewing_common.store import ObjectStore
 
 
 class BundleSource(Protocol):
@@ -80,10 +81,14 @@
 
 @dataclass(frozen=True)
 class Runtime:
-    """Hold what every role gets from the daemon."""
+    """Hold what every role gets from the daemon.
+
+    ``store`` is None when the settings name no platform.
+    """
 
     name: ProcessName
     settings: Settings
     bundles: BundleSource
     members: MemberSource
     stopping: asyncio.Event
+    store: ObjectStore | None = None
