Keep an audit trail in the platform

Cause: nothing told who changed what, and a roll and its entry are two writes, between which an operator's machine can crash.

Change: a trail is one object of at most 64 newest entries, chained by hashes, replaced by conditional updates and archived into immutable parts. Records have ids; after a conflict or a lost answer the entries since the first try are searched, in the archive too. The entry of a roll is derived from the signed head, so any process can enter a missing one, once; a trail that was written anew does not agree with the signed history. AuditBuffer lets a daemon report at once and write batches.

--- /dev/null
+++ b/features/steps/audit_steps.py
@@ -0,0 +1,154 @@
+"""Write, read and verify audit trails."""
+
+from behave import given
+from behave import then
+from behave import when
+from behave.runner import Context
+from lacewing_common.audit import BUNDLE_TRAIL
+from lacewing_common.audit import compare_rolls
+from lacewing_common.audit import enter_rolls
+from lacewing_common.rolls import RollError
+from support.audit_bench import AuditBench
+from support.rolls_bench import RollsBench
+
+
+@given('audit trails')
+def start(context: Context) -> None:
+    """Keep trails at the platform of the scenario."""
+    rolls: RollsBench = context.rolls
+    context.audit = AuditBench(rolls)
+
+
+@when('the rolls are entered in the audit trail')
+@when('the rolls are entered once more')
+def enter(context: Context) -> None:
+    """Enter the rolls that are not entered yet."""
+    bench = context.audit
+    entered = bench.runner.run(
+        enter_rolls(bench.log(BUNDLE_TRAIL), bench.reads, bench.rolls.reads)
+    )
+    assert not isinstance(entered, RollError), entered
+
+
+@when('{count:d} records are appended to "{name}"')
+def append(context: Context, count: int, name: str) -> None:
+    """Append records one after the other."""
+    context.audit.append(name, count)
+
+
+@when(
+    'a record is appended to "{name}", its answer is lost and {others:d}'
+    ' others follow'
+)
+def append_overtaken(context: Context, name: str, others: int) -> None:
+    """Append while other writers fill the chunk."""
+    bench = context.audit
+    bench.runner.run(bench.append_overtaken(name, others))
+
+
+@when('{writers:d} writers append {each:d} records each to "{name}"')
+def race(context: Context, writers: int, each: int, name: str) -> None:
+    """Append from several writers at once."""
+    bench = context.audit
+    bench.runner.run(bench.race(name, writers, each))
+    bench.rolls.set_faults()
+
+
+@when('in "{name}" "{before}" is changed to "{after}"')
+def change(context: Context, name: str, before: str, after: str) -> None:
+    """Tamper with the newest entries."""
+    context.audit.replace_text(name, before.encode(), after.encode())
+
+
+@when('in an archived part "{before}" is changed to "{after}"')
+def change_archived(context: Context, before: str, after: str) -> None:
+    """Tamper with an archived chunk."""
+    context.audit.replace_archived(before.encode(), after.encode())
+
+
+@when('the trail "{name}" is written anew with "{who}" for "{before}"')
+def rewrite(context: Context, name: str, who: str, before: str) -> None:
+    """Rewrite a whole trail so that its hashes are right."""
+    context.audit.rewrite(name, before, who)
+
+
+@when('the platform goes down')
+def go_down(context: Context) -> None:
+    """Refuse all calls."""
+    context.rolls.set_faults(down='refuse')
+
+
+@when('the platform is back')
+def come_back(context: Context) -> None:
+    """Take calls again."""
+    context.rolls.set_faults()
+
+
+@when('a daemon reports {count:d} records')
+def report(context: Context, count: int) -> None:
+    """Add records to the buffer of a daemon."""
+    bench = context.audit
+    for _ in range(count):
+        bench.report()
+
+
+@when('it writes them')
+def flush(context: Context) -> None:
+    """Write the batch."""
+    bench = context.audit
+    context.flushed = bench.runner.run(bench.buffer.flush())
+
+
+@then('{count:d} records wait')
+def wait(context: Context, count: int) -> None:
+    """Count what the daemon holds."""
+    assert context.audit.buffer.waiting == count, context.audit.buffer.waiting
+
+
+@then('the trail "{name}" is whole, with {count:d} entries')
+def whole(context: Context, name: str, count: int) -> None:
+    """Verify a trail and count its entries and their ids."""
+    trail = context.audit.trail(name)
+    assert trail.whole and not trail.faults, trail.faults
+    ids = {entry.record.record_id for entry in trail.entries}
+    assert len(trail.entries) == count, len(trail.entries)
+    assert len(ids) == count, len(ids)
+
+
+@then('the trail "{name}" says "{result}"')
+def says(context: Context, name: str, result: str) -> None:
+    """Find an entry by its result."""
+    entries = context.audit.trail(name).entries
+    assert any(entry.record.result == result for entry in entries)
+
+
+@then('the trail "{name}" tells of a fault: "{text}"')
+def has_fault(context: Context, name: str, text: str) -> None:
+    """Verify a trail that was tampered with."""
+    faults = context.audit.trail(name).faults
+    assert any(text in fault for fault in faults), faults
+
+
+@then('the trail agrees with the history of rolls')
+def agrees(context: Context) -> None:
+    """Compare entries with the signed history."""
+    assert not _differences(context), _differences(context)
+
+
+@then('the trail differs from the history of rolls: "{text}"')
+def differs(context: Context, text: str) -> None:
+    """Find a forged or missing entry."""
+    differences = _differences(context)
+    assert any(text in each for each in differences), differences
+
+
+@then('the newest chunk of "{name}" is smaller than {size:d} bytes')
+def bounded(context: Context, name: str, size: int) -> None:
+    """Check the bound of the object."""
+    assert context.audit.size(name) < size, context.audit.size(name)
+
+
+def _differences(context: Context) -> tuple[str, ...]:
+    bench = context.audit
+    entries = bench.trail(BUNDLE_TRAIL).entries
+    return compare_rolls(bench.rolls.history(), entries)
--- /dev/null
+++ b/features/support/audit_bench.py
@@ -0,0 +1,145 @@
+"""Write and tamper with audit trails at a fake platform."""
+
+import asyncio
+from random import Random
+
+import msgspec
+from lacewing_bench.platform import ObjectKey
+from lacewing_common.audit import Action
+from lacewing_common.audit import AUDIT
+from lacewing_common.audit import AuditBuffer
+from lacewing_common.audit import AuditLog
+from lacewing_common.audit import AuditReads
+from lacewing_common.audit import AuditRecord
+from lacewing_common.audit import Trail
+from lacewing_common.document_objects import PARTS
+from lacewing_common.patience import Patience
+from lacewing_common.store import StoredObject
+from lacewing_common.store import StoreError
+from support.bundle_bench import AT
+from support.rolls_bench import OvertakenStore
+from support.rolls_bench import RollsBench
+
+_PATIENCE = Patience(
+    give_up_after_s=20.0, backoff_base_s=0.001, backoff_cap_s=0.01
+)
+_IMPATIENT = Patience(
+    give_up_after_s=0.0, backoff_base_s=0.001, backoff_cap_s=0.001
+)
+
+
+def make_record(number: int, who: str = 'planner') -> AuditRecord:
+    """Make a record with an id of its own."""
+    return AuditRecord(
+        record_id=f'{who}-{number}',
+        who=who,
+        action=Action.ORDER,
+        subject='worker diagnostic-1',
+        at=AT,
+        before='w1',
+        after='w2',
+    )
+
+
+class AuditBench:
+    """Hold the trails of a platform."""
+
+    def __init__(self, rolls: RollsBench) -> None:
+        self.rolls = rolls
+        self.runner = rolls.runner
+        self.buffer = AuditBuffer(self.log('orders', _IMPATIENT), 'agent', 0)
+        self._reported = 0
+
+    @property
+    def reads(self) -> AuditReads:
+        """Return the queries."""
+        return AuditReads(self.rolls.store, _PATIENCE, Random(3))
+
+    def log(self, name: str, patience: Patience = _PATIENCE) -> AuditLog:
+        """Return a writer of a trail."""
+        return AuditLog(self.rolls.store, name, patience, Random(4))
+
+    def trail(self, name: str) -> Trail:
+        """Read a whole trail."""
+        trail = self.runner.run(self.reads.trail(name, 0))
+        assert isinstance(trail, Trail), trail
+        return trail
+
+    def report(self) -> None:
+        """Give the buffer a record with an id of its own."""
+        self._reported += 1
+        self.buffer.add(make_record(self._reported, 'agent'))
+
+    def append(self, name: str, count: int) -> None:
+        """Append records, one write each."""
+        log = self.log(name)
+        for number in range(count):
+            error = self.runner.run(log.append((make_record(number),)))
+            assert error is None, error
+
+    async def append_overtaken(self, name: str, others: int) -> None:
+        """Append with a lost answer; others append before it is read."""
+
+        async def go_on() -> None:
+            await self._write(name, 'other', others)
+
+        store = OvertakenStore(self.rolls.service, AUDIT, go_on)
+        log = AuditLog(store, name, _PATIENCE, Random(5))
+        error = await log.append((make_record(0, 'slow'),))
+        assert error is None, error
+
+    async def race(self, name: str, writers: int, each: int) -> None:
+        """Append from several writers at once."""
+        async with asyncio.TaskGroup() as group:
+            for index in range(writers):
+                group.create_task(self._write(name, f'writer-{index}', each))
+
+    async def _write(self, name: str, who: str, count: int) -> None:
+        log = self.log(name)
+        for number in range(count):
+            error: StoreError | None = await log.append(
+                (make_record(number, who),)
+            )
+            assert error is None, error
+
+    def size(self, name: str) -> int:
+        """Return the bytes of the newest chunk."""
+        return len(self._stored(AUDIT, name).value)
+
+    def replace_text(self, name: str, before: bytes, after: bytes) -> None:
+        """Change bytes of the newest chunk, once."""
+        stored = self._stored(AUDIT, name)
+        assert before in stored.value, stored.value
+        value = stored.value.replace(before, after, 1)
+        self.rolls.service.put(ObjectKey(AUDIT, name), value, stored.version)
+
+    def rewrite(self, name: str, before: str, after: str) -> None:
+        """Write a trail anew with another person in it."""
+        forged: list[AuditRecord] = []
+        for entry in self.trail(name).entries:
+            who = entry.record.who
+            if who == before:
+                who = after
+            forged.append(msgspec.structs.replace(entry.record, who=who))
+        version = self._stored(AUDIT, name).version
+        self.rolls.service.delete(ObjectKey(AUDIT, name), version)
+        error = self.runner.run(self.log(name).append(tuple(forged)))
+        assert error is None, error
+
+    def replace_archived(self, before: bytes, after: bytes) -> None:
+        """Change bytes of a part that holds them."""
+        objects = self.rolls.service.objects
+        for row in objects.names(PARTS):
+            stored = self._stored(PARTS, row.name)
+            if before not in stored.value:
+                continue
+            value = stored.value.replace(before, after, 1)
+            key = ObjectKey(PARTS, row.name)
+            self.rolls.service.put(key, value, stored.version)
+            return
+        raise AssertionError(f'no part holds {before!r}')
+
+    def _stored(self, kind: str, name: str) -> StoredObject:
+        stored = self.rolls.service.objects.get(ObjectKey(kind, name))
+        assert stored is not None, (kind, name)
+        return stored
--- a/features/support/rolls_bench.py
+++ b/features/support/rolls_bench.py
@@ -25,10 +25,10 @@
 from lacewing_common.bundles import split
 from lacewing_common.document import Document
 from lacewing_common.document_objects import HEADS
+from lacewing_common.patience import Patience
 from lacewing_common.rolls import BundleReads
 from lacewing_common.rolls import BundleWrites
 from lacewing_common.rolls import HistoryEntry
-from lacewing_common.rolls import Patience
 from lacewing_common.rolls import Rolled
 from lacewing_common.rolls import RollError
 from lacewing_common.rolls import RollFault
@@ -46,15 +46,19 @@
 
 
 class OvertakenStore(FakeStore):
-    """Lose the answer of the next head written and let others go on.
+    """Lose the answer of the next write of a kind and let others go on.
 
     ``others`` runs after the effect, before its writer hears anything.
     """
 
     def __init__(
-        self, service: PlatformService, others: Callable[[], Awaitable[None]]
+        self,
+        service: PlatformService,
+        kind: str,
+        others: Callable[[], Awaitable[None]],
     ) -> None:
         super().__init__(service)
+        self._kind = kind
         self._others: Callable[[], Awaitable[None]] | None = others
 
     async def put(
@@ -63,7 +67,7 @@
         """Write, then hold the writer up once."""
         answer = await super().put(kind, name, value, expect)
         others = self._others
-        if kind != HEADS or others is None:
+        if kind != self._kind or others is None:
             return answer
         self._others = None
         await others()
@@ -164,7 +168,7 @@
                 result = await self.roll(other, draft)
                 assert isinstance(result, Rolled), result
 
-        self.store = OvertakenStore(self.service, others)
+        self.store = OvertakenStore(self.service, HEADS, others)
         return await self.roll(operator, self.drafts[operator])
 
     async def roll(self, operator: str, draft: Draft) -> Rolled | RollError:
--- a/packages/common/src/lacewing_common/rolls/__init__.py
+++ b/packages/common/src/lacewing_common/rolls/__init__.py
@@ -4,7 +4,6 @@
 from lacewing_common.rolls._diff import Difference
 from lacewing_common.rolls._errors import RollError
 from lacewing_common.rolls._errors import RollFault
-from lacewing_common.rolls._patient import Patience
 from lacewing_common.rolls._reads import BundleReads
 from lacewing_common.rolls._reads import HistoryEntry
 from lacewing_common.rolls._reads import StoredHead
@@ -16,7 +15,6 @@
     'BundleWrites',
     'Difference',
     'HistoryEntry',
-    'Patience',
     'RollError',
     'RollFault',
     'Rolled',
--- a/packages/common/src/lacewing_common/rolls/_reads.py
+++ b/packages/common/src/lacewing_common/rolls/_reads.py
@@ -17,11 +17,11 @@
 from lacewing_common.document_objects import head_object
 from lacewing_common.document_objects import HEADS
 from lacewing_common.document_objects import PARTS
+from lacewing_common.patience import Patience
+from lacewing_common.patience import patiently
 from lacewing_common.rolls._errors import from_store
 from lacewing_common.rolls._errors import RollError
 from lacewing_common.rolls._errors import RollFault
-from lacewing_common.rolls._patient import Patience
-from lacewing_common.rolls._patient import patiently
 from lacewing_common.store import ObjectStore
 from lacewing_common.store import StoredObject
 from lacewing_common.store import StoreError
@@ -64,6 +64,7 @@
     signed_by: tuple[str, ...]
     again: int
     previous_bundle: str
+    nonce: str
 
 
 class BundleReads:
@@ -179,4 +180,5 @@
         signed_by=tuple(each.operator for each in stored.proof.sign_offs),
         again=roll.again,
         previous_bundle=roll.previous_bundle,
+        nonce=roll.nonce,
     )
