Follow the engine's cache events and tell routers within bytes

Cause: a router learnt where a prefix is from its own answers only, and the agent reported a backlog from figures of the engine that are up to two seconds old. Each router gives each link its part of 4 KB/s; within it an agent tells load and the levels, used at least twice, that its cache gained or lost. Work per prefix fades in 4 s and sets the width that answers ask for.

--- a/packages/daemon/src/lacewing_daemon/router/_learnt.py
+++ b/packages/common/src/lacewing_common/learnt.py
@@ -1,4 +1,4 @@
-"""Learn from what came true what a service's work costs."""
+"""Learn from what came true what work costs."""
 
 _DECAY = 0.98
 _FIRST_MS_PER_BLOCK = 8.0
--- a/packages/daemon/src/lacewing_daemon/agent/_agent.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_agent.py
@@ -38,6 +38,8 @@
 from lacewing_daemon.agent._admission import FairAdmission
 from lacewing_daemon.agent._attempt import Attempt
 from lacewing_daemon.agent._attempts import Attempts
+from lacewing_daemon.agent._cache import CacheKnowledge
+from lacewing_daemon.agent._cache_follower import CacheFollower
 from lacewing_daemon.agent._link import Link
 from lacewing_daemon.agent._listener import listening_socket
 from lacewing_daemon.agent._listener import server_config
@@ -46,6 +48,7 @@
 from lacewing_daemon.agent._runner import Runner
 from lacewing_daemon.agent._sweeper import KeepLimits
 from lacewing_daemon.agent._sweeper import Sweeper
+from lacewing_daemon.agent._teller import Teller
 from lacewing_daemon.agent._watch import WorkerWatch
 from lacewing_daemon.agent._worker import Worker
 from lacewing_daemon.claims import ClaimedRuns
@@ -79,12 +82,21 @@
         self._admission = FairAdmission(
             settings.concurrency, _QUEUE_LIMIT, self._share_of
         )
-        self._load = LoadView(self._admission)
+        self._cache = CacheKnowledge(
+            lambda: self._admission.running, self._level_changed
+        )
+        self._load = LoadView(self._admission, lambda: self._cache.backlog_ms)
+        self._teller = Teller(self._load.report, lambda: self._watch.epoch)
+        # The events need a connection of their own, whatever the load.
+        self._cache_worker = Worker(settings.url, 0)
+        self._follower = CacheFollower(
+            self._cache_worker, self._is_engine, self._cache.view
+        )
         self._claims = Claims(runtime.store, settings.service, claim_limits)
         self._runner = Runner(
             self._worker,
             self._admission,
-            self._load,
+            self._cache,
             runtime.bundles,
             ClaimedRuns(self._claims),
         )
@@ -143,6 +155,8 @@
         host, port = sock.getsockname()[:2]
         self._peers_address = str(Address(host, port))
         self._spawn(self._watch.run())
+        self._spawn(self._teller.run())
+        self._spawn(self._follower.run())
         self._spawn(self._sweeper.run())
 
     async def drain(self) -> None:
@@ -172,6 +186,7 @@
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self._server.wait_closed(), _CLOSE_S)
         self._worker.close()
+        self._cache_worker.close()
 
     def welcome(self) -> Welcome:
         """Return the answer to a Hello."""
@@ -220,12 +235,16 @@
     def link_opened(self, link: Link, router: str) -> None:
         """Take a new link."""
         self._links.add(link)
+        self._teller.opened(
+            link, link.knowledge_bytes_s, self._cache.held_levels()
+        )
         self._attempts.link_opened(router)
         LINKS.inc()
 
     def link_closed(self, link: Link, router: str) -> None:
         """Take a link's end."""
         self._links.discard(link)
+        self._teller.closed(link)
         self._attempts.link_closed(router)
         LINKS.dec()
 
@@ -234,6 +253,9 @@
     ) -> None:
         await Link(stream, self).serve()
 
+    def _level_changed(self, key: bytes, stored: bool) -> None:
+        self._teller.change(key, stored)
+
     def _unfit(self, start: Start) -> Refusal | None:
         """Refuse, before it is recorded, what cannot run here."""
         if self._leaving:
--- a/packages/daemon/src/lacewing_daemon/agent/_link.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_link.py
@@ -85,6 +85,7 @@
         self._stream = stream
         self._desk = desk
         self._router = ''
+        self._knowledge_bytes_s = 0.0
         self._notices: deque[AgentFrame] = deque()
         self._due: deque[Delivery] = deque()
         self._deliveries: dict[AttemptId, Delivery] = {}
@@ -94,6 +95,11 @@
         self._room.set()
         self._closing = False
 
+    @property
+    def knowledge_bytes_s(self) -> float:
+        """Return the bytes a second of knowledge that the router takes."""
+        return self._knowledge_bytes_s
+
     async def serve(self) -> None:
         """Serve the link until either side closes it."""
         hello = await self._stream.recv_message()
@@ -101,6 +107,7 @@
             _log.warning('expected a hello first; link closed')
             return
         self._router = str(hello.name)
+        self._knowledge_bytes_s = hello.knowledge_bytes_s
         self.notify(self._desk.welcome())
         self._desk.link_opened(self, self._router)
         writer = asyncio.create_task(self._write())
--- a/packages/daemon/src/lacewing_daemon/agent/_metrics.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_metrics.py
@@ -40,3 +40,21 @@
     'lacewing_agent_worker_epoch_changes_total',
     'Restarts and losses of the worker that the agent noticed',
 )
+CACHE_EVENTS = Counter(
+    'lacewing_agent_cache_events', 'Cache events taken from the worker'
+)
+CACHE_SNAPSHOTS = Counter(
+    'lacewing_agent_cache_snapshots',
+    'Whole caches fetched, at a connection or after a gap',
+)
+CACHED_BLOCKS = Gauge(
+    'lacewing_agent_cached_blocks', 'Cached blocks known of the worker'
+)
+KV_IMPORTED = Counter(
+    'lacewing_agent_kv_imported_blocks',
+    'Blocks imported from the store of kept KV cache',
+)
+KV_EXPORTED = Counter(
+    'lacewing_agent_kv_exported_blocks',
+    'Blocks exported to the store of kept KV cache',
+)
--- a/packages/daemon/src/lacewing_daemon/agent/_receiver.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_receiver.py
@@ -4,6 +4,7 @@
 from enum import Enum
 
 from lacewing_daemon.agent._attempt import Attempt
+from lacewing_daemon.agent._cache import Run
 from lacewing_daemon.agent._events import EventReader
 from lacewing_daemon.agent._events import read_document
 from lacewing_daemon.agent._events import Usage
@@ -36,11 +37,15 @@
 class Receiver:
     """Take one or more exchanges' bytes for one attempt.
 
-    ``from_engine`` says that the body itself carries the request's id.
+    ``from_engine`` says that the body itself carries the request's id;
+    ``run`` hears of the first byte of an engine's answer.
     """
 
-    def __init__(self, attempt: Attempt, from_engine: bool) -> None:
+    def __init__(
+        self, attempt: Attempt, from_engine: bool, run: Run | None = None
+    ) -> None:
         self._attempt = attempt
+        self._run = run
         self._request_id = str(attempt.attempt_id)
         self._from_engine = from_engine
         self._reader = EventReader(self._request_id)
@@ -58,6 +63,11 @@
         """Tell whether this is not the first exchange."""
         return self._exchanges > 1
 
+    @property
+    def run(self) -> Run | None:
+        """Return the engine's work for this answer, if an engine's."""
+        return self._run
+
     @property
     def first_byte_at(self) -> float | None:
         """Return the monotonic time of the first byte taken."""
@@ -130,6 +140,8 @@
             return
         if self._first_byte_at is None:
             self._first_byte_at = time.monotonic()
+            if self._run is not None:
+                self._run.first_byte()
         if self._mode is Mode.RAW:
             self._attempt.put(chunk)
             return
--- a/packages/daemon/src/lacewing_daemon/agent/_runner.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_runner.py
@@ -1,7 +1,6 @@
 """Bring one attempt from the queue through the worker to its end."""
 
 import asyncio
-import time
 from functools import partial
 
 from lacewing_common.bundle import ServiceKind
@@ -16,7 +15,7 @@
 
 from lacewing_daemon.agent._admission import Admission
 from lacewing_daemon.agent._attempt import Attempt
-from lacewing_daemon.agent._load import LoadView
+from lacewing_daemon.agent._cache import CacheKnowledge
 from lacewing_daemon.agent._metrics import RESUMED
 from lacewing_daemon.agent._receiver import Mode
 from lacewing_daemon.agent._receiver import Receiver
@@ -48,13 +47,13 @@
         self,
         worker: Worker,
         admission: Admission,
-        load: LoadView,
+        cache: CacheKnowledge,
         bundles: BundleSource,
         claimed: ClaimedRuns,
     ) -> None:
         self._worker = worker
         self._admission = admission
-        self._load = load
+        self._cache = cache
         self._bundles = bundles
         self._claimed = claimed
 
@@ -96,13 +95,23 @@
     async def _run_on_worker(self, attempt: Attempt) -> None:
         start = attempt.start
         from_engine = self._from_engine(start)
-        receiver = Receiver(attempt, from_engine)
+        run = self._cache.begin(start) if from_engine else None
+        receiver = Receiver(attempt, from_engine, run)
+        try:
+            await self._exchange(attempt, receiver, from_engine)
+        finally:
+            if run is not None:
+                run.stop()
+
+    async def _exchange(
+        self, attempt: Attempt, receiver: Receiver, from_engine: bool
+    ) -> None:
+        start = attempt.start
         if start.idempotent:
             attempt.on_cancel(receiver.abort)
         else:
             attempt.on_cancel(None)
         attempt.mark_sent()
-        sent_at = time.monotonic()
         request = first_request(
             start, from_engine, self._answer_s(start.service)
         )
@@ -123,8 +132,6 @@
             return
         if refusal is not None:
             attempt.refuse(refusal, _epoch(receiver))
-            return
-        self._learn(receiver, sent_at)
 
     def _settle(
         self, attempt: Attempt, receiver: Receiver, result: Whole | Broken
@@ -205,15 +212,6 @@
             )
         )
 
-    def _learn(self, receiver: Receiver, sent_at: float) -> None:
-        if receiver.first_byte_at is None:
-            return
-        usage = receiver.usage
-        cached = usage.cached_tokens
-        self._load.observe_first_token(
-            receiver.first_byte_at - sent_at, usage.prompt_tokens - cached
-        )
-
     def _from_engine(self, start: Start) -> bool:
         for service in self._bundles.current.bundle.services:
             if service.name == start.service:
@@ -271,4 +269,6 @@
     cache = CacheReport()
     if usage.prompt_tokens:
         cache = usage.cache_report(_epoch(receiver))
+    if receiver.run is not None:
+        cache = receiver.run.end(cache)
     attempt.finish(usage.prompt_tokens, usage.completion_tokens, cache)
--- a/packages/daemon/src/lacewing_daemon/router/_expected_cost.py
+++ b/packages/daemon/src/lacewing_daemon/router/_expected_cost.py
@@ -13,6 +13,8 @@
 
 from lacewing_common.bundle import PolicyName
 from lacewing_common.identity import Place
+from lacewing_common.learnt import Chance
+from lacewing_common.learnt import PrefillCost
 from lacewing_common.verdict import Refusal
 
 from lacewing_daemon.router._baselines import no_worker
@@ -21,8 +23,6 @@
 from lacewing_daemon.router._hints import Held
 from lacewing_daemon.router._hints import Hint
 from lacewing_daemon.router._hints import Hints
-from lacewing_daemon.router._learnt import Chance
-from lacewing_daemon.router._learnt import PrefillCost
 from lacewing_daemon.router._policy import CacheChange
 from lacewing_daemon.router._policy import Choice
 from lacewing_daemon.router._policy import Estimate
--- a/packages/daemon/src/lacewing_daemon/router/_links.py
+++ b/packages/daemon/src/lacewing_daemon/router/_links.py
@@ -22,6 +22,9 @@
 from lacewing_daemon.runtime import Runtime
 
 POLL_S = 0.5
+# Of the 7 KB/s that control may take of a router, so much is for what
+# agents tell unasked of load and cache; each link gets its part.
+KNOWLEDGE_BYTES_S = 4096.0
 
 _log = get_log(Part.MEMBERS)
 
@@ -100,6 +103,7 @@
             self._runtime.name,
             self._runtime.settings.place,
             self._runtime.bundles.current.number,
+            KNOWLEDGE_BYTES_S / max(1, len(self._links)),
         )
 
     def link_changed(self) -> None:
