Let the bench install an oracle that reads the engines' truth

Cause: the limit that policies are compared with needs knowledge that only the stand-ins give, and a choice could not wait for it. Change: a policy may name something to await before it chooses; code from outside may install a policy; scoring is its own module, which the bench's oracle shares with ours, so that the two differ in knowledge alone. A fleet that selects the oracle starts its routers through lacewing_bench.oracle with the engines' addresses; lacewingd has no such setting.

--- a/packages/bench/src/lacewing_bench/fleet/_daemon.py
+++ b/packages/bench/src/lacewing_bench/fleet/_daemon.py
@@ -13,24 +13,37 @@
 from lacewing_bench.fleet._process import FleetProcess
 
 _LISTENING = 'main: Listening.'
+_MODULE = 'lacewing_daemon.main'
+_ORACLE_MODULE = 'lacewing_bench.oracle'
 
 
 class Daemon:
-    """Hold one daemon, its settings and the addresses of its last start."""
+    """Hold one daemon, its settings and the addresses of its last start.
+
+    ``engines_path`` names the file by which a router that may select the
+    oracle policy finds the engines; None for any other daemon.
+    """
 
     def __init__(
-        self, slot: Slot, common: Common, worker_url: str, directory: Path
+        self,
+        slot: Slot,
+        common: Common,
+        worker_url: str,
+        directory: Path,
+        engines_path: Path | None = None,
     ) -> None:
         self._slot = slot
         self._common = common
         self._worker_url = worker_url
         self._path = directory / f'{slot.process_id}.json'
         self._addresses = Addresses()
+        module = _MODULE
+        arguments = ['--settings', str(self._path)]
+        if engines_path is not None:
+            module = _ORACLE_MODULE
+            arguments += ['--engines', str(engines_path)]
         self._process = FleetProcess(
-            slot.process_id,
-            'lacewing_daemon.main',
-            ['--settings', str(self._path)],
-            directory,
+            slot.process_id, module, arguments, directory
         )
 
     @property
--- a/packages/bench/src/lacewing_bench/fleet/_fleet.py
+++ b/packages/bench/src/lacewing_bench/fleet/_fleet.py
@@ -352,12 +352,28 @@
         started: list[Daemon] = []
         for slot in slots:
             worker_url = self._workers.get(slot.worker, '')
-            daemon = Daemon(slot, common, worker_url, self._directory)
+            engines_path = None
+            if role is Role.ROUTER:
+                engines_path = self._engines_path()
+            daemon = Daemon(
+                slot, common, worker_url, self._directory, engines_path
+            )
             self._daemons[slot.process_id] = daemon
             self._processes[slot.process_id] = daemon.process
             started.append(daemon)
         await asyncio.gather(*[daemon.start(False) for daemon in started])
 
+    def _engines_path(self) -> Path | None:
+        """Tell routers of the engines, if they are to use the oracle."""
+        if self._options.policy is not PolicyName.ORACLE:
+            return None
+        engines: dict[str, str] = {}
+        for slot in agent_slots(self._deployment):
+            engines[slot.process_id] = self._workers[slot.worker]
+        path = self._directory / 'engines.json'
+        write_json(path, engines)
+        return path
+
     async def _list_agents(self) -> None:
         # Listed with no lag, so that the routers find all agents at once.
         await self.set_platform_faults({'vm_lag_s': 0.0})
--- a/packages/daemon/src/lacewing_daemon/router/_baselines.py
+++ b/packages/daemon/src/lacewing_daemon/router/_baselines.py
@@ -28,6 +28,9 @@
 class _Unlearning:
     """Learn nothing."""
 
+    def prepare(self, request: RoutingRequest, workers: Workers) -> None:
+        """Need nothing that has to be waited for."""
+
     def observe(self, observation: Observation) -> None:
         """Learn nothing from the end of an attempt."""
 
--- a/packages/daemon/src/lacewing_daemon/router/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/router/_exchange.py
@@ -27,6 +27,7 @@
 from lacewing_daemon.router._elsewhere import is_not_run_here
 from lacewing_daemon.router._explain import Outcome
 from lacewing_daemon.router._link import Link
+from lacewing_daemon.router._links import EligibleLinks
 from lacewing_daemon.router._mailbox import Interrupt
 from lacewing_daemon.router._metrics import ATTEMPTS
 from lacewing_daemon.router._metrics import CONTINUED_STREAMS
@@ -153,17 +154,24 @@
         workers = links.eligible(service.name, call.needs)
         workers = workers.without(self._tried)
         routing = self._routing_request()
-        policy = self._serving.knowledge.policy(service)
-        if needs_claim(call):
-            choice = claimed_choice(call, routing, workers)
-        else:
-            choice = policy.choose(routing, workers)
+        choice = await self._choose(routing, workers)
         if isinstance(choice, Refusal):
             return choice
         self._record.chose(choice)
         link = workers.link(choice.process_id)
         return self._start(link, routing, choice)
 
+    async def _choose(
+        self, routing: RoutingRequest, workers: EligibleLinks
+    ) -> Choice | Refusal:
+        if needs_claim(self._call):
+            return claimed_choice(self._call, routing, workers)
+        policy = self._serving.knowledge.policy(routing.service)
+        preparing = policy.prepare(routing, workers)
+        if preparing is not None:
+            await preparing
+        return policy.choose(routing, workers)
+
     def _renew_call(self) -> Refusal | None:
         if self._reply.started:
             # A stream that goes on elsewhere stays with its weights: the
--- a/packages/daemon/src/lacewing_daemon/router/_expected_cost.py
+++ b/packages/daemon/src/lacewing_daemon/router/_expected_cost.py
@@ -30,21 +30,14 @@
 from lacewing_daemon.router._policy import RoutingRequest
 from lacewing_daemon.router._policy import Workers
 from lacewing_daemon.router._policy import WorkerView
+from lacewing_daemon.router._score import Expected
+from lacewing_daemon.router._score import RUNNING_SHARE
+from lacewing_daemon.router._score import Scorer
 from lacewing_daemon.router._widths import Widths
 
 _MS_PER_S = 1000.0
 _NO_BLOCKS = Held(0.0, '', 0.0, 0)
 
-# Round trips beyond the own zone, in milliseconds.
-OTHER_ZONE_MS = 1.5
-OTHER_REGION_MS = 40.0
-# What each request that runs adds to the time of a step, as a share of the
-# time to first token without any prefill.
-RUNNING_SHARE = 0.02
-# Routers with the same report would all pick the same idlest worker; among
-# candidates that differ by less than this they choose at random.
-NEAR_MS = 2.0
-NEAR_SHARE = 0.02
 # A load report is half as much believed after so long.
 REPORT_HALF_LIFE_S = 1.0
 # Requests that were refused or lost are never observed.
@@ -60,28 +53,21 @@
     home_blocks: int
 
 
-@dataclass(frozen=True)
-class _Expected:
-    """Hold what is expected of one candidate before its score."""
-
-    view: WorkerView
-    wait_ms: float
-    hit_blocks: float
-
-
 class ExpectedCost:
     """Weigh queue, missing prefix, recomputation and harm to others."""
 
     def __init__(self, place: Place, rng: random.Random) -> None:
-        self._place = place
-        self._rng = rng
         self._finder = Finder(rng)
         self._hints = Hints()
         self._widths = Widths()
         self._prefill = PrefillCost()
+        self._scorer = Scorer(place, rng, self._prefill)
         self._home = Chance()
         self._open: dict[str, _Open] = {}
 
+    def prepare(self, request: RoutingRequest, workers: Workers) -> None:
+        """Need nothing that has to be waited for."""
+
     def choose(
         self, request: RoutingRequest, workers: Workers
     ) -> Choice | Refusal:
@@ -93,15 +79,15 @@
         held = self._hints.held(chain, now_s)
         width = self._width(request, now_s)
         candidates = self._finder.find(chain, workers, held, width)
-        expected: list[_Expected] = []
+        expected: list[Expected] = []
         for process_id in candidates.process_ids:
             view = workers.view(process_id)
             known = _of_this_epoch(held.get(process_id), view)
             blocks = self._hit_blocks(known, candidates, process_id)
             wait_ms = self._wait_ms(view, now_s)
-            expected.append(_Expected(view, wait_ms, blocks))
-        estimates = self._estimates(request, expected)
-        chosen = self._pick(estimates)
+            expected.append(Expected(view, wait_ms, blocks))
+        estimates = self._scorer.estimates(request, expected)
+        chosen = self._scorer.pick(estimates)
         self._remember(request, chosen, held, candidates, workers, now_s)
         missing = len(chain.blocks) - chosen.hit_blocks
         return Choice(
@@ -183,54 +169,6 @@
         step_ms = running * RUNNING_SHARE * self._prefill.base_ms
         return max(reported_ms, own_ms) + step_ms
 
-    def _estimates(
-        self, request: RoutingRequest, expected: list[_Expected]
-    ) -> tuple[Estimate, ...]:
-        total = len(request.chain.blocks)
-        most_held = max(each.hit_blocks for each in expected)
-        weights = request.service.weights
-        base_ms = self._prefill.base_ms
-        each_ms = self._prefill.ms_per_block
-        estimates: list[Estimate] = []
-        for each in expected:
-            view = each.view
-            prefill_ms = (total - each.hit_blocks) * each_ms
-            again_ms = (most_held - each.hit_blocks) * each_ms
-            running = max(view.load.running, view.in_flight)
-            harm_ms = prefill_ms * running * RUNNING_SHARE
-            way_ms = self._way_ms(view.place)
-            first_ms = base_ms + each.wait_ms + prefill_ms + way_ms
-            score = weights.tail * first_ms + harm_ms
-            score += weights.recomputation * again_ms
-            estimates.append(
-                Estimate(
-                    process_id=view.process_id,
-                    wait_ms=each.wait_ms,
-                    prefill_ms=prefill_ms,
-                    first_token_ms=first_ms,
-                    hit_blocks=each.hit_blocks,
-                    score=score,
-                    transfer_ms=way_ms,
-                    harm_ms=harm_ms,
-                )
-            )
-        return tuple(estimates)
-
-    def _way_ms(self, place: Place) -> float:
-        if place == self._place:
-            return 0.0
-        if place.region == self._place.region:
-            return OTHER_ZONE_MS
-        return OTHER_REGION_MS
-
-    def _pick(self, estimates: tuple[Estimate, ...]) -> Estimate:
-        lowest = min(estimate.score for estimate in estimates)
-        limit = lowest + NEAR_MS + lowest * NEAR_SHARE
-        near = [each for each in estimates if each.score <= limit]
-        if len(near) == 1:
-            return near[0]
-        return self._rng.choice(near)
-
     def _remember(
         self,
         request: RoutingRequest,
--- a/packages/daemon/src/lacewing_daemon/router/_knowledge.py
+++ b/packages/daemon/src/lacewing_daemon/router/_knowledge.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable
+from typing import TypeAlias
 
 from lacewing_common.bundle import PolicyName
 from lacewing_common.bundle import Service
@@ -20,6 +21,10 @@
 
 _log = get_log(Part.ROUTING)
 
+PolicyMaker: TypeAlias = Callable[[Place, random.Random], Policy]
+
+_installed: dict[PolicyName, PolicyMaker] = {}
+
 
 class Knowledge:
     """Give each service the policy that the bundle selects."""
@@ -54,8 +59,19 @@
             policy.forget(process_id)
 
 
+def install(name: PolicyName, maker: PolicyMaker) -> None:
+    """Have a policy made by code from outside the router.
+
+    The bench installs its oracle, which reads what only stand-ins tell.
+    """
+    _installed[name] = maker
+
+
 def make_policy(name: PolicyName, place: Place, rng: random.Random) -> Policy:
     """Build a policy by its name in the bundle."""
+    installed = _installed.get(name)
+    if installed is not None:
+        return installed(place, rng)
     if name is PolicyName.ORACLE:
         # Perfect knowledge exists only in the bench; a service that selects
         # it still has to be served.
--- a/packages/daemon/src/lacewing_daemon/router/_policy.py
+++ b/packages/daemon/src/lacewing_daemon/router/_policy.py
@@ -1,5 +1,6 @@
 """Describe how a routing policy sees the world and what it decides."""
 
+from collections.abc import Awaitable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -130,6 +131,11 @@
 class Policy(Protocol):
     """Choose a worker for each request."""
 
+    def prepare(
+        self, request: RoutingRequest, workers: Workers
+    ) -> Awaitable[None] | None:
+        """Return what to await before ``choose``, mostly nothing."""
+
     def choose(
         self, request: RoutingRequest, workers: Workers
     ) -> Choice | Refusal:
