Never send what was refused as not run

Cause: a Start that waited in a link's queue until its deadline was refused as not run, but stayed in the queue and was sent when the link had room: an untrue not-run, found by reading. Also: each frame beyond a gap asked for the whole answer again; a whole answer was held up to 1 MiB for each request; open requests had no bound; and with TLS asyncio keeps 256 KiB of read buffer for each connection. Change: the writer skips a Start whose attempt has ended; one Ask for each gap; 256 KiB held; at most 4096 open requests and 255 characters of Idempotency-Key; TLS read buffers of one record (16 KiB) in every daemon. Mutations: sending the abandoned Start fails 'A request given up before it was sent is never sent'; ignoring gaps fails 'A chunk that an agent left out is asked for'.

--- a/features/router.feature
+++ b/features/router.feature
@@ -48,6 +48,7 @@
       | JSON nested 5000 deep                  | 400    | bad_request         | at most 64 levels              |
       | a body above 4 MB                      | 413    | request_too_large   | at most 4194304 bytes          |
       | a chunked body above 4 MB              | 413    | request_too_large   | at most 4194304 bytes          |
+      | an idempotency key of 256 characters   | 400    | bad_request         | at most 255 characters         |
       | a path with an encoded slash           | 400    | bad_request         | without empty or dot segments  |
       | a path with dots                       | 400    | bad_request         | without empty or dot segments  |
 
@@ -136,6 +137,25 @@
     Then the caller got 6 tokens, each once and in order, then the end
     And the router counted dropped frames
 
+  Scenario: A chunk that an agent left out is asked for
+    # Symptom: a caller's answer lacks some bytes in its middle.
+    # Sequence: an agent sends chunk 3, then chunk 5, then the end.
+    # Cause: payloads are passed on without a look at their offsets.
+    Given an agent of "tutor" that streams 6 tokens but leaves out the fourth
+    When "rahmat" asks the model "handbook" for a stream
+    Then the caller got 6 tokens, each once and in order, then the end
+    And the agent was asked to resume after 3 tokens
+
+  Scenario: A request given up before it was sent is never sent
+    # Symptom: a refusal says "not run", and the request runs later.
+    # Sequence: the agent stops reading; the link fills up; a call waits in
+    # the router until its deadline; the agent reads again.
+    # Cause: the call is refused, but stays in the queue of the link.
+    Given an agent of "archive" that answers
+    When the agent stops reading, "rahmat" fills the link and posts a call
+    Then the status is 503 and the verdict is "not-run"
+    And the agent never gets the call once it reads again
+
   Scenario: A caller that hangs up stops the request at its worker
     # Symptom: engines compute answers that nobody reads.
     # Sequence: the caller reads two tokens and closes its connection.
--- a/packages/bench/src/lacewing_bench/fake_agent/_agent.py
+++ b/packages/bench/src/lacewing_bench/fake_agent/_agent.py
@@ -143,6 +143,14 @@
         self._server = Server([self], codec=MsgpackCodec())
         await self.listen()
 
+    def freeze(self) -> None:
+        """Stop reading and answering, with all links open."""
+        self._thawed.clear()
+
+    def thaw(self) -> None:
+        """Read and answer again."""
+        self._thawed.set()
+
     async def leave(self) -> None:
         """Tell routers that it takes no new work."""
         changed = WorkerChanged('epoch-1', self._models, LoadReport(), True)
@@ -246,7 +254,7 @@
             return
         await link.send_message(Accepted(attempt))
         if script.freeze_on_accept:
-            self._thawed.clear()
+            self.freeze()
             return
         if script.restart_on_accept:
             await self.restart()
@@ -297,6 +305,9 @@
                 _refused(attempt, Verdict.MAY_HAVE_RUN, Reason.STREAM_BROKEN)
             )
             return False
+        if run.sent == script.skip_after:
+            run.script = replace(script, skip_after=None)
+            run.sent += 1
         if run.sent == script.cut_link_after:
             run.script = replace(script, cut_link_after=None)
             _cut(link)
--- a/packages/bench/src/lacewing_bench/fake_agent/_script.py
+++ b/packages/bench/src/lacewing_bench/fake_agent/_script.py
@@ -15,7 +15,8 @@
     ``refuse`` ends it at once with ``verdict``. The counts name the number
     of ``chunks`` after which a fault comes: the link is cut, the agent goes
     away for good, a frame of another attempt or a repeated payload is sent,
-    nothing more comes until the test lets it go on, or the stream fails.
+    nothing more comes until the test lets it go on, the stream fails, or
+    the agent leaves a chunk out until it is asked.
     ``chat`` replaces the chunks by a chat's, or the rest of it when the
     prompt ends with its first words. An agent that freezes answers nothing
     any more, on old links and new ones.
@@ -36,3 +37,4 @@
     repeat_after: int | None = None
     hold_after: int | None = None
     fail_after: int | None = None
+    skip_after: int | None = None
--- a/packages/common/src/lacewing_common/tls.py
+++ b/packages/common/src/lacewing_common/tls.py
@@ -5,6 +5,7 @@
 VMs are replaced at any time and their addresses are used again.
 """
 
+from asyncio.sslproto import SSLProtocol
 from enum import Enum
 from ssl import CERT_NONE
 from ssl import CERT_OPTIONAL
@@ -21,6 +22,7 @@
 from lacewing_common.settings import TlsFiles
 
 _HTTP2 = ['h2']
+_TLS_RECORD_BYTES = 16 * 1024
 
 
 class ClientCertificate(Enum):
@@ -70,6 +72,16 @@
     return context
 
 
+def bound_tls_buffers() -> None:
+    """Keep asyncio's read buffer of a TLS connection to one record.
+
+    It would be 256 KiB for each connection of this process, in use or not:
+    one would see a router with 890 links grow by 310 MB. TLS records are
+    16 KiB at most, so a smaller buffer costs no further reads.
+    """
+    SSLProtocol.max_size = _TLS_RECORD_BYTES
+
+
 def check_tls_files(files: TlsFiles) -> None:
     """Load the files once; raise SettingsError naming the wrong one."""
     context = create_default_context(Purpose.CLIENT_AUTH)
--- a/packages/daemon/src/lacewing_daemon/_serve.py
+++ b/packages/daemon/src/lacewing_daemon/_serve.py
@@ -17,6 +17,7 @@
 from lacewing_common.settings import Settings
 from lacewing_common.status import Addresses
 from lacewing_common.status import ProcessStatus
+from lacewing_common.tls import bound_tls_buffers
 
 from lacewing_daemon._operators import OperatorsServer
 from lacewing_daemon._roles import start_role
@@ -59,6 +60,7 @@
 
     async def run(self) -> Exit:
         """Serve until a stop signal, then drain."""
+        bound_tls_buffers()
         self._signals.listen()
         on_hangup(self._bundles.reload)
         self._bundles.reload()
--- a/packages/daemon/src/lacewing_daemon/router/_attempt.py
+++ b/packages/daemon/src/lacewing_daemon/router/_attempt.py
@@ -90,6 +90,7 @@
         self._has_head = False
         self._received = 0
         self._acked = 0
+        self._asked_from = -1
 
     @property
     def id(self) -> AttemptId:
@@ -218,7 +219,7 @@
             # The bytes between would be missing at the caller; asking again
             # from the last good byte fills them.
             DROPPED_FRAMES.labels('gap').inc()
-            self._link.send(Ask(self._id, self._received))
+            self._ask_again()
             return b''
         if skip > 0:
             payload = payload[skip:]
@@ -228,6 +229,14 @@
             self._first_byte_at = time.monotonic()
         return payload
 
+    def _ask_again(self) -> None:
+        if self._asked_from == self._received:
+            # Each frame beyond the gap would ask, and each Ask bring all of
+            # them again.
+            return
+        self._asked_from = self._received
+        self._link.send(Ask(self._id, self._received))
+
     def _other(self, item: Item) -> Progress | None:
         if isinstance(item, Interrupt):
             return self._interrupted(item)
@@ -255,7 +264,7 @@
             # An End that doesn't fit the bytes received would pass a cut
             # answer as a whole one.
             DROPPED_FRAMES.labels('end-out-of-order').inc()
-            self._link.send(Ask(self._id, self._received))
+            self._ask_again()
             return None
         self._ended = True
         self._link.send(Ack(self._id, end.length))
--- a/packages/daemon/src/lacewing_daemon/router/_callers.py
+++ b/packages/daemon/src/lacewing_daemon/router/_callers.py
@@ -36,6 +36,10 @@
 from lacewing_daemon.router._serving import Serving
 
 BUNDLE_WAIT_S = 1.7
+# Each open request may hold a body and an answer window; without a bound a
+# flood of them would end the router, and with it every open answer.
+MAX_OPEN_REQUESTS = 4096
+MAX_IDEMPOTENCY_KEY = 255
 _REQUEST_ID_BYTES = 16
 
 _log = get_log(Part.CALLERS)
@@ -92,6 +96,9 @@
             self.set_header('Connection', 'close')
             await self._refuse(_draining())
             return
+        if self._serving.open_requests > MAX_OPEN_REQUESTS:
+            await self._refuse(_too_many())
+            return
         if not await self._serving.wait_for_bundle(BUNDLE_WAIT_S):
             await self._refuse(_no_bundle())
             return
@@ -179,6 +186,12 @@
     async def _serve(self, call: Call | Refusal) -> None:
         if self._size > MAX_BODY_BYTES:
             call = too_large(self._size)
+        key = self.request.headers.get('Idempotency-Key', '')
+        if len(key) > MAX_IDEMPOTENCY_KEY:
+            call = bad_request(
+                f'expected an Idempotency-Key of at most'
+                f' {MAX_IDEMPOTENCY_KEY} characters, got {len(key)}'
+            )
         if isinstance(call, Refusal):
             await self._refuse(call)
             return
@@ -321,6 +334,14 @@
     )
 
 
+def _too_many() -> Refusal:
+    return not_run(
+        Reason.QUEUE_FULL,
+        f'this router has {MAX_OPEN_REQUESTS} open requests already',
+        retry_after_s=1.0,
+    )
+
+
 def _no_bundle() -> Refusal:
     return not_run(
         Reason.NOT_READY,
--- a/packages/daemon/src/lacewing_daemon/router/_link.py
+++ b/packages/daemon/src/lacewing_daemon/router/_link.py
@@ -295,8 +295,8 @@
             self._outbox_filled.clear()
             while self._outbox:
                 frame = self._outbox.popleft()
-                if type(frame) is Start:
-                    self._mark_sent(frame)
+                if type(frame) is Start and not self._still_wanted(frame):
+                    continue
                 await stream.send_message(frame)
 
     def _writer_ended(self, writer: asyncio.Task[None]) -> None:
@@ -307,10 +307,14 @@
         if self._session is not None:
             self._session.cancel()
 
-    def _mark_sent(self, start: Start) -> None:
+    def _still_wanted(self, start: Start) -> bool:
         attempt = self._attempts.get(start.attempt.sequence)
-        if attempt is not None:
-            attempt.mark_sent()
+        if attempt is None:
+            # Given up while it waited here, and reported as not run. Sent
+            # now it would run all the same, perhaps for a second time.
+            return False
+        attempt.mark_sent()
+        return True
 
     def _came_up(self, welcome: Welcome) -> None:
         restarted = self._process != welcome.name
--- a/packages/daemon/src/lacewing_daemon/router/_relay.py
+++ b/packages/daemon/src/lacewing_daemon/router/_relay.py
@@ -15,7 +15,7 @@
 # A whole answer up to this size is held until it is complete: it then goes
 # out with its length, or the request can still run elsewhere. A longer one
 # goes out as it comes.
-WHOLE_LIMIT_BYTES = 1024 * 1024
+WHOLE_LIMIT_BYTES = 256 * 1024
 _OK = 200
 
 
