Exchange members and documents between processes

Cause: routers knew agents from seeds and the platform's VM list only, agents knew nobody, and each process numbered its own bundle file; there was no way for a roll to come into force everywhere.

Change: each process calls one random peer about each second (gRPC unary, MessagePack) and tells membership changes, VM notes and heads of documents; hashes of the member table and of the versions show what differs, which is pulled in bounded pieces. Silent peers are tried through three others, suspected, dead after 5 s unless they contradict. Documents are taken only when newer and let pass by their guard; the bundle's guard is the sign-off check. Routers listen for peers too, on one shared server module. bundle_file stays for development, on loopback or with allow_plain only.

A test looked into the agent's private gRPC server for Nagle's algorithm; the server now sits one attribute deeper. The step reads it there and asserts the same.

Found by the scenarios: an empty connection pool counted as false and was replaced; a server that has stopped listening goes on answering over open connections.

Before: no scenario of this kind.

Conclusion: members and rolls spread, nothing reverts.

--- /dev/null
+++ b/features/peers.feature
@@ -0,0 +1,125 @@
+Feature: Processes share members and documents with each other
+  Each peer runs in this process with a listener of its own on loopback. No
+  platform is there: all that a peer knows came from another.
+
+  Scenario: A roll comes into force everywhere
+    Given 12 peers
+    When "p1" takes version 1 of the bundle
+    Then version 1 is in force at all peers
+
+  Scenario: Only the parts that changed are fetched
+    Given 4 peers
+    When "p1" takes version 1 with the parts "a" and "b"
+    And version 1 is in force at all peers
+    And "p1" takes version 2 with the parts "a" and "c"
+    Then version 2 is in force at all peers
+    And part "a" was fetched 3 times and part "c" 3 times
+
+  Scenario: A process that was cut off catches up
+    # Symptom: one process serves by an old bundle for good.
+    # Sequence: it is cut off, two rolls pass, the path comes back.
+    # Cause: the new head is only told when it is new.
+    Given 6 peers
+    When peer "p4" is cut off
+    And "p1" takes version 1 of the bundle
+    And "p1" takes version 2 of the bundle
+    And version 2 is in force at all peers but "p4"
+    And peer "p4" is back
+    Then version 2 is in force at all peers
+
+  Scenario: A stale peer reverts nothing
+    # Symptom: an accepted bundle is in force, then an older one again.
+    # Sequence: a peer that missed a roll offers what it holds.
+    # Cause: what a peer offers is taken because it differs.
+    Given 5 peers
+    When "p1" takes version 3 of the bundle
+    And version 3 is in force at all peers
+    And a peer joins that holds version 2 of the bundle
+    Then version 3 is in force at all peers
+    And no peer ever went back to an earlier version
+
+  Scenario: Restarts of all but one keep the newest bundle
+    # Symptom: after restarts in an outage of the platform the fleet has no
+    # bundle, or an old one.
+    # Sequence: the platform is away, all processes but one start again.
+    # Cause: a cold process asks the platform only.
+    Given 6 peers
+    When "p1" takes version 7 of the bundle
+    And version 7 is in force at all peers
+    And all peers but "p3" start again
+    Then version 7 is in force at all peers
+
+  Scenario: Two rolls at once end with the higher number everywhere
+    Given 8 peers
+    When "p2" takes version 5 and "p7" version 6 of the bundle
+    Then version 6 is in force at all peers
+    And no peer ever went back to an earlier version
+
+  Scenario: What a guard refuses is not passed on
+    # Symptom: a bundle that nobody signed off is in force at some processes.
+    # Sequence: one process takes it, for whatever fault, and offers it.
+    # Cause: a process offers what it has fetched before it has checked it.
+    Given 5 peers
+    And "p1" checks no sign-off
+    When "p1" takes version 1 with the parts "right" and "text"
+    And version 1 is in force at all peers
+    And "p1" takes version 2 with the parts "wrong" and "text"
+    And "p2" has fetched and refused part "wrong"
+    And "p2" takes version 3 with the parts "right" and "new"
+    Then version 3 is in force at all peers
+    And only "p1" ever had version 2 in force
+
+  Scenario: A roll and a new member pass through lost messages
+    Given 8 peers
+    And a third of the messages are lost
+    When "p1" takes version 1 of the bundle
+    And a new peer joins
+    Then version 1 is in force at all peers
+    When no more messages are lost
+    Then all 9 peers know each other
+
+  Scenario: A process that died is dead to all
+    Given 6 peers
+    When peer "p5" is killed
+    Then all agree that "p5" is dead
+    And no peer gives the address of "p5" to its role
+
+  Scenario: A process that was only silent refutes the suspicion
+    # Symptom: a healthy process gets no work until it restarts.
+    # Sequence: it is cut off until it is suspected, then comes back.
+    # Cause: a suspicion is not contradicted with a higher revision.
+    Given 6 peers
+    When peer "p2" is cut off
+    And some peer suspects "p2"
+    And peer "p2" is back
+    Then all agree that "p2" is alive
+
+  Scenario: One broken path makes nobody suspect
+    # Symptom: processes of two zones suspect each other by turns.
+    # Sequence: the path between two of them breaks, all others work.
+    # Cause: a peer is suspected on the word of one.
+    Given 6 peers
+    When the path between "p1" and "p2" breaks
+    And "p1" tries "p2" through others
+    Then nobody suspects "p1" or "p2"
+
+  Scenario: Two halves that lost each other meet again
+    # Symptom: after an hour without each other two regions stay apart.
+    # Sequence: each half finds the other dead, the path comes back.
+    # Cause: nobody calls the dead.
+    Given 6 peers
+    When "p1", "p2" and "p3" lose the others until they think them dead
+    And "p4" takes version 1 of the bundle
+    And the halves can hear each other again
+    Then all 6 peers know each other
+    And version 1 is in force at all peers
+
+  Scenario: A restarted process takes over its name
+    Given 4 peers
+    When peer "p3" starts again
+    Then all agree on the new address of "p3"
+
+  Scenario: A process tells the others that it is leaving
+    Given 6 peers
+    When peer "p2" is leaving
+    Then all agree that "p2" is leaving
--- a/features/steps/agent_steps.py
+++ b/features/steps/agent_steps.py
@@ -513,7 +513,7 @@
 @then("the agent's connections have Nagle's algorithm off")
 def then_no_delay(context: Context) -> None:
     """Look at the accepted sockets."""
-    server: Any = bench_of(context).agent._server
+    server: Any = bench_of(context).agent._server._server
     for handler in server._handlers:
         for stream in handler._tasks:
             sock = stream._transport.get_extra_info('socket')
--- a/packages/common/src/lacewing_common/settings.py
+++ b/packages/common/src/lacewing_common/settings.py
@@ -83,6 +83,23 @@
     concurrency: int = 32
 
 
+class PeerSettings(Setting, forbid_unknown_fields=True, frozen=True):
+    """Set the pace at which processes exchange news; all in seconds.
+
+    ``exchange_s``: mean time between two exchanges that a process begins.
+    ``probe_s``: a peer that takes longer to answer is tried through others.
+    ``suspect_s``: a suspect that does not contradict for so long is dead.
+    ``vm_list_s``: mean time between two reads of the platform's VM list.
+    ``readers``: processes in each region that read from the platform.
+    """
+
+    exchange_s: float = 1.0
+    probe_s: float = 1.0
+    suspect_s: float = 5.0
+    vm_list_s: float = 1.0
+    readers: int = 3
+
+
 class Settings(Setting, forbid_unknown_fields=True, frozen=True):
     """Hold all settings of one daemon.
 
@@ -106,6 +123,7 @@
     tls: TlsFiles | None = None
     allow_plain: bool = False
     drain_s: float = 30.0
+    peers: PeerSettings = PeerSettings()
 
 
 def parse_address(text: str) -> Address:
@@ -160,6 +178,8 @@
             ' - at `$.drain_s`'
         )
     _check_root_operators(settings)
+    _check_peers(settings.peers)
+    _check_bundle_file(settings)
     _check_worker(settings)
 
 
@@ -215,6 +235,32 @@
     return len(text) == _PUBLIC_KEY_HEX and _HEX.issuperset(text)
 
 
+def _check_peers(peers: PeerSettings) -> None:
+    for field in peers.__struct_fields__:
+        value = getattr(peers, field)
+        if value <= 0:
+            raise SettingsError(
+                f'expected a number above 0, got {value}'
+                f' - at `$.peers.{field}`'
+            )
+
+
+def _check_bundle_file(settings: Settings) -> None:
+    # A bundle from a file has no sign-off. In a fleet it would pass round
+    # the operators' two pairs of eyes at one process.
+    if not settings.bundle_file or settings.allow_plain:
+        return
+    for text in (settings.listen.peers, settings.listen.callers):
+        address = parse_address(text)
+        if address.is_loopback:
+            continue
+        raise SettingsError(
+            'expected a signed bundle from the platform or peers where other'
+            f' machines reach {address}; a file is for development: leave'
+            ' it out, or set `$.allow_plain` to true - at `$.bundle_file`'
+        )
+
+
 def _check_worker(settings: Settings) -> None:
     if settings.role is Role.ROUTER:
         return
--- a/packages/common/src/lacewing_common/status.py
+++ b/packages/common/src/lacewing_common/status.py
@@ -14,6 +14,15 @@
     operators: str = ''
 
 
+class MemberStatus(msgspec.Struct, frozen=True):
+    """Count the members that a process knows, itself among them."""
+
+    alive: int = 0
+    suspect: int = 0
+    dead: int = 0
+    leaving: int = 0
+
+
 class ProcessStatus(msgspec.Struct, frozen=True):
     """Report one process.
 
@@ -32,3 +41,4 @@
     stopping: bool
     open_requests: int
     addresses: Addresses
+    members: MemberStatus = MemberStatus()
--- a/packages/daemon/src/lacewing_daemon/_serve.py
+++ b/packages/daemon/src/lacewing_daemon/_serve.py
@@ -7,6 +7,8 @@
 from pathlib import Path
 from random import Random
 
+from lacewing_common.bundles import BundleGuard
+from lacewing_common.document import DocumentKind
 from lacewing_common.exits import Exit
 from lacewing_common.identity import new_incarnation
 from lacewing_common.identity import ProcessName
@@ -19,13 +21,17 @@
 from lacewing_common.status import ProcessStatus
 from lacewing_common.tls import bound_tls_buffers
 
+from lacewing_daemon._documents import assemble_bundle
 from lacewing_daemon._operators import OperatorsServer
 from lacewing_daemon._roles import start_role
 from lacewing_daemon._signals import on_hangup
 from lacewing_daemon._signals import StopSignals
 from lacewing_daemon.bundles import FileBundles
+from lacewing_daemon.bundles import ReplicatedBundles
 from lacewing_daemon.members import KnownMembers
 from lacewing_daemon.members import VmListFollower
+from lacewing_daemon.peers import PeerNode
+from lacewing_daemon.runtime import BundleSource
 from lacewing_daemon.runtime import Explains
 from lacewing_daemon.runtime import RoleStatus
 from lacewing_daemon.runtime import RunningRole
@@ -41,14 +47,25 @@
         self._log = get_log(Part.MAIN)
         self._settings = settings
         self._signals = StopSignals()
-        self._bundles = FileBundles(_bundle_path(settings))
-        self._members = KnownMembers(settings.seeds)
+        self._contacts = KnownMembers(settings.seeds)
+        self._name = ProcessName(settings.process_id, new_incarnation())
+        guard = BundleGuard(settings.root_operators)
+        self._node = PeerNode(
+            self._name,
+            settings,
+            {DocumentKind.BUNDLE: guard},
+            self._contacts.agent_addresses,
+            Random(),
+        )
+        self._node.documents.on_change(DocumentKind.BUNDLE, guard.remember)
+        self._file = FileBundles(_bundle_path(settings))
         self._runtime = Runtime(
-            name=ProcessName(settings.process_id, new_incarnation()),
+            name=self._name,
             settings=settings,
-            bundles=self._bundles,
-            members=self._members,
+            bundles=self._bundles(),
+            members=self._node.members,
             stopping=self._signals.stopping,
+            peer_services=(self._node.service,),
         )
         self._operators = OperatorsServer(
             settings, self._status, self._explain
@@ -62,12 +79,14 @@
         """Serve until a stop signal, then drain."""
         bound_tls_buffers()
         self._signals.listen()
-        on_hangup(self._bundles.reload)
-        self._bundles.reload()
+        on_hangup(self._file.reload)
+        self._file.reload()
         self._operators_address = str(self._operators.listen())
-        self._follow(self._bundles.follow())
+        self._follow(self._file.follow())
         await self._follow_platform()
+        await self._node.discover()
         self._role = await start_role(self._runtime)
+        self._node.start(self._role.peers_address)
         addresses = self._status().addresses
         self._log.info(
             'Listening.',
@@ -81,6 +100,11 @@
     def _follow(self, source: Coroutine[None, None, None]) -> None:
         self._tasks.append(asyncio.create_task(source))
 
+    def _bundles(self) -> BundleSource:
+        if self._settings.bundle_file:
+            return self._file
+        return ReplicatedBundles(self._node.documents, assemble_bundle)
+
     async def _follow_platform(self) -> None:
         if not self._settings.platform:
             return
@@ -88,12 +112,13 @@
         self._runtime = replace(self._runtime, store=self._platform)
         if self._settings.role is not Role.ROUTER:
             return
-        vm_list = VmListFollower(self._platform, self._members, Random())
+        vm_list = VmListFollower(self._platform, self._contacts, Random())
         await vm_list.read_first()
         self._follow(vm_list.follow())
 
     async def _stop(self, role: RunningRole) -> Exit:
         ended = Exit.OK
+        self._follow(self._node.leave())
         try:
             async with asyncio.timeout(self._settings.drain_s):
                 await role.drain()
@@ -102,6 +127,7 @@
             self._log.warning(
                 'Drain period over.', open=role.status.open_requests
             )
+        await self._node.close()
         await role.close()
         await self._operators.close()
         for task in self._tasks:
@@ -114,11 +140,11 @@
     def _status(self) -> ProcessStatus:
         role = self._role
         status = _NOT_STARTED if role is None else role.status
-        bundle = self._bundles.current
+        bundle = self._runtime.bundles.current
         stopping = self._signals.stopping.is_set()
         return ProcessStatus(
             process_id=self._settings.process_id,
-            incarnation=self._runtime.name.incarnation,
+            incarnation=self._name.incarnation,
             role=self._settings.role,
             place=self._settings.place,
             epoch=status.epoch,
@@ -128,6 +154,7 @@
             stopping=stopping,
             open_requests=status.open_requests,
             addresses=self._addresses(),
+            members=self._node.counts,
         )
 
     def _explain(self, request_id: str) -> object | None:
--- a/packages/daemon/src/lacewing_daemon/agent/_agent.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_agent.py
@@ -1,26 +1,19 @@
 """Put the agent's parts together and run them."""
 
 import asyncio
-import contextlib
 import time
 from collections.abc import Coroutine
 
 import grpclib.const
-from grpclib.server import Server
 from grpclib.server import Stream
 from lacewing_common.bundle import RolledBundle
 from lacewing_common.bundle import ServiceKind
 from lacewing_common.codec import FromAgent
 from lacewing_common.codec import FromRouter
-from lacewing_common.codec import MsgpackCodec
 from lacewing_common.log import get_log
 from lacewing_common.log import Part
-from lacewing_common.settings import Address
-from lacewing_common.settings import parse_address
 from lacewing_common.settings import SettingsError
 from lacewing_common.settings import WorkerSettings
-from lacewing_common.tls import ClientCertificate
-from lacewing_common.tls import server_context
 from lacewing_common.verdict import not_run
 from lacewing_common.verdict import Reason
 from lacewing_common.verdict import Refusal
@@ -35,14 +28,13 @@
 from lacewing_common.wire import Welcome
 from lacewing_common.wire import WorkerChanged
 
+from lacewing_daemon._peers_server import PeersServer
 from lacewing_daemon.agent._admission import FairAdmission
 from lacewing_daemon.agent._attempt import Attempt
 from lacewing_daemon.agent._attempts import Attempts
 from lacewing_daemon.agent._cache import CacheKnowledge
 from lacewing_daemon.agent._cache_follower import CacheFollower
 from lacewing_daemon.agent._link import Link
-from lacewing_daemon.agent._listener import listening_socket
-from lacewing_daemon.agent._listener import server_config
 from lacewing_daemon.agent._load import LoadView
 from lacewing_daemon.agent._metrics import LINKS
 from lacewing_daemon.agent._runner import Runner
@@ -108,10 +100,9 @@
         self._links: set[Link] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._leaving = False
-        self._server = Server(
-            [self], codec=MsgpackCodec(), config=server_config()
+        self._server = PeersServer(
+            runtime.settings, [self, *runtime.peer_services]
         )
-        self._peers_address = ''
 
     @property
     def status(self) -> RoleStatus:
@@ -122,7 +113,7 @@
     @property
     def peers_address(self) -> str:
         """Return the ``ip:port`` on which routers connect."""
-        return self._peers_address
+        return self._server.address
 
     @property
     def callers_address(self) -> str:
@@ -144,16 +135,7 @@
         """Look at the worker once, then listen."""
         self._runtime.bundles.on_change(self._bundle_changed)
         await self._watch.poll()
-        address = parse_address(self._runtime.settings.listen.peers)
-        sock = listening_socket(address.host, address.port)
-        await self._server.start(
-            sock=sock,
-            ssl=server_context(
-                self._runtime.settings, ClientCertificate.PEERS
-            ),
-        )
-        host, port = sock.getsockname()[:2]
-        self._peers_address = str(Address(host, port))
+        await self._server.start()
         self._spawn(self._watch.run())
         self._spawn(self._teller.run())
         self._spawn(self._follower.run())
@@ -178,13 +160,12 @@
         deadline = time.monotonic() + _CLOSE_S
         while self._links and time.monotonic() < deadline:
             await asyncio.sleep(_DRAIN_STEP_S)
-        self._server.close()
+        self._server.stop()
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._claims.close()
-        with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self._server.wait_closed(), _CLOSE_S)
+        await self._server.wait_closed()
         self._worker.close()
         self._cache_worker.close()
 
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/peers/_fetcher.py
@@ -0,0 +1,125 @@
+"""Pull newer documents from the peers that offer them."""
+
+import asyncio
+import time
+from collections.abc import Iterable
+from random import Random
+
+from lacewing_common.document import DocumentHead
+from lacewing_common.document import DocumentName
+from lacewing_common.log import get_log
+from lacewing_common.log import Part
+from lacewing_common.verdict import Refusal
+from lacewing_common.wire_peers import Fetch
+from lacewing_common.wire_peers import FETCH_METHOD
+from lacewing_common.wire_peers import Fetched
+from lacewing_common.wire_peers import HeadNote
+
+from lacewing_daemon.peers._channels import Channels
+from lacewing_daemon.peers._channels import NoReply
+from lacewing_daemon.peers._replicas import Replicas
+
+_CALL_TIMEOUT_S = 3.0
+_MAX_OFFERERS = 4
+# A version that the guard refused is not fetched again for so long: else
+# each exchange with a process that holds it would fetch it anew.
+_REFUSED_S = 10.0
+_MAX_REFUSED = 64
+
+_log = get_log(Part.BUNDLE)
+
+
+class Fetcher:
+    """Run at most one fetch of each document; try several offerers."""
+
+    def __init__(
+        self, replicas: Replicas, channels: Channels, rng: Random
+    ) -> None:
+        self._replicas = replicas
+        self._channels = channels
+        self._rng = rng
+        self._offers: dict[DocumentName, dict[str, int]] = {}
+        self._tasks: dict[DocumentName, asyncio.Task[None]] = {}
+        self._refused: dict[HeadNote, float] = {}
+
+    def hear(self, address: str, notes: Iterable[HeadNote]) -> None:
+        """Fetch what a peer holds in a higher version."""
+        for note in notes:
+            if note.version <= self._replicas.version(note.document):
+                continue
+            if self._lately_refused(note):
+                continue
+            offers = self._offers.setdefault(note.document, {})
+            if len(offers) < _MAX_OFFERERS or address in offers:
+                offers[address] = note.version
+            if note.document not in self._tasks:
+                task = asyncio.create_task(self._run(note.document))
+                self._tasks[note.document] = task
+
+    async def close(self) -> None:
+        """Stop all fetches."""
+        tasks = list(self._tasks.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _run(self, name: DocumentName) -> None:
+        try:
+            offers = self._offers[name]
+            while offers:
+                address = max(offers, key=offers.__getitem__)
+                version = offers.pop(address)
+                if version > self._replicas.version(name):
+                    await self._fetch(name, address)
+        finally:
+            del self._tasks[name]
+            self._offers.pop(name, None)
+
+    async def _fetch(self, name: DocumentName, address: str) -> None:
+        answer = await self._call(address, Fetch(name))
+        if answer is None or answer.head is None:
+            return
+        head = answer.head
+        parts = await self._fetch_parts(head, address)
+        if parts is None:
+            return
+        accepted = self._replicas.accept(head, parts)
+        if isinstance(accepted, Refusal):
+            self._note_refused(HeadNote(name, head.version))
+
+    async def _fetch_parts(
+        self, head: DocumentHead, address: str
+    ) -> dict[str, bytes] | None:
+        """Fetch the missing parts only; None if the peer has them not."""
+        parts: dict[str, bytes] = {}
+        wanted = list(self._replicas.missing(head))
+        while wanted:
+            answer = await self._call(
+                address, Fetch(head.document, tuple(wanted))
+            )
+            if answer is None or not answer.parts:
+                return None
+            for digest, part in zip(wanted, answer.parts, strict=False):
+                parts[digest] = part
+            wanted = wanted[len(answer.parts) :]
+        return parts
+
+    async def _call(self, address: str, request: Fetch) -> Fetched | None:
+        answer = await self._channels.call(
+            address, FETCH_METHOD, request, Fetched, _CALL_TIMEOUT_S
+        )
+        if isinstance(answer, NoReply):
+            _log.debug('Fetch failed.', error=answer.message)
+            return None
+        return answer
+
+    def _lately_refused(self, note: HeadNote) -> bool:
+        until_s = self._refused.get(note)
+        return until_s is not None and time.monotonic() < until_s
+
+    def _note_refused(self, note: HeadNote) -> None:
+        if len(self._refused) >= _MAX_REFUSED:
+            self._refused.clear()
+        # Drawn, so that all that refuse a version don't come back together.
+        wait_s = self._rng.uniform(0.5, 1.5) * _REFUSED_S
+        self._refused[note] = time.monotonic() + wait_s
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/peers/_node.py
@@ -0,0 +1,172 @@
+"""Put the parts together that make a process one of the fleet."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+from collections.abc import Mapping
+from random import Random
+from typing import Any
+
+from lacewing_common.document import DocumentGuard
+from lacewing_common.document import DocumentKind
+from lacewing_common.identity import ProcessName
+from lacewing_common.log import get_log
+from lacewing_common.log import Part
+from lacewing_common.settings import Settings
+from lacewing_common.status import MemberStatus
+from lacewing_common.tls import client_context
+from lacewing_common.wire_peers import Liveness
+from lacewing_common.wire_peers import MemberRecord
+
+from lacewing_daemon.peers._channels import Channels
+from lacewing_daemon.peers._fetcher import Fetcher
+from lacewing_daemon.peers._gossip import Gossip
+from lacewing_daemon.peers._members import GossipMembers
+from lacewing_daemon.peers._metrics import MEMBERS
+from lacewing_daemon.peers._news import News
+from lacewing_daemon.peers._notes import VmNotes
+from lacewing_daemon.peers._partners import Partners
+from lacewing_daemon.peers._replicas import Replicas
+from lacewing_daemon.peers._service import PeerService
+from lacewing_daemon.peers._table import MemberTable
+
+_log = get_log(Part.MEMBERS)
+
+
+class PeerNode:
+    """Know the members, hold the documents and exchange both with peers.
+
+    ``contacts`` gives the addresses of seeds and of listed VMs.
+    """
+
+    def __init__(
+        self,
+        name: ProcessName,
+        settings: Settings,
+        guards: Mapping[DocumentKind, DocumentGuard],
+        contacts: Callable[[], tuple[str, ...]],
+        rng: Random,
+        channels: Channels | None = None,
+    ) -> None:
+        self._table = MemberTable(_my_record(name, settings))
+        self._notes = VmNotes()
+        self._replicas = Replicas(guards)
+        if channels is None:
+            channels = Channels(client_context(settings))
+        self._channels = channels
+        self._fetcher = Fetcher(self._replicas, self._channels, rng)
+        self._news = News(
+            self._table, self._notes, self._replicas, self._fetcher
+        )
+        self._gossip = Gossip(
+            settings.peers,
+            self._table,
+            self._news,
+            Partners(self._table, rng),
+            self._channels,
+            rng,
+            contacts,
+        )
+        self._service = PeerService(
+            self._news,
+            self._table,
+            self._notes,
+            self._replicas,
+            self._channels,
+            settings.peers.probe_s,
+            rng,
+        )
+        self._members = GossipMembers(self._table, self._notes, contacts)
+        self._tasks: list[asyncio.Task[None]] = []
+        self._table.on_change(self._count_members)
+
+    @property
+    def service(self) -> PeerService:
+        """Return what the listener for peers has to serve."""
+        return self._service
+
+    @property
+    def documents(self) -> Replicas:
+        """Return the documents of this process."""
+        return self._replicas
+
+    @property
+    def members(self) -> GossipMembers:
+        """Return the addresses known."""
+        return self._members
+
+    @property
+    def table(self) -> MemberTable:
+        """Return the member table."""
+        return self._table
+
+    @property
+    def vm_notes(self) -> VmNotes:
+        """Return what is known of the platform's VM list."""
+        return self._notes
+
+    @property
+    def counts(self) -> MemberStatus:
+        """Count the members known."""
+        return self._table.counts
+
+    @property
+    def heard_at_s(self) -> float:
+        """Return the monotonic time of the last call or answer of a peer."""
+        return max(self._gossip.answered_at_s, self._service.heard_at_s)
+
+    async def discover(self) -> None:
+        """Learn members and documents from a few peers before serving."""
+        await self._gossip.discover()
+
+    def start(self, address: str) -> None:
+        """Join the fleet under the address of the listener for peers."""
+        self._table.set_address(address)
+        self._follow(self._gossip.run())
+        self._follow(self._gossip.run_urgent())
+
+    async def leave(self) -> None:
+        """Tell a few peers that this process takes no new work."""
+        self._table.leave()
+        await self._gossip.tell_now()
+
+    async def close(self) -> None:
+        """Stop exchanging and close the connections."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._fetcher.close()
+        self._channels.close()
+
+    def _follow(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        task.add_done_callback(_report_fault)
+        self._tasks.append(task)
+
+    def _count_members(self, _record: MemberRecord) -> None:
+        counts = self._table.counts
+        MEMBERS.labels('alive').set(counts.alive)
+        MEMBERS.labels('suspect').set(counts.suspect)
+        MEMBERS.labels('dead').set(counts.dead)
+        MEMBERS.labels('leaving').set(counts.leaving)
+
+
+def _report_fault(task: asyncio.Task[None]) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        _log.error('Exchanges ended.', error=repr(task.exception()))
+
+
+def _my_record(name: ProcessName, settings: Settings) -> MemberRecord:
+    worker = settings.worker
+    return MemberRecord(
+        name.process_id,
+        name.incarnation,
+        0,
+        Liveness.ALIVE,
+        False,
+        settings.role,
+        settings.place.region,
+        settings.place.availability_zone,
+        '' if worker is None else worker.service,
+        '',
+    )
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/peers/_notes.py
@@ -0,0 +1,71 @@
+"""Hold what the platform's VM list says, heard from whoever reads it."""
+
+import time
+from collections.abc import Callable
+from collections.abc import Iterable
+
+from lacewing_common.wire_peers import VmNote
+
+# An address may be used again; a note must not outlive its VM for long.
+_KEEP_S = 600.0
+
+
+class VmNotes:
+    """Keep the latest note on each address that is or was leaving."""
+
+    def __init__(self) -> None:
+        self._notes: dict[str, VmNote] = {}
+        self._callbacks: list[Callable[[VmNote], None]] = []
+
+    def all(self) -> tuple[VmNote, ...]:
+        """Return all notes."""
+        return tuple(self._notes.values())
+
+    def get(self, address: str) -> VmNote | None:
+        """Return the note on an address."""
+        return self._notes.get(address)
+
+    def leaving(self, address: str) -> bool:
+        """Tell whether the list says that the VM is leaving."""
+        note = self._notes.get(address)
+        return note is not None and note.leaving
+
+    def on_change(self, callback: Callable[[VmNote], None]) -> None:
+        """Call back after each change."""
+        self._callbacks.append(callback)
+
+    def merge_all(self, notes: Iterable[VmNote]) -> None:
+        """Merge notes that a peer sent."""
+        for note in notes:
+            self.merge(note)
+
+    def merge(self, note: VmNote) -> bool:
+        """Take a note if it is more recent than the one held."""
+        held = self._notes.get(note.address)
+        if held is not None and held.seen_ms >= note.seen_ms:
+            return False
+        if note.seen_ms < _oldest_ms():
+            return False
+        self._notes[note.address] = note
+        for callback in self._callbacks:
+            callback(note)
+        return True
+
+    def see(self, address: str, leaving: bool) -> bool:
+        """Note what this process just read in the list."""
+        return self.merge(VmNote(address, leaving, _now_ms()))
+
+    def forget_old(self) -> None:
+        """Drop notes that are too old to matter."""
+        oldest_ms = _oldest_ms()
+        for note in self.all():
+            if note.seen_ms < oldest_ms:
+                del self._notes[note.address]
+
+
+def _now_ms() -> int:
+    return time.time_ns() // 1_000_000
+
+
+def _oldest_ms() -> int:
+    return _now_ms() - int(_KEEP_S * 1000)
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/peers/_service.py
@@ -0,0 +1,124 @@
+"""Answer the calls of peers."""
+
+import time
+from random import Random
+from typing import Any
+
+from grpclib.const import Cardinality
+from grpclib.const import Handler
+from grpclib.server import Stream
+from lacewing_common.document import DocumentHead
+from lacewing_common.document import DocumentName
+from lacewing_common.wire_peers import Exchange
+from lacewing_common.wire_peers import EXCHANGE_METHOD
+from lacewing_common.wire_peers import Fetch
+from lacewing_common.wire_peers import FETCH_METHOD
+from lacewing_common.wire_peers import Fetched
+from lacewing_common.wire_peers import Probe
+from lacewing_common.wire_peers import PROBE_METHOD
+from lacewing_common.wire_peers import ProbeReply
+from lacewing_common.wire_peers import TABLE_METHOD
+from lacewing_common.wire_peers import TableQuery
+from lacewing_common.wire_peers import TableReply
+
+from lacewing_daemon.peers._channels import Channels
+from lacewing_daemon.peers._channels import NoReply
+from lacewing_daemon.peers._news import News
+from lacewing_daemon.peers._notes import VmNotes
+from lacewing_daemon.peers._replicas import Replicas
+from lacewing_daemon.peers._table import BUCKETS
+from lacewing_daemon.peers._table import MemberTable
+
+# About 20 KB, so that a cold process has 1,220 members after ten calls and
+# no reply takes the three seconds' allowance of the peer that gives it.
+_MAX_TABLE_RECORDS = 128
+_MAX_FETCH_BYTES = 256 * 1024
+
+
+class PeerService:
+    """Serve the methods by which peers exchange news."""
+
+    def __init__(
+        self,
+        news: News,
+        table: MemberTable,
+        notes: VmNotes,
+        replicas: Replicas,
+        channels: Channels,
+        probe_timeout_s: float,
+        rng: Random,
+    ) -> None:
+        self._news = news
+        self._table = table
+        self._notes = notes
+        self._replicas = replicas
+        self._channels = channels
+        self._probe_timeout_s = probe_timeout_s
+        self._rng = rng
+        self.heard_at_s = 0.0
+
+    def __mapping__(self) -> dict[str, Handler]:
+        """Map the methods for grpclib."""
+        return {
+            EXCHANGE_METHOD: _unary(self._exchange, Exchange, Exchange),
+            PROBE_METHOD: _unary(self._probe, Probe, ProbeReply),
+            TABLE_METHOD: _unary(self._give_table, TableQuery, TableReply),
+            FETCH_METHOD: _unary(self._fetch, Fetch, Fetched),
+        }
+
+    async def _exchange(self, stream: Stream[Exchange, Exchange]) -> None:
+        call = await stream.recv_message()
+        if call is None:
+            return
+        self.heard_at_s = time.monotonic()
+        await stream.send_message(self._news.reply(call))
+
+    async def _probe(self, stream: Stream[Probe, ProbeReply]) -> None:
+        call = await stream.recv_message()
+        if call is None:
+            return
+        answer = await self._channels.call(
+            call.address,
+            EXCHANGE_METHOD,
+            self._news.fill(),
+            Exchange,
+            self._probe_timeout_s,
+        )
+        if isinstance(answer, NoReply):
+            await stream.send_message(ProbeReply(False))
+            return
+        self._news.hear(answer)
+        await stream.send_message(ProbeReply(True))
+
+    async def _give_table(
+        self, stream: Stream[TableQuery, TableReply]
+    ) -> None:
+        call = await stream.recv_message()
+        if call is None:
+            return
+        first = self._rng.randrange(BUCKETS)
+        records = self._table.differing(call.hashes, _MAX_TABLE_RECORDS, first)
+        await stream.send_message(TableReply(records, self._notes.all()))
+
+    async def _fetch(self, stream: Stream[Fetch, Fetched]) -> None:
+        call = await stream.recv_message()
+        if call is None:
+            return
+        parts: list[bytes] = []
+        size = 0
+        for digest in call.digests:
+            part = self._replicas.part(digest)
+            if part is None or (parts and size + len(part) > _MAX_FETCH_BYTES):
+                break
+            parts.append(part)
+            size += len(part)
+        head = self._head(call.document)
+        await stream.send_message(Fetched(head, tuple(parts)))
+
+    def _head(self, name: DocumentName) -> DocumentHead | None:
+        held = self._replicas.get(name)
+        return None if held is None else held.head
+
+
+def _unary(function: Any, call: type, reply: type) -> Handler:
+    return Handler(function, Cardinality.UNARY_UNARY, call, reply)
--- a/packages/daemon/src/lacewing_daemon/router/_running.py
+++ b/packages/daemon/src/lacewing_daemon/router/_running.py
@@ -15,6 +15,7 @@
 from tornado.web import Application
 from tornado.web import RequestHandler
 
+from lacewing_daemon._peers_server import PeersServer
 from lacewing_daemon.router._callers import routes
 from lacewing_daemon.router._explain import DecisionLog
 from lacewing_daemon.router._explain import RequestRecord
@@ -40,11 +41,13 @@
         links_task: asyncio.Task[None],
         server: HTTPServer,
         address: Address,
+        peers_server: PeersServer,
     ) -> None:
         self._serving = serving
         self._links_task = links_task
         self._server = server
         self._address = address
+        self._peers_server = peers_server
 
     @property
     def status(self) -> RoleStatus:
@@ -57,8 +60,8 @@
 
     @property
     def peers_address(self) -> str:
-        """Return '': a router listens for callers only."""
-        return ''
+        """Return the ``ip:port`` it listens on for peers, or ''."""
+        return self._peers_server.address
 
     @property
     def callers_address(self) -> str:
@@ -81,6 +84,9 @@
         await self._server.close_all_connections()
         self._links_task.cancel()
         await asyncio.wait([self._links_task])
+        if self._peers_server.address:
+            self._peers_server.stop()
+            await self._peers_server.wait_closed()
 
 
 async def start_router(runtime: Runtime) -> RunningRouter:
@@ -99,9 +105,12 @@
     sockets = bind_sockets(wanted.port, wanted.host)
     server.add_sockets(sockets)
     address = Address(wanted.host, sockets[0].getsockname()[1])
+    peers_server = PeersServer(settings, runtime.peer_services)
+    if runtime.peer_services:
+        await peers_server.start()
     links_task = asyncio.create_task(links.run())
     _log.info('Taking callers.', address=str(address))
-    return RunningRouter(serving, links_task, server, address)
+    return RunningRouter(serving, links_task, server, address, peers_server)
 
 
 def _no_access_log(_handler: RequestHandler) -> None:
--- a/packages/daemon/src/lacewing_daemon/runtime.py
+++ b/packages/daemon/src/lacewing_daemon/runtime.py
@@ -11,6 +11,8 @@
 from lacewing_common.settings import Settings
 from lacewing_common.store import ObjectStore
 
+from lacewing_daemon._peers_server import PeerServed
+
 
 class BundleSource(Protocol):
     """Give the bundle in force."""
@@ -84,6 +86,7 @@
     """Hold what every role gets from the daemon.
 
     ``store`` is None when the settings name no platform.
+    ``peer_services`` are to be served on the listener for peers.
     """
 
     name: ProcessName
@@ -92,3 +95,4 @@
     members: MemberSource
     stopping: asyncio.Event
     store: ObjectStore | None = None
+    peer_services: tuple[PeerServed, ...] = ()
