Tell the strongest verdict of all attempts of a request

Cause, found by reading: a request whose first attempt may have run was told 'not-run' when the next worker refused it, or none was left: an untrue not-run. And no caller of link.first_byte was left: a prompt counted as load until its answer's end, which policies took for prefill still to come. Change: refusals of all attempts are kept; the caller hears the strongest verdict, and the last worker's reason and Retry-After in place of 'no worker is left'. The first byte of an answer ends its prompt's part in in_flight_blocks. The first-token metric runs from the request, not from its last attempt. Mutations: the last verdict alone fails 'A refusal after a fault does not say not run'; keeping the blocks fails 'A prompt counts as load only until its first token'.

--- a/features/router.feature
+++ b/features/router.feature
@@ -86,6 +86,16 @@
     When "rahmat" asks the model "handbook" 40 times
     Then every status was 503 and every verdict "not-run"
     And at most 54 attempts were made
+    And every error has the code "queue_full" and a Retry-After of 2 s
+
+  Scenario: A refusal after a fault does not say "not run"
+    # Symptom: a caller is told "not run" of a request that ran.
+    # Sequence: one agent accepts and restarts; the next one refuses.
+    # Cause: the caller is told the last worker's verdict alone.
+    Given an agent of "tutor" that restarts once after it accepted a request
+    And an agent of "tutor" that refuses with "queue_full"
+    When "rahmat" asks the model "handbook" until the first restarts
+    Then the status is 502 and the verdict is "may-have-run"
 
   Scenario Outline: A call that must not be repeated runs at most once
     # Symptom: a certificate is issued twice.
@@ -137,6 +147,15 @@
     Then the caller got 6 tokens, each once and in order, then the end
     And the router counted dropped frames
 
+  Scenario: A prompt counts as load only until its first token
+    # Symptom: routers avoid workers that are merely decoding.
+    # Sequence: a stream's first tokens arrive; it goes on for a minute.
+    # Cause: its prompt is taken for work still to be done.
+    Given an agent of "tutor" that streams 6 tokens and holds after 2
+    When "rahmat" reads 2 tokens of a stream
+    Then the router sees 1 attempt of 0 blocks at the agent
+    And the open stream gets all 6 tokens
+
   Scenario: A chunk that an agent left out is asked for
     # Symptom: a caller's answer lacks some bytes in its middle.
     # Sequence: an agent sends chunk 3, then chunk 5, then the end.
--- a/features/steps/router_callers_steps.py
+++ b/features/steps/router_callers_steps.py
@@ -65,6 +65,13 @@
     ask(context, 'POST', path, body.encode())
 
 
+@when('"rahmat" asks the model "handbook" until the first restarts')
+def when_asked_until_restart(context: Context) -> None:
+    """Ask until the first agent had a Start; keep that answer."""
+    while not context.agents[0].seen.starts:
+        ask(context, 'POST', CHAT, chat_body())
+
+
 @when('"rahmat" lists the models')
 def when_listed(context: Context) -> None:
     """List the models."""
@@ -152,12 +159,18 @@
     context.loop.call(roll(context.bundles, team_bundle(weights)))
 
 
+@when('"rahmat" reads {count:d} tokens of a stream')
+def when_read(context: Context, count: int) -> None:
+    """Read the first tokens and leave the stream open."""
+    context.reader = Caller(context)
+    context.stream = context.reader.send('POST', CHAT, chat_body(stream=True))
+    context.read = read_tokens(context.stream, count)
+
+
 @when('the router drains while "rahmat" reads a stream')
 def when_drained(context: Context) -> None:
     """Start a drain amid a stream."""
-    context.reader = Caller(context)
-    context.stream = context.reader.send('POST', CHAT, chat_body(stream=True))
-    context.read = read_tokens(context.stream, 2)
+    when_read(context, 2)
     context.drain = context.loop.call(spawn(context.router.drain()))
 
 
--- a/features/steps/router_steps.py
+++ b/features/steps/router_steps.py
@@ -181,6 +181,14 @@
         assert answer.headers['Lacewing-Verdict'] == verdict, answer
 
 
+@then('every error has the code "{code}" and a Retry-After of {seconds} s')
+def then_every_error(context: Context, code: str, seconds: str) -> None:
+    """Check that the callers are told the workers' reason and time."""
+    for answer in context.answers:
+        assert answer.error['code'] == code, answer
+        assert answer.headers['Retry-After'] == seconds, answer
+
+
 @then('no request was started more than once on one agent')
 def then_once_each(context: Context) -> None:
     """Check that no agent had two Starts of one request."""
@@ -290,3 +298,11 @@
     assert answer.status == 200, answer
     bodies = [start.body[:5] for start in seen.starts]
     assert bodies == [b'xxxxx'] * len(begun) + [b'last'], bodies
+
+
+@then('the router sees {count:d} attempt of {blocks:d} blocks at the agent')
+def then_seen(context: Context, count: int, blocks: int) -> None:
+    """Check what the policy is told of the worker."""
+    links = context.router._serving.links
+    view = links.eligible('tutor', 'handbook:w1').view('agent-1')
+    assert (view.in_flight, view.in_flight_blocks) == (count, blocks), view
--- a/packages/daemon/src/lacewing_daemon/router/_attempt.py
+++ b/packages/daemon/src/lacewing_daemon/router/_attempt.py
@@ -2,11 +2,9 @@
 
 import asyncio
 import time
-from dataclasses import dataclass
 from typing import Protocol
 from typing import TypeAlias
 
-from lacewing_common.identity import ProcessName
 from lacewing_common.verdict import may_have_run
 from lacewing_common.verdict import not_run
 from lacewing_common.verdict import Reason
@@ -21,16 +19,16 @@
 from lacewing_common.wire import Refused
 from lacewing_common.wire import RouterFrame
 
+from lacewing_daemon.router._answer_order import AnswerOrder
 from lacewing_daemon.router._mailbox import AnswerFrame
 from lacewing_daemon.router._mailbox import Interrupt
 from lacewing_daemon.router._mailbox import Item
 from lacewing_daemon.router._mailbox import Mailbox
 from lacewing_daemon.router._metrics import DROPPED_FRAMES
 from lacewing_daemon.router._metrics import REATTACHED
+from lacewing_daemon.router._reattach import ReattachBounds
 
-# Confirming each token would double the frames of a link; confirming rarely
-# makes the agent keep more of each answer.
-ACK_STEP_BYTES = 16 * 1024
+_MS_PER_S = 1000.0
 
 Progress: TypeAlias = Head | bytes | End | Refusal
 
@@ -43,22 +41,14 @@
         """Tell whether frames can be sent."""
 
     @property
-    def process(self) -> ProcessName | None:
-        """Return the agent's last known name."""
+    def incarnation(self) -> int:
+        """Return the agent's last known run."""
 
     def send(self, frame: RouterFrame) -> None:
         """Queue a frame; it is lost when the link is down."""
 
-
-@dataclass(frozen=True)
-class ReattachBounds:
-    """Bound the wait for a broken link, in seconds.
-
-    ``empty_s`` holds before the first answer byte, ``begun_s`` after it.
-    """
-
-    empty_s: float
-    begun_s: float
+    def prefilled(self, attempt: 'Attempt') -> None:
+        """Note that an attempt's prompt has been computed."""
 
 
 class Attempt:
@@ -82,15 +72,12 @@
             budget_s, self._mailbox.put_first, Interrupt.EXPIRED
         )
         self._reattach_expiry: asyncio.TimerHandle | None = None
-        self._started_at = time.monotonic()
-        self._first_byte_at: float | None = None
+        self._started_at_s = time.monotonic()
         self._sent = False
         self._accepted = False
         self._ended = False
         self._has_head = False
-        self._received = 0
-        self._acked = 0
-        self._asked_from = -1
+        self._order = AnswerOrder()
 
     @property
     def id(self) -> AttemptId:
@@ -117,27 +104,27 @@
         """Tell whether the agent confirmed that it will run."""
         return self._accepted
 
-    @property
-    def has_first_byte(self) -> bool:
-        """Tell whether any answer byte came."""
-        return self._first_byte_at is not None
-
     @property
     def received(self) -> int:
         """Return the number of answer bytes received in order."""
-        return self._received
+        return self._order.received
 
     @property
     def started_at_s(self) -> float:
         """Return the reading of ``time.monotonic`` at its start."""
-        return self._started_at
+        return self._started_at_s
+
+    @property
+    def first_byte_at_s(self) -> float | None:
+        """Return ``time.monotonic`` at the first byte, None before."""
+        return self._order.first_byte_at_s
 
     @property
     def first_byte_ms(self) -> float | None:
         """Return milliseconds from its start to the first answer byte."""
-        if self._first_byte_at is None:
+        if self.first_byte_at_s is None:
             return None
-        return (self._first_byte_at - self._started_at) * 1000
+        return (self.first_byte_at_s - self._started_at_s) * _MS_PER_S
 
     def mark_sent(self) -> None:
         """Note that its Start is about to be written."""
@@ -175,10 +162,8 @@
 
     def confirm(self) -> None:
         """Tell the agent that the caller has what was received so far."""
-        if self._received - self._acked < ACK_STEP_BYTES:
-            return
-        self._acked = self._received
-        self._link.send(Ack(self._id, self._received))
+        if self._order.take_confirmation():
+            self._link.send(Ack(self._id, self._order.received))
 
     def close(self) -> None:
         """Stop its timers."""
@@ -212,30 +197,18 @@
         if not self._has_head:
             DROPPED_FRAMES.labels('data-before-head').inc()
             return b''
-        payload = data.payload
-        skip = self._received - data.offset
-        if skip < 0:
-            # A gap means that the agent sent past what it was asked for.
-            # The bytes between would be missing at the caller; asking again
-            # from the last good byte fills them.
-            DROPPED_FRAMES.labels('gap').inc()
+        is_first = self._order.first_byte_at_s is None
+        payload = self._order.take(data)
+        if payload is None:
             self._ask_again()
             return b''
-        if skip > 0:
-            payload = payload[skip:]
-            DROPPED_FRAMES.labels('repeated').inc()
-        self._received += len(payload)
-        if self._first_byte_at is None:
-            self._first_byte_at = time.monotonic()
+        if is_first:
+            self._link.prefilled(self)
         return payload
 
     def _ask_again(self) -> None:
-        if self._asked_from == self._received:
-            # Each frame beyond the gap would ask, and each Ask bring all of
-            # them again.
-            return
-        self._asked_from = self._received
-        self._link.send(Ask(self._id, self._received))
+        if self._order.take_ask():
+            self._link.send(Ask(self._id, self._order.received))
 
     def _other(self, item: Item) -> Progress | None:
         if isinstance(item, Interrupt):
@@ -260,10 +233,7 @@
         return head
 
     def _whole(self, end: End) -> End | None:
-        if not self._has_head or end.length != self._received:
-            # An End that doesn't fit the bytes received would pass a cut
-            # answer as a whole one.
-            DROPPED_FRAMES.labels('end-out-of-order').inc()
+        if not self._has_head or not self._order.is_whole(end.length):
             self._ask_again()
             return None
         self._ended = True
@@ -282,9 +252,9 @@
         return self._expired()
 
     def _reattach_s(self) -> float:
-        if self.has_first_byte:
-            return self._reattach.begun_s
-        return self._reattach.empty_s
+        if self.first_byte_at_s is None:
+            return self._reattach.empty_s
+        return self._reattach.begun_s
 
     def _link_down(self) -> Refusal | None:
         if not self._sent:
@@ -302,16 +272,13 @@
         return None
 
     def _link_up(self) -> Refusal | None:
-        process = self._link.process
-        if process is None:
-            return None
-        if process.incarnation != self._id.agent_incarnation:
+        if self._link.incarnation != self._id.agent_incarnation:
             return may_have_run(
                 Reason.AGENT_RESTARTED,
                 'the agent restarted and no longer knows the request',
             )
         REATTACHED.inc()
-        self._link.send(Ask(self._id, self._received))
+        self._link.send(Ask(self._id, self._order.received))
         return None
 
     def _still_unreachable(self) -> Refusal | None:
--- a/packages/daemon/src/lacewing_daemon/router/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/router/_exchange.py
@@ -8,11 +8,9 @@
 from lacewing_common.verdict import Refusal
 from lacewing_common.verdict import Verdict
 from lacewing_common.wire import AttemptId
-from lacewing_common.wire import CacheReport
 from lacewing_common.wire import End
 
 from lacewing_daemon.router._attempt import Attempt
-from lacewing_daemon.router._attempt import ReattachBounds
 from lacewing_daemon.router._call import Call
 from lacewing_daemon.router._call import renewed
 from lacewing_daemon.router._claimed_choice import claimed_choice
@@ -21,24 +19,23 @@
 from lacewing_daemon.router._continuation import continued
 from lacewing_daemon.router._continuation import is_complete
 from lacewing_daemon.router._continuation import Joiner
-from lacewing_daemon.router._continuation import may_be_continued
 from lacewing_daemon.router._continuation import may_continue
 from lacewing_daemon.router._elsewhere import is_fault
 from lacewing_daemon.router._elsewhere import is_not_run_here
-from lacewing_daemon.router._explain import Outcome
 from lacewing_daemon.router._link import Link
 from lacewing_daemon.router._links import EligibleLinks
 from lacewing_daemon.router._mailbox import Interrupt
-from lacewing_daemon.router._metrics import ATTEMPTS
 from lacewing_daemon.router._metrics import CONTINUED_STREAMS
-from lacewing_daemon.router._metrics import FIRST_TOKEN_SECONDS
-from lacewing_daemon.router._metrics import HIT_BLOCKS
-from lacewing_daemon.router._metrics import PROMPT_BLOCKS
 from lacewing_daemon.router._metrics import RETRIES
 from lacewing_daemon.router._metrics import RETRIES_DENIED
+from lacewing_daemon.router._outcomes import count
+from lacewing_daemon.router._outcomes import Ended
+from lacewing_daemon.router._outcomes import outcome_of
 from lacewing_daemon.router._policy import Choice
 from lacewing_daemon.router._policy import Observation
 from lacewing_daemon.router._policy import RoutingRequest
+from lacewing_daemon.router._reattach import reattach_bounds
+from lacewing_daemon.router._refusals import Refusals
 from lacewing_daemon.router._relay import relay_stream
 from lacewing_daemon.router._relay import relay_whole
 from lacewing_daemon.router._reply import Reply
@@ -48,13 +45,6 @@
 from lacewing_daemon.router._transcript import Transcript
 
 _MS_PER_S = 1000.0
-_ANSWERED = 'answered'
-
-# How long an attempt waits for a broken link before it counts as lost. A
-# request that can run elsewhere waits only for a quick reconnect; one that
-# can't has nowhere else to get its answer from.
-REATTACH_MOVABLE_S = 0.5
-REATTACH_BOUND_S = 15.0
 
 
 @dataclass(frozen=True)
@@ -79,6 +69,7 @@
         self._joiner: Joiner | None = None
         self._gone = False
         self._tried: tuple[str, ...] = ()
+        self._refusals = Refusals()
         self._began_s = time.monotonic()
         self._answer_by_s = self._began_s + call.service.answer_ms / _MS_PER_S
         self._start_by_s = self._began_s
@@ -187,22 +178,20 @@
     def _start(
         self, link: Link, routing: RoutingRequest, choice: Choice
     ) -> _Opened:
-        process = link.process
-        assert process is not None
         sequences = self._serving.sequences
         attempt_id = AttemptId(
-            str(self._serving.name), sequences.open(), process.incarnation
+            str(self._serving.name), sequences.open(), link.incarnation
         )
         attempt = Attempt(
             attempt_id,
             link,
             self._missing_blocks(choice),
             self._answer_by_s - time.monotonic(),
-            self._reattach_bounds(),
+            reattach_bounds(self._call),
         )
         terms = StartTerms(
             attempt_id,
-            link.epoch,
+            link.worker.epoch,
             routing.budget_ms,
             sequences.oldest_open,
             choice.width,
@@ -227,14 +216,6 @@
             tried=self._tried,
         )
 
-    def _reattach_bounds(self) -> ReattachBounds:
-        call = self._call
-        if not call.idempotent:
-            return ReattachBounds(REATTACH_BOUND_S, REATTACH_BOUND_S)
-        if call.stream and not may_be_continued(call):
-            return ReattachBounds(REATTACH_MOVABLE_S, REATTACH_BOUND_S)
-        return ReattachBounds(REATTACH_MOVABLE_S, REATTACH_MOVABLE_S)
-
     async def _relay(self, attempt: Attempt) -> End | Refusal:
         if self._call.stream:
             return await relay_stream(
@@ -250,33 +231,24 @@
         opened.link.release(opened.attempt)
 
     def _learn(self, opened: _Opened, result: End | Refusal) -> None:
-        name = self._call.service.name
-        first_byte_ms = opened.attempt.first_byte_ms
-        self._tried += (opened.link.process_id,)
+        attempt = opened.attempt
+        first_byte_s = None
+        if attempt.first_byte_at_s is not None:
+            first_byte_s = attempt.first_byte_at_s - self._began_s
+        ended = Ended(result, attempt.first_byte_ms, first_byte_s)
+        count(self._call.service.name, ended)
+        self._record.came(outcome_of(ended))
         if isinstance(result, Refusal):
-            code = result.reason.value
-            ATTEMPTS.labels(name, code).inc()
-            self._record.came(
-                Outcome(
-                    code, result.verdict.value, first_byte_ms, CacheReport()
-                )
-            )
+            self._refusals.add(result)
+            self._tried += (opened.link.process_id,)
             return
-        ATTEMPTS.labels(name, _ANSWERED).inc()
-        HIT_BLOCKS.labels(name).inc(result.cache.hit_blocks)
-        PROMPT_BLOCKS.labels(name).inc(result.cache.prompt_blocks)
-        if first_byte_ms is not None:
-            FIRST_TOKEN_SECONDS.labels(name).observe(first_byte_ms / _MS_PER_S)
-        self._record.came(
-            Outcome(_ANSWERED, Verdict.RAN.value, first_byte_ms, result.cache)
-        )
         self._serving.knowledge.observe(
             Observation(
                 opened.routing,
                 opened.link.process_id,
                 result.cache,
                 result.load,
-                first_byte_ms,
+                attempt.first_byte_ms,
             )
         )
 
@@ -295,7 +267,7 @@
 
     def _told(self, refusal: Refusal) -> Refusal:
         if not self._reply.started:
-            return refusal
+            return self._refusals.final(refusal)
         return Refusal(
             Verdict.RAN,
             Reason.STREAM_BROKEN,
--- a/packages/daemon/src/lacewing_daemon/router/_link.py
+++ b/packages/daemon/src/lacewing_daemon/router/_link.py
@@ -1,22 +1,13 @@
-"""Hold the link to one agent: one long-lived task, one writer."""
+"""Hold the link to one agent: one long-lived task."""
 
-import asyncio
 import random
 import ssl
 import time
+from asyncio import sleep
 from collections import deque
-from typing import Any
 from typing import Protocol
 
-from grpclib.client import Channel
-from grpclib.client import Stream
-from grpclib.const import Cardinality
 from lacewing_common.backoff import Backoff
-from lacewing_common.codec import FromAgent
-from lacewing_common.codec import FromRouter
-from lacewing_common.codec import MsgpackCodec
-from lacewing_common.identity import Place
-from lacewing_common.identity import ProcessName
 from lacewing_common.log import get_log
 from lacewing_common.log import Part
 from lacewing_common.prefix import split_hashes
@@ -30,7 +21,6 @@
 from lacewing_common.wire import End
 from lacewing_common.wire import Hello
 from lacewing_common.wire import Knowledge
-from lacewing_common.wire import LINK_METHOD
 from lacewing_common.wire import LoadReport
 from lacewing_common.wire import Refused
 from lacewing_common.wire import RouterFrame
@@ -39,14 +29,18 @@
 from lacewing_common.wire import WorkerChanged
 
 from lacewing_daemon.router._attempt import Attempt
+from lacewing_daemon.router._in_flight import InFlight
 from lacewing_daemon.router._mailbox import Interrupt
 from lacewing_daemon.router._metrics import DROPPED_FRAMES
 from lacewing_daemon.router._metrics import LINK_BREAKS
 from lacewing_daemon.router._metrics import LINKS_UP
 from lacewing_daemon.router._policy import CacheChange
 from lacewing_daemon.router._policy import WorkerView
+from lacewing_daemon.router._session import Session
+from lacewing_daemon.router._worker_state import changed_state
+from lacewing_daemon.router._worker_state import welcomed_state
+from lacewing_daemon.router._worker_state import WorkerState
 
-WELCOME_TIMEOUT_S = 3.0
 RECONNECT_BASE_S = 0.05
 RECONNECT_CAP_S = 2.0
 # A peer that vanished sends no reset, and requests would wait for it until
@@ -58,7 +52,6 @@
 _MAX_CANCELS_KEPT = 1024
 
 _log = get_log(Part.LINK)
-_codec = MsgpackCodec()
 
 
 class LinkOwner(Protocol):
@@ -91,25 +84,15 @@
         self._owner = owner
         self._tls = tls
         self._backoff = Backoff(RECONNECT_BASE_S, RECONNECT_CAP_S, rng)
+        self._session: Session | None = None
         self._up = False
-        self._process: ProcessName | None = None
-        self._place = Place('', '')
-        self._service = ''
-        self._epoch = ''
-        self._models: frozenset[str] = frozenset()
-        self._leaving = False
+        self._worker = WorkerState()
         self._load = LoadReport()
         self._load_at_s = 0.0
         self._last_frame_s = 0.0
         self._asked_at_s = 0.0
-        self._attempts: dict[int, Attempt] = {}
-        self._prefilling: dict[int, int] = {}
-        self._prefilling_blocks = 0
-        self._recent_blocks = 0
+        self._in_flight = InFlight()
         self._cancels: deque[AttemptId] = deque(maxlen=_MAX_CANCELS_KEPT)
-        self._outbox: deque[RouterFrame] = deque()
-        self._outbox_filled = asyncio.Event()
-        self._session: asyncio.Task[None] | None = None
         self._view: WorkerView | None = None
 
     @property
@@ -123,36 +106,21 @@
         return self._up
 
     @property
-    def process(self) -> ProcessName | None:
-        """Return the agent's name, None before the first Welcome."""
-        return self._process
+    def worker(self) -> WorkerState:
+        """Return what the agent last said of itself and its worker."""
+        return self._worker
 
     @property
     def process_id(self) -> str:
         """Return the agent's process id, '' before the first Welcome."""
-        if self._process is None:
-            return ''
-        return self._process.process_id
+        return self._worker.process_id
 
     @property
-    def service(self) -> str:
-        """Return the service of the agent's worker."""
-        return self._service
-
-    @property
-    def epoch(self) -> str:
-        """Return the worker's epoch."""
-        return self._epoch
-
-    @property
-    def models(self) -> frozenset[str]:
-        """Return what the worker has loaded, as a Welcome names it."""
-        return self._models
-
-    @property
-    def leaving(self) -> bool:
-        """Tell whether the agent takes no new work."""
-        return self._leaving
+    def incarnation(self) -> int:
+        """Return the agent's run, 0 before the first Welcome."""
+        if self._worker.name is None:
+            return 0
+        return self._worker.name.incarnation
 
     @property
     def suspect(self) -> bool:
@@ -162,7 +130,7 @@
     @property
     def open_attempts(self) -> int:
         """Return the number of attempts in flight."""
-        return len(self._attempts)
+        return self._in_flight.count
 
     @property
     def view(self) -> WorkerView:
@@ -170,23 +138,19 @@
         if self._view is None:
             self._view = WorkerView(
                 process_id=self.process_id,
-                place=self._place,
-                epoch=self._epoch,
+                place=self._worker.place,
+                epoch=self._worker.epoch,
                 load=self._load,
                 load_at_s=self._load_at_s,
-                in_flight=len(self._attempts),
-                in_flight_blocks=self._prefilling_blocks,
-                recent_blocks=self._recent_blocks,
+                in_flight=self._in_flight.count,
+                in_flight_blocks=self._in_flight.blocks,
+                recent_blocks=self._in_flight.recent_blocks,
             )
         return self._view
 
     def start(self, attempt: Attempt, frame: Start) -> None:
         """Send an attempt to the agent."""
-        sequence = attempt.id.sequence
-        self._attempts[sequence] = attempt
-        self._prefilling[sequence] = attempt.blocks
-        self._prefilling_blocks += attempt.blocks
-        self._recent_blocks += attempt.blocks
+        self._in_flight.add(attempt)
         self._view = None
         self.send(frame)
         if not self._up:
@@ -194,21 +158,18 @@
 
     def send(self, frame: RouterFrame) -> None:
         """Queue a frame; it is lost when the link is down."""
-        if not self._up:
-            return
-        self._outbox.append(frame)
-        self._outbox_filled.set()
+        if self._up and self._session is not None:
+            self._session.send(frame)
 
-    def first_byte(self, attempt: Attempt) -> None:
+    def prefilled(self, attempt: Attempt) -> None:
         """Note that an attempt's prompt has been computed."""
-        blocks = self._prefilling.pop(attempt.id.sequence, 0)
-        self._prefilling_blocks -= blocks
+        self._in_flight.prefilled(attempt)
         self._view = None
 
     def release(self, attempt: Attempt) -> None:
         """Forget an attempt; it goes on at the agent if it still runs."""
-        self.first_byte(attempt)
-        self._attempts.pop(attempt.id.sequence, None)
+        self._in_flight.remove(attempt)
+        self._view = None
         attempt.close()
 
     def abandon(self, attempt: Attempt) -> None:
@@ -221,10 +182,10 @@
 
     def check_silence(self) -> None:
         """Ask a silent agent of its attempts; break a link that stays so."""
-        if not self._up or not self._attempts:
+        oldest = self._in_flight.oldest
+        if not self._up or oldest is None:
             return
         now = time.monotonic()
-        oldest = next(iter(self._attempts.values()))
         silent_s = now - max(self._last_frame_s, oldest.started_at_s)
         if silent_s < SILENCE_ASK_S:
             return
@@ -237,101 +198,30 @@
             return
         _log.warning('Agent is silent, link broken.', agent=str(self._address))
         if self._session is not None:
-            self._session.cancel()
+            self._session.end()
 
     async def run(self) -> None:
         """Connect, and connect again, until cancelled."""
-        try:
-            while True:
-                self._session = asyncio.create_task(self._hold())
-                await asyncio.wait([self._session])
-                self._went_down(self._session)
-                await asyncio.sleep(self._backoff.next_s())
-        finally:
-            if self._session is not None:
-                self._session.cancel()
-                await asyncio.wait([self._session])
-                self._went_down(self._session)
-
-    async def _hold(self) -> None:
-        channel = Channel(
-            self._address.host,
-            self._address.port,
-            codec=_codec,
-            ssl=self._tls,
-        )
-        try:
-            await self._converse(channel)
-        finally:
-            channel.close()
-
-    async def _converse(self, channel: Channel) -> None:
-        opened: Stream[Any, Any] = channel.request(
-            LINK_METHOD, Cardinality.STREAM_STREAM, FromRouter, FromAgent
-        )
-        async with opened as stream:
-            async with asyncio.timeout(WELCOME_TIMEOUT_S):
-                await stream.send_message(self._owner.hello())
-                welcome = await stream.recv_message()
-            if not isinstance(welcome, Welcome):
-                _log.warning(
-                    'Expected a Welcome.',
-                    agent=str(self._address),
-                    got=type(welcome).__name__,
-                )
-                return
-            self._came_up(welcome)
-            writer = asyncio.create_task(self._write(stream))
-            writer.add_done_callback(self._writer_ended)
+        while True:
+            self._session = Session(self._address, self, self._owner.hello())
+            cause = 'closed'
             try:
-                async for message in stream:
-                    self._take_message(message)
+                cause = await self._session.run(self._tls)
             finally:
-                writer.cancel()
-
-    async def _write(self, stream: Stream[Any, Any]) -> None:
-        while True:
-            await self._outbox_filled.wait()
-            self._outbox_filled.clear()
-            while self._outbox:
-                frame = self._outbox.popleft()
-                if type(frame) is Start and not self._still_wanted(frame):
-                    continue
-                await stream.send_message(frame)
-
-    def _writer_ended(self, writer: asyncio.Task[None]) -> None:
-        if writer.cancelled() or writer.exception() is None:
-            return
-        # The reader alone would wait for ever for answers to frames that
-        # were never written.
-        if self._session is not None:
-            self._session.cancel()
-
-    def _still_wanted(self, start: Start) -> bool:
-        attempt = self._attempts.get(start.attempt.sequence)
-        if attempt is None:
-            # Given up while it waited here, and reported as not run. Sent
-            # now it would run all the same, perhaps for a second time.
-            return False
-        attempt.mark_sent()
-        return True
-
-    def _came_up(self, welcome: Welcome) -> None:
-        restarted = self._process != welcome.name
-        if restarted or self._epoch != welcome.epoch:
-            self._owner.worker_forgotten(welcome.name.process_id)
-        if restarted:
+                self._went_down(cause)
+            await sleep(self._backoff.next_s())
+
+    def welcomed(self, welcome: Welcome) -> None:
+        """Take the agent's greeting: the link is up."""
+        before = self._worker
+        self._worker = welcomed_state(welcome)
+        if before.name != welcome.name:
             self._cancels.clear()
-        self._process = welcome.name
-        self._place = welcome.place
-        self._service = welcome.service
-        self._epoch = welcome.epoch
-        self._models = frozenset(welcome.models)
-        self._leaving = welcome.leaving
+        if before.name != welcome.name or before.epoch != welcome.epoch:
+            self._owner.worker_forgotten(welcome.name.process_id)
+        self._set_load(welcome.load)
         self._last_frame_s = time.monotonic()
         self._asked_at_s = 0.0
-        self._set_load(welcome.load)
-        self._outbox.clear()
         self._up = True
         self._backoff.reset()
         LINKS_UP.inc()
@@ -340,44 +230,48 @@
         )
         self._owner.link_changed()
         self._send_cancels()
-        for attempt in self._attempts.values():
+        for attempt in self._in_flight.all():
             attempt.interrupt(Interrupt.LINK_UP)
 
-    def _went_down(self, session: asyncio.Task[None]) -> None:
-        error = None
-        if not session.cancelled():
-            error = session.exception()
+    def take(self, message: AgentMessage) -> None:
+        """Take one message of the agent."""
+        self._last_frame_s = time.monotonic()
+        if self._asked_at_s:
+            self._asked_at_s = 0.0
+            self._owner.link_changed()
+        if isinstance(message, Batch):
+            for frame in message.frames:
+                self._take_frame(frame)
+            return
+        self._take_frame(message)
+
+    def is_wanted(self, start: Start) -> bool:
+        """Tell whether a Start is still to be sent, just before it is."""
+        attempt = self._in_flight.find(start.attempt.sequence)
+        if attempt is None:
+            # Given up while it waited here, and reported as not run. Sent
+            # now it would run all the same, perhaps for a second time.
+            return False
+        attempt.mark_sent()
+        return True
+
+    def _went_down(self, cause: str) -> None:
         if not self._up:
-            _log.debug(
-                'No link yet.', agent=str(self._address), error=repr(error)
-            )
+            _log.debug('No link yet.', agent=str(self._address), cause=cause)
             return
         self._up = False
-        self._view = None
-        self._outbox.clear()
         LINKS_UP.dec()
         LINK_BREAKS.inc()
-        _log.info('Link is down.', agent=str(self._address), error=repr(error))
+        _log.info('Link is down.', agent=str(self._address), cause=cause)
         self._owner.link_changed()
-        for attempt in self._attempts.values():
+        for attempt in self._in_flight.all():
             attempt.interrupt(Interrupt.LINK_DOWN)
 
     def _send_cancels(self) -> None:
         while self._up and self._cancels:
             self.send(Cancel(self._cancels.popleft()))
 
-    def _take_message(self, message: AgentMessage) -> None:
-        self._last_frame_s = time.monotonic()
-        if self._asked_at_s:
-            self._asked_at_s = 0.0
-            self._owner.link_changed()
-        if isinstance(message, Batch):
-            for frame in message.frames:
-                self._take(frame)
-            return
-        self._take(message)
-
-    def _take(self, frame: AgentFrame) -> None:
+    def _take_frame(self, frame: AgentFrame) -> None:
         if isinstance(frame, WorkerChanged):
             self._worker_changed(frame)
             return
@@ -389,7 +283,7 @@
             return
         if isinstance(frame, (End, Refused)):
             self._set_load(frame.load)
-        attempt = self._attempts.get(frame.attempt.sequence)
+        attempt = self._in_flight.find(frame.attempt.sequence)
         if attempt is None:
             DROPPED_FRAMES.labels('attempt-closed').inc()
             return
@@ -400,9 +294,16 @@
             return
         attempt.deliver(frame)
 
+    def _worker_changed(self, frame: WorkerChanged) -> None:
+        if frame.epoch != self._worker.epoch:
+            self._owner.worker_forgotten(self.process_id)
+        self._worker = changed_state(self._worker, frame)
+        self._set_load(frame.load)
+        self._owner.link_changed()
+
     def _learn(self, frame: Knowledge) -> None:
         self._set_load(frame.load)
-        if frame.epoch != self._epoch:
+        if frame.epoch != self._worker.epoch:
             return
         change = CacheChange(
             self.process_id,
@@ -410,19 +311,10 @@
             split_hashes(frame.stored),
             split_hashes(frame.evicted),
         )
-        self._owner.cache_changed(self._service, change)
-
-    def _worker_changed(self, frame: WorkerChanged) -> None:
-        if frame.epoch != self._epoch:
-            self._owner.worker_forgotten(self.process_id)
-        self._epoch = frame.epoch
-        self._models = frozenset(frame.models)
-        self._leaving = frame.leaving
-        self._set_load(frame.load)
-        self._owner.link_changed()
+        self._owner.cache_changed(self._worker.service, change)
 
     def _set_load(self, load: LoadReport) -> None:
         self._load = load
         self._load_at_s = time.monotonic()
-        self._recent_blocks = 0
+        self._in_flight.reported()
         self._view = None
--- a/packages/daemon/src/lacewing_daemon/router/_links.py
+++ b/packages/daemon/src/lacewing_daemon/router/_links.py
@@ -197,11 +197,11 @@
         found: list[Link] = []
         suspects: list[Link] = []
         for address, link in self._links.items():
-            if not link.up or link.leaving or address in self._leaving:
+            if not link.up or link.worker.leaving or address in self._leaving:
                 continue
-            if link.service != service:
+            if link.worker.service != service:
                 continue
-            if needs and needs not in link.models:
+            if needs and needs not in link.worker.models:
                 continue
             if link.suspect:
                 suspects.append(link)
@@ -214,9 +214,9 @@
         # the model: failing their requests would turn each restart and each
         # new weights version into errors.
         for address, link in self._links.items():
-            if link.leaving or address in self._leaving:
+            if link.worker.leaving or address in self._leaving:
                 continue
-            if link.process is None or link.service == service:
+            if link.worker.name is None or link.worker.service == service:
                 return True
         return False
 
