Drive bundles and the audit trail from the command line

Cause: operators had a file to copy to each machine; nothing checked it in full, and nobody saw which processes had it.

Change: lacewingctl keys new; bundle new, edit, validate, diff, sign, roll, rollback, history, show, enter-audit; audit. A draft keeps the roll it was taken from, its sign-offs and the nonce of its last try, so that the same command after a crash finds what became of it. roll asks each process until it reports the number and names those that do not. A rollback that would list a withdrawn key again is refused. Exit codes tell invalid, refused, lost, not known, not confirmed and tampered with apart.

--- a/features/bundle.feature
+++ b/features/bundle.feature
@@ -112,3 +112,85 @@
     Then the process refuses it: "signed off by 'ana'"
     When "ana" forges roll 9 from the proof of roll 1
     Then the process refuses it: "leaves out a change of operators"
+
+  Scenario: A valid bundle has no problems
+    Given a bundle by the operators "ana, bob"
+    When the text of the bundle is checked
+    Then there are no problems
+
+  Scenario Outline: A problem is named with its path
+    Given a bundle by the operators "ana, bob"
+    When "<path>" is set to <value>
+    And the text of the bundle is checked
+    Then a problem at "<at>" says "<says>"
+    And only the path "<at>" has problems
+
+    Examples:
+      | path                                   | value                       | at                              | says                             |
+      | teamz                                  | []                          | $.teamz                         | did you mean 'teams'?            |
+      | teams.team-1.limits.request_per_s      | 5                           | $.teams[1].limits.request_per_s | did you mean 'requests_per_s'?   |
+      | teams.team-1.share                     | "big"                       | $.teams[1].share                | Expected `float`, got `str`      |
+      | teams.team-1.share                     | 0                           | $.teams[1].share                | expected a number above 0        |
+      | teams.team-1.limits.tokens_per_s       | -1                          | $.teams[1].limits.tokens_per_s  | expected 0 or more               |
+      | teams.team-1.services                  | ["registri"]                | $.teams[1].services[0]          | did you mean 'registry'?         |
+      | teams.team-1.services                  | ["registry", "registry"]    | $.teams[1].services[1]          | duplicate: 'registry'            |
+      | teams.team-1.name                      | "team-0"                    | $.teams[1].name                 | duplicate: 'team-0' is also      |
+      | teams.team-1.name                      | ""                          | $.teams[1].name                 | expected a name                  |
+      | teams.team-1.key_hashes                | []                          | $.teams[1].key_hashes           | at least one key                 |
+      | teams.team-1.key_hashes                | ["secret"]                  | $.teams[1].key_hashes[0]        | a SHA-256 as 64 hex digits       |
+      | services.diagnostic.kind               | "modell"                    | $.services[0].kind              | Invalid enum value 'modell'      |
+      | services.diagnostic.first_token_ms     | 0                           | $.services[0].first_token_ms    | expected a number above 0        |
+      | services.diagnostic.weights            | {"tail": -1}                | $.services[0].weights.tail      | expected 0 or more               |
+      | services.registry.models               | ["motor"]                   | $.services[1].models            | no models of a service of kind   |
+      | services.registry.at_most_once_paths   | ["recalls"]                 | $.services[1].at_most_once_paths[0] | did you mean '/recalls'?     |
+      | models.motor.weights                   | ""                          | $.models[0].weights             | expected a version               |
+      | models.motor.weights_gb                | 20                          | $.models[0].weights             | no worker can hold the version 'w1': it needs 20 GB, the largest worker has 16 GB |
+      | models.motor.adapters.recall.adapter_gb | 3                          | $.models[0].adapters[0].version | no worker can hold the version 'a1': with its model it needs 17 GB |
+      | models.motor.adapters.recall.version   | ""                          | $.models[0].adapters[0].version | expected a version               |
+      | prefix_secret                          | "xyz"                       | $.prefix_secret                 | hex digits                       |
+      | operators                              | []                          | $.operators                     | nobody could sign                |
+      | operators.bob.public_key               | "ab"                        | $.operators[1].public_key       | Ed25519 key as 64 hex digits     |
+
+  Scenario: A model that no service lists is held by no worker
+    Given a bundle by the operators "ana, bob"
+    When "services.diagnostic.models" is set to []
+    And the text of the bundle is checked
+    Then a problem at "$.models[0]" says "no worker can hold the model 'motor'"
+    And a problem at "$.services[0].models" says "expected a model"
+
+  Scenario: A misspelt model is named, and so is the one that nobody runs
+    Given a bundle by the operators "ana, bob"
+    When "services.diagnostic.models" is set to ["moter"]
+    And the text of the bundle is checked
+    Then a problem at "$.services[0].models[0]" says "did you mean 'motor'?"
+    And a problem at "$.models[0]" says "no worker can hold the model 'motor'"
+
+  Scenario: One key of two teams
+    Given a bundle by the operators "ana, bob"
+    When the second team gets the key of the first
+    And the text of the bundle is checked
+    Then a problem at "$.teams[1].key_hashes[0]" says "duplicate: the key of team 'team-0'"
+
+  Scenario: All problems are named, not the first alone
+    Given a bundle by the operators "ana, bob"
+    When "teams.team-0.share" is set to -1
+    And "teams.team-1.services" is set to ["registri"]
+    And "prefix_secret" is set to "xyz"
+    And the text of the bundle is checked
+    Then a problem at "$.teams[0].share" says "above 0"
+    And a problem at "$.teams[1].services[0]" says "registry"
+    And a problem at "$.prefix_secret" says "hex"
+
+  Scenario: The parts of 2,500 teams are small, and an edit changes one
+    # Symptom: a change of one team moves half a megabyte to each process, or a
+    # bundle is too large for the platform. Sequence: an operator edits one
+    # team of many. Cause: a bundle kept as one value.
+    Given a bundle of 2500 teams
+    When the share of a team becomes 9
+    Then each part is smaller than 20000 bytes
+    And 1 part has changed
+
+  Scenario: The order of the text does not change the digest
+    Given a bundle of 50 teams
+    When the teams are reversed
+    Then 0 parts have changed
--- a/features/rolls.feature
+++ b/features/rolls.feature
@@ -102,3 +102,17 @@
     Then one linear history holds exactly the 200 rolls that won
     And some operators lost and some answers were lost
     And the process that followed saw no revert
+
+  Scenario: A rollback lists no withdrawn key again
+    # Symptom: a stolen key signs again. Sequence: bob's key is withdrawn, a
+    # later bundle turns out wrong, an operator rolls back to before the
+    # withdrawal. Cause: a rollback that takes the operators along unseen.
+    Given a platform and the operators "ana, bob"
+    When "ana" edits the share to 2
+    And "ana" rolls the edit
+    And "ana" withdraws the key of "bob" and rolls
+    Then roll 2 is in force
+    When "ana" tries to go back to roll 1
+    Then the roll fails as "refused": "roll 1 lists keys that were withdrawn since: bob"
+    When "ana" tries to go back to roll 2
+    Then the roll fails as "conflict": "roll 2 already has the bundle of roll 2"
--- a/features/steps/bundle_steps.py
+++ b/features/steps/bundle_steps.py
@@ -5,11 +5,15 @@
 from behave import then
 from behave import when
 from behave.runner import Context
+from lacewing_common.bundle import Bundle
 from lacewing_common.bundle import Policies
 from lacewing_common.bundles import BundleGuard
+from lacewing_common.bundles import read_bundle_text
 from lacewing_common.bundles import SignOffRole
+from lacewing_common.bundles import split
 from lacewing_common.document import Document
 from support.bundle_bench import BundleBench
+from support.bundle_bench import make_bundle
 
 
 @given('a bundle by the operators "{names}"')
@@ -109,6 +113,81 @@
     bench.offer(forged)
 
 
+@given('a bundle of {count:d} teams')
+def start_large(context: Context, count: int) -> None:
+    """Make a bundle and keep its parts for a comparison."""
+    bench = BundleBench()
+    bench.bundle = make_bundle(count)
+    bench.list_operators(['ana'])
+    context.bundles = bench
+    context.parts = split(bench.bundle)
+
+
+@when('the teams are reversed')
+def reverse(context: Context) -> None:
+    """List the teams in another order."""
+    bench = context.bundles
+    teams = tuple(reversed(bench.bundle.teams))
+    bench.bundle = msgspec.structs.replace(bench.bundle, teams=teams)
+
+
+@when('"{path}" is set to {value}')
+def set_text(context: Context, path: str, value: str) -> None:
+    """Edit the text of the bundle."""
+    bench = context.bundles
+    bench.edit_text(f'{path}={value}')
+
+
+@when('the second team gets the key of the first')
+def copy_key(context: Context) -> None:
+    """Give one key to two teams."""
+    bench = context.bundles
+    key_hashes = msgspec.json.encode(bench.bundle.teams[0].key_hashes)
+    bench.edit_text(f'teams.team-1.key_hashes={key_hashes.decode()}')
+
+
+@when('the text of the bundle is checked')
+def check_text(context: Context) -> None:
+    """Read the text as ``lacewingctl bundle validate`` does."""
+    checked = read_bundle_text(context.bundles.text)
+    context.problems = () if isinstance(checked, Bundle) else checked
+
+
+@then('there are no problems')
+def no_problems(context: Context) -> None:
+    """Check that the text is valid."""
+    assert not context.problems, context.problems
+
+
+@then('a problem at "{at}" says "{says}"')
+def says_problem(context: Context, at: str, says: str) -> None:
+    """Find a problem by path and text."""
+    found = [str(each) for each in context.problems if each.path == at]
+    assert any(says in text for text in found), context.problems
+
+
+@then('only the path "{at}" has problems')
+def only_path(context: Context, at: str) -> None:
+    """Check that nothing else is complained about."""
+    paths = {problem.path for problem in context.problems}
+    assert paths == {at}, context.problems
+
+
+@then('each part is smaller than {size:d} bytes')
+def parts_small(context: Context, size: int) -> None:
+    """Check the largest part."""
+    largest = max(len(part) for part in split(context.bundles.bundle))
+    assert largest < size, largest
+
+
+@then('{count:d} part has changed')
+@then('{count:d} parts have changed')
+def parts_changed(context: Context, count: int) -> None:
+    """Count the parts that were not there before."""
+    changed = set(split(context.bundles.bundle)) - set(context.parts)
+    assert len(changed) == count, len(changed)
+
+
 @when('that was roll 1')
 def keep_first(context: Context) -> None:
     """Keep the document in force for a forger."""
--- a/features/support/bundle_bench.py
+++ b/features/support/bundle_bench.py
@@ -22,6 +22,7 @@
 from lacewing_common.bundles import succeed
 from lacewing_common.document import Document
 from lacewing_common.verdict import Refusal
+from lacewing_ctl._edit import set_value
 
 AT = '2026-01-01T00:00:00+00:00'
 _SERVICES = ('diagnostic', 'registry')
@@ -69,6 +70,7 @@
         self.in_force: Document | None = None
         self.refusal: Refusal | None = None
         self.guard = BundleGuard(())
+        self._raw: object = None
 
     def key(self, operator: str) -> OperatorKey:
         """Return the key of an operator, made at first use."""
@@ -93,6 +95,19 @@
         teams[0] = msgspec.structs.replace(teams[0], share=share)
         self.bundle = msgspec.structs.replace(self.bundle, teams=tuple(teams))
 
+    @property
+    def text(self) -> bytes:
+        """Return the JSON text, with the edits of a person."""
+        if self._raw is None:
+            return msgspec.json.encode(self.bundle)
+        return msgspec.json.encode(self._raw)
+
+    def edit_text(self, assignment: str) -> None:
+        """Set ``path=JSON`` in the text."""
+        if self._raw is None:
+            self._raw = msgspec.json.decode(msgspec.json.encode(self.bundle))
+        set_value(self._raw, assignment)
+
     def sign(self, operator: str, role: SignOffRole) -> None:
         """Sign the bundle as it is now."""
         digest = contents_of_parts(split(self.bundle)).digest
--- a/packages/common/src/lacewing_common/bundles/__init__.py
+++ b/packages/common/src/lacewing_common/bundles/__init__.py
@@ -1,5 +1,6 @@
 """Split, check, sign, roll and verify bundles."""
 
+from lacewing_common.bundles._assemble import assemble
 from lacewing_common.bundles._check import check_bundle
 from lacewing_common.bundles._guard import BUNDLE
 from lacewing_common.bundles._guard import BundleGuard
@@ -8,6 +9,7 @@
 from lacewing_common.bundles._parts import contents_of
 from lacewing_common.bundles._parts import contents_of_parts
 from lacewing_common.bundles._parts import join
+from lacewing_common.bundles._parts import read_trust
 from lacewing_common.bundles._parts import split
 from lacewing_common.bundles._problems import Problem
 from lacewing_common.bundles._proof import Proof
@@ -36,6 +38,7 @@
     'RollOrder',
     'SignOff',
     'SignOffRole',
+    'assemble',
     'canonical',
     'check_bundle',
     'contents_of',
@@ -46,6 +49,7 @@
     'read_bundle_text',
     'read_key',
     'read_proof',
+    'read_trust',
     'sign_off',
     'split',
     'succeed',
--- a/packages/common/src/lacewing_common/bundles/_check.py
+++ b/packages/common/src/lacewing_common/bundles/_check.py
@@ -87,6 +87,8 @@
         )
         yield from _check_kind(path, service)
         yield from _check_service_numbers(path, service)
+        if service.kind is not ServiceKind.MODEL:
+            continue
         for number, model in enumerate(service.models):
             owner = owners.setdefault(model, service.name)
             if owner != service.name:
--- a/packages/common/src/lacewing_common/exits.py
+++ b/packages/common/src/lacewing_common/exits.py
@@ -13,3 +13,9 @@
     USAGE = 2
     ADDRESS_IN_USE = 3
     DRAIN_INCOMPLETE = 4
+    INVALID = 5
+    REFUSED = 6
+    CONFLICT = 7
+    UNKNOWN = 8
+    UNCONFIRMED = 9
+    TAMPERED = 10
--- a/packages/common/src/lacewing_common/rolls/__init__.py
+++ b/packages/common/src/lacewing_common/rolls/__init__.py
@@ -7,6 +7,7 @@
 from lacewing_common.rolls._reads import BundleReads
 from lacewing_common.rolls._reads import HistoryEntry
 from lacewing_common.rolls._reads import StoredHead
+from lacewing_common.rolls._rollback import make_rollback
 from lacewing_common.rolls._writes import BundleWrites
 from lacewing_common.rolls._writes import Rolled
 
@@ -20,4 +21,5 @@
     'Rolled',
     'StoredHead',
     'diff_bundles',
+    'make_rollback',
 ]
--- /dev/null
+++ b/packages/ctl/src/lacewing_ctl/_commands/__init__.py
@@ -0,0 +1,1 @@
+"""Hold what changes something."""
--- /dev/null
+++ b/packages/ctl/src/lacewing_ctl/_fetch.py
@@ -0,0 +1,24 @@
+"""Read the bundle of a roll."""
+
+from lacewing_common.bundle import RolledBundle
+from lacewing_common.bundles import assemble
+from lacewing_common.rolls import RollError
+from lacewing_common.rolls import RollFault
+from lacewing_common.verdict import Refusal
+
+from lacewing_ctl._session import Session
+
+
+async def fetch(session: Session, number: int) -> RolledBundle | RollError:
+    """Read and verify the bundle of a roll, 0: the one in force."""
+    reads = session.reads
+    stored = await (reads.head_at(number) if number else reads.head())
+    if isinstance(stored, RollError):
+        return stored
+    document = await reads.document(stored)
+    if isinstance(document, RollError):
+        return document
+    rolled = assemble(document)
+    if isinstance(rolled, Refusal):
+        return RollError(RollFault.REFUSED, rolled.message)
+    return rolled
