--- a/features/peers.feature
+++ b/features/peers.feature
@@ -123,3 +123,53 @@
     Given 6 peers
     When peer "p2" is leaving
     Then all agree that "p2" is leaving
+
+  Scenario: A roll reaches all through a few that read from the platform
+    Given 12 peers in two regions and a platform
+    When 2 peers watch the platform
+    And version 1 of the bundle is written to the platform
+    Then version 1 is in force at all peers
+    And the parts were read from the platform at most 2 times
+
+  Scenario: Others take over from readers that died
+    # Symptom: after a rack went, no roll comes into force any more.
+    # Sequence: all readers die, a bundle is rolled.
+    # Cause: the readers are chosen once.
+    Given 8 peers in two regions and a platform
+    When 2 peers watch the platform
+    And the peers that watch the platform are killed
+    And version 1 of the bundle is written to the platform
+    Then version 1 is in force at all peers
+    And 2 peers watch the platform
+
+  Scenario: A herd of restarts leaves a few readers
+    Given 10 peers in two regions and a platform
+    When version 1 of the bundle is written to the platform
+    And all peers start again at once
+    Then version 1 is in force at all peers
+    And 2 peers watch the platform
+
+  Scenario: A roll goes on spreading when the platform is lost at once
+    Given 10 peers in two regions and a platform
+    When 2 peers watch the platform
+    And version 1 of the bundle is written to the platform
+    And "p1" takes version 2 of the bundle
+    And the platform goes down for all peers
+    Then version 2 is in force at all peers
+
+  Scenario: A process that no peer reaches reads for itself
+    # Symptom: a router serves by an old bundle while the platform is up.
+    # Sequence: its peers cannot reach it, a bundle is rolled.
+    # Cause: only the chosen readers ask the platform.
+    Given 6 peers in two regions and a platform
+    When peer "p4" is cut off
+    And version 1 of the bundle is written to the platform
+    Then version 1 is in force at all peers
+
+  Scenario: All hear what the VM list says of a VM
+    Given 8 peers in two regions and a platform
+    When the VM list shows the VM of "p5" as live
+    And the VM list shows the VM of "p5" as leaving
+    Then the role of each peer hears that the VM of "p5" is leaving
+    When the VM list shows the VM of "p5" as live
+    Then the role of each peer hears that the VM of "p5" is live
--- a/features/steps/peers_steps.py
+++ b/features/steps/peers_steps.py
@@ -6,7 +6,12 @@
 from behave import then
 from behave import when
 from behave.runner import Context
+from lacewing_bench.fakes import FakeStore
+from lacewing_bench.platform import Down
+from lacewing_bench.platform import FaultSwitches
 from lacewing_common.document import part_digest
+from lacewing_common.store import Vm
+from lacewing_common.store import VmState
 from lacewing_common.wire_peers import Liveness
 from lacewing_common.wire_peers import MemberRecord
 from support.peers_bench import PeersBench
@@ -31,6 +36,14 @@
     context.bench.start(number)
 
 
+@given('{number:d} peers in two regions and a platform')
+def given_peers_platform(context: Context, number: int) -> None:
+    """Start peers of which one in each region has to read."""
+    context.bench = PeersBench(context)
+    context.bench.store = FakeStore()
+    context.bench.start(number)
+
+
 @given('"{name}" checks no sign-off')
 def given_no_check(context: Context, name: str) -> None:
     """Take the guard of one peer away."""
@@ -134,6 +147,83 @@
     context.bench.network.lose(0.0)
 
 
+@when('version {version:d} of the bundle is written to the platform')
+def when_written(context: Context, version: int) -> None:
+    """Write parts and head."""
+    context.bench.write_roll(version)
+
+
+@when('the platform goes down for all peers')
+def when_platform_down(context: Context) -> None:
+    """Refuse all calls."""
+    context.bench.store.set_faults(FaultSwitches(down=Down.REFUSE))
+
+
+@when('{number:d} peers watch the platform')
+@then('{number:d} peers watch the platform')
+def when_watch(context: Context, number: int) -> None:
+    """Wait until so many watches wait."""
+    bench = context.bench
+    bench.until(
+        lambda: bench.store.counts.waiting_watches == number,
+        f'{number} watches',
+    )
+
+
+@when('the peers that watch the platform are killed')
+def when_readers_killed(context: Context) -> None:
+    """End all readers without a word."""
+    bench = context.bench
+    reading = [peer.name for peer in bench.peers.values() if peer.reading]
+    assert len(reading) == 2, reading
+    for name in reading:
+        bench.kill(name)
+
+
+@when('all peers start again at once')
+def when_herd(context: Context) -> None:
+    """Kill all peers, then start all with nothing but a seed."""
+    bench = context.bench
+    names = list(bench.peers)
+    for name in names:
+        bench.kill(name)
+    bench.contacts.clear()
+    bench.store.service.reset_counts()
+    for index, name in enumerate(names):
+        bench.add(name, index)
+
+
+@when('the VM list shows the VM of "{name}" as {state}')
+def when_listed(context: Context, name: str, state: str) -> None:
+    """Write a row of the list."""
+    bench = context.bench
+    address = bench.peers[name].address
+    bench.store.service.put_vm(Vm(name, address, 'z1', VmState(state)))
+    bench.store.service.set_faults(FaultSwitches(vm_lag_s=0.0))
+
+
+@then('the role of each peer hears that the VM of "{name}" is {state}')
+def then_vm_state(context: Context, name: str, state: str) -> None:
+    """Wait until all peers give the state of the list."""
+    bench = context.bench
+    address = bench.peers[name].address
+    leaving = state == VmState.LEAVING.value
+    bench.until(
+        lambda: all(
+            peer.node.members.leaving(address) is leaving
+            for peer in bench.peers.values()
+        ),
+        f'{state} of {name}',
+    )
+
+
+@then('the parts were read from the platform at most {number:d} times')
+def then_parts_read(context: Context, number: int) -> None:
+    """Count at the platform."""
+    calls = context.bench.store.counts.calls
+    assert 1 <= calls['get'].get('parts', 0) <= number, calls
+
+
 @when('a new peer joins')
 def when_joins(context: Context) -> None:
     """Start one more peer."""
--- a/features/support/peers_bench.py
+++ b/features/support/peers_bench.py
@@ -5,17 +5,23 @@
 from asyncio import Runner
 from collections.abc import Callable
 from collections.abc import Coroutine
+from collections.abc import Iterable
 from collections.abc import Mapping
 from random import Random
 from typing import Any
 from typing import TypeVar
 
 from behave.runner import Context
+from lacewing_bench.fakes import FakeStore
 from lacewing_common.document import Document
 from lacewing_common.document import DocumentHead
 from lacewing_common.document import DocumentKind
 from lacewing_common.document import DocumentName
 from lacewing_common.document import part_digest
+from lacewing_common.document_objects import encode_head
+from lacewing_common.document_objects import head_object
+from lacewing_common.document_objects import HEADS
+from lacewing_common.document_objects import PARTS
 from lacewing_common.identity import new_incarnation
 from lacewing_common.identity import Place
 from lacewing_common.identity import ProcessName
@@ -23,6 +29,9 @@
 from lacewing_common.settings import PeerSettings
 from lacewing_common.settings import Settings
 from lacewing_common.settings import WorkerSettings
+from lacewing_common.store import MUST_NOT_EXIST
+from lacewing_common.store import StoreError
+from lacewing_common.store import Vm
 from lacewing_common.verdict import not_run
 from lacewing_common.verdict import Reason
 from lacewing_common.verdict import Refusal
@@ -33,6 +42,7 @@
 from lacewing_daemon.peers import Channels
 from lacewing_daemon.peers import NoReply
 from lacewing_daemon.peers import PeerNode
+from lacewing_daemon.peers import PlatformReader
 
 T = TypeVar('T')
 
@@ -42,7 +52,7 @@
 _WRONG = b'wrong'
 _GRAVE = -1
 QUICK = PeerSettings(
-    exchange_s=0.05, probe_s=0.3, suspect_s=0.6, vm_list_s=0.05
+    exchange_s=0.05, probe_s=0.3, suspect_s=0.6, vm_list_s=0.05, readers=1
 )
 _ZONES = (('r1', 'z1'), ('r1', 'z2'), ('r2', 'z3'), ('r2', 'z4'))
 
@@ -112,9 +122,17 @@
     """Hold one peer, its server and the versions it had in force."""
 
     def __init__(
-        self, name: str, index: int, contacts: list[str], network: Network
+        self,
+        name: str,
+        index: int,
+        contacts: list[str],
+        network: Network,
+        store: FakeStore | None,
     ) -> None:
         self.name = name
+        self._store = store
+        self._reader: asyncio.Task[None] | None = None
+        self._platform: PlatformReader | None = None
         self.versions: list[int] = []
         self._network = network
         region, zone = _ZONES[index % len(_ZONES)]
@@ -149,6 +167,11 @@
         """Return the version of the bundle in force, 0 for none."""
         return self.node.documents.version(BUNDLE)
 
+    @property
+    def reading(self) -> bool:
+        """Tell whether it watches the platform."""
+        return self._platform is not None and self._platform.reading
+
     async def start(self, group: int) -> None:
         """Listen, look around and join."""
         await self._server.start()
@@ -156,15 +179,26 @@
         self._network.put(self.address, group)
         await self.node.discover()
         self.node.start(self.address)
+        if self._store is not None:
+            self._reader = asyncio.create_task(self._read(self._store))
 
     async def kill(self) -> None:
         """End without a word."""
         # The server goes on answering over connections that are open.
         self._network.put(self.address, _GRAVE)
         self._server.stop()
+        if self._reader is not None:
+            self._reader.cancel()
+            await asyncio.wait([self._reader])
         await self.node.close()
         await self._server.wait_closed()
 
+    async def _read(self, store: FakeStore) -> None:
+        self._platform = PlatformReader(
+            self.node, store, QUICK, _followed, _take_no_list, Random(7)
+        )
+        await self._platform.run(contacts=1)
+
     def _guard(self, document: Document) -> Refusal | None:
         if self.guard_strict and _WRONG in document.parts:
             return not_run(Reason.BAD_REQUEST, 'not signed off')
@@ -183,6 +217,7 @@
         self.network = Network()
         self.contacts: list[str] = []
         self.peers: dict[str, Peer] = {}
+        self.store: FakeStore | None = None
 
     def run(self, work: Coroutine[Any, Any, T]) -> T:
         """Run a coroutine to its end in the scenario's event loop."""
@@ -197,7 +232,7 @@
 
     def add(self, name: str, index: int, group: int = 0) -> Peer:
         """Start one peer, in a group of the network."""
-        peer = Peer(name, index, self.contacts, self.network)
+        peer = Peer(name, index, self.contacts, self.network, self.store)
         self.peers[name] = peer
         self.run(peer.start(group))
         if not self.contacts:
@@ -215,6 +250,22 @@
         found = self.run(self._accept(name, version, parts))
         assert found is True, found
 
+    def write_roll(self, version: int) -> None:
+        """Write a bundle to the platform, as an operator's tool does."""
+        assert self.store is not None
+        part = b'bundle %d' % version
+        digest = part_digest(part)
+        head = DocumentHead(BUNDLE, version, (digest,))
+        self.run(self.store.put(PARTS, digest, part, MUST_NOT_EXIST))
+        found = self.run(self.store.get(HEADS, head_object(BUNDLE)))
+        expect = 0 if isinstance(found, StoreError) else found.version
+        written = self.run(
+            self.store.put(
+                HEADS, head_object(BUNDLE), encode_head(head), expect
+            )
+        )
+        assert not isinstance(written, StoreError), written
+
     def until(self, condition: Callable[[], bool], what: str) -> None:
         """Let the peers run until a condition holds."""
         self.run(_until(condition, what))
@@ -275,6 +326,14 @@
         return self.peers[name].node.documents.accept(head, held)
 
 
+def _followed() -> tuple[DocumentName, ...]:
+    return (BUNDLE,)
+
+
+def _take_no_list(_vms: Iterable[Vm]) -> None:
+    """Leave it to the notes what the list says."""
+
+
 async def _until(condition: Callable[[], bool], what: str) -> None:
     deadline_s = time.monotonic() + PATIENCE_S
     while not condition():
--- a/packages/daemon/src/lacewing_daemon/_serve.py
+++ b/packages/daemon/src/lacewing_daemon/_serve.py
@@ -7,12 +7,13 @@
 from pathlib import Path
 from random import Random
 
+from lacewing_common.bundles import BUNDLE
 from lacewing_common.bundles import BundleGuard
 from lacewing_common.document import DocumentKind
+from lacewing_common.document import DocumentName
 from lacewing_common.exits import Exit
 from lacewing_common.identity import new_incarnation
 from lacewing_common.identity import ProcessName
-from lacewing_common.identity import Role
 from lacewing_common.log import get_log
 from lacewing_common.log import Part
 from lacewing_common.platform_client import PlatformClient
@@ -29,8 +30,8 @@
 from lacewing_daemon.bundles import FileBundles
 from lacewing_daemon.bundles import ReplicatedBundles
 from lacewing_daemon.members import KnownMembers
-from lacewing_daemon.members import VmListFollower
 from lacewing_daemon.peers import PeerNode
+from lacewing_daemon.peers import PlatformReader
 from lacewing_daemon.runtime import BundleSource
 from lacewing_daemon.runtime import Explains
 from lacewing_daemon.runtime import RoleStatus
@@ -54,7 +55,7 @@
             self._name,
             settings,
             {DocumentKind.BUNDLE: guard},
-            self._contacts.agent_addresses,
+            self._contacts.addresses,
             Random(),
         )
         self._node.documents.on_change(DocumentKind.BUNDLE, guard.remember)
@@ -72,6 +73,7 @@
         )
         self._operators_address = ''
         self._platform: PlatformClient | None = None
+        self._reader: PlatformReader | None = None
         self._role: RunningRole | None = None
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -83,10 +85,13 @@
         self._file.reload()
         self._operators_address = str(self._operators.listen())
         self._follow(self._file.follow())
-        await self._follow_platform()
-        await self._node.discover()
+        self._open_platform()
+        await self._look_around()
         self._role = await start_role(self._runtime)
         self._node.start(self._role.peers_address)
+        if self._reader is not None:
+            contacts = len(self._contacts.addresses())
+            self._follow(self._reader.run(contacts))
         addresses = self._status().addresses
         self._log.info(
             'Listening.',
@@ -105,16 +110,32 @@
             return self._file
         return ReplicatedBundles(self._node.documents, assemble_bundle)
 
-    async def _follow_platform(self) -> None:
+    def _open_platform(self) -> None:
         if not self._settings.platform:
             return
         self._platform = PlatformClient(self._settings.platform)
         self._runtime = replace(self._runtime, store=self._platform)
-        if self._settings.role is not Role.ROUTER:
+        self._reader = PlatformReader(
+            self._node,
+            self._platform,
+            self._settings.peers,
+            self._followed,
+            self._contacts.take_list,
+            Random(),
+        )
+
+    async def _look_around(self) -> None:
+        """Learn members and bundle before serving, best from peers."""
+        await self._node.discover()
+        if self._reader is None or self._node.knows_others:
             return
-        vm_list = VmListFollower(self._platform, self._contacts, Random())
-        await vm_list.read_first()
-        self._follow(vm_list.follow())
+        await self._reader.read_members()
+        await self._node.discover()
+
+    def _followed(self) -> tuple[DocumentName, ...]:
+        if self._settings.bundle_file:
+            return ()
+        return (BUNDLE,)
 
     async def _stop(self, role: RunningRole) -> Exit:
         ended = Exit.OK
--- a/packages/daemon/src/lacewing_daemon/peers/_gossip.py
+++ b/packages/daemon/src/lacewing_daemon/peers/_gossip.py
@@ -64,6 +64,7 @@
         self._rng = rng
         self._contacts = contacts
         self._rounds = 0
+        self._met: set[str] = set()
         self._pull_after_s = 0.0
         self._answered_at_s = 0.0
         self._tasks: set[asyncio.Task[None]] = set()
@@ -82,6 +83,15 @@
             calls.append(self._exchange_with(address, None))
         await asyncio.gather(*calls)
 
+    def meet(self) -> None:
+        """Call a few of the addresses that were never called."""
+        strangers = self._strangers()
+        self._met.intersection_update(strangers)
+        fresh = [each for each in strangers if each not in self._met]
+        for address in fresh[:FANOUT]:
+            self._met.add(address)
+            self._spawn(self._try(address))
+
     async def run(self) -> None:
         """Exchange with one peer in each period until cancelled."""
         try:
--- a/packages/daemon/src/lacewing_daemon/peers/_node.py
+++ b/packages/daemon/src/lacewing_daemon/peers/_node.py
@@ -115,6 +115,15 @@
         """Return the monotonic time of the last call or answer of a peer."""
         return max(self._gossip.answered_at_s, self._service.heard_at_s)
 
+    @property
+    def knows_others(self) -> bool:
+        """Tell whether any other process is known."""
+        return bool(self._table.others())
+
+    def meet(self) -> None:
+        """Call the addresses that were not known before."""
+        self._gossip.meet()
+
     async def discover(self) -> None:
         """Learn members and documents from a few peers before serving."""
         await self._gossip.discover()
