--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,9 @@
 bench: $(VENV)/.made
 	$(BIN)/python -m lacewing_bench.bench $(if $(QUICK),--quick)
 
+relay-cost: $(VENV)/.made
+	$(BIN)/python -m lacewing_bench.relay_cost
+
 check: $(VENV)/.made
 	PATH="$(CURDIR)/$(BIN):$$PATH" tools/check
 
--- a/packages/bench/src/lacewing_bench/load/_profile.py
+++ b/packages/bench/src/lacewing_bench/load/_profile.py
@@ -60,7 +60,7 @@
         Level('chapter', 600, 6, 1.0),
         Level('case', 200, 3, 0.8, life_s=20.0),
     ),
-    rate=35.0,
+    rate=42.0,
     capacity_blocks=400,
     adapter_team='t8',
 )
@@ -72,7 +72,7 @@
         Level('motor family', 600, 7, 1.0),
         Level('fault dump', 300, 3, 0.8, life_s=15.0),
     ),
-    rate=60.0,
+    rate=80.0,
     capacity_blocks=600,
     adapter_team='t8',
 )
--- /dev/null
+++ b/packages/bench/src/lacewing_bench/relay_cost/__init__.py
@@ -0,0 +1,1 @@
+"""Measure what router and agent add to an engine's answer."""
