Check only what a roll changed

Cause: each process decoded and checked all parts at each roll, and decoded them once more for use.

The guard gives the bundle from the same reader; the daemon's own assembly is gone.

--- a/packages/daemon/src/lacewing_daemon/_serve.py
+++ b/packages/daemon/src/lacewing_daemon/_serve.py
@@ -22,7 +22,6 @@
 from lacewing_common.status import ProcessStatus
 from lacewing_common.tls import bound_tls_buffers
 
-from lacewing_daemon._documents import assemble_bundle
 from lacewing_daemon._operators import OperatorsServer
 from lacewing_daemon._roles import start_role
 from lacewing_daemon._signals import on_hangup
@@ -50,15 +49,17 @@
         self._signals = StopSignals()
         self._contacts = KnownMembers(settings.seeds)
         self._name = ProcessName(settings.process_id, new_incarnation())
-        guard = BundleGuard(settings.root_operators)
+        self._guard = BundleGuard(settings.root_operators)
         self._node = PeerNode(
             self._name,
             settings,
-            {DocumentKind.BUNDLE: guard},
+            {DocumentKind.BUNDLE: self._guard},
             self._contacts.addresses,
             Random(),
         )
-        self._node.documents.on_change(DocumentKind.BUNDLE, guard.remember)
+        self._node.documents.on_change(
+            DocumentKind.BUNDLE, self._guard.remember
+        )
         self._file = FileBundles(_bundle_path(settings))
         self._runtime = Runtime(
             name=self._name,
@@ -108,7 +109,7 @@
     def _bundles(self) -> BundleSource:
         if self._settings.bundle_file:
             return self._file
-        return ReplicatedBundles(self._node.documents, assemble_bundle)
+        return ReplicatedBundles(self._node.documents, self._guard.assemble)
 
     def _open_platform(self) -> None:
         if not self._settings.platform:
