Import and keep KV cache, and compute a shared prefix once

Cause: an evicted prefix was computed again, on each worker that it was spread to, and two requests that entered one engine's batch together both computed the prefix that they share. Change: when the policy asks for it, the agent asks the store what it holds of the missing blocks and has the engine import them while a learnt import is cheaper than a learnt prefill; it exports levels once they came again; a request waits for the first token of one that computes the same level. worker.kv_store names the store.

--- a/packages/daemon/src/lacewing_daemon/agent/_agent.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_agent.py
@@ -33,6 +33,7 @@
 from lacewing_daemon.agent._attempts import Attempts
 from lacewing_daemon.agent._cache import CacheKnowledge
 from lacewing_daemon.agent._cache_follower import CacheFollower
+from lacewing_daemon.agent._kv_client import KvClient
 from lacewing_daemon.agent._link import Link
 from lacewing_daemon.agent._load import LoadView
 from lacewing_daemon.agent._metrics import LINKS
@@ -87,6 +88,9 @@
             lambda: self._service.is_engine,
             self._cache.view,
         )
+        self._kv: KvClient | None = None
+        if settings.kv_store:
+            self._kv = KvClient(settings.kv_store, settings.url)
         self._claims = Claims(runtime.store, settings.service, claim_limits)
         self._runner = Runner(
             self._worker,
@@ -146,6 +150,8 @@
         self._spawn(self._watch.run())
         self._spawn(self._teller.run())
         self._spawn(self._follower.run())
+        if self._kv is not None:
+            self._spawn(self._cache.keep_in(self._kv).run())
         self._spawn(self._sweeper.run())
 
     async def drain(self) -> None:
@@ -175,6 +181,8 @@
         await self._server.wait_closed()
         self._worker.close()
         self._cache_worker.close()
+        if self._kv is not None:
+            self._kv.close()
 
     def welcome(self) -> Welcome:
         """Return the answer to a Hello."""
--- a/packages/daemon/src/lacewing_daemon/agent/_runner.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_runner.py
@@ -81,9 +81,7 @@
             return
         try:
             if attempt.cancelled:
-                attempt.refuse(
-                    not_run(Reason.CALLER_GONE, 'the caller went while queued')
-                )
+                attempt.refuse(_caller_gone())
                 return
             await self._run_on_worker(attempt)
         finally:
@@ -92,9 +90,12 @@
     async def _run_on_worker(self, attempt: Attempt) -> None:
         start = attempt.start
         from_engine = self._service.runs_on_engine(start)
-        run = self._cache.begin(start) if from_engine else None
+        run = await self._cache.begin(start) if from_engine else None
         receiver = Receiver(attempt, from_engine, run)
         try:
+            if attempt.cancelled:
+                attempt.refuse(_caller_gone())
+                return
             await self._exchange(attempt, receiver, from_engine)
         finally:
             if run is not None:
@@ -232,6 +233,10 @@
     return None
 
 
+def _caller_gone() -> Refusal:
+    return not_run(Reason.CALLER_GONE, 'the caller went while queued')
+
+
 def _worth_resuming(refusal: Refusal) -> bool:
     return refusal.reason in (Reason.STREAM_BROKEN, Reason.ANSWER_MISMATCHED)
 
