--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SECONDS ?= 60
 DECLARED := constraints.txt $(wildcard packages/*/pyproject.toml)
 
-.PHONY: test demo load bench relay-cost check format clean
+.PHONY: test demo load bench relay-cost decision-cost check format clean
 
 test: $(VENV)/.made
 	.ci/run
@@ -25,6 +25,9 @@
 relay-cost: $(VENV)/.made
 	$(BIN)/python -m lacewing_bench.relay_cost
 
+decision-cost: $(VENV)/.made
+	$(BIN)/python -m lacewing_bench.decision_cost
+
 check: $(VENV)/.made
 	PATH="$(CURDIR)/$(BIN):$$PATH" tools/check
 
