--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,8 @@
 SECONDS ?= 60
 DECLARED := constraints.txt $(wildcard packages/*/pyproject.toml)
 
-.PHONY: test demo load bench relay-cost decision-cost check format clean
+.PHONY: test demo load bench relay-cost decision-cost bundle-cost check \
+	format clean
 
 test: $(VENV)/.made
 	.ci/run
@@ -28,6 +29,9 @@
 decision-cost: $(VENV)/.made
 	$(BIN)/python -m lacewing_bench.decision_cost
 
+bundle-cost: $(VENV)/.made
+	$(BIN)/python -m lacewing_bench.bundle_cost
+
 check: $(VENV)/.made
 	PATH="$(CURDIR)/$(BIN):$$PATH" tools/check
 
