Break claims in every order and compare with what ran

Cause: the claims had scenarios for repeats only; nothing proved them under a platform that is down, slow or loses answers, under agents that restart, pause or meet, nor at their bounds.

`make explore DEPTH=n` runs the real claims of two agents in virtual time through every order of deliver, refuse, lose, delay, crash, ask, run, keep, withdraw and wait from seven openings, and the agent's table of attempts through every order of start, ask, repeat, late frame, restart, leave and forget.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 PYTHON ?= python3.11
 VENV := .venv
 BIN := $(VENV)/bin
+DEPTH ?= 4
 PACKAGES := common daemon ctl
 DEPLOYMENT ?= lahore
 SECONDS ?= 60
@@ -44,5 +45,10 @@
 		$(PACKAGES:%=-e packages/%) -e 'packages/bench[checks]'
 	touch $@
 
+# All orders of faults in the protocols of claims and attempts.
+.PHONY: explore
+explore: $(VENV)/.made
+	$(BIN)/python -m lacewing_bench.explore --depth $(DEPTH)
+
 clean:
 	rm -rf $(VENV) build
