--- a/packages/bench/src/lacewing_bench/oracle/_policy.py
+++ b/packages/bench/src/lacewing_bench/oracle/_policy.py
@@ -88,7 +88,7 @@
             seen = replace(view, load=load)
             expected.append(Expected(seen, wait_ms + running_ms, hit_blocks))
         estimates = self._scorer.estimates(request, expected)
-        chosen = self._scorer.pick(estimates)
+        chosen = self._scorer.pick(estimates, {})
         self._waits[request.request_id] = chosen.wait_ms
         _bound(self._waits)
         missing = len(request.chain.blocks) - round(chosen.hit_blocks)
--- a/packages/daemon/src/lacewing_daemon/router/_candidates.py
+++ b/packages/daemon/src/lacewing_daemon/router/_candidates.py
@@ -14,6 +14,9 @@
 SMALL_FLEET = 16
 RANDOM_CANDIDATES = 2
 MOST_HINTED = 8
+# The next workers by rendezvous after the homes: where routers agree to
+# turn to when the homes are full.
+STANDBYS = 2
 
 
 @dataclass(frozen=True)
@@ -21,11 +24,13 @@
     """Hold the workers to estimate.
 
     ``homes`` maps a worker to the blocks that belong there: routers which
-    know nothing agree on them.
+    know nothing agree on them. ``ranks`` orders workers of near costs, the
+    lowest first: deep homes, outer homes, the next ones by rendezvous.
     """
 
     process_ids: tuple[str, ...]
     homes: dict[str, int]
+    ranks: dict[str, int]
 
 
 class Finder:
@@ -44,34 +49,51 @@
     ) -> Candidates:
         """Return the candidates for a prompt."""
         ids = workers.ids
-        homes = self._homes(chain, ids, width)
+        if not chain.levels:
+            return Candidates(self._some(ids), {}, {})
+        outer = chain.blocks[chain.levels[0] - 1]
+        top = self._rankings.top(outer, ids, width + STANDBYS)
+        homes = _homes(chain, top[:width])
+        ranks = _ranks(homes, top)
         if len(ids) <= SMALL_FLEET:
-            return Candidates(ids, homes)
-        found = dict.fromkeys(homes)
+            return Candidates(ids, homes, ranks)
+        found = dict.fromkeys(ranks)
         for process_id in _most_held(held):
             found[process_id] = None
-        for process_id in self._rng.sample(ids, RANDOM_CANDIDATES):
+        for process_id in self._some(ids):
             found[process_id] = None
-        return Candidates(tuple(found), homes)
-
-    def _homes(
-        self, chain: PrefixChain, ids: tuple[str, ...], width: int
-    ) -> dict[str, int]:
-        """Return the homes of the outermost level and of those inside it.
-
-        An inner level's home is one of the outer level's, so that a worker
-        which holds the inner holds the outer, too. The last level is the
-        request's own and has no home, unless it is the only one.
-        """
-        levels = chain.levels
-        if not levels:
-            return {}
-        top = self._rankings.top(chain.blocks[levels[0] - 1], ids, width)
-        homes = dict.fromkeys(top, levels[0])
-        for level in levels[1:-1]:
-            home = best(chain.blocks[level - 1], top)
-            homes[home] = level
-        return homes
+        return Candidates(tuple(found), homes, ranks)
+
+    def _some(self, ids: tuple[str, ...]) -> tuple[str, ...]:
+        if len(ids) <= SMALL_FLEET:
+            return ids
+        return tuple(self._rng.sample(ids, RANDOM_CANDIDATES))
+
+
+def _homes(chain: PrefixChain, top: tuple[str, ...]) -> dict[str, int]:
+    """Return the homes of the outermost level and of those inside it.
+
+    An inner level's home is one of the outer level's, so that a worker
+    which holds the inner holds the outer, too. The last level is the
+    request's own and has no home, unless it is the only one.
+    """
+    homes = dict.fromkeys(top, chain.levels[0])
+    for level in chain.levels[1:-1]:
+        home = best(chain.blocks[level - 1], top)
+        homes[home] = level
+    return homes
+
+
+def _ranks(homes: dict[str, int], top: tuple[str, ...]) -> dict[str, int]:
+    """Rank homes by depth, equal ones alike, and the stand-bys after."""
+    depths = sorted(set(homes.values()), reverse=True)
+    ranks: dict[str, int] = {}
+    for process_id in top:
+        if process_id in homes:
+            ranks[process_id] = depths.index(homes[process_id])
+            continue
+        ranks[process_id] = len(depths) + len(ranks)
+    return ranks
 
 
 def _most_held(held: dict[str, Held]) -> list[str]:
--- a/packages/daemon/src/lacewing_daemon/router/_expected_cost.py
+++ b/packages/daemon/src/lacewing_daemon/router/_expected_cost.py
@@ -87,7 +87,7 @@
             wait_ms = self._wait_ms(view, now_s)
             expected.append(Expected(view, wait_ms, blocks))
         estimates = self._scorer.estimates(request, expected)
-        chosen = self._scorer.pick(estimates)
+        chosen = self._scorer.pick(estimates, candidates.ranks)
         self._remember(request, chosen, held, candidates, workers, now_s)
         missing = len(chain.blocks) - chosen.hit_blocks
         return Choice(
--- a/packages/daemon/src/lacewing_daemon/router/_score.py
+++ b/packages/daemon/src/lacewing_daemon/router/_score.py
@@ -1,6 +1,7 @@
 """Score candidates by what a request would cost there, and pick one."""
 
 import random
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from lacewing_common.identity import Place
@@ -51,14 +52,27 @@
             estimates.append(self._estimate(request, each, most_held))
         return tuple(estimates)
 
-    def pick(self, estimates: tuple[Estimate, ...]) -> Estimate:
-        """Return the lowest score, or by chance one that is near it."""
+    def pick(
+        self, estimates: tuple[Estimate, ...], ranks: Mapping[str, int]
+    ) -> Estimate:
+        """Return the lowest score, or one near it of the lowest rank.
+
+        Among equal ranks chance decides. Without ranks a prefix that
+        nobody holds yet would land on another worker at each router, and
+        each of them would compute it.
+        """
         lowest = min(estimate.score for estimate in estimates)
         limit = lowest + NEAR_MS + lowest * NEAR_SHARE
         near = [each for each in estimates if each.score <= limit]
         if len(near) == 1:
             return near[0]
-        return self._rng.choice(near)
+        unranked = len(ranks)
+        lowest_rank = min(ranks.get(e.process_id, unranked) for e in near)
+        equal: list[Estimate] = []
+        for each in near:
+            if ranks.get(each.process_id, unranked) == lowest_rank:
+                equal.append(each)
+        return self._rng.choice(equal)
 
     def _estimate(
         self, request: RoutingRequest, each: Expected, most_held: float
