--- a/Makefile
+++ b/Makefile
@@ -2,12 +2,14 @@
 PYTHON ?= python3.11
 VENV := .venv
 BIN := $(VENV)/bin
+DEPTH ?= 4
 PACKAGES := common daemon ctl
 DEPLOYMENT ?= lahore
 SECONDS ?= 60
 DECLARED := constraints.txt $(wildcard packages/*/pyproject.toml)
 
-.PHONY: test chaos demo load bench relay-cost check format clean
+.PHONY: test chaos demo load bench relay-cost decision-cost bundle-cost check \
+	format clean
 
 test: $(VENV)/.made
 	.ci/run
@@ -25,6 +27,12 @@
 relay-cost: $(VENV)/.made
 	$(BIN)/python -m lacewing_bench.relay_cost
 
+decision-cost: $(VENV)/.made
+	$(BIN)/python -m lacewing_bench.decision_cost
+
+bundle-cost: $(VENV)/.made
+	$(BIN)/python -m lacewing_bench.bundle_cost
+
 # make chaos SEED=3 [MINUTES=2], or make chaos SEEDS=20 [AT_ONCE=3]
 CHAOS_ONE = one --seed=$(or $(SEED),1)
 CHAOS_MANY = many --seeds=$(SEEDS) $(if $(AT_ONCE),--at-once=$(AT_ONCE))
@@ -45,5 +53,10 @@
 		$(PACKAGES:%=-e packages/%) -e 'packages/bench[checks]'
 	touch $@
 
+# All orders of faults in the protocols of claims and attempts.
+.PHONY: explore
+explore: $(VENV)/.made
+	$(BIN)/python -m lacewing_bench.explore --depth $(DEPTH)
+
 clean:
 	rm -rf $(VENV) build
--- a/features/agent.feature
+++ b/features/agent.feature
@@ -107,6 +107,18 @@
       Then "r1" has the answer "done " to call 1
       And the worker ran 1 of "r1" 1 time
 
+    Scenario: A call that must not be repeated is not stopped by a cancel
+      # Symptom: a certificate is half issued.
+      # Sequence: the caller hangs up while the call runs.
+      # Cause: treating it as a stream whose tokens nobody wants.
+      Given an agent beside a plain worker
+      And the worker holds each stream after event 1
+      When "r1" starts call 1 that must not be repeated
+      And the worker has begun 1 of "r1"
+      And "r1" cancels 1
+      And the worker goes on
+      Then "r1" has the answer "done " to call 1
+
   Rule: A refusal that says "not run" is true
 
     Scenario: An attempt never seen is closed for ever
@@ -218,6 +230,48 @@
       Then 2 of "r1" is refused as "may-have-run" for "stream_broken"
       And the worker ran 2 of "r1" 1 time
 
+    Scenario: A refusal after a silent second sending proves nothing
+      # Symptom: a request that an engine had begun is called not run.
+      # Sequence: the engine takes it on a kept connection and dies; libcurl
+      # sends it again; the engine, restarted, refuses its weights.
+      # Cause: taking the answer to the second sending for the only one.
+      Given an agent beside a model worker
+      When "r1" starts stream 1
+      And "r1" has the outcome of 1
+      And the worker will vanish with the next call
+      And the worker answers with status 409
+      And "r1" starts stream 2
+      Then 2 of "r1" is refused as "may-have-run" for "worker_failed"
+
+    Scenario: Closed ids take bounded memory
+      # Symptom: an agent's memory grows with each request refused.
+      # Sequence: a router with one very old attempt asks or starts in vain.
+      # Cause: ids are closed for ever, but memory ends.
+      Given an agent beside a model worker
+      When "r1" asks for 20000 attempts never sent
+      Then the agent remembers at most 10000 of "r1"
+      When "r1" asks for 1
+      Then 1 of "r1" is refused as "may-have-run" for "attempt_closed"
+      When "r1" starts stream 20001
+      Then "r1" has the whole stream 20001, each byte once
+
+    Scenario: An answer too large to keep is not cut short
+      # Symptom: a caller reads half a certificate as a whole one.
+      # Sequence: nobody reads a call's answer, which is larger than what is
+      # kept; its bytes are dropped to free the slot; the router comes back.
+      # Cause: replaying what is left.
+      Given an agent beside a plain worker
+      And the worker's body has 1000000 bytes
+      When "r1" starts call 1 that must not be repeated
+      And "r1" gets no more than the window of 1 unconfirmed
+      And the link of "r1" breaks
+      And 20 s later the agent sweeps
+      And the agent has the outcome of 1 from "r1"
+      And "r1" links again
+      And "r1" asks for 1
+      Then 1 of "r1" is refused as "ran" for "stream_broken"
+      And the worker ran 1 of "r1" 1 time
+
     Scenario Outline: An engine's refusal proves what it proves
       Given an agent beside a model worker
       And the worker answers with status <status>
@@ -231,6 +285,16 @@
         | 500    | may-have-run | worker_failed           |
         | 429    | may-have-run | worker_failed           |
 
+    Scenario: A refusal without the request's id proves nothing
+      # Symptom: a request that runs is called not run.
+      # Sequence: the refusal of another request comes on its connection.
+      # Cause: believing a refusal that does not say whose it is.
+      Given an agent beside a model worker
+      And the worker answers with status 409
+      And the worker leaves the request's id out
+      When "r1" starts stream 1
+      Then 1 of "r1" is refused as "may-have-run" for "worker_failed"
+
   Rule: Each answer is its own request's
 
     Scenario Outline: Late and crossed answers are dropped and fetched again
@@ -260,6 +324,13 @@
       Then "r1" has the whole stream 1, each byte once
       And the worker ran 1 of "r1" 1 time
 
+    Scenario: An engine that repeats events does not double a token
+      Given an agent beside a model worker
+      And the worker cuts the stream after event 3
+      And the worker takes streams up from the beginning
+      When "r1" starts stream 1
+      Then "r1" has the whole stream 1, each byte once
+
     Scenario: A stream that falls silent is fetched again
       # Symptom: a stream hangs until its caller gives up.
       # Sequence: the engine's connection dies without a reset.
@@ -271,6 +342,17 @@
       Then "r1" has the whole stream 1, each byte once
       And the worker ran 1 of "r1" 1 time
 
+    Scenario: An engine that restarted does not go on for the earlier one
+      # Symptom: the second half of an answer does not follow its first.
+      # Sequence: a stream is cut; the engine that takes it up is another run.
+      # Cause: joining by number what two runs said.
+      Given an agent beside a model worker
+      And the worker cuts the stream after event 3
+      And the worker takes streams up as "epoch-2"
+      When "r1" starts stream 1
+      Then 1 of "r1" is refused as "may-have-run" for "worker_restarted"
+      And "r1" has 3 events of 1
+
     Scenario: An engine that lost the request ends the stream with an error
       # Symptom: a stream stops short and looks whole.
       # Sequence: the engine restarts in mid stream and knows nothing.
@@ -311,10 +393,18 @@
       And the worker holds each stream after event 3
       When "r1" starts stream 1
       And "r1" has 3 events of 1
-      And "r1" starts stream 2 due in 1 ms
+      And "r1" starts stream 2 due in 100 ms
       Then 2 of "r1" is refused as "not-run" for "deadline_cannot_be_met"
+      And the refusal of 2 for "r1" says "expected to wait"
       And the refusal of 2 for "r1" says when to come back
 
+    Scenario: A full queue refuses at once
+      Given an agent with 1 slot beside a model worker
+      And the worker holds each stream after event 3
+      When "r1" starts 258 streams of team "t" from 1
+      Then 258 of "r1" is refused as "not-run" for "queue_full"
+      And the refusal of 258 for "r1" says when to come back
+
     Scenario: Teams get slots by their shares, priority goes first
       Given an agent with 1 slot beside a model worker
       And the worker holds each stream after event 3
@@ -342,6 +432,25 @@
       Then "r1" has the whole stream 1, each byte once
       And the agent has drained
 
+    Scenario: A draining agent waits for a router that is away
+      # Symptom: a call ran on a leaving VM and its outcome left with it.
+      # Sequence: the link breaks; the VM is told to leave; the call ends;
+      # the router links again.
+      # Cause: counting only attempts that still run.
+      Given an agent beside a plain worker
+      And the worker holds each stream after event 1
+      When "r1" starts call 1 that must not be repeated
+      And the worker has begun 1 of "r1"
+      And the link of "r1" breaks
+      And the agent begins to drain
+      And the worker goes on
+      And the agent has the outcome of 1 from "r1"
+      Then the agent has not drained
+      When "r1" links again
+      And "r1" asks for 1
+      Then "r1" has the answer "done " to call 1
+      And the agent has drained
+
     Scenario: Routers hear of a worker's restart
       Given an agent beside a model worker
       When "r1" starts stream 1
--- a/features/audit.feature
+++ b/features/audit.feature
@@ -98,3 +98,15 @@
     And it writes them
     Then the trail "orders" is whole, with 4098 entries
     And the trail "orders" says "904 records dropped in an outage"
+
+  Scenario: A drain is entered, and an outage does not hold it up
+    # Symptom: nobody knows afterwards why requests were cut; or a process that
+    # was told to end goes on until it is killed. Sequence: a VM is drained,
+    # with the platform up or down. Cause: an entry never made, or waited for.
+    Given a fleet of 1 router(s), 1 model worker(s) and 0 plain worker(s)
+    When "agent-diagnostic-1" gets SIGTERM
+    Then "agent-diagnostic-1" exits with code 0
+    And the trails of the fleet tell of "begins" and "complete" by "agent-diagnostic-1"
+    When the platform of the fleet goes down
+    And "router-1" gets SIGTERM
+    Then "router-1" exits with code 0
--- a/features/bundle.feature
+++ b/features/bundle.feature
@@ -194,3 +194,30 @@
     Given a bundle of 50 teams
     When the teams are reversed
     Then 0 parts have changed
+
+  Scenario: What is checked in part is checked as if in full
+    # Symptom: processes differ on one bundle; those that have just started
+    # refuse what the others use. Sequence: a service goes, and teams in parts
+    # that did not change still name it. Cause: unchanged parts taken as
+    # checked although what they refer to changed.
+    Given a bundle of 120 teams
+    When 300 random edits, right and wrong, are read one after the other
+    Then a process that read them all agrees each time with one that starts and with the full check
+    And both some and not all of them were refused
+
+  Scenario Outline: Parts have one order and one encoding
+    # Symptom: two digests of one bundle, signed and not signed. Sequence: a
+    # part is encoded in another way. Cause: parts read without comparing
+    # them with what they ought to be.
+    Given a bundle of 120 teams
+    When its parts are <changed>
+    Then they are refused as a bundle
+
+    Examples:
+      | changed         |
+      | spaced          |
+      | swapped         |
+      | repeated        |
+      | in wrong bucket |
+      | emptied         |
+      | cut short       |
--- a/features/ctl_bundle.feature
+++ b/features/ctl_bundle.feature
@@ -57,6 +57,45 @@
     Then it ends with 9 and prints "1 of 2 processes confirm"
     And it ends with 9 and warns "router-2 has roll 1"
 
+  Scenario: A platform that was restored from a copy gives no used numbers
+    # Symptom: rolls take effect at the platform and nowhere else, and the
+    # operator is told that all processes confirm. Sequence: the platform is
+    # restored from a copy of roll 1 while the fleet has roll 45 in force; the
+    # next roll is number 2. Cause: a higher number taken as confirmation.
+    Given a platform over HTTP and the operators "ana, bob" with keys
+    And "ana" has rolled a first bundle from "draft.json"
+    And two processes of which one is stuck at roll 45
+    When "ana" runs "bundle edit draft.json --set teams.team-0.share=5"
+    And "ana" runs "bundle sign draft.json"
+    And "ana" runs "bundle roll draft.json --fleet fleet.json --wait-s 0.1"
+    Then it ends with 9 and warns "router-2 has roll 45, a later one"
+    When "ana" runs "bundle edit draft.json --set teams.team-0.share=6"
+    And "ana" runs "bundle sign draft.json"
+    And the next 4 answers of the platform get lost
+    And "ana" runs "bundle roll draft.json --above 45"
+    Then it ends with 0 and prints "roll 46"
+    When "bob" runs "bundle edit bobs.json --set policies.separate_approver=true"
+    And "bob" runs "bundle sign bobs.json"
+    And "bob" runs "bundle roll bobs.json"
+    Then it ends with 0 and prints "roll 47"
+    When "bob" runs "audit --limit 0"
+    Then it ends with 0 and prints "roll 46"
+
+  Scenario: Two persons sign when the policy in force asks for it
+    Given a platform over HTTP and the operators "ana, bob" with keys
+    And "ana" has rolled a first bundle from "draft.json"
+    When "ana" runs "bundle edit draft.json --set policies.separate_approver=true"
+    And "ana" runs "bundle sign draft.json"
+    And "ana" runs "bundle roll draft.json"
+    And "ana" runs "bundle edit draft.json --set teams.team-0.share=5"
+    And "ana" runs "bundle sign draft.json"
+    And "ana" runs "bundle roll draft.json"
+    Then it ends with 6 and warns "an approver who is not the author"
+    When "bob" runs "bundle sign draft.json"
+    Then it ends with 0 and prints "signed off by bob as approver"
+    When "ana" runs "bundle roll draft.json"
+    Then it ends with 0 and prints "roll 3"
+
   Scenario: Wrong drafts and wrong usage
     Given a platform over HTTP and the operators "ana, bob" with keys
     When "ana" runs "bundle new draft.json"
--- a/features/rolls.feature
+++ b/features/rolls.feature
@@ -116,3 +116,14 @@
     Then the roll fails as "refused": "roll 1 lists keys that were withdrawn since: bob"
     When "ana" tries to go back to roll 2
     Then the roll fails as "conflict": "roll 2 already has the bundle of roll 2"
+
+  Scenario Outline: A launcher rolls the bundle of a deployment
+    Given a platform over HTTP and a launcher
+    When it rolls the bundle of "<deployment>"
+    And it rolls the bundle of "<deployment>" again
+    Then a process that knows its key uses roll 2 with the teams of "<deployment>"
+
+    Examples:
+      | deployment |
+      | moravia    |
+      | lahore     |
--- a/features/steps/agent_steps.py
+++ b/features/steps/agent_steps.py
@@ -125,7 +125,26 @@
     bench_of(context).worker.forgets = True
 
 
+@given('the worker takes streams up from the beginning')
+def given_resumed_from_start(context: Context) -> None:
+    """Ignore ``Last-Event-ID``."""
+    bench_of(context).worker.repeats = True
+
+
+@given("the worker leaves the request's id out")
+def given_no_id(context: Context) -> None:
+    """Answer without ``X-Request-Id``."""
+    bench_of(context).worker.echoes = False
+
+
+@given('the worker takes streams up as "{epoch}"')
+def given_resumed_epoch(context: Context, epoch: str) -> None:
+    """Name another epoch on resumed streams."""
+    bench_of(context).worker.resume_epoch = epoch
+
+
 @given('the worker answers with status {status:d}')
+@when('the worker answers with status {status:d}')
 def given_status(context: Context, status: int) -> None:
     """Refuse each request."""
     bench_of(context).worker.plan.status = status
@@ -255,6 +274,20 @@
     bench.run(link.send(Ask(link.attempt(sequence), offset)))
 
 
+@when('"{router}" asks for {count:d} attempts never sent')
+def when_asks_many(context: Context, router: str, count: int) -> None:
+    """Ask for the ids from 1 on."""
+    bench = bench_of(context)
+    link = bench.router(router)
+
+    async def ask() -> None:
+        for sequence in range(1, count + 1):
+            await link.send(Ask(link.attempt(sequence), 0))
+
+    bench.run(ask())
+    bench.wait(lambda: link.seen.get(count))
+
+
 @when('"{router}" cancels {sequence:d}')
 def when_cancels(context: Context, router: str, sequence: int) -> None:
     """Cancel an attempt."""
@@ -435,6 +468,14 @@
     assert refused.retry_after_s is not None and refused.retry_after_s > 0
 
 
+@then('the refusal of {sequence:d} for "{router}" says "{text}"')
+def then_says(context: Context, sequence: int, router: str, text: str) -> None:
+    """Look at the text for the reader."""
+    refused = _seen(context, router, sequence).outcomes[0]
+    assert isinstance(refused, Refused)
+    assert text in refused.text, refused
+
+
 @then('the worker ran {sequence:d} of "{router}" {count:d} time')
 @then('the worker ran {sequence:d} of "{router}" {count:d} times')
 def then_ran(context: Context, sequence: int, router: str, count: int) -> None:
@@ -469,6 +510,7 @@
     assert _dropped()[name] > context.dropped[name], _dropped()
 
 
+@when('"{router}" gets no more than the window of {sequence:d} unconfirmed')
 @then('"{router}" gets no more than the window of {sequence:d} unconfirmed')
 def then_window(context: Context, router: str, sequence: int) -> None:
     """Wait until the window is full and look on."""
@@ -488,6 +530,14 @@
     assert bench.worker.written < plan.events * plan.event_bytes
 
 
+@then('the agent remembers at most {count:d} of "{router}"')
+def then_remembers(context: Context, count: int, router: str) -> None:
+    """Count what is remembered of a router."""
+    bench = bench_of(context)
+    history = bench.agent._attempts._history(str(bench.router(router).name))
+    assert len(history._closed) + len(history._verdicts) <= count
+
+
 @then("the agent remembers no router's history")
 def then_no_history(context: Context) -> None:
     """Look at the table."""
@@ -521,6 +571,14 @@
     assert server._handlers
 
 
+@then('the agent has not drained')
+def then_not_drained(context: Context) -> None:
+    """Look whether the drain still waits."""
+    bench = bench_of(context)
+    bench.run(asyncio.sleep(0.1))
+    assert bench.draining is not None and not bench.draining.done()
+
+
 @then('the agent has drained')
 def then_drained(context: Context) -> None:
     """Wait for the end of the drain."""
--- a/features/steps/audit_steps.py
+++ b/features/steps/audit_steps.py
@@ -8,7 +8,9 @@
 from lacewing_common.audit import compare_rolls
 from lacewing_common.audit import enter_rolls
 from lacewing_common.rolls import RollError
+from lacewing_daemon._audit import trail_of
 from support.audit_bench import AuditBench
+from support.audit_bench import read_trail
 from support.rolls_bench import RollsBench
 
 
@@ -148,6 +150,23 @@
     assert context.audit.size(name) < size, context.audit.size(name)
 
 
+@then(
+    'the trails of the fleet tell of "{first}" and "{last}" by "{process_id}"'
+)
+def tell_of(context: Context, first: str, last: str, process_id: str) -> None:
+    """Read the trail of a process from the platform of a fleet."""
+    fleet = context.bench.fleet
+    slot = fleet.daemon(process_id).slot
+    name = trail_of(process_id, slot.zone)
+    trail = context.bench.run(read_trail(fleet.platform_url, name))
+    assert not trail.faults, trail.faults
+    results: list[str] = []
+    for entry in trail.entries:
+        if entry.record.who.startswith(f'{process_id}.'):
+            results.append(entry.record.result)
+    assert results == [first, last], trail
+
+
 def _differences(context: Context) -> tuple[str, ...]:
     bench = context.audit
     entries = bench.trail(BUNDLE_TRAIL).entries
--- a/features/steps/bundle_steps.py
+++ b/features/steps/bundle_steps.py
@@ -8,12 +8,20 @@
 from lacewing_common.bundle import Bundle
 from lacewing_common.bundle import Policies
 from lacewing_common.bundles import BundleGuard
+from lacewing_common.bundles import check_bundle
+from lacewing_common.bundles import join
 from lacewing_common.bundles import read_bundle_text
 from lacewing_common.bundles import SignOffRole
 from lacewing_common.bundles import split
+from lacewing_common.bundles._reader import BundleReader
 from lacewing_common.document import Document
+from lacewing_common.verdict import not_run
+from lacewing_common.verdict import Reason
+from lacewing_common.verdict import Refusal
 from support.bundle_bench import BundleBench
+from support.bundle_bench import change_parts
 from support.bundle_bench import make_bundle
+from support.bundle_bench import RandomEdits
 
 
 @given('a bundle by the operators "{names}"')
@@ -188,6 +196,59 @@
     assert len(changed) == count, len(changed)
 
 
+@when('{count:d} random edits, right and wrong, are read one after the other')
+def read_edits(context: Context, count: int) -> None:
+    """Read each edit with a reader that goes on and with a new one."""
+    edits = RandomEdits(context.bundles.bundle, seed=5)
+    reader = BundleReader()
+    context.pairs = []
+    for _ in range(count):
+        document = edits.next()
+        warm = reader.read(document)
+        cold = BundleReader().read(document)
+        context.pairs.append((warm, cold, _read_in_full(document)))
+
+
+def _read_in_full(document: Document) -> Bundle | Refusal:
+    """Do what a reader spares itself."""
+    bundle = join(document.parts)
+    assert isinstance(bundle, Bundle), bundle
+    for problem in check_bundle(bundle):
+        return not_run(Reason.BUNDLE_INVALID, f'bundle: {problem}')
+    return bundle
+
+
+@then(
+    'a process that read them all agrees each time with one that starts and'
+    ' with the full check'
+)
+def agree(context: Context) -> None:
+    """Compare bundles and refusals."""
+    for warm, cold, full in context.pairs:
+        assert warm == full, (warm, full)
+        assert cold == full, (cold, full)
+
+
+@then('both some and not all of them were refused')
+def some_refused(context: Context) -> None:
+    """Check that the edits were of both sorts."""
+    refused = [pair for pair in context.pairs if isinstance(pair[0], Refusal)]
+    assert 0 < len(refused) < len(context.pairs), len(refused)
+
+
+@when('its parts are {how}')
+def change(context: Context, how: str) -> None:
+    """Encode or order the parts in another way."""
+    context.parts = change_parts(context.parts, how)
+
+
+@then('they are refused as a bundle')
+def refused_parts(context: Context) -> None:
+    """Join the parts."""
+    joined = join(context.parts)
+    assert isinstance(joined, Refusal), joined
+
+
 @when('that was roll 1')
 def keep_first(context: Context) -> None:
     """Keep the document in force for a forger."""
--- a/features/support/audit_bench.py
+++ b/features/support/audit_bench.py
@@ -14,6 +14,7 @@
 from lacewing_common.audit import Trail
 from lacewing_common.document_objects import PARTS
 from lacewing_common.patience import Patience
+from lacewing_common.platform_client import PlatformClient
 from lacewing_common.store import StoredObject
 from lacewing_common.store import StoreError
 from support.bundle_bench import AT
@@ -143,3 +144,14 @@
         stored = self.rolls.service.objects.get(ObjectKey(kind, name))
         assert stored is not None, (kind, name)
         return stored
+
+
+async def read_trail(platform_url: str, name: str) -> Trail:
+    """Read a trail over HTTP."""
+    client = PlatformClient(platform_url)
+    try:
+        trail = await AuditReads(client, _PATIENCE).trail(name, 0)
+    finally:
+        client.close()
+    assert isinstance(trail, Trail), trail
+    return trail
--- a/features/support/bundle_bench.py
+++ b/features/support/bundle_bench.py
@@ -1,6 +1,7 @@
 """Hold operators, a bundle and a guard for the steps."""
 
 from hashlib import sha256
+from random import Random
 
 import msgspec
 from lacewing_common.bundle import Adapter
@@ -10,6 +11,7 @@
 from lacewing_common.bundle import Service
 from lacewing_common.bundle import ServiceKind
 from lacewing_common.bundle import Team
+from lacewing_common.bundles import BUNDLE
 from lacewing_common.bundles import BundleGuard
 from lacewing_common.bundles import contents_of_parts
 from lacewing_common.bundles import new_key
@@ -21,6 +23,8 @@
 from lacewing_common.bundles import split
 from lacewing_common.bundles import succeed
 from lacewing_common.document import Document
+from lacewing_common.document import DocumentHead
+from lacewing_common.document import part_digest
 from lacewing_common.verdict import Refusal
 from lacewing_ctl._edit import set_value
 
@@ -133,3 +137,74 @@
         self.guard.remember(document)
         self.in_force = document
         self.sign_offs = []
+
+
+class RandomEdits:
+    """Edit a bundle at random, rightly and wrongly, with a fixed seed."""
+
+    def __init__(self, bundle: Bundle, seed: int) -> None:
+        self._bundle = bundle
+        self._random = Random(seed)
+
+    def next(self) -> Document:
+        """Return the document of a bundle one edit away from a valid one."""
+        edits = (
+            self._share,
+            self._share,
+            self._copy_key,
+            self._dangle,
+            self._drop_service,
+            self._rename,
+        )
+        parts = split(self._random.choice(edits)())
+        digests = tuple(part_digest(part) for part in parts)
+        return Document(DocumentHead(BUNDLE, 1, digests), parts)
+
+    def _share(self) -> Bundle:
+        share = self._random.choice((0.0, 1.0, 2.0, 3.0))
+        edited = self._with_team(share=share)
+        if share > 0:
+            self._bundle = edited
+        return edited
+
+    def _copy_key(self) -> Bundle:
+        other = self._random.choice(self._bundle.teams)
+        return self._with_team(key_hashes=other.key_hashes)
+
+    def _dangle(self) -> Bundle:
+        return self._with_team(services=('registri',))
+
+    def _drop_service(self) -> Bundle:
+        services = self._bundle.services[:1]
+        return msgspec.structs.replace(self._bundle, services=services)
+
+    def _rename(self) -> Bundle:
+        other = self._random.choice(self._bundle.teams)
+        return self._with_team(name=other.name)
+
+    def _with_team(self, **changes: object) -> Bundle:
+        teams = list(self._bundle.teams)
+        index = self._random.randrange(len(teams))
+        teams[index] = msgspec.structs.replace(teams[index], **changes)
+        return msgspec.structs.replace(self._bundle, teams=tuple(teams))
+
+
+def change_parts(parts: tuple[bytes, ...], how: str) -> tuple[bytes, ...]:
+    """Change parts so that they say the same, or nearly, in another way."""
+    last = parts[-1]
+    changed = {
+        'spaced': (*parts[:-1], last.replace(b'":', b'": ', 1)),
+        'swapped': (*parts[:-2], last, parts[-2]),
+        'repeated': (*parts, last),
+        'in wrong bucket': (*parts[:-1], _other_bucket(last)),
+        'emptied': (*parts, b'{"part":"teams","bucket":99,"teams":[]}'),
+        'cut short': parts[:3],
+    }
+    return changed[how]
+
+
+def _other_bucket(part: bytes) -> bytes:
+    before = msgspec.json.decode(part)['bucket']
+    old = f'"bucket":{before}'.encode()
+    assert old in part, part
+    return part.replace(old, f'"bucket":{before + 1}'.encode(), 1)
--- a/features/support/claims_bench.py
+++ b/features/support/claims_bench.py
@@ -51,7 +51,14 @@
 TEAM = 'rahmat'
 RANGE = 7
 PLACE = Place('test', 'zone-1')
-FAST = {'pace_s': 0.0, 'linger_s': 0.0, 'retry_base_s': 0.01, 'wait_s': 8.0}
+FAST = ClaimLimits(
+    pace_s=0.0,
+    linger_s=0.0,
+    wait_s=8.0,
+    resolve_s=0.2,
+    retry_base_s=0.01,
+    retry_cap_s=0.05,
+)
 
 
 class HeldService(PlainService):
@@ -78,6 +85,7 @@
         self.go_on.set()
         self.held_puts = 0
         self.cut = False
+        self.lose_then_cut = False
 
     async def get(self, kind: str, name: str) -> StoredObject | StoreError:
         """Read one object."""
@@ -94,7 +102,12 @@
         self.held_puts -= 1
         if self.cut:
             return StoreError(StoreFault.UNAVAILABLE, 'cut off')
-        return await super().put(kind, name, value, expect)
+        stored = await super().put(kind, name, value, expect)
+        if not self.lose_then_cut:
+            return stored
+        self.lose_then_cut = False
+        self.cut = True
+        return StoreError(StoreFault.UNKNOWN, 'the answer was lost')
 
 
 @dataclass(frozen=True)
@@ -131,6 +144,8 @@
         self.store = AgentsStore(shared)
         self.worker = HeldService(PlainConfig(name=name, service_ms=0.5))
         self.address = ''
+        self.has_platform = True
+        self.incarnation = 0
         self.agent: Agent
 
     async def start(self, bundles: FakeBundles, limits: ClaimLimits) -> None:
@@ -145,13 +160,14 @@
         if self.address:
             listen = replace(settings.listen, peers=self.address)
             settings = replace(settings, listen=listen)
+        self.incarnation = new_incarnation()
         runtime = Runtime(
-            ProcessName(self.name, new_incarnation()),
+            ProcessName(self.name, self.incarnation),
             settings,
             bundles,
             FakeMembers(),
             asyncio.Event(),
-            self.store,
+            self.store if self.has_platform else None,
         )
         self.agent = Agent(runtime, worker, claim_limits=limits)
         await self.agent.start()
@@ -160,7 +176,13 @@
     async def crash(self) -> None:
         """Lose the agent at once: nothing of it reaches the platform."""
         self.store.cut = True
+        links: list[Any] = list(self.agent._links)
+        self.agent._server.stop()
+        for link in links:
+            # A lost process takes its connections with it.
+            link._stream._stream.connection.close()
         await self.agent.close()
+        self.store = AgentsStore(self.store)
 
 
 class ClaimsBench:
@@ -170,8 +192,9 @@
         self.loop = asyncio.new_event_loop()
         self.store = self.run(self._new_store())
         self.bundles = FakeBundles()
-        self.limits = ClaimLimits(**FAST)  # type: ignore[arg-type]
+        self.limits = FAST
         self.first_token_ms = 20_000.0
+        self.has_platform = True
         self.sites: list[Site] = []
         self.routers: list[RunningRouter] = []
         self.members: list[FakeMembers] = []
@@ -261,29 +284,37 @@
         assert book is not None
         return book.claims.get(claim_key(TEAM, SERVICE, self.key(name)))
 
-    def leave(self, site: Site) -> None:
-        """Let all routers see a site's VM as leaving."""
-        for members in self.members:
-            members.leaving_addresses = frozenset((site.address,))
-        self.wait(lambda: self._eligible() == len(self.sites) - 1)
-
-    def come_back(self) -> None:
-        """Let all routers see all sites as staying."""
-        for members in self.members:
-            members.leaving_addresses = frozenset()
-        self.wait(lambda: self._eligible() == len(self.sites))
+    def leave(self, site: Site, router: int) -> None:
+        """Let one router see a site's VM as leaving."""
+        members = self.members[router - 1]
+        members.leaving_addresses = frozenset((site.address,))
+        self.wait(lambda: self._eligible(router) == len(self.sites) - 1)
+
+    def come_back(self, router: int) -> None:
+        """Let one router see all sites as staying."""
+        self.members[router - 1].leaving_addresses = frozenset()
+        self.wait(lambda: self._eligible(router) == len(self.sites))
+
+    def linked(self) -> bool:
+        """Tell whether all routers may use all sites."""
+        runs = {site.incarnation for site in self.sites}
+        return all(self._runs_seen(each) == runs for each in self.routers)
+
+    def _runs_seen(self, router: RunningRouter) -> set[int]:
+        links = router._serving.links.eligible(SERVICE, '')
+        seen: set[int] = set()
+        for process_id in links.ids:
+            seen.add(links.link(process_id).incarnation)
+        return seen
 
     def close(self) -> None:
         """Close all parts."""
         self.run(self._close())
         self.loop.close()
 
-    def _eligible(self) -> int:
-        counts = []
-        for router in self.routers:
-            links: Any = router._serving.links
-            counts.append(len(links.eligible(SERVICE, '').ids))
-        return min(counts) if len(set(counts)) == 1 else -1
+    def _eligible(self, router: int) -> int:
+        links = self.routers[router - 1]._serving.links
+        return len(links.eligible(SERVICE, '').ids)
 
     async def _start(self, sites: int, routers: int) -> None:
         service = Service(
@@ -298,6 +329,7 @@
         self.bundles.roll(Bundle(teams=tuple(teams), services=(service,)))
         for number in range(sites):
             site = Site(f'agent-{number + 1}', self.store)
+            site.has_platform = self.has_platform
             self.sites.append(site)
             await site.worker.start()
             await site.start(self.bundles, self.limits)
@@ -310,7 +342,7 @@
             self.routers.append(
                 await start_router(router_runtime(name, self.bundles, members))
             )
-        await until(lambda: self._eligible() == sites)
+        await until(self.linked)
 
     async def _new_store(self) -> FakeStore:
         return FakeStore()
--- a/features/support/ctl_bench.py
+++ b/features/support/ctl_bench.py
@@ -12,6 +12,8 @@
 from lacewing_bench.platform import ObjectKey
 from lacewing_bench.platform import PlatformServer
 from lacewing_bench.platform import PlatformSettings
+from lacewing_common.bundles import Contents
+from lacewing_common.bundles import contents_of
 from lacewing_common.document_objects import decode_head
 from lacewing_common.identity import Place
 from lacewing_common.identity import Role
@@ -43,7 +45,7 @@
             place=Place('test', 'zone-1'),
             epoch='',
             bundle_number=number,
-            bundle_digest='',
+            bundle_digest=self._bench.head_digest(),
             ready=True,
             stopping=False,
             open_requests=0,
@@ -77,6 +79,16 @@
         head = None if stored is None else decode_head(stored.value)
         return 0 if head is None else head.version
 
+    def head_digest(self) -> str:
+        """Return the digest of the bundle at the platform."""
+        stored = self.server.service.objects.get(_HEAD)
+        head = None if stored is None else decode_head(stored.value)
+        if head is None:
+            return ''
+        contents = contents_of(head.parts)
+        assert isinstance(contents, Contents), contents
+        return contents.digest
+
     def add_operators(self, names: list[str]) -> None:
         """Make a key and a profile for each."""
         rows: list[object] = []
--- a/features/support/scripted_worker.py
+++ b/features/support/scripted_worker.py
@@ -79,6 +79,9 @@
     def __init__(self) -> None:
         self.plan = Plan()
         self.epoch = 'epoch-1'
+        self.resume_epoch = ''
+        self.repeats = False
+        self.echoes = True
         self.models = [{'id': 'm', 'weights': 'w1', 'adapters': []}]
         self.runs: Counter[str] = Counter()
         self.order: list[str] = []
@@ -130,7 +133,9 @@
 
     def prepare(self) -> None:
         self.set_header('X-Engine-Epoch', self.worker.epoch)
-        self.set_header(REQUEST_ID, self.request.headers.get(REQUEST_ID, ''))
+        if self.worker.echoes:
+            request_id = self.request.headers.get(REQUEST_ID, '')
+            self.set_header(REQUEST_ID, request_id)
 
     def on_connection_close(self) -> None:
         self.gone = True
@@ -178,6 +183,9 @@
         request_id = self.request.headers[REQUEST_ID]
         worker.runs[request_id] += 1
         worker.order.append(request_id)
+        if worker.take('vanish'):
+            self.close_connection()
+            return
         if worker.plan.status != 200:
             self.set_status(worker.plan.status)
             return
@@ -198,7 +206,11 @@
         if self.worker.forgets:
             self.set_status(404)
             return
+        if self.worker.resume_epoch:
+            self.set_header('X-Engine-Epoch', self.worker.resume_epoch)
         after = int(self.request.headers['Last-Event-ID'])
+        if self.worker.repeats:
+            after = 0
         await self.write_stream(request_id, after)
 
 
--- a/packages/bench/src/lacewing_bench/fleet/_fleet.py
+++ b/packages/bench/src/lacewing_bench/fleet/_fleet.py
@@ -27,6 +27,7 @@
 from lacewing_bench.fleet._http import ControlClient
 from lacewing_bench.fleet._layout import agent_slots
 from lacewing_bench.fleet._layout import Common
+from lacewing_bench.fleet._layout import KV_STORE
 from lacewing_bench.fleet._layout import router_slots
 from lacewing_bench.fleet._layout import standins
 from lacewing_bench.fleet._layout import write_json
@@ -348,6 +349,9 @@
             log_level=self._options.log_level,
             drain_s=self._options.drain_s,
             tls=self._options.tls,
+            kv_store_urls={
+                self._deployment.model_service: self._workers[KV_STORE]
+            },
         )
         started: list[Daemon] = []
         for slot in slots:
--- a/packages/bench/src/lacewing_bench/fleet/_layout.py
+++ b/packages/bench/src/lacewing_bench/fleet/_layout.py
@@ -1,7 +1,9 @@
 """Write the settings of each process of a fleet."""
 
 import json
+from collections.abc import Mapping
 from dataclasses import dataclass
+from dataclasses import field
 from pathlib import Path
 
 import msgspec
@@ -44,7 +46,10 @@
 
 @dataclass(frozen=True)
 class Common:
-    """Hold what all daemons of a fleet share."""
+    """Hold what all daemons of a fleet share.
+
+    ``kv_store_urls`` maps a service to its store of kept KV cache.
+    """
 
     region: str
     platform_url: str
@@ -52,6 +57,7 @@
     log_level: LogLevel
     drain_s: float
     tls: TlsFiles | None
+    kv_store_urls: Mapping[str, str] = field(default_factory=dict)
 
 
 def router_slots(deployment: Deployment) -> tuple[Slot, ...]:
@@ -136,6 +142,7 @@
             url=worker_url,
             service=slot.service,
             concurrency=slot.concurrency,
+            kv_store=common.kv_store_urls.get(slot.service, ''),
         )
     return Settings(
         role=slot.role,
--- a/packages/bench/src/lacewing_bench/oracle/_policy.py
+++ b/packages/bench/src/lacewing_bench/oracle/_policy.py
@@ -93,7 +93,11 @@
         _bound(self._waits)
         missing = len(request.chain.blocks) - round(chosen.hit_blocks)
         return Choice(
-            chosen.process_id, PolicyName.ORACLE.value, estimates, missing
+            chosen.process_id,
+            PolicyName.ORACLE.value,
+            estimates,
+            missing,
+            use_kept=True,
         )
 
     def observe(self, observation: Observation) -> None:
--- a/packages/common/src/lacewing_common/bundles/_check.py
+++ b/packages/common/src/lacewing_common/bundles/_check.py
@@ -17,8 +17,13 @@
 
 def check_bundle(bundle: Bundle) -> tuple[Problem, ...]:
     """Return all problems of a bundle, in the order of its fields."""
+    services = frozenset(service.name for service in bundle.services)
+    return (*check_teams(bundle.teams, services), *check_rest(bundle))
+
+
+def check_rest(bundle: Bundle) -> tuple[Problem, ...]:
+    """Return the problems of all but the teams."""
     return (
-        *_check_teams(bundle),
         *_check_services(bundle),
         *_check_models(bundle),
         *check_capacity(bundle),
@@ -27,18 +32,23 @@
     )
 
 
-def _check_teams(bundle: Bundle) -> Iterator[Problem]:
-    known = frozenset(service.name for service in bundle.services)
-    names = [team.name for team in bundle.teams]
-    yield from _check_names('$.teams', names)
+def check_teams(
+    teams: tuple[Team, ...], services: frozenset[str]
+) -> tuple[Problem, ...]:
+    """Return the problems of teams that may call the named services."""
+    names = [team.name for team in teams]
+    problems = list(_check_names('$.teams', names))
     owners: dict[str, str] = {}
-    for index, team in enumerate(bundle.teams):
+    for index, team in enumerate(teams):
         path = f'$.teams[{index}]'
-        yield from _check_references(
-            f'{path}.services', team.services, known, 'service'
+        problems.extend(
+            _check_references(
+                f'{path}.services', team.services, services, 'service'
+            )
         )
-        yield from _check_team_keys(path, team, owners)
-        yield from _check_team_numbers(path, team)
+        problems.extend(_check_team_keys(path, team, owners))
+        problems.extend(_check_team_numbers(path, team))
+    return tuple(problems)
 
 
 def _check_team_keys(
--- a/packages/common/src/lacewing_common/bundles/_guard.py
+++ b/packages/common/src/lacewing_common/bundles/_guard.py
@@ -1,12 +1,13 @@
 """Check a bundle before a process uses it or offers it to a peer."""
 
 from lacewing_common.bundle import Operator
-from lacewing_common.bundles._check import check_bundle
-from lacewing_common.bundles._parts import join
+from lacewing_common.bundle import RolledBundle
+from lacewing_common.bundles._parts import contents_of
 from lacewing_common.bundles._proof import check_proof
 from lacewing_common.bundles._proof import links_after
 from lacewing_common.bundles._proof import read_proof
 from lacewing_common.bundles._proof import TrustLink
+from lacewing_common.bundles._reader import BundleReader
 from lacewing_common.bundles._sign_off import root_trust
 from lacewing_common.document import Document
 from lacewing_common.document import DocumentHead
@@ -34,6 +35,7 @@
         self._root = root_trust(root_operators)
         self._links: tuple[TrustLink, ...] = ()
         self._number = 0
+        self._reader = BundleReader()
 
     def __call__(self, document: Document) -> Refusal | None:
         """Return why a bundle is not acceptable, or None."""
@@ -46,13 +48,18 @@
         refusal = check_proof(head, self._root) or self._check_links(head)
         if refusal is not None:
             return refusal
-        bundle = join(document.parts)
+        bundle = self._reader.read(document)
+        return bundle if isinstance(bundle, Refusal) else None
+
+    def assemble(self, document: Document) -> RolledBundle | Refusal:
+        """Return the bundle of a document that was let pass."""
+        contents = contents_of(document.head.parts)
+        if isinstance(contents, Refusal):
+            return contents
+        bundle = self._reader.read(document)
         if isinstance(bundle, Refusal):
             return bundle
-        problems = check_bundle(bundle)
-        if problems:
-            return _refuse(str(problems[0]))
-        return None
+        return RolledBundle(document.head.version, contents.digest, bundle)
 
     def remember(self, document: Document) -> None:
         """Keep the changes of trust of a bundle now in force."""
--- a/packages/common/src/lacewing_common/bundles/_parts.py
+++ b/packages/common/src/lacewing_common/bundles/_parts.py
@@ -50,14 +50,16 @@
     services: tuple[Service, ...]
 
 
-class _TeamsPart(_Tagged, tag='teams', frozen=True):
+class TeamsPart(_Tagged, tag='teams', frozen=True):
+    """Hold the teams of one bucket."""
+
     bucket: int
     teams: tuple[Team, ...]
 
 
 _N = TypeVar('_N', Model, Operator, Service, Team)
-_Content = TrustPart | _SecretPart | _ModelsPart | _ServicesPart | _TeamsPart
-_DECODER = msgspec.json.Decoder(_Content)
+Content = TrustPart | _SecretPart | _ModelsPart | _ServicesPart | TeamsPart
+_DECODER: msgspec.json.Decoder[Content] = msgspec.json.Decoder(Content)
 _ENCODER = msgspec.json.Encoder()
 # Trust, secret, models, services; then the teams.
 _FIXED_PARTS = 4
@@ -106,7 +108,7 @@
 
 def split(bundle: Bundle) -> tuple[bytes, ...]:
     """Split a bundle into its parts, the trust part first."""
-    contents: list[_Content] = [
+    contents: list[Content] = [
         TrustPart(_by_name(bundle.operators), bundle.policies),
         _SecretPart(bundle.prefix_secret),
         _ModelsPart(_by_name(bundle.models)),
@@ -117,19 +119,54 @@
 
 
 def join(parts: tuple[bytes, ...]) -> Bundle | Refusal:
-    """Put a bundle together from exactly the bytes that ``split`` made.
+    """Put a bundle together from exactly the bytes that ``split`` made."""
+    contents: list[Content] = []
+    for part in parts:
+        content = read_content(part)
+        if isinstance(content, Refusal):
+            return content
+        contents.append(content)
+    return join_contents(contents)
+
+
+def read_content(part: bytes) -> Content | Refusal:
+    """Decode a part that has exactly the bytes that ``split`` makes.
 
     Any other bytes are refused: two encodings of one bundle would have two
     digests, and processes would differ on what was signed.
     """
     try:
-        contents = [_DECODER.decode(part) for part in parts]
+        content = _DECODER.decode(part)
     except msgspec.DecodeError as error:
         return _malformed(str(error))
-    bundle = _assemble(contents)
-    if bundle is None or split(bundle) != parts:
-        return _malformed('the parts are not those of one bundle, in order')
-    return bundle
+    if _ENCODER.encode(_sorted(content)) != part:
+        return _malformed('a part is not in its one order and encoding')
+    return content
+
+
+def join_contents(contents: list[Content]) -> Bundle | Refusal:
+    """Put a bundle together from the contents of its parts, in order."""
+    if len(contents) < _FIXED_PARTS:
+        return _malformed(f'expected {_FIXED_PARTS} parts or more')
+    trust, secret, models, services = contents[:_FIXED_PARTS]
+    if (
+        not isinstance(trust, TrustPart)
+        or not isinstance(secret, _SecretPart)
+        or not isinstance(models, _ModelsPart)
+        or not isinstance(services, _ServicesPart)
+    ):
+        return _malformed('expected trust, secret, models and services first')
+    teams = _join_teams(contents[_FIXED_PARTS:])
+    if isinstance(teams, Refusal):
+        return teams
+    return Bundle(
+        teams=teams,
+        services=services.services,
+        models=models.models,
+        prefix_secret=secret.prefix_secret,
+        operators=trust.operators,
+        policies=trust.policies,
+    )
 
 
 def read_trust(part: bytes) -> TrustPart | Refusal:
@@ -148,40 +185,48 @@
     return joined
 
 
-def _assemble(contents: list[_Content]) -> Bundle | None:
-    if len(contents) < _FIXED_PARTS:
-        return None
-    trust, secret, models, services = contents[:_FIXED_PARTS]
-    if not isinstance(trust, TrustPart):
-        return None
-    if not isinstance(secret, _SecretPart):
-        return None
-    if not isinstance(models, _ModelsPart):
-        return None
-    if not isinstance(services, _ServicesPart):
-        return None
+def _join_teams(contents: list[Content]) -> tuple[Team, ...] | Refusal:
     teams: list[Team] = []
-    for content in contents[_FIXED_PARTS:]:
-        if not isinstance(content, _TeamsPart):
-            return None
+    last_bucket = -1
+    for content in contents:
+        if not isinstance(content, TeamsPart) or not content.teams:
+            return _malformed('expected parts with teams at the end')
+        if content.bucket <= last_bucket:
+            return _malformed('the buckets of the teams are not in order')
+        last_bucket = content.bucket
         teams.extend(content.teams)
-    return Bundle(
-        teams=_by_name(tuple(teams)),
-        services=services.services,
-        models=models.models,
-        prefix_secret=secret.prefix_secret,
-        operators=trust.operators,
-        policies=trust.policies,
-    )
+    return _by_name(tuple(teams))
+
+
+def _sorted(content: Content) -> Content:
+    """Return the content as ``split`` would have made it."""
+    if isinstance(content, TrustPart):
+        return TrustPart(_by_name(content.operators), content.policies)
+    if isinstance(content, _ModelsPart):
+        return _ModelsPart(_by_name(content.models))
+    if isinstance(content, _ServicesPart):
+        return _ServicesPart(_by_name(content.services))
+    if isinstance(content, TeamsPart):
+        return _sorted_teams(content)
+    return content
+
+
+def _sorted_teams(content: TeamsPart) -> TeamsPart:
+    """Leave out teams of other buckets, so that the bytes differ."""
+    own: list[Team] = []
+    for team in _by_name(content.teams):
+        if _bucket(team.name) == content.bucket:
+            own.append(team)
+    return TeamsPart(content.bucket, tuple(own))
 
 
-def _team_parts(teams: tuple[Team, ...]) -> list[_TeamsPart]:
+def _team_parts(teams: tuple[Team, ...]) -> list[TeamsPart]:
     buckets: dict[int, list[Team]] = {}
     for team in _by_name(teams):
         buckets.setdefault(_bucket(team.name), []).append(team)
-    parts: list[_TeamsPart] = []
+    parts: list[TeamsPart] = []
     for bucket in sorted(buckets):
-        parts.append(_TeamsPart(bucket, tuple(buckets[bucket])))
+        parts.append(TeamsPart(bucket, tuple(buckets[bucket])))
     return parts
 
 
--- a/packages/common/src/lacewing_common/bundles/_succeed.py
+++ b/packages/common/src/lacewing_common/bundles/_succeed.py
@@ -26,7 +26,9 @@
 
     ``nonce`` is new for each order and kept with it, so that a repeated
     order is known for what it is. ``at`` is the time in ISO 8601. ``again``
-    is the number of the roll that a rollback repeats, else 0.
+    is the number of the roll that a rollback repeats, else 0. ``above`` is
+    a number that the fleet has in force though the platform, restored from
+    a copy, holds an earlier one; the roll gets a higher number than both.
     """
 
     parts: tuple[bytes, ...]
@@ -34,6 +36,7 @@
     at: str
     nonce: str
     again: int = 0
+    above: int = 0
 
     @property
     def digest(self) -> str:
@@ -44,9 +47,9 @@
 def succeed(
     previous: Document | None, order: RollOrder, key: OperatorKey
 ) -> Document | Refusal:
-    """Make the document of an order, with the next number, signed."""
+    """Make the document of an order, with a higher number, signed."""
     links: tuple[TrustLink, ...] = ()
-    number = 1
+    number = order.above + 1
     previous_head = ''
     previous_bundle = ''
     if previous is not None:
@@ -57,7 +60,7 @@
         if isinstance(proof, Refusal):
             return proof
         links = after
-        number = previous.head.version + 1
+        number = max(previous.head.version, order.above) + 1
         previous_head = head_digest(previous.head)
         previous_bundle = proof.roll.digest
     roll = Roll(
--- a/packages/common/src/lacewing_common/rolls/_reads.py
+++ b/packages/common/src/lacewing_common/rolls/_reads.py
@@ -119,6 +119,26 @@
             stored = await self.before(stored)
         return stored
 
+    async def head_after(self, number: int) -> StoredHead | RollError:
+        """Read the head that replaced the one of roll ``number``.
+
+        Numbers may leave gaps, see ``RollOrder.above``.
+        """
+        stored = await self.head()
+        found: StoredHead | None = None
+        while isinstance(stored, StoredHead) and stored.head.version > number:
+            found = stored
+            if not stored.proof.roll.previous:
+                break
+            stored = await self.before(stored)
+        if isinstance(stored, RollError):
+            return stored
+        if found is None:
+            return RollError(
+                RollFault.NOT_FOUND, f'there is no roll after {number}'
+            )
+        return found
+
     async def before(self, stored: StoredHead) -> StoredHead | RollError:
         """Read the head that a head replaced."""
         value = await self._part(stored.proof.roll.previous)
--- a/packages/common/src/lacewing_common/rolls/_writes.py
+++ b/packages/common/src/lacewing_common/rolls/_writes.py
@@ -167,15 +167,16 @@
                 f'whether roll {number} took effect is not known:'
                 f' {answer.message}; run the same command again',
             )
-        return await self._lost_or_done(order, number - 1, now)
+        base = 0 if stored is None else stored.head.version
+        return await self._lost_or_done(order, base, now)
 
     async def _lost_or_done(
         self, order: RollOrder, base: int, now: StoredHead
     ) -> Rolled | RollError:
         """Find out whose the roll after ``base`` is.
 
-        Each number is one head of the chain, so that the nonce found under
-        the next number decides whether this order took effect.
+        One head alone replaced that of ``base``, so that its nonce decides
+        whether this order took effect.
         """
         if now.head.version < base:
             return RollError(
@@ -183,7 +184,7 @@
                 f'roll {now.head.version} is in force, below roll {base} that'
                 ' the bundle was edited from',
             )
-        next_head = await self._reads.head_at(base + 1)
+        next_head = await self._reads.head_after(base)
         if isinstance(next_head, RollError):
             return RollError(RollFault.UNKNOWN, next_head.message)
         roll = next_head.proof.roll
--- a/packages/common/src/lacewing_common/settings.py
+++ b/packages/common/src/lacewing_common/settings.py
@@ -75,12 +75,14 @@
     """Tell an agent of its worker: base URL and service.
 
     ``concurrency`` is the number of requests that the worker runs at once;
-    more wait at the agent, where teams get their shares.
+    more wait at the agent, where teams get their shares. ``kv_store`` is
+    the base URL of a store of kept KV cache, '' for none.
     """
 
     url: str
     service: str
     concurrency: int = 32
+    kv_store: str = ''
 
 
 class PeerSettings(Setting, forbid_unknown_fields=True, frozen=True):
--- a/packages/common/src/lacewing_common/wire.py
+++ b/packages/common/src/lacewing_common/wire.py
@@ -61,12 +61,16 @@
     ``epoch`` names the engine's run, ``hit_blocks`` the blocks reused out of
     ``prompt_blocks``; ``width`` is the number of workers over which the
     agent asks routers to spread the outermost level (1: keep it here).
+    ``kept_blocks`` leading blocks are in the store of kept KV cache, from
+    which an import takes ``import_ms`` milliseconds a block.
     """
 
     epoch: str = ''
     hit_blocks: int = 0
     prompt_blocks: int = 0
     width: int = 1
+    kept_blocks: int = 0
+    import_ms: float = 0.0
 
 
 class Hello(Message, frozen=True, tag='hello'):
@@ -93,7 +97,9 @@
     ``levels``: block counts at which a nested level ends.
     ``oldest_open``: the router's lowest sequence that it may still ask about.
     ``width``: the number of workers over which the router spreads the
-    prompt's outermost level.
+    prompt's outermost level. ``use_kept``: import what the store of kept
+    KV cache holds, keep there what comes again, and wait for a prefix that
+    another request is computing.
     """
 
     attempt: AttemptId
@@ -120,6 +126,7 @@
     oldest_open: int = 0
     traceparent: str = ''
     width: int = 1
+    use_kept: bool = False
 
 
 class Ask(Message, frozen=True, tag='ask'):
--- a/packages/ctl/src/lacewing_ctl/_commands/roll.py
+++ b/packages/ctl/src/lacewing_ctl/_commands/roll.py
@@ -54,6 +54,7 @@
     fleet: str = '',
     wait_s: float = 30.0,
     platform_s: float = 30.0,
+    above: int = 0,
     json: bool = False,
     profile: str = '',
 ) -> None:
@@ -68,6 +69,7 @@
         fleet: a JSON file with the operators' addresses of the processes.
         wait_s: seconds to wait for the processes.
         platform_s: seconds to go on trying while the platform is down.
+        above: the number that processes have though the platform lost it.
         json: print JSON in place of a line.
         profile: the operator's profile.
     """
@@ -81,7 +83,7 @@
         say(f'this draft took effect as roll {signing.done} before')
         done = Rolled(signing.done, signing.tried, 0)
         _finish(done, processes, wait_s, json)
-    order = order_of(bundle, signing)
+    order = order_of(bundle, signing, above)
 
     async def work(session: Session) -> Rolled | RollError:
         return await _roll(session, order, signing.base, operator)
@@ -202,7 +204,7 @@
     unconfirmed: tuple[Unconfirmed, ...] = ()
     if fleet.operators:
         unconfirmed = asyncio.run(
-            confirm(fleet, rolled.number, wait_s, quiet=json)
+            confirm(fleet, rolled.number, rolled.digest, wait_s, json)
         )
     total = len(fleet.operators)
     if json:
--- a/packages/ctl/src/lacewing_ctl/_confirm.py
+++ b/packages/ctl/src/lacewing_ctl/_confirm.py
@@ -21,9 +21,14 @@
 
 
 async def confirm(
-    fleet: FleetFile, number: int, wait_s: float, quiet: bool
+    fleet: FleetFile, number: int, digest: str, wait_s: float, quiet: bool
 ) -> tuple[Unconfirmed, ...]:
-    """Ask each process until it has the roll, or a later one, in force."""
+    """Ask each process until it has the roll in force.
+
+    A higher number does not confirm: another operator may have rolled since,
+    or the platform was restored from a copy and gives numbers that the
+    fleet has used already; then the fleet would never take this roll.
+    """
     client = OperatorsClient(fleet.tls)
     loop = asyncio.get_running_loop()
     give_up_at = loop.time() + wait_s
@@ -36,7 +41,7 @@
     )
     try:
         while True:
-            await _ask(client, waiting, number)
+            await _ask(client, waiting, number, digest)
             bar.update(bar.total - len(waiting) - bar.n)
             if not waiting or loop.time() > give_up_at:
                 break
@@ -48,25 +53,37 @@
 
 
 async def _ask(
-    client: OperatorsClient, waiting: dict[str, str], number: int
+    client: OperatorsClient,
+    waiting: dict[str, str],
+    number: int,
+    digest: str,
 ) -> None:
     addresses = tuple(waiting)
     answers = await client.get_all(addresses, '/status')
     for address, answer in zip(addresses, answers, strict=True):
-        why = _why_not(answer, number)
+        why = _why_not(answer, number, digest)
         if why:
             waiting[address] = why
             continue
         del waiting[address]
 
 
-def _why_not(answer: bytes | Unanswered, number: int) -> str:
+def _why_not(answer: bytes | Unanswered, number: int, digest: str) -> str:
     if isinstance(answer, Unanswered):
         return f'gave no answer: {answer.message}'
     try:
         status = msgspec.json.decode(answer, type=ProcessStatus)
     except msgspec.DecodeError as error:
         return f'gave a wrong answer: {error}'
-    if status.bundle_number >= number:
-        return ''
-    return f'{status.process_id} has roll {status.bundle_number}'
+    name = status.process_id
+    if status.bundle_number < number:
+        return f'{name} has roll {status.bundle_number}'
+    if status.bundle_number > number:
+        return (
+            f'{name} has roll {status.bundle_number}, a later one; if "bundle'
+            ' history" does not show it, the platform has lost it: roll with'
+            f' --above {status.bundle_number}'
+        )
+    if status.bundle_digest != digest:
+        return f'{name} has another bundle as roll {number}'
+    return ''
--- a/packages/ctl/src/lacewing_ctl/_draft.py
+++ b/packages/ctl/src/lacewing_ctl/_draft.py
@@ -104,13 +104,14 @@
     return contents_of_parts(split(bundle)).digest
 
 
-def order_of(bundle: Bundle, signing: Signing) -> RollOrder:
+def order_of(bundle: Bundle, signing: Signing, above: int) -> RollOrder:
     """Make the order of a draft that is about to be tried."""
     return RollOrder(
         parts=split(bundle),
         sign_offs=signing.sign_offs,
         at=signing.at,
         nonce=signing.nonce,
+        above=above,
     )
 
 
--- a/packages/daemon/src/lacewing_daemon/_serve.py
+++ b/packages/daemon/src/lacewing_daemon/_serve.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from random import Random
 
+from lacewing_common.audit import Action
 from lacewing_common.bundles import BUNDLE
 from lacewing_common.bundles import BundleGuard
 from lacewing_common.document import DocumentKind
@@ -22,7 +23,7 @@
 from lacewing_common.status import ProcessStatus
 from lacewing_common.tls import bound_tls_buffers
 
-from lacewing_daemon._documents import assemble_bundle
+from lacewing_daemon._audit import ProcessAudit
 from lacewing_daemon._operators import OperatorsServer
 from lacewing_daemon._roles import start_role
 from lacewing_daemon._signals import on_hangup
@@ -50,15 +51,20 @@
         self._signals = StopSignals()
         self._contacts = KnownMembers(settings.seeds)
         self._name = ProcessName(settings.process_id, new_incarnation())
-        guard = BundleGuard(settings.root_operators)
+        self._guard = BundleGuard(settings.root_operators)
         self._node = PeerNode(
             self._name,
             settings,
-            {DocumentKind.BUNDLE: guard},
+            {DocumentKind.BUNDLE: self._guard},
             self._contacts.addresses,
             Random(),
         )
-        self._node.documents.on_change(DocumentKind.BUNDLE, guard.remember)
+        self._node.documents.on_change(
+            DocumentKind.BUNDLE, self._guard.remember
+        )
+        self._audit = ProcessAudit(
+            self._name, settings.place.availability_zone
+        )
         self._file = FileBundles(_bundle_path(settings))
         self._runtime = Runtime(
             name=self._name,
@@ -67,6 +73,7 @@
             members=self._node.members,
             stopping=self._signals.stopping,
             peer_services=(self._node.service,),
+            audit=self._audit,
         )
         self._operators = OperatorsServer(
             settings, self._status, self._explain
@@ -108,13 +115,15 @@
     def _bundles(self) -> BundleSource:
         if self._settings.bundle_file:
             return self._file
-        return ReplicatedBundles(self._node.documents, assemble_bundle)
+        return ReplicatedBundles(self._node.documents, self._guard.assemble)
 
     def _open_platform(self) -> None:
         if not self._settings.platform:
             return
         self._platform = PlatformClient(self._settings.platform)
         self._runtime = replace(self._runtime, store=self._platform)
+        self._audit.open(self._platform)
+        self._follow(self._audit.run())
         self._reader = PlatformReader(
             self._node,
             self._platform,
@@ -139,6 +148,7 @@
 
     async def _stop(self, role: RunningRole) -> Exit:
         ended = Exit.OK
+        self._report_drain(role, 'begins')
         self._follow(self._node.leave())
         try:
             async with asyncio.timeout(self._settings.drain_s):
@@ -148,8 +158,12 @@
             self._log.warning(
                 'Drain period over.', open=role.status.open_requests
             )
+        self._report_drain(
+            role, 'complete' if ended is Exit.OK else 'requests were cut'
+        )
         await self._node.close()
         await role.close()
+        await self._audit.close()
         await self._operators.close()
         for task in self._tasks:
             task.cancel()
@@ -158,6 +172,14 @@
         self._log.info('Stopped.', code=ended.value)
         return ended
 
+    def _report_drain(self, role: RunningRole, result: str) -> None:
+        self._audit.report(
+            Action.DRAIN,
+            self._settings.process_id,
+            after=f'{role.status.open_requests} requests open',
+            result=result,
+        )
+
     def _status(self) -> ProcessStatus:
         role = self._role
         status = _NOT_STARTED if role is None else role.status
--- a/packages/daemon/src/lacewing_daemon/agent/_agent.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_agent.py
@@ -7,7 +7,6 @@
 import grpclib.const
 from grpclib.server import Stream
 from lacewing_common.bundle import RolledBundle
-from lacewing_common.bundle import ServiceKind
 from lacewing_common.codec import FromAgent
 from lacewing_common.codec import FromRouter
 from lacewing_common.log import get_log
@@ -34,10 +33,12 @@
 from lacewing_daemon.agent._attempts import Attempts
 from lacewing_daemon.agent._cache import CacheKnowledge
 from lacewing_daemon.agent._cache_follower import CacheFollower
+from lacewing_daemon.agent._kv_client import KvClient
 from lacewing_daemon.agent._link import Link
 from lacewing_daemon.agent._load import LoadView
 from lacewing_daemon.agent._metrics import LINKS
 from lacewing_daemon.agent._runner import Runner
+from lacewing_daemon.agent._service import ServiceView
 from lacewing_daemon.agent._sweeper import KeepLimits
 from lacewing_daemon.agent._sweeper import Sweeper
 from lacewing_daemon.agent._teller import Teller
@@ -70,9 +71,10 @@
     ) -> None:
         self._runtime = runtime
         self._settings = settings
+        self._service = ServiceView(runtime.bundles, settings.service)
         self._worker = Worker(settings.url, settings.concurrency)
         self._admission = FairAdmission(
-            settings.concurrency, _QUEUE_LIMIT, self._share_of
+            settings.concurrency, _QUEUE_LIMIT, self._service.share_of
         )
         self._cache = CacheKnowledge(
             lambda: self._admission.running, self._level_changed
@@ -82,20 +84,29 @@
         # The events need a connection of their own, whatever the load.
         self._cache_worker = Worker(settings.url, 0)
         self._follower = CacheFollower(
-            self._cache_worker, self._is_engine, self._cache.view
+            self._cache_worker,
+            lambda: self._service.is_engine,
+            self._cache.view,
         )
+        self._kv: KvClient | None = None
+        if settings.kv_store:
+            self._kv = KvClient(settings.kv_store, settings.url)
         self._claims = Claims(runtime.store, settings.service, claim_limits)
         self._runner = Runner(
             self._worker,
             self._admission,
             self._cache,
-            runtime.bundles,
+            self._service,
             ClaimedRuns(self._claims),
         )
         self._watch = WorkerWatch(
-            self._worker, self._load, self._is_engine, self._worker_changed
+            self._worker,
+            self._load,
+            lambda: self._service.is_engine,
+            self._worker_changed,
         )
         self._attempts = Attempts(runtime.name.incarnation)
+        self._limits = limits
         self._sweeper = Sweeper(self._attempts, limits)
         self._links: set[Link] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -139,6 +150,8 @@
         self._spawn(self._watch.run())
         self._spawn(self._teller.run())
         self._spawn(self._follower.run())
+        if self._kv is not None:
+            self._spawn(self._cache.keep_in(self._kv).run())
         self._spawn(self._sweeper.run())
 
     async def drain(self) -> None:
@@ -168,6 +181,8 @@
         await self._server.wait_closed()
         self._worker.close()
         self._cache_worker.close()
+        if self._kv is not None:
+            self._kv.close()
 
     def welcome(self) -> Welcome:
         """Return the answer to a Hello."""
@@ -262,20 +277,13 @@
             f'{wanted} is not loaded here; loaded: {", ".join(models)}',
         )
 
-    def _is_engine(self) -> bool:
-        for service in self._runtime.bundles.current.bundle.services:
-            if service.name == self._settings.service:
-                return service.kind is ServiceKind.MODEL
-        return False
-
     def _bundle_changed(self, _bundle: RolledBundle) -> None:
         self._watch.look_soon()
 
     def _owes_answers(self) -> bool:
+        now = time.monotonic()
         for attempt in self._attempts.all():
-            if attempt.outcome is None:
-                return True
-            if attempt.attached and not attempt.delivered:
+            if attempt.is_owed(now, self._limits.orphan_s):
                 return True
         return False
 
@@ -294,12 +302,6 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _share_of(self, team: str) -> float:
-        for known in self._runtime.bundles.current.bundle.teams:
-            if known.name == team:
-                return known.share
-        return 1.0
-
 
 async def start_agent(runtime: Runtime) -> Agent:
     """Start the agent that the settings describe."""
--- a/packages/daemon/src/lacewing_daemon/agent/_attempt.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_attempt.py
@@ -24,6 +24,9 @@
 
 Outcome = End | Refused
 
+# How long a leaving agent waits for the last Ack of an answer.
+CONFIRM_S = 1.0
+
 
 class Phase(Enum):
     """Tell how far an attempt is.
@@ -64,7 +67,8 @@
         self._paused = False
         self._cancelled = False
         self._on_cancel: Callable[[], None] | None = None
-        self._delivered = False
+        self._delivered_at: float | None = None
+        self._confirmed = False
         self._orphaned_at = 0.0
         self._ended_at = 0.0
         self._ended = asyncio.Event()
@@ -113,11 +117,6 @@
         """Tell whether the attempt is to be stopped."""
         return self._cancelled
 
-    @property
-    def delivered(self) -> bool:
-        """Tell whether a link has sent the outcome."""
-        return self._delivered
-
     @property
     def orphaned_at(self) -> float:
         """Return the monotonic time at which the last link broke."""
@@ -146,6 +145,22 @@
         """Hand each piece of the answer on as it comes."""
         self._copy_payload = take
 
+    def is_owed(self, now: float, patience_s: float) -> bool:
+        """Tell whether a router still waits for the answer's end.
+
+        A router whose link broke is waited for, but not for ever; so is
+        the confirmation of an end that may be lost with the connection.
+        """
+        if self._outcome is None:
+            return True
+        if self._cancelled:
+            return False
+        if self._delivered_at is None:
+            return self.attached or now - self._orphaned_at < patience_s
+        if self._confirmed or isinstance(self._outcome, Refused):
+            return False
+        return now - self._delivered_at < CONFIRM_S
+
     def attach(self, on_change: Callable[[], None]) -> None:
         """Call a link back whenever there is more to send."""
         self._on_change = on_change
@@ -159,7 +174,7 @@
 
     def mark_delivered(self) -> None:
         """Record that a link has sent the outcome."""
-        self._delivered = True
+        self._delivered_at = time.monotonic()
 
     def mark_sent(self) -> None:
         """Record that the worker may see the request from now on."""
@@ -212,6 +227,7 @@
     def acknowledge(self, offset: int) -> None:
         """Let go of bytes that the router has; read on if that helps."""
         self._answer.acknowledge(offset)
+        self._confirmed = offset >= self._answer.length
         self._changed()
         self._resume_if_room()
 
--- a/packages/daemon/src/lacewing_daemon/agent/_delivery.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_delivery.py
@@ -65,7 +65,8 @@
         attempt = self._attempt
         if self._accepted_due:
             self._accepted_due = False
-            return Accepted(attempt.attempt_id)
+            if not isinstance(attempt.outcome, Refused):
+                return Accepted(attempt.attempt_id)
         if self._head_due and attempt.head is not None:
             self._head_due = False
             return attempt.head
--- a/packages/daemon/src/lacewing_daemon/agent/_history.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_history.py
@@ -123,6 +123,7 @@
         self._closed.add(sequence)
         self._highest = max(self._highest, sequence)
         self._used_at = time.monotonic()
+        self._bound()
 
     def find(self, sequence: int) -> Attempt | Refusal | None:
         """Return what is known of a sequence, or None."""
@@ -168,7 +169,8 @@
                 self.forget_answer(sequence)
 
     def _bound(self) -> None:
-        # A router with one very old attempt open never raises its floor.
+        # A router with one very old attempt open never raises its floor,
+        # and the memory of the agent would grow with each request.
         # Raising it here forgets verdicts, so those ids turn from what they
         # were into "may have run", never into "not run".
         excess = len(self._verdicts) + len(self._closed) - _MOST_REMEMBERED
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/agent/_kv_client.py
@@ -0,0 +1,98 @@
+"""Ask a store what it holds and an engine to move KV cache."""
+
+import msgspec
+import pycurl
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpclient import HTTPClientError
+from tornado.httpclient import HTTPRequest
+
+HELD_TIMEOUT_S = 0.2
+MOVE_TIMEOUT_S = 2.0
+_CALLS_AT_ONCE = 16
+_OK = 200
+
+
+class _Held(msgspec.Struct, frozen=True):
+    held: int = 0
+
+
+class _Moved(msgspec.Struct, frozen=True):
+    blocks: int = 0
+
+
+class _Query(msgspec.Struct, frozen=True):
+    blocks: tuple[str, ...]
+
+
+class _Move(msgspec.Struct, frozen=True):
+    store: str
+    blocks: tuple[str, ...]
+
+
+class KvClient:
+    """Call one store and one engine; a failure counts as no block."""
+
+    def __init__(self, store_url: str, engine_url: str) -> None:
+        self._store_url = store_url.rstrip('/')
+        self._engine_url = engine_url.rstrip('/')
+        self._client = CurlAsyncHTTPClient(
+            force_instance=True, max_clients=_CALLS_AT_ONCE
+        )
+
+    async def held(self, blocks: tuple[bytes, ...]) -> int:
+        """Return how many leading blocks the store holds."""
+        body = msgspec.json.encode(_Query(_names(blocks)))
+        url = f'{self._store_url}/kv/held'
+        found = await self._post(url, body, HELD_TIMEOUT_S)
+        if found is None:
+            return 0
+        return msgspec.json.decode(found, type=_Held).held
+
+    async def import_blocks(self, blocks: tuple[bytes, ...]) -> int:
+        """Have the engine import blocks; return how many came."""
+        return await self._move('import', blocks)
+
+    async def export_blocks(self, blocks: tuple[bytes, ...]) -> int:
+        """Have the engine export blocks; return how many went."""
+        return await self._move('export', blocks)
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._client.close()
+
+    async def _move(self, direction: str, blocks: tuple[bytes, ...]) -> int:
+        body = msgspec.json.encode(_Move(self._store_url, _names(blocks)))
+        url = f'{self._engine_url}/kv/{direction}'
+        found = await self._post(url, body, MOVE_TIMEOUT_S)
+        if found is None:
+            return 0
+        return msgspec.json.decode(found, type=_Moved).blocks
+
+    async def _post(
+        self, url: str, body: bytes, timeout_s: float
+    ) -> bytes | None:
+        request = HTTPRequest(
+            url,
+            method='POST',
+            body=body,
+            headers={'Content-Type': 'application/json'},
+            connect_timeout=timeout_s,
+            request_timeout=timeout_s,
+            prepare_curl_callback=_use_no_proxy,
+        )
+        try:
+            response = await self._client.fetch(request, raise_error=False)
+        except (HTTPClientError, OSError):
+            return None
+        if response.code != _OK:
+            return None
+        return response.body
+
+
+def _names(blocks: tuple[bytes, ...]) -> tuple[str, ...]:
+    return tuple(block.hex() for block in blocks)
+
+
+def _use_no_proxy(handle: pycurl.Curl) -> None:
+    # libcurl would else take a proxy from the environment.
+    handle.setopt(pycurl.PROXY, '')
--- a/packages/daemon/src/lacewing_daemon/agent/_link.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_link.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
+from collections.abc import Iterable
 from functools import partial
 from typing import Protocol
 
@@ -24,6 +25,7 @@
 from lacewing_common.wire import RouterFrame
 from lacewing_common.wire import Start
 from lacewing_common.wire import Welcome
+from msgspec import ValidationError
 
 from lacewing_daemon.agent._attempt import Attempt
 from lacewing_daemon.agent._delivery import Delivery
@@ -121,7 +123,20 @@
             self._desk.link_closed(self, self._router)
             for task in (writer, reader):
                 task.cancel()
-            await asyncio.gather(writer, reader, return_exceptions=True)
+            ends = await asyncio.gather(writer, reader, return_exceptions=True)
+            self._log_errors(ends)
+
+    def _log_errors(self, ends: Iterable[None | BaseException]) -> None:
+        for end in ends:
+            if isinstance(end, ValidationError):
+                _log.warning(
+                    'malformed frame; link closed',
+                    router=self._router,
+                    error=str(end),
+                )
+                continue
+            if isinstance(end, Exception):
+                _log.info('link broke', router=self._router, error=repr(end))
 
     def notify(self, frame: AgentFrame) -> None:
         """Send a frame that belongs to no answer."""
--- a/packages/daemon/src/lacewing_daemon/agent/_receiver.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_receiver.py
@@ -55,6 +55,8 @@
         self._body = bytearray()
         self._usage = Usage()
         self._mismatched = False
+        self._epoch = ''
+        self._stale = False
         self._first_byte_at: float | None = None
         self._exchanges = 0
 
@@ -93,6 +95,11 @@
         """Tell whether the present answer was another request's."""
         return self._mismatched
 
+    @property
+    def stale(self) -> bool:
+        """Tell whether the engine restarted since the first exchange."""
+        return self._stale
+
     @property
     def usage(self) -> Usage:
         """Return the token counts of the answer."""
@@ -123,6 +130,13 @@
             MISMATCHED.labels('answer').inc()
             self._drop()
             return
+        if self._epoch and start.epoch != self._epoch:
+            # Two runs of an engine may answer with different words; joined,
+            # they would make one answer that neither gave.
+            self._stale = True
+            self._drop()
+            return
+        self._epoch = start.epoch
         if not self._from_engine:
             self._mode = Mode.RAW
             self._attempt.put_head(start.status, start.content_type)
--- a/packages/daemon/src/lacewing_daemon/agent/_runner.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_runner.py
@@ -3,7 +3,6 @@
 import asyncio
 from functools import partial
 
-from lacewing_common.bundle import ServiceKind
 from lacewing_common.log import get_log
 from lacewing_common.log import Part
 from lacewing_common.verdict import may_have_run
@@ -11,7 +10,6 @@
 from lacewing_common.verdict import Reason
 from lacewing_common.verdict import Refusal
 from lacewing_common.wire import CacheReport
-from lacewing_common.wire import Start
 
 from lacewing_daemon.agent._admission import Admission
 from lacewing_daemon.agent._attempt import Attempt
@@ -22,15 +20,14 @@
 from lacewing_daemon.agent._requests import admission_request
 from lacewing_daemon.agent._requests import first_request
 from lacewing_daemon.agent._requests import resume_request
+from lacewing_daemon.agent._service import ServiceView
 from lacewing_daemon.agent._worker import Broken
 from lacewing_daemon.agent._worker import Whole
 from lacewing_daemon.agent._worker import Worker
 from lacewing_daemon.claims import ClaimedRuns
-from lacewing_daemon.runtime import BundleSource
 
 _RESUME_TRIES = 4
 _RESUME_PAUSE_S = 0.02
-_DEFAULT_ANSWER_S = 120.0
 
 _CONFLICT = 409
 _NOT_FOUND = 404
@@ -48,13 +45,13 @@
         worker: Worker,
         admission: Admission,
         cache: CacheKnowledge,
-        bundles: BundleSource,
+        service: ServiceView,
         claimed: ClaimedRuns,
     ) -> None:
         self._worker = worker
         self._admission = admission
         self._cache = cache
-        self._bundles = bundles
+        self._service = service
         self._claimed = claimed
 
     async def run(self, attempt: Attempt) -> None:
@@ -84,9 +81,7 @@
             return
         try:
             if attempt.cancelled:
-                attempt.refuse(
-                    not_run(Reason.CALLER_GONE, 'the caller went while queued')
-                )
+                attempt.refuse(_caller_gone())
                 return
             await self._run_on_worker(attempt)
         finally:
@@ -94,10 +89,13 @@
 
     async def _run_on_worker(self, attempt: Attempt) -> None:
         start = attempt.start
-        from_engine = self._from_engine(start)
-        run = self._cache.begin(start) if from_engine else None
+        from_engine = self._service.runs_on_engine(start)
+        run = await self._cache.begin(start) if from_engine else None
         receiver = Receiver(attempt, from_engine, run)
         try:
+            if attempt.cancelled:
+                attempt.refuse(_caller_gone())
+                return
             await self._exchange(attempt, receiver, from_engine)
         finally:
             if run is not None:
@@ -112,9 +110,7 @@
         else:
             attempt.on_cancel(None)
         attempt.mark_sent()
-        request = first_request(
-            start, from_engine, self._answer_s(start.service)
-        )
+        request = first_request(start, from_engine, self._service.answer_s)
         result = await self._worker.exchange(request, receiver)
         if isinstance(result, Broken) and not result.reached:
             attempt.refuse(
@@ -137,6 +133,10 @@
         self, attempt: Attempt, receiver: Receiver, result: Whole | Broken
     ) -> Refusal | None:
         """End the attempt if its answer is whole; else say what is wrong."""
+        if receiver.stale:
+            return may_have_run(
+                Reason.STALE_EPOCH, 'the worker restarted and lost the answer'
+            )
         if receiver.mismatched:
             return may_have_run(
                 Reason.ANSWER_MISMATCHED,
@@ -172,7 +172,6 @@
         self, attempt: Attempt, receiver: Receiver, refusal: Refusal
     ) -> Refusal | None:
         """Fetch the rest of an answer from the engine that has it."""
-        epoch = _epoch(receiver)
         tries = 0
         while tries < _RESUME_TRIES and _worth_resuming(refusal):
             if attempt.cancelled:
@@ -184,12 +183,6 @@
             )
             if isinstance(result, Broken) and not result.reached:
                 return refusal
-            if epoch and _epoch(receiver) not in ('', epoch):
-                return may_have_run(
-                    Reason.STALE_EPOCH,
-                    'the worker restarted and lost the answer',
-                )
-            epoch = epoch or _epoch(receiver)
             if _unknown_to_engine(result):
                 return refusal
             settled = self._settle(attempt, receiver, result)
@@ -212,18 +205,6 @@
             )
         )
 
-    def _from_engine(self, start: Start) -> bool:
-        for service in self._bundles.current.bundle.services:
-            if service.name == start.service:
-                return service.kind is ServiceKind.MODEL
-        return bool(start.model)
-
-    def _answer_s(self, name: str) -> float:
-        for service in self._bundles.current.bundle.services:
-            if service.name == name:
-                return service.answer_ms / 1000
-        return _DEFAULT_ANSWER_S
-
 
 def _engine_refusal(
     attempt: Attempt, receiver: Receiver, result: Whole
@@ -252,6 +233,10 @@
     return None
 
 
+def _caller_gone() -> Refusal:
+    return not_run(Reason.CALLER_GONE, 'the caller went while queued')
+
+
 def _worth_resuming(refusal: Refusal) -> bool:
     return refusal.reason in (Reason.STREAM_BROKEN, Reason.ANSWER_MISMATCHED)
 
--- a/packages/daemon/src/lacewing_daemon/agent/_worker.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_worker.py
@@ -5,7 +5,8 @@
 from typing import Protocol
 
 import pycurl
-from tornado.curl_httpclient import CurlAsyncHTTPClient
+from lacewing_common.curl import connect_directly
+from lacewing_common.curl import CurlClient
 from tornado.curl_httpclient import CurlError
 from tornado.httpclient import HTTPRequest
 
@@ -77,26 +78,12 @@
         """Take bytes of the body."""
 
 
-class _Client(CurlAsyncHTTPClient):
-    """Leave no timer behind."""
-
-    def close(self) -> None:
-        """Close all connections and the timer.
-
-        Ending exchanges under way, libcurl sets the timer anew; firing
-        later, it would find no client and log an ``AttributeError``.
-        """
-        super().close()
-        if self._timeout is not None:
-            self.io_loop.remove_timeout(self._timeout)
-
-
 class Worker:
     """Hold the HTTP client for one worker."""
 
     def __init__(self, url: str, concurrency: int) -> None:
         self._url = url.rstrip('/')
-        self._client = _Client(
+        self._client = CurlClient(
             force_instance=True,
             max_clients=concurrency + _SPARE_CLIENTS,
             max_body_size=_MAX_BODY_BYTES,
@@ -152,7 +139,7 @@
             connect_timeout=timeout_s,
             request_timeout=timeout_s,
             follow_redirects=False,
-            prepare_curl_callback=_use_no_proxy,
+            prepare_curl_callback=connect_directly,
         )
         try:
             response = await self._client.fetch(request, raise_error=False)
@@ -170,7 +157,7 @@
             body=b'',
             connect_timeout=POLL_TIMEOUT_S,
             request_timeout=POLL_TIMEOUT_S,
-            prepare_curl_callback=_use_no_proxy,
+            prepare_curl_callback=connect_directly,
         )
         try:
             response = await self._client.fetch(request, raise_error=False)
@@ -203,13 +190,8 @@
         )
 
 
-def _use_no_proxy(handle: pycurl.Curl) -> None:
-    # libcurl would else take a proxy from the environment.
-    handle.setopt(pycurl.PROXY, '')
-
-
 def _set_options(handle: pycurl.Curl, request: WorkerRequest) -> None:
-    _use_no_proxy(handle)
+    connect_directly(handle)
     if request.repeatable and request.body:
         return
     # When a kept connection breaks before the first byte of an answer,
--- a/packages/daemon/src/lacewing_daemon/claims/_range_writer.py
+++ b/packages/daemon/src/lacewing_daemon/claims/_range_writer.py
@@ -291,7 +291,7 @@
         if self._closings.get(request) is closing:
             del self._closings[request]
         run = self._runs.get(request.key)
-        if run is not None and run.request is request:
+        if run is not None and run.request == request:
             del self._runs[request.key]
 
     def _withdraw(self, request: ClaimRequest) -> None:
--- a/packages/daemon/src/lacewing_daemon/claims/_runs.py
+++ b/packages/daemon/src/lacewing_daemon/claims/_runs.py
@@ -1,6 +1,7 @@
 """Remember the permits in use, until their end is written."""
 
 import asyncio
+from contextlib import suppress
 
 from lacewing_common.verdict import Refusal
 
@@ -39,9 +40,9 @@
         if request.call != self._request.call:
             return key_reused()
         if not self._ended.is_set():
-            waiting = asyncio.ensure_future(self._ended.wait())
-            await asyncio.wait([waiting], timeout=seconds)
-            waiting.cancel()
+            with suppress(TimeoutError):
+                async with asyncio.timeout(seconds):
+                    await self._ended.wait()
         closing = self._closing
         if closing is None:
             return still_running()
--- a/packages/daemon/src/lacewing_daemon/router/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/router/_exchange.py
@@ -195,6 +195,7 @@
             routing.budget_ms,
             sequences.oldest_open,
             choice.width,
+            choice.use_kept,
         )
         link.start(attempt, start_frame(self._call, terms))
         return _Opened(attempt, link, routing)
--- a/packages/daemon/src/lacewing_daemon/router/_expected_cost.py
+++ b/packages/daemon/src/lacewing_daemon/router/_expected_cost.py
@@ -96,6 +96,7 @@
             estimates,
             round(missing),
             width,
+            use_kept=True,
         )
 
     def observe(self, observation: Observation) -> None:
--- a/packages/daemon/src/lacewing_daemon/router/_policy.py
+++ b/packages/daemon/src/lacewing_daemon/router/_policy.py
@@ -91,7 +91,8 @@
 
     ``missing_blocks`` is the number of blocks that it is expected to
     compute, None when the policy expects nothing; ``width`` the number of
-    workers over which the policy spreads the outermost level.
+    workers over which the policy spreads the outermost level;
+    ``use_kept`` lets the agent use the store of kept KV cache.
     """
 
     process_id: str
@@ -99,6 +100,7 @@
     estimates: tuple[Estimate, ...] = ()
     missing_blocks: int | None = None
     width: int = 1
+    use_kept: bool = False
 
 
 @dataclass(frozen=True)
--- a/packages/daemon/src/lacewing_daemon/router/_start_frame.py
+++ b/packages/daemon/src/lacewing_daemon/router/_start_frame.py
@@ -14,7 +14,8 @@
 
     ``epoch`` is the worker's as this router knows it, ``budget_ms`` the
     milliseconds until the first token is due, ``width`` the number of
-    workers over which the outermost level is spread.
+    workers over which the outermost level is spread, ``use_kept`` whether
+    the agent may use the store of kept KV cache.
     """
 
     attempt: AttemptId
@@ -22,6 +23,7 @@
     budget_ms: float
     oldest_open: int
     width: int = 1
+    use_kept: bool = False
 
 
 def start_frame(call: Call, terms: StartTerms) -> Start:
@@ -57,4 +59,5 @@
         oldest_open=terms.oldest_open,
         traceparent=asked.traceparent,
         width=terms.width,
+        use_kept=terms.use_kept,
     )
--- a/packages/daemon/src/lacewing_daemon/runtime.py
+++ b/packages/daemon/src/lacewing_daemon/runtime.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 from typing import runtime_checkable
 
+from lacewing_common.audit import Action
 from lacewing_common.bundle import RolledBundle
 from lacewing_common.identity import ProcessName
 from lacewing_common.settings import Settings
@@ -73,6 +74,34 @@
         """Close listeners and links."""
 
 
+class AuditSink(Protocol):
+    """Take reports for the audit trail; never waits for the platform."""
+
+    def report(
+        self,
+        action: Action,
+        subject: str,
+        before: str = '',
+        after: str = '',
+        result: str = 'done',
+    ) -> None:
+        """Enter that this process did something."""
+
+
+class NoAudit:
+    """Be the sink of a role that runs without a daemon."""
+
+    def report(
+        self,
+        action: Action,
+        subject: str,
+        before: str = '',
+        after: str = '',
+        result: str = 'done',
+    ) -> None:
+        """Drop the report."""
+
+
 @runtime_checkable
 class Explains(Protocol):
     """Tell how a request was routed; a router does."""
@@ -96,3 +125,4 @@
     stopping: asyncio.Event
     store: ObjectStore | None = None
     peer_services: tuple[PeerServed, ...] = ()
+    audit: AuditSink = NoAudit()
