Enter rolls with few reads, and many records in chunks

Cause: each roll read the last 64 heads of the history for its audit entry, one after the other. And records appended in one call went into one write, whose value passes the platform's megabyte at a few thousand.

Change: the walk through the history ends at the newest roll that is entered, which is looked for in earlier chunks when tries that lost fill the newest. An append takes a chunk's worth a write.

With the newest chunk alone the scenario of 200 lost tries fails.

--- a/features/audit.feature
+++ b/features/audit.feature
@@ -29,6 +29,20 @@
     Then the trail "bundle" is whole, with 2 entries
     And the trail agrees with the history of rolls
 
+  Scenario: Rolls are entered once behind many tries that lost
+    # Symptom: rolls stand twice in the trail. Sequence: so many tries lose that
+    # the newest chunks hold no roll; the next roll is entered. Cause: rolls
+    # looked for in the newest chunks alone.
+    When "ana" edits the share to 2
+    And "ana" rolls the edit
+    And the rolls are entered in the audit trail
+    And 200 records are appended to "bundle"
+    And "bob" edits the share to 3
+    And "bob" rolls the edit
+    And the rolls are entered in the audit trail
+    Then the trail "bundle" is whole, with 202 entries
+    And the trail agrees with the history of rolls
+
   Scenario: A changed entry is found
     When 5 records are appended to "orders"
     And in "orders" "diagnostic-1" is changed to "diagnostic-2"
@@ -65,6 +79,11 @@
     Then the trail "orders" is whole, with 300 entries
     And the newest chunk of "orders" is smaller than 40000 bytes
 
+  Scenario: Many records at once stay within a value of the platform
+    When 4000 records are appended to "orders" at once
+    Then the trail "orders" is whole, with 4000 entries
+    And the newest chunk of "orders" is smaller than 60000 bytes
+
   Scenario Outline: A lost answer is looked for in the archive too
     # Symptom: a record stands twice in the trail. Sequence: its write takes
     # effect, the answer is lost, others fill chunks that are archived, the
--- a/features/steps/audit_steps.py
+++ b/features/steps/audit_steps.py
@@ -10,6 +10,7 @@
 from lacewing_common.rolls import RollError
 from lacewing_daemon._audit import trail_of
 from support.audit_bench import AuditBench
+from support.audit_bench import make_record
 from support.audit_bench import read_trail
 from support.rolls_bench import RollsBench
 
@@ -32,6 +33,15 @@
     assert not isinstance(entered, RollError), entered
 
 
+@when('{count:d} records are appended to "{name}" at once')
+def append_at_once(context: Context, count: int, name: str) -> None:
+    """Append all records in one call."""
+    bench = context.audit
+    records = tuple(make_record(number) for number in range(count))
+    error = bench.runner.run(bench.log(name).append(records))
+    assert error is None, error
+
+
 @when('{count:d} records are appended to "{name}"')
 def append(context: Context, count: int, name: str) -> None:
     """Append records one after the other."""
--- a/packages/common/src/lacewing_common/audit/_log.py
+++ b/packages/common/src/lacewing_common/audit/_log.py
@@ -55,10 +55,21 @@
     async def append(
         self, records: tuple[AuditRecord, ...]
     ) -> None | StoreError:
-        """Enter records that are not entered yet; in one write.
+        """Enter records that are not entered yet, in order.
 
-        After an error, append the same records again.
+        A write takes as many as a chunk holds. After an error, append the
+        same records again.
         """
+        for first in range(0, len(records), CHUNK_ENTRIES):
+            batch = records[first : first + CHUNK_ENTRIES]
+            error = await self._append_batch(batch)
+            if error is not None:
+                return error
+        return None
+
+    async def _append_batch(
+        self, records: tuple[AuditRecord, ...]
+    ) -> None | StoreError:
         backoff = Backoff(
             self._patience.backoff_base_s,
             self._patience.backoff_cap_s,
--- a/packages/common/src/lacewing_common/audit/_rolls.py
+++ b/packages/common/src/lacewing_common/audit/_rolls.py
@@ -18,7 +18,7 @@
 from lacewing_common.store import StoreError
 
 BUNDLE_TRAIL = 'bundle'
-_LOOK_BACK = 64
+_ROLL_ID = 'roll-'
 
 
 def record_of(roll: HistoryEntry) -> AuditRecord:
@@ -26,7 +26,7 @@
     action = Action.ROLL_BACK if roll.again else Action.ROLL
     signed_by = ', '.join(roll.signed_by)
     return AuditRecord(
-        record_id=f'roll-{roll.number}-{roll.nonce}',
+        record_id=f'{_ROLL_ID}{roll.number}-{roll.nonce}',
         who=roll.operator,
         action=action,
         subject=f'bundle, roll {roll.number}, signed by {signed_by}',
@@ -37,19 +37,19 @@
 
 
 async def enter_rolls(
-    log: AuditLog,
-    trails: AuditReads,
-    bundles: BundleReads,
-    look_back: int = _LOOK_BACK,
+    log: AuditLog, trails: AuditReads, bundles: BundleReads
 ) -> int | RollError:
-    """Enter the last rolls that are not entered; return how many."""
-    history = await bundles.history(look_back)
-    if isinstance(history, RollError):
-        return history
-    trail = await trails.trail(BUNDLE_TRAIL, look_back)
-    if isinstance(trail, StoreError):
-        return RollError(RollFault.UNAVAILABLE, trail.message)
-    missing = _missing(history, trail.entries)
+    """Enter the last rolls that are not entered; return how many.
+
+    Goes back to the newest roll that is entered. All before it are entered
+    as well, since each write brings along what was missing.
+    """
+    known = await _known_rolls(trails)
+    if isinstance(known, RollError):
+        return known
+    missing = await _missing(bundles, known)
+    if isinstance(missing, RollError):
+        return missing
     if not missing:
         return 0
     error = await log.append(missing)
@@ -58,6 +58,43 @@
     return len(missing)
 
 
+async def _known_rolls(trails: AuditReads) -> set[str] | RollError:
+    """Return the ids of the newest rolls entered, at least of one."""
+    limit = 1
+    while True:
+        trail = await trails.trail(BUNDLE_TRAIL, limit)
+        if isinstance(trail, StoreError):
+            return RollError(RollFault.UNAVAILABLE, trail.message)
+        if trail.faults:
+            return RollError(RollFault.REFUSED, trail.faults[0])
+        known: set[str] = set()
+        for entry in trail.entries:
+            if _is_roll(entry.record):
+                known.add(entry.record.record_id)
+        if known or trail.whole:
+            return known
+        limit = len(trail.entries) + 1
+
+
+async def _missing(
+    bundles: BundleReads, known: set[str]
+) -> tuple[AuditRecord, ...] | RollError:
+    missing: list[AuditRecord] = []
+    async for roll in bundles.rolls():
+        if isinstance(roll, RollError):
+            return roll
+        record = record_of(roll)
+        if record.record_id in known:
+            break
+        missing.append(record)
+    return tuple(reversed(missing))
+
+
+def _is_roll(record: AuditRecord) -> bool:
+    """Tell rolls in force from those that lost or were refused."""
+    return record.record_id.startswith(_ROLL_ID)
+
+
 def compare_rolls(
     history: tuple[HistoryEntry, ...], entries: tuple[AuditEntry, ...]
 ) -> tuple[str, ...]:
@@ -66,9 +103,7 @@
     faults: list[str] = []
     for entry in entries:
         record = entry.record
-        if record.action not in (Action.ROLL, Action.ROLL_BACK):
-            continue
-        if not record.record_id.startswith('roll-'):
+        if not _is_roll(record):
             continue
         if wanted.pop(record.record_id, None) != record:
             faults.append(
@@ -78,15 +113,3 @@
     for record in wanted.values():
         faults.append(f'{record.subject!r} by {record.who!r} is not entered')
     return tuple(faults)
-
-
-def _missing(
-    history: tuple[HistoryEntry, ...], entries: tuple[AuditEntry, ...]
-) -> tuple[AuditRecord, ...]:
-    known = {entry.record.record_id for entry in entries}
-    missing: list[AuditRecord] = []
-    for roll in reversed(history):
-        record = record_of(roll)
-        if record.record_id not in known:
-            missing.append(record)
-    return tuple(missing)
--- a/packages/common/src/lacewing_common/rolls/_reads.py
+++ b/packages/common/src/lacewing_common/rolls/_reads.py
@@ -1,6 +1,7 @@
 """Read the bundle in force and its history from the platform."""
 
 import asyncio
+from collections.abc import AsyncIterator
 from dataclasses import dataclass
 from random import Random
 
@@ -146,20 +147,32 @@
             return value
         return _read_head(value, 0)
 
+    async def rolls(self) -> AsyncIterator[HistoryEntry | RollError]:
+        """Yield all rolls, newest first; end with the error of a read."""
+        stored = await self.head()
+        if isinstance(stored, RollError):
+            if stored.fault is not RollFault.NOT_FOUND:
+                yield stored
+            return
+        while isinstance(stored, StoredHead):
+            yield _entry(stored)
+            if not stored.proof.roll.previous:
+                return
+            stored = await self.before(stored)
+        yield stored
+
     async def history(
         self, limit: int
     ) -> tuple[HistoryEntry, ...] | RollError:
         """Read the last rolls, newest first."""
         entries: list[HistoryEntry] = []
-        stored = await self.head()
-        while isinstance(stored, StoredHead):
-            entries.append(_entry(stored))
-            if len(entries) >= limit or not stored.proof.roll.previous:
-                return tuple(entries)
-            stored = await self.before(stored)
-        if stored.fault is RollFault.NOT_FOUND and not entries:
-            return ()
-        return stored
+        async for entry in self.rolls():
+            if isinstance(entry, RollError):
+                return entry
+            entries.append(entry)
+            if len(entries) >= limit:
+                break
+        return tuple(entries)
 
     async def _part(self, digest: str) -> bytes | RollError:
         stored = await self._get(PARTS, digest)
