Share teams' limits out between routers by demand

Cause: limits in the bundle were not enforced. A count in the platform would be a write for each request; an even split refuses a team whose load comes to one router. Change: routers report demand on the open links to the agent that all choose by rendezvous hashing for the team's bucket (32); it divides the limit by max-min fairness. Quiet teams are reported every 5 s in one message a bucket, tight ones every 0.25 s. Without a holder a router uses an even part.

--- a/Makefile
+++ b/Makefile
@@ -8,8 +8,7 @@
 SECONDS ?= 60
 DECLARED := constraints.txt $(wildcard packages/*/pyproject.toml)
 
-.PHONY: test chaos demo load bench relay-cost decision-cost bundle-cost check \
-	format clean
+.PHONY: test demo check format clean
 
 test: $(VENV)/.made
 	.ci/run
@@ -17,25 +16,31 @@
 demo: $(VENV)/.made
 	$(BIN)/python -m lacewing_bench.demo
 
+.PHONY: load
 load: $(VENV)/.made
 	$(BIN)/python -m lacewing_bench.load run --deployment $(DEPLOYMENT) \
 		--seconds $(SECONDS)
 
+.PHONY: bench
 bench: $(VENV)/.made
 	$(BIN)/python -m lacewing_bench.bench $(if $(QUICK),--quick)
 
+.PHONY: relay-cost
 relay-cost: $(VENV)/.made
 	$(BIN)/python -m lacewing_bench.relay_cost
 
+.PHONY: decision-cost
 decision-cost: $(VENV)/.made
 	$(BIN)/python -m lacewing_bench.decision_cost
 
+.PHONY: bundle-cost
 bundle-cost: $(VENV)/.made
 	$(BIN)/python -m lacewing_bench.bundle_cost
 
 # make chaos SEED=3 [MINUTES=2], or make chaos SEEDS=20 [AT_ONCE=3]
 CHAOS_ONE = one --seed=$(or $(SEED),1)
 CHAOS_MANY = many --seeds=$(SEEDS) $(if $(AT_ONCE),--at-once=$(AT_ONCE))
+.PHONY: chaos
 chaos: $(VENV)/.made
 	$(BIN)/python -m lacewing_bench.chaos \
 		$(if $(SEEDS),$(CHAOS_MANY),$(CHAOS_ONE)) \
@@ -55,8 +60,13 @@
 
 # All orders of faults in the protocols of claims and attempts.
 .PHONY: explore
+.PHONY: explore
 explore: $(VENV)/.made
 	$(BIN)/python -m lacewing_bench.explore --depth $(DEPTH)
 
 clean:
 	rm -rf $(VENV) build
+
+.PHONY: limits-error
+limits-error: $(VENV)/.made
+	$(BIN)/python -m lacewing_bench.limits_error
--- a/features/support/agent_bench.py
+++ b/features/support/agent_bench.py
@@ -30,6 +30,7 @@
 from lacewing_common.settings import WorkerSettings
 from lacewing_common.wire import Accepted
 from lacewing_common.wire import AgentFrame
+from lacewing_common.wire import Allotments
 from lacewing_common.wire import AttemptId
 from lacewing_common.wire import Batch
 from lacewing_common.wire import Data
@@ -96,6 +97,7 @@
         self.seen: dict[int, Seen] = {}
         self.changes: list[WorkerChanged] = []
         self.knowledge: list[Knowledge] = []
+        self.allotments: list[Allotments] = []
         self.welcome: Welcome | None = None
         self.incarnation = 0
         self._host, _, port = address.rpartition(':')
@@ -170,6 +172,8 @@
                 self.changes.append(frame)
             elif isinstance(frame, Knowledge):
                 self.knowledge.append(frame)
+            elif isinstance(frame, Allotments):
+                self.allotments.append(frame)
             else:
                 sequence = frame.attempt.sequence
                 self.seen.setdefault(sequence, Seen()).take(frame)
--- a/packages/common/src/lacewing_common/wire.py
+++ b/packages/common/src/lacewing_common/wire.py
@@ -15,6 +15,8 @@
 from lacewing_common.verdict import Reason
 from lacewing_common.verdict import Refusal
 from lacewing_common.verdict import Verdict
+from lacewing_common.wire_limits import TeamAllotment
+from lacewing_common.wire_limits import TeamDemand
 
 # An agent sends at most so many bytes of an answer beyond the last Ack.
 # Without a bound a caller that reads slowly would fill the router's memory.
@@ -265,7 +267,20 @@
     evicted: bytes = b''
 
 
-RouterFrame: TypeAlias = Hello | Start | Ask | Cancel | Ack
+class Demands(Message, frozen=True, tag='demands'):
+    """Report teams' demand to the agent that shares out their limits."""
+
+    teams: tuple[TeamDemand, ...]
+
+
+class Allotments(Message, frozen=True, tag='allotments'):
+    """Answer Demands with this router's part; ``routers`` counts all."""
+
+    teams: tuple[TeamAllotment, ...]
+    routers: int
+
+
+RouterFrame: TypeAlias = Hello | Start | Ask | Cancel | Ack | Demands
 AgentFrame: TypeAlias = (
     Welcome
     | Accepted
@@ -275,6 +290,7 @@
     | End
     | WorkerChanged
     | Knowledge
+    | Allotments
 )
 
 
--- a/packages/daemon/src/lacewing_daemon/agent/_agent.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_agent.py
@@ -18,8 +18,10 @@
 from lacewing_common.verdict import Refusal
 from lacewing_common.wire import Ack
 from lacewing_common.wire import AgentMessage
+from lacewing_common.wire import Allotments
 from lacewing_common.wire import Ask
 from lacewing_common.wire import Cancel
+from lacewing_common.wire import Demands
 from lacewing_common.wire import LINK_METHOD
 from lacewing_common.wire import LoadReport
 from lacewing_common.wire import RouterFrame
@@ -47,6 +49,7 @@
 from lacewing_daemon.claims import ClaimedRuns
 from lacewing_daemon.claims import ClaimLimits
 from lacewing_daemon.claims import Claims
+from lacewing_daemon.limits import LimitHolder
 from lacewing_daemon.runtime import RoleStatus
 from lacewing_daemon.runtime import Runtime
 
@@ -109,6 +112,7 @@
         self._limits = limits
         self._sweeper = Sweeper(self._attempts, limits)
         self._links: set[Link] = set()
+        self._team_limits = LimitHolder(self._service.limits_of)
         self._tasks: set[asyncio.Task[None]] = set()
         self._leaving = False
         self._server = PeersServer(
@@ -228,6 +232,12 @@
         if attempt is not None:
             attempt.acknowledge(ack.offset)
 
+    def share_out(self, router: str, demands: Demands) -> Allotments:
+        """Return a router's part of its teams' limits."""
+        return self._team_limits.report(
+            router, demands.teams, len(self._links)
+        )
+
     def link_opened(self, link: Link, router: str) -> None:
         """Take a new link."""
         self._links.add(link)
@@ -241,6 +251,7 @@
         """Take a link's end."""
         self._links.discard(link)
         self._teller.closed(link)
+        self._team_limits.router_left(router)
         self._attempts.link_closed(router)
         LINKS.dec()
 
--- a/packages/daemon/src/lacewing_daemon/agent/_link.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_link.py
@@ -14,11 +14,13 @@
 from lacewing_common.wire import Ack
 from lacewing_common.wire import AgentFrame
 from lacewing_common.wire import AgentMessage
+from lacewing_common.wire import Allotments
 from lacewing_common.wire import Ask
 from lacewing_common.wire import AttemptId
 from lacewing_common.wire import Batch
 from lacewing_common.wire import Cancel
 from lacewing_common.wire import Data
+from lacewing_common.wire import Demands
 from lacewing_common.wire import Hello
 from lacewing_common.wire import LoadReport
 from lacewing_common.wire import Refused
@@ -68,6 +70,9 @@
     def acknowledge(self, ack: Ack) -> None:
         """Let go of confirmed bytes."""
 
+    def share_out(self, router: str, demands: Demands) -> Allotments:
+        """Return a router's part of its teams' limits."""
+
     def link_opened(self, link: 'Link', router: str) -> None:
         """Take a new link."""
 
@@ -161,6 +166,9 @@
             if isinstance(frame, Hello):
                 _log.warning('second hello; link closed', router=str(name))
                 return
+            if isinstance(frame, Demands):
+                self.notify(self._desk.share_out(self._router, frame))
+                continue
             if frame.attempt.router != self._router:
                 _log.warning(
                     'frame names another router; link closed',
--- a/packages/daemon/src/lacewing_daemon/agent/_service.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_service.py
@@ -3,6 +3,8 @@
 from lacewing_common.bundle import RolledBundle
 from lacewing_common.bundle import Service
 from lacewing_common.bundle import ServiceKind
+from lacewing_common.bundle import Team
+from lacewing_common.bundle import TeamLimits
 from lacewing_common.wire import Start
 
 from lacewing_daemon.runtime import BundleSource
@@ -16,7 +18,7 @@
     def __init__(self, bundles: BundleSource, name: str) -> None:
         self._name = name
         self._service: Service | None = None
-        self._shares: dict[str, float] = {}
+        self._teams: dict[str, Team] = {}
         self._take(bundles.current)
         bundles.on_change(self._take)
 
@@ -41,7 +43,13 @@
 
     def share_of(self, team: str) -> float:
         """Return a team's share, 1 for one not known yet."""
-        return self._shares.get(team, 1.0)
+        known = self._teams.get(team)
+        return known.share if known is not None else 1.0
+
+    def limits_of(self, team: str) -> TeamLimits:
+        """Return a team's limits, none for one not known."""
+        known = self._teams.get(team)
+        return known.limits if known is not None else TeamLimits()
 
     def runs_on_engine(self, start: Start) -> bool:
         """Tell whether an engine answers; before a bundle, by the model."""
@@ -54,4 +62,4 @@
         for service in rolled.bundle.services:
             if service.name == self._name:
                 self._service = service
-        self._shares = {team.name: team.share for team in rolled.bundle.teams}
+        self._teams = {team.name: team for team in rolled.bundle.teams}
--- a/packages/daemon/src/lacewing_daemon/router/_call.py
+++ b/packages/daemon/src/lacewing_daemon/router/_call.py
@@ -14,6 +14,9 @@
 from lacewing_daemon.router._parse import Prompt
 
 JSON = 'application/json'
+_TOKEN_BYTES = 4
+# Charged until the worker has counted, for callers that set no bound.
+_EXPECTED_ANSWER_TOKENS = 256
 NO_CHAIN = PrefixChain((), (), 0)
 
 
@@ -50,6 +53,16 @@
     chain: PrefixChain = NO_CHAIN
     prompt: Prompt | None = None
 
+    @property
+    def expected_tokens(self) -> float:
+        """Return the tokens that a team's limit is charged at first."""
+        if self.prompt is None:
+            return 0.0
+        answer = self.prompt.max_tokens
+        if answer is None:
+            answer = _EXPECTED_ANSWER_TOKENS
+        return self.chain.prompt_bytes / _TOKEN_BYTES + answer
+
     @property
     def stream(self) -> bool:
         """Tell whether the caller wants server-sent events."""
--- a/packages/daemon/src/lacewing_daemon/router/_caller_handler.py
+++ b/packages/daemon/src/lacewing_daemon/router/_caller_handler.py
@@ -175,12 +175,26 @@
         self._service_name = call.service.name
         if self._serving.draining:
             self.set_header('Connection', 'close')
+        refusal = await self._serving.links.limiter.admit(
+            call.team, call.expected_tokens
+        )
+        if refusal is not None:
+            await self._refuse(refusal)
+            return
+        if self._reply.gone:
+            self._serving.links.limiter.ended(
+                call.team, call.expected_tokens, 0.0
+            )
+            return
         self._exchange = Exchange(self._serving, call, self._reply)
         # The request ends when its last byte has been written and not
         # before: a drain that ended sooner would cut it.
         try:
             await self._exchange.run()
         finally:
+            self._serving.links.limiter.ended(
+                call.team, call.expected_tokens, self._exchange.tokens_used
+            )
             self._end()
 
     def _end(self) -> None:
--- a/packages/daemon/src/lacewing_daemon/router/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/router/_exchange.py
@@ -68,6 +68,7 @@
         self._transcript = Transcript()
         self._joiner: Joiner | None = None
         self._gone = False
+        self._tokens_used = 0.0
         self._tried: tuple[str, ...] = ()
         self._refusals = Refusals()
         self._began_s = time.monotonic()
@@ -78,6 +79,11 @@
             call.asked.request_id, call.team.name, call.service.name
         )
 
+    @property
+    def tokens_used(self) -> float:
+        """Return the tokens of prompt and answer, as the worker counted."""
+        return self._tokens_used
+
     def hang_up(self) -> None:
         """Stop: the caller has gone."""
         self._gone = True
@@ -243,6 +249,7 @@
             self._refusals.add(result)
             self._tried += (opened.link.process_id,)
             return
+        self._tokens_used += result.prompt_tokens + result.output_tokens
         self._serving.knowledge.observe(
             Observation(
                 opened.routing,
--- a/packages/daemon/src/lacewing_daemon/router/_link.py
+++ b/packages/daemon/src/lacewing_daemon/router/_link.py
@@ -14,6 +14,7 @@
 from lacewing_common.settings import Address
 from lacewing_common.wire import AgentFrame
 from lacewing_common.wire import AgentMessage
+from lacewing_common.wire import Allotments
 from lacewing_common.wire import Ask
 from lacewing_common.wire import AttemptId
 from lacewing_common.wire import Batch
@@ -66,6 +67,9 @@
     def worker_forgotten(self, process_id: str) -> None:
         """Note that a worker restarted or its agent did."""
 
+    def allotted(self, allotments: Allotments) -> None:
+        """Take this router's part of some teams' limits."""
+
     def cache_changed(self, service: str, change: CacheChange) -> None:
         """Take an agent's digest of its worker's cache."""
 
@@ -278,6 +282,9 @@
         if isinstance(frame, Knowledge):
             self._learn(frame)
             return
+        if isinstance(frame, Allotments):
+            self._owner.allotted(frame)
+            return
         if isinstance(frame, Welcome):
             DROPPED_FRAMES.labels('second-welcome').inc()
             return
--- a/packages/daemon/src/lacewing_daemon/router/_links.py
+++ b/packages/daemon/src/lacewing_daemon/router/_links.py
@@ -13,18 +13,23 @@
 from lacewing_common.verdict import not_run
 from lacewing_common.verdict import Reason
 from lacewing_common.verdict import Refusal
+from lacewing_common.wire import Allotments
+from lacewing_common.wire import Demands
 from lacewing_common.wire import Hello
 
+from lacewing_daemon.limits import TeamLimiter
 from lacewing_daemon.router._knowledge import Knowledge
 from lacewing_daemon.router._link import Link
 from lacewing_daemon.router._policy import CacheChange
 from lacewing_daemon.router._policy import WorkerView
+from lacewing_daemon.router._rendezvous import best
 from lacewing_daemon.runtime import Runtime
 
 POLL_S = 0.5
 # Of the 7 KB/s that control may take of a router, so much is for what
 # agents tell unasked of load and cache; each link gets its part.
 KNOWLEDGE_BYTES_S = 4096.0
+_BUCKET_KEY_BYTES = 8
 
 _log = get_log(Part.MEMBERS)
 
@@ -79,12 +84,18 @@
         self._eligible: dict[tuple[str, str], EligibleLinks] = {}
         self._leaving: frozenset[str] = frozenset()
         self._changed = asyncio.Event()
+        self._limiter = TeamLimiter(self._send_demands)
 
     @property
     def any_known(self) -> bool:
         """Tell whether the address of some agent is known."""
         return bool(self._links)
 
+    @property
+    def limiter(self) -> TeamLimiter:
+        """Return the limits of the teams."""
+        return self._limiter
+
     def eligible(self, service: str, needs: str) -> EligibleLinks:
         """Return the links whose workers may run a request.
 
@@ -115,6 +126,10 @@
         """Note that a worker restarted or its agent did."""
         self._knowledge.forget(process_id)
 
+    def allotted(self, allotments: Allotments) -> None:
+        """Take this router's part of some teams' limits."""
+        self._limiter.take(allotments)
+
     def cache_changed(self, service: str, change: CacheChange) -> None:
         """Take an agent's digest of its worker's cache."""
         self._knowledge.hear(service, change)
@@ -140,12 +155,14 @@
 
     async def run(self) -> None:
         """Follow the members until cancelled."""
+        reports = asyncio.create_task(self._limiter.run())
         try:
             while True:
                 self._follow()
                 self._check_silence()
                 await asyncio.sleep(POLL_S)
         finally:
+            reports.cancel()
             await self._close_all()
 
     def _follow(self) -> None:
@@ -209,6 +226,20 @@
             found.append(link)
         return tuple(found or suspects)
 
+    def _send_demands(self, bucket: int, demands: Demands) -> bool:
+        """Send demand to the agent that all routers choose for a bucket."""
+        holders: dict[str, Link] = {}
+        for address, link in self._links.items():
+            if not link.up or link.suspect or link.worker.leaving:
+                continue
+            if address not in self._leaving:
+                holders[link.process_id] = link
+        if not holders:
+            return False
+        key = bucket.to_bytes(_BUCKET_KEY_BYTES, 'big')
+        holders[best(key, tuple(sorted(holders)))].send(demands)
+        return True
+
     def _may_come(self, service: str) -> bool:
         # A link that is not up yet, or again, and a worker that still loads
         # the model: failing their requests would turn each restart and each
