Let settings name operators of now as the root

Cause: a proof could be opened only with the operators that signed the first bundle. Once such a key was withdrawn and taken out of the settings, a process that started refused every bundle of the fleet.

Change: a proof is followed from the first link that the root operators signed, or from the roll itself, under the policies then in force. Tried and left: to take any link from which the rest holds; it let a key sign that was withdrawn but still in the settings, and "A withdrawn key signs nothing more" failed on it.

Conclusion: keys can be withdrawn for good; what stays open is a process that starts with a withdrawn key in its settings and meets only its holder.

--- a/features/bundle.feature
+++ b/features/bundle.feature
@@ -98,6 +98,39 @@
     When a cold process starts
     Then the process uses roll 3
 
+  Scenario Outline: Settings may name other root operators than the first
+    # Symptom: processes that start refuse every bundle. Sequence: the key that
+    # signed the first bundle is stolen, withdrawn, and taken out of the
+    # settings. Cause: a proof that the settings of the first day alone open.
+    Given a bundle by the operators "ana, bob"
+    When "ana" signs and rolls it
+    And the operators become "bob, cleo"
+    And "bob" signs and rolls it
+    And the operators become "cleo, dan"
+    And "cleo" signs and rolls it
+    And the share of a team becomes 3
+    And "dan" signs and rolls it
+    Then the process uses roll 4
+    When a cold process starts with the root operators "<root>"
+    Then the process <does>
+
+    Examples:
+      | root      | does                                                              |
+      | ana       | uses roll 4                                                       |
+      | bob       | uses roll 4                                                       |
+      | cleo      | uses roll 4                                                       |
+      | dan       | uses roll 4                                                       |
+      | eve       | refuses it: "signed off by 'dan'; the operators in force are: eve" |
+
+  Scenario: A renewed root keeps the policy in force
+    Given a bundle by the operators "ana, bob"
+    And the policy asks for a separate approver
+    When "ana" signs and rolls it
+    And the share of a team becomes 3
+    And "ana" forges roll 2 alone
+    And a cold process with the root operators "ana, bob" is offered it
+    Then the process refuses it: "an approver who is not the author"
+
   Scenario: A withdrawn key signs nothing more
     # Symptom: the holder of a stolen key rolls bundles after the key was
     # withdrawn. Sequence: the proof stops before the withdrawal and the
--- a/features/steps/bundle_steps.py
+++ b/features/steps/bundle_steps.py
@@ -263,6 +263,30 @@
     bench.offer(bench.in_force)
 
 
+@when('a cold process starts with the root operators "{names}"')
+def start_with_root(context: Context, names: str) -> None:
+    """Offer the bundle in force to a process with other settings."""
+    bench = context.bundles
+    bench.guard = bench.guard_of(names.split(', '))
+    bench.offer(bench.in_force)
+
+
+@when('"{operator}" forges roll 2 alone')
+def forge_alone(context: Context, operator: str) -> None:
+    """Sign as the author only and make the document."""
+    bench = context.bundles
+    bench.sign(operator, SignOffRole.AUTHOR)
+    context.forged = bench.document(operator)
+
+
+@when('a cold process with the root operators "{names}" is offered it')
+def offer_forged(context: Context, names: str) -> None:
+    """Offer what was forged."""
+    bench = context.bundles
+    bench.guard = bench.guard_of(names.split(', '))
+    bench.offer(context.forged)
+
+
 @given('the root operators are those of now')
 def keep_root(context: Context) -> None:
     """Keep the operators of now for cold processes."""
--- a/features/support/bundle_bench.py
+++ b/features/support/bundle_bench.py
@@ -82,6 +82,10 @@
             self.keys[operator] = new_key(operator)
         return self.keys[operator]
 
+    def guard_of(self, names: list[str]) -> BundleGuard:
+        """Return the guard of a process with these root operators."""
+        return BundleGuard(tuple(self.key(name).public for name in names))
+
     def list_operators(self, names: list[str]) -> None:
         """Make these the operators of the bundle."""
         operators = tuple(self.key(name).public for name in names)
--- a/packages/common/src/lacewing_common/bundles/_proof.py
+++ b/packages/common/src/lacewing_common/bundles/_proof.py
@@ -84,52 +84,78 @@
 
 
 def check_proof(head: DocumentHead, root: TrustPart) -> Refusal | None:
-    """Check the signatures of a head, back to the root operators."""
+    """Check the signatures of a head, back to the root operators.
+
+    The root operators may have signed the first link, or a later one, or
+    the roll itself. Were it only the first, settings could never be renewed:
+    a process whose root no longer lists who signed the first bundle, say
+    because that key was stolen, would refuse every bundle of the fleet.
+    """
     proof = read_proof(head)
     if isinstance(proof, Refusal):
         return proof
     contents = contents_of(head.parts)
     if isinstance(contents, Refusal):
         return contents
-    trust = _follow_links(proof.links, root)
-    if isinstance(trust, Refusal):
-        return trust
-    if proof.links and proof.links[-1].roll.number >= head.version:
-        return _invalid('a change of trust is newer than the roll itself')
     if proof.roll.number != head.version:
         return _invalid(
             f'the signed number is {proof.roll.number}, the head says'
             f' {head.version}'
         )
-    return _check(proof.sign_offs, proof.roll, contents.digest, trust)
+    first = _first_signed_by(proof.links, root)
+    return _check_from(first, proof, contents.digest, root)
 
 
-def trust_in_force(
-    links: tuple[TrustLink, ...], root: TrustPart
-) -> TrustPart | Refusal:
-    """Return the trust after checked links."""
-    if not links:
-        return root
-    return read_trust(links[-1].trust)
+def _first_signed_by(links: tuple[TrustLink, ...], root: TrustPart) -> int:
+    """Return the first link that the root operators signed.
+
+    Past the last one if there is none: then the roll itself is to be theirs.
+    All that follows has to hold from there on. To try each link in turn until
+    one leads to the end would let a root key sign that the fleet has
+    withdrawn, but not yet the settings.
+    """
+    for index, link in enumerate(links):
+        trust = _root_at(index, links, root)
+        if isinstance(trust, Refusal):
+            continue
+        if _check(link.sign_offs, link.roll, link.digest, trust) is None:
+            return index
+    return len(links)
 
 
-def _follow_links(
-    links: tuple[TrustLink, ...], root: TrustPart
-) -> TrustPart | Refusal:
-    trust = root
-    number = 0
-    for link in links:
+def _check_from(
+    first: int, proof: Proof, digest: str, root: TrustPart
+) -> Refusal | None:
+    """Follow the links from one on, as signed by the root operators."""
+    trust = _root_at(first, proof.links, root)
+    number = proof.links[first - 1].roll.number if first else 0
+    for link in proof.links[first:]:
+        if isinstance(trust, Refusal):
+            return trust
         refusal = _check(link.sign_offs, link.roll, link.digest, trust)
         if refusal is not None:
             return refusal
         if link.roll.number <= number:
-            return _invalid('the changes of trust are not in order')
+            return _invalid('the changes of operators are not in order')
         number = link.roll.number
-        read = read_trust(link.trust)
-        if isinstance(read, Refusal):
-            return read
-        trust = read
-    return trust
+        trust = read_trust(link.trust)
+    if isinstance(trust, Refusal):
+        return trust
+    if proof.roll.number <= number:
+        return _invalid('a change of operators is newer than the roll itself')
+    return _check(proof.sign_offs, proof.roll, digest, trust)
+
+
+def _root_at(
+    index: int, links: tuple[TrustLink, ...], root: TrustPart
+) -> TrustPart | Refusal:
+    """Return the root operators under the policies in force at a link."""
+    if index == 0:
+        return root
+    trust = read_trust(links[index - 1].trust)
+    if isinstance(trust, Refusal):
+        return trust
+    return TrustPart(root.operators, trust.policies)
 
 
 def _check(
--- a/packages/common/src/lacewing_common/settings.py
+++ b/packages/common/src/lacewing_common/settings.py
@@ -109,7 +109,7 @@
     ``seeds`` are the ``ip:port`` of agents known from the start;
     ``allow_plain`` permits listening off loopback without TLS;
     ``drain_s`` bounds the seconds that open requests get after SIGTERM;
-    ``root_operators`` may sign the first bundle, see docs/reference.
+    every bundle is traced back to ``root_operators``, see docs/reference.
     """
 
     role: Role
