Hand accepted rolls to processes; measure rolls on real ones

Cause: with the platform down right after it accepted a roll, the roll was in force at 0 of 8 processes within 30 s (3 rolls of 3): the head reached no reader, and the platform was the only way to the fleet.

Change: POST /documents on the operators' listener takes a document, which must pass its guard; lacewingctl roll and rollback give it to three processes before they wait for confirmation.

--- a/packages/bench/src/lacewing_bench/fleet/_fleet.py
+++ b/packages/bench/src/lacewing_bench/fleet/_fleet.py
@@ -1,6 +1,7 @@
 """Run a deployment: stand-ins, platform, agents and routers."""
 
 import asyncio
+import random
 import signal
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -11,9 +12,12 @@
 
 import msgspec
 from lacewing_common.bundle import Bundle
+from lacewing_common.bundle import Operator
 from lacewing_common.bundle import PolicyName
+from lacewing_common.document import Document
 from lacewing_common.identity import Role
 from lacewing_common.settings import LogLevel
+from lacewing_common.settings import PeerSettings
 from lacewing_common.settings import TlsFiles
 from lacewing_common.status import ProcessStatus
 from lacewing_common.store import Vm
@@ -33,6 +37,8 @@
 from lacewing_bench.fleet._layout import write_json
 from lacewing_bench.fleet._process import FleetError
 from lacewing_bench.fleet._process import FleetProcess
+from lacewing_bench.fleet._roller import Acceptance
+from lacewing_bench.fleet._roller import FleetRoller
 from lacewing_bench.platform._settings import PlatformSettings
 from lacewing_bench.platform._settings import WeightSettings
 
@@ -41,6 +47,8 @@
 _CLOSE_S = 3.0
 _STANDINS = 'standins'
 _PLATFORM = 'platform'
+_RECEIVERS = 3
+_SEEDS = 3
 
 
 @dataclass(frozen=True)
@@ -49,7 +57,9 @@
 
     ``standin_processes`` spreads the stand-in workers; ``vm_lag_s`` is the
     lag of the platform's VM list once the fleet has started; ``policy``
-    chooses the model workers.
+    chooses the model workers. ``signed``: bundles are signed, rolled at the
+    platform and passed on by peers, in place of a file that all read, and
+    the routers know three agents as their seeds.
     """
 
     policy: PolicyName = PolicyName.EXPECTED_COST
@@ -58,6 +68,8 @@
     drain_s: float = 30.0
     log_level: LogLevel = LogLevel.INFO
     tls: TlsFiles | None = None
+    signed: bool = False
+    peers: PeerSettings = PeerSettings()
 
 
 class Fleet:
@@ -75,6 +87,7 @@
         self._workers: dict[str, str] = {}
         self._platform_url = ''
         self._client: ControlClient | None = None
+        self._roller: FleetRoller | None = None
 
     @property
     def deployment(self) -> Deployment:
@@ -175,6 +188,7 @@
         self._client = ControlClient(None if tls is None else tls.authority)
         self.write_bundle(make_bundle(self._deployment, self._options.policy))
         await self._start_platform()
+        await self._start_roller()
         await self._start_standins()
         await self._start_daemons(Role.AGENT)
         await self._list_agents()
@@ -195,6 +209,9 @@
             if self._client is not None:
                 self._client.close()
                 self._client = None
+            if self._roller is not None:
+                self._roller.close()
+                self._roller = None
             self._scratch.cleanup()
 
     def write_bundle(self, bundle: Bundle) -> None:
@@ -203,6 +220,25 @@
         for name in self._daemons:
             self.process(name).send(signal.SIGHUP)
 
+    @property
+    def roller_reads(self) -> int:
+        """Return how often rolling has read objects of the platform."""
+        return 0 if self._roller is None else self._roller.reads
+
+    async def roll(self, bundle: Bundle) -> Acceptance:
+        """Sign a bundle off and roll it; for fleets of signed bundles."""
+        if self._roller is None:
+            raise FleetError('expected a fleet with signed bundles')
+        return await self._roller.roll(bundle)
+
+    async def hand_over(self, document: Document) -> None:
+        """Give a document to a few daemons, as lacewingctl does."""
+        body = msgspec.msgpack.encode(document)
+        names = self.router_names + self.agent_names
+        for name in random.sample(names, min(_RECEIVERS, len(names))):
+            url = f'{self.operators_url(name)}/documents'
+            await self._control.post_bytes(url, body)
+
     async def kill(self, name: str) -> None:
         """Kill a process with SIGKILL and wait for its end."""
         process = self.process(name)
@@ -256,6 +292,10 @@
             f'{self._platform_url}/faults', {**lag, **faults}
         )
 
+    async def post_platform(self, path: str, value: object) -> None:
+        """Post to the platform stand-in."""
+        await self._control.post(f'{self._platform_url}{path}', value)
+
     async def ask(self, name: str, path: str) -> HTTPResponse:
         """Read one path of the operators' listener of a daemon."""
         return await self._control.get(f'{self.operators_url(name)}{path}')
@@ -319,6 +359,29 @@
         lines = await process.lines('listening')
         self._platform_url = f'http://{lines[0].address}'
 
+    async def _start_roller(self) -> None:
+        if not self._options.signed:
+            return
+        self._roller = FleetRoller(self._platform_url)
+        await self._roller.roll(
+            make_bundle(self._deployment, self._options.policy)
+        )
+
+    @property
+    def _root_operators(self) -> tuple[Operator, ...]:
+        if self._roller is None:
+            return ()
+        return self._roller.root_operators
+
+    @property
+    def _seeds(self) -> tuple[str, ...]:
+        if self._roller is None:
+            return ()
+        found = [
+            self.daemon(name).addresses.peers for name in self.agent_names
+        ]
+        return tuple(found[:_SEEDS])
+
     async def _start_standins(self) -> None:
         workers = standins(self._deployment, self._platform_url).workers
         count = min(self._options.standin_processes, len(workers))
@@ -345,7 +408,10 @@
         common = Common(
             region=self._deployment.name,
             platform_url=self._platform_url,
-            bundle_file=self.bundle_file,
+            bundle_file=None if self._roller else self.bundle_file,
+            root_operators=self._root_operators,
+            peers=self._options.peers,
+            seeds=self._seeds,
             log_level=self._options.log_level,
             drain_s=self._options.drain_s,
             tls=self._options.tls,
--- a/packages/bench/src/lacewing_bench/fleet/_http.py
+++ b/packages/bench/src/lacewing_bench/fleet/_http.py
@@ -47,6 +47,19 @@
         )
         return json.loads(response.body) if response.body else None
 
+    async def post_bytes(self, url: str, body: bytes) -> None:
+        """Post bytes; raise HTTPError unless they are taken."""
+        await self._client.fetch(
+            HTTPRequest(
+                url,
+                method='POST',
+                body=body,
+                request_timeout=_TIMEOUT_S,
+                ca_certs=self._ca_file,
+                prepare_curl_callback=connect_directly,
+            )
+        )
+
     def close(self) -> None:
         """Close all connections."""
         self._client.close()
--- a/packages/bench/src/lacewing_bench/fleet/_layout.py
+++ b/packages/bench/src/lacewing_bench/fleet/_layout.py
@@ -7,10 +7,12 @@
 from pathlib import Path
 
 import msgspec
+from lacewing_common.bundle import Operator
 from lacewing_common.identity import Place
 from lacewing_common.identity import Role
 from lacewing_common.settings import Listen
 from lacewing_common.settings import LogLevel
+from lacewing_common.settings import PeerSettings
 from lacewing_common.settings import Settings
 from lacewing_common.settings import TlsFiles
 from lacewing_common.settings import WorkerSettings
@@ -53,11 +55,14 @@
 
     region: str
     platform_url: str
-    bundle_file: Path
+    bundle_file: Path | None
     log_level: LogLevel
     drain_s: float
     tls: TlsFiles | None
     kv_store_urls: Mapping[str, str] = field(default_factory=dict)
+    root_operators: tuple[Operator, ...] = ()
+    peers: PeerSettings = PeerSettings()
+    seeds: tuple[str, ...] = ()
 
 
 def router_slots(deployment: Deployment) -> tuple[Slot, ...]:
@@ -151,7 +156,10 @@
         listen=listen,
         platform=common.platform_url,
         worker=worker,
-        bundle_file=str(common.bundle_file),
+        bundle_file=str(common.bundle_file or ''),
+        root_operators=common.root_operators,
+        peers=common.peers,
+        seeds=common.seeds,
         log_level=common.log_level,
         tls=common.tls,
         drain_s=common.drain_s,
--- a/packages/bench/src/lacewing_bench/rolling.py
+++ b/packages/bench/src/lacewing_bench/rolling.py
@@ -55,7 +55,7 @@
             number = base.head.version
         elif base.fault is not RollFault.NOT_FOUND:
             return base
-        order = self._order(bundle)
+        order = self.order(bundle)
         rolled = await BundleWrites(store, guard).roll(order, number, self.key)
         if isinstance(rolled, RollError):
             return rolled
@@ -73,7 +73,8 @@
         finally:
             client.close()
 
-    def _order(self, bundle: Bundle) -> RollOrder:
+    def order(self, bundle: Bundle) -> RollOrder:
+        """Sign a bundle off with this operator's key."""
         listed = msgspec.structs.replace(bundle, operators=self.root_operators)
         parts = split(listed)
         at = datetime.now(UTC).isoformat(timespec='seconds')
--- a/packages/common/src/lacewing_common/rolls/_writes.py
+++ b/packages/common/src/lacewing_common/rolls/_writes.py
@@ -36,11 +36,15 @@
 
 @dataclass(frozen=True)
 class Rolled:
-    """Report a roll in force; ``written`` counts the new parts."""
+    """Report a roll in force; ``written`` counts the new parts.
+
+    ``document`` is None when an earlier try had taken effect.
+    """
 
     number: int
     digest: str
     written: int
+    document: Document | None = None
 
 
 class BundleWrites:
@@ -157,7 +161,7 @@
         )
         number = document.head.version
         if not isinstance(answer, StoreError):
-            return Rolled(number, order.digest, written)
+            return Rolled(number, order.digest, written, document)
         if answer.fault not in (StoreFault.CONFLICT, StoreFault.UNKNOWN):
             return from_store(answer, 'the head of the bundle')
         now = await self._reads.head()
--- a/packages/ctl/src/lacewing_ctl/_commands/roll.py
+++ b/packages/ctl/src/lacewing_ctl/_commands/roll.py
@@ -31,6 +31,7 @@
 from lacewing_ctl._end import say
 from lacewing_ctl._fleet_file import FleetFile
 from lacewing_ctl._fleet_file import read_fleet_file
+from lacewing_ctl._handover import hand_over
 from lacewing_ctl._profile import find_profile
 from lacewing_ctl._profile import Profile
 from lacewing_ctl._session import in_session
@@ -203,9 +204,7 @@
 ) -> NoReturn:
     unconfirmed: tuple[Unconfirmed, ...] = ()
     if fleet.operators:
-        unconfirmed = asyncio.run(
-            confirm(fleet, rolled.number, rolled.digest, wait_s, json)
-        )
+        unconfirmed = asyncio.run(_bring(rolled, fleet, wait_s, json))
     total = len(fleet.operators)
     if json:
         report = RollReport(rolled.number, rolled.digest, total, unconfirmed)
@@ -216,6 +215,14 @@
     sys.exit(Exit.UNCONFIRMED if unconfirmed else Exit.OK)
 
 
+async def _bring(
+    rolled: Rolled, fleet: FleetFile, wait_s: float, quiet: bool
+) -> tuple[Unconfirmed, ...]:
+    if rolled.document is not None:
+        await hand_over(fleet, rolled.document)
+    return await confirm(fleet, rolled.number, rolled.digest, wait_s, quiet)
+
+
 def _tell(total: int, unconfirmed: tuple[Unconfirmed, ...]) -> None:
     if not total:
         print('no fleet file: no process was asked')
--- a/packages/ctl/src/lacewing_ctl/_operators_client.py
+++ b/packages/ctl/src/lacewing_ctl/_operators_client.py
@@ -34,10 +34,22 @@
 
     async def get(self, address: str, path: str) -> bytes | Unanswered:
         """Read one path of one process."""
+        return await self._send(address, self._request(address, path))
+
+    async def post(
+        self, address: str, path: str, body: bytes
+    ) -> bytes | Unanswered:
+        """Send a body to one path of one process."""
+        request = self._request(address, path)
+        request.method = 'POST'
+        request.body = body
+        return await self._send(address, request)
+
+    async def _send(
+        self, address: str, request: HTTPRequest
+    ) -> bytes | Unanswered:
         try:
-            response = await self._client.fetch(
-                self._request(address, path), raise_error=False
-            )
+            response = await self._client.fetch(request, raise_error=False)
         except CurlError as error:
             return Unanswered(address, error.message or str(error))
         if response.code != _OK:
--- a/packages/daemon/src/lacewing_daemon/_operators.py
+++ b/packages/daemon/src/lacewing_daemon/_operators.py
@@ -3,12 +3,14 @@
 from typing import Protocol
 
 import msgspec
+from lacewing_common.document import Document
 from lacewing_common.settings import Address
 from lacewing_common.settings import parse_address
 from lacewing_common.settings import Settings
 from lacewing_common.status import ProcessStatus
 from lacewing_common.tls import ClientCertificate
 from lacewing_common.tls import server_context
+from lacewing_common.verdict import Refusal
 from prometheus_client import CONTENT_TYPE_LATEST
 from prometheus_client import generate_latest
 from tornado.httpserver import HTTPServer
@@ -17,7 +19,10 @@
 from tornado.web import RequestHandler
 
 _OK = 200
+_BAD_REQUEST = 400
+_FORBIDDEN = 403
 _NOT_FOUND = 404
+_UNPROCESSABLE = 422
 _UNAVAILABLE = 503
 
 
@@ -35,8 +40,15 @@
         """Return what msgspec can encode, or None when nothing is kept."""
 
 
+class DocumentTaker(Protocol):
+    """Take a document that an operator hands over."""
+
+    def __call__(self, document: Document) -> Refusal | None:
+        """Return why the document is refused, or None."""
+
+
 class Missing(msgspec.Struct, frozen=True):
-    """Say what was not found."""
+    """Say what was not found or not expected."""
 
     message: str
 
@@ -94,6 +106,37 @@
         self.finish(msgspec.json.encode(explanation))
 
 
+class _Documents(RequestHandler):
+    def initialize(self, take: DocumentTaker, needs_certificate: bool) -> None:
+        """Take what accepts documents."""
+        self._take = take
+        self._needs_certificate = needs_certificate
+
+    def post(self) -> None:
+        """Take a document; 200 also when a newer one is held."""
+        self.set_header('Content-Type', 'application/json')
+        if self._needs_certificate and not self._certificate():
+            self._refuse(_FORBIDDEN, 'expected a certificate of an operator')
+            return
+        try:
+            document = msgspec.msgpack.decode(self.request.body, type=Document)
+        except msgspec.DecodeError as error:
+            self._refuse(_BAD_REQUEST, f'expected a document: {error}')
+            return
+        refusal = self._take(document)
+        if refusal is not None:
+            self._refuse(_UNPROCESSABLE, refusal.message)
+            return
+        self.finish(b'{}')
+
+    def _certificate(self) -> bool:
+        return bool(self.request.get_ssl_certificate(binary_form=True))
+
+    def _refuse(self, status: int, message: str) -> None:
+        self.set_status(status)
+        self.finish(msgspec.json.encode(Missing(message)))
+
+
 class OperatorsServer:
     """Listen for operators."""
 
@@ -102,8 +145,13 @@
         settings: Settings,
         source: StatusSource,
         explain: ExplanationSource,
+        take: DocumentTaker,
     ) -> None:
         self._settings = settings
+        documents = {
+            'take': take,
+            'needs_certificate': settings.tls is not None,
+        }
         self._server = HTTPServer(
             Application(
                 [
@@ -112,6 +160,7 @@
                     ('/metrics', _Metrics),
                     ('/status', _Status, {'source': source}),
                     ('/explain/([^/]+)', _Explanation, {'explain': explain}),
+                    ('/documents', _Documents, documents),
                 ],
                 log_function=_log_nothing,
             ),
--- a/packages/daemon/src/lacewing_daemon/_serve.py
+++ b/packages/daemon/src/lacewing_daemon/_serve.py
@@ -10,6 +10,7 @@
 from lacewing_common.audit import Action
 from lacewing_common.bundles import BUNDLE
 from lacewing_common.bundles import BundleGuard
+from lacewing_common.document import Document
 from lacewing_common.document import DocumentKind
 from lacewing_common.document import DocumentName
 from lacewing_common.exits import Exit
@@ -22,6 +23,9 @@
 from lacewing_common.status import Addresses
 from lacewing_common.status import ProcessStatus
 from lacewing_common.tls import bound_tls_buffers
+from lacewing_common.verdict import not_run
+from lacewing_common.verdict import Reason
+from lacewing_common.verdict import Refusal
 
 from lacewing_daemon._audit import ProcessAudit
 from lacewing_daemon._operators import OperatorsServer
@@ -76,7 +80,7 @@
             audit=self._audit,
         )
         self._operators = OperatorsServer(
-            settings, self._status, self._explain
+            settings, self._status, self._explain, self._take_document
         )
         self._operators_address = ''
         self._platform: PlatformClient | None = None
@@ -205,6 +209,17 @@
             return None
         return self._role.explain(request_id)
 
+    def _take_document(self, document: Document) -> Refusal | None:
+        head = document.head
+        if len(head.parts) != len(document.parts):
+            return not_run(
+                Reason.BAD_REQUEST,
+                f'expected {len(head.parts)} parts, got {len(document.parts)}',
+            )
+        parts = dict(zip(head.parts, document.parts, strict=True))
+        taken = self._node.documents.accept(head, parts)
+        return taken if isinstance(taken, Refusal) else None
+
     def _addresses(self) -> Addresses:
         if self._role is None:
             return Addresses(operators=self._operators_address)
--- a/packages/daemon/src/lacewing_daemon/peers/_channels.py
+++ b/packages/daemon/src/lacewing_daemon/peers/_channels.py
@@ -17,10 +17,29 @@
 from lacewing_common.settings import SettingsError
 from msgspec import DecodeError
 
+from lacewing_daemon.peers._metrics import MESSAGE_BYTES
+
 T = TypeVar('T')
 
 _IDLE_S = 30.0
-_codec = MsgpackCodec()
+
+
+class _CountingCodec(MsgpackCodec):
+    """Count the bytes of messages, without the frames around them."""
+
+    def encode(self, message: Any, message_type: Any) -> bytes:
+        """Encode one message."""
+        data = super().encode(message, message_type)
+        MESSAGE_BYTES.labels('sent').inc(len(data))
+        return data
+
+    def decode(self, data: bytes, message_type: Any) -> Any:
+        """Decode one message of a given type."""
+        MESSAGE_BYTES.labels('received').inc(len(data))
+        return super().decode(data, message_type)
+
+
+_codec = _CountingCodec()
 
 
 @dataclass(frozen=True)
--- a/packages/daemon/src/lacewing_daemon/peers/_metrics.py
+++ b/packages/daemon/src/lacewing_daemon/peers/_metrics.py
@@ -8,6 +8,11 @@
     'Exchanges begun with peers, by result',
     ['result'],
 )
+MESSAGE_BYTES = Counter(
+    'lacewing_peer_message_bytes_total',
+    'Bytes of the messages of calls to peers, as encoded',
+    ['direction'],
+)
 MEMBERS = Gauge(
     'lacewing_members', 'Members known, by what is thought of them', ['state']
 )
