--- a/packages/bench/src/lacewing_bench/chaos/_leaving.py
+++ b/packages/bench/src/lacewing_bench/chaos/_leaving.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 import msgspec
+from tornado.curl_httpclient import CurlError
 
 from lacewing_bench.fleet import Fleet
 from lacewing_bench.load._work import WorkerCounts
@@ -46,8 +47,9 @@
             since_s = time.monotonic() - self._notice_at
             await asyncio.sleep(_STEP_S)
             begun = await self._begun()
-            fresh = len(begun - known)
-            known = begun
+            # Nothing known yet: the worker was down when the watch began.
+            fresh = len(begun - known) if known else 0
+            known |= begun
             if not fresh:
                 continue
             self._stopped_s = max(self._stopped_s, since_s)
@@ -60,6 +62,10 @@
         return process.exit_code is None and process.pid == self._pid
 
     async def _begun(self) -> frozenset[str]:
-        answer = await self._fleet.read(f'{self._url}/counts')
+        try:
+            answer = await self._fleet.read(f'{self._url}/counts')
+        except CurlError:
+            # It has crashed, too; its counts will be there again.
+            return frozenset()
         counts = msgspec.json.decode(answer, type=WorkerCounts)
         return frozenset(counts.executions)
--- a/packages/bench/src/lacewing_bench/chaos/_run.py
+++ b/packages/bench/src/lacewing_bench/chaos/_run.py
@@ -97,12 +97,14 @@
     started_s = time.monotonic()
     try:
         with progress:
-            served, happenings = await asyncio.gather(
-                callers.run(asks, started_s, progress.update),
-                injector.run(planned, started_s),
-            )
+            async with asyncio.TaskGroup() as group:
+                calling = group.create_task(
+                    callers.run(asks, started_s, progress.update)
+                )
+                injecting = group.create_task(injector.run(planned, started_s))
     finally:
         callers.close()
+    served, happenings = calling.result(), injecting.result()
     took_s = time.monotonic() - started_s
     # What was told as not run must not run later, either.
     await asyncio.sleep(_SETTLE_S)
