Deliver crossed answers of plain calls by their id

Cause: a plain service that writes two answers on each other's connections left both calls as may-have-run, though both answers were at the agent; a call that must not be repeated can't be asked again. And one slow poll made a worker count as lost, so that routers forgot what its cache holds.

A worker counts as lost at a refused connection or at the second missed poll.

Ruled out: passing on what lacks an id; nothing tells whose it is.

--- a/features/agent.feature
+++ b/features/agent.feature
@@ -317,6 +317,26 @@
         | crosses the next header              | answer | answers |
         | crosses the next body                | answer | bodies |
 
+    Scenario: Two crossed calls get their own answers all the same
+      # Symptom: two certificates are issued and nobody gets either.
+      # Sequence: a plain service writes two answers to each other's
+      # connections; neither call may be repeated.
+      # Cause: dropping by id what could be delivered by id.
+      Given an agent beside a plain worker
+      And the worker swaps the answers of two calls
+      When "r1" starts call 1 that must not be repeated
+      And "r2" starts call 2 that must not be repeated
+      Then "r1" has its own answer to call 1
+      And "r2" has its own answer to call 2
+      And the worker ran 1 of "r1" 1 time
+      And the worker ran 2 of "r2" 1 time
+
+    Scenario: An answer of nobody's is not passed on
+      Given an agent beside a plain worker
+      And the worker crosses the next header
+      When "r1" starts call 1 that must not be repeated
+      Then 1 of "r1" is refused as "may-have-run" for "answer_of_another_request"
+
     Scenario: A cut stream goes on at the same engine
       Given an agent beside a model worker
       And the worker cuts the stream after event 3
@@ -451,6 +471,18 @@
       Then "r1" has the answer "done " to call 1
       And the agent has drained
 
+    Scenario: One missed answer does not make a worker lost
+      # Symptom: a short pause of an engine makes routers go to cold ones.
+      # Sequence: one poll of the worker fails.
+      # Cause: taking a slow worker for a lost one.
+      Given an agent beside a model worker
+      And a watch that has seen the worker
+      When the worker's load can't be read
+      And the watch polls the worker
+      Then the watch sees "epoch-1"
+      When the watch polls the worker
+      Then the watch sees no worker
+
     Scenario: Routers hear of a worker's restart
       Given an agent beside a model worker
       When "r1" starts stream 1
--- a/features/steps/agent_steps.py
+++ b/features/steps/agent_steps.py
@@ -19,6 +19,7 @@
 from lacewing_common.wire import End
 from lacewing_common.wire import Refused
 from lacewing_daemon.agent._attempt import Attempt
+from lacewing_daemon.agent._watch import WorkerWatch
 from prometheus_client import REGISTRY
 from support.agent_bench import AgentBench
 from support.agent_bench import bench_of
@@ -113,6 +114,47 @@
     setattr(bench_of(context).worker.plan, f'cross_{part}', True)
 
 
+@given('the worker swaps the answers of two calls')
+def given_swapped(context: Context) -> None:
+    """Answer two calls on each other's connections."""
+    bench_of(context).worker.swaps = True
+
+
+@given('a watch that has seen the worker')
+def given_watch(context: Context) -> None:
+    """Watch the worker beside the agent, by hand."""
+    bench = bench_of(context)
+    agent = bench.agent
+    context.watch = WorkerWatch(
+        agent._worker, agent._load, lambda: True, lambda: None
+    )
+    bench.run(context.watch.poll())
+
+
+@when("the worker's load can't be read")
+def when_no_load(context: Context) -> None:
+    """Fail each poll."""
+    bench_of(context).worker.load_status = 500
+
+
+@when('the watch polls the worker')
+def when_polls(context: Context) -> None:
+    """Poll once."""
+    bench_of(context).run(context.watch.poll())
+
+
+@then('the watch sees "{epoch}"')
+def then_sees(context: Context, epoch: str) -> None:
+    """Look at the worker's epoch."""
+    assert context.watch.epoch == epoch
+
+
+@then('the watch sees no worker')
+def then_sees_none(context: Context) -> None:
+    """Look at the worker's epoch."""
+    assert context.watch.epoch == ''
+
+
 @given('the worker cuts the stream after event {number:d}')
 def given_cut(context: Context, number: int) -> None:
     """Close the connection in mid stream."""
@@ -427,6 +469,14 @@
     assert isinstance(seen.outcomes[0], End), seen
 
 
+@then('"{router}" has its own answer to call {sequence:d}')
+def then_own_answer(context: Context, router: str, sequence: int) -> None:
+    """Compare an answer that names its call."""
+    bench = bench_of(context)
+    attempt_id = bench.router(router).attempt(sequence)
+    then_call(context, router, f'done {attempt_id}', sequence)
+
+
 @then(
     'the end of {sequence:d} for "{router}" reports {hit:d} of {blocks:d}'
     ' blocks reused by "{epoch}"'
--- a/features/support/scripted_worker.py
+++ b/features/support/scripted_worker.py
@@ -81,6 +81,10 @@
         self.epoch = 'epoch-1'
         self.resume_epoch = ''
         self.repeats = False
+        self.swaps = False
+        self.swapped: asyncio.Future[str] | None = None
+        self.first = ''
+        self.load_status = 200
         self.echoes = True
         self.models = [{'id': 'm', 'weights': 'w1', 'adapters': []}]
         self.runs: Counter[str] = Counter()
@@ -169,6 +173,7 @@
 
 class _Load(_Handler):
     def get(self) -> None:
+        self.set_status(self.worker.load_status)
         self.write({'epoch': self.worker.epoch})
 
 
@@ -237,9 +242,24 @@
             return
         if worker.plan.hold_after:
             await worker.plan.go_on.wait()
+        if worker.take('cross_header'):
+            self.set_header(REQUEST_ID, FOREIGN)
         self.set_header('Content-Type', 'text/plain')
+        if worker.swaps:
+            other = await self._swapped(request_id)
+            self.set_header(REQUEST_ID, other)
+            self.write(f'done {other}')
+            return
         self.write(b'done ' + b'x' * worker.plan.body_bytes)
 
+    async def _swapped(self, request_id: str) -> str:
+        waiting, self.worker.swapped = self.worker.swapped, asyncio.Future()
+        if waiting is None:
+            self.worker.first = request_id
+            return await self.worker.swapped
+        waiting.set_result(request_id)
+        return self.worker.first
+
 
 def _quiet(_handler: RequestHandler) -> None:
     return
--- a/packages/daemon/src/lacewing_daemon/agent/_receiver.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_receiver.py
@@ -10,6 +10,7 @@
 from lacewing_daemon.agent._events import Usage
 from lacewing_daemon.agent._metrics import MISMATCHED
 from lacewing_daemon.agent._metrics import PAUSES
+from lacewing_daemon.agent._strays import Stray
 from lacewing_daemon.agent._transfer import AnswerStart
 from lacewing_daemon.agent._transfer import Transfer
 
@@ -25,12 +26,14 @@
     """Tell how an answer's body is taken.
 
     EVENTS: event by event. WHOLE: collected, checked, then taken. RAW:
-    taken as it comes. IGNORED: not this request's answer.
+    taken as it comes. STRAY: another request's, collected for it. IGNORED:
+    not this request's answer.
     """
 
     EVENTS = 'events'
     WHOLE = 'whole'
     RAW = 'raw'
+    STRAY = 'stray'
     IGNORED = 'ignored'
 
 
@@ -128,7 +131,11 @@
         self._start = start
         if not self._is_ours(start):
             MISMATCHED.labels('answer').inc()
-            self._drop()
+            if self._from_engine:
+                self._drop()
+                return
+            self._mode = Mode.STRAY
+            self._mismatched = True
             return
         if self._epoch and start.epoch != self._epoch:
             # Two runs of an engine may answer with different words; joined,
@@ -168,6 +175,12 @@
         if len(self._body) > MAX_WHOLE_BYTES:
             self._drop()
 
+    def stray(self) -> Stray | None:
+        """Return the whole answer of another request, if that is what came."""
+        if self._start is None or self._mode is not Mode.STRAY:
+            return None
+        return Stray(self._start, bytes(self._body))
+
     def take_whole(self) -> bool:
         """Hand a collected body on; false if it is another request's."""
         start = self._start
--- a/packages/daemon/src/lacewing_daemon/agent/_runner.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_runner.py
@@ -21,6 +21,7 @@
 from lacewing_daemon.agent._requests import first_request
 from lacewing_daemon.agent._requests import resume_request
 from lacewing_daemon.agent._service import ServiceView
+from lacewing_daemon.agent._strays import Strays
 from lacewing_daemon.agent._worker import Broken
 from lacewing_daemon.agent._worker import Whole
 from lacewing_daemon.agent._worker import Worker
@@ -53,6 +54,7 @@
         self._cache = cache
         self._service = service
         self._claimed = claimed
+        self._strays = Strays()
 
     async def run(self, attempt: Attempt) -> None:
         """Bring a recorded attempt to its end."""
@@ -92,12 +94,14 @@
         from_engine = self._service.runs_on_engine(start)
         run = await self._cache.begin(start) if from_engine else None
         receiver = Receiver(attempt, from_engine, run)
+        self._strays.expect(str(attempt.attempt_id))
         try:
             if attempt.cancelled:
                 attempt.refuse(_caller_gone())
                 return
             await self._exchange(attempt, receiver, from_engine)
         finally:
+            self._strays.forget(str(attempt.attempt_id))
             if run is not None:
                 run.stop()
 
@@ -121,8 +125,11 @@
             )
             return
         refusal = self._settle(attempt, receiver, result)
-        if refusal is not None and from_engine and not attempt.cancelled:
-            refusal = await self._resume(attempt, receiver, refusal)
+        if refusal is not None and not attempt.cancelled:
+            if from_engine:
+                refusal = await self._resume(attempt, receiver, refusal)
+            else:
+                refusal = await self._find(attempt, receiver, result, refusal)
         if attempt.cancelled and attempt.outcome is None:
             await self._stop(attempt, from_engine)
             return
@@ -196,6 +203,26 @@
             await asyncio.sleep(_RESUME_PAUSE_S * 2**tries)
         return refusal
 
+    async def _find(
+        self,
+        attempt: Attempt,
+        receiver: Receiver,
+        result: Whole | Broken,
+        refusal: Refusal,
+    ) -> Refusal | None:
+        """Find a plain call's answer on another call's connection."""
+        stray = receiver.stray()
+        if stray is None or isinstance(result, Broken):
+            return refusal
+        self._strays.offer(stray)
+        found = await self._strays.take(str(attempt.attempt_id))
+        if found is None:
+            return refusal
+        attempt.put_head(found.start.status, found.start.content_type)
+        attempt.put_whole(found.body)
+        attempt.finish(0, 0, CacheReport())
+        return None
+
     async def _stop(self, attempt: Attempt, from_engine: bool) -> None:
         if from_engine:
             await self._worker.cancel(str(attempt.attempt_id))
--- a/packages/daemon/src/lacewing_daemon/agent/_watch.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_watch.py
@@ -18,6 +18,7 @@
 _PERIOD_S = 1.0
 _JITTER = 0.2
 _SHORTEST_S = 0.05
+_MOST_MISSES = 2
 
 _T = TypeVar('_T')
 
@@ -77,6 +78,7 @@
         self._on_change = on_change
         self._epoch = ''
         self._models: tuple[str, ...] = ()
+        self._misses = 0
         self._soon = asyncio.Event()
 
     @property
@@ -107,15 +109,17 @@
 
     async def poll(self) -> None:
         """Read load and models once."""
-        load = _decode(await self._worker.get('/load'), EngineLoad)
+        answer = await self._worker.get('/load')
+        load = _decode(answer, EngineLoad)
         models: ModelList | None = None
         if self._is_engine():
             # To a plain service any path is a call that it would execute.
             found = await self._worker.get('/v1/models')
             models = _decode(found, ModelList)
         if load is None:
-            self._set('', ())
+            self._missed(answer)
             return
+        self._misses = 0
         self._load.hear(load)
         names = models.names() if models is not None else ()
         epoch = load.epoch
@@ -125,6 +129,15 @@
             epoch = models.epoch
         self._set(epoch, names)
 
+    def _missed(self, answer: bytes | Broken) -> None:
+        # A worker that is slow for a moment has lost nothing. Called away
+        # at once, routers would forget what its cache holds and send the
+        # next requests to cold workers; a refused connection is no moment.
+        self._misses += 1
+        refused = isinstance(answer, Broken) and not answer.reached
+        if refused or self._misses >= _MOST_MISSES:
+            self._set('', ())
+
     def _set(self, epoch: str, models: tuple[str, ...]) -> None:
         if (epoch, models) == (self._epoch, self._models):
             return
