Measure what following a cache of 21,000 blocks costs

Cause: the cost of an agent's view at the target size was an estimate; decision times were wall time, which other processes disturb. Change: make decision-cost also fills a view of 21,000 blocks and turns it over once; decisions are timed in CPU time.

--- a/packages/bench/src/lacewing_bench/decision_cost/__main__.py
+++ b/packages/bench/src/lacewing_bench/decision_cost/__main__.py
@@ -1,4 +1,4 @@
-"""Print what decisions cost: ``python -m lacewing_bench.decision_cost``."""
+"""Print what knowledge costs: ``python -m lacewing_bench.decision_cost``."""
 
 import json
 from dataclasses import asdict
@@ -7,6 +7,7 @@
 import fire
 from tabulate import tabulate
 
+from lacewing_bench.decision_cost._following import measure_following
 from lacewing_bench.decision_cost._measure import DecisionCost
 from lacewing_bench.decision_cost._measure import measure
 from lacewing_bench.decision_cost._measure import POLICIES
@@ -17,6 +18,8 @@
 def main(
     workers: int = 890,
     decisions: int = 3000,
+    blocks: int = 21_000,
+    events_s: float = 281.0,
     output: str = 'build/decision-cost',
 ) -> None:
     """Time the decisions of each policy, as ratios to random in one run.
@@ -24,6 +27,8 @@
     Args:
         workers: eligible workers.
         decisions: decisions timed for each policy.
+        blocks: cached blocks that an agent follows.
+        events_s: cache events a second of its engine.
         output: directory of decision-cost.json.
     """
     costs: list[DecisionCost] = []
@@ -37,9 +42,20 @@
     headers = ('policy', 'p50 us', 'p99 us', 'mean over random')
     print(tabulate(rows, headers, floatfmt='.1f'))
     print(f'{workers} workers; the goal is {GOAL_US:.0f} us a decision')
+    following = measure_following(blocks, events_s)
+    print(
+        f'following {blocks} blocks: {following.event_us:.1f} us an event,'
+        f' {following.core_percent:.2f}% of a core and'
+        f' {following.event_bytes * events_s / 1024:.0f} KB/s from the engine'
+        f' at {events_s:.0f} events/s; a snapshot takes'
+        f' {following.snapshot_ms:.0f} ms and {following.snapshot_kb:.0f} KB,'
+        f' the view {following.view_kb:.0f} KB'
+    )
     directory = Path(output)
     directory.mkdir(parents=True, exist_ok=True)
-    found = json.dumps([asdict(cost) for cost in costs], indent=2)
+    rows_found = [asdict(cost) for cost in costs]
+    rows_found.append(asdict(following))
+    found = json.dumps(rows_found, indent=2)
     (directory / 'decision-cost.json').write_text(found)
 
 
--- a/packages/bench/src/lacewing_bench/decision_cost/_measure.py
+++ b/packages/bench/src/lacewing_bench/decision_cost/_measure.py
@@ -40,7 +40,7 @@
 
 @dataclass(frozen=True)
 class DecisionCost:
-    """Hold one policy's decision time in microseconds."""
+    """Hold one policy's CPU time for a decision, in microseconds."""
 
     policy: str
     workers: int
@@ -58,9 +58,9 @@
     took_us: list[float] = []
     for number in range(_WARM_DECISIONS + decisions):
         request = _request(number, _prompt(rng, number))
-        began_s = time.perf_counter()
+        began_s = time.thread_time()
         choice = made.choose(request, fleet)
-        took_s = time.perf_counter() - began_s
+        took_s = time.thread_time() - began_s
         if isinstance(choice, Refusal):
             raise AssertionError(f'expected a choice, got {choice.message}')
         if number >= _WARM_DECISIONS:
--- a/packages/daemon/src/lacewing_daemon/agent/_cache_follower.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_cache_follower.py
@@ -37,7 +37,7 @@
 _snapshots = msgspec.json.Decoder(CacheSnapshot)
 
 
-class _EventSink:
+class EventSink:
     """Cut a stream into events."""
 
     def __init__(self, take: Callable[[CacheEvent], None]) -> None:
@@ -116,7 +116,7 @@
             (('Last-Event-ID', last),),
             stall_s=_STALL_S,
         )
-        await self._worker.exchange(request, _EventSink(self._take))
+        await self._worker.exchange(request, EventSink(self._take))
 
     def _take(self, event: CacheEvent) -> None:
         CACHE_EVENTS.inc()
