Roll bundles amid the faults and watch that none is taken back

Cause: the chaos run gave all processes one bundle in a file, so that "an accepted bundle never reverts" was not tried with any fault.

--- a/packages/bench/src/lacewing_bench/chaos/_faults.py
+++ b/packages/bench/src/lacewing_bench/chaos/_faults.py
@@ -11,6 +11,7 @@
 from lacewing_common.exits import Exit
 from lacewing_common.store import VmState
 
+from lacewing_bench.chaos._bundles import BundleWatch
 from lacewing_bench.chaos._kinds import FaultKind
 from lacewing_bench.chaos._plan import PlannedFault
 from lacewing_bench.fleet import Fleet
@@ -175,6 +176,22 @@
         return ''
 
 
+@dataclass(frozen=True)
+class Roll:
+    """Roll another bundle, as operators do at any time."""
+
+    seed: int
+    bundles: BundleWatch
+
+    async def begin(self, fleet: Fleet) -> None:
+        """Give a team another share; an outage may refuse the roll."""
+        await self.bundles.roll(random.Random(self.seed).uniform(1.0, 9.0))
+
+    async def end(self, fleet: Fleet) -> str:
+        """Do nothing: a roll is never taken back."""
+        return ''
+
+
 @dataclass(frozen=True)
 class Shift:
     """Stand for a shift of hot prefixes, which the traffic makes itself."""
@@ -187,7 +204,7 @@
         return ''
 
 
-def make_fault(planned: PlannedFault) -> Fault:
+def make_fault(planned: PlannedFault, bundles: BundleWatch) -> Fault:
     """Return the fault that was planned."""
     target, kind = planned.target, planned.kind
     switches = _worker_switches(planned)
@@ -207,6 +224,8 @@
         return Leave(target, same_address)
     if kind is FaultKind.ROUTER_HERD:
         return Herd(planned.seed)
+    if kind is FaultKind.BUNDLE_ROLL:
+        return Roll(planned.seed, bundles)
     return Shift()
 
 
--- a/packages/bench/src/lacewing_bench/chaos/_injector.py
+++ b/packages/bench/src/lacewing_bench/chaos/_injector.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from lacewing_bench.chaos._bundles import BundleWatch
 from lacewing_bench.chaos._faults import make_fault
 from lacewing_bench.chaos._kinds import FaultKind
 from lacewing_bench.chaos._leaving import LeavingWatch
@@ -22,8 +23,11 @@
 class Injector:
     """Run each fault in a task of its own."""
 
-    def __init__(self, fleet: Fleet, vm_lag_s: float) -> None:
+    def __init__(
+        self, fleet: Fleet, vm_lag_s: float, bundles: BundleWatch
+    ) -> None:
         self._fleet = fleet
+        self._bundles = bundles
         self._vm_lag_s = vm_lag_s
 
     async def run(
@@ -41,7 +45,7 @@
 
     async def _bring(self, planned: PlannedFault) -> Happening:
         calls = await self._calls_before(planned)
-        fault = make_fault(planned)
+        fault = make_fault(planned, self._bundles)
         begun_s = time.monotonic()
         await fault.begin(self._fleet)
         watch = self._watch(planned)
--- a/packages/bench/src/lacewing_bench/chaos/_invariants.py
+++ b/packages/bench/src/lacewing_bench/chaos/_invariants.py
@@ -32,6 +32,7 @@
     WORK_FOR_LEAVING = 'work_for_leaving'
     DRAIN = 'drain_cut'
     DIED = 'process_died'
+    REVERTED = 'bundle_reverted'
 
 
 @dataclass(frozen=True)
--- a/packages/bench/src/lacewing_bench/chaos/_kinds.py
+++ b/packages/bench/src/lacewing_bench/chaos/_kinds.py
@@ -31,6 +31,7 @@
     PLATFORM_SLOW = 'platform-slow'
     PLATFORM_LOSES = 'platform-loses-answers'
     HOT_SHIFT = 'hot-shift'
+    BUNDLE_ROLL = 'bundle-roll'
 
 
 OF_ENGINE = (
--- a/packages/bench/src/lacewing_bench/chaos/_plan.py
+++ b/packages/bench/src/lacewing_bench/chaos/_plan.py
@@ -13,6 +13,7 @@
 PLATFORM = 'platform'
 ROUTERS = 'routers'
 TRAFFIC = 'traffic'
+OPERATORS = 'operators'
 _QUIET_START_S = 3.0
 _QUIET_END_S = 12.0
 _REST_S = 2.0
@@ -98,6 +99,8 @@
             return PLATFORM
         if kind is FaultKind.ROUTER_HERD:
             return ROUTERS
+        if kind is FaultKind.BUNDLE_ROLL:
+            return OPERATORS
         return TRAFFIC
 
     def _routers_busy(self, at_s: float) -> bool:
