Take a store's nonsense as nothing held; bound hints' memory

Cause: an answer of the store that is not its JSON would fail the request that asked, found in review; 20,000 levels of hints for each of six services would take about 55 MB of the 32 MB for control (estimate). Change: such an answer counts as no block; counts are bounded by what was asked. 4,000 levels are kept for each service, data classes have slots.

--- a/features/caching.feature
+++ b/features/caching.feature
@@ -83,6 +83,14 @@
     When the prompt is about to run where nothing is cached
     Then the engine imports nothing
 
+  Scenario: A store that answers nonsense costs a recomputation
+    # Symptom: requests fail with an internal error while the store is ill.
+    # Sequence: the store answers 200 with a page that is not its JSON.
+    # Cause: the decoding error went up through the request's task.
+    Given a store that answers with an HTML page
+    When the prompt is about to run where nothing is cached
+    Then the engine imports nothing
+
   Scenario: What came again is exported once
     Given a store that keeps nothing
     When the prompt is served 3 times
--- a/features/steps/caching_steps.py
+++ b/features/steps/caching_steps.py
@@ -430,6 +430,7 @@
     def __init__(self, kept: tuple[bytes, ...] = (), pause_s: float = 0.0):
         self.kept = set(kept)
         self.pause_s = pause_s
+        self.asked = False
         self.imports: list[tuple[bytes, ...]] = []
         self.exports: list[tuple[bytes, ...]] = []
 
@@ -497,6 +498,38 @@
             client.close()
 
 
+class NonsenseMover(FakeMover):
+    """Ask a store that answers with a page, through the real client."""
+
+    async def held(self, blocks: tuple[bytes, ...]) -> int:
+        """Ask and get a page."""
+        server = await asyncio.start_server(self._answer, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        client = KvClient(f'http://127.0.0.1:{port}', 'http://127.0.0.1:1')
+        try:
+            return await client.held(blocks)
+        finally:
+            client.close()
+            server.close()
+
+    async def _answer(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        self.asked = True
+        page = b'<html>at work</html>'
+        head = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(page)
+        writer.write(head + page)
+        await writer.drain()
+        writer.close()
+
+
+@given('a store that answers with an HTML page')
+def nonsense_store(context: Context) -> None:
+    """Have a store that is ill."""
+    knowledge_with(context, NonsenseMover(shared_blocks()))
+
+
 @given('a store that does not answer')
 def unreachable_store(context: Context) -> None:
     """Let nothing listen where the store is said to be."""
--- a/packages/daemon/src/lacewing_daemon/agent/_kv_client.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_kv_client.py
@@ -1,5 +1,7 @@
 """Ask a store what it holds and an engine to move KV cache."""
 
+from typing import TypeVar
+
 import msgspec
 import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient
@@ -9,6 +11,8 @@
 HELD_TIMEOUT_S = 0.2
 MOVE_TIMEOUT_S = 2.0
 _CALLS_AT_ONCE = 16
+
+T = TypeVar('T')
 _OK = 200
 
 
@@ -44,9 +48,10 @@
         body = msgspec.json.encode(_Query(_names(blocks)))
         url = f'{self._store_url}/kv/held'
         found = await self._post(url, body, HELD_TIMEOUT_S)
-        if found is None:
+        held = _decode(found, _Held)
+        if held is None:
             return 0
-        return msgspec.json.decode(found, type=_Held).held
+        return min(len(blocks), max(0, held.held))
 
     async def import_blocks(self, blocks: tuple[bytes, ...]) -> int:
         """Have the engine import blocks; return how many came."""
@@ -64,9 +69,10 @@
         body = msgspec.json.encode(_Move(self._store_url, _names(blocks)))
         url = f'{self._engine_url}/kv/{direction}'
         found = await self._post(url, body, MOVE_TIMEOUT_S)
-        if found is None:
+        moved = _decode(found, _Moved)
+        if moved is None:
             return 0
-        return msgspec.json.decode(found, type=_Moved).blocks
+        return min(len(blocks), max(0, moved.blocks))
 
     async def _post(
         self, url: str, body: bytes, timeout_s: float
@@ -89,6 +95,16 @@
         return response.body
 
 
+def _decode(found: bytes | None, kind: type[T]) -> T | None:
+    """Read an answer; nonsense counts as none and fails no request."""
+    if found is None:
+        return None
+    try:
+        return msgspec.json.decode(found, type=kind)
+    except msgspec.DecodeError:
+        return None
+
+
 def _names(blocks: tuple[bytes, ...]) -> tuple[str, ...]:
     return tuple(block.hex() for block in blocks)
 
--- a/packages/daemon/src/lacewing_daemon/router/_hints.py
+++ b/packages/daemon/src/lacewing_daemon/router/_hints.py
@@ -8,7 +8,8 @@
 
 from lacewing_daemon.router._policy import CacheChange
 
-KEPT_LEVELS = 20_000
+# About 0.5 KB each; a router serves several services in its 32 MB.
+KEPT_LEVELS = 4_000
 _FIRST_LIFE_S = 20.0
 _SHORTEST_LIFE_S = 0.5
 _LONGEST_LIFE_S = 600.0
@@ -19,7 +20,7 @@
 _LEAST_CHANCE = 0.05
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class Hint:
     """Hold that a worker's epoch held a level at a time, in seconds.
 
@@ -32,7 +33,7 @@
     published: bool = False
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class Held:
     """Hold how many blocks a worker is expected to have, with its epoch."""
 
--- a/packages/daemon/src/lacewing_daemon/router/_policy.py
+++ b/packages/daemon/src/lacewing_daemon/router/_policy.py
@@ -12,7 +12,7 @@
 from lacewing_common.wire import LoadReport
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class RoutingRequest:
     """Hold what a policy may know of a request.
 
@@ -29,7 +29,7 @@
     tried: tuple[str, ...] = ()
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class WorkerView:
     """Hold what a router knows of one eligible worker.
 
@@ -65,7 +65,7 @@
         """Return what is known of one of them now."""
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class Estimate:
     """Hold one candidate's expected cost.
 
@@ -85,7 +85,7 @@
     harm_ms: float = 0.0
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class Choice:
     """Name the chosen agent, with the estimates it was chosen by.
 
@@ -103,7 +103,7 @@
     use_kept: bool = False
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class Observation:
     """Report what came true of one choice, to the policy.
 
@@ -117,7 +117,7 @@
     first_token_ms: float | None
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class CacheChange:
     """Report levels that a worker's cache gained or lost.
 
--- a/packages/daemon/src/lacewing_daemon/router/_rendezvous.py
+++ b/packages/daemon/src/lacewing_daemon/router/_rendezvous.py
@@ -7,7 +7,7 @@
 
 # A scan of 890 workers takes about 130 us; the outermost levels are few and
 # come again and again.
-KEPT_RANKINGS = 4096
+KEPT_RANKINGS = 1024
 MAX_WIDTH = 16
 
 
--- a/packages/daemon/src/lacewing_daemon/router/_score.py
+++ b/packages/daemon/src/lacewing_daemon/router/_score.py
@@ -23,7 +23,7 @@
 NEAR_SHARE = 0.02
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class Expected:
     """Hold what is expected of one candidate before its score."""
 
