Follow a roll while a request waits; start none for a caller gone

Cause, found by reading: a request that waited for weights which no worker has kept to the bundle it came under, and was refused at its deadline when a roll put others in force meanwhile. And since policies may wait before they choose, a hang-up in that time found no attempt to cancel; the attempt was then started, and ran to its end for nobody. Change: each change of a link or of the bundle renews a waiting call, in a module of its own (_waiting.py); the hang-up is looked at after the choice, with nothing awaited between that and the attempt. Mutations: not renewing fails 'A request that waits through a roll runs under the new bundle'; not looking fails 'A caller that hangs up before the choice costs no worker'.

--- a/features/router.feature
+++ b/features/router.feature
@@ -64,6 +64,24 @@
     When "rahmat" asks the model "handbook" and the agent comes up meanwhile
     Then the status is 200 and the verdict is "ran"
 
+  Scenario: A request that waits through a roll runs under the new bundle
+    # Symptom: requests fail for a moment at each roll of new weights.
+    # Sequence: a request waits for weights that no worker has; a bundle
+    # with other weights, which a worker has, comes in force.
+    # Cause: the request keeps to the bundle that it came under.
+    Given an answering agent of "tutor" with the weights "w2"
+    When "rahmat" asks the model "handbook" while the weights "w2" are rolled
+    Then the status is 200 and the verdict is "ran"
+
+  Scenario: A caller that hangs up before the choice costs no worker
+    # Symptom: engines compute answers that nobody reads.
+    # Sequence: the caller hangs up while the policy waits for knowledge.
+    # Cause: there is no attempt yet that the hang-up could cancel.
+    Given an agent of "tutor" that answers
+    When "rahmat" hangs up while the policy prepares the choice
+    Then the router has no open requests
+    And 0 attempts were made in all
+
   Scenario: A request that no worker can serve is refused at once
     Given an agent of "registry" that answers
     When "rahmat" asks the model "handbook"
--- a/features/steps/router_callers_steps.py
+++ b/features/steps/router_callers_steps.py
@@ -1,14 +1,19 @@
 """Send requests to a router and bring faults amid them."""
 
+import asyncio
 import http.client
 import socket
+from collections.abc import Coroutine
 from functools import partial
 from threading import Thread
+from typing import Any
 from unittest.mock import patch
 
 from behave import when
 from behave.runner import Context
 from lacewing_bench.fake_agent import until
+from lacewing_daemon.router._baselines import RoundRobin
+from lacewing_daemon.router._exchange import Exchange
 from lacewing_daemon.router._transcript import Transcript
 from support.router_bench import ask
 from support.router_bench import ask_all_agents
@@ -72,6 +77,50 @@
         ask(context, 'POST', CHAT, chat_body())
 
 
+@when(
+    '"rahmat" asks the model "handbook" while the weights "{weights}" are'
+    ' rolled'
+)
+def when_asked_amid_roll(context: Context, weights: str) -> None:
+    """Ask first, then roll."""
+    asking = Thread(target=ask, args=(context, 'POST', CHAT, chat_body()))
+    asking.start()
+    router = context.router
+    context.loop.call(until(lambda: router.status.open_requests == 1))
+    context.loop.call(roll(context.bundles, team_bundle(weights)))
+    asking.join(LIMIT_S)
+
+
+@when('"rahmat" hangs up while the policy prepares the choice')
+def when_hung_up_early(context: Context) -> None:
+    """Hold the policy, hang up, let it go on."""
+    prepared = asyncio.Event()
+    prepares: list[object] = []
+    hang_ups: list[object] = []
+    hang_up = Exchange.hang_up
+
+    def prepare(*request: object) -> Coroutine[Any, Any, bool]:
+        prepares.append(request)
+        return prepared.wait()
+
+    def note_hang_up(exchange: Exchange) -> None:
+        hang_up(exchange)
+        hang_ups.append(exchange)
+
+    with (
+        patch.object(RoundRobin, 'prepare', prepare),
+        patch.object(Exchange, 'hang_up', note_hang_up),
+    ):
+        caller = Caller(context)
+        caller.request('POST', CHAT, chat_body())
+        context.loop.call(until(lambda: bool(prepares)))
+        caller.connection.close()
+        context.loop.call(until(lambda: bool(hang_ups)))
+        context.loop.call(run_soon(prepared.set))
+        router = context.router
+        context.loop.call(until(lambda: router.status.open_requests == 0))
+
+
 @when('"rahmat" lists the models')
 def when_listed(context: Context) -> None:
     """List the models."""
--- a/features/steps/router_steps.py
+++ b/features/steps/router_steps.py
@@ -205,6 +205,7 @@
 
 
 @then('{count:d} attempt was made in all')
+@then('{count:d} attempts were made in all')
 def then_attempts(context: Context, count: int) -> None:
     """Check the agents' counts."""
     assert attempts_of(context) == count, attempts_of(context)
--- a/features/support/router_bench.py
+++ b/features/support/router_bench.py
@@ -188,12 +188,24 @@
         **options: Any,
     ) -> http.client.HTTPResponse:
         """Send a request and return the head of its answer."""
+        self.request(method, path, body, key, extra, **options)
+        return self.connection.getresponse()
+
+    def request(
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        key: str = 'key-rahmat',
+        extra: dict[str, str] | None = None,
+        **options: Any,
+    ) -> None:
+        """Send a request and don't wait for its answer."""
         headers = {'X-Request-Id': self.request_id}
         if key:
             headers['Authorization'] = f'Bearer {key}'
         headers |= extra or {}
         self.connection.request(method, path, body, headers, **options)
-        return self.connection.getresponse()
 
     def ask(
         self, method: str, path: str, *rest: Any, **options: Any
--- a/packages/daemon/src/lacewing_daemon/router/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/router/_exchange.py
@@ -12,7 +12,6 @@
 
 from lacewing_daemon.router._attempt import Attempt
 from lacewing_daemon.router._call import Call
-from lacewing_daemon.router._call import renewed
 from lacewing_daemon.router._claimed_choice import claimed_choice
 from lacewing_daemon.router._claimed_choice import needs_claim
 from lacewing_daemon.router._continuation import closing_events
@@ -43,6 +42,7 @@
 from lacewing_daemon.router._start_frame import start_frame
 from lacewing_daemon.router._start_frame import StartTerms
 from lacewing_daemon.router._transcript import Transcript
+from lacewing_daemon.router._waiting import until_eligible
 
 _MS_PER_S = 1000.0
 
@@ -135,25 +135,19 @@
         return result
 
     async def _open(self) -> _Opened | Refusal:
-        refusal = self._renew_call()
-        if refusal is not None:
-            return refusal
-        call = self._call
-        links = self._serving.links
-        service = call.service
-        refusal = await links.wait_for_worker(
-            service.name, call.needs, self._start_by_s
-        )
-        if refusal is not None:
-            return refusal
-        if self._gone:
-            return not_run(Reason.CALLER_GONE, 'the caller hung up')
-        workers = links.eligible(service.name, call.needs)
+        call = await self._until_eligible()
+        if isinstance(call, Refusal):
+            return call
+        workers = self._serving.links.eligible(call.service.name, call.needs)
         workers = workers.without(self._tried)
         routing = self._routing_request()
         choice = await self._choose(routing, workers)
         if isinstance(choice, Refusal):
             return choice
+        if self._gone:
+            # Nothing after this waits before the attempt can be cancelled;
+            # started later, it would run on for a caller that has gone.
+            return not_run(Reason.CALLER_GONE, 'the caller hung up')
         self._record.chose(choice)
         link = workers.link(choice.process_id)
         return self._start(link, routing, choice)
@@ -169,17 +163,19 @@
             await preparing
         return policy.choose(routing, workers)
 
-    def _renew_call(self) -> Refusal | None:
-        if self._reply.started:
-            # A stream that goes on elsewhere stays with its weights: the
-            # rest would not follow from the text so far on others.
-            return None
-        call = renewed(self._call, self._serving.catalog)
+    async def _until_eligible(self) -> Call | Refusal:
+        # A stream that goes on elsewhere stays with its weights: the rest
+        # would not follow from the text so far on others.
+        is_new = not self._reply.started
+        call = await until_eligible(
+            self._serving, self._call, self._start_by_s, is_new
+        )
         if isinstance(call, Refusal):
             return call
         self._call = call
-        self._original = call
-        return None
+        if is_new:
+            self._original = call
+        return call
 
     def _start(
         self, link: Link, routing: RoutingRequest, choice: Choice
--- a/packages/daemon/src/lacewing_daemon/router/_links.py
+++ b/packages/daemon/src/lacewing_daemon/router/_links.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 import ssl
-import time
 from collections.abc import Iterable
 
 from lacewing_common.log import get_log
@@ -134,24 +133,44 @@
         """Take an agent's digest of its worker's cache."""
         self._knowledge.hear(service, change)
 
-    async def wait_for_worker(
-        self, service: str, needs: str, until_s: float
-    ) -> Refusal | None:
-        """Wait until some worker is eligible, or refuse at ``until_s``.
+    def may_come(self, service: str) -> bool:
+        """Tell whether some known agent may come to serve requests.
 
-        ``until_s`` is a reading of ``time.monotonic``. Refuses at once when
-        no known agent may come to serve the request.
+        A link that is not up yet, or again, and a worker that still loads
+        the model: failing their requests would turn each restart and each
+        new weights version into errors.
         """
-        while not self.eligible(service, needs).ids:
-            self._follow()
-            left_s = until_s - time.monotonic()
-            if left_s <= 0 or not self._may_come(service):
-                return self._no_worker(service, needs)
-            self._changed.clear()
-            waiting = asyncio.ensure_future(self._changed.wait())
-            await asyncio.wait([waiting], timeout=left_s)
-            waiting.cancel()
-        return None
+        self._follow()
+        for address, link in self._links.items():
+            if link.worker.leaving or address in self._leaving:
+                continue
+            if link.worker.name is None or link.worker.service == service:
+                return True
+        return False
+
+    def no_worker(self, service: str, needs: str) -> Refusal:
+        """Build the refusal of a request without an eligible worker."""
+        wanted = f'service {service!r}'
+        if needs:
+            wanted = f'{wanted} with {needs!r} loaded'
+        if not self.any_known:
+            return not_run(
+                Reason.NOT_READY,
+                f'no agent is known yet; expected one of {wanted}',
+                retry_after_s=1.0,
+            )
+        return not_run(
+            Reason.NO_WORKER,
+            f'no worker of {wanted} takes requests now',
+            retry_after_s=1.0,
+        )
+
+    async def wait_for_change(self, timeout_s: float) -> None:
+        """Wait for the next change of a link or of the bundle."""
+        self._changed.clear()
+        waiting = asyncio.ensure_future(self._changed.wait())
+        await asyncio.wait([waiting], timeout=timeout_s)
+        waiting.cancel()
 
     async def run(self) -> None:
         """Follow the members until cancelled."""
@@ -239,30 +258,3 @@
         key = bucket.to_bytes(_BUCKET_KEY_BYTES, 'big')
         holders[best(key, tuple(sorted(holders)))].send(demands)
         return True
-
-    def _may_come(self, service: str) -> bool:
-        # A link that is not up yet, or again, and a worker that still loads
-        # the model: failing their requests would turn each restart and each
-        # new weights version into errors.
-        for address, link in self._links.items():
-            if link.worker.leaving or address in self._leaving:
-                continue
-            if link.worker.name is None or link.worker.service == service:
-                return True
-        return False
-
-    def _no_worker(self, service: str, needs: str) -> Refusal:
-        wanted = f'service {service!r}'
-        if needs:
-            wanted = f'{wanted} with {needs!r} loaded'
-        if not self.any_known:
-            return not_run(
-                Reason.NOT_READY,
-                f'no agent is known yet; expected one of {wanted}',
-                retry_after_s=1.0,
-            )
-        return not_run(
-            Reason.NO_WORKER,
-            f'no worker of {wanted} takes requests now',
-            retry_after_s=1.0,
-        )
--- a/packages/daemon/src/lacewing_daemon/router/_serving.py
+++ b/packages/daemon/src/lacewing_daemon/router/_serving.py
@@ -122,5 +122,6 @@
 
     def _take_bundle(self, rolled: RolledBundle) -> None:
         self._catalog = Catalog(rolled)
+        self._links.link_changed()
         if rolled.number > 0:
             self._has_bundle.set()
