Roll over a bundle that is damaged or has problems

Cause: a roll read and checked the whole bundle in force first. With one part lost at the platform, or with a release that checks more than the last, no operator could roll anything.

Change: the next roll takes from the last one its head and trust part, with their signatures. Shared parts are read and written again where they are missing or have other bytes. edit, diff and show check who rolled a bundle and leave its problems to validate. The new bundle is checked in full, as before.

Conclusion: what an operator holds is enough to bring a fleet back.

--- a/features/rolls.feature
+++ b/features/rolls.feature
@@ -91,6 +91,43 @@
     And a part of the bundle in force is tampered with at the platform
     Then reading the bundle in force fails: "tampered with"
 
+  Scenario Outline: A roll mends parts that the platform lost or changed
+    # Symptom: nobody can roll, or a roll is in force that no process can read.
+    # Sequence: the platform loses or changes a part that did not change since
+    # the last roll; an operator rolls. Cause: parts of the last roll taken to
+    # be there, or the last bundle read in full before the next is rolled.
+    Given a platform and the operators "ana, bob"
+    When "ana" edits the share to 2
+    And "ana" rolls the edit
+    And "ana" edits the share to 3
+    And each part of the bundle in force is <damaged> at the platform
+    And "ana" rolls the edit
+    Then roll 2 is in force
+    And a process that starts uses roll 2
+
+    Examples:
+      | damaged |
+      | lost    |
+      | changed |
+
+  Scenario: A bundle with problems can be replaced
+    # Symptom: after an upgrade operators can roll nothing. Sequence: a release
+    # adds a check that the bundle in force does not pass. Cause: the last
+    # bundle held to checks that are for the next one.
+    Given a platform and the operators "ana, bob"
+    And checks that find nothing
+    When "ana" edits the share to -1
+    And "ana" rolls the edit
+    Then roll 1 is in force
+    When the checks are back
+    And "ana" edits the share to -2
+    And "ana" rolls the edit
+    Then the roll fails as "refused": "expected a number above 0"
+    When "ana" edits the share to 2
+    And "ana" rolls the edit
+    Then roll 2 is in force
+    And a process that starts uses roll 2
+
   Scenario: 200 racing rolls with lost answers make one linear history
     # Symptom: the fleet goes back to an older bundle, or two operators believe
     # that theirs is in force. Sequence: four operators read, edit and roll at
--- a/features/steps/rolls_steps.py
+++ b/features/steps/rolls_steps.py
@@ -7,10 +7,13 @@
 from behave import when
 from behave.runner import Context
 from lacewing_bench.platform import ObjectKey
+from lacewing_common.bundles import BundleGuard
+from lacewing_common.document import Document
 from lacewing_common.document import part_digest
 from lacewing_common.rolls import Rolled
 from lacewing_common.rolls import RollError
 from lacewing_common.rolls import RollFault
+from support.rolls_bench import LenientGuard
 from support.rolls_bench import RollsBench
 
 
@@ -88,6 +91,37 @@
     bench.set_faults()
 
 
+@given('checks that find nothing')
+def start_lenient(context: Context) -> None:
+    """Use the guard of an earlier release."""
+    bench = context.rolls
+    bench.guard = LenientGuard(bench.root)
+
+
+@when('the checks are back')
+def start_strict(context: Context) -> None:
+    """Use the guard of this release."""
+    bench = context.rolls
+    bench.guard = BundleGuard(bench.root)
+
+
+@when('each part of the bundle in force is {damaged} at the platform')
+def damage(context: Context, damaged: str) -> None:
+    """Lose or change the parts."""
+    context.rolls.damage_parts(damaged == 'lost')
+
+
+@then('a process that starts uses roll {number:d}')
+def starts(context: Context, number: int) -> None:
+    """Read and check the bundle in force."""
+    bench = context.rolls
+    bench.guard = BundleGuard(bench.root)
+    head = bench.runner.run(bench.reads.head())
+    document = bench.runner.run(bench.reads.document(head))
+    assert isinstance(document, Document), document
+    assert document.head.version == number, document.head
+
+
 @when('a part of the bundle in force is tampered with at the platform')
 def tamper(context: Context) -> None:
     """Replace the bytes of a part under its name."""
--- a/features/support/bundle_bench.py
+++ b/features/support/bundle_bench.py
@@ -16,6 +16,7 @@
 from lacewing_common.bundles import contents_of_parts
 from lacewing_common.bundles import new_key
 from lacewing_common.bundles import OperatorKey
+from lacewing_common.bundles import Predecessor
 from lacewing_common.bundles import RollOrder
 from lacewing_common.bundles import sign_off
 from lacewing_common.bundles import SignOff
@@ -129,7 +130,11 @@
             at=AT,
             nonce=f'{operator}-{len(self.sign_offs)}',
         )
-        made = succeed(self.in_force, order, self.key(operator))
+        before = self.in_force
+        previous = None
+        if before is not None:
+            previous = Predecessor(before.head, before.parts[0])
+        made = succeed(previous, order, self.key(operator))
         assert isinstance(made, Document), made
         return made
 
--- a/features/support/rolls_bench.py
+++ b/features/support/rolls_bench.py
@@ -11,6 +11,7 @@
 import msgspec
 from lacewing_bench.fakes import FakeStore
 from lacewing_bench.platform import FaultSwitches
+from lacewing_bench.platform import ObjectKey
 from lacewing_bench.platform import PlatformService
 from lacewing_bench.platform import PlatformSettings
 from lacewing_common.bundle import Bundle
@@ -25,6 +26,7 @@
 from lacewing_common.bundles import split
 from lacewing_common.document import Document
 from lacewing_common.document_objects import HEADS
+from lacewing_common.document_objects import PARTS
 from lacewing_common.patience import Patience
 from lacewing_common.rolls import BundleReads
 from lacewing_common.rolls import BundleWrites
@@ -37,6 +39,7 @@
 from lacewing_common.store import StoredObject
 from lacewing_common.store import StoreError
 from lacewing_common.store import StoreFault
+from lacewing_common.verdict import Refusal
 from support.bundle_bench import AT
 from support.bundle_bench import make_bundle
 
@@ -75,6 +78,14 @@
         return StoreError(StoreFault.UNKNOWN, 'the answer was lost')
 
 
+class LenientGuard(BundleGuard):
+    """Be the guard of a release that has fewer checks."""
+
+    def __call__(self, document: Document) -> Refusal | None:
+        """Check the signatures alone."""
+        return self.check_signatures(document)
+
+
 @dataclass
 class Draft:
     """Hold what an operator edits: the bundle and the roll it came from."""
@@ -107,6 +118,7 @@
         for name in names:
             self.keys[name] = new_key(name)
         root = tuple(key.public for key in self.keys.values())
+        self.root = root
         self.guard = BundleGuard(root)
         self.bundle = msgspec.structs.replace(make_bundle(), operators=root)
         self.drafts: dict[str, Draft] = {}
@@ -134,7 +146,7 @@
         stored = await self.reads.head()
         if isinstance(stored, StoredHead):
             base = stored.head.version
-            document = await self.reads.document(stored)
+            document = await self.reads.signed(stored)
             assert isinstance(document, Document), document
             read = join(document.parts)
             assert isinstance(read, Bundle), read
@@ -198,6 +210,17 @@
         order = self.order(operator, draft)
         return await self.writes.roll(order, draft.base, self.keys[operator])
 
+    def damage_parts(self, lost: bool) -> None:
+        """Delete or change each part of the bundle in force."""
+        head = self.runner.run(self.reads.head())
+        assert isinstance(head, StoredHead), head
+        for digest in head.head.parts:
+            key = ObjectKey(PARTS, digest)
+            if lost:
+                self.service.delete(key, 1)
+                continue
+            self.service.put(key, b'{}', 1)
+
     def history(self) -> tuple[HistoryEntry, ...]:
         """Return all rolls, newest first."""
         entries = self.runner.run(self.reads.history(10_000))
--- a/packages/bench/src/lacewing_bench/bundle_cost.py
+++ b/packages/bench/src/lacewing_bench/bundle_cost.py
@@ -20,6 +20,7 @@
 from lacewing_common.bundles import contents_of_parts
 from lacewing_common.bundles import new_key
 from lacewing_common.bundles import OperatorKey
+from lacewing_common.bundles import Predecessor
 from lacewing_common.bundles import read_bundle_text
 from lacewing_common.bundles import RollOrder
 from lacewing_common.bundles import sign_off
@@ -159,7 +160,10 @@
     digest = contents_of_parts(parts).digest
     signed = sign_off(digest, SignOffRole.AUTHOR, _AT, key)
     order = RollOrder(parts, (signed,), _AT, digest)
-    made = succeed(previous, order, key)
+    before: Predecessor | None = None
+    if previous is not None:
+        before = Predecessor(previous.head, previous.parts[0])
+    made = succeed(before, order, key)
     if not isinstance(made, Document):
         raise ValueError(made.message)
     return made
--- a/packages/common/src/lacewing_common/bundles/__init__.py
+++ b/packages/common/src/lacewing_common/bundles/__init__.py
@@ -24,6 +24,7 @@
 from lacewing_common.bundles._signatures import read_key
 from lacewing_common.bundles._signatures import write_key
 from lacewing_common.bundles._succeed import head_digest
+from lacewing_common.bundles._succeed import Predecessor
 from lacewing_common.bundles._succeed import RollOrder
 from lacewing_common.bundles._succeed import succeed
 
@@ -32,6 +33,7 @@
     'BundleGuard',
     'Contents',
     'OperatorKey',
+    'Predecessor',
     'Problem',
     'Proof',
     'Roll',
--- a/packages/common/src/lacewing_common/bundles/_guard.py
+++ b/packages/common/src/lacewing_common/bundles/_guard.py
@@ -39,18 +39,25 @@
 
     def __call__(self, document: Document) -> Refusal | None:
         """Return why a bundle is not acceptable, or None."""
-        head = document.head
-        if head.document != BUNDLE:
-            return _refuse(f'unexpected document {head.document}')
-        digests = tuple(part_digest(part) for part in document.parts)
-        if digests != head.parts:
-            return _refuse('the parts do not match the digests of the head')
-        refusal = check_proof(head, self._root) or self._check_links(head)
+        refusal = self.check_signatures(document)
         if refusal is not None:
             return refusal
         bundle = self._reader.read(document)
         return bundle if isinstance(bundle, Refusal) else None
 
+    def check_signatures(self, document: Document) -> Refusal | None:
+        """Return why a bundle is not what operators rolled, or None."""
+        digests = tuple(part_digest(part) for part in document.parts)
+        if digests != document.head.parts:
+            return _refuse('the parts do not match the digests of the head')
+        return self.check_head(document.head)
+
+    def check_head(self, head: DocumentHead) -> Refusal | None:
+        """Return why a head is not what operators rolled, or None."""
+        if head.document != BUNDLE:
+            return _refuse(f'unexpected document {head.document}')
+        return check_proof(head, self._root) or self._check_links(head)
+
     def assemble(self, document: Document) -> RolledBundle | Refusal:
         """Return the bundle of a document that was let pass."""
         contents = contents_of(document.head.parts)
@@ -63,7 +70,7 @@
 
     def remember(self, document: Document) -> None:
         """Keep the changes of trust of a bundle now in force."""
-        links = links_after(document)
+        links = links_after(document.head, document.parts[0])
         if isinstance(links, Refusal) or document.head.version < self._number:
             return
         self._number = document.head.version
--- a/packages/common/src/lacewing_common/bundles/_proof.py
+++ b/packages/common/src/lacewing_common/bundles/_proof.py
@@ -17,7 +17,6 @@
 from lacewing_common.bundles._sign_off import check_sign_offs
 from lacewing_common.bundles._sign_off import Roll
 from lacewing_common.bundles._sign_off import SignOff
-from lacewing_common.document import Document
 from lacewing_common.document import DocumentHead
 from lacewing_common.document import part_digest
 from lacewing_common.verdict import not_run
@@ -63,15 +62,19 @@
         return _invalid(f'proof: {error}')
 
 
-def links_after(document: Document) -> tuple[TrustLink, ...] | Refusal:
-    """Return the links that the next roll after a document carries."""
-    proof = read_proof(document.head)
+def links_after(
+    head: DocumentHead, trust: bytes
+) -> tuple[TrustLink, ...] | Refusal:
+    """Return the links that the next roll after a head carries.
+
+    ``trust`` is the trust part of the head.
+    """
+    proof = read_proof(head)
     if isinstance(proof, Refusal):
         return proof
-    contents = contents_of(document.head.parts)
+    contents = contents_of(head.parts)
     if isinstance(contents, Refusal):
         return contents
-    trust = document.parts[0]
     if proof.links and proof.links[-1].trust == trust:
         return proof.links
     link = TrustLink(
--- a/packages/common/src/lacewing_common/bundles/_succeed.py
+++ b/packages/common/src/lacewing_common/bundles/_succeed.py
@@ -44,8 +44,16 @@
         return contents_of_parts(self.parts).digest
 
 
+@dataclass(frozen=True)
+class Predecessor:
+    """Hold what the next roll needs of the one in force."""
+
+    head: DocumentHead
+    trust: bytes
+
+
 def succeed(
-    previous: Document | None, order: RollOrder, key: OperatorKey
+    previous: Predecessor | None, order: RollOrder, key: OperatorKey
 ) -> Document | Refusal:
     """Make the document of an order, with a higher number, signed."""
     links: tuple[TrustLink, ...] = ()
@@ -53,7 +61,7 @@
     previous_head = ''
     previous_bundle = ''
     if previous is not None:
-        after = links_after(previous)
+        after = links_after(previous.head, previous.trust)
         if isinstance(after, Refusal):
             return after
         proof = read_proof(previous.head)
--- /dev/null
+++ b/packages/common/src/lacewing_common/rolls/_parts.py
@@ -0,0 +1,80 @@
+"""Write the parts of a bundle, and mend those that the platform lost."""
+
+import asyncio
+from collections.abc import Mapping
+from random import Random
+
+from lacewing_common.document_objects import PARTS
+from lacewing_common.patience import Patience
+from lacewing_common.patience import patiently
+from lacewing_common.patience import put_part
+from lacewing_common.store import ObjectStore
+from lacewing_common.store import StoredObject
+from lacewing_common.store import StoreError
+from lacewing_common.store import StoreFault
+
+_CALLS_AT_ONCE = 16
+
+
+class PartWrites:
+    """Write immutable parts by their digest."""
+
+    def __init__(
+        self, store: ObjectStore, patience: Patience, random: Random
+    ) -> None:
+        self._store = store
+        self._patience = patience
+        self._random = random
+        self._slots = asyncio.Semaphore(_CALLS_AT_ONCE)
+
+    async def write(self, parts: Mapping[str, bytes]) -> StoreError | None:
+        """Write new parts."""
+        for digest, part in parts.items():
+            error = await self._put(digest, part)
+            if error is not None:
+                return error
+        return None
+
+    async def mend(self, parts: Mapping[str, bytes]) -> StoreError | None:
+        """Write what is missing, or changed, of parts rolled before.
+
+        The next head names them again. Were they taken to be there, a roll
+        could take effect that no process can read; and were it refused for
+        a missing part, nobody could roll until somebody had restored it by
+        hand.
+        """
+        calls = [self._mend(digest, part) for digest, part in parts.items()]
+        for error in await asyncio.gather(*calls):
+            if error is not None:
+                return error
+        return None
+
+    async def _mend(self, digest: str, part: bytes) -> StoreError | None:
+        async with self._slots:
+            stored = await patiently(
+                lambda: self._store.get(PARTS, digest),
+                self._patience,
+                self._random,
+            )
+            if isinstance(stored, StoreError):
+                if stored.fault is not StoreFault.NOT_FOUND:
+                    return stored
+                return await self._put(digest, part)
+            if stored.value == part:
+                return None
+            return await self._replace(stored, part)
+
+    async def _replace(
+        self, stored: StoredObject, part: bytes
+    ) -> StoreError | None:
+        answer = await patiently(
+            lambda: self._store.put(PARTS, stored.name, part, stored.version),
+            self._patience,
+            self._random,
+        )
+        return answer if isinstance(answer, StoreError) else None
+
+    async def _put(self, digest: str, part: bytes) -> StoreError | None:
+        return await put_part(
+            self._store, PARTS, digest, part, self._patience, self._random
+        )
--- a/packages/common/src/lacewing_common/rolls/_reads.py
+++ b/packages/common/src/lacewing_common/rolls/_reads.py
@@ -95,6 +95,20 @@
 
     async def document(self, stored: StoredHead) -> Document | RollError:
         """Read the parts of a head and check the whole."""
+        document = await self.signed(stored)
+        if isinstance(document, RollError):
+            return document
+        refusal = self._guard(document)
+        if refusal is not None:
+            return RollError(RollFault.REFUSED, refusal.message)
+        return document
+
+    async def signed(self, stored: StoredHead) -> Document | RollError:
+        """Read the parts of a head and check the signatures alone.
+
+        For operators who replace a bundle with problems, such as one that
+        an earlier release did not see anything wrong in.
+        """
         calls = [self._part(digest) for digest in stored.head.parts]
         parts: list[bytes] = []
         for part in await asyncio.gather(*calls):
@@ -102,11 +116,25 @@
                 return part
             parts.append(part)
         document = Document(stored.head, tuple(parts))
-        refusal = self._guard(document)
+        refusal = self._guard.check_signatures(document)
         if refusal is not None:
             return RollError(RollFault.REFUSED, refusal.message)
         return document
 
+    async def trust(
+        self, stored: StoredHead, known: bytes = b''
+    ) -> bytes | RollError:
+        """Read the trust part of a head whose signatures are right.
+
+        ``known`` is one that the caller has; used if it is the same.
+        """
+        refusal = self._guard.check_head(stored.head)
+        if refusal is not None:
+            return RollError(RollFault.REFUSED, refusal.message)
+        if part_digest(known) == stored.head.parts[0]:
+            return known
+        return await self._part(stored.head.parts[0])
+
     async def head_at(self, number: int) -> StoredHead | RollError:
         """Read the head of one roll, following the chain backwards."""
         stored = await self.head()
--- a/packages/common/src/lacewing_common/rolls/_rollback.py
+++ b/packages/common/src/lacewing_common/rolls/_rollback.py
@@ -2,7 +2,6 @@
 
 from lacewing_common.bundles import read_trust
 from lacewing_common.bundles import RollOrder
-from lacewing_common.document import Document
 from lacewing_common.rolls._errors import RollError
 from lacewing_common.rolls._errors import RollFault
 from lacewing_common.rolls._reads import BundleReads
@@ -29,10 +28,10 @@
     before = await reads.document(earlier)
     if isinstance(before, RollError):
         return before
-    present = await reads.document(now)
-    if isinstance(present, RollError):
-        return present
-    returning = _returning_operators(before, present)
+    trust = await reads.trust(now)
+    if isinstance(trust, RollError):
+        return trust
+    returning = _returning_operators(before.parts[0], trust)
     if returning:
         return RollError(
             RollFault.REFUSED,
@@ -49,11 +48,9 @@
     )
 
 
-def _returning_operators(
-    before: Document, present: Document
-) -> tuple[str, ...]:
-    old = read_trust(before.parts[0])
-    new = read_trust(present.parts[0])
+def _returning_operators(before: bytes, present: bytes) -> tuple[str, ...]:
+    old = read_trust(before)
+    new = read_trust(present)
     if isinstance(old, Refusal) or isinstance(new, Refusal):
         return ()
     valid = {operator.public_key for operator in new.operators}
--- a/packages/common/src/lacewing_common/rolls/_writes.py
+++ b/packages/common/src/lacewing_common/rolls/_writes.py
@@ -6,22 +6,21 @@
 from lacewing_common.bundles import BundleGuard
 from lacewing_common.bundles import join
 from lacewing_common.bundles import OperatorKey
+from lacewing_common.bundles import Predecessor
 from lacewing_common.bundles import RollOrder
 from lacewing_common.bundles import succeed
 from lacewing_common.document import Document
-from lacewing_common.document import part_digest
 from lacewing_common.document_objects import encode_head
 from lacewing_common.document_objects import HEADS
-from lacewing_common.document_objects import PARTS
 from lacewing_common.patience import Patience
 from lacewing_common.patience import patiently
-from lacewing_common.patience import put_part
 from lacewing_common.put_resolving import put_resolving
 from lacewing_common.put_resolving import ResolvePolicy
 from lacewing_common.rolls._diff import diff_bundles
 from lacewing_common.rolls._errors import from_store
 from lacewing_common.rolls._errors import RollError
 from lacewing_common.rolls._errors import RollFault
+from lacewing_common.rolls._parts import PartWrites
 from lacewing_common.rolls._reads import BundleReads
 from lacewing_common.rolls._reads import HEAD_NAME
 from lacewing_common.rolls._reads import StoredHead
@@ -62,6 +61,7 @@
         self._patience = patience or Patience()
         self._random = random or Random()
         self._reads = BundleReads(store, guard, patience, random)
+        self._parts = PartWrites(store, self._patience, self._random)
 
     async def roll(
         self, order: RollOrder, base: int, key: OperatorKey
@@ -76,19 +76,19 @@
             return stored
         if stored is not None and stored.head.version != base:
             return await self._lost_or_done(order, base, stored)
-        previous: Document | None = None
+        previous: Predecessor | None = None
         if stored is not None:
-            read = await self._reads.document(stored)
-            if isinstance(read, RollError):
-                return read
-            previous = read
+            trust = await self._reads.trust(stored, order.parts[0])
+            if isinstance(trust, RollError):
+                return trust
+            previous = Predecessor(stored.head, trust)
         document = succeed(previous, order, key)
         if isinstance(document, Refusal):
             return RollError(RollFault.REFUSED, document.message)
         refusal = self._guard(document)
         if refusal is not None:
             return RollError(RollFault.REFUSED, refusal.message)
-        written = await self._write_parts(previous, document, stored)
+        written = await self._write_parts(document, stored)
         if isinstance(written, RollError):
             return written
         return await self._write_head(document, order, stored, written)
@@ -108,10 +108,7 @@
         )
 
     async def _write_parts(
-        self,
-        previous: Document | None,
-        document: Document,
-        stored: StoredHead | None,
+        self, document: Document, stored: StoredHead | None
     ) -> int | RollError:
         """Write the new parts, and the head to be replaced, to the history.
 
@@ -119,17 +116,17 @@
         used by nobody, and a replaced head not kept would break the chain.
         """
         wanted = dict(zip(document.head.parts, document.parts, strict=True))
-        if previous is not None:
-            for digest in previous.head.parts:
-                wanted.pop(digest, None)
+        shared: dict[str, bytes] = {}
         if stored is not None:
-            wanted[part_digest(stored.value)] = stored.value
-        for digest, part in wanted.items():
-            error = await put_part(
-                self._store, PARTS, digest, part, self._patience, self._random
-            )
-            if error is not None:
-                return from_store(error, f'part {digest}')
+            for digest in stored.head.parts:
+                if digest in wanted:
+                    shared[digest] = wanted.pop(digest)
+            wanted[stored.digest] = stored.value
+        error = await self._parts.write(wanted)
+        if error is None:
+            error = await self._parts.mend(shared)
+        if error is not None:
+            return from_store(error, 'the parts of the bundle')
         return len(wanted)
 
     async def _write_head(
@@ -204,7 +201,7 @@
             f'roll {roll.number} by {roll.operator!r} at {roll.at} is in'
             f' force; this bundle was edited from roll {base}'
         )
-        theirs = await self._reads.document(now)
+        theirs = await self._reads.signed(now)
         if isinstance(theirs, RollError):
             return RollError(RollFault.CONFLICT, opening)
         their_bundle = join(theirs.parts)
--- a/packages/ctl/src/lacewing_ctl/_fetch.py
+++ b/packages/ctl/src/lacewing_ctl/_fetch.py
@@ -10,12 +10,15 @@
 
 
 async def fetch(session: Session, number: int) -> RolledBundle | RollError:
-    """Read and verify the bundle of a roll, 0: the one in force."""
+    """Read the bundle of a roll, 0: the one in force; verify who rolled it.
+
+    It may have problems: this is how an operator gets to mend them.
+    """
     reads = session.reads
     stored = await (reads.head_at(number) if number else reads.head())
     if isinstance(stored, RollError):
         return stored
-    document = await reads.document(stored)
+    document = await reads.signed(stored)
     if isinstance(document, RollError):
         return document
     rolled = assemble(document)
