--- a/packages/bench/src/lacewing_bench/load/_show.py
+++ b/packages/bench/src/lacewing_bench/load/_show.py
@@ -60,7 +60,7 @@
         count = getattr(report, name)
         if count is not None:
             rows.append((name.replace('_', ' '), count))
-    return tabulate(rows)
+    return tabulate(rows, disable_numparse=True, colalign=('left', 'right'))
 
 
 def wrong_answers(outcomes: Sequence[Outcome]) -> list[str]:
