Give a member's address a revision of its own

Cause: make peers-cost, new here, showed tables that never became equal: 61 table pulls beside 278 exchanges of two peers that knew the same 20 members. A process asked for its table while it listened but had not joined gave its record with no address; when it joined, the record kept its revision and nobody took the address. Such a process would be called by nobody until a suspicion made it raise its revision.

Ruled out: news still being told (none was left), records of others (all the same).

Change: the address comes with a new revision. A scenario has a peer asked before it joins; it fails without the change. The step for a refuted suspicion asks for a revision above that of the join, as strict as before.

--- a/Makefile
+++ b/Makefile
@@ -46,6 +46,10 @@
 		$(if $(SEEDS),$(CHAOS_MANY),$(CHAOS_ONE)) \
 		$(if $(MINUTES),--minutes=$(MINUTES))
 
+.PHONY: peers-cost
+peers-cost: $(VENV)/.made
+	$(BIN)/python -m lacewing_bench.peers_cost
+
 .PHONY: rollout
 rollout: $(VENV)/.made
 	$(BIN)/python -m lacewing_bench.rollout
--- a/features/peers.feature
+++ b/features/peers.feature
@@ -119,6 +119,14 @@
     When peer "p3" starts again
     Then all agree on the new address of "p3"
 
+  Scenario: A process asked before it has joined is known by its address
+    # Symptom: a process is called by nobody; tables are pulled for ever.
+    # Sequence: a peer pulls its table while it listens but has not joined.
+    # Cause: its record changed its address and kept its revision.
+    Given peer "p1" listens and joins only after "p2" asked it
+    Then all 2 peers know each other
+    And the tables of all peers are equal
+
   Scenario: A process tells the others that it is leaving
     Given 6 peers
     When peer "p2" is leaving
--- a/features/steps/peers_steps.py
+++ b/features/steps/peers_steps.py
@@ -22,7 +22,9 @@
 
 
 def _is_refuted(record: MemberRecord) -> bool:
-    return record.liveness is Liveness.ALIVE and record.revision > 0
+    joined = 1
+    alive = record.liveness is Liveness.ALIVE
+    return alive and record.revision > joined
 
 
 def _is_leaving(record: MemberRecord) -> bool:
@@ -44,6 +46,25 @@
     context.bench.start(number)
 
 
+@given('peer "{name}" listens and joins only after "{other}" asked it')
+def given_late_join(context: Context, name: str, other: str) -> None:
+    """Have one peer pull the table of another that has not joined yet."""
+    context.bench = PeersBench(context)
+    late = context.bench.listen(name, 0)
+    context.bench.add(other, 1)
+    context.bench.run(late.join())
+
+
+@then('the tables of all peers are equal')
+def then_equal_tables(context: Context) -> None:
+    """Wait until all hashes are the same."""
+    bench = context.bench
+    bench.until(
+        lambda: len({p.node.table.hash for p in bench.peers.values()}) == 1,
+        'equal tables',
+    )
+
+
 @given('"{name}" checks no sign-off')
 def given_no_check(context: Context, name: str) -> None:
     """Take the guard of one peer away."""
--- a/features/support/peers_bench.py
+++ b/features/support/peers_bench.py
@@ -172,11 +172,14 @@
         """Tell whether it watches the platform."""
         return self._platform is not None and self._platform.reading
 
-    async def start(self, group: int) -> None:
-        """Listen, look around and join."""
+    async def listen(self, group: int) -> None:
+        """Listen, without a word to anybody yet."""
         await self._server.start()
         self.channels.address = self.address
         self._network.put(self.address, group)
+
+    async def join(self) -> None:
+        """Look around and join."""
         await self.node.discover()
         self.node.start(self.address)
         if self._store is not None:
@@ -232,9 +235,15 @@
 
     def add(self, name: str, index: int, group: int = 0) -> Peer:
         """Start one peer, in a group of the network."""
+        peer = self.listen(name, index, group)
+        self.run(peer.join())
+        return peer
+
+    def listen(self, name: str, index: int, group: int = 0) -> Peer:
+        """Have one peer listen that joins later."""
         peer = Peer(name, index, self.contacts, self.network, self.store)
         self.peers[name] = peer
-        self.run(peer.start(group))
+        self.run(peer.listen(group))
         if not self.contacts:
             self.contacts.append(peer.address)
         return peer
--- a/packages/daemon/src/lacewing_daemon/peers/_news.py
+++ b/packages/daemon/src/lacewing_daemon/peers/_news.py
@@ -49,6 +49,11 @@
         notes.on_change(self._note_changed)
         replicas.on_accept(self._accepted)
 
+    @property
+    def untold(self) -> int:
+        """Return how many pieces of news are still being told."""
+        return len(self._records) + len(self._vm_notes)
+
     def fill(self, peer: MemberRecord | None = None) -> Exchange:
         """Make the message of a call to a peer."""
         return self._message(self._recent_heads(), peer)
--- a/packages/daemon/src/lacewing_daemon/peers/_node.py
+++ b/packages/daemon/src/lacewing_daemon/peers/_node.py
@@ -115,6 +115,11 @@
         """Return the monotonic time of the last call or answer of a peer."""
         return max(self._gossip.answered_at_s, self._service.heard_at_s)
 
+    @property
+    def untold(self) -> int:
+        """Return how many pieces of news are still being told."""
+        return self._news.untold
+
     @property
     def knows_others(self) -> bool:
         """Tell whether any other process is known."""
--- a/packages/daemon/src/lacewing_daemon/peers/_table.py
+++ b/packages/daemon/src/lacewing_daemon/peers/_table.py
@@ -157,7 +157,10 @@
 
     def set_address(self, address: str) -> None:
         """Take the address that this process now listens on."""
-        self._replace_me(address=address)
+        # A peer may have pulled the record while it had no address. Without
+        # a new revision it would keep that one for good: nobody could call
+        # this process through it, and the tables would differ for ever.
+        self._replace_me(address=address, revision=self._me.revision + 1)
 
     def leave(self) -> None:
         """Say that this process takes no new work."""
