Prove cache following and KV moves against real engine stand-ins

Cause: the tests of the follower and of the KV client used fakes only. Change: two scenarios with engines and a store of kept KV cache: one engine's blocks are exported, imported by another and seen by its agent; a crashed engine's view is empty under the new epoch. No change of the product.

--- a/features/caching.feature
+++ b/features/caching.feature
@@ -109,3 +109,21 @@
     When its twin is about to run
     And the first one fails
     Then the twin goes on
+
+  Scenario: One engine's cache serves another through the store
+    Given real engines "one" and "two" and a store between them
+    And agents that follow the caches of both
+    When "one" serves a prompt and its agent exports it
+    And the agent of "two" imports it
+    Then the agent of "two" sees the prompt's blocks cached
+
+  Scenario: A crashed engine's blocks are forgotten
+    # Symptom: requests go to an engine that came back empty.
+    # Sequence: the engine crashes; its event stream breaks; it comes back
+    # with another epoch and an empty cache.
+    # Cause: the view outlived the epoch that it described.
+    Given real engines "one" and "two" and a store between them
+    And agents that follow the caches of both
+    When "one" serves a prompt and its agent exports it
+    And "one" crashes and comes back
+    Then the agent of "one" sees an empty cache of the new epoch
