Check proofs from what is in force; let operators shorten them

Cause: a proof carried every change of operators since the first and each process checked all of it at each roll. And the history that the audit trail is compared with was taken from the platform with the signatures of the head in force unchecked, so that trail and head could be written anew together. Drafts, which hold the prefix secret, were readable by all.

Reading the head checks its signatures; earlier heads follow by digest. Drafts are for their owner alone.

With the head unchecked "A history written anew is not signed" fails; with the old modes "Wrong drafts" fails.

Conclusion: what a roll costs no longer grows with the age of a fleet, once operators drop what all settings have outgrown.

--- a/features/audit.feature
+++ b/features/audit.feature
@@ -69,6 +69,15 @@
     Then the trail "bundle" is whole, with 1 entries
     And the trail differs from the history of rolls: "by 'bob', which the signed history does not"
 
+  Scenario: A history written anew is not signed
+    # Symptom: the trail blames bob for ana's roll, and agrees with the history.
+    # Sequence: a person with access to the platform writes the trail and the
+    # head anew. Cause: a history taken from the platform unchecked.
+    When "ana" edits the share to 2
+    And "ana" rolls the edit
+    And the head at the platform names "bob" for "ana"
+    Then the history is refused: "the signature"
+
   Scenario: Writers race and lose answers, and each record is entered once
     # Symptom: an order stands twice in the trail, or not at all. Sequence: many
     # writers append at once while answers get lost and chunks are archived.
--- a/features/bundle.feature
+++ b/features/bundle.feature
@@ -122,6 +122,31 @@
       | dan       | uses roll 4                                                       |
       | eve       | refuses it: "signed off by 'dan'; the operators in force are: eve" |
 
+  Scenario Outline: Old changes of operators can be dropped from the proof
+    # Symptom: heads grow with each change of operators, at each process and
+    # each roll, for ever. Sequence: operators rotate keys for years. Cause: a
+    # proof that always starts with the first bundle.
+    Given a bundle by the operators "ana, bob"
+    When "ana" signs and rolls it
+    And the operators become "bob, cleo"
+    And "bob" signs and rolls it
+    And the operators become "cleo, dan"
+    And "cleo" signs and rolls it
+    And the changes of operators before roll 3 are dropped
+    And "dan" signs and rolls it
+    Then the process uses roll 4
+    And its proof has 1 change of operators
+    When "cleo" signs and rolls it
+    Then the process uses roll 5
+    When a cold process starts with the root operators "<root>"
+    Then the process <does>
+
+    Examples:
+      | root | does                               |
+      | cleo | uses roll 5                        |
+      | dan  | refuses it: "signed off by 'cleo'" |
+      | ana  | refuses it: "signed off by 'cleo'" |
+
   Scenario: A renewed root keeps the policy in force
     Given a bundle by the operators "ana, bob"
     And the policy asks for a separate approver
--- a/features/ctl_bundle.feature
+++ b/features/ctl_bundle.feature
@@ -107,5 +107,6 @@
     When "ana" runs "keys new ana --out ana.key"
     Then it ends with 2 and warns "never overwritten"
     And only the owner can read "ana.key"
+    And only the owner can read "draft.json"
     When "ana" runs "bundle rollback 3"
     Then it ends with 1 and warns "no bundle has been rolled yet"
--- a/features/steps/audit_steps.py
+++ b/features/steps/audit_steps.py
@@ -8,6 +8,7 @@
 from lacewing_common.audit import compare_rolls
 from lacewing_common.audit import enter_rolls
 from lacewing_common.rolls import RollError
+from lacewing_common.rolls import RollFault
 from lacewing_daemon._audit import trail_of
 from support.audit_bench import AuditBench
 from support.audit_bench import make_record
@@ -84,6 +85,22 @@
     context.audit.rewrite(name, before, who)
 
 
+@when('the head at the platform names "{who}" for "{before}"')
+def rewrite_head(context: Context, who: str, before: str) -> None:
+    """Change who rolled, and leave the signature as it is."""
+    context.rolls.rewrite_head(before, who)
+
+
+@then('the history is refused: "{text}"')
+def history_refused(context: Context, text: str) -> None:
+    """Read the history."""
+    bench = context.rolls
+    result = bench.runner.run(bench.reads.history(10))
+    assert isinstance(result, RollError), result
+    assert result.fault is RollFault.REFUSED, result
+    assert text in result.message, result.message
+
+
 @when('the platform goes down')
 def go_down(context: Context) -> None:
     """Refuse all calls."""
--- a/features/steps/bundle_steps.py
+++ b/features/steps/bundle_steps.py
@@ -10,7 +10,9 @@
 from lacewing_common.bundles import BundleGuard
 from lacewing_common.bundles import check_bundle
 from lacewing_common.bundles import join
+from lacewing_common.bundles import Proof
 from lacewing_common.bundles import read_bundle_text
+from lacewing_common.bundles import read_proof
 from lacewing_common.bundles import SignOffRole
 from lacewing_common.bundles import split
 from lacewing_common.bundles._reader import BundleReader
@@ -271,6 +273,20 @@
     bench.offer(bench.in_force)
 
 
+@when('the changes of operators before roll {number:d} are dropped')
+def drop_changes(context: Context, number: int) -> None:
+    """Shorten the proof of the next rolls."""
+    context.bundles.trust_since = number
+
+
+@then('its proof has {count:d} change of operators')
+def has_changes(context: Context, count: int) -> None:
+    """Count the links."""
+    proof = read_proof(context.bundles.in_force.head)
+    assert isinstance(proof, Proof), proof
+    assert len(proof.links) == count, len(proof.links)
+
+
 @when('"{operator}" forges roll 2 alone')
 def forge_alone(context: Context, operator: str) -> None:
     """Sign as the author only and make the document."""
--- a/features/support/bundle_bench.py
+++ b/features/support/bundle_bench.py
@@ -72,6 +72,7 @@
         self.keys: dict[str, OperatorKey] = {}
         self.bundle = make_bundle()
         self.sign_offs: list[SignOff] = []
+        self.trust_since = 0
         self.in_force: Document | None = None
         self.refusal: Refusal | None = None
         self.guard = BundleGuard(())
@@ -129,6 +130,7 @@
             sign_offs=tuple(self.sign_offs),
             at=AT,
             nonce=f'{operator}-{len(self.sign_offs)}',
+            trust_since=self.trust_since,
         )
         before = self.in_force
         previous = None
--- a/features/support/rolls_bench.py
+++ b/features/support/rolls_bench.py
@@ -25,6 +25,7 @@
 from lacewing_common.bundles import SignOffRole
 from lacewing_common.bundles import split
 from lacewing_common.document import Document
+from lacewing_common.document_objects import encode_head
 from lacewing_common.document_objects import HEADS
 from lacewing_common.document_objects import PARTS
 from lacewing_common.patience import Patience
@@ -210,6 +211,19 @@
         order = self.order(operator, draft)
         return await self.writes.roll(order, draft.base, self.keys[operator])
 
+    def rewrite_head(self, before: str, after: str) -> None:
+        """Name another operator in the proof of the head in force."""
+        stored = self.runner.run(self.reads.head())
+        assert isinstance(stored, StoredHead), stored
+        proof = stored.head.proof.replace(
+            f'"operator":"{before}"'.encode(),
+            f'"operator":"{after}"'.encode(),
+        )
+        assert proof != stored.head.proof
+        head = msgspec.structs.replace(stored.head, proof=proof)
+        key = ObjectKey(HEADS, 'bundle')
+        self.service.put(key, encode_head(head), stored.version)
+
     def damage_parts(self, lost: bool) -> None:
         """Delete or change each part of the bundle in force."""
         head = self.runner.run(self.reads.head())
--- a/packages/common/src/lacewing_common/bundles/_guard.py
+++ b/packages/common/src/lacewing_common/bundles/_guard.py
@@ -4,8 +4,8 @@
 from lacewing_common.bundle import RolledBundle
 from lacewing_common.bundles._parts import contents_of
 from lacewing_common.bundles._proof import check_proof
+from lacewing_common.bundles._proof import check_proof_after
 from lacewing_common.bundles._proof import links_after
-from lacewing_common.bundles._proof import read_proof
 from lacewing_common.bundles._proof import TrustLink
 from lacewing_common.bundles._reader import BundleReader
 from lacewing_common.bundles._sign_off import root_trust
@@ -33,7 +33,7 @@
 
     def __init__(self, root_operators: tuple[Operator, ...]) -> None:
         self._root = root_trust(root_operators)
-        self._links: tuple[TrustLink, ...] = ()
+        self._link: TrustLink | None = None
         self._number = 0
         self._reader = BundleReader()
 
@@ -56,7 +56,9 @@
         """Return why a head is not what operators rolled, or None."""
         if head.document != BUNDLE:
             return _refuse(f'unexpected document {head.document}')
-        return check_proof(head, self._root) or self._check_links(head)
+        if self._link is not None and head.version > self._number:
+            return check_proof_after(head, self._link)
+        return check_proof(head, self._root)
 
     def assemble(self, document: Document) -> RolledBundle | Refusal:
         """Return the bundle of a document that was let pass."""
@@ -69,26 +71,12 @@
         return RolledBundle(document.head.version, contents.digest, bundle)
 
     def remember(self, document: Document) -> None:
-        """Keep the changes of trust of a bundle now in force."""
+        """Keep the last change of operators of a bundle now in force."""
         links = links_after(document.head, document.parts[0])
         if isinstance(links, Refusal) or document.head.version < self._number:
             return
         self._number = document.head.version
-        self._links = links
-
-    def _check_links(self, head: DocumentHead) -> Refusal | None:
-        if head.version <= self._number:
-            return None
-        proof = read_proof(head)
-        if isinstance(proof, Refusal):
-            return proof
-        if proof.links[: len(self._links)] == self._links:
-            return None
-        return not_run(
-            Reason.BUNDLE_NOT_SIGNED,
-            'bundle: its proof leaves out a change of operators that is in'
-            ' force here',
-        )
+        self._link = links[-1]
 
 
 def _refuse(message: str) -> Refusal:
--- a/packages/common/src/lacewing_common/bundles/_proof.py
+++ b/packages/common/src/lacewing_common/bundles/_proof.py
@@ -63,11 +63,12 @@
 
 
 def links_after(
-    head: DocumentHead, trust: bytes
+    head: DocumentHead, trust: bytes, since: int = 0
 ) -> tuple[TrustLink, ...] | Refusal:
     """Return the links that the next roll after a head carries.
 
-    ``trust`` is the trust part of the head.
+    ``trust`` is the trust part of the head; links of rolls before ``since``
+    are dropped, but for the last one.
     """
     proof = read_proof(head)
     if isinstance(proof, Refusal):
@@ -75,15 +76,21 @@
     contents = contents_of(head.parts)
     if isinstance(contents, Refusal):
         return contents
-    if proof.links and proof.links[-1].trust == trust:
-        return proof.links
+    links = proof.links
+    if links and links[-1].trust == trust:
+        return _drop(links, since)
     link = TrustLink(
         trust=trust,
         rest=rest_digest(contents.rest),
         sign_offs=proof.sign_offs,
         roll=proof.roll,
     )
-    return (*proof.links, link)
+    return _drop((*links, link), since)
+
+
+def _drop(links: tuple[TrustLink, ...], since: int) -> tuple[TrustLink, ...]:
+    kept = [link for link in links[:-1] if link.roll.number >= since]
+    return (*kept, links[-1])
 
 
 def check_proof(head: DocumentHead, root: TrustPart) -> Refusal | None:
@@ -97,16 +104,35 @@
     proof = read_proof(head)
     if isinstance(proof, Refusal):
         return proof
-    contents = contents_of(head.parts)
-    if isinstance(contents, Refusal):
-        return contents
+    first = _first_signed_by(proof.links, root)
+    trust = _root_at(first, proof.links, root)
+    if isinstance(trust, Refusal):
+        return trust
+    return _check_from(first, trust, proof, head)
+
+
+def check_proof_after(head: DocumentHead, held: TrustLink) -> Refusal | None:
+    """Check a head against the links of one that is in force here.
+
+    The last link held has to be in the proof: else the holder of a key that
+    it withdrew could go on signing. What comes before it was checked before,
+    and operators may have dropped it.
+    """
+    proof = read_proof(head)
+    if isinstance(proof, Refusal):
+        return proof
     if proof.roll.number != head.version:
-        return _invalid(
-            f'the signed number is {proof.roll.number}, the head says'
-            f' {head.version}'
+        return _wrong_number(proof, head)
+    if held not in proof.links:
+        return not_run(
+            Reason.BUNDLE_NOT_SIGNED,
+            'bundle: its proof leaves out a change of operators that is in'
+            ' force here',
         )
-    first = _first_signed_by(proof.links, root)
-    return _check_from(first, proof, contents.digest, root)
+    trust = read_trust(held.trust)
+    if isinstance(trust, Refusal):
+        return trust
+    return _check_from(proof.links.index(held) + 1, trust, proof, head)
 
 
 def _first_signed_by(links: tuple[TrustLink, ...], root: TrustPart) -> int:
@@ -127,26 +153,29 @@
 
 
 def _check_from(
-    first: int, proof: Proof, digest: str, root: TrustPart
+    first: int, trust: TrustPart, proof: Proof, head: DocumentHead
 ) -> Refusal | None:
-    """Follow the links from one on, as signed by the root operators."""
-    trust = _root_at(first, proof.links, root)
+    """Follow the links from one on, signed by whom ``trust`` lists."""
+    contents = contents_of(head.parts)
+    if isinstance(contents, Refusal):
+        return contents
+    if proof.roll.number != head.version:
+        return _wrong_number(proof, head)
     number = proof.links[first - 1].roll.number if first else 0
     for link in proof.links[first:]:
-        if isinstance(trust, Refusal):
-            return trust
         refusal = _check(link.sign_offs, link.roll, link.digest, trust)
         if refusal is not None:
             return refusal
         if link.roll.number <= number:
             return _invalid('the changes of operators are not in order')
         number = link.roll.number
-        trust = read_trust(link.trust)
-    if isinstance(trust, Refusal):
-        return trust
+        read = read_trust(link.trust)
+        if isinstance(read, Refusal):
+            return read
+        trust = read
     if proof.roll.number <= number:
         return _invalid('a change of operators is newer than the roll itself')
-    return _check(proof.sign_offs, proof.roll, digest, trust)
+    return _check(proof.sign_offs, proof.roll, contents.digest, trust)
 
 
 def _root_at(
@@ -170,5 +199,12 @@
     return check_roll(roll, digest, trust)
 
 
+def _wrong_number(proof: Proof, head: DocumentHead) -> Refusal:
+    return _invalid(
+        f'the signed number is {proof.roll.number}, the head says'
+        f' {head.version}'
+    )
+
+
 def _invalid(message: str) -> Refusal:
     return not_run(Reason.BUNDLE_INVALID, f'bundle: {message}')
--- a/packages/common/src/lacewing_common/bundles/_succeed.py
+++ b/packages/common/src/lacewing_common/bundles/_succeed.py
@@ -29,6 +29,8 @@
     is the number of the roll that a rollback repeats, else 0. ``above`` is
     a number that the fleet has in force though the platform, restored from
     a copy, holds an earlier one; the roll gets a higher number than both.
+    ``trust_since`` drops changes of operators before that roll from the
+    proof; the root operators of all settings must have signed a later one.
     """
 
     parts: tuple[bytes, ...]
@@ -37,6 +39,7 @@
     nonce: str
     again: int = 0
     above: int = 0
+    trust_since: int = 0
 
     @property
     def digest(self) -> str:
@@ -61,7 +64,7 @@
     previous_head = ''
     previous_bundle = ''
     if previous is not None:
-        after = links_after(previous.head, previous.trust)
+        after = links_after(previous.head, previous.trust, order.trust_since)
         if isinstance(after, Refusal):
             return after
         proof = read_proof(previous.head)
--- a/packages/common/src/lacewing_common/rolls/_reads.py
+++ b/packages/common/src/lacewing_common/rolls/_reads.py
@@ -85,13 +85,23 @@
         self._slots = asyncio.Semaphore(_READS_AT_ONCE)
 
     async def head(self) -> StoredHead | RollError:
-        """Read the head in force, without its parts."""
+        """Read the head in force, without its parts; check its signatures.
+
+        Each earlier head is named by its digest in the signed roll of the
+        next, so that the whole history is what operators signed.
+        """
         stored = await self._get(HEADS, HEAD_NAME)
         if isinstance(stored, StoreError):
             if stored.fault is StoreFault.NOT_FOUND:
                 return RollError(RollFault.NOT_FOUND, _NO_HEAD)
             return from_store(stored, 'the head of the bundle')
-        return _read_head(stored.value, stored.version)
+        read = _read_head(stored.value, stored.version)
+        if isinstance(read, RollError):
+            return read
+        refusal = self._guard.check_head(read.head)
+        if refusal is not None:
+            return RollError(RollFault.REFUSED, refusal.message)
+        return read
 
     async def document(self, stored: StoredHead) -> Document | RollError:
         """Read the parts of a head and check the whole."""
@@ -124,13 +134,10 @@
     async def trust(
         self, stored: StoredHead, known: bytes = b''
     ) -> bytes | RollError:
-        """Read the trust part of a head whose signatures are right.
+        """Read the trust part of a head.
 
         ``known`` is one that the caller has; used if it is the same.
         """
-        refusal = self._guard.check_head(stored.head)
-        if refusal is not None:
-            return RollError(RollFault.REFUSED, refusal.message)
         if part_digest(known) == stored.head.parts[0]:
             return known
         return await self._part(stored.head.parts[0])
--- a/packages/ctl/src/lacewing_ctl/_commands/roll.py
+++ b/packages/ctl/src/lacewing_ctl/_commands/roll.py
@@ -56,6 +56,7 @@
     wait_s: float = 30.0,
     platform_s: float = 30.0,
     above: int = 0,
+    trust_since: int = 0,
     json: bool = False,
     profile: str = '',
 ) -> None:
@@ -71,6 +72,8 @@
         wait_s: seconds to wait for the processes.
         platform_s: seconds to go on trying while the platform is down.
         above: the number that processes have though the platform lost it.
+        trust_since: drop changes of operators before this roll from the
+            proof, once all settings name operators who signed later.
         json: print JSON in place of a line.
         profile: the operator's profile.
     """
@@ -84,7 +87,7 @@
         say(f'this draft took effect as roll {signing.done} before')
         done = Rolled(signing.done, signing.tried, 0)
         _finish(done, processes, wait_s, json)
-    order = order_of(bundle, signing, above)
+    order = order_of(bundle, signing, above, trust_since)
 
     async def work(session: Session) -> Rolled | RollError:
         return await _roll(session, order, signing.base, operator)
--- a/packages/ctl/src/lacewing_ctl/_draft.py
+++ b/packages/ctl/src/lacewing_ctl/_draft.py
@@ -16,6 +16,7 @@
 
 _SUFFIX = '.signoff'
 _INDENT = 2
+_OWNER_ONLY = 0o600
 
 
 class Signing(
@@ -104,7 +105,9 @@
     return contents_of_parts(split(bundle)).digest
 
 
-def order_of(bundle: Bundle, signing: Signing, above: int) -> RollOrder:
+def order_of(
+    bundle: Bundle, signing: Signing, above: int, trust_since: int
+) -> RollOrder:
     """Make the order of a draft that is about to be tried."""
     return RollOrder(
         parts=split(bundle),
@@ -112,11 +115,17 @@
         at=signing.at,
         nonce=signing.nonce,
         above=above,
+        trust_since=trust_since,
     )
 
 
 def _replace(path: Path, text: bytes) -> None:
-    """Write a file whole or not at all."""
+    """Write a file whole or not at all, for its owner alone.
+
+    A draft holds the prefix secret.
+    """
     fresh = path.with_name(path.name + '.new')
+    fresh.unlink(missing_ok=True)
+    fresh.touch(mode=_OWNER_ONLY)
     fresh.write_bytes(text)
     fresh.replace(path)
