Work the target size out from measured slopes, red rows first

Cause: nothing said what a process costs at 330 routers and 890 workers. Change: `make capacity` measures decisions, cache events, bundles, exchanges, limits and idle links at three sizes each, fits lines and writes the tables of docs/CAPACITY.md, so that page and code agree.

--- a/Makefile
+++ b/Makefile
@@ -83,3 +83,7 @@
 .PHONY: limits-error
 limits-error: $(VENV)/.made
 	$(BIN)/python -m lacewing_bench.limits_error
+
+.PHONY: capacity
+capacity: $(VENV)/.made
+	$(BIN)/python -m lacewing_bench.capacity
--- a/packages/daemon/src/lacewing_daemon/_peers_server.py
+++ b/packages/daemon/src/lacewing_daemon/_peers_server.py
@@ -20,7 +20,7 @@
 _CLOSE_S = 2.0
 # A router's VM that vanishes sends no end of its connection; pings find out
 # so that its attempts count as orphaned.
-_PING_EVERY_S = 10.0
+PING_EVERY_S = 10.0
 _PING_TIMEOUT_S = 5.0
 
 
@@ -71,10 +71,10 @@
 
 def _configuration() -> Configuration:
     return Configuration(
-        _keepalive_time=_PING_EVERY_S,
+        _keepalive_time=PING_EVERY_S,
         _keepalive_timeout=_PING_TIMEOUT_S,
         _http2_max_pings_without_data=0,
-        _http2_min_sent_ping_interval_without_data=_PING_EVERY_S / 2,
+        _http2_min_sent_ping_interval_without_data=PING_EVERY_S / 2,
     )
 
 
