--- a/packages/bench/src/lacewing_bench/capacity/_gossip.py
+++ b/packages/bench/src/lacewing_bench/capacity/_gossip.py
@@ -26,7 +26,7 @@
 
 _SIZES = (300, 600, 1220)
 _CALLS = 400
-_POLLS = 3
+_POLLS = 20
 
 
 def measure_gossip() -> tuple[Series, ...]:
--- a/packages/daemon/src/lacewing_daemon/peers/_table.py
+++ b/packages/daemon/src/lacewing_daemon/peers/_table.py
@@ -67,6 +67,11 @@
         """Return the hash of each part of the table."""
         return tuple(self._bucket_hashes)
 
+    @property
+    def size(self) -> int:
+        """Return the number of records, the dead included."""
+        return len(self._records)
+
     @property
     def counts(self) -> MemberStatus:
         """Count the members by state."""
