--- a/packages/bench/src/lacewing_bench/capacity/_gossip.py
+++ b/packages/bench/src/lacewing_bench/capacity/_gossip.py
@@ -50,7 +50,8 @@
     )
 
 
-def _record(number: int) -> MemberRecord:
+def sample_record(number: int) -> MemberRecord:
+    """Make the record of an agent, another for each number."""
     return MemberRecord(
         f'process-{number:04}',
         new_incarnation(),
@@ -77,8 +78,8 @@
 
 def _table_kb(members: int) -> float:
     tracemalloc.start()
-    table = MemberTable(_record(0))
-    table.merge_all(tuple(_record(number) for number in range(members)))
+    table = MemberTable(sample_record(0))
+    table.merge_all(tuple(sample_record(number) for number in range(members)))
     held, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     assert len(table.all()) == members
@@ -86,7 +87,7 @@
 
 
 def _node(number: int, members: int) -> PeerNode:
-    record = _record(number)
+    record = sample_record(number)
     settings = Settings(
         role=Role.ROUTER,
         process_id=record.process_id,
@@ -97,7 +98,7 @@
     node.table.set_address(record.address)
     for other in range(members):
         if other != number:
-            node.table.merge(_record(other))
+            node.table.merge(sample_record(other))
     return node
 
 
--- a/packages/bench/src/lacewing_bench/capacity/_links.py
+++ b/packages/bench/src/lacewing_bench/capacity/_links.py
@@ -36,7 +36,7 @@
 from lacewing_bench.capacity._series import Series
 
 _SIZES = (50, 100, 200)
-_IDLE_S = 25.0
+_IDLE_S = 62.0
 _MESSAGES = 4000
 _MS = 1000
 _US = 1_000_000
@@ -79,8 +79,7 @@
     """Measure memory and idle CPU of both ends, and CPU of a message."""
     router: list[LinkCost] = []
     agent: list[LinkCost] = []
-    for links in _SIZES:
-        ours, theirs = asyncio.run(_measure(links))
+    for ours, theirs in asyncio.run(_measure_all()):
         agent.append(ours)
         router.append(theirs)
     made: list[Series] = []
@@ -94,6 +93,10 @@
     return tuple(made)
 
 
+async def _measure_all() -> list[tuple[LinkCost, LinkCost]]:
+    return await asyncio.gather(*[_measure(links) for links in _SIZES])
+
+
 async def _measure(links: int) -> tuple[LinkCost, LinkCost]:
     """Run both ends in processes of their own; return agent's, router's."""
     agent = await _child('serve', str(links))
