Wait for a router's links where a scenario compares two routers

Ruled out: the ranking of workers, which is the same wherever the workers are. Change: the scenario waits until each router has a link to every agent; the launcher reads that from the routers' metrics. What it asserts is as before. Conclusion: the scenario compares like with like.

--- a/features/daemon.feature
+++ b/features/daemon.feature
@@ -11,7 +11,10 @@
     Then each answer is the one that its worker ought to give
 
   Scenario: A prefix computed for one router's caller is reused by the other's
+    # Routers that know other workers may choose another one: a router that
+    # has just started serves before all its links are up.
     Given a fleet of 2 router(s), 3 model worker(s) and 0 plain worker(s)
+    And each router has a link to every agent
     When team "brno" sends the same long chat through each router
     Then the second answer reused tokens
 
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -40,6 +40,14 @@
     _start(context, routers, models, plains)
 
 
+@given('each router has a link to every agent')
+def given_linked(context: Context) -> None:
+    """Wait for all links of all routers."""
+    bench = context.bench
+    for router in bench.fleet.router_names:
+        bench.run(bench.fleet.until_linked(router))
+
+
 @given('a fleet with a drain period of {drain_s:g} s')
 def given_short_drain(context: Context, drain_s: float) -> None:
     """Start a fleet whose daemons drain for a short time."""
--- a/packages/bench/src/lacewing_bench/fleet/_fleet.py
+++ b/packages/bench/src/lacewing_bench/fleet/_fleet.py
@@ -318,6 +318,16 @@
                 raise FleetError(f'{name}: not ready within {_READY_S} s')
             await asyncio.sleep(_POLL_S)
 
+    async def until_linked(self, router: str) -> None:
+        """Wait until a router has a link to each agent."""
+        wanted = f'\nlacewing_router_links_up {len(self.agent_names):.1f}\n'
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + _READY_S
+        while wanted not in (await self.ask(router, '/metrics')).body.decode():
+            if loop.time() > deadline:
+                raise FleetError(f'{router}: not linked within {_READY_S} s')
+            await asyncio.sleep(_POLL_S)
+
     @property
     def _control(self) -> ControlClient:
         if self._client is None:
