Keep a claimed call's crossed answer whole, retry restarted workers

An answer that came on another call's connection was given to its own attempt by put_whole, which did not copy it into the claim: the kept outcome had no bytes. Ruled out: a body that was dropped for age, which is refused as not kept. Now put_whole copies, and an outcome whose copy is not as long as the answer is kept without a body, so that a repeat is told "ran, not kept" and never a piece. Before: "A crossed answer is kept whole for a repeat" fails with an empty answer. After: it passes.

Cause 2: with every engine of a service crashed once, a stream or request ended with an error although the engines were back: workers were left out by name, for good. Now, after a fault and when none is left untried, a worker in another run is taken; the wait for one is bounded by the time to the first token. A refusal by the last untried worker still ends the request at once. Before: "An engine that crashes twice loses no stream" and "An engine that lost its cache and its events is not relied on" fail (marked error, 502). After: both pass.

--- a/packages/bench/src/lacewing_bench/chaos/_bundles.py
+++ b/packages/bench/src/lacewing_bench/chaos/_bundles.py
@@ -41,6 +41,7 @@
         self._bundle = bundle
         self._accepted: list[Accepted] = []
         self._seen: dict[tuple[str, int], int] = {}
+        self._first_seen_s: dict[tuple[str, int], float] = {}
         self._reverted: list[Reverted] = []
 
     @property
@@ -106,6 +107,11 @@
         if status is None or not status.ready:
             return
         run = (name, status.incarnation)
+        first_s = self._first_seen_s.setdefault(run, time.monotonic())
+        if not status.bundle_number:
+            # An agent that has just started has none yet.
+            if time.monotonic() - first_s < IN_FORCE_S:
+                return
         wanted = max(wanted, self._seen.get(run, 0))
         if status.bundle_number < wanted:
             what = (
--- a/packages/daemon/src/lacewing_daemon/agent/_attempt.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_attempt.py
@@ -222,6 +222,8 @@
         if self._outcome is not None or not body:
             return
         self._answer.append_whole(body)
+        if self._copy_payload is not None:
+            self._copy_payload(body)
         self._changed()
 
     def acknowledge(self, offset: int) -> None:
--- a/packages/daemon/src/lacewing_daemon/claims/_claimed_runs.py
+++ b/packages/daemon/src/lacewing_daemon/claims/_claimed_runs.py
@@ -75,9 +75,11 @@
         self._most_bytes = most_bytes
         self._digest = blake2b(digest_size=_DIGEST_BYTES)
         self._body: bytes | None = b''
+        self._length = 0
 
     def take(self, payload: bytes) -> None:
         """Take a piece."""
+        self._length += len(payload)
         self._digest.update(payload)
         if self._body is None:
             return
@@ -85,9 +87,14 @@
         if len(self._body) > self._most_bytes:
             self._body = None
 
-    def outcome(self, head: Head) -> Outcome:
+    def outcome(self, head: Head, end: End) -> Outcome:
         """Return what is to be kept."""
         body = self._body
+        if self._length != end.length:
+            # Bytes went out that were not copied. Kept, the rest would be
+            # given to a repeat as the whole answer; without a body the
+            # repeat is told that the call ran and its answer isn't kept.
+            body = None
         if len(head.content_type) > _LONGEST_TYPE:
             body = None
         return Outcome(
@@ -158,7 +165,9 @@
         return Closing(request, None)
     outcome = attempt.outcome
     if isinstance(outcome, End) and attempt.head is not None:
-        return Closing(request, ClaimState.RAN, copy.outcome(attempt.head))
+        return Closing(
+            request, ClaimState.RAN, copy.outcome(attempt.head, outcome)
+        )
     if isinstance(outcome, Refused) and outcome.verdict is Verdict.RAN:
         return Closing(request, ClaimState.RAN)
     return Closing(request, ClaimState.UNCERTAIN)
--- a/packages/daemon/src/lacewing_daemon/router/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/router/_exchange.py
@@ -42,6 +42,9 @@
 from lacewing_daemon.router._start_frame import start_frame
 from lacewing_daemon.router._start_frame import StartTerms
 from lacewing_daemon.router._transcript import Transcript
+from lacewing_daemon.router._tried import run_of
+from lacewing_daemon.router._tried import Tried
+from lacewing_daemon.router._tried import WorkerRun
 from lacewing_daemon.router._waiting import until_eligible
 
 _MS_PER_S = 1000.0
@@ -53,6 +56,7 @@
 
     attempt: Attempt
     link: Link
+    run: WorkerRun
     routing: RoutingRequest
 
 
@@ -69,7 +73,8 @@
         self._joiner: Joiner | None = None
         self._gone = False
         self._tokens_used = 0.0
-        self._tried: tuple[str, ...] = ()
+        self._tried = Tried()
+        self._after_fault = False
         self._refusals = Refusals()
         self._began_s = time.monotonic()
         self._answer_by_s = self._began_s + call.service.answer_ms / _MS_PER_S
@@ -138,8 +143,7 @@
         call = await self._until_eligible()
         if isinstance(call, Refusal):
             return call
-        workers = self._serving.links.eligible(call.service.name, call.needs)
-        workers = workers.without(self._tried)
+        workers = await self._workers_left(call)
         routing = self._routing_request()
         choice = await self._choose(routing, workers)
         if isinstance(choice, Refusal):
@@ -152,6 +156,20 @@
         link = workers.link(choice.process_id)
         return self._start(link, routing, choice)
 
+    async def _workers_left(self, call: Call) -> EligibleLinks:
+        """Return those not tried; after a fault, wait for a restarted one."""
+        links = self._serving.links
+        while True:
+            eligible = links.eligible(call.service.name, call.needs)
+            workers = eligible.untried(self._tried)
+            if workers.ids or not self._after_fault:
+                return workers
+            workers = eligible.restarted(self._tried)
+            left_s = self._start_by_s - time.monotonic()
+            if workers.ids or left_s <= 0:
+                return workers
+            await links.wait_for_change(left_s)
+
     async def _choose(
         self, routing: RoutingRequest, workers: EligibleLinks
     ) -> Choice | Refusal:
@@ -200,7 +218,7 @@
             choice.use_kept,
         )
         link.start(attempt, start_frame(self._call, terms))
-        return _Opened(attempt, link, routing)
+        return _Opened(attempt, link, run_of(link), routing)
 
     def _missing_blocks(self, choice: Choice) -> int:
         if choice.missing_blocks is None:
@@ -216,7 +234,7 @@
             chain=self._call.chain,
             priority=self._call.service.priority,
             budget_ms=max(1.0, left_s * _MS_PER_S),
-            tried=self._tried,
+            tried=self._tried.process_ids,
         )
 
     async def _relay(self, attempt: Attempt) -> End | Refusal:
@@ -243,7 +261,7 @@
         self._record.came(outcome_of(ended))
         if isinstance(result, Refusal):
             self._refusals.add(result)
-            self._tried += (opened.link.process_id,)
+            self._tried.add(opened.run)
             return
         self._tokens_used += result.prompt_tokens + result.output_tokens
         self._serving.knowledge.observe(
@@ -282,7 +300,8 @@
         if self._reply.started:
             if not may_continue(self._original, self._transcript):
                 return False
-        if is_fault(refusal) and self._call.idempotent:
+        self._after_fault = is_fault(refusal) and self._call.idempotent
+        if self._after_fault:
             self._renew_start_deadline()
         elif not is_not_run_here(refusal):
             return False
--- a/packages/daemon/src/lacewing_daemon/router/_links.py
+++ b/packages/daemon/src/lacewing_daemon/router/_links.py
@@ -22,6 +22,7 @@
 from lacewing_daemon.router._policy import CacheChange
 from lacewing_daemon.router._policy import WorkerView
 from lacewing_daemon.router._rendezvous import best
+from lacewing_daemon.router._tried import Tried
 from lacewing_daemon.runtime import Runtime
 
 POLL_S = 0.5
@@ -53,13 +54,21 @@
         """Return the link to one agent."""
         return self._links[process_id]
 
-    def without(self, process_ids: tuple[str, ...]) -> 'EligibleLinks':
-        """Return those that are not named."""
-        if not process_ids:
+    def untried(self, tried: Tried) -> 'EligibleLinks':
+        """Return those whose worker has not been tried."""
+        if not tried.process_ids:
             return self
         kept: list[Link] = []
         for process_id, link in self._links.items():
-            if process_id not in process_ids:
+            if process_id not in tried.process_ids:
+                kept.append(link)
+        return EligibleLinks(kept)
+
+    def restarted(self, tried: Tried) -> 'EligibleLinks':
+        """Return those whose worker has restarted since it was tried."""
+        kept: list[Link] = []
+        for link in self._links.values():
+            if not tried.has(link):
                 kept.append(link)
         return EligibleLinks(kept)
 
