Keep a cold process from retelling the table it pulled

Cause: a process that pulled a peer's table told all of it on as news, 18 to 33 times a record, eight records a message: at 1,220 members its messages would be full for some 20 minutes, and news of its own would wait in between. Each record also had all members counted anew, twice.

Change: what a pull gives is not told on; the hashes show others what they lack. States are counted as records change. A VM's noted state is logged, and make rollout measures how long that takes.

--- a/packages/bench/src/lacewing_bench/rollout/__main__.py
+++ b/packages/bench/src/lacewing_bench/rollout/__main__.py
@@ -36,6 +36,7 @@
             f' {idle.vm_list_reads:.1f} reads of the VM list a second'
         )
         phases: list[Phase] = []
+        phases.append(await rollout.leaving(rolls))
         phases.append(await rollout.phase('up', rolls, {}, {}, False))
         phases.append(
             await rollout.phase('slow 1 s', rolls, SLOW, SLOW, False)
--- a/packages/bench/src/lacewing_bench/rollout/_run.py
+++ b/packages/bench/src/lacewing_bench/rollout/_run.py
@@ -1,6 +1,7 @@
 """Roll bundles on a fleet of real processes and count what it took."""
 
 import asyncio
+import time
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -9,6 +10,7 @@
 import psutil
 from lacewing_common.bundle import Bundle
 from lacewing_common.settings import PeerSettings
+from lacewing_common.store import VmState
 from msgspec.structs import replace
 
 from lacewing_bench.fleet import Fleet
@@ -18,6 +20,7 @@
 from lacewing_bench.rollout._times import percentile
 from lacewing_bench.rollout._times import Spread
 from lacewing_bench.rollout._times import wait_in_force
+from lacewing_bench.rollout._times import wait_noted
 
 _PATIENCE_S = 30.0
 _SETTLE_S = 8.0
@@ -126,6 +129,23 @@
         total = Spread(tuple(seconds), missing)
         return Phase(name, rolls, total, reads / rolls)
 
+    async def leaving(self, agents: int) -> Phase:
+        """List VMs as leaving, one after the other, with no lag."""
+        await self._fleet.set_platform_faults({'vm_lag_s': 0.0})
+        seconds: list[float] = []
+        missing = 0
+        for name in self._fleet.agent_names[:agents]:
+            address = self._fleet.daemon(name).addresses.peers
+            listed_at = time.time()
+            await self._fleet.list_vm(name, VmState.LEAVING)
+            spread = await wait_noted(
+                self._fleet, address, listed_at, _PATIENCE_S
+            )
+            seconds.extend(spread.seconds)
+            missing += spread.missing
+        total = Spread(tuple(seconds), missing)
+        return Phase('VM leaving', agents, total, 0.0)
+
     async def idle(self) -> Idle:
         """Measure a while in which nothing is rolled."""
         names = self._fleet.router_names + self._fleet.agent_names
--- a/packages/daemon/src/lacewing_daemon/peers/_gossip.py
+++ b/packages/daemon/src/lacewing_daemon/peers/_gossip.py
@@ -24,6 +24,7 @@
 from lacewing_daemon.peers._channels import Channels
 from lacewing_daemon.peers._channels import NoReply
 from lacewing_daemon.peers._metrics import EXCHANGES
+from lacewing_daemon.peers._metrics import MEMBERS
 from lacewing_daemon.peers._news import News
 from lacewing_daemon.peers._partners import Partners
 from lacewing_daemon.peers._table import MemberTable
@@ -100,6 +101,7 @@
                 self._confirm_suspects()
                 self._channels.close_idle()
                 self._table.forget_dead()
+                self._show_counts()
                 self._call_next()
         finally:
             await self._cancel_calls()
@@ -131,6 +133,13 @@
             # peers dead all over the fleet.
             self._table.restart_suspicions()
 
+    def _show_counts(self) -> None:
+        counts = self._table.counts
+        MEMBERS.labels('alive').set(counts.alive)
+        MEMBERS.labels('suspect').set(counts.suspect)
+        MEMBERS.labels('dead').set(counts.dead)
+        MEMBERS.labels('leaving').set(counts.leaving)
+
     def _call_next(self) -> None:
         if len(self._tasks) >= _MAX_RUNNING:
             return
@@ -263,8 +272,7 @@
             if isinstance(answer, NoReply):
                 return
             before = self._table.bucket_hashes
-            self._table.merge_all(answer.records)
-            self._news.hear_notes(answer.vm_notes)
+            self._news.hear_table(answer)
             if self._table.bucket_hashes == before:
                 return
 
--- a/packages/daemon/src/lacewing_daemon/peers/_news.py
+++ b/packages/daemon/src/lacewing_daemon/peers/_news.py
@@ -8,6 +8,7 @@
 from lacewing_common.wire_peers import HeadNote
 from lacewing_common.wire_peers import Liveness
 from lacewing_common.wire_peers import MemberRecord
+from lacewing_common.wire_peers import TableReply
 from lacewing_common.wire_peers import VmNote
 
 from lacewing_daemon.peers._fetcher import Fetcher
@@ -44,6 +45,7 @@
         self._vm_notes: Rumors[str] = Rumors()
         self._accepted_at_s: dict[HeadNote, float] = {}
         self._leaving: set[str] = set()
+        self._repairing = False
         self.urgent = asyncio.Event()
         table.on_change(self._record_changed)
         notes.on_change(self._note_changed)
@@ -76,9 +78,18 @@
         self._table.merge(sender)
         self._fetcher.hear(sender.address, message.heads)
 
-    def hear_notes(self, notes: tuple[VmNote, ...]) -> None:
-        """Take what a peer told of the VM list."""
-        self._notes.merge_all(notes)
+    def hear_table(self, reply: TableReply) -> None:
+        """Take a piece of a peer's table, and tell none of it on.
+
+        It is no news to others. Told on, the table of a cold process would
+        fill its messages for long, and real news would wait behind it.
+        """
+        self._repairing = True
+        try:
+            self._table.merge_all(reply.records)
+        finally:
+            self._repairing = False
+        self._notes.merge_all(reply.vm_notes)
 
     def _message(
         self, heads: tuple[HeadNote, ...], peer: MemberRecord | None
@@ -118,10 +129,9 @@
         return tuple(recent[-_MAX_RECENT_HEADS:])
 
     def _record_changed(self, record: MemberRecord) -> None:
-        counts = self._table.counts
-        size = counts.alive + counts.suspect
-        self._records.add(record.process_id, size)
         is_me = record.process_id == self._table.me.process_id
+        if is_me or not self._repairing:
+            self._records.add(record.process_id, self._table.living)
         left_now = record.leaving and record.process_id not in self._leaving
         if left_now:
             self._leaving.add(record.process_id)
@@ -131,8 +141,7 @@
             self.urgent.set()
 
     def _note_changed(self, note: VmNote) -> None:
-        counts = self._table.counts
-        self._vm_notes.add(note.address, counts.alive + counts.suspect)
+        self._vm_notes.add(note.address, self._table.living)
         self.urgent.set()
 
     def _accepted(self, head: DocumentHead) -> None:
--- a/packages/daemon/src/lacewing_daemon/peers/_node.py
+++ b/packages/daemon/src/lacewing_daemon/peers/_node.py
@@ -22,7 +22,6 @@
 from lacewing_daemon.peers._fetcher import Fetcher
 from lacewing_daemon.peers._gossip import Gossip
 from lacewing_daemon.peers._members import GossipMembers
-from lacewing_daemon.peers._metrics import MEMBERS
 from lacewing_daemon.peers._news import News
 from lacewing_daemon.peers._notes import VmNotes
 from lacewing_daemon.peers._partners import Partners
@@ -78,7 +77,6 @@
         )
         self._members = GossipMembers(self._table, self._notes, contacts)
         self._tasks: list[asyncio.Task[None]] = []
-        self._table.on_change(self._count_members)
 
     @property
     def service(self) -> PeerService:
@@ -157,13 +155,6 @@
         task.add_done_callback(_report_fault)
         self._tasks.append(task)
 
-    def _count_members(self, _record: MemberRecord) -> None:
-        counts = self._table.counts
-        MEMBERS.labels('alive').set(counts.alive)
-        MEMBERS.labels('suspect').set(counts.suspect)
-        MEMBERS.labels('dead').set(counts.dead)
-        MEMBERS.labels('leaving').set(counts.leaving)
-
 
 def _report_fault(task: asyncio.Task[None]) -> None:
     if not task.cancelled() and task.exception() is not None:
--- a/packages/daemon/src/lacewing_daemon/peers/_notes.py
+++ b/packages/daemon/src/lacewing_daemon/peers/_notes.py
@@ -4,11 +4,15 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 
+from lacewing_common.log import get_log
+from lacewing_common.log import Part
 from lacewing_common.wire_peers import VmNote
 
 # An address may be used again; a note must not outlive its VM for long.
 _KEEP_S = 600.0
 
+_log = get_log(Part.MEMBERS)
+
 
 class VmNotes:
     """Keep the latest note on each address that is or was leaving."""
@@ -47,6 +51,7 @@
         if note.seen_ms < _oldest_ms():
             return False
         self._notes[note.address] = note
+        _log.info('VM noted.', address=note.address, leaving=note.leaving)
         for callback in self._callbacks:
             callback(note)
         return True
--- a/packages/daemon/src/lacewing_daemon/peers/_table.py
+++ b/packages/daemon/src/lacewing_daemon/peers/_table.py
@@ -46,8 +46,12 @@
         self._records = {me.process_id: me}
         self._changed_at_s: dict[str, float] = {}
         self._bucket_hashes = [0] * BUCKETS
+        self._hash = 0
+        self._suspects: set[str] = set()
+        self._dead: set[str] = set()
+        self._leaving: set[str] = set()
         self._callbacks: list[Callable[[MemberRecord], None]] = []
-        self._toggle(me)
+        self._count(me)
 
     @property
     def me(self) -> MemberRecord:
@@ -57,10 +61,7 @@
     @property
     def hash(self) -> int:
         """Return a hash over all members not dead."""
-        total = 0
-        for each in self._bucket_hashes:
-            total ^= each
-        return total
+        return self._hash
 
     @property
     def bucket_hashes(self) -> tuple[int, ...]:
@@ -75,19 +76,18 @@
     @property
     def counts(self) -> MemberStatus:
         """Count the members by state."""
-        numbers = {state: 0 for state in Liveness}
-        leaving = 0
-        for record in self._records.values():
-            numbers[record.liveness] += 1
-            if record.leaving and record.liveness is not Liveness.DEAD:
-                leaving += 1
         return MemberStatus(
-            numbers[Liveness.ALIVE],
-            numbers[Liveness.SUSPECT],
-            numbers[Liveness.DEAD],
-            leaving,
+            len(self._records) - len(self._suspects) - len(self._dead),
+            len(self._suspects),
+            len(self._dead),
+            len(self._leaving),
         )
 
+    @property
+    def living(self) -> int:
+        """Return the number of members that are not dead."""
+        return len(self._records) - len(self._dead)
+
     def get(self, process_id: str) -> MemberRecord | None:
         """Return the record of one process."""
         return self._records.get(process_id)
@@ -108,11 +108,7 @@
 
     def dead(self) -> list[MemberRecord]:
         """Return the members thought dead and not yet forgotten."""
-        found: list[MemberRecord] = []
-        for record in self._records.values():
-            if record.liveness is Liveness.DEAD:
-                found.append(record)
-        return found
+        return [self._records[each] for each in self._dead]
 
     def agents(self) -> list[MemberRecord]:
         """Return the agents that are not dead."""
@@ -127,10 +123,9 @@
     def suspected_before(self, time_s: float) -> list[MemberRecord]:
         """Return the members suspected since before a monotonic time."""
         found: list[MemberRecord] = []
-        for process_id, changed_at_s in self._changed_at_s.items():
-            record = self._records[process_id]
-            if record.liveness is Liveness.SUSPECT and changed_at_s < time_s:
-                found.append(record)
+        for process_id in self._suspects:
+            if self._changed_at_s[process_id] < time_s:
+                found.append(self._records[process_id])
         return found
 
     def differing(
@@ -208,6 +203,7 @@
         before_s = time.monotonic() - _FORGET_DEAD_S
         for record in self.dead():
             if self._changed_at_s[record.process_id] < before_s:
+                self._uncount(record)
                 del self._records[record.process_id]
                 del self._changed_at_s[record.process_id]
 
@@ -227,25 +223,47 @@
         return True
 
     def _replace_me(self, **changes: object) -> None:
-        self._toggle(self._me)
+        self._uncount(self._me)
         self._me = msgspec.structs.replace(self._me, **changes)
         self._records[self._me.process_id] = self._me
-        self._toggle(self._me)
+        self._count(self._me)
         self._tell(self._me)
 
     def _store(self, record: MemberRecord) -> None:
         held = self._records.get(record.process_id)
         if held is not None:
-            self._toggle(held)
+            self._uncount(held)
         self._records[record.process_id] = record
         self._changed_at_s[record.process_id] = time.monotonic()
-        self._toggle(record)
+        self._count(record)
         self._tell(record)
 
     def _tell(self, record: MemberRecord) -> None:
         for callback in self._callbacks:
             callback(record)
 
+    def _count(self, record: MemberRecord) -> None:
+        """Enter a record into the sets by state and the hashes.
+
+        Counting them anew at each change would make the start of a large
+        fleet take time that grows with the square of its size.
+        """
+        self._toggle(record)
+        if record.liveness is Liveness.DEAD:
+            self._dead.add(record.process_id)
+            return
+        if record.liveness is Liveness.SUSPECT:
+            self._suspects.add(record.process_id)
+        if record.leaving:
+            self._leaving.add(record.process_id)
+
+    def _uncount(self, record: MemberRecord) -> None:
+        self._toggle(record)
+        self._dead.discard(record.process_id)
+        self._suspects.discard(record.process_id)
+        self._leaving.discard(record.process_id)
+
     def _toggle(self, record: MemberRecord) -> None:
-        index = bucket_of(record.process_id)
-        self._bucket_hashes[index] ^= _record_hash(record)
+        change = _record_hash(record)
+        self._hash ^= change
+        self._bucket_hashes[bucket_of(record.process_id)] ^= change
