--- a/packages/daemon/src/lacewing_daemon/claims/_range_writer.py
+++ b/packages/daemon/src/lacewing_daemon/claims/_range_writer.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 from random import Random
 
-from lacewing_common.backoff import Backoff
 from lacewing_common.log import get_log
 from lacewing_common.log import Part
 from lacewing_common.put_resolving import put_resolving
@@ -26,6 +25,7 @@
 from lacewing_daemon.claims._metrics import CLAIM_READS
 from lacewing_daemon.claims._metrics import CLAIM_WRITES
 from lacewing_daemon.claims._metrics import CLAIMS_WITHDRAWN
+from lacewing_daemon.claims._pace import WritePace
 from lacewing_daemon.claims._requests import ClaimAnswer
 from lacewing_daemon.claims._requests import ClaimRequest
 from lacewing_daemon.claims._requests import Closing
@@ -68,9 +68,7 @@
         self._drafter = Drafter(owner, limits)
         self._policy = ResolvePolicy(limits.resolve_s)
         self._random = random
-        self._backoff = Backoff(
-            limits.retry_base_s, limits.retry_cap_s, random
-        )
+        self._pace = WritePace(limits, random)
         self._loop = asyncio.get_running_loop()
         self._book: Book | None = None
         self._runs: dict[bytes, Run] = {}
@@ -78,8 +76,6 @@
         self._closings: dict[ClaimRequest, Closing] = {}
         self._work = asyncio.Event()
         self._closings_due_at = 0.0
-        self._paid_until = 0.0
-        self._failing_until = 0.0
 
     @property
     def owes_writes(self) -> bool:
@@ -127,14 +123,13 @@
         """Write until cancelled."""
         while True:
             await self._wait_for_work()
-            await self._pace()
+            await self._pace.wait()
             await self._commit()
 
     async def _ask(
         self, request: ClaimRequest, left_s: float
     ) -> ClaimAnswer | Raced:
-        failing_s = self._failing_until - self._loop.time()
-        if failing_s > 0:
+        if self._pace.failing:
             # Waiting with all others for a platform that is known to be
             # down would only make each caller's refusal late.
             return unavailable('the platform is down')
@@ -168,16 +163,6 @@
                 if not self._closings:
                     self._book = None
 
-    async def _pace(self) -> None:
-        # Without the pace, each call of a busy range would be a write of its
-        # own and one service could take all that the platform grants. Without
-        # the burst, a claim would wait for the outcome written just before.
-        now = self._loop.time()
-        rest_s = (self._limits.burst - 1) * self._limits.pace_s
-        ready_at = max(self._paid_until - rest_s, self._failing_until)
-        if ready_at > now:
-            await asyncio.sleep(ready_at - now)
-
     async def _commit(self) -> None:
         """Write what waits, anew after each conflict."""
         fresh = False
@@ -250,8 +235,7 @@
             self._policy,
             self._random,
         )
-        begun_at = max(self._paid_until, self._loop.time())
-        self._paid_until = begun_at + self._limits.pace_s
+        self._pace.wrote()
         if isinstance(result, StoredObject):
             CLAIM_WRITES.labels(_WRITTEN).inc()
             self._written(draft, result.version)
@@ -275,8 +259,7 @@
 
     def _written(self, draft: Draft, version: int) -> None:
         self._book = Book(version, draft.claims, draft.folded)
-        self._backoff.reset()
-        self._failing_until = 0.0
+        self._pace.succeeded()
         for closing in draft.closings:
             self._forget(closing)
         for ticket in draft.granted:
@@ -302,8 +285,7 @@
         self._owe(Closing(request, None))
 
     def _fail(self, tickets: list[Ticket], error: StoreError) -> None:
-        delay_s = error.retry_after_s or self._backoff.next_s()
-        self._failing_until = self._loop.time() + delay_s
+        self._pace.failed(error.retry_after_s)
         _log.warning(
             'Claims not written.',
             object=self._name,
