--- a/packages/daemon/src/lacewing_daemon/agent/_digest.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_digest.py
@@ -4,8 +4,10 @@
 
 # A message without any hash: load, epoch, framing of HTTP/2 and TLS.
 MESSAGE_BYTES = 100.0
-# Unspent allowance is kept for so many seconds of a quiet cache.
-KEPT_S = 2.0
+# Unspent allowance is kept for so many seconds of a quiet cache. A router
+# that just connected gets as much at once: after a herd of restarts it would
+# else compute again for seconds what the caches hold.
+KEPT_S = 4.0
 MOST_PENDING = 4096
 
 
@@ -14,7 +16,7 @@
 
     def __init__(self, bytes_s: float, now_s: float) -> None:
         self._bytes_s = bytes_s
-        self._credit = MESSAGE_BYTES
+        self._credit = max(MESSAGE_BYTES, KEPT_S * bytes_s)
         self._at_s = now_s
         self._pending: dict[bytes, bool] = {}
 
