--- a/packages/bench/src/lacewing_bench/capacity/_rows.py
+++ b/packages/bench/src/lacewing_bench/capacity/_rows.py
@@ -6,7 +6,7 @@
 from lacewing_common.claim_key import RANGES
 from lacewing_daemon._peers_server import PING_EVERY_S
 from lacewing_daemon.claims import ClaimLimits
-from lacewing_daemon.router._links import KNOWLEDGE_BYTES_S
+from lacewing_daemon.router._links import knowledge_bytes_s
 from lacewing_daemon.router._links import POLL_S
 
 from lacewing_bench.capacity._series import Series
@@ -31,6 +31,8 @@
 # Parts, archived head, head and audit record, with a reserve of one.
 _WRITES_ROLL = 5
 
+_KNOWLEDGE_S = knowledge_bytes_s(WORKERS)
+
 Found = Mapping[str, Series]
 
 
@@ -68,7 +70,7 @@
     """Return the router's CPU rows, in ms a second."""
     decision = found['decision'].at(WORKERS)
     message = found['message at router'].mean
-    told_s = KNOWLEDGE_BYTES_S / _KNOWLEDGE_MESSAGE_BYTES
+    told_s = _KNOWLEDGE_S / _KNOWLEDGE_MESSAGE_BYTES
     limits_s = found['limit messages of a router'].at(ROUTERS)
     return (
         Row(
@@ -160,7 +162,7 @@
     return (
         Row(
             'load and cache heard',
-            KNOWLEDGE_BYTES_S,
+            _KNOWLEDGE_S,
             'the budget itself',
             'setting',
             'each link gets its part of the budget',
@@ -184,7 +186,7 @@
         Row(
             'load and cache told',
             told,
-            f'{KNOWLEDGE_BYTES_S:.0f} B/s x {ROUTERS} / {WORKERS}',
+            f'{_KNOWLEDGE_S:.0f} B/s x {ROUTERS} / {WORKERS}',
             'setting',
             'each link gets its part of the budget',
         ),
@@ -283,7 +285,7 @@
 
 
 def _told_by_agent_s() -> float:
-    told = KNOWLEDGE_BYTES_S * ROUTERS / WORKERS
+    told = _KNOWLEDGE_S * ROUTERS / WORKERS
     return told / _KNOWLEDGE_MESSAGE_BYTES
 
 
--- a/packages/daemon/src/lacewing_daemon/router/_links.py
+++ b/packages/daemon/src/lacewing_daemon/router/_links.py
@@ -27,13 +27,23 @@
 
 POLL_S = 0.5
 # Of the 7 KB/s that control may take of a router, so much is for what
-# agents tell unasked of load and cache; each link gets its part.
-KNOWLEDGE_BYTES_S = 4096.0
+# agents tell unasked of load and cache; each link gets its part. With more
+# links the pings and the teams' limits take more, and a push is worth less:
+# its link is used once in half a minute.
+_KNOWLEDGE_BYTES_S = 4096.0
+_LESS_FOR_A_LINK_S = 3.0
+_LEAST_KNOWLEDGE_S = 1024.0
 _BUCKET_KEY_BYTES = 8
 
 _log = get_log(Part.MEMBERS)
 
 
+def knowledge_bytes_s(links: int) -> float:
+    """Return the bytes a second that a router takes of all its agents."""
+    left_s = _KNOWLEDGE_BYTES_S - _LESS_FOR_A_LINK_S * links
+    return max(_LEAST_KNOWLEDGE_S, left_s)
+
+
 class EligibleLinks:
     """Hold the links whose workers may run a request, by process id."""
 
@@ -122,7 +132,7 @@
             self._runtime.name,
             self._runtime.settings.place,
             self._runtime.bundles.current.number,
-            KNOWLEDGE_BYTES_S / max(1, len(self._links)),
+            knowledge_bytes_s(len(self._links)) / max(1, len(self._links)),
         )
 
     def link_changed(self) -> None:
