Place models on few copies under a lease, order workers

Cause: every engine kept all models it was started with; nobody gave orders, so weights could neither follow load nor a rolled bundle.

Change: lacewing_daemon.placement: a lease in the platform (version = fencing number, durations by each process's own clock), a planner as a function of reports, bundle, previous plan and time, a plan document that peers spread, reports of demand, and orders one at a time. For engines that ignore fencing numbers the agent holds an order lease and looks at its own clock right before each order. Service.pins in the bundle; lacewingctl placement. Off until placement.enabled.

Ruled out: the lease's release at the end.

Before: everything everywhere, no order ever. After (behave, in-process engines): 4 workers with an idle model go to 1 copy, a roll of weights keeps a copy and at most 2 loads at the weight store, the last plan holds for three leases of outage, a paused agent's order is refused (1 obeyed, 1 refused) or not given (1 obeyed, 0 refused).

Not done: copies against everything everywhere at equal first-token tail on the fleet are not measured yet.

--- a/packages/bench/src/lacewing_bench/standins/_counts.py
+++ b/packages/bench/src/lacewing_bench/standins/_counts.py
@@ -17,6 +17,7 @@
     ``executions``: by request id, counted as a request enters the batch.
     ``by_call``: by the digest of model and prompt.
     ``busy_s``: seconds of steps, as priced. ``loading``: loads under way.
+    ``orders``: orders obeyed; ``stale_orders``: refused for their fence.
     """
 
     executions: Counter[str] = field(default_factory=Counter)
@@ -30,6 +31,8 @@
     peak_running: int = 0
     loading: int = 0
     loads: int = 0
+    orders: int = 0
+    stale_orders: int = 0
     imported_blocks: int = 0
     exported_blocks: int = 0
     _prefilled_blocks: Counter[bytes] = field(default_factory=Counter)
--- a/packages/bench/src/lacewing_bench/standins/_engine.py
+++ b/packages/bench/src/lacewing_bench/standins/_engine.py
@@ -117,7 +117,12 @@
         honour = self.faults.now.honour_fencing
         if honour is None:
             honour = self.config.honours_fencing
-        return await self.orders.carry_out(order, honour)
+        result = await self.orders.carry_out(order, honour)
+        if isinstance(result, StaleFence):
+            self.counts.stale_orders += 1
+        else:
+            self.counts.orders += 1
+        return result
 
     async def export_kv(self, store: str, blocks: tuple[bytes, ...]) -> int:
         """Put the leading blocks that are cached into a store."""
--- a/packages/common/src/lacewing_common/bundle.py
+++ b/packages/common/src/lacewing_common/bundle.py
@@ -93,13 +93,25 @@
     recomputation: float = 1.0
 
 
+class Pin(Part, forbid_unknown_fields=True, frozen=True):
+    """Keep a copy of a model at a worker or in an availability zone.
+
+    ``worker`` is the process id of the worker's agent. One of ``worker``
+    and ``zone`` is given.
+    """
+
+    model: str
+    worker: str = ''
+    zone: str = ''
+
+
 class Service(Part, forbid_unknown_fields=True, frozen=True):
     """Describe a service: what it runs and how requests are treated.
 
     ``at_most_once_paths`` are path prefixes whose calls must not be
     repeated. ``loads_at_once`` bounds concurrent weight loads.
     ``worker_memory_gb`` is what one worker has for weights and adapters,
-    0: not known.
+    0: not known. ``pins`` keep copies in place.
     """
 
     name: str
@@ -115,6 +127,7 @@
     fencing_honoured: bool = True
     loads_at_once: int = 2
     worker_memory_gb: float = 0.0
+    pins: tuple[Pin, ...] = ()
 
 
 class Bundle(Part, forbid_unknown_fields=True, frozen=True):
--- a/packages/common/src/lacewing_common/bundles/_check.py
+++ b/packages/common/src/lacewing_common/bundles/_check.py
@@ -7,6 +7,7 @@
 from lacewing_common.bundle import ServiceKind
 from lacewing_common.bundle import Team
 from lacewing_common.bundles._capacity import check_capacity
+from lacewing_common.bundles._pins import check_pins
 from lacewing_common.bundles._problems import closest
 from lacewing_common.bundles._problems import Problem
 
@@ -97,6 +98,7 @@
         )
         yield from _check_kind(path, service)
         yield from _check_service_numbers(path, service)
+        yield from check_pins(path, service)
         if service.kind is not ServiceKind.MODEL:
             continue
         for number, model in enumerate(service.models):
--- a/packages/common/src/lacewing_common/settings.py
+++ b/packages/common/src/lacewing_common/settings.py
@@ -102,6 +102,25 @@
     readers: int = 3
 
 
+class PlacementSettings(Setting, forbid_unknown_fields=True, frozen=True):
+    """Set whether and how the agents of a service place its models.
+
+    ``enabled``: this agent takes part; all of a service should alike.
+    ``lease_s``: duration of the leases of planners and of order-givers;
+    ``margin_s``: how much longer another process waits.
+    ``report_s``: mean time between an agent's reports of its demand.
+    ``shrink_after_s``: a copy that could be spared for so long is removed,
+    and after it one more each ``shrink_step_s``.
+    """
+
+    enabled: bool = False
+    lease_s: float = 15.0
+    margin_s: float = 3.0
+    report_s: float = 10.0
+    shrink_after_s: float = 120.0
+    shrink_step_s: float = 30.0
+
+
 class Settings(Setting, forbid_unknown_fields=True, frozen=True):
     """Hold all settings of one daemon.
 
@@ -126,6 +145,7 @@
     allow_plain: bool = False
     drain_s: float = 30.0
     peers: PeerSettings = PeerSettings()
+    placement: PlacementSettings = PlacementSettings()
 
 
 def parse_address(text: str) -> Address:
@@ -181,6 +201,7 @@
         )
     _check_root_operators(settings)
     _check_peers(settings.peers)
+    _check_placement(settings.placement)
     _check_bundle_file(settings)
     _check_worker(settings)
 
@@ -247,6 +268,18 @@
             )
 
 
+def _check_placement(placement: PlacementSettings) -> None:
+    for field in placement.__struct_fields__:
+        if field == 'enabled':
+            continue
+        value = getattr(placement, field)
+        if value <= 0:
+            raise SettingsError(
+                f'expected seconds above 0, got {value}'
+                f' - at `$.placement.{field}`'
+            )
+
+
 def _check_bundle_file(settings: Settings) -> None:
     # A bundle from a file has no sign-off. In a fleet it would pass round
     # the operators' two pairs of eyes at one process.
--- a/packages/ctl/src/lacewing_ctl/_session.py
+++ b/packages/ctl/src/lacewing_ctl/_session.py
@@ -32,6 +32,7 @@
     def __init__(
         self, client: PlatformClient, profile: Profile, patience_s: float
     ) -> None:
+        self.store = client
         patience = Patience(give_up_after_s=patience_s)
         guard = BundleGuard(profile.root_operators)
         self.reads = BundleReads(client, guard, patience)
--- a/packages/ctl/src/lacewing_ctl/main.py
+++ b/packages/ctl/src/lacewing_ctl/main.py
@@ -7,6 +7,7 @@
 from lacewing_ctl._commands import roll
 from lacewing_ctl._queries import bundle
 from lacewing_ctl._queries.audit import audit
+from lacewing_ctl._queries.placement import placement
 from lacewing_ctl._queries.status import status
 
 _BUNDLE = {
@@ -26,6 +27,7 @@
     'bundle': _BUNDLE,
     'keys': {'new': keys.new},
     'audit': audit,
+    'placement': placement,
 }
 
 
--- a/packages/daemon/src/lacewing_daemon/_serve.py
+++ b/packages/daemon/src/lacewing_daemon/_serve.py
@@ -18,6 +18,7 @@
 from lacewing_common.identity import ProcessName
 from lacewing_common.log import get_log
 from lacewing_common.log import Part
+from lacewing_common.plan import guard_plan
 from lacewing_common.platform_client import PlatformClient
 from lacewing_common.settings import Settings
 from lacewing_common.status import Addresses
@@ -59,7 +60,10 @@
         self._node = PeerNode(
             self._name,
             settings,
-            {DocumentKind.BUNDLE: self._guard},
+            {
+                DocumentKind.BUNDLE: self._guard,
+                DocumentKind.PLAN: guard_plan,
+            },
             self._contacts.addresses,
             Random(),
         )
@@ -78,6 +82,7 @@
             stopping=self._signals.stopping,
             peer_services=(self._node.service,),
             audit=self._audit,
+            node=self._node,
         )
         self._operators = OperatorsServer(
             settings, self._status, self._explain, self._take_document
--- a/packages/daemon/src/lacewing_daemon/agent/_agent.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_agent.py
@@ -29,17 +29,21 @@
 from lacewing_common.wire import Welcome
 from lacewing_common.wire import WorkerChanged
 
+from lacewing_daemon._peers_server import PeerServed
 from lacewing_daemon._peers_server import PeersServer
 from lacewing_daemon.agent._admission import FairAdmission
 from lacewing_daemon.agent._attempt import Attempt
 from lacewing_daemon.agent._attempts import Attempts
 from lacewing_daemon.agent._cache import CacheKnowledge
 from lacewing_daemon.agent._cache_follower import CacheFollower
+from lacewing_daemon.agent._demand import DemandMeter
 from lacewing_daemon.agent._kv_client import KvClient
 from lacewing_daemon.agent._link import Link
 from lacewing_daemon.agent._load import LoadView
 from lacewing_daemon.agent._metrics import LINKS
+from lacewing_daemon.agent._placing import make_placement
 from lacewing_daemon.agent._runner import Runner
+from lacewing_daemon.agent._served_models import WatchedModels
 from lacewing_daemon.agent._service import ServiceView
 from lacewing_daemon.agent._sweeper import KeepLimits
 from lacewing_daemon.agent._sweeper import Sweeper
@@ -109,15 +113,28 @@
             self._worker_changed,
         )
         self._attempts = Attempts(runtime.name.incarnation)
+        self._meter = DemandMeter(self._attempts)
+        self._models = WatchedModels(
+            self._watch, self._meter, self._worker_changed
+        )
         self._limits = limits
         self._sweeper = Sweeper(self._attempts, limits)
         self._links: set[Link] = set()
         self._team_limits = LimitHolder(self._service.limits_of)
         self._tasks: set[asyncio.Task[None]] = set()
         self._leaving = False
-        self._server = PeersServer(
-            runtime.settings, [self, *runtime.peer_services]
+        self._placement = make_placement(
+            runtime,
+            settings,
+            self._service,
+            self._models,
+            self._meter,
+            self._load,
         )
+        services: list[PeerServed] = [self, *runtime.peer_services]
+        if self._placement is not None:
+            services.append(self._placement.service)
+        self._server = PeersServer(runtime.settings, services)
 
     @property
     def status(self) -> RoleStatus:
@@ -157,6 +174,9 @@
         if self._kv is not None:
             self._spawn(self._cache.keep_in(self._kv).run())
         self._spawn(self._sweeper.run())
+        if self._placement is not None:
+            self._spawn(self._meter.run())
+            self._placement.start()
 
     async def drain(self) -> None:
         """Refuse new work; return when the open attempts have ended."""
@@ -172,6 +192,8 @@
 
     async def close(self) -> None:
         """Close links and listener."""
+        if self._placement is not None:
+            await self._placement.close()
         for link in list(self._links):
             link.close()
         deadline = time.monotonic() + _CLOSE_S
@@ -195,7 +217,7 @@
             self._runtime.settings.place,
             self._settings.service,
             self._watch.epoch,
-            self._watch.models,
+            self._models.names,
             self._load.report(),
             self._leaving,
             self._runtime.bundles.current.number,
@@ -276,8 +298,10 @@
         return self._stale(start)
 
     def _stale(self, start: Start) -> Refusal | None:
-        models = self._watch.models
-        if not start.model or not start.weights or not models:
+        models = self._models.names
+        if not start.model or not start.weights:
+            return None
+        if not models and not self._models.known:
             return None
         wanted = f'{start.model}:{start.weights}'
         if wanted in models:
@@ -290,6 +314,8 @@
 
     def _bundle_changed(self, _bundle: RolledBundle) -> None:
         self._watch.look_soon()
+        if self._placement is not None:
+            self._placement.bundle_changed()
 
     def _owes_answers(self) -> bool:
         now = time.monotonic()
@@ -301,12 +327,14 @@
     def _worker_changed(self) -> None:
         frame = WorkerChanged(
             self._watch.epoch,
-            self._watch.models,
+            self._models.names,
             self._load.report(),
             self._leaving,
         )
         for link in self._links:
             link.notify(frame)
+        if self._placement is not None:
+            self._placement.worker_changed()
 
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.create_task(work)
--- a/packages/daemon/src/lacewing_daemon/agent/_service.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_service.py
@@ -34,6 +34,11 @@
             return False
         return self._service.kind is ServiceKind.MODEL
 
+    @property
+    def checks_fence(self) -> bool:
+        """Tell whether the workers refuse old fencing numbers."""
+        return self._service is not None and self._service.fencing_honoured
+
     @property
     def answer_s(self) -> float:
         """Return how long an answer may be silent, in seconds."""
--- a/packages/daemon/src/lacewing_daemon/agent/_watch.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_watch.py
@@ -8,6 +8,7 @@
 import msgspec
 from lacewing_common.log import get_log
 from lacewing_common.log import Part
+from lacewing_common.wait_event import wait_event
 
 from lacewing_daemon.agent._load import EngineLoad
 from lacewing_daemon.agent._load import LoadView
@@ -78,6 +79,8 @@
         self._on_change = on_change
         self._epoch = ''
         self._models: tuple[str, ...] = ()
+        self._list = ModelList()
+        self._listed = False
         self._misses = 0
         self._soon = asyncio.Event()
 
@@ -91,6 +94,16 @@
         """Return the loaded models, ``model:weights[:adapter@version]``."""
         return self._models
 
+    @property
+    def listed(self) -> bool:
+        """Tell whether the worker has said what is loaded, if nothing."""
+        return self._listed
+
+    @property
+    def loaded(self) -> tuple[LoadedModel, ...]:
+        """Return the loaded models as the worker listed them."""
+        return self._list.data
+
     def look_soon(self) -> None:
         """Poll at once: an answer showed that something changed."""
         self._soon.set()
@@ -100,9 +113,7 @@
         while True:
             await self.poll()
             period_s = _PERIOD_S * random.uniform(1 - _JITTER, 1 + _JITTER)
-            try:
-                await asyncio.wait_for(self._soon.wait(), period_s)
-            except TimeoutError:
+            if not await wait_event(self._soon, period_s):
                 continue
             self._soon.clear()
             await asyncio.sleep(_SHORTEST_S)
@@ -121,7 +132,9 @@
             return
         self._misses = 0
         self._load.hear(load)
-        names = models.names() if models is not None else ()
+        self._listed = models is not None
+        self._list = models or ModelList()
+        names = self._list.names()
         epoch = load.epoch
         if models is not None and models.epoch:
             # The load report lags: after a restart it may still carry the
@@ -136,6 +149,8 @@
         self._misses += 1
         refused = isinstance(answer, Broken) and not answer.reached
         if refused or self._misses >= _MOST_MISSES:
+            self._listed = False
+            self._list = ModelList()
             self._set('', ())
 
     def _set(self, epoch: str, models: tuple[str, ...]) -> None:
--- a/packages/daemon/src/lacewing_daemon/peers/_node.py
+++ b/packages/daemon/src/lacewing_daemon/peers/_node.py
@@ -88,6 +88,11 @@
         """Return the documents of this process."""
         return self._replicas
 
+    @property
+    def channels(self) -> Channels:
+        """Return the connections to peers."""
+        return self._channels
+
     @property
     def members(self) -> GossipMembers:
         """Return the addresses known."""
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/placement/_lease.py
@@ -0,0 +1,179 @@
+"""Hold a lease in the platform: one holder at a time, by own clocks.
+
+The object's version is the fencing number: it grows with each change, so a
+holder that was replaced carries a lower one than its successor.
+"""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+from uuid import uuid4
+
+import msgspec
+from lacewing_common.put_resolving import put_resolving
+from lacewing_common.put_resolving import ResolvePolicy
+from lacewing_common.store import MUST_NOT_EXIST
+from lacewing_common.store import ObjectStore
+from lacewing_common.store import StoredObject
+from lacewing_common.store import StoreError
+from lacewing_common.store import StoreFault
+
+LEASES = 'leases'
+
+Clock = Callable[[], float]
+
+
+class LeaseRecord(msgspec.Struct, frozen=True):
+    """Hold a lease's value; ``holder`` '' means released.
+
+    ``nonce`` is new for each write, by which a writer finds its own one
+    when the answer was lost. ``duration_s`` is the holder's promise.
+    """
+
+    holder: str
+    nonce: str
+    duration_s: float
+
+
+@dataclass(frozen=True)
+class Held:
+    """Report the lease as held; ``fence`` is its fencing number."""
+
+    fence: int
+
+
+@dataclass(frozen=True)
+class NotHeld:
+    """Report that another holds the lease, or that nobody can tell."""
+
+    message: str
+
+
+class Lease:
+    """Acquire, renew and release one lease.
+
+    Durations are measured by the process's own monotonic clock: ``margin_s``
+    covers what clocks and calls under way may differ.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        name: str,
+        holder: str,
+        duration_s: float,
+        margin_s: float,
+        clock: Clock = time.monotonic,
+        random: Random | None = None,
+    ) -> None:
+        self._store = store
+        self._name = name
+        self._holder = holder
+        self._duration_s = duration_s
+        self._margin_s = margin_s
+        self._clock = clock
+        self._random = random or Random()
+        self._fence = 0
+        self._until_s = 0.0
+        self._seen_version = 0
+        self._seen_at_s = 0.0
+        self._seen_duration_s = duration_s
+
+    @property
+    def held(self) -> bool:
+        """Tell whether this process's own clock is within the lease."""
+        return self._fence > 0 and self._clock() < self._until_s
+
+    @property
+    def fence(self) -> int:
+        """Return the fencing number last held, 0 before the first."""
+        return self._fence
+
+    async def acquire(self) -> Held | NotHeld:
+        """Renew the lease, or take one that is free or has lapsed.
+
+        Returns a fencing number higher than all before it.
+        """
+        if self.held:
+            answer = await self._write(self._holder, self._fence)
+            if isinstance(answer, Held) or self.held:
+                return answer
+        seen = await self._store.get(LEASES, self._name)
+        if isinstance(seen, StoreError):
+            if seen.fault is not StoreFault.NOT_FOUND:
+                return NotHeld(seen.message)
+            return await self._write(self._holder, MUST_NOT_EXIST)
+        waiting = self._look(seen)
+        if waiting is not None:
+            return waiting
+        return await self._write(self._holder, seen.version)
+
+    async def release(self) -> None:
+        """Let others take the lease without waiting it out."""
+        if not self.held:
+            self._fence = 0
+            return
+        fence = self._fence
+        self._fence = 0
+        await self._put('', fence)
+
+    def _look(self, seen: StoredObject) -> NotHeld | None:
+        """Tell whether a lease seen has to be waited out.
+
+        Its holder counts from before it sent its last renewal, which was
+        before this process first saw that version: after a whole duration
+        the holder's own clock has passed the end, paused or not.
+        """
+        record = _decode(seen.value)
+        now_s = self._clock()
+        if record is not None and record.holder in ('', self._holder):
+            # Released, or this process's own write whose answer was lost.
+            return None
+        if seen.version != self._seen_version:
+            self._seen_version = seen.version
+            self._seen_at_s = now_s
+            self._seen_duration_s = self._duration_s
+            if record is not None:
+                self._seen_duration_s = record.duration_s
+        wait_s = self._seen_duration_s + self._margin_s
+        if now_s - self._seen_at_s >= wait_s:
+            return None
+        holder = 'unknown' if record is None else record.holder
+        return NotHeld(f'{self._name} is held by {holder}')
+
+    async def _write(self, holder: str, expect: int) -> Held | NotHeld:
+        # Counted from before the call: when its answer comes late, the
+        # lease has run since the platform took the write.
+        began_s = self._clock()
+        answer = await self._put(holder, expect)
+        if isinstance(answer, StoredObject):
+            self._fence = answer.version
+            self._until_s = began_s + self._duration_s
+            if self.held:
+                return Held(self._fence)
+            return NotHeld('the renewal took as long as the lease')
+        if answer.fault is StoreFault.CONFLICT:
+            self._fence = 0
+        return NotHeld(answer.message)
+
+    async def _put(
+        self, holder: str, expect: int
+    ) -> StoredObject | StoreError:
+        record = LeaseRecord(holder, uuid4().hex, self._duration_s)
+        return await put_resolving(
+            self._store,
+            LEASES,
+            self._name,
+            msgspec.json.encode(record),
+            expect,
+            ResolvePolicy(give_up_after_s=self._duration_s),
+            self._random,
+        )
+
+
+def _decode(value: bytes) -> LeaseRecord | None:
+    try:
+        return msgspec.json.decode(value, type=LeaseRecord)
+    except msgspec.DecodeError:
+        return None
--- a/packages/daemon/src/lacewing_daemon/runtime.py
+++ b/packages/daemon/src/lacewing_daemon/runtime.py
@@ -13,6 +13,7 @@
 from lacewing_common.store import ObjectStore
 
 from lacewing_daemon._peers_server import PeerServed
+from lacewing_daemon.peers import PeerNode
 
 
 class BundleSource(Protocol):
@@ -115,7 +116,8 @@
     """Hold what every role gets from the daemon.
 
     ``store`` is None when the settings name no platform.
-    ``peer_services`` are to be served on the listener for peers.
+    ``peer_services`` are to be served on the listener for peers; ``node``
+    makes the process one of the fleet, None in focused tests.
     """
 
     name: ProcessName
@@ -126,3 +128,4 @@
     store: ObjectStore | None = None
     peer_services: tuple[PeerServed, ...] = ()
     audit: AuditSink = NoAudit()
+    node: PeerNode | None = None
