--- a/features/daemon.feature
+++ b/features/daemon.feature
@@ -112,6 +112,14 @@
     And team "brno" sends a whole chat through each router
     Then the answers have the status 401
 
+  Scenario: A team over its limit is refused and told when to come back
+    Given a fleet of 2 router(s), 0 model worker(s) and 2 plain worker(s)
+    And team "brno" may send 1 requests a second
+    When bundle number 2 is in force at "router-1"
+    And bundle number 2 is in force at "router-2"
+    And team "brno" sends 30 plain calls through each router
+    Then some answers are whole and the others are refused for the limit
+
   Scenario: A wrong bundle file changes nothing
     Given a fleet of 1 router(s), 1 model worker(s) and 0 plain worker(s)
     When the bundle file is broken
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -4,12 +4,15 @@
 from functools import partial
 from pathlib import Path
 
+import msgspec
 from behave import given
 from behave import then
 from behave import when
 from behave.runner import Context
 from lacewing_bench.fleet import FleetOptions
 from lacewing_bench.fleet._bundle import make_bundle
+from lacewing_common.bundle import Team
+from lacewing_common.bundle import TeamLimits
 from support.fleet_bench import chat
 from support.fleet_bench import check
 from support.fleet_bench import completion
@@ -126,6 +129,43 @@
     )
 
 
+@given('team "{team}" may send {requests:g} requests a second')
+def given_team_limit(context: Context, team: str, requests: float) -> None:
+    """Put a bundle in force that bounds one team."""
+    fleet = context.bench.fleet
+    bundle = make_bundle(fleet.deployment)
+    teams: list[Team] = []
+    for each in bundle.teams:
+        if each.name == team:
+            limits = TeamLimits(requests_per_s=requests)
+            each = msgspec.structs.replace(each, limits=limits)
+        teams.append(each)
+    fleet.write_bundle(msgspec.structs.replace(bundle, teams=tuple(teams)))
+
+
+@when('team "{team}" sends {number:d} plain calls through each router')
+def when_many_plain(context: Context, team: str, number: int) -> None:
+    """Send calls one after the other."""
+    for index in range(number):
+        word = f'part-{index}'
+        context.bench.send_through_each(lambda _: plain(team, word))
+
+
+@then('some answers are whole and the others are refused for the limit')
+def then_some_refused(context: Context) -> None:
+    """Check status, verdict and the time to come back."""
+    refused = 0
+    for asked in context.bench.asked:
+        if asked.answer.status == 200:
+            check(asked)
+            continue
+        refused += 1
+        assert asked.answer.status == 429, asked
+        assert asked.answer.verdict == 'not-run', asked
+        assert asked.answer.retry_after_s is not None, asked
+    assert 0 < refused < len(context.bench.asked), refused
+
+
 @when('the bundle file is broken')
 def when_bundle_breaks(context: Context) -> None:
     """Leave half a bundle in the file."""
