--- a/features/steps/capacity_steps.py
+++ b/features/steps/capacity_steps.py
@@ -10,9 +10,9 @@
 from behave import when
 from lacewing_bench.capacity._gossip import sample_record
 from lacewing_bench.capacity._page import write_page
-from lacewing_bench.capacity._rows import Row
-from lacewing_bench.capacity._rows import Table
 from lacewing_bench.capacity._series import fit
+from lacewing_bench.capacity._table import Row
+from lacewing_bench.capacity._table import Table
 from lacewing_common.wire_peers import MemberRecord
 from lacewing_daemon.peers._members import GossipMembers
 from lacewing_daemon.peers._notes import VmNotes
--- a/packages/bench/src/lacewing_bench/capacity/__main__.py
+++ b/packages/bench/src/lacewing_bench/capacity/__main__.py
@@ -20,9 +20,9 @@
 from lacewing_bench.capacity._links import measure_links
 from lacewing_bench.capacity._page import draw
 from lacewing_bench.capacity._page import write_page
-from lacewing_bench.capacity._rows import Table
 from lacewing_bench.capacity._rows import tables
 from lacewing_bench.capacity._series import Series
+from lacewing_bench.capacity._table import Table
 from lacewing_bench.capacity._target import CONTROL_BYTES_S
 from lacewing_bench.capacity._target import CONTROL_CPU_MS_S
 from lacewing_bench.capacity._target import CONTROL_MB
--- a/packages/bench/src/lacewing_bench/capacity/_page.py
+++ b/packages/bench/src/lacewing_bench/capacity/_page.py
@@ -6,9 +6,9 @@
 from matplotlib.figure import Figure
 from tabulate import tabulate
 
-from lacewing_bench.capacity._rows import Row
-from lacewing_bench.capacity._rows import Table
 from lacewing_bench.capacity._series import Series
+from lacewing_bench.capacity._table import Row
+from lacewing_bench.capacity._table import Table
 
 _MARK = '<!-- measured:{name} -->'
 _COLUMNS = 4
