--- a/features/peers.feature
+++ b/features/peers.feature
@@ -24,6 +24,7 @@
     And "p1" takes version 1 of the bundle
     And "p1" takes version 2 of the bundle
     And version 2 is in force at all peers but "p4"
+    And the others have stopped telling of it
     And peer "p4" is back
     Then version 2 is in force at all peers
 
@@ -38,6 +39,17 @@
     Then version 3 is in force at all peers
     And no peer ever went back to an earlier version
 
+  Scenario: An older version is not taken, wherever it comes from
+    # Symptom: an accepted bundle is in force, then an older one again.
+    # Sequence: while an old version is on its way, from a peer, from the
+    # platform or an operator's hand, a newer one comes into force.
+    # Cause: the version is compared only when the offer is heard.
+    Given 2 peers
+    When "p1" takes version 3 of the bundle
+    And "p1" is given version 2 of the bundle
+    Then version 3 is in force at all peers
+    And no peer ever went back to an earlier version
+
   Scenario: Restarts of all but one keep the newest bundle
     # Symptom: after restarts in an outage of the platform the fleet has no
     # bundle, or an old one.
@@ -108,6 +120,7 @@
     # Sequence: each half finds the other dead, the path comes back.
     # Cause: nobody calls the dead.
     Given 6 peers
+    And no seed is known to anybody
     When "p1", "p2" and "p3" lose the others until they think them dead
     And "p4" takes version 1 of the bundle
     And the halves can hear each other again
--- a/features/steps/peers_steps.py
+++ b/features/steps/peers_steps.py
@@ -65,6 +65,12 @@
     )
 
 
+@given('no seed is known to anybody')
+def given_no_seed(context: Context) -> None:
+    """Leave the peers what they know of each other."""
+    context.bench.contacts.clear()
+
+
 @given('"{name}" checks no sign-off')
 def given_no_check(context: Context, name: str) -> None:
     """Take the guard of one peer away."""
@@ -131,6 +137,25 @@
     assert bench.peers[name].version < version
 
 
+@when('the others have stopped telling of it')
+def when_told(context: Context) -> None:
+    """Wait until only the hashes show what is new."""
+    bench = context.bench
+    bench.until(
+        lambda: all(
+            peer.node.untold == 0 or peer.version == 0
+            for peer in bench.peers.values()
+        ),
+        'end of the news',
+    )
+
+
+@when('"{name}" is given version {version:d} of the bundle')
+def when_given(context: Context, name: str, version: int) -> None:
+    """Give a version to one peer that it ought not to take."""
+    assert context.bench.offer(name, version, b'old') is False
+
+
 @when('a peer joins that holds version {version:d} of the bundle')
 def when_stale_joins(context: Context, version: int) -> None:
     """Start a peer that is cut off, give it a bundle, then let it in."""
@@ -300,7 +325,13 @@
     half = [one, two, three]
     for name in half:
         bench.network.put(bench.peers[name].address, 1)
-    bench.until_all_know(3)
+    # Suspects are still called; only the dead are left alone.
+    bench.until(
+        lambda: all(
+            peer.node.counts.dead == len(half) for peer in bench.peers.values()
+        ),
+        'halves that think each other dead',
+    )
 
 
 @when('the halves can hear each other again')
--- a/features/support/peers_bench.py
+++ b/features/support/peers_bench.py
@@ -256,9 +256,13 @@
 
     def roll(self, name: str, version: int, *parts: bytes) -> None:
         """Have one peer take a bundle, as if it had read the platform."""
-        found = self.run(self._accept(name, version, parts))
+        found = self.offer(name, version, *parts)
         assert found is True, found
 
+    def offer(self, name: str, version: int, *parts: bytes) -> bool | Refusal:
+        """Give a bundle to one peer and return what it says."""
+        return self.run(self._accept(name, version, parts))
+
     def write_roll(self, version: int) -> None:
         """Write a bundle to the platform, as an operator's tool does."""
         assert self.store is not None
--- a/packages/daemon/src/lacewing_daemon/peers/_news.py
+++ b/packages/daemon/src/lacewing_daemon/peers/_news.py
@@ -19,7 +19,7 @@
 
 _MAX_RECORDS = 8
 _MAX_NOTES = 8
-_RECENT_HEAD_S = 30.0
+_RECENT_HEAD_PERIODS = 30.0
 _MAX_RECENT_HEADS = 8
 
 
@@ -36,6 +36,7 @@
         notes: VmNotes,
         replicas: Replicas,
         fetcher: Fetcher,
+        exchange_s: float,
     ) -> None:
         self._table = table
         self._notes = notes
@@ -45,6 +46,7 @@
         self._vm_notes: Rumors[str] = Rumors()
         self._accepted_at_s: dict[HeadNote, float] = {}
         self._leaving: set[str] = set()
+        self._recent_s = _RECENT_HEAD_PERIODS * exchange_s
         self._repairing = False
         self.urgent = asyncio.Event()
         table.on_change(self._record_changed)
@@ -54,7 +56,8 @@
     @property
     def untold(self) -> int:
         """Return how many pieces of news are still being told."""
-        return len(self._records) + len(self._vm_notes)
+        heads = len(self._recent_heads())
+        return len(self._records) + len(self._vm_notes) + heads
 
     def fill(self, peer: MemberRecord | None = None) -> Exchange:
         """Make the message of a call to a peer."""
@@ -120,7 +123,7 @@
         )
 
     def _recent_heads(self) -> tuple[HeadNote, ...]:
-        after_s = time.monotonic() - _RECENT_HEAD_S
+        after_s = time.monotonic() - self._recent_s
         for note, accepted_at_s in list(self._accepted_at_s.items()):
             held = self._replicas.version(note.document)
             if accepted_at_s < after_s or note.version < held:
--- a/packages/daemon/src/lacewing_daemon/peers/_node.py
+++ b/packages/daemon/src/lacewing_daemon/peers/_node.py
@@ -55,7 +55,11 @@
         self._channels = channels
         self._fetcher = Fetcher(self._replicas, self._channels, rng)
         self._news = News(
-            self._table, self._notes, self._replicas, self._fetcher
+            self._table,
+            self._notes,
+            self._replicas,
+            self._fetcher,
+            settings.peers.exchange_s,
         )
         self._gossip = Gossip(
             settings.peers,
