Say what each "not run" rests on, with the guards' scenarios

Whether a router takes an answer is Presence, whether a request can run is Fitness; steps and checks are two files, unchanged in what they check. A scenario for a guard that none missed: a refusal to resume does not prove "not run".

--- a/features/agent.feature
+++ b/features/agent.feature
@@ -294,6 +294,16 @@
         | 500    | may-have-run | worker_failed           |
         | 429    | may-have-run | worker_failed           |
 
+    Scenario: A refusal to resume says nothing of the request itself
+      # Symptom: a stream that ran for seconds is called not run.
+      # Sequence: a stream is cut; weights change; its resumption is refused.
+      # Cause: reading the refusal as one of the request.
+      Given an agent beside a model worker
+      And the worker cuts the stream after event 3
+      And the worker refuses to resume with status 409
+      When "r1" starts stream 1
+      Then 1 of "r1" is refused as "may-have-run" for "worker_failed"
+
     Scenario: A refusal without the request's id proves nothing
       # Symptom: a request that runs is called not run.
       # Sequence: the refusal of another request comes on its connection.
--- a/features/steps/agent_steps.py
+++ b/features/steps/agent_steps.py
@@ -1,63 +1,21 @@
-"""Drive an agent over the wire protocol, beside a scripted worker."""
+"""Set a scripted worker up and drive its agent over the wire."""
 
 import asyncio
-import socket
 import time
-from typing import Any
 
 from behave import given
-from behave import then
 from behave import when
 from behave.runner import Context
 from lacewing_common.bundle import ServiceKind
 from lacewing_common.identity import new_incarnation
 from lacewing_common.identity import ProcessName
 from lacewing_common.wire import Ack
-from lacewing_common.wire import ANSWER_WINDOW_BYTES
 from lacewing_common.wire import Ask
 from lacewing_common.wire import Cancel
-from lacewing_common.wire import End
-from lacewing_common.wire import Refused
-from lacewing_daemon.agent._attempt import Attempt
 from lacewing_daemon.agent._watch import WorkerWatch
-from prometheus_client import REGISTRY
-from support.agent_bench import AgentBench
 from support.agent_bench import bench_of
-from support.agent_bench import Seen
-from support.scripted_worker import stream_text
-from support.scripted_worker import whole_text
-
-# What one read from the worker and one frame may add to a full window.
-SLACK_BYTES = 128 * 1024
-
-_PARTS = {
-    'events': 'event',
-    'gaps': 'gap',
-    'answers': 'answer',
-    'bodies': 'body',
-}
-
-
-def _dropped() -> dict[str, float]:
-    name = 'lacewing_agent_mismatched_answers_total'
-    counts: dict[str, float] = {}
-    for part in _PARTS.values():
-        counts[part] = REGISTRY.get_sample_value(name, {'part': part}) or 0.0
-    return counts
-
-
-def _seen(context: Context, router: str, sequence: int) -> Seen:
-    return bench_of(context).router(router).seen.setdefault(sequence, Seen())
-
-
-def _attempt(context: Context, router: str, sequence: int) -> Attempt | None:
-    bench = bench_of(context)
-    attempt_id = bench.routers[router].attempt(sequence)
-    return bench.agent._attempts.find(attempt_id)
-
-
-def _held(bench: AgentBench) -> int:
-    return sum(one.answer.held for one in bench.agent._attempts.all())
+from support.agent_bench import dropped_counts
+from support.agent_bench import seen_of
 
 
 @given('an agent beside a {kind} worker')
@@ -65,7 +23,7 @@
     """Start a worker and its agent."""
     bench = bench_of(context)
     bench.run(bench.start_agent(ServiceKind(kind)))
-    context.dropped = _dropped()
+    context.dropped = dropped_counts()
 
 
 @given('an agent with {slots:d} slot beside a model worker')
@@ -143,18 +101,6 @@
     bench_of(context).run(context.watch.poll())
 
 
-@then('the watch sees "{epoch}"')
-def then_sees(context: Context, epoch: str) -> None:
-    """Look at the worker's epoch."""
-    assert context.watch.epoch == epoch
-
-
-@then('the watch sees no worker')
-def then_sees_none(context: Context) -> None:
-    """Look at the worker's epoch."""
-    assert context.watch.epoch == ''
-
-
 @given('the worker cuts the stream after event {number:d}')
 def given_cut(context: Context, number: int) -> None:
     """Close the connection in mid stream."""
@@ -165,7 +111,7 @@
 @when('the worker forgets all requests')
 def given_forgets(context: Context) -> None:
     """Know no request when asked to resume it."""
-    bench_of(context).worker.forgets = True
+    bench_of(context).worker.resume_status = 404
 
 
 @given('the worker takes streams up from the beginning')
@@ -186,6 +132,12 @@
     bench_of(context).worker.resume_epoch = epoch
 
 
+@given('the worker refuses to resume with status {status:d}')
+def given_resume_status(context: Context, status: int) -> None:
+    """Refuse each resumption."""
+    bench_of(context).worker.resume_status = status
+
+
 @given('the worker answers with status {status:d}')
 def given_status(context: Context, status: int) -> None:
     """Refuse each request."""
@@ -318,7 +270,7 @@
     """Ask from the last byte received."""
     bench = bench_of(context)
     link = bench.router(router)
-    seen = _seen(context, router, sequence)
+    seen = seen_of(context, router, sequence)
     seen.outcomes_before = len(seen.outcomes)
     offset = len(seen.payload)
     bench.run(link.send(Ask(link.attempt(sequence), offset)))
@@ -349,7 +301,7 @@
 @when('"{router}" confirms {sequence:d} as it comes')
 def when_confirms(context: Context, router: str, sequence: int) -> None:
     """Confirm all bytes until the outcome is there."""
-    seen = _seen(context, router, sequence)
+    seen = seen_of(context, router, sequence)
     link = bench_of(context).router(router)
 
     async def confirm() -> None:
@@ -412,234 +364,3 @@
     bench = bench_of(context)
     request_id = str(bench.router(router).attempt(sequence))
     bench.wait(lambda: bench.worker.runs[request_id] == 1)
-
-
-@when('the agent has the outcome of {sequence:d} from "{router}"')
-@then('the agent has the outcome of {sequence:d} from "{router}"')
-def then_known(context: Context, sequence: int, router: str) -> None:
-    """Wait until an attempt has ended."""
-
-    def ended() -> bool:
-        attempt = _attempt(context, router, sequence)
-        return attempt is not None and attempt.outcome is not None
-
-    bench_of(context).wait(ended)
-
-
-@when('"{router}" has the outcome of {sequence:d}')
-@then('"{router}" has the outcome of {sequence:d}')
-def then_outcome(context: Context, router: str, sequence: int) -> None:
-    """Wait for End or Refused."""
-    seen = _seen(context, router, sequence)
-    bench_of(context).wait(lambda: seen.outcomes)
-
-
-@when('"{router}" has {count:d} events of {sequence:d}')
-@then('"{router}" has {count:d} events of {sequence:d}')
-def then_events(
-    context: Context, router: str, count: int, sequence: int
-) -> None:
-    """Wait for whole events."""
-    seen = _seen(context, router, sequence)
-    bench_of(context).wait(lambda: seen.payload.count(b'\n\n') == count)
-
-
-@then('"{router}" has the whole {kind:w} {sequence:d}, each byte once')
-def then_whole(
-    context: Context, router: str, kind: str, sequence: int
-) -> None:
-    """Compare an answer byte by byte."""
-    bench = bench_of(context)
-    seen = _seen(context, router, sequence)
-    bench.wait(lambda: seen.outcomes)
-    request_id = str(bench.router(router).attempt(sequence))
-    text = stream_text if kind == 'stream' else whole_text
-    assert bytes(seen.payload) == text(request_id, bench.worker.plan)
-    assert (seen.repeated, seen.gaps) == (0, 0), seen
-    assert isinstance(seen.outcomes[0], End), seen.outcomes
-    assert seen.outcomes[0].length == len(seen.payload)
-    assert len(seen.outcomes) == 1, seen.outcomes
-
-
-@then('"{router}" has the whole answer {sequence:d}')
-def then_whole_answer(context: Context, router: str, sequence: int) -> None:
-    """Compare a whole answer byte by byte."""
-    then_whole(context, router, 'answer', sequence)
-
-
-@then('"{router}" has the answer "{text}" to call {sequence:d}')
-def then_call(context: Context, router: str, text: str, sequence: int) -> None:
-    """Compare a plain answer."""
-    seen = _seen(context, router, sequence)
-    bench_of(context).wait(lambda: seen.outcomes)
-    assert seen.payload == text.encode(), seen
-    assert seen.head is not None and seen.head.status == 200, seen
-    assert isinstance(seen.outcomes[0], End), seen
-
-
-@then('"{router}" has its own answer to call {sequence:d}')
-def then_own_answer(context: Context, router: str, sequence: int) -> None:
-    """Compare an answer that names its call."""
-    bench = bench_of(context)
-    attempt_id = bench.router(router).attempt(sequence)
-    then_call(context, router, f'done {attempt_id}', sequence)
-
-
-@then(
-    'the end of {sequence:d} for "{router}" reports {hit:d} of {blocks:d}'
-    ' blocks reused by "{epoch}"'
-)
-def then_cache(
-    context: Context,
-    sequence: int,
-    router: str,
-    hit: int,
-    blocks: int,
-    epoch: str,
-) -> None:
-    """Look at the cache report."""
-    end = _seen(context, router, sequence).outcomes[0]
-    assert isinstance(end, End)
-    cache = end.cache
-    found = (cache.epoch, cache.hit_blocks, cache.prompt_blocks)
-    assert found == (epoch, hit, blocks), end
-
-
-@then('{sequence:d} of "{router}" is refused as "{verdict}" for "{reason}"')
-def then_refused(
-    context: Context, sequence: int, router: str, verdict: str, reason: str
-) -> None:
-    """Look at the outcome that followed the last frame sent."""
-    seen = _seen(context, router, sequence)
-    bench_of(context).wait(lambda: len(seen.outcomes) > seen.outcomes_before)
-    refused = seen.outcomes[-1]
-    assert isinstance(refused, Refused), refused
-    found = (refused.verdict.value, refused.reason.value)
-    assert found == (verdict, reason), refused
-
-
-@then('the refusal of {sequence:d} for "{router}" says when to come back')
-def then_retry_after(context: Context, sequence: int, router: str) -> None:
-    """Look at the time to retry after."""
-    refused = _seen(context, router, sequence).outcomes[0]
-    assert isinstance(refused, Refused)
-    assert refused.retry_after_s is not None and refused.retry_after_s > 0
-
-
-@then('the refusal of {sequence:d} for "{router}" says "{text}"')
-def then_says(context: Context, sequence: int, router: str, text: str) -> None:
-    """Look at the text for the reader."""
-    refused = _seen(context, router, sequence).outcomes[0]
-    assert isinstance(refused, Refused)
-    assert text in refused.text, refused
-
-
-@then('the worker ran {sequence:d} of "{router}" {count:d} time')
-@then('the worker ran {sequence:d} of "{router}" {count:d} times')
-def then_ran(context: Context, sequence: int, router: str, count: int) -> None:
-    """Count the runs where they happen."""
-    bench = bench_of(context)
-    request_id = str(bench.router(router).attempt(sequence))
-    assert bench.worker.runs[request_id] == count, bench.worker.runs
-
-
-@then('the worker ran them in the order {numbers}')
-def then_order(context: Context, numbers: str) -> None:
-    """Look at the order in which the worker got the requests."""
-    bench = bench_of(context)
-    expected = []
-    for number in numbers.split():
-        expected.append(str(bench.router('r1').attempt(int(number))))
-    assert bench.worker.order == expected, bench.worker.order
-
-
-@then('the worker was told to cancel {sequence:d} of "{router}"')
-def then_cancelled(context: Context, sequence: int, router: str) -> None:
-    """Wait for the cancel."""
-    bench = bench_of(context)
-    request_id = str(bench.routers[router].attempt(sequence))
-    bench.wait(lambda: request_id in bench.worker.cancelled)
-
-
-@then('the count of {part} dropped has grown')
-def then_dropped(context: Context, part: str) -> None:
-    """Look at the agent's count."""
-    name = _PARTS[part]
-    assert _dropped()[name] > context.dropped[name], _dropped()
-
-
-@when('"{router}" gets no more than the window of {sequence:d} unconfirmed')
-@then('"{router}" gets no more than the window of {sequence:d} unconfirmed')
-def then_window(context: Context, router: str, sequence: int) -> None:
-    """Wait until the window is full and look on."""
-    bench = bench_of(context)
-    seen = _seen(context, router, sequence)
-    bench.wait(lambda: len(seen.payload) >= ANSWER_WINDOW_BYTES)
-    bench.run(asyncio.sleep(0.1))
-    assert len(seen.payload) <= ANSWER_WINDOW_BYTES + SLACK_BYTES
-
-
-@then('the agent holds no more than the window and the worker waits')
-def then_bounded(context: Context) -> None:
-    """Look at the agent's memory and at what the worker could write."""
-    bench = bench_of(context)
-    plan = bench.worker.plan
-    assert _held(bench) <= ANSWER_WINDOW_BYTES + SLACK_BYTES, _held(bench)
-    assert bench.worker.written < plan.events * plan.event_bytes
-
-
-@then('the agent remembers at most {count:d} of "{router}"')
-def then_remembers(context: Context, count: int, router: str) -> None:
-    """Count what is remembered of a router."""
-    bench = bench_of(context)
-    history = bench.agent._attempts._history(str(bench.router(router).name))
-    assert len(history._closed) + len(history._verdicts) <= count
-
-
-@then("the agent remembers no router's history")
-def then_no_history(context: Context) -> None:
-    """Look at the table."""
-    assert not list(bench_of(context).agent._attempts.histories())
-
-
-@then('"{router}" hears that the worker is leaving')
-def then_leaving(context: Context, router: str) -> None:
-    """Wait for the notice."""
-    link = bench_of(context).router(router)
-    bench_of(context).wait(lambda: any(one.leaving for one in link.changes))
-
-
-@then('"{router}" hears of "{epoch}"')
-def then_epoch(context: Context, router: str, epoch: str) -> None:
-    """Wait for the notice."""
-    link = bench_of(context).router(router)
-    bench_of(context).wait(
-        lambda: any(one.epoch == epoch for one in link.changes)
-    )
-
-
-@then("the agent's connections have Nagle's algorithm off")
-def then_no_delay(context: Context) -> None:
-    """Look at the accepted sockets."""
-    server: Any = bench_of(context).agent._server._server
-    for handler in server._handlers:
-        for stream in handler._tasks:
-            sock = stream._transport.get_extra_info('socket')
-            assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
-    assert server._handlers
-
-
-@then('the agent has not drained')
-def then_not_drained(context: Context) -> None:
-    """Look whether the drain still waits."""
-    bench = bench_of(context)
-    bench.run(asyncio.sleep(0.1))
-    assert bench.draining is not None and not bench.draining.done()
-
-
-@then('the agent has drained')
-def then_drained(context: Context) -> None:
-    """Wait for the end of the drain."""
-    bench = bench_of(context)
-    assert bench.draining is not None
-    bench.run(asyncio.wait_for(bench.draining, 10))
--- a/features/support/agent_bench.py
+++ b/features/support/agent_bench.py
@@ -46,10 +46,19 @@
 from lacewing_common.wire import WorkerChanged
 from lacewing_daemon.agent._agent import Agent
 from lacewing_daemon.runtime import Runtime
+from prometheus_client import REGISTRY
 from support.scripted_worker import ScriptedWorker
 
 T = TypeVar('T')
 
+# What a scenario calls the parts that are counted apart.
+DROPPED_PARTS = {
+    'events': 'event',
+    'gaps': 'gap',
+    'answers': 'answer',
+    'bodies': 'body',
+}
+
 PLACE = Place('test', 'zone-1')
 SALT = b'0123456789abcdef'
 DRAIN_S = 20.0
@@ -274,3 +283,17 @@
         context.resources.callback(context.agent_bench.close)
     bench: AgentBench = context.agent_bench
     return bench
+
+
+def seen_of(context: Context, router: str, sequence: int) -> Seen:
+    """Return what a router got for an attempt."""
+    return bench_of(context).router(router).seen.setdefault(sequence, Seen())
+
+
+def dropped_counts() -> dict[str, float]:
+    """Return the agent's counts of mismatched answers, by part."""
+    name = 'lacewing_agent_mismatched_answers_total'
+    counts: dict[str, float] = {}
+    for part in DROPPED_PARTS.values():
+        counts[part] = REGISTRY.get_sample_value(name, {'part': part}) or 0.0
+    return counts
--- a/features/support/scripted_worker.py
+++ b/features/support/scripted_worker.py
@@ -90,7 +90,7 @@
         self.runs: Counter[str] = Counter()
         self.order: list[str] = []
         self.cancelled: list[str] = []
-        self.forgets = False
+        self.resume_status = 200
         self.written = 0
         routes: list[Any] = [
             (r'/load', _Load),
@@ -208,8 +208,8 @@
 
 class _Resume(_Handler):
     async def get(self, request_id: str) -> None:
-        if self.worker.forgets:
-            self.set_status(404)
+        if self.worker.resume_status != 200:
+            self.set_status(self.worker.resume_status)
             return
         if self.worker.resume_epoch:
             self.set_header('X-Engine-Epoch', self.worker.resume_epoch)
--- a/packages/daemon/src/lacewing_daemon/agent/_agent.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_agent.py
@@ -13,8 +13,6 @@
 from lacewing_common.log import Part
 from lacewing_common.settings import SettingsError
 from lacewing_common.settings import WorkerSettings
-from lacewing_common.verdict import not_run
-from lacewing_common.verdict import Reason
 from lacewing_common.verdict import Refusal
 from lacewing_common.wire import Ack
 from lacewing_common.wire import AgentMessage
@@ -37,6 +35,7 @@
 from lacewing_daemon.agent._cache import CacheKnowledge
 from lacewing_daemon.agent._cache_follower import CacheFollower
 from lacewing_daemon.agent._demand import DemandMeter
+from lacewing_daemon.agent._fitness import Fitness
 from lacewing_daemon.agent._kv_client import KvClient
 from lacewing_daemon.agent._link import Link
 from lacewing_daemon.agent._load import LoadView
@@ -117,6 +116,9 @@
         self._models = WatchedModels(
             self._watch, self._meter, self._worker_changed
         )
+        self._fitness = Fitness(
+            settings.service, self._models, self._watch.look_soon
+        )
         self._limits = limits
         self._sweeper = Sweeper(self._attempts, limits)
         self._links: set[Link] = set()
@@ -230,7 +232,9 @@
     def start_attempt(self, start: Start) -> Attempt | Refusal:
         """Record and run an attempt, or find it."""
         known = self._attempts.find(start.attempt)
-        found = self._attempts.begin(start, self._unfit(start))
+        found = self._attempts.begin(
+            start, self._fitness.refusal(start, self._leaving)
+        )
         if isinstance(found, Attempt) and found is not known:
             self._spawn(self._runner.run(found))
         return found
@@ -285,33 +289,6 @@
     def _level_changed(self, key: bytes, stored: bool) -> None:
         self._teller.change(key, stored)
 
-    def _unfit(self, start: Start) -> Refusal | None:
-        """Refuse, before it is recorded, what cannot run here."""
-        if self._leaving:
-            return not_run(Reason.DRAINING, 'this worker is leaving')
-        if start.service != self._settings.service:
-            return not_run(
-                Reason.NOT_READY,
-                f'this worker serves {self._settings.service!r},'
-                f' not {start.service!r}',
-            )
-        return self._stale(start)
-
-    def _stale(self, start: Start) -> Refusal | None:
-        models = self._models.names
-        if not start.model or not start.weights:
-            return None
-        if not models and not self._models.known:
-            return None
-        wanted = f'{start.model}:{start.weights}'
-        if wanted in models:
-            return None
-        self._watch.look_soon()
-        return not_run(
-            Reason.STALE_WEIGHTS,
-            f'{wanted} is not loaded here; loaded: {", ".join(models)}',
-        )
-
     def _bundle_changed(self, _bundle: RolledBundle) -> None:
         self._watch.look_soon()
         if self._placement is not None:
--- a/packages/daemon/src/lacewing_daemon/agent/_attempt.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_attempt.py
@@ -21,12 +21,10 @@
 from lacewing_daemon.agent._answer import KeptAnswer
 from lacewing_daemon.agent._metrics import ATTEMPTS_ENDED
 from lacewing_daemon.agent._metrics import ATTEMPTS_OPEN
+from lacewing_daemon.agent._presence import Presence
 
 Outcome = End | Refused
 
-# How long a leaving agent waits for the last Ack of an answer.
-CONFIRM_S = 1.0
-
 
 class Phase(Enum):
     """Tell how far an attempt is.
@@ -62,14 +60,11 @@
         self._answer = KeptAnswer()
         self._head: Head | None = None
         self._outcome: Outcome | None = None
-        self._on_change: Callable[[], None] | None = None
+        self._presence = Presence()
         self._flow: Flow | None = None
         self._paused = False
         self._cancelled = False
         self._on_cancel: Callable[[], None] | None = None
-        self._delivered_at: float | None = None
-        self._confirmed = False
-        self._orphaned_at = 0.0
         self._ended_at = 0.0
         self._ended = asyncio.Event()
         self._holds_not_run = False
@@ -108,20 +103,15 @@
         return self._outcome
 
     @property
-    def attached(self) -> bool:
-        """Tell whether a link reads the answer."""
-        return self._on_change is not None
+    def presence(self) -> Presence:
+        """Return the presence of a router that takes the answer."""
+        return self._presence
 
     @property
     def cancelled(self) -> bool:
         """Tell whether the attempt is to be stopped."""
         return self._cancelled
 
-    @property
-    def orphaned_at(self) -> float:
-        """Return the monotonic time at which the last link broke."""
-        return self._orphaned_at
-
     @property
     def ended_at(self) -> float:
         """Return the monotonic time of the outcome."""
@@ -146,35 +136,13 @@
         self._copy_payload = take
 
     def is_owed(self, now: float, patience_s: float) -> bool:
-        """Tell whether a router still waits for the answer's end.
-
-        A router whose link broke is waited for, but not for ever; so is
-        the confirmation of an end that may be lost with the connection.
-        """
+        """Tell whether a router still waits for the answer's end."""
         if self._outcome is None:
             return True
         if self._cancelled:
             return False
-        if self._delivered_at is None:
-            return self.attached or now - self._orphaned_at < patience_s
-        if self._confirmed or isinstance(self._outcome, Refused):
-            return False
-        return now - self._delivered_at < CONFIRM_S
-
-    def attach(self, on_change: Callable[[], None]) -> None:
-        """Call a link back whenever there is more to send."""
-        self._on_change = on_change
-
-    def detach(self, on_change: Callable[[], None]) -> None:
-        """Stop calling back, unless another link took over."""
-        if self._on_change is not on_change:
-            return
-        self._on_change = None
-        self._orphaned_at = time.monotonic()
-
-    def mark_delivered(self) -> None:
-        """Record that a link has sent the outcome."""
-        self._delivered_at = time.monotonic()
+        confirms = isinstance(self._outcome, End)
+        return self._presence.awaits_end(now, patience_s, confirms)
 
     def mark_sent(self) -> None:
         """Record that the worker may see the request from now on."""
@@ -205,7 +173,7 @@
         if self._head is not None or self._outcome is not None:
             return
         self._head = Head(self.attempt_id, status, content_type, replayed)
-        self._changed()
+        self._presence.notify()
 
     def put(self, payload: bytes) -> None:
         """Take bytes of the answer that end where an event ends."""
@@ -215,7 +183,7 @@
         if self._copy_payload is not None:
             self._copy_payload(payload)
         self._pause_if_full()
-        self._changed()
+        self._presence.notify()
 
     def put_whole(self, body: bytes) -> None:
         """Take a whole body."""
@@ -224,13 +192,13 @@
         self._answer.append_whole(body)
         if self._copy_payload is not None:
             self._copy_payload(body)
-        self._changed()
+        self._presence.notify()
 
     def acknowledge(self, offset: int) -> None:
         """Let go of bytes that the router has; read on if that helps."""
         self._answer.acknowledge(offset)
-        self._confirmed = offset >= self._answer.length
-        self._changed()
+        self._presence.mark_confirmed(offset >= self._answer.length)
+        self._presence.notify()
         self._resume_if_room()
 
     def keep_outcome_only(self) -> None:
@@ -292,11 +260,7 @@
         self._ended.set()
         ATTEMPTS_OPEN.dec()
         ATTEMPTS_ENDED.labels(verdict.value).inc()
-        self._changed()
-
-    def _changed(self) -> None:
-        if self._on_change is not None:
-            self._on_change()
+        self._presence.notify()
 
     def _resume_if_room(self) -> None:
         if not self._paused or self._flow is None:
--- a/packages/daemon/src/lacewing_daemon/agent/_link.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_link.py
@@ -216,7 +216,7 @@
         callback = partial(self._now_due, delivery)
         self._deliveries[attempt.attempt_id] = delivery
         self._callbacks[attempt.attempt_id] = callback
-        attempt.attach(callback)
+        attempt.presence.attach(callback)
         self._now_due(delivery)
 
     def _now_due(self, delivery: Delivery) -> None:
@@ -273,14 +273,14 @@
 
     def _forget(self, delivery: Delivery) -> None:
         attempt = delivery.attempt
-        attempt.mark_delivered()
+        attempt.presence.mark_delivered()
         if self._deliveries.get(attempt.attempt_id) is not delivery:
             return
         del self._deliveries[attempt.attempt_id]
-        attempt.detach(self._callbacks.pop(attempt.attempt_id))
+        attempt.presence.detach(self._callbacks.pop(attempt.attempt_id))
 
     def _detach_all(self) -> None:
         for attempt_id, delivery in self._deliveries.items():
-            delivery.attempt.detach(self._callbacks[attempt_id])
+            delivery.attempt.presence.detach(self._callbacks[attempt_id])
         self._deliveries.clear()
         self._callbacks.clear()
--- a/packages/daemon/src/lacewing_daemon/agent/_sweeper.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_sweeper.py
@@ -55,9 +55,9 @@
         self._attempts.forget_idle(now)
 
     def _is_orphan(self, attempt: Attempt, now: float) -> bool:
-        if attempt.phase is Phase.ENDED or attempt.attached:
+        if attempt.phase is Phase.ENDED:
             return False
-        return now - attempt.orphaned_at >= self._limits.orphan_s
+        return attempt.presence.is_orphan(now, self._limits.orphan_s)
 
     def _forget_answers(self, now: float) -> None:
         ended = self._ended()
