Continue every stream that a crashed engine had

Each continuation took from the retry budget (a burst of 10), which is meant for refusals under overload. Ruled out: the stand-in's continuation and the agents' resume; other streams went on rightly.

Change: an attempt broken by the end of a worker or agent may be moved twice without taking from the budget; refusals and error answers always take from it. A stream that has begun waits at its next worker up to its answer's deadline.

The wait for a restarted worker keeps its bound, the time to a first token.

Conclusion: no stream is cut; a request that broke before its first token may still end as may-have-run when the others are overloaded.

--- a/features/router.feature
+++ b/features/router.feature
@@ -229,6 +229,8 @@
     Then every stream has 6 words, one id, events numbered in order, its end
     And the usage counts 6 words of answer to 20 of prompt
     And the second agent was asked for 3 words after "w1 w2 w3"
+    # Else a busy worker refuses it, although its caller has a first token.
+    And the second agent may begin them as late as an answer may end
 
   Scenario: A stream that lacks only its end is ended
     # Symptom: an answer that was complete is reported as cut.
--- a/packages/daemon/src/lacewing_daemon/router/_elsewhere.py
+++ b/packages/daemon/src/lacewing_daemon/router/_elsewhere.py
@@ -34,6 +34,18 @@
     )
 )
 
+# Of these, what a worker's or an agent's end brings. An overloaded one that
+# answers with an error isn't among them.
+_OF_AN_END = frozenset(
+    (
+        Reason.STALE_EPOCH,
+        Reason.AGENT_RESTARTED,
+        Reason.AGENT_UNREACHABLE,
+        Reason.WORKER_UNREACHABLE,
+        Reason.STREAM_BROKEN,
+    )
+)
+
 
 def is_not_run_here(refusal: Refusal) -> bool:
     """Tell whether one worker refused what another may run."""
@@ -47,3 +59,8 @@
     if refusal.verdict is Verdict.NOT_RUN:
         return False
     return refusal.reason in _OF_A_FAULT
+
+
+def is_breakage(refusal: Refusal) -> bool:
+    """Tell whether the end of a worker or agent broke an attempt."""
+    return is_fault(refusal) and refusal.reason in _OF_AN_END
--- a/packages/daemon/src/lacewing_daemon/router/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/router/_exchange.py
@@ -19,6 +19,7 @@
 from lacewing_daemon.router._continuation import is_complete
 from lacewing_daemon.router._continuation import Joiner
 from lacewing_daemon.router._continuation import may_continue
+from lacewing_daemon.router._elsewhere import is_breakage
 from lacewing_daemon.router._elsewhere import is_fault
 from lacewing_daemon.router._elsewhere import is_not_run_here
 from lacewing_daemon.router._link import Link
@@ -47,6 +48,7 @@
 from lacewing_daemon.router._tried import WorkerRun
 from lacewing_daemon.router._waiting import until_eligible
 
+_MOVES_AFTER_BREAKAGE = 2
 _MS_PER_S = 1000.0
 
 
@@ -75,10 +77,12 @@
         self._tokens_used = 0.0
         self._tried = Tried()
         self._after_fault = False
+        self._moves = 0
         self._refusals = Refusals()
         self._began_s = time.monotonic()
         self._answer_by_s = self._began_s + call.service.answer_ms / _MS_PER_S
         self._start_by_s = self._began_s
+        self._worker_by_s = self._began_s
         self._renew_start_deadline()
         self._record = serving.decisions.open(
             call.asked.request_id, call.team.name, call.service.name
@@ -165,7 +169,7 @@
             if workers.ids or not self._after_fault:
                 return workers
             workers = eligible.restarted(self._tried)
-            left_s = self._start_by_s - time.monotonic()
+            left_s = self._worker_by_s - time.monotonic()
             if workers.ids or left_s <= 0:
                 return workers
             await links.wait_for_change(left_s)
@@ -279,7 +283,7 @@
         if self._gone or not self._may_go_elsewhere(refusal):
             return self._told(refusal)
         service = self._call.service.name
-        if not self._serving.budget(service).take():
+        if not self._may_retry(refusal):
             RETRIES_DENIED.labels(service).inc()
             return self._told(refusal)
         RETRIES.labels(service, refusal.reason.value).inc()
@@ -287,6 +291,17 @@
             self._continue()
         return None
 
+    def _may_retry(self, refusal: Refusal) -> bool:
+        # A worker that dies breaks all its open requests at once, many more
+        # than the budget's burst: most of its streams would end incomplete.
+        # A bound on each request's own moves keeps a fault from
+        # multiplying the load; refusals, which overload brings, take from
+        # the budget always.
+        if is_breakage(refusal) and self._moves < _MOVES_AFTER_BREAKAGE:
+            self._moves += 1
+            return True
+        return self._serving.budget(self._call.service.name).take()
+
     def _told(self, refusal: Refusal) -> Refusal:
         if not self._reply.started:
             return self._refusals.final(refusal)
@@ -315,5 +330,10 @@
     def _renew_start_deadline(self) -> None:
         # The fault of a worker must not leave the next one too little time.
         budget_s = self._call.service.first_token_ms / _MS_PER_S
-        start_by_s = time.monotonic() + budget_s
-        self._start_by_s = min(start_by_s, self._answer_by_s)
+        worker_by_s = time.monotonic() + budget_s
+        self._worker_by_s = min(worker_by_s, self._answer_by_s)
+        self._start_by_s = self._worker_by_s
+        if self._reply.started:
+            # The caller has its first token: the next worker may keep the
+            # rest waiting, for the stream must not end here.
+            self._start_by_s = self._answer_by_s
