--- a/features/failures.feature
+++ b/features/failures.feature
@@ -62,11 +62,11 @@
     # taken by its place in a connection and not by its id.
     Given 1 routers, 2 engines and 0 plain workers
     And each engine has the faults {"crossed": {"requests": 4, "hold_s": 0.3, "headers": false}}
-    And 4 callers read streams of 400 tokens
-    When the agent of the busiest engine is frozen
+    When 4 callers begin streams of 250 tokens through "router-1"
+    And the agent of the busiest engine is frozen
     And "router-1" says "link: Link is down."
     And the agent of its worker is thawed
-    Then each caller gets its whole stream
+    Then all begun chats are answered
 
   Scenario: A herd of routers comes back to new hot prefixes
     # Symptom: refusals, or an engine that takes all. Sequence: all routers are
--- a/features/steps/failures_steps.py
+++ b/features/steps/failures_steps.py
@@ -129,6 +129,20 @@
             bench.begin(f'{router} {index}', router, call)
 
 
+@when(
+    '{number:d} callers begin streams of {tokens:d} tokens through "{router}"'
+)
+def when_streams_begin(
+    context: Context, number: int, tokens: int, router: str
+) -> None:
+    """Begin streams and wait until some engine runs one."""
+    bench = context.bench
+    for index in range(number):
+        call = chat('brno', f'stream {index}', tokens=tokens)
+        bench.begin(f'stream {index}', router, call)
+    bench.until_asked(bench.is_busy, 'busy engine')
+
+
 @when('a recall check "{key}" is begun through "{router}"')
 def when_begun(context: Context, key: str, router: str) -> None:
     """Send it and go on."""
--- a/features/support/failures_bench.py
+++ b/features/support/failures_bench.py
@@ -95,6 +95,10 @@
         """Return the engine that runs most requests now."""
         return max(self.engines, key=self._running)
 
+    def is_busy(self) -> bool:
+        """Tell whether some engine runs a request."""
+        return any(self._running(engine) for engine in self.engines)
+
     def until_ran(self, key: str) -> None:
         """Wait until some worker runs the call of a key."""
         self.until_asked(lambda: bool(self.truth().by_key.get(key)), key)
--- a/packages/bench/src/lacewing_bench/chaos/_callers.py
+++ b/packages/bench/src/lacewing_bench/chaos/_callers.py
@@ -22,6 +22,7 @@
 _DEFAULT_WAIT_S = 0.3
 _MOST_TRIES = 8
 _NEAR_S = 0.05
+_SHOWN_ERROR = 300
 _CALLS_AT_ONCE = 2000
 _FINAL = (
     Finding.RIGHT,
@@ -167,6 +168,9 @@
             if hang_up_s is not None:
                 finding = Finding.HUNG_UP
         text = '' if finding is Finding.RIGHT else answer.text
+        if finding is Finding.MARKED:
+            # What the stream said last is its error.
+            text = progress.body[-_SHOWN_ERROR:]
         made = Try(
             router,
             sent_s,
--- a/packages/bench/src/lacewing_bench/chaos/_report.py
+++ b/packages/bench/src/lacewing_bench/chaos/_report.py
@@ -15,6 +15,7 @@
 from lacewing_bench.chaos._timeline import Happening
 
 _MS = 1000.0
+_MOST_ERRORS = 40
 
 
 class Unharmed(msgspec.Struct, frozen=True):
@@ -34,7 +35,9 @@
     sending, ``killed`` of them lost with a killed router. ``crash_ms``: from
     a crash to the next byte for each request that ran on that engine.
     ``stopped_s``: from a notice to the last request begun, by leaving.
-    ``faults_of_code``: lines of logs that tell of an unforeseen error.
+    ``errors``: some of the requests that got an error after they may have
+    run, which breaks no promise but helps nobody. ``faults_of_code``: lines
+    of logs that tell of an unforeseen error.
     """
 
     seed: int
@@ -49,6 +52,7 @@
     stopped_s: list[float]
     unharmed: dict[str, Unharmed]
     breaches: list[str]
+    errors: list[str]
     faults_of_code: list[str]
     timeline: list[str]
 
@@ -81,11 +85,27 @@
         stopped_s=_stopped_s(happenings),
         unharmed=_unharmed(served, happenings),
         breaches=[_line(breach, origin_s) for breach in breaches],
+        errors=_errors(served, origin_s),
         faults_of_code=list(faults_of_code),
         timeline=describe(happenings, origin_s),
     )
 
 
+def _errors(served: Sequence[Served], origin_s: float) -> list[str]:
+    lines: list[str] = []
+    for each in served:
+        for one in each.tries:
+            if one.finding not in (Finding.MARKED, Finding.FAILED):
+                continue
+            at_s = one.sent_s - origin_s
+            lines.append(
+                f'{at_s:7.2f} s  {one.ended_s - one.sent_s:5.2f} s'
+                f'  {each.ask.kind.value} {one.finding.value}'
+                f' {one.status} via {one.router}: {one.text}'
+            )
+    return lines[:_MOST_ERRORS]
+
+
 def _line(breach: Breach, origin_s: float) -> str:
     at_s = breach.at_s - origin_s
     return f'{at_s:7.2f} s  {breach.invariant.value}: {breach.what}'
