Measure fewer rows at once on a busy machine

Change: the default number of rows side by side is one for each 3 cores that the load average leaves idle, at least 1.

--- a/packages/bench/src/lacewing_bench/bench/__main__.py
+++ b/packages/bench/src/lacewing_bench/bench/__main__.py
@@ -65,7 +65,7 @@
         seed: of the workload, the same for all policies.
         rate_factor: multiplies the rate of requests.
         quick: fewer and shorter rows.
-        jobs: rows measured side by side; one for each 3 cores, 4 at most.
+        jobs: rows measured side by side; one for each 3 idle cores, 4 at most.
         output: directory of bench.json and the plots.
     """
     scenarios = _QUICK_SCENARIOS if quick else tuple(Scenario)
@@ -132,8 +132,10 @@
 
 
 def _default_jobs() -> int:
-    cores = os.cpu_count() or 1
-    return max(1, min(_MOST_JOBS, cores // _CORES_PER_ROW))
+    # On a machine that is busy with other work more rows would only make
+    # the clients late, and be rejected.
+    idle = (os.cpu_count() or 1) - os.getloadavg()[0]
+    return max(1, min(_MOST_JOBS, int(idle / _CORES_PER_ROW)))
 
 
 if __name__ == '__main__':
