Add copies by mean waits; do not go back to too few

The wait that adds a copy was half the first-token goal, read at one moment; and a copy added for waits would be spared again once they were gone.

Ruled out: the share of slots. The two engines were in steps 97% of the time while their slots were far from full.

Change: agents report the mean wait of their samples; 5% of the goal at most copies adds one. A number of copies that proved too few is not gone back to for 20 minutes (late_copies in the plan's notes).

Behave: agent, placement, settings, routing 107 passed.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -45,6 +45,10 @@
     Then "m" has 1 copy
     When new requests wait 1000 ms for 30 s
     Then "m" has 2 copies
+    When new requests wait 0 ms for 600 s
+    Then "m" has 2 copies
+    When new requests wait 0 ms for 1200 s
+    Then "m" has 1 copy
 
   Scenario: New weights are rolled worker by worker
     # Symptom: for the time of a load nothing serves a model.
--- a/packages/common/src/lacewing_common/plan.py
+++ b/packages/common/src/lacewing_common/plan.py
@@ -45,6 +45,7 @@
 
     ``busy`` is the mean number of requests at once; ``below_since_s`` the
     time, in seconds since 1970, since when fewer copies would do, 0 if not.
+    ``late_copies`` were too few at ``late_at_s``: new requests waited.
     """
 
     model: str
@@ -53,6 +54,8 @@
     busy: float
     utilisation: float
     below_since_s: float = 0.0
+    late_copies: int = 0
+    late_at_s: float = 0.0
 
 
 class Plan(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/daemon/src/lacewing_daemon/agent/_agent.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_agent.py
@@ -112,7 +112,9 @@
             self._worker_changed,
         )
         self._attempts = Attempts(runtime.name.incarnation)
-        self._meter = DemandMeter(self._attempts)
+        self._meter = DemandMeter(
+            self._attempts, lambda: self._load.report().backlog_ms
+        )
         self._models = WatchedModels(
             self._watch, self._meter, self._worker_changed
         )
@@ -131,7 +133,6 @@
             self._service,
             self._models,
             self._meter,
-            self._load,
         )
         services: list[PeerServed] = [self, *runtime.peer_services]
         if self._placement is not None:
--- a/packages/daemon/src/lacewing_daemon/agent/_demand.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_demand.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from lacewing_daemon.agent._attempts import Attempts
@@ -23,12 +24,22 @@
     """Average the requests at once, over some ten samples."""
 
     def __init__(
-        self, attempts: Attempts, sample_s: float = _SAMPLE_S
+        self,
+        attempts: Attempts,
+        wait_ms: Callable[[], float],
+        sample_s: float = _SAMPLE_S,
     ) -> None:
         self._attempts = attempts
+        self._wait_ms = wait_ms
+        self._mean_wait_ms = 0.0
         self._sample_s = sample_s
         self._means: dict[Use, float] = {}
 
+    @property
+    def wait_ms(self) -> float:
+        """Return the mean wait of a new request, in milliseconds."""
+        return round(self._mean_wait_ms, 1)
+
     async def run(self) -> None:
         """Sample until cancelled."""
         while True:
@@ -36,7 +47,8 @@
             await asyncio.sleep(self._sample_s)
 
     def sample(self) -> None:
-        """Count the open requests now."""
+        """Count the open requests now, and the wait of a new one."""
+        self._mean_wait_ms += _GAIN * (self._wait_ms() - self._mean_wait_ms)
         counts: Counter[Use] = Counter()
         for attempt in self._attempts.all():
             start = attempt.start
--- a/packages/daemon/src/lacewing_daemon/agent/_placing.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_placing.py
@@ -3,7 +3,6 @@
 from lacewing_common.settings import WorkerSettings
 
 from lacewing_daemon.agent._demand import DemandMeter
-from lacewing_daemon.agent._load import LoadView
 from lacewing_daemon.agent._served_models import WatchedModels
 from lacewing_daemon.agent._service import ServiceView
 from lacewing_daemon.placement import AgentSide
@@ -18,7 +17,6 @@
     service: ServiceView,
     models: WatchedModels,
     meter: DemandMeter,
-    load: LoadView,
 ) -> Placement | None:
     """Take part if the settings say so and there is a platform."""
     if runtime.node is None or runtime.store is None:
@@ -32,7 +30,7 @@
             runtime.settings.process_id,
             runtime.settings.place.availability_zone,
             worker.concurrency,
-            load.report().backlog_ms,
+            meter.wait_ms,
             models.held(),
             meter.demand(),
             failed,
--- a/packages/daemon/src/lacewing_daemon/placement/_planner.py
+++ b/packages/daemon/src/lacewing_daemon/placement/_planner.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+import msgspec
 from lacewing_common.bundle import Model
 from lacewing_common.bundle import Service
 from lacewing_common.plan import ModelNote
@@ -23,7 +24,8 @@
     """Set when copies are added and removed.
 
     Above ``grow_at`` of the slots, or when a new request waits longer than
-    ``wait_share`` of the first-token goal, a copy is added at once. One is
+    ``wait_share`` of the first-token goal, a copy is added at once, and
+    that many copies are held for too few for ``late_hold_s``. One is
     removed when the rest stays below ``shrink_at`` for ``shrink_after_s``,
     then one each ``shrink_step_s``. A model that keeps more than
     ``spread_at`` of one copy busy gets a second one in another zone.
@@ -33,7 +35,8 @@
     shrink_at: float = 0.5
     shrink_after_s: float = 120.0
     shrink_step_s: float = 30.0
-    wait_share: float = 0.5
+    wait_share: float = 0.05
+    late_hold_s: float = 1200.0
     spread_at: float = 0.25
 
 
@@ -59,8 +62,11 @@
     models = _models_of(given)
     draft = Draft(given.service, models, given.reports, given.previous)
     needed: dict[str, int] = {}
+    late: dict[str, int] = {}
     for model in draft.models:
         needed[model] = _needed(given, draft, model)
+        if _is_late(given, draft, model):
+            late[model] = len(draft.copies(model))
     place_pins(given.service, draft)
     for model in draft.models:
         _grow(draft, model, needed)
@@ -70,7 +76,8 @@
     notes: list[ModelNote] = []
     for model in draft.models:
         since_s = _shrink(given, draft, model, needed[model])
-        notes.append(_note(draft, model, needed[model], since_s))
+        note = _note(draft, model, needed[model], since_s)
+        notes.append(_with_late(given, note, late.get(model, 0)))
     return Plan(
         service=given.service.name,
         fence=0,
@@ -100,12 +107,22 @@
     if busy > rules.spread_at * draft.slots:
         needed = max(needed, 2)
     copies = draft.copies(model)
-    all_there = set(copies) <= set(draft.serving(model))
-    if all_there and _waits(given, draft, copies):
+    if _is_late(given, draft, model):
         needed = max(needed, len(copies) + 1)
+    late = _previous_note(given, model)
+    if given.now_s - late.late_at_s < rules.late_hold_s:
+        needed = max(needed, late.late_copies + 1)
     return max(1, min(needed, len(draft.workers)))
 
 
+def _is_late(given: PlanInput, draft: Draft, model: str) -> bool:
+    """Tell whether the copies, all of them there, are too few."""
+    copies = draft.copies(model)
+    if not copies or not set(copies) <= set(draft.serving(model)):
+        return False
+    return _waits(given, draft, copies)
+
+
 def _waits(given: PlanInput, draft: Draft, copies: list[str]) -> bool:
     """Tell whether most copies keep new requests waiting for too long.
 
@@ -188,7 +205,7 @@
     if not _can_spare(given, draft, model, needed):
         return 0.0
     rules = given.rules
-    since_s = _below_since(given, model) or given.now_s
+    since_s = _previous_note(given, model).below_since_s or given.now_s
     if given.now_s - since_s < rules.shrink_after_s:
         return since_s
     worker = _least_needed(given.service, draft, model)
@@ -237,13 +254,12 @@
     return max(found)[-1] if found else None
 
 
-def _below_since(given: PlanInput, model: str) -> float:
-    if given.previous is None:
-        return 0.0
-    for note in given.previous.models:
-        if note.model == model:
-            return note.below_since_s
-    return 0.0
+def _previous_note(given: PlanInput, model: str) -> ModelNote:
+    if given.previous is not None:
+        for note in given.previous.models:
+            if note.model == model:
+                return note
+    return ModelNote(model, 0, 0, 0.0, 0.0)
 
 
 def _note(draft: Draft, model: str, needed: int, since_s: float) -> ModelNote:
@@ -255,6 +271,18 @@
     )
 
 
+def _with_late(given: PlanInput, note: ModelNote, late: int) -> ModelNote:
+    """Keep how many copies were too few, so that none is spared at once.
+
+    Else a copy would be added for the waits and spared again, for ever.
+    """
+    before = _previous_note(given, note.model)
+    late_at_s = given.now_s if late else before.late_at_s
+    return msgspec.structs.replace(
+        note, late_copies=late or before.late_copies, late_at_s=late_at_s
+    )
+
+
 def _silent(given: PlanInput) -> tuple[WorkerPlan, ...]:
     """Leave members as planned that have not reported: they may serve."""
     if given.previous is None:
