Answer the last requests of a router that closes

Cause: after the drain a router closed listener and connections at once; a request just sent on an open connection was reset, and its caller could not know whether it ran. Ruled out: requests under way, which the drain waits for. Change: the listener closes first; for 0.3 s, and until no request is open, connections that are open are answered with 503 not-run. Before: the new scenario ends with a broken pipe. After: it passes. Not closed: a connection that the kernel has and the router has not accepted when the listener closes is still reset; a balancer that heeds /readyz sends none then.

--- a/features/router.feature
+++ b/features/router.feature
@@ -211,6 +211,16 @@
     Then a new request is refused with 503 "draining" and its connection closed
     And the drain ends only after the open stream got all 6 tokens
 
+  Scenario: A request that comes as the router closes is told that it did not run
+    # Symptom: at a restart of a router a caller's connection is reset, and
+    # it can't know whether its request ran.
+    # Sequence: the drain is over and the router closes; a caller sends a
+    # request on a connection that it kept open.
+    # Cause: the router closed its connections with the listener.
+    Given an agent of "tutor" that streams 6 tokens and holds after 2
+    When "rahmat" keeps a connection open while the router closes
+    Then its next request is refused with 503 "draining"
+
   Scenario: A leaving agent gets no new work and finishes the old
     Given an agent of "tutor" that streams 6 tokens and holds after 2
     And an agent of "tutor" that answers
--- a/features/steps/router_callers_steps.py
+++ b/features/steps/router_callers_steps.py
@@ -9,6 +9,7 @@
 from typing import Any
 from unittest.mock import patch
 
+from behave import then
 from behave import when
 from behave.runner import Context
 from lacewing_bench.fake_agent import until
@@ -223,6 +224,24 @@
     context.drain = context.loop.call(spawn(context.router.drain()))
 
 
+@when('"rahmat" keeps a connection open while the router closes')
+def when_closing(context: Context) -> None:
+    """Ask once, then drain and begin to close."""
+    context.kept = Caller(context)
+    context.kept.send('GET', '/v1/models').read()
+    context.loop.call(context.router.drain())
+    context.loop.call(spawn(context.router.close()))
+
+
+@then('its next request is refused with {status:d} "{code}"')
+def then_kept_refused(context: Context, status: int, code: str) -> None:
+    """Use the connection once more."""
+    answer = context.kept.ask('POST', CHAT, chat_body())
+    assert answer.status == status, answer
+    assert answer.error['code'] == code, answer
+    assert answer.headers['Lacewing-Verdict'] == 'not-run', answer.headers
+
+
 @when('the first agent leaves while it streams to "rahmat"')
 def when_leaving(context: Context) -> None:
     """Let the agent say that it leaves amid a stream."""
--- a/packages/daemon/src/lacewing_daemon/router/_running.py
+++ b/packages/daemon/src/lacewing_daemon/router/_running.py
@@ -29,6 +29,9 @@
 # with a readable answer.
 _MAX_READ_BYTES = 64 * 1024 * 1024
 
+# How long a closing router goes on answering connections that are open.
+_LAST_REQUESTS_S = 0.3
+
 _log = get_log(Part.CALLERS)
 
 
@@ -81,6 +84,11 @@
     async def close(self) -> None:
         """Close listeners and links."""
         self._server.stop()
+        # A caller may have connected, or kept a connection open, and send its
+        # request just now. Closing at once would reset it, and the caller
+        # could not know whether it ran; so it is told that it did not.
+        await asyncio.sleep(_LAST_REQUESTS_S)
+        await self._serving.wait_idle(_LAST_REQUESTS_S)
         await self._server.close_all_connections()
         self._links_task.cancel()
         await asyncio.wait([self._links_task])
--- a/packages/daemon/src/lacewing_daemon/router/_serving.py
+++ b/packages/daemon/src/lacewing_daemon/router/_serving.py
@@ -115,6 +115,12 @@
         waiting.cancel()
         return self._has_bundle.is_set()
 
+    async def wait_idle(self, timeout_s: float) -> None:
+        """Wait until no request is open, or so many seconds."""
+        waiting = asyncio.ensure_future(self._idle.wait())
+        await asyncio.wait([waiting], timeout=timeout_s)
+        waiting.cancel()
+
     async def drain(self) -> None:
         """Refuse new requests; return when all open ones have ended."""
         self._draining = True
