Keep a router's part of limits over a second link

Cause: the end of any link counted as the end of its router, so that a router that had linked again before its old link was noticed as dead gave its teams' parts to others and went on using them. Also, the agent worked the load out for each message, though only an outcome carries it.

Change: a router has left when its last link has ended; the load is read when an outcome is sent.

--- a/features/agent.feature
+++ b/features/agent.feature
@@ -65,6 +65,19 @@
       And the worker goes on
       Then "r1" has the whole stream 1, each byte once
 
+    Scenario: The end of a router's old link takes nothing from its new one
+      # Symptom: a team gets more than its limit after a reconnect.
+      # Sequence: a router reports its demand on a new link; then its old
+      # link is noticed as dead.
+      # Cause: taking the end of any link for the end of the router.
+      Given an agent beside a model worker
+      When "r1" reports demand of team "t"
+      And "r1" links again
+      And the old link of "r1" breaks
+      Then the agent still counts the demand of "r1" for team "t"
+      When the link of "r1" breaks
+      Then the agent counts no demand for team "t"
+
     Scenario: A start that comes twice runs once
       # Symptom: the worker counts two runs of one attempt.
       # Sequence: the same Start reaches the agent twice.
--- a/features/steps/agent_check_steps.py
+++ b/features/steps/agent_check_steps.py
@@ -274,3 +274,18 @@
     bench = bench_of(context)
     assert bench.draining is not None
     bench.run(asyncio.wait_for(bench.draining, 10))
+
+
+@then('the agent still counts the demand of "{router}" for team "{team}"')
+def then_demand(context: Context, router: str, team: str) -> None:
+    """Look at the team's ledger."""
+    bench = bench_of(context)
+    ledger = bench.agent._team_limits._teams[team]
+    assert ledger.demand(str(bench.router(router).name)).concurrency == 1
+
+
+@then('the agent counts no demand for team "{team}"')
+def then_no_demand(context: Context, team: str) -> None:
+    """Look at the team's ledger."""
+    ledger = bench_of(context).agent._team_limits._teams[team]
+    assert ledger.routers == 0
--- a/features/steps/agent_steps.py
+++ b/features/steps/agent_steps.py
@@ -12,6 +12,8 @@
 from lacewing_common.wire import Ack
 from lacewing_common.wire import Ask
 from lacewing_common.wire import Cancel
+from lacewing_common.wire import Demands
+from lacewing_common.wire_limits import TeamDemand
 from lacewing_daemon.agent._watch import WorkerWatch
 from support.agent_bench import bench_of
 from support.agent_bench import dropped_counts
@@ -320,6 +322,23 @@
     bench.wait(lambda: not bench.agent._links)
 
 
+@when('the old link of "{router}" breaks')
+def when_old_breaks(context: Context, router: str) -> None:
+    """Drop the connection before the last; wait until it is noticed."""
+    bench = bench_of(context)
+    bench.router(router).break_old_link()
+    bench.wait(lambda: len(bench.agent._links) == 1)
+
+
+@when('"{router}" reports demand of team "{team}"')
+def when_demand(context: Context, router: str, team: str) -> None:
+    """Report a demand and wait until it is counted."""
+    bench = bench_of(context)
+    demand = TeamDemand(team, 1.0, 1.0, 1)
+    bench.run(bench.router(router).send(Demands((demand,))))
+    bench.wait(lambda: bench.agent._team_limits.team_count)
+
+
 @when('"{router}" links again')
 def when_links(context: Context, router: str) -> None:
     """Open another link; an old one may still be open."""
--- a/features/support/agent_bench.py
+++ b/features/support/agent_bench.py
@@ -19,6 +19,7 @@
 from lacewing_common.bundle import Service
 from lacewing_common.bundle import ServiceKind
 from lacewing_common.bundle import Team
+from lacewing_common.bundle import TeamLimits
 from lacewing_common.codec import FromAgent
 from lacewing_common.codec import FromRouter
 from lacewing_common.codec import MsgpackCodec
@@ -114,9 +115,11 @@
         self._channel: Channel | None = None
         self._stream: Any = None
         self._reading: asyncio.Task[None] | None = None
+        self._old: Channel | None = None
 
     async def link(self) -> None:
-        """Open a link and wait for the Welcome."""
+        """Open a link and wait for the Welcome; an old one stays open."""
+        self._old = self._channel
         self.welcome = None
         self._reading = asyncio.create_task(self._read())
         await until(lambda: self.welcome is not None)
@@ -132,6 +135,11 @@
             with suppress(asyncio.CancelledError):
                 await self._reading
 
+    def break_old_link(self) -> None:
+        """Drop the connection before the last without a word."""
+        if self._old is not None:
+            self._old.close()
+
     def attempt(self, sequence: int) -> AttemptId:
         """Return the id of an attempt on the agent as first met."""
         return AttemptId(str(self.name), sequence, self.incarnation)
@@ -212,7 +220,8 @@
     def roll(self, kind: ServiceKind, answer_ms: float) -> None:
         """Put a bundle in force."""
         service = Service(name='s', kind=kind, answer_ms=answer_ms)
-        few = Team(name='t', key_hashes=(), services=('s',))
+        limits = TeamLimits(concurrency=1000)
+        few = Team(name='t', key_hashes=(), services=('s',), limits=limits)
         many = Team(name='u', key_hashes=(), services=('s',), share=3.0)
         self.bundles.roll(Bundle(services=(service,), teams=(few, many)))
 
--- a/packages/daemon/src/lacewing_daemon/agent/_agent.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_agent.py
@@ -278,8 +278,9 @@
         """Take a link's end."""
         self._links.discard(link)
         self._teller.closed(link)
-        self._team_limits.router_left(router)
         self._attempts.link_closed(router)
+        if not self._attempts.has_links(router):
+            self._team_limits.router_left(router)
         LINKS.dec()
 
     async def _serve_link(
--- a/packages/daemon/src/lacewing_daemon/agent/_attempts.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_attempts.py
@@ -53,6 +53,11 @@
         """Count a link of a router less."""
         self._history(router).link_closed()
 
+    def has_links(self, router: str) -> bool:
+        """Tell whether a router has an open link."""
+        history = self._histories.get(router)
+        return history is not None and history.has_links
+
     def begin(self, start: Start, unfit: Refusal | None) -> Attempt | Refusal:
         """Record a new attempt, find a known one or refuse.
 
--- a/packages/daemon/src/lacewing_daemon/agent/_delivery.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_delivery.py
@@ -1,5 +1,7 @@
 """Send one attempt's answer over one link, from an offset on."""
 
+from collections.abc import Callable
+
 import msgspec
 from lacewing_common.verdict import Reason
 from lacewing_common.verdict import Verdict
@@ -58,7 +60,7 @@
         """Send nothing more: a newer delivery took over."""
         self._stopped = True
 
-    def next_frame(self, load: LoadReport) -> AgentFrame | None:
+    def next_frame(self, load: Callable[[], LoadReport]) -> AgentFrame | None:
         """Take the next frame that is due, or None."""
         if self._done or self._stopped:
             return None
@@ -81,8 +83,8 @@
             return None
         self._done = True
         if self._offset != attempt.answer.length:
-            return self._answer_gone(load)
-        return msgspec.structs.replace(attempt.outcome, load=load)
+            return self._answer_gone(load())
+        return msgspec.structs.replace(attempt.outcome, load=load())
 
     def _answer_gone(self, load: LoadReport) -> Refused:
         # Bytes between the router's offset and the first one still held
--- a/packages/daemon/src/lacewing_daemon/agent/_history.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_history.py
@@ -57,6 +57,11 @@
         """Return a floor above all that was ever seen."""
         return max(self._floor, self._highest + 1)
 
+    @property
+    def has_links(self) -> bool:
+        """Tell whether the router has an open link."""
+        return self._links > 0
+
     def idle_s(self, now: float) -> float:
         """Return for how long the router has had no link and no attempt."""
         if self._links or self._attempts:
--- a/packages/daemon/src/lacewing_daemon/agent/_link.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_link.py
@@ -239,7 +239,6 @@
         """Send what waits now as one message."""
         frames: list[AgentFrame] = []
         ended: list[Delivery] = []
-        load = self._desk.load()
         size = 0
         while self._notices and len(frames) < _MOST_FRAMES:
             frames.append(self._notices.popleft())
@@ -248,7 +247,7 @@
                 break
             delivery = self._due.popleft()
             delivery.mark_due(False)
-            frame = delivery.next_frame(load)
+            frame = delivery.next_frame(self._desk.load)
             if frame is None:
                 continue
             frames.append(frame)
