Count a worker's slots when a burst shares its prefix

Cause: 40 streams of one prefix that came at once went to one of two engines; 32 ran, 8 were refused by the deadline, the other engine idled. The wait was counted in blocks to compute, next to none for hits. Ruled out: the width of the prefix, which grows with load over seconds only. Change: load reports carry the slots and the time from one coming free to the next; what this router sent since the report counts against them. Before: the scenario ends with an error without the change (the view has no count of recent requests).

--- a/features/routing.feature
+++ b/features/routing.feature
@@ -75,6 +75,16 @@
     When "agent-3" reports a backlog of 5000 ms
     Then the prompt goes to another worker
 
+  Scenario: A burst of one prefix doesn't queue while others are idle
+    # Symptom: of 40 streams of one prefix 8 are refused for their deadline
+    # although another worker is idle.
+    # Sequence: the streams come within one load report; all hit the cache.
+    # Cause: requests were counted by the blocks they compute, here next to
+    # none; the worker's slots were not counted.
+    Given a router that learnt a prompt on the worker "agent-3"
+    When 40 requests of it come at once to workers of 32 slots
+    Then "agent-3" gets 32 of them and others the rest
+
   Scenario: A prefix asked to be wide has more homes, and fewer later
     Given a router without knowledge
     When answers ask for a width of 3
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -359,6 +359,33 @@
     assert choice.process_id != context.avoided
 
 
+@when('{count:d} requests of it come at once to workers of {slots:d} slots')
+def burst(context: Context, count: int, slots: int) -> None:
+    """Choose for each, and count it as a link does, without a report."""
+    context.sent = dict.fromkeys(context.workers.ids, 0)
+    for process_id in context.workers.ids:
+        view = context.workers.view(process_id)
+        load = LoadReport(slots=slots, turn_ms=500.0)
+        context.workers.replace(replace(view, load=load))
+    for _ in range(count):
+        process_id = chosen(
+            context.policy, prompt(), context.workers
+        ).process_id
+        context.sent[process_id] += 1
+        view = context.workers.view(process_id)
+        sent = replace(
+            view, in_flight=view.in_flight + 1, recent=view.recent + 1
+        )
+        context.workers.replace(sent)
+
+
+@then('"{process_id}" gets {count:d} of them and others the rest')
+def burst_is_spread(context: Context, process_id: str, count: int) -> None:
+    """Check that nobody was sent more than has a slot."""
+    assert context.sent[process_id] == count, context.sent
+    assert max(context.sent.values()) == count, context.sent
+
+
 @when('answers ask for a width of {width:d}')
 def asks_width(context: Context, width: int) -> None:
     """Learn a width as the policy does."""
--- a/packages/common/src/lacewing_common/wire.py
+++ b/packages/common/src/lacewing_common/wire.py
@@ -48,13 +48,17 @@
 
     ``queued`` and ``running`` count requests; ``backlog_ms`` is the expected
     milliseconds before a new request starts; ``age_ms`` is the age of the
-    engine's own figures when the report was made.
+    engine's own figures when the report was made. ``slots`` is how many
+    requests run at once (0: not known), ``turn_ms`` the expected
+    milliseconds from one slot coming free to the next.
     """
 
     queued: int = 0
     running: int = 0
     backlog_ms: float = 0.0
     age_ms: float = 0.0
+    slots: int = 0
+    turn_ms: float = 0.0
 
 
 class CacheReport(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/daemon/src/lacewing_daemon/agent/_admission.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_admission.py
@@ -56,6 +56,14 @@
     def running(self) -> int:
         """Return the number of slots held."""
 
+    @property
+    def slots(self) -> int:
+        """Return how many requests run at once."""
+
+    @property
+    def turn_s(self) -> float:
+        """Return the seconds from one slot coming free to the next."""
+
     def expected_wait_s(self, priority: int = 0) -> float:
         """Return how long a new request would wait for a slot."""
 
@@ -126,6 +134,16 @@
         """Return the number of slots held."""
         return self._running
 
+    @property
+    def slots(self) -> int:
+        """Return how many requests run at once."""
+        return self._slots
+
+    @property
+    def turn_s(self) -> float:
+        """Return the seconds from one slot coming free to the next."""
+        return self._hold_s / self._slots
+
     def expected_wait_s(self, priority: int = 0) -> float:
         """Return the wait of a new request for a slot, in seconds."""
         if self._running < self._slots:
--- a/packages/daemon/src/lacewing_daemon/agent/_load.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_load.py
@@ -45,6 +45,8 @@
             self._admission.running,
             round(wait_ms + self._prefill_ms(), 1),
             round(self._engine.age_ms + silent_ms, 1),
+            self._admission.slots,
+            round(self._admission.turn_s * 1000, 1),
         )
 
     def hear(self, engine: EngineLoad) -> None:
--- a/packages/daemon/src/lacewing_daemon/router/_expected_cost.py
+++ b/packages/daemon/src/lacewing_daemon/router/_expected_cost.py
@@ -168,7 +168,7 @@
         running = view.load.running * belief
         running = max(float(view.in_flight), running)
         step_ms = running * RUNNING_SHARE * self._prefill.base_ms
-        return max(reported_ms, own_ms) + step_ms
+        return max(reported_ms, own_ms) + step_ms + _slots_ms(view)
 
     def _remember(
         self,
@@ -193,6 +193,22 @@
         self._hints.learn(chain, process_id, hint, len(chain.blocks))
 
 
+def _slots_ms(view: WorkerView) -> float:
+    """Return the wait for a slot that the report does not show yet.
+
+    Requests of one prefix compute next to nothing, so that their blocks show
+    no load. Without the slots 40 of them at once went to one of two workers
+    with 32, and 8 were refused while the other worker was idle.
+    """
+    load = view.load
+    if load.slots == 0:
+        return 0.0
+    told = load.queued + 1 if load.running >= load.slots else 0
+    present = max(load.running + load.queued + view.recent, view.in_flight)
+    waiting = present + 1 - load.slots
+    return max(0, waiting - told) * load.turn_ms
+
+
 def _of_this_epoch(known: Held | None, view: WorkerView) -> Held:
     if known is None or known.epoch != view.epoch:
         # The engine restarted since: its cache is empty.
--- a/packages/daemon/src/lacewing_daemon/router/_in_flight.py
+++ b/packages/daemon/src/lacewing_daemon/router/_in_flight.py
@@ -14,6 +14,7 @@
         self._prefilling: dict[int, int] = {}
         self._blocks = 0
         self._recent_blocks = 0
+        self._recent = 0
 
     @property
     def count(self) -> int:
@@ -30,6 +31,11 @@
         """Return the blocks sent since the last load report."""
         return self._recent_blocks
 
+    @property
+    def recent(self) -> int:
+        """Return the attempts sent since the last load report."""
+        return self._recent
+
     @property
     def oldest(self) -> Attempt | None:
         """Return the attempt that has been open for longest."""
@@ -52,6 +58,7 @@
         self._prefilling[sequence] = attempt.blocks
         self._blocks += attempt.blocks
         self._recent_blocks += attempt.blocks
+        self._recent += 1
 
     def prefilled(self, attempt: Attempt) -> None:
         """Note that an attempt's prompt has been computed."""
@@ -65,3 +72,4 @@
     def reported(self) -> None:
         """Note a load report: what was sent before is part of it."""
         self._recent_blocks = 0
+        self._recent = 0
--- a/packages/daemon/src/lacewing_daemon/router/_link.py
+++ b/packages/daemon/src/lacewing_daemon/router/_link.py
@@ -149,6 +149,7 @@
                 in_flight=self._in_flight.count,
                 in_flight_blocks=self._in_flight.blocks,
                 recent_blocks=self._in_flight.recent_blocks,
+                recent=self._in_flight.recent,
             )
         return self._view
 
--- a/packages/daemon/src/lacewing_daemon/router/_policy.py
+++ b/packages/daemon/src/lacewing_daemon/router/_policy.py
@@ -37,7 +37,7 @@
     ``time.monotonic`` when it came, ``in_flight`` this router's own open
     attempts there and ``in_flight_blocks`` the prompt blocks that those
     without a first token are expected to compute, ``recent_blocks`` the
-    part of them sent since the last report.
+    part of them sent since the last report, by ``recent`` attempts.
     """
 
     process_id: str
@@ -48,6 +48,7 @@
     in_flight: int
     in_flight_blocks: int
     recent_blocks: int = 0
+    recent: int = 0
 
 
 class Workers(Protocol):
