--- a/Makefile
+++ b/Makefile
@@ -5,11 +5,14 @@
 PACKAGES := common daemon ctl
 DECLARED := constraints.txt $(wildcard packages/*/pyproject.toml)
 
-.PHONY: test check format clean
+.PHONY: test demo check format clean
 
 test: $(VENV)/.made
 	.ci/run
 
+demo: $(VENV)/.made
+	$(BIN)/python -m lacewing_bench.demo
+
 check: $(VENV)/.made
 	PATH="$(CURDIR)/$(BIN):$$PATH" tools/check
 
--- /dev/null
+++ b/features/steps/daemon_steps.py
@@ -0,0 +1,198 @@
+"""Signal the daemons of a fleet and look at what they tell operators."""
+
+import json
+import signal
+import subprocess
+import sys
+from typing import Any
+
+from behave import then
+from behave import when
+from behave.runner import Context
+from lacewing_bench.certificates import make_authority
+from lacewing_bench.certificates import write_certificate
+from lacewing_common.settings import Listen
+from support.fleet_bench import FleetBench
+from support.link_probe import can_link
+
+
+@when('"{name}" gets SIGTERM')
+def when_terminated(context: Context, name: str) -> None:
+    """Ask a process to stop."""
+    context.bench.fleet.process(name).send(signal.SIGTERM)
+
+
+@when('"{name}" is killed')
+def when_killed(context: Context, name: str) -> None:
+    """Kill a process."""
+    context.bench.run(context.bench.fleet.kill(name))
+
+
+@when('"{name}" is frozen')
+def when_frozen(context: Context, name: str) -> None:
+    """Stop a process so that it sees no SIGTERM."""
+    context.bench.fleet.freeze(name)
+
+
+@when('"{name}" starts again')
+def when_restarted(context: Context, name: str) -> None:
+    """Start a killed process with its old addresses."""
+    context.bench.run(context.bench.fleet.restart(name))
+
+
+@when('"{name}" says "{event}"')
+def when_says(context: Context, name: str, event: str) -> None:
+    """Wait for an event in the log of a process."""
+    context.bench.run(context.bench.fleet.process(name).lines(event))
+
+
+@when('a second router starts with the addresses of the first')
+def when_started_twice(context: Context) -> None:
+    """Start another process with the settings that name its ports."""
+    bench = context.bench
+    daemon = bench.fleet.daemon('router-1')
+    last = daemon.addresses
+    daemon.write_settings(
+        Listen(callers=last.callers, operators=last.operators)
+    )
+    context.ended = subprocess.run(
+        [
+            sys.executable,
+            '-m',
+            'lacewing_daemon.main',
+            '--settings',
+            str(daemon.settings_path),
+        ],
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+
+
+@when('an operator asks for the status as JSON')
+def when_status_json(context: Context) -> None:
+    """Run lacewingctl on all processes."""
+    _run_ctl(context, ['--fleet', str(_fleet_file(context)), '--json'])
+    context.report = json.loads(context.ctl.stdout)
+
+
+@when('an operator asks for the status as a table')
+def when_status_table(context: Context) -> None:
+    """Run lacewingctl on all processes."""
+    _run_ctl(context, ['--fleet', str(_fleet_file(context))])
+
+
+@when('an operator asks for the status without an address')
+def when_status_nowhere(context: Context) -> None:
+    """Run lacewingctl with nothing to ask."""
+    _run_ctl(context, [])
+
+
+@when('bundle number {number:d} is in force at "{name}"')
+@then('bundle number {number:d} is in force at "{name}"')
+def when_in_force(context: Context, number: int, name: str) -> None:
+    """Wait until a process reports a bundle number."""
+    bench: FleetBench = context.bench
+
+    def in_force() -> bool:
+        return bench.status(name).bundle_number == number
+
+    bench.until_asked(in_force, f'bundle {number} at {name}')
+
+
+@then('lacewingctl exits with code {code:d}')
+def then_ctl_code(context: Context, code: int) -> None:
+    """Compare the exit code."""
+    found = context.ctl.returncode
+    assert found == code, (found, context.ctl.stdout, context.ctl.stderr)
+
+
+@then('it lists a router in "{zone}" with bundle number {number:d}')
+def then_lists_router(context: Context, zone: str, number: int) -> None:
+    """Look for the router."""
+    router = _listed(context, 'router')
+    assert router['place']['availability_zone'] == zone, router
+    assert router['bundle_number'] == number, router
+    assert router['ready'], router
+
+
+@then('it lists an agent with the epoch of its worker')
+def then_lists_agent(context: Context) -> None:
+    """Compare the epoch with what the worker itself says."""
+    agent = _listed(context, 'agent')
+    worker = agent['process_id'].removeprefix('agent-')
+    assert agent['epoch'] == context.bench.worker_epoch(worker), agent
+
+
+@then('the table names each process')
+def then_table(context: Context) -> None:
+    """Look for the names."""
+    fleet = context.bench.fleet
+    for name in (*fleet.router_names, *fleet.agent_names):
+        assert name in context.ctl.stdout, context.ctl.stdout
+
+
+@then('it names the address of "{name}" as unanswered')
+def then_unanswered(context: Context, name: str) -> None:
+    """Look for the address and a cause."""
+    address = context.bench.fleet.daemon(name).addresses.operators
+    assert context.report['unanswered'].get(address), context.report
+
+
+@then('"{name}" exits with code {code:d}')
+def then_exits(context: Context, name: str, code: int) -> None:
+    """Wait for the end of a process."""
+    process = context.bench.fleet.process(name)
+    found = context.bench.run(process.ended())
+    assert found == code, (found, process.output()[-1000:])
+
+
+@then('a link with a certificate of the authority is taken')
+def then_link_taken(context: Context) -> None:
+    """Connect as a process of the fleet does."""
+    bench = context.bench
+    assert bench.run(can_link(_agent(context), bench.tls))
+
+
+@then('a link without a certificate is refused')
+def then_no_certificate(context: Context) -> None:
+    """Connect with TLS but without a certificate."""
+    assert not context.bench.run(can_link(_agent(context), None))
+
+
+@then('a link with a certificate of another authority is refused')
+def then_other_authority(context: Context) -> None:
+    """Connect with a certificate that a stranger signed."""
+    bench = context.bench
+    files = write_certificate(
+        make_authority('stranger'), 'stranger', bench.directory
+    )
+    assert not bench.run(can_link(_agent(context), files))
+
+
+def _agent(context: Context) -> str:
+    fleet = context.bench.fleet
+    address: str = fleet.daemon(fleet.agent_names[0]).addresses.peers
+    return address
+
+
+def _run_ctl(context: Context, arguments: list[str]) -> None:
+    context.ctl = subprocess.run(
+        [sys.executable, '-m', 'lacewing_ctl.main', 'status', *arguments],
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+
+
+def _fleet_file(context: Context) -> str:
+    path: str = str(context.bench.write_fleet_file())
+    return path
+
+
+def _listed(context: Context, role: str) -> dict[str, Any]:
+    for process in context.report['processes']:
+        if process['role'] == role:
+            found: dict[str, Any] = process
+            return found
+    raise AssertionError((role, context.report))
--- /dev/null
+++ b/packages/bench/src/lacewing_bench/caller.py
@@ -0,0 +1,224 @@
+"""Send requests to a router as an application would."""
+
+import time
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+import pycurl
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.curl_httpclient import CurlError
+from tornado.httpclient import HTTPRequest
+
+NO_ANSWER = 599
+_OK = 200
+_TIMEOUT_S = 60.0
+_CALLS_AT_ONCE = 200
+_DATA = 'data: '
+_DONE = '[DONE]'
+
+
+@dataclass(frozen=True)
+class Call:
+    """Hold one request; ``body`` None sends a GET.
+
+    ``is_refused`` marks one that the router ought to refuse.
+    """
+
+    title: str
+    team: str
+    path: str
+    body: Any = None
+    idempotency_key: str = ''
+    is_refused: bool = False
+
+    @property
+    def method(self) -> str:
+        """Return the HTTP method."""
+        return 'GET' if self.body is None else 'POST'
+
+    @property
+    def streamed(self) -> bool:
+        """Tell whether the answer is asked for as a stream."""
+        return isinstance(self.body, dict) and bool(self.body.get('stream'))
+
+
+@dataclass(frozen=True)
+class Answer:
+    """Hold an answer; ``first_ms`` runs to the first byte of its body.
+
+    ``text`` is what the model said, or the body of any other answer;
+    ``status`` is 599 when the connection broke; ``whole`` tells that the
+    answer came to its end.
+    """
+
+    status: int
+    verdict: str
+    request_id: str
+    text: str
+    events: int
+    cached_tokens: int | None
+    whole: bool
+    first_ms: float
+
+
+class Progress:
+    """Note what has come of an answer so far."""
+
+    def __init__(self) -> None:
+        self._pieces: list[bytes] = []
+        self._first_at: float | None = None
+
+    @property
+    def begun(self) -> bool:
+        """Tell whether a byte of the body has come."""
+        return self._first_at is not None
+
+    @property
+    def first_at(self) -> float:
+        """Return when the first byte came, or now."""
+        return self._first_at or time.monotonic()
+
+    @property
+    def body(self) -> str:
+        """Return the body so far."""
+        return b''.join(self._pieces).decode(errors='replace')
+
+    def take(self, piece: bytes) -> None:
+        """Add a piece."""
+        if self._first_at is None:
+            self._first_at = time.monotonic()
+        self._pieces.append(piece)
+
+
+class Caller:
+    """Call routers with the keys of the teams."""
+
+    def __init__(
+        self, keys: Mapping[str, str], ca_file: str | None = None
+    ) -> None:
+        self._keys = keys
+        self._ca_file = ca_file
+        self._client = CurlAsyncHTTPClient(
+            force_instance=True, max_clients=_CALLS_AT_ONCE
+        )
+
+    async def send(
+        self, url: str, call: Call, progress: Progress | None = None
+    ) -> Answer:
+        """Send one request to the router at a base URL."""
+        progress = progress or Progress()
+        started = time.monotonic()
+        status, headers, unbroken = NO_ANSWER, {}, False
+        try:
+            response = await self._client.fetch(
+                self._request(url, call, progress), raise_error=False
+            )
+            status = response.code
+            headers = dict(response.headers)
+            unbroken = response.error is None or status != NO_ANSWER
+        except CurlError:
+            # The connection broke before or within the answer.
+            unbroken = False
+        read = _read_whole(progress.body)
+        if call.streamed and status in (_OK, NO_ANSWER):
+            read = _read_stream(progress.body)
+        return Answer(
+            status=status,
+            verdict=headers.get('Lacewing-Verdict', ''),
+            request_id=headers.get('X-Request-Id', ''),
+            text=read.text,
+            events=read.events,
+            cached_tokens=read.cached_tokens,
+            whole=unbroken and read.whole,
+            first_ms=(progress.first_at - started) * 1000,
+        )
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._client.close()
+
+    def _request(
+        self, url: str, call: Call, progress: Progress
+    ) -> HTTPRequest:
+        headers = {
+            'Authorization': f'Bearer {self._keys.get(call.team, call.team)}'
+        }
+        if call.idempotency_key:
+            headers['Idempotency-Key'] = f'"{call.idempotency_key}"'
+        body = None
+        if call.body is not None:
+            headers['Content-Type'] = 'application/json'
+            body = msgspec.json.encode(call.body)
+        return HTTPRequest(
+            url + call.path,
+            method=call.method,
+            headers=headers,
+            body=body,
+            request_timeout=_TIMEOUT_S,
+            ca_certs=self._ca_file,
+            streaming_callback=progress.take,
+            prepare_curl_callback=_prepare,
+        )
+
+
+@dataclass(frozen=True)
+class _Read:
+    text: str
+    events: int = 0
+    cached_tokens: int | None = None
+    whole: bool = True
+
+
+def _read_stream(body: str) -> _Read:
+    text: list[str] = []
+    events = 0
+    cached: int | None = None
+    done = False
+    for line in body.split('\n'):
+        if not line.startswith(_DATA):
+            continue
+        data = line.removeprefix(_DATA)
+        if data == _DONE:
+            done = True
+            continue
+        try:
+            chunk = msgspec.json.decode(data)
+        except msgspec.DecodeError:
+            # A broken connection may end within an event.
+            continue
+        events += 1
+        cached = _cached(chunk) if chunk.get('usage') else cached
+        for choice in chunk.get('choices', []):
+            delta = choice.get('delta') or {}
+            text.append(delta.get('content') or choice.get('text') or '')
+    return _Read(''.join(text), events, cached, done)
+
+
+def _read_whole(body: str) -> _Read:
+    try:
+        answer = msgspec.json.decode(body)
+    except msgspec.DecodeError:
+        return _Read(body)
+    if not isinstance(answer, dict):
+        return _Read(body)
+    if 'error' in answer:
+        error = answer['error']
+        return _Read(f'{error["code"]}: {error["message"]}')
+    if not answer.get('choices'):
+        return _Read(body)
+    choice = answer['choices'][0]
+    text = choice.get('text') or choice.get('message', {}).get('content', '')
+    return _Read(text, cached_tokens=_cached(answer))
+
+
+def _cached(answer: Any) -> int | None:
+    usage = answer.get('usage') or {}
+    details = usage.get('prompt_tokens_details') or {}
+    cached: int | None = details.get('cached_tokens')
+    return cached
+
+
+def _prepare(curl: pycurl.Curl) -> None:
+    curl.setopt(pycurl.NOPROXY, '*')
--- a/packages/bench/src/lacewing_bench/fleet/_daemon.py
+++ b/packages/bench/src/lacewing_bench/fleet/_daemon.py
@@ -48,18 +48,26 @@
         """Return the addresses of the last start."""
         return self._addresses
 
+    @property
+    def settings_path(self) -> Path:
+        """Return the path of the settings of the last start."""
+        return self._path
+
     async def start(self, same_address: bool) -> None:
         """Start with the last start's addresses, or with new ones."""
-        listen = self._listen() if same_address else Listen()
-        settings = daemon_settings(
-            self._slot, self._common, listen, self._worker_url
-        )
-        write_json(self._path, settings)
+        self.write_settings(self._listen() if same_address else Listen())
         self._process.start()
         lines = await self._process.lines(_LISTENING)
         line = lines[0]
         self._addresses = Addresses(line.peers, line.callers, line.operators)
 
+    def write_settings(self, listen: Listen) -> None:
+        """Write the settings of the next start."""
+        settings = daemon_settings(
+            self._slot, self._common, listen, self._worker_url
+        )
+        write_json(self._path, settings)
+
     def _listen(self) -> Listen:
         last = self._addresses
         if self._slot.role is Role.AGENT:
--- a/packages/bench/src/lacewing_bench/fleet/_fleet.py
+++ b/packages/bench/src/lacewing_bench/fleet/_fleet.py
@@ -17,6 +17,7 @@
 from lacewing_common.status import ProcessStatus
 from lacewing_common.store import Vm
 from lacewing_common.store import VmState
+from tornado.httpclient import HTTPResponse
 
 from lacewing_bench.fleet._bundle import make_bundle
 from lacewing_bench.fleet._bundle import team_keys
@@ -113,6 +114,16 @@
             daemon.addresses.operators for daemon in self._daemons.values()
         )
 
+    @property
+    def pids(self) -> tuple[int, ...]:
+        """Return the process ids of all processes."""
+        return tuple(process.pid for process in self._processes.values())
+
+    @property
+    def bundle_file(self) -> Path:
+        """Return the path of the bundle that all daemons read."""
+        return self._directory / 'bundle.json'
+
     def caller_url(self, router: str) -> str:
         """Return the base URL that callers use at one router."""
         return f'{self._scheme}://{self.daemon(router).addresses.callers}'
@@ -170,11 +181,12 @@
                 process.kill_now()
             if self._client is not None:
                 self._client.close()
+                self._client = None
             self._scratch.cleanup()
 
     def write_bundle(self, bundle: Bundle) -> None:
         """Write the bundle file and have the running daemons read it."""
-        write_json(self._bundle_file, bundle)
+        write_json(self.bundle_file, bundle)
         for name in self._daemons:
             self.process(name).send(signal.SIGHUP)
 
@@ -231,19 +243,24 @@
             f'{self._platform_url}/faults', {**lag, **faults}
         )
 
+    async def ask(self, name: str, path: str) -> HTTPResponse:
+        """Read one path of the operators' listener of a daemon."""
+        return await self._control.get(f'{self.operators_url(name)}{path}')
+
+    async def read(self, url: str) -> bytes:
+        """Read any URL of the fleet."""
+        return (await self._control.get(url)).body
+
     async def status(self, name: str) -> ProcessStatus:
         """Read the status of one daemon."""
-        response = await self._control.get(
-            f'{self.operators_url(name)}/status'
-        )
+        response = await self.ask(name, '/status')
         return msgspec.json.decode(response.body, type=ProcessStatus)
 
     async def until_ready(self, name: str) -> None:
         """Wait until a daemon takes requests."""
         loop = asyncio.get_running_loop()
         deadline = loop.time() + _READY_S
-        url = f'{self.operators_url(name)}/readyz'
-        while (await self._control.get(url)).code != 200:
+        while (await self.ask(name, '/readyz')).code != 200:
             if loop.time() > deadline:
                 raise FleetError(f'{name}: not ready within {_READY_S} s')
             await asyncio.sleep(_POLL_S)
@@ -258,10 +275,6 @@
     def _scheme(self) -> str:
         return 'http' if self._options.tls is None else 'https'
 
-    @property
-    def _bundle_file(self) -> Path:
-        return self._directory / 'bundle.json'
-
     def _names(self, role: Role) -> tuple[str, ...]:
         return tuple(
             name
@@ -319,7 +332,7 @@
         common = Common(
             region=self._deployment.name,
             platform_url=self._platform_url,
-            bundle_file=self._bundle_file,
+            bundle_file=self.bundle_file,
             log_level=self._options.log_level,
             drain_s=self._options.drain_s,
             tls=self._options.tls,
--- a/packages/bench/src/lacewing_bench/testrun/__main__.py
+++ b/packages/bench/src/lacewing_bench/testrun/__main__.py
@@ -16,7 +16,7 @@
 
 _KNOWN_RED = Path('KNOWN-RED.txt')
 _BEHAVE = [
-    '--format=progress',
+    '--format=progress3',
     '--no-capture',
     '--no-skipped',
     '--show-timings',
--- a/packages/daemon/src/lacewing_daemon/_operators.py
+++ b/packages/daemon/src/lacewing_daemon/_operators.py
@@ -17,6 +17,7 @@
 from tornado.web import RequestHandler
 
 _OK = 200
+_NOT_FOUND = 404
 _UNAVAILABLE = 503
 
 
@@ -27,6 +28,19 @@
         """Return the status as of now."""
 
 
+class ExplanationSource(Protocol):
+    """Give the decisions on a request."""
+
+    def __call__(self, request_id: str) -> object | None:
+        """Return what msgspec can encode, or None when nothing is kept."""
+
+
+class Missing(msgspec.Struct, frozen=True):
+    """Say what was not found."""
+
+    message: str
+
+
 class _Health(RequestHandler):
     def get(self) -> None:
         """Answer as long as the event loop runs."""
@@ -63,10 +77,32 @@
         self.finish(msgspec.json.encode(self._source()))
 
 
+class _Explanation(RequestHandler):
+    def initialize(self, explain: ExplanationSource) -> None:
+        """Take the source of the explanations."""
+        self._explain = explain
+
+    def get(self, request_id: str) -> None:
+        """Answer with the decisions on one request as JSON, or 404."""
+        self.set_header('Content-Type', 'application/json')
+        explanation = self._explain(request_id)
+        if explanation is None:
+            self.set_status(_NOT_FOUND)
+            missing = Missing(f'no decisions are kept on {request_id!r}')
+            self.finish(msgspec.json.encode(missing))
+            return
+        self.finish(msgspec.json.encode(explanation))
+
+
 class OperatorsServer:
     """Listen for operators."""
 
-    def __init__(self, settings: Settings, source: StatusSource) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        source: StatusSource,
+        explain: ExplanationSource,
+    ) -> None:
         self._settings = settings
         self._server = HTTPServer(
             Application(
@@ -75,6 +111,7 @@
                     ('/readyz', _Readiness, {'source': source}),
                     ('/metrics', _Metrics),
                     ('/status', _Status, {'source': source}),
+                    ('/explain/([^/]+)', _Explanation, {'explain': explain}),
                 ],
                 log_function=_log_nothing,
             ),
--- a/packages/daemon/src/lacewing_daemon/_serve.py
+++ b/packages/daemon/src/lacewing_daemon/_serve.py
@@ -22,8 +22,9 @@
 from lacewing_daemon._signals import on_hangup
 from lacewing_daemon._signals import StopSignals
 from lacewing_daemon.bundles import FileBundles
-from lacewing_daemon.members import follow_vm_list
 from lacewing_daemon.members import KnownMembers
+from lacewing_daemon.members import VmListFollower
+from lacewing_daemon.runtime import Explains
 from lacewing_daemon.runtime import RoleStatus
 from lacewing_daemon.runtime import RunningRole
 from lacewing_daemon.runtime import Runtime
@@ -47,7 +48,9 @@
             members=self._members,
             stopping=self._signals.stopping,
         )
-        self._operators = OperatorsServer(settings, self._status)
+        self._operators = OperatorsServer(
+            settings, self._status, self._explain
+        )
         self._operators_address = ''
         self._platform: PlatformClient | None = None
         self._role: RunningRole | None = None
@@ -60,7 +63,7 @@
         self._bundles.reload()
         self._operators_address = str(self._operators.listen())
         self._follow(self._bundles.follow())
-        self._follow_platform()
+        await self._follow_platform()
         self._role = await start_role(self._runtime)
         addresses = self._status().addresses
         self._log.info(
@@ -75,14 +78,15 @@
     def _follow(self, source: Coroutine[None, None, None]) -> None:
         self._tasks.append(asyncio.create_task(source))
 
-    def _follow_platform(self) -> None:
+    async def _follow_platform(self) -> None:
         if not self._settings.platform:
             return
         if self._settings.role is not Role.ROUTER:
             return
         self._platform = PlatformClient(self._settings.platform)
-        follow = follow_vm_list(self._platform, self._members, Random())
-        self._follow(follow)
+        vm_list = VmListFollower(self._platform, self._members, Random())
+        await vm_list.read_first()
+        self._follow(vm_list.follow())
 
     async def _stop(self, role: RunningRole) -> Exit:
         ended = Exit.OK
@@ -122,6 +126,11 @@
             addresses=self._addresses(),
         )
 
+    def _explain(self, request_id: str) -> object | None:
+        if not isinstance(self._role, Explains):
+            return None
+        return self._role.explain(request_id)
+
     def _addresses(self) -> Addresses:
         if self._role is None:
             return Addresses(operators=self._operators_address)
--- a/packages/daemon/src/lacewing_daemon/runtime.py
+++ b/packages/daemon/src/lacewing_daemon/runtime.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
+from typing import runtime_checkable
 
 from lacewing_common.bundle import RolledBundle
 from lacewing_common.identity import ProcessName
@@ -69,6 +70,14 @@
         """Close listeners and links."""
 
 
+@runtime_checkable
+class Explains(Protocol):
+    """Tell how a request was routed; a router does."""
+
+    def explain(self, request_id: str) -> object | None:
+        """Return the decisions on a request, None when not kept."""
+
+
 @dataclass(frozen=True)
 class Runtime:
     """Hold what every role gets from the daemon."""
