--- a/features/steps/distribution_steps.py
+++ b/features/steps/distribution_steps.py
@@ -12,6 +12,8 @@
 from lacewing_common.document import DocumentHead
 from lacewing_common.document import part_digest
 from lacewing_common.settings import PeerSettings
+from lacewing_ctl._fleet_file import FleetFile
+from lacewing_ctl._handover import hand_over
 from msgspec.structs import replace
 from support.fleet_bench import FleetBench
 from support.fleet_bench import small
@@ -56,9 +58,11 @@
 
 @when('the operator hands the roll over')
 def when_handed_over(context: Context) -> None:
-    """Give the document to a few processes."""
+    """Do what lacewingctl does after a roll."""
     bench = context.bench
-    bench.run(bench.fleet.hand_over(context.rolled.document))
+    fleet = FleetFile(operators=bench.fleet.operators)
+    taken = bench.run(hand_over(fleet, context.rolled.document))
+    assert taken == 3, taken
 
 
 @when('a document of roll {number:d} without signatures is handed over')
