--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/direct/__init__.py
@@ -0,0 +1,65 @@
+"""Route callers' requests to upstreams without agents beside them."""
+
+from lacewing_daemon.direct._call import CallerRequest
+from lacewing_daemon.direct._call import Prompt
+from lacewing_daemon.direct._call import PromptPart
+from lacewing_daemon.direct._directory import Directory
+from lacewing_daemon.direct._directory import Engine
+from lacewing_daemon.direct._directory import KvStore
+from lacewing_daemon.direct._directory import Limits
+from lacewing_daemon.direct._directory import Route
+from lacewing_daemon.direct._directory import Service
+from lacewing_daemon.direct._directory import Share
+from lacewing_daemon.direct._directory import Team
+from lacewing_daemon.direct._router import DirectRouter
+from lacewing_daemon.direct._settings import DirectSettings
+from lacewing_daemon.direct._settings import read_direct_settings
+from lacewing_daemon.direct._site import Changes
+from lacewing_daemon.direct._site import Collection
+from lacewing_daemon.direct._site import Dispatch
+from lacewing_daemon.direct._site import HistoryGone
+from lacewing_daemon.direct._site import Listing
+from lacewing_daemon.direct._site import LoadOrder
+from lacewing_daemon.direct._site import OrderVerdict
+from lacewing_daemon.direct._site import ReplyHead
+from lacewing_daemon.direct._site import Site
+from lacewing_daemon.direct._site import SwitchMode
+from lacewing_daemon.direct._site import UpstreamControl
+from lacewing_daemon.direct._site import UpstreamLoad
+from lacewing_daemon.direct._site import UpstreamReport
+from lacewing_daemon.direct._site import Wire
+from lacewing_daemon.direct._upstream import NamedWeights
+from lacewing_daemon.direct._upstream import Upstream
+
+__all__ = [
+    'CallerRequest',
+    'Changes',
+    'Collection',
+    'DirectRouter',
+    'DirectSettings',
+    'Directory',
+    'Dispatch',
+    'Engine',
+    'HistoryGone',
+    'KvStore',
+    'Limits',
+    'Listing',
+    'LoadOrder',
+    'NamedWeights',
+    'OrderVerdict',
+    'Prompt',
+    'PromptPart',
+    'ReplyHead',
+    'Route',
+    'Service',
+    'Share',
+    'Site',
+    'SwitchMode',
+    'Team',
+    'Upstream',
+    'UpstreamControl',
+    'UpstreamLoad',
+    'UpstreamReport',
+    'Wire',
+    'read_direct_settings',
+]
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/direct/_admission.py
@@ -0,0 +1,85 @@
+"""Decide whether the configuration lets a request in, and as what."""
+
+from dataclasses import dataclass
+from random import Random
+
+from lacewing_common.verdict import not_run
+from lacewing_common.verdict import Reason
+from lacewing_common.verdict import Refusal
+
+from lacewing_daemon.direct._call import CallerRequest
+from lacewing_daemon.direct._directory import Directory
+from lacewing_daemon.direct._directory import Route
+from lacewing_daemon.direct._directory import Service
+from lacewing_daemon.direct._directory import Team
+
+# A router without a configuration has one within a few calls to the store.
+NOT_READY_RETRY_S = 0.5
+
+
+@dataclass(frozen=True)
+class Admitted:
+    """Hold a request's route, service and team (None on public routes)."""
+
+    route: Route
+    service: Service
+    team: Team | None
+
+
+def admit(
+    request: CallerRequest,
+    directory: Directory | None,
+    keys_confirmed: bool,
+    random: Random,
+) -> Admitted | Refusal:
+    """Find the route, team and service of a request."""
+    if directory is None:
+        return not_run(
+            Reason.NOT_READY,
+            'no configuration was read yet; repeat the request',
+            NOT_READY_RETRY_S,
+        )
+    route = directory.route(request.host, request.path)
+    if route is None:
+        return not_run(
+            Reason.UNKNOWN_PATH, f'no route for {request.host}{request.path}'
+        )
+    team: Team | None = None
+    if directory.teams is not None and not route.public:
+        if not keys_confirmed:
+            # The key may have been taken away without this router knowing.
+            return not_run(
+                Reason.PLATFORM_UNAVAILABLE,
+                'keys could not be confirmed lately; repeat the request',
+                NOT_READY_RETRY_S,
+            )
+        team = directory.teams.get(request.key)
+        if team is None:
+            return not_run(Reason.BAD_KEY, 'unknown key')
+    if len(request.body) > directory.limits.max_body_bytes:
+        return not_run(
+            Reason.TOO_LARGE,
+            f'at most {directory.limits.max_body_bytes} bytes are taken,'
+            f' got {len(request.body)}',
+        )
+    service = _draw_service(route, directory, random)
+    if service is None:
+        return not_run(Reason.NO_WORKER, 'no service on this route', 1.0)
+    return Admitted(route, service, team)
+
+
+def _draw_service(
+    route: Route, directory: Directory, random: Random
+) -> Service | None:
+    names = []
+    weights = []
+    for share in route.shares:
+        if share.weight <= 0 or share.service not in directory.services:
+            continue
+        names.append(share.service)
+        weights.append(share.weight)
+    if not names:
+        return None
+    if len(names) == 1:
+        return directory.services[names[0]]
+    return directory.services[random.choices(names, weights)[0]]
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/direct/_attempt.py
@@ -0,0 +1,179 @@
+"""Send a request to one upstream once and tell how that ended."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from lacewing_common.verdict import Reason
+from lacewing_common.verdict import Verdict
+from tornado.httputil import HTTPHeaders
+
+from lacewing_daemon.direct._call import CallerRequest
+from lacewing_daemon.direct._connection import UpstreamConnection
+from lacewing_daemon.direct._pool import ConnectionPool
+from lacewing_daemon.direct._site import Dispatch
+from lacewing_daemon.direct._site import ReplyHead
+from lacewing_daemon.direct._site import Wire
+from lacewing_daemon.direct._upstream import Upstream
+
+_SUCCESS = range(200, 300)
+
+
+@dataclass(frozen=True)
+class AttemptEnd:
+    """Tell how an attempt ended.
+
+    ``head`` is None when no answer began; ``body`` is that of an answer
+    that was not streamed; ``complete`` if nothing of the answer is missing.
+    """
+
+    verdict: Verdict
+    reason: Reason
+    head: ReplyHead | None = None
+    body: bytes = b''
+    complete: bool = False
+
+
+class Attempt:
+    """Be the sink of one answer."""
+
+    def __init__(
+        self,
+        request: CallerRequest,
+        wire: Wire,
+        on_head: Callable[[ReplyHead], None],
+        on_piece: Callable[[ReplyHead, bytes], Awaitable[None]] | None,
+    ) -> None:
+        self._request = request
+        self._wire = wire
+        self._on_head = on_head
+        self._on_piece = on_piece
+        self._head: ReplyHead | None = None
+        self._body: list[bytes] = []
+        self._ended: asyncio.Future[bool] = asyncio.Future()
+        self._last_piece_s = 0.0
+
+    async def run(
+        self,
+        pool: ConnectionPool,
+        upstream: Upstream,
+        dispatch: Dispatch,
+        may_repeat: bool,
+        first_wait_s: float,
+        gap_wait_s: float,
+    ) -> AttemptEnd:
+        """Send the request; cancelled, its connection is closed.
+
+        ``first_wait_s`` bounds the time to the answer's head and first
+        piece, ``gap_wait_s`` that between pieces.
+        """
+        try:
+            connection = await pool.take(
+                upstream.upstream_id, upstream.address, not may_repeat
+            )
+        except OSError:
+            return AttemptEnd(Verdict.NOT_RUN, Reason.WORKER_UNREACHABLE)
+        kept = False
+        try:
+            self._send(connection, dispatch)
+            complete = await self._wait(first_wait_s, gap_wait_s)
+            end = self._judge(complete)
+            if end.complete and end.head is not None and not end.head.closing:
+                pool.give_back(
+                    upstream.upstream_id, connection, end.head.keep_s
+                )
+                kept = True
+            return end
+        finally:
+            if not kept:
+                # Closing also stops the upstream's work on a request that
+                # was given up.
+                connection.close()
+
+    def expects(self, headers: HTTPHeaders) -> bool:
+        """Tell whether an answer is the one to this request."""
+        head = self._wire.read_reply(0, headers)
+        if head.request_id:
+            return head.request_id == self._request.request_id
+        # Upstreams name the request in what they ran; only a refusal comes
+        # without it.
+        return head.not_run or head.misdirected
+
+    def on_head(self, status: int, headers: HTTPHeaders) -> None:
+        """Take the status and the headers."""
+        self._head = self._wire.read_reply(status, headers)
+        self._on_head(self._head)
+
+    async def on_data(self, piece: bytes) -> None:
+        """Pass a piece of a good stream on; keep any other."""
+        head = self._head
+        assert head is not None
+        if self._on_piece is not None and _is_good(head):
+            self._last_piece_s = asyncio.get_running_loop().time()
+            try:
+                await self._on_piece(head, piece)
+            except Exception as error:
+                if not self._ended.done():
+                    self._ended.set_exception(error)
+            return
+        self._body.append(piece)
+
+    def on_end(self, complete: bool) -> None:
+        """Learn that the answer ended."""
+        if not self._ended.done():
+            self._ended.set_result(complete)
+
+    def _send(
+        self, connection: UpstreamConnection, dispatch: Dispatch
+    ) -> None:
+        connection.send(
+            self._request.method,
+            self._request.path,
+            self._wire.forward(self._request, dispatch),
+            self._request.body,
+            self,
+        )
+
+    async def _wait(self, first_wait_s: float, gap_wait_s: float) -> bool:
+        """Return whether the answer came whole; false if it stalled."""
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        self._last_piece_s = began_s
+        while True:
+            limit_s = gap_wait_s
+            if self._last_piece_s == began_s:
+                limit_s = first_wait_s
+            left_s = self._last_piece_s + limit_s - loop.time()
+            if left_s <= 0:
+                return False
+            await asyncio.wait((self._ended,), timeout=left_s)
+            if self._ended.done():
+                return self._ended.result()
+
+    def _judge(self, complete: bool) -> AttemptEnd:
+        head = self._head
+        body = b''.join(self._body)
+        if head is None:
+            return AttemptEnd(Verdict.MAY_HAVE_RUN, Reason.WORKER_FAILED)
+        if head.misdirected:
+            return AttemptEnd(
+                Verdict.NOT_RUN, Reason.STALE_WEIGHTS, head, body, complete
+            )
+        if head.not_run:
+            return AttemptEnd(
+                Verdict.NOT_RUN, Reason.QUEUE_FULL, head, body, complete
+            )
+        if not complete:
+            return AttemptEnd(
+                Verdict.MAY_HAVE_RUN, Reason.STREAM_BROKEN, head, body
+            )
+        if not head.proven:
+            return AttemptEnd(
+                Verdict.MAY_HAVE_RUN, Reason.WORKER_FAILED, head, body, True
+            )
+        return AttemptEnd(Verdict.RAN, Reason.WORKER_FAILED, head, body, True)
+
+
+def _is_good(head: ReplyHead) -> bool:
+    return head.status in _SUCCESS and head.proven
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/direct/_budget.py
@@ -0,0 +1,45 @@
+"""Bound how many repeated sends the whole fleet makes to a service."""
+
+from collections import deque
+
+# A router knows its own requests only. It spends this part of what the
+# ratio allows for them, as the fleet's window need not match its own.
+_OWN_PART = 0.6
+
+
+class RetryBudget:
+    """Count the requests and the repeats of one service in a window.
+
+    Without a bound, an upstream that refuses makes each router send each
+    request several times; the service then has several times its load at
+    the moment it can bear least. ``ratio`` and ``slack`` hold for all
+    routers together; each spends an equal part of the slack.
+    """
+
+    def __init__(self, ratio: float, slack: float, window_s: float) -> None:
+        self._ratio = ratio
+        self._slack = slack
+        self._window_s = window_s
+        self._requests: deque[float] = deque()
+        self._repeats: deque[float] = deque()
+
+    def count_request(self, now_s: float) -> None:
+        """Count a request that a caller sent."""
+        self._requests.append(now_s)
+        self._forget(now_s)
+
+    def spend(self, now_s: float, routers: int) -> bool:
+        """Take one repeat from the budget; false if it is used up."""
+        self._forget(now_s)
+        allowed = self._ratio * len(self._requests) * _OWN_PART
+        allowed += self._slack * _OWN_PART / max(1, routers)
+        if len(self._repeats) + 1 > allowed:
+            return False
+        self._repeats.append(now_s)
+        return True
+
+    def _forget(self, now_s: float) -> None:
+        oldest_s = now_s - self._window_s
+        for times in (self._requests, self._repeats):
+            while times and times[0] < oldest_s:
+                times.popleft()
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/direct/_choice.py
@@ -0,0 +1,126 @@
+"""Decide where a request is placed, or that it can't be served in time.
+
+Pure functions on snapshots: no clock, no input or output.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from lacewing_daemon.direct._policy import LoadPolicy
+
+
+@dataclass(frozen=True)
+class EngineView:
+    """Hold what a router knows of one engine for one prompt.
+
+    ``waiting_ms``: reading still to be done for requests sent before.
+    ``read_ms``: reading this prompt there, fetching included.
+    ``waiting``, ``in_flight``: this router's requests there, without a
+    first event and in all.
+    """
+
+    upstream_id: str
+    in_zone: bool
+    waiting_ms: float
+    read_ms: float
+    waiting: int
+    in_flight: int
+
+
+@dataclass(frozen=True)
+class Placement:
+    """Place a request; ``first_ms`` until its first event is expected."""
+
+    upstream_id: str
+    first_ms: float
+
+
+@dataclass(frozen=True)
+class NoRoom:
+    """Refuse a request; room is expected after ``room_ms``."""
+
+    room_ms: float
+
+
+def place(
+    engines: Sequence[EngineView],
+    left_ms: float,
+    policy: LoadPolicy,
+) -> Placement | NoRoom:
+    """Place a prompt whose first event is wanted within ``left_ms``.
+
+    Load pattern: more prompts than the engines can read in time. An engine
+    that takes all of them answers all late, as each waits behind the
+    reading of those before; refusing what surely comes late keeps the rest
+    on time. The bounds in flight hold where other routers' requests, which
+    this one does not see, make the estimate too low.
+    """
+    best: Placement | None = None
+    best_cost_ms = 0.0
+    soonest_ms = float('inf')
+    for engine in engines:
+        first_ms = engine.waiting_ms + engine.read_ms + policy.step_ms
+        soonest_ms = min(soonest_ms, first_ms)
+        if engine.waiting >= policy.max_waiting:
+            continue
+        if engine.in_flight >= policy.max_in_flight:
+            continue
+        if first_ms > left_ms:
+            continue
+        cost_ms = first_ms
+        if not engine.in_zone:
+            cost_ms += policy.other_zone_ms
+        if best is None or cost_ms < best_cost_ms:
+            best = Placement(engine.upstream_id, first_ms)
+            best_cost_ms = cost_ms
+    if best is not None:
+        return best
+    return NoRoom(max(policy.step_ms, soonest_ms - left_ms))
+
+
+@dataclass(frozen=True)
+class PlainView:
+    """Hold what a router knows of one upstream of a plain service.
+
+    ``busy`` counts requests at the upstream, this router's and what it
+    last told of the others'.
+    """
+
+    upstream_id: str
+    in_zone: bool
+    busy: int
+    slots: int
+    in_flight: int
+
+
+# An upstream of a plain service sheds when its queue is full, and what waits
+# there for longer than one turn of its slots comes late.
+_TURNS = 2
+
+
+def place_plain(
+    upstreams: Sequence[PlainView],
+) -> Placement | NoRoom:
+    """Place a request of a plain service on the least busy upstream.
+
+    Load pattern: short requests on few slots. The least busy by its own
+    word and by this router's open requests wins; the own zone counts only
+    while a slot is free there, as a wait costs more than the way.
+    """
+    best: PlainView | None = None
+    best_rank = (0.0, 0, 0)
+    for upstream in upstreams:
+        if upstream.busy >= upstream.slots * _TURNS:
+            continue
+        waits = max(0, upstream.busy - upstream.slots + 1)
+        rank = (float(waits), int(not upstream.in_zone), upstream.busy)
+        if best is None or rank < best_rank:
+            best = upstream
+            best_rank = rank
+    if best is None:
+        return NoRoom(_PLAIN_TURN_MS)
+    return Placement(best.upstream_id, 0.0)
+
+
+# A turn of a plain service's slots: its requests work some tens of ms.
+_PLAIN_TURN_MS = 60.0
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/direct/_directory.py
@@ -0,0 +1,153 @@
+"""Hold the configuration in force: routes, services, teams and limits."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import field
+
+
+@dataclass(frozen=True)
+class Share:
+    """Send a part of a route's requests to one service.
+
+    ``weight`` is relative to the other shares of the route.
+    """
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True)
+class Route:
+    """Describe the requests of one host and path prefix.
+
+    ``repeatable``: a request may run more than once.
+    ``streams``: the answer is a stream of events; a ``resumable`` one can
+    be continued after its last event by another upstream.
+    ``timeout_s``: a caller gets a final answer within this time.
+    ``target_s``: an answer, or a stream's first event, is on time within.
+    ``rank``: 0 is the most urgent.
+    ``max_runs``: upstreams on which one request may run.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    repeatable: bool
+    streams: bool
+    resumable: bool
+    timeout_s: float
+    target_s: float
+    rank: int
+    max_runs: int
+    public: bool
+    shares: tuple[Share, ...]
+
+    @property
+    def may_repeat(self) -> bool:
+        """Tell whether a request that may have run can be sent again."""
+        return self.repeatable or (self.streams and self.resumable)
+
+
+@dataclass(frozen=True)
+class Engine:
+    """Hold the limits of the model engines of a service.
+
+    ``slots``: requests that run at once; ``kv_tokens``: tokens that fit
+    into an engine's memory; ``kv_token_bytes``: bytes of one of them;
+    ``link_bytes_per_s``: speed of KV transfers.
+    """
+
+    slots: int
+    kv_tokens: int
+    kv_token_bytes: float
+    link_bytes_per_s: float
+    models: tuple[str, ...]
+
+
+@dataclass(frozen=True)
+class KvStore:
+    """Hold where a store of kept KV cache is and what it can do."""
+
+    address: str
+    availability_zone: str
+    kv_tokens: int
+    link_bytes_per_s: float
+
+
+@dataclass(frozen=True)
+class Service:
+    """Describe the upstreams of one service.
+
+    ``connections``: those that one upstream accepts from all callers.
+    """
+
+    name: str
+    connections: int
+    engine: Engine | None = None
+    kv_store: KvStore | None = None
+
+
+@dataclass(frozen=True)
+class Team:
+    """Hold what a caller's key stands for."""
+
+    name: str
+    rank: int
+    isolated: bool
+
+
+@dataclass(frozen=True)
+class Limits:
+    """Bound what a caller may send; bytes and seconds."""
+
+    max_body_bytes: int
+    idle_s: float
+
+
+@dataclass(frozen=True)
+class Directory:
+    """Hold one version of the whole configuration.
+
+    ``teams`` maps each key to its team; None means that no keys are used.
+    """
+
+    version: int
+    routes: tuple[Route, ...]
+    services: Mapping[str, Service]
+    teams: Mapping[str, Team] | None
+    limits: Limits
+    _by_host: dict[str, list[Route]] = field(
+        default_factory=dict, init=False, compare=False
+    )
+
+    def __post_init__(self) -> None:
+        """Index the routes by host, the longest prefix first."""
+        for route in self.routes:
+            self._by_host.setdefault(route.host, []).append(route)
+        for routes in self._by_host.values():
+            routes.sort(key=_prefix_length, reverse=True)
+
+    def route(self, host: str, path: str) -> Route | None:
+        """Return the route of the longest prefix that begins the path."""
+        bare, _, _ = path.partition('?')
+        for route in self._by_host.get(_without_port(host), ()):
+            if bare.startswith(route.path_prefix):
+                return route
+        return None
+
+    @property
+    def kv_store(self) -> KvStore | None:
+        """Return the store of kept KV cache, if there is one."""
+        for service in self.services.values():
+            if service.kv_store is not None:
+                return service.kv_store
+        return None
+
+
+def _prefix_length(route: Route) -> int:
+    return len(route.path_prefix)
+
+
+def _without_port(host: str) -> str:
+    name, _, _ = host.partition(':')
+    return name.lower()
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/direct/_followed.py
@@ -0,0 +1,187 @@
+"""Follow a collection of the platform's store and know how fresh it is."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Mapping
+from random import Random
+from typing import Generic
+from typing import TypeVar
+
+from lacewing_common.backoff import Backoff
+from lacewing_common.log import get_log
+from lacewing_common.log import Part
+from lacewing_common.store import StoreError
+
+from lacewing_daemon.direct._clock import boot_s
+from lacewing_daemon.direct._site import Changes
+from lacewing_daemon.direct._site import Collection
+from lacewing_daemon.direct._site import HistoryGone
+from lacewing_daemon.direct._site import Listing
+
+T = TypeVar('T')
+OnChange = Callable[[str, T | None], None]
+
+BACKOFF_BASE_S = 0.1
+BACKOFF_CAP_S = 0.6
+# The platform says that entries which lapsed during its outage are back
+# within about 2 s of its return, if the upstream lives.
+KEEP_LAPSED_S = 2.3
+# An upstream whose heartbeats fail lapses after three of them, about 4 s.
+# A removal this soon after a failed call may be such a lapse.
+LAPSE_S = 5.0
+
+_log = get_log(Part.PLATFORM)
+
+
+class Followed(Generic[T]):
+    """Hold the entries of one collection, kept up to date by a task.
+
+    When the store is away, upstreams can't renew their entries either, and
+    these lapse although the upstreams serve. Believing the first list after
+    an outage would leave a router without upstreams; so an entry that is
+    gone then is kept for a while and dropped only if it stays away.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        collection: Collection[T],
+        wait_s: float,
+        random: Random,
+        keep_lapsed: bool = False,
+    ) -> None:
+        self._name = name
+        self._collection = collection
+        self._wait_s = wait_s
+        self._backoff = Backoff(BACKOFF_BASE_S, BACKOFF_CAP_S, random)
+        self._keep_lapsed = keep_lapsed
+        self._entries: dict[str, T] = {}
+        self._lapsed: dict[str, asyncio.TimerHandle] = {}
+        self._callbacks: list[OnChange[T]] = []
+        self._revision: int | None = None
+        self._confirmed_s: float | None = None
+        self._failed_s = float('-inf')
+        self._lost = False
+
+    @property
+    def entries(self) -> Mapping[str, T]:
+        """Return the entries as far as they are known."""
+        return self._entries
+
+    @property
+    def read_once(self) -> bool:
+        """Tell whether the collection has been read since the start."""
+        return self._confirmed_s is not None
+
+    @property
+    def revision(self) -> int:
+        """Return the store's revision that the entries are as of."""
+        return self._revision or 0
+
+    @property
+    def age_s(self) -> float:
+        """Return for how long the entries have not been confirmed.
+
+        Counted from the sending of the last call that was answered: what
+        changed after that may be missing.
+        """
+        if self._confirmed_s is None:
+            return float('inf')
+        return boot_s() - self._confirmed_s
+
+    def on_change(self, callback: OnChange[T]) -> None:
+        """Call back with the name and value (None: removed) of a change."""
+        self._callbacks.append(callback)
+
+    async def run(self) -> None:
+        """Follow the collection until cancelled."""
+        while True:
+            sent_s = boot_s()
+            answer = await self._next()
+            if isinstance(answer, StoreError):
+                self._failed(answer)
+                await asyncio.sleep(self._backoff.next_s())
+                continue
+            self._backoff.reset()
+            if isinstance(answer, HistoryGone):
+                _log.info(
+                    'Reads a collection anew.',
+                    collection=self._name,
+                    reason=answer.message,
+                )
+                self._revision = None
+                continue
+            self._regained()
+            self._take(answer)
+            self._confirmed_s = sent_s
+
+    async def _next(
+        self,
+    ) -> Listing[T] | Changes[T] | HistoryGone | StoreError:
+        if self._revision is None:
+            return await self._collection.read()
+        return await self._collection.changes(self._revision, self._wait_s)
+
+    def _take(self, answer: Listing[T] | Changes[T]) -> None:
+        self._revision = answer.revision
+        if isinstance(answer, Changes):
+            for name, value in answer.changed:
+                self._set(name, value)
+            return
+        for name in list(self._entries):
+            if name not in answer.entries:
+                self._set(name, None)
+        for name, value in answer.entries.items():
+            self._set(name, value)
+
+    def _set(self, name: str, value: T | None) -> None:
+        timer = self._lapsed.pop(name, None)
+        if timer is not None:
+            timer.cancel()
+        if value is not None:
+            if self._entries.get(name) == value:
+                return
+            self._entries[name] = value
+            self._tell(name, value)
+            return
+        if name not in self._entries:
+            return
+        if self._keep_lapsed and boot_s() - self._failed_s < LAPSE_S:
+            loop = asyncio.get_running_loop()
+            self._lapsed[name] = loop.call_later(
+                KEEP_LAPSED_S, self._drop, name
+            )
+            return
+        self._drop(name)
+
+    def _drop(self, name: str) -> None:
+        self._lapsed.pop(name, None)
+        self._entries.pop(name, None)
+        self._tell(name, None)
+
+    def _tell(self, name: str, value: T | None) -> None:
+        for callback in self._callbacks:
+            callback(name, value)
+
+    def _failed(self, error: StoreError) -> None:
+        self._failed_s = boot_s()
+        if self._lost:
+            return
+        self._lost = True
+        _log.warning(
+            'Lost a collection.',
+            collection=self._name,
+            fault=error.fault.value,
+            reason=error.message,
+            revision=self.revision,
+        )
+
+    def _regained(self) -> None:
+        if not self._lost:
+            return
+        self._lost = False
+        _log.info(
+            'Follows a collection again.',
+            collection=self._name,
+            age_s=round(self.age_s, 2),
+        )
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/direct/_front.py
@@ -0,0 +1,202 @@
+"""Take callers' connections and requests."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from time import monotonic
+
+from lacewing_common.log import get_log
+from lacewing_common.log import Part
+from tornado.http1connection import HTTP1Connection
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPConnection
+from tornado.httputil import HTTPHeaders
+from tornado.httputil import HTTPMessageDelegate
+from tornado.httputil import HTTPServerConnectionDelegate
+from tornado.httputil import RequestStartLine
+from tornado.httputil import ResponseStartLine
+
+from lacewing_daemon.direct._call import CallerRequest
+from lacewing_daemon.direct._caller_reply import CallerReply
+from lacewing_daemon.direct._site import Wire
+
+# A configuration bounds bodies more tightly; this bounds them before the
+# first one is known.
+MAX_BODY_BYTES = 16 * 1024 * 1024
+MAX_HEADER_BYTES = 65536
+# Callers may keep a connection idle for 15 s and use it for 12 s of these;
+# this process closes it a little later, so that nothing crosses its close.
+IDLE_S = 16.0
+_OK = 200
+_UNAVAILABLE = 503
+
+Serve = Callable[[CallerRequest, CallerReply], Awaitable[None]]
+
+_log = get_log(Part.CALLERS)
+
+
+class Front(HTTPServerConnectionDelegate):
+    """Serve callers; one task for each request."""
+
+    def __init__(self, wire: Wire, serve: Serve) -> None:
+        self._wire = wire
+        self._serve = serve
+        self._open: set[asyncio.Task[None]] = set()
+        self._server = HTTPServer(
+            self,
+            idle_connection_timeout=IDLE_S,
+            max_header_size=MAX_HEADER_BYTES,
+            max_body_size=MAX_BODY_BYTES,
+        )
+
+    @property
+    def open_requests(self) -> int:
+        """Return the number of requests without a complete answer."""
+        return len(self._open)
+
+    def listen(self, host: str, port: int) -> None:
+        """Begin to take connections."""
+        self._server.listen(port, host, backlog=_BACKLOG)
+
+    def announce_stop(self) -> None:
+        """Close each connection with its next answer.
+
+        Callers keep connections open for many requests; without the notice
+        their next request would meet the end of the process.
+        """
+        self._server.conn_params.no_keep_alive = True
+
+    def stop_listening(self) -> None:
+        """Take no new connections."""
+        self._server.stop()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._server.close_all_connections()
+
+    def start_request(
+        self, server_conn: object, request_conn: HTTPConnection
+    ) -> HTTPMessageDelegate:
+        """Read the next request of a connection."""
+        assert isinstance(request_conn, HTTP1Connection)
+        request_conn.stream.set_nodelay(True)
+        return _RequestReader(self, request_conn)
+
+    def on_close(self, server_conn: object) -> None:
+        """Do nothing: each request learns of its connection's end."""
+
+    def begin(
+        self,
+        start_line: RequestStartLine,
+        headers: HTTPHeaders,
+        body: bytes,
+        received_s: float,
+        connection: HTTP1Connection,
+    ) -> None:
+        """Serve a request that was read whole."""
+        request = self._wire.read_request(
+            start_line.method, start_line.path, headers, body, received_s
+        )
+        reply = CallerReply(connection)
+        task = asyncio.create_task(self._run(request, reply))
+        self._open.add(task)
+        task.add_done_callback(self._open.discard)
+        # A caller that leaves cancels its request, and with it the work at
+        # the upstream, which nobody would take.
+        connection.set_close_callback(lambda: _cancel(task))
+
+    async def _run(self, request: CallerRequest, reply: CallerReply) -> None:
+        try:
+            await self._serve(request, reply)
+        except Exception:
+            _log.exception('A request failed.', request=request.request_id)
+            if not reply.ended:
+                reply.abort()
+        finally:
+            if not reply.ended:
+                reply.abort()
+
+
+class _RequestReader(HTTPMessageDelegate):
+    """Collect one request."""
+
+    def __init__(self, front: Front, connection: HTTP1Connection) -> None:
+        self._front = front
+        self._connection = connection
+        self._start_line = RequestStartLine('', '', '')
+        self._headers = HTTPHeaders()
+        self._body: list[bytes] = []
+        self._received_s = 0.0
+
+    def headers_received(
+        self,
+        start_line: RequestStartLine | ResponseStartLine,
+        headers: HTTPHeaders,
+    ) -> None:
+        """Take the head."""
+        assert isinstance(start_line, RequestStartLine)
+        self._start_line = start_line
+        self._headers = headers
+        self._received_s = monotonic()
+
+    def data_received(self, chunk: bytes) -> None:
+        """Take a piece of the body."""
+        self._body.append(chunk)
+
+    def finish(self) -> None:
+        """Hand the request over."""
+        self._front.begin(
+            self._start_line,
+            self._headers,
+            b''.join(self._body),
+            self._received_s,
+            self._connection,
+        )
+
+    def on_connection_close(self) -> None:
+        """Drop what was read of a request that never came whole."""
+
+
+_BACKLOG = 1024
+
+
+class ReadyServer(HTTPServerConnectionDelegate):
+    """Tell the balancer whether to send connections here."""
+
+    def __init__(self, ready: Callable[[], bool]) -> None:
+        self._ready = ready
+        self._server = HTTPServer(self)
+
+    def listen(self, host: str, port: int) -> None:
+        """Begin to answer."""
+        self._server.listen(port, host)
+
+    def start_request(
+        self, server_conn: object, request_conn: HTTPConnection
+    ) -> HTTPMessageDelegate:
+        """Answer any request with the state."""
+        assert isinstance(request_conn, HTTP1Connection)
+        return _ReadyAnswer(self._ready, request_conn)
+
+    def close(self) -> None:
+        """Stop answering."""
+        self._server.stop()
+
+
+class _ReadyAnswer(HTTPMessageDelegate):
+    """Answer one question."""
+
+    def __init__(
+        self, ready: Callable[[], bool], connection: HTTP1Connection
+    ) -> None:
+        self._ready = ready
+        self._connection = connection
+
+    def finish(self) -> None:
+        """Send the answer."""
+        status = _OK if self._ready() else _UNAVAILABLE
+        CallerReply(self._connection).whole(status, HTTPHeaders(), b'')
+
+
+def _cancel(task: 'asyncio.Task[None]') -> None:
+    task.cancel()
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/direct/_placing.py
@@ -0,0 +1,216 @@
+"""Build the snapshots that placing decides on, and the dispatch from it."""
+
+from dataclasses import dataclass
+
+from lacewing_daemon.direct._admission import Admitted
+from lacewing_daemon.direct._call import CallerRequest
+from lacewing_daemon.direct._call import Prompt
+from lacewing_daemon.direct._choice import EngineView
+from lacewing_daemon.direct._choice import NoRoom
+from lacewing_daemon.direct._choice import place
+from lacewing_daemon.direct._choice import place_plain
+from lacewing_daemon.direct._choice import PlainView
+from lacewing_daemon.direct._directory import Engine
+from lacewing_daemon.direct._directory import KvStore
+from lacewing_daemon.direct._fleet import Fleet
+from lacewing_daemon.direct._policy import LoadPolicy
+from lacewing_daemon.direct._upstream_state import UpstreamState
+from lacewing_daemon.direct._wall import cache_wall
+
+_MS = 1000.0
+# Requests of other routers that an engine says wait are taken to need as
+# much reading as a usual one of this router.
+USUAL_READ_MS = 30.0
+# From this age of newer weights on, an engine with older ones costs so much
+# more time: its answers count less.
+OLD_WEIGHTS_S = 1.2
+OLD_WEIGHTS_MS = 80.0
+# The part of the time for new weights after which none begins on older ones.
+OLD_WEIGHTS_PART = 0.75
+
+
+@dataclass(frozen=True)
+class Target:
+    """Hold where one attempt goes and what is told to the upstream."""
+
+    state: UpstreamState
+    read_ms: float
+    wall: str | None = None
+    weights: int | None = None
+    fetch_from: str | None = None
+    save_to: str | None = None
+
+
+class Placer:
+    """Place requests on the upstreams of a fleet."""
+
+    def __init__(
+        self, fleet: Fleet, availability_zone: str, policy: LoadPolicy
+    ) -> None:
+        self._fleet = fleet
+        self._zone = availability_zone
+        self._policy = policy
+
+    def place(
+        self,
+        request: CallerRequest,
+        admitted: Admitted,
+        excluded: frozenset[str],
+        left_ms: float,
+        now_s: float,
+    ) -> Target | NoRoom:
+        """Choose an upstream for one attempt."""
+        usable = []
+        for state in self._fleet.states(admitted.service.name):
+            if state.upstream.upstream_id in excluded:
+                continue
+            if state.usable(now_s):
+                usable.append(state)
+        engine = admitted.service.engine
+        if engine is None or request.prompt is None:
+            return self._plain(usable, now_s)
+        return self._engine(
+            request.prompt, admitted, engine, usable, left_ms, now_s
+        )
+
+    def note_sent(
+        self, target: Target, prompt: Prompt, engine: Engine, now_s: float
+    ) -> None:
+        """Remember which parts an upstream and the KV store hold now."""
+        if target.wall is None:
+            return
+        target.state.remember(target.wall, prompt, engine, now_s)
+        if target.save_to is None:
+            return
+        for part in prompt.shared:
+            self._fleet.note_saved(target.wall, part.part_id, now_s)
+
+    def _plain(
+        self, usable: list[UpstreamState], now_s: float
+    ) -> Target | NoRoom:
+        views = []
+        for state in usable:
+            upstream = state.upstream
+            views.append(
+                PlainView(
+                    upstream.upstream_id,
+                    upstream.availability_zone == self._zone,
+                    state.in_flight + state.others(now_s),
+                    max(1, upstream.slots),
+                    state.in_flight,
+                )
+            )
+        placed = place_plain(views)
+        if isinstance(placed, NoRoom):
+            return placed
+        state = self._state_of(usable, placed.upstream_id)
+        return Target(state, 0.0)
+
+    def _engine(
+        self,
+        prompt: Prompt,
+        admitted: Admitted,
+        engine: Engine,
+        usable: list[UpstreamState],
+        left_ms: float,
+        now_s: float,
+    ) -> Target | NoRoom:
+        directory = self._fleet.directory
+        kv_store = None if directory is None else directory.kv_store
+        named = self._fleet.named_weights(prompt.model)
+        views = []
+        targets = {}
+        for state in usable:
+            weights = state.weights(prompt.model) or named.version
+            old = weights < named.version
+            if old and named.age_s > self._old_limit_s:
+                continue
+            wall = cache_wall(admitted.team, prompt.model, weights)
+            read_ms = self._read_ms(
+                state, wall, prompt, engine, kv_store, now_s
+            )
+            target = Target(
+                state,
+                read_ms,
+                wall,
+                weights if weights else None,
+                None if kv_store is None else kv_store.address,
+                self._save_to(kv_store, wall, prompt, now_s),
+            )
+            upstream = state.upstream
+            targets[upstream.upstream_id] = target
+            waiting_ms = state.waiting_ms
+            waiting_ms += state.others_waiting(now_s) * USUAL_READ_MS
+            if old and named.age_s > OLD_WEIGHTS_S:
+                waiting_ms += OLD_WEIGHTS_MS
+            views.append(
+                EngineView(
+                    upstream.upstream_id,
+                    upstream.availability_zone == self._zone,
+                    waiting_ms,
+                    read_ms,
+                    state.waiting,
+                    state.in_flight,
+                )
+            )
+        placed = place(views, left_ms, self._policy)
+        if isinstance(placed, NoRoom):
+            return placed
+        return targets[placed.upstream_id]
+
+    @property
+    def _old_limit_s(self) -> float:
+        return self._fleet.bounds.weights_s * OLD_WEIGHTS_PART
+
+    def _read_ms(
+        self,
+        state: UpstreamState,
+        wall: str,
+        prompt: Prompt,
+        engine: Engine,
+        kv_store: KvStore | None,
+        now_s: float,
+    ) -> float:
+        missing = state.missing_tokens(wall, prompt, now_s)
+        fetched = 0
+        if kv_store is not None:
+            fetched = self._fetchable(wall, prompt, missing, now_s)
+        read_ms = (missing - fetched) / self._policy.prefill_tokens_per_ms
+        if fetched and kv_store is not None:
+            speed = min(engine.link_bytes_per_s, kv_store.link_bytes_per_s)
+            read_ms += fetched * engine.kv_token_bytes / speed * _MS
+        return read_ms
+
+    def _fetchable(
+        self, wall: str, prompt: Prompt, missing: int, now_s: float
+    ) -> int:
+        """Return how many of the missing tokens the KV store holds."""
+        held = prompt.tokens - missing
+        stored = 0
+        for part in prompt.shared:
+            if not self._fleet.saved(wall, part.part_id, now_s):
+                break
+            stored += part.tokens
+        return max(0, stored - held)
+
+    def _save_to(
+        self,
+        kv_store: KvStore | None,
+        wall: str,
+        prompt: Prompt,
+        now_s: float,
+    ) -> str | None:
+        if kv_store is None:
+            return None
+        for part in prompt.shared:
+            if not self._fleet.saved(wall, part.part_id, now_s):
+                return kv_store.address
+        return None
+
+    def _state_of(
+        self, states: list[UpstreamState], upstream_id: str
+    ) -> UpstreamState:
+        for state in states:
+            if state.upstream.upstream_id == upstream_id:
+                return state
+        raise LookupError(f'expected {upstream_id} among the candidates')
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/direct/_planner.py
@@ -0,0 +1,198 @@
+"""Bring engines to the weights that operators named, under a lease."""
+
+import asyncio
+from random import Random
+
+from lacewing_common.backoff import Backoff
+from lacewing_common.log import get_log
+from lacewing_common.log import Part
+
+from lacewing_daemon.direct._clock import boot_s
+from lacewing_daemon.direct._fleet import Fleet
+from lacewing_daemon.direct._loading import EngineWeights
+from lacewing_daemon.direct._loading import next_loads
+from lacewing_daemon.direct._site import LoadOrder
+from lacewing_daemon.direct._site import OrderVerdict
+from lacewing_daemon.direct._site import SwitchMode
+from lacewing_daemon.direct._site import UpstreamControl
+from lacewing_daemon.direct._upstream import Upstream
+from lacewing_daemon.direct._upstream_state import UpstreamState
+from lacewing_daemon.lease import Held
+from lacewing_daemon.lease import Lease
+
+# How often the holder looks for engines behind, and renews its lease.
+LOOK_S = 0.1
+RENEW_S = 0.7
+# How often the others look whether the lease has lapsed.
+STANDBY_S = 0.8
+# The holder believes its lease for this long after it sent the renewal. The
+# orders it gives until then arrive within the timeout of a call to an
+# engine; its successor waits out both and the bound between two holders.
+LEASE_S = 1.8
+LEASE_MARGIN_S = 0.4
+LEASE_NAME = 'weights'
+ORDER_WAY_S = 0.6
+
+_log = get_log(Part.PLACEMENT)
+
+
+class WeightsPlanner:
+    """Order engines to load weights while this process holds the lease.
+
+    Two processes that order at once would load engines twice and, after a
+    late order, back to older weights. One holder at a time is ensured by
+    the lease; that its orders have ended, by waiting out the bound between
+    two holders after taking over.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        control: UpstreamControl,
+        lease: Lease,
+        holder: str,
+        mode: SwitchMode,
+    ) -> None:
+        self._mode = mode
+        self._fleet = fleet
+        self._control = control
+        self._lease = lease
+        self._holder = holder
+        self._held = False
+        self._orders_from_s = 0.0
+        self._renewed_s = float('-inf')
+        self._ordered: dict[tuple[str, str], tuple[int, float]] = {}
+        self._busy: set[str] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._backoff = Backoff(STANDBY_S / 2, STANDBY_S, Random())
+
+    async def run(self) -> None:
+        """Plan until cancelled."""
+        while True:
+            await self._keep_lease()
+            if not self._held:
+                await asyncio.sleep(STANDBY_S / 2 + self._backoff.next_s())
+                continue
+            self._order()
+            await asyncio.sleep(LOOK_S)
+
+    async def stop(self) -> None:
+        """End orders under way and hand the lease over."""
+        for task in self._tasks:
+            task.cancel()
+        await self._lease.release()
+
+    async def _keep_lease(self) -> None:
+        now_s = boot_s()
+        if self._lease.held and now_s - self._renewed_s < RENEW_S:
+            return
+        was_held = self._held and self._lease.held
+        answer = await self._lease.acquire()
+        self._held = isinstance(answer, Held)
+        if not self._held:
+            if was_held:
+                _log.warning('Lost the lease for weights.')
+            return
+        self._renewed_s = now_s
+        if was_held:
+            return
+        wait_s = 0.0
+        if self._lease.taken_over:
+            wait_s = self._fleet.bounds.lease_s + ORDER_WAY_S
+        self._orders_from_s = boot_s() + wait_s
+        _log.info(
+            'Holds the lease for weights.',
+            fence=self._lease.fence,
+            orders_in_s=wait_s,
+        )
+
+    def _order(self) -> None:
+        if boot_s() < self._orders_from_s:
+            return
+        for named in self._fleet.weights.entries.values():
+            engines = self._engines(named.model)
+            for upstream_id in next_loads(engines, named.version):
+                state = self._fleet.state(upstream_id)
+                if state is None or upstream_id in self._busy:
+                    continue
+                self._busy.add(upstream_id)
+                task = asyncio.create_task(
+                    self._load(state, named.model, named.version)
+                )
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+
+    def _engines(self, model: str) -> list[EngineWeights]:
+        engines = []
+        for upstream_id, state in self._fleet.upstreams.items():
+            version = state.weights(model)
+            if version is None or state.upstream.leaving:
+                continue
+            ordered, at_s = self._ordered.get(
+                (upstream_id, model), (0, float('-inf'))
+            )
+            engines.append(
+                EngineWeights(
+                    upstream_id,
+                    version,
+                    ordered,
+                    boot_s() - at_s,
+                    state.in_flight,
+                )
+            )
+        return engines
+
+    async def _load(
+        self, state: UpstreamState, model: str, version: int
+    ) -> None:
+        upstream = state.upstream
+        key = (upstream.upstream_id, model)
+        self._ordered[key] = (version, boot_s())
+        try:
+            verdict = await self._order_one(state, upstream, model, version)
+            _log.info(
+                'Ordered weights.',
+                upstream=upstream.upstream_id,
+                model=model,
+                version=version,
+                fence=self._lease.fence,
+                verdict=verdict.value,
+            )
+            if verdict is OrderVerdict.HELD_ALREADY:
+                state.learn_weights(model, version)
+            if verdict is OrderVerdict.BUSY:
+                # It carries out another order; asked again at the next look.
+                self._ordered[key] = (0, float('-inf'))
+        finally:
+            self._busy.discard(upstream.upstream_id)
+
+    async def _order_one(
+        self,
+        state: UpstreamState,
+        upstream: Upstream,
+        model: str,
+        version: int,
+    ) -> OrderVerdict:
+        report = await self._control.report(upstream)
+        if report is None:
+            return OrderVerdict.UNKNOWN
+        for name, loaded in report.weights.items():
+            state.learn_weights(name, loaded)
+        if report.weights.get(model, 0) >= version:
+            return OrderVerdict.HELD_ALREADY
+        if report.busy:
+            return OrderVerdict.BUSY
+        # Looked at last: between this and the sending nothing is awaited.
+        if not self._lease.held:
+            return OrderVerdict.REFUSED
+        return await self._control.load(
+            upstream,
+            LoadOrder(
+                model,
+                version,
+                self._holder,
+                self._lease.fence,
+                report.orders_taken,
+                self._mode,
+            ),
+        )
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/direct/_policy.py
@@ -0,0 +1,31 @@
+"""Hold the figures that the decisions under load are made by."""
+
+import msgspec
+
+from lacewing_daemon.direct._site import SwitchMode
+
+
+class LoadPolicy(msgspec.Struct, frozen=True, kw_only=True):
+    """Bound and weigh what is admitted and where it is placed.
+
+    ``prefill_tokens_per_ms``: how fast an engine reads a prompt.
+    ``step_ms``: time of one step of an engine that is half full.
+    ``patience``: the part of a request's target by which its first event
+    must be expected, or it is refused; the rest is for errors of the
+    estimate.
+    ``returner_patience``: the same for a request that was refused before.
+    ``other_zone_ms``: how much sooner an upstream of another availability
+    zone must be expected to answer to be preferred.
+    ``max_waiting``: requests without a first event that one router has at
+    an engine.
+    ``max_in_flight``: requests that one router has at an engine.
+    """
+
+    prefill_tokens_per_ms: float = 110.0
+    step_ms: float = 9.0
+    patience: float = 0.8
+    returner_patience: float = 1.0
+    other_zone_ms: float = 25.0
+    max_waiting: int = 3
+    max_in_flight: int = 24
+    switch_mode: SwitchMode = SwitchMode.KEEP
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/direct/_pool.py
@@ -0,0 +1,74 @@
+"""Keep connections to upstreams open between requests."""
+
+from collections.abc import Iterable
+
+from lacewing_daemon.direct._connection import connect
+from lacewing_daemon.direct._connection import UpstreamConnection
+
+# Connecting takes one round trip of a few ms; an opening packet that was
+# dropped comes again only after a second, by when another upstream is better.
+CONNECT_TIMEOUT_S = 0.4
+# An upstream may drop an idle connection unseen, and what is sent on it next
+# is reset: it may have run. A request that must not run twice is then lost,
+# so it takes only a connection used this recently, else a new one.
+FRESH_S = 0.8
+# Upstreams that say nothing close idle connections after some seconds.
+IDLE_S = 4.0
+# Closed this much before the peer would, so that its close crosses nothing.
+KEEP_MARGIN_S = 0.7
+
+
+class ConnectionPool:
+    """Hold the idle connections of each upstream."""
+
+    def __init__(self) -> None:
+        self._idle: dict[str, list[UpstreamConnection]] = {}
+
+    async def take(
+        self, upstream_id: str, address: str, only_fresh: bool
+    ) -> UpstreamConnection:
+        """Return an idle connection or a new one; raises OSError."""
+        idle = self._idle.get(upstream_id, [])
+        longest_s = FRESH_S if only_fresh else IDLE_S
+        while idle:
+            connection = idle[-1]
+            if connection.usable and connection.idle_s > longest_s:
+                # The ones below have been idle for longer still.
+                break
+            idle.pop()
+            if connection.usable:
+                return connection
+            connection.close()
+        return await connect(address, CONNECT_TIMEOUT_S)
+
+    def give_back(
+        self,
+        upstream_id: str,
+        connection: UpstreamConnection,
+        keep_s: float | None,
+    ) -> None:
+        """Keep a connection whose answer is complete."""
+        if keep_s is not None:
+            keep_s = max(0.0, keep_s - KEEP_MARGIN_S)
+        if connection.release(keep_s):
+            self._idle.setdefault(upstream_id, []).append(connection)
+
+    def sweep(self, known: Iterable[str]) -> None:
+        """Close connections that are idle for long or to unknown peers."""
+        kept = frozenset(known)
+        for upstream_id in list(self._idle):
+            idle = self._idle[upstream_id]
+            remaining = []
+            for connection in idle:
+                if upstream_id in kept and connection.usable:
+                    if connection.idle_s < IDLE_S:
+                        remaining.append(connection)
+                        continue
+                connection.close()
+            self._idle[upstream_id] = remaining
+            if not remaining:
+                del self._idle[upstream_id]
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        self.sweep(())
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/direct/_router.py
@@ -0,0 +1,108 @@
+"""Run a router that calls upstreams directly, from start to stop."""
+
+import asyncio
+import time
+from random import Random
+
+from lacewing_common.exits import Exit
+from lacewing_common.log import get_log
+from lacewing_common.log import Part
+
+from lacewing_daemon._signals import StopSignals
+from lacewing_daemon.direct._call import CallerRequest
+from lacewing_daemon.direct._caller_reply import CallerReply
+from lacewing_daemon.direct._clock import boot_s
+from lacewing_daemon.direct._exchange import Exchange
+from lacewing_daemon.direct._exchange import Serving
+from lacewing_daemon.direct._fleet import Fleet
+from lacewing_daemon.direct._front import Front
+from lacewing_daemon.direct._front import ReadyServer
+from lacewing_daemon.direct._placing import Placer
+from lacewing_daemon.direct._planner import LEASE_MARGIN_S
+from lacewing_daemon.direct._planner import LEASE_NAME
+from lacewing_daemon.direct._planner import LEASE_S
+from lacewing_daemon.direct._planner import WeightsPlanner
+from lacewing_daemon.direct._settings import DirectSettings
+from lacewing_daemon.direct._site import Site
+from lacewing_daemon.direct._site import Wire
+from lacewing_daemon.lease import Lease
+
+# The balancer takes a VM out after two questions without a 200, asked once
+# a second; connections may come until then.
+OUT_OF_ROTATION_S = 2.6
+# Kept for closing before the platform kills the process.
+CLOSE_S = 0.6
+_LOOK_S = 0.05
+
+_log = get_log(Part.MAIN)
+
+
+class DirectRouter:
+    """Hold the parts of one router."""
+
+    def __init__(
+        self, settings: DirectSettings, site: Site, wire: Wire
+    ) -> None:
+        self._settings = settings
+        self._signals = StopSignals()
+        self._fleet = Fleet(settings, site)
+        self._serving = Serving(
+            self._fleet,
+            wire,
+            Placer(self._fleet, settings.availability_zone, settings.policy),
+            settings.policy,
+            Random(),
+        )
+        self._front = Front(wire, self._serve)
+        self._ready = ReadyServer(self._is_ready)
+        lease = Lease(
+            site.store,
+            LEASE_NAME,
+            settings.process_id,
+            LEASE_S,
+            LEASE_MARGIN_S,
+            boot_s,
+        )
+        self._planner = WeightsPlanner(
+            self._fleet,
+            site.control,
+            lease,
+            settings.process_id,
+            settings.policy.switch_mode,
+        )
+
+    async def run(self) -> Exit:
+        """Serve until a stop signal, then end what is open."""
+        self._signals.listen()
+        callers = self._settings.callers_address
+        self._front.listen(callers.host, callers.port)
+        ready = self._settings.ready_address
+        self._ready.listen(ready.host, ready.port)
+        self._fleet.start()
+        planning = asyncio.create_task(self._planner.run())
+        _log.info('Started.', callers=str(callers))
+        await self._signals.stopping.wait()
+        planning.cancel()
+        handing_over = asyncio.create_task(self._planner.stop())
+        await self._drain()
+        handing_over.cancel()
+        self._fleet.close()
+        _log.info('Stopped.', open=self._front.open_requests)
+        return Exit.OK
+
+    async def _drain(self) -> None:
+        began_s = time.monotonic()
+        end_s = began_s + self._settings.bounds.drain_s - CLOSE_S
+        self._front.announce_stop()
+        await asyncio.sleep(OUT_OF_ROTATION_S)
+        self._front.stop_listening()
+        while self._front.open_requests and time.monotonic() < end_s:
+            await asyncio.sleep(_LOOK_S)
+        await self._front.close()
+        self._ready.close()
+
+    def _is_ready(self) -> bool:
+        return self._fleet.ready and not self._signals.stopping.is_set()
+
+    async def _serve(self, request: CallerRequest, reply: CallerReply) -> None:
+        await Exchange(self._serving, request, reply).run()
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/direct/_site.py
@@ -0,0 +1,223 @@
+"""Describe what a deployment's platform gives; an adapter implements it.
+
+The adapter translates names, formats and calls and decides nothing.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import Enum
+from typing import Generic
+from typing import Protocol
+from typing import TypeVar
+
+from lacewing_common.store import ObjectStore
+from lacewing_common.store import StoreError
+from tornado.httputil import HTTPHeaders
+
+from lacewing_daemon.direct._call import CallerRequest
+from lacewing_daemon.direct._directory import Directory
+from lacewing_daemon.direct._upstream import NamedWeights
+from lacewing_daemon.direct._upstream import Upstream
+
+T = TypeVar('T')
+T_co = TypeVar('T_co', covariant=True)
+
+
+@dataclass(frozen=True)
+class Listing(Generic[T]):
+    """Hold all entries of a collection as of one revision."""
+
+    entries: Mapping[str, T]
+    revision: int
+
+
+@dataclass(frozen=True)
+class Changes(Generic[T]):
+    """Hold what changed up to a revision; None for a removed entry."""
+
+    changed: tuple[tuple[str, T | None], ...]
+    revision: int
+
+
+@dataclass(frozen=True)
+class HistoryGone:
+    """Report that changes were forgotten: the collection is read anew."""
+
+    message: str
+
+
+class Collection(Protocol[T]):
+    """Read and follow one collection that the platform keeps."""
+
+    async def read(self) -> Listing[T] | StoreError:
+        """Read all entries as they are now."""
+
+    async def changes(
+        self, since: int, wait_s: float
+    ) -> Changes[T] | HistoryGone | StoreError:
+        """Wait up to ``wait_s`` for changes after a revision."""
+
+
+class OrderVerdict(Enum):
+    """Tell what an upstream did with an order to load weights."""
+
+    TAKEN = 'taken'
+    HELD_ALREADY = 'held-already'
+    BUSY = 'busy'
+    FENCED = 'fenced'
+    REFUSED = 'refused'
+    UNKNOWN = 'unknown'
+
+
+@dataclass(frozen=True)
+class UpstreamReport:
+    """Hold what an upstream says of itself.
+
+    ``orders_taken`` counts the orders it accepted since its start;
+    ``busy`` is true while it carries one out.
+    """
+
+    orders_taken: int
+    busy: bool
+    weights: Mapping[str, int]
+
+
+class SwitchMode(Enum):
+    """Tell what becomes of the runs under way when weights are loaded.
+
+    WAIT lets them end first, KEEP lets them go on with the new weights, CUT
+    breaks them off.
+    """
+
+    WAIT = 'wait'
+    KEEP = 'keep'
+    CUT = 'cut'
+
+
+@dataclass(frozen=True)
+class LoadOrder:
+    """Order an upstream to load a version of a model's weights.
+
+    ``orders_taken`` must be the upstream's count when the order is carried
+    out: one that arrives late, after newer ones, is then refused.
+    """
+
+    model: str
+    version: int
+    holder: str
+    fence: int
+    orders_taken: int
+    mode: SwitchMode
+
+
+class UpstreamControl(Protocol):
+    """Ask upstreams about themselves and give them orders."""
+
+    async def report(self, upstream: Upstream) -> UpstreamReport | None:
+        """Return the upstream's report, None if it gave none."""
+
+    async def load(self, upstream: Upstream, order: LoadOrder) -> OrderVerdict:
+        """Order an upstream to load weights."""
+
+
+class Site(Protocol):
+    """Hold all that the platform keeps for the system."""
+
+    @property
+    def directories(self) -> Collection[Directory]:
+        """Return the configuration; one entry."""
+
+    @property
+    def upstreams(self) -> Collection[Upstream]:
+        """Return the upstreams that registered themselves."""
+
+    @property
+    def weights(self) -> Collection[NamedWeights]:
+        """Return the versions of weights that operators named."""
+
+    @property
+    def store(self) -> ObjectStore:
+        """Return the object store for the system's own objects."""
+
+    @property
+    def control(self) -> UpstreamControl:
+        """Return the calls to upstreams beside callers' requests."""
+
+
+@dataclass(frozen=True)
+class Dispatch:
+    """Hold what is told to an upstream beside a caller's request.
+
+    ``deadline_s`` is what is left of the request's time. ``cache_wall``
+    separates KV cache that must not be shared. ``weights`` is the version
+    that the upstream must have. ``fetch_from`` and ``save_to`` are
+    addresses of KV caches. ``urgency`` is 0 (first) to 9.
+    """
+
+    upstream_id: str
+    deadline_s: float
+    team: str | None = None
+    cache_wall: str | None = None
+    weights: int | None = None
+    fetch_from: str | None = None
+    save_to: str | None = None
+    urgency: int | None = None
+    after_event: int | None = None
+
+
+@dataclass(frozen=True)
+class UpstreamLoad:
+    """Hold the load that an upstream told with an answer."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@dataclass(frozen=True)
+class ReplyHead:
+    """Hold the head of an upstream's answer.
+
+    ``not_run``: the upstream says that it did not run the request.
+    ``other_upstream``: another incarnation answered, and ran nothing.
+    ``proven``: the answer carries the upstream's signature.
+    """
+
+    status: int
+    request_id: str
+    not_run: bool
+    misdirected: bool
+    proven: bool
+    closing: bool
+    keep_s: float | None
+    load: UpstreamLoad | None
+    weights: int | None
+    retry_after_s: float | None
+    headers: HTTPHeaders
+
+
+class Wire(Protocol):
+    """Translate the headers of requests and answers."""
+
+    def read_request(
+        self,
+        method: str,
+        path: str,
+        headers: HTTPHeaders,
+        body: bytes,
+        received_s: float,
+    ) -> CallerRequest:
+        """Decode a caller's request."""
+
+    def forward(
+        self, request: CallerRequest, dispatch: Dispatch
+    ) -> HTTPHeaders:
+        """Return the headers for an upstream, without framing."""
+
+    def read_reply(self, status: int, headers: HTTPHeaders) -> ReplyHead:
+        """Decode the head of an upstream's answer."""
+
+    def refusal(
+        self, request_id: str, retry_after_s: float | None
+    ) -> HTTPHeaders:
+        """Return the headers of an answer of the system's own."""
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/direct/_upstream_state.py
@@ -0,0 +1,162 @@
+"""Hold what one router knows of one upstream beyond its entry."""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from lacewing_daemon.direct._call import Prompt
+from lacewing_daemon.direct._directory import Engine
+from lacewing_daemon.direct._site import UpstreamLoad
+from lacewing_daemon.direct._upstream import Upstream
+
+# Told loads are some hundred ms old when they matter; older ones mislead.
+TOLD_FRESH_S = 0.6
+# Parts are evicted within seconds; what was sent longer ago is not relied on.
+HELD_S = 8.0
+# Failures in a row after which an upstream is left alone for a while.
+FAILURES_TO_SHUN = 3
+SHUN_BASE_S = 0.5
+SHUN_CAP_S = 4.0
+
+
+@dataclass(frozen=True)
+class Ticket:
+    """Hold what one open request adds to an upstream's load."""
+
+    read_ms: float
+
+
+class UpstreamState:
+    """Track one incarnation of an upstream."""
+
+    def __init__(self, upstream: Upstream) -> None:
+        self._upstream = upstream
+        self._in_flight = 0
+        self._waiting = 0
+        self._waiting_ms = 0.0
+        self._weights = dict(upstream.weights)
+        self._told: UpstreamLoad | None = None
+        self._told_s = 0.0
+        self._told_own = 0
+        self._failures = 0
+        self._shunned_until_s = 0.0
+        self._held: OrderedDict[tuple[str, str], float] = OrderedDict()
+
+    @property
+    def upstream(self) -> Upstream:
+        """Return the upstream's entry."""
+        return self._upstream
+
+    @property
+    def in_flight(self) -> int:
+        """Return this router's open requests there."""
+        return self._in_flight
+
+    @property
+    def waiting(self) -> int:
+        """Return those of them without a first event."""
+        return self._waiting
+
+    @property
+    def waiting_ms(self) -> float:
+        """Return the reading still to be done for them."""
+        return self._waiting_ms
+
+    def update(self, upstream: Upstream) -> None:
+        """Take a new entry; one that is leaving never comes back."""
+        if self._upstream.leaving and not upstream.leaving:
+            return
+        self._upstream = upstream
+        for model, version in upstream.weights.items():
+            self.learn_weights(model, version)
+
+    def usable(self, now_s: float) -> bool:
+        """Tell whether requests may be sent there now."""
+        return not self._upstream.leaving and now_s >= self._shunned_until_s
+
+    def weights(self, model: str) -> int | None:
+        """Return the version of a model's weights there."""
+        return self._weights.get(model)
+
+    def learn_weights(self, model: str, version: int) -> None:
+        """Take a version that the upstream told; versions only grow."""
+        if version > self._weights.get(model, 0):
+            self._weights[model] = version
+
+    def learn_load(self, load: UpstreamLoad, now_s: float) -> None:
+        """Take the load told with an answer."""
+        self._told = load
+        self._told_s = now_s
+        self._told_own = self._in_flight
+
+    def others(self, now_s: float) -> int:
+        """Return other routers' open requests there, by its last word."""
+        if self._told is None or now_s - self._told_s > TOLD_FRESH_S:
+            return 0
+        told = self._told.running + self._told.waiting
+        return max(0, told - self._told_own)
+
+    def others_waiting(self, now_s: float) -> int:
+        """Return requests waiting there beyond this router's own."""
+        if self._told is None or now_s - self._told_s > TOLD_FRESH_S:
+            return 0
+        return max(0, self._told.waiting - self._waiting)
+
+    def open(self, read_ms: float) -> Ticket:
+        """Count a request that is sent there."""
+        self._in_flight += 1
+        self._waiting += 1
+        self._waiting_ms += read_ms
+        return Ticket(read_ms)
+
+    def began(self, ticket: Ticket) -> None:
+        """Count that a request got its first event or its answer."""
+        self._waiting -= 1
+        self._waiting_ms = max(0.0, self._waiting_ms - ticket.read_ms)
+
+    def closed(self) -> None:
+        """Count that a request has ended."""
+        self._in_flight -= 1
+
+    def succeeded(self) -> None:
+        """Forget failures: the upstream answers."""
+        self._failures = 0
+
+    def failed(self, now_s: float) -> None:
+        """Count a failure; several in a row shun the upstream."""
+        self._failures += 1
+        excess = self._failures - FAILURES_TO_SHUN
+        if excess >= 0:
+            pause_s = min(SHUN_CAP_S, SHUN_BASE_S * 2**excess)
+            self.pause(now_s, pause_s)
+
+    def pause(self, now_s: float, pause_s: float) -> None:
+        """Send nothing there for a while."""
+        until_s = now_s + pause_s
+        self._shunned_until_s = max(self._shunned_until_s, until_s)
+
+    def remember(
+        self, wall: str, prompt: Prompt, engine: Engine, now_s: float
+    ) -> None:
+        """Note the parts of a prompt as held there."""
+        for part in prompt.parts:
+            key = (wall, part.part_id)
+            self._held[key] = now_s
+            self._held.move_to_end(key)
+        most = max(1, engine.kv_tokens // _TOKENS_A_PART)
+        while len(self._held) > most:
+            self._held.popitem(last=False)
+
+    def missing_tokens(self, wall: str, prompt: Prompt, now_s: float) -> int:
+        """Return the tokens of a prompt from its first part not held on."""
+        missing = prompt.tokens
+        for part in prompt.parts:
+            seen_s = self._held.get((wall, part.part_id))
+            if seen_s is None or now_s - seen_s > HELD_S:
+                break
+            missing -= part.tokens
+        return max(0, missing)
+
+
+# Parts of prompts here have some thousand tokens; only the number of parts
+# that are remembered follows from it.
+_TOKENS_A_PART = 2000
--- a/packages/daemon/src/lacewing_daemon/placement/_lease.py
+++ b/packages/daemon/src/lacewing_daemon/lease.py
@@ -79,6 +79,12 @@
         self._seen_version = 0
         self._seen_at_s = 0.0
         self._seen_duration_s = duration_s
+        self._taken_over = False
+
+    @property
+    def taken_over(self) -> bool:
+        """Tell whether another process had the lease before this one."""
+        return self._taken_over
 
     @property
     def held(self) -> bool:
@@ -107,6 +113,8 @@
         waiting = self._look(seen)
         if waiting is not None:
             return waiting
+        record = _decode(seen.value)
+        self._taken_over = record is None or record.holder != self._holder
         return await self._write(self._holder, seen.version)
 
     async def release(self) -> None:
--- a/packages/daemon/src/lacewing_daemon/placement/_orders.py
+++ b/packages/daemon/src/lacewing_daemon/placement/_orders.py
@@ -12,8 +12,8 @@
 from lacewing_common.plan import WorkerPlan
 from lacewing_common.wait_event import wait_event
 
-from lacewing_daemon.placement._lease import Held
-from lacewing_daemon.placement._lease import Lease
+from lacewing_daemon.lease import Held
+from lacewing_daemon.lease import Lease
 from lacewing_daemon.placement._next_order import next_order
 from lacewing_daemon.placement._next_order import takes_away
 from lacewing_daemon.placement._order_client import Order
--- a/packages/daemon/src/lacewing_daemon/placement/_placement.py
+++ b/packages/daemon/src/lacewing_daemon/placement/_placement.py
@@ -17,8 +17,8 @@
 from lacewing_common.store import ObjectStore
 from lacewing_common.verdict import Refusal
 
+from lacewing_daemon.lease import Lease
 from lacewing_daemon.peers import PeerNode
-from lacewing_daemon.placement._lease import Lease
 from lacewing_daemon.placement._members import ServiceMembers
 from lacewing_daemon.placement._order_client import OrderClient
 from lacewing_daemon.placement._orders import Orders
--- a/packages/daemon/src/lacewing_daemon/placement/_planner_task.py
+++ b/packages/daemon/src/lacewing_daemon/placement/_planner_task.py
@@ -21,8 +21,8 @@
 from lacewing_common.verdict import Refusal
 from lacewing_common.wait_event import wait_event
 
-from lacewing_daemon.placement._lease import Held
-from lacewing_daemon.placement._lease import Lease
+from lacewing_daemon.lease import Held
+from lacewing_daemon.lease import Lease
 from lacewing_daemon.placement._members import ServiceMembers
 from lacewing_daemon.placement._plan_store import PlanStore
 from lacewing_daemon.placement._planner import make_plan
--- a/packages/daemon/src/lacewing_daemon/router/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/router/_exchange.py
@@ -10,6 +10,7 @@
 from lacewing_common.wire import AttemptId
 from lacewing_common.wire import End
 
+from lacewing_daemon.refusals import Refusals
 from lacewing_daemon.router._attempt import Attempt
 from lacewing_daemon.router._call import Call
 from lacewing_daemon.router._claimed_choice import claimed_choice
@@ -35,7 +36,6 @@
 from lacewing_daemon.router._policy import Observation
 from lacewing_daemon.router._policy import RoutingRequest
 from lacewing_daemon.router._reattach import reattach_bounds
-from lacewing_daemon.router._refusals import Refusals
 from lacewing_daemon.router._relay import relay_stream
 from lacewing_daemon.router._relay import relay_whole
 from lacewing_daemon.router._reply import Reply
