--- a/packages/daemon/src/lacewing_daemon/direct/_followed.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_followed.py
@@ -26,9 +26,6 @@
 # The platform says that entries which lapsed during its outage are back
 # within about 2 s of its return, if the upstream lives.
 KEEP_LAPSED_S = 2.3
-# An upstream whose heartbeats fail lapses after three of them, about 4 s.
-# A removal this soon after a failed call may be such a lapse.
-LAPSE_S = 5.0
 
 _log = get_log(Part.PLATFORM)
 
@@ -39,7 +36,9 @@
     When the store is away, upstreams can't renew their entries either, and
     these lapse although the upstreams serve. Believing the first list after
     an outage would leave a router without upstreams; so an entry that is
-    gone then is kept for a while and dropped only if it stays away.
+    gone then is kept until all that live are back. Counted from the store's
+    return and not from the removal: an upstream that leaves a while after
+    an outage must not be kept any longer than in calm times.
     """
 
     def __init__(
@@ -60,7 +59,7 @@
         self._callbacks: list[OnChange[T]] = []
         self._revision: int | None = None
         self._confirmed_s: float | None = None
-        self._failed_s = float('-inf')
+        self._regained_s = float('-inf')
         self._lost = False
 
     @property
@@ -146,11 +145,10 @@
             return
         if name not in self._entries:
             return
-        if self._keep_lapsed and boot_s() - self._failed_s < LAPSE_S:
+        keep_s = self._regained_s + KEEP_LAPSED_S - boot_s()
+        if self._keep_lapsed and keep_s > 0:
             loop = asyncio.get_running_loop()
-            self._lapsed[name] = loop.call_later(
-                KEEP_LAPSED_S, self._drop, name
-            )
+            self._lapsed[name] = loop.call_later(keep_s, self._drop, name)
             return
         self._drop(name)
 
@@ -164,7 +162,6 @@
             callback(name, value)
 
     def _failed(self, error: StoreError) -> None:
-        self._failed_s = boot_s()
         if self._lost:
             return
         self._lost = True
@@ -180,6 +177,7 @@
         if not self._lost:
             return
         self._lost = False
+        self._regained_s = boot_s()
         _log.info(
             'Follows a collection again.',
             collection=self._name,
--- a/packages/daemon/src/lacewing_daemon/direct/_front.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_front.py
@@ -42,6 +42,8 @@
         self._wire = wire
         self._serve = serve
         self._open: set[asyncio.Task[None]] = set()
+        self._arriving: set[object] = set()
+        self._quiet: dict[object, HTTP1Connection] = {}
         self._server = HTTPServer(
             self,
             idle_connection_timeout=IDLE_S,
@@ -51,8 +53,12 @@
 
     @property
     def open_requests(self) -> int:
-        """Return the number of requests without a complete answer."""
-        return len(self._open)
+        """Return the number of requests without a complete answer.
+
+        Those whose bodies are still arriving count: they were begun, and
+        their callers wait.
+        """
+        return len(self._open) + len(self._arriving)
 
     def listen(self, host: str, port: int) -> None:
         """Begin to take connections."""
@@ -67,8 +73,15 @@
         self._server.conn_params.no_keep_alive = True
 
     def stop_listening(self) -> None:
-        """Take no new connections."""
+        """Take no new connections; close those without a request.
+
+        A request that came on a kept connection shortly before the end of
+        the process could not be finished.
+        """
         self._server.stop()
+        for connection in tuple(self._quiet.values()):
+            connection.close()
+        self._quiet.clear()
 
     async def close(self) -> None:
         """Close all connections."""
@@ -80,13 +93,26 @@
         """Read the next request of a connection."""
         assert isinstance(request_conn, HTTP1Connection)
         request_conn.stream.set_nodelay(True)
-        return _RequestReader(self, request_conn)
+        self._quiet[server_conn] = request_conn
+        return _RequestReader(self, server_conn, request_conn)
 
     def on_close(self, server_conn: object) -> None:
-        """Do nothing: each request learns of its connection's end."""
+        """Forget a connection; its request learns of the end by itself."""
+        self._quiet.pop(server_conn, None)
+        self._arriving.discard(server_conn)
+
+    def awake(self, server_conn: object) -> None:
+        """Note that a request arrives on a connection."""
+        self._quiet.pop(server_conn, None)
+        self._arriving.add(server_conn)
+
+    def dropped(self, server_conn: object) -> None:
+        """Note that a request which arrived will not come whole."""
+        self._arriving.discard(server_conn)
 
     def begin(
         self,
+        server_conn: object,
         start_line: RequestStartLine,
         headers: HTTPHeaders,
         body: bytes,
@@ -94,6 +120,7 @@
         connection: HTTP1Connection,
     ) -> None:
         """Serve a request that was read whole."""
+        self._arriving.discard(server_conn)
         request = self._wire.read_request(
             start_line.method, start_line.path, headers, body, received_s
         )
@@ -120,8 +147,14 @@
 class _RequestReader(HTTPMessageDelegate):
     """Collect one request."""
 
-    def __init__(self, front: Front, connection: HTTP1Connection) -> None:
+    def __init__(
+        self,
+        front: Front,
+        server_conn: object,
+        connection: HTTP1Connection,
+    ) -> None:
         self._front = front
+        self._server_conn = server_conn
         self._connection = connection
         self._start_line = RequestStartLine('', '', '')
         self._headers = HTTPHeaders()
@@ -135,6 +168,7 @@
     ) -> None:
         """Take the head."""
         assert isinstance(start_line, RequestStartLine)
+        self._front.awake(self._server_conn)
         self._start_line = start_line
         self._headers = headers
         self._received_s = monotonic()
@@ -146,6 +180,7 @@
     def finish(self) -> None:
         """Hand the request over."""
         self._front.begin(
+            self._server_conn,
             self._start_line,
             self._headers,
             b''.join(self._body),
@@ -155,6 +190,7 @@
 
     def on_connection_close(self) -> None:
         """Drop what was read of a request that never came whole."""
+        self._front.dropped(self._server_conn)
 
 
 _BACKLOG = 1024
