Read settings again on SIGHUP; end a drain without cutting answers

In a drain, a connection whose request was read before the stop stayed open, and a request on it later met the end of the process; one read in the same turn of the loop in which its connection was closed was still passed on. Ruled out: the listener's close and the lease's release, by a run with log lines at both.

--- a/packages/daemon/src/lacewing_daemon/direct/_caller_reply.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_caller_reply.py
@@ -18,6 +18,7 @@
 
     def __init__(self, connection: HTTP1Connection) -> None:
         self._connection = connection
+        self._closing = False
         self._begun = False
         self._ended = False
 
@@ -31,9 +32,14 @@
         """Tell whether the answer is complete or was cut."""
         return self._ended
 
+    def announce_close(self) -> None:
+        """Tell the caller, if still possible, not to use its connection."""
+        self._closing = True
+
     def begin(self, status: int, headers: HTTPHeaders) -> None:
         """Send the head of an answer that is streamed."""
         self._begun = True
+        self._announce(headers)
         self._connection.write_headers(_line(status), headers)
 
     async def write(self, data: bytes) -> None:
@@ -52,6 +58,7 @@
         """Send a whole answer."""
         self._begun = True
         self._ended = True
+        self._announce(headers)
         if 'Content-Length' not in headers:
             headers['Content-Length'] = str(len(body))
         written = self._connection.write_headers(_line(status), headers, body)
@@ -63,6 +70,10 @@
         self._ended = True
         self._connection.close()
 
+    def _announce(self, headers: HTTPHeaders) -> None:
+        if self._closing:
+            headers['Connection'] = 'close'
+
 
 def _line(status: int) -> ResponseStartLine:
     reason = responses.get(status, 'Unknown')
--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -50,7 +50,7 @@
     """Follow the store and track the upstreams."""
 
     def __init__(self, settings: DirectSettings, site: Site) -> None:
-        self._settings = settings
+        self._bounds = settings.bounds
         random = Random()
         self._directories: Followed[Directory] = Followed(
             'configuration', site.directories, DIRECTORY_WAIT_S, random
@@ -91,7 +91,7 @@
     @property
     def bounds(self) -> Bounds:
         """Return what the deployment promises."""
-        return self._settings.bounds
+        return self._bounds
 
     @property
     def upstreams(self) -> Mapping[str, UpstreamState]:
@@ -110,7 +110,7 @@
     @property
     def keys_confirmed(self) -> bool:
         """Tell whether a key that was taken away would be known."""
-        limit_s = self._settings.bounds.revoke_s * REVOKE_PART
+        limit_s = self._bounds.revoke_s * REVOKE_PART
         return self._directories.age_s < limit_s
 
     @property
@@ -135,11 +135,10 @@
         """Return the retry budget of a service."""
         budget = self._budgets.get(service.name)
         if budget is None:
-            bounds = self._settings.bounds
             budget = RetryBudget(
-                bounds.repeat_ratio,
-                bounds.repeat_slack,
-                bounds.repeat_window_s,
+                self._bounds.repeat_ratio,
+                self._bounds.repeat_slack,
+                self._bounds.repeat_window_s,
             )
             self._budgets[service.name] = budget
         return budget
@@ -157,6 +156,11 @@
         if len(self._saved) > SAVED_PARTS:
             self._saved.popitem(last=False)
 
+    def take_bounds(self, bounds: Bounds) -> None:
+        """Use other bounds from now on."""
+        self._bounds = bounds
+        self._budgets.clear()
+
     def start(self) -> None:
         """Begin to follow the store."""
         for run in (
--- a/packages/daemon/src/lacewing_daemon/direct/_front.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_front.py
@@ -41,10 +41,12 @@
     def __init__(self, wire: Wire, serve: Serve) -> None:
         self._wire = wire
         self._serve = serve
-        self._open: set[asyncio.Task[None]] = set()
+        self._open: dict[asyncio.Task[None], CallerReply] = {}
+        self._stopping = False
+        self._used: set[object] = set()
         self._arriving: set[object] = set()
         self._quiet: dict[object, HTTP1Connection] = {}
-        self._server = HTTPServer(
+        self._server = _CallersServer(
             self,
             idle_connection_timeout=IDLE_S,
             max_header_size=MAX_HEADER_BYTES,
@@ -70,7 +72,10 @@
         Callers keep connections open for many requests; without the notice
         their next request would meet the end of the process.
         """
+        self._stopping = True
         self._server.conn_params.no_keep_alive = True
+        for reply in self._open.values():
+            reply.announce_close()
 
     def stop_listening(self) -> None:
         """Take no new connections; close those without a request.
@@ -92,7 +97,13 @@
     ) -> HTTPMessageDelegate:
         """Read the next request of a connection."""
         assert isinstance(request_conn, HTTP1Connection)
-        request_conn.stream.set_nodelay(True)
+        if self._stopping and server_conn in self._used:
+            # Its last request was read before the stop, by when the answer
+            # could not announce the end of the connection any more.
+            request_conn.stream.close()
+        else:
+            request_conn.stream.set_nodelay(True)
+        self._used.add(server_conn)
         self._quiet[server_conn] = request_conn
         return _RequestReader(self, server_conn, request_conn)
 
@@ -100,6 +111,7 @@
         """Forget a connection; its request learns of the end by itself."""
         self._quiet.pop(server_conn, None)
         self._arriving.discard(server_conn)
+        self._used.discard(server_conn)
 
     def awake(self, server_conn: object) -> None:
         """Note that a request arrives on a connection."""
@@ -121,13 +133,18 @@
     ) -> None:
         """Serve a request that was read whole."""
         self._arriving.discard(server_conn)
+        if connection.stream.closed():
+            # Read in the same turn of the loop in which the connection was
+            # closed. Passed on it would run for nobody, and if it must not
+            # run twice, its caller could not repeat it.
+            return
         request = self._wire.read_request(
             start_line.method, start_line.path, headers, body, received_s
         )
         reply = CallerReply(connection)
         task = asyncio.create_task(self._run(request, reply))
-        self._open.add(task)
-        task.add_done_callback(self._open.discard)
+        self._open[task] = reply
+        task.add_done_callback(self._open.pop)
         # A caller that leaves cancels its request, and with it the work at
         # the upstream, which nobody would take.
         connection.set_close_callback(lambda: _cancel(task))
@@ -193,6 +210,17 @@
         self._front.dropped(self._server_conn)
 
 
+class _CallersServer(HTTPServer):
+    """Tell the front when a connection ends, which tornado does not."""
+
+    def on_close(self, server_conn: object) -> None:
+        """Forget the connection."""
+        super().on_close(server_conn)
+        front = self.request_callback
+        assert isinstance(front, Front)
+        front.on_close(server_conn)
+
+
 _BACKLOG = 1024
 
 
--- a/packages/daemon/src/lacewing_daemon/direct/_router.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_router.py
@@ -2,12 +2,16 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from random import Random
 
 from lacewing_common.exits import Exit
 from lacewing_common.log import get_log
 from lacewing_common.log import Part
+from lacewing_common.settings import SettingsError
+from msgspec.structs import replace
 
+from lacewing_daemon._signals import on_hangup
 from lacewing_daemon._signals import StopSignals
 from lacewing_daemon.direct._call import CallerRequest
 from lacewing_daemon.direct._caller_reply import CallerReply
@@ -41,9 +45,14 @@
     """Hold the parts of one router."""
 
     def __init__(
-        self, settings: DirectSettings, site: Site, wire: Wire
+        self,
+        settings: DirectSettings,
+        site: Site,
+        wire: Wire,
+        read_again: Callable[[], DirectSettings],
     ) -> None:
         self._settings = settings
+        self._read_again = read_again
         self._signals = StopSignals()
         self._fleet = Fleet(settings, site)
         self._serving = Serving(
@@ -74,6 +83,7 @@
     async def run(self) -> Exit:
         """Serve until a stop signal, then end what is open."""
         self._signals.listen()
+        on_hangup(self._reload)
         callers = self._settings.callers_address
         self._front.listen(callers.host, callers.port)
         ready = self._settings.ready_address
@@ -101,6 +111,23 @@
         await self._front.close()
         self._ready.close()
 
+    def _reload(self) -> None:
+        """Take new bounds; what is listened on changes with a restart."""
+        try:
+            settings = self._read_again()
+        except SettingsError as error:
+            _log.error('Keeps the old settings.', error=str(error))
+            return
+        self._fleet.take_bounds(settings.bounds)
+        _log.info(
+            'Read the settings again.',
+            bounds_changed=settings.bounds != self._settings.bounds,
+            restart_needed=(
+                replace(settings, bounds=self._settings.bounds)
+                != self._settings
+            ),
+        )
+
     def _is_ready(self) -> bool:
         return self._fleet.ready and not self._signals.stopping.is_set()
 
