Test direct routers against stand-ins of the platform

Found by the first test of new weights: a 421 that names no request was read past as an answer to another one, so the request waited for its deadline.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,8 @@
 PACKAGES := common daemon ctl
 DEPLOYMENT ?= lahore
 SECONDS ?= 60
-DECLARED := constraints.txt $(wildcard packages/*/pyproject.toml)
+DECLARED := constraints.txt $(wildcard packages/*/pyproject.toml) \
+	$(wildcard platform/pyproject.toml platform/*/pyproject.toml)
 
 .PHONY: test demo check format clean
 
@@ -63,7 +64,8 @@
 $(VENV)/.made: $(DECLARED)
 	$(PYTHON) -m venv $(VENV)
 	PIP_CONSTRAINT=constraints.txt $(BIN)/python -m pip install -q \
-		$(PACKAGES:%=-e packages/%) -e 'packages/bench[checks]'
+		$(PACKAGES:%=-e packages/%) -e 'packages/bench[checks]' \
+		-e platform -e platform/testing
 	touch $@
 
 # All orders of faults in the protocols of claims and attempts.
--- /dev/null
+++ b/features/support/direct_bench.py
@@ -0,0 +1,287 @@
+"""Run direct routers against stand-ins of the platform, on loopback."""
+
+import asyncio
+import http.client
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Any
+
+from behave.runner import Context
+from lacewing_bench.loop_thread import LoopThread
+from lacewing_daemon.direct import DirectRouter
+from lacewing_daemon.direct import DirectSettings
+from lacewing_daemon.direct._settings import Bounds
+from lacewing_platform import PlatformSite
+from lacewing_platform import PlatformWire
+from lacewing_platform_testing import StandInStore
+from lacewing_platform_testing import StandInUpstream
+
+PREFIX = 'X-Lacewingstack-'
+HOST = 'handbook.example'
+MODEL = 'tutor'
+KEY = 'key-of-north'
+OTHER_KEY = 'key-of-south'
+LIMIT_S = 15.0
+BOUNDS = Bounds(
+    drain_s=4.0,
+    revoke_s=2.0,
+    lease_s=0.5,
+    weights_s=8.0,
+    repeat_ratio=0.2,
+    repeat_slack=40.0,
+    repeat_window_s=10.0,
+)
+
+
+@dataclass(frozen=True)
+class Answer:
+    """Hold an answer as its caller saw it; status 0: cut."""
+
+    status: int
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b''
+
+
+class DirectBench:
+    """Hold a store, upstreams and one or two routers."""
+
+    def __init__(self) -> None:
+        self._loop = LoopThread()
+        self._sites: list[PlatformSite] = []
+        self._sent = 0
+        self.routers: list[DirectRouter] = []
+        self.upstreams: dict[str, StandInUpstream] = {}
+        self.answers: list[Answer] = []
+        self.config = _config()
+        self.store: StandInStore = self.run(_start_store())
+
+    @property
+    def answer(self) -> Answer:
+        """Return the last answer."""
+        return self.answers[-1]
+
+    def run(self, coroutine: Any) -> Any:
+        """Run a coroutine beside the routers."""
+        return self._loop.call(coroutine)
+
+    def on_loop(self, call: Callable[[], Any]) -> Any:
+        """Call a function on the routers' loop."""
+        return self.run(_call(call))
+
+    def configure(self, **changes: Any) -> None:
+        """Write the next version of the configuration."""
+        self.config = {
+            **self.config,
+            **changes,
+            'Version': self.config['Version'] + 3,
+        }
+        self.on_loop(lambda: self.store.put('config', 'main', self.config))
+
+    def add_upstream(self, name: str, service: str) -> StandInUpstream:
+        """Start an upstream and register it."""
+        upstream = StandInUpstream(name, service)
+        if service == 'models':
+            upstream.weights[MODEL] = 1
+        self.on_loop(upstream.server.start)
+        self.upstreams[name] = upstream
+        self.register(name)
+        return upstream
+
+    def register(self, name: str, state: str = 'ready') -> None:
+        """Write an upstream's entry."""
+        entry = self.upstreams[name].entry(state)
+        self.on_loop(lambda: self.store.put('servers', name, entry))
+
+    def start_router(self, name: str = 'router-1') -> DirectRouter:
+        """Start a router and wait until it is ready."""
+        router: DirectRouter = self.run(self._start_router(name))
+        self.routers.append(router)
+        return router
+
+    def until(self, holds: Callable[[], bool], what: str) -> None:
+        """Wait until a condition holds."""
+        end_s = time.monotonic() + LIMIT_S
+        while not holds():
+            if time.monotonic() > end_s:
+                raise AssertionError(f'expected {what} within {LIMIT_S} s')
+            time.sleep(0.01)
+
+    def until_ready(self) -> None:
+        """Wait until all routers are ready."""
+        for router in self.routers:
+            self.until(lambda: router.ready, 'a ready router')
+
+    def ask(
+        self,
+        path: str = '/records/1',
+        key: str = KEY,
+        method: str = 'GET',
+        body: bytes | None = None,
+        **headers: str,
+    ) -> Answer:
+        """Send one request and read its answer."""
+        connection = self.connect()
+        try:
+            answer = self.ask_on(
+                connection, path, key, method, body, **headers
+            )
+        finally:
+            connection.close()
+        return answer
+
+    def connect(self) -> http.client.HTTPConnection:
+        """Open a connection to the first router."""
+        address = self.routers[0].callers_address
+        return http.client.HTTPConnection(address, timeout=LIMIT_S)
+
+    def ask_on(
+        self,
+        connection: http.client.HTTPConnection,
+        path: str,
+        key: str = KEY,
+        method: str = 'GET',
+        body: bytes | None = None,
+        **headers: str,
+    ) -> Answer:
+        """Send one request on a connection and read its answer."""
+        self._sent += 1
+        sent = {
+            'Host': HOST,
+            PREFIX + 'Request-Id': f'request-{self._sent}',
+            PREFIX + 'Deadline-Ms': '3000',
+            'Authorization': f'Token {key}',
+        }
+        for name, value in headers.items():
+            sent[name.replace('_', '-')] = value
+        try:
+            connection.request(method, path, body, sent)
+            response = connection.getresponse()
+            answer = Answer(
+                response.status, dict(response.headers), response.read()
+            )
+        except (http.client.HTTPException, OSError):
+            answer = Answer(0)
+        self.answers.append(answer)
+        return answer
+
+    def ask_model(self, path: str = '/chat/1', **headers: str) -> Answer:
+        """Send a prompt and read its stream."""
+        named = {
+            PREFIX + 'Model': MODEL,
+            PREFIX + 'Token-Usage': '300,20',
+            PREFIX + 'Prompt-Prefix': 'aa:100,bb:100,cc:100',
+        }
+        return self.ask(path, KEY, 'POST', b'prompt', **{**named, **headers})
+
+    def received(self) -> list[Any]:
+        """Return all requests that upstreams received."""
+        found = []
+        for upstream in self.upstreams.values():
+            found.extend(upstream.received)
+        return found
+
+    def ran(self) -> list[str]:
+        """Return the ids of all requests that upstreams ran."""
+        found = []
+        for upstream in self.upstreams.values():
+            found.extend(upstream.ran)
+        return found
+
+    def close(self) -> None:
+        """Stop everything."""
+        for router in self.routers:
+            self.run(router.close())
+        for site in self._sites:
+            self.on_loop(site.close)
+        for upstream in self.upstreams.values():
+            self.on_loop(upstream.server.close)
+        self.on_loop(self.store.server.close)
+        self._loop.close()
+
+    async def _start_router(self, name: str) -> DirectRouter:
+        settings = DirectSettings(
+            process_id=name,
+            availability_zone='east',
+            callers='127.0.0.1:0',
+            ready='127.0.0.1:0',
+            platform=self.store.address,
+            bounds=BOUNDS,
+        )
+        site = PlatformSite(settings.platform)
+        self._sites.append(site)
+        router = DirectRouter(settings, site, PlatformWire(), lambda: settings)
+        router.start()
+        return router
+
+
+def direct_bench(context: Context) -> DirectBench:
+    """Return the scenario's bench, made at the first call."""
+    if not hasattr(context, 'direct'):
+        context.direct = DirectBench()
+        context.resources.callback(context.direct.close)
+    bench: DirectBench = context.direct
+    return bench
+
+
+def route(
+    path: str, kind: str, service: str, **changes: Any
+) -> dict[str, Any]:
+    """Return a route of the configuration."""
+    return {
+        'Name': f'route{path}',
+        'Hostname': HOST,
+        'PathPrefix': path,
+        'RouteKind': kind,
+        'TimeoutMs': 3000,
+        'TargetLatencyMs': 1500,
+        'Priority': 1,
+        'Service': service,
+        'MaxAttempts': 2,
+        'Public': False,
+        **changes,
+    }
+
+
+def _config() -> dict[str, Any]:
+    engine = {
+        'Slots': 4,
+        'KvCacheTokens': 10000,
+        'KvTokenBytes': 1000,
+        'LinkMbps': 1000,
+        'Models': [{'Name': MODEL}],
+    }
+    return {
+        'Version': 1,
+        'Routes': [
+            route('/records/', 'idempotent', 'registry'),
+            route('/certificates/', 'non_idempotent', 'registry'),
+            route('/chat/', 'streaming', 'models', Resumable=True),
+            route('/talk/', 'streaming', 'models', Resumable=False),
+        ],
+        'Services': [
+            {'Name': 'registry', 'ConnectionLimit': 50},
+            {'Name': 'models', 'ConnectionLimit': 50, 'Engine': engine},
+        ],
+        'Limits': {'MaxBodyBytes': 100000, 'IdleTimeoutMs': 15000},
+        'Tenants': [
+            {'Name': 'north', 'ApiKeys': [KEY], 'Isolated': False},
+            {'Name': 'south', 'ApiKeys': [OTHER_KEY], 'Isolated': True},
+        ],
+    }
+
+
+async def _start_store() -> StandInStore:
+    store = StandInStore()
+    store.server.start()
+    return store
+
+
+async def _call(call: Callable[[], Any]) -> Any:
+    return call()
+
+
+async def sleep(seconds: float) -> None:
+    """Let the routers run for a while."""
+    await asyncio.sleep(seconds)
--- a/packages/common/src/lacewing_common/put_resolving.py
+++ b/packages/common/src/lacewing_common/put_resolving.py
@@ -6,7 +6,7 @@
 
 from lacewing_common.backoff import Backoff
 from lacewing_common.store import MUST_NOT_EXIST
-from lacewing_common.store import ObjectStore
+from lacewing_common.store import SingleObjects
 from lacewing_common.store import StoredObject
 from lacewing_common.store import StoreError
 from lacewing_common.store import StoreFault
@@ -22,7 +22,7 @@
 
 
 async def put_resolving(
-    store: ObjectStore,
+    store: SingleObjects,
     kind: str,
     name: str,
     value: bytes,
--- a/packages/common/src/lacewing_common/store.py
+++ b/packages/common/src/lacewing_common/store.py
@@ -67,6 +67,18 @@
     state: VmState
 
 
+class SingleObjects(Protocol):
+    """Read one object and change it on condition; all that a lease needs."""
+
+    async def get(self, kind: str, name: str) -> StoredObject | StoreError:
+        """Read one object."""
+
+    async def put(
+        self, kind: str, name: str, value: bytes, expect: int
+    ) -> StoredObject | StoreError:
+        """Write if the version is ``expect`` (0: must not exist)."""
+
+
 class ObjectReads(Protocol):
     """Query the platform's objects."""
 
--- a/packages/daemon/src/lacewing_daemon/direct/_attempt.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_attempt.py
@@ -91,9 +91,9 @@
                 # was given up.
                 connection.close()
 
-    def expects(self, headers: HTTPHeaders) -> bool:
+    def expects(self, status: int, headers: HTTPHeaders) -> bool:
         """Tell whether an answer is the one to this request."""
-        head = self._wire.read_reply(0, headers)
+        head = self._wire.read_reply(status, headers)
         if head.request_id:
             return head.request_id == self._request.request_id
         # Upstreams name the request in what they ran; only a refusal comes
--- a/packages/daemon/src/lacewing_daemon/direct/_connection.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_connection.py
@@ -42,8 +42,8 @@
 class ReplySink(Protocol):
     """Take the answer to one request as it arrives."""
 
-    def expects(self, headers: HTTPHeaders) -> bool:
-        """Tell whether an answer with these headers is the awaited one."""
+    def expects(self, status: int, headers: HTTPHeaders) -> bool:
+        """Tell whether an answer with this head is the awaited one."""
 
     def on_head(self, status: int, headers: HTTPHeaders) -> None:
         """Take the status and the headers."""
@@ -146,7 +146,7 @@
             _log.info('Closed a connection: an answer nobody awaits.')
             self._stream.close()
             return None
-        if not self._sink.expects(headers):
+        if not self._sink.expects(status, headers):
             _log.info('Read past an answer to another request.')
             return None
         self._sink.on_head(status, headers)
--- a/packages/daemon/src/lacewing_daemon/direct/_front.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_front.py
@@ -15,6 +15,7 @@
 from tornado.httputil import HTTPServerConnectionDelegate
 from tornado.httputil import RequestStartLine
 from tornado.httputil import ResponseStartLine
+from tornado.netutil import bind_sockets
 
 from lacewing_daemon.direct._call import CallerRequest
 from lacewing_daemon.direct._caller_reply import CallerReply
@@ -43,6 +44,7 @@
         self._serve = serve
         self._open: dict[asyncio.Task[None], CallerReply] = {}
         self._stopping = False
+        self._address = ''
         self._used: set[object] = set()
         self._arriving: set[object] = set()
         self._quiet: dict[object, HTTP1Connection] = {}
@@ -53,6 +55,11 @@
             max_body_size=MAX_BODY_BYTES,
         )
 
+    @property
+    def address(self) -> str:
+        """Return the ``ip:port`` that callers connect to."""
+        return self._address
+
     @property
     def open_requests(self) -> int:
         """Return the number of requests without a complete answer.
@@ -64,7 +71,10 @@
 
     def listen(self, host: str, port: int) -> None:
         """Begin to take connections."""
-        self._server.listen(port, host, backlog=_BACKLOG)
+        sockets = bind_sockets(port, host, backlog=_BACKLOG)
+        bound = sockets[0].getsockname()
+        self._address = f'{bound[0]}:{bound[1]}'
+        self._server.add_sockets(sockets)
 
     def announce_stop(self) -> None:
         """Close each connection with its next answer.
--- a/packages/daemon/src/lacewing_daemon/direct/_router.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_router.py
@@ -54,6 +54,8 @@
         self._settings = settings
         self._read_again = read_again
         self._signals = StopSignals()
+        self._stopping = False
+        self._planning: asyncio.Task[None] | None = None
         self._fleet = Fleet(settings, site)
         self._serving = Serving(
             self._fleet,
@@ -63,7 +65,7 @@
             Random(),
         )
         self._front = Front(wire, self._serve)
-        self._ready = ReadyServer(self._is_ready)
+        self._ready = ReadyServer(lambda: self.ready)
         lease = Lease(
             site.store,
             LEASE_NAME,
@@ -80,25 +82,55 @@
             settings.policy.switch_mode,
         )
 
+    @property
+    def callers_address(self) -> str:
+        """Return ``ip:port`` for callers, once started."""
+        return self._front.address
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether new connections should be sent here."""
+        return self._fleet.ready and not self._stopping
+
     async def run(self) -> Exit:
         """Serve until a stop signal, then end what is open."""
         self._signals.listen()
         on_hangup(self._reload)
+        self.start()
+        await self._signals.stopping.wait()
+        await self.stop()
+        return Exit.OK
+
+    def start(self) -> None:
+        """Listen and follow the store."""
         callers = self._settings.callers_address
         self._front.listen(callers.host, callers.port)
         ready = self._settings.ready_address
         self._ready.listen(ready.host, ready.port)
         self._fleet.start()
-        planning = asyncio.create_task(self._planner.run())
-        _log.info('Started.', callers=str(callers))
-        await self._signals.stopping.wait()
-        planning.cancel()
+        self._planning = asyncio.create_task(self._planner.run())
+        _log.info('Started.', callers=self._front.address)
+
+    async def stop(self) -> None:
+        """Hand the lease over and end open requests in the time given."""
+        self._stopping = True
+        if self._planning is not None:
+            self._planning.cancel()
         handing_over = asyncio.create_task(self._planner.stop())
         await self._drain()
         handing_over.cancel()
         self._fleet.close()
         _log.info('Stopped.', open=self._front.open_requests)
-        return Exit.OK
+
+    async def close(self) -> None:
+        """End everything at once, open requests included."""
+        self._stopping = True
+        if self._planning is not None:
+            self._planning.cancel()
+        self._front.stop_listening()
+        await self._front.close()
+        self._ready.close()
+        self._fleet.close()
 
     async def _drain(self) -> None:
         began_s = time.monotonic()
@@ -128,8 +160,5 @@
             ),
         )
 
-    def _is_ready(self) -> bool:
-        return self._fleet.ready and not self._signals.stopping.is_set()
-
     async def _serve(self, request: CallerRequest, reply: CallerReply) -> None:
         await Exchange(self._serving, request, reply).run()
--- a/packages/daemon/src/lacewing_daemon/direct/_site.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_site.py
@@ -10,7 +10,7 @@
 from typing import Protocol
 from typing import TypeVar
 
-from lacewing_common.store import ObjectStore
+from lacewing_common.store import SingleObjects
 from lacewing_common.store import StoreError
 from tornado.httputil import HTTPHeaders
 
@@ -136,7 +136,7 @@
         """Return the versions of weights that operators named."""
 
     @property
-    def store(self) -> ObjectStore:
+    def store(self) -> SingleObjects:
         """Return the object store for the system's own objects."""
 
     @property
--- a/packages/daemon/src/lacewing_daemon/lease.py
+++ b/packages/daemon/src/lacewing_daemon/lease.py
@@ -14,7 +14,7 @@
 from lacewing_common.put_resolving import put_resolving
 from lacewing_common.put_resolving import ResolvePolicy
 from lacewing_common.store import MUST_NOT_EXIST
-from lacewing_common.store import ObjectStore
+from lacewing_common.store import SingleObjects
 from lacewing_common.store import StoredObject
 from lacewing_common.store import StoreError
 from lacewing_common.store import StoreFault
@@ -59,7 +59,7 @@
 
     def __init__(
         self,
-        store: ObjectStore,
+        store: SingleObjects,
         name: str,
         holder: str,
         duration_s: float,
