Let holders of the lease change without a pause while nobody orders

Ruled out: a release that fails; the log shows the next holder 0.1 s after. Change: the lease's record tells how long ago its holder acted at least; a successor waits only for what is left of the bound. A router that has just started takes the weights it first reads for old after 2.5 s.

--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -36,6 +36,11 @@
 SAVED_S = 20.0
 SAVED_PARTS = 4096
 SWEEP_S = 1.0
+# The part of the time for new weights after which none begins on older ones.
+OLD_WEIGHTS_PART = 0.75
+# A router that has just started still sends to engines with older weights
+# for so long; they may be the only ones.
+START_GRACE_S = 2.5
 
 
 @dataclass(frozen=True)
@@ -203,8 +208,16 @@
         if value is None:
             return
         known, _ = self._named_since.get(value.model, (0, 0.0))
-        if value.version > known:
-            self._named_since[value.model] = (value.version, boot_s())
+        if value.version <= known:
+            return
+        since_s = boot_s()
+        if not self._weights.read_once:
+            # Named before this process started, nobody says when. Other
+            # routers may have refused older weights for long; this one joins
+            # them soon after its start.
+            since_s -= self._bounds.weights_s * OLD_WEIGHTS_PART
+            since_s += START_GRACE_S
+        self._named_since[value.model] = (value.version, since_s)
 
     async def _sweep(self) -> None:
         while True:
--- a/packages/daemon/src/lacewing_daemon/direct/_placing.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_placing.py
@@ -13,6 +13,7 @@
 from lacewing_daemon.direct._directory import Engine
 from lacewing_daemon.direct._directory import KvStore
 from lacewing_daemon.direct._fleet import Fleet
+from lacewing_daemon.direct._fleet import OLD_WEIGHTS_PART
 from lacewing_daemon.direct._policy import LoadPolicy
 from lacewing_daemon.direct._upstream_state import UpstreamState
 from lacewing_daemon.direct._wall import cache_wall
@@ -25,8 +26,6 @@
 # more time: its answers count less.
 OLD_WEIGHTS_S = 1.2
 OLD_WEIGHTS_MS = 80.0
-# The part of the time for new weights after which none begins on older ones.
-OLD_WEIGHTS_PART = 0.75
 
 
 @dataclass(frozen=True)
--- a/packages/daemon/src/lacewing_daemon/direct/_planner.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_planner.py
@@ -15,6 +15,7 @@
 from lacewing_daemon.direct._site import OrderVerdict
 from lacewing_daemon.direct._site import SwitchMode
 from lacewing_daemon.direct._site import UpstreamControl
+from lacewing_daemon.direct._upstream import NamedWeights
 from lacewing_daemon.direct._upstream import Upstream
 from lacewing_daemon.direct._upstream_state import UpstreamState
 from lacewing_daemon.lease import Held
@@ -73,7 +74,7 @@
             if not self._held:
                 await asyncio.sleep(STANDBY_S / 2 + self._backoff.next_s())
                 continue
-            self._order()
+            await self._order()
             await asyncio.sleep(LOOK_S)
 
     async def stop(self) -> None:
@@ -96,31 +97,45 @@
         self._renewed_s = now_s
         if was_held:
             return
-        wait_s = 0.0
-        if self._lease.taken_over:
-            wait_s = self._fleet.bounds.lease_s + ORDER_WAY_S
+        wait_s = self._fleet.bounds.lease_s + ORDER_WAY_S
+        wait_s = max(0.0, wait_s - self._lease.other_acted_ago_s)
         self._orders_from_s = boot_s() + wait_s
         _log.info(
             'Holds the lease for weights.',
             fence=self._lease.fence,
-            orders_in_s=wait_s,
+            orders_in_s=round(wait_s, 2),
         )
 
-    def _order(self) -> None:
+    async def _order(self) -> None:
         if boot_s() < self._orders_from_s:
             return
+        due = self._due()
+        if not due:
+            if not self._tasks:
+                self._lease.end_acting()
+            return
+        if not await self._lease.begin_acting():
+            return
+        self._renewed_s = boot_s()
+        for state, named in due:
+            self._busy.add(state.upstream.upstream_id)
+            task = asyncio.create_task(
+                self._load(state, named.model, named.version)
+            )
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    def _due(self) -> list[tuple[UpstreamState, NamedWeights]]:
+        """Return the engines to order now."""
+        due = []
         for named in self._fleet.weights.entries.values():
             engines = self._engines(named.model)
             for upstream_id in next_loads(engines, named.version):
                 state = self._fleet.state(upstream_id)
                 if state is None or upstream_id in self._busy:
                     continue
-                self._busy.add(upstream_id)
-                task = asyncio.create_task(
-                    self._load(state, named.model, named.version)
-                )
-                self._tasks.add(task)
-                task.add_done_callback(self._tasks.discard)
+                due.append((state, named))
+        return due
 
     def _engines(self, model: str) -> list[EngineWeights]:
         engines = []
@@ -183,8 +198,9 @@
         if report.busy:
             return OrderVerdict.BUSY
         # Looked at last: between this and the sending nothing is awaited.
-        if not self._lease.held:
+        if not self._lease.acting:
             return OrderVerdict.REFUSED
+        self._lease.note_act()
         return await self._control.load(
             upstream,
             LoadOrder(
--- a/packages/daemon/src/lacewing_daemon/lease.py
+++ b/packages/daemon/src/lacewing_daemon/lease.py
@@ -20,6 +20,8 @@
 from lacewing_common.store import StoreFault
 
 LEASES = 'leases'
+# Written for a holder that never acted; JSON has no infinity.
+_LONG_S = 3600.0
 
 Clock = Callable[[], float]
 
@@ -29,11 +31,14 @@
 
     ``nonce`` is new for each write, by which a writer finds its own one
     when the answer was lost. ``duration_s`` is the holder's promise.
+    ``acted_ago_s``: at the time of this write the holder had not acted for
+    so long, and will not before its next write; 0: it may be acting.
     """
 
     holder: str
     nonce: str
     duration_s: float
+    acted_ago_s: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -79,12 +84,19 @@
         self._seen_version = 0
         self._seen_at_s = 0.0
         self._seen_duration_s = duration_s
-        self._taken_over = False
+        self._acting = False
+        self._acted_s = float('-inf')
+        self._other_acted_s = float('-inf')
 
     @property
-    def taken_over(self) -> bool:
-        """Tell whether another process had the lease before this one."""
-        return self._taken_over
+    def acting(self) -> bool:
+        """Tell whether the lease is written as one that is acted under."""
+        return self._acting and self.held
+
+    @property
+    def other_acted_ago_s(self) -> float:
+        """Return how long ago at least another holder may have acted."""
+        return self._clock() - self._other_acted_s
 
     @property
     def held(self) -> bool:
@@ -113,10 +125,35 @@
         waiting = self._look(seen)
         if waiting is not None:
             return waiting
-        record = _decode(seen.value)
-        self._taken_over = record is None or record.holder != self._holder
+        self._note_other(seen)
         return await self._write(self._holder, seen.version)
 
+    async def begin_acting(self) -> bool:
+        """Write that the holder acts from now on; false if it must not.
+
+        A successor waits only if its predecessor may have acted lately.
+        While nobody acts, holders may then change without a pause, as they
+        do when all processes are restarted in turn.
+        """
+        if self.acting:
+            return True
+        if not self.held:
+            # Taking it over first would skip the wait for a predecessor.
+            return False
+        self._acting = True
+        if isinstance(await self._write(self._holder, self._fence), Held):
+            return True
+        self._acting = False
+        return False
+
+    def note_act(self) -> None:
+        """Note that the holder acts at this moment."""
+        self._acted_s = self._clock()
+
+    def end_acting(self) -> None:
+        """Promise not to act before the next ``begin_acting``."""
+        self._acting = False
+
     async def release(self) -> None:
         """Let others take the lease without waiting it out."""
         if not self.held:
@@ -124,6 +161,7 @@
             return
         fence = self._fence
         self._fence = 0
+        self._acting = False
         await self._put('', fence)
 
     def _look(self, seen: StoredObject) -> NotHeld | None:
@@ -150,6 +188,13 @@
         holder = 'unknown' if record is None else record.holder
         return NotHeld(f'{self._name} is held by {holder}')
 
+    def _note_other(self, seen: StoredObject) -> None:
+        record = _decode(seen.value)
+        if record is not None and record.holder == self._holder:
+            return
+        acted_ago_s = 0.0 if record is None else record.acted_ago_s
+        self._other_acted_s = self._clock() - acted_ago_s
+
     async def _write(self, holder: str, expect: int) -> Held | NotHeld:
         # Counted from before the call: when its answer comes late, the
         # lease has run since the platform took the write.
@@ -168,7 +213,12 @@
     async def _put(
         self, holder: str, expect: int
     ) -> StoredObject | StoreError:
-        record = LeaseRecord(holder, uuid4().hex, self._duration_s)
+        acted_ago_s = 0.0
+        if not self._acting:
+            acted_ago_s = min(_LONG_S, self._clock() - self._acted_s)
+        record = LeaseRecord(
+            holder, uuid4().hex, self._duration_s, acted_ago_s
+        )
         return await put_resolving(
             self._store,
             LEASES,
