Share prompts out over KV stores, tell urgency, bound calls to the store by our own timer

Change: rendezvous of the longest shared part picks the store; urgency from the ranks of team and route, waiting counted by it; an own time limit on each call; a collection is read anew after a failed call; waits of 1.2, 2.0 and 4.0 s in place of 1.0, 1.5 and 1.5.

--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -24,6 +24,7 @@
 from lacewing_common.verdict import Verdict
 from lacewing_common.wire import CacheReport
 from lacewing_common.wire import LoadReport
+from lacewing_daemon.rendezvous import best
 from lacewing_daemon.router._candidates import Finder
 from lacewing_daemon.router._expected_cost import ExpectedCost
 from lacewing_daemon.router._hints import Hints
@@ -33,7 +34,6 @@
 from lacewing_daemon.router._policy import Estimate
 from lacewing_daemon.router._policy import Observation
 from lacewing_daemon.router._policy import RoutingRequest
-from lacewing_daemon.router._rendezvous import best
 from lacewing_daemon.router._widths import Widths
 
 PLACE = Place('r', 'z')
--- a/features/support/claims_bench.py
+++ b/features/support/claims_bench.py
@@ -37,10 +37,10 @@
 from lacewing_daemon.claims._document import KIND
 from lacewing_daemon.claims._document import read_book
 from lacewing_daemon.claims._record import Claim
+from lacewing_daemon.rendezvous import best
 from lacewing_daemon.router import RunningRouter
 from lacewing_daemon.router import start_router
 from lacewing_daemon.router._keys import hash_key
-from lacewing_daemon.router._rendezvous import best
 from lacewing_daemon.runtime import Runtime
 from msgspec.structs import replace
 from tornado.curl_httpclient import CurlAsyncHTTPClient
--- a/packages/common/src/lacewing_common/_platform_http.py
+++ b/packages/common/src/lacewing_common/_platform_http.py
@@ -15,6 +15,9 @@
 from lacewing_common.curl import CurlClient
 
 _USER_AGENT = 'lacewing'
+# libcurl ends a call at its timeout, but learns of the time from a timer
+# that came up to 0.9 s late on a connection that had fallen silent.
+_CURL_LATE_S = 0.1
 # With these libcurl ends a call before it has sent a byte of the request.
 _NEVER_SENT = (
     pycurl.E_COULDNT_RESOLVE_HOST,
@@ -101,7 +104,10 @@
         # A cancelled caller must not free the slot: libcurl goes on with the
         # call, and the next one would wait unseen for its handle.
         try:
-            response = await asyncio.shield(fetch)
+            async with asyncio.timeout(call.timeout_s + _CURL_LATE_S):
+                response = await asyncio.shield(fetch)
+        except TimeoutError:
+            return NoAnswer(True, f'no answer within {call.timeout_s} s')
         except CurlError as error:
             return NoAnswer(_may_be_sent(error), str(error))
         return Answer(response.code, dict(response.headers), response.body)
--- a/packages/daemon/src/lacewing_daemon/direct/_directory.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_directory.py
@@ -119,6 +119,9 @@
     _by_host: dict[str, list[Route]] = field(
         default_factory=dict, init=False, compare=False
     )
+    _kv_stores: tuple[KvStore, ...] = field(
+        default=(), init=False, compare=False
+    )
 
     def __post_init__(self) -> None:
         """Index the routes by host, the longest prefix first."""
@@ -126,6 +129,11 @@
             self._by_host.setdefault(route.host, []).append(route)
         for routes in self._by_host.values():
             routes.sort(key=_prefix_length, reverse=True)
+        stores = []
+        for service in self.services.values():
+            if service.kv_store is not None:
+                stores.append(service.kv_store)
+        object.__setattr__(self, '_kv_stores', tuple(stores))
 
     def route(self, host: str, path: str) -> Route | None:
         """Return the route of the longest prefix that begins the path."""
@@ -136,12 +144,9 @@
         return None
 
     @property
-    def kv_store(self) -> KvStore | None:
-        """Return the store of kept KV cache, if there is one."""
-        for service in self.services.values():
-            if service.kv_store is not None:
-                return service.kv_store
-        return None
+    def kv_stores(self) -> tuple[KvStore, ...]:
+        """Return the stores of kept KV cache."""
+        return self._kv_stores
 
 
 def _prefix_length(route: Route) -> int:
--- a/packages/daemon/src/lacewing_daemon/direct/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_exchange.py
@@ -156,7 +156,7 @@
         end_s: float,
     ) -> AttemptEnd:
         state = target.state
-        ticket = state.open(target.read_ms)
+        ticket = state.open(target.read_ms, target.urgency)
         begun = False
         began_s = time.monotonic()
 
@@ -194,6 +194,7 @@
             target.weights,
             target.fetch_from,
             target.save_to,
+            target.urgency if target.wall is not None else None,
             after_event=relay.last_event,
         )
         try:
--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -22,9 +22,9 @@
 # How long a call waits for changes. Each call that returns also proves that
 # the store is reached, so this is well below the time to refuse a key that
 # was taken away (5 s) and to leave an upstream that drains (2 s).
-DIRECTORY_WAIT_S = 1.0
-UPSTREAMS_WAIT_S = 1.5
-WEIGHTS_WAIT_S = 1.5
+DIRECTORY_WAIT_S = 1.2
+UPSTREAMS_WAIT_S = 2.0
+WEIGHTS_WAIT_S = 4.0
 # The part of the time to refuse revoked keys after which an unconfirmed
 # configuration is no longer believed; the rest covers the way of a request
 # and a store whose watches are a second behind.
--- a/packages/daemon/src/lacewing_daemon/direct/_followed.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_followed.py
@@ -58,6 +58,7 @@
         self._lapsed: dict[str, asyncio.TimerHandle] = {}
         self._callbacks: list[OnChange[T]] = []
         self._revision: int | None = None
+        self._last_revision = 0
         self._confirmed_s: float | None = None
         self._regained_s = float('-inf')
         self._lost = False
@@ -75,7 +76,7 @@
     @property
     def revision(self) -> int:
         """Return the store's revision that the entries are as of."""
-        return self._revision or 0
+        return self._last_revision
 
     @property
     def age_s(self) -> float:
@@ -123,6 +124,7 @@
 
     def _take(self, answer: Listing[T] | Changes[T]) -> None:
         self._revision = answer.revision
+        self._last_revision = answer.revision
         if isinstance(answer, Changes):
             for name, value in answer.changed:
                 self._set(name, value)
@@ -162,6 +164,9 @@
             callback(name, value)
 
     def _failed(self, error: StoreError) -> None:
+        # The next call reads anew: a waiting call confirms nothing for long,
+        # and one that failed may have been deaf before.
+        self._revision = None
         if self._lost:
             return
         self._lost = True
--- a/packages/daemon/src/lacewing_daemon/direct/_placing.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_placing.py
@@ -1,6 +1,7 @@
 """Build the snapshots that placing decides on, and the dispatch from it."""
 
 from dataclasses import dataclass
+from hashlib import blake2b
 
 from lacewing_daemon.direct._admission import Admitted
 from lacewing_daemon.direct._call import CallerRequest
@@ -17,8 +18,10 @@
 from lacewing_daemon.direct._policy import LoadPolicy
 from lacewing_daemon.direct._upstream_state import UpstreamState
 from lacewing_daemon.direct._wall import cache_wall
+from lacewing_daemon.rendezvous import best
 
 _MS = 1000.0
+_KEY_BYTES = 8
 # Requests of other routers that an engine says wait are taken to need as
 # much reading as a usual one of this router.
 USUAL_READ_MS = 30.0
@@ -28,6 +31,13 @@
 OLD_WEIGHTS_MS = 80.0
 
 
+# Engines order waiting requests by urgency and take 5 if none is told.
+USUAL_URGENCY = 5
+LEAST_URGENT = 9
+# Ranks of routes within one rank of teams; there are three in use.
+RANKS_A_TEAM = 3
+
+
 @dataclass(frozen=True)
 class Target:
     """Hold where one attempt goes and what is told to the upstream."""
@@ -38,6 +48,16 @@
     weights: int | None = None
     fetch_from: str | None = None
     save_to: str | None = None
+    urgency: int = USUAL_URGENCY
+
+
+def urgency_of(admitted: Admitted) -> int:
+    """Return how urgent an engine is told that a request is, 0 the most.
+
+    The team's rank goes before the route's.
+    """
+    team = 0 if admitted.team is None else admitted.team.rank
+    return min(LEAST_URGENT, team * RANKS_A_TEAM + admitted.route.rank)
 
 
 class Placer:
@@ -114,9 +134,9 @@
         left_ms: float,
         now_s: float,
     ) -> Target | NoRoom:
-        directory = self._fleet.directory
-        kv_store = None if directory is None else directory.kv_store
+        kv_store = self._kv_store(prompt)
         named = self._fleet.named_weights(prompt.model)
+        urgency = urgency_of(admitted)
         views = []
         targets = {}
         for state in usable:
@@ -135,10 +155,11 @@
                 weights if weights else None,
                 None if kv_store is None else kv_store.address,
                 self._save_to(kv_store, wall, prompt, now_s),
+                urgency,
             )
             upstream = state.upstream
             targets[upstream.upstream_id] = target
-            waiting_ms = state.waiting_ms
+            waiting_ms = state.waiting_ms(urgency)
             waiting_ms += state.others_waiting(now_s) * USUAL_READ_MS
             if old and named.age_s > OLD_WEIGHTS_S:
                 waiting_ms += OLD_WEIGHTS_MS
@@ -148,7 +169,7 @@
                     upstream.availability_zone == self._zone,
                     waiting_ms,
                     read_ms,
-                    state.waiting,
+                    state.waiting(urgency),
                     state.in_flight,
                 )
             )
@@ -157,6 +178,27 @@
             return placed
         return targets[placed.upstream_id]
 
+    def _kv_store(self, prompt: Prompt) -> KvStore | None:
+        """Return the store for a prompt, the same at all routers.
+
+        Several stores share the prompts out by their longest shared part;
+        with all in one, its link and its memory would bound them all.
+        """
+        directory = self._fleet.directory
+        stores = () if directory is None else directory.kv_stores
+        if not stores or not prompt.shared:
+            return None
+        if len(stores) == 1:
+            return stores[0]
+        addresses = tuple(sorted(store.address for store in stores))
+        key = prompt.shared[-1].part_id.encode()
+        digest = blake2b(key, digest_size=_KEY_BYTES).digest()
+        chosen = best(digest, addresses)
+        for store in stores:
+            if store.address == chosen:
+                return store
+        return None
+
     @property
     def _old_limit_s(self) -> float:
         return self._fleet.bounds.weights_s * OLD_WEIGHTS_PART
--- a/packages/daemon/src/lacewing_daemon/direct/_upstream_state.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_upstream_state.py
@@ -18,11 +18,17 @@
 SHUN_CAP_S = 4.0
 
 
-@dataclass(frozen=True)
+# An engine reads prompts in pieces of 4,096 tokens, 37 ms each; one that is
+# under way is half read on average.
+PIECE_MS = 18.0
+
+
+@dataclass(frozen=True, eq=False)
 class Ticket:
     """Hold what one open request adds to an upstream's load."""
 
     read_ms: float
+    urgency: int
 
 
 class UpstreamState:
@@ -31,8 +37,7 @@
     def __init__(self, upstream: Upstream) -> None:
         self._upstream = upstream
         self._in_flight = 0
-        self._waiting = 0
-        self._waiting_ms = 0.0
+        self._waiting: set[Ticket] = set()
         self._weights = dict(upstream.weights)
         self._told: UpstreamLoad | None = None
         self._told_s = 0.0
@@ -51,15 +56,27 @@
         """Return this router's open requests there."""
         return self._in_flight
 
-    @property
-    def waiting(self) -> int:
-        """Return those of them without a first event."""
-        return self._waiting
-
-    @property
-    def waiting_ms(self) -> float:
-        """Return the reading still to be done for them."""
-        return self._waiting_ms
+    def waiting(self, urgency: int) -> int:
+        """Return those without a first event that go before an urgency."""
+        count = 0
+        for ticket in self._waiting:
+            if ticket.urgency <= urgency:
+                count += 1
+        return count
+
+    def waiting_ms(self, urgency: int) -> float:
+        """Return the reading that goes before a request of an urgency.
+
+        Of what is less urgent at most the piece that is being read.
+        """
+        before_ms = 0.0
+        after_ms = 0.0
+        for ticket in self._waiting:
+            if ticket.urgency <= urgency:
+                before_ms += ticket.read_ms
+            else:
+                after_ms += ticket.read_ms
+        return before_ms + min(after_ms, PIECE_MS)
 
     def update(self, upstream: Upstream) -> None:
         """Take a new entry; one that is leaving never comes back."""
@@ -99,19 +116,18 @@
         """Return requests waiting there beyond this router's own."""
         if self._told is None or now_s - self._told_s > TOLD_FRESH_S:
             return 0
-        return max(0, self._told.waiting - self._waiting)
+        return max(0, self._told.waiting - len(self._waiting))
 
-    def open(self, read_ms: float) -> Ticket:
+    def open(self, read_ms: float, urgency: int) -> Ticket:
         """Count a request that is sent there."""
         self._in_flight += 1
-        self._waiting += 1
-        self._waiting_ms += read_ms
-        return Ticket(read_ms)
+        ticket = Ticket(read_ms, urgency)
+        self._waiting.add(ticket)
+        return ticket
 
     def began(self, ticket: Ticket) -> None:
         """Count that a request got its first event or its answer."""
-        self._waiting -= 1
-        self._waiting_ms = max(0.0, self._waiting_ms - ticket.read_ms)
+        self._waiting.discard(ticket)
 
     def closed(self) -> None:
         """Count that a request has ended."""
--- a/packages/daemon/src/lacewing_daemon/router/_baselines.py
+++ b/packages/daemon/src/lacewing_daemon/router/_baselines.py
@@ -7,13 +7,13 @@
 from lacewing_common.verdict import Reason
 from lacewing_common.verdict import Refusal
 
+from lacewing_daemon.rendezvous import best
 from lacewing_daemon.router._policy import CacheChange
 from lacewing_daemon.router._policy import Choice
 from lacewing_daemon.router._policy import Observation
 from lacewing_daemon.router._policy import RoutingRequest
 from lacewing_daemon.router._policy import Workers
 from lacewing_daemon.router._policy import WorkerView
-from lacewing_daemon.router._rendezvous import best
 
 
 def no_worker(request: RoutingRequest) -> Refusal:
--- a/packages/daemon/src/lacewing_daemon/router/_candidates.py
+++ b/packages/daemon/src/lacewing_daemon/router/_candidates.py
@@ -5,10 +5,10 @@
 
 from lacewing_common.prefix import PrefixChain
 
+from lacewing_daemon.rendezvous import best
+from lacewing_daemon.rendezvous import Rankings
 from lacewing_daemon.router._hints import Held
 from lacewing_daemon.router._policy import Workers
-from lacewing_daemon.router._rendezvous import best
-from lacewing_daemon.router._rendezvous import Rankings
 
 # Up to so many workers an estimate of each is cheaper than choosing which.
 SMALL_FLEET = 16
--- a/packages/daemon/src/lacewing_daemon/router/_claimed_choice.py
+++ b/packages/daemon/src/lacewing_daemon/router/_claimed_choice.py
@@ -5,12 +5,12 @@
 from lacewing_common.claim_key import range_point
 from lacewing_common.verdict import Refusal
 
+from lacewing_daemon.rendezvous import best
 from lacewing_daemon.router._baselines import no_worker
 from lacewing_daemon.router._call import Call
 from lacewing_daemon.router._policy import Choice
 from lacewing_daemon.router._policy import RoutingRequest
 from lacewing_daemon.router._policy import Workers
-from lacewing_daemon.router._rendezvous import best
 
 _POLICY = 'claimed-range'
 
--- a/packages/daemon/src/lacewing_daemon/router/_links.py
+++ b/packages/daemon/src/lacewing_daemon/router/_links.py
@@ -17,11 +17,11 @@
 from lacewing_common.wire import Hello
 
 from lacewing_daemon.limits import TeamLimiter
+from lacewing_daemon.rendezvous import best
 from lacewing_daemon.router._knowledge import Knowledge
 from lacewing_daemon.router._link import Link
 from lacewing_daemon.router._policy import CacheChange
 from lacewing_daemon.router._policy import WorkerView
-from lacewing_daemon.router._rendezvous import best
 from lacewing_daemon.router._tried import Tried
 from lacewing_daemon.runtime import Runtime
 
--- a/packages/daemon/src/lacewing_daemon/router/_widths.py
+++ b/packages/daemon/src/lacewing_daemon/router/_widths.py
@@ -3,7 +3,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
-from lacewing_daemon.router._rendezvous import MAX_WIDTH
+from lacewing_daemon.rendezvous import MAX_WIDTH
 
 KEPT_WIDTHS = 4096
 # An agent that no longer sees a prefix can't ask to narrow it.
