Do not read a caller's deadline as a sign that it returns

Cause: a deadline below the route's timeout was taken for a request that had been refused before, and its time to be on time as used up. Ruled out: load told by engines, bounds in flight, processor time. Change: only the time since the request's arrival counts.

--- a/packages/daemon/src/lacewing_daemon/direct/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_exchange.py
@@ -284,14 +284,8 @@
         """Return the time left to a first event that counts as on time."""
         route = admitted.route
         elapsed_s = now_s - self._request.received_s
-        patience = self._serving.policy.patience
-        deadline_s = self._request.deadline_s
-        if deadline_s is not None and deadline_s < route.timeout_s:
-            # Callers give as deadline what is left to them: one that was
-            # refused before comes back with less.
-            elapsed_s += route.timeout_s - deadline_s
-            patience = self._serving.policy.returner_patience
-        return (route.target_s * patience - elapsed_s) * _MS
+        wanted_s = route.target_s * self._serving.policy.patience
+        return (wanted_s - elapsed_s) * _MS
 
     def _late(self) -> Refusal:
         if self._sends:
--- a/packages/daemon/src/lacewing_daemon/direct/_policy.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_policy.py
@@ -13,7 +13,6 @@
     ``patience``: the part of a request's target by which its first event
     must be expected, or it is refused; the rest is for errors of the
     estimate.
-    ``returner_patience``: the same for a request that was refused before.
     ``other_zone_ms``: how much sooner an upstream of another availability
     zone must be expected to answer to be preferred.
     ``max_waiting``: requests without a first event that one router has at
@@ -24,7 +23,6 @@
     prefill_tokens_per_ms: float = 110.0
     step_ms: float = 9.0
     patience: float = 0.8
-    returner_patience: float = 1.0
     other_zone_ms: float = 25.0
     max_waiting: int = 3
     max_in_flight: int = 24
