Write one line for each request with what decided it; serve metrics

Cause: on-call engineers have only logs and metrics; a failed request left a line without the inputs of its decisions, an answered one none. A request that was sent once is brought to its end also when late (a broken stream was not continued once its target had passed).

--- a/packages/common/src/lacewing_common/log.py
+++ b/packages/common/src/lacewing_common/log.py
@@ -3,12 +3,16 @@
 import logging
 import sys
 from enum import Enum
+from typing import cast
+from typing import TextIO
 
 import structlog
 from structlog.typing import EventDict
 from structlog.typing import FilteringBoundLogger
 from structlog.typing import WrappedLogger
 
+from lacewing_common.log_output import LineOutput
+
 
 class Part(Enum):
     """Name the parts of the system that write logs."""
@@ -37,6 +41,21 @@
     return event
 
 
+_outputs: list[LineOutput] = []
+
+
+def _output() -> LineOutput:
+    if not _outputs:
+        _outputs.append(LineOutput(sys.stdout))
+    return _outputs[0]
+
+
+def end_logs() -> None:
+    """Have the last lines written before the process ends at once."""
+    for output in _outputs:
+        output.end()
+
+
 def set_up_logs(level: str, process_id: str) -> None:
     """Write JSON lines of at least ``level`` to standard output."""
     number = logging.getLevelNamesMapping()[level.upper()]
@@ -50,7 +69,7 @@
             structlog.processors.JSONRenderer(),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(number),
-        logger_factory=structlog.PrintLoggerFactory(sys.stdout),
+        logger_factory=structlog.WriteLoggerFactory(cast(TextIO, _output())),
         cache_logger_on_first_use=False,
     )
     structlog.contextvars.bind_contextvars(process=process_id)
--- a/packages/daemon/src/lacewing_daemon/direct/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_exchange.py
@@ -5,8 +5,6 @@
 from dataclasses import dataclass
 from random import Random
 
-from lacewing_common.log import get_log
-from lacewing_common.log import Part
 from lacewing_common.verdict import may_have_run
 from lacewing_common.verdict import not_run
 from lacewing_common.verdict import Reason
@@ -16,7 +14,6 @@
 
 from lacewing_daemon.direct._admission import admit
 from lacewing_daemon.direct._admission import Admitted
-from lacewing_daemon.direct._attempt import Attempt
 from lacewing_daemon.direct._attempt import AttemptEnd
 from lacewing_daemon.direct._call import CallerRequest
 from lacewing_daemon.direct._caller_reply import CallerGoneError
@@ -24,11 +21,15 @@
 from lacewing_daemon.direct._choice import NoRoom
 from lacewing_daemon.direct._fleet import Fleet
 from lacewing_daemon.direct._fleet import ROUTERS_ASSUMED
+from lacewing_daemon.direct._metrics import REPEATS_DENIED
+from lacewing_daemon.direct._metrics import REQUESTS
 from lacewing_daemon.direct._placing import Placer
 from lacewing_daemon.direct._placing import Target
 from lacewing_daemon.direct._policy import LoadPolicy
-from lacewing_daemon.direct._site import Dispatch
-from lacewing_daemon.direct._site import ReplyHead
+from lacewing_daemon.direct._request_log import RequestEnd
+from lacewing_daemon.direct._request_log import RequestLog
+from lacewing_daemon.direct._request_log import Try
+from lacewing_daemon.direct._send import Send
 from lacewing_daemon.direct._site import Wire
 from lacewing_daemon.direct._stream_relay import StreamRelay
 from lacewing_daemon.refusals import Refusals
@@ -36,17 +37,12 @@
 _MS = 1000.0
 # Sends of one request, refused ones included: beyond it the fleet is full.
 MAX_SENDS = 4
-# An engine that refuses is full or loads weights (0.4 s); others are tried
-# meanwhile.
-REFUSED_PAUSE_S = 0.15
-# Callers leave a stream after 2 s without an event. One that can be resumed
-# is moved before that, when its upstream has been silent for so long.
-STREAM_SILENT_S = 1.4
-# A plain upstream answers in some tens of ms, 0.25 s at its slowest; one
-# that is silent for so long is tried elsewhere if the request may repeat.
-PLAIN_SILENT_S = 0.45
 # An answer that arrives this much before the caller's deadline reaches it.
 RETURN_WAY_S = 0.02
+# When all upstreams that were tried refused: some of them have a slot free
+# within a few requests' time.
+REFUSED_RETRY_S = 0.2
+BUDGET_RETRY_S = 1.0
 
 _STATUS = {
     Reason.BAD_KEY: 401,
@@ -56,8 +52,8 @@
 _UNAVAILABLE = 503
 _BAD_GATEWAY = 502
 _TIMED_OUT = 504
-
-_log = get_log(Part.ATTEMPT)
+# What is logged as the status where the caller left or its answer was cut.
+_NO_STATUS = 0
 
 
 @dataclass(frozen=True)
@@ -69,6 +65,7 @@
     placer: Placer
     policy: LoadPolicy
     random: Random
+    log: RequestLog
 
 
 class Exchange:
@@ -81,8 +78,11 @@
         self._fleet = serving.fleet
         self._request = request
         self._reply = reply
+        self._admitted: Admitted | None = None
         self._refusals = Refusals()
         self._tried: frozenset[str] = frozenset()
+        self._tries: list[Try] = []
+        self._sending: Send | None = None
         self._sends = 0
         self._runs = 0
 
@@ -97,6 +97,7 @@
         if isinstance(admitted, Refusal):
             self._refuse(admitted)
             return
+        self._admitted = admitted
         budget = self._fleet.budget(admitted.service)
         budget.count_request(time.monotonic())
         end_s = self._request.received_s + self._allowed_s(admitted)
@@ -105,9 +106,10 @@
                 refusal = await self._try_all(admitted, end_s)
         except TimeoutError:
             refusal = self._late()
-        except CallerGoneError:
+        except (CallerGoneError, asyncio.CancelledError):
+            self._tell(_NO_STATUS, self._gone())
             self._reply.abort()
-            return
+            raise
         if refusal is not None:
             self._refuse(self._refusals.final(refusal))
 
@@ -120,193 +122,125 @@
     async def _try_all(
         self, admitted: Admitted, end_s: float
     ) -> Refusal | None:
+        """Return why the request is given up, None once it is answered."""
         relay = StreamRelay(self._reply, self._request.after_event)
         while True:
-            now_s = time.monotonic()
-            target = self._serving.placer.place(
+            target = self._place(admitted, end_s)
+            if isinstance(target, Refusal):
+                return target
+            self._sends += 1
+            self._sending = Send(
+                self._fleet,
+                self._serving.wire,
+                self._serving.placer,
                 self._request,
                 admitted,
-                self._tried,
-                self._left_ms(admitted, now_s),
-                now_s,
+                target,
             )
-            if isinstance(target, NoRoom):
-                return not_run(
-                    Reason.NO_WORKER,
-                    'no upstream can answer in time',
-                    target.room_ms / _MS,
-                )
-            if self._sends and not self._fleet.budget(admitted.service).spend(
-                now_s, ROUTERS_ASSUMED
-            ):
-                return not_run(
-                    Reason.NO_WORKER, 'the retry budget is used up', 1.0
-                )
-            self._sends += 1
-            end = await self._attempt(admitted, target, relay, end_s)
-            done = await self._settle(admitted, target, relay, end)
-            if done is not None:
-                return done if isinstance(done, Refusal) else None
-
-    async def _attempt(
-        self,
-        admitted: Admitted,
-        target: Target,
-        relay: StreamRelay,
-        end_s: float,
-    ) -> AttemptEnd:
-        state = target.state
-        ticket = state.open(target.read_ms, target.urgency)
-        begun = False
-        began_s = time.monotonic()
-
-        def begin() -> None:
-            nonlocal begun
-            if not begun:
-                begun = True
-                state.began(ticket)
-
-        async def on_piece(head: ReplyHead, piece: bytes) -> None:
-            begin()
-            await relay.take(head, piece)
+            sent = await self._sending.run(relay, end_s)
+            self._sending = None
+            self._tries.append(sent.tried)
+            if sent.end.verdict is Verdict.RAN:
+                await self._deliver(relay, sent.end)
+                return None
+            refusal = self._settle(admitted, target, sent.end)
+            if refusal is not None:
+                return refusal
+            relay.restart()
 
-        streams = admitted.route.streams
-        attempt = Attempt(
+    def _place(self, admitted: Admitted, end_s: float) -> Target | Refusal:
+        now_s = time.monotonic()
+        placed = self._serving.placer.place(
             self._request,
-            self._serving.wire,
-            self._learner(target),
-            on_piece if streams else None,
+            admitted,
+            self._tried,
+            self._left_ms(admitted, end_s, now_s),
+            now_s,
         )
-        engine = admitted.service.engine
-        if engine is not None and self._request.prompt is not None:
-            self._serving.placer.note_sent(
-                target, self._request.prompt, engine, began_s
+        if isinstance(placed, NoRoom):
+            return not_run(
+                Reason.NO_WORKER,
+                'no upstream can answer in time',
+                placed.room_ms / _MS,
             )
-        left_s = end_s - began_s
-        silent_s = left_s
-        if admitted.route.may_repeat:
-            silent_s = STREAM_SILENT_S if streams else PLAIN_SILENT_S
-        dispatch = Dispatch(
-            state.upstream.upstream_id,
-            left_s,
-            None if admitted.team is None else admitted.team.name,
-            target.wall,
-            target.weights,
-            target.fetch_from,
-            target.save_to,
-            target.urgency if target.wall is not None else None,
-            after_event=relay.last_event,
+        if not self._sends:
+            return placed
+        budget = self._fleet.budget(admitted.service)
+        if budget.spend(now_s, ROUTERS_ASSUMED):
+            return placed
+        REPEATS_DENIED.labels(admitted.service.name).inc()
+        return not_run(
+            Reason.NO_WORKER, 'the retry budget is used up', BUDGET_RETRY_S
         )
-        try:
-            return await attempt.run(
-                self._fleet.pool,
-                state.upstream,
-                dispatch,
-                admitted.route.may_repeat,
-                silent_s,
-                silent_s,
-            )
-        finally:
-            begin()
-            state.closed()
-
-    def _learner(self, target: Target):  # type: ignore[no-untyped-def]
-        prompt = self._request.prompt
 
-        def learn(head: ReplyHead) -> None:
-            if head.load is not None:
-                target.state.learn_load(head.load, time.monotonic())
-            if head.weights is not None and prompt is not None:
-                target.state.learn_weights(prompt.model, head.weights)
+    def _left_ms(
+        self, admitted: Admitted, end_s: float, now_s: float
+    ) -> float:
+        """Return the time within which a first event must be expected.
 
-        return learn
+        A request that was sent once has begun to be served: it is brought
+        to its end, also when that comes late. A stream that broke off would
+        otherwise stay broken.
+        """
+        if self._sends:
+            return (end_s - now_s) * _MS
+        wanted_s = admitted.route.target_s * self._serving.policy.patience
+        return (self._request.received_s + wanted_s - now_s) * _MS
 
-    async def _settle(
-        self,
-        admitted: Admitted,
-        target: Target,
-        relay: StreamRelay,
-        end: AttemptEnd,
-    ) -> Refusal | bool | None:
-        """Answer the caller, or return None to send once more."""
-        now_s = time.monotonic()
-        upstream_id = target.state.upstream.upstream_id
-        if end.verdict is Verdict.RAN and end.head is not None:
-            target.state.succeeded()
-            await self._deliver(relay, end, end.head)
-            return True
+    def _settle(
+        self, admitted: Admitted, target: Target, end: AttemptEnd
+    ) -> Refusal | None:
+        """Return why no further send is made, None to send once more."""
+        state = target.state
         if end.verdict is Verdict.NOT_RUN:
-            self._refused(target, end, now_s)
-            refusal = not_run(end.reason, 'the upstream refused', 0.2)
+            if not self._told_weights(target, end):
+                self._tried |= {state.upstream.upstream_id}
+            refusal = not_run(
+                end.reason, 'the upstream refused', REFUSED_RETRY_S
+            )
             self._refusals.add(refusal)
-            if self._sends >= MAX_SENDS:
-                return refusal
-            return None
+            return refusal if self._sends >= MAX_SENDS else None
         self._runs += 1
-        target.state.failed(now_s)
-        self._tried |= {upstream_id}
+        self._tried |= {state.upstream.upstream_id}
         lost = may_have_run(end.reason, 'the upstream broke off')
         self._refusals.add(lost)
         if not admitted.route.may_repeat:
             return lost
         if self._runs >= admitted.route.max_runs or self._sends >= MAX_SENDS:
             return lost
-        relay.restart()
         return None
 
-    def _refused(self, target: Target, end: AttemptEnd, now_s: float) -> None:
-        state = target.state
-        if end.reason is Reason.WORKER_UNREACHABLE:
-            state.failed(now_s)
-            self._tried |= {state.upstream.upstream_id}
-            return
-        if end.reason is Reason.STALE_WEIGHTS:
-            prompt = self._request.prompt
-            if prompt is not None:
-                if state.weights(prompt.model) != target.weights:
-                    # The refusal told the version; the next send names it.
-                    return
-            self._tried |= {state.upstream.upstream_id}
-            return
-        state.pause(now_s, REFUSED_PAUSE_S)
-        self._tried |= {state.upstream.upstream_id}
+    def _told_weights(self, target: Target, end: AttemptEnd) -> bool:
+        """Tell whether a refusal named the version to ask for instead."""
+        prompt = self._request.prompt
+        if end.reason is not Reason.STALE_WEIGHTS or prompt is None:
+            return False
+        return target.state.weights(prompt.model) != target.weights
 
-    async def _deliver(
-        self, relay: StreamRelay, end: AttemptEnd, head: ReplyHead
-    ) -> None:
+    async def _deliver(self, relay: StreamRelay, end: AttemptEnd) -> None:
+        assert end.head is not None
         if self._reply.begun:
-            await relay.end(head)
-            return
-        headers = HTTPHeaders(head.headers)
-        self._reply.whole(head.status, headers, end.body)
-
-    def _left_ms(self, admitted: Admitted, now_s: float) -> float:
-        """Return the time left to a first event that counts as on time."""
-        route = admitted.route
-        elapsed_s = now_s - self._request.received_s
-        wanted_s = route.target_s * self._serving.policy.patience
-        return (wanted_s - elapsed_s) * _MS
+            await relay.end(end.head)
+        else:
+            headers = HTTPHeaders(end.head.headers)
+            self._reply.whole(end.head.status, headers, end.body)
+        self._tell(end.head.status, None)
 
     def _late(self) -> Refusal:
         if self._sends:
             return may_have_run(Reason.DEADLINE, 'no answer in time')
-        return not_run(Reason.DEADLINE, 'no answer in time', 1.0)
+        return not_run(Reason.DEADLINE, 'no answer in time', BUDGET_RETRY_S)
+
+    def _gone(self) -> Refusal:
+        return may_have_run(Reason.CALLER_GONE, 'the caller left')
 
     def _refuse(self, refusal: Refusal) -> None:
-        if self._reply.ended:
-            return
         status = _status(refusal)
-        _log.info(
-            'Refused a request.',
-            request=self._request.request_id,
-            status=status,
-            verdict=refusal.verdict.value,
-            reason=refusal.reason.value,
-            sends=self._sends,
-            message=refusal.message,
-        )
         if self._reply.begun:
+            # The caller has a part of the answer; cut, it can't be taken
+            # for the whole.
             self._reply.abort()
+            self._tell(_NO_STATUS, refusal)
             return
         retry_after_s = None
         if status == _UNAVAILABLE:
@@ -315,6 +249,45 @@
             self._request.request_id, retry_after_s
         )
         self._reply.whole(status, headers, b'')
+        self._tell(status, refusal)
+
+    def _tell(self, status: int, refusal: Refusal | None) -> None:
+        if self._sending is not None and refusal is not None:
+            self._tries.append(self._sending.unfinished(refusal.reason))
+        admitted = self._admitted
+        directory = self._fleet.directory
+        now_s = time.monotonic()
+        service = '' if admitted is None else admitted.service.name
+        team = None if admitted is None else admitted.team
+        reason = '' if refusal is None else refusal.reason.value
+        verdict = Verdict.RAN if refusal is None else refusal.verdict
+        REQUESTS.labels(service, str(status), reason).inc()
+        deadline_s = self._request.deadline_s or 0.0
+        elapsed_s = now_s - self._request.received_s
+        self._serving.log.ended(
+            RequestEnd(
+                request_id=self._request.request_id,
+                service=service,
+                team='' if team is None else team.name,
+                status=status,
+                verdict=verdict.value,
+                reason=reason,
+                message='' if refusal is None else refusal.message,
+                ms=int(elapsed_s * _MS),
+                left_ms=int((deadline_s - elapsed_s) * _MS),
+                config=0 if directory is None else directory.version,
+                config_age_ms=int(
+                    min(self._fleet.directory_age_s, _LONG_S) * _MS
+                ),
+                upstreams=len(self._fleet.states(service)),
+                tries=tuple(self._tries),
+            ),
+            now_s,
+        )
+
+
+# Ages are cut here for the log; JSON has no infinity.
+_LONG_S = 9999.0
 
 
 def _status(refusal: Refusal) -> int:
--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -11,6 +11,7 @@
 from lacewing_daemon.direct._directory import Directory
 from lacewing_daemon.direct._directory import Service
 from lacewing_daemon.direct._followed import Followed
+from lacewing_daemon.direct._metrics import STORE_AGE_SECONDS
 from lacewing_daemon.direct._pool import ConnectionPool
 from lacewing_daemon.direct._settings import Bounds
 from lacewing_daemon.direct._settings import DirectSettings
@@ -166,6 +167,15 @@
         self._bounds = bounds
         self._budgets.clear()
 
+    def measure_ages(self) -> None:
+        """Write the ages of what is known into the metrics."""
+        for name, age_s in (
+            ('configuration', self._directories.age_s),
+            ('upstreams', self._upstreams.age_s),
+            ('weights', self._weights.age_s),
+        ):
+            STORE_AGE_SECONDS.labels(name).set(age_s)
+
     def start(self) -> None:
         """Begin to follow the store."""
         for run in (
--- a/packages/daemon/src/lacewing_daemon/direct/_front.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_front.py
@@ -18,7 +18,9 @@
 from tornado.netutil import bind_sockets
 
 from lacewing_daemon.direct._call import CallerRequest
+from lacewing_daemon.direct._caller_reply import CallerGoneError
 from lacewing_daemon.direct._caller_reply import CallerReply
+from lacewing_daemon.direct._metrics import OPEN_REQUESTS
 from lacewing_daemon.direct._site import Wire
 
 # A configuration bounds bodies more tightly; this bounds them before the
@@ -28,8 +30,6 @@
 # Callers may keep a connection idle for 15 s and use it for 12 s of these;
 # this process closes it a little later, so that nothing crosses its close.
 IDLE_S = 16.0
-_OK = 200
-_UNAVAILABLE = 503
 
 Serve = Callable[[CallerRequest, CallerReply], Awaitable[None]]
 
@@ -160,13 +160,17 @@
         connection.set_close_callback(lambda: _cancel(task))
 
     async def _run(self, request: CallerRequest, reply: CallerReply) -> None:
+        OPEN_REQUESTS.inc()
         try:
             await self._serve(request, reply)
+        except CallerGoneError:
+            return
         except Exception:
             _log.exception('A request failed.', request=request.request_id)
             if not reply.ended:
                 reply.abort()
         finally:
+            OPEN_REQUESTS.dec()
             if not reply.ended:
                 reply.abort()
 
@@ -234,43 +238,5 @@
 _BACKLOG = 1024
 
 
-class ReadyServer(HTTPServerConnectionDelegate):
-    """Tell the balancer whether to send connections here."""
-
-    def __init__(self, ready: Callable[[], bool]) -> None:
-        self._ready = ready
-        self._server = HTTPServer(self)
-
-    def listen(self, host: str, port: int) -> None:
-        """Begin to answer."""
-        self._server.listen(port, host)
-
-    def start_request(
-        self, server_conn: object, request_conn: HTTPConnection
-    ) -> HTTPMessageDelegate:
-        """Answer any request with the state."""
-        assert isinstance(request_conn, HTTP1Connection)
-        return _ReadyAnswer(self._ready, request_conn)
-
-    def close(self) -> None:
-        """Stop answering."""
-        self._server.stop()
-
-
-class _ReadyAnswer(HTTPMessageDelegate):
-    """Answer one question."""
-
-    def __init__(
-        self, ready: Callable[[], bool], connection: HTTP1Connection
-    ) -> None:
-        self._ready = ready
-        self._connection = connection
-
-    def finish(self) -> None:
-        """Send the answer."""
-        status = _OK if self._ready() else _UNAVAILABLE
-        CallerReply(self._connection).whole(status, HTTPHeaders(), b'')
-
-
 def _cancel(task: 'asyncio.Task[None]') -> None:
     task.cancel()
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/direct/_metrics.py
@@ -0,0 +1,48 @@
+"""Count what a direct router does."""
+
+from prometheus_client import Counter
+from prometheus_client import Gauge
+from prometheus_client import Histogram
+
+_SECONDS = (0.01, 0.03, 0.1, 0.2, 0.3, 0.4, 0.8, 1.5, 3.0, 5.0, 15.0)
+
+REQUESTS = Counter(
+    'lacewing_direct_requests',
+    'Requests ended, by service, HTTP status and reason (own answers)',
+    ['service', 'status', 'reason'],
+)
+OPEN_REQUESTS = Gauge(
+    'lacewing_direct_open_requests', 'Requests that have not yet ended'
+)
+ATTEMPTS = Counter(
+    'lacewing_direct_attempts',
+    'Sends to upstreams, by service and verdict',
+    ['service', 'verdict'],
+)
+REPEATS_DENIED = Counter(
+    'lacewing_direct_repeats_denied',
+    'Repeated sends that the retry budget did not allow, by service',
+    ['service'],
+)
+FIRST_SECONDS = Histogram(
+    'lacewing_direct_first_seconds',
+    'Seconds from a request to its first event or its answer, by service',
+    ['service'],
+    buckets=_SECONDS,
+)
+STORE_AGE_SECONDS = Gauge(
+    'lacewing_direct_store_age_seconds',
+    'Seconds since what is known of a collection was confirmed',
+    ['collection'],
+)
+LOAD_ORDERS = Counter(
+    'lacewing_direct_load_orders',
+    'Orders to load weights, by what the upstream did',
+    ['verdict'],
+)
+LEASE_HELD = Gauge(
+    'lacewing_direct_lease_held', 'Whether this router orders weights (0, 1)'
+)
+LINES_LEFT_OUT = Counter(
+    'lacewing_direct_lines_left_out', 'Log lines of requests not written'
+)
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/direct/_pages.py
@@ -0,0 +1,79 @@
+"""Answer the balancer and operators with single pages."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from prometheus_client import CONTENT_TYPE_LATEST
+from prometheus_client import generate_latest
+from tornado.http1connection import HTTP1Connection
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPConnection
+from tornado.httputil import HTTPHeaders
+from tornado.httputil import HTTPMessageDelegate
+from tornado.httputil import HTTPServerConnectionDelegate
+
+from lacewing_daemon.direct._caller_reply import CallerReply
+
+_OK = 200
+_UNAVAILABLE = 503
+_TEXT = 'text/plain'
+
+
+@dataclass(frozen=True)
+class Page:
+    """Hold one answer."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+class PageServer(HTTPServerConnectionDelegate):
+    """Answer every request on one address with the same page."""
+
+    def __init__(self, page: Callable[[], Page]) -> None:
+        self._page = page
+        self._server = HTTPServer(self)
+
+    def listen(self, host: str, port: int) -> None:
+        """Begin to answer."""
+        self._server.listen(port, host)
+
+    def start_request(
+        self, server_conn: object, request_conn: HTTPConnection
+    ) -> HTTPMessageDelegate:
+        """Answer one request."""
+        assert isinstance(request_conn, HTTP1Connection)
+        return _PageAnswer(self._page, request_conn)
+
+    def close(self) -> None:
+        """Stop answering."""
+        self._server.stop()
+
+
+class _PageAnswer(HTTPMessageDelegate):
+    """Answer one request when it was read."""
+
+    def __init__(
+        self, page: Callable[[], Page], connection: HTTP1Connection
+    ) -> None:
+        self._page = page
+        self._connection = connection
+
+    def finish(self) -> None:
+        """Send the page."""
+        page = self._page()
+        headers = HTTPHeaders({'Content-Type': page.content_type})
+        CallerReply(self._connection).whole(page.status, headers, page.body)
+
+
+def ready_page(ready: bool) -> Page:
+    """Return the page that tells whether to send connections here."""
+    if ready:
+        return Page(_OK, _TEXT, b'ready\n')
+    return Page(_UNAVAILABLE, _TEXT, b'not ready\n')
+
+
+def metrics_page() -> Page:
+    """Return all metrics of the process."""
+    return Page(_OK, CONTENT_TYPE_LATEST, generate_latest())
--- a/packages/daemon/src/lacewing_daemon/direct/_placing.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_placing.py
@@ -1,6 +1,7 @@
 """Build the snapshots that placing decides on, and the dispatch from it."""
 
 from dataclasses import dataclass
+from dataclasses import replace
 from hashlib import blake2b
 
 from lacewing_daemon.direct._admission import Admitted
@@ -49,6 +50,8 @@
     fetch_from: str | None = None
     save_to: str | None = None
     urgency: int = USUAL_URGENCY
+    first_ms: float = 0.0
+    waits_ms: float = 0.0
 
 
 def urgency_of(admitted: Admitted) -> int:
@@ -148,6 +151,10 @@
             read_ms = self._read_ms(
                 state, wall, prompt, engine, kv_store, now_s
             )
+            waiting_ms = state.waiting_ms(urgency)
+            waiting_ms += state.others_waiting(now_s) * USUAL_READ_MS
+            if old and named.age_s > OLD_WEIGHTS_S:
+                waiting_ms += OLD_WEIGHTS_MS
             target = Target(
                 state,
                 read_ms,
@@ -156,13 +163,10 @@
                 None if kv_store is None else kv_store.address,
                 self._save_to(kv_store, wall, prompt, now_s),
                 urgency,
+                waits_ms=waiting_ms,
             )
             upstream = state.upstream
             targets[upstream.upstream_id] = target
-            waiting_ms = state.waiting_ms(urgency)
-            waiting_ms += state.others_waiting(now_s) * USUAL_READ_MS
-            if old and named.age_s > OLD_WEIGHTS_S:
-                waiting_ms += OLD_WEIGHTS_MS
             views.append(
                 EngineView(
                     upstream.upstream_id,
@@ -176,7 +180,7 @@
         placed = place(views, left_ms, self._policy)
         if isinstance(placed, NoRoom):
             return placed
-        return targets[placed.upstream_id]
+        return replace(targets[placed.upstream_id], first_ms=placed.first_ms)
 
     def _kv_store(self, prompt: Prompt) -> KvStore | None:
         """Return the store for a prompt, the same at all routers.
--- a/packages/daemon/src/lacewing_daemon/direct/_planner.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_planner.py
@@ -11,6 +11,8 @@
 from lacewing_daemon.direct._fleet import Fleet
 from lacewing_daemon.direct._loading import EngineWeights
 from lacewing_daemon.direct._loading import next_loads
+from lacewing_daemon.direct._metrics import LEASE_HELD
+from lacewing_daemon.direct._metrics import LOAD_ORDERS
 from lacewing_daemon.direct._site import LoadOrder
 from lacewing_daemon.direct._site import OrderVerdict
 from lacewing_daemon.direct._site import SwitchMode
@@ -90,6 +92,7 @@
         was_held = self._held and self._lease.held
         answer = await self._lease.acquire()
         self._held = isinstance(answer, Held)
+        LEASE_HELD.set(int(self._held))
         if not self._held:
             if was_held:
                 _log.warning('Lost the lease for weights.')
@@ -165,6 +168,7 @@
         self._ordered[key] = (version, boot_s())
         try:
             verdict = await self._order_one(state, upstream, model, version)
+            LOAD_ORDERS.labels(verdict.value).inc()
             _log.info(
                 'Ordered weights.',
                 upstream=upstream.upstream_id,
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/direct/_request_log.py
@@ -0,0 +1,108 @@
+"""Tell how each request ended, and on what its decisions rested."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+import msgspec
+from lacewing_common.log import get_log
+from lacewing_common.log import Part
+
+from lacewing_daemon.direct._line_budget import LineBudget
+from lacewing_daemon.direct._metrics import LINES_LEFT_OUT
+
+# How often the lines that were left out are told.
+TELL_S = 5.0
+
+_log = get_log(Part.CALLERS)
+
+
+class Try(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """Hold one send to an upstream; times in milliseconds.
+
+    ``expected_ms``: when its first event was expected, of which
+    ``waits_ms`` for the requests before it. ``others``: requests of other
+    routers that the upstream last told of. ``verdict`` and ``reason`` say
+    how it ended, ``status`` what the upstream answered.
+    """
+
+    upstream: str
+    verdict: str
+    reason: str
+    ms: int
+    status: int = 0
+    expected_ms: int = 0
+    waits_ms: int = 0
+    others: int = 0
+    weights: int = 0
+    first_ms: int = -1
+
+
+@dataclass(frozen=True)
+class RequestEnd:
+    """Hold how a request ended; ``reason`` '' for an upstream's answer."""
+
+    request_id: str
+    service: str
+    team: str
+    status: int
+    verdict: str
+    reason: str
+    message: str
+    ms: int
+    left_ms: int
+    config: int
+    config_age_ms: int
+    upstreams: int
+    tries: tuple[Try, ...]
+
+    @property
+    def failed(self) -> bool:
+        """Tell whether the caller got no success."""
+        return self.status == 0 or self.status >= _FIRST_FAILURE
+
+
+_FIRST_FAILURE = 400
+
+
+class RequestLog:
+    """Write one line for a request, within the budget of lines."""
+
+    def __init__(self, now_s: float) -> None:
+        self._budget = LineBudget(now_s)
+        self._told_s = now_s
+
+    def ended(self, end: RequestEnd, now_s: float) -> None:
+        """Tell how a request ended."""
+        if self._budget.take(end.failed, now_s):
+            event = 'Request failed.' if end.failed else 'Request answered.'
+            _log.info(event, **_fields(end))
+        if now_s - self._told_s < TELL_S:
+            return
+        self._told_s = now_s
+        left_out = self._budget.take_left_out()
+        if left_out:
+            LINES_LEFT_OUT.inc(left_out)
+            _log.info('Left out lines of requests.', count=left_out)
+
+
+def _fields(end: RequestEnd) -> Mapping[str, object]:
+    tries = []
+    for one in end.tries:
+        tries.append(msgspec.to_builtins(one))
+    fields: dict[str, object] = {
+        'request': end.request_id,
+        'service': end.service,
+        'team': end.team,
+        'status': end.status,
+        'verdict': end.verdict,
+        'ms': end.ms,
+        'tries': tries,
+    }
+    if end.failed:
+        fields['reason'] = end.reason
+        fields['message'] = end.message
+        fields['left_ms'] = end.left_ms
+        fields['config'] = end.config
+        fields['config_age_ms'] = end.config_age_ms
+        fields['upstreams'] = end.upstreams
+    return fields
--- a/packages/daemon/src/lacewing_daemon/direct/_router.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_router.py
@@ -8,6 +8,7 @@
 from lacewing_common.exits import Exit
 from lacewing_common.log import get_log
 from lacewing_common.log import Part
+from lacewing_common.settings import parse_address
 from lacewing_common.settings import SettingsError
 from msgspec.structs import replace
 
@@ -20,12 +21,16 @@
 from lacewing_daemon.direct._exchange import Serving
 from lacewing_daemon.direct._fleet import Fleet
 from lacewing_daemon.direct._front import Front
-from lacewing_daemon.direct._front import ReadyServer
+from lacewing_daemon.direct._pages import metrics_page
+from lacewing_daemon.direct._pages import Page
+from lacewing_daemon.direct._pages import PageServer
+from lacewing_daemon.direct._pages import ready_page
 from lacewing_daemon.direct._placing import Placer
 from lacewing_daemon.direct._planner import LEASE_MARGIN_S
 from lacewing_daemon.direct._planner import LEASE_NAME
 from lacewing_daemon.direct._planner import LEASE_S
 from lacewing_daemon.direct._planner import WeightsPlanner
+from lacewing_daemon.direct._request_log import RequestLog
 from lacewing_daemon.direct._settings import DirectSettings
 from lacewing_daemon.direct._site import Site
 from lacewing_daemon.direct._site import Wire
@@ -63,9 +68,11 @@
             Placer(self._fleet, settings.availability_zone, settings.policy),
             settings.policy,
             Random(),
+            RequestLog(time.monotonic()),
         )
         self._front = Front(wire, self._serve)
-        self._ready = ReadyServer(lambda: self.ready)
+        self._ready = PageServer(lambda: ready_page(self.ready))
+        self._metrics = PageServer(self._metrics_page)
         lease = Lease(
             site.store,
             LEASE_NAME,
@@ -107,6 +114,9 @@
         self._front.listen(callers.host, callers.port)
         ready = self._settings.ready_address
         self._ready.listen(ready.host, ready.port)
+        if self._settings.metrics:
+            metrics = parse_address(self._settings.metrics)
+            self._metrics.listen(metrics.host, metrics.port)
         self._fleet.start()
         self._planning = asyncio.create_task(self._planner.run())
         _log.info('Started.', callers=self._front.address)
@@ -130,6 +140,7 @@
         self._front.stop_listening()
         await self._front.close()
         self._ready.close()
+        self._metrics.close()
         self._fleet.close()
 
     async def _drain(self) -> None:
@@ -142,6 +153,11 @@
             await asyncio.sleep(_LOOK_S)
         await self._front.close()
         self._ready.close()
+        self._metrics.close()
+
+    def _metrics_page(self) -> Page:
+        self._fleet.measure_ages()
+        return metrics_page()
 
     def _reload(self) -> None:
         """Take new bounds; what is listened on changes with a restart."""
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -0,0 +1,182 @@
+"""Send a request to a chosen upstream and account for it."""
+
+import time
+from dataclasses import dataclass
+
+from lacewing_common.verdict import Reason
+from lacewing_common.verdict import Verdict
+
+from lacewing_daemon.direct._admission import Admitted
+from lacewing_daemon.direct._attempt import Attempt
+from lacewing_daemon.direct._attempt import AttemptEnd
+from lacewing_daemon.direct._call import CallerRequest
+from lacewing_daemon.direct._fleet import Fleet
+from lacewing_daemon.direct._metrics import ATTEMPTS
+from lacewing_daemon.direct._metrics import FIRST_SECONDS
+from lacewing_daemon.direct._placing import Placer
+from lacewing_daemon.direct._placing import Target
+from lacewing_daemon.direct._request_log import Try
+from lacewing_daemon.direct._site import Dispatch
+from lacewing_daemon.direct._site import ReplyHead
+from lacewing_daemon.direct._site import Wire
+from lacewing_daemon.direct._stream_relay import StreamRelay
+
+_MS = 1000.0
+# An engine that refuses is full or loads weights (0.4 s); others are tried
+# meanwhile.
+REFUSED_PAUSE_S = 0.15
+# Callers leave a stream after 2 s without an event. One that can be resumed
+# is moved before that, when its upstream has been silent for so long.
+STREAM_SILENT_S = 1.4
+# A plain upstream answers in some tens of ms, 0.25 s at its slowest; one
+# that is silent for so long is tried elsewhere if the request may repeat.
+PLAIN_SILENT_S = 0.45
+
+
+@dataclass(frozen=True)
+class Sent:
+    """Hold how a send ended, and the line that is logged of it."""
+
+    end: AttemptEnd
+    tried: Try
+
+
+class Send:
+    """Send one request to one upstream once.
+
+    The load that the request adds is counted until it ends, and all that
+    the answer tells of the upstream is learnt.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        wire: Wire,
+        placer: Placer,
+        request: CallerRequest,
+        admitted: Admitted,
+        target: Target,
+    ) -> None:
+        self._fleet = fleet
+        self._wire = wire
+        self._placer = placer
+        self._request = request
+        self._admitted = admitted
+        self._target = target
+        self._state = target.state
+        self._began_s = time.monotonic()
+        self._first_s: float | None = None
+        self._others = self._state.others(self._began_s)
+        self._ticket = self._state.open(target.read_ms, target.urgency)
+
+    def unfinished(self, reason: Reason) -> Try:
+        """Return the line of a send that was given up on."""
+        return self._tell(AttemptEnd(Verdict.MAY_HAVE_RUN, reason))
+
+    async def run(self, relay: StreamRelay, end_s: float) -> Sent:
+        """Send, pass a stream on, and return how it ended."""
+        self._note_parts()
+        streams = self._admitted.route.streams
+
+        async def on_piece(head: ReplyHead, piece: bytes) -> None:
+            self._begin()
+            await relay.take(head, piece)
+
+        attempt = Attempt(
+            self._request,
+            self._wire,
+            self._learn,
+            on_piece if streams else None,
+        )
+        left_s = end_s - self._began_s
+        silent_s = left_s
+        if self._admitted.route.may_repeat:
+            silent_s = STREAM_SILENT_S if streams else PLAIN_SILENT_S
+        try:
+            end = await attempt.run(
+                self._fleet.pool,
+                self._state.upstream,
+                self._dispatch(left_s, relay.last_event),
+                self._admitted.route.may_repeat,
+                silent_s,
+                silent_s,
+            )
+        finally:
+            self._begin()
+            self._state.closed()
+        self._judge(end)
+        return Sent(end, self._tell(end))
+
+    def _begin(self) -> None:
+        if self._first_s is not None:
+            return
+        self._first_s = time.monotonic()
+        self._state.began(self._ticket)
+
+    def _note_parts(self) -> None:
+        engine = self._admitted.service.engine
+        prompt = self._request.prompt
+        if engine is None or prompt is None:
+            return
+        self._placer.note_sent(self._target, prompt, engine, self._began_s)
+
+    def _dispatch(self, left_s: float, after_event: int | None) -> Dispatch:
+        target = self._target
+        team = self._admitted.team
+        return Dispatch(
+            self._state.upstream.upstream_id,
+            left_s,
+            None if team is None else team.name,
+            target.wall,
+            target.weights,
+            target.fetch_from,
+            target.save_to,
+            target.urgency if target.wall is not None else None,
+            after_event,
+        )
+
+    def _learn(self, head: ReplyHead) -> None:
+        if head.load is not None:
+            self._state.learn_load(head.load, time.monotonic())
+        prompt = self._request.prompt
+        if head.weights is not None and prompt is not None:
+            self._state.learn_weights(prompt.model, head.weights)
+
+    def _judge(self, end: AttemptEnd) -> None:
+        """Learn from the end how far the upstream is to be used."""
+        service = self._admitted.service.name
+        ATTEMPTS.labels(service, end.verdict.value).inc()
+        now_s = time.monotonic()
+        if end.verdict is Verdict.RAN:
+            self._state.succeeded()
+            if self._first_s is not None:
+                FIRST_SECONDS.labels(service).observe(
+                    self._first_s - self._request.received_s
+                )
+            return
+        if end.verdict is Verdict.MAY_HAVE_RUN:
+            self._state.failed(now_s)
+            return
+        if end.reason is Reason.WORKER_UNREACHABLE:
+            self._state.failed(now_s)
+            return
+        if end.reason is not Reason.STALE_WEIGHTS:
+            self._state.pause(now_s, REFUSED_PAUSE_S)
+
+    def _tell(self, end: AttemptEnd) -> Try:
+        target = self._target
+        first_ms = -1
+        if self._first_s is not None:
+            first_ms = int((self._first_s - self._began_s) * _MS)
+        return Try(
+            upstream=self._state.upstream.upstream_id,
+            verdict=end.verdict.value,
+            reason='' if end.verdict is Verdict.RAN else end.reason.value,
+            ms=int((time.monotonic() - self._began_s) * _MS),
+            status=0 if end.head is None else end.head.status,
+            expected_ms=int(target.first_ms),
+            waits_ms=int(target.waits_ms),
+            others=self._others,
+            weights=target.weights or 0,
+            first_ms=first_ms,
+        )
