--- /dev/null
+++ b/features/direct_store.feature
@@ -0,0 +1,141 @@
+Feature: A direct router and the platform's store
+
+  Rule: What is known of the store's answers is never older than promised
+
+    Background:
+      Given a store with a configuration
+      And plain upstreams "reg-1" and "reg-2"
+      And a direct router
+
+    Scenario: A key that is taken away is refused
+      When the key of a team is taken away
+      Then a request with that key soon gets 401
+
+    Scenario Outline: Keys are refused while they can't be confirmed
+      # Symptom: a request runs with a key taken away seconds before.
+      # Sequence: the store stops answering one router; a key is taken away;
+      #   the router goes on with the configuration it has.
+      # Cause: a configuration was believed for as long as none newer came.
+      When the store is <mode>
+      Then a request with a key soon gets 503
+      When the store is calm
+      Then a request with a key soon gets 200
+
+      Examples:
+        | mode   |
+        | busy   |
+        | silent |
+        | reset  |
+
+    Scenario: An older configuration never comes back
+      # Symptom: a route that was added is gone again for some requests.
+      # Sequence: a late answer brings an older configuration.
+      # Cause: the last answer was taken, not the highest version.
+      When a route is added and then an older configuration is written
+      Then a request on the new route still gets 200
+
+    Scenario: A history that is gone is read anew
+      Given the store forgets its history while watches hear nothing
+      When the key of a team is taken away
+      And the store is calm
+      Then a request with that key soon gets 401
+
+    Scenario: More upstreams than a page of the list holds
+      Given 7 more plain upstreams
+      When a router starts now
+      Then it sends requests to all of them
+
+  Rule: Upstreams come and go by their entries
+
+    Background:
+      Given a store with a configuration
+      And plain upstreams "reg-1" and "reg-2"
+      And a direct router
+
+    Scenario Outline: An upstream that leaves gets nothing new
+      When upstream "reg-1" <leaves>
+      Then soon only "reg-2" receives requests
+
+      Examples:
+        | leaves                    |
+        | says that it is leaving   |
+        | loses its entry           |
+
+    Scenario: An upstream that was leaving does not come back
+      # Symptom: a request reaches an upstream that is shutting down.
+      # Sequence: its entry says leaving, then a late entry says ready.
+      # Cause: the last entry counted, though leaving is final.
+      When upstream "reg-1" says that it is leaving and then that it is ready
+      Then soon only "reg-2" receives requests
+
+    Scenario: Entries that lapsed in an outage are kept for a while
+      # Symptom: after an outage of the store a router refuses everything.
+      # Sequence: the store is away; the entries of living upstreams lapse;
+      #   the router believes the first list after the outage.
+      # Cause: a missing entry was taken for an upstream that is gone.
+      When the store returns from an outage with no upstream left
+      Then a request with a key soon gets 200
+      And after a while requests get 503
+
+  Rule: New weights are ordered by one router at a time
+
+    Background:
+      Given a store with a configuration
+      And engines "eng-1" and "eng-2"
+      And a direct router
+
+    Scenario: Named weights reach all engines
+      When new weights are named
+      Then all engines have them, by orders of one holder
+
+    Scenario: Versions named in quick succession
+      When three versions of weights are named at once
+      Then all engines have the last one
+      And no engine was ordered an older version after a newer one
+
+    Scenario: A late order is refused by the count of orders
+      # Symptom: an engine goes back to older weights.
+      # Sequence: an order gets no answer; a newer one is carried out; the
+      #   late one arrives.
+      # Cause: an order did not say after how many others it was meant.
+      When new weights are named
+      Then every order names the count of orders taken before it
+
+    Scenario: A second router takes over when the first is gone
+      # Symptom: new weights are never loaded.
+      # Sequence: the router that gives orders dies.
+      # Cause: nobody else may give orders.
+      Given a second direct router
+      When the router that gives orders dies and new weights are named
+      Then all engines have them, by orders of the other holder
+      And the fencing number has grown
+
+    Scenario Outline: The lease survives answers that are lost or late
+      Given the store <mode> the answers of writes for a while
+      When new weights are named
+      Then all engines have them, by orders of one holder
+
+      Examples:
+        | mode  |
+        | loses |
+        | late  |
+
+  Rule: A drain cuts nothing
+
+    Background:
+      Given a store with a configuration
+      And plain upstreams "reg-1" and "reg-2"
+      And a direct router
+
+    Scenario: Open requests are finished
+      # Symptom: a caller's answer is cut when a router is restarted.
+      # Sequence: a request is under way when the stop comes.
+      # Cause: connections were closed before their answers were out.
+      Given all upstreams hold their answers
+      When a router is stopped during a request and the answers go on
+      Then the request gets 200 and the end of its connection is announced
+      And the router is not ready
+
+    Scenario: A kept connection is closed after its next answer
+      When a router is stopped and a request comes on a kept connection
+      Then the request gets 200 and the end of its connection is announced
--- /dev/null
+++ b/features/steps/direct_store_steps.py
@@ -0,0 +1,346 @@
+"""Check a direct router's view of the platform's store."""
+
+import http.client
+import threading
+from functools import partial
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+from behave.runner import Context
+from lacewing_platform_testing import StoreMode
+from support.direct_bench import Answer
+from support.direct_bench import direct_bench
+from support.direct_bench import KEY
+from support.direct_bench import MODEL
+from support.direct_bench import route
+from support.direct_bench import sleep
+
+MODES = {
+    'busy': StoreMode.BUSY,
+    'silent': StoreMode.SILENT,
+    'reset': StoreMode.RESET,
+    'calm': StoreMode.CALM,
+    'loses': StoreMode.LOSES,
+    'late': StoreMode.LATE,
+}
+
+
+@given('{count:d} more plain upstreams')
+def step_more(context: Context, count: int) -> None:
+    """Register upstreams beyond one page."""
+    for number in range(count):
+        direct_bench(context).add_upstream(f'more-{number}', 'registry')
+
+
+@given('the store forgets its history while watches hear nothing')
+def step_deaf(context: Context) -> None:
+    """Have watches hear nothing, then forget what happened."""
+    bench = direct_bench(context)
+    bench.store.mode = StoreMode.DEAF
+
+
+@given('a second direct router')
+def step_second(context: Context) -> None:
+    """Start another router."""
+    bench = direct_bench(context)
+    bench.start_router('router-2')
+    bench.until_ready()
+
+
+@given('the store {mode} the answers of writes for a while')
+def step_lossy(context: Context, mode: str) -> None:
+    """Lose answers, and end that from a timer."""
+    bench = direct_bench(context)
+    bench.store.mode = MODES[mode]
+    timer = threading.Timer(1.0, _calm, [context])
+    timer.start()
+    context.resources.callback(timer.join)
+
+
+def _calm(context: Context) -> None:
+    direct_bench(context).store.mode = StoreMode.CALM
+
+
+@when('the store is {mode}')
+def step_mode(context: Context, mode: str) -> None:
+    """Set how the store treats calls."""
+    bench = direct_bench(context)
+    if bench.store.mode is StoreMode.DEAF:
+        bench.on_loop(bench.store.compact)
+    bench.store.mode = MODES[mode]
+
+
+@when('the key of a team is taken away')
+def step_revoke(context: Context) -> None:
+    """Write a configuration without the key."""
+    direct_bench(context).configure(
+        Tenants=[{'Name': 'north', 'ApiKeys': ['new'], 'Isolated': False}]
+    )
+
+
+@when('a route is added and then an older configuration is written')
+def step_older(context: Context) -> None:
+    """Write a newer and then an older configuration."""
+    bench = direct_bench(context)
+    older = dict(bench.config)
+    added = route('/added/', 'idempotent', 'registry')
+    bench.configure(Routes=[*bench.config['Routes'], added])
+    bench.until(lambda: bench.ask('/added/1').status == 200, 'the new route')
+    bench.on_loop(lambda: bench.store.put('config', 'main', older))
+    bench.run(sleep(0.3))
+
+
+@when('a router starts now')
+def step_start(context: Context) -> None:
+    """Replace the router by one that reads the whole list at once."""
+    bench = direct_bench(context)
+    old = bench.routers.pop()
+    bench.run(old.close())
+    bench.start_router('router-9')
+    bench.until_ready()
+
+
+@when('upstream "{name}" says that it is leaving')
+def step_leaving(context: Context, name: str) -> None:
+    """Change its entry."""
+    direct_bench(context).register(name, 'draining')
+
+
+@when('upstream "{name}" loses its entry')
+def step_removed(context: Context, name: str) -> None:
+    """Remove its entry."""
+    bench = direct_bench(context)
+    bench.on_loop(lambda: bench.store.remove('servers', name))
+
+
+@when('upstream "{name}" says that it is leaving and then that it is ready')
+def step_back(context: Context, name: str) -> None:
+    """Change its entry twice."""
+    bench = direct_bench(context)
+    bench.register(name, 'draining')
+    bench.run(sleep(0.3))
+    bench.register(name, 'ready')
+
+
+@when('the store returns from an outage with no upstream left')
+def step_lapse(context: Context) -> None:
+    """Remove all entries while the store is away."""
+    bench = direct_bench(context)
+    bench.store.mode = StoreMode.RESET
+    bench.run(sleep(0.3))
+    for name in bench.upstreams:
+        bench.on_loop(partial(bench.store.remove, 'servers', name))
+    bench.store.mode = StoreMode.CALM
+
+
+@when('new weights are named')
+def step_name(context: Context) -> None:
+    """Name the next version."""
+    _name(context, 2)
+
+
+@when('three versions of weights are named at once')
+def step_three(context: Context) -> None:
+    """Name versions faster than they can be loaded."""
+    for version in (2, 3, 4):
+        _name(context, version)
+
+
+@when('the router that gives orders dies and new weights are named')
+def step_holder_dies(context: Context) -> None:
+    """End the lease's holder without a release."""
+    bench = direct_bench(context)
+    bench.until(lambda: bool(_holder(context)), 'a holder')
+    context.first_holder = _holder(context)
+    names = ['router-1', 'router-2']
+    index = names.index(context.first_holder)
+    router = bench.routers.pop(index)
+    context.first_fence = _fence(context)
+    bench.run(router.close())
+    _name(context, 2)
+
+
+@when('a router is stopped during a request and the answers go on')
+def step_stop_during(context: Context) -> None:
+    """Stop the router while a caller waits for its answer."""
+    bench = direct_bench(context)
+    asking = threading.Thread(target=bench.ask)
+    asking.start()
+    bench.until(lambda: bool(bench.ran()), 'a run')
+    stopping = threading.Thread(
+        target=lambda: bench.run(bench.routers[0].stop())
+    )
+    stopping.start()
+    bench.until(lambda: not bench.routers[0].ready, 'a router that stops')
+    for upstream in bench.upstreams.values():
+        bench.on_loop(upstream.hold.set)
+    asking.join()
+    stopping.join()
+
+
+@when('a router is stopped and a request comes on a kept connection')
+def step_kept(context: Context) -> None:
+    """Use one connection before and after the stop begins."""
+    bench = direct_bench(context)
+    connection: http.client.HTTPConnection = bench.connect()
+    bench.ask_on(connection, '/records/1')
+    stopping = threading.Thread(
+        target=lambda: bench.run(bench.routers[0].stop())
+    )
+    stopping.start()
+    bench.until(lambda: not bench.routers[0].ready, 'a router that stops')
+    bench.ask_on(connection, '/records/2')
+    stopping.join()
+
+
+@then('a request with that key soon gets {status:d}')
+@then('a request with a key soon gets {status:d}')
+def step_soon(context: Context, status: int) -> None:
+    """Ask until the status comes."""
+    bench = direct_bench(context)
+    bench.until(lambda: bench.ask(key=KEY).status == status, f'a {status}')
+
+
+@then('a request on the new route still gets 200')
+def step_still(context: Context) -> None:
+    """Ask on the added route."""
+    assert direct_bench(context).ask('/added/2').status == 200
+
+
+@then('it sends requests to all of them')
+def step_all(context: Context) -> None:
+    """Ask until each upstream was used."""
+    bench = direct_bench(context)
+
+    def all_used() -> bool:
+        bench.ask()
+        return all(one.received for one in bench.upstreams.values())
+
+    bench.until(all_used, 'a request at every upstream')
+
+
+@then('soon only "{name}" receives requests')
+def step_only(context: Context, name: str) -> None:
+    """Wait until the other upstream is left out, then look on."""
+    bench = direct_bench(context)
+    others = [one for key, one in bench.upstreams.items() if key != name]
+
+    def left_out() -> bool:
+        before = [len(one.received) for one in others]
+        for _ in range(6):
+            bench.ask()
+        return before == [len(one.received) for one in others]
+
+    bench.until(left_out, 'no more requests at the other upstream')
+    assert left_out()
+
+
+@then('after a while requests get 503')
+def step_gone(context: Context) -> None:
+    """Ask until the lapsed entries are no longer believed."""
+    step_soon(context, 503)
+
+
+@then('all engines have them, by orders of one holder')
+def step_loaded(context: Context) -> None:
+    """Wait for the weights and look at who ordered them."""
+    _until_weights(context, 2)
+    holders = {order['Holder'] for order in _orders(context)}
+    assert holders == {'router-1'}, holders
+
+
+@then('all engines have the last one')
+def step_last(context: Context) -> None:
+    """Wait for the last version."""
+    _until_weights(context, 4)
+
+
+@then('no engine was ordered an older version after a newer one')
+def step_order(context: Context) -> None:
+    """Look at the orders of each engine."""
+    for upstream in direct_bench(context).upstreams.values():
+        versions = [str(order['Version']) for order in upstream.orders]
+        assert versions == sorted(versions), versions
+
+
+@then('every order names the count of orders taken before it')
+def step_count(context: Context) -> None:
+    """Look at the precondition of each order."""
+    _until_weights(context, 2)
+    for upstream in direct_bench(context).upstreams.values():
+        counts = [order['Precondition'] for order in upstream.orders]
+        assert counts == list(range(len(counts))), counts
+
+
+@then('all engines have them, by orders of the other holder')
+def step_other(context: Context) -> None:
+    """Wait for the weights and look at who ordered them."""
+    _until_weights(context, 2)
+    holders = {order['Holder'] for order in _orders(context)}
+    assert len(holders) == 1, holders
+    assert context.first_holder not in holders, holders
+
+
+@then('the fencing number has grown')
+def step_fence(context: Context) -> None:
+    """Compare with the dead holder's."""
+    for order in _orders(context):
+        assert order['FencingToken'] > context.first_fence, order
+
+
+@then('the request gets 200 and the end of its connection is announced')
+def step_announced(context: Context) -> None:
+    """Check the last answer."""
+    answer: Answer = direct_bench(context).answer
+    assert answer.status == 200, answer
+    assert answer.headers.get('Connection') == 'close', answer
+
+
+@then('the router is not ready')
+def step_not_ready(context: Context) -> None:
+    """Check the readiness."""
+    assert not direct_bench(context).routers[0].ready
+
+
+def _name(context: Context, version: int) -> None:
+    bench = direct_bench(context)
+    named = {'Model': MODEL, 'Version': version}
+    bench.on_loop(lambda: bench.store.put('versions', MODEL, named))
+
+
+def _until_weights(context: Context, version: int) -> None:
+    bench = direct_bench(context)
+
+    def loaded() -> bool:
+        return all(
+            one.weights[MODEL] == version for one in bench.upstreams.values()
+        )
+
+    bench.until(loaded, f'version {version} on all engines')
+
+
+def _orders(context: Context) -> list[dict[str, Any]]:
+    orders: list[dict[str, Any]] = []
+    for upstream in direct_bench(context).upstreams.values():
+        orders.extend(upstream.orders)
+    return orders
+
+
+def _lease(context: Context) -> str:
+    found = direct_bench(context).store.specification(
+        'lacewing-leases', 'weights'
+    )
+    return '' if found is None else str(found['text'])
+
+
+def _holder(context: Context) -> str:
+    for name in ('router-1', 'router-2'):
+        if f'"holder":"{name}"' in _lease(context):
+            return name
+    return ''
+
+
+def _fence(context: Context) -> int:
+    return direct_bench(context).store.revision
--- a/packages/daemon/src/lacewing_daemon/direct/_choice.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_choice.py
@@ -53,7 +53,8 @@
     that takes all of them answers all late, as each waits behind the
     reading of those before; refusing what surely comes late keeps the rest
     on time. The bounds in flight hold where other routers' requests, which
-    this one does not see, make the estimate too low.
+    this one does not see, make the estimate too low. Of engines that cost
+    the same the first wins, so the order is the caller's to choose.
     """
     best: Placement | None = None
     best_cost_ms = 0.0
@@ -83,7 +84,8 @@
     """Hold what a router knows of one upstream of a plain service.
 
     ``busy`` counts requests at the upstream, this router's and what it
-    last told of the others'.
+    last told of the others'. ``unused_s`` is the time since this router
+    sent there.
     """
 
     upstream_id: str
@@ -91,6 +93,7 @@
     busy: int
     slots: int
     in_flight: int
+    unused_s: float
 
 
 # An upstream of a plain service sheds when its queue is full, and what waits
@@ -105,15 +108,22 @@
 
     Load pattern: short requests on few slots. The least busy by its own
     word and by this router's open requests wins; the own zone counts only
-    while a slot is free there, as a wait costs more than the way.
+    while a slot is free there, as a wait costs more than the way. Of equal
+    ones the longest unused wins: with the first of the list all routers
+    would meet at the same upstream.
     """
     best: PlainView | None = None
-    best_rank = (0.0, 0, 0)
+    best_rank = (0.0, 0, 0, 0.0)
     for upstream in upstreams:
         if upstream.busy >= upstream.slots * _TURNS:
             continue
         waits = max(0, upstream.busy - upstream.slots + 1)
-        rank = (float(waits), int(not upstream.in_zone), upstream.busy)
+        rank = (
+            float(waits),
+            int(not upstream.in_zone),
+            upstream.busy,
+            -upstream.unused_s,
+        )
         if best is None or rank < best_rank:
             best = upstream
             best_rank = rank
--- a/packages/daemon/src/lacewing_daemon/direct/_placing.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_placing.py
@@ -20,6 +20,7 @@
 from lacewing_daemon.direct._upstream_state import UpstreamState
 from lacewing_daemon.direct._wall import cache_wall
 from lacewing_daemon.rendezvous import best
+from lacewing_daemon.rendezvous import ranked
 
 _MS = 1000.0
 _KEY_BYTES = 8
@@ -120,6 +121,7 @@
                     state.in_flight + state.others(now_s),
                     max(1, upstream.slots),
                     state.in_flight,
+                    state.unused_s(now_s),
                 )
             )
         placed = place_plain(views)
@@ -142,7 +144,7 @@
         urgency = urgency_of(admitted)
         views = []
         targets = {}
-        for state in usable:
+        for state in _in_order(prompt, usable):
             weights = state.weights(prompt.model) or named.version
             old = weights < named.version
             if old and named.age_s > self._old_limit_s:
@@ -195,9 +197,7 @@
         if len(stores) == 1:
             return stores[0]
         addresses = tuple(sorted(store.address for store in stores))
-        key = prompt.shared[-1].part_id.encode()
-        digest = blake2b(key, digest_size=_KEY_BYTES).digest()
-        chosen = best(digest, addresses)
+        chosen = best(_key(prompt), addresses)
         for store in stores:
             if store.address == chosen:
                 return store
@@ -259,3 +259,28 @@
             if state.upstream.upstream_id == upstream_id:
                 return state
         raise LookupError(f'expected {upstream_id} among the candidates')
+
+
+def _key(prompt: Prompt) -> bytes:
+    """Return the key of a prompt's longest shared part."""
+    part = prompt.parts[-1:] if not prompt.shared else prompt.shared[-1:]
+    text = ''.join(one.part_id for one in part)
+    return blake2b(text.encode(), digest_size=_KEY_BYTES).digest()
+
+
+def _in_order(
+    prompt: Prompt, states: list[UpstreamState]
+) -> list[UpstreamState]:
+    """Order engines for a prompt alike at all routers.
+
+    Where several cost the same, routers then send one subject to one engine
+    and different subjects to different ones. In the order of the list all
+    of them would meet at the first idle engine.
+    """
+    ids = tuple(state.upstream.upstream_id for state in states)
+    if len(ids) < 2:
+        return states
+    rank = {}
+    for position, name in enumerate(ranked(_key(prompt), ids, len(ids))):
+        rank[name] = position
+    return sorted(states, key=lambda one: rank[one.upstream.upstream_id])
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -67,7 +67,9 @@
         self._began_s = time.monotonic()
         self._first_s: float | None = None
         self._others = self._state.others(self._began_s)
-        self._ticket = self._state.open(target.read_ms, target.urgency)
+        self._ticket = self._state.open(
+            target.read_ms, target.urgency, self._began_s
+        )
 
     def unfinished(self, reason: Reason) -> Try:
         """Return the line of a send that was given up on."""
--- a/packages/daemon/src/lacewing_daemon/direct/_upstream_state.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_upstream_state.py
@@ -37,6 +37,7 @@
     def __init__(self, upstream: Upstream) -> None:
         self._upstream = upstream
         self._in_flight = 0
+        self._sent_s = 0.0
         self._waiting: set[Ticket] = set()
         self._weights = dict(upstream.weights)
         self._told: UpstreamLoad | None = None
@@ -56,6 +57,10 @@
         """Return this router's open requests there."""
         return self._in_flight
 
+    def unused_s(self, now_s: float) -> float:
+        """Return the time since a request was sent there."""
+        return now_s - self._sent_s
+
     def waiting(self, urgency: int) -> int:
         """Return those without a first event that go before an urgency."""
         count = 0
@@ -118,9 +123,10 @@
             return 0
         return max(0, self._told.waiting - len(self._waiting))
 
-    def open(self, read_ms: float, urgency: int) -> Ticket:
+    def open(self, read_ms: float, urgency: int, now_s: float) -> Ticket:
         """Count a request that is sent there."""
         self._in_flight += 1
+        self._sent_s = now_s
         ticket = Ticket(read_ms, urgency)
         self._waiting.add(ticket)
         return ticket
