Ask engines for the version named once older weights are overdue

Ruled out: the store (the router followed it again 24 s before), the load. Change: an overdue engine is asked for the version named and refuses by itself if it lacks it; a direct router goes on draining at a repeated stop.

--- a/features/direct_store.feature
+++ b/features/direct_store.feature
@@ -101,6 +101,16 @@
       When new weights are named
       Then every order names the count of orders taken before it
 
+    Scenario: Entries that go on naming old weights stop no router
+      # Symptom: a router refuses all prompts for ever; the others serve.
+      # Sequence: engines load new weights; their entries still name the old
+      #   ones; a router starts and, once the old are overdue, leaves all
+      #   engines out. It sends nothing, so no answer tells it better.
+      # Cause: an engine was judged only by what its entry says.
+      Given a second direct router
+      When engines load new weights that their entries never name
+      Then a router that starts now answers prompts when old ones are overdue
+
     Scenario: A second router takes over when the first is gone
       # Symptom: new weights are never loaded.
       # Sequence: the router that gives orders dies.
--- a/features/steps/direct_store_steps.py
+++ b/features/steps/direct_store_steps.py
@@ -9,8 +9,10 @@
 from behave import then
 from behave import when
 from behave.runner import Context
+from lacewing_daemon.direct._fleet import OLD_WEIGHTS_PART
 from lacewing_platform_testing import StoreMode
 from support.direct_bench import Answer
+from support.direct_bench import BOUNDS
 from support.direct_bench import direct_bench
 from support.direct_bench import KEY
 from support.direct_bench import MODEL
@@ -162,6 +164,30 @@
     _name(context, 2)
 
 
+@when('engines load new weights that their entries never name')
+def step_unnamed(context: Context) -> None:
+    """Load new weights; the stand-ins' entries stay as they are."""
+    _name(context, 2)
+    _until_weights(context, 2)
+
+
+@then('a router that starts now answers prompts when old ones are overdue')
+def step_overdue(context: Context) -> None:
+    """Start a router, wait until older weights are refused, then ask it."""
+    bench = direct_bench(context)
+    router = bench.start_router('router-3')
+    bench.routers.remove(router)
+    bench.routers.insert(0, router)
+    bench.until_ready()
+    limit_s = BOUNDS.weights_s * OLD_WEIGHTS_PART
+
+    def overdue() -> bool:
+        return router.weights_age_s(MODEL) > limit_s
+
+    bench.until(overdue, 'weights that are overdue')
+    assert bench.ask_model().status == 200, bench.answer
+
+
 @when('a router is stopped during a request and the answers go on')
 def step_stop_during(context: Context) -> None:
     """Stop the router while a caller waits for its answer."""
--- a/packages/daemon/src/lacewing_daemon/_signals.py
+++ b/packages/daemon/src/lacewing_daemon/_signals.py
@@ -14,9 +14,14 @@
 
 
 class StopSignals:
-    """Set an event on the first stop signal; end at once on the second."""
+    """Set an event on the first stop signal; end at once on the second.
 
-    def __init__(self) -> None:
+    With ``patient`` the second changes nothing: where a platform stops
+    processes it may repeat the signal, and it kills what takes too long.
+    """
+
+    def __init__(self, patient: bool = False) -> None:
+        self._patient = patient
         self._stopping = asyncio.Event()
         self._log = get_log(Part.MAIN)
 
@@ -32,6 +37,9 @@
             loop.add_signal_handler(number, self._on_signal, number)
 
     def _on_signal(self, number: signal.Signals) -> None:
+        if self._stopping.is_set() and self._patient:
+            self._log.info('Drains already.', signal=number.name)
+            return
         if self._stopping.is_set():
             # An operator who asks twice no longer wants to wait for streams
             # that a dead caller may hold open until the drain period ends.
--- a/packages/daemon/src/lacewing_daemon/direct/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_exchange.py
@@ -30,6 +30,7 @@
 from lacewing_daemon.direct._request_log import RequestLog
 from lacewing_daemon.direct._request_log import Try
 from lacewing_daemon.direct._send import Send
+from lacewing_daemon.direct._send import Sent
 from lacewing_daemon.direct._site import Wire
 from lacewing_daemon.direct._stream_relay import StreamRelay
 from lacewing_daemon.refusals import Refusals
@@ -143,7 +144,7 @@
             if sent.end.verdict is Verdict.RAN:
                 await self._deliver(relay, sent.end)
                 return None
-            refusal = self._settle(admitted, target, sent.end)
+            refusal = self._settle(admitted, target, sent)
             if refusal is not None:
                 return refusal
             relay.restart()
@@ -188,12 +189,13 @@
         return (self._request.received_s + wanted_s - now_s) * _MS
 
     def _settle(
-        self, admitted: Admitted, target: Target, end: AttemptEnd
+        self, admitted: Admitted, target: Target, sent: Sent
     ) -> Refusal | None:
         """Return why no further send is made, None to send once more."""
         state = target.state
+        end = sent.end
         if end.verdict is Verdict.NOT_RUN:
-            if not self._told_weights(target, end):
+            if not sent.told_newer:
                 self._tried |= {state.upstream.upstream_id}
             refusal = not_run(
                 end.reason, 'the upstream refused', REFUSED_RETRY_S
@@ -210,13 +212,6 @@
             return lost
         return None
 
-    def _told_weights(self, target: Target, end: AttemptEnd) -> bool:
-        """Tell whether a refusal named the version to ask for instead."""
-        prompt = self._request.prompt
-        if end.reason is not Reason.STALE_WEIGHTS or prompt is None:
-            return False
-        return target.state.weights(prompt.model) != target.weights
-
     async def _deliver(self, relay: StreamRelay, end: AttemptEnd) -> None:
         assert end.head is not None
         if self._reply.begun:
--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -26,6 +26,10 @@
 DIRECTORY_WAIT_S = 1.2
 UPSTREAMS_WAIT_S = 2.0
 WEIGHTS_WAIT_S = 4.0
+# After a change the next call waits this long, so that a series of changes
+# takes one call; well below the 2 s in which they must be in force.
+DIRECTORY_GATHER_S = 0.15
+UPSTREAMS_GATHER_S = 0.4
 # The part of the time to refuse revoked keys after which an unconfirmed
 # configuration is no longer believed; the rest covers the way of a request
 # and a store whose watches are a second behind.
@@ -59,10 +63,19 @@
         self._bounds = settings.bounds
         random = Random()
         self._directories: Followed[Directory] = Followed(
-            'configuration', site.directories, DIRECTORY_WAIT_S, random
+            'configuration',
+            site.directories,
+            DIRECTORY_WAIT_S,
+            random,
+            gather_s=DIRECTORY_GATHER_S,
         )
         self._upstreams: Followed[Upstream] = Followed(
-            'upstreams', site.upstreams, UPSTREAMS_WAIT_S, random, True
+            'upstreams',
+            site.upstreams,
+            UPSTREAMS_WAIT_S,
+            random,
+            True,
+            UPSTREAMS_GATHER_S,
         )
         self._weights: Followed[NamedWeights] = Followed(
             'weights', site.weights, WEIGHTS_WAIT_S, random
--- a/packages/daemon/src/lacewing_daemon/direct/_followed.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_followed.py
@@ -48,12 +48,14 @@
         wait_s: float,
         random: Random,
         keep_lapsed: bool = False,
+        gather_s: float = 0.0,
     ) -> None:
         self._name = name
         self._collection = collection
         self._wait_s = wait_s
         self._backoff = Backoff(BACKOFF_BASE_S, BACKOFF_CAP_S, random)
         self._keep_lapsed = keep_lapsed
+        self._gather_s = gather_s
         self._entries: dict[str, T] = {}
         self._lapsed: dict[str, asyncio.TimerHandle] = {}
         self._callbacks: list[OnChange[T]] = []
@@ -114,6 +116,10 @@
             self._regained()
             self._take(answer)
             self._confirmed_s = sent_s
+            if isinstance(answer, Changes) and answer.changed:
+                # Changes come in series; a call for each would cost several
+                # times the calls that waiting makes.
+                await asyncio.sleep(self._gather_s)
 
     async def _next(
         self,
--- a/packages/daemon/src/lacewing_daemon/direct/_placing.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_placing.py
@@ -89,6 +89,7 @@
                 continue
             if state.usable(now_s):
                 usable.append(state)
+        usable = _heard(usable, now_s)
         engine = admitted.service.engine
         if engine is None or request.prompt is None:
             return self._plain(usable, now_s)
@@ -148,7 +149,10 @@
             weights = state.weights(prompt.model) or named.version
             old = weights < named.version
             if old and named.age_s > self._old_limit_s:
-                continue
+                # Nothing may begin on older weights by now. What is known
+                # of the engine may be old itself, and nobody would tell: it
+                # is asked for the version named, and refuses if it lacks it.
+                weights = named.version
             wall = cache_wall(admitted.team, prompt.model, weights)
             read_ms = self._read_ms(
                 state, wall, prompt, engine, kv_store, now_s
@@ -284,3 +288,9 @@
     for position, name in enumerate(ranked(_key(prompt), ids, len(ids))):
         rank[name] = position
     return sorted(states, key=lambda one: rank[one.upstream.upstream_id])
+
+
+def _heard(states: list[UpstreamState], now_s: float) -> list[UpstreamState]:
+    """Leave out upstreams that have fallen silent, unless all have."""
+    heard = [state for state in states if not state.silent(now_s)]
+    return heard or states
--- a/packages/daemon/src/lacewing_daemon/direct/_router.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_router.py
@@ -58,7 +58,7 @@
     ) -> None:
         self._settings = settings
         self._read_again = read_again
-        self._signals = StopSignals()
+        self._signals = StopSignals(patient=True)
         self._stopping = False
         self._planning: asyncio.Task[None] | None = None
         self._fleet = Fleet(settings, site)
@@ -80,6 +80,7 @@
             LEASE_S,
             LEASE_MARGIN_S,
             boot_s,
+            peek=site.store.peek,
         )
         self._planner = WeightsPlanner(
             self._fleet,
@@ -99,6 +100,10 @@
         """Tell whether new connections should be sent here."""
         return self._fleet.ready and not self._stopping
 
+    def weights_age_s(self, model: str) -> float:
+        """Return for how long the newest weights of a model are named."""
+        return self._fleet.named_weights(model).age_s
+
     async def run(self) -> Exit:
         """Serve until a stop signal, then end what is open."""
         self._signals.listen()
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -35,10 +35,15 @@
 
 @dataclass(frozen=True)
 class Sent:
-    """Hold how a send ended, and the line that is logged of it."""
+    """Hold how a send ended, and the line that is logged of it.
+
+    ``told_newer``: the upstream refused as it has newer weights, and named
+    their version.
+    """
 
     end: AttemptEnd
     tried: Try
+    told_newer: bool
 
 
 class Send:
@@ -82,6 +87,7 @@
 
         async def on_piece(head: ReplyHead, piece: bytes) -> None:
             self._begin()
+            self._state.heard(time.monotonic())
             await relay.take(head, piece)
 
         attempt = Attempt(
@@ -106,8 +112,10 @@
         finally:
             self._begin()
             self._state.closed()
-        self._judge(end)
-        return Sent(end, self._tell(end))
+        told_newer = self._told_newer(end)
+        if not told_newer:
+            self._judge(end)
+        return Sent(end, self._tell(end), told_newer)
 
     def _begin(self) -> None:
         if self._first_s is not None:
@@ -138,6 +146,7 @@
         )
 
     def _learn(self, head: ReplyHead) -> None:
+        self._state.heard(time.monotonic())
         if head.load is not None:
             self._state.learn_load(head.load, time.monotonic())
         prompt = self._request.prompt
@@ -162,8 +171,14 @@
         if end.reason is Reason.WORKER_UNREACHABLE:
             self._state.failed(now_s)
             return
-        if end.reason is not Reason.STALE_WEIGHTS:
-            self._state.pause(now_s, REFUSED_PAUSE_S)
+        self._state.pause(now_s, REFUSED_PAUSE_S)
+
+    def _told_newer(self, end: AttemptEnd) -> bool:
+        prompt = self._request.prompt
+        if end.reason is not Reason.STALE_WEIGHTS or prompt is None:
+            return False
+        told = self._state.weights(prompt.model) or 0
+        return told > (self._target.weights or 0)
 
     def _tell(self, end: AttemptEnd) -> Try:
         target = self._target
--- a/packages/daemon/src/lacewing_daemon/direct/_site.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_site.py
@@ -11,6 +11,7 @@
 from typing import TypeVar
 
 from lacewing_common.store import SingleObjects
+from lacewing_common.store import StoredObject
 from lacewing_common.store import StoreError
 from tornado.httputil import HTTPHeaders
 
@@ -120,6 +121,13 @@
         """Order an upstream to load weights."""
 
 
+class OwnObjects(SingleObjects, Protocol):
+    """Keep the system's own objects."""
+
+    async def peek(self, kind: str, name: str) -> StoredObject | StoreError:
+        """Read one object cheaply; it may be seconds old."""
+
+
 class Site(Protocol):
     """Hold all that the platform keeps for the system."""
 
@@ -136,7 +144,7 @@
         """Return the versions of weights that operators named."""
 
     @property
-    def store(self) -> SingleObjects:
+    def store(self) -> OwnObjects:
         """Return the object store for the system's own objects."""
 
     @property
--- a/packages/daemon/src/lacewing_daemon/direct/_upstream_state.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_upstream_state.py
@@ -14,6 +14,9 @@
 HELD_S = 8.0
 # Failures in a row after which an upstream is left alone for a while.
 FAILURES_TO_SHUN = 3
+# Nine in ten first events come within 0.2 s, and a loaded engine is heard
+# all the time; only one request alone with a long prompt is quiet so long.
+SILENT_S = 0.35
 SHUN_BASE_S = 0.5
 SHUN_CAP_S = 4.0
 
@@ -29,6 +32,7 @@
 
     read_ms: float
     urgency: int
+    sent_s: float
 
 
 class UpstreamState:
@@ -38,6 +42,7 @@
         self._upstream = upstream
         self._in_flight = 0
         self._sent_s = 0.0
+        self._heard_s = 0.0
         self._waiting: set[Ticket] = set()
         self._weights = dict(upstream.weights)
         self._told: UpstreamLoad | None = None
@@ -95,6 +100,23 @@
         """Tell whether requests may be sent there now."""
         return not self._upstream.leaving and now_s >= self._shunned_until_s
 
+    def silent(self, now_s: float) -> bool:
+        """Tell whether requests wait there and nothing at all is heard.
+
+        An upstream that lost its power answers nothing, and a request that
+        must not repeat is lost with it. Connections show that after 1.5 s;
+        by then each router has sent it many more. A busy upstream is heard:
+        its other answers go on.
+        """
+        if not self._waiting:
+            return False
+        oldest_s = min(ticket.sent_s for ticket in self._waiting)
+        return now_s - max(oldest_s, self._heard_s) > SILENT_S
+
+    def heard(self, now_s: float) -> None:
+        """Note that anything came from the upstream."""
+        self._heard_s = now_s
+
     def weights(self, model: str) -> int | None:
         """Return the version of a model's weights there."""
         return self._weights.get(model)
@@ -127,7 +149,7 @@
         """Count a request that is sent there."""
         self._in_flight += 1
         self._sent_s = now_s
-        ticket = Ticket(read_ms, urgency)
+        ticket = Ticket(read_ms, urgency, now_s)
         self._waiting.add(ticket)
         return ticket
 
--- a/packages/daemon/src/lacewing_daemon/lease.py
+++ b/packages/daemon/src/lacewing_daemon/lease.py
@@ -5,6 +5,7 @@
 """
 
 import time
+from collections.abc import Awaitable
 from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
@@ -24,6 +25,7 @@
 _LONG_S = 3600.0
 
 Clock = Callable[[], float]
+Peek = Callable[[str, str], Awaitable[StoredObject | StoreError]]
 
 
 class LeaseRecord(msgspec.Struct, frozen=True):
@@ -58,6 +60,8 @@
 class Lease:
     """Acquire, renew and release one lease.
 
+    ``peek`` reads an object cheaply and maybe late, as those who wait for
+    the lease do all the time: an old version only makes them wait longer.
     Durations are measured by the process's own monotonic clock: ``margin_s``
     covers what clocks and calls under way may differ.
     """
@@ -71,8 +75,10 @@
         margin_s: float,
         clock: Clock = time.monotonic,
         random: Random | None = None,
+        peek: Peek | None = None,
     ) -> None:
         self._store = store
+        self._peek = peek or store.get
         self._name = name
         self._holder = holder
         self._duration_s = duration_s
@@ -117,6 +123,11 @@
             answer = await self._write(self._holder, self._fence)
             if isinstance(answer, Held) or self.held:
                 return answer
+        glimpse = await self._peek(LEASES, self._name)
+        if isinstance(glimpse, StoredObject):
+            waiting = self._look(glimpse)
+            if waiting is not None:
+                return waiting
         seen = await self._store.get(LEASES, self._name)
         if isinstance(seen, StoreError):
             if seen.fault is not StoreFault.NOT_FOUND:
