--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -29,7 +29,7 @@
 # After a change the next call waits this long, so that a series of changes
 # takes one call; well below the 2 s in which they must be in force.
 DIRECTORY_GATHER_S = 0.15
-UPSTREAMS_GATHER_S = 0.4
+UPSTREAMS_GATHER_S = 0.2
 # The part of the time to refuse revoked keys after which an unconfirmed
 # configuration is no longer believed; the rest covers the way of a request
 # and a store whose watches are a second behind.
