Let a paused log reader go when its scenario fails

Cause: a run of the whole suite hung for 210 s: the scenario failed while the steps were being written, and closing the pipe waited for the thread that writes to it. Change: the reader is closed first.

--- a/features/steps/direct_load_steps.py
+++ b/features/steps/direct_load_steps.py
@@ -340,9 +340,12 @@
 @given('a log whose reader is paused')
 def step_paused(context: Context) -> None:
     """Open a pipe that nobody reads."""
-    context.read_end, write_end = os.pipe()
+    read_end, write_end = os.pipe()
+    context.reader = os.fdopen(read_end)
     context.pipe = os.fdopen(write_end, 'w')
     context.resources.callback(context.pipe.close)
+    # Closed first, so that a thread that waits to write is let go.
+    context.resources.callback(context.reader.close)
     context.output = LineOutput(context.pipe, max_lines=100)
 
 
@@ -373,14 +376,13 @@
 def step_told(context: Context) -> None:
     """Read until the lines that were kept and the count add up."""
     kept, dropped = 0, 0
-    with os.fdopen(context.read_end) as reader:
-        for line in reader:
-            read = json.loads(line)
-            if 'count' in read:
-                dropped += read['count']
-            else:
-                kept += 1
-            if kept + dropped == context.written:
-                break
+    for line in context.reader:
+        read = json.loads(line)
+        if 'count' in read:
+            dropped += read['count']
+        else:
+            kept += 1
+        if kept + dropped == context.written:
+            break
     assert kept + dropped == context.written, (kept, dropped)
     assert dropped > 0
