--- /dev/null
+++ b/features/direct_settings.feature
@@ -0,0 +1,18 @@
+Feature: Settings of a direct router are checked
+
+  Scenario Outline: A wrong field is named with what was expected
+    When settings of a direct router have <value> at <field>
+    Then they are refused with "<message>"
+
+    Examples:
+      | field          | value     | message                                 |
+      | callers        | "here"    | at `$.callers`                          |
+      | platform       | ""        | at `$.platform`                         |
+      | metrics        | "1.2.3.4" | at `$.metrics`                          |
+      | bounds.drain_s | -1        | expected a number of at least 0, got -1 |
+      | bounds.drain_s | "soon"    | $.bounds.drain_s                        |
+      | log_level      | "loud"    | $.log_level                             |
+
+  Scenario: The template of the users' platform gives valid settings
+    When the template is filled with the fields that the platform gives
+    Then the settings are valid and hold the platform's bounds in seconds
--- /dev/null
+++ b/features/steps/direct_settings_steps.py
@@ -0,0 +1,99 @@
+"""Check the settings of direct routers and the template for them."""
+
+import json
+import re
+import tempfile
+from pathlib import Path
+from typing import Any
+
+from behave import then
+from behave import when
+from behave.runner import Context
+from lacewing_common.settings import SettingsError
+from lacewing_daemon.direct import DirectSettings
+from lacewing_daemon.direct import read_direct_settings
+
+TEMPLATE = Path('deploy/router.json')
+VALID: dict[str, Any] = {
+    'process_id': 'router-1',
+    'availability_zone': 'east',
+    'callers': '10.0.0.1:80',
+    'ready': '10.0.0.1:81',
+    'platform': '10.0.0.9:82',
+    'bounds': {
+        'drain_s': 8,
+        'revoke_s': 5,
+        'lease_s': 3,
+        'weights_s': 8,
+        'repeat_ratio': 0.2,
+        'repeat_slack': 54,
+        'repeat_window_s': 10,
+    },
+}
+FIELDS = {
+    'NodeName': 'frontend-1',
+    'Zone': 'east',
+    'IpAddress': '10.0.0.1',
+    'ListenAddresses.Frontend': '10.0.0.1:80',
+    'ListenAddresses.Ready': '10.0.0.1:81',
+    'PlatformSettings.Address': '10.0.0.9:82',
+    'Bounds.GracePeriodS': 8,
+    'Bounds.RevocationMs': 5000,
+    'Bounds.LeaseDurationMs': 3000,
+    'Bounds.VersionMs': 8000,
+    'Bounds.RetryBudgetRatio': 0.2,
+    'Bounds.RetryBudgetSlack': 54,
+    'Bounds.BudgetWindowS': 10,
+}
+
+
+def _read(text: str) -> DirectSettings:
+    with tempfile.TemporaryDirectory() as directory:
+        path = Path(directory) / 'settings.json'
+        path.write_text(text)
+        return read_direct_settings(path)
+
+
+@when('settings of a direct router have {value} at {field}')
+def step_wrong(context: Context, value: str, field: str) -> None:
+    """Change one field of valid settings."""
+    settings = json.loads(json.dumps(VALID))
+    holder = settings
+    *groups, name = field.split('.')
+    for group in groups:
+        holder = holder[group]
+    holder[name] = json.loads(value)
+    context.refused = ''
+    try:
+        _read(json.dumps(settings))
+    except SettingsError as error:
+        context.refused = str(error)
+
+
+@then('they are refused with "{message}"')
+def step_refused(context: Context, message: str) -> None:
+    """Check the message."""
+    assert message in context.refused, context.refused
+
+
+@when('the template is filled with the fields that the platform gives')
+def step_template(context: Context) -> None:
+    """Fill each placeholder as the platform does."""
+
+    def fill(match: re.Match[str]) -> str:
+        name, _, form = match.group(1).partition('|')
+        value = FIELDS[name]
+        return json.dumps(value) if form == 'json' else str(value)
+
+    text = re.sub(r'\{\{([^}]+)\}\}', fill, TEMPLATE.read_text())
+    context.settings = _read(text)
+
+
+@then("the settings are valid and hold the platform's bounds in seconds")
+def step_valid(context: Context) -> None:
+    """Check addresses and units."""
+    settings: DirectSettings = context.settings
+    assert settings.callers == '10.0.0.1:80', settings
+    assert settings.metrics == '10.0.0.1:9464', settings
+    assert settings.bounds.revoke_s == 5.0, settings
+    assert settings.bounds.weights_s == 8.0, settings
