--- a/Makefile
+++ b/Makefile
@@ -89,3 +89,9 @@
 .PHONY: capacity
 capacity: $(VENV)/.made
 	$(BIN)/python -m lacewing_bench.capacity
+
+# Real routers under random faults: make soak [FIRST=1] [LAST=50]
+.PHONY: soak
+soak: $(VENV)/.made
+	$(BIN)/python -m lacewing_platform_testing.soak \
+		$(or $(FIRST),1) $(or $(LAST),50)
