--- a/packages/common/src/lacewing_common/log_output.py
+++ b/packages/common/src/lacewing_common/log_output.py
@@ -23,7 +23,9 @@
     def __init__(self, stream: TextIO, max_lines: int = MAX_LINES) -> None:
         self._stream = stream
         self._lines: queue.Queue[str | None] = queue.Queue(max_lines)
+        # Each is written by one thread only, so that no count is lost.
         self._dropped = 0
+        self._told = 0
         self._idle = threading.Event()
         self._idle.set()
         self._thread = threading.Thread(target=self._run, daemon=True)
@@ -33,7 +35,7 @@
     @property
     def dropped(self) -> int:
         """Return the lines dropped since the last that were told."""
-        return self._dropped
+        return self._dropped - self._told
 
     def write(self, line: str) -> None:
         """Take one line; never waits."""
@@ -60,9 +62,9 @@
             self._put(line)
 
     def _put(self, line: str) -> None:
-        dropped = self._dropped
+        dropped = self.dropped
         if dropped:
-            self._dropped -= dropped
+            self._told += dropped
             line += f'{{"event": "log: Dropped lines.", "count": {dropped}}}\n'
         try:
             self._stream.write(line)
