--- a/features/direct_load.feature
+++ b/features/direct_load.feature
@@ -86,6 +86,71 @@
       When version 4 is named
       Then every order is for version 4
 
+    Scenario: Engines are ordered when their time has come
+      Given 9 engines with version 1 of which 6 load later
+      When version 2 is named
+      Then 3 of them are ordered, the idlest first
+
+    Scenario Outline: All routers agree when each engine loads
+      Given <engines> engines with weights of version 1
+      When two routers that list them in other orders compute their times
+      Then both have the same times for all of them
+      And <early> engines load at once or a turn later, at most <part> a turn
+      And the others load when runs have had time to end
+
+      Examples:
+        | engines | early | part |
+        | 1       | 1     | 1    |
+        | 5       | 3     | 2    |
+        | 9       | 5     | 3    |
+        | 22      | 11    | 8    |
+
+    Scenario: Engines that were left alone load the next version first
+      Given 5 engines with weights of version 1
+      And of these 3 have loaded version 2
+      When version 3 is named early
+      Then the 2 with version 1 load before all others
+
+    Scenario Outline: A run that would outlast an engine's weights goes elsewhere
+      # Symptom: a tenth of the tokens made are worth nothing.
+      # Sequence: a run begins; its engine loads new weights half a second
+      #   later; the rest of the answer mixes two versions.
+      # Cause: nobody but the holder of orders knew which engine loads next.
+      Given an engine that loads new weights in <load> ms
+      And a busier one that does not load, free after <busy> ms
+      When a prompt of <tokens> answer tokens is placed
+      Then the <chosen> engine gets it
+
+      Examples:
+        | load | busy | tokens | chosen  |
+        | 300  | 100  | 100    | busier  |
+        | 300  | 100  | 10     | loading |
+        | 3000 | 100  | 100    | loading |
+        | 300  | 400  | 100    | loading |
+        | -100 | 100  | 10     | busier  |
+        | -600 | 100  | 10     | loading |
+
+  Rule: Shared parts are read once
+
+    Scenario: The first prompts with a part meet at one engine
+      # Symptom: several engines read the same handbook after new weights.
+      # Sequence: two routers get prompts that share a part which neither
+      #   knows to be kept; each sends its own to the nearest engine.
+      # Cause: the own zone counted more than reading a part twice.
+      Given 5 engines in 4 zones and a router in each zone
+      When every router gets a prompt with the same new part
+      Then all of them choose the same engine
+
+    Scenario: Once a part is kept the own zone counts
+      Given 5 engines in 4 zones and a router in each zone
+      When the part is known to be kept and an engine of every zone has it
+      Then every router chooses an engine of its own zone
+
+    Scenario: A part is taken for kept only when it was read
+      Given 5 engines in 4 zones and a router in each zone
+      When a router has sent a prompt that was not answered yet
+      Then a second prompt with its part goes to the same engine
+
   Rule: Logs stay bounded and never hold anything up
 
     Scenario: Failures are told before answers
--- a/features/direct_store.feature
+++ b/features/direct_store.feature
@@ -27,6 +27,24 @@
         | silent |
         | reset  |
 
+    Scenario Outline: Waiting for changes keeps the configuration confirmed
+      # Symptom: a router without faults refuses requests with keys, some
+      #   seconds of each minute.
+      # Sequence: nothing changes; a call waits for a change; it returns;
+      #   the next one waits. Meanwhile the first one's sending is the last
+      #   moment that is confirmed.
+      # Cause: calls waited for a fixed time, whatever the time to refuse
+      #   keys.
+      Given keys that are taken away must be refused within <revoke> seconds
+      Then two calls that wait for changes end well before keys are doubted
+
+      Examples:
+        | revoke |
+        | 1      |
+        | 2      |
+        | 5      |
+        | 30     |
+
     Scenario: An older configuration never comes back
       # Symptom: a route that was added is gone again for some requests.
       # Sequence: a late answer brings an older configuration.
--- a/features/steps/direct_load_steps.py
+++ b/features/steps/direct_load_steps.py
@@ -4,6 +4,7 @@
 import os
 import threading
 from dataclasses import dataclass
+from dataclasses import replace
 from random import Random
 
 from behave import given
@@ -261,15 +262,24 @@
     context.engines = []
     for number in range(count):
         context.engines.append(
-            EngineWeights(f'e{number}', 1, 0, float('inf'), count - number)
+            EngineWeights(f'e{number}', 1, float('inf'), count - number)
         )
 
 
+@given('{count:d} engines with version 1 of which {late:d} load later')
+def step_engines_later(context: Context, count: int, late: int) -> None:
+    """Let the idlest engines load now, the others in a while."""
+    step_engines_at(context, count)
+    for number in range(late):
+        engine = context.engines[number]
+        context.engines[number] = replace(engine, due_in_s=3.0)
+
+
 @when('version {version:d} is named')
 def step_version(context: Context, version: int) -> None:
     """Ask which engines to order."""
     context.version = version
-    context.chosen = next_loads(context.engines, version)
+    context.chosen = next_loads(context.engines, version, LoadPolicy())
 
 
 @then('{count:d} of them are ordered, the idlest first')
@@ -287,13 +297,12 @@
     under_way = []
     for engine in context.engines:
         if engine.upstream_id in context.chosen:
-            engine = EngineWeights(
-                engine.upstream_id, 1, context.version, 0.2, 0
-            )
+            engine = EngineWeights(engine.upstream_id, 1, 0.2, 0)
         under_way.append(engine)
-    assert not next_loads(under_way, context.version)
-    under_way[-1] = EngineWeights('done', context.version, 2, 0.5, 0)
-    assert len(next_loads(under_way, context.version)) == 1
+    assert not next_loads(under_way, context.version, LoadPolicy())
+    under_way[-1] = EngineWeights('done', context.version, 0.5, 0)
+    chosen = next_loads(under_way, context.version, LoadPolicy())
+    assert len(chosen) == 1
 
 
 @then('every order is for version {version:d}')
@@ -303,9 +312,9 @@
     at_last = []
     for engine in context.engines:
         at_last.append(
-            EngineWeights(engine.upstream_id, version, 0, float('inf'), 0)
+            EngineWeights(engine.upstream_id, version, float('inf'), 0)
         )
-    assert not next_loads(at_last, version)
+    assert not next_loads(at_last, version, LoadPolicy())
 
 
 @when('{good:d} answered and {bad:d} failed requests end within a second')
--- a/features/steps/direct_store_steps.py
+++ b/features/steps/direct_store_steps.py
@@ -9,7 +9,9 @@
 from behave import then
 from behave import when
 from behave.runner import Context
-from lacewing_daemon.direct._fleet import OLD_WEIGHTS_PART
+from lacewing_daemon.direct._fleet import directory_wait_s
+from lacewing_daemon.direct._fleet import REVOKE_PART
+from lacewing_daemon.direct._knowledge import OLD_WEIGHTS_PART
 from lacewing_platform_testing import StoreMode
 from support.direct_bench import Answer
 from support.direct_bench import BOUNDS
@@ -36,6 +38,19 @@
         direct_bench(context).add_upstream(f'more-{number}', 'registry')
 
 
+@given('keys that are taken away must be refused within {revoke_s:d} seconds')
+def step_revoke_within(context: Context, revoke_s: int) -> None:
+    """Set the bound."""
+    context.revoke_s = float(revoke_s)
+
+
+@then('two calls that wait for changes end well before keys are doubted')
+def step_confirmed(context: Context) -> None:
+    """Compare the age that the configuration reaches with the limit."""
+    oldest_s = 2 * directory_wait_s(context.revoke_s)
+    assert 0 < oldest_s <= 0.9 * context.revoke_s * REVOKE_PART, oldest_s
+
+
 @given('the store forgets its history while watches hear nothing')
 def step_deaf(context: Context) -> None:
     """Have watches hear nothing, then forget what happened."""
--- /dev/null
+++ b/features/steps/load_times_steps.py
@@ -0,0 +1,112 @@
+"""Check when engines load new weights, and what is placed on them before."""
+
+from behave import given
+from behave import then
+from behave import when
+from behave.runner import Context
+from lacewing_daemon.direct._choice import EngineView
+from lacewing_daemon.direct._choice import place
+from lacewing_daemon.direct._loading import load_times
+from lacewing_daemon.direct._policy import LoadPolicy
+
+MODEL = 'tutor'
+POLICY = LoadPolicy()
+WANTED_MS = 1000.0
+
+
+@given('{count:d} engines with weights of version 1')
+def step_engines(context: Context, count: int) -> None:
+    """Set engines with equal weights."""
+    context.weights = {f'engine-{number}': 1 for number in range(count)}
+
+
+@given('of these {count:d} have loaded version 2')
+def step_loaded(context: Context, count: int) -> None:
+    """Let the first ones have newer weights."""
+    for engine in list(context.weights)[:count]:
+        context.weights[engine] = 2
+
+
+@when('two routers that list them in other orders compute their times')
+def step_two_routers(context: Context) -> None:
+    """Compute the times twice."""
+    turned = dict(reversed(context.weights.items()))
+    context.times = load_times(MODEL, 2, context.weights, POLICY)
+    context.others_times = load_times(MODEL, 2, turned, POLICY)
+
+
+@when('version 3 is named early')
+def step_early(context: Context) -> None:
+    """Compute the times of the next version."""
+    context.times = load_times(MODEL, 3, context.weights, POLICY)
+
+
+@then('both have the same times for all of them')
+def step_same(context: Context) -> None:
+    """Compare the two routers."""
+    assert context.times == context.others_times
+    assert set(context.times) == set(context.weights)
+
+
+@then(
+    '{early:d} engines load at once or a turn later, at most {part:d} a turn'
+)
+def step_early_ones(context: Context, early: int, part: int) -> None:
+    """Count the early engines, and those of each moment."""
+    limit_s = POLICY.load_late_ms / 1000
+    times = list(context.times.values())
+    assert sum(at_s < limit_s for at_s in times) == early, times
+    for at_s in times:
+        assert times.count(at_s) <= part, times
+
+
+@then('the others load when runs have had time to end')
+def step_late_ones(context: Context) -> None:
+    """Check that no engine loads in between."""
+    between_s = POLICY.load_turns * POLICY.load_turn_ms / 1000
+    late_s = POLICY.load_late_ms / 1000
+    for at_s in context.times.values():
+        assert at_s < between_s or at_s >= late_s, context.times
+
+
+@then('the {count:d} with version 1 load before all others')
+def step_oldest(context: Context, count: int) -> None:
+    """Check that the oldest weights go first."""
+    oldest = []
+    rest = []
+    for engine, at_s in context.times.items():
+        if context.weights[engine] == 1:
+            oldest.append(at_s)
+        else:
+            rest.append(at_s)
+    assert len(oldest) == count, context.weights
+    assert max(oldest) == 0.0, context.times
+    assert min(rest) > 0.0, context.times
+
+
+@given('an engine that loads new weights in {load_ms:d} ms')
+def step_loading(context: Context, load_ms: int) -> None:
+    """Set an idle engine that is about to load."""
+    context.views = [
+        EngineView('loading', True, 0.0, 10.0, 0, 0, float(load_ms))
+    ]
+
+
+@given('a busier one that does not load, free after {busy_ms:d} ms')
+def step_busier(context: Context, busy_ms: int) -> None:
+    """Set an engine with prompts to read."""
+    context.views.append(
+        EngineView('busier', True, float(busy_ms), 10.0, 1, 1)
+    )
+
+
+@when('a prompt of {tokens:d} answer tokens is placed')
+def step_place(context: Context, tokens: int) -> None:
+    """Place it with time enough for either engine."""
+    context.placed = place(context.views, WANTED_MS, POLICY, tokens)
+
+
+@then('the {chosen} engine gets it')
+def step_chosen(context: Context, chosen: str) -> None:
+    """Check the choice."""
+    assert context.placed.upstream_id == chosen, context.placed
--- a/features/support/direct_bench.py
+++ b/features/support/direct_bench.py
@@ -12,6 +12,7 @@
 from lacewing_bench.loop_thread import LoopThread
 from lacewing_daemon.direct import DirectRouter
 from lacewing_daemon.direct import DirectSettings
+from lacewing_daemon.direct._policy import LoadPolicy
 from lacewing_daemon.direct._settings import Bounds
 from lacewing_platform import PlatformSite
 from lacewing_platform import PlatformWire
@@ -34,6 +35,9 @@
     repeat_window_s=10.0,
 )
 
+# Shorter than in use, so that scenarios need not wait for the late engines.
+LOAD_LATE_MS = 400.0
+
 
 @dataclass(frozen=True)
 class Answer:
@@ -208,6 +212,7 @@
             ready='127.0.0.1:0',
             platform=self.store.address,
             bounds=BOUNDS,
+            policy=LoadPolicy(load_late_ms=LOAD_LATE_MS),
         )
         site = PlatformSite(settings.platform)
         self._sites.append(site)
--- a/packages/common/src/lacewing_common/platform_client.py
+++ b/packages/common/src/lacewing_common/platform_client.py
@@ -8,11 +8,11 @@
 
 import msgspec
 
-from lacewing_common._platform_http import Answer
-from lacewing_common._platform_http import Call
-from lacewing_common._platform_http import HttpCaller
-from lacewing_common._platform_http import NoAnswer
 from lacewing_common.backoff import Backoff
+from lacewing_common.platform_http import Answer
+from lacewing_common.platform_http import Call
+from lacewing_common.platform_http import HttpCaller
+from lacewing_common.platform_http import NoAnswer
 from lacewing_common.store import MUST_NOT_EXIST
 from lacewing_common.store import StoredObject
 from lacewing_common.store import StoreError
--- a/packages/daemon/src/lacewing_daemon/direct/_attempt.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_attempt.py
@@ -62,6 +62,7 @@
         may_repeat: bool,
         first_wait_s: float,
         gap_wait_s: float,
+        most_idle: int,
     ) -> AttemptEnd:
         """Send the request; cancelled, its connection is closed.
 
@@ -81,7 +82,10 @@
             end = self._judge(complete)
             if end.complete and end.head is not None and not end.head.closing:
                 pool.give_back(
-                    upstream.upstream_id, connection, end.head.keep_s
+                    upstream.upstream_id,
+                    connection,
+                    end.head.keep_s,
+                    most_idle,
                 )
                 kept = True
             return end
--- a/packages/daemon/src/lacewing_daemon/direct/_choice.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_choice.py
@@ -16,7 +16,9 @@
     ``waiting_ms``: reading still to be done for requests sent before.
     ``read_ms``: reading this prompt there, fetching included.
     ``waiting``, ``in_flight``: this router's requests there, without a
-    first event and in all.
+    first event and in all. ``load_in_ms``: time until it loads new weights,
+    negative once it has begun, infinite if it does not. ``handicap_ms``:
+    how much sooner than there a first event must be expected elsewhere.
     """
 
     upstream_id: str
@@ -25,6 +27,8 @@
     read_ms: float
     waiting: int
     in_flight: int
+    load_in_ms: float = float('inf')
+    handicap_ms: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -46,6 +50,7 @@
     engines: Sequence[EngineView],
     left_ms: float,
     policy: LoadPolicy,
+    answer_tokens: int = 0,
 ) -> Placement | NoRoom:
     """Place a prompt whose first event is wanted within ``left_ms``.
 
@@ -55,12 +60,14 @@
     on time. The bounds in flight hold where other routers' requests, which
     this one does not see, make the estimate too low. Of engines that cost
     the same the first wins, so the order is the caller's to choose.
+    ``answer_tokens`` are those expected; what a run makes after its engine
+    has loaded new weights is lost.
     """
     best: Placement | None = None
     best_cost_ms = 0.0
     soonest_ms = float('inf')
     for engine in engines:
-        first_ms = engine.waiting_ms + engine.read_ms + policy.step_ms
+        first_ms = _first_ms(engine, policy)
         soonest_ms = min(soonest_ms, first_ms)
         if engine.waiting >= policy.max_waiting:
             continue
@@ -68,9 +75,10 @@
             continue
         if first_ms > left_ms:
             continue
-        cost_ms = first_ms
+        cost_ms = first_ms + engine.handicap_ms
         if not engine.in_zone:
             cost_ms += policy.other_zone_ms
+        cost_ms += _lost_ms(engine, first_ms, answer_tokens, policy)
         if best is None or cost_ms < best_cost_ms:
             best = Placement(engine.upstream_id, first_ms)
             best_cost_ms = cost_ms
@@ -79,6 +87,33 @@
     return NoRoom(max(policy.step_ms, soonest_ms - left_ms))
 
 
+def _first_ms(engine: EngineView, policy: LoadPolicy) -> float:
+    """Return when a first event is expected.
+
+    An engine refuses what it has not begun when its load starts, and takes
+    nothing until it ends: sent there, a request costs a repeat.
+    """
+    first_ms = engine.waiting_ms + engine.read_ms + policy.step_ms
+    loaded_ms = engine.load_in_ms + policy.load_ms
+    if loaded_ms <= 0 or first_ms <= engine.load_in_ms:
+        return first_ms
+    return loaded_ms + engine.read_ms + policy.step_ms
+
+
+def _lost_ms(
+    engine: EngineView,
+    first_ms: float,
+    answer_tokens: int,
+    policy: LoadPolicy,
+) -> float:
+    """Return what a load in the middle of the run counts for."""
+    run_ms = answer_tokens * policy.step_ms
+    over_ms = first_ms + run_ms - engine.load_in_ms
+    if run_ms <= 0 or first_ms > engine.load_in_ms or over_ms <= 0:
+        return 0.0
+    return policy.lost_run_ms * min(1.0, over_ms / run_ms)
+
+
 @dataclass(frozen=True)
 class PlainView:
     """Hold what a router knows of one upstream of a plain service.
--- a/packages/daemon/src/lacewing_daemon/direct/_directory.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_directory.py
@@ -86,6 +86,19 @@
     engine: Engine | None = None
     kv_store: KvStore | None = None
 
+    def most_idle(self, routers: int) -> int:
+        """Return how many idle connections a router keeps to an upstream.
+
+        Half of an upstream's connections are left to requests under way.
+        """
+        if not self.connections:
+            return LEAST_IDLE
+        return max(LEAST_IDLE, self.connections // (2 * routers))
+
+
+# Kept where an upstream's limit is unknown or small.
+LEAST_IDLE = 4
+
 
 @dataclass(frozen=True)
 class Team:
@@ -98,7 +111,10 @@
 
 @dataclass(frozen=True)
 class Limits:
-    """Bound what a caller may send; bytes and seconds."""
+    """Bound what a caller may send; bytes and seconds.
+
+    ``idle_s``: how long a caller may leave its connection unused.
+    """
 
     max_body_bytes: int
     idle_s: float
--- a/packages/daemon/src/lacewing_daemon/direct/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_exchange.py
@@ -92,7 +92,7 @@
         """Serve the request; cancelled when its caller has left."""
         admitted = admit(
             self._request,
-            self._fleet.directory,
+            self._fleet.knowledge.directory,
             self._fleet.keys_confirmed,
             self._serving.random,
         )
@@ -100,7 +100,7 @@
             self._refuse(admitted)
             return
         self._admitted = admitted
-        budget = self._fleet.budget(admitted.service)
+        budget = self._fleet.knowledge.budget(admitted.service)
         budget.count_request(time.monotonic())
         end_s = self._request.received_s + self._allowed_s(admitted)
         try:
@@ -167,7 +167,7 @@
             )
         if not self._sends:
             return placed
-        budget = self._fleet.budget(admitted.service)
+        budget = self._fleet.knowledge.budget(admitted.service)
         if budget.spend(now_s, ROUTERS_ASSUMED):
             return placed
         REPEATS_DENIED.labels(admitted.service.name).inc()
@@ -262,7 +262,7 @@
         if self._sending is not None and refusal is not None:
             self._tries.append(self._sending.unfinished(refusal.reason))
         admitted = self._admitted
-        directory = self._fleet.directory
+        directory = self._fleet.knowledge.directory
         now_s = time.monotonic()
         service = '' if admitted is None else admitted.service.name
         team = None if admitted is None else admitted.team
@@ -286,7 +286,7 @@
                 config_age_ms=int(
                     min(self._fleet.directory_age_s, _LONG_S) * _MS
                 ),
-                upstreams=len(self._fleet.states(service)),
+                upstreams=len(self._fleet.knowledge.states(service)),
                 tries=tuple(self._tries),
             ),
             now_s,
--- a/packages/daemon/src/lacewing_daemon/direct/_front.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_front.py
@@ -27,9 +27,11 @@
 # first one is known.
 MAX_BODY_BYTES = 16 * 1024 * 1024
 MAX_HEADER_BYTES = 65536
-# Callers may keep a connection idle for 15 s and use it for 12 s of these;
-# this process closes it a little later, so that nothing crosses its close.
-IDLE_S = 16.0
+# A configuration tells how long callers may leave connections unused; this
+# holds before the first one. This process closes them later by the margin,
+# so that no request crosses its close.
+IDLE_S = 15.0
+IDLE_MARGIN_S = 1.0
 
 Serve = Callable[[CallerRequest, CallerReply], Awaitable[None]]
 
@@ -50,7 +52,7 @@
         self._quiet: dict[object, HTTP1Connection] = {}
         self._server = _CallersServer(
             self,
-            idle_connection_timeout=IDLE_S,
+            idle_connection_timeout=IDLE_S + IDLE_MARGIN_S,
             max_header_size=MAX_HEADER_BYTES,
             max_body_size=MAX_BODY_BYTES,
         )
@@ -76,6 +78,10 @@
         self._address = f'{bound[0]}:{bound[1]}'
         self._server.add_sockets(sockets)
 
+    def allow_idle(self, idle_s: float) -> None:
+        """Keep connections open for so long between requests."""
+        self._server.conn_params.header_timeout = idle_s + IDLE_MARGIN_S
+
     def announce_stop(self) -> None:
         """Close each connection with its next answer.
 
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/direct/_knowledge.py
@@ -0,0 +1,193 @@
+"""Hold what one router knows of the deployment; decisions read it."""
+
+from collections import OrderedDict
+from collections.abc import Callable
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from lacewing_daemon.direct._budget import RetryBudget
+from lacewing_daemon.direct._clock import boot_s
+from lacewing_daemon.direct._directory import Directory
+from lacewing_daemon.direct._directory import Service
+from lacewing_daemon.direct._loading import load_times
+from lacewing_daemon.direct._policy import LoadPolicy
+from lacewing_daemon.direct._settings import Bounds
+from lacewing_daemon.direct._upstream import NamedWeights
+from lacewing_daemon.direct._upstream import Upstream
+from lacewing_daemon.direct._upstream_state import UpstreamState
+
+# What the store of kept KV cache evicts is not told; parts saved longer ago
+# are saved again.
+SAVED_S = 20.0
+SAVED_PARTS = 4096
+# The part of the time for new weights after which none begins on older ones.
+OLD_WEIGHTS_PART = 0.75
+# A router that has just started still sends to engines with older weights
+# for so long; they may be the only ones.
+START_GRACE_S = 2.5
+
+
+@dataclass(frozen=True)
+class NamedVersion:
+    """Hold a version of weights (0: none) and how long ago it was named."""
+
+    version: int
+    age_s: float
+
+
+@dataclass(frozen=True)
+class _LoadTimes:
+    """Hold the load times computed last, and what for."""
+
+    version: int
+    times: Mapping[str, float]
+
+
+class Knowledge:
+    """Hold configuration, upstreams, named weights and kept parts.
+
+    ``clock`` counts seconds, those of a suspended VM included.
+    """
+
+    def __init__(
+        self,
+        bounds: Bounds,
+        policy: LoadPolicy,
+        clock: Callable[[], float] = boot_s,
+    ) -> None:
+        self._bounds = bounds
+        self._policy = policy
+        self._clock = clock
+        self._directory: Directory | None = None
+        self._states: dict[str, UpstreamState] = {}
+        self._by_service: dict[str, list[UpstreamState]] = {}
+        self._budgets: dict[str, RetryBudget] = {}
+        self._named_since: dict[str, tuple[int, float]] = {}
+        self._load_times: dict[str, _LoadTimes] = {}
+        self._saved: OrderedDict[tuple[str, str], float] = OrderedDict()
+
+    @property
+    def directory(self) -> Directory | None:
+        """Return the configuration in force, None before the first."""
+        return self._directory
+
+    @property
+    def bounds(self) -> Bounds:
+        """Return what the deployment promises."""
+        return self._bounds
+
+    @property
+    def policy(self) -> LoadPolicy:
+        """Return the figures that decisions are made by."""
+        return self._policy
+
+    @property
+    def upstreams(self) -> Mapping[str, UpstreamState]:
+        """Return all known upstreams by id."""
+        return self._states
+
+    @property
+    def named(self) -> tuple[NamedWeights, ...]:
+        """Return the version named last of each model."""
+        found = []
+        for model, (version, _) in self._named_since.items():
+            found.append(NamedWeights(model, version))
+        return tuple(found)
+
+    def states(self, service: str) -> list[UpstreamState]:
+        """Return the upstreams of a service."""
+        return self._by_service.get(service, [])
+
+    def state(self, upstream_id: str) -> UpstreamState | None:
+        """Return what is known of one upstream."""
+        return self._states.get(upstream_id)
+
+    def named_weights(self, model: str) -> NamedVersion:
+        """Return the version named last for a model and for how long."""
+        now_s = self._clock()
+        version, since_s = self._named_since.get(model, (0, now_s))
+        return NamedVersion(version, now_s - since_s)
+
+    def load_times(self, model: str) -> Mapping[str, float]:
+        """Return when each engine of a model loads, after the naming."""
+        version = self.named_weights(model).version
+        known = self._load_times.get(model)
+        if known is not None and known.version == version:
+            return known.times
+        engines = {}
+        for upstream_id, state in self._states.items():
+            loaded = state.weights(model)
+            if loaded is not None and not state.upstream.leaving:
+                engines[upstream_id] = loaded
+        # Computed once for a version: what loads meanwhile must not change
+        # the order of the rest.
+        times = load_times(model, version, engines, self._policy)
+        self._load_times[model] = _LoadTimes(version, times)
+        return times
+
+    def budget(self, service: Service) -> RetryBudget:
+        """Return the retry budget of a service."""
+        budget = self._budgets.get(service.name)
+        if budget is None:
+            budget = RetryBudget(
+                self._bounds.repeat_ratio,
+                self._bounds.repeat_slack,
+                self._bounds.repeat_window_s,
+            )
+            self._budgets[service.name] = budget
+        return budget
+
+    def saved(self, wall: str, part_id: str, now_s: float) -> bool:
+        """Tell whether the store of KV cache was sent a part lately."""
+        saved_s = self._saved.get((wall, part_id))
+        return saved_s is not None and now_s - saved_s < SAVED_S
+
+    def note_saved(self, wall: str, part_id: str, now_s: float) -> None:
+        """Note that a part was sent to the store of KV cache."""
+        key = (wall, part_id)
+        self._saved[key] = now_s
+        self._saved.move_to_end(key)
+        if len(self._saved) > SAVED_PARTS:
+            self._saved.popitem(last=False)
+
+    def take_bounds(self, bounds: Bounds) -> None:
+        """Use other bounds from now on."""
+        self._bounds = bounds
+        self._budgets.clear()
+
+    def take_directory(self, value: Directory) -> bool:
+        """Take a configuration; false if it is not newer."""
+        current = self._directory
+        if current is not None and value.version <= current.version:
+            return False
+        self._directory = value
+        return True
+
+    def take_upstream(self, name: str, value: Upstream | None) -> None:
+        """Take an upstream's entry; None once it is gone."""
+        state = self._states.get(name)
+        if value is None:
+            if state is not None:
+                del self._states[name]
+                self._by_service[state.upstream.service].remove(state)
+            return
+        if state is not None:
+            state.update(value)
+            return
+        state = UpstreamState(value)
+        self._states[name] = state
+        self._by_service.setdefault(value.service, []).append(state)
+
+    def take_weights(self, value: NamedWeights, named_before: bool) -> None:
+        """Take a named version; ``named_before`` this process started."""
+        known, _ = self._named_since.get(value.model, (0, 0.0))
+        if value.version <= known:
+            return
+        since_s = self._clock()
+        if named_before:
+            # Nobody says when it was named. Other routers may have refused
+            # older weights for long; this one joins them soon after its
+            # start.
+            since_s -= self._bounds.weights_s * OLD_WEIGHTS_PART
+            since_s += START_GRACE_S
+        self._named_since[value.model] = (value.version, since_s)
--- a/packages/daemon/src/lacewing_daemon/direct/_loading.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_loading.py
@@ -1,44 +1,87 @@
-"""Decide which upstreams load new weights next.
+"""Decide when and in which order upstreams load new weights.
 
 Pure functions on snapshots: no clock, no input or output.
 """
 
+from collections.abc import Mapping
 from collections.abc import Sequence
 from dataclasses import dataclass
+from hashlib import blake2b
+from math import ceil
+
+from lacewing_daemon.direct._policy import LoadPolicy
+from lacewing_daemon.rendezvous import ranked
 
-# Engines load side by side without slowing each other down while they are
-# no more than about this part of the fleet.
-LOADING_PART = 0.36
-LOADING_LEAST = 2
 # An order without effect is repeated after this time; a load takes 0.4 s.
 REPEAT_S = 1.2
+_KEY_BYTES = 8
+_MS = 1000.0
+
+
+def load_times(
+    model: str,
+    version: int,
+    engines: Mapping[str, int],
+    policy: LoadPolicy,
+) -> Mapping[str, float]:
+    """Return when each engine is to load, in seconds after the naming.
+
+    ``engines`` maps their ids to the versions they have. All routers
+    compute the same times, so without a message each of them knows which
+    engine loads next, and leaves that one to runs that end before.
+
+    Load pattern: versions named every few seconds, while runs last 1.2 s on
+    average and some over 6 s. What a run makes after a load is lost. So a
+    part of the engines loads at once, those with the oldest weights first,
+    and takes all new runs; the others are left alone until their runs have
+    ended. If a newer version comes meanwhile, these are the oldest and
+    nearly empty, and load that one instead.
+    """
+    if not engines:
+        return {}
+    text = f'{model}\0{version}'.encode()
+    key = blake2b(text, digest_size=_KEY_BYTES).digest()
+    ids = tuple(sorted(engines))
+    order = sorted(ranked(key, ids, len(ids)), key=engines.__getitem__)
+    at_once = ceil(len(order) / policy.load_turns)
+    early = ceil(len(order) * policy.load_early_part)
+    times = {}
+    for position, engine_id in enumerate(order):
+        begin_ms, place = 0.0, position
+        if position >= early:
+            begin_ms, place = policy.load_late_ms, position - early
+        turn = place // at_once
+        times[engine_id] = (begin_ms + turn * policy.load_turn_ms) / _MS
+    return times
 
 
 @dataclass(frozen=True)
 class EngineWeights:
     """Hold what the planner knows of one engine and one model.
 
-    ``version`` is 0 when unknown; ``ordered`` the version it was last
-    ordered to load and ``ordered_ago_s`` how long ago, infinite for never.
-    ``open_requests`` are this router's requests there.
+    ``version`` is 0 when unknown; ``ordered_ago_s`` how long ago it was
+    last ordered to load, infinite for never. ``open_requests`` are this
+    router's requests there; ``due_in_s`` the time until it is to load,
+    negative once that has passed.
     """
 
     upstream_id: str
     version: int
-    ordered: int
     ordered_ago_s: float
     open_requests: int
+    due_in_s: float = 0.0
 
 
 def next_loads(
-    engines: Sequence[EngineWeights], named: int
+    engines: Sequence[EngineWeights], named: int, policy: LoadPolicy
 ) -> tuple[str, ...]:
     """Return the engines to order now to load the version named.
 
     Load pattern: versions named every few seconds. While an engine loads it
     serves nothing and its cache is lost, so only a part of the fleet loads
     at a time, the idlest first; a version that was superseded before an
-    engine's turn is never loaded there.
+    engine's turn is never loaded there. The bound also holds where all
+    times have passed, as after a change of the lease's holder.
     """
     loading = 0
     behind = []
@@ -48,11 +91,13 @@
         if engine.ordered_ago_s < REPEAT_S:
             loading += 1
             continue
+        if engine.due_in_s > 0:
+            continue
         behind.append(engine)
-    most = max(LOADING_LEAST, int(len(engines) * LOADING_PART))
+    at_once = ceil(len(engines) / policy.load_turns)
     behind.sort(key=_open_requests)
     chosen = []
-    for engine in behind[: max(0, most - loading)]:
+    for engine in behind[: max(0, at_once - loading)]:
         chosen.append(engine.upstream_id)
     return tuple(chosen)
 
--- a/packages/daemon/src/lacewing_daemon/direct/_placing.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_placing.py
@@ -14,9 +14,10 @@
 from lacewing_daemon.direct._choice import PlainView
 from lacewing_daemon.direct._directory import Engine
 from lacewing_daemon.direct._directory import KvStore
-from lacewing_daemon.direct._fleet import Fleet
-from lacewing_daemon.direct._fleet import OLD_WEIGHTS_PART
-from lacewing_daemon.direct._policy import LoadPolicy
+from lacewing_daemon.direct._directory import Team
+from lacewing_daemon.direct._knowledge import Knowledge
+from lacewing_daemon.direct._knowledge import NamedVersion
+from lacewing_daemon.direct._knowledge import OLD_WEIGHTS_PART
 from lacewing_daemon.direct._upstream_state import UpstreamState
 from lacewing_daemon.direct._wall import cache_wall
 from lacewing_daemon.rendezvous import best
@@ -27,10 +28,6 @@
 # Requests of other routers that an engine says wait are taken to need as
 # much reading as a usual one of this router.
 USUAL_READ_MS = 30.0
-# From this age of newer weights on, an engine with older ones costs so much
-# more time: its answers count less.
-OLD_WEIGHTS_S = 1.2
-OLD_WEIGHTS_MS = 80.0
 
 
 # Engines order waiting requests by urgency and take 5 if none is told.
@@ -67,12 +64,10 @@
 class Placer:
     """Place requests on the upstreams of a fleet."""
 
-    def __init__(
-        self, fleet: Fleet, availability_zone: str, policy: LoadPolicy
-    ) -> None:
-        self._fleet = fleet
+    def __init__(self, knowledge: Knowledge, availability_zone: str) -> None:
+        self._knowledge = knowledge
         self._zone = availability_zone
-        self._policy = policy
+        self._policy = knowledge.policy
 
     def place(
         self,
@@ -84,7 +79,7 @@
     ) -> Target | NoRoom:
         """Choose an upstream for one attempt."""
         usable = []
-        for state in self._fleet.states(admitted.service.name):
+        for state in self._knowledge.states(admitted.service.name):
             if state.upstream.upstream_id in excluded:
                 continue
             if state.usable(now_s):
@@ -100,14 +95,21 @@
     def note_sent(
         self, target: Target, prompt: Prompt, engine: Engine, now_s: float
     ) -> None:
-        """Remember which parts an upstream and the KV store hold now."""
-        if target.wall is None:
-            return
-        target.state.remember(target.wall, prompt, engine, now_s)
-        if target.save_to is None:
+        """Remember which parts an upstream holds from now on."""
+        if target.wall is not None:
+            target.state.remember(target.wall, prompt, engine, now_s)
+
+    def note_read(self, target: Target, prompt: Prompt, now_s: float) -> None:
+        """Remember that an upstream has read a prompt, and saves its parts."""
+        if target.wall is None or target.save_to is None:
             return
         for part in prompt.shared:
-            self._fleet.note_saved(target.wall, part.part_id, now_s)
+            self._knowledge.note_saved(target.wall, part.part_id, now_s)
+
+    def note_not_run(self, target: Target, prompt: Prompt) -> None:
+        """Forget the parts of a prompt that an upstream has not read."""
+        if target.wall is not None:
+            target.state.forget(target.wall, prompt)
 
     def _plain(
         self, usable: list[UpstreamState], now_s: float
@@ -141,11 +143,13 @@
         now_s: float,
     ) -> Target | NoRoom:
         kv_store = self._kv_store(prompt)
-        named = self._fleet.named_weights(prompt.model)
+        named = self._knowledge.named_weights(prompt.model)
         urgency = urgency_of(admitted)
         views = []
         targets = {}
-        for state in _in_order(prompt, usable):
+        homes: set[str] = set()
+        home_part = self._home_part(prompt, admitted.team, named, now_s)
+        for state in _in_order(home_part, usable):
             weights = state.weights(prompt.model) or named.version
             old = weights < named.version
             if old and named.age_s > self._old_limit_s:
@@ -159,8 +163,12 @@
             )
             waiting_ms = state.waiting_ms(urgency)
             waiting_ms += state.others_waiting(now_s) * USUAL_READ_MS
-            if old and named.age_s > OLD_WEIGHTS_S:
-                waiting_ms += OLD_WEIGHTS_MS
+            handicap_ms = 0.0
+            if wall in homes:
+                handicap_ms += self._again_ms(state, wall, prompt, now_s)
+            homes.add(wall)
+            if old and named.age_s > self._policy.old_weights_s:
+                handicap_ms += self._policy.old_weights_ms
             target = Target(
                 state,
                 read_ms,
@@ -181,20 +189,68 @@
                     read_ms,
                     state.waiting(urgency),
                     state.in_flight,
+                    self._load_in_ms(state, prompt.model, old, named.age_s),
+                    handicap_ms,
                 )
             )
-        placed = place(views, left_ms, self._policy)
+        placed = place(views, left_ms, self._policy, prompt.expected_tokens)
         if isinstance(placed, NoRoom):
             return placed
         return replace(targets[placed.upstream_id], first_ms=placed.first_ms)
 
+    def _load_in_ms(
+        self, state: UpstreamState, model: str, old: bool, age_s: float
+    ) -> float:
+        """Return the time until an engine is to load, infinite for never."""
+        if not old:
+            return float('inf')
+        times = self._knowledge.load_times(model)
+        at_s = times.get(state.upstream.upstream_id)
+        return float('inf') if at_s is None else (at_s - age_s) * _MS
+
+    def _home_part(
+        self,
+        prompt: Prompt,
+        team: Team | None,
+        named: NamedVersion,
+        now_s: float,
+    ) -> bytes:
+        """Return the key by which all routers order engines for a prompt.
+
+        That is the first shared part that is not known to be kept; once all
+        are, the longest shared prefix.
+        """
+        wall = cache_wall(team, prompt.model, named.version)
+        for part in prompt.shared:
+            if not self._knowledge.saved(wall, part.part_id, now_s):
+                return _digest(part.part_id)
+        return _key(prompt)
+
+    def _again_ms(
+        self, state: UpstreamState, wall: str, prompt: Prompt, now_s: float
+    ) -> float:
+        """Return what it counts for if shared parts are read twice.
+
+        A part that this router does not know to be kept may have been sent
+        by another router to the part's first engine. Read at a second one,
+        it takes the time of two.
+        """
+        tokens = 0
+        for part in prompt.shared:
+            if self._knowledge.saved(wall, part.part_id, now_s):
+                continue
+            if not state.holds(wall, part.part_id, now_s):
+                tokens += part.tokens
+        read_ms = tokens / self._policy.prefill_tokens_per_ms
+        return read_ms * self._policy.again_weight
+
     def _kv_store(self, prompt: Prompt) -> KvStore | None:
         """Return the store for a prompt, the same at all routers.
 
         Several stores share the prompts out by their longest shared part;
         with all in one, its link and its memory would bound them all.
         """
-        directory = self._fleet.directory
+        directory = self._knowledge.directory
         stores = () if directory is None else directory.kv_stores
         if not stores or not prompt.shared:
             return None
@@ -209,7 +265,7 @@
 
     @property
     def _old_limit_s(self) -> float:
-        return self._fleet.bounds.weights_s * OLD_WEIGHTS_PART
+        return self._knowledge.bounds.weights_s * OLD_WEIGHTS_PART
 
     def _read_ms(
         self,
@@ -237,7 +293,7 @@
         held = prompt.tokens - missing
         stored = 0
         for part in prompt.shared:
-            if not self._fleet.saved(wall, part.part_id, now_s):
+            if not self._knowledge.saved(wall, part.part_id, now_s):
                 break
             stored += part.tokens
         return max(0, stored - held)
@@ -252,7 +308,7 @@
         if kv_store is None:
             return None
         for part in prompt.shared:
-            if not self._fleet.saved(wall, part.part_id, now_s):
+            if not self._knowledge.saved(wall, part.part_id, now_s):
                 return kv_store.address
         return None
 
@@ -268,13 +324,14 @@
 def _key(prompt: Prompt) -> bytes:
     """Return the key of a prompt's longest shared part."""
     part = prompt.parts[-1:] if not prompt.shared else prompt.shared[-1:]
-    text = ''.join(one.part_id for one in part)
-    return blake2b(text.encode(), digest_size=_KEY_BYTES).digest()
+    return _digest(''.join(one.part_id for one in part))
+
+
+def _digest(part_id: str) -> bytes:
+    return blake2b(part_id.encode(), digest_size=_KEY_BYTES).digest()
 
 
-def _in_order(
-    prompt: Prompt, states: list[UpstreamState]
-) -> list[UpstreamState]:
+def _in_order(key: bytes, states: list[UpstreamState]) -> list[UpstreamState]:
     """Order engines for a prompt alike at all routers.
 
     Where several cost the same, routers then send one subject to one engine
@@ -285,7 +342,7 @@
     if len(ids) < 2:
         return states
     rank = {}
-    for position, name in enumerate(ranked(_key(prompt), ids, len(ids))):
+    for position, name in enumerate(ranked(key, ids, len(ids))):
         rank[name] = position
     return sorted(states, key=lambda one: rank[one.upstream.upstream_id])
 
--- a/packages/daemon/src/lacewing_daemon/direct/_planner.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_planner.py
@@ -8,14 +8,13 @@
 from lacewing_common.log import Part
 
 from lacewing_daemon.direct._clock import boot_s
-from lacewing_daemon.direct._fleet import Fleet
+from lacewing_daemon.direct._knowledge import Knowledge
 from lacewing_daemon.direct._loading import EngineWeights
 from lacewing_daemon.direct._loading import next_loads
 from lacewing_daemon.direct._metrics import LEASE_HELD
 from lacewing_daemon.direct._metrics import LOAD_ORDERS
 from lacewing_daemon.direct._site import LoadOrder
 from lacewing_daemon.direct._site import OrderVerdict
-from lacewing_daemon.direct._site import SwitchMode
 from lacewing_daemon.direct._site import UpstreamControl
 from lacewing_daemon.direct._upstream import NamedWeights
 from lacewing_daemon.direct._upstream import Upstream
@@ -50,21 +49,20 @@
 
     def __init__(
         self,
-        fleet: Fleet,
+        knowledge: Knowledge,
         control: UpstreamControl,
         lease: Lease,
         holder: str,
-        mode: SwitchMode,
     ) -> None:
-        self._mode = mode
-        self._fleet = fleet
+        self._policy = knowledge.policy
+        self._knowledge = knowledge
         self._control = control
         self._lease = lease
         self._holder = holder
         self._held = False
         self._orders_from_s = 0.0
         self._renewed_s = float('-inf')
-        self._ordered: dict[tuple[str, str], tuple[int, float]] = {}
+        self._ordered: dict[tuple[str, str], float] = {}
         self._busy: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._backoff = Backoff(STANDBY_S / 2, STANDBY_S, Random())
@@ -100,7 +98,7 @@
         self._renewed_s = now_s
         if was_held:
             return
-        wait_s = self._fleet.bounds.lease_s + ORDER_WAY_S
+        wait_s = self._knowledge.bounds.lease_s + ORDER_WAY_S
         wait_s = max(0.0, wait_s - self._lease.other_acted_ago_s)
         self._orders_from_s = boot_s() + wait_s
         _log.info(
@@ -131,10 +129,11 @@
     def _due(self) -> list[tuple[UpstreamState, NamedWeights]]:
         """Return the engines to order now."""
         due = []
-        for named in self._fleet.weights.entries.values():
+        for named in self._knowledge.named:
             engines = self._engines(named.model)
-            for upstream_id in next_loads(engines, named.version):
-                state = self._fleet.state(upstream_id)
+            chosen = next_loads(engines, named.version, self._policy)
+            for upstream_id in chosen:
+                state = self._knowledge.state(upstream_id)
                 if state is None or upstream_id in self._busy:
                     continue
                 due.append((state, named))
@@ -142,20 +141,20 @@
 
     def _engines(self, model: str) -> list[EngineWeights]:
         engines = []
-        for upstream_id, state in self._fleet.upstreams.items():
+        age_s = self._knowledge.named_weights(model).age_s
+        times = self._knowledge.load_times(model)
+        for upstream_id, state in self._knowledge.upstreams.items():
             version = state.weights(model)
             if version is None or state.upstream.leaving:
                 continue
-            ordered, at_s = self._ordered.get(
-                (upstream_id, model), (0, float('-inf'))
-            )
+            at_s = self._ordered.get((upstream_id, model), float('-inf'))
             engines.append(
                 EngineWeights(
                     upstream_id,
                     version,
-                    ordered,
                     boot_s() - at_s,
                     state.in_flight,
+                    times.get(upstream_id, 0.0) - age_s,
                 )
             )
         return engines
@@ -165,7 +164,7 @@
     ) -> None:
         upstream = state.upstream
         key = (upstream.upstream_id, model)
-        self._ordered[key] = (version, boot_s())
+        self._ordered[key] = boot_s()
         try:
             verdict = await self._order_one(state, upstream, model, version)
             LOAD_ORDERS.labels(verdict.value).inc()
@@ -181,7 +180,7 @@
                 state.learn_weights(model, version)
             if verdict is OrderVerdict.BUSY:
                 # It carries out another order; asked again at the next look.
-                self._ordered[key] = (0, float('-inf'))
+                self._ordered[key] = float('-inf')
         finally:
             self._busy.discard(upstream.upstream_id)
 
@@ -213,6 +212,6 @@
                 self._holder,
                 self._lease.fence,
                 report.orders_taken,
-                self._mode,
+                self._policy.switch_mode,
             ),
         )
--- a/packages/daemon/src/lacewing_daemon/direct/_policy.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_policy.py
@@ -20,6 +20,20 @@
     can read, 4 routers with 3 each answer 27% of it in time, with 2 each
     68% (replayed in ``direct_load.feature``).
     ``max_in_flight``: requests that one router has at an engine.
+    ``again_weight``: shared parts that another engine may have read already
+    count so many times their reading; what is read twice is capacity lost
+    to everybody.
+    ``load_turns``: at most this part of the engines, one in so many, loads
+    new weights at a time; more would slow each other down.
+    ``load_early_part``: the part of the engines that loads a version as soon
+    as it is named; the others follow after ``load_late_ms``, by when nearly
+    all runs that were under way there have ended.
+    ``load_turn_ms``: time from one turn to the next.
+    ``load_ms``: how long a load takes.
+    ``lost_run_ms``: how much sooner a first event must be expected of an
+    engine that is about to load, if the whole run would be lost by it.
+    ``old_weights_ms``: the same for an engine with older weights, from
+    ``old_weights_s`` after the naming on, when its answers count less.
     """
 
     prefill_tokens_per_ms: float = 110.0
@@ -28,4 +42,13 @@
     other_zone_ms: float = 25.0
     max_waiting: int = 2
     max_in_flight: int = 24
+    again_weight: float = 3.0
+    load_turns: int = 3
+    load_early_part: float = 0.5
+    load_late_ms: float = 4000.0
+    load_turn_ms: float = 450.0
+    load_ms: float = 430.0
+    lost_run_ms: float = 300.0
+    old_weights_ms: float = 120.0
+    old_weights_s: float = 1.2
     switch_mode: SwitchMode = SwitchMode.KEEP
--- a/packages/daemon/src/lacewing_daemon/direct/_pool.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_pool.py
@@ -46,12 +46,22 @@
         upstream_id: str,
         connection: UpstreamConnection,
         keep_s: float | None,
+        most_idle: int,
     ) -> None:
-        """Keep a connection whose answer is complete."""
+        """Keep a connection whose answer is complete.
+
+        ``most_idle`` bounds those kept for an upstream. It accepts a limited
+        number from all routers together and resets any beyond; idle ones
+        count, and after a burst each router holds as many as it had open.
+        """
         if keep_s is not None:
             keep_s = max(0.0, keep_s - KEEP_MARGIN_S)
+        idle = self._idle.setdefault(upstream_id, [])
+        if len(idle) >= most_idle:
+            connection.close()
+            return
         if connection.release(keep_s):
-            self._idle.setdefault(upstream_id, []).append(connection)
+            idle.append(connection)
 
     def sweep(self, known: Iterable[str]) -> None:
         """Close connections that are idle for long or to unknown peers."""
--- a/packages/daemon/src/lacewing_daemon/direct/_router.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_router.py
@@ -17,6 +17,7 @@
 from lacewing_daemon.direct._call import CallerRequest
 from lacewing_daemon.direct._caller_reply import CallerReply
 from lacewing_daemon.direct._clock import boot_s
+from lacewing_daemon.direct._directory import Directory
 from lacewing_daemon.direct._exchange import Exchange
 from lacewing_daemon.direct._exchange import Serving
 from lacewing_daemon.direct._fleet import Fleet
@@ -65,12 +66,13 @@
         self._serving = Serving(
             self._fleet,
             wire,
-            Placer(self._fleet, settings.availability_zone, settings.policy),
+            Placer(self._fleet.knowledge, settings.availability_zone),
             settings.policy,
             Random(),
             RequestLog(time.monotonic()),
         )
         self._front = Front(wire, self._serve)
+        self._fleet.on_directory(self._take_directory)
         self._ready = PageServer(lambda: ready_page(self.ready))
         self._metrics = PageServer(self._metrics_page)
         lease = Lease(
@@ -83,11 +85,10 @@
             peek=site.store.peek,
         )
         self._planner = WeightsPlanner(
-            self._fleet,
+            self._fleet.knowledge,
             site.control,
             lease,
             settings.process_id,
-            settings.policy.switch_mode,
         )
 
     @property
@@ -102,7 +103,7 @@
 
     def weights_age_s(self, model: str) -> float:
         """Return for how long the newest weights of a model are named."""
-        return self._fleet.named_weights(model).age_s
+        return self._fleet.knowledge.named_weights(model).age_s
 
     async def run(self) -> Exit:
         """Serve until a stop signal, then end what is open."""
@@ -160,6 +161,9 @@
         self._ready.close()
         self._metrics.close()
 
+    def _take_directory(self, directory: Directory) -> None:
+        self._front.allow_idle(directory.limits.idle_s)
+
     def _metrics_page(self) -> Page:
         self._fleet.measure_ages()
         return metrics_page()
@@ -171,7 +175,7 @@
         except SettingsError as error:
             _log.error('Keeps the old settings.', error=str(error))
             return
-        self._fleet.take_bounds(settings.bounds)
+        self._fleet.knowledge.take_bounds(settings.bounds)
         _log.info(
             'Read the settings again.',
             bounds_changed=settings.bounds != self._settings.bounds,
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -11,6 +11,7 @@
 from lacewing_daemon.direct._attempt import AttemptEnd
 from lacewing_daemon.direct._call import CallerRequest
 from lacewing_daemon.direct._fleet import Fleet
+from lacewing_daemon.direct._fleet import ROUTERS_ASSUMED
 from lacewing_daemon.direct._metrics import ATTEMPTS
 from lacewing_daemon.direct._metrics import FIRST_SECONDS
 from lacewing_daemon.direct._placing import Placer
@@ -86,6 +87,7 @@
         streams = self._admitted.route.streams
 
         async def on_piece(head: ReplyHead, piece: bytes) -> None:
+            self._note_read()
             self._begin()
             self._state.heard(time.monotonic())
             await relay.take(head, piece)
@@ -108,6 +110,7 @@
                 self._admitted.route.may_repeat,
                 silent_s,
                 silent_s,
+                self._admitted.service.most_idle(ROUTERS_ASSUMED),
             )
         finally:
             self._begin()
@@ -118,11 +121,17 @@
         return Sent(end, self._tell(end), told_newer)
 
     def _begin(self) -> None:
+        """Note the first event, or that none came before the end."""
         if self._first_s is not None:
             return
         self._first_s = time.monotonic()
         self._state.began(self._ticket)
 
+    def _note_read(self) -> None:
+        prompt = self._request.prompt
+        if self._first_s is None and prompt is not None:
+            self._placer.note_read(self._target, prompt, time.monotonic())
+
     def _note_parts(self) -> None:
         engine = self._admitted.service.engine
         prompt = self._request.prompt
@@ -155,6 +164,9 @@
 
     def _judge(self, end: AttemptEnd) -> None:
         """Learn from the end how far the upstream is to be used."""
+        prompt = self._request.prompt
+        if end.verdict is Verdict.NOT_RUN and prompt is not None:
+            self._placer.note_not_run(self._target, prompt)
         service = self._admitted.service.name
         ATTEMPTS.labels(service, end.verdict.value).inc()
         now_s = time.monotonic()
--- a/packages/daemon/src/lacewing_daemon/direct/_upstream_state.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_upstream_state.py
@@ -195,12 +195,21 @@
         """Return the tokens of a prompt from its first part not held on."""
         missing = prompt.tokens
         for part in prompt.parts:
-            seen_s = self._held.get((wall, part.part_id))
-            if seen_s is None or now_s - seen_s > HELD_S:
+            if not self.holds(wall, part.part_id, now_s):
                 break
             missing -= part.tokens
         return max(0, missing)
 
+    def holds(self, wall: str, part_id: str, now_s: float) -> bool:
+        """Tell whether a part was sent there lately."""
+        seen_s = self._held.get((wall, part_id))
+        return seen_s is not None and now_s - seen_s <= HELD_S
+
+    def forget(self, wall: str, prompt: Prompt) -> None:
+        """Take the parts of a prompt as not held there."""
+        for part in prompt.parts:
+            self._held.pop((wall, part.part_id), None)
+
 
 # Parts of prompts here have some thousand tokens; only the number of parts
 # that are remembered follows from it.
