--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -10,9 +10,12 @@
         --target "$deps" ./packages/common ./packages/daemon ./platform
     touch "$deps/.made"
 fi
+# Compiled here, or every start would compile them: processes may not write
+# into the repository.
 for own in packages/common/src/lacewing_common \
         packages/daemon/src/lacewing_daemon \
         platform/src/lacewing_platform; do
     rm -rf "$deps/${own##*/}"
     cp -r "$own" "$deps/"
+    python3 -m compileall -q "$deps/${own##*/}"
 done
--- /dev/null
+++ b/features/ctl_explain.feature
@@ -0,0 +1,42 @@
+Feature: A request is explained from log files
+
+  The log is that of a real router process in front of stand-ins. A fault is
+  injected, and its cause is found by the command that operators use.
+
+  Background:
+    Given a store with a configuration
+    And plain upstreams "reg-1" and "reg-2"
+    And engines "eng-1" and "eng-2"
+    And a direct router that logs to a file
+
+  Scenario: A request that no upstream took
+    Given all upstreams shed
+    When a caller orders a certificate
+    Then explaining it names status 503 and "were full"
+
+  Scenario: An answer that was broken off
+    Given the next upstream reset
+    When a caller orders a certificate
+    Then explaining it names status 502 and "broke off this one answer"
+
+  Scenario: An upstream that answers nothing
+    Given the next upstream mute
+    When a caller orders a certificate
+    Then explaining it names status 504 and "answered nothing in"
+
+  Scenario: A stream whose caller left
+    Given the next upstream stalls
+    When a caller talks to a model and leaves after the first event
+    Then explaining it names status 0 and "its own side"
+
+  Scenario: A store that does not answer
+    When the store is silent
+    Then a request with a key soon gets 503
+    And explaining it names status 503 and "too long to trust keys"
+
+  Scenario: An engine that loads new weights
+    Given a log file in which an engine refuses while it loads
+    Then explaining it names status 503 and "was loading weights 2"
+
+  Scenario: A request without a line
+    Then explaining another request fails and says where to look
--- a/features/direct.feature
+++ b/features/direct.feature
@@ -135,6 +135,43 @@
       Then the caller's answer is cut
       And exactly one upstream received the request
 
+    Scenario: A run that must not begin again goes on from its copy
+      # Symptom: each crash of an engine loses dozens of answers.
+      # Sequence: an engine crashes with streams that must not run twice;
+      #   all of them are cut for their callers.
+      # Cause: the memory of these runs was nowhere else, so to go on would
+      #   have meant to begin again.
+      Given engines that copy the memory of runs
+      And the next upstream cut
+      When a caller talks to a model
+      Then the answer is 200 with all events once and in order
+      And one engine ran the request and the other went on with it
+
+    Scenario: A run whose engine fell silent goes on from its copy
+      # Symptom: callers leave streams that no event comes on.
+      # Sequence: an engine loses its power after the first event; its
+      #   connections stay open.
+      # Cause: a stream that must not begin again was waited for to its
+      #   deadline.
+      Given engines that copy the memory of runs
+      And the next upstream stalls
+      When a caller talks to a model
+      Then the answer is 200 with all events once and in order
+      And one engine ran the request and the other went on with it
+
+    Scenario: Without its copy a run that must not begin again is cut
+      # Symptom: a request that must not run twice does.
+      # Sequence: an engine crashes; the one that was to have the copy
+      #   refuses; the request is sent to a third.
+      # Cause: a refusal to go on was taken for one of a new request.
+      Given engines that copy the memory of runs
+      And a third engine
+      And the copies are lost
+      And the next upstream cut
+      When a caller talks to a model
+      Then the caller's answer is cut
+      And one engine ran the request and no other went on with it
+
     Scenario: A caller that leaves stops the work
       # Symptom: engines work for callers that have left.
       # Sequence: a caller closes its connection before the first event.
--- a/features/direct_load.feature
+++ b/features/direct_load.feature
@@ -57,6 +57,29 @@
       Then it counts as silent
       And it does not once anything is heard from it
 
+  Rule: Streams leave an engine that fell silent as a whole
+
+    Scenario Outline: Streams without events
+      # Symptom: streams pause for 1.5 s when an engine loses its power.
+      # Sequence: connections to it stay open and tell nothing at first.
+      # Cause: each stream was judged alone, though an engine gives all its
+      #   streams their events together.
+      Given an engine with <streams> streams that was heard <ms> ms ago
+      When open streams are looked at
+      Then <cut> of them are broken off
+
+      Examples:
+        | streams | ms  | cut |
+        | 3       | 300 | 3   |
+        | 3       | 100 | 0   |
+        | 2       | 300 | 0   |
+
+    Scenario: A stream that has ended is not broken off
+      Given an engine with 4 streams that was heard 300 ms ago
+      When two of them end
+      And open streams are looked at
+      Then 0 of them are broken off
+
   Rule: Repeats stay within the fleet's budget
 
     Scenario Outline: All upstreams refuse everything
@@ -130,26 +153,17 @@
         | -100 | 100  | 10     | busier  |
         | -600 | 100  | 10     | loading |
 
-  Rule: Shared parts are read once
-
-    Scenario: The first prompts with a part meet at one engine
-      # Symptom: several engines read the same handbook after new weights.
-      # Sequence: two routers get prompts that share a part which neither
-      #   knows to be kept; each sends its own to the nearest engine.
-      # Cause: the own zone counted more than reading a part twice.
-      Given 5 engines in 4 zones and a router in each zone
-      When every router gets a prompt with the same new part
-      Then all of them choose the same engine
-
-    Scenario: Once a part is kept the own zone counts
-      Given 5 engines in 4 zones and a router in each zone
-      When the part is known to be kept and an engine of every zone has it
-      Then every router chooses an engine of its own zone
+  Rule: What is counted on is there
 
     Scenario: A part is taken for kept only when it was read
+      # Symptom: first events come later than expected.
+      # Sequence: a prompt is sent and waits; another with the same part is
+      #   placed elsewhere, as if it could be fetched from the KV store.
+      # Cause: the part was taken for kept when it was sent.
       Given 5 engines in 4 zones and a router in each zone
       When a router has sent a prompt that was not answered yet
-      Then a second prompt with its part goes to the same engine
+      Then elsewhere its parts must be read
+      And once it is answered they need only be fetched
 
   Rule: Logs stay bounded and never hold anything up
 
--- a/features/steps/direct_steps.py
+++ b/features/steps/direct_steps.py
@@ -61,6 +61,51 @@
     bench.until_ready()
 
 
+@given('engines that copy the memory of runs')
+def step_copies(context: Context) -> None:
+    """Say so in the configuration and connect the engines."""
+    bench = direct_bench(context)
+    services = []
+    for service in bench.config['Services']:
+        if 'Engine' in service:
+            engine = {**service['Engine'], 'Backups': True}
+            service = {**service, 'Engine': engine}
+        services.append(service)
+    bench.configure(Services=services)
+    version = bench.config['Version']
+    bench.until(
+        lambda: bench.routers[0].configuration == version,
+        'the configuration in force',
+    )
+    _connect_engines(context)
+
+
+@given('a third engine')
+def step_third(context: Context) -> None:
+    """Add an engine and wait until the router knows it."""
+    bench = direct_bench(context)
+    bench.add_upstream('eng-3', 'models')
+    bench.until(
+        lambda: 'eng-3' in bench.routers[0].upstream_ids, 'a third engine'
+    )
+    _connect_engines(context)
+
+
+def _connect_engines(context: Context) -> None:
+    peers = {}
+    for upstream in direct_bench(context).upstreams.values():
+        peers[upstream.server.address] = upstream
+    for upstream in peers.values():
+        upstream.peers = peers
+
+
+@given('the copies are lost')
+def step_copies_lost(context: Context) -> None:
+    """Let engines copy to nowhere."""
+    for upstream in direct_bench(context).upstreams.values():
+        upstream.peers = {}
+
+
 @given('the next upstream {behaves}')
 def step_next(context: Context, behaves: str) -> None:
     """Script the first request that any upstream gets."""
@@ -185,6 +230,29 @@
     bench.on_loop(lambda: bench.store.put('versions', MODEL, named))
 
 
+@then('one engine ran the request and the other went on with it')
+def step_went_on(context: Context) -> None:
+    """Count the runs, and those that go on."""
+    bench = direct_bench(context)
+    assert len(bench.ran()) == 1, bench.ran()
+    went_on = []
+    for upstream in bench.upstreams.values():
+        went_on.extend(upstream.went_on)
+    assert went_on == bench.ran(), went_on
+
+
+@then('one engine ran the request and no other went on with it')
+def step_not_on(context: Context) -> None:
+    """Check that only the engine that was to go on was asked."""
+    bench = direct_bench(context)
+    assert len(bench.ran()) == 1, bench.ran()
+    received = 0
+    for upstream in bench.upstreams.values():
+        assert not upstream.went_on, upstream.went_on
+        received += len(upstream.received)
+    assert received == 2, received
+
+
 @then('the answer is 200 with the whole body and its proof')
 def step_whole(context: Context) -> None:
     """Check status, body and proof."""
--- a/features/support/direct_bench.py
+++ b/features/support/direct_bench.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
+from pathlib import Path
 from typing import Any
 
 from behave.runner import Context
@@ -18,6 +19,7 @@
 from lacewing_platform import PlatformWire
 from lacewing_platform_testing import StandInStore
 from lacewing_platform_testing import StandInUpstream
+from support.router_process import RouterProcess
 
 PREFIX = 'X-Lacewingstack-'
 HOST = 'handbook.example'
@@ -56,11 +58,17 @@
         self._sites: list[PlatformSite] = []
         self._sent = 0
         self.routers: list[DirectRouter] = []
+        self.process: RouterProcess | None = None
         self.upstreams: dict[str, StandInUpstream] = {}
         self.answers: list[Answer] = []
         self.config = _config()
         self.store: StandInStore = self.run(_start_store())
 
+    @property
+    def last_request(self) -> str:
+        """Return the id of the last request sent."""
+        return f'request-{self._sent}'
+
     @property
     def answer(self) -> Answer:
         """Return the last answer."""
@@ -104,6 +112,14 @@
         self.routers.append(router)
         return router
 
+    def start_process(self, directory: Path) -> RouterProcess:
+        """Start a router as a process of its own; callers go there."""
+        self.process = RouterProcess(directory, self.store.address, BOUNDS)
+        process = self.process
+        self.until(lambda: process.callers_address != '', 'a started router')
+        self.until(lambda: self.ask().status == 200, 'a router that serves')
+        return process
+
     def until(self, holds: Callable[[], bool], what: str) -> None:
         """Wait until a condition holds."""
         end_s = time.monotonic() + LIMIT_S
@@ -137,7 +153,10 @@
 
     def connect(self) -> http.client.HTTPConnection:
         """Open a connection to the first router."""
-        address = self.routers[0].callers_address
+        if self.process is not None:
+            address = self.process.callers_address
+        else:
+            address = self.routers[0].callers_address
         return http.client.HTTPConnection(address, timeout=LIMIT_S)
 
     def ask_on(
@@ -197,6 +216,8 @@
         """Stop everything."""
         for router in self.routers:
             self.run(router.close())
+        if self.process is not None:
+            self.process.end()
         for site in self._sites:
             self.on_loop(site.close)
         for upstream in self.upstreams.values():
--- /dev/null
+++ b/features/support/router_process.py
@@ -0,0 +1,64 @@
+"""Run a direct router as a process whose log lines go to a file."""
+
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import msgspec
+from lacewing_common.log_lines import LogLine
+from lacewing_daemon.direct._settings import Bounds
+
+_SETTINGS = 'LACEWINGSTACK_NODE_FILE'
+_STARTED = b'main: Started.'
+
+
+class _Started(msgspec.Struct, frozen=True):
+    callers: str
+
+
+class RouterProcess:
+    """Hold a router process and its log."""
+
+    def __init__(self, directory: Path, store: str, bounds: Bounds) -> None:
+        self.log = directory / 'router.log'
+        settings = directory / 'router.json'
+        settings.write_bytes(
+            msgspec.json.encode(
+                {
+                    'process_id': 'router-1',
+                    'availability_zone': 'east',
+                    'callers': '127.0.0.1:0',
+                    'ready': '127.0.0.1:0',
+                    'platform': store,
+                    'bounds': bounds,
+                }
+            )
+        )
+        with self.log.open('wb') as log:
+            self._process = subprocess.Popen(
+                [sys.executable, '-m', 'lacewing_platform'],
+                env={**os.environ, _SETTINGS: str(settings)},
+                stdout=log,
+                stderr=log,
+            )
+
+    @property
+    def callers_address(self) -> str:
+        """Return where callers connect, '' until the log tells."""
+        for line in self.log.read_bytes().splitlines():
+            if _STARTED in line:
+                return msgspec.json.decode(line, type=_Started).callers
+        return ''
+
+    def told(self, request_id: str) -> bool:
+        """Tell whether the log has a line of a request."""
+        for line in self.log.read_bytes().splitlines():
+            if msgspec.json.decode(line, type=LogLine).request == request_id:
+                return True
+        return False
+
+    def end(self) -> None:
+        """Kill the process."""
+        self._process.kill()
+        self._process.wait()
--- /dev/null
+++ b/packages/common/src/lacewing_common/log_lines.py
@@ -0,0 +1,58 @@
+"""Describe the log lines that are read again to explain a request."""
+
+from datetime import datetime
+
+import msgspec
+
+
+class Try(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """Hold one send to an upstream; times in milliseconds.
+
+    ``expected_ms``: when its first event was expected, of which
+    ``waits_ms`` for the requests before it. ``others``: requests of other
+    routers that the upstream last told of. ``verdict`` and ``reason`` say
+    how it ended, ``status`` what the upstream answered. ``first_ms``: until
+    its first event or its answer, -1 if none came. ``went_on``: the run of
+    an earlier send was continued from its copy.
+    """
+
+    upstream: str
+    verdict: str
+    reason: str
+    ms: int
+    status: int = 0
+    expected_ms: int = 0
+    waits_ms: int = 0
+    others: int = 0
+    weights: int = 0
+    first_ms: int = -1
+    went_on: bool = False
+
+
+class LogLine(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold one line of a process's log, as far as it is read again.
+
+    ``request`` is the id on lines of requests, ``upstream`` and ``version``
+    are those of an order to load weights, ``collection`` and ``fault`` of
+    what the store no longer tells.
+    """
+
+    event: str
+    process: str
+    timestamp: datetime
+    request: str = ''
+    service: str = ''
+    status: int = -1
+    verdict: str = ''
+    reason: str = ''
+    message: str = ''
+    ms: int = 0
+    left_ms: int = 0
+    config: int = 0
+    config_age_ms: int = 0
+    upstreams: int = -1
+    tries: tuple[Try, ...] = ()
+    upstream: str = ''
+    version: int = 0
+    collection: str = ''
+    fault: str = ''
--- /dev/null
+++ b/packages/ctl/src/lacewing_ctl/_causes.py
@@ -0,0 +1,149 @@
+"""Name the most likely cause of a request's end; pure functions."""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+
+from lacewing_common.log_lines import Try
+from lacewing_common.verdict import Reason
+
+from lacewing_ctl._story import LOST
+from lacewing_ctl._story import Story
+
+# So many requests that fail at one upstream at about the same time are more
+# than answers that it spoils one by one.
+MANY = 3
+_SUCCESS = range(200, 300)
+
+
+def cause(story: Story) -> str:
+    """Return one or two sentences on why the request ended as it did."""
+    line = story.line
+    if not line.reason:
+        if line.status in _SUCCESS:
+            return 'The upstream answered; the router adds nothing to it.'
+        return (
+            f'The upstream itself answered {line.status};'
+            ' the router passed that on.'
+        )
+    explain = _BY_REASON.get(line.reason)
+    if explain is None:
+        return f'{line.message or line.reason}.'
+    return explain(story)
+
+
+def _store(story: Story) -> str:
+    text = (
+        'The configuration was last confirmed'
+        f' {story.line.config_age_ms} ms before, too long to trust keys.'
+    )
+    for line in story.process:
+        if line.event == LOST:
+            return f'{text} The process had lost the store ({line.fault}).'
+    return f'{text} A call to the store may still wait for its answer.'
+
+
+def _no_room(story: Story) -> str:
+    line = story.line
+    if line.upstreams == 0:
+        return 'No upstream of the service was known.'
+    if not line.tries:
+        return (
+            f'None of {line.upstreams} upstreams was expected to answer in'
+            ' time, so it was refused at once.'
+        )
+    return f'{line.message}, after {len(line.tries)} sends.'
+
+
+def _refused(story: Story) -> str:
+    for one in story.line.tries:
+        for order in story.orders:
+            if order.upstream == one.upstream:
+                return (
+                    f'{one.upstream} was loading weights {order.version},'
+                    f' ordered by {order.process}; it refuses what it has'
+                    ' not begun.'
+                )
+    return 'The upstreams that were tried were full.'
+
+
+def _broken(story: Story) -> str:
+    last = _last(story)
+    count = _failures_at(story, last.upstream)
+    if count >= MANY:
+        return (
+            f'{last.upstream} broke off {count} other requests at about the'
+            ' same time: it crashed or was cut off.'
+        )
+    return (
+        f'{last.upstream} broke off this one answer; {count} others failed'
+        ' there at about the same time.'
+    )
+
+
+def _unreachable(story: Story) -> str:
+    return f'No connection to {_last(story).upstream} could be opened.'
+
+
+def _silent(story: Story) -> str:
+    last = _last(story)
+    if last.first_ms >= 0:
+        return (
+            f'{last.upstream} had begun to answer after {last.first_ms} ms'
+            ' and did not end in time.'
+        )
+    return (
+        f'{last.upstream} answered nothing in {last.ms} ms, where'
+        f' {last.expected_ms} ms were expected.'
+    )
+
+
+def _gone(story: Story) -> str:
+    line = story.line
+    if not line.tries:
+        return 'The caller left before the request was sent.'
+    last = _last(story)
+    if last.first_ms >= 0:
+        return (
+            f'The caller left {line.ms} ms after it asked, while its answer'
+            f' came (first event after {last.first_ms} ms): its own side.'
+        )
+    return f'The caller gave up. {_silent(story)}'
+
+
+def _key(story: Story) -> str:
+    return f'Configuration {story.line.config} holds no such key.'
+
+
+def _path(story: Story) -> str:
+    return f'Configuration {story.line.config} holds no such route.'
+
+
+def _last(story: Story) -> Try:
+    if story.line.tries:
+        return story.line.tries[-1]
+    return Try(upstream='no upstream', verdict='', reason='', ms=0)
+
+
+def _failures_at(story: Story, upstream: str) -> int:
+    count = 0
+    for line in story.beside:
+        for one in line.tries:
+            if one.upstream == upstream and one.reason:
+                count += 1
+                break
+    return count
+
+
+_BY_REASON: Mapping[str, Callable[[Story], str]] = {
+    Reason.PLATFORM_UNAVAILABLE.value: _store,
+    Reason.NO_WORKER.value: _no_room,
+    Reason.QUEUE_FULL.value: _refused,
+    Reason.STALE_WEIGHTS.value: _refused,
+    Reason.WORKER_FAILED.value: _broken,
+    Reason.STREAM_BROKEN.value: _broken,
+    Reason.WORKER_UNREACHABLE.value: _unreachable,
+    Reason.DEADLINE.value: _silent,
+    Reason.CALLER_GONE.value: _gone,
+    Reason.BAD_KEY.value: _key,
+    Reason.UNKNOWN_PATH.value: _path,
+}
--- /dev/null
+++ b/packages/ctl/src/lacewing_ctl/_story.py
@@ -0,0 +1,75 @@
+"""Find what the logs tell of one request, and what stands beside it."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+
+from lacewing_common.log_lines import LogLine
+
+FAILED = 'callers: Request failed.'
+ORDERED = 'placement: Ordered weights.'
+LOST = 'platform: Lost a collection.'
+STARTED = 'main: Started.'
+DRAINING = 'main: Draining.'
+# Lines of the process itself are shown from this long before the request.
+BEFORE = timedelta(seconds=8)
+# Orders and failures at the same upstream belong together within this time;
+# a load takes 0.4 s, a silent upstream is left after 1.4 s.
+AROUND = timedelta(seconds=2)
+
+
+@dataclass(frozen=True)
+class Story:
+    """Hold a request's own line and the lines that may explain it.
+
+    ``orders``: orders of weights to the upstreams that were tried.
+    ``beside``: other requests that failed at one of these upstreams.
+    ``process``: what the process lost, or that it started or drains.
+    """
+
+    line: LogLine
+    orders: tuple[LogLine, ...]
+    beside: tuple[LogLine, ...]
+    process: tuple[LogLine, ...]
+
+
+def find_stories(
+    lines: Sequence[LogLine], request_id: str
+) -> tuple[Story, ...]:
+    """Return a story for each line of the request; none if it has no line."""
+    stories = []
+    for line in lines:
+        if line.request == request_id:
+            stories.append(_story(lines, line))
+    return tuple(stories)
+
+
+def _story(lines: Sequence[LogLine], own: LogLine) -> Story:
+    began = own.timestamp - timedelta(milliseconds=own.ms)
+    tried = frozenset(one.upstream for one in own.tries)
+    orders = []
+    beside = []
+    process = []
+    for line in lines:
+        if line is own:
+            continue
+        if line.process == own.process and line.event in _OF_PROCESS:
+            if began - BEFORE <= line.timestamp <= own.timestamp:
+                process.append(line)
+        if not began - AROUND <= line.timestamp <= own.timestamp + AROUND:
+            continue
+        if line.event == ORDERED and line.upstream in tried:
+            orders.append(line)
+        if line.event == FAILED and _failed_at(line, tried):
+            beside.append(line)
+    return Story(own, tuple(orders), tuple(beside), tuple(process))
+
+
+def _failed_at(line: LogLine, upstreams: frozenset[str]) -> bool:
+    for one in line.tries:
+        if one.upstream in upstreams and one.reason:
+            return True
+    return False
+
+
+_OF_PROCESS = frozenset((LOST, STARTED, DRAINING))
--- a/packages/ctl/src/lacewing_ctl/main.py
+++ b/packages/ctl/src/lacewing_ctl/main.py
@@ -7,6 +7,7 @@
 from lacewing_ctl._commands import roll
 from lacewing_ctl._queries import bundle
 from lacewing_ctl._queries.audit import audit
+from lacewing_ctl._queries.explain import explain
 from lacewing_ctl._queries.placement import placement
 from lacewing_ctl._queries.status import status
 
@@ -28,6 +29,7 @@
     'keys': {'new': keys.new},
     'audit': audit,
     'placement': placement,
+    'explain': explain,
 }
 
 
--- a/packages/daemon/src/lacewing_daemon/direct/_attempt.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_attempt.py
@@ -95,6 +95,11 @@
                 # was given up.
                 connection.close()
 
+    def cut(self) -> None:
+        """Take the answer as broken off."""
+        if not self._ended.done():
+            self._ended.set_result(False)
+
     def expects(self, status: int, headers: HTTPHeaders) -> bool:
         """Tell whether an answer is the one to this request."""
         head = self._wire.read_reply(status, headers)
@@ -151,7 +156,9 @@
             left_s = self._last_piece_s + limit_s - loop.time()
             if left_s <= 0:
                 return False
-            await asyncio.wait((self._ended,), timeout=left_s)
+            # The first piece may come meanwhile, and the gap counts from it.
+            look_s = min(left_s, gap_wait_s)
+            await asyncio.wait((self._ended,), timeout=look_s)
             if self._ended.done():
                 return self._ended.result()
 
--- a/packages/daemon/src/lacewing_daemon/direct/_directory.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_directory.py
@@ -54,7 +54,8 @@
 
     ``slots``: requests that run at once; ``kv_tokens``: tokens that fit
     into an engine's memory; ``kv_token_bytes``: bytes of one of them;
-    ``link_bytes_per_s``: speed of KV transfers.
+    ``link_bytes_per_s``: speed of KV transfers. ``copies``: an engine can
+    send the memory of a run to another one as it grows.
     """
 
     slots: int
@@ -62,6 +63,7 @@
     kv_token_bytes: float
     link_bytes_per_s: float
     models: tuple[str, ...]
+    copies: bool = False
 
 
 @dataclass(frozen=True)
--- a/packages/daemon/src/lacewing_daemon/direct/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_exchange.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from random import Random
 
+from lacewing_common.log_lines import Try
 from lacewing_common.verdict import may_have_run
 from lacewing_common.verdict import not_run
 from lacewing_common.verdict import Reason
@@ -28,7 +29,6 @@
 from lacewing_daemon.direct._policy import LoadPolicy
 from lacewing_daemon.direct._request_log import RequestEnd
 from lacewing_daemon.direct._request_log import RequestLog
-from lacewing_daemon.direct._request_log import Try
 from lacewing_daemon.direct._send import Send
 from lacewing_daemon.direct._send import Sent
 from lacewing_daemon.direct._site import Wire
@@ -87,6 +87,7 @@
         self._sending: Send | None = None
         self._sends = 0
         self._runs = 0
+        self._goes_on: Target | None = None
 
     async def run(self) -> None:
         """Serve the request; cancelled when its caller has left."""
@@ -152,13 +153,17 @@
 
     def _place(self, admitted: Admitted, end_s: float) -> Target | Refusal:
         now_s = time.monotonic()
-        placed = self._serving.placer.place(
-            self._request,
-            admitted,
-            self._tried,
-            self._left_ms(admitted, end_s, now_s),
-            now_s,
-        )
+        placed: Target | NoRoom
+        if self._goes_on is not None:
+            placed = self._goes_on
+        else:
+            placed = self._serving.placer.place(
+                self._request,
+                admitted,
+                self._tried,
+                self._left_ms(admitted, end_s, now_s),
+                now_s,
+            )
         if isinstance(placed, NoRoom):
             return not_run(
                 Reason.NO_WORKER,
@@ -195,6 +200,10 @@
         """Return why no further send is made, None to send once more."""
         state = target.state
         end = sent.end
+        if end.verdict is Verdict.NOT_RUN and target.goes_on:
+            # There is no copy. The run that it was of did begin, so the
+            # request must not be sent anywhere else.
+            return may_have_run(Reason.STREAM_BROKEN, 'no copy of the run')
         if end.verdict is Verdict.NOT_RUN:
             if not sent.told_newer:
                 self._tried |= {state.upstream.upstream_id}
@@ -208,11 +217,22 @@
         lost = may_have_run(end.reason, 'the upstream broke off')
         self._refusals.add(lost)
         if not admitted.route.may_repeat:
-            return lost
+            return self._go_on(target, lost)
         if self._runs >= admitted.route.max_runs or self._sends >= MAX_SENDS:
             return lost
         return None
 
+    def _go_on(self, target: Target, lost: Refusal) -> Refusal | None:
+        """Let a run that broke off go on from its copy, if there is one.
+
+        It is the same run: the engine continues after the last event that
+        the caller has, from the memory that was copied to it.
+        """
+        if not self._reply.begun or self._sends >= MAX_SENDS:
+            return lost
+        self._goes_on = self._serving.placer.go_on(target)
+        return lost if self._goes_on is None else None
+
     def _is_answer(self, end: AttemptEnd) -> bool:
         """Tell whether an attempt brought what ends the request.
 
--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -10,6 +10,7 @@
 from lacewing_daemon.direct._metrics import STORE_AGE_SECONDS
 from lacewing_daemon.direct._pool import ConnectionPool
 from lacewing_daemon.direct._settings import DirectSettings
+from lacewing_daemon.direct._silence import SilenceWatch
 from lacewing_daemon.direct._site import Site
 from lacewing_daemon.direct._upstream import NamedWeights
 from lacewing_daemon.direct._upstream import Upstream
@@ -75,6 +76,7 @@
         )
         self._on_directory: Callable[[Directory], None] | None = None
         self._pool = ConnectionPool()
+        self._silence = SilenceWatch(settings.policy.mute_ms / 1000)
         self._tasks: list[asyncio.Task[None]] = []
         self._directories.on_change(self._take_directory)
         self._upstreams.on_change(self._knowledge.take_upstream)
@@ -85,6 +87,11 @@
         """Return the connections to upstreams."""
         return self._pool
 
+    @property
+    def silence(self) -> SilenceWatch:
+        """Return the watch over upstreams with streams under way."""
+        return self._silence
+
     @property
     def knowledge(self) -> Knowledge:
         """Return what is known, as far as it was followed."""
@@ -130,6 +137,7 @@
             self._upstreams.run(),
             self._weights.run(),
             self._sweep(),
+            self._silence.run(),
         ):
             self._tasks.append(asyncio.create_task(run))
 
--- a/packages/daemon/src/lacewing_daemon/direct/_placing.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_placing.py
@@ -1,5 +1,6 @@
 """Build the snapshots that placing decides on, and the dispatch from it."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from dataclasses import replace
 from hashlib import blake2b
@@ -14,9 +15,7 @@
 from lacewing_daemon.direct._choice import PlainView
 from lacewing_daemon.direct._directory import Engine
 from lacewing_daemon.direct._directory import KvStore
-from lacewing_daemon.direct._directory import Team
 from lacewing_daemon.direct._knowledge import Knowledge
-from lacewing_daemon.direct._knowledge import NamedVersion
 from lacewing_daemon.direct._knowledge import OLD_WEIGHTS_PART
 from lacewing_daemon.direct._upstream_state import UpstreamState
 from lacewing_daemon.direct._wall import cache_wall
@@ -50,6 +49,8 @@
     urgency: int = USUAL_URGENCY
     first_ms: float = 0.0
     waits_ms: float = 0.0
+    copy_to: UpstreamState | None = None
+    goes_on: bool = False
 
 
 def urgency_of(admitted: Admitted) -> int:
@@ -92,6 +93,13 @@
             request.prompt, admitted, engine, usable, left_ms, now_s
         )
 
+    def go_on(self, target: Target) -> Target | None:
+        """Return where a run goes on whose upstream is lost, None: nowhere."""
+        copy = target.copy_to
+        if copy is None or copy.upstream.leaving:
+            return None
+        return replace(target, state=copy, copy_to=None, goes_on=True)
+
     def note_sent(
         self, target: Target, prompt: Prompt, engine: Engine, now_s: float
     ) -> None:
@@ -100,17 +108,16 @@
             target.state.remember(target.wall, prompt, engine, now_s)
 
     def note_read(self, target: Target, prompt: Prompt, now_s: float) -> None:
-        """Remember that an upstream has read a prompt, and saves its parts."""
+        """Remember that the KV store gets the parts that were read.
+
+        Not when they are sent: until they are read there is nothing to
+        fetch, and prompts elsewhere would count on it.
+        """
         if target.wall is None or target.save_to is None:
             return
         for part in prompt.shared:
             self._knowledge.note_saved(target.wall, part.part_id, now_s)
 
-    def note_not_run(self, target: Target, prompt: Prompt) -> None:
-        """Forget the parts of a prompt that an upstream has not read."""
-        if target.wall is not None:
-            target.state.forget(target.wall, prompt)
-
     def _plain(
         self, usable: list[UpstreamState], now_s: float
     ) -> Target | NoRoom:
@@ -147,9 +154,7 @@
         urgency = urgency_of(admitted)
         views = []
         targets = {}
-        homes: set[str] = set()
-        home_part = self._home_part(prompt, admitted.team, named, now_s)
-        for state in _in_order(home_part, usable):
+        for state in _in_order(prompt, usable):
             weights = state.weights(prompt.model) or named.version
             old = weights < named.version
             if old and named.age_s > self._old_limit_s:
@@ -164,9 +169,6 @@
             waiting_ms = state.waiting_ms(urgency)
             waiting_ms += state.others_waiting(now_s) * USUAL_READ_MS
             handicap_ms = 0.0
-            if wall in homes:
-                handicap_ms += self._again_ms(state, wall, prompt, now_s)
-            homes.add(wall)
             if old and named.age_s > self._policy.old_weights_s:
                 handicap_ms += self._policy.old_weights_ms
             target = Target(
@@ -196,7 +198,17 @@
         placed = place(views, left_ms, self._policy, prompt.expected_tokens)
         if isinstance(placed, NoRoom):
             return placed
-        return replace(targets[placed.upstream_id], first_ms=placed.first_ms)
+        target = targets[placed.upstream_id]
+        copy_to = None
+        if engine.copies and not admitted.route.may_repeat:
+            run_ms = prompt.expected_tokens * self._policy.step_ms
+            copy_to = copy_holder(
+                target,
+                tuple(targets.values()),
+                views,
+                placed.first_ms + run_ms,
+            )
+        return replace(target, first_ms=placed.first_ms, copy_to=copy_to)
 
     def _load_in_ms(
         self, state: UpstreamState, model: str, old: bool, age_s: float
@@ -208,42 +220,6 @@
         at_s = times.get(state.upstream.upstream_id)
         return float('inf') if at_s is None else (at_s - age_s) * _MS
 
-    def _home_part(
-        self,
-        prompt: Prompt,
-        team: Team | None,
-        named: NamedVersion,
-        now_s: float,
-    ) -> bytes:
-        """Return the key by which all routers order engines for a prompt.
-
-        That is the first shared part that is not known to be kept; once all
-        are, the longest shared prefix.
-        """
-        wall = cache_wall(team, prompt.model, named.version)
-        for part in prompt.shared:
-            if not self._knowledge.saved(wall, part.part_id, now_s):
-                return _digest(part.part_id)
-        return _key(prompt)
-
-    def _again_ms(
-        self, state: UpstreamState, wall: str, prompt: Prompt, now_s: float
-    ) -> float:
-        """Return what it counts for if shared parts are read twice.
-
-        A part that this router does not know to be kept may have been sent
-        by another router to the part's first engine. Read at a second one,
-        it takes the time of two.
-        """
-        tokens = 0
-        for part in prompt.shared:
-            if self._knowledge.saved(wall, part.part_id, now_s):
-                continue
-            if not state.holds(wall, part.part_id, now_s):
-                tokens += part.tokens
-        read_ms = tokens / self._policy.prefill_tokens_per_ms
-        return read_ms * self._policy.again_weight
-
     def _kv_store(self, prompt: Prompt) -> KvStore | None:
         """Return the store for a prompt, the same at all routers.
 
@@ -321,17 +297,45 @@
         raise LookupError(f'expected {upstream_id} among the candidates')
 
 
+def copy_holder(
+    target: Target,
+    others: Sequence[Target],
+    views: Sequence[EngineView],
+    ends_ms: float,
+) -> UpstreamState | None:
+    """Choose the engine that keeps a copy of a run.
+
+    Load pattern: engines crash with runs that must not begin again. The
+    copy must outlast the run, which is expected to end in ``ends_ms``, so
+    an engine that loads before is no choice; of the others the nearest, then
+    the least busy one.
+    """
+    best: UpstreamState | None = None
+    best_rank = (0, 0)
+    zone = target.state.upstream.availability_zone
+    for other, view in zip(others, views, strict=True):
+        if other.state is target.state or other.weights != target.weights:
+            continue
+        if view.load_in_ms < ends_ms:
+            continue
+        upstream = other.state.upstream
+        rank = (int(upstream.availability_zone != zone), view.in_flight)
+        if best is None or rank < best_rank:
+            best = other.state
+            best_rank = rank
+    return best
+
+
 def _key(prompt: Prompt) -> bytes:
     """Return the key of a prompt's longest shared part."""
     part = prompt.parts[-1:] if not prompt.shared else prompt.shared[-1:]
-    return _digest(''.join(one.part_id for one in part))
-
-
-def _digest(part_id: str) -> bytes:
-    return blake2b(part_id.encode(), digest_size=_KEY_BYTES).digest()
+    text = ''.join(one.part_id for one in part)
+    return blake2b(text.encode(), digest_size=_KEY_BYTES).digest()
 
 
-def _in_order(key: bytes, states: list[UpstreamState]) -> list[UpstreamState]:
+def _in_order(
+    prompt: Prompt, states: list[UpstreamState]
+) -> list[UpstreamState]:
     """Order engines for a prompt alike at all routers.
 
     Where several cost the same, routers then send one subject to one engine
@@ -342,7 +346,7 @@
     if len(ids) < 2:
         return states
     rank = {}
-    for position, name in enumerate(ranked(key, ids, len(ids))):
+    for position, name in enumerate(ranked(_key(prompt), ids, len(ids))):
         rank[name] = position
     return sorted(states, key=lambda one: rank[one.upstream.upstream_id])
 
--- a/packages/daemon/src/lacewing_daemon/direct/_policy.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_policy.py
@@ -20,9 +20,9 @@
     can read, 4 routers with 3 each answer 27% of it in time, with 2 each
     68% (replayed in ``direct_load.feature``).
     ``max_in_flight``: requests that one router has at an engine.
-    ``again_weight``: shared parts that another engine may have read already
-    count so many times their reading; what is read twice is capacity lost
-    to everybody.
+    ``mute_ms``: an engine with streams under way that gives no event for so
+    long is taken for lost. Of engines that lived, none gave three streams or
+    more of a router no event for longer than 175 ms (logs of two days).
     ``load_turns``: at most this part of the engines, one in so many, loads
     new weights at a time; more would slow each other down.
     ``load_early_part``: the part of the engines that loads a version as soon
@@ -42,7 +42,7 @@
     other_zone_ms: float = 25.0
     max_waiting: int = 2
     max_in_flight: int = 24
-    again_weight: float = 3.0
+    mute_ms: float = 220.0
     load_turns: int = 3
     load_early_part: float = 0.5
     load_late_ms: float = 4000.0
--- a/packages/daemon/src/lacewing_daemon/direct/_request_log.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_request_log.py
@@ -6,6 +6,7 @@
 import msgspec
 from lacewing_common.log import get_log
 from lacewing_common.log import Part
+from lacewing_common.log_lines import Try
 
 from lacewing_daemon.direct._line_budget import LineBudget
 from lacewing_daemon.direct._metrics import LINES_LEFT_OUT
@@ -16,27 +17,6 @@
 _log = get_log(Part.CALLERS)
 
 
-class Try(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
-    """Hold one send to an upstream; times in milliseconds.
-
-    ``expected_ms``: when its first event was expected, of which
-    ``waits_ms`` for the requests before it. ``others``: requests of other
-    routers that the upstream last told of. ``verdict`` and ``reason`` say
-    how it ended, ``status`` what the upstream answered.
-    """
-
-    upstream: str
-    verdict: str
-    reason: str
-    ms: int
-    status: int = 0
-    expected_ms: int = 0
-    waits_ms: int = 0
-    others: int = 0
-    weights: int = 0
-    first_ms: int = -1
-
-
 @dataclass(frozen=True)
 class RequestEnd:
     """Hold how a request ended; ``reason`` '' for an upstream's answer."""
--- a/packages/daemon/src/lacewing_daemon/direct/_router.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_router.py
@@ -101,6 +101,17 @@
         """Tell whether new connections should be sent here."""
         return self._fleet.ready and not self._stopping
 
+    @property
+    def configuration(self) -> int:
+        """Return the version of the configuration in force, 0 for none."""
+        directory = self._fleet.knowledge.directory
+        return 0 if directory is None else directory.version
+
+    @property
+    def upstream_ids(self) -> tuple[str, ...]:
+        """Return the ids of all known upstreams."""
+        return tuple(self._fleet.knowledge.upstreams)
+
     def weights_age_s(self, model: str) -> float:
         """Return for how long the newest weights of a model are named."""
         return self._fleet.knowledge.named_weights(model).age_s
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -3,6 +3,7 @@
 import time
 from dataclasses import dataclass
 
+from lacewing_common.log_lines import Try
 from lacewing_common.verdict import Reason
 from lacewing_common.verdict import Verdict
 
@@ -16,7 +17,6 @@
 from lacewing_daemon.direct._metrics import FIRST_SECONDS
 from lacewing_daemon.direct._placing import Placer
 from lacewing_daemon.direct._placing import Target
-from lacewing_daemon.direct._request_log import Try
 from lacewing_daemon.direct._site import Dispatch
 from lacewing_daemon.direct._site import ReplyHead
 from lacewing_daemon.direct._site import Wire
@@ -87,7 +87,8 @@
         streams = self._admitted.route.streams
 
         async def on_piece(head: ReplyHead, piece: bytes) -> None:
-            self._note_read()
+            if self._first_s is None:
+                self._fleet.silence.opened(self._state, attempt.cut)
             self._begin()
             self._state.heard(time.monotonic())
             await relay.take(head, piece)
@@ -99,21 +100,25 @@
             on_piece if streams else None,
         )
         left_s = end_s - self._began_s
-        silent_s = left_s
+        first_wait_s = left_s
         if self._admitted.route.may_repeat:
-            silent_s = STREAM_SILENT_S if streams else PLAIN_SILENT_S
+            first_wait_s = STREAM_SILENT_S if streams else PLAIN_SILENT_S
+        gap_wait_s = first_wait_s
+        if self._target.copy_to is not None:
+            gap_wait_s = STREAM_SILENT_S
         try:
             end = await attempt.run(
                 self._fleet.pool,
                 self._state.upstream,
                 self._dispatch(left_s, relay.last_event),
                 self._admitted.route.may_repeat,
-                silent_s,
-                silent_s,
+                first_wait_s,
+                gap_wait_s,
                 self._admitted.service.most_idle(ROUTERS_ASSUMED),
             )
         finally:
-            self._begin()
+            self._fleet.silence.closed(self._state, attempt.cut)
+            self._state.began(self._ticket)
             self._state.closed()
         told_newer = self._told_newer(end)
         if not told_newer:
@@ -121,16 +126,14 @@
         return Sent(end, self._tell(end), told_newer)
 
     def _begin(self) -> None:
-        """Note the first event, or that none came before the end."""
+        """Note the first event, or the head of an answer that is none."""
         if self._first_s is not None:
             return
         self._first_s = time.monotonic()
         self._state.began(self._ticket)
-
-    def _note_read(self) -> None:
         prompt = self._request.prompt
-        if self._first_s is None and prompt is not None:
-            self._placer.note_read(self._target, prompt, time.monotonic())
+        if prompt is not None:
+            self._placer.note_read(self._target, prompt, self._first_s)
 
     def _note_parts(self) -> None:
         engine = self._admitted.service.engine
@@ -152,10 +155,16 @@
             target.save_to,
             target.urgency if target.wall is not None else None,
             after_event,
+            None
+            if target.copy_to is None
+            else target.copy_to.upstream.address,
+            self._state.upstream.address if target.goes_on else None,
         )
 
     def _learn(self, head: ReplyHead) -> None:
         self._state.heard(time.monotonic())
+        if not self._admitted.route.streams and head.proven:
+            self._begin()
         if head.load is not None:
             self._state.learn_load(head.load, time.monotonic())
         prompt = self._request.prompt
@@ -164,9 +173,6 @@
 
     def _judge(self, end: AttemptEnd) -> None:
         """Learn from the end how far the upstream is to be used."""
-        prompt = self._request.prompt
-        if end.verdict is Verdict.NOT_RUN and prompt is not None:
-            self._placer.note_not_run(self._target, prompt)
         service = self._admitted.service.name
         ATTEMPTS.labels(service, end.verdict.value).inc()
         now_s = time.monotonic()
@@ -208,4 +214,5 @@
             others=self._others,
             weights=target.weights or 0,
             first_ms=first_ms,
+            went_on=target.goes_on,
         )
--- a/packages/daemon/src/lacewing_daemon/direct/_site.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_site.py
@@ -159,7 +159,10 @@
     ``deadline_s`` is what is left of the request's time. ``cache_wall``
     separates KV cache that must not be shared. ``weights`` is the version
     that the upstream must have. ``fetch_from`` and ``save_to`` are
-    addresses of KV caches. ``urgency`` is 0 (first) to 9.
+    addresses of KV caches. ``urgency`` is 0 (first) to 9. ``copy_to`` is
+    the address of an upstream that keeps a copy of the run's memory as it
+    grows. ``go_on_from`` is that address when the run goes on there, after
+    ``after_event``.
     """
 
     upstream_id: str
@@ -171,6 +174,8 @@
     save_to: str | None = None
     urgency: int | None = None
     after_event: int | None = None
+    copy_to: str | None = None
+    go_on_from: str | None = None
 
 
 @dataclass(frozen=True)
--- a/packages/daemon/src/lacewing_daemon/direct/_upstream_state.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_upstream_state.py
@@ -114,6 +114,10 @@
         oldest_s = min(ticket.sent_s for ticket in self._waiting)
         return now_s - max(oldest_s, self._heard_s) > SILENT_S
 
+    def unheard_s(self, now_s: float) -> float:
+        """Return the time since anything came from the upstream."""
+        return now_s - self._heard_s
+
     def heard(self, now_s: float) -> None:
         """Note that anything came from the upstream."""
         self._heard_s = now_s
@@ -205,11 +209,6 @@
         seen_s = self._held.get((wall, part_id))
         return seen_s is not None and now_s - seen_s <= HELD_S
 
-    def forget(self, wall: str, prompt: Prompt) -> None:
-        """Take the parts of a prompt as not held there."""
-        for part in prompt.parts:
-            self._held.pop((wall, part.part_id), None)
-
 
 # Parts of prompts here have some thousand tokens; only the number of parts
 # that are remembered follows from it.
