--- a/features/direct_load.feature
+++ b/features/direct_load.feature
@@ -20,6 +20,22 @@
         | 9       | 1       | 2.5  | 85   |
         | 5       | 4       | 1.6  | 60   |
 
+    Scenario Outline: Routers learn each other's load from their own answers
+      # Symptom: under load engines idle while prompts at others come late.
+      # Sequence: several routers place prompts; each sees its own only and
+      #   takes the engine that the others have filled for the idlest.
+      # Cause: a first event that came late told nothing for the next one.
+      Given <engines> engines and <routers> routers that see only their own load
+      When prompts need <load> times what the engines can read for 20 seconds
+      Then at least <kept> percent of what fits is answered in time
+      And at least <part> times as much as without learning
+
+      Examples:
+        | engines | routers | load | kept | part |
+        | 5       | 4       | 1.6  | 80   | 1.2  |
+        | 9       | 5       | 1.6  | 65   | 2.0  |
+        | 22      | 24      | 0.8  | 60   | 3.0  |
+
     Scenario: A refusal tells when room is to be expected
       Given an engine that reads for 500 ms more
       When a prompt of 60 ms wants its first event within 240 ms
--- a/features/direct_store.feature
+++ b/features/direct_store.feature
@@ -18,6 +18,7 @@
       # Cause: a configuration was believed for as long as none newer came.
       When the store is <mode>
       Then a request with a key soon gets 503
+      And its caller is told to come back at once on a new connection
       When the store is calm
       Then a request with a key soon gets 200
 
@@ -30,13 +31,12 @@
     Scenario Outline: Waiting for changes keeps the configuration confirmed
       # Symptom: a router without faults refuses requests with keys, some
       #   seconds of each minute.
-      # Sequence: nothing changes; a call waits for a change; it returns;
-      #   the next one waits. Meanwhile the first one's sending is the last
-      #   moment that is confirmed.
+      # Sequence: nothing changes; a call waits for a change and returns;
+      #   while the next one waits, what the first confirmed grows older.
       # Cause: calls waited for a fixed time, whatever the time to refuse
       #   keys.
       Given keys that are taken away must be refused within <revoke> seconds
-      Then two calls that wait for changes end well before keys are doubted
+      Then a call that waits for changes ends well before keys are doubted
 
       Examples:
         | revoke |
@@ -45,6 +45,22 @@
         | 5      |
         | 30     |
 
+    Scenario Outline: What each answer of the store confirms
+      # Symptom: a router refuses all keys 1.2 s sooner than it must when the
+      #   store goes away.
+      # Sequence: a call waits 1.2 s for changes and returns empty; the store
+      #   goes away; keys are doubted once that call's sending is too old.
+      # Cause: the time that the store had watched was not counted.
+      Given a router that follows a store by calls of 1.2 s
+      When <answer> comes to a call sent 0.5 s ago
+      Then all changes up to <age> s ago are known
+
+      Examples:
+        | answer            | age |
+        | a list            | 0.5 |
+        | a change          | 1.5 |
+        | no change in time | 0.3 |
+
     Scenario: An older configuration never comes back
       # Symptom: a route that was added is gone again for some requests.
       # Sequence: a late answer brings an older configuration.
--- a/features/steps/direct_load_steps.py
+++ b/features/steps/direct_load_steps.py
@@ -41,28 +41,48 @@
         return self.free_ms
 
 
+@dataclass(frozen=True)
+class _Sent:
+    """Hold a prompt sent; ``late_ms`` beyond what was counted."""
+
+    first_ms: float
+    read_ms: float
+    late_ms: float
+
+
 class _Router:
-    """Place prompts by the product's decision, by own load only."""
+    """Place prompts by the product's decision, by own load only.
 
-    def __init__(self, engines: int, policy: LoadPolicy) -> None:
+    ``learning``: also by how late its own first events came of late.
+    """
+
+    def __init__(
+        self, engines: int, policy: LoadPolicy, learning: bool
+    ) -> None:
         self._policy = policy
-        self._sent: list[list[tuple[float, float]]] = []
+        self._learning = learning
+        self._sent: list[list[_Sent]] = []
+        self._states: list[UpstreamState] = []
+        self._counted_ms = 0.0
         for _ in range(engines):
             self._sent.append([])
+            self._states.append(_state())
 
     def place(
         self, now_ms: float, read_ms: float, left_ms: float
     ) -> int | None:
         """Return the engine chosen, None when refused."""
         views = []
+        excess = []
         for number, sent in enumerate(self._sent):
-            sent[:] = [one for one in sent if one[0] > now_ms]
-            waiting_ms = sum(one[1] for one in sent)
+            self._learn(number, now_ms)
+            waiting_ms = sum(one.read_ms for one in sent)
+            excess.append(self._states[number].excess_ms(now_ms / 1000))
             views.append(
                 EngineView(
                     str(number),
                     True,
-                    waiting_ms,
+                    waiting_ms + excess[-1],
                     read_ms,
                     len(sent),
                     len(sent),
@@ -71,21 +91,43 @@
         placed = place(views, left_ms, self._policy)
         if isinstance(placed, NoRoom):
             return None
-        return int(placed.upstream_id)
+        chosen = int(placed.upstream_id)
+        self._counted_ms = now_ms + placed.first_ms - excess[chosen]
+        return chosen
 
     def note(self, engine: int, first_ms: float, read_ms: float) -> None:
-        """Note when a prompt that was sent will get its first event."""
-        self._sent[engine].append((first_ms, read_ms))
-
-
-def replay(engines: int, routers: int, load: float, refusing: bool) -> float:
+        """Note when the prompt placed last will get its first event."""
+        late_ms = first_ms - self._counted_ms
+        self._sent[engine].append(_Sent(first_ms, read_ms, late_ms))
+
+    def _learn(self, engine: int, now_ms: float) -> None:
+        open_ones = []
+        for one in self._sent[engine]:
+            if one.first_ms > now_ms:
+                open_ones.append(one)
+                continue
+            if self._learning:
+                at_s = one.first_ms / 1000
+                self._states[engine].learn_first(one.late_ms, at_s)
+        self._sent[engine][:] = open_ones
+
+
+def replay(
+    engines: int,
+    routers: int,
+    load: float,
+    refusing: bool,
+    learning: bool = True,
+) -> float:
     """Return the reading in ms of prompts answered in time, per engine ms."""
     random = Random(7)
     pool = [_Engine() for _ in range(engines)]
     policy = LoadPolicy()
     if not refusing:
         policy = LoadPolicy(max_in_flight=10**6, max_waiting=10**6)
-    fleet = [_Router(engines, policy) for _ in range(routers)]
+    fleet = []
+    for _ in range(routers):
+        fleet.append(_Router(engines, policy, learning))
     gap_ms = MEAN_READ_MS / (engines * load)
     now_ms = 0.0
     in_time_ms = 0.0
@@ -116,10 +158,19 @@
 def step_overload(context: Context, load: float) -> None:
     """Replay the load with and without refusing."""
     engines, routers = context.sizes
+    context.load = load
     context.kept = replay(engines, routers, load, refusing=True)
     context.fcfs = replay(engines, routers, load, refusing=False)
 
 
+@then('at least {part:f} times as much as without learning')
+def step_learning(context: Context, part: float) -> None:
+    """Replay it by own load alone."""
+    engines, routers = context.sizes
+    alone = replay(engines, routers, context.load, True, learning=False)
+    assert context.kept >= part * alone, (context.kept, alone)
+
+
 @then('at least {kept:d} percent of what fits is answered in time')
 def step_kept(context: Context, kept: int) -> None:
     """Compare with engines that read all the time."""
--- a/packages/daemon/src/lacewing_daemon/direct/_admission.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_admission.py
@@ -14,7 +14,10 @@
 from lacewing_daemon.direct._directory import Team
 
 # A router without a configuration has one within a few calls to the store.
-NOT_READY_RETRY_S = 0.5
+NOT_READY_RETRY_S = 0.1
+# The others reach the store more often than not, and a caller that returns
+# reaches another one. Half a second would make its answer late.
+UNCONFIRMED_RETRY_S = 0.03
 
 
 @dataclass(frozen=True)
@@ -51,7 +54,7 @@
             return not_run(
                 Reason.PLATFORM_UNAVAILABLE,
                 'keys could not be confirmed lately; repeat the request',
-                NOT_READY_RETRY_S,
+                UNCONFIRMED_RETRY_S,
             )
         team = directory.teams.get(request.key)
         if team is None:
--- a/packages/daemon/src/lacewing_daemon/direct/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_exchange.py
@@ -50,6 +50,7 @@
     Reason.UNKNOWN_PATH: 404,
     Reason.TOO_LARGE: 413,
 }
+_ELSEWHERE = frozenset((Reason.NOT_READY, Reason.PLATFORM_UNAVAILABLE))
 _SUCCESS = range(200, 300)
 _UNAVAILABLE = 503
 _BAD_GATEWAY = 502
@@ -272,6 +273,10 @@
         retry_after_s = None
         if status == _UNAVAILABLE:
             retry_after_s = refusal.retry_after_s
+        if refusal.reason in _ELSEWHERE:
+            # The next request of this caller would be refused here as well;
+            # a new connection goes to a router that is ready.
+            self._reply.announce_close()
         headers = self._serving.wire.refusal(
             self._request.request_id, retry_after_s
         )
--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -5,6 +5,7 @@
 from random import Random
 
 from lacewing_daemon.direct._directory import Directory
+from lacewing_daemon.direct._followed import DEAF_S
 from lacewing_daemon.direct._followed import Followed
 from lacewing_daemon.direct._knowledge import Knowledge
 from lacewing_daemon.direct._metrics import STORE_AGE_SECONDS
@@ -24,30 +25,43 @@
 # takes one call; well below the 2 s in which they must be in force.
 DIRECTORY_GATHER_S = 0.15
 UPSTREAMS_GATHER_S = 0.2
-# The part of the time to refuse revoked keys after which an unconfirmed
-# configuration is no longer believed; the rest covers the way of a request
-# and a store whose watches are a second behind.
-REVOKE_PART = 0.7
+# Left of the time to refuse keys for what is under way when it has come.
+CONFIRM_SLACK_S = 0.15
+# The part of the time for which keys are believed within which they are
+# confirmed anew; the rest is left to the way of calls to a slow store.
+CONFIRM_PART = 0.8
+# Where the time is so short that waiting calls, which may be deaf for a
+# second, could never confirm anything, only so much of it is allowed for.
+DEAF_PART = 0.5
 # Shares of the retry budget; more routers than this would overdraw it.
 ROUTERS_ASSUMED = 8
 SWEEP_S = 1.0
-# Left of the time within which a call must have confirmed the configuration:
-# for the way of two calls to a slow store.
-CONFIRM_MARGIN_S = 0.3
+
+
+def keys_believed_s(revoke_s: float) -> float:
+    """Return for how long a configuration is believed unconfirmed.
+
+    Requests with keys are refused after that, as a key may have been taken
+    away right after the last confirmation. Refusing sooner would turn away
+    callers for nothing.
+    """
+    return max(revoke_s / 2, revoke_s - CONFIRM_SLACK_S)
+
+
+def deaf_s(revoke_s: float) -> float:
+    """Return for how long a waiting call is taken to have been deaf."""
+    return min(DEAF_S, keys_believed_s(revoke_s) * DEAF_PART)
 
 
 def directory_wait_s(revoke_s: float) -> float:
     """Return how long a call waits for a change of the configuration.
 
-    A call that waits for nothing confirms the state as of its sending. So
-    while the next one waits, what is known is up to two waits old. If that
-    passed the time to refuse keys, a router would refuse all requests with
-    keys again and again, though the store answers.
+    While one call waits, what the one before confirmed grows older by that
+    time. If it passed the time to refuse keys, a router would refuse all
+    requests with keys again and again, though the store answers.
     """
-    confirmed_s = revoke_s * REVOKE_PART
-    return min(
-        DIRECTORY_WAIT_S, max(0.1, (confirmed_s - CONFIRM_MARGIN_S) / 2)
-    )
+    confirmed_s = keys_believed_s(revoke_s) * CONFIRM_PART
+    return min(DIRECTORY_WAIT_S, confirmed_s - deaf_s(revoke_s))
 
 
 class Fleet:
@@ -62,6 +76,7 @@
             directory_wait_s(settings.bounds.revoke_s),
             random,
             gather_s=DIRECTORY_GATHER_S,
+            deaf_s=deaf_s(settings.bounds.revoke_s),
         )
         self._upstreams: Followed[Upstream] = Followed(
             'upstreams',
@@ -109,7 +124,7 @@
     @property
     def keys_confirmed(self) -> bool:
         """Tell whether a key that was taken away would be known."""
-        limit_s = self._knowledge.bounds.revoke_s * REVOKE_PART
+        limit_s = keys_believed_s(self._knowledge.bounds.revoke_s)
         return self._directories.age_s < limit_s
 
     @property
--- a/packages/daemon/src/lacewing_daemon/direct/_followed.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_followed.py
@@ -26,6 +26,9 @@
 # The platform says that entries which lapsed during its outage are back
 # within about 2 s of its return, if the upstream lives.
 KEEP_LAPSED_S = 2.3
+# Before a store drops its history, calls that wait for changes hear nothing
+# of them for a second; then they are cut.
+DEAF_S = 1.0
 
 _log = get_log(Part.PLATFORM)
 
@@ -49,7 +52,9 @@
         random: Random,
         keep_lapsed: bool = False,
         gather_s: float = 0.0,
+        deaf_s: float = DEAF_S,
     ) -> None:
+        self._deaf_s = deaf_s
         self._name = name
         self._collection = collection
         self._wait_s = wait_s
@@ -84,8 +89,7 @@
     def age_s(self) -> float:
         """Return for how long the entries have not been confirmed.
 
-        Counted from the sending of the last call that was answered: what
-        changed after that may be missing.
+        What changed after the last confirmation may be missing.
         """
         if self._confirmed_s is None:
             return float('inf')
@@ -115,12 +119,29 @@
                 continue
             self._regained()
             self._take(answer)
-            self._confirmed_s = sent_s
+            self.confirm(answer, sent_s)
             if isinstance(answer, Changes) and answer.changed:
                 # Changes come in series; a call for each would cost several
                 # times the calls that waiting makes.
                 await asyncio.sleep(self._gather_s)
 
+    def confirm(self, answer: Listing[T] | Changes[T], sent_s: float) -> None:
+        """Note as of when all changes are known.
+
+        A list holds all that was changed before it was asked for. A call
+        for changes that returns empty has waited for its whole time, and
+        the store told nothing meanwhile; it may have been deaf at the end.
+        Counting from the sending alone would take what is known for older
+        by the time that was waited, and refuse keys so much sooner.
+        """
+        confirmed_s = sent_s
+        if isinstance(answer, Changes):
+            confirmed_s -= self._deaf_s
+            if not answer.changed:
+                confirmed_s += self._wait_s
+        if self._confirmed_s is None or confirmed_s > self._confirmed_s:
+            self._confirmed_s = confirmed_s
+
     async def _next(
         self,
     ) -> Listing[T] | Changes[T] | HistoryGone | StoreError:
--- a/packages/daemon/src/lacewing_daemon/direct/_placing.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_placing.py
@@ -49,6 +49,7 @@
     urgency: int = USUAL_URGENCY
     first_ms: float = 0.0
     waits_ms: float = 0.0
+    excess_ms: float = 0.0
     copy_to: UpstreamState | None = None
     goes_on: bool = False
 
@@ -168,6 +169,8 @@
             )
             waiting_ms = state.waiting_ms(urgency)
             waiting_ms += state.others_waiting(now_s) * USUAL_READ_MS
+            excess_ms = state.excess_ms(now_s)
+            waiting_ms += excess_ms
             handicap_ms = 0.0
             if old and named.age_s > self._policy.old_weights_s:
                 handicap_ms += self._policy.old_weights_ms
@@ -180,6 +183,7 @@
                 self._save_to(kv_store, wall, prompt, now_s),
                 urgency,
                 waits_ms=waiting_ms,
+                excess_ms=excess_ms,
             )
             upstream = state.upstream
             targets[upstream.upstream_id] = target
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -132,8 +132,12 @@
         self._first_s = time.monotonic()
         self._state.began(self._ticket)
         prompt = self._request.prompt
-        if prompt is not None:
-            self._placer.note_read(self._target, prompt, self._first_s)
+        if prompt is None or self._target.goes_on:
+            return
+        self._placer.note_read(self._target, prompt, self._first_s)
+        counted_ms = self._target.first_ms - self._target.excess_ms
+        took_ms = (self._first_s - self._began_s) * _MS
+        self._state.learn_first(took_ms - counted_ms, self._first_s)
 
     def _note_parts(self) -> None:
         engine = self._admitted.service.engine
--- a/packages/daemon/src/lacewing_daemon/direct/_upstream_state.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_upstream_state.py
@@ -2,6 +2,7 @@
 
 from collections import OrderedDict
 from dataclasses import dataclass
+from math import exp
 
 from lacewing_daemon.direct._call import Prompt
 from lacewing_daemon.direct._directory import Engine
@@ -12,6 +13,11 @@
 TOLD_FRESH_S = 0.6
 # Parts are evicted within seconds; what was sent longer ago is not relied on.
 HELD_S = 8.0
+# How much of the newest lateness is taken, how fast it fades, and the most
+# that one first event counts for, so that a single one shuns no engine.
+EXCESS_WEIGHT = 0.5
+EXCESS_FADES_S = 1.0
+MOST_EXCESS_MS = 300.0
 # Failures in a row after which an upstream is left alone for a while.
 FAILURES_TO_SHUN = 3
 # Medians of first events are 0.03 to 0.15 s, and a loaded engine is heard all
@@ -49,6 +55,8 @@
         self._told: UpstreamLoad | None = None
         self._told_s = 0.0
         self._told_own = 0
+        self._excess_ms = 0.0
+        self._excess_s = 0.0
         self._failures = 0
         self._shunned_until_s = 0.0
         self._held: OrderedDict[tuple[str, str], float] = OrderedDict()
@@ -137,6 +145,24 @@
         self._told_s = now_s
         self._told_own = self._in_flight
 
+    def excess_ms(self, now_s: float) -> float:
+        """Return how much later than counted first events come of late.
+
+        What other routers sent there is only known once an answer tells of
+        it, and an engine under load reads more slowly. Both show in this
+        router's own first events. Fades within a second or two, so that an
+        engine that has nothing to answer is tried again.
+        """
+        age_s = max(0.0, now_s - self._excess_s)
+        return self._excess_ms * exp(-age_s / EXCESS_FADES_S)
+
+    def learn_first(self, late_ms: float, now_s: float) -> None:
+        """Take by how much a first event came later than counted."""
+        seen_ms = min(MOST_EXCESS_MS, max(0.0, late_ms))
+        before_ms = self.excess_ms(now_s)
+        self._excess_ms = before_ms + (seen_ms - before_ms) * EXCESS_WEIGHT
+        self._excess_s = now_s
+
     def others(self, now_s: float) -> int:
         """Return other routers' open requests there, by its last word."""
         if self._told is None or now_s - self._told_s > TOLD_FRESH_S:
