--- a/features/direct_load.feature
+++ b/features/direct_load.feature
@@ -112,6 +112,15 @@
         | 4       |
         | 8       |
 
+    Scenario: What began to run has a part of the budget to itself
+      # Symptom: runs that could go on from their copies are lost in a crash.
+      # Sequence: engines crash; those that load refuse; refused requests are
+      #   sent again and use the budget up; the copies are never asked.
+      # Cause: a refused request counted as much as one that ran.
+      Given 4 routers that share a budget of 0.2 and 54
+      When each of them has spent what it may on refused requests
+      Then it may still repeat some that began to run
+
   Rule: New weights are loaded by a part of the engines at a time
 
     Scenario: Nine engines and a new version
--- a/features/steps/direct_load_steps.py
+++ b/features/steps/direct_load_steps.py
@@ -296,10 +296,30 @@
         for number in range(count):
             now_s = 10.0 * number / count
             budget.count_request(now_s)
-            while budget.spend(now_s, len(context.budgets)):
+            while budget.spend(now_s, len(context.budgets), True):
                 context.repeats += 1
 
 
+@when('each of them has spent what it may on refused requests')
+def step_spent(context: Context) -> None:
+    """Spend all that is not kept for runs."""
+    for budget in context.budgets:
+        for _ in range(100):
+            budget.count_request(0.0)
+        while budget.spend(0.0, len(context.budgets), False):
+            pass
+
+
+@then('it may still repeat some that began to run')
+def step_some_left(context: Context) -> None:
+    """Spend what is kept for runs."""
+    for budget in context.budgets:
+        left = 0
+        while budget.spend(0.0, len(context.budgets), True):
+            left += 1
+        assert left >= 5, left
+
+
 @then('the fleet repeats no more than the budget allows')
 def step_within(context: Context) -> None:
     """Compare with the fleet's budget."""
--- a/packages/common/src/lacewing_common/log_lines.py
+++ b/packages/common/src/lacewing_common/log_lines.py
@@ -13,7 +13,8 @@
     routers that the upstream last told of. ``verdict`` and ``reason`` say
     how it ended, ``status`` what the upstream answered. ``first_ms``: until
     its first event or its answer, -1 if none came. ``went_on``: the run of
-    an earlier send was continued from its copy.
+    an earlier send was continued from its copy. ``copy``: the upstream that
+    kept a copy of this run's memory, '' for none.
     """
 
     upstream: str
@@ -27,6 +28,7 @@
     weights: int = 0
     first_ms: int = -1
     went_on: bool = False
+    copy: str = ''
 
 
 class LogLine(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/daemon/src/lacewing_daemon/direct/_budget.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_budget.py
@@ -5,6 +5,8 @@
 # A router knows its own requests only. It spends this part of what the
 # ratio allows for them, as the fleet's window need not match its own.
 _OWN_PART = 0.6
+# The part of a router's share that is kept for requests that began to run.
+KEPT_FOR_RUNS = 0.4
 
 
 class RetryBudget:
@@ -28,11 +30,17 @@
         self._requests.append(now_s)
         self._forget(now_s)
 
-    def spend(self, now_s: float, routers: int) -> bool:
-        """Take one repeat from the budget; false if it is used up."""
+    def spend(self, now_s: float, routers: int, for_runs: bool) -> bool:
+        """Take one repeat from the budget; false if it is used up.
+
+        ``for_runs``: for a request that has begun to run and is lost without
+        it. One that did not run can be refused, and its caller returns.
+        """
         self._forget(now_s)
         allowed = self._ratio * len(self._requests) * _OWN_PART
         allowed += self._slack * _OWN_PART / max(1, routers)
+        if not for_runs:
+            allowed *= 1.0 - KEPT_FOR_RUNS
         if len(self._repeats) + 1 > allowed:
             return False
         self._repeats.append(now_s)
--- a/packages/daemon/src/lacewing_daemon/direct/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_exchange.py
@@ -21,7 +21,6 @@
 from lacewing_daemon.direct._caller_reply import CallerReply
 from lacewing_daemon.direct._choice import NoRoom
 from lacewing_daemon.direct._fleet import Fleet
-from lacewing_daemon.direct._fleet import ROUTERS_ASSUMED
 from lacewing_daemon.direct._metrics import REPEATS_DENIED
 from lacewing_daemon.direct._metrics import REQUESTS
 from lacewing_daemon.direct._placing import Placer
@@ -174,7 +173,7 @@
         if not self._sends:
             return placed
         budget = self._fleet.knowledge.budget(admitted.service)
-        if budget.spend(now_s, ROUTERS_ASSUMED):
+        if budget.spend(now_s, self._fleet.routers, self._runs > 0):
             return placed
         REPEATS_DENIED.labels(admitted.service.name).inc()
         return not_run(
--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -10,6 +10,7 @@
 from lacewing_daemon.direct._knowledge import Knowledge
 from lacewing_daemon.direct._metrics import STORE_AGE_SECONDS
 from lacewing_daemon.direct._pool import ConnectionPool
+from lacewing_daemon.direct._router_count import RouterCount
 from lacewing_daemon.direct._settings import DirectSettings
 from lacewing_daemon.direct._silence import SilenceWatch
 from lacewing_daemon.direct._site import Site
@@ -33,8 +34,6 @@
 # Where the time is so short that waiting calls, which may be deaf for a
 # second, could never confirm anything, only so much of it is allowed for.
 DEAF_PART = 0.5
-# Shares of the retry budget; more routers than this would overdraw it.
-ROUTERS_ASSUMED = 8
 SWEEP_S = 1.0
 
 
@@ -91,6 +90,7 @@
         )
         self._on_directory: Callable[[Directory], None] | None = None
         self._pool = ConnectionPool()
+        self._routers = RouterCount(site.store, settings.process_id, random)
         self._silence = SilenceWatch(settings.policy.mute_ms / 1000)
         self._tasks: list[asyncio.Task[None]] = []
         self._directories.on_change(self._take_directory)
@@ -102,6 +102,11 @@
         """Return the connections to upstreams."""
         return self._pool
 
+    @property
+    def routers(self) -> int:
+        """Return the number of routers that live, this one included."""
+        return self._routers.count
+
     @property
     def silence(self) -> SilenceWatch:
         """Return the watch over upstreams with streams under way."""
@@ -153,9 +158,14 @@
             self._weights.run(),
             self._sweep(),
             self._silence.run(),
+            self._routers.run(),
         ):
             self._tasks.append(asyncio.create_task(run))
 
+    async def leave(self) -> None:
+        """Tell the other routers that this one ends."""
+        await self._routers.leave()
+
     def close(self) -> None:
         """Stop following; close idle connections."""
         for task in self._tasks:
--- a/packages/daemon/src/lacewing_daemon/direct/_knowledge.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_knowledge.py
@@ -178,6 +178,17 @@
         self._states[name] = state
         self._by_service.setdefault(value.service, []).append(state)
 
+    def learn_weights(
+        self, state: UpstreamState, model: str, version: int
+    ) -> None:
+        """Take the version of weights that an upstream told.
+
+        A version that one of them has was named, also if this router is cut
+        from the store and could not read it.
+        """
+        state.learn_weights(model, version)
+        self.take_weights(NamedWeights(model, version), False)
+
     def take_weights(self, value: NamedWeights, named_before: bool) -> None:
         """Take a named version; ``named_before`` this process started."""
         known, _ = self._named_since.get(value.model, (0, 0.0))
--- a/packages/daemon/src/lacewing_daemon/direct/_router.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_router.py
@@ -144,8 +144,10 @@
         if self._planning is not None:
             self._planning.cancel()
         handing_over = asyncio.create_task(self._planner.stop())
+        leaving = asyncio.create_task(self._fleet.leave())
         await self._drain()
         handing_over.cancel()
+        leaving.cancel()
         self._fleet.close()
         _log.info('Stopped.', open=self._front.open_requests)
 
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/direct/_router_count.py
@@ -0,0 +1,142 @@
+"""Count the routers that live, by entries that each keeps in the store."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Sequence
+from dataclasses import dataclass
+from random import Random
+from uuid import uuid4
+
+from lacewing_common.log import get_log
+from lacewing_common.log import Part
+from lacewing_common.store import MUST_NOT_EXIST
+from lacewing_common.store import StoredObject
+from lacewing_common.store import StoreError
+from lacewing_common.store import StoreFault
+
+from lacewing_daemon.direct._clock import boot_s
+from lacewing_daemon.direct._site import OwnObjects
+
+ROUTERS = 'routers'
+# Each router renews its entry this often, and counts more often, as reads
+# that may be old cost a tenth.
+RENEW_S = 10.0
+LOOK_S = 4.0
+# An entry that was not renewed for so long is of a router that is gone; two
+# renewals may be lost.
+LIVE_S = 3.5 * RENEW_S
+# Then it is removed, by whoever sees it first; a router that lives after all
+# writes it anew.
+REMOVE_S = 300.0
+# Taken before the first count. Too many only makes shares smaller.
+ROUTERS_ASSUMED = 8
+
+_log = get_log(Part.MEMBERS)
+
+
+@dataclass(frozen=True)
+class _Seen:
+    """Hold a version of an entry and when it was first seen."""
+
+    version: int
+    since_s: float
+
+
+class RouterCount:
+    """Know how many routers share what holds for all of them together.
+
+    Retry budget, connections and places at upstreams are bounded for the
+    whole fleet. A router that takes its part for larger than it is, because
+    it does not know the others, breaks the bound just when all of them meet
+    refusals.
+    """
+
+    def __init__(
+        self,
+        store: OwnObjects,
+        name: str,
+        random: Random,
+        clock: Callable[[], float] = boot_s,
+    ) -> None:
+        self._store = store
+        self._name = name
+        self._random = random
+        self._clock = clock
+        self._version = MUST_NOT_EXIST
+        self._renewed_s = float('-inf')
+        self._seen: dict[str, _Seen] = {}
+        self._count = ROUTERS_ASSUMED
+        self._leaving = False
+
+    @property
+    def count(self) -> int:
+        """Return the number of routers that live, this one included."""
+        return self._count
+
+    async def run(self) -> None:
+        """Renew the own entry and count all until cancelled."""
+        while True:
+            if self._clock() - self._renewed_s >= RENEW_S:
+                await self.renew()
+            await self.look()
+            await asyncio.sleep(LOOK_S * (0.75 + self._random.random() / 2))
+
+    async def renew(self) -> None:
+        """Write the own entry, unless this router leaves."""
+        if self._leaving:
+            return
+        answer = await self._store.put(
+            ROUTERS, self._name, uuid4().hex.encode(), self._version
+        )
+        if isinstance(answer, StoredObject):
+            self._version = answer.version
+            self._renewed_s = self._clock()
+            return
+        if answer.fault is StoreFault.CONFLICT:
+            await self._read_own()
+        if answer.fault is StoreFault.NOT_FOUND:
+            self._version = MUST_NOT_EXIST
+
+    async def look(self) -> None:
+        """Count the entries that were renewed lately."""
+        listed = await self._store.peek_all(ROUTERS)
+        if isinstance(listed, StoreError):
+            return
+        count = self.take(listed)
+        if count != self._count:
+            _log.info('Counts other routers.', routers=count)
+        self._count = count
+        for entry in listed:
+            seen = self._seen[entry.name]
+            if self._clock() - seen.since_s > REMOVE_S:
+                await self._store.delete(ROUTERS, entry.name, entry.version)
+
+    def take(self, listed: Sequence[StoredObject]) -> int:
+        """Note the versions of all entries; return how many live.
+
+        Whether one is renewed is judged by the own clock, from when each
+        version was first seen here.
+        """
+        now_s = self._clock()
+        seen: dict[str, _Seen] = {}
+        live = 0
+        for entry in listed:
+            known = self._seen.get(entry.name)
+            if known is None or known.version < entry.version:
+                known = _Seen(entry.version, now_s)
+            seen[entry.name] = known
+            if now_s - known.since_s <= LIVE_S or entry.name == self._name:
+                live += 1
+        self._seen = seen
+        return max(1, live)
+
+    async def leave(self) -> None:
+        """Remove the own entry, so that the others' parts grow at once."""
+        self._leaving = True
+        if self._version != MUST_NOT_EXIST:
+            await self._store.delete(ROUTERS, self._name, self._version)
+
+    async def _read_own(self) -> None:
+        found = await self._store.get(ROUTERS, self._name)
+        if isinstance(found, StoredObject):
+            self._version = found.version
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -12,7 +12,6 @@
 from lacewing_daemon.direct._attempt import AttemptEnd
 from lacewing_daemon.direct._call import CallerRequest
 from lacewing_daemon.direct._fleet import Fleet
-from lacewing_daemon.direct._fleet import ROUTERS_ASSUMED
 from lacewing_daemon.direct._metrics import ATTEMPTS
 from lacewing_daemon.direct._metrics import FIRST_SECONDS
 from lacewing_daemon.direct._placing import Placer
@@ -21,6 +20,7 @@
 from lacewing_daemon.direct._site import ReplyHead
 from lacewing_daemon.direct._site import Wire
 from lacewing_daemon.direct._stream_relay import StreamRelay
+from lacewing_daemon.direct._upstream_state import UpstreamState
 
 _MS = 1000.0
 # An engine that refuses is full or loads weights (0.4 s); others are tried
@@ -114,7 +114,7 @@
                 self._admitted.route.may_repeat,
                 first_wait_s,
                 gap_wait_s,
-                self._admitted.service.most_idle(ROUTERS_ASSUMED),
+                self._admitted.service.most_idle(self._fleet.routers),
             )
         finally:
             self._fleet.silence.closed(self._state, attempt.cut)
@@ -173,7 +173,9 @@
             self._state.learn_load(head.load, time.monotonic())
         prompt = self._request.prompt
         if head.weights is not None and prompt is not None:
-            self._state.learn_weights(prompt.model, head.weights)
+            self._fleet.knowledge.learn_weights(
+                self._state, prompt.model, head.weights
+            )
 
     def _judge(self, end: AttemptEnd) -> None:
         """Learn from the end how far the upstream is to be used."""
@@ -219,4 +221,9 @@
             weights=target.weights or 0,
             first_ms=first_ms,
             went_on=target.goes_on,
+            copy=_id_of(target.copy_to),
         )
+
+
+def _id_of(state: UpstreamState | None) -> str:
+    return '' if state is None else state.upstream.upstream_id
--- a/packages/daemon/src/lacewing_daemon/direct/_site.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_site.py
@@ -127,6 +127,16 @@
     async def peek(self, kind: str, name: str) -> StoredObject | StoreError:
         """Read one object cheaply; it may be seconds old."""
 
+    async def peek_all(
+        self, kind: str
+    ) -> tuple[StoredObject, ...] | StoreError:
+        """Read all objects of a kind cheaply; they may be seconds old."""
+
+    async def delete(
+        self, kind: str, name: str, expect: int
+    ) -> None | StoreError:
+        """Delete an object if its version is ``expect``."""
+
 
 class Site(Protocol):
     """Hold all that the platform keeps for the system."""
