--- a/Makefile
+++ b/Makefile
@@ -86,6 +86,14 @@
 limits-error: $(VENV)/.made
 	$(BIN)/python -m lacewing_bench.limits_error
 
+# Decisions on a model of engines: make experiment [ON=grown] [LOAD=1.5]
+ON ?= lahore
+LOAD ?= 1.0
+.PHONY: experiment
+experiment: $(VENV)/.made
+	$(BIN)/python -m lacewing_bench.experiment --deployment=$(ON) \
+		--load=$(LOAD)
+
 .PHONY: capacity
 capacity: $(VENV)/.made
 	$(BIN)/python -m lacewing_bench.capacity
--- /dev/null
+++ b/packages/bench/src/lacewing_bench/experiment/__main__.py
@@ -0,0 +1,81 @@
+"""Try variants side by side: ``python -m lacewing_bench.experiment``."""
+
+import json
+from collections.abc import Sequence
+from pathlib import Path
+from statistics import mean
+from statistics import pstdev
+
+import fire
+from lacewing_daemon.direct._policy import LoadPolicy
+from tabulate import tabulate
+
+from lacewing_bench.experiment._outcome import Figures
+from lacewing_bench.experiment._plot import plot_worth
+from lacewing_bench.experiment._simulation import Pattern
+from lacewing_bench.experiment._simulation import Simulation
+from lacewing_bench.experiment._simulation import Variant
+from lacewing_bench.experiment._site import DEPLOYMENTS
+
+# The product as it is, each mechanism off alone, and one router that sees
+# all load, which is the limit of what routers could know.
+VARIANTS = (
+    Variant('as it is'),
+    Variant('no refusing', refusing=False),
+    Variant('no learning of lateness', learning=False),
+    Variant('all load at once', LoadPolicy(load_early_part=1.0)),
+    Variant('no drain before loads', LoadPolicy(lost_run_ms=0.0)),
+    Variant('old weights count full', LoadPolicy(old_weights_ms=0.0)),
+    Variant('10 waiting', LoadPolicy(max_waiting=10)),
+    Variant('own zone only by cost', LoadPolicy(other_zone_ms=0.0)),
+    Variant('one router sees all', routers=1),
+)
+_FIGURES = tuple(Figures.__dataclass_fields__)
+
+
+def experiment(
+    deployment: str = 'lahore',
+    load: float = 1.0,
+    seconds: float = 30.0,
+    seeds: int = 3,
+    named_every_s: float = 3.2,
+    crash_every_s: float = 0.0,
+    output: str = 'build/experiment',
+) -> None:
+    """Play all variants on the same load; print a table, write JSON, plot.
+
+    Args:
+        deployment: lahore, moravia or grown.
+        load: times the usual rate of requests.
+        seconds: virtual seconds of each play.
+        seeds: plays of each variant.
+        named_every_s: new weights are named this often; 0: never.
+        crash_every_s: an engine crashes this often; 0: never.
+        output: a folder for ``experiment.json`` and ``experiment.png``.
+    """
+    site = DEPLOYMENTS[deployment]
+    pattern = Pattern(load, seconds, named_every_s, crash_every_s)
+    rows = []
+    played: dict[str, list[dict[str, float]]] = {}
+    for variant in VARIANTS:
+        plays = []
+        for seed in range(seeds):
+            plays.append(Simulation(site, pattern, variant, seed).run())
+        rows.append(_row(variant.name, plays))
+        played[variant.name] = [play.as_dict() for play in plays]
+    print(tabulate(rows, ('variant', *_FIGURES, 'worth +-'), floatfmt='.3f'))
+    folder = Path(output)
+    folder.mkdir(parents=True, exist_ok=True)
+    (folder / 'experiment.json').write_text(json.dumps(played, indent=1))
+    plot_worth(played, f'{deployment}, load {load}', folder / 'experiment.png')
+
+
+def _row(name: str, plays: Sequence[Figures]) -> tuple[object, ...]:
+    means = []
+    for figure in _FIGURES:
+        means.append(mean(getattr(play, figure) for play in plays))
+    return (name, *means, pstdev(play.worth for play in plays))
+
+
+if __name__ == '__main__':
+    fire.Fire(experiment, name='experiment')
--- /dev/null
+++ b/packages/bench/src/lacewing_bench/experiment/_router.py
@@ -0,0 +1,214 @@
+"""Run the product's decisions of one router on the model's time."""
+
+from dataclasses import dataclass
+
+from lacewing_daemon.direct import CallerRequest
+from lacewing_daemon.direct import Directory
+from lacewing_daemon.direct import Engine as EngineLimits
+from lacewing_daemon.direct import KvStore
+from lacewing_daemon.direct import Limits
+from lacewing_daemon.direct import NamedWeights
+from lacewing_daemon.direct import Prompt
+from lacewing_daemon.direct import Route
+from lacewing_daemon.direct import Service
+from lacewing_daemon.direct import Share
+from lacewing_daemon.direct import Upstream
+from lacewing_daemon.direct import UpstreamLoad
+from lacewing_daemon.direct._admission import Admitted
+from lacewing_daemon.direct._choice import NoRoom
+from lacewing_daemon.direct._knowledge import Knowledge
+from lacewing_daemon.direct._placing import Placer
+from lacewing_daemon.direct._placing import Target
+from lacewing_daemon.direct._policy import LoadPolicy
+from lacewing_daemon.direct._settings import Bounds
+from lacewing_daemon.direct._upstream_state import Ticket
+from tornado.httputil import HTTPHeaders
+
+from lacewing_bench.experiment._engine import Engine
+from lacewing_bench.experiment._site import Deployment
+from lacewing_bench.experiment._site import Kind
+
+MODEL = 'model'
+SERVICE = 'engines'
+_MS = 1000.0
+_BOUNDS = Bounds(
+    drain_s=8.0,
+    revoke_s=5.0,
+    lease_s=3.0,
+    weights_s=8.0,
+    repeat_ratio=0.2,
+    repeat_slack=54.0,
+    repeat_window_s=10.0,
+)
+_LINK_BYTES_PER_S = 4.5e10
+_TOKEN_BYTES = 192_512.0
+
+
+@dataclass(frozen=True)
+class Sent:
+    """Hold a request that was sent and what must be undone at its end."""
+
+    target: Target
+    ticket: Ticket
+    prompt: Prompt
+    sent_ms: float
+
+
+class Router:
+    """Hold one router's knowledge; ``learning`` off leaves lateness out."""
+
+    def __init__(
+        self,
+        site: Deployment,
+        zone: int,
+        policy: LoadPolicy,
+        learning: bool,
+    ) -> None:
+        self._learning = learning
+        self._now_ms = 0.0
+        self._limits = EngineLimits(
+            site.engine.slots,
+            site.engine.kv_tokens,
+            _TOKEN_BYTES,
+            _LINK_BYTES_PER_S,
+            (MODEL,),
+        )
+        service = Service(SERVICE, 0, self._limits)
+        kept = KvStore('kept', 'zone-0', 1_000_000, _LINK_BYTES_PER_S)
+        self._routes = {kind.name: _route(kind) for kind in site.kinds}
+        self._service = service
+        self.knowledge = Knowledge(_BOUNDS, policy, self._clock_s)
+        self.knowledge.take_directory(
+            Directory(
+                1,
+                tuple(self._routes.values()),
+                {SERVICE: service, 'kept': Service('kept', 0, None, kept)},
+                None,
+                Limits(1_000_000, 15.0),
+            )
+        )
+        for number in range(site.engines):
+            name = engine_name(number)
+            self.knowledge.take_upstream(
+                name,
+                Upstream(
+                    name,
+                    SERVICE,
+                    f'127.0.0.1:{number + 1}',
+                    f'zone-{number % site.zones}',
+                    site.engine.slots,
+                    False,
+                    {MODEL: 1},
+                ),
+            )
+        self._placer = Placer(self.knowledge, f'zone-{zone % site.zones}')
+        self.name_weights(1, True)
+
+    def place_time(self, now_ms: float) -> None:
+        """Set the time that the router's clock shows."""
+        self._now_ms = now_ms
+
+    def name_weights(self, version: int, before: bool) -> None:
+        """Learn that a version was named."""
+        self.knowledge.take_weights(NamedWeights(MODEL, version), before)
+
+    def place(
+        self,
+        kind: Kind,
+        prompt: Prompt,
+        excluded: frozenset[str],
+        left_ms: float,
+        now_ms: float,
+    ) -> Target | NoRoom:
+        """Decide on a request."""
+        self._now_ms = now_ms
+        return self._placer.place(
+            _request(prompt, now_ms),
+            Admitted(self._routes[kind.name], self._service, None),
+            excluded,
+            left_ms,
+            now_ms / _MS,
+        )
+
+    def send(self, target: Target, prompt: Prompt, now_ms: float) -> Sent:
+        """Count a request as sent."""
+        now_s = now_ms / _MS
+        self._placer.note_sent(target, prompt, self._limits, now_s)
+        ticket = target.state.open(target.read_ms, target.urgency, now_s)
+        return Sent(target, ticket, prompt, now_ms)
+
+    def refused(self, sent: Sent, engine: Engine, now_ms: float) -> None:
+        """Learn that an engine loads; it is left alone for a moment."""
+        sent.target.state.began(sent.ticket)
+        sent.target.state.closed()
+        sent.target.state.pause(now_ms / _MS, _PAUSE_S)
+        self._learn(sent.target, engine)
+
+    def began(self, sent: Sent, engine: Engine, now_ms: float) -> None:
+        """Learn from a first event."""
+        now_s = now_ms / _MS
+        state = sent.target.state
+        state.heard(now_s)
+        state.began(sent.ticket)
+        load = UpstreamLoad(
+            len(engine.running), len(engine.waiting), engine.model.slots
+        )
+        state.learn_load(load, now_s)
+        self._learn(sent.target, engine)
+        self._placer.note_read(sent.target, sent.prompt, now_s)
+        counted_ms = sent.target.first_ms - sent.target.excess_ms
+        if self._learning:
+            late_ms = now_ms - sent.sent_ms - counted_ms
+            state.learn_first(late_ms, now_s)
+
+    def ended(self, sent: Sent) -> None:
+        """Count a request as ended."""
+        sent.target.state.closed()
+
+    def _learn(self, target: Target, engine: Engine) -> None:
+        self.knowledge.learn_weights(target.state, MODEL, engine.weights)
+
+    def _clock_s(self) -> float:
+        return self._now_ms / _MS
+
+
+# As in the product, after a refusal.
+_PAUSE_S = 0.15
+
+
+def engine_name(number: int) -> str:
+    """Return the id of an engine."""
+    return f'engine-{number}'
+
+
+def _route(kind: Kind) -> Route:
+    return Route(
+        kind.name,
+        'host',
+        f'/{kind.name}/',
+        False,
+        True,
+        kind.rank > 0,
+        15.0,
+        kind.target_ms / _MS,
+        kind.rank,
+        2,
+        True,
+        (Share(SERVICE, 1.0),),
+    )
+
+
+def _request(prompt: Prompt, now_ms: float) -> CallerRequest:
+    return CallerRequest(
+        'POST',
+        '/',
+        'host',
+        '',
+        HTTPHeaders(),
+        b'',
+        now_ms / _MS,
+        15.0,
+        '',
+        prompt,
+        None,
+    )
