--- a/features/direct_store.feature
+++ b/features/direct_store.feature
@@ -68,6 +68,32 @@
       When a route is added and then an older configuration is written
       Then a request on the new route still gets 200
 
+    Scenario Outline: An entry that can't be read stops nothing
+      # Symptom: a router refuses all keys a few seconds after somebody wrote
+      #   an entry, and does so until it is started again.
+      # Sequence: an entry has a field of another type than agreed; reading
+      #   it ends the task that follows the store.
+      # Cause: one unreadable entry failed the whole answer.
+      When an entry of an upstream is written with <fields>
+      And the key of a team is taken away
+      Then a request with that key soon gets 401
+      And an upstream that comes then is used
+
+      Examples:
+        | fields                         |
+        | {"Service": 5}                 |
+        | {}                             |
+        | []                             |
+        | {"Service": "registry"}        |
+
+    Scenario: A configuration that can't be read confirms no keys
+      # Symptom: a key that was taken away is still served.
+      # Sequence: a configuration without the key is not as agreed in another
+      #   field; it is left out, and the old one goes on.
+      # Cause: the answer with it was taken for a confirmation of the old one.
+      When a configuration is written that can't be read
+      Then a request with a key soon gets 503
+
     Scenario: A history that is gone is read anew
       Given the store forgets its history while watches hear nothing
       When the key of a team is taken away
--- a/features/steps/direct_store_steps.py
+++ b/features/steps/direct_store_steps.py
@@ -1,6 +1,7 @@
 """Check a direct router's view of the platform's store."""
 
 import http.client
+import json
 import threading
 from functools import partial
 from random import Random
@@ -141,6 +142,31 @@
     bench.store.mode = MODES[mode]
 
 
+@when('an entry of an upstream is written with {fields}')
+def step_odd_entry(context: Context, fields: str) -> None:
+    """Write an entry as it is."""
+    bench = direct_bench(context)
+    bench.on_loop(
+        lambda: bench.store.put('servers', 'odd', json.loads(fields))
+    )
+
+
+@when("a configuration is written that can't be read")
+def step_odd_configuration(context: Context) -> None:
+    """Write one whose routes are no list."""
+    direct_bench(context).configure(Routes=5)
+
+
+@then('an upstream that comes then is used')
+def step_comes(context: Context) -> None:
+    """Add an upstream and wait until the router knows it."""
+    bench = direct_bench(context)
+    bench.add_upstream('late', 'registry')
+    bench.until(
+        lambda: 'late' in bench.routers[0].upstream_ids, 'the new upstream'
+    )
+
+
 @when('the key of a team is taken away')
 def step_revoke(context: Context) -> None:
     """Write a configuration without the key."""
--- a/packages/bench/src/lacewing_bench/experiment/_engine.py
+++ b/packages/bench/src/lacewing_bench/experiment/_engine.py
@@ -38,6 +38,7 @@
     order: int
     weights: int
     shared_kept: bool
+    begun_old: bool = False
     left_to_read: int = -1
     made: int = 0
     mixed: int = 0
--- a/packages/bench/src/lacewing_bench/experiment/_outcome.py
+++ b/packages/bench/src/lacewing_bench/experiment/_outcome.py
@@ -13,6 +13,8 @@
 from lacewing_bench.experiment._site import Kind
 
 _MS = 1000.0
+# What an answer on old weights earns of its worth.
+OLD_EARNS = 0.8
 
 
 @dataclass(frozen=True)
@@ -83,11 +85,18 @@
         """Note a first event."""
         self._first_ms.append(first_ms)
 
-    def ended(self, kind: Kind, on_time: bool, made: int, mixed: int) -> None:
-        """Count an answer; tokens of two versions earn nothing."""
+    def ended(
+        self, kind: Kind, on_time: bool, made: int, mixed: int, old: bool
+    ) -> None:
+        """Count an answer; tokens of two versions earn nothing.
+
+        ``old``: it began on weights that were replaced a while before.
+        """
         counts = self._kinds[kind.name]
         counts.on_time += on_time
         worth = kind.worth if on_time else kind.late_worth
+        if old:
+            worth *= OLD_EARNS
         counts.earned += worth * (made - mixed) / made
         self._made += made
         self._mixed += mixed
--- a/packages/bench/src/lacewing_bench/experiment/_simulation.py
+++ b/packages/bench/src/lacewing_bench/experiment/_simulation.py
@@ -28,6 +28,8 @@
 # One way between a router and an engine.
 WAY_MS = 1.0
 MOST_SENDS = 4
+# Answers on older weights count less from so long after a naming on.
+OLD_AFTER_MS = 1500.0
 # How often the holder of orders looks, as in the product.
 LOOK_MS = 100.0
 
@@ -189,12 +191,17 @@
             self._number,
             engine.weights,
             self._outcome.kept(target.wall or '', one.prompt),
+            self._is_old(engine),
         )
         one.run = run
         self._open[run] = one
         engine.add(run)
         self._wake(number)
 
+    def _is_old(self, engine: Engine) -> bool:
+        age_ms = self._now_ms - self._named_ms
+        return engine.weights < self._version and age_ms > OLD_AFTER_MS
+
     def _refuse(self, one: _Open, engine: Engine, upstream_id: str) -> None:
         assert one.sent is not None
         one.router.refused(one.sent, engine, self._now_ms)
@@ -239,7 +246,9 @@
         one.router.ended(one.sent)
         assert run.first_ms is not None
         on_time = run.first_ms + WAY_MS - one.due_ms <= one.kind.target_ms
-        self._outcome.ended(one.kind, on_time, run.made, run.mixed)
+        self._outcome.ended(
+            one.kind, on_time, run.made, run.mixed, run.begun_old
+        )
 
     def _name(self) -> None:
         self._version += 1
--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -76,6 +76,7 @@
             random,
             gather_s=DIRECTORY_GATHER_S,
             deaf_s=deaf_s(settings.bounds.revoke_s),
+            strict=True,
         )
         self._upstreams: Followed[Upstream] = Followed(
             'upstreams',
--- a/packages/daemon/src/lacewing_daemon/direct/_followed.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_followed.py
@@ -53,8 +53,11 @@
         keep_lapsed: bool = False,
         gather_s: float = 0.0,
         deaf_s: float = DEAF_S,
+        strict: bool = False,
     ) -> None:
         self._deaf_s = deaf_s
+        self._strict = strict
+        self._unread: set[str] = set()
         self._name = name
         self._collection = collection
         self._wait_s = wait_s
@@ -132,12 +135,16 @@
         for changes that returns empty has waited for its whole time, and
         the store told nothing meanwhile; it may have been deaf at the end.
         Counting from the sending alone would take what is known for older
-        by the time that was waited, and refuse keys so much sooner.
+        by the time that was waited, and refuse keys so much sooner. With
+        ``strict``, nothing is known while there is an unreadable entry: a
+        configuration that can't be read may take keys away.
         """
+        if self._strict and self._unread:
+            return
         confirmed_s = sent_s
         if isinstance(answer, Changes):
             confirmed_s -= self._deaf_s
-            if not answer.changed:
+            if not answer.changed and not answer.unreadable:
                 confirmed_s += self._wait_s
         if self._confirmed_s is None or confirmed_s > self._confirmed_s:
             self._confirmed_s = confirmed_s
@@ -152,13 +159,21 @@
     def _take(self, answer: Listing[T] | Changes[T]) -> None:
         self._revision = answer.revision
         self._last_revision = answer.revision
+        for name in answer.unreadable:
+            # What was known of it is kept: one entry that somebody wrote
+            # wrongly must not stop what depends on the others.
+            _log.error('Left an entry out.', collection=self._name, entry=name)
         if isinstance(answer, Changes):
             for name, value in answer.changed:
+                self._unread.discard(name)
                 self._set(name, value)
+            self._unread.update(answer.unreadable)
             return
+        self._unread = set(answer.unreadable)
         for name in list(self._entries):
-            if name not in answer.entries:
-                self._set(name, None)
+            if name in answer.entries or name in answer.unreadable:
+                continue
+            self._set(name, None)
         for name, value in answer.entries.items():
             self._set(name, value)
 
--- a/packages/daemon/src/lacewing_daemon/direct/_policy.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_policy.py
@@ -49,6 +49,6 @@
     load_turn_ms: float = 450.0
     load_ms: float = 430.0
     lost_run_ms: float = 300.0
-    old_weights_ms: float = 120.0
+    old_weights_ms: float = 40.0
     old_weights_s: float = 1.2
     switch_mode: SwitchMode = SwitchMode.KEEP
--- a/packages/daemon/src/lacewing_daemon/direct/_site.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_site.py
@@ -26,18 +26,26 @@
 
 @dataclass(frozen=True)
 class Listing(Generic[T]):
-    """Hold all entries of a collection as of one revision."""
+    """Hold all entries of a collection as of one revision.
+
+    ``unreadable``: names of entries that are there but not as agreed.
+    """
 
     entries: Mapping[str, T]
     revision: int
+    unreadable: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
 class Changes(Generic[T]):
-    """Hold what changed up to a revision; None for a removed entry."""
+    """Hold what changed up to a revision; None for a removed entry.
+
+    ``unreadable``: names of entries that changed to what was not agreed.
+    """
 
     changed: tuple[tuple[str, T | None], ...]
     revision: int
+    unreadable: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
