--- a/features/ctl_explain.feature
+++ b/features/ctl_explain.feature
@@ -29,6 +29,16 @@
     When a caller talks to a model and leaves after the first event
     Then explaining it names status 0 and "its own side"
 
+  Scenario: An answer that took longer than the router's stop
+    # Symptom: a line says that the caller left; the caller says it did not.
+    # Sequence: a router is stopped; an answer takes longer than the time
+    #   to stop; the router closes its connection.
+    # Cause: each end of a caller's connection was taken for the caller's.
+    Given a route on which answers may take long
+    And all upstreams hold their answers
+    When a caller asks on it while the router is stopped
+    Then explaining it names status 0 and "was stopped at"
+
   Scenario: A store that does not answer
     When the store is silent
     Then a request with a key soon gets 503
@@ -38,5 +48,9 @@
     Given a log file in which an engine refuses while it loads
     Then explaining it names status 503 and "was loading weights 2"
 
+  Scenario: A request at a router that lost its power
+    Given a log file in which one of two routers falls silent
+    Then explaining another request fails and names the silent router
+
   Scenario: A request without a line
     Then explaining another request fails and says where to look
--- a/features/steps/ctl_explain_steps.py
+++ b/features/steps/ctl_explain_steps.py
@@ -4,6 +4,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 from pathlib import Path
 
 from behave import given
@@ -15,6 +16,7 @@
 from support.direct_bench import KEY
 from support.direct_bench import MODEL
 from support.direct_bench import PREFIX
+from support.direct_bench import route
 
 LIMIT_S = 30.0
 _AT = '2026-03-03T10:00:0%s+00:00'
@@ -92,6 +94,33 @@
     connection.close()
 
 
+@given('a route on which answers may take long')
+def step_long_route(context: Context) -> None:
+    """Add a route and wait until the process knows it."""
+    bench = direct_bench(context)
+    slow = route('/slow/', 'non_idempotent', 'registry', TimeoutMs=20000)
+    bench.configure(Routes=[*bench.config['Routes'], slow])
+    bench.until(lambda: bench.ask('/slow/1').status == 200, 'the new route')
+
+
+@when('a caller asks on it while the router is stopped')
+def step_stopped(context: Context) -> None:
+    """Stop the router while the upstream works, and wait for its end."""
+    bench = direct_bench(context)
+    process = bench.process
+    assert process is not None
+    before = len(bench.ran())
+    long = {PREFIX + 'Deadline-Ms': '20000'}
+    asking = threading.Thread(
+        target=lambda: bench.ask('/slow/2', KEY, 'POST', b'', **long)
+    )
+    asking.start()
+    bench.until(lambda: len(bench.ran()) > before, 'a run')
+    context.explained = bench.last_request
+    process.stop()
+    asking.join()
+
+
 @then('explaining it names status {status:d} and "{text}"')
 def step_explain(context: Context, status: int, text: str) -> None:
     """Run the command on the log once the request has its line."""
@@ -108,6 +137,23 @@
     assert cause.startswith('cause: ') and text in cause, ended.stdout
 
 
+@given('a log file in which one of two routers falls silent')
+def step_silent(context: Context) -> None:
+    """Write lines of one long after the last one of the other."""
+    later = {**_ORDER, 'timestamp': '2026-03-03T10:00:30+00:00'}
+    context.log = context.log.with_name('silent.log')
+    context.log.write_text(f'{json.dumps(_REFUSED)}\n{json.dumps(later)}')
+
+
+@then('explaining another request fails and names the silent router')
+def step_named(context: Context) -> None:
+    """Ask for a request that has no line."""
+    ended = _explain('never-told', context.log)
+    assert ended.returncode == 1, ended
+    assert 'the log of router-1 ends at' in ended.stderr, ended.stderr
+    assert 'router-2' not in ended.stderr, ended.stderr
+
+
 @then('explaining another request fails and says where to look')
 def step_unknown(context: Context) -> None:
     """Ask for a request that was never sent."""
--- a/features/support/router_process.py
+++ b/features/support/router_process.py
@@ -58,6 +58,11 @@
                 return True
         return False
 
+    def stop(self) -> None:
+        """Ask the process to stop and wait for its end."""
+        self._process.terminate()
+        self._process.wait()
+
     def end(self) -> None:
         """Kill the process."""
         self._process.kill()
--- a/packages/ctl/src/lacewing_ctl/_causes.py
+++ b/packages/ctl/src/lacewing_ctl/_causes.py
@@ -6,6 +6,7 @@
 from lacewing_common.log_lines import Try
 from lacewing_common.verdict import Reason
 
+from lacewing_ctl._story import DRAINING
 from lacewing_ctl._story import LOST
 from lacewing_ctl._story import Story
 
@@ -110,6 +111,15 @@
     return f'The caller gave up. {_silent(story)}'
 
 
+def _stopped(story: Story) -> str:
+    text = f'{story.line.message}, {story.line.ms} ms after it was asked'
+    for line in story.process:
+        if line.event == DRAINING:
+            at = line.timestamp.strftime('%H:%M:%S')
+            return f'{line.process} was stopped at {at}; {text}.'
+    return f'{story.line.process} ended; {text}.'
+
+
 def _key(story: Story) -> str:
     return f'Configuration {story.line.config} holds no such key.'
 
@@ -144,6 +154,7 @@
     Reason.WORKER_UNREACHABLE.value: _unreachable,
     Reason.DEADLINE.value: _silent,
     Reason.CALLER_GONE.value: _gone,
+    Reason.DRAINING.value: _stopped,
     Reason.BAD_KEY.value: _key,
     Reason.UNKNOWN_PATH.value: _path,
 }
--- a/packages/ctl/src/lacewing_ctl/_queries/explain.py
+++ b/packages/ctl/src/lacewing_ctl/_queries/explain.py
@@ -12,6 +12,7 @@
 from lacewing_ctl._end import end
 from lacewing_ctl._end import say
 from lacewing_ctl._log_files import read_logs
+from lacewing_ctl._story import ended_early
 from lacewing_ctl._story import find_stories
 from lacewing_ctl._story import Story
 
@@ -48,6 +49,9 @@
         say(f'{read.unread} lines are not of this system')
     stories = find_stories(read.lines, str(request))
     if not stories:
+        for line in ended_early(read.lines):
+            at = line.timestamp.isoformat()
+            say(f'the log of {line.process} ends at {at} without a stop')
         end(
             Exit.FAILED,
             f'no line of request {request}; it may be among those left out:'
--- a/packages/ctl/src/lacewing_ctl/_story.py
+++ b/packages/ctl/src/lacewing_ctl/_story.py
@@ -11,6 +11,9 @@
 LOST = 'platform: Lost a collection.'
 STARTED = 'main: Started.'
 DRAINING = 'main: Draining.'
+STOPPED = 'main: Stopped.'
+# A router in use writes lines all the time.
+SILENT = timedelta(seconds=5)
 # Lines of the process itself are shown from this long before the request.
 BEFORE = timedelta(seconds=8)
 # Orders and failures at the same upstream belong together within this time;
@@ -44,6 +47,24 @@
     return tuple(stories)
 
 
+def ended_early(lines: Sequence[LogLine]) -> tuple[LogLine, ...]:
+    """Return the last lines of processes that fell silent without a stop.
+
+    A VM that lost its power writes no line of what it had open.
+    """
+    last: dict[str, LogLine] = {}
+    for line in lines:
+        last[line.process] = line
+    if not last:
+        return ()
+    newest = max(line.timestamp for line in last.values())
+    found = []
+    for line in last.values():
+        if line.event != STOPPED and newest - line.timestamp > SILENT:
+            found.append(line)
+    return tuple(found)
+
+
 def _story(lines: Sequence[LogLine], own: LogLine) -> Story:
     began = own.timestamp - timedelta(milliseconds=own.ms)
     tried = frozenset(one.upstream for one in own.tries)
--- a/packages/daemon/src/lacewing_daemon/direct/_caller_reply.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_caller_reply.py
@@ -19,6 +19,7 @@
     def __init__(self, connection: HTTP1Connection) -> None:
         self._connection = connection
         self._closing = False
+        self._stopped = False
         self._begun = False
         self._ended = False
 
@@ -32,6 +33,15 @@
         """Tell whether the answer is complete or was cut."""
         return self._ended
 
+    @property
+    def stopped(self) -> bool:
+        """Tell whether the end of this process ended the connection."""
+        return self._stopped
+
+    def note_stop(self) -> None:
+        """Note that this process ends before the answer does."""
+        self._stopped = True
+
     def announce_close(self) -> None:
         """Tell the caller, if still possible, not to use its connection."""
         self._closing = True
--- a/packages/daemon/src/lacewing_daemon/direct/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_exchange.py
@@ -259,6 +259,10 @@
         return not_run(Reason.DEADLINE, 'no answer in time', BUDGET_RETRY_S)
 
     def _gone(self) -> Refusal:
+        if self._reply.stopped:
+            return may_have_run(
+                Reason.DRAINING, 'the time to stop was over before the answer'
+            )
         return may_have_run(Reason.CALLER_GONE, 'the caller left')
 
     def _refuse(self, refusal: Refusal) -> None:
--- a/packages/daemon/src/lacewing_daemon/direct/_front.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_front.py
@@ -106,6 +106,8 @@
 
     async def close(self) -> None:
         """Close all connections."""
+        for reply in self._open.values():
+            reply.note_stop()
         await self._server.close_all_connections()
 
     def start_request(
--- a/packages/daemon/src/lacewing_daemon/direct/_policy.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_policy.py
@@ -48,10 +48,10 @@
     copies_part: float = 0.1
     load_turns: int = 3
     load_early_part: float = 0.5
-    load_late_ms: float = 4000.0
+    load_late_ms: float = 1500.0
     load_turn_ms: float = 450.0
     load_ms: float = 430.0
-    lost_run_ms: float = 300.0
+    lost_run_ms: float = 100.0
     old_weights_ms: float = 40.0
     old_weights_s: float = 1.2
     switch_mode: SwitchMode = SwitchMode.KEEP
