--- a/packages/daemon/src/lacewing_daemon/direct/_followed.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_followed.py
@@ -13,6 +13,7 @@
 from lacewing_common.store import StoreError
 
 from lacewing_daemon.direct._clock import boot_s
+from lacewing_daemon.direct._metrics import ENTRIES_LEFT_OUT
 from lacewing_daemon.direct._site import Changes
 from lacewing_daemon.direct._site import Collection
 from lacewing_daemon.direct._site import HistoryGone
@@ -162,6 +163,7 @@
         for name in answer.unreadable:
             # What was known of it is kept: one entry that somebody wrote
             # wrongly must not stop what depends on the others.
+            ENTRIES_LEFT_OUT.labels(self._name).inc()
             _log.error('Left an entry out.', collection=self._name, entry=name)
         if isinstance(answer, Changes):
             for name, value in answer.changed:
--- a/packages/daemon/src/lacewing_daemon/direct/_metrics.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_metrics.py
@@ -24,6 +24,23 @@
     'Repeated sends that the retry budget did not allow, by service',
     ['service'],
 )
+RUNS_GONE_ON = Counter(
+    'lacewing_direct_runs_gone_on',
+    'Runs continued from copies of their memory, by service and verdict',
+    ['service', 'verdict'],
+)
+UPSTREAMS_SILENT = Counter(
+    'lacewing_direct_upstreams_silent',
+    'Times that all streams of an upstream fell silent at once',
+)
+ROUTERS_LIVE = Gauge(
+    'lacewing_direct_routers', 'Routers that live, as this one counts them'
+)
+ENTRIES_LEFT_OUT = Counter(
+    'lacewing_direct_entries_left_out',
+    'Entries of the store that could not be read, by collection',
+    ['collection'],
+)
 FIRST_SECONDS = Histogram(
     'lacewing_direct_first_seconds',
     'Seconds from a request to its first event or its answer, by service',
--- a/packages/daemon/src/lacewing_daemon/direct/_router_count.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_router_count.py
@@ -15,6 +15,7 @@
 from lacewing_common.store import StoreFault
 
 from lacewing_daemon.direct._clock import boot_s
+from lacewing_daemon.direct._metrics import ROUTERS_LIVE
 from lacewing_daemon.direct._site import OwnObjects
 
 ROUTERS = 'routers'
@@ -117,6 +118,7 @@
         if count != self._count:
             _log.info('Counts other routers.', routers=count)
             self._on_count(count)
+        ROUTERS_LIVE.set(count)
         self._count = count
         for entry in listed:
             seen = self._seen[entry.name]
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -14,6 +14,7 @@
 from lacewing_daemon.direct._fleet import Fleet
 from lacewing_daemon.direct._metrics import ATTEMPTS
 from lacewing_daemon.direct._metrics import FIRST_SECONDS
+from lacewing_daemon.direct._metrics import RUNS_GONE_ON
 from lacewing_daemon.direct._placing import Placer
 from lacewing_daemon.direct._site import Dispatch
 from lacewing_daemon.direct._site import ReplyHead
@@ -191,6 +192,8 @@
         """Learn from the end how far the upstream is to be used."""
         service = self._admitted.service.name
         ATTEMPTS.labels(service, end.verdict.value).inc()
+        if self._target.goes_on:
+            RUNS_GONE_ON.labels(service, end.verdict.value).inc()
         now_s = time.monotonic()
         if end.verdict is Verdict.RAN:
             self._state.succeeded()
--- a/packages/daemon/src/lacewing_daemon/direct/_silence.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_silence.py
@@ -7,6 +7,7 @@
 from lacewing_common.log import get_log
 from lacewing_common.log import Part
 
+from lacewing_daemon.direct._metrics import UPSTREAMS_SILENT
 from lacewing_daemon.direct._upstream_state import UpstreamState
 
 # How often open streams are looked at.
@@ -55,6 +56,7 @@
             silent_s = state.unheard_s(now_s)
             if len(cuts) < LEAST_STREAMS or silent_s < self._mute_s:
                 continue
+            UPSTREAMS_SILENT.inc()
             _log.warning(
                 'An upstream fell silent.',
                 upstream=state.upstream.upstream_id,
