--- a/packages/daemon/src/lacewing_daemon/direct/_connection.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_connection.py
@@ -100,8 +100,9 @@
         if self._stream.closed():
             return False
         if self._stream.writing():
-            # The answer came before the body was out. The peer would take
-            # the head of the next request for the rest of this body.
+            # The answer came before the body was out. The next request
+            # would wait behind the rest, which the peer may not read any
+            # more.
             self.close()
             return False
         self._idle_since_s = time.monotonic()
