--- a/features/ctl_explain.feature
+++ b/features/ctl_explain.feature
@@ -19,6 +19,23 @@
     When a caller orders a certificate
     Then explaining it names status 502 and "broke off this one answer"
 
+  Scenario: An upstream that spoils one answer after the other
+    Given all upstreams reset their answers
+    When a caller orders 6 certificates
+    Then explaining it names status 502 and "2 others failed there"
+
+  Scenario: New weights that do not arrive
+    # Symptom: answers come from old weights for long.
+    # Sequence: engines leave orders unanswered.
+    # Cause: found in the lines of the router that holds the lease.
+    Given engines that leave orders unanswered
+    When new weights are named
+    Then the log tells of an order that got no answer, twice for one engine
+
+  Scenario: A router that restarts in a loop
+    When the router is killed and started 2 times
+    Then the log tells of 3 starts and no stop
+
   Scenario: An upstream that answers nothing
     Given the next upstream mute
     When a caller orders a certificate
--- a/features/steps/ctl_explain_steps.py
+++ b/features/steps/ctl_explain_steps.py
@@ -19,6 +19,8 @@
 from support.direct_bench import route
 
 LIMIT_S = 30.0
+STARTED = 'main: Started.'
+ORDERED = 'placement: Ordered weights.'
 _AT = '2026-03-03T10:00:0%s+00:00'
 _ORDER = {
     'event': 'placement: Ordered weights.',
@@ -121,6 +123,50 @@
     asking.join()
 
 
+@when('the router is killed and started {count:d} times')
+def step_loop(context: Context, count: int) -> None:
+    """Restart it each time that it has started."""
+    bench = direct_bench(context)
+    process = bench.process
+    assert process is not None
+    for number in range(count):
+        process.restart()
+        starts = number + 2
+        bench.until(
+            lambda: _count(context, STARTED) == starts, 'another start'
+        )
+
+
+@then('the log tells of {starts:d} starts and no stop')
+def step_starts(context: Context, starts: int) -> None:
+    """Count the lines that the page names."""
+    assert _count(context, STARTED) == starts
+    assert _count(context, 'main: Stopped.') == 0
+
+
+@then('the log tells of an order that got no answer, twice for one engine')
+def step_unanswered(context: Context) -> None:
+    """Wait for two such lines."""
+    bench = direct_bench(context)
+    process = bench.process
+    assert process is not None
+
+    def twice() -> bool:
+        unanswered = []
+        for line in process.events():
+            if line.event == ORDERED and line.verdict == 'unknown':
+                unanswered.append(line.upstream)
+        return len(unanswered) > len(set(unanswered))
+
+    bench.until(twice, 'two orders without an answer')
+
+
+def _count(context: Context, event: str) -> int:
+    process = direct_bench(context).process
+    assert process is not None
+    return sum(line.event == event for line in process.events())
+
+
 @then('explaining it names status {status:d} and "{text}"')
 def step_explain(context: Context, status: int, text: str) -> None:
     """Run the command on the log once the request has its line."""
--- a/features/steps/direct_steps.py
+++ b/features/steps/direct_steps.py
@@ -124,6 +124,20 @@
         upstream.always = Behaviour.SHED
 
 
+@given('all upstreams reset their answers')
+def step_all_reset(context: Context) -> None:
+    """Have all upstreams break off what they run."""
+    for upstream in direct_bench(context).upstreams.values():
+        upstream.always = Behaviour.RESET
+
+
+@given('engines that leave orders unanswered')
+def step_ignore(context: Context) -> None:
+    """Have engines take no order."""
+    for upstream in direct_bench(context).upstreams.values():
+        upstream.ignores_orders = True
+
+
 @given('all upstreams hold their answers')
 def step_hold(context: Context) -> None:
     """Have upstreams run requests and answer none."""
@@ -144,6 +158,13 @@
     direct_bench(context).ask('/certificates/1', KEY, 'POST', b'for Ali')
 
 
+@when('a caller orders {count:d} certificates')
+def step_certificates(context: Context, count: int) -> None:
+    """Send several requests that must not repeat."""
+    for _ in range(count):
+        step_certificate(context)
+
+
 @when('a caller asks a model')
 def step_model(context: Context) -> None:
     """Ask for a stream that may be resumed."""
--- a/features/support/router_process.py
+++ b/features/support/router_process.py
@@ -22,7 +22,7 @@
 
     def __init__(self, directory: Path, store: str, bounds: Bounds) -> None:
         self.log = directory / 'router.log'
-        settings = directory / 'router.json'
+        self._settings = settings = directory / 'router.json'
         settings.write_bytes(
             msgspec.json.encode(
                 {
@@ -35,13 +35,7 @@
                 }
             )
         )
-        with self.log.open('wb') as log:
-            self._process = subprocess.Popen(
-                [sys.executable, '-m', 'lacewing_platform'],
-                env={**os.environ, _SETTINGS: str(settings)},
-                stdout=log,
-                stderr=log,
-            )
+        self._process = self._start()
 
     @property
     def callers_address(self) -> str:
@@ -58,6 +52,27 @@
                 return True
         return False
 
+    def events(self) -> list[LogLine]:
+        """Return all lines of the log so far."""
+        found = []
+        for line in self.log.read_bytes().splitlines():
+            found.append(msgspec.json.decode(line, type=LogLine))
+        return found
+
+    def restart(self) -> None:
+        """Kill the process and start it again; the log goes on."""
+        self.end()
+        self._process = self._start()
+
+    def _start(self) -> subprocess.Popen[bytes]:
+        with self.log.open('ab') as log:
+            return subprocess.Popen(
+                [sys.executable, '-m', 'lacewing_platform'],
+                env={**os.environ, _SETTINGS: str(self._settings)},
+                stdout=log,
+                stderr=log,
+            )
+
     def stop(self) -> None:
         """Ask the process to stop and wait for its end."""
         self._process.terminate()
