--- a/features/direct.feature
+++ b/features/direct.feature
@@ -147,6 +147,15 @@
       Then the answer is 200 with all events once and in order
       And one engine ran the request and the other went on with it
 
+    Scenario: Streams that can't go on are not broken off on a guess
+      # Symptom: answers are cut in the middle though their engine lives.
+      # Sequence: an engine gives no event for 0.25 s and goes on; its streams
+      #   must not begin again and have no copy.
+      # Cause: all streams of a silent engine were broken off, also those
+      #   that had nowhere to go.
+      When callers talk to models that pause for 0.6 seconds
+      Then each of them gets all events once and in order
+
     Scenario: A run whose engine fell silent goes on from its copy
       # Symptom: callers leave streams that no event comes on.
       # Sequence: an engine loses its power after the first event; its
--- a/features/direct_load.feature
+++ b/features/direct_load.feature
@@ -80,18 +80,32 @@
       # Sequence: connections to it stay open and tell nothing at first.
       # Cause: each stream was judged alone, though an engine gives all its
       #   streams their events together.
-      Given an engine with <streams> streams that was heard <ms> ms ago
+      Given an engine with <streams> <sort> streams that was heard <ms> ms ago
+      And another with streams that was heard <other> ms ago
       When open streams are looked at
       Then <cut> of them are broken off
 
       Examples:
-        | streams | ms  | cut |
-        | 3       | 300 | 3   |
-        | 3       | 100 | 0   |
-        | 2       | 300 | 0   |
+        | streams | sort    | ms  | other | cut |
+        | 3       | plain   | 300 | 10    | 3   |
+        | 3       | plain   | 100 | 10    | 0   |
+        | 2       | plain   | 300 | 10    | 0   |
+        | 3       | one-run | 300 | 10    | 0   |
+        | 3       | one-run | 500 | 10    | 3   |
+
+    Scenario: A router whose own link is full breaks nothing off
+      # Symptom: answers are cut in the middle though their engines live.
+      # Sequence: a router's link is full; nothing comes for 0.3 s from any
+      #   upstream; it breaks all streams off.
+      # Cause: its own silence was taken for that of every engine.
+      Given an engine with 4 plain streams that was heard 300 ms ago
+      And another with streams that was heard 280 ms ago
+      When open streams are looked at
+      Then 0 of them are broken off
 
     Scenario: A stream that has ended is not broken off
-      Given an engine with 4 streams that was heard 300 ms ago
+      Given an engine with 4 plain streams that was heard 300 ms ago
+      And another with streams that was heard 10 ms ago
       When two of them end
       And open streams are looked at
       Then 0 of them are broken off
--- a/features/steps/direct_steps.py
+++ b/features/steps/direct_steps.py
@@ -1,17 +1,21 @@
 """Check a direct router against stand-ins of the platform."""
 
+import threading
+
 from behave import given
 from behave import then
 from behave import when
 from behave.runner import Context
 from lacewing_platform_testing import Behaviour
 from support.direct_bench import direct_bench
+from support.direct_bench import DirectBench
 from support.direct_bench import KEY
 from support.direct_bench import MODEL
 from support.direct_bench import OTHER_KEY
 from support.direct_bench import PREFIX
 from support.direct_bench import sleep
 
+CALLERS = 8
 ALL_EVENTS = b''.join(
     f'id: {number}\ndata: word {number}\n\n'.encode() for number in range(1, 5)
 )
@@ -165,6 +169,39 @@
         step_certificate(context)
 
 
+@when('callers talk to models that pause for {seconds:f} seconds')
+def step_pausing(context: Context, seconds: float) -> None:
+    """Let the engines pause with several streams each."""
+    bench = direct_bench(context)
+    for upstream in bench.upstreams.values():
+        upstream.pause_s = seconds
+    callers = []
+    for _ in range(CALLERS):
+        caller = threading.Thread(target=lambda: _talk(bench))
+        callers.append(caller)
+        caller.start()
+    for caller in callers:
+        caller.join()
+
+
+def _talk(bench: DirectBench) -> None:
+    # Those that come at once beyond what may wait at an engine are refused.
+    while bench.ask_model('/talk/1').status == 503:
+        continue
+
+
+@then('each of them gets all events once and in order')
+def step_all_events(context: Context) -> None:
+    """Check every answer that began."""
+    served = []
+    for answer in direct_bench(context).answers:
+        if answer.status == 503:
+            continue
+        served.append(answer)
+        assert answer.body == ALL_EVENTS, answer
+    assert len(served) == CALLERS, served
+
+
 @when('a caller asks a model')
 def step_model(context: Context) -> None:
     """Ask for a stream that may be resumed."""
--- a/features/steps/silence_steps.py
+++ b/features/steps/silence_steps.py
@@ -14,8 +14,10 @@
 HEARD_S = 100.0
 
 
-@given('an engine with {count:d} streams that was heard {ago_ms:d} ms ago')
-def step_streams(context: Context, count: int, ago_ms: int) -> None:
+@given(
+    'an engine with {count:d} {sort} streams that was heard {ago_ms:d} ms ago'
+)
+def step_streams(context: Context, count: int, sort: str, ago_ms: int) -> None:
     """Open streams at an engine that was heard once."""
     context.watch = SilenceWatch(LoadPolicy().mute_ms / 1000)
     context.state = UpstreamState(
@@ -27,10 +29,20 @@
     context.streams = []
     for number in range(count):
         cut = _cut(context, number)
-        context.watch.opened(context.state, cut)
+        context.watch.opened(context.state, cut, sort == 'plain')
         context.streams.append(cut)
 
 
+@given('another with streams that was heard {ago_ms:d} ms ago')
+def step_another(context: Context, ago_ms: int) -> None:
+    """Open a stream at another engine."""
+    other = UpstreamState(
+        Upstream('other', 'models', '127.0.0.1:2', 'east', 8, False, {})
+    )
+    other.heard(context.now_s - ago_ms / 1000)
+    context.watch.opened(other, _cut(context, -1), True)
+
+
 def _cut(context: Context, number: int) -> Callable[[], None]:
     def cut() -> None:
         context.cut.append(number)
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -92,8 +92,12 @@
         streams = self._admitted.route.streams
 
         async def on_piece(head: ReplyHead, piece: bytes) -> None:
-            if self._first_s is None:
-                self._fleet.silence.opened(self._state, attempt.cut)
+            if self._first_s is None and self._can_go_on:
+                self._fleet.silence.opened(
+                    self._state,
+                    attempt.cut,
+                    self._admitted.route.may_repeat,
+                )
             self._begin()
             self._state.heard(time.monotonic())
             await relay.take(head, piece)
@@ -134,6 +138,13 @@
             self._judge(end)
         return Sent(end, self._tell(end), told_newer)
 
+    @property
+    def _can_go_on(self) -> bool:
+        """Tell whether the stream can be continued at another upstream."""
+        return (
+            self._admitted.route.may_repeat or self._target.copy_to is not None
+        )
+
     def _begin(self) -> None:
         """Note the first event, or the head of an answer that is none."""
         if self._first_s is not None:
