Tell when a router takes a newly named version of weights

Cause: requests began on weights too old; nothing in the logs said when a router took a version, from whom, and since when it counted it as named. Ruled out: deriving it from "Ordered weights.": only the lease holder writes these, and the routers that sent were others.

--- a/packages/common/src/lacewing_common/log_lines.py
+++ b/packages/common/src/lacewing_common/log_lines.py
@@ -12,7 +12,9 @@
     ``waits_ms`` for the requests before it. ``others``: requests of other
     routers that the upstream last told of. ``verdict`` and ``reason`` say
     how it ended, ``status`` what the upstream answered. ``first_ms``: until
-    its first event or its answer, -1 if none came. ``went_on``: the run of
+    its first event or its answer, -1 if none came. ``weights``: the version
+    asked for; if older than the one named last, ``named`` is that one and
+    ``old_ms`` for how long a newer one had been named. ``went_on``: the run of
     an earlier send was continued from its copy. ``copy``: the upstream that
     kept a copy of this run's memory, '' for none.
     """
@@ -26,6 +28,8 @@
     waits_ms: int = 0
     others: int = 0
     weights: int = 0
+    named: int = 0
+    old_ms: int = 0
     first_ms: int = -1
     went_on: bool = False
     copy: str = ''
--- a/packages/daemon/src/lacewing_daemon/direct/_knowledge.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_knowledge.py
@@ -4,11 +4,16 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 from dataclasses import dataclass
+from enum import Enum
+
+from lacewing_common.log import get_log
+from lacewing_common.log import Part
 
 from lacewing_daemon.direct._budget import RetryBudget
 from lacewing_daemon.direct._clock import boot_s
 from lacewing_daemon.direct._directory import Directory
 from lacewing_daemon.direct._directory import Service
+from lacewing_daemon.direct._line_budget import LineBudget
 from lacewing_daemon.direct._loading import load_times
 from lacewing_daemon.direct._policy import LoadPolicy
 from lacewing_daemon.direct._router_count import ROUTERS_ASSUMED
@@ -27,6 +32,17 @@
 # for so long; they may be the only ones.
 START_GRACE_S = 2.5
 
+_MS = 1000.0
+
+_log = get_log(Part.PLACEMENT)
+
+
+class Learnt(Enum):
+    """Tell how a router learnt that weights are named."""
+
+    STORE = 'store'
+    UPSTREAM = 'upstream'
+
 
 @dataclass(frozen=True)
 class NamedVersion:
@@ -67,6 +83,7 @@
         self._named_since: dict[str, tuple[int, float]] = {}
         self._load_times: dict[str, _LoadTimes] = {}
         self._saved: OrderedDict[tuple[str, str], float] = OrderedDict()
+        self._lines = LineBudget(clock())
 
     @property
     def directory(self) -> Directory | None:
@@ -198,14 +215,21 @@
         from the store and could not read it.
         """
         state.learn_weights(model, version)
-        self.take_weights(NamedWeights(model, version), False)
+        named = NamedWeights(model, version)
+        self.take_weights(named, False, Learnt.UPSTREAM)
 
-    def take_weights(self, value: NamedWeights, named_before: bool) -> None:
+    def take_weights(
+        self,
+        value: NamedWeights,
+        named_before: bool,
+        learnt: Learnt = Learnt.STORE,
+    ) -> None:
         """Take a named version; ``named_before`` this process started."""
         known, _ = self._named_since.get(value.model, (0, 0.0))
         if value.version <= known:
             return
-        since_s = self._clock()
+        now_s = self._clock()
+        since_s = now_s
         if named_before:
             # Nobody says when it was named. Other routers may have refused
             # older weights for long; this one joins them soon after its
@@ -213,3 +237,14 @@
             since_s -= self._bounds.weights_s * OLD_WEIGHTS_PART
             since_s += START_GRACE_S
         self._named_since[value.model] = (value.version, since_s)
+        # A line that is left out shows in the next one, by `before`.
+        if self._lines.take(True, now_s):
+            _log.info(
+                'Weights are named.',
+                model=value.model,
+                version=value.version,
+                before=known,
+                before_start=named_before,
+                learnt=learnt.value,
+                age_ms=int((now_s - since_s) * _MS),
+            )
--- a/packages/daemon/src/lacewing_daemon/direct/_placing.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_placing.py
@@ -148,6 +148,9 @@
             # engine may be old itself, and nobody would tell: it is asked
             # for the version named, and refuses if it lacks it.
             weights = max(weights, asked.named.version)
+        old_ms = 0.0
+        if weights < asked.named.version:
+            old_ms = asked.named.age_s * _MS
         wall = cache_wall(asked.admitted.team, prompt.model, weights)
         kv_store = asked.kv_store
         excess_ms = state.excess_ms(now_s)
@@ -165,6 +168,8 @@
             asked.urgency,
             waits_ms=waits_ms,
             excess_ms=excess_ms,
+            named=asked.named.version,
+            old_ms=old_ms,
         )
 
     def _view(self, asked: _Asked, target: Target) -> EngineView:
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -230,6 +230,7 @@
 
     def _tell(self, end: AttemptEnd) -> Try:
         target = self._target
+        old = target.old_ms > 0
         first_ms = -1
         if self._first_s is not None:
             first_ms = int((self._first_s - self._began_s) * _MS)
@@ -243,6 +244,8 @@
             waits_ms=int(target.waits_ms),
             others=self._others,
             weights=target.weights or 0,
+            named=target.named if old else 0,
+            old_ms=int(target.old_ms),
             first_ms=first_ms,
             went_on=target.goes_on,
             copy=_id_of(target.copy_to),
--- a/packages/daemon/src/lacewing_daemon/direct/_target.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_target.py
@@ -18,6 +18,8 @@
 
     ``first_ms``: when a first event is expected, of which ``waits_ms`` for
     what waits there, ``excess_ms`` of these by how late others came.
+    ``named``: the version of the weights that was named last, 0 for none;
+    ``old_ms``: for how long a newer version than ``weights`` was named.
     ``copy_to`` keeps a copy of the run's memory; ``goes_on``: the run is
     continued from such a copy.
     """
@@ -32,6 +34,8 @@
     first_ms: float = 0.0
     waits_ms: float = 0.0
     excess_ms: float = 0.0
+    named: int = 0
+    old_ms: float = 0.0
     copy_to: UpstreamState | None = None
     goes_on: bool = False
 
