Test that each version of weights has a time limit of its own

Requests begin on weights superseded 8 s ago if a newer version was named in between. Ruled out: that routers had not heard of the versions; the scenarios hand every naming over at once. Change: scenarios on the placing of prompts with a clock of their own, and one with a router, a store and engines that take no orders.

--- /dev/null
+++ b/features/direct_weights.feature
@@ -0,0 +1,41 @@
+Feature: Several versions of weights are named one after the other
+
+  Rule: Each version has a time limit of its own
+
+    Scenario Outline: An engine with old weights is not used for too long
+      # Symptom: requests begin on weights that were superseded 8 s ago.
+      # Sequence: weights are named, and newer ones before the time for the
+      #   first is used up; an engine still has those before both.
+      # Cause: the time was counted from the newest naming alone, so that
+      #   every naming began it anew.
+      Given a router with 3 engines that have version 1
+      When weights are named after <named> s and none are loaded
+      Then no engine is ever asked to begin on weights superseded 8 s ago
+      And each is used until three quarters of that time
+
+      Examples: series
+        | named  |
+        | 0      |
+        | 0, 4.4 |
+
+    Scenario: Older weights count less from the first naming that they lack
+      # Symptom: requests begin on weights superseded 1.5 s ago though
+      #   another engine has the new ones.
+      # Sequence: weights are named; 0.6 s later newer ones.
+      # Cause: the time was counted from the newest naming alone.
+      Given a router with 2 engines that have version 1
+      When weights are named after 0, 0.6 s and a busy engine has the last
+      Then until 1.2 s the idle engine is chosen and then the busier one
+
+  Rule: Routers send nothing to begin on overdue weights
+
+    Scenario: Engines that take no orders while versions are named
+      # Symptom: a prompt begins on weights superseded 8 s ago.
+      # Sequence: version 2 is named, version 3 4.4 s later; an engine takes
+      #   no orders.
+      # Cause: version 3 began the time for new weights anew.
+      Given a store with a configuration
+      And engines "m-1" and "m-2"
+      And a direct router
+      When engines take no orders and weights are named 4.4 s apart
+      Then from 8 s after the first naming on no prompt begins on version 1
