Let the busier engine of a scenario be heard

Cause: in "Older weights count less from the first naming that they lack" the busier engine had a request and was never heard, so it was left out as silent; the scenario failed for that and not for the fault it is about. Change: it is heard right before each prompt is placed; both choices are still checked as strictly.

--- a/features/steps/direct_weights_steps.py
+++ b/features/steps/direct_weights_steps.py
@@ -221,13 +221,19 @@
 @then('until {old_s:f} s the idle engine is chosen and then the busier one')
 def step_until(context: Context, old_s: float) -> None:
     """Place a prompt right before and after."""
+    before = _chosen_at(context, old_s - LOOK_S)
+    assert before != context.busier, before
+    after = _chosen_at(context, old_s + LOOK_S)
+    assert after == context.busier, after
+
+
+def _chosen_at(context: Context, at_s: float) -> str:
     router = context.weights_router
-    router.clock.now_s = context.begin_s + old_s - LOOK_S
-    chosen = router.place().state.upstream.upstream_id
-    assert chosen != context.busier, chosen
-    router.clock.now_s = context.begin_s + old_s + LOOK_S
-    chosen = router.place().state.upstream.upstream_id
-    assert chosen == context.busier, chosen
+    router.clock.now_s = context.begin_s + at_s
+    # Engines from which nothing comes are left out.
+    router.knowledge.state(context.busier).heard(router.clock.now_s)
+    upstream_id: str = router.place().state.upstream.upstream_id
+    return upstream_id
 
 
 @when('engines take no orders and weights are named 4.4 s apart')
