Give each named version of weights a time limit of its own

A router kept only the newest naming of a model and counted the time for new weights from it. Version 9, named 4.4 s after version 8, began the time anew; engines that still had version 7 got requests until 6 s after version 9. Ruled out: keeping the oldest naming alone: engines that have a version in between would be refused though they are allowed. Change: the namings whose time still runs are kept, and the newest one whose time is used up; nothing is asked to begin on weights older than that one. Older weights count less from the oldest naming that the engine lacks. Scenarios on series of namings, on namings without a pause and on weights in between. Conclusion: the class is a time limit that runs for a change but was kept for its subject.

--- a/features/direct_weights.feature
+++ b/features/direct_weights.feature
@@ -14,9 +14,32 @@
       And each is used until three quarters of that time
 
       Examples: series
-        | named  |
-        | 0      |
-        | 0, 4.4 |
+        | named                       |
+        | 0                           |
+        | 0, 4.4                      |
+        | 0, 5.9, 6.1                 |
+        | 0, 3, 6, 9, 12, 15, 18      |
+        | 1, 2, 3, 4, 5, 6, 7, 8, 9   |
+        | 0, 0.02, 0.04, 0.06, 7.9, 8 |
+
+    Scenario: Weights named without a pause
+      # Symptom: an engine that takes no orders is used for ever.
+      # Sequence: a new version is named again and again.
+      # Cause: each naming began the time for new weights anew.
+      Given a router with 3 engines that have version 1
+      When 900 versions are named within 30 s and none are loaded
+      Then no engine is ever asked to begin on weights superseded 8 s ago
+      And the router remembers few namings
+
+    Scenario: Weights between those overdue and the newest are still used
+      # Symptom: requests are refused though engines have allowed weights.
+      # Sequence: an engine loads a version; a newer one is named; the time
+      #   for the first is used up.
+      # Cause: whatever is not the newest was taken for overdue.
+      Given a router with 3 engines that have version 1
+      When weights are named after 0, 4 s and an engine has loaded version 2
+      Then 7 s after the first naming that engine is asked for version 2
+      And the others are asked for version 2
 
     Scenario: Older weights count less from the first naming that they lack
       # Symptom: requests begin on weights superseded 1.5 s ago though
--- a/features/steps/direct_weights_steps.py
+++ b/features/steps/direct_weights_steps.py
@@ -20,6 +20,7 @@
 from lacewing_daemon.direct._admission import Admitted
 from lacewing_daemon.direct._knowledge import Knowledge
 from lacewing_daemon.direct._knowledge import OLD_WEIGHTS_PART
+from lacewing_daemon.direct._namings import NAMINGS_APART_S
 from lacewing_daemon.direct._placing import Placer
 from lacewing_daemon.direct._policy import LoadPolicy
 from lacewing_daemon.direct._target import Target
@@ -204,6 +205,54 @@
             assert asked[1] == 1, asked
 
 
+@when('{count:d} versions are named within {span_s:d} s and none are loaded')
+def step_many(context: Context, count: int, span_s: int) -> None:
+    """Name versions without a pause."""
+    _play(context, [number * span_s / count for number in range(count)])
+
+
+@then('the router remembers few namings')
+def step_few(context: Context) -> None:
+    """Count those that it keeps."""
+    kept = len(context.weights_router.knowledge.namings(MODEL))
+    limit_s = BOUNDS.weights_s * OLD_WEIGHTS_PART
+    assert kept <= limit_s / NAMINGS_APART_S + 2, kept
+
+
+@when(
+    'weights are named after 0, {second:d} s and an engine has loaded'
+    ' version {version:d}'
+)
+def step_one_loads(context: Context, second: int, version: int) -> None:
+    """Name two versions; an engine has the first."""
+    router = context.weights_router
+    context.begin_s = router.clock.now_s
+    router.name(2)
+    context.ahead = router.ids[0]
+    router.loaded(context.ahead, version)
+    router.clock.now_s += second
+    router.name(3)
+
+
+@then(
+    '{after_s:d} s after the first naming that engine is asked for version'
+    ' {version:d}'
+)
+def step_ahead(context: Context, after_s: int, version: int) -> None:
+    """Look at what it is asked for."""
+    router = context.weights_router
+    router.clock.now_s = context.begin_s + after_s
+    assert router.asked(context.ahead) == version
+
+
+@then('the others are asked for version {version:d}')
+def step_others(context: Context, version: int) -> None:
+    """Look at the engines that have the oldest weights."""
+    router = context.weights_router
+    for name in router.ids[1:]:
+        assert router.asked(name) == version, name
+
+
 @when('weights are named after 0, {second:f} s and a busy engine has the last')
 def step_busier(context: Context, second: float) -> None:
     """Name two versions; one engine has the newer and a prompt to read."""
--- a/packages/daemon/src/lacewing_daemon/direct/_knowledge.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_knowledge.py
@@ -15,6 +15,9 @@
 from lacewing_daemon.direct._directory import Service
 from lacewing_daemon.direct._line_budget import LineBudget
 from lacewing_daemon.direct._loading import load_times
+from lacewing_daemon.direct._namings import NamedVersion
+from lacewing_daemon.direct._namings import Naming
+from lacewing_daemon.direct._namings import with_naming
 from lacewing_daemon.direct._policy import LoadPolicy
 from lacewing_daemon.direct._router_count import ROUTERS_ASSUMED
 from lacewing_daemon.direct._settings import Bounds
@@ -44,14 +47,6 @@
     UPSTREAM = 'upstream'
 
 
-@dataclass(frozen=True)
-class NamedVersion:
-    """Hold a version of weights (0: none) and how long ago it was named."""
-
-    version: int
-    age_s: float
-
-
 @dataclass(frozen=True)
 class _LoadTimes:
     """Hold the load times computed last, and what for."""
@@ -80,7 +75,7 @@
         self._states: dict[str, UpstreamState] = {}
         self._by_service: dict[str, list[UpstreamState]] = {}
         self._budgets: dict[str, RetryBudget] = {}
-        self._named_since: dict[str, tuple[int, float]] = {}
+        self._namings: dict[str, tuple[Naming, ...]] = {}
         self._load_times: dict[str, _LoadTimes] = {}
         self._saved: OrderedDict[tuple[str, str], float] = OrderedDict()
         self._lines = LineBudget(clock())
@@ -95,6 +90,11 @@
         """Return what the deployment promises."""
         return self._bounds
 
+    @property
+    def old_limit_s(self) -> float:
+        """Return for how long after a naming older weights are used."""
+        return self._bounds.weights_s * OLD_WEIGHTS_PART
+
     @property
     def routers(self) -> int:
         """Return the number of routers that live, this one included."""
@@ -114,8 +114,8 @@
     def named(self) -> tuple[NamedWeights, ...]:
         """Return the version named last of each model."""
         found = []
-        for model, (version, _) in self._named_since.items():
-            found.append(NamedWeights(model, version))
+        for model, namings in self._namings.items():
+            found.append(NamedWeights(model, namings[-1].version))
         return tuple(found)
 
     def states(self, service: str) -> list[UpstreamState]:
@@ -128,9 +128,17 @@
 
     def named_weights(self, model: str) -> NamedVersion:
         """Return the version named last for a model and for how long."""
+        namings = self.namings(model)
+        return namings[-1] if namings else NamedVersion(0, 0.0)
+
+    def namings(self, model: str) -> tuple[NamedVersion, ...]:
+        """Return the namings of a model that matter, the newest last."""
         now_s = self._clock()
-        version, since_s = self._named_since.get(model, (0, now_s))
-        return NamedVersion(version, now_s - since_s)
+        found = []
+        for naming in self._namings.get(model, ()):
+            age_s = now_s - naming.since_s
+            found.append(NamedVersion(naming.version, age_s))
+        return tuple(found)
 
     def load_times(self, model: str) -> Mapping[str, float]:
         """Return when each engine of a model loads, after the naming."""
@@ -225,7 +233,8 @@
         learnt: Learnt = Learnt.STORE,
     ) -> None:
         """Take a named version; ``named_before`` this process started."""
-        known, _ = self._named_since.get(value.model, (0, 0.0))
+        namings = self._namings.get(value.model, ())
+        known = namings[-1].version if namings else 0
         if value.version <= known:
             return
         now_s = self._clock()
@@ -234,9 +243,11 @@
             # Nobody says when it was named. Other routers may have refused
             # older weights for long; this one joins them soon after its
             # start.
-            since_s -= self._bounds.weights_s * OLD_WEIGHTS_PART
+            since_s -= self.old_limit_s
             since_s += START_GRACE_S
-        self._named_since[value.model] = (value.version, since_s)
+        self._namings[value.model] = with_naming(
+            namings, Naming(value.version, since_s), self.old_limit_s
+        )
         # A line that is left out shows in the next one, by `before`.
         if self._lines.take(True, now_s):
             _log.info(
--- a/packages/daemon/src/lacewing_daemon/direct/_placing.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_placing.py
@@ -20,8 +20,9 @@
 from lacewing_daemon.direct._directory import KvStore
 from lacewing_daemon.direct._kept_parts import KeptParts
 from lacewing_daemon.direct._knowledge import Knowledge
-from lacewing_daemon.direct._knowledge import NamedVersion
-from lacewing_daemon.direct._knowledge import OLD_WEIGHTS_PART
+from lacewing_daemon.direct._namings import floor_of
+from lacewing_daemon.direct._namings import NamedVersion
+from lacewing_daemon.direct._namings import superseded_s
 from lacewing_daemon.direct._target import Target
 from lacewing_daemon.direct._target import urgency_of
 from lacewing_daemon.direct._upstream_state import UpstreamState
@@ -42,6 +43,8 @@
     engine: Engine
     kv_store: KvStore | None
     named: NamedVersion
+    namings: tuple[NamedVersion, ...]
+    floor: int
     urgency: int
     now_s: float
 
@@ -80,12 +83,15 @@
         prompt = request.prompt
         if engine is None or prompt is None:
             return self._plain(usable, now_s)
+        namings = self._knowledge.namings(prompt.model)
         asked = _Asked(
             prompt,
             admitted,
             engine,
             self._kept.store_for(prompt),
             self._knowledge.named_weights(prompt.model),
+            namings,
+            floor_of(namings, self._knowledge.old_limit_s),
             urgency_of(admitted),
             now_s,
         )
@@ -143,14 +149,12 @@
         """Return how the request would be sent to one engine."""
         prompt, now_s = asked.prompt, asked.now_s
         weights = state.weights(prompt.model) or asked.named.version
-        if asked.named.age_s > self._old_limit_s:
-            # Nothing may begin on older weights by now. What is known of the
-            # engine may be old itself, and nobody would tell: it is asked
-            # for the version named, and refuses if it lacks it.
-            weights = max(weights, asked.named.version)
-        old_ms = 0.0
-        if weights < asked.named.version:
-            old_ms = asked.named.age_s * _MS
+        # Nothing may begin on weights older than the floor by now; versions
+        # named since don't change that. What is known of the engine may be
+        # old itself, and nobody would tell: it is asked for the floor, and
+        # refuses if it has other weights.
+        weights = max(weights, asked.floor)
+        old_ms = superseded_s(asked.namings, weights) * _MS
         wall = cache_wall(asked.admitted.team, prompt.model, weights)
         kv_store = asked.kv_store
         excess_ms = state.excess_ms(now_s)
@@ -177,11 +181,12 @@
         state = target.state
         upstream = state.upstream
         model = asked.prompt.model
-        old = (state.weights(model) or asked.named.version) < (
-            asked.named.version
-        )
+        has = state.weights(model) or asked.named.version
+        old = has < asked.named.version
         handicap_ms = 0.0
-        if old and asked.named.age_s > self._policy.old_weights_s:
+        # Answers count less from the first naming that the engine lacks.
+        old_s = superseded_s(asked.namings, has)
+        if old_s > self._policy.old_weights_s:
             handicap_ms = self._policy.old_weights_ms
         return EngineView(
             upstream.upstream_id,
@@ -223,7 +228,3 @@
         )
         ends_ms = placed.first_ms + run_ms
         return copy_holder(target, others, views, ends_ms, room)
-
-    @property
-    def _old_limit_s(self) -> float:
-        return self._knowledge.bounds.weights_s * OLD_WEIGHTS_PART
