Log each configuration that comes into force

In the incident of a configuration that was never read the routers' logs told that a collection was lost, but not which configuration a router had, how large the next one was or how long its call took; all that had to be put together from refused requests and the bytes on links.

"Took a configuration." now tells the version, the one known before, the routes, the bytes read and the time of the call: one line for each version that comes into force. A read given up in the middle names its bytes in the reason of "Lost a collection." as before.

--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -4,6 +4,9 @@
 from collections.abc import Callable
 from random import Random
 
+from lacewing_common.log import get_log
+from lacewing_common.log import Part
+
 from lacewing_daemon.direct._directory import Directory
 from lacewing_daemon.direct._followed import DEAF_S
 from lacewing_daemon.direct._followed import Followed
@@ -36,6 +39,8 @@
 DEAF_PART = 0.5
 SWEEP_S = 1.0
 
+_log = get_log(Part.PLATFORM)
+
 
 def keys_believed_s(revoke_s: float) -> float:
     """Return for how long a configuration is believed unconfirmed.
@@ -174,8 +179,18 @@
         self._pool.close()
 
     def _take_directory(self, _name: str, value: Directory | None) -> None:
+        known = self._knowledge.directory
         if value is None or not self._knowledge.take_directory(value):
             return
+        read = self._directories.last_read
+        _log.info(
+            'Took a configuration.',
+            version=value.version,
+            before=None if known is None else known.version,
+            routes=len(value.routes),
+            read_bytes=read.size,
+            call_ms=round(read.took_s * 1000),
+        )
         if self._on_directory is not None:
             self._on_directory(value)
 
--- a/packages/daemon/src/lacewing_daemon/direct/_followed.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_followed.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Mapping
+from dataclasses import dataclass
 from random import Random
 from typing import Generic
 from typing import TypeVar
@@ -34,6 +35,14 @@
 _log = get_log(Part.PLATFORM)
 
 
+@dataclass(frozen=True)
+class LastRead:
+    """Hold how many bytes an answer had and how long its call took."""
+
+    size: int
+    took_s: float
+
+
 class Followed(Generic[T]):
     """Hold the entries of one collection, kept up to date by a task.
 
@@ -73,6 +82,7 @@
         self._confirmed_s: float | None = None
         self._regained_s = float('-inf')
         self._lost = False
+        self._read = LastRead(0, 0.0)
 
     @property
     def entries(self) -> Mapping[str, T]:
@@ -99,6 +109,11 @@
             return float('inf')
         return boot_s() - self._confirmed_s
 
+    @property
+    def last_read(self) -> LastRead:
+        """Return what the last answer was, already as changes are told."""
+        return self._read
+
     def on_change(self, callback: OnChange[T]) -> None:
         """Call back with the name and value (None: removed) of a change."""
         self._callbacks.append(callback)
@@ -122,6 +137,7 @@
                 self._revision = None
                 continue
             self._regained()
+            self._read = LastRead(answer.size, boot_s() - sent_s)
             self._take(answer)
             self.confirm(answer, sent_s)
             if isinstance(answer, Changes) and answer.changed:
--- a/packages/daemon/src/lacewing_daemon/direct/_site.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_site.py
@@ -29,11 +29,13 @@
     """Hold all entries of a collection as of one revision.
 
     ``unreadable``: names of entries that are there but not as agreed.
+    ``size``: bytes read.
     """
 
     entries: Mapping[str, T]
     revision: int
     unreadable: tuple[str, ...] = ()
+    size: int = 0
 
 
 @dataclass(frozen=True)
@@ -41,11 +43,13 @@
     """Hold what changed up to a revision; None for a removed entry.
 
     ``unreadable``: names of entries that changed to what was not agreed.
+    ``size``: bytes read.
     """
 
     changed: tuple[tuple[str, T | None], ...]
     revision: int
     unreadable: tuple[str, ...] = ()
+    size: int = 0
 
 
 @dataclass(frozen=True)
