--- a/features/support/direct_bench.py
+++ b/features/support/direct_bench.py
@@ -62,6 +62,7 @@
         self.upstreams: dict[str, StandInUpstream] = {}
         self.answers: list[Answer] = []
         self.config = _config()
+        self.bounds = BOUNDS
         self.store: StandInStore = self.run(_start_store())
 
     @property
@@ -232,7 +233,7 @@
             callers='127.0.0.1:0',
             ready='127.0.0.1:0',
             platform=self.store.address,
-            bounds=BOUNDS,
+            bounds=self.bounds,
             policy=LoadPolicy(load_late_ms=LOAD_LATE_MS),
         )
         site = PlatformSite(settings.platform)
