Let answers finish as long as they keep arriving

A call to the store had one time limit from its connect to the last byte. An answer that takes longer on its link was given up with most of it received, and the next call began with the first byte, for ever: routers on narrow links never learnt a configuration of 872 KB, refused keys, served requests without a key by an old configuration, and kept their links full.

The processors (1 to 3% busy) and the store (no refused call) were ruled out by the incident's logs.

Now the wait for the first byte is bounded (as before), then each silence (1 s; the product's client 3 s, its request_timeout_s), and a trickle: slower than 16 KiB a second, its first silence aside, is given up. A floor was taken rather than a patience that doubles: below it 1 MiB takes over a minute, 13 times as long as keys are believed, and a connection that slow is better opened anew. A request's body is given time by its size, 64 KiB a second, as its way can't be watched. The watching timer belongs to the call and not to its caller, so that cancelled calls free their slots; giving up closes the connection and frees the handle at once, where libcurl's own limits came up to 0.9 s late. A write given up is still "may have been sent" unless its connection never opened.

Errors and "Lost a collection." tell the bytes received.

--- a/packages/common/src/lacewing_common/curl.py
+++ b/packages/common/src/lacewing_common/curl.py
@@ -2,6 +2,7 @@
 
 import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpclient import HTTPRequest
 
 
 class CurlClient(CurlAsyncHTTPClient):
@@ -17,6 +18,21 @@
         if self._timeout is not None:
             self.io_loop.remove_timeout(self._timeout)
 
+    def give_up(self, request: HTTPRequest, message: str) -> None:
+        """End a call that is under way, as if its time were over.
+
+        Its connection is closed and its handle is free at once. libcurl's
+        own time limits can't be used: they count from the start of a call,
+        and silence by whole seconds.
+        """
+        for curl in self._curls:
+            info = getattr(curl, 'info', None)
+            # The client holds a proxy of the request, with its defaults.
+            if info is not None and info['request'].request is request:
+                self._finish(curl, pycurl.E_OPERATION_TIMEDOUT, message)
+                self._process_queue()
+                return
+
 
 def connect_directly(curl: pycurl.Curl) -> None:
     """Have a call ignore the proxies named in the environment.
--- a/packages/common/src/lacewing_common/platform_client.py
+++ b/packages/common/src/lacewing_common/platform_client.py
@@ -32,6 +32,9 @@
 class ClientOptions:
     """Bound the calls to the platform.
 
+    ``request_timeout_s`` bounds the wait for an answer to begin and each
+    silence within it, not its whole: objects have any size and links any
+    speed.
     The first wait after a cut watch spreads over ``watch_backoff_base_s``,
     so that a thousand processes cut at once stay within the read rate.
     """
@@ -178,7 +181,7 @@
         timeout_s = wait_s + self._options.request_timeout_s
         answer = await self._watches.call(Call('GET', path, timeout_s))
         if isinstance(answer, NoAnswer):
-            return StoreError(StoreFault.UNAVAILABLE, answer.message)
+            return _lost(StoreFault.UNAVAILABLE, answer)
         if answer.status == 304:
             return None
         version = _version(answer)
@@ -205,14 +208,15 @@
                 return answer
             return _error(answer, call.is_read)
         if call.is_read or not answer.sent:
-            return StoreError(StoreFault.UNAVAILABLE, answer.message)
-        return StoreError(StoreFault.UNKNOWN, answer.message)
+            return _lost(StoreFault.UNAVAILABLE, answer)
+        return _lost(StoreFault.UNKNOWN, answer)
 
     def _caller(self, base_url: str, at_once: int) -> HttpCaller:
         return HttpCaller(
             base_url,
             at_once,
             self._options.connect_timeout_s,
+            self._options.request_timeout_s,
             self._options.ca_file,
         )
 
@@ -239,6 +243,10 @@
     return StoredObject(kind, name, version, answer.body)
 
 
+def _lost(fault: StoreFault, answer: NoAnswer) -> StoreError:
+    return StoreError(fault, answer.message, received=answer.received)
+
+
 def _error(answer: Answer, is_read: bool) -> StoreError:
     fault = _FAULTS.get(answer.status)
     if fault is None and 400 <= answer.status < 500:
--- a/packages/common/src/lacewing_common/platform_http.py
+++ b/packages/common/src/lacewing_common/platform_http.py
@@ -15,9 +15,16 @@
 from lacewing_common.curl import CurlClient
 
 _USER_AGENT = 'lacewing'
-# libcurl ends a call at its timeout, but learns of the time from a timer
-# that came up to 0.9 s late on a connection that had fallen silent.
-_CURL_LATE_S = 0.1
+# An answer that comes more slowly than this, its first silence aside, is
+# given up: a fortieth of the narrowest links that are in use (5 Mbit/s), so
+# that all calls at once get through on one of them; 1 MiB takes 64 s then.
+SLOWEST_BYTES_S = 16_384
+# A request's body is given this time to leave: the system can't see how much
+# of it has left the VM. A tenth of the narrowest links in use.
+SLOWEST_SENT_BYTES_S = 65_536
+# What has arrived is told by the event loop; after a pause of the process a
+# call is looked at once more before it is given up.
+_SECOND_LOOK_S = 0.05
 # With these libcurl ends a call before it has sent a byte of the request.
 _NEVER_SENT = (
     pycurl.E_COULDNT_RESOLVE_HOST,
@@ -29,7 +36,11 @@
 
 @dataclass(frozen=True)
 class Call:
-    """Hold one HTTP call; ``timeout_s`` bounds it from connect to end."""
+    """Hold one HTTP call.
+
+    ``timeout_s`` bounds the wait for the answer to begin, from connect on.
+    An answer that has begun may take as long as it keeps arriving.
+    """
 
     method: str
     path: str
@@ -45,19 +56,24 @@
 
 @dataclass(frozen=True)
 class Answer:
-    """Hold an HTTP answer."""
+    """Hold an HTTP answer; ``took_s`` is the time that its body took."""
 
     status: int
     headers: dict[str, str]
     body: bytes
+    took_s: float = 0.0
 
 
 @dataclass(frozen=True)
 class NoAnswer:
-    """Report that no answer came; ``sent`` is false only when sure."""
+    """Report that no whole answer came; ``sent`` is false only when sure.
+
+    ``received``: bytes of the body that had come.
+    """
 
     sent: bool
     message: str
+    received: int = 0
 
 
 class _CurlClient(CurlClient):
@@ -76,18 +92,113 @@
         super().fetch_impl(request, pass_on)
 
 
+class _Transfer:
+    """Watch one call and give it up when nothing more is to be expected.
+
+    A limit on the whole of a call would end each answer that is too large
+    for its link: the next call begins with the first byte and ends the same
+    way, for ever, and nothing else comes through meanwhile. So the wait for
+    the first byte is bounded, then each silence, and a trickle by what has
+    arrived. It goes on when the caller is cancelled: libcurl does, too, and
+    nothing else would free the handle.
+    """
+
+    def __init__(
+        self, client: _CurlClient, begin_s: float, silence_s: float
+    ) -> None:
+        self._client = client
+        self._loop = asyncio.get_running_loop()
+        self._silence_s = silence_s
+        self._begin_by_s = self._loop.time() + begin_s
+        self._request: HTTPRequest | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._looked_twice = False
+        self._first_s = 0.0
+        self._last_s = 0.0
+        self._pieces: list[bytes] = []
+        self._received = 0
+
+    @property
+    def body(self) -> bytes:
+        """Return what has arrived of the answer's body."""
+        return b''.join(self._pieces)
+
+    @property
+    def received(self) -> int:
+        """Return how many bytes of the body have arrived."""
+        return self._received
+
+    @property
+    def took_s(self) -> float:
+        """Return the time from the first piece of the body to the last."""
+        return self._last_s - self._first_s
+
+    def watch(self, request: HTTPRequest) -> None:
+        """Give the call up in time, until ``end``."""
+        self._request = request
+        self._timer = self._loop.call_at(self._due_s(), self._look)
+
+    def take(self, piece: bytes) -> None:
+        """Take a piece of the body."""
+        now_s = self._loop.time()
+        if not self._pieces:
+            self._first_s = now_s
+        self._last_s = now_s
+        self._looked_twice = False
+        self._pieces.append(piece)
+        self._received += len(piece)
+
+    def end(self, _fetch: 'Future[HTTPResponse]') -> None:
+        """Stop watching."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _due_s(self) -> float:
+        if not self._pieces:
+            return self._begin_by_s
+        silent_s = self._last_s + self._silence_s
+        slow_s = (
+            self._first_s + self._silence_s + self._received / SLOWEST_BYTES_S
+        )
+        return max(self._begin_by_s, min(silent_s, slow_s))
+
+    def _look(self) -> None:
+        now_s = self._loop.time()
+        due_s = self._due_s()
+        if now_s < due_s:
+            self._timer = self._loop.call_at(due_s, self._look)
+            return
+        if not self._looked_twice:
+            self._looked_twice = True
+            self._timer = self._loop.call_later(_SECOND_LOOK_S, self._look)
+            return
+        self._timer = None
+        assert self._request is not None
+        message = 'the answer did not begin in time'
+        if self._pieces:
+            message = f'the answer stopped after {self._received} bytes'
+        self._client.give_up(self._request, message)
+
+
 class HttpCaller:
-    """Make a bounded number of calls at once to one base URL."""
+    """Make a bounded number of calls at once to one base URL.
+
+    ``silence_s``: an answer that has begun is given up after a silence of
+    this length.
+    """
 
     def __init__(
         self,
         base_url: str,
         at_once: int,
         connect_timeout_s: float,
+        silence_s: float,
         ca_file: str | None = None,
     ) -> None:
         self._base_url = base_url
         self._connect_timeout_s = connect_timeout_s
+        self._silence_s = silence_s
         self._ca_file = ca_file
         self._slots = asyncio.Semaphore(at_once)
         self._client = _CurlClient(force_instance=True, max_clients=at_once)
@@ -99,24 +210,33 @@
                 await self._slots.acquire()
         except TimeoutError:
             return NoAnswer(False, 'too many calls to the platform wait')
-        fetch = self._client.fetch(self._request(call), raise_error=False)
+        body_s = len(call.body or b'') / SLOWEST_SENT_BYTES_S
+        transfer = _Transfer(
+            self._client, call.timeout_s + body_s, self._silence_s
+        )
+        request = self._request(call, transfer)
+        fetch = self._client.fetch(request, raise_error=False)
+        transfer.watch(request)
+        fetch.add_done_callback(transfer.end)
         fetch.add_done_callback(self._release)
         # A cancelled caller must not free the slot: libcurl goes on with the
         # call, and the next one would wait unseen for its handle.
         try:
-            async with asyncio.timeout(call.timeout_s + _CURL_LATE_S):
-                response = await asyncio.shield(fetch)
-        except TimeoutError:
-            return NoAnswer(True, f'no answer within {call.timeout_s} s')
+            response = await asyncio.shield(fetch)
         except CurlError as error:
-            return NoAnswer(_may_be_sent(error), str(error))
-        return Answer(response.code, dict(response.headers), response.body)
+            return NoAnswer(_may_be_sent(error), str(error), transfer.received)
+        return Answer(
+            response.code,
+            dict(response.headers),
+            transfer.body,
+            transfer.took_s,
+        )
 
     def close(self) -> None:
         """Close all connections; calls under way never return."""
         self._client.close()
 
-    def _request(self, call: Call) -> HTTPRequest:
+    def _request(self, call: Call, transfer: _Transfer) -> HTTPRequest:
         prepare = _prepare_read if call.is_read else _prepare_write
         return HTTPRequest(
             self._base_url + call.path,
@@ -124,7 +244,8 @@
             headers=dict(call.headers),
             body=call.body,
             connect_timeout=self._connect_timeout_s,
-            request_timeout=call.timeout_s,
+            request_timeout=0.0,
+            streaming_callback=transfer.take,
             follow_redirects=False,
             decompress_response=False,
             user_agent=_USER_AGENT,
--- a/packages/common/src/lacewing_common/store.py
+++ b/packages/common/src/lacewing_common/store.py
@@ -33,11 +33,13 @@
     """Report a failed call and what the reader can do about it.
 
     ``retry_after_s`` is the platform's advice in seconds, if it gave any.
+    ``received``: bytes of an answer that was given up in its middle.
     """
 
     fault: StoreFault
     message: str
     retry_after_s: float | None = None
+    received: int = 0
 
 
 @dataclass(frozen=True)
--- a/packages/daemon/src/lacewing_daemon/direct/_followed.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_followed.py
@@ -237,6 +237,7 @@
             collection=self._name,
             fault=error.fault.value,
             reason=error.message,
+            received=error.received,
             revision=self.revision,
         )
 
