--- a/features/support/direct_bench.py
+++ b/features/support/direct_bench.py
@@ -107,6 +107,13 @@
         entry = self.upstreams[name].entry(state)
         self.on_loop(lambda: self.store.put('servers', name, entry))
 
+    def start_again(self, name: str) -> StandInUpstream:
+        """Start an upstream anew under its id and register it."""
+        upstream = self.upstreams[name]
+        self.on_loop(upstream.start_again)
+        self.register(name)
+        return upstream
+
     def start_router(self, name: str = 'router-1') -> DirectRouter:
         """Start a router and wait until it is ready."""
         router: DirectRouter = self.run(self._start_router(name))
