Know each start of an upstream by itself

Cause: an id was taken for one start. The platform's upstreams may start again under it and tell the millisecond of their start ("born", decoded once into started_ms of Upstream and UpstreamReport; 0 where an older platform doesn't tell it).

What each place in direct/ that keeps something by an upstream's id does now:

- Knowledge._states, _by_service: a later start gets a new UpstreamState, so weights, parts held, told load, lateness, failures and shunning, copies kept there and leaving begin anew.
Open requests hold the state they were sent under and end there: no count of the new start is touched.
An entry or report of an earlier start is dropped, also after the entry had gone (Knowledge._gone, the last 256).
An entry without a start where one is known names no upstream.
An entry that names another service moves the upstream between lists; before, its removal raised in the follower's task.
- Knowledge._load_times: the agreed time of the start before is brought forward to now; the new start has no runs to wait for.
- UpstreamState: weights still only grow within a start, but for an entry below the entry before it: entries come in order, so the engine did go back, as by a late order that met the count it had (counts begin anew, so an order to the start before with count 0 may match one that starts with the newest weights).
The protocol has no field that names the start in an order; this is how it is noticed and ordered again.
- ConnectionPool: keyed by id, start and address.
- WeightsPlanner._ordered and _busy: by state, weakly; an order to the start before does not count as a load under way.
The report asked for right before each order must be of the start that is known: a later one is taken as a new start, an earlier one is asked again (verdict "other-start"); a start that ended while the report was awaited is ordered nothing.
- Placer.go_on: no run goes on from a copy of an earlier start.
- Send: an answer read after the start ended teaches nothing.
An answer by another upstream (it names itself) teaches nothing of the one that was asked, which is left alone for 4 s.
- SilenceWatch, Ticket: by state already.
Exchange._tried keeps excluding the id for the one request: nothing is repeated that was not before.
- Followed, the store of KV cache and its walls, budgets: unchanged; an entry is kept under its name, and a wall names team, model and version only.

Ruled out: to cut open requests when a new start is read. Between the start and the reading of its entry requests reach the new start under the old state; they would be cut for nothing. Connections and silence tell the rest.

--- a/features/steps/direct_starts_steps.py
+++ b/features/steps/direct_starts_steps.py
@@ -1,12 +1,23 @@
 """Check what a router keeps of an upstream that starts again."""
 
+import time
+from types import SimpleNamespace
+from typing import Any
+from uuid import uuid4
+
 from behave import then
 from behave import when
 from behave.runner import Context
+from lacewing_daemon.direct._send import MOVED_PAUSE_S
+from lacewing_daemon.direct._send import Send
+from lacewing_daemon.direct._target import Target
+from lacewing_platform import PlatformWire
+from lacewing_platform_testing import Behaviour
 from support.direct_bench import direct_bench
 from support.direct_bench import MODEL
 from support.direct_bench import PREFIX
 from support.direct_bench import sleep
+from tornado.httputil import HTTPHeaders
 
 # Routers gather changes of entries for 0.2 s.
 KNOWN_S = 0.5
@@ -28,11 +39,20 @@
 
 @then('soon prompts are answered with the older weights')
 def step_older_asked(context: Context) -> None:
-    """Ask until a prompt is answered, and look what was asked for."""
+    """Ask until every engine was asked for the version it has."""
     bench = direct_bench(context)
-    bench.until(lambda: bench.ask_model().status == 200, 'an answer')
-    told = bench.received()[-1].headers[PREFIX + 'Expected-Version']
-    assert told == '1', told
+
+    def all_asked() -> bool:
+        bench.ask_model(**{PREFIX + 'Prompt-Prefix': f'{uuid4().hex}:300'})
+        asked = []
+        for upstream in bench.upstreams.values():
+            if upstream.received:
+                headers = upstream.received[-1].headers
+                asked.append(headers[PREFIX + 'Expected-Version'])
+        return asked == ['1'] * len(bench.upstreams)
+
+    bench.until(all_asked, 'prompts for the older weights')
+    assert bench.ask_model().status == 200, bench.answer
 
 
 @when('upstream "{name}" starts again')
@@ -67,6 +87,59 @@
     bench.run(sleep(KNOWN_S))
 
 
+@when('the upstreams start again at other addresses')
+def step_elsewhere(context: Context) -> None:
+    """Move them; the old connections stay open and say nothing."""
+    bench = direct_bench(context)
+    for name, upstream in list(bench.upstreams.items()):
+        upstream.always = Behaviour.MUTE
+        assert upstream.born is not None
+        bench.add_upstream(name, upstream.service, upstream.born + 1000)
+        context.resources.callback(bench.on_loop, upstream.server.close)
+    bench.run(sleep(KNOWN_S))
+
+
+@when('another upstream answers at its address')
+def step_another(context: Context) -> None:
+    """Hand the head of its refusal to a request's send."""
+    head = PlatformWire().read_reply(
+        421,
+        HTTPHeaders(
+            {
+                PREFIX + 'Instance-Id': 'eng-2',
+                PREFIX + 'Weight-Versions': '9',
+                PREFIX + 'Server-Load': '4,4,4',
+            }
+        ),
+    )
+    fleet: Any = SimpleNamespace(knowledge=context.knowledge)
+    route = SimpleNamespace(streams=True, may_repeat=True)
+    admitted: Any = SimpleNamespace(route=route)
+    request: Any = SimpleNamespace(prompt=SimpleNamespace(model=MODEL))
+    nothing: Any = None
+    send = Send(
+        fleet,
+        PlatformWire(),
+        nothing,
+        request,
+        admitted,
+        Target(context.before, 0.0),
+    )
+    send._learn(head)
+
+
+@then('it is left alone for a while and nothing is learnt of it')
+def step_left_alone(context: Context) -> None:
+    """Look whether it is used, and what is known of it."""
+    state = context.before
+    now_s = time.monotonic()
+    assert not state.usable(now_s + MOVED_PAUSE_S / 2)
+    assert state.usable(now_s + MOVED_PAUSE_S)
+    assert state.weights(MODEL) == 3
+    assert state.others(now_s) == 0
+    assert context.knowledge.named_weights(MODEL).version == 3
+
+
 @then('it goes on receiving requests')
 def step_goes_on(context: Context) -> None:
     """Ask several times; the longest unused upstream gets the next."""
--- a/features/support/direct_bench.py
+++ b/features/support/direct_bench.py
@@ -17,6 +17,7 @@
 from lacewing_daemon.direct._settings import Bounds
 from lacewing_platform import PlatformSite
 from lacewing_platform import PlatformWire
+from lacewing_platform_testing import BORN
 from lacewing_platform_testing import StandInStore
 from lacewing_platform_testing import StandInUpstream
 from support.router_process import RouterProcess
@@ -92,9 +93,12 @@
         }
         self.on_loop(lambda: self.store.put('config', 'main', self.config))
 
-    def add_upstream(self, name: str, service: str) -> StandInUpstream:
+    def add_upstream(
+        self, name: str, service: str, born: int = BORN
+    ) -> StandInUpstream:
         """Start an upstream and register it."""
         upstream = StandInUpstream(name, service)
+        upstream.born = born
         if service == 'models':
             upstream.weights[MODEL] = 1
         self.on_loop(upstream.server.start)
--- a/packages/daemon/src/lacewing_daemon/direct/_attempt.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_attempt.py
@@ -70,9 +70,7 @@
         piece, ``gap_wait_s`` that between pieces.
         """
         try:
-            connection = await pool.take(
-                upstream.upstream_id, upstream.address, not may_repeat
-            )
+            connection = await pool.take(upstream, not may_repeat)
         except OSError:
             return AttemptEnd(Verdict.NOT_RUN, Reason.WORKER_UNREACHABLE)
         kept = False
@@ -82,10 +80,7 @@
             end = self._judge(complete)
             if end.complete and end.head is not None and not end.head.closing:
                 pool.give_back(
-                    upstream.upstream_id,
-                    connection,
-                    end.head.keep_s,
-                    most_idle,
+                    upstream, connection, end.head.keep_s, most_idle
                 )
                 kept = True
             return end
--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -201,4 +201,5 @@
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_S)
-            self._pool.sweep(self._knowledge.upstreams)
+            states = self._knowledge.upstreams.values()
+            self._pool.sweep(state.upstream for state in states)
--- a/packages/daemon/src/lacewing_daemon/direct/_knowledge.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_knowledge.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 from dataclasses import dataclass
+from dataclasses import replace
 from enum import Enum
 
 from lacewing_common.log import get_log
@@ -21,6 +22,7 @@
 from lacewing_daemon.direct._policy import LoadPolicy
 from lacewing_daemon.direct._router_count import ROUTERS_ASSUMED
 from lacewing_daemon.direct._settings import Bounds
+from lacewing_daemon.direct._site import UpstreamReport
 from lacewing_daemon.direct._upstream import NamedWeights
 from lacewing_daemon.direct._upstream import Upstream
 from lacewing_daemon.direct._upstream_state import UpstreamState
@@ -34,10 +36,14 @@
 # A router that has just started still sends to engines with older weights
 # for so long; they may be the only ones.
 START_GRACE_S = 2.5
+# Upstreams whose entries are gone that are remembered; what an earlier start
+# says late comes within seconds, and at most some tens go in that time.
+GONE_KEPT = 256
 
 _MS = 1000.0
 
 _log = get_log(Part.PLACEMENT)
+_platform_log = get_log(Part.PLATFORM)
 
 
 class Learnt(Enum):
@@ -73,6 +79,7 @@
         self._routers = ROUTERS_ASSUMED
         self._directory: Directory | None = None
         self._states: dict[str, UpstreamState] = {}
+        self._gone: OrderedDict[str, UpstreamState] = OrderedDict()
         self._by_service: dict[str, list[UpstreamState]] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._namings: dict[str, tuple[Naming, ...]] = {}
@@ -200,19 +207,63 @@
         return True
 
     def take_upstream(self, name: str, value: Upstream | None) -> None:
-        """Take an upstream's entry; None once it is gone."""
+        """Take an upstream's entry; None once it is gone.
+
+        A later start under the same id is another upstream of which nothing
+        is known; what an earlier one says changes nothing. An entry that
+        tells no start although one is known of the id was written by
+        somebody else, and names no upstream.
+        """
         state = self._states.get(name)
-        if value is None:
-            if state is not None:
-                del self._states[name]
-                self._by_service[state.upstream.service].remove(state)
+        before = self._gone.get(name) if state is None else state
+        if value is not None and before is not None:
+            known_ms = before.upstream.started_ms
+            if 0 < value.started_ms < known_ms:
+                return
+            if value.started_ms < known_ms:
+                value = None
+            elif value.started_ms > known_ms:
+                before.end()
+                self._started_again(value)
+        if state is not None and value is not None and not state.ended:
+            self._update(state, value)
             return
         if state is not None:
-            state.update(value)
+            self._remove(state)
+        if value is None:
+            return
+        self._gone.pop(name, None)
+        if before is None or before.ended:
+            self._add(UpstreamState(value))
             return
-        state = UpstreamState(value)
-        self._states[name] = state
-        self._by_service.setdefault(value.service, []).append(state)
+        before.update(value)
+        self._add(before)
+
+    def take_report(
+        self, state: UpstreamState, report: UpstreamReport
+    ) -> bool:
+        """Take an upstream's report; false if it is of another start."""
+        upstream = state.upstream
+        if state.ended:
+            return False
+        if report.started_ms and upstream.started_ms:
+            if report.started_ms < upstream.started_ms:
+                return False
+            if report.started_ms > upstream.started_ms:
+                if self._states.get(upstream.upstream_id) is state:
+                    self.take_upstream(
+                        upstream.upstream_id,
+                        replace(
+                            upstream,
+                            leaving=False,
+                            weights=report.weights,
+                            started_ms=report.started_ms,
+                        ),
+                    )
+                return False
+        for model, version in report.weights.items():
+            state.learn_weights(model, version)
+        return True
 
     def learn_weights(
         self, state: UpstreamState, model: str, version: int
@@ -259,3 +310,41 @@
                 learnt=learnt.value,
                 age_ms=int((now_s - since_s) * _MS),
             )
+
+    def _add(self, state: UpstreamState) -> None:
+        upstream = state.upstream
+        self._states[upstream.upstream_id] = state
+        self._by_service.setdefault(upstream.service, []).append(state)
+
+    def _update(self, state: UpstreamState, value: Upstream) -> None:
+        service = state.upstream.service
+        state.update(value)
+        if state.upstream.service == service:
+            return
+        self._by_service[service].remove(state)
+        listed = self._by_service.setdefault(state.upstream.service, [])
+        listed.append(state)
+
+    def _remove(self, state: UpstreamState) -> None:
+        upstream = state.upstream
+        del self._states[upstream.upstream_id]
+        self._by_service[upstream.service].remove(state)
+        self._gone[upstream.upstream_id] = state
+        if len(self._gone) > GONE_KEPT:
+            self._gone.popitem(last=False)
+
+    def _started_again(self, upstream: Upstream) -> None:
+        """Forget what is kept by the id; an engine without runs loads now."""
+        name = upstream.upstream_id
+        _platform_log.info(
+            'An upstream has started again.',
+            upstream=name,
+            started_ms=upstream.started_ms,
+        )
+        for model, known in self._load_times.items():
+            named = self.named_weights(model)
+            if name not in known.times or known.version != named.version:
+                continue
+            times = dict(known.times)
+            times[name] = min(times[name], named.age_s)
+            self._load_times[model] = _LoadTimes(known.version, times)
--- a/packages/daemon/src/lacewing_daemon/direct/_placing.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_placing.py
@@ -100,7 +100,8 @@
     def go_on(self, target: Target) -> Target | None:
         """Return where a run goes on whose upstream is lost, None: nowhere."""
         copy = target.copy_to
-        if copy is None or copy.upstream.leaving:
+        if copy is None or copy.ended or copy.upstream.leaving:
+            # A start that followed keeps no copy of before.
             return None
         return replace(target, state=copy, copy_to=None, goes_on=True)
 
--- a/packages/daemon/src/lacewing_daemon/direct/_planner.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_planner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from random import Random
+from weakref import WeakKeyDictionary
 
 from lacewing_common.backoff import Backoff
 from lacewing_common.log import get_log
@@ -64,8 +65,12 @@
         self._held = False
         self._orders_from_s = 0.0
         self._renewed_s = float('-inf')
-        self._ordered: dict[tuple[str, str], float] = {}
-        self._busy: set[str] = set()
+        # Of each start of an engine, the time of each model's last order. An
+        # order to the start before must not count as one that is under way.
+        self._ordered: WeakKeyDictionary[UpstreamState, dict[str, float]] = (
+            WeakKeyDictionary()
+        )
+        self._busy: set[UpstreamState] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._running: asyncio.Task[None] | None = None
         self._stopping = False
@@ -143,7 +148,7 @@
             return
         self._renewed_s = boot_s()
         for state, named in due:
-            self._busy.add(state.upstream.upstream_id)
+            self._busy.add(state)
             task = asyncio.create_task(
                 self._load(state, named.model, named.version)
             )
@@ -158,7 +163,7 @@
             chosen = next_loads(engines, named.version, self._policy)
             for upstream_id in chosen:
                 state = self._knowledge.state(upstream_id)
-                if state is None or upstream_id in self._busy:
+                if state is None or state in self._busy:
                     continue
                 due.append((state, named))
         return due
@@ -171,7 +176,8 @@
             version = state.weights(model)
             if version is None or state.upstream.leaving:
                 continue
-            at_s = self._ordered.get((upstream_id, model), float('-inf'))
+            ordered = self._ordered.get(state, {})
+            at_s = ordered.get(model, float('-inf'))
             engines.append(
                 EngineWeights(
                     upstream_id,
@@ -187,8 +193,8 @@
         self, state: UpstreamState, model: str, version: int
     ) -> None:
         upstream = state.upstream
-        key = (upstream.upstream_id, model)
-        self._ordered[key] = boot_s()
+        ordered = self._ordered.setdefault(state, {})
+        ordered[model] = boot_s()
         try:
             verdict = await self._order_one(state, upstream, model, version)
             LOAD_ORDERS.labels(verdict.value).inc()
@@ -202,11 +208,12 @@
             )
             if verdict is OrderVerdict.HELD_ALREADY:
                 state.learn_weights(model, version)
-            if verdict is OrderVerdict.BUSY:
-                # It carries out another order; asked again at the next look.
-                self._ordered[key] = float('-inf')
+            if verdict in (OrderVerdict.BUSY, OrderVerdict.OTHER_START):
+                # It carries out another order, or a new start is not known
+                # yet on one side; asked again at the next look.
+                ordered[model] = float('-inf')
         finally:
-            self._busy.discard(upstream.upstream_id)
+            self._busy.discard(state)
 
     async def _order_one(
         self,
@@ -218,8 +225,8 @@
         report = await self._control.report(upstream)
         if report is None:
             return OrderVerdict.UNKNOWN
-        for name, loaded in report.weights.items():
-            state.learn_weights(name, loaded)
+        if not self._knowledge.take_report(state, report):
+            return OrderVerdict.OTHER_START
         if report.weights.get(model, 0) >= version:
             return OrderVerdict.HELD_ALREADY
         if report.busy:
--- a/packages/daemon/src/lacewing_daemon/direct/_pool.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_pool.py
@@ -4,6 +4,7 @@
 
 from lacewing_daemon.direct._connection import connect
 from lacewing_daemon.direct._connection import UpstreamConnection
+from lacewing_daemon.direct._upstream import Upstream
 
 # Connecting takes one round trip of a few ms; an opening packet that was
 # dropped comes again only after a second, by when another upstream is better.
@@ -17,18 +18,20 @@
 # Closed this much before the peer would, so that its close crosses nothing.
 KEEP_MARGIN_S = 0.7
 
+_Endpoint = tuple[str, int, str]
+
 
 class ConnectionPool:
-    """Hold the idle connections of each upstream."""
+    """Hold the idle connections of each start of an upstream."""
 
     def __init__(self) -> None:
-        self._idle: dict[str, list[UpstreamConnection]] = {}
+        self._idle: dict[_Endpoint, list[UpstreamConnection]] = {}
 
     async def take(
-        self, upstream_id: str, address: str, only_fresh: bool
+        self, upstream: Upstream, only_fresh: bool
     ) -> UpstreamConnection:
         """Return an idle connection or a new one; raises OSError."""
-        idle = self._idle.get(upstream_id, [])
+        idle = self._idle.get(upstream.endpoint, [])
         longest_s = FRESH_S if only_fresh else IDLE_S
         while idle:
             connection = idle[-1]
@@ -39,11 +42,11 @@
             if connection.usable:
                 return connection
             connection.close()
-        return await connect(address, CONNECT_TIMEOUT_S)
+        return await connect(upstream.address, CONNECT_TIMEOUT_S)
 
     def give_back(
         self,
-        upstream_id: str,
+        upstream: Upstream,
         connection: UpstreamConnection,
         keep_s: float | None,
         most_idle: int,
@@ -56,28 +59,28 @@
         """
         if keep_s is not None:
             keep_s = max(0.0, keep_s - KEEP_MARGIN_S)
-        idle = self._idle.setdefault(upstream_id, [])
+        idle = self._idle.setdefault(upstream.endpoint, [])
         if len(idle) >= most_idle:
             connection.close()
             return
         if connection.release(keep_s):
             idle.append(connection)
 
-    def sweep(self, known: Iterable[str]) -> None:
+    def sweep(self, known: Iterable[Upstream]) -> None:
         """Close connections that are idle for long or to unknown peers."""
-        kept = frozenset(known)
-        for upstream_id in list(self._idle):
-            idle = self._idle[upstream_id]
+        kept = frozenset(upstream.endpoint for upstream in known)
+        for endpoint in list(self._idle):
+            idle = self._idle[endpoint]
             remaining = []
             for connection in idle:
-                if upstream_id in kept and connection.usable:
+                if endpoint in kept and connection.usable:
                     if connection.idle_s < IDLE_S:
                         remaining.append(connection)
                         continue
                 connection.close()
-            self._idle[upstream_id] = remaining
+            self._idle[endpoint] = remaining
             if not remaining:
-                del self._idle[upstream_id]
+                del self._idle[endpoint]
 
     def close(self) -> None:
         """Close all idle connections."""
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -24,6 +24,9 @@
 from lacewing_daemon.direct._upstream_state import UpstreamState
 
 _MS = 1000.0
+# An upstream at whose address another one answers has ended; its entry goes
+# within a few seconds.
+MOVED_PAUSE_S = 4.0
 # An engine that refuses is full or loads weights (0.4 s); others are tried
 # meanwhile.
 REFUSED_PAUSE_S = 0.15
@@ -191,6 +194,12 @@
         self._state.heard(time.monotonic())
         if not self._admitted.route.streams and head.proven:
             self._begin()
+        if self._answered_by_another(head):
+            # What it tells is true of itself alone.
+            self._state.pause(time.monotonic(), MOVED_PAUSE_S)
+            return
+        if self._state.ended:
+            return
         if head.load is not None:
             self._state.learn_load(head.load, time.monotonic())
         prompt = self._request.prompt
@@ -199,6 +208,10 @@
                 self._state, prompt.model, head.weights
             )
 
+    def _answered_by_another(self, head: ReplyHead) -> bool:
+        upstream_id = self._state.upstream.upstream_id
+        return head.answered_by not in ('', upstream_id)
+
     def _judge(self, end: AttemptEnd) -> None:
         """Learn from the end how far the upstream is to be used."""
         service = self._admitted.service.name
--- a/packages/daemon/src/lacewing_daemon/direct/_site.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_site.py
@@ -72,7 +72,10 @@
 
 
 class OrderVerdict(Enum):
-    """Tell what an upstream did with an order to load weights."""
+    """Tell what an upstream did with an order to load weights.
+
+    OTHER_START: nothing was ordered, as the upstream has started again.
+    """
 
     TAKEN = 'taken'
     HELD_ALREADY = 'held-already'
@@ -80,6 +83,7 @@
     FENCED = 'fenced'
     REFUSED = 'refused'
     UNKNOWN = 'unknown'
+    OTHER_START = 'other-start'
 
 
 @dataclass(frozen=True)
@@ -87,12 +91,14 @@
     """Hold what an upstream says of itself.
 
     ``orders_taken`` counts the orders it accepted since its start;
-    ``busy`` is true while it carries one out.
+    ``busy`` is true while it carries one out. ``started_ms`` is the Unix
+    millisecond of its start, 0 where that is not told.
     """
 
     orders_taken: int
     busy: bool
     weights: Mapping[str, int]
+    started_ms: int = 0
 
 
 class SwitchMode(Enum):
@@ -216,6 +222,7 @@
     ``not_run``: the upstream says that it did not run the request.
     ``other_upstream``: another incarnation answered, and ran nothing.
     ``proven``: the answer carries the upstream's signature.
+    ``answered_by`` is the id of the upstream that answered, '' if not told.
     """
 
     status: int
@@ -229,6 +236,7 @@
     weights: int | None
     retry_after_s: float | None
     headers: HTTPHeaders
+    answered_by: str = ''
 
 
 class Wire(Protocol):
--- a/packages/daemon/src/lacewing_daemon/direct/_upstream_state.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_upstream_state.py
@@ -47,6 +47,7 @@
 
     def __init__(self, upstream: Upstream) -> None:
         self._upstream = upstream
+        self._ended = False
         self._in_flight = 0
         self._sent_s = 0.0
         self._heard_s = 0.0
@@ -67,6 +68,11 @@
         """Return the upstream's entry."""
         return self._upstream
 
+    @property
+    def ended(self) -> bool:
+        """Tell whether the upstream has started again since."""
+        return self._ended
+
     @property
     def in_flight(self) -> int:
         """Return this router's open requests there."""
@@ -99,16 +105,36 @@
         return before_ms + min(after_ms, PIECE_MS)
 
     def update(self, upstream: Upstream) -> None:
-        """Take a new entry; one that is leaving never comes back."""
+        """Take a new entry; one that is leaving never comes back.
+
+        Entries are read in the order in which they were written. One with a
+        lower version than the entry before says that the engine went back,
+        as by an order that was late; taken for old news, it would be asked
+        for weights that it refuses for ever, and be ordered none.
+        """
         if self._upstream.leaving and not upstream.leaving:
             return
+        before = self._upstream.weights
         self._upstream = upstream
         for model, version in upstream.weights.items():
+            if version < before.get(model, 0):
+                self._weights[model] = version
+                continue
             self.learn_weights(model, version)
 
+    def end(self) -> None:
+        """Note that the upstream has started again, under another state.
+
+        Requests that are still open there go on counting here, and nothing
+        that was learnt here is true of the new start.
+        """
+        self._ended = True
+
     def usable(self, now_s: float) -> bool:
         """Tell whether requests may be sent there now."""
-        return not self._upstream.leaving and now_s >= self._shunned_until_s
+        if self._ended or self._upstream.leaving:
+            return False
+        return now_s >= self._shunned_until_s
 
     def silent(self, now_s: float) -> bool:
         """Tell whether requests wait there and nothing at all is heard.
