--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -90,6 +90,7 @@
             random,
             True,
             UPSTREAMS_GATHER_S,
+            drop_unreadable=True,
         )
         self._weights: Followed[NamedWeights] = Followed(
             'weights', site.weights, WEIGHTS_WAIT_S, random
--- a/packages/daemon/src/lacewing_daemon/direct/_followed.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_followed.py
@@ -52,6 +52,9 @@
     gone then is kept until all that live are back. Counted from the store's
     return and not from the removal: an upstream that leaves a while after
     an outage must not be kept any longer than in calm times.
+
+    What was known of an entry that can't be read any more is kept, or with
+    ``drop_unreadable`` dropped at once, as it no longer says so itself.
     """
 
     def __init__(
@@ -64,7 +67,9 @@
         gather_s: float = 0.0,
         deaf_s: float = DEAF_S,
         strict: bool = False,
+        drop_unreadable: bool = False,
     ) -> None:
+        self._drop_unreadable = drop_unreadable
         self._deaf_s = deaf_s
         self._strict = strict
         self._unread: set[str] = set()
@@ -179,10 +184,12 @@
         self._revision = answer.revision
         self._last_revision = answer.revision
         for name in answer.unreadable:
-            # What was known of it is kept: one entry that somebody wrote
-            # wrongly must not stop what depends on the others.
+            # One entry that somebody wrote wrongly must not stop what
+            # depends on the others.
             ENTRIES_LEFT_OUT.labels(self._name).inc()
             _log.error('Left an entry out.', collection=self._name, entry=name)
+            if self._drop_unreadable and name in self._entries:
+                self._drop(name)
         if isinstance(answer, Changes):
             for name, value in answer.changed:
                 self._unread.discard(name)
@@ -217,7 +224,9 @@
         self._drop(name)
 
     def _drop(self, name: str) -> None:
-        self._lapsed.pop(name, None)
+        timer = self._lapsed.pop(name, None)
+        if timer is not None:
+            timer.cancel()
         self._entries.pop(name, None)
         self._tell(name, None)
 
