Go on after failed calls from what is known, and wait only while it is fresh

A failed waiting call made a router read the whole collection, which on a narrow link takes seconds, fills it and may fail again. Two reasons stood in the code: a waiting call confirms nothing for long, and one that failed may have been deaf before. The first is met by a call that does not wait; it confirms its sending less the second for which it may be deaf. The second by going back to the last revision told 1.5 s or more before the sending of the call that failed first, or by the last list, which is never deaf. A whole read is left for history that is gone, for faults that may lie in the answer, and for changes cut twice in their middle: more of them may come than the whole is large. Events that are told again change nothing: versions only grow, and a leaving upstream stays so.

A call of the configuration now leaves room for two answers as slow as the last change, but waits 0.3 s for that at least, and not at all when what is known is old.

--- a/features/direct_narrow.feature
+++ b/features/direct_narrow.feature
@@ -17,6 +17,7 @@
       #   answer received, and the next begins with the first byte.
       # Cause: one limit on the whole of a transfer, whatever its size.
       Given a direct router
+      And a caller with a key that keeps asking
       When the configuration grows by 3000 routes on a link that needs 2 s
       Then its last route is served within 6 s
       And no request with a key was refused meanwhile
@@ -27,3 +28,37 @@
       When the configuration grows by 3000 routes on a link that needs 2 s
       And a router starts on that link
       Then its last route is served within 6 s
+
+    Scenario: Large changes that follow each other on a narrow link
+      # Symptom: routers refuse keys for a moment though the store answers.
+      # Sequence: a large change takes seconds to arrive; the next call waits
+      #   its whole time; another large change follows.
+      # Cause: the wait did not depend on what was confirmed.
+      Given a direct router
+      And a caller with a key that keeps asking
+      When the configuration grows by 3000 routes on a link that needs 2 s
+      Then its last route is served within 6 s
+      And no request with a key was refused meanwhile
+      When 1.0 s later it grows by one more route
+      Then its last route is served within 6 s
+      And no request with a key was refused meanwhile
+
+    Scenario: A large answer that falls silent in its middle
+      # Symptom: a router never learns a configuration.
+      # Sequence: a connection falls silent without a reset in the middle of
+      #   a large answer.
+      # Cause: an answer that has begun is waited for without a limit.
+      Given a direct router
+      When the next answers fall silent after 100000 bytes
+      And the configuration grows by 3000 routes on a link that needs 1 s
+      And the answers are whole again after 2.5 s
+      Then its last route is served within 4 s
+
+    Scenario: Connections that break are no reason to read everything anew
+      # Symptom: a router reads a large configuration again at every fault of
+      #   the store, and its link is full meanwhile.
+      # Sequence: waiting calls are cut; the whole collection is read.
+      # Cause: a failed call made what was known count for nothing.
+      Given a direct router
+      When all connections to the store break 3 times
+      Then the configuration was read once and is still confirmed
--- a/features/steps/narrow_steps.py
+++ b/features/steps/narrow_steps.py
@@ -1,18 +1,59 @@
 """Check what direct routers do on a link that an answer fills."""
 
+import threading
 import time
+from typing import Any
 
 import msgspec
 from behave import given
 from behave import then
 from behave import when
 from behave.runner import Context
+from support.direct_bench import Answer
 from support.direct_bench import BOUNDS
 from support.direct_bench import direct_bench
 from support.direct_bench import DirectBench
+from support.direct_bench import PREFIX
 from support.direct_bench import route
+from support.direct_bench import sleep
 
 ASK_EVERY_S = 0.03
+OK = 200
+
+
+class Asking:
+    """Ask with a key, again and again, in a thread of its own."""
+
+    def __init__(self, bench: DirectBench) -> None:
+        self.served = 0
+        self.refused: list[Answer] = []
+        self._bench = bench
+        self._ends = threading.Event()
+        self._thread = threading.Thread(target=self._run)
+        self._thread.start()
+
+    def end(self) -> None:
+        """Stop asking."""
+        self._ends.set()
+        self._thread.join()
+
+    def _run(self) -> None:
+        number = 0
+        while not self._ends.wait(ASK_EVERY_S):
+            number += 1
+            named: dict[str, Any] = {PREFIX + 'Request-Id': f'asking-{number}'}
+            answer = self._bench.ask(**named)
+            if answer.status == OK:
+                self.served += 1
+                continue
+            self.refused.append(answer)
+
+
+@given('a caller with a key that keeps asking')
+def step_asking(context: Context) -> None:
+    """Ask until the scenario ends."""
+    context.asking = Asking(direct_bench(context))
+    context.resources.callback(context.asking.end)
 
 
 @given('keys that must be refused {revoke_s:d} s after they were taken away')
@@ -25,9 +66,9 @@
 
 @when(
     'the configuration grows by {count:d} routes on a link that needs'
-    ' {needs_s:d} s'
+    ' {needs_s:g} s'
 )
-def step_grow(context: Context, count: int, needs_s: int) -> None:
+def step_grow(context: Context, count: int, needs_s: float) -> None:
     """Add routes and narrow the link."""
     grow(direct_bench(context), count, needs_s)
 
@@ -43,19 +84,17 @@
     """Ask until the last route is known; keep the other answers."""
     bench = direct_bench(context)
     last = bench.config['Routes'][-1]['PathPrefix']
-    context.refused = []
     end_s = time.monotonic() + limit_s
     while bench.ask(last + '1').status != 200:
         assert time.monotonic() < end_s, f'{last} is unknown after {limit_s} s'
-        if bench.ask().status != 200:
-            context.refused.append(bench.answer)
         time.sleep(ASK_EVERY_S)
 
 
 @then('no request with a key was refused meanwhile')
 def step_none_refused(context: Context) -> None:
-    """Look at what was asked while the configuration arrived."""
-    refused = context.refused
+    """Look at what was asked while configurations arrived."""
+    refused = context.asking.refused
+    assert context.asking.served, 'nothing was asked'
     assert not refused, f'{len(refused)}, the first: {refused[0]}'
 
 
@@ -68,3 +107,45 @@
     size = len(msgspec.json.encode({**bench.config, 'Routes': routes}))
     bench.store.link.bytes_s = size / needs_s
     bench.configure(Routes=routes)
+
+
+@when('{later_s:g} s later it grows by one more route')
+def step_grow_again(context: Context, later_s: float) -> None:
+    """Add a route; the link stays as it is."""
+    bench = direct_bench(context)
+    bench.run(sleep(later_s))
+    bytes_s = bench.store.link.bytes_s
+    grow(bench, 1, 1.0)
+    bench.store.link.bytes_s = bytes_s
+
+
+@when('the next answers fall silent after {most:d} bytes')
+def step_silent(context: Context, most: int) -> None:
+    """Stop answers that are larger in their middle."""
+    direct_bench(context).store.link.most = most
+
+
+@when('the answers are whole again after {after_s:f} s')
+def step_whole(context: Context, after_s: float) -> None:
+    """Let answers be sent whole."""
+    bench = direct_bench(context)
+    bench.run(sleep(after_s))
+    bench.store.link.most = 0
+
+
+@when('all connections to the store break {count:d} times')
+def step_break(context: Context, count: int) -> None:
+    """Break them, with pauses in which calls wait again."""
+    bench = direct_bench(context)
+    for _ in range(count):
+        bench.on_loop(bench.store.server.reset_all)
+        bench.run(sleep(0.8))
+
+
+@then('the configuration was read once and is still confirmed')
+def step_read_once(context: Context) -> None:
+    """Look at the calls to the store, and ask."""
+    bench = direct_bench(context)
+    lists = [call for call in bench.store.calls if call.endswith('/config')]
+    assert len(lists) == 1, lists
+    assert bench.ask().status == 200, bench.answer
--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -8,6 +8,7 @@
 from lacewing_common.log import Part
 
 from lacewing_daemon.direct._directory import Directory
+from lacewing_daemon.direct._followed import CONFIRM_PART
 from lacewing_daemon.direct._followed import DEAF_S
 from lacewing_daemon.direct._followed import Followed
 from lacewing_daemon.direct._knowledge import Knowledge
@@ -31,9 +32,6 @@
 UPSTREAMS_GATHER_S = 0.2
 # Left of the time to refuse keys for what is under way when it has come.
 CONFIRM_SLACK_S = 0.15
-# The part of the time for which keys are believed within which they are
-# confirmed anew; the rest is left to the way of calls to a slow store.
-CONFIRM_PART = 0.8
 # Where the time is so short that waiting calls, which may be deaf for a
 # second, could never confirm anything, only so much of it is allowed for.
 DEAF_PART = 0.5
@@ -82,6 +80,7 @@
             gather_s=DIRECTORY_GATHER_S,
             deaf_s=deaf_s(settings.bounds.revoke_s),
             strict=True,
+            doubted_s=keys_believed_s(settings.bounds.revoke_s),
         )
         self._upstreams: Followed[Upstream] = Followed(
             'upstreams',
@@ -190,7 +189,7 @@
             before=None if known is None else known.version,
             routes=len(value.routes),
             read_bytes=read.size,
-            call_ms=round(read.took_s * 1000),
+            read_ms=round(read.took_s * 1000),
         )
         if self._on_directory is not None:
             self._on_directory(value)
--- a/packages/daemon/src/lacewing_daemon/direct/_followed.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_followed.py
@@ -1,6 +1,7 @@
 """Follow a collection of the platform's store and know how fresh it is."""
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -12,6 +13,7 @@
 from lacewing_common.log import get_log
 from lacewing_common.log import Part
 from lacewing_common.store import StoreError
+from lacewing_common.store import StoreFault
 
 from lacewing_daemon.direct._clock import boot_s
 from lacewing_daemon.direct._metrics import ENTRIES_LEFT_OUT
@@ -31,13 +33,26 @@
 # Before a store drops its history, calls that wait for changes hear nothing
 # of them for a second; then they are cut.
 DEAF_S = 1.0
+# What was told this long before a call that failed was not told deafly: it
+# may have failed as such a call is cut. Half of it is for answers on their
+# way and for the scheduling of a busy VM.
+SURE_S = 1.5 * DEAF_S
+# The part of the time for which entries are believed within which they are
+# confirmed anew; the rest is left to the way of calls to a slow store.
+CONFIRM_PART = 0.8
+# A call waits no shorter than this for the sake of a large answer that may
+# follow, as each call has its price; at most three a second.
+LEAST_WAIT_S = 0.3
+# After these faults the store is asked for changes again; any other may lie
+# in the answer, and would come back with it.
+_PASSING = (StoreFault.UNAVAILABLE, StoreFault.RATE_LIMITED)
 
 _log = get_log(Part.PLATFORM)
 
 
 @dataclass(frozen=True)
 class LastRead:
-    """Hold how many bytes an answer had and how long its call took."""
+    """Hold how many bytes an answer had and in which time they came."""
 
     size: int
     took_s: float
@@ -55,6 +70,10 @@
 
     What was known of an entry that can't be read any more is kept, or with
     ``drop_unreadable`` dropped at once, as it no longer says so itself.
+
+    After a failed call, changes since a known revision are asked for, and
+    not the whole collection: on a narrow link reading it anew takes seconds,
+    fills the link and may fail again.
     """
 
     def __init__(
@@ -68,8 +87,12 @@
         deaf_s: float = DEAF_S,
         strict: bool = False,
         drop_unreadable: bool = False,
+        doubted_s: float = float('inf'),
+        clock: Callable[[], float] = boot_s,
     ) -> None:
         self._drop_unreadable = drop_unreadable
+        self._doubted_s = doubted_s
+        self._clock = clock
         self._deaf_s = deaf_s
         self._strict = strict
         self._unread: set[str] = set()
@@ -83,11 +106,15 @@
         self._lapsed: dict[str, asyncio.TimerHandle] = {}
         self._callbacks: list[OnChange[T]] = []
         self._revision: int | None = None
+        # When each revision was told, the first one surely with all changes
+        # up to it.
+        self._told: deque[tuple[float, int]] = deque()
         self._last_revision = 0
         self._confirmed_s: float | None = None
         self._regained_s = float('-inf')
         self._lost = False
         self._read = LastRead(0, 0.0)
+        self._change_took_s = 0.0
 
     @property
     def entries(self) -> Mapping[str, T]:
@@ -112,7 +139,7 @@
         """
         if self._confirmed_s is None:
             return float('inf')
-        return boot_s() - self._confirmed_s
+        return self._clock() - self._confirmed_s
 
     @property
     def last_read(self) -> LastRead:
@@ -126,31 +153,42 @@
     async def run(self) -> None:
         """Follow the collection until cancelled."""
         while True:
-            sent_s = boot_s()
-            answer = await self._next()
-            if isinstance(answer, StoreError):
-                self._failed(answer)
-                await asyncio.sleep(self._backoff.next_s())
-                continue
-            self._backoff.reset()
-            if isinstance(answer, HistoryGone):
-                _log.info(
-                    'Reads a collection anew.',
-                    collection=self._name,
-                    reason=answer.message,
-                )
-                self._revision = None
-                continue
-            self._regained()
-            self._read = LastRead(answer.size, boot_s() - sent_s)
-            self._take(answer)
-            self.confirm(answer, sent_s)
-            if isinstance(answer, Changes) and answer.changed:
-                # Changes come in series; a call for each would cost several
-                # times the calls that waiting makes.
-                await asyncio.sleep(self._gather_s)
-
-    def confirm(self, answer: Listing[T] | Changes[T], sent_s: float) -> None:
+            await asyncio.sleep(await self.step())
+
+    async def step(self) -> float:
+        """Make one call; return the time until the next one, in seconds."""
+        wait_s = self._next_wait_s()
+        sent_s = self._clock()
+        answer = await self._next(wait_s)
+        if isinstance(answer, StoreError):
+            self._failed(answer, sent_s)
+            return self._backoff.next_s()
+        self._backoff.reset()
+        if isinstance(answer, HistoryGone):
+            _log.info(
+                'Reads a collection anew.',
+                collection=self._name,
+                reason=answer.message,
+            )
+            self._revision = None
+            return 0.0
+        self._regained()
+        self._read = LastRead(answer.size, answer.took_s)
+        self._take(answer)
+        self.confirm(answer, sent_s, wait_s)
+        if isinstance(answer, Changes) and answer.changed:
+            # Changes come in series; a call for each would cost several
+            # times the calls that waiting makes.
+            self._change_took_s = answer.took_s
+            return self._gather_s
+        return 0.0
+
+    def confirm(
+        self,
+        answer: Listing[T] | Changes[T],
+        sent_s: float,
+        wait_s: float | None = None,
+    ) -> None:
         """Note as of when all changes are known.
 
         A list holds all that was changed before it was asked for. A call
@@ -163,26 +201,51 @@
         """
         if self._strict and self._unread:
             return
+        if wait_s is None:
+            wait_s = self._wait_s
         confirmed_s = sent_s
         if isinstance(answer, Changes):
             confirmed_s -= self._deaf_s
             if not answer.changed and not answer.unreadable:
                 # Not more than it can have watched: an answer may have been
                 # long on its way, or have come before its time.
-                confirmed_s += min(self._wait_s, boot_s() - sent_s)
+                confirmed_s += min(wait_s, self._clock() - sent_s)
         if self._confirmed_s is None or confirmed_s > self._confirmed_s:
             self._confirmed_s = confirmed_s
 
+    def _next_wait_s(self) -> float:
+        """Return how long the next call waits for changes.
+
+        What is known grows older while a call waits and while its answer
+        arrives. An answer that fills the link for seconds, followed by
+        another one, would leave entries unconfirmed for too long although
+        the store answers; so there is room for two such answers, and none
+        for waiting when what is known is old already.
+        """
+        if self._lost:
+            return 0.0
+        if self._confirmed_s is None or self._doubted_s == float('inf'):
+            return self._wait_s
+        age_s = self.age_s
+        room_s = self._doubted_s - age_s - self._gather_s
+        room_s -= 2 * self._change_took_s
+        fresh_s = self._doubted_s * CONFIRM_PART - age_s
+        return max(0.0, min(self._wait_s, max(room_s, LEAST_WAIT_S), fresh_s))
+
     async def _next(
-        self,
+        self, wait_s: float
     ) -> Listing[T] | Changes[T] | HistoryGone | StoreError:
         if self._revision is None:
             return await self._collection.read()
-        return await self._collection.changes(self._revision, self._wait_s)
+        return await self._collection.changes(self._revision, wait_s)
 
     def _take(self, answer: Listing[T] | Changes[T]) -> None:
         self._revision = answer.revision
         self._last_revision = answer.revision
+        if isinstance(answer, Listing):
+            self._told.clear()
+        self._told.append((self._clock(), answer.revision))
+        self._forget_told(self._clock())
         for name in answer.unreadable:
             # One entry that somebody wrote wrongly must not stop what
             # depends on the others.
@@ -216,7 +279,7 @@
             return
         if name not in self._entries:
             return
-        keep_s = self._regained_s + KEEP_LAPSED_S - boot_s()
+        keep_s = self._regained_s + KEEP_LAPSED_S - self._clock()
         if self._keep_lapsed and keep_s > 0:
             loop = asyncio.get_running_loop()
             self._lapsed[name] = loop.call_later(keep_s, self._drop, name)
@@ -234,10 +297,13 @@
         for callback in self._callbacks:
             callback(name, value)
 
-    def _failed(self, error: StoreError) -> None:
-        # The next call reads anew: a waiting call confirms nothing for long,
-        # and one that failed may have been deaf before.
+    def _failed(self, error: StoreError, sent_s: float) -> None:
+        # A second answer that is cut in its middle may hold more changes
+        # than the whole collection is large.
+        again = self._lost and error.received > 0
         self._revision = None
+        if error.fault in _PASSING and not again:
+            self._revision = self._sure_revision(sent_s)
         if self._lost:
             return
         self._lost = True
@@ -250,11 +316,30 @@
             revision=self.revision,
         )
 
+    def _sure_revision(self, sent_s: float) -> int | None:
+        """Return the last revision that was surely told with all changes.
+
+        Before a store drops its history, calls that wait hear nothing for a
+        while and are then cut. Going on from what the last ones told could
+        miss for good what happened meanwhile.
+        """
+        if not self._told:
+            return None
+        self._forget_told(sent_s)
+        # Those that were told later don't become sure while calls fail.
+        while len(self._told) > 1:
+            self._told.pop()
+        return self._told[0][1]
+
+    def _forget_told(self, now_s: float) -> None:
+        while len(self._told) > 1 and self._told[1][0] <= now_s - SURE_S:
+            self._told.popleft()
+
     def _regained(self) -> None:
         if not self._lost:
             return
         self._lost = False
-        self._regained_s = boot_s()
+        self._regained_s = self._clock()
         _log.info(
             'Follows a collection again.',
             collection=self._name,
--- a/packages/daemon/src/lacewing_daemon/direct/_site.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_site.py
@@ -29,13 +29,14 @@
     """Hold all entries of a collection as of one revision.
 
     ``unreadable``: names of entries that are there but not as agreed.
-    ``size``: bytes read.
+    ``size`` and ``took_s``: bytes read and the time that they arrived in.
     """
 
     entries: Mapping[str, T]
     revision: int
     unreadable: tuple[str, ...] = ()
     size: int = 0
+    took_s: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -43,13 +44,14 @@
     """Hold what changed up to a revision; None for a removed entry.
 
     ``unreadable``: names of entries that changed to what was not agreed.
-    ``size``: bytes read.
+    ``size`` and ``took_s``: bytes read and the time that they arrived in.
     """
 
     changed: tuple[tuple[str, T | None], ...]
     revision: int
     unreadable: tuple[str, ...] = ()
     size: int = 0
+    took_s: float = 0.0
 
 
 @dataclass(frozen=True)
