Let documents arrive from peers over narrow links

An answer holds 256 KiB or one larger part; a part over 1.9 MB never arrives within 3 s on a link of 5 Mbit/s.

Parts that came with the right digest are kept for the next fetch of their document, and the time for its calls doubles after one without an answer, up to 24 s. The library shows no progress of an answer, so a silence can't be bounded here; a dead peer costs one fetch at a time up to that bound, and others that offer the document are asked next.

--- a/packages/daemon/src/lacewing_daemon/peers/_fetcher.py
+++ b/packages/daemon/src/lacewing_daemon/peers/_fetcher.py
@@ -7,6 +7,7 @@
 
 from lacewing_common.document import DocumentHead
 from lacewing_common.document import DocumentName
+from lacewing_common.document import part_digest
 from lacewing_common.log import get_log
 from lacewing_common.log import Part
 from lacewing_common.verdict import Refusal
@@ -19,7 +20,12 @@
 from lacewing_daemon.peers._channels import NoReply
 from lacewing_daemon.peers._replicas import Replicas
 
-_CALL_TIMEOUT_S = 3.0
+# A peer that is there answers 256 KiB within this on the narrowest links in
+# use (5 Mbit/s, 0.4 s). A larger part, or a link that others fill, takes
+# longer: each fetch that gets no answer doubles the time of the next one of
+# its document, up to the second bound.
+CALL_TIMEOUT_S = 3.0
+MOST_CALL_TIMEOUT_S = 24.0
 _MAX_OFFERERS = 4
 # A version that the guard refused is not fetched again for so long: else
 # each exchange with a process that holds it would fetch it anew.
@@ -30,7 +36,12 @@
 
 
 class Fetcher:
-    """Run at most one fetch of each document; try several offerers."""
+    """Run at most one fetch of each document; try several offerers.
+
+    Parts that have come are kept for the next fetch, and the time for a call
+    grows after one that got no answer. Otherwise a document that takes
+    longer than that on a narrow link would be begun anew for ever.
+    """
 
     def __init__(
         self, replicas: Replicas, channels: Channels, rng: Random
@@ -41,6 +52,13 @@
         self._offers: dict[DocumentName, dict[str, int]] = {}
         self._tasks: dict[DocumentName, asyncio.Task[None]] = {}
         self._refused: dict[HeadNote, float] = {}
+        self._kept: dict[DocumentName, dict[str, bytes]] = {}
+        self._patience_s: dict[DocumentName, float] = {}
+
+    @property
+    def fetching(self) -> bool:
+        """Tell whether a fetch is under way."""
+        return bool(self._tasks)
 
     def hear(self, address: str, notes: Iterable[HeadNote]) -> None:
         """Fetch what a peer holds in a higher version."""
@@ -83,6 +101,7 @@
         parts = await self._fetch_parts(head, address)
         if parts is None:
             return
+        self._patience_s.pop(name, None)
         accepted = self._replicas.accept(head, parts)
         if isinstance(accepted, Refusal):
             self._note_refused(HeadNote(name, head.version))
@@ -92,24 +111,43 @@
     ) -> dict[str, bytes] | None:
         """Fetch the missing parts only; None if the peer has them not."""
         parts: dict[str, bytes] = {}
-        wanted = list(self._replicas.missing(head))
+        wanted = []
+        kept = self._kept.pop(head.document, {})
+        for digest in self._replicas.missing(head):
+            if digest in kept:
+                parts[digest] = kept[digest]
+                continue
+            wanted.append(digest)
         while wanted:
             answer = await self._call(
                 address, Fetch(head.document, tuple(wanted))
             )
             if answer is None or not answer.parts:
+                self._keep(head.document, parts)
                 return None
             for digest, part in zip(wanted, answer.parts, strict=False):
                 parts[digest] = part
             wanted = wanted[len(answer.parts) :]
         return parts
 
+    def _keep(self, name: DocumentName, parts: dict[str, bytes]) -> None:
+        # A wrong part, kept, would spoil the next fetch, too.
+        kept: dict[str, bytes] = {}
+        for digest, part in parts.items():
+            if part_digest(part) == digest:
+                kept[digest] = part
+        self._kept[name] = kept
+
     async def _call(self, address: str, request: Fetch) -> Fetched | None:
+        patience_s = self._patience_s.get(request.document, CALL_TIMEOUT_S)
         answer = await self._channels.call(
-            address, FETCH_METHOD, request, Fetched, _CALL_TIMEOUT_S
+            address, FETCH_METHOD, request, Fetched, patience_s
         )
         if isinstance(answer, NoReply):
             _log.debug('Fetch failed.', error=answer.message)
+            self._patience_s[request.document] = min(
+                2 * patience_s, MOST_CALL_TIMEOUT_S
+            )
             return None
         return answer
 
