Check that a full link stops neither keys nor new weights

A link may bring one answer after the other: what is asked while a large configuration arrives is answered seconds late.

--- a/features/direct_narrow.feature
+++ b/features/direct_narrow.feature
@@ -43,6 +43,21 @@
       Then its last route is served within 6 s
       And no request with a key was refused meanwhile
 
+    Scenario: A large answer that all others wait behind
+      # Symptom: nothing but a configuration works while it arrives.
+      # Sequence: its answer fills the queue before a narrow link; answers
+      #   about upstreams, weights and the lease come seconds late.
+      # Cause: a late answer was taken for a store that is away.
+      Given engines "eng-1" and "eng-2"
+      And a direct router
+      And a caller with a key that keeps asking
+      And a link that brings one answer after the other
+      When the configuration grows by 3000 routes on a link that needs 2 s
+      And new weights are named
+      Then its last route is served within 6 s
+      And the engines have the new weights within 2 s of that
+      And no request with a key was refused meanwhile
+
     Scenario: A large answer that falls silent in its middle
       # Symptom: a router never learns a configuration.
       # Sequence: a connection falls silent without a reset in the middle of
--- a/features/steps/narrow_steps.py
+++ b/features/steps/narrow_steps.py
@@ -13,12 +13,14 @@
 from support.direct_bench import BOUNDS
 from support.direct_bench import direct_bench
 from support.direct_bench import DirectBench
+from support.direct_bench import MODEL
 from support.direct_bench import PREFIX
 from support.direct_bench import route
 from support.direct_bench import sleep
 
 ASK_EVERY_S = 0.03
 OK = 200
+NEW = 2
 
 
 class Asking:
@@ -98,6 +100,17 @@
     assert not refused, f'{len(refused)}, the first: {refused[0]}'
 
 
+@then('the engines have the new weights within {limit_s:d} s of that')
+def step_weights(context: Context, limit_s: int) -> None:
+    """Wait for the weights of all that have any."""
+    bench = direct_bench(context)
+    engines = [one for one in bench.upstreams.values() if one.weights]
+    end_s = time.monotonic() + limit_s
+    while not all(one.weights[MODEL] == NEW for one in engines):
+        assert time.monotonic() < end_s, [one.weights for one in engines]
+        time.sleep(ASK_EVERY_S)
+
+
 def grow(bench: DirectBench, count: int, needs_s: float) -> None:
     """Write a larger configuration that needs some time on the link."""
     known = len(bench.config['Routes'])
@@ -119,6 +132,12 @@
     bench.store.link.bytes_s = bytes_s
 
 
+@given('a link that brings one answer after the other')
+def step_in_turn(context: Context) -> None:
+    """Queue answers."""
+    direct_bench(context).store.link.in_turn = True
+
+
 @when('the next answers fall silent after {most:d} bytes')
 def step_silent(context: Context, most: int) -> None:
     """Stop answers that are larger in their middle."""
