Count versions found after a gap from the gap on

A router that could not read the weights sent to engines with old ones without an end. Ruled out: beginning at the last confirmation without a bound: after an outage the only engines may be refused at once; 2.5 s are left as after a start. Loads are not brought forward for such a doubt, as that loses what runs. Change: what follows a collection tells how long ago a change may have been made: none for one that was waited for, since the last confirmation for one in a list after a failed call, a second where the store drops its history. Limits count from there. Versions in upstreams' entries count as named, as those in answers did.

--- a/features/direct_weights.feature
+++ b/features/direct_weights.feature
@@ -50,6 +50,51 @@
       When weights are named after 0, 0.6 s and a busy engine has the last
       Then until 1.2 s the idle engine is chosen and then the busier one
 
+  Rule: Versions of which a router did not hear at once have no more time
+
+    Scenario Outline: A version found after a gap counts from the gap on
+      # Symptom: a router begins requests on weights superseded 8 s ago.
+      # Sequence: it does not hear of the store; versions are named; it finds
+      #   the newest of them.
+      # Cause: it counted the time for new weights from when it found them.
+      Given a router with 3 engines that have version 1
+      When version <version> is found that was named within the last <gap> s
+      Then engines with version 1 are used for <used> s more
+
+      Examples: gaps
+        | version | gap  | used |
+        | 2       | 0.0  | 6.0  |
+        | 2       | 2.0  | 4.0  |
+        | 3       | 2.0  | 4.0  |
+        | 2       | 3.0  | 3.0  |
+        | 2       | 60.0 | 2.5  |
+
+    Scenario Outline: When what the store tells may have been made
+      # Symptom: as above.
+      # Sequence: a call that waits for changes fails; a change is made; the
+      #   next list has it.
+      # Cause: a change in a list was taken for one just made.
+      Given a router that reads a list and <then>
+      When it is told of a change after 0.3 s
+      Then the change may have been made <ago> s before
+
+      Examples: calls
+        | then                          | ago |
+        | waits for a change            | 0.0 |
+        | whose call for changes fails  | 0.3 |
+        | whose store drops its history | 1.0 |
+
+    Scenario: An upstream's entry tells of weights
+      # Symptom: a router that can't read the weights sends requests to
+      #   engines with old ones without an end.
+      # Sequence: a router starts while the store does not tell the weights.
+      # Cause: only answers told it that others have newer ones.
+      Given a store with a configuration
+      And engines "m-1" and "m-2"
+      When engine "m-2" has version 3 and a router starts without the weights
+      Then it knows that version 3 is named
+      And it soon asks no engine for version 1
+
   Rule: Routers send nothing to begin on overdue weights
 
     Scenario: Engines that take no orders while versions are named
--- a/features/steps/direct_weights_steps.py
+++ b/features/steps/direct_weights_steps.py
@@ -96,10 +96,10 @@
             )
         self.placer = Placer(self.knowledge, 'z0')
 
-    def name(self, version: int) -> None:
-        """Name a version now."""
+    def name(self, version: int, unsure_s: float = 0.0) -> None:
+        """Name a version now, or at some time in the last seconds."""
         self.named[version] = self.clock.now_s
-        self.knowledge.take_weights(NamedWeights(MODEL, version), False)
+        self.knowledge.take_weights(NamedWeights(MODEL, version), unsure_s)
 
     def loaded(self, name: str, version: int) -> None:
         """Let an engine tell that it has a version."""
--- /dev/null
+++ b/features/steps/weights_gap_steps.py
@@ -0,0 +1,162 @@
+"""Check how long versions may be named of which a router did not hear."""
+
+import asyncio
+from random import Random
+
+from behave import given
+from behave import then
+from behave import when
+from behave.runner import Context
+from lacewing_common.store import StoreError
+from lacewing_common.store import StoreFault
+from lacewing_daemon.direct import Changes
+from lacewing_daemon.direct import HistoryGone
+from lacewing_daemon.direct import Listing
+from lacewing_daemon.direct._followed import Followed
+from lacewing_daemon.direct._knowledge import Knowledge
+from lacewing_daemon.direct._namings import floor_of
+from support.direct_bench import direct_bench
+from support.direct_bench import MODEL
+from support.direct_bench import PREFIX
+
+# How near to a limit is looked; what pauses and the machine may add.
+STEP_S = 0.01
+SLOW_S = 0.25
+LIMIT_S = 10.0
+_NAMED = 'named'
+_CALLS: dict[str, Changes[int] | HistoryGone | StoreError] = {
+    'waits for a change': Changes(((_NAMED, 2),), 2),
+    'whose call for changes fails': StoreError(StoreFault.UNAVAILABLE, 'x'),
+    'whose store drops its history': HistoryGone('x'),
+}
+
+
+class _Store:
+    """Answer one list, then what a scenario says, then a longer list."""
+
+    def __init__(
+        self, answer: Changes[int] | HistoryGone | StoreError
+    ) -> None:
+        self.answer = answer
+        self.after_s = 0.0
+        self._lists = 0
+
+    async def read(self) -> Listing[int]:
+        """Give the next list."""
+        self._lists += 1
+        return Listing({_NAMED: self._lists}, self._lists)
+
+    async def changes(
+        self, since: int, wait_s: float
+    ) -> Changes[int] | HistoryGone | StoreError:
+        """Give the answer, and nothing to later calls."""
+        if since > 1:
+            await asyncio.Event().wait()
+        await asyncio.sleep(self.after_s)
+        return self.answer
+
+
+@when(
+    'version {version:d} is found that was named within the last {gap_s:f} s'
+)
+def step_found(context: Context, version: int, gap_s: float) -> None:
+    """Tell the router of it."""
+    router = context.weights_router
+    context.begin_s = router.clock.now_s
+    router.name(version, gap_s)
+
+
+@then('engines with version 1 are used for {used_s:f} s more')
+def step_used(context: Context, used_s: float) -> None:
+    """Look right before and after."""
+    router = context.weights_router
+    newest = max(router.named)
+    for at_s, version in ((used_s - STEP_S, 1), (used_s + STEP_S, newest)):
+        router.clock.now_s = context.begin_s + at_s
+        for name in router.ids:
+            assert router.asked(name) == version, (at_s, name)
+
+
+@given('a router that reads a list and {then}')
+def step_reads(context: Context, then: str) -> None:
+    """Script the store."""
+    context.scripted = _Store(_CALLS[then])
+
+
+@when('it is told of a change after {after_s:f} s')
+def step_told(context: Context, after_s: float) -> None:
+    """Follow the store until it tells the second value."""
+    context.scripted.after_s = after_s
+    context.unsure = asyncio.run(_follow(context.scripted))
+
+
+async def _follow(store: _Store) -> dict[int, float]:
+    followed: Followed[int] = Followed('entries', store, 4.0, Random())
+    unsure = {}
+    second = asyncio.Event()
+
+    def told(_name: str, value: int | None) -> None:
+        assert value is not None
+        unsure[value] = followed.unsure_s
+        if value > 1:
+            second.set()
+
+    followed.on_change(told)
+    running = asyncio.create_task(followed.run())
+    await asyncio.wait_for(second.wait(), LIMIT_S)
+    running.cancel()
+    return unsure
+
+
+@then('the change may have been made {ago_s:f} s before')
+def step_made(context: Context, ago_s: float) -> None:
+    """Compare; what the first list told is as old as one likes."""
+    assert context.unsure[1] == float('inf'), context.unsure
+    assert ago_s <= context.unsure[2] <= ago_s + SLOW_S, context.unsure
+
+
+@when(
+    'engine "{name}" has version {version:d} and a router starts without'
+    ' the weights'
+)
+def step_without(context: Context, name: str, version: int) -> None:
+    """Take the named weights out of the store; start a router."""
+    bench = direct_bench(context)
+    for upstream in bench.upstreams.values():
+        upstream.ignores_orders = True
+    bench.upstreams[name].weights[MODEL] = version
+    bench.register(name)
+    bench.on_loop(lambda: bench.store.remove('versions', MODEL))
+    bench.start_router()
+    bench.until_ready()
+
+
+@then('it knows that version {version:d} is named')
+def step_knows(context: Context, version: int) -> None:
+    """Look at what it knows."""
+    named = _knowledge(context).named_weights(MODEL)
+    assert named.version == version, named
+
+
+@then('it soon asks no engine for version {version:d}')
+def step_soon(context: Context, version: int) -> None:
+    """Wait until nothing older may begin, then send prompts."""
+    bench = direct_bench(context)
+    knowledge = _knowledge(context)
+
+    def overdue() -> bool:
+        namings = knowledge.namings(MODEL)
+        return floor_of(namings, knowledge.old_limit_s) > version
+
+    bench.until(overdue, f'an end of version {version}')
+    before = len(bench.received())
+    for _ in range(5):
+        assert bench.ask_model().status == 200, bench.answer
+    asked = []
+    for received in bench.received()[before:]:
+        asked.append(int(received.headers[PREFIX + 'Expected-Version']))
+    assert asked and min(asked) > version, asked
+
+
+def _knowledge(context: Context) -> Knowledge:
+    return direct_bench(context).routers[0]._fleet.knowledge
--- a/packages/bench/src/lacewing_bench/experiment/_router.py
+++ b/packages/bench/src/lacewing_bench/experiment/_router.py
@@ -110,7 +110,8 @@
 
     def name_weights(self, version: int, before: bool) -> None:
         """Learn that a version was named."""
-        self.knowledge.take_weights(NamedWeights(MODEL, version), before)
+        unsure_s = float('inf') if before else 0.0
+        self.knowledge.take_weights(NamedWeights(MODEL, version), unsure_s)
 
     def place(
         self,
--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -12,6 +12,7 @@
 from lacewing_daemon.direct._followed import DEAF_S
 from lacewing_daemon.direct._followed import Followed
 from lacewing_daemon.direct._knowledge import Knowledge
+from lacewing_daemon.direct._knowledge import Learnt
 from lacewing_daemon.direct._metrics import STORE_AGE_SECONDS
 from lacewing_daemon.direct._pool import ConnectionPool
 from lacewing_daemon.direct._router_count import RouterCount
@@ -20,6 +21,7 @@
 from lacewing_daemon.direct._site import Site
 from lacewing_daemon.direct._upstream import NamedWeights
 from lacewing_daemon.direct._upstream import Upstream
+from lacewing_daemon.direct._upstream_state import UpstreamState
 
 # How long a call waits for changes, at most. Each call that returns also
 # proves that the store is reached.
@@ -105,7 +107,7 @@
         self._silence = SilenceWatch(settings.policy.mute_ms / 1000)
         self._tasks: list[asyncio.Task[None]] = []
         self._directories.on_change(self._take_directory)
-        self._upstreams.on_change(self._knowledge.take_upstream)
+        self._upstreams.on_change(self._take_upstream)
         self._weights.on_change(self._take_weights)
 
     @property
@@ -147,6 +149,18 @@
         """Call back with each configuration that comes into force."""
         self._on_directory = callback
 
+    def learn_weights(
+        self, state: UpstreamState, model: str, version: int
+    ) -> None:
+        """Take the version of weights that an upstream told.
+
+        If the store told nothing of it, it was named after the last
+        confirmation.
+        """
+        self._knowledge.learn_weights(
+            state, model, version, self._weights.age_s
+        )
+
     def measure_ages(self) -> None:
         """Write the ages of what is known into the metrics."""
         for name, age_s in (
@@ -196,7 +210,19 @@
 
     def _take_weights(self, _name: str, value: NamedWeights | None) -> None:
         if value is not None:
-            self._knowledge.take_weights(value, not self._weights.read_once)
+            self._knowledge.take_weights(
+                value, self._weights.unsure_s, Learnt.STORE
+            )
+
+    def _take_upstream(self, name: str, value: Upstream | None) -> None:
+        self._knowledge.take_upstream(name, value)
+        if value is None:
+            return
+        state = self._knowledge.state(name)
+        if state is None:
+            return
+        for model, version in value.weights.items():
+            self.learn_weights(state, model, version)
 
     async def _sweep(self) -> None:
         while True:
--- a/packages/daemon/src/lacewing_daemon/direct/_followed.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_followed.py
@@ -111,6 +111,7 @@
         self._told: deque[tuple[float, int]] = deque()
         self._last_revision = 0
         self._confirmed_s: float | None = None
+        self._unheard_from_s: float | None = float('-inf')
         self._regained_s = float('-inf')
         self._lost = False
         self._read = LastRead(0, 0.0)
@@ -146,6 +147,17 @@
         """Return what the last answer was, already as changes are told."""
         return self._read
 
+    @property
+    def unsure_s(self) -> float:
+        """Return how long ago a change that is told now may have been made.
+
+        One that was waited for has just been made. One found in a list was
+        made at some time since the last confirmation.
+        """
+        if self._unheard_from_s is None:
+            return 0.0
+        return self._clock() - self._unheard_from_s
+
     def on_change(self, callback: OnChange[T]) -> None:
         """Call back with the name and value (None: removed) of a change."""
         self._callbacks.append(callback)
@@ -170,11 +182,13 @@
                 collection=self._name,
                 reason=answer.message,
             )
+            self._unheard_since(self._clock() - self._deaf_s)
             self._revision = None
             return 0.0
         self._regained()
         self._read = LastRead(answer.size, answer.took_s)
         self._take(answer)
+        self._unheard_from_s = None
         self.confirm(answer, sent_s, wait_s)
         if isinstance(answer, Changes) and answer.changed:
             # Changes come in series; a call for each would cost several
@@ -304,6 +318,8 @@
         self._revision = None
         if error.fault in _PASSING and not again:
             self._revision = self._sure_revision(sent_s)
+        if self._confirmed_s is not None:
+            self._unheard_since(self._confirmed_s)
         if self._lost:
             return
         self._lost = True
@@ -335,6 +351,11 @@
         while len(self._told) > 1 and self._told[1][0] <= now_s - SURE_S:
             self._told.popleft()
 
+    def _unheard_since(self, at_s: float) -> None:
+        """Note from when on changes may have gone unheard."""
+        if self._unheard_from_s is None:
+            self._unheard_from_s = at_s
+
     def _regained(self) -> None:
         if not self._lost:
             return
--- a/packages/daemon/src/lacewing_daemon/direct/_knowledge.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_knowledge.py
@@ -33,8 +33,8 @@
 SAVED_PARTS = 4096
 # The part of the time for new weights after which none begins on older ones.
 OLD_WEIGHTS_PART = 0.75
-# A router that has just started still sends to engines with older weights
-# for so long; they may be the only ones.
+# A router that has just started, or hears of the store again, still sends to
+# engines with older weights for so long; they may be the only ones.
 START_GRACE_S = 2.5
 # Upstreams whose entries are gone that are remembered; what an earlier start
 # says late comes within seconds, and at most some tens go in that time.
@@ -83,6 +83,7 @@
         self._by_service: dict[str, list[UpstreamState]] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._namings: dict[str, tuple[Naming, ...]] = {}
+        self._told_s: dict[str, float] = {}
         self._load_times: dict[str, _LoadTimes] = {}
         self._saved: OrderedDict[tuple[str, str], float] = OrderedDict()
         self._lines = LineBudget(clock())
@@ -134,9 +135,17 @@
         return self._states.get(upstream_id)
 
     def named_weights(self, model: str) -> NamedVersion:
-        """Return the version named last for a model and for how long."""
-        namings = self.namings(model)
-        return namings[-1] if namings else NamedVersion(0, 0.0)
+        """Return the version named last for a model and how long ago.
+
+        Counted from when this router was told, as all of them are at nearly
+        the same time; when it was named at the earliest is in ``namings``.
+        """
+        namings = self._namings.get(model)
+        if not namings:
+            return NamedVersion(0, 0.0)
+        return NamedVersion(
+            namings[-1].version, self._clock() - self._told_s[model]
+        )
 
     def namings(self, model: str) -> tuple[NamedVersion, ...]:
         """Return the namings of a model that matter, the newest last."""
@@ -266,7 +275,11 @@
         return True
 
     def learn_weights(
-        self, state: UpstreamState, model: str, version: int
+        self,
+        state: UpstreamState,
+        model: str,
+        version: int,
+        unsure_s: float = 0.0,
     ) -> None:
         """Take the version of weights that an upstream told.
 
@@ -275,30 +288,37 @@
         """
         state.learn_weights(model, version)
         named = NamedWeights(model, version)
-        self.take_weights(named, False, Learnt.UPSTREAM)
+        self.take_weights(named, unsure_s, Learnt.UPSTREAM)
 
     def take_weights(
         self,
         value: NamedWeights,
-        named_before: bool,
+        unsure_s: float = 0.0,
         learnt: Learnt = Learnt.STORE,
     ) -> None:
-        """Take a named version; ``named_before`` this process started."""
+        """Take a version that was named at some time since ``unsure_s`` ago.
+
+        Infinite for one that was there when this process started.
+        """
         namings = self._namings.get(value.model, ())
         known = namings[-1].version if namings else 0
         if value.version <= known:
             return
         now_s = self._clock()
-        since_s = now_s
-        if named_before:
-            # Nobody says when it was named. Other routers may have refused
-            # older weights for long; this one joins them soon after its
-            # start.
-            since_s -= self.old_limit_s
-            since_s += START_GRACE_S
+        # Counted from now, versions of which this router did not hear at
+        # once would get more time than they have. Other routers may have
+        # refused older weights for long; this one joins them soon.
+        most_s = max(0.0, self.old_limit_s - START_GRACE_S)
+        since_s = now_s - min(unsure_s, most_s)
+        if namings:
+            since_s = max(since_s, namings[-1].since_s)
         self._namings[value.model] = with_naming(
             namings, Naming(value.version, since_s), self.old_limit_s
         )
+        # Loads are not brought forward for a doubt; at a start others may
+        # have had theirs.
+        first = unsure_s == float('inf')
+        self._told_s[value.model] = since_s if first else now_s
         # A line that is left out shows in the next one, by `before`.
         if self._lines.take(True, now_s):
             _log.info(
@@ -306,7 +326,7 @@
                 model=value.model,
                 version=value.version,
                 before=known,
-                before_start=named_before,
+                before_start=first,
                 learnt=learnt.value,
                 age_ms=int((now_s - since_s) * _MS),
             )
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -204,9 +204,7 @@
             self._state.learn_load(head.load, time.monotonic())
         prompt = self._request.prompt
         if head.weights is not None and prompt is not None:
-            self._fleet.knowledge.learn_weights(
-                self._state, prompt.model, head.weights
-            )
+            self._fleet.learn_weights(self._state, prompt.model, head.weights)
 
     def _answered_by_another(self, head: ReplyHead) -> bool:
         upstream_id = self._state.upstream.upstream_id
