Show that streams of engines that live are broken off

Cause: limits of silence were measured at one speed of reading, and a guess ends a run that nothing else would end.

--- /dev/null
+++ b/features/steps/pace_steps.py
@@ -0,0 +1,122 @@
+"""Check that limits of time follow the pace of the engines."""
+
+import threading
+import time
+
+from behave import given
+from behave import then
+from behave import when
+from behave.runner import Context
+from lacewing_platform_testing import Behaviour
+from support.direct_bench import Answer
+from support.direct_bench import direct_bench
+from support.direct_bench import DirectBench
+from support.direct_bench import PREFIX
+from support.direct_bench import route
+
+EVENTS = b''.join(
+    f'id: {number}\ndata: word {number}\n\n'.encode() for number in range(1, 5)
+)
+RUNS = {'once': 1, 'twice': 2}
+LIMIT_MS = 12000
+# Callers come so far apart that few of them wait at an engine at a time.
+APART_S = 0.03
+
+
+@given('routes on which a stream may pause for {pause_ms:d} ms and run {runs}')
+def step_routes(context: Context, pause_ms: int, runs: str) -> None:
+    """Configure the streams and wait until that is in force."""
+    bench = direct_bench(context)
+    told = {
+        'TargetGapMs': pause_ms,
+        'TimeoutMs': LIMIT_MS,
+        'MaxAttempts': RUNS[runs],
+    }
+    bench.configure(
+        Routes=[
+            route('/chat/', 'streaming', 'models', Resumable=True, **told),
+            route('/talk/', 'streaming', 'models', Resumable=False, **told),
+        ]
+    )
+    version = bench.config['Version']
+    bench.until(
+        lambda: bench.routers[0].configuration == version,
+        'the configuration in force',
+    )
+
+
+@given('engines that give an event every {seconds:f} seconds')
+def step_beat(context: Context, seconds: float) -> None:
+    """Let each engine give its events together, one engine after another."""
+    upstreams = list(direct_bench(context).upstreams.values())
+    for number, upstream in enumerate(upstreams):
+        upstream.beat_s = seconds
+        upstream.phase_s = seconds * number / len(upstreams)
+
+
+@given('an engine that stalls')
+def step_stalls(context: Context) -> None:
+    """Let one engine stall after the first event of each stream."""
+    upstream = next(iter(direct_bench(context).upstreams.values()))
+    upstream.always = Behaviour.STALLS
+
+
+@when('{count:d} callers ask models at once')
+def step_ask(context: Context, count: int) -> None:
+    """Ask for streams that may be resumed, side by side."""
+    bench = direct_bench(context)
+    context.paced = []
+    callers = []
+    for number in range(count):
+        caller = threading.Thread(
+            target=lambda one: context.paced.append(_ask(bench, one)),
+            args=(number,),
+        )
+        callers.append(caller)
+        caller.start()
+        time.sleep(APART_S)
+    for caller in callers:
+        caller.join()
+
+
+def _ask(bench: DirectBench, number: int) -> tuple[Answer, float]:
+    """Return the answer, and the seconds from its being sent to its end."""
+    while True:
+        began_s = time.monotonic()
+        answer = bench.ask_model(**_headers(number))
+        if answer.status != 503:
+            return answer, time.monotonic() - began_s
+        # Those beyond what may wait at an engine are refused and come back.
+        time.sleep(APART_S)
+
+
+def _headers(number: int) -> dict[str, str]:
+    # Prompts without a common part go to all engines alike.
+    parts = f'{number}a:100,{number}b:100,{number}c:100'
+    return {
+        PREFIX + 'Request-Id': f'paced-{number}',
+        PREFIX + 'Prompt-Prefix': parts,
+        PREFIX + 'Deadline-Ms': str(LIMIT_MS),
+    }
+
+
+@then('every caller gets all events once and in order')
+def step_all(context: Context) -> None:
+    """Check every answer."""
+    for answer, _ in context.paced:
+        assert answer.status == 200, answer
+        assert answer.body == EVENTS, answer
+
+
+@then('no request ran at two engines')
+def step_once(context: Context) -> None:
+    """Count the runs of each request."""
+    ran = direct_bench(context).ran()
+    assert len(ran) == len(set(ran)), sorted(ran)
+
+
+@then('each of them within {most:f} seconds')
+def step_within(context: Context, most: float) -> None:
+    """Check how long the answers took."""
+    took = [seconds for _, seconds in context.paced]
+    assert max(took) < most, took
