Bring the scenarios of gaps and starts in line with each other's changes

After a failed call a router asks for changes since what it knows and no longer for a list, so the scripted store of the scenarios on gaps has to tell the second value there, too; and a send is told whether its request could be finished elsewhere. Change: the scripted store tells the second value to the second call for changes; the times that are checked are the same.

--- a/features/direct_weights.feature
+++ b/features/direct_weights.feature
@@ -72,8 +72,8 @@
     Scenario Outline: When what the store tells may have been made
       # Symptom: as above.
       # Sequence: a call that waits for changes fails; a change is made; the
-      #   next list has it.
-      # Cause: a change in a list was taken for one just made.
+      #   next answer, or a list, has it.
+      # Cause: a change found so was taken for one just made.
       Given a router that reads a list and <then>
       When it is told of a change after 0.3 s
       Then the change may have been made <ago> s before
--- a/features/steps/direct_starts_steps.py
+++ b/features/steps/direct_starts_steps.py
@@ -10,6 +10,7 @@
 from behave.runner import Context
 from lacewing_daemon.direct._send import MOVED_PAUSE_S
 from lacewing_daemon.direct._send import Send
+from lacewing_daemon.direct._silence import SilenceWatch
 from lacewing_daemon.direct._target import Target
 from lacewing_platform import PlatformWire
 from lacewing_platform_testing import Behaviour
@@ -22,6 +23,7 @@
 # Routers gather changes of entries for 0.2 s.
 KNOWN_S = 0.5
 ASKED = 12
+MUTE_S = 0.22
 
 
 @when('the engines take no more orders and start again with older weights')
@@ -112,7 +114,9 @@
             }
         ),
     )
-    fleet: Any = SimpleNamespace(knowledge=context.knowledge)
+    fleet: Any = SimpleNamespace(
+        knowledge=context.knowledge, silence=SilenceWatch(MUTE_S)
+    )
     route = SimpleNamespace(streams=True, may_repeat=True)
     admitted: Any = SimpleNamespace(route=route)
     request: Any = SimpleNamespace(prompt=SimpleNamespace(model=MODEL))
@@ -124,6 +128,7 @@
         request,
         admitted,
         Target(context.before, 0.0),
+        lambda: True,
     )
     send._learn(head)
 
--- a/features/steps/weights_gap_steps.py
+++ b/features/steps/weights_gap_steps.py
@@ -24,15 +24,16 @@
 SLOW_S = 0.25
 LIMIT_S = 10.0
 _NAMED = 'named'
+_SECOND = Changes(((_NAMED, 2),), 2)
 _CALLS: dict[str, Changes[int] | HistoryGone | StoreError] = {
-    'waits for a change': Changes(((_NAMED, 2),), 2),
+    'waits for a change': _SECOND,
     'whose call for changes fails': StoreError(StoreFault.UNAVAILABLE, 'x'),
     'whose store drops its history': HistoryGone('x'),
 }
 
 
 class _Store:
-    """Answer one list, then what a scenario says, then a longer list."""
+    """Answer one list, then what a scenario says, then a second value."""
 
     def __init__(
         self, answer: Changes[int] | HistoryGone | StoreError
@@ -40,6 +41,7 @@
         self.answer = answer
         self.after_s = 0.0
         self._lists = 0
+        self._calls = 0
 
     async def read(self) -> Listing[int]:
         """Give the next list."""
@@ -49,9 +51,12 @@
     async def changes(
         self, since: int, wait_s: float
     ) -> Changes[int] | HistoryGone | StoreError:
-        """Give the answer, and nothing to later calls."""
+        """Give the answer, then the second value, then nothing."""
         if since > 1:
             await asyncio.Event().wait()
+        self._calls += 1
+        if self._calls > 1:
+            return _SECOND
         await asyncio.sleep(self.after_s)
         return self.answer
 
