Order engines first whose weights are nearly overdue

Cause: each naming deals the turns for loads anew, and of the engines that are due the idlest went first. Where orders stay unanswered, an engine could be passed over, or wait for a late turn, until nothing may begin there. Ruled out: loading more than one in three at a time; the bound stays. Counting the turns from the oldest naming: the early half would no longer be the one with the oldest weights. Change: an engine whose weights are nearly overdue (two orders before nothing may begin there) is due whatever its turn, and goes before the others, the longest overdue first. Placing knows these loads too. Other clocks of direct/, read for the same cause: the age of the configuration (Followed.confirm) only moves forward with what is confirmed, right; entries kept after an outage (_lapsed) count from the store's return, one timer an entry, and a new value cancels it, right; shunning takes the later of two ends, and a success does not lengthen it, right; a lease's seen_at is about the record's last change, which is its subject, right; the count of routers drops each by its own beat, right; load times are of the newest version by purpose, as a superseded one is not loaded. An order under way counts as loading for 1.2 s also when it is done and a newer version was named: a load waits a turn longer, nothing begins too late; left.

--- a/features/direct_weights.feature
+++ b/features/direct_weights.feature
@@ -95,6 +95,42 @@
       Then it knows that version 3 is named
       And it soon asks no engine for version 1
 
+  Rule: Engines get the weights in time
+
+    Scenario: An engine whose weights are nearly overdue goes first
+      # Symptom: an engine is left with weights on which nothing may begin.
+      # Sequence: its orders stay unanswered; versions go on being named;
+      #   each deals the turns anew, and its turn is a late one.
+      # Cause: turns were counted from the newest naming alone.
+      Given 6 engines with version 1 of which 6 load later
+      And the busiest has lacked a version for nearly all its time
+      When version 4 is named
+      Then just that one is ordered
+
+    Scenario Outline: Versions named one after the other reach all engines
+      Given <engines> engines that carry out <part> of 10 orders at once
+      When versions are named every <every> s for 40 s
+      Then at most one in three is ordered at a time
+      And no engine that is nearly overdue is passed over for another
+      And none lacks a version for over <worst> s
+
+      Examples: answered
+        | engines | part | every | worst |
+        | 5       | 10   | 1     | 5     |
+        | 5       | 10   | 4     | 5     |
+        | 9       | 10   | 1     | 5     |
+        | 9       | 10   | 2     | 5     |
+        | 26      | 10   | 1     | 5     |
+        | 26      | 10   | 4     | 5     |
+        | 300     | 10   | 1     | 5     |
+
+      Examples: unanswered
+        | engines | part | every | worst |
+        | 5       | 5    | 1     | 20    |
+        | 9       | 5    | 2     | 20    |
+        | 26      | 5    | 4     | 20    |
+        | 300     | 5    | 1     | 20    |
+
   Rule: Routers send nothing to begin on overdue weights
 
     Scenario: Engines that take no orders while versions are named
--- a/packages/daemon/src/lacewing_daemon/direct/_knowledge.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_knowledge.py
@@ -16,8 +16,10 @@
 from lacewing_daemon.direct._directory import Service
 from lacewing_daemon.direct._line_budget import LineBudget
 from lacewing_daemon.direct._loading import load_times
+from lacewing_daemon.direct._loading import nearly_overdue_s
 from lacewing_daemon.direct._namings import NamedVersion
 from lacewing_daemon.direct._namings import Naming
+from lacewing_daemon.direct._namings import superseded_s
 from lacewing_daemon.direct._namings import with_naming
 from lacewing_daemon.direct._pace import Pace
 from lacewing_daemon.direct._policy import LoadPolicy
@@ -175,6 +177,16 @@
         self._load_times[model] = _LoadTimes(version, times)
         return times
 
+    def near_in_s(self, model: str, version: int) -> float:
+        """Return the time until weights are nearly overdue.
+
+        Negative once they are, infinite for the newest.
+        """
+        lacks_s = superseded_s(self.namings(model), version)
+        if lacks_s <= 0:
+            return float('inf')
+        return nearly_overdue_s(self.old_limit_s) - lacks_s
+
     def budget(self, service: Service) -> RetryBudget:
         """Return the retry budget of a service."""
         budget = self._budgets.get(service.name)
--- a/packages/daemon/src/lacewing_daemon/direct/_loading.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_loading.py
@@ -14,6 +14,9 @@
 
 # An order without effect is repeated after this time; a load takes 0.4 s.
 REPEAT_S = 1.2
+# Orders that an engine gets at least, if they have no effect, between when
+# its weights are nearly overdue and when nothing may begin there.
+LAST_ORDERS = 2
 _KEY_BYTES = 8
 _MS = 1000.0
 
@@ -55,6 +58,11 @@
     return times
 
 
+def nearly_overdue_s(old_limit_s: float) -> float:
+    """Return after which part of their time weights are nearly overdue."""
+    return max(0.0, old_limit_s - LAST_ORDERS * REPEAT_S)
+
+
 @dataclass(frozen=True)
 class EngineWeights:
     """Hold what the planner knows of one engine and one model.
@@ -62,7 +70,8 @@
     ``version`` is 0 when unknown; ``ordered_ago_s`` how long ago it was
     last ordered to load, infinite for never. ``open_requests`` are this
     router's requests there; ``due_in_s`` the time until it is to load,
-    negative once that has passed.
+    negative once that has passed. ``near_in_s`` is the time until its
+    weights are nearly overdue, negative once they are.
     """
 
     upstream_id: str
@@ -70,6 +79,7 @@
     ordered_ago_s: float
     open_requests: int
     due_in_s: float = 0.0
+    near_in_s: float = float('inf')
 
 
 def next_loads(
@@ -81,7 +91,10 @@
     serves nothing and its cache is lost, so only a part of the fleet loads
     at a time, the idlest first; a version that was superseded before an
     engine's turn is never loaded there. The bound also holds where all
-    times have passed, as after a change of the lease's holder.
+    times have passed, as after a change of the lease's holder. Engines whose
+    weights are nearly overdue go first and don't wait for their turn: each
+    naming deals the turns anew, and where orders stay unanswered, an engine
+    could be passed over until nothing may begin there.
     """
     loading = 0
     behind = []
@@ -91,16 +104,16 @@
         if engine.ordered_ago_s < REPEAT_S:
             loading += 1
             continue
-        if engine.due_in_s > 0:
+        if engine.due_in_s > 0 and engine.near_in_s > 0:
             continue
         behind.append(engine)
     at_once = ceil(len(engines) / policy.load_turns)
-    behind.sort(key=_open_requests)
+    behind.sort(key=_rank)
     chosen = []
     for engine in behind[: max(0, at_once - loading)]:
         chosen.append(engine.upstream_id)
     return tuple(chosen)
 
 
-def _open_requests(engine: EngineWeights) -> int:
-    return engine.open_requests
+def _rank(engine: EngineWeights) -> tuple[float, int]:
+    return min(0.0, engine.near_in_s), engine.open_requests
--- a/packages/daemon/src/lacewing_daemon/direct/_placing.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_placing.py
@@ -220,8 +220,9 @@
         if not old:
             return float('inf')
         times = self._knowledge.load_times(model)
-        at_s = times.get(state.upstream.upstream_id)
-        return float('inf') if at_s is None else (at_s - age_s) * _MS
+        at_s = times.get(state.upstream.upstream_id, float('inf'))
+        near_in_s = self._knowledge.near_in_s(model, state.weights(model) or 0)
+        return min(at_s - age_s, near_in_s) * _MS
 
     def _copy_to(
         self,
--- a/packages/daemon/src/lacewing_daemon/direct/_planner.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_planner.py
@@ -185,6 +185,7 @@
                     boot_s() - at_s,
                     state.in_flight,
                     times.get(upstream_id, 0.0) - age_s,
+                    self._knowledge.near_in_s(model, version),
                 )
             )
         return engines
