Leave a closed client alone, and learn from the first list

The timer of a call outlived its client: a process that closes it with a call under way would log an AttributeError when that call's time was over. The scenario that closes a client during a read fails without the guard.

--- a/features/direct_followed.feature
+++ b/features/direct_followed.feature
@@ -67,6 +67,10 @@
     And 2.0 s later a call tells revision 6 without changes
     Then all changes up to 3.0 s ago are known to it
 
+  Scenario: The first list tells how long the next answer may take
+    Given it has read a list that took 1.6 s to arrive
+    Then its next call waits 0.3 s
+
   Scenario Outline: A call waits no longer than what is known stays believed
     # Symptom: a router refuses keys though the store answers each call.
     # Sequence: a large change takes seconds to arrive; the next call waits
--- a/features/slow_answers.feature
+++ b/features/slow_answers.feature
@@ -52,3 +52,12 @@
     # Cause: the time for the answer to begin counted the body's way.
     When an object of 131072 bytes is written and acknowledged after 1.0 s
     Then it is acknowledged
+
+  Scenario: A client that is closed with a call under way leaves nothing
+    # Symptom: a process that ends logs an error about a closed client.
+    # Sequence: it closes its client while an answer is awaited; the time of
+    #   that call is over later.
+    # Cause: the timer of the call outlived the client.
+    When an object of 300000 bytes falls silent after 100000 bytes
+    And the client is closed during a read
+    Then nothing fails within 0.8 s
--- a/features/steps/followed_steps.py
+++ b/features/steps/followed_steps.py
@@ -75,6 +75,12 @@
     _step(context, Listing({'a': 1}, revision))
 
 
+@given('it has read a list that took {took_s:f} s to arrive')
+def step_slow_list(context: Context, took_s: float) -> None:
+    """Give it a list that took long."""
+    _step(context, Listing({'a': 1}, 5, took_s=took_s), took_s)
+
+
 @when('its next call fails as {fault} after {received:d} bytes')
 def step_fails(context: Context, fault: str, received: int) -> None:
     """Fail a call."""
--- a/features/steps/slow_answers_steps.py
+++ b/features/steps/slow_answers_steps.py
@@ -87,24 +87,25 @@
     context.resources.callback(lambda: context.loop.call(close()))
 
 
+async def _client(context: Context) -> PlatformClient:
+    return PlatformClient(
+        context.platform.server.address,
+        ClientOptions(
+            connect_timeout_s=0.1,
+            request_timeout_s=context.begin_s,
+            calls_at_once=1,
+        ),
+    )
+
+
 @given('a client with room for one call')
 def step_client(context: Context) -> None:
     """Connect it."""
 
-    async def connect() -> PlatformClient:
-        return PlatformClient(
-            context.platform.server.address,
-            ClientOptions(
-                connect_timeout_s=0.1,
-                request_timeout_s=context.begin_s,
-                calls_at_once=1,
-            ),
-        )
-
     async def close() -> None:
         context.client.close()
 
-    context.client = context.loop.call(connect())
+    context.client = context.loop.call(_client(context))
     context.resources.callback(lambda: context.loop.call(close()))
 
 
@@ -163,6 +164,32 @@
     )
 
 
+@when('the client is closed during a read')
+def step_close(context: Context) -> None:
+    """Close it, and note what fails later."""
+    context.failures = []
+
+    async def close() -> None:
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(
+            lambda _loop, failure: context.failures.append(failure)
+        )
+        reading = asyncio.create_task(context.client.get(KIND, 'large'))
+        await asyncio.sleep(0.1)
+        reading.cancel()
+        context.client.close()
+
+    context.loop.call(close())
+
+
+@then('nothing fails within {limit_s:f} s')
+def step_nothing_fails(context: Context, limit_s: float) -> None:
+    """Wait and look."""
+    context.loop.call(asyncio.sleep(limit_s))
+    assert not context.failures, context.failures
+    context.client = context.loop.call(_client(context))
+
+
 @then('it is read whole')
 def step_whole(context: Context) -> None:
     """Compare the value."""
--- a/packages/common/src/lacewing_common/curl.py
+++ b/packages/common/src/lacewing_common/curl.py
@@ -25,6 +25,9 @@
         own time limits can't be used: they count from the start of a call,
         and silence by whole seconds.
         """
+        if self._multi is None:
+            # Closed: its calls never return, and its handles are gone.
+            return
         for curl in self._curls:
             info = getattr(curl, 'info', None)
             # The client holds a proxy of the request, with its defaults.
--- a/packages/daemon/src/lacewing_daemon/direct/_followed.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_followed.py
@@ -115,7 +115,7 @@
         self._regained_s = float('-inf')
         self._lost = False
         self._read = LastRead(0, 0.0)
-        self._change_took_s = 0.0
+        self._last_took_s = 0.0
 
     @property
     def entries(self) -> Mapping[str, T]:
@@ -190,10 +190,12 @@
         self._take(answer)
         self._unheard_from_s = None
         self.confirm(answer, sent_s, wait_s)
-        if isinstance(answer, Changes) and answer.changed:
+        if isinstance(answer, Listing):
+            self._last_took_s = answer.took_s
+        elif answer.changed:
             # Changes come in series; a call for each would cost several
             # times the calls that waiting makes.
-            self._change_took_s = answer.took_s
+            self._last_took_s = answer.took_s
             return self._gather_s
         return 0.0
 
@@ -242,7 +244,7 @@
             return self._wait_s
         age_s = self.age_s
         room_s = self._doubted_s - age_s - self._gather_s
-        room_s -= 2 * self._change_took_s
+        room_s -= 2 * self._last_took_s
         fresh_s = self._doubted_s * CONFIRM_PART - age_s
         return max(0.0, min(self._wait_s, max(room_s, LEAST_WAIT_S), fresh_s))
 
