--- a/features/direct_foreign.feature
+++ b/features/direct_foreign.feature
@@ -68,6 +68,7 @@
         | []               |
         | {}               |
       Then only "reg-1" and "reg-2" are known
+      And they alone get requests
       And the address that they named received nothing
 
     Scenario: An entry that is spoilt and then good again
@@ -95,3 +96,94 @@
         | nested                      |
       Then an upstream that comes then is used
       And a router that starts now knows it too
+
+  Rule: What other writers leave elsewhere holds nothing up
+
+    Background:
+      Given a store with a configuration
+      And engines "eng-1" and "eng-2"
+
+    Scenario: Engines that no route uses
+      # Symptom: an address is asked for reports and given orders where no
+      #   upstream of the deployment is.
+      # Sequence: an entry names a service that no configuration holds, or
+      #   an engine's entry names no models.
+      # Cause: orders went to whatever has a model, prompts to whatever has
+      #   an engine's service.
+      Given an engine's entry that names an unknown service
+      And an engine's entry that names no models
+      And a direct router
+      When new weights are named
+      Then all engines have them, by orders of one holder
+      And prompts are answered by the other engines alone
+      And the address that they named received nothing
+
+    Scenario: The lease is not held for years by garbage
+      # Symptom: new weights are never loaded.
+      # Sequence: somebody writes a lease record that is none, or that says
+      #   it lasts for years.
+      # Cause: a record's word for how long it lasts was not bounded.
+      Given a lease record {"holder": "x", "nonce": "y", "duration_s": 1e9}
+      And a direct router
+      Then the router soon holds the lease, as if another had just acted
+
+    Scenario Outline: The lease is not held by garbage
+      Given a lease record <record>
+      And a direct router
+      Then the router soon holds the lease, as if another had just acted
+
+      Examples:
+        | record                                                         |
+        | {"holder": "x", "nonce": "y", "duration_s": 1, "acted_ago_s": -9} |
+        | {"holder": "x"}                                                |
+        | garbage                                                        |
+        | 5                                                              |
+
+    Scenario: Routers are not counted by garbage
+      # Symptom: routers refuse requests, as each takes its part of what all
+      #   share for smaller than it is.
+      # Sequence: somebody writes entries among those of the routers.
+      # Cause: every entry counted as a router.
+      Given 5 entries of others among those of the routers
+      And a direct router
+      Then the router counts itself alone
+
+    Scenario Outline: Odd versions of weights
+      Given a direct router
+      When new weights are named
+      And somebody names the weights <named>
+      Then all engines have them, by orders of one holder
+      And prompts are answered
+
+      Examples:
+        | named                             |
+        | {"Model": 5, "Version": 9}        |
+        | {"Model": "", "Version": 9}       |
+        | {"Model": "tutor", "Version": "9"} |
+        | {"Model": "tutor", "Version": 0}  |
+        | {"Model": "tutor", "Version": -9} |
+        | {"Model": "tutor", "Version": true} |
+        | {"Model": "tutor", "Version": 9.5} |
+        | {"Model": "tutor"}                |
+        | {"Version": 9}                    |
+        | [9]                               |
+
+  Rule: Whatever is written, the good entries hold
+
+    Scenario Outline: Random spoilt entries among good ones
+      # A seeded run: entries of upstreams, weights and the system's own
+      # kinds are changed at random and written beside good ones.
+      Given a store with a configuration
+      And plain upstreams "reg-1" and "reg-2"
+      And engines "eng-1" and "eng-2"
+      And a direct router
+      When <count> random spoilt entries of seed <seed> are written
+      Then the good upstreams alone are known and serve
+      And the address that they named received nothing
+      When new weights are named
+      Then all engines soon have them
+
+      Examples:
+        | count | seed |
+        | 150   | 1    |
+        | 150   | 2    |
