Bound what other writers hold up beside upstreams

Cause: a lease record was believed for how long it lasts and how long ago its holder acted; every entry of the routers' kind counted as a router; orders went to whatever names a model, prompts to whatever names an engine's service.

Change: a lease record whose duration is not above 0 or over ten times the own one, or whose times are odd, is none: it is waited out for the own duration, and its holder taken for one that has just acted. An entry counts as a router only with what a router writes. Engines of services that no configuration holds get no order and no time to load; a prompt goes only to engines whose entry names its model.

Not bounded: a version of weights or a start that is of the right type but was never one. Both only grow, so such an entry holds until it is gone (a start: until the process ends or 256 other upstreams are gone).

--- a/features/direct_foreign.feature
+++ b/features/direct_foreign.feature
@@ -134,6 +134,7 @@
 
       Examples:
         | record                                                         |
+        | {"holder": "x", "nonce": "y", "duration_s": -1, "acted_ago_s": 9} |
         | {"holder": "x", "nonce": "y", "duration_s": 1, "acted_ago_s": -9} |
         | {"holder": "x"}                                                |
         | garbage                                                        |
--- a/packages/daemon/src/lacewing_daemon/direct/_knowledge.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_knowledge.py
@@ -138,6 +138,17 @@
         """Return what is known of one upstream."""
         return self._states.get(upstream_id)
 
+    def routed(self, upstream: Upstream) -> bool:
+        """Tell whether an upstream is of a service and stays in it.
+
+        An entry may name a service that no configuration holds. Nothing is
+        known of what is at its address.
+        """
+        if upstream.leaving:
+            return False
+        directory = self._directory
+        return directory is None or upstream.service in directory.services
+
     def named_weights(self, model: str) -> NamedVersion:
         """Return the version named last for a model and how long ago.
 
@@ -169,7 +180,7 @@
         engines = {}
         for upstream_id, state in self._states.items():
             loaded = state.weights(model)
-            if loaded is not None and not state.upstream.leaving:
+            if loaded is not None and self.routed(state.upstream):
                 engines[upstream_id] = loaded
         # Computed once for a version: what loads meanwhile must not change
         # the order of the rest.
--- a/packages/daemon/src/lacewing_daemon/direct/_placing.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_placing.py
@@ -72,15 +72,20 @@
         now_s: float,
     ) -> Target | NoRoom:
         """Choose an upstream for one attempt."""
+        engine = admitted.service.engine
+        prompt = request.prompt
         usable = []
         for state in self._knowledge.states(admitted.service.name):
             if state.upstream.upstream_id in excluded:
                 continue
+            if engine is not None and prompt is not None:
+                if state.weights(prompt.model) is None:
+                    # Its entry, which another may have written, does not
+                    # name the model.
+                    continue
             if state.usable(now_s):
                 usable.append(state)
         usable = heard(usable, now_s)
-        engine = admitted.service.engine
-        prompt = request.prompt
         if engine is None or prompt is None:
             return self._plain(usable, now_s)
         namings = self._knowledge.namings(prompt.model)
--- a/packages/daemon/src/lacewing_daemon/direct/_planner.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_planner.py
@@ -174,7 +174,7 @@
         times = self._knowledge.load_times(model)
         for upstream_id, state in self._knowledge.upstreams.items():
             version = state.weights(model)
-            if version is None or state.upstream.leaving:
+            if version is None or not self._knowledge.routed(state.upstream):
                 continue
             ordered = self._ordered.get(state, {})
             at_s = ordered.get(model, float('-inf'))
--- a/packages/daemon/src/lacewing_daemon/direct/_router_count.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_router_count.py
@@ -1,6 +1,7 @@
 """Count the routers that live, by entries that each keeps in the store."""
 
 import asyncio
+import re
 from collections.abc import Callable
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -35,6 +36,9 @@
 # Taken before the first count. Too many only makes shares smaller.
 ROUTERS_ASSUMED = 8
 
+# What a router writes into its entry: 16 random bytes in hexadecimal.
+_VALUE = re.compile(rb'[0-9a-f]{32}')
+
 _log = get_log(Part.MEMBERS)
 
 
@@ -129,7 +133,9 @@
         """Note the versions of all entries; return how many live.
 
         Whether one is renewed is judged by the own clock, from when each
-        version was first seen here.
+        version was first seen here. What somebody else wrote counts as no
+        router: each would take its part of what all share for smaller than
+        it is.
         """
         now_s = self._clock()
         seen: dict[str, _Seen] = {}
@@ -139,7 +145,12 @@
             if known is None or known.version < entry.version:
                 known = _Seen(entry.version, now_s)
             seen[entry.name] = known
-            if now_s - known.since_s <= LIVE_S or entry.name == self._name:
+            own = entry.name == self._name
+            if not own and _VALUE.fullmatch(entry.value) is None:
+                if entry.name not in self._seen:
+                    _log.error('Left an entry out.', entry=entry.name)
+                continue
+            if own or now_s - known.since_s <= LIVE_S:
                 live += 1
         self._seen = seen
         return max(1, live)
--- a/packages/daemon/src/lacewing_daemon/lease.py
+++ b/packages/daemon/src/lacewing_daemon/lease.py
@@ -23,6 +23,9 @@
 LEASES = 'leases'
 # Written for a holder that never acted; JSON has no infinity.
 _LONG_S = 3600.0
+# Durations of a lease's holders differ where a deployment is changed, but
+# not by more; a record that says so was written by somebody else.
+_MOST_LONGER = 10.0
 
 Clock = Callable[[], float]
 Peek = Callable[[str, str], Awaitable[StoredObject | StoreError]]
@@ -182,7 +185,7 @@
         before this process first saw that version: after a whole duration
         the holder's own clock has passed the end, paused or not.
         """
-        record = _decode(seen.value)
+        record = self._record(seen)
         now_s = self._clock()
         if record is not None and record.holder in ('', self._holder):
             # Released, or this process's own write whose answer was lost.
@@ -199,8 +202,23 @@
         holder = 'unknown' if record is None else record.holder
         return NotHeld(f'{self._name} is held by {holder}')
 
-    def _note_other(self, seen: StoredObject) -> None:
+    def _record(self, seen: StoredObject) -> LeaseRecord | None:
+        """Decode a lease's value; None if no holder wrote it.
+
+        Believed, one that is to last for years would keep everybody from
+        the lease, and one that acted long ago would let two holders act.
+        """
         record = _decode(seen.value)
+        if record is None:
+            return None
+        if not 0 < record.duration_s <= self._duration_s * _MOST_LONGER:
+            return None
+        if not 0 <= record.acted_ago_s <= _LONG_S:
+            return None
+        return record
+
+    def _note_other(self, seen: StoredObject) -> None:
+        record = self._record(seen)
         if record is not None and record.holder == self._holder:
             return
         acted_ago_s = 0.0 if record is None else record.acted_ago_s
