--- a/features/direct_foreign.feature
+++ b/features/direct_foreign.feature
@@ -149,6 +149,20 @@
       And a direct router
       Then the router counts itself alone
 
+    Scenario Outline: Objects beside the configuration that counts
+      # Symptom: a router refuses all keys, or all paths.
+      # Sequence: somebody writes another object of the configuration's kind.
+      # Cause: each object of the kind was taken for the configuration.
+      Given a direct router
+      When somebody writes <object> beside the configuration
+      Then the configuration stays in force and keys are known
+
+      Examples:
+        | object                                             |
+        | {"Version": 99, "Routes": [], "Services": []}      |
+        | {"Version": "99"}                                  |
+        | 5                                                  |
+
     Scenario Outline: Odd versions of weights
       Given a direct router
       When new weights are named
--- a/features/steps/foreign_steps.py
+++ b/features/steps/foreign_steps.py
@@ -302,3 +302,24 @@
         ),
         'new weights on all engines',
     )
+
+
+@when('somebody writes {text} beside the configuration')
+def step_beside(context: Context, text: str) -> None:
+    """Write another object of the kind."""
+    bench = direct_bench(context)
+    value = json.loads(text)
+    bench.on_loop(lambda: bench.store.put('config', 'odd', value))
+
+
+@then('the configuration stays in force and keys are known')
+def step_in_force(context: Context) -> None:
+    """Look for longer than keys are believed unconfirmed."""
+    bench = direct_bench(context)
+    end_s = time.monotonic() + BOUNDS.revoke_s + KNOWN_S
+    while time.monotonic() < end_s:
+        answer = bench.ask_model()
+        assert answer.status == 200, answer
+        bench.run(sleep(KNOWN_S))
+    version = bench.config['Version']
+    assert bench.routers[0].configuration == version
