Read the namings once for a prompt when loads are foreseen

Cause: for each engine with older weights the namings were read again for the same prompt; with 300 engines and many namings that is work for nothing. Change: the time that was already computed for the engine is used.

--- a/packages/daemon/src/lacewing_daemon/direct/_placing.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_placing.py
@@ -20,6 +20,7 @@
 from lacewing_daemon.direct._directory import KvStore
 from lacewing_daemon.direct._kept_parts import KeptParts
 from lacewing_daemon.direct._knowledge import Knowledge
+from lacewing_daemon.direct._loading import nearly_overdue_s
 from lacewing_daemon.direct._namings import floor_of
 from lacewing_daemon.direct._namings import NamedVersion
 from lacewing_daemon.direct._namings import superseded_s
@@ -201,7 +202,6 @@
         upstream = state.upstream
         model = asked.prompt.model
         has = state.weights(model) or asked.named.version
-        old = has < asked.named.version
         handicap_ms = 0.0
         # Answers count less from the first naming that the engine lacks.
         old_s = superseded_s(asked.namings, has)
@@ -214,20 +214,20 @@
             target.read_ms,
             state.waiting(asked.urgency),
             state.in_flight,
-            self._load_in_ms(state, model, old, asked.named.age_s),
+            self._load_in_ms(state, model, old_s, asked.named.age_s),
             handicap_ms,
         )
 
     def _load_in_ms(
-        self, state: UpstreamState, model: str, old: bool, age_s: float
+        self, state: UpstreamState, model: str, old_s: float, age_s: float
     ) -> float:
         """Return the time until an engine is to load, infinite for never."""
-        if not old:
+        if old_s <= 0:
             return float('inf')
         times = self._knowledge.load_times(model)
         at_s = times.get(state.upstream.upstream_id, float('inf'))
-        near_in_s = self._knowledge.near_in_s(model, state.weights(model) or 0)
-        return min(at_s - age_s, near_in_s) * _MS
+        near_s = nearly_overdue_s(self._knowledge.old_limit_s)
+        return min(at_s - age_s, near_s - old_s) * _MS
 
     def _copy_to(
         self,
