--- a/features/direct_starts.feature
+++ b/features/direct_starts.feature
@@ -54,6 +54,18 @@
       And a caller orders a certificate
       Then the answer is 200 with the whole body and its proof
 
+    Scenario Outline: A request under way at the start that ended
+      Given plain upstreams "reg-1" and "reg-2"
+      And a direct router
+      And all upstreams hold their answers
+      When an upstream starts again while it runs a request for <path>
+      Then the request gets <status> after <runs> runs
+
+      Examples:
+        | path            | status | runs |
+        | /certificates/1 | 502    | 1    |
+        | /records/1      | 200    | 2    |
+
   Rule: Each start is known by itself
 
     Background:
--- a/features/steps/direct_starts_steps.py
+++ b/features/steps/direct_starts_steps.py
@@ -1,5 +1,6 @@
 """Check what a router keeps of an upstream that starts again."""
 
+import threading
 import time
 from types import SimpleNamespace
 from typing import Any
@@ -101,6 +102,32 @@
     bench.run(sleep(KNOWN_S))
 
 
+@when('an upstream starts again while it runs a request for {path}')
+def step_under_way(context: Context, path: str) -> None:
+    """Start the upstream anew once it runs; then let all answer."""
+    bench = direct_bench(context)
+    method = 'POST' if path.startswith('/certificates') else 'GET'
+    asking = threading.Thread(target=lambda: bench.ask(path, method=method))
+    asking.start()
+    bench.until(lambda: bool(bench.ran()), 'a run')
+    for name, upstream in bench.upstreams.items():
+        if upstream.ran:
+            bench.start_again(name)
+    for upstream in bench.upstreams.values():
+        bench.on_loop(upstream.hold.set)
+    asking.join()
+
+
+@then('the request gets {status:d} after {runs:d} runs')
+def step_runs(context: Context, status: int, runs: int) -> None:
+    """Count what was run."""
+    bench = direct_bench(context)
+    bench.run(sleep(KNOWN_S))
+    assert bench.answer.status == status, bench.answer
+    assert len(bench.ran()) == runs, bench.ran()
+    assert len(set(bench.ran())) == 1, bench.ran()
+
+
 @when('another upstream answers at its address')
 def step_another(context: Context) -> None:
     """Hand the head of its refusal to a request's send."""
