Let the soak draw series that overlap, and judge what has a time bound

Cause: the soak drew single faults. It named weights and changed the configuration once at a time, answered every order, restarted no upstream, wrote no entries of others, took no key away and had only wide links; requests that a stop cuts, keys, leaving upstreams and old weights were not judged. Change: series with a random source of their own, so that the listed seeds draw the same faults as before (theme "single"); spans of what was disturbed; a judge of requests cut, keys, leaving upstreams, old weights, entries of others; half of the callers keep connections until the router closes them; narrow links; output that is not read; settings files torn in the middle. Ruled out: steps of the time of day. Routers use it in log lines alone (a search for its functions in the router's packages found no other use).

--- a/Makefile
+++ b/Makefile
@@ -100,8 +100,10 @@
 capacity: $(VENV)/.made
 	$(BIN)/python -m lacewing_bench.capacity
 
-# Real routers under random faults: make soak [FIRST=1] [LAST=50]
+# Real routers under random faults:
+# make soak [FIRST=1] [LAST=50] [LASTS=15] [ROUTERS=3]
 .PHONY: soak
 soak: $(VENV)/.made
 	$(BIN)/python -m lacewing_platform_testing.soak \
-		$(or $(FIRST),1) $(or $(LAST),50)
+		$(or $(FIRST),1) $(or $(LAST),50) \
+		$(or $(LASTS),15) $(or $(ROUTERS),3)
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -16,6 +16,7 @@
 from lacewing_bench.loop_thread import LoopThread
 from lacewing_platform_testing.soak import run_seed
 from lacewing_platform_testing.soak import SoakReport
+from lacewing_platform_testing.soak import Theme
 from lacewing_platform_testing.soak._callers import ask
 from lacewing_platform_testing.soak._callers import Seen
 from lacewing_platform_testing.soak._routers import RouterProcess
@@ -144,7 +145,10 @@
 
 async def _run_all(seeds: list[dict[str, Any]]) -> list[SoakReport]:
     return await asyncio.gather(
-        *(run_seed(one['number'], one['seconds']) for one in seeds)
+        *(
+            run_seed(one['number'], one['seconds'], Theme(one['theme']))
+            for one in seeds
+        )
     )
 
 
