--- a/features/steps/body_steps.py
+++ b/features/steps/body_steps.py
@@ -123,6 +123,7 @@
         'Version': 'v1',
         'Slots': 4,
         'State': 'ready',
+        'ColdRemainingMs': 0,
         'Sequence': 1,
     }
     bench.on_loop(lambda: bench.store.put('servers', NAME, entry))
