--- a/features/direct_foreign.feature
+++ b/features/direct_foreign.feature
@@ -118,6 +118,16 @@
       And prompts are answered by the other engines alone
       And the address that they named received nothing
 
+    Scenario: Weights that an entry of an unknown service names
+      # Symptom: a while after an odd entry was written all prompts are
+      #   refused.
+      # Sequence: an entry of a service that no configuration holds tells of
+      #   weights that nobody named; older ones are overdue some seconds later.
+      # Cause: what any entry tells was taken for named.
+      Given an entry of an unknown service that has version 99
+      And a direct router
+      Then the router takes version 1 for the one named last
+
     Scenario: The lease is not held for years by garbage
       # Symptom: new weights are never loaded.
       # Sequence: somebody writes a lease record that is none, or that says
--- a/features/steps/foreign_steps.py
+++ b/features/steps/foreign_steps.py
@@ -151,6 +151,25 @@
     _write(context, {**trap.entry(), 'Service': 'unknown'})
 
 
+@given('an entry of an unknown service that has version {version:d}')
+def step_unknown_version(context: Context, version: int) -> None:
+    """Write it before a router starts."""
+    entry = _trap(context).entry()
+    entry['Service'] = 'nobody'
+    entry['Models'] = [{'Name': MODEL, 'Version': version, 'Adapters': []}]
+    _write(context, entry)
+
+
+@then('the router takes version {version:d} for the one named last')
+def step_named_last(context: Context, version: int) -> None:
+    """Look once the router has read all."""
+    bench = direct_bench(context)
+    bench.until_ready()
+    bench.run(sleep(KNOWN_S))
+    knowledge = bench.routers[0]._fleet.knowledge
+    assert knowledge.named_weights(MODEL).version == version
+
+
 @given("an engine's entry that names no models")
 def step_no_models(context: Context) -> None:
     """Write an entry as one of a plain service has it."""
