Take an entry's weights for named only where the configuration has them

Cause: versions in upstreams' entries count as named since versions found after gaps do. An entry of a service that no configuration holds could name a version that never was, and end the use of all engines once older ones are overdue. Ruled out: not to believe entries at all: a router that can't read the weights would go on with old ones. Change: only models that the configuration has the upstream's service serve; all entries are looked at again when a configuration comes into force.

--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -205,6 +205,8 @@
             read_bytes=read.size,
             read_ms=round(read.took_s * 1000),
         )
+        for state in self._knowledge.upstreams.values():
+            self._take_entry_weights(state)
         if self._on_directory is not None:
             self._on_directory(value)
 
@@ -219,10 +221,20 @@
         if value is None:
             return
         state = self._knowledge.state(name)
-        if state is None:
-            return
-        for model, version in value.weights.items():
-            self.learn_weights(state, model, version)
+        if state is not None:
+            self._take_entry_weights(state)
+
+    def _take_entry_weights(self, state: UpstreamState) -> None:
+        """Take the versions in an entry for named.
+
+        Somebody else may have written it. Of a service or a model that the
+        configuration does not hold nothing counts: a version that was never
+        named would end the use of all engines some seconds later.
+        """
+        models = self._knowledge.models(state.upstream)
+        for model, version in state.upstream.weights.items():
+            if model in models:
+                self.learn_weights(state, model, version)
 
     async def _sweep(self) -> None:
         while True:
--- a/packages/daemon/src/lacewing_daemon/direct/_knowledge.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_knowledge.py
@@ -149,6 +149,15 @@
         directory = self._directory
         return directory is None or upstream.service in directory.services
 
+    def models(self, upstream: Upstream) -> tuple[str, ...]:
+        """Return the models that the configuration has an upstream serve."""
+        if self._directory is None:
+            return ()
+        service = self._directory.services.get(upstream.service)
+        if service is None or service.engine is None:
+            return ()
+        return service.engine.models
+
     def named_weights(self, model: str) -> NamedVersion:
         """Return the version named last for a model and how long ago.
 
