Take nothing for new that was told again, late or spoilt

After a failed call changes are told once more: an upstream that was removed came back for 2.3 s. An answer read after the process stood still, or long on its way, told changes as just made, so that old weights were used longer. An answer's order of readable and spoilt entries was lost, and while a configuration can't be read, calls did not wait at all. Ruled out: taking only the last change of an entry always: an upstream that says that it leaves and then that it is ready would be used again. Change: after a rewind only what comes of each entry counts; changes of late answers, or of calls during which the process stood still, may have been made since; spoilt entries are looked at last; waits keep their length then.

--- a/features/direct_followed.feature
+++ b/features/direct_followed.feature
@@ -90,3 +90,41 @@
       | 2.6   | 1.4  | 0.3  |
       | 3.7   | 1.4  | 0.18 |
       | 4.5   | 1.4  | 0.0  |
+
+  Rule: What was told once more or late is not taken for new
+
+    Scenario: An upstream that is gone stays gone after a failed call
+      # Symptom: requests are sent to an upstream that was removed before.
+      # Sequence: its entry changes and is removed; a call fails; both are
+      #   told once more.
+      # Cause: the change added the entry anew, and its removal, right after
+      #   a failure, was believed seconds later.
+      Given a follower that keeps what lapsed, with entry "a"
+      When "a" changes and is removed, a call fails and both are told again
+      Then it has no entries
+
+    Scenario: A change that was read long after its call counts from the call
+      # Symptom: requests begin on old weights longer than allowed.
+      # Sequence: a router stands still, or its link is full, while the
+      #   naming of new ones is on its way.
+      # Cause: what a waiting call tells counted as just made.
+      Given a follower that keeps what lapsed, with entry "a"
+      When a call that was to wait 1.2 s tells a change 9 s after it was sent
+      Then the change may have been made 9 s ago
+
+    Scenario: A configuration that can't be read is asked for at usual times
+      # Symptom: routers use up the reads that the store allows.
+      # Sequence: somebody writes a configuration that can't be read.
+      # Cause: a call waits the shorter the older what is known is, and only
+      #   one that can be read makes it younger.
+      Given a strict follower whose entries are doubted after 4.85 s
+      When its entry can't be read for 20 s
+      Then every call waits 1.2 s
+
+    Scenario: An entry that was spoilt after a change is not used
+      # Symptom: requests go to an upstream whose entry somebody spoilt.
+      # Sequence: one answer tells a good entry and then a spoilt one.
+      # Cause: the spoilt one was looked at first.
+      Given a follower that drops what can't be read, with entry "a"
+      When one answer tells a change of "a" and that it can't be read
+      Then it has no entries
--- a/packages/daemon/src/lacewing_daemon/direct/_followed.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_followed.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Mapping
 from dataclasses import dataclass
 from random import Random
@@ -43,6 +44,10 @@
 # A call waits no shorter than this for the sake of a large answer that may
 # follow, as each call has its price; at most three a second.
 LEAST_WAIT_S = 0.3
+# How often it is looked, while a call waits, whether the process stood still,
+# and by how much a look or an answer may be late on a busy VM.
+BEAT_S = 0.5
+LATE_S = 0.5
 # After these faults the store is asked for changes again; any other may lie
 # in the answer, and would come back with it.
 _PASSING = (StoreFault.UNAVAILABLE, StoreFault.RATE_LIMITED)
@@ -114,6 +119,7 @@
         self._unheard_from_s: float | None = float('-inf')
         self._regained_s = float('-inf')
         self._lost = False
+        self._rewound = False
         self._read = LastRead(0, 0.0)
         self._last_took_s = 0.0
 
@@ -151,8 +157,9 @@
     def unsure_s(self) -> float:
         """Return how long ago a change that is told now may have been made.
 
-        One that was waited for has just been made. One found in a list was
-        made at some time since the last confirmation.
+        One that was waited for has just been made, unless the process stood
+        still meanwhile or the answer was long on its way. One found in a
+        list was made at some time since the last confirmation.
         """
         if self._unheard_from_s is None:
             return 0.0
@@ -171,7 +178,7 @@
         """Make one call; return the time until the next one, in seconds."""
         wait_s = self._next_wait_s()
         sent_s = self._clock()
-        answer = await self._next(wait_s)
+        answer = await self._watched(wait_s)
         if isinstance(answer, StoreError):
             self._failed(answer, sent_s)
             return self._backoff.next_s()
@@ -187,6 +194,8 @@
             return 0.0
         self._regained()
         self._read = LastRead(answer.size, answer.took_s)
+        if self._clock() - sent_s > wait_s + LATE_S:
+            self._unheard_since(sent_s)
         self._take(answer)
         self._unheard_from_s = None
         self.confirm(answer, sent_s, wait_s)
@@ -240,6 +249,10 @@
         """
         if self._lost:
             return 0.0
+        if self._strict and self._unread:
+            # No answer makes it fresher before the entry changes; calls
+            # that don't wait would only load the store.
+            return self._wait_s
         if self._confirmed_s is None or self._doubted_s == float('inf'):
             return self._wait_s
         age_s = self.age_s
@@ -248,6 +261,25 @@
         fresh_s = self._doubted_s * CONFIRM_PART - age_s
         return max(0.0, min(self._wait_s, max(room_s, LEAST_WAIT_S), fresh_s))
 
+    async def _watched(
+        self, wait_s: float
+    ) -> Listing[T] | Changes[T] | HistoryGone | StoreError:
+        """Make the next call; note if the process stood still meanwhile.
+
+        After a pause an answer that has waited is read as if it had just
+        come, and what it tells would count as just made.
+        """
+        call = asyncio.ensure_future(self._next(wait_s))
+        try:
+            while not call.done():
+                looked_s = self._clock()
+                await asyncio.wait((call,), timeout=BEAT_S)
+                if self._clock() - looked_s > BEAT_S + LATE_S:
+                    self._unheard_since(looked_s)
+        finally:
+            call.cancel()
+        return call.result()
+
     async def _next(
         self, wait_s: float
     ) -> Listing[T] | Changes[T] | HistoryGone | StoreError:
@@ -262,6 +294,14 @@
             self._told.clear()
         self._told.append((self._clock(), answer.revision))
         self._forget_told(self._clock())
+        if isinstance(answer, Changes):
+            for name, value in self._new(answer):
+                self._unread.discard(name)
+                self._set(name, value)
+            self._unread.update(answer.unreadable)
+        else:
+            self._take_all(answer)
+        self._rewound = False
         for name in answer.unreadable:
             # One entry that somebody wrote wrongly must not stop what
             # depends on the others.
@@ -269,12 +309,8 @@
             _log.error('Left an entry out.', collection=self._name, entry=name)
             if self._drop_unreadable and name in self._entries:
                 self._drop(name)
-        if isinstance(answer, Changes):
-            for name, value in answer.changed:
-                self._unread.discard(name)
-                self._set(name, value)
-            self._unread.update(answer.unreadable)
-            return
+
+    def _take_all(self, answer: Listing[T]) -> None:
         self._unread = set(answer.unreadable)
         for name in list(self._entries):
             if name in answer.entries or name in answer.unreadable:
@@ -283,6 +319,18 @@
         for name, value in answer.entries.items():
             self._set(name, value)
 
+    def _new(self, answer: Changes[T]) -> Iterable[tuple[str, T | None]]:
+        """Return the changes to take, in their order.
+
+        After a failed call some are told again. An entry that changed and
+        was removed then would be added and, as its removal is believed late
+        after an outage, be used again though it is gone. Only what comes of
+        each entry counts.
+        """
+        if not self._rewound:
+            return answer.changed
+        return dict(answer.changed).items()
+
     def _set(self, name: str, value: T | None) -> None:
         timer = self._lapsed.pop(name, None)
         if timer is not None:
@@ -320,6 +368,7 @@
         self._revision = None
         if error.fault in _PASSING and not again:
             self._revision = self._sure_revision(sent_s)
+            self._rewound = True
         if self._confirmed_s is not None:
             self._unheard_since(self._confirmed_s)
         if self._lost:
