Ask engines last whose weights are overdue as far as is known

An engine that lacks what nothing may be older than will refuse; it was taken for one that had just loaded, and won over one with the right weights that was 60 ms busier. Each such send costs a repeat. Ruled out: leaving such engines out: what is known of them may be old, and a router would then never learn better. Change: they are asked only when no other is expected to answer in time.

--- a/features/direct_weights.feature
+++ b/features/direct_weights.feature
@@ -50,6 +50,15 @@
       When weights are named after 0, 0.6 s and a busy engine has the last
       Then until 1.2 s the idle engine is chosen and then the busier one
 
+    Scenario: An engine known to have overdue weights is asked last
+      # Symptom: prompts cost repeats though another engine would run them.
+      # Sequence: one engine loads the weights named, another does not; the
+      #   older ones are overdue; the first is a little busier.
+      # Cause: an engine that will refuse was taken for one that just loaded.
+      Given a router with 2 engines that have version 1
+      When weights are named, one engine loads them and has 60 ms to read
+      Then once older ones are overdue that engine is chosen
+
   Rule: Versions of which a router did not hear at once have no more time
 
     Scenario Outline: A version found after a gap counts from the gap on
--- a/features/steps/direct_weights_steps.py
+++ b/features/steps/direct_weights_steps.py
@@ -276,6 +276,28 @@
     assert after == context.busier, after
 
 
+@when(
+    'weights are named, one engine loads them and has {read_ms:d} ms to read'
+)
+def step_one_has(context: Context, read_ms: int) -> None:
+    """Name version 2."""
+    router = context.weights_router
+    context.begin_s = router.clock.now_s
+    router.name(2)
+    context.busier = router.place().state.upstream.upstream_id
+    router.loaded(context.busier, 2)
+    state = router.knowledge.state(context.busier)
+    state.open(read_ms, 0, router.clock.now_s)
+
+
+@then('once older ones are overdue that engine is chosen')
+def step_overdue_last(context: Context) -> None:
+    """Place a prompt right after that."""
+    limit_s = context.weights_router.knowledge.old_limit_s
+    chosen = _chosen_at(context, limit_s + LOOK_S)
+    assert chosen == context.busier, chosen
+
+
 def _chosen_at(context: Context, at_s: float) -> str:
     router = context.weights_router
     router.clock.now_s = context.begin_s + at_s
--- a/packages/daemon/src/lacewing_daemon/direct/_placing.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_placing.py
@@ -30,6 +30,11 @@
 from lacewing_daemon.direct._wall import cache_wall
 
 _MS = 1000.0
+# How much sooner than elsewhere a first event would have to come at an engine
+# whose weights are overdue as far as is known: it will refuse, which costs a
+# repeat and a pause. More than any target, so that it is asked last, and
+# still asked, as what is known of it may be old.
+OVERDUE_MS = 10_000.0
 # Requests of other routers that an engine says wait are taken to need as
 # much reading as a usual one of this router.
 USUAL_READ_MS = 30.0
@@ -207,6 +212,8 @@
         old_s = superseded_s(asked.namings, has)
         if old_s > self._policy.old_weights_s:
             handicap_ms = self._policy.old_weights_ms
+        if has < asked.floor:
+            handicap_ms = OVERDUE_MS
         return EngineView(
             upstream.upstream_id,
             upstream.availability_zone == self._zone,
