Let streams that leave an engine together wait for room

Cause: streams of a lost engine leave it together. The first two fill what may wait at an engine; the others were refused and so cut for their callers. Change: a stream that has begun and finds no room looks again every 30 ms, for 0.35 of the time after which its caller leaves.

--- a/packages/daemon/src/lacewing_daemon/direct/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_exchange.py
@@ -43,6 +43,10 @@
 # When all upstreams that were tried refused: some of them have a slot free
 # within a few requests' time.
 REFUSED_RETRY_S = 0.2
+# A stream that has begun looks for room this often, for so much of the time
+# after which its caller leaves: what the silence before has left of it.
+ROOM_LOOK_S = 0.03
+ROOM_PART = 0.35
 BUDGET_RETRY_S = 1.0
 
 _STATUS = {
@@ -89,6 +93,7 @@
         self._sends = 0
         self._runs = 0
         self._goes_on: Target | None = None
+        self._room_until_s: float | None = None
 
     async def run(self) -> None:
         """Serve the request; cancelled when its caller has left."""
@@ -130,6 +135,13 @@
         relay = StreamRelay(self._reply, self._request.after_event)
         while True:
             target = self._place(admitted, end_s)
+            if isinstance(target, NoRoom):
+                # Symptom: when an engine is lost, streams of it are cut
+                # beside engines that live. They leave together, the first
+                # ones fill what may wait at an engine, and the rest was
+                # refused. Room comes within a few first events.
+                await asyncio.sleep(ROOM_LOOK_S)
+                continue
             if isinstance(target, Refusal):
                 return target
             self._sends += 1
@@ -153,7 +165,10 @@
                 return refusal
             relay.restart()
 
-    def _place(self, admitted: Admitted, end_s: float) -> Target | Refusal:
+    def _place(
+        self, admitted: Admitted, end_s: float
+    ) -> Target | NoRoom | Refusal:
+        """Return where to send, NoRoom to look again, or why not to."""
         now_s = time.monotonic()
         placed: Target | NoRoom
         if self._goes_on is not None:
@@ -167,6 +182,8 @@
                 now_s,
             )
         if isinstance(placed, NoRoom):
+            if self._waits_for_room(admitted, now_s):
+                return placed
             return not_run(
                 Reason.NO_WORKER,
                 'no upstream can answer in time',
@@ -182,6 +199,15 @@
             Reason.NO_WORKER, 'the retry budget is used up', BUDGET_RETRY_S
         )
 
+    def _waits_for_room(self, admitted: Admitted, now_s: float) -> bool:
+        """Tell whether a stream that has begun waits for room elsewhere."""
+        if not self._reply.begun:
+            return False
+        if self._room_until_s is None:
+            wait_s = admitted.route.leaves_s * ROOM_PART
+            self._room_until_s = now_s + wait_s
+        return now_s < self._room_until_s
+
     def _may_leave(
         self, admitted: Admitted, target: Target, end_s: float, others: int
     ) -> bool:
