Refuse overdue weights sooner after a start

Cause: a router that has just started counted its 2.5 s of older weights from when it read that newer ones are named, 0.4 to 0.8 s after its process was started. The platform counts a router as one that runs 3 s after the start. Ruled out: counting from the start of the process, which the process can't read from the clock that counts suspension. Change: 1.5 s from reading after a start. After a gap in the store it stays 2.5 s, as the platform counts from the store's return then. Plain requests do not read these times. Conclusion: the limit of a start now ends before routers are bound by it.

--- a/packages/daemon/src/lacewing_daemon/direct/_knowledge.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_knowledge.py
@@ -36,9 +36,13 @@
 SAVED_PARTS = 4096
 # The part of the time for new weights after which none begins on older ones.
 OLD_WEIGHTS_PART = 0.75
-# A router that has just started, or hears of the store again, still sends to
-# engines with older weights for so long; they may be the only ones.
-START_GRACE_S = 2.5
+# A router that hears of the store again still sends to engines with older
+# weights for so long; they may be the only ones.
+GAP_GRACE_S = 2.5
+# So does one that has just started. The platform counts it as one that runs
+# 3 s after its process was started; it has read what is named 0.8 s after
+# that at most, and the rest is for requests that wait at their engine.
+START_GRACE_S = 1.5
 # Upstreams whose entries are gone that are remembered; what an earlier start
 # says late comes within seconds, and at most some tens go in that time.
 GONE_KEPT = 256
@@ -343,7 +347,9 @@
         # Counted from now, versions of which this router did not hear at
         # once would get more time than they have. Other routers may have
         # refused older weights for long; this one joins them soon.
-        most_s = max(0.0, self.old_limit_s - START_GRACE_S)
+        first = unsure_s == float('inf')
+        grace_s = START_GRACE_S if first else GAP_GRACE_S
+        most_s = max(0.0, self.old_limit_s - grace_s)
         since_s = now_s - min(unsure_s, most_s)
         if namings:
             since_s = max(since_s, namings[-1].since_s)
