Count calls to the store by what they ask and why

Cause: calls to the store are the dearest price on the large deployment, and neither log nor metrics could tell what they are for.

--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -19,6 +19,8 @@
 from lacewing_daemon.direct._settings import DirectSettings
 from lacewing_daemon.direct._silence import SilenceWatch
 from lacewing_daemon.direct._site import Site
+from lacewing_daemon.direct._store_calls import CountedObjects
+from lacewing_daemon.direct._store_calls import StoreCalls
 from lacewing_daemon.direct._upstream import NamedWeights
 from lacewing_daemon.direct._upstream import Upstream
 from lacewing_daemon.direct._upstream_state import UpstreamState
@@ -74,6 +76,8 @@
     def __init__(self, settings: DirectSettings, site: Site) -> None:
         self._knowledge = Knowledge(settings.bounds, settings.policy)
         random = Random()
+        self._calls = StoreCalls()
+        self._store = CountedObjects(site.store, self._calls)
         self._directories: Followed[Directory] = Followed(
             'configuration',
             site.directories,
@@ -83,6 +87,7 @@
             deaf_s=deaf_s(settings.bounds.revoke_s),
             strict=True,
             doubted_s=keys_believed_s(settings.bounds.revoke_s),
+            calls=self._calls,
         )
         self._upstreams: Followed[Upstream] = Followed(
             'upstreams',
@@ -92,14 +97,19 @@
             True,
             UPSTREAMS_GATHER_S,
             drop_unreadable=True,
+            calls=self._calls,
         )
         self._weights: Followed[NamedWeights] = Followed(
-            'weights', site.weights, WEIGHTS_WAIT_S, random
+            'weights',
+            site.weights,
+            WEIGHTS_WAIT_S,
+            random,
+            calls=self._calls,
         )
         self._on_directory: Callable[[Directory], None] | None = None
         self._pool = ConnectionPool()
         self._routers = RouterCount(
-            site.store,
+            self._store,
             settings.process_id,
             random,
             self._knowledge.take_routers,
@@ -115,6 +125,11 @@
         """Return the connections to upstreams."""
         return self._pool
 
+    @property
+    def store(self) -> CountedObjects:
+        """Return the store of the system's own objects, calls counted."""
+        return self._store
+
     @property
     def silence(self) -> SilenceWatch:
         """Return the watch over upstreams with streams under way."""
@@ -179,6 +194,7 @@
             self._sweep(),
             self._silence.run(),
             self._routers.run(),
+            self._calls.run(),
         ):
             self._tasks.append(asyncio.create_task(run))
 
@@ -190,6 +206,7 @@
         """Stop following; close idle connections."""
         for task in self._tasks:
             task.cancel()
+        self._calls.tell()
         self._pool.close()
 
     def _take_directory(self, _name: str, value: Directory | None) -> None:
--- a/packages/daemon/src/lacewing_daemon/direct/_followed.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_followed.py
@@ -22,6 +22,8 @@
 from lacewing_daemon.direct._site import Collection
 from lacewing_daemon.direct._site import HistoryGone
 from lacewing_daemon.direct._site import Listing
+from lacewing_daemon.direct._store_calls import CallReason
+from lacewing_daemon.direct._store_calls import StoreCalls
 
 T = TypeVar('T')
 OnChange = Callable[[str, T | None], None]
@@ -94,7 +96,9 @@
         drop_unreadable: bool = False,
         doubted_s: float = float('inf'),
         clock: Callable[[], float] = boot_s,
+        calls: StoreCalls | None = None,
     ) -> None:
+        self._calls = calls or StoreCalls()
         self._drop_unreadable = drop_unreadable
         self._doubted_s = doubted_s
         self._clock = clock
@@ -122,6 +126,7 @@
         self._rewound = False
         self._read = LastRead(0, 0.0)
         self._last_took_s = 0.0
+        self._last_changed = False
 
     @property
     def entries(self) -> Mapping[str, T]:
@@ -176,9 +181,13 @@
 
     async def step(self) -> float:
         """Make one call; return the time until the next one, in seconds."""
+        self._calls.note(self._name, self._reason())
         wait_s = self._next_wait_s()
         sent_s = self._clock()
         answer = await self._watched(wait_s)
+        self._last_changed = isinstance(answer, Changes) and bool(
+            answer.changed
+        )
         if isinstance(answer, StoreError):
             self._failed(answer, sent_s)
             return self._backoff.next_s()
@@ -261,6 +270,15 @@
         fresh_s = self._doubted_s * CONFIRM_PART - age_s
         return max(0.0, min(self._wait_s, max(room_s, LEAST_WAIT_S), fresh_s))
 
+    def _reason(self) -> CallReason:
+        if self._revision is None:
+            return CallReason.READ
+        if self._lost:
+            return CallReason.FAILURE
+        if self._last_changed:
+            return CallReason.CHANGE
+        return CallReason.QUIET
+
     async def _watched(
         self, wait_s: float
     ) -> Listing[T] | Changes[T] | HistoryGone | StoreError:
--- a/packages/daemon/src/lacewing_daemon/direct/_metrics.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_metrics.py
@@ -52,6 +52,11 @@
     'Seconds since what is known of a collection was confirmed',
     ['collection'],
 )
+STORE_CALLS = Counter(
+    'lacewing_direct_store_calls',
+    'Calls to the store, by what is asked and why',
+    ['subject', 'reason'],
+)
 LOAD_ORDERS = Counter(
     'lacewing_direct_load_orders',
     'Orders to load weights, by what the upstream did',
--- a/packages/daemon/src/lacewing_daemon/direct/_router.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_router.py
@@ -75,13 +75,13 @@
         self._ready = PageServer(lambda: ready_page(self.ready))
         self._metrics = PageServer(self._metrics_page)
         lease = Lease(
-            site.store,
+            self._fleet.store,
             LEASE_NAME,
             settings.process_id,
             LEASE_S,
             LEASE_MARGIN_S,
             boot_s,
-            peek=site.store.peek,
+            peek=self._fleet.store.peek,
         )
         self._planner = WeightsPlanner(
             self._fleet.knowledge,
