Send elsewhere without the retry budget what reached no upstream

Cause: the second send asked the retry budget, of which each of 68 routers has two or three in ten seconds. A send that reached no upstream loads nobody. Ruled out: too few engines (75 engines, room in two thirds of them); the bound on upstreams of the route, which counts runs. Change: the budget is asked once a send has reached an upstream. An upstream where nobody listens is left alone for half a second at once. Test: direct_unreachable.feature, failed before (503 beside an idle engine).

--- /dev/null
+++ b/features/direct_unreachable.feature
@@ -0,0 +1,47 @@
+Feature: Upstreams that can't be reached cost callers nothing
+
+  Rule: What reached no upstream is sent elsewhere, whatever the budget
+
+    Scenario: An engine has crashed and the budget for repeats is used up
+      # Symptom: in the second after engines crash, a part of all prompts is
+      #   refused, though two thirds of the engines have room.
+      # Sequence: the connection to a crashed engine is refused; the router
+      #   asks its retry budget, of which it has two or three in ten seconds,
+      #   and refuses the prompt.
+      # Cause: a send that reached no upstream was counted as one that did.
+      #   It loads nobody: the next one is the first that arrives.
+      Given a store with a configuration
+      And engines "eng-1" and "eng-2"
+      And a budget that allows no repeats
+      And a direct router
+      When a caller asks a model
+      And the engine that ran it stops listening
+      And a caller asks a model
+      Then the answer is 200 with all events once and in order
+
+    Scenario: A refusal by an engine still needs the budget
+      Given a store with a configuration
+      And engines "eng-1" and "eng-2"
+      And a budget that allows no repeats
+      And a direct router
+      And the next upstream shed
+      When a caller asks a model
+      Then the answer is 503 with a time to come back
+
+  Rule: An upstream at which nobody listens is left alone at once
+
+    Scenario Outline: A connection fails
+      # Symptom: each router sends several requests to each crashed engine.
+      # Sequence: an engine crashes; its entry goes seconds later; each of
+      #   its connections is refused.
+      # Cause: three failures in a row were awaited, as of an engine that may
+      #   be well. Nobody listens where a connection is refused; one that
+      #   timed out may have met a lost packet.
+      When a connection to an upstream <fails>
+      Then the upstream is <used> 0.1 s later
+      And the upstream is used 0.6 s later
+
+      Examples:
+        | fails      | used     |
+        | is refused | not used |
+        | times out  | used     |
--- a/packages/daemon/src/lacewing_daemon/direct/_attempt.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_attempt.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 
 from lacewing_common.verdict import Reason
 from lacewing_common.verdict import Verdict
@@ -26,6 +27,18 @@
     return True
 
 
+class Contact(Enum):
+    """Tell whether an upstream could be reached.
+
+    REFUSED: nobody listens at its address. NONE: no connection could be
+    opened for another reason, as with a lost packet.
+    """
+
+    MADE = 'made'
+    REFUSED = 'refused'
+    NONE = 'none'
+
+
 @dataclass(frozen=True)
 class AttemptEnd:
     """Tell how an attempt ended.
@@ -39,6 +52,7 @@
     head: ReplyHead | None = None
     body: bytes = b''
     complete: bool = False
+    contact: Contact = Contact.MADE
 
 
 class Attempt:
@@ -79,8 +93,10 @@
         """
         try:
             connection = await pool.take(upstream, not may_repeat)
+        except ConnectionRefusedError:
+            return _unreachable(Contact.REFUSED)
         except OSError:
-            return AttemptEnd(Verdict.NOT_RUN, Reason.WORKER_UNREACHABLE)
+            return _unreachable(Contact.NONE)
         kept = False
         try:
             self._send(connection, dispatch)
@@ -197,5 +213,11 @@
         return AttemptEnd(Verdict.RAN, Reason.WORKER_FAILED, head, body, True)
 
 
+def _unreachable(contact: Contact) -> AttemptEnd:
+    return AttemptEnd(
+        Verdict.NOT_RUN, Reason.WORKER_UNREACHABLE, contact=contact
+    )
+
+
 def _is_good(head: ReplyHead) -> bool:
     return head.status in _SUCCESS and head.proven
--- a/packages/daemon/src/lacewing_daemon/direct/_connection.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_connection.py
@@ -213,6 +213,8 @@
             await stream.connect((host, int(port)))
     except (StreamClosedError, TimeoutError) as error:
         stream.close()
+        if isinstance(stream.error, ConnectionRefusedError):
+            raise stream.error from error
         raise ConnectionError(f'no connection to {address}') from error
     except BaseException:
         stream.close()
--- a/packages/daemon/src/lacewing_daemon/direct/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_exchange.py
@@ -17,6 +17,7 @@
 from lacewing_daemon.direct._admission import admit
 from lacewing_daemon.direct._admission import Admitted
 from lacewing_daemon.direct._attempt import AttemptEnd
+from lacewing_daemon.direct._attempt import Contact
 from lacewing_daemon.direct._call import CallerRequest
 from lacewing_daemon.direct._caller_reply import CallerGoneError
 from lacewing_daemon.direct._caller_reply import CallerReply
@@ -91,6 +92,7 @@
         self._tries: list[Try] = []
         self._sending: Send | None = None
         self._sends = 0
+        self._arrived = False
         self._runs = 0
         self._goes_on: Target | None = None
         self._room_until_s: float | None = None
@@ -157,6 +159,7 @@
             sent = await self._sending.run(relay, end_s)
             self._sending = None
             self._tries.append(sent.tried)
+            self._arrived |= sent.end.contact is Contact.MADE
             if self._is_answer(sent.end):
                 await self._deliver(relay, sent.end)
                 return None
@@ -189,7 +192,10 @@
                 'no upstream can answer in time',
                 placed.room_ms / _MS,
             )
-        if not self._sends:
+        if not self._arrived:
+            # A repeat is what loads upstreams once more. What reached none
+            # has loaded nobody: asked for it, the budget was used up by
+            # engines that crash, and prompts were refused beside idle ones.
             return placed
         budget = self._fleet.knowledge.budget(admitted.service)
         if budget.spend(now_s, self._fleet.knowledge.routers, self._runs > 0):
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -11,6 +11,7 @@
 from lacewing_daemon.direct._admission import Admitted
 from lacewing_daemon.direct._attempt import Attempt
 from lacewing_daemon.direct._attempt import AttemptEnd
+from lacewing_daemon.direct._attempt import Contact
 from lacewing_daemon.direct._call import CallerRequest
 from lacewing_daemon.direct._fleet import Fleet
 from lacewing_daemon.direct._metrics import ATTEMPTS
@@ -264,7 +265,10 @@
         if end.verdict is Verdict.MAY_HAVE_RUN:
             self._state.failed(now_s)
             return
-        if end.reason is Reason.WORKER_UNREACHABLE:
+        if end.contact is Contact.REFUSED:
+            self._state.refused_connection(now_s)
+            return
+        if end.contact is Contact.NONE:
             self._state.failed(now_s)
             return
         self._state.pause(now_s, REFUSED_PAUSE_S)
--- a/packages/daemon/src/lacewing_daemon/direct/_upstream_state.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_upstream_state.py
@@ -266,6 +266,16 @@
             pause_s = min(SHUN_CAP_S, SHUN_BASE_S * 2**excess)
             self.pause(now_s, pause_s)
 
+    def refused_connection(self, now_s: float) -> None:
+        """Count a failure and leave the upstream alone: it has ended.
+
+        Its entry goes only after its heartbeats have been missed for some
+        seconds. Where three failures were awaited, each router sent as many
+        requests to each crashed engine.
+        """
+        self.failed(now_s)
+        self.pause(now_s, SHUN_BASE_S)
+
     def pause(self, now_s: float, pause_s: float) -> None:
         """Send nothing there for a while."""
         until_s = now_s + pause_s
