Refuse what reached no upstream if it would come late

Cause: a request whose connection was refused was taken for one that an engine has begun to serve, and sent on to engines that are full beyond its target. Change: the wider time is for requests that have reached an upstream. Test: direct_unreachable.feature, failed before (502 at the deadline).

--- a/features/direct_unreachable.feature
+++ b/features/direct_unreachable.feature
@@ -19,6 +19,23 @@
       And a caller asks a model
       Then the answer is 200 with all events once and in order
 
+    Scenario: What reached no engine is refused if it would come late
+      # Symptom: after engines crash prompts come late that were refused
+      #   before, and those that would have been in time come late with them.
+      # Sequence: a prompt's engine can't be reached; the others are full
+      #   beyond its target; it is sent there all the same.
+      # Cause: it was taken for a request that an engine has begun to serve,
+      #   which is brought to its end also when that comes late.
+      Given a store with a configuration
+      And engines "eng-1" and "eng-2"
+      And a budget that allows no repeats
+      And a direct router
+      And all upstreams hold their answers
+      When an engine reads a prompt for 1.1 of the 1.2 seconds that are left
+      And the other engine stops listening
+      And a caller asks a model with a long prompt
+      Then that prompt is refused at once with a time to come back
+
     Scenario: A refusal by an engine still needs the budget
       Given a store with a configuration
       And engines "eng-1" and "eng-2"
--- a/features/steps/unreachable_steps.py
+++ b/features/steps/unreachable_steps.py
@@ -1,5 +1,7 @@
 """Check what a router makes of upstreams that can't be reached."""
 
+import threading
+
 from behave import given
 from behave import then
 from behave import when
@@ -8,6 +10,7 @@
 from lacewing_daemon.direct._upstream_state import UpstreamState
 from msgspec.structs import replace
 from support.direct_bench import direct_bench
+from support.direct_bench import PREFIX
 
 FAILED_S = 100.0
 
@@ -30,6 +33,44 @@
     bench.on_loop(ran_at[0].server.close)
 
 
+@when('an engine reads a prompt for 1.1 of the 1.2 seconds that are left')
+def step_reads(context: Context) -> None:
+    """Send a prompt that its engine holds, 1.1 s by the usual reckoning."""
+    bench = direct_bench(context)
+    reader = threading.Thread(
+        target=lambda: bench.ask_model(**_prompt('long', 121_000))
+    )
+    context.reader = reader
+    reader.start()
+    bench.until(lambda: bool(bench.received()), 'a prompt at an engine')
+
+
+@when('the other engine stops listening')
+def step_other_stops(context: Context) -> None:
+    """Close the listener of the engine that got nothing."""
+    bench = direct_bench(context)
+    idle = [one for one in bench.upstreams.values() if not one.received]
+    assert len(idle) == 1, idle
+    bench.on_loop(idle[0].server.close)
+
+
+@when('a caller asks a model with a long prompt')
+def step_long(context: Context) -> None:
+    """Send a prompt that takes 0.1 s to read, then let the first one end."""
+    bench = direct_bench(context)
+    context.late = bench.ask_model(**_prompt('other', 11_000))
+    for upstream in bench.upstreams.values():
+        bench.on_loop(upstream.hold.set)
+    context.reader.join()
+
+
+def _prompt(part: str, tokens: int) -> dict[str, str]:
+    return {
+        PREFIX + 'Token-Usage': f'{tokens},20',
+        PREFIX + 'Prompt-Prefix': f'{part}:{tokens}',
+    }
+
+
 @when('a connection to an upstream {fails}')
 def step_connection(context: Context, fails: str) -> None:
     """Learn how it failed."""
@@ -42,6 +83,13 @@
         context.state.failed(FAILED_S)
 
 
+@then('that prompt is refused at once with a time to come back')
+def step_refused(context: Context) -> None:
+    """Look at its own answer; the first one's may have come after it."""
+    assert context.late.status == 503, context.late
+    assert 'Retry-After' in context.late.headers, context.late
+
+
 @then('the upstream is {used} {later_s:f} s later')
 def step_used(context: Context, used: str, later_s: float) -> None:
     """Ask whether it may be used."""
--- a/packages/daemon/src/lacewing_daemon/direct/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_exchange.py
@@ -254,11 +254,11 @@
     ) -> float:
         """Return the time within which a first event must be expected.
 
-        A request that was sent once has begun to be served: it is brought
-        to its end, also when that comes late. A stream that broke off would
-        otherwise stay broken.
+        A request that has reached an upstream has begun to be served: it is
+        brought to its end, also when that comes late. A stream that broke
+        off would otherwise stay broken.
         """
-        if self._sends:
+        if self._arrived:
             return (end_s - now_s) * _MS
         wanted_s = admitted.route.target_s * self._serving.policy.patience
         return (self._request.received_s + wanted_s - now_s) * _MS
