Tell following a collection from what was surely told

Cause: _followed.py held two jobs, following and knowing up to which revision all changes are known. Change: the latter is _told_revisions.py; behaviour unchanged. Tests: direct_followed.feature, direct_store.feature as they are, green.

--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -9,7 +9,6 @@
 
 from lacewing_daemon.direct._directory import Directory
 from lacewing_daemon.direct._followed import CONFIRM_PART
-from lacewing_daemon.direct._followed import DEAF_S
 from lacewing_daemon.direct._followed import Followed
 from lacewing_daemon.direct._knowledge import Knowledge
 from lacewing_daemon.direct._knowledge import Learnt
@@ -21,6 +20,7 @@
 from lacewing_daemon.direct._site import Site
 from lacewing_daemon.direct._store_calls import CountedObjects
 from lacewing_daemon.direct._store_calls import StoreCalls
+from lacewing_daemon.direct._told_revisions import DEAF_S
 from lacewing_daemon.direct._upstream import NamedWeights
 from lacewing_daemon.direct._upstream import Upstream
 from lacewing_daemon.direct._upstream_state import UpstreamState
--- a/packages/daemon/src/lacewing_daemon/direct/_followed.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_followed.py
@@ -1,7 +1,6 @@
 """Follow a collection of the platform's store and know how fresh it is."""
 
 import asyncio
-from collections import deque
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -25,6 +24,8 @@
 from lacewing_daemon.direct._site import Listing
 from lacewing_daemon.direct._store_calls import CallReason
 from lacewing_daemon.direct._store_calls import StoreCalls
+from lacewing_daemon.direct._told_revisions import DEAF_S
+from lacewing_daemon.direct._told_revisions import ToldRevisions
 
 T = TypeVar('T')
 OnChange = Callable[[str, T | None], None]
@@ -34,13 +35,6 @@
 # The platform says that entries which lapsed during its outage are back
 # within about 2 s of its return, if the upstream lives.
 KEEP_LAPSED_S = 2.3
-# Before a store drops its history, calls that wait for changes hear nothing
-# of them for a second; then they are cut.
-DEAF_S = 1.0
-# What was told this long before a call that failed was not told deafly: it
-# may have failed as such a call is cut. Half of it is for answers on their
-# way and for the scheduling of a busy VM.
-SURE_S = 1.5 * DEAF_S
 # The part of the time for which entries are believed within which they are
 # confirmed anew; the rest is left to the way of calls to a slow store.
 CONFIRM_PART = 0.8
@@ -126,9 +120,7 @@
         self._lapsed: dict[str, asyncio.TimerHandle] = {}
         self._callbacks: list[OnChange[T]] = []
         self._revision: int | None = None
-        # When each revision was told, the first one surely with all changes
-        # up to it.
-        self._told: deque[tuple[float, int]] = deque()
+        self._told = ToldRevisions()
         self._last_revision = 0
         self._confirmed_s: float | None = None
         self._unheard_from_s: float | None = float('-inf')
@@ -341,9 +333,9 @@
         self._revision = answer.revision
         self._last_revision = answer.revision
         if isinstance(answer, Listing):
-            self._told.clear()
-        self._told.append((self._clock(), answer.revision))
-        self._forget_told(self._clock())
+            self._told.read(answer.revision, self._clock())
+        else:
+            self._told.tell(answer.revision, self._clock())
         if isinstance(answer, Changes):
             for name, value in self._new(answer):
                 self._unread.discard(name)
@@ -417,7 +409,8 @@
         again = self._lost and error.received > 0
         self._revision = None
         if error.fault in _PASSING and not again:
-            self._revision = self._sure_revision(sent_s)
+            self._told.doubt(sent_s)
+            self._revision = self._told.sure()
             self._rewound = True
         if self._confirmed_s is not None:
             self._unheard_since(self._confirmed_s)
@@ -434,25 +427,6 @@
             revision=self.revision,
         )
 
-    def _sure_revision(self, sent_s: float) -> int | None:
-        """Return the last revision that was surely told with all changes.
-
-        Before a store drops its history, calls that wait hear nothing for a
-        while and are then cut. Going on from what the last ones told could
-        miss for good what happened meanwhile.
-        """
-        if not self._told:
-            return None
-        self._forget_told(sent_s)
-        # Those that were told later don't become sure while calls fail.
-        while len(self._told) > 1:
-            self._told.pop()
-        return self._told[0][1]
-
-    def _forget_told(self, now_s: float) -> None:
-        while len(self._told) > 1 and self._told[1][0] <= now_s - SURE_S:
-            self._told.popleft()
-
     def _unheard_since(self, at_s: float) -> None:
         """Note from when on changes may have gone unheard."""
         if self._unheard_from_s is None:
