--- a/packages/daemon/src/lacewing_daemon/direct/_knowledge.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_knowledge.py
@@ -16,7 +16,6 @@
 from lacewing_daemon.direct._directory import Service
 from lacewing_daemon.direct._line_budget import LineBudget
 from lacewing_daemon.direct._loading import load_times
-from lacewing_daemon.direct._loading import loaded_by_plan
 from lacewing_daemon.direct._loading import nearly_overdue_s
 from lacewing_daemon.direct._namings import NamedVersion
 from lacewing_daemon.direct._namings import Naming
@@ -94,8 +93,6 @@
         self._namings: dict[str, tuple[Naming, ...]] = {}
         self._told_s: dict[str, float] = {}
         self._load_times: dict[str, _LoadTimes] = {}
-        self._loaded: dict[str, int] = {}
-        self._doubted_plans: dict[str, int] = {}
         self._saved: OrderedDict[tuple[str, str], float] = OrderedDict()
         self._lines = LineBudget(clock())
 
@@ -204,35 +201,6 @@
         self._load_times[model] = _LoadTimes(version, times)
         return times
 
-    def planned_weights(self, state: UpstreamState, model: str) -> int | None:
-        """Return the version that an engine has if it loaded as planned.
-
-        None if the plan tells no more than the engine itself has, or nobody
-        is known to have loaded by it.
-        """
-        named = self.named_weights(model)
-        known = state.weights(model)
-        if known is None or known >= named.version:
-            return None
-        if self._loaded.get(model) != named.version:
-            return None
-        if self._doubted_plans.get(model) == named.version:
-            return None
-        at_s = self.load_times(model).get(state.upstream.upstream_id)
-        if at_s is None:
-            return None
-        if not loaded_by_plan(named.age_s, at_s, self._policy):
-            return None
-        return named.version
-
-    def doubt_plan(self, model: str, version: int) -> None:
-        """Believe only engines themselves that they have loaded a version.
-
-        One of them has refused it: its order was left unanswered, or there
-        is nobody who gives orders. The others' may be as late.
-        """
-        self._doubted_plans[model] = version
-
     def near_in_s(self, model: str, version: int) -> float:
         """Return the time until weights are nearly overdue.
 
@@ -358,7 +326,6 @@
         from the store and could not read it.
         """
         state.learn_weights(model, version)
-        self._loaded[model] = max(version, self._loaded.get(model, 0))
         named = NamedWeights(model, version)
         self.take_weights(named, unsure_s, Learnt.UPSTREAM)
 
@@ -391,10 +358,8 @@
         )
         # Loads are not brought forward for a doubt; at a start others may
         # have had theirs.
+        first = unsure_s == float('inf')
         self._told_s[value.model] = since_s if first else now_s
-        if first:
-            # When it was named is unknown, and the entries are fresh.
-            self.doubt_plan(value.model, value.version)
         # A line that is left out shows in the next one, by `before`.
         if self._lines.take(True, now_s):
             _log.info(
--- a/packages/daemon/src/lacewing_daemon/direct/_loading.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_loading.py
@@ -17,11 +17,6 @@
 # Orders that an engine gets at least, if they have no effect, between when
 # its weights are nearly overdue and when nothing may begin there.
 LAST_ORDERS = 2
-# For so long after its planned load an engine is taken to have the new
-# weights though its entry does not say so: it tells them with its next
-# heartbeat, 1.2 s later at the most, and the list of entries lags by some
-# 0.8 s. Later, the load has not happened.
-BELIEVED_S = 2.5
 _KEY_BYTES = 8
 _MS = 1000.0
 
@@ -68,19 +63,6 @@
     return max(0.0, old_limit_s - LAST_ORDERS * REPEAT_S)
 
 
-def loaded_by_plan(age_s: float, at_s: float, policy: LoadPolicy) -> bool:
-    """Tell whether an engine has loaded by now if it did so as planned.
-
-    ``age_s``: time since the naming; ``at_s``: the engine's load time.
-
-    Load pattern: engines load one after the other while prompts go on. Each
-    of many routers learns of each load by itself, from an entry that is up
-    to two seconds late or from a refusal, and a refusal costs a repeat.
-    """
-    done_s = at_s + policy.load_ms / _MS
-    return done_s <= age_s <= done_s + BELIEVED_S
-
-
 @dataclass(frozen=True)
 class EngineWeights:
     """Hold what the planner knows of one engine and one model.
--- a/packages/daemon/src/lacewing_daemon/direct/_placing.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_placing.py
@@ -173,13 +173,12 @@
     def _target(self, asked: _Asked, state: UpstreamState) -> Target:
         """Return how the request would be sent to one engine."""
         prompt, now_s = asked.prompt, asked.now_s
-        planned = self._knowledge.planned_weights(state, prompt.model)
-        has = planned or state.weights(prompt.model) or asked.named.version
+        weights = state.weights(prompt.model) or asked.named.version
         # Nothing may begin on weights older than the floor by now; versions
         # named since don't change that. What is known of the engine may be
         # old itself, and nobody would tell: it is asked for the floor, and
         # refuses if it has other weights.
-        weights = max(has, asked.floor)
+        weights = max(weights, asked.floor)
         old_ms = superseded_s(asked.namings, weights) * _MS
         wall = cache_wall(asked.admitted.team, prompt.model, weights)
         kv_store = asked.kv_store
@@ -200,7 +199,6 @@
             excess_ms=excess_ms,
             named=asked.named.version,
             old_ms=old_ms,
-            planned=planned is not None,
         )
 
     def _view(self, asked: _Asked, target: Target) -> EngineView:
@@ -209,8 +207,6 @@
         upstream = state.upstream
         model = asked.prompt.model
         has = state.weights(model) or asked.named.version
-        if target.planned:
-            has = asked.named.version
         handicap_ms = 0.0
         # Answers count less from the first naming that the engine lacks.
         old_s = superseded_s(asked.namings, has)
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -146,7 +146,6 @@
                 self._target.copy_to.close_copy(self._copy_tokens)
             self._state.began(self._ticket)
             self._state.closed()
-        self._judge_plan(end)
         told_newer = self._told_newer(end)
         if not told_newer:
             self._judge(end)
@@ -274,17 +273,6 @@
             return
         self._state.pause(now_s, REFUSED_PAUSE_S)
 
-    def _judge_plan(self, end: AttemptEnd) -> None:
-        """Doubt the plan of loads if an engine has not loaded by it."""
-        prompt = self._request.prompt
-        if end.reason is not Reason.STALE_WEIGHTS or prompt is None:
-            return
-        asked = self._target.weights
-        if not self._target.planned or asked is None:
-            return
-        if (self._state.weights(prompt.model) or 0) < asked:
-            self._fleet.knowledge.doubt_plan(prompt.model, asked)
-
     def _told_newer(self, end: AttemptEnd) -> bool:
         prompt = self._request.prompt
         if end.reason is not Reason.STALE_WEIGHTS or prompt is None:
--- a/packages/daemon/src/lacewing_daemon/direct/_target.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_target.py
@@ -18,10 +18,8 @@
 
     ``first_ms``: when a first event is expected, of which ``waits_ms`` for
     what waits there, ``excess_ms`` of these by how late others came.
-    ``planned``: nobody but the plan of loads says that the upstream has
-    ``weights``. ``named``: the version of the weights that was named last,
-    0 for none; ``old_ms``: for how long a newer version than ``weights`` was
-    named.
+    ``named``: the version of the weights that was named last, 0 for none;
+    ``old_ms``: for how long a newer version than ``weights`` was named.
     ``copy_to`` keeps a copy of the run's memory; ``goes_on``: the run is
     continued from such a copy.
     """
@@ -40,7 +38,6 @@
     old_ms: float = 0.0
     copy_to: UpstreamState | None = None
     goes_on: bool = False
-    planned: bool = False
 
 
 def urgency_of(admitted: Admitted) -> int:
