--- a/packages/daemon/src/lacewing_daemon/direct/_knowledge.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_knowledge.py
@@ -358,7 +358,6 @@
         )
         # Loads are not brought forward for a doubt; at a start others may
         # have had theirs.
-        first = unsure_s == float('inf')
         self._told_s[value.model] = since_s if first else now_s
         # A line that is left out shows in the next one, by `before`.
         if self._lines.take(True, now_s):
