Tell in the logs that an upstream crashed, and which requests are the same

Cause: lines had the request's id alone, new each time its caller comes back, and the same reason for an engine that is gone as for one that broke one answer off; the hypotheses of the incident could not be told apart. Change: a failed request's line has a digest of method, host, path, team and body (same); a crash of an upstream has a line with the runs of this router that it broke off, and a counter. Told apart from a broken answer by trying one connection. Ruled out: bodies that are alike for ordinary requests.

--- a/packages/daemon/src/lacewing_daemon/direct/_admission.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_admission.py
@@ -28,6 +28,11 @@
     service: Service
     team: Team | None
 
+    @property
+    def team_name(self) -> str:
+        """Return the team's name, '' on public routes."""
+        return '' if self.team is None else self.team.name
+
 
 def admit(
     request: CallerRequest,
--- a/packages/daemon/src/lacewing_daemon/direct/_attempt.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_attempt.py
@@ -45,6 +45,7 @@
 
     ``head`` is None when no answer began; ``body`` is that of an answer
     that was not streamed; ``complete`` if nothing of the answer is missing.
+    ``broken``: the upstream ended the connection before the answer's end.
     """
 
     verdict: Verdict
@@ -53,6 +54,7 @@
     body: bytes = b''
     complete: bool = False
     contact: Contact = Contact.MADE
+    broken: bool = False
 
 
 class Attempt:
@@ -73,6 +75,7 @@
         self._body: list[bytes] = []
         self._ended: asyncio.Future[bool] = asyncio.Future()
         self._last_piece_s = 0.0
+        self._broken = False
 
     async def run(
         self,
@@ -150,6 +153,7 @@
     def on_end(self, complete: bool) -> None:
         """Learn that the answer ended."""
         if not self._ended.done():
+            self._broken = not complete
             self._ended.set_result(complete)
 
     def _send(
@@ -193,7 +197,11 @@
         head = self._head
         body = b''.join(self._body)
         if head is None:
-            return AttemptEnd(Verdict.MAY_HAVE_RUN, Reason.WORKER_FAILED)
+            return AttemptEnd(
+                Verdict.MAY_HAVE_RUN,
+                Reason.WORKER_FAILED,
+                broken=self._broken,
+            )
         if head.misdirected:
             return AttemptEnd(
                 Verdict.NOT_RUN, Reason.STALE_WEIGHTS, head, body, complete
@@ -204,7 +212,11 @@
             )
         if not complete:
             return AttemptEnd(
-                Verdict.MAY_HAVE_RUN, Reason.STREAM_BROKEN, head, body
+                Verdict.MAY_HAVE_RUN,
+                Reason.STREAM_BROKEN,
+                head,
+                body,
+                broken=self._broken,
             )
         if not head.proven:
             return AttemptEnd(
--- a/packages/daemon/src/lacewing_daemon/direct/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_exchange.py
@@ -34,6 +34,7 @@
 from lacewing_daemon.direct._site import Wire
 from lacewing_daemon.direct._stream_relay import StreamRelay
 from lacewing_daemon.direct._target import Target
+from lacewing_daemon.direct.crashes._fingerprint import fingerprint
 from lacewing_daemon.refusals import Refusals
 
 _MS = 1000.0
@@ -362,7 +363,7 @@
         directory = self._fleet.knowledge.directory
         now_s = time.monotonic()
         service = '' if admitted is None else admitted.service.name
-        team = None if admitted is None else admitted.team
+        team = '' if admitted is None else admitted.team_name
         reason = '' if refusal is None else refusal.reason.value
         verdict = Verdict.RAN if refusal is None else refusal.verdict
         REQUESTS.labels(service, str(status), reason).inc()
@@ -372,7 +373,7 @@
             RequestEnd(
                 request_id=self._request.request_id,
                 service=service,
-                team='' if team is None else team.name,
+                team=team,
                 status=status,
                 verdict=verdict.value,
                 reason=reason,
@@ -385,6 +386,9 @@
                 ),
                 upstreams=len(self._fleet.knowledge.states(service)),
                 tries=tuple(self._tries),
+                fingerprint=''
+                if refusal is None
+                else fingerprint(self._request, team),
             ),
             now_s,
         )
--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -7,6 +7,7 @@
 from lacewing_common.log import get_log
 from lacewing_common.log import Part
 
+from lacewing_daemon.direct._connection import connect
 from lacewing_daemon.direct._directory import Directory
 from lacewing_daemon.direct._followed import CONFIRM_PART
 from lacewing_daemon.direct._followed import Followed
@@ -24,6 +25,8 @@
 from lacewing_daemon.direct._upstream import NamedWeights
 from lacewing_daemon.direct._upstream import Upstream
 from lacewing_daemon.direct._upstream_state import UpstreamState
+from lacewing_daemon.direct.crashes._witness import CrashWitness
+from lacewing_daemon.direct.crashes._witness import SeenCrash
 
 # How long a call waits for changes, at most. Each call that returns also
 # proves that the store is reached.
@@ -44,6 +47,8 @@
 # second, could never confirm anything, only so much of it is allowed for.
 DEAF_PART = 0.5
 SWEEP_S = 1.0
+# An upstream that lives takes a connection within some ms.
+REACHED_S = 0.3
 
 _log = get_log(Part.PLATFORM)
 
@@ -121,6 +126,7 @@
             self._knowledge.take_routers,
         )
         self._silence = SilenceWatch(settings.policy.mute_ms / 1000)
+        self._witness = CrashWitness(_reached, self._take_crash)
         self._tasks: list[asyncio.Task[None]] = []
         self._directories.on_change(self._take_directory)
         self._upstreams.on_change(self._take_upstream)
@@ -141,6 +147,11 @@
         """Return the watch over upstreams with streams under way."""
         return self._silence
 
+    @property
+    def witness(self) -> CrashWitness:
+        """Return the watch over upstreams that crash."""
+        return self._witness
+
     @property
     def knowledge(self) -> Knowledge:
         """Return what is known, as far as it was followed."""
@@ -212,6 +223,7 @@
         """Stop following; close idle connections."""
         for task in self._tasks:
             task.cancel()
+        self._witness.close()
         self._calls.tell()
         self._pool.close()
 
@@ -247,6 +259,9 @@
         if state is not None:
             self._take_entry_weights(state)
 
+    def _take_crash(self, crash: SeenCrash) -> None:
+        pass
+
     def _take_entry_weights(self, state: UpstreamState) -> None:
         """Take the versions in an entry for named.
 
@@ -264,3 +279,13 @@
             await asyncio.sleep(SWEEP_S)
             states = self._knowledge.upstreams.values()
             self._pool.sweep(state.upstream for state in states)
+
+
+async def _reached(upstream: Upstream) -> bool:
+    """Tell whether an upstream takes a connection."""
+    try:
+        connection = await connect(upstream.address, REACHED_S)
+    except OSError:
+        return False
+    connection.close()
+    return True
--- a/packages/daemon/src/lacewing_daemon/direct/_metrics.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_metrics.py
@@ -29,6 +29,11 @@
     'Runs continued from copies of their memory, by service and verdict',
     ['service', 'verdict'],
 )
+UPSTREAM_CRASHES = Counter(
+    'lacewing_direct_upstream_crashes',
+    'Crashes of upstreams that broke runs of this router off, by service',
+    ['service'],
+)
 UPSTREAMS_SILENT = Counter(
     'lacewing_direct_upstreams_silent',
     'Times that all streams of an upstream fell silent at once',
--- a/packages/daemon/src/lacewing_daemon/direct/_request_log.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_request_log.py
@@ -19,7 +19,10 @@
 
 @dataclass(frozen=True)
 class RequestEnd:
-    """Hold how a request ended; ``reason`` '' for an upstream's answer."""
+    """Hold how a request ended; ``reason`` '' for an upstream's answer.
+
+    ``fingerprint`` is that of all requests which ask the same.
+    """
 
     request_id: str
     service: str
@@ -34,6 +37,7 @@
     config_age_ms: int
     upstreams: int
     tries: tuple[Try, ...]
+    fingerprint: str = ''
 
     @property
     def failed(self) -> bool:
@@ -81,6 +85,7 @@
     if end.failed:
         fields['reason'] = end.reason
         fields['message'] = end.message
+        fields['same'] = end.fingerprint
         fields['left_ms'] = end.left_ms
         fields['config'] = end.config
         fields['config_age_ms'] = end.config_age_ms
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -24,6 +24,8 @@
 from lacewing_daemon.direct._stream_relay import StreamRelay
 from lacewing_daemon.direct._target import Target
 from lacewing_daemon.direct._upstream_state import UpstreamState
+from lacewing_daemon.direct.crashes._fingerprint import fingerprint
+from lacewing_daemon.direct.crashes._witness import BrokenRun
 
 _MS = 1000.0
 # An upstream at whose address another one answers has ended; its entry goes
@@ -264,6 +266,8 @@
             return
         if end.verdict is Verdict.MAY_HAVE_RUN:
             self._state.failed(now_s)
+            if end.broken:
+                self._report_broken()
             return
         if end.contact is Contact.REFUSED:
             self._state.refused_connection(now_s)
@@ -273,6 +277,14 @@
             return
         self._state.pause(now_s, REFUSED_PAUSE_S)
 
+    def _report_broken(self) -> None:
+        run = BrokenRun(
+            self._request.request_id,
+            fingerprint(self._request, self._admitted.team_name),
+            self._first_s is not None,
+        )
+        self._fleet.witness.broke(self._state.upstream, run)
+
     def _told_newer(self, end: AttemptEnd) -> bool:
         prompt = self._request.prompt
         if end.reason is not Reason.STALE_WEIGHTS or prompt is None:
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Find out which requests crash the upstreams that run them."""
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_witness.py
@@ -0,0 +1,118 @@
+"""Notice that an upstream has crashed, and what ran there."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from lacewing_common.log import get_log
+from lacewing_common.log import Part
+
+from lacewing_daemon.direct._metrics import UPSTREAM_CRASHES
+from lacewing_daemon.direct._upstream import Upstream
+
+# The connections of a process that ended are reset together; each router
+# reads the resets of its runs within this time.
+GATHER_S = 0.02
+# Of a crash some tens of runs are told, those without an event first.
+MOST_RUNS = 64
+
+_log = get_log(Part.LINK)
+
+
+@dataclass(frozen=True)
+class BrokenRun:
+    """Hold a run that its upstream broke off.
+
+    ``begun``: it had brought an event.
+    """
+
+    request_id: str
+    fingerprint: str
+    begun: bool
+
+
+@dataclass(frozen=True)
+class Start:
+    """Name one start of an upstream; it crashes once at most."""
+
+    upstream_id: str
+    started_ms: int
+
+
+@dataclass(frozen=True)
+class SeenCrash:
+    """Hold the runs of this router that a crash broke off."""
+
+    start: Start
+    service: str
+    runs: tuple[BrokenRun, ...]
+
+
+class CrashWitness:
+    """Tell a crashed upstream from one that broke one answer off.
+
+    A connection that is reset or closed too soon looks the same in both
+    cases. An upstream that ended takes no connection for some seconds, so
+    one is tried; ``reached`` tells whether it was taken.
+    """
+
+    def __init__(
+        self,
+        reached: Callable[[Upstream], Awaitable[bool]],
+        on_crash: Callable[[SeenCrash], None],
+    ) -> None:
+        self._reached = reached
+        self._on_crash = on_crash
+        self._broken: dict[Start, list[BrokenRun]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def broke(self, upstream: Upstream, run: BrokenRun) -> None:
+        """Note that an upstream broke a run off."""
+        if upstream.leaving:
+            # It ends on purpose, whatever it runs.
+            return
+        start = Start(upstream.upstream_id, upstream.started_ms)
+        runs = self._broken.setdefault(start, [])
+        runs.append(run)
+        if len(runs) > 1:
+            return
+        task = asyncio.create_task(self._look(upstream, start))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def close(self) -> None:
+        """Stop looking."""
+        for task in self._tasks:
+            task.cancel()
+
+    async def _look(self, upstream: Upstream, start: Start) -> None:
+        await asyncio.sleep(GATHER_S)
+        reached = await self._reached(upstream)
+        runs = self._broken.pop(start)
+        if reached:
+            return
+        runs.sort(key=_begun)
+        UPSTREAM_CRASHES.labels(upstream.service).inc()
+        _log.warning(
+            'An upstream crashed.',
+            upstream=start.upstream_id,
+            started_ms=start.started_ms,
+            service=upstream.service,
+            runs=[_fields(run) for run in runs[:MOST_RUNS]],
+        )
+        self._on_crash(
+            SeenCrash(start, upstream.service, tuple(runs[:MOST_RUNS]))
+        )
+
+
+def _begun(run: BrokenRun) -> bool:
+    return run.begun
+
+
+def _fields(run: BrokenRun) -> dict[str, object]:
+    return {
+        'request': run.request_id,
+        'same': run.fingerprint,
+        'begun': run.begun,
+    }
