Keep what crashes upstreams from them, and tell all routers of crashes

Cause: a router kept nothing of what became of a request once it had ended, and told nobody. A request that ends its upstream was sent on like any that an upstream broke off, and its caller found a router that knew nothing each time. The class: what one process learns from a failure is kept for the request in which it showed, not for its subject, and not shared. Change: routers know a request by what it asks, not by its id. Each crash is told to peers at once (their channels), and written to the store once a second one adds to it or a peer does not answer; new routers read it before they are ready. A request that explains three crashes, or two alone and without an event at either, is refused as not run for ten minutes. What merely ran beside it is not: its crashes are explained by the other one, and an answer that comes whole clears it. Runs of it that wait are broken off.

--- a/features/steps/direct_starts_steps.py
+++ b/features/steps/direct_starts_steps.py
@@ -171,7 +171,7 @@
         ),
     )
     fleet: Any = SimpleNamespace(
-        knowledge=context.knowledge, silence=SilenceWatch(MUTE_S)
+        knowledge=context.knowledge, silence=SilenceWatch(MUTE_S), guard=None
     )
     route = SimpleNamespace(streams=True, may_repeat=True)
     admitted: Any = SimpleNamespace(route=route)
@@ -185,6 +185,7 @@
         admitted,
         Target(context.before, 0.0),
         lambda _others: True,
+        'a fingerprint',
     )
     send._learn(head)
 
--- a/packages/common/src/lacewing_common/verdict.py
+++ b/packages/common/src/lacewing_common/verdict.py
@@ -39,6 +39,7 @@
     AGENT_UNREACHABLE = 'agent_unreachable'
     WORKER_UNREACHABLE = 'worker_unreachable'
     WORKER_FAILED = 'worker_failed'
+    WORKERS_CRASHED = 'workers_crashed'
     ANSWER_MISMATCHED = 'answer_of_another_request'
     STREAM_BROKEN = 'stream_broken'
     PLATFORM_UNAVAILABLE = 'platform_unavailable'
--- a/packages/daemon/src/lacewing_daemon/direct/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_exchange.py
@@ -35,6 +35,7 @@
 from lacewing_daemon.direct._stream_relay import StreamRelay
 from lacewing_daemon.direct._target import Target
 from lacewing_daemon.direct.crashes._fingerprint import fingerprint
+from lacewing_daemon.direct.crashes._witness import GATHER_S
 from lacewing_daemon.refusals import Refusals
 
 _MS = 1000.0
@@ -50,6 +51,9 @@
 ROOM_LOOK_S = 0.03
 ROOM_PART = 0.35
 BUDGET_RETRY_S = 1.0
+# A crash is known once a connection was refused, some ms after the runs there
+# were gathered.
+HEARS_S = 2 * GATHER_S
 
 _STATUS = {
     Reason.BAD_KEY: 401,
@@ -88,6 +92,7 @@
         self._request = request
         self._reply = reply
         self._admitted: Admitted | None = None
+        self._fingerprint = ''
         self._refusals = Refusals()
         self._tried: frozenset[str] = frozenset()
         self._tries: list[Try] = []
@@ -110,6 +115,7 @@
             self._refuse(admitted)
             return
         self._admitted = admitted
+        self._fingerprint = fingerprint(self._request, admitted.team_name)
         budget = self._fleet.knowledge.budget(admitted.service)
         budget.count_request(time.monotonic())
         end_s = self._request.received_s + self._allowed_s(admitted)
@@ -137,6 +143,8 @@
         """Return why the request is given up, None once it is answered."""
         relay = StreamRelay(self._reply, self._request.after_event)
         while True:
+            if self._fleet.guard.keeps(self._fingerprint):
+                return self._kept()
             target = self._place(admitted, end_s)
             if isinstance(target, NoRoom):
                 # Symptom: when an engine is lost, streams of it are cut
@@ -156,6 +164,7 @@
                 admitted,
                 target,
                 partial(self._may_leave, admitted, target, end_s),
+                self._fingerprint,
             )
             sent = await self._sending.run(relay, end_s)
             self._sending = None
@@ -167,8 +176,26 @@
             refusal = self._settle(admitted, target, sent)
             if refusal is not None:
                 return refusal
+            if sent.end.broken:
+                await self._hear_of_crash()
             relay.restart()
 
+    def _kept(self) -> Refusal:
+        return not_run(
+            Reason.WORKERS_CRASHED,
+            'upstreams crashed under this request',
+            self._fleet.guard.keeps_for_s(self._fingerprint),
+        )
+
+    async def _hear_of_crash(self) -> None:
+        """Wait until it is known whether an upstream crashed once more.
+
+        Sent on at once, a request that has crashed one upstream before would
+        end another one while this router still looks at the second.
+        """
+        if self._fleet.guard.suspects(self._fingerprint):
+            await asyncio.sleep(HEARS_S)
+
     def _place(
         self, admitted: Admitted, end_s: float
     ) -> Target | NoRoom | Refusal:
@@ -386,9 +413,7 @@
                 ),
                 upstreams=len(self._fleet.knowledge.states(service)),
                 tries=tuple(self._tries),
-                fingerprint=''
-                if refusal is None
-                else fingerprint(self._request, team),
+                fingerprint=self._fingerprint,
             ),
             now_s,
         )
--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -25,14 +25,16 @@
 from lacewing_daemon.direct._upstream import NamedWeights
 from lacewing_daemon.direct._upstream import Upstream
 from lacewing_daemon.direct._upstream_state import UpstreamState
-from lacewing_daemon.direct.crashes._witness import CrashWitness
-from lacewing_daemon.direct.crashes._witness import SeenCrash
+from lacewing_daemon.direct.crashes._guard import CrashGuard
+from lacewing_daemon.direct.crashes._kept import CRASHES
 
 # How long a call waits for changes, at most. Each call that returns also
 # proves that the store is reached.
 DIRECTORY_WAIT_S = 1.2
 UPSTREAMS_WAIT_S = 2.0
 WEIGHTS_WAIT_S = 4.0
+# Crashes are rare, and routers tell them to each other as well.
+CRASHES_WAIT_S = 15.0
 # After a change the next call waits this long, so that a series of changes
 # takes one call; well below the 2 s in which they must be in force. Entries
 # of upstreams change most: three a second while engines load weights and
@@ -41,6 +43,7 @@
 # ask longer for weights that an engine no longer has.
 DIRECTORY_GATHER_S = 0.15
 UPSTREAMS_GATHER_S = 0.5
+CRASHES_GATHER_S = 0.3
 # Left of the time to refuse keys for what is under way when it has come.
 CONFIRM_SLACK_S = 0.15
 # Where the time is so short that waiting calls, which may be deaf for a
@@ -117,6 +120,15 @@
             calls=self._calls,
             guide=self._directories,
         )
+        self._crashes: Followed[str] = Followed(
+            CRASHES,
+            site.own_texts(CRASHES),
+            CRASHES_WAIT_S,
+            random,
+            gather_s=CRASHES_GATHER_S,
+            calls=self._calls,
+            guide=self._directories,
+        )
         self._on_directory: Callable[[Directory], None] | None = None
         self._pool = ConnectionPool()
         self._routers = RouterCount(
@@ -124,9 +136,18 @@
             settings.process_id,
             random,
             self._knowledge.take_routers,
+            address=settings.peers,
+        )
+        self._guard = CrashGuard(
+            settings.process_id,
+            settings.peers,
+            self._store,
+            self._crashes,
+            lambda: self._routers.addresses,
+            _reached,
+            random,
         )
         self._silence = SilenceWatch(settings.policy.mute_ms / 1000)
-        self._witness = CrashWitness(_reached, self._take_crash)
         self._tasks: list[asyncio.Task[None]] = []
         self._directories.on_change(self._take_directory)
         self._upstreams.on_change(self._take_upstream)
@@ -148,9 +169,9 @@
         return self._silence
 
     @property
-    def witness(self) -> CrashWitness:
-        """Return the watch over upstreams that crash."""
-        return self._witness
+    def guard(self) -> CrashGuard:
+        """Return what keeps requests that crash upstreams from them."""
+        return self._guard
 
     @property
     def knowledge(self) -> Knowledge:
@@ -163,6 +184,7 @@
         return (
             self._knowledge.directory is not None
             and self._upstreams.read_once
+            and self._crashes.read_once
             and self.keys_confirmed
         )
 
@@ -208,6 +230,8 @@
             self._directories.run(),
             self._upstreams.run(),
             self._weights.run(),
+            self._crashes.run(),
+            self._guard.run(),
             self._sweep(),
             self._silence.run(),
             self._routers.run(),
@@ -223,7 +247,7 @@
         """Stop following; close idle connections."""
         for task in self._tasks:
             task.cancel()
-        self._witness.close()
+        self._guard.close()
         self._calls.tell()
         self._pool.close()
 
@@ -259,9 +283,6 @@
         if state is not None:
             self._take_entry_weights(state)
 
-    def _take_crash(self, crash: SeenCrash) -> None:
-        pass
-
     def _take_entry_weights(self, state: UpstreamState) -> None:
         """Take the versions in an entry for named.
 
--- a/packages/daemon/src/lacewing_daemon/direct/_metrics.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_metrics.py
@@ -34,6 +34,15 @@
     'Crashes of upstreams that broke runs of this router off, by service',
     ['service'],
 )
+KEPT_FINGERPRINTS = Gauge(
+    'lacewing_direct_kept_requests',
+    'Requests kept from upstreams, as these crashed under them',
+)
+CRASH_NEWS = Counter(
+    'lacewing_direct_crash_news',
+    'Calls to other routers about crashes, by result',
+    ['result'],
+)
 UPSTREAMS_SILENT = Counter(
     'lacewing_direct_upstreams_silent',
     'Times that all streams of an upstream fell silent at once',
--- a/packages/daemon/src/lacewing_daemon/direct/_router_count.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_router_count.py
@@ -36,8 +36,9 @@
 # Taken before the first count. Too many only makes shares smaller.
 ROUTERS_ASSUMED = 8
 
-# What a router writes into its entry: 16 random bytes in hexadecimal.
-_VALUE = re.compile(rb'[0-9a-f]{32}')
+# What a router writes into its entry: 16 random bytes in hexadecimal, and the
+# address that other routers call, if it listens for them.
+_VALUE = re.compile(rb'[0-9a-f]{32}(?: ([0-9.]+:[0-9]{1,5}))?')
 
 _log = get_log(Part.MEMBERS)
 
@@ -53,6 +54,7 @@
 
     version: int
     since_s: float
+    address: str = ''
 
 
 class RouterCount:
@@ -71,7 +73,9 @@
         random: Random,
         on_count: Callable[[int], None],
         clock: Callable[[], float] = boot_s,
+        address: str = '',
     ) -> None:
+        self._address = address
         self._on_count = on_count
         self._store = store
         self._name = name
@@ -88,6 +92,18 @@
         """Return the number of routers that live, this one included."""
         return self._count
 
+    @property
+    def addresses(self) -> tuple[str, ...]:
+        """Return where the other routers that live listen for this one."""
+        now_s = self._clock()
+        found = []
+        for name, seen in self._seen.items():
+            if name == self._name or not seen.address:
+                continue
+            if now_s - seen.since_s <= LIVE_S:
+                found.append(seen.address)
+        return tuple(found)
+
     async def run(self) -> None:
         """Renew the own entry and count all until cancelled."""
         while True:
@@ -101,8 +117,9 @@
         """Write the own entry, unless this router leaves."""
         if self._leaving:
             return
+        value = f'{uuid4().hex} {self._address}'.strip()
         answer = await self._store.put(
-            ROUTERS, self._name, uuid4().hex.encode(), self._version
+            ROUTERS, self._name, value.encode(), self._version
         )
         if isinstance(answer, StoredObject):
             self._version = answer.version
@@ -142,11 +159,13 @@
         live = 0
         for entry in listed:
             known = self._seen.get(entry.name)
+            value = _VALUE.fullmatch(entry.value)
             if known is None or known.version < entry.version:
-                known = _Seen(entry.version, now_s)
+                address = b'' if value is None else value.group(1) or b''
+                known = _Seen(entry.version, now_s, address.decode())
             seen[entry.name] = known
             own = entry.name == self._name
-            if not own and _VALUE.fullmatch(entry.value) is None:
+            if not own and value is None:
                 if entry.name not in self._seen:
                     _log.error('Left an entry out.', entry=entry.name)
                 continue
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -24,7 +24,6 @@
 from lacewing_daemon.direct._stream_relay import StreamRelay
 from lacewing_daemon.direct._target import Target
 from lacewing_daemon.direct._upstream_state import UpstreamState
-from lacewing_daemon.direct.crashes._fingerprint import fingerprint
 from lacewing_daemon.direct.crashes._witness import BrokenRun
 
 _MS = 1000.0
@@ -65,7 +64,8 @@
     The load that the request adds is counted until it ends, and all that
     the answer tells of the upstream is learnt. ``may_leave`` tells whether
     the request could be finished elsewhere, besides so many others that are
-    left at the same moment.
+    left at the same moment. ``fingerprint`` is that of all requests which
+    ask the same.
     """
 
     def __init__(
@@ -77,6 +77,7 @@
         admitted: Admitted,
         target: Target,
         may_leave: Callable[[int], bool],
+        fingerprint: str,
     ) -> None:
         self._fleet = fleet
         self._wire = wire
@@ -86,6 +87,8 @@
         self._target = target
         self._state = target.state
         self._may_leave = may_leave
+        self._fingerprint = fingerprint
+        self._guard = fleet.guard
         self._began_s = time.monotonic()
         self._first_s: float | None = None
         self._others = self._state.others(self._began_s)
@@ -122,6 +125,8 @@
             self._learn,
             on_piece if streams else None,
         )
+        self._cut = attempt.cut
+        self._guard.opened(self._fingerprint, self._cut)
         left_s = end_s - self._began_s
         first_wait_s = left_s
         if self._admitted.route.may_repeat:
@@ -143,6 +148,7 @@
                 gives_up,
             )
         finally:
+            self._guard.closed(self._fingerprint, self._cut)
             self._fleet.silence.closed(self._state, attempt.cut)
             if self._target.copy_to is not None:
                 self._target.copy_to.close_copy(self._copy_tokens)
@@ -193,6 +199,7 @@
         if self._first_s is not None:
             return
         self._first_s = time.monotonic()
+        self._guard.closed(self._fingerprint, self._cut)
         self._state.began(self._ticket)
         prompt = self._request.prompt
         if prompt is None or self._target.goes_on:
@@ -259,6 +266,7 @@
         now_s = time.monotonic()
         if end.verdict is Verdict.RAN:
             self._state.succeeded()
+            self._guard.ran_well(self._fingerprint)
             if self._first_s is not None:
                 FIRST_SECONDS.labels(service).observe(
                     self._first_s - self._request.received_s
@@ -280,10 +288,10 @@
     def _report_broken(self) -> None:
         run = BrokenRun(
             self._request.request_id,
-            fingerprint(self._request, self._admitted.team_name),
+            self._fingerprint,
             self._first_s is not None,
         )
-        self._fleet.witness.broke(self._state.upstream, run)
+        self._guard.witness.broke(self._state.upstream, run)
 
     def _told_newer(self, end: AttemptEnd) -> bool:
         prompt = self._request.prompt
--- a/packages/daemon/src/lacewing_daemon/direct/_settings.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_settings.py
@@ -34,8 +34,9 @@
 class DirectSettings(msgspec.Struct, frozen=True, kw_only=True):
     """Hold all settings of one direct router.
 
-    ``callers``, ``ready`` and ``metrics`` are ``ip:port`` to listen on,
-    ``metrics`` '' for none; ``platform`` is the store's.
+    ``callers``, ``ready``, ``peers`` and ``metrics`` are ``ip:port`` to
+    listen on, the last two '' for none; ``platform`` is the store's.
+    ``peers`` is for the other routers.
     """
 
     process_id: str
@@ -44,6 +45,7 @@
     ready: str
     platform: str
     bounds: Bounds
+    peers: str = ''
     metrics: str = ''
     log_level: LogLevel = LogLevel.INFO
     policy: LoadPolicy = LoadPolicy()
@@ -59,6 +61,9 @@
         return parse_address(self.ready)
 
 
+_MAY_BE_EMPTY = ('peers', 'metrics')
+
+
 def read_direct_settings(path: Path) -> DirectSettings:
     """Read settings from a file; raise SettingsError naming the field."""
     try:
@@ -74,9 +79,9 @@
 
 
 def _check(settings: DirectSettings) -> None:
-    for field in ('callers', 'ready', 'platform', 'metrics'):
+    for field in ('callers', 'ready', 'platform', 'peers', 'metrics'):
         text = getattr(settings, field)
-        if field == 'metrics' and not text:
+        if field in _MAY_BE_EMPTY and not text:
             continue
         try:
             parse_address(text)
--- a/packages/daemon/src/lacewing_daemon/direct/_site.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_site.py
@@ -173,6 +173,9 @@
     def weights(self) -> Collection[NamedWeights]:
         """Return the versions of weights that operators named."""
 
+    def own_texts(self, kind: str) -> Collection[str]:
+        """Return the system's own objects of a kind, to be followed."""
+
     @property
     def store(self) -> OwnObjects:
         """Return the object store for the system's own objects."""
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_guard.py
@@ -0,0 +1,209 @@
+"""Keep requests that crash upstreams from more of them."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Sequence
+from random import Random
+
+from lacewing_common.log import get_log
+from lacewing_common.log import Part
+
+from lacewing_daemon.direct._followed import Followed
+from lacewing_daemon.direct._metrics import KEPT_FINGERPRINTS
+from lacewing_daemon.direct._site import OwnObjects
+from lacewing_daemon.direct._upstream import Upstream
+from lacewing_daemon.direct.crashes._kept import decode_record
+from lacewing_daemon.direct.crashes._kept import KeptCrashes
+from lacewing_daemon.direct.crashes._ledger import CrashLedger
+from lacewing_daemon.direct.crashes._ledger import MOST_CRASHES
+from lacewing_daemon.direct.crashes._record import CrashRecord
+from lacewing_daemon.direct.crashes._record import Start
+from lacewing_daemon.direct.crashes._witness import CrashWitness
+
+# Crashes under one request after which they are written to the store. One
+# crash alone proves nothing, and calls have their price.
+CRASHES_TO_WRITE = 2
+# Peers are heard this much after the start. Importing what is needed takes
+# 60 ms of processor time; before the first reading of the store it would
+# keep the router from being ready.
+PEERS_AFTER_S = 0.15
+# How often it is looked for crashes that count no more.
+FORGET_S = 5.0
+
+Cut = Callable[[], None]
+
+_log = get_log(Part.LINK)
+
+
+class CrashGuard:
+    """Know which requests crash upstreams; share it with all routers.
+
+    What one router sees of a crash goes to its peers at once, and to the
+    store if a second crash adds to it or a peer did not answer.
+    """
+
+    def __init__(
+        self,
+        process_id: str,
+        peers_address: str,
+        store: OwnObjects,
+        followed: Followed[str],
+        others: Callable[[], Sequence[str]],
+        reached: Callable[[Upstream], Awaitable[bool]],
+        random: Random,
+    ) -> None:
+        self._peers_address = peers_address
+        self._others = others
+        self._random = random
+        self._ledger = CrashLedger()
+        self._witness = CrashWitness(reached, self._take_own)
+        self._kept = KeptCrashes(store, followed, process_id, random)
+        self._own: dict[Start, CrashRecord] = {}
+        self._waiting: dict[str, set[Cut]] = {}
+        self._known: frozenset[str] = frozenset()
+        self._tell: Callable[[Iterable[CrashRecord], str], None] | None = None
+        followed.on_change(self._take_stored)
+
+    @property
+    def witness(self) -> CrashWitness:
+        """Return the watch over upstreams that crash."""
+        return self._witness
+
+    def keeps(self, fingerprint: str) -> bool:
+        """Tell whether a request must not be sent to upstreams."""
+        return fingerprint in self._ledger.kept
+
+    def keeps_for_s(self, fingerprint: str) -> float:
+        """Return for how much longer it must not be."""
+        return self._ledger.kept_for_s(fingerprint)
+
+    def suspects(self, fingerprint: str) -> bool:
+        """Tell whether upstreams have crashed under a request."""
+        return self._ledger.crashes(fingerprint) > 0
+
+    def opened(self, fingerprint: str, cut: Cut) -> None:
+        """Note a run that has brought nothing yet; ``cut`` breaks it off."""
+        self._waiting.setdefault(fingerprint, set()).add(cut)
+
+    def closed(self, fingerprint: str, cut: Cut) -> None:
+        """Forget a run that has brought an event or has ended."""
+        cuts = self._waiting.get(fingerprint)
+        if cuts is None:
+            return
+        cuts.discard(cut)
+        if not cuts:
+            del self._waiting[fingerprint]
+
+    def ran_well(self, fingerprint: str) -> None:
+        """Note that a request was answered: it crashed nothing before."""
+        news = self._ledger.clear(fingerprint)
+        if news:
+            self._judge()
+            self._spread(news, '')
+
+    async def run(self) -> None:
+        """Exchange news with peers and the store until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._kept.run())
+            tasks.create_task(self._kept.sweep())
+            tasks.create_task(self._forget())
+            if self._peers_address:
+                tasks.create_task(self._run_peers())
+
+    def close(self) -> None:
+        """Stop looking at upstreams."""
+        self._witness.close()
+
+    async def _run_peers(self) -> None:
+        await asyncio.sleep(PEERS_AFTER_S)
+        from lacewing_daemon.direct.crashes._news import CrashNews
+
+        news = CrashNews(
+            self._peers_address,
+            self._ledger,
+            self._others,
+            self._take,
+            self._keep_own,
+            self._random,
+        )
+        try:
+            await news.start()
+            self._tell = news.tell
+            await news.run()
+        except OSError as error:
+            # The store is left to share by.
+            _log.error('Cannot listen for peers.', error=str(error))
+        finally:
+            self._tell = None
+            news.close()
+
+    async def _forget(self) -> None:
+        while True:
+            await asyncio.sleep(FORGET_S)
+            self._ledger.forget_old()
+            self._judge()
+
+    def _take_own(self, record: CrashRecord) -> None:
+        """Take a crash that this router saw."""
+        before = self._own.get(record.start)
+        if before is not None:
+            suspects = (*before.suspects, *record.suspects)
+            record = CrashRecord(record.start, suspects)
+        self._own[record.start] = record
+        if len(self._own) > MOST_CRASHES:
+            del self._own[next(iter(self._own))]
+        news = self._take((record,))
+        if news:
+            self._spread(news, '')
+
+    def _take_stored(self, name: str, text: str | None) -> None:
+        if text is None:
+            return
+        record = decode_record(text)
+        if record is None:
+            _log.error('Left an entry out.', collection='crashes', entry=name)
+            return
+        self._take((record,))
+
+    def _take(self, records: Iterable[CrashRecord]) -> tuple[CrashRecord, ...]:
+        """Take records; return those that told something new."""
+        news = tuple(one for one in records if self._ledger.take(one))
+        if news:
+            self._judge()
+        return news
+
+    def _spread(self, news: tuple[CrashRecord, ...], sender: str) -> None:
+        if self._tell is None:
+            self._keep_own(news)
+            return
+        self._tell(news, sender)
+
+    def _keep_own(self, records: Iterable[CrashRecord]) -> None:
+        """Write to the store what peers may not have heard."""
+        for record in records:
+            own = self._own.get(record.start)
+            if own is not None:
+                self._kept.keep(own)
+
+    def _judge(self) -> None:
+        """Act on what is known now."""
+        for start, record in self._own.items():
+            for suspect in record.suspects:
+                crashes = self._ledger.crashes(suspect.fingerprint)
+                if crashes >= CRASHES_TO_WRITE:
+                    self._kept.keep(record)
+        kept = self._ledger.kept
+        for fingerprint in kept - self._known:
+            _log.warning(
+                'Keeps a request from upstreams.',
+                same=fingerprint,
+                crashes=self._ledger.crashes(fingerprint),
+            )
+            for cut in tuple(self._waiting.get(fingerprint, ())):
+                cut()
+        for fingerprint in self._known - kept:
+            _log.info('Lets a request through again.', same=fingerprint)
+        self._known = kept
+        KEPT_FINGERPRINTS.set(len(kept))
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_ledger.py
@@ -0,0 +1,219 @@
+"""Decide from crashes which requests are kept from upstreams.
+
+No input or output; time is the caller's.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from dataclasses import dataclass
+from dataclasses import field
+
+from lacewing_daemon.direct._clock import boot_s
+from lacewing_daemon.direct.crashes._record import CrashRecord
+from lacewing_daemon.direct.crashes._record import Start
+from lacewing_daemon.direct.crashes._record import Suspect
+
+# A request is kept from upstreams after so many crashes that nothing else
+# explains; after one less if it is the only one with as many and had brought
+# no event at any. On the model of callers and engines a request then ends
+# 2.5 engines in place of 4.0 and breaks 19 other runs off in place of 38; of
+# 1,100 others none is kept out beside it, and 0.2 where one engine a second
+# ends for no reason (`make crash-errors`).
+CRASHES_TO_KEEP = 3
+# How long a crash counts. Who repeats what crashes upstreams does so for
+# minutes; who was kept out wrongly gets in again after this.
+COUNTS_S = 600.0
+# Crashes remembered, the newest. One upstream crashes every few seconds at
+# the most, and each crash takes some kilobytes.
+MOST_CRASHES = 500
+
+
+@dataclass
+class _Crash:
+    """Hold what ran at an upstream that crashed, and when that was heard.
+
+    ``begun`` maps each request to whether it had brought an event.
+    """
+
+    heard_s: float
+    begun: dict[str, bool] = field(default_factory=dict)
+    cleared: set[str] = field(default_factory=set)
+
+
+class CrashLedger:
+    """Hold the crashes of late and tell which requests caused them.
+
+    All that ran at an upstream is under suspicion when it crashes. Beside a
+    request that crashes one upstream after the other, others run each time;
+    counted alone, those that were repeated beside it would be kept out with
+    it. So the request with the most crashes is held to have caused all of
+    them, and these count for nobody else. A request that is answered well
+    has caused none of the crashes before.
+
+    The result depends on what was told, not on the order in which it came,
+    so all routers come to the same.
+    """
+
+    def __init__(
+        self,
+        to_keep: int = CRASHES_TO_KEEP,
+        clock: Callable[[], float] = boot_s,
+    ) -> None:
+        self._to_keep = to_keep
+        self._clock = clock
+        self._crashes: dict[Start, _Crash] = {}
+        self._under: dict[str, set[Start]] = {}
+        self._kept: frozenset[str] = frozenset()
+        self._stale = False
+
+    @property
+    def empty(self) -> bool:
+        """Tell whether no crash is known."""
+        return not self._crashes
+
+    @property
+    def newest_s(self) -> float:
+        """Return how long ago the newest crash was heard of."""
+        if not self._crashes:
+            return float('inf')
+        newest = next(reversed(self._crashes.values()))
+        return self._clock() - newest.heard_s
+
+    @property
+    def kept(self) -> frozenset[str]:
+        """Return the fingerprints of what is kept from upstreams."""
+        if self._stale:
+            self._kept = self._causes()
+            self._stale = False
+        return self._kept
+
+    def kept_for_s(self, fingerprint: str) -> float:
+        """Return for how much longer a request is kept from upstreams."""
+        if fingerprint not in self.kept:
+            return 0.0
+        newest_s = 0.0
+        for start in self._under[fingerprint]:
+            newest_s = max(newest_s, self._crashes[start].heard_s)
+        return max(0.0, newest_s + COUNTS_S - self._clock())
+
+    def crashes(self, fingerprint: str) -> int:
+        """Return the crashes under a request, whoever caused them."""
+        return len(self._under.get(fingerprint, ()))
+
+    def records(self) -> Iterable[CrashRecord]:
+        """Return all that is known, a record a crash, the newest last."""
+        for start, crash in self._crashes.items():
+            suspects = []
+            for fingerprint in sorted(crash.begun):
+                begun = crash.begun[fingerprint]
+                suspects.append(Suspect(fingerprint, begun))
+            yield CrashRecord(
+                start, tuple(suspects), tuple(sorted(crash.cleared))
+            )
+
+    def take(self, record: CrashRecord) -> bool:
+        """Take what was told of a crash; false if all of it was known."""
+        crash = self._crashes.get(record.start)
+        new = False
+        if crash is None:
+            self.forget_old()
+            crash = _Crash(self._clock())
+            self._crashes[record.start] = crash
+            new = True
+        for fingerprint in record.cleared:
+            new |= self._clear_of(record.start, crash, fingerprint)
+        for suspect in record.suspects:
+            new |= self._suspect(record.start, crash, suspect)
+        self._stale |= new
+        return new
+
+    def clear(self, fingerprint: str) -> tuple[CrashRecord, ...]:
+        """Note that a request ran well; return what there is to tell."""
+        news = []
+        for start in tuple(self._under.get(fingerprint, ())):
+            self._clear_of(start, self._crashes[start], fingerprint)
+            news.append(CrashRecord(start, cleared=(fingerprint,)))
+        self._stale |= bool(news)
+        return tuple(news)
+
+    def forget_old(self) -> None:
+        """Drop what counts no more."""
+        oldest_s = self._clock() - COUNTS_S
+        for start in list(self._crashes):
+            crash = self._crashes[start]
+            if crash.heard_s > oldest_s and len(self._crashes) < MOST_CRASHES:
+                # They are in the order in which they were heard of.
+                return
+            for fingerprint in crash.begun:
+                self._drop(start, fingerprint)
+            del self._crashes[start]
+            self._stale = True
+
+    def _suspect(self, start: Start, crash: _Crash, suspect: Suspect) -> bool:
+        fingerprint = suspect.fingerprint
+        if fingerprint in crash.cleared:
+            return False
+        known = crash.begun.get(fingerprint)
+        if known is not None and known <= suspect.begun:
+            return False
+        # It may have run there twice; the run that had not begun counts.
+        crash.begun[fingerprint] = suspect.begun
+        self._under.setdefault(fingerprint, set()).add(start)
+        return True
+
+    def _clear_of(self, start: Start, crash: _Crash, fingerprint: str) -> bool:
+        if fingerprint in crash.cleared:
+            return False
+        crash.cleared.add(fingerprint)
+        if crash.begun.pop(fingerprint, None) is not None:
+            self._drop(start, fingerprint)
+        return True
+
+    def _drop(self, start: Start, fingerprint: str) -> None:
+        starts = self._under[fingerprint]
+        starts.discard(start)
+        if not starts:
+            del self._under[fingerprint]
+
+    def _causes(self) -> frozenset[str]:
+        """Explain the crashes, those with the most under one request first."""
+        left: dict[str, set[Start]] = {}
+        for fingerprint, starts in self._under.items():
+            if len(starts) >= self._to_keep - 1:
+                left[fingerprint] = set(starts)
+        found: set[str] = set()
+        while left:
+            most = max(self._weight(*item) for item in left.items())
+            causes = []
+            for fingerprint, starts in left.items():
+                if self._weight(fingerprint, starts) == most:
+                    causes.append(fingerprint)
+            if not self._is_enough(most, len(causes)):
+                break
+            explained: set[Start] = set()
+            for fingerprint in causes:
+                explained |= left.pop(fingerprint)
+            found.update(causes)
+            for starts in left.values():
+                starts -= explained
+        return frozenset(found)
+
+    def _is_enough(self, weight: tuple[int, int], alike: int) -> bool:
+        crashes, unbegun = weight
+        if crashes >= self._to_keep:
+            return True
+        if crashes < self._to_keep - 1:
+            return False
+        return alike == 1 and unbegun == crashes
+
+    def _weight(self, fingerprint: str, starts: set[Start]) -> tuple[int, int]:
+        """Return the crashes, and those before any event of the request.
+
+        What crashes an upstream does so as it begins to run; a request that
+        has brought events for a while is less likely the cause.
+        """
+        unbegun = 0
+        for start in starts:
+            if not self._crashes[start].begun[fingerprint]:
+                unbegun += 1
+        return len(starts), unbegun
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_messages.py
@@ -0,0 +1,41 @@
+"""Define what routers say to each other about crashes."""
+
+import msgspec
+import xxhash
+
+from lacewing_daemon.direct.crashes._record import CrashRecord
+
+TELL_METHOD = '/lacewing.Crashes/Tell'
+COMPARE_METHOD = '/lacewing.Crashes/Compare'
+
+_encode = msgspec.msgpack.encode
+
+
+class Told(msgspec.Struct, frozen=True):
+    """Tell what is new; ``sender`` is ``ip:port`` for calls of peers."""
+
+    sender: str
+    records: tuple[CrashRecord, ...]
+
+
+class TookTold(msgspec.Struct, frozen=True):
+    """Confirm that the news has come."""
+
+
+class Compared(msgspec.Struct, frozen=True):
+    """Ask for what the sender lacks; ``marks`` of all that it holds."""
+
+    sender: str
+    marks: tuple[int, ...]
+
+
+class Differences(msgspec.Struct, frozen=True):
+    """Give records that the caller lacks, and marks of those lacking here."""
+
+    records: tuple[CrashRecord, ...]
+    lacking: tuple[int, ...]
+
+
+def mark(record: CrashRecord) -> int:
+    """Return a digest by which two routers see that both hold a record."""
+    return xxhash.xxh3_64_intdigest(_encode(record))
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_news.py
@@ -0,0 +1,218 @@
+"""Exchange news of crashes with the other routers, also without the store."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Sequence
+from random import Random
+from typing import Any
+
+from grpclib.const import Cardinality
+from grpclib.const import Handler
+from grpclib.server import Server
+from grpclib.server import Stream
+from lacewing_common.codec import MsgpackCodec
+from lacewing_common.log import get_log
+from lacewing_common.log import Part
+from lacewing_common.settings import parse_address
+
+from lacewing_daemon.direct._metrics import CRASH_NEWS
+from lacewing_daemon.direct.crashes._ledger import CrashLedger
+from lacewing_daemon.direct.crashes._messages import COMPARE_METHOD
+from lacewing_daemon.direct.crashes._messages import Compared
+from lacewing_daemon.direct.crashes._messages import Differences
+from lacewing_daemon.direct.crashes._messages import mark
+from lacewing_daemon.direct.crashes._messages import TELL_METHOD
+from lacewing_daemon.direct.crashes._messages import Told
+from lacewing_daemon.direct.crashes._messages import TookTold
+from lacewing_daemon.direct.crashes._record import CrashRecord
+from lacewing_daemon.peers import Channels
+from lacewing_daemon.peers import NoReply
+
+# Each router passes news on to so many others at once. With up to nine
+# routers all hear it from the first; of 330, all but one in 3,000 do.
+FANOUT = 8
+# News of one crash comes from all routers that ran something there.
+GATHER_S = 0.02
+# A peer answers within a few ms. One that lost its power or is cut off does
+# not; the store is told in its place, a caller who repeats at once is back
+# within some 0.1 s.
+ANSWER_S = 0.5
+# Routers compare what they hold with one other at random, as news may be
+# lost with whom it was told to: often after a crash, then now and then, so
+# that a router that was cut off has it soon after.
+COMPARE_S = 1.0
+RECENT_S = 10.0
+COMPARE_SELDOM_S = 8.0
+# The newest records that one answer holds, some kilobytes each.
+MOST_RECORDS = 100
+
+_log = get_log(Part.MEMBERS)
+
+
+class CrashNews:
+    """Tell peers what is new, and compare with them what is held.
+
+    ``others`` gives the addresses of the other routers, ``take`` takes
+    records and returns those that were new, ``untold`` is called with
+    records of which some peer did not hear.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        ledger: CrashLedger,
+        others: Callable[[], Sequence[str]],
+        take: Callable[[Iterable[CrashRecord]], tuple[CrashRecord, ...]],
+        untold: Callable[[Iterable[CrashRecord]], None],
+        random: Random,
+    ) -> None:
+        self._address = address
+        self._ledger = ledger
+        self._others = others
+        self._take = take
+        self._untold = untold
+        self._random = random
+        self._channels = Channels(None)
+        self._server = Server([self], codec=MsgpackCodec())
+        self._callers: dict[str, None] = {}
+        self._news: list[CrashRecord] = []
+        self._heard_from: set[str] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def __mapping__(self) -> dict[str, Handler]:
+        """Map the methods for grpclib."""
+        return {
+            TELL_METHOD: _unary(self._on_told, Told, TookTold),
+            COMPARE_METHOD: _unary(self._on_compared, Compared, Differences),
+        }
+
+    async def start(self) -> None:
+        """Listen for peers."""
+        address = parse_address(self._address)
+        await self._server.start(address.host, address.port)
+
+    async def run(self) -> None:
+        """Compare with one peer after the other until cancelled."""
+        while True:
+            await self._compare()
+            pause_s = COMPARE_SELDOM_S
+            if self._ledger.newest_s < RECENT_S:
+                pause_s = COMPARE_S
+            await asyncio.sleep(pause_s * self._random.uniform(0.75, 1.25))
+
+    def tell(self, records: Iterable[CrashRecord], sender: str = '') -> None:
+        """Pass news on to a few peers, together with what comes next."""
+        if not self._news:
+            task = asyncio.create_task(self._tell_soon())
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        self._news.extend(records)
+        self._heard_from.add(sender)
+
+    def close(self) -> None:
+        """End all connections."""
+        for task in self._tasks:
+            task.cancel()
+        self._server.close()
+        self._channels.close()
+
+    async def _tell_soon(self) -> None:
+        await asyncio.sleep(GATHER_S)
+        records = tuple(self._news)
+        self._news.clear()
+        known = self._heard_from | {''}
+        self._heard_from = set()
+        peers = [each for each in self._peers() if each not in known]
+        chosen = self._random.sample(peers, min(FANOUT, len(peers)))
+        calls = [self._tell_one(address, records) for address in chosen]
+        if not all(await asyncio.gather(*calls)):
+            self._untold(records)
+
+    async def _tell_one(
+        self, address: str, records: tuple[CrashRecord, ...]
+    ) -> bool:
+        answer = await self._call(
+            address, TELL_METHOD, Told(self._address, records), TookTold
+        )
+        return isinstance(answer, TookTold)
+
+    async def _compare(self) -> None:
+        peers = self._peers()
+        if not peers:
+            return
+        address = self._random.choice(peers)
+        held = self._marks()
+        answer = await self._call(
+            address,
+            COMPARE_METHOD,
+            Compared(self._address, tuple(held)),
+            Differences,
+        )
+        if not isinstance(answer, Differences):
+            return
+        self._pass_on(answer.records, address)
+        lacking = [held[one] for one in answer.lacking if one in held]
+        if lacking:
+            await self._tell_one(address, tuple(lacking[-MOST_RECORDS:]))
+
+    async def _call(
+        self, address: str, method: str, request: object, reply: type
+    ) -> object:
+        answer: object = await self._channels.call(
+            address, method, request, reply, ANSWER_S
+        )
+        result = 'failed' if isinstance(answer, NoReply) else 'answered'
+        CRASH_NEWS.labels(result).inc()
+        if isinstance(answer, NoReply):
+            self._callers.pop(address, None)
+            _log.debug('A peer did not answer.', error=answer.message)
+        return answer
+
+    async def _on_told(self, stream: Stream[Told, TookTold]) -> None:
+        call = await stream.recv_message()
+        if call is None:
+            return
+        self._note_caller(call.sender)
+        self._pass_on(call.records, call.sender)
+        await stream.send_message(TookTold())
+
+    async def _on_compared(
+        self, stream: Stream[Compared, Differences]
+    ) -> None:
+        call = await stream.recv_message()
+        if call is None:
+            return
+        self._note_caller(call.sender)
+        theirs = frozenset(call.marks)
+        held = self._marks()
+        missing = [held[one] for one in held if one not in theirs]
+        lacking = [one for one in call.marks if one not in held]
+        await stream.send_message(
+            Differences(tuple(missing[-MOST_RECORDS:]), tuple(lacking))
+        )
+
+    def _pass_on(self, records: Iterable[CrashRecord], sender: str) -> None:
+        news = self._take(records)
+        if news:
+            self.tell(news, sender)
+
+    def _marks(self) -> dict[int, CrashRecord]:
+        return {mark(record): record for record in self._ledger.records()}
+
+    def _note_caller(self, address: str) -> None:
+        """Call back who called: it may be too new to be counted."""
+        self._callers.pop(address, None)
+        self._callers[address] = None
+        if len(self._callers) > FANOUT:
+            del self._callers[next(iter(self._callers))]
+
+    def _peers(self) -> list[str]:
+        found = dict.fromkeys(self._others())
+        found.update(self._callers)
+        found.pop(self._address, None)
+        return list(found)
+
+
+def _unary(function: Any, call: type, reply: type) -> Handler:
+    return Handler(function, Cardinality.UNARY_UNARY, call, reply)
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_record.py
@@ -0,0 +1,28 @@
+"""Describe a crash of an upstream as routers tell it to each other."""
+
+import msgspec
+
+
+class Start(msgspec.Struct, frozen=True):
+    """Name one start of an upstream; it crashes once at most."""
+
+    upstream_id: str
+    started_ms: int
+
+
+class Suspect(msgspec.Struct, frozen=True):
+    """Hold a request that a crash broke off; ``begun``: after an event."""
+
+    fingerprint: str
+    begun: bool
+
+
+class CrashRecord(msgspec.Struct, frozen=True):
+    """Hold what ran at an upstream when it crashed, as far as known.
+
+    ``cleared`` are the fingerprints of requests that did not cause it.
+    """
+
+    start: Start
+    suspects: tuple[Suspect, ...] = ()
+    cleared: tuple[str, ...] = ()
--- a/packages/daemon/src/lacewing_daemon/direct/crashes/_witness.py
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_witness.py
@@ -4,12 +4,16 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from dataclasses import dataclass
+from operator import attrgetter
 
 from lacewing_common.log import get_log
 from lacewing_common.log import Part
 
 from lacewing_daemon.direct._metrics import UPSTREAM_CRASHES
 from lacewing_daemon.direct._upstream import Upstream
+from lacewing_daemon.direct.crashes._record import CrashRecord
+from lacewing_daemon.direct.crashes._record import Start
+from lacewing_daemon.direct.crashes._record import Suspect
 
 # The connections of a process that ended are reset together; each router
 # reads the resets of its runs within this time.
@@ -32,23 +36,6 @@
     begun: bool
 
 
-@dataclass(frozen=True)
-class Start:
-    """Name one start of an upstream; it crashes once at most."""
-
-    upstream_id: str
-    started_ms: int
-
-
-@dataclass(frozen=True)
-class SeenCrash:
-    """Hold the runs of this router that a crash broke off."""
-
-    start: Start
-    service: str
-    runs: tuple[BrokenRun, ...]
-
-
 class CrashWitness:
     """Tell a crashed upstream from one that broke one answer off.
 
@@ -60,7 +47,7 @@
     def __init__(
         self,
         reached: Callable[[Upstream], Awaitable[bool]],
-        on_crash: Callable[[SeenCrash], None],
+        on_crash: Callable[[CrashRecord], None],
     ) -> None:
         self._reached = reached
         self._on_crash = on_crash
@@ -92,7 +79,7 @@
         runs = self._broken.pop(start)
         if reached:
             return
-        runs.sort(key=_begun)
+        runs.sort(key=attrgetter('begun'))
         UPSTREAM_CRASHES.labels(upstream.service).inc()
         _log.warning(
             'An upstream crashed.',
@@ -101,13 +88,10 @@
             service=upstream.service,
             runs=[_fields(run) for run in runs[:MOST_RUNS]],
         )
-        self._on_crash(
-            SeenCrash(start, upstream.service, tuple(runs[:MOST_RUNS]))
-        )
-
-
-def _begun(run: BrokenRun) -> bool:
-    return run.begun
+        suspects = []
+        for run in runs[:MOST_RUNS]:
+            suspects.append(Suspect(run.fingerprint, run.begun))
+        self._on_crash(CrashRecord(start, tuple(suspects)))
 
 
 def _fields(run: BrokenRun) -> dict[str, object]:
