Weigh the two errors of keeping requests on a model of callers and engines

Cause: who merely ran beside a crash must not be shut out, and each further crash breaks off all that runs beside it; both need figures.

--- a/Makefile
+++ b/Makefile
@@ -96,6 +96,11 @@
 	$(BIN)/python -m lacewing_bench.experiment --deployment=$(ON) \
 		--load=$(LOAD) $(if $(SWEEP),--sweep)
 
+# Crashing upstreams once more, against shutting others out.
+.PHONY: crash-errors
+crash-errors: $(VENV)/.made
+	$(BIN)/python -m lacewing_bench.crash_errors
+
 .PHONY: capacity
 capacity: $(VENV)/.made
 	$(BIN)/python -m lacewing_bench.capacity
--- /dev/null
+++ b/packages/bench/src/lacewing_bench/crash_errors/_rules.py
@@ -0,0 +1,69 @@
+"""Give the rules that are compared: the one in use and others."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from lacewing_daemon.direct.crashes import CrashLedger
+from lacewing_daemon.direct.crashes import CrashRecord
+from lacewing_daemon.direct.crashes import Start
+
+Clock = Callable[[], float]
+
+
+class Ledger(Protocol):
+    """Hold crashes and tell which requests are kept from upstreams."""
+
+    @property
+    def kept(self) -> frozenset[str]:
+        """Return the fingerprints of what is kept."""
+
+    def take(self, record: CrashRecord) -> object:
+        """Take what ran at a crash."""
+
+    def clear(self, fingerprint: str) -> object:
+        """Note that a request ran well."""
+
+
+class CountedAlone:
+    """Keep whatever ran at so many crashes, whoever caused them."""
+
+    def __init__(self, to_keep: float) -> None:
+        self._to_keep = to_keep
+        self._under: dict[str, set[Start]] = {}
+
+    @property
+    def kept(self) -> frozenset[str]:
+        """Return the fingerprints of what is kept."""
+        found = set()
+        for fingerprint, starts in self._under.items():
+            if len(starts) >= self._to_keep:
+                found.add(fingerprint)
+        return frozenset(found)
+
+    def take(self, record: CrashRecord) -> None:
+        """Take what ran at a crash."""
+        for suspect in record.suspects:
+            starts = self._under.setdefault(suspect.fingerprint, set())
+            starts.add(record.start)
+
+    def clear(self, fingerprint: str) -> None:
+        """Note that a request ran well."""
+        self._under.pop(fingerprint, None)
+
+
+@dataclass(frozen=True)
+class Rule:
+    """Name a rule and make its ledger."""
+
+    name: str
+    ledger: Callable[[Clock], Ledger]
+
+
+NONE = Rule('nothing is kept', lambda _clock: CountedAlone(float('inf')))
+COUNTED_2 = Rule('2 crashes, counted alone', lambda _clock: CountedAlone(2))
+COUNTED_3 = Rule('3 crashes, counted alone', lambda _clock: CountedAlone(3))
+# One less than each is enough if it is the only one and brought no event.
+EXPLAINED_2 = Rule('2, explained', lambda clock: CrashLedger(2, clock))
+USED = Rule('3, explained (in use)', lambda clock: CrashLedger(clock=clock))
+EXPLAINED_4 = Rule('4, explained', lambda clock: CrashLedger(4, clock))
