--- a/features/direct_unreachable.feature
+++ b/features/direct_unreachable.feature
@@ -36,6 +36,21 @@
       And a caller asks a model with a long prompt
       Then that prompt is refused at once with a time to come back
 
+    Scenario: No engine is left
+      # Symptom: after all engines of a service have crashed, callers are told
+      #   to come back after "inf" seconds, and don't.
+      # Sequence: each engine's connections are refused, so it is left alone
+      #   for a while; a prompt comes and there is none to send it to.
+      # Cause: the time was that of the soonest engine, of which there was
+      #   none.
+      Given a store with a configuration
+      And engines "eng-1" and "eng-2"
+      And a direct router
+      When all upstreams stop listening
+      And a caller asks a model
+      And a caller asks a model
+      Then the caller is told to come back within 4 seconds
+
     Scenario: A refusal by an engine still needs the budget
       Given a store with a configuration
       And engines "eng-1" and "eng-2"
--- a/features/steps/unreachable_steps.py
+++ b/features/steps/unreachable_steps.py
@@ -45,6 +45,22 @@
     bench.until(lambda: bool(bench.received()), 'a prompt at an engine')
 
 
+@when('all upstreams stop listening')
+def step_all_stop(context: Context) -> None:
+    """Close all listeners; the entries stay."""
+    bench = direct_bench(context)
+    for upstream in bench.upstreams.values():
+        bench.on_loop(upstream.server.close)
+
+
+@then('the caller is told to come back within {most_s:d} seconds')
+def step_soon(context: Context, most_s: int) -> None:
+    """Look at the time that the last answer tells."""
+    answer = direct_bench(context).answer
+    assert answer.status == 503, answer
+    assert 0.0 < float(answer.headers['Retry-After']) <= most_s, answer
+
+
 @when('the other engine stops listening')
 def step_other_stops(context: Context) -> None:
     """Close the listener of the engine that got nothing."""
--- a/packages/daemon/src/lacewing_daemon/direct/_choice.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_choice.py
@@ -31,6 +31,11 @@
     handicap_ms: float = 0.0
 
 
+# Without any engine there is no time by which one has room. Those that can't
+# be reached are tried again after half a second.
+NOBODY_MS = 500.0
+
+
 @dataclass(frozen=True)
 class Placement:
     """Place a request; ``first_ms`` until its first event is expected."""
@@ -63,6 +68,8 @@
     ``answer_tokens`` are those expected; what a run makes after its engine
     has loaded new weights is lost.
     """
+    if not engines:
+        return NoRoom(NOBODY_MS)
     best: Placement | None = None
     best_cost_ms = 0.0
     soonest_ms = float('inf')
