End a call to a peer that is cancelled as its connection is lost

Cause: a router that was told to stop logged "Stopped." and never ended, so it was not started again. The call to a peer reported the lost connection as its result and the cancellation was gone; the loop that compares crashes went on for ever. Ruled out: a stall of the soak itself; the log of router-2 has "Stopped." and then "Drains already." twice from the same process. Change: the call ends cancelled. Also: lacewingctl explain names the upstreams that crashed under what a request asks. One of the two failures had a process that wrote nothing after its start; that one is not explained by this and is looked for.

--- a/features/ctl_explain.feature
+++ b/features/ctl_explain.feature
@@ -24,6 +24,15 @@
     When a caller orders 6 certificates
     Then explaining it names status 502 and "2 others failed there"
 
+  Scenario: A request that crashes upstreams
+    # Symptom: a caller is refused at once, for minutes.
+    # Sequence: upstreams crash under its request; all routers keep it.
+    # Cause: found in the lines of the crashes, by what asks the same.
+    Given 2 upstreams of "registry" that come back after a crash
+    When callers send what crashes them to "/records/1" until 2 have crashed
+    And it comes again to "/records/1" 1 time after 0 seconds
+    Then explaining it names status 503 and "2 upstreams had crashed under"
+
   Scenario: New weights that do not arrive
     # Symptom: answers come from old weights for long.
     # Sequence: engines leave orders unanswered.
--- a/features/direct_crashes.feature
+++ b/features/direct_crashes.feature
@@ -127,6 +127,16 @@
       And it comes again to "/records/1" 4 times after 0 seconds
       Then it reaches at most 0 more upstreams
 
+    Scenario: A stop ends a call whose connection is lost meanwhile
+      # Symptom: a router that was told to stop logs "Stopped." and goes on
+      #   to exist; it is not started again, and serves nobody.
+      # Sequence: it is cancelled while it calls a peer, and that connection
+      #   ends at the same moment, as when several routers stop together.
+      # Cause: the call reported the lost connection as its result, and the
+      #   cancellation with it was gone: the loop around it went on for ever.
+      When a call to a peer is cancelled as its connection is lost
+      Then the call ends cancelled
+
   Rule: Who merely ran beside a crash is not shut out
 
     Scenario Outline: One request explains the crashes of others
--- a/features/steps/crashes_steps.py
+++ b/features/steps/crashes_steps.py
@@ -27,13 +27,14 @@
 
 @given('{count:d} upstreams of "{service}" that come back after a crash')
 def step_upstreams(context: Context, count: int, service: str) -> None:
-    """Start upstreams that start again a little after each crash."""
+    """Start upstreams; all of the service start again after each crash."""
     bench = direct_bench(context)
     for number in range(1, count + 1):
-        name = f'up-{number}'
-        upstream = bench.add_upstream(name, service)
-        upstream.crash_bodies.add(CRASHES)
-        upstream.on_crash = _come_back(bench, upstream)
+        bench.add_upstream(f'up-{number}', service)
+    for upstream in bench.upstreams.values():
+        if upstream.service == service:
+            upstream.crash_bodies.add(CRASHES)
+            upstream.on_crash = _come_back(bench, upstream)
 
 
 def _come_back(
@@ -211,7 +212,7 @@
 
 
 def _send(bench: DirectBench, path: str, number: int) -> None:
-    at = number % len(bench.routers)
+    at = number % max(1, len(bench.routers))
     headers = PROMPT if path.startswith(('/chat/', '/talk/')) else {}
     connection = bench.connect(at)
     try:
--- a/packages/common/src/lacewing_common/log_lines.py
+++ b/packages/common/src/lacewing_common/log_lines.py
@@ -35,12 +35,25 @@
     copy: str = ''
 
 
+class BrokenRun(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold a run that its upstream broke off.
+
+    ``same`` is the fingerprint of all requests which ask the same;
+    ``begun``: the run had brought an event.
+    """
+
+    request: str
+    same: str
+    begun: bool
+
+
 class LogLine(msgspec.Struct, frozen=True, kw_only=True):
     """Hold one line of a process's log, as far as it is read again.
 
-    ``request`` is the id on lines of requests, ``upstream`` and ``version``
-    are those of an order to load weights, ``collection`` and ``fault`` of
-    what the store no longer tells.
+    ``request`` is the id on lines of requests and ``same`` the fingerprint of
+    those which ask the same, ``upstream`` and ``version`` are those of an
+    order to load weights, ``collection`` and ``fault`` of what the store no
+    longer tells, ``runs`` those that a crash of ``upstream`` broke off.
     """
 
     event: str
@@ -62,3 +75,5 @@
     version: int = 0
     collection: str = ''
     fault: str = ''
+    same: str = ''
+    runs: tuple[BrokenRun, ...] = ()
--- a/packages/ctl/src/lacewing_ctl/_causes.py
+++ b/packages/ctl/src/lacewing_ctl/_causes.py
@@ -67,8 +67,30 @@
     return 'The upstreams that were tried were full.'
 
 
+def _kept(story: Story) -> str:
+    crashed = []
+    for line in story.crashes:
+        if line.upstream not in crashed:
+            crashed.append(line.upstream)
+    if not crashed:
+        return (
+            'Other routers told that upstreams had crashed under the same'
+            ' request; none of that stands in these logs.'
+        )
+    return (
+        f'{len(crashed)} upstreams had crashed under the same request, so it'
+        f' was kept from the others: {", ".join(crashed)}.'
+    )
+
+
 def _broken(story: Story) -> str:
     last = _last(story)
+    for line in story.crashes:
+        if line.upstream == last.upstream:
+            return (
+                f'{last.upstream} crashed and broke off {len(line.runs)} runs'
+                f' of {line.process}.'
+            )
     count = _failures_at(story, last.upstream)
     if count >= MANY:
         return (
@@ -149,6 +171,7 @@
     Reason.NO_WORKER.value: _no_room,
     Reason.QUEUE_FULL.value: _refused,
     Reason.STALE_WEIGHTS.value: _refused,
+    Reason.WORKERS_CRASHED.value: _kept,
     Reason.WORKER_FAILED.value: _broken,
     Reason.STREAM_BROKEN.value: _broken,
     Reason.WORKER_UNREACHABLE.value: _unreachable,
--- a/packages/ctl/src/lacewing_ctl/_queries/explain.py
+++ b/packages/ctl/src/lacewing_ctl/_queries/explain.py
@@ -80,7 +80,12 @@
         for one in line.tries:
             rows.append(_row(one))
         parts.append(tabulate(rows, _TRIES))
-    around = [*story.process, *story.orders, *story.beside[:_MOST_BESIDE]]
+    around = [
+        *story.process,
+        *story.orders,
+        *story.crashes,
+        *story.beside[:_MOST_BESIDE],
+    ]
     for other in around:
         parts.append(f'  {_short(other)}')
     more = len(story.beside) - _MOST_BESIDE
--- a/packages/ctl/src/lacewing_ctl/_story.py
+++ b/packages/ctl/src/lacewing_ctl/_story.py
@@ -8,6 +8,7 @@
 
 FAILED = 'callers: Request failed.'
 ORDERED = 'placement: Ordered weights.'
+CRASHED = 'link: An upstream crashed.'
 LOST = 'platform: Lost a collection.'
 STARTED = 'main: Started.'
 DRAINING = 'main: Draining.'
@@ -28,12 +29,14 @@
     ``orders``: orders of weights to the upstreams that were tried.
     ``beside``: other requests that failed at one of these upstreams.
     ``process``: what the process lost, or that it started or drains.
+    ``crashes``: crashes of upstreams that broke off what asks the same.
     """
 
     line: LogLine
     orders: tuple[LogLine, ...]
     beside: tuple[LogLine, ...]
     process: tuple[LogLine, ...]
+    crashes: tuple[LogLine, ...] = ()
 
 
 def find_stories(
@@ -71,9 +74,13 @@
     orders = []
     beside = []
     process = []
+    crashes = []
     for line in lines:
         if line is own:
             continue
+        if line.event == CRASHED and line.timestamp <= own.timestamp + AROUND:
+            if any(run.same == own.same for run in line.runs):
+                crashes.append(line)
         if line.process == own.process and line.event in _OF_PROCESS:
             if began - BEFORE <= line.timestamp <= own.timestamp:
                 process.append(line)
@@ -83,7 +90,9 @@
             orders.append(line)
         if line.event == FAILED and _failed_at(line, tried):
             beside.append(line)
-    return Story(own, tuple(orders), tuple(beside), tuple(process))
+    return Story(
+        own, tuple(orders), tuple(beside), tuple(process), tuple(crashes)
+    )
 
 
 def _failed_at(line: LogLine, upstreams: frozenset[str]) -> bool:
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from lacewing_common.log_lines import BrokenRun
 from lacewing_common.log_lines import Try
 from lacewing_common.verdict import Reason
 from lacewing_common.verdict import Verdict
@@ -24,7 +25,6 @@
 from lacewing_daemon.direct._stream_relay import StreamRelay
 from lacewing_daemon.direct._target import Target
 from lacewing_daemon.direct._upstream_state import UpstreamState
-from lacewing_daemon.direct.crashes._witness import BrokenRun
 
 _MS = 1000.0
 # An upstream at whose address another one answers has ended; its entry goes
@@ -287,9 +287,9 @@
 
     def _report_broken(self) -> None:
         run = BrokenRun(
-            self._request.request_id,
-            self._fingerprint,
-            self._first_s is not None,
+            request=self._request.request_id,
+            same=self._fingerprint,
+            begun=self._first_s is not None,
         )
         self._guard.witness.broke(self._state.upstream, run)
 
--- a/packages/daemon/src/lacewing_daemon/direct/crashes/_witness.py
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_witness.py
@@ -3,11 +3,12 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
-from dataclasses import dataclass
 from operator import attrgetter
 
+import msgspec
 from lacewing_common.log import get_log
 from lacewing_common.log import Part
+from lacewing_common.log_lines import BrokenRun
 
 from lacewing_daemon.direct._metrics import UPSTREAM_CRASHES
 from lacewing_daemon.direct._upstream import Upstream
@@ -24,18 +25,6 @@
 _log = get_log(Part.LINK)
 
 
-@dataclass(frozen=True)
-class BrokenRun:
-    """Hold a run that its upstream broke off.
-
-    ``begun``: it had brought an event.
-    """
-
-    request_id: str
-    fingerprint: str
-    begun: bool
-
-
 class CrashWitness:
     """Tell a crashed upstream from one that broke one answer off.
 
@@ -86,17 +75,9 @@
             upstream=start.upstream_id,
             started_ms=start.started_ms,
             service=upstream.service,
-            runs=[_fields(run) for run in runs[:MOST_RUNS]],
+            runs=msgspec.to_builtins(runs[:MOST_RUNS]),
         )
         suspects = []
         for run in runs[:MOST_RUNS]:
-            suspects.append(Suspect(run.fingerprint, run.begun))
+            suspects.append(Suspect(run.same, run.begun))
         self._on_crash(CrashRecord(start, tuple(suspects)))
-
-
-def _fields(run: BrokenRun) -> dict[str, object]:
-    return {
-        'request': run.request_id,
-        'same': run.fingerprint,
-        'begun': run.begun,
-    }
--- a/packages/daemon/src/lacewing_daemon/peers/_channels.py
+++ b/packages/daemon/src/lacewing_daemon/peers/_channels.py
@@ -95,6 +95,12 @@
             # A connection to a VM that vanished sends no end; kept, each
             # further call would wait on it in vain.
             self._drop(address)
+            task = asyncio.current_task()
+            if task is not None and task.cancelling():
+                # A connection that ends as its call is cancelled shows as
+                # lost. Reported as that, the loop around the call would go
+                # on, and a process that was told to stop would never end.
+                raise asyncio.CancelledError from error
             return NoReply(f'{address}: {error!r}')
         return reply
 
