--- a/features/soak.feature
+++ b/features/soak.feature
@@ -15,3 +15,7 @@
   Scenario: Seeds that failed once
     When every seed that ever failed is run
     Then no promise is broken
+
+  Scenario: Seeds that failed once while a request crashed upstreams
+    When every seed with crashes that ever failed is run
+    Then no promise is broken
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -134,13 +134,26 @@
 
 @when('every seed that ever failed is run')
 def step_seeds(context: Context) -> None:
-    """Run the listed seeds side by side."""
+    """Run the listed seeds side by side, but those with crashes."""
+    seeds = [one for one in _listed() if one['theme'] != Theme.CRASHES.value]
+    context.reports = asyncio.run(_run_all(seeds))
+
+
+@when('every seed with crashes that ever failed is run')
+def step_crash_seeds(context: Context) -> None:
+    """Run these side by side."""
+    seeds = [one for one in _listed() if one['theme'] == Theme.CRASHES.value]
+    context.reports = asyncio.run(_run_all(seeds))
+
+
+def _listed() -> list[dict[str, Any]]:
     listed = tomllib.loads(
         resources.files('lacewing_platform_testing.soak')
         .joinpath('seeds.toml')
         .read_text()
     )
-    context.reports = asyncio.run(_run_all(listed['seed']))
+    seeds: list[dict[str, Any]] = listed['seed']
+    return seeds
 
 
 async def _run_all(seeds: list[dict[str, Any]]) -> list[SoakReport]:
