Make routers' knowledge of engines in one place for the scenarios

Cause: two step files had the same route, service and engines, and the same loop that tells a router of them.

--- a/features/steps/direct_weights_steps.py
+++ b/features/steps/direct_weights_steps.py
@@ -7,16 +7,9 @@
 from behave import when
 from behave.runner import Context
 from lacewing_daemon.direct import CallerRequest
-from lacewing_daemon.direct import Directory
-from lacewing_daemon.direct import Engine
-from lacewing_daemon.direct import Limits
 from lacewing_daemon.direct import NamedWeights
 from lacewing_daemon.direct import Prompt
 from lacewing_daemon.direct import PromptPart
-from lacewing_daemon.direct import Route
-from lacewing_daemon.direct import Service
-from lacewing_daemon.direct import Share
-from lacewing_daemon.direct import Upstream
 from lacewing_daemon.direct._admission import Admitted
 from lacewing_daemon.direct._knowledge import Knowledge
 from lacewing_daemon.direct._knowledge import OLD_WEIGHTS_PART
@@ -28,10 +21,12 @@
 from support.direct_bench import direct_bench
 from support.direct_bench import MODEL
 from support.direct_bench import sleep
+from support.known_engines import know_engines
+from support.known_engines import ROUTE
+from support.known_engines import SERVICE
 from tornado.httputil import HTTPHeaders
 
 WANTED_MS = 1000.0
-SERVICE = 'models'
 # How often the scenarios look, and what rounding may make of a time.
 LOOK_S = 0.1
 APART_S = 4.4
@@ -39,21 +34,6 @@
 # What a busier engine has to read before; less than what the older weights
 # of an idle one count for.
 BUSY_MS = 20.0
-_ENGINE = Engine(48, 100000, 192512.0, 1.8e11, (MODEL,), True)
-_ROUTE = Route(
-    'check',
-    'handbook.example',
-    '/check/',
-    False,
-    True,
-    True,
-    5.0,
-    0.4,
-    1,
-    2,
-    True,
-    (Share(SERVICE, 1.0),),
-)
 
 
 class _Clock:
@@ -73,27 +53,8 @@
     def __init__(self, engines: int) -> None:
         self.clock = _Clock()
         self.knowledge = Knowledge(BOUNDS, LoadPolicy(), self.clock)
-        self.service = Service(SERVICE, 300, _ENGINE)
         self.named: dict[int, float] = {}
-        self.ids = [f'engine-{number}' for number in range(engines)]
-        self.knowledge.take_directory(
-            Directory(
-                1, (_ROUTE,), {SERVICE: self.service}, None, Limits(10**6, 15)
-            )
-        )
-        for number, name in enumerate(self.ids):
-            self.knowledge.take_upstream(
-                name,
-                Upstream(
-                    name,
-                    SERVICE,
-                    f'127.0.0.1:{number + 1}',
-                    'z0',
-                    48,
-                    False,
-                    {MODEL: 1},
-                ),
-            )
+        self.ids = know_engines(self.knowledge, ['z0'] * engines)
         self.placer = Placer(self.knowledge, 'z0')
 
     def name(self, version: int, unsure_s: float = 0.0) -> None:
@@ -112,7 +73,7 @@
         prompt = Prompt(MODEL, 900, 50, 13, (PromptPart('one', 900),))
         target = self.placer.place(
             _request(prompt),
-            Admitted(_ROUTE, self.service, None),
+            Admitted(ROUTE, SERVICE, None),
             excluded,
             WANTED_MS,
             self.clock.now_s,
--- a/features/steps/kept_parts_steps.py
+++ b/features/steps/kept_parts_steps.py
@@ -7,45 +7,27 @@
 from behave import when
 from behave.runner import Context
 from lacewing_daemon.direct import CallerRequest
-from lacewing_daemon.direct import Directory
-from lacewing_daemon.direct import Engine
 from lacewing_daemon.direct import KvStore
-from lacewing_daemon.direct import Limits
 from lacewing_daemon.direct import Prompt
 from lacewing_daemon.direct import PromptPart
-from lacewing_daemon.direct import Route
 from lacewing_daemon.direct import Service
-from lacewing_daemon.direct import Share
-from lacewing_daemon.direct import Upstream
 from lacewing_daemon.direct._admission import Admitted
 from lacewing_daemon.direct._knowledge import Knowledge
 from lacewing_daemon.direct._placing import Placer
 from lacewing_daemon.direct._policy import LoadPolicy
 from lacewing_daemon.direct._target import Target
 from support.direct_bench import BOUNDS
+from support.known_engines import ENGINE
+from support.known_engines import know_engines
+from support.known_engines import MODEL
+from support.known_engines import ROUTE
+from support.known_engines import SERVICE
 from tornado.httputil import HTTPHeaders
 
-MODEL = 'tutor'
-SERVICE = 'models'
 WANTED_MS = 400.0
 NOW_S = 100.0
 SHARED_TOKENS = 2520 + 3780
 TOKENS_PER_MS = LoadPolicy().prefill_tokens_per_ms
-_ENGINE = Engine(48, 100000, 192512.0, 1.8e11, (MODEL,), True)
-_ROUTE = Route(
-    'check',
-    'handbook.example',
-    '/check/',
-    False,
-    True,
-    True,
-    5.0,
-    0.4,
-    1,
-    2,
-    True,
-    (Share(SERVICE, 1.0),),
-)
 
 
 class _Router:
@@ -54,35 +36,12 @@
     def __init__(self, zone: str, zones: list[str]) -> None:
         self.knowledge = Knowledge(BOUNDS, LoadPolicy(), lambda: NOW_S)
         self.zone = zone
-        service = Service(SERVICE, 300, _ENGINE)
         kept = Service(
             'kept', 0, None, KvStore('127.0.0.1:9', 'z0', 10**6, 4.5e10)
         )
-        self.knowledge.take_directory(
-            Directory(
-                1,
-                (_ROUTE,),
-                {SERVICE: service, 'kept': kept},
-                None,
-                Limits(10**6, 15.0),
-            )
-        )
-        for number, engine_zone in enumerate(zones):
-            name = f'engine-{number}'
-            self.knowledge.take_upstream(
-                name,
-                Upstream(
-                    name,
-                    SERVICE,
-                    f'127.0.0.1:{number + 1}',
-                    engine_zone,
-                    48,
-                    False,
-                    {MODEL: 1},
-                ),
-            )
-        self.admitted = Admitted(_ROUTE, service, None)
-        self.once = Admitted(replace(_ROUTE, resumable=False), service, None)
+        know_engines(self.knowledge, zones, {'kept': kept})
+        self.admitted = Admitted(ROUTE, SERVICE, None)
+        self.once = Admitted(replace(ROUTE, resumable=False), SERVICE, None)
         self.placer = Placer(self.knowledge, zone)
 
     def place(
@@ -136,7 +95,7 @@
     context.first = router.place(_prompt('first'))
     context.first.state.open(context.first.read_ms, 1, NOW_S)
     router.placer.kept.note_sent(
-        context.first, _prompt('first'), _ENGINE, NOW_S
+        context.first, _prompt('first'), ENGINE, NOW_S
     )
 
 
