Take what follows a late answer for no younger than that answer

An answer of the store was 4 s on its way; the versions named meanwhile came with the next one and counted as just made. Ruled out: the start of the process; router-1 ran all the time. Change: only an answer that was asked for after the doubt arose ends it; one that was waited for is fresh as before.

--- a/features/direct_weights.feature
+++ b/features/direct_weights.feature
@@ -120,6 +120,19 @@
         | whose call for changes fails  | 0.3 |
         | whose store drops its history | 1.0 |
 
+    Scenario: Changes that are told after an answer that came late
+      # Symptom: requests begin on weights superseded 5.3 to 6.3 s before,
+      #   where 5 s are allowed.
+      # Sequence: an answer that tells version 7 is 4 s on its way; versions 8
+      #   to 12 are named meanwhile, and the next answer tells them at once
+      #   ("Weights are named." 7 to 12 within 10 ms, 8 to 12 with an age of
+      #   0).
+      # Cause: only the late answer's own changes were taken for made before;
+      #   what followed it was known to the store as long.
+      Given a router that waits 0.2 s for an answer that comes after 1.0 s
+      When the store tells of another change at once
+      Then the other change may have been made 1.0 s before
+
     Scenario: An upstream's entry tells of weights
       # Symptom: a router that can't read the weights sends requests to
       #   engines with old ones without an end.
--- a/features/steps/weights_gap_steps.py
+++ b/features/steps/weights_gap_steps.py
@@ -10,6 +10,7 @@
 from lacewing_common.store import StoreError
 from lacewing_common.store import StoreFault
 from lacewing_daemon.direct import Changes
+from lacewing_daemon.direct import Collection
 from lacewing_daemon.direct import HistoryGone
 from lacewing_daemon.direct import Listing
 from lacewing_daemon.direct._followed import Followed
@@ -110,20 +111,22 @@
     context.unsure = asyncio.run(_follow(context.scripted))
 
 
-async def _follow(store: _Store) -> dict[int, float]:
-    followed: Followed[int] = Followed('entries', store, 4.0, Random())
+async def _follow(
+    store: Collection[int], wait_s: float = 4.0, last: int = 2
+) -> dict[int, float]:
+    followed: Followed[int] = Followed('entries', store, wait_s, Random())
     unsure = {}
-    second = asyncio.Event()
+    told_all = asyncio.Event()
 
     def told(_name: str, value: int | None) -> None:
         assert value is not None
         unsure[value] = followed.unsure_s
-        if value > 1:
-            second.set()
+        if value == last:
+            told_all.set()
 
     followed.on_change(told)
     running = asyncio.create_task(followed.run())
-    await asyncio.wait_for(second.wait(), LIMIT_S)
+    await asyncio.wait_for(told_all.wait(), LIMIT_S)
     running.cancel()
     return unsure
 
@@ -135,6 +138,47 @@
     assert ago_s <= context.unsure[2] <= ago_s + SLOW_S, context.unsure
 
 
+class _LateStore:
+    """Answer one list, one change late, then another one at once."""
+
+    def __init__(self, late_s: float) -> None:
+        self._late_s = late_s
+
+    async def read(self) -> Listing[int]:
+        """Give the list."""
+        return Listing({_NAMED: 0}, 1)
+
+    async def changes(self, since: int, wait_s: float) -> Changes[int]:
+        """Give the changes, then nothing."""
+        if since > 2:
+            await asyncio.Event().wait()
+        if since == 1:
+            await asyncio.sleep(self._late_s)
+        return Changes(((_NAMED, since),), since + 1)
+
+
+@given(
+    'a router that waits {wait_s:f} s for an answer that comes after'
+    ' {late_s:f} s'
+)
+def step_late(context: Context, wait_s: float, late_s: float) -> None:
+    """Script the store."""
+    context.late = (_LateStore(late_s), wait_s)
+
+
+@when('the store tells of another change at once')
+def step_other_change(context: Context) -> None:
+    """Follow the store until it has told both."""
+    store, wait_s = context.late
+    context.unsure = asyncio.run(_follow(store, wait_s, 2))
+
+
+@then('the other change may have been made {ago_s:f} s before')
+def step_other_made(context: Context, ago_s: float) -> None:
+    """Compare."""
+    assert ago_s <= context.unsure[2] <= ago_s + SLOW_S, context.unsure
+
+
 @when(
     'engine "{name}" has version {version:d} and a router starts without'
     ' the weights'
--- a/packages/daemon/src/lacewing_daemon/direct/_followed.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_followed.py
@@ -124,6 +124,7 @@
         self._last_revision = 0
         self._confirmed_s: float | None = None
         self._unheard_from_s: float | None = float('-inf')
+        self._noted_s = float('-inf')
         self._regained_s = float('-inf')
         self._lost = False
         self._rewound = False
@@ -211,10 +212,14 @@
             return 0.0
         self._regained()
         self._read = LastRead(answer.size, answer.took_s)
-        if self._clock() - sent_s > wait_s + LATE_S:
-            self._unheard_since(sent_s)
+        self._judge_way(answer, self._clock() - sent_s, wait_s)
         self._take(answer)
-        self._unheard_from_s = None
+        # An answer that was long on its way, or was read after a standstill,
+        # tells what was so when it was sent. What the next one tells at once
+        # was made since then; taken for just made, older weights were used
+        # for too long. So only an answer that was asked for later ends it.
+        if self._noted_s <= sent_s:
+            self._unheard_from_s = None
         self.confirm(answer, sent_s, wait_s)
         if isinstance(answer, Listing):
             self._last_took_s = answer.took_s
@@ -255,6 +260,20 @@
         if self._confirmed_s is None or confirmed_s > self._confirmed_s:
             self._confirmed_s = confirmed_s
 
+    def _judge_way(
+        self, answer: Listing[T] | Changes[T], took_s: float, wait_s: float
+    ) -> None:
+        """Note whether an answer was long on its way, or was waited for."""
+        sent_s = self._clock() - took_s
+        if took_s > wait_s + LATE_S:
+            self._unheard_since(sent_s)
+            return
+        if isinstance(answer, Listing) or took_s <= LATE_S:
+            return
+        if self._noted_s <= sent_s:
+            # There was nothing to tell when it was asked for.
+            self._unheard_from_s = None
+
     async def _rest(self, pause_s: float) -> None:
         """Sleep, or until the guide has found the store again."""
         guide = self._guide
@@ -429,6 +448,7 @@
 
     def _unheard_since(self, at_s: float) -> None:
         """Note from when on changes may have gone unheard."""
+        self._noted_s = self._clock()
         if self._unheard_from_s is None:
             self._unheard_from_s = at_s
 
