Tell a peer of all crashes but those that it told

Cause: news gathered for 20 ms was not told to any peer that had sent a part of it, so of two routers that saw one crash each could miss what the other ran there until they compared, up to a second later. Found by reading.

--- a/packages/daemon/src/lacewing_daemon/direct/crashes/_news.py
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_news.py
@@ -75,8 +75,7 @@
         self._channels = Channels(None)
         self._server = Server([self], codec=MsgpackCodec())
         self._callers: dict[str, None] = {}
-        self._news: list[CrashRecord] = []
-        self._heard_from: set[str] = set()
+        self._news: list[tuple[CrashRecord, str]] = []
         self._tasks: set[asyncio.Task[None]] = set()
 
     def __mapping__(self) -> dict[str, Handler]:
@@ -107,8 +106,8 @@
             task = asyncio.create_task(self._tell_soon())
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
-        self._news.extend(records)
-        self._heard_from.add(sender)
+        for record in records:
+            self._news.append((record, sender))
 
     def close(self) -> None:
         """End all connections."""
@@ -119,19 +118,23 @@
 
     async def _tell_soon(self) -> None:
         await asyncio.sleep(GATHER_S)
-        records = tuple(self._news)
+        news = tuple(self._news)
         self._news.clear()
-        known = self._heard_from | {''}
-        self._heard_from = set()
-        peers = [each for each in self._peers() if each not in known]
+        peers = self._peers()
         chosen = self._random.sample(peers, min(FANOUT, len(peers)))
-        calls = [self._tell_one(address, records) for address in chosen]
+        calls = []
+        for address in chosen:
+            # Whoever told of one crash has not heard of the others.
+            unheard = [record for record, sender in news if sender != address]
+            calls.append(self._tell_one(address, tuple(unheard)))
         if not all(await asyncio.gather(*calls)):
-            self._untold(records)
+            self._untold([record for record, _ in news])
 
     async def _tell_one(
         self, address: str, records: tuple[CrashRecord, ...]
     ) -> bool:
+        if not records:
+            return True
         answer = await self._call(
             address, TELL_METHOD, Told(self._address, records), TookTold
         )
