--- a/features/ctl_explain.feature
+++ b/features/ctl_explain.feature
@@ -26,7 +26,7 @@
 
   Scenario: A request that crashes upstreams
     # Symptom: a caller is refused at once, for minutes.
-    # Sequence: upstreams crash under its request; all routers keep it.
+    # Sequence: upstreams crash under its request; all routers block it.
     # Cause: found in the lines of the crashes, by what asks the same.
     Given 2 upstreams of "registry" that come back after a crash
     When callers send what crashes them to "/records/1" until 2 have crashed
--- a/features/direct_crashes.feature
+++ b/features/direct_crashes.feature
@@ -1,6 +1,6 @@
 Feature: What crashes upstreams is not sent to one after the other
 
-  Rule: A request under which three upstreams ended is kept from the rest
+  Rule: A request under which three upstreams ended is blocked
 
     Scenario Outline: A request that crashes upstreams comes again and again
       # Engines ended in series, up to five within 1.2 seconds, and 53 were
@@ -94,7 +94,7 @@
 
     Scenario: A crash that some peer did not hear of is written to the store
       # Symptom: a router that is cut off from the others, but not from the
-      #   store, lets a request through that two others keep.
+      #   store, lets a request through that two others block.
       # Sequence: each of two routers sees one crash; a third one does not
       #   answer them.
       # Cause: one crash alone is told to peers, and not worth a write.
@@ -142,12 +142,12 @@
     Scenario Outline: One request explains the crashes of others
       # Each word before a semicolon is a request that ran at one crash, with
       # + after an event. Whatever the order in which routers hear of them,
-      # they keep the same.
+      # they block the same.
       When routers hear of the crashes "<crashes>" in any order
-      Then they keep "<kept>"
+      Then they block "<blocked>"
 
       Examples: enough
-        | crashes               | kept |
+        | crashes               | blocked |
         | a b; a c              | a    |
         | a b c; a b d; a e     | a    |
         | a b; a b; a+ b; b     | b    |
@@ -156,7 +156,7 @@
         | a b; a c; a d; b e; b | a b  |
 
       Examples: not enough
-        | crashes     | kept |
+        | crashes     | blocked |
         | a b c       |      |
         | a b; a b    |      |
         | a+ b; a+ c+ |      |
@@ -165,12 +165,12 @@
     Scenario: A request that is answered has crashed nothing before
       When routers hear of the crashes "a b; a c; a d" in any order
       And "a" is answered at one of them, and told to the others
-      Then they keep ""
+      Then they block ""
 
     Scenario: A crash counts for ten minutes
       When routers hear of the crashes "a; a; a" in any order
       And 601 seconds pass
-      Then they keep ""
+      Then they block ""
 
     Scenario: On the model others are let through
       # Load pattern: a caller repeats what crashes engines, 37 others a
--- a/features/steps/crash_ledger_steps.py
+++ b/features/steps/crash_ledger_steps.py
@@ -45,17 +45,17 @@
         ledger.forget_old()
 
 
-@then('they keep "{names}"')
-def step_keep(context: Context, names: str) -> None:
-    """Compare what each of them keeps."""
+@then('they block "{names}"')
+def step_block(context: Context, names: str) -> None:
+    """Compare what each of them blocks."""
     for ledger in context.ledgers:
-        assert ledger.kept == frozenset(names.split()), ledger.kept
+        assert ledger.blocked == frozenset(names.split()), ledger.blocked
 
 
-@then('they keep ""')
-def step_keep_nothing(context: Context) -> None:
-    """Look that none keeps anything."""
-    step_keep(context, '')
+@then('they block ""')
+def step_block_nothing(context: Context) -> None:
+    """Look that none blocks anything."""
+    step_block(context, '')
 
 
 @when('one caller of the model crashes engines in {plays:d} plays')
--- a/features/steps/crashes_steps.py
+++ b/features/steps/crashes_steps.py
@@ -1,4 +1,4 @@
-"""Check that a request which crashes upstreams is kept from the rest."""
+"""Check that a request which crashes upstreams is blocked."""
 
 import asyncio
 import time
@@ -22,7 +22,7 @@
 CRASHES = b'what crashes upstreams'
 BACK_S = 0.4
 PAUSE_S = 0.1
-KEPT_KIND = 'lacewing-crashes'
+STORED_KIND = 'lacewing-crashes'
 
 
 @given('{count:d} upstreams of "{service}" that come back after a crash')
@@ -157,7 +157,7 @@
     bench = direct_bench(context)
     bench.until(lambda: bool(_written(bench)), 'a crash in the store')
     for name in _written(bench):
-        bench.on_loop(partial(bench.store.remove, KEPT_KIND, name))
+        bench.on_loop(partial(bench.store.remove, STORED_KIND, name))
 
 
 @when('another router starts that the others know')
@@ -180,7 +180,7 @@
     bench = direct_bench(context)
     for number, value in enumerate((7, {'text': 'none'}, {'text': '{}'})):
         name = f'odd-{number}'
-        bench.on_loop(partial(bench.store.put, KEPT_KIND, name, value))
+        bench.on_loop(partial(bench.store.put, STORED_KIND, name, value))
 
 
 @then('it reaches at most {count:d} more upstreams')
@@ -231,6 +231,6 @@
 
 def _written(bench: DirectBench) -> tuple[str, ...]:
     names: tuple[str, ...] = bench.on_loop(
-        lambda: bench.store.names(KEPT_KIND)
+        lambda: bench.store.names(STORED_KIND)
     )
     return names
--- a/packages/bench/src/lacewing_bench/crash_errors/_model.py
+++ b/packages/bench/src/lacewing_bench/crash_errors/_model.py
@@ -63,7 +63,7 @@
 class Outcome:
     """Count crashes, runs broken off, answers, and who was shut out.
 
-    ``shut_out``: requests that crash nothing and were kept from engines.
+    ``shut_out``: requests that crash nothing and were blocked.
     """
 
     crashes: int = 0
@@ -169,7 +169,7 @@
         self._after(wait_s, self._stray)
 
     def _send(self, request: _Request) -> None:
-        if request.fingerprint in self._ledger.kept:
+        if request.fingerprint in self._ledger.blocked:
             if not request.crashes:
                 self._shut_out.add(request.fingerprint)
             return
--- a/packages/bench/src/lacewing_bench/crash_errors/_rules.py
+++ b/packages/bench/src/lacewing_bench/crash_errors/_rules.py
@@ -12,11 +12,11 @@
 
 
 class Ledger(Protocol):
-    """Hold crashes and tell which requests are kept from upstreams."""
+    """Hold crashes and tell which requests are blocked from upstreams."""
 
     @property
-    def kept(self) -> frozenset[str]:
-        """Return the fingerprints of what is kept."""
+    def blocked(self) -> frozenset[str]:
+        """Return the fingerprints of what is blocked."""
 
     def take(self, record: CrashRecord) -> object:
         """Take what ran at a crash."""
@@ -26,18 +26,18 @@
 
 
 class CountedAlone:
-    """Keep whatever ran at so many crashes, whoever caused them."""
+    """Block whatever ran at so many crashes, whoever caused them."""
 
-    def __init__(self, to_keep: float) -> None:
-        self._to_keep = to_keep
+    def __init__(self, to_block: float) -> None:
+        self._to_block = to_block
         self._under: dict[str, set[Start]] = {}
 
     @property
-    def kept(self) -> frozenset[str]:
-        """Return the fingerprints of what is kept."""
+    def blocked(self) -> frozenset[str]:
+        """Return the fingerprints of what is blocked."""
         found = set()
         for fingerprint, starts in self._under.items():
-            if len(starts) >= self._to_keep:
+            if len(starts) >= self._to_block:
                 found.add(fingerprint)
         return frozenset(found)
 
@@ -60,7 +60,7 @@
     ledger: Callable[[Clock], Ledger]
 
 
-NONE = Rule('nothing is kept', lambda _clock: CountedAlone(float('inf')))
+NONE = Rule('nothing is blocked', lambda _clock: CountedAlone(float('inf')))
 COUNTED_2 = Rule('2 crashes, counted alone', lambda _clock: CountedAlone(2))
 COUNTED_3 = Rule('3 crashes, counted alone', lambda _clock: CountedAlone(3))
 # One less than each is enough if it is the only one and brought no event.
--- a/packages/ctl/src/lacewing_ctl/_causes.py
+++ b/packages/ctl/src/lacewing_ctl/_causes.py
@@ -67,7 +67,7 @@
     return 'The upstreams that were tried were full.'
 
 
-def _kept(story: Story) -> str:
+def _blocked(story: Story) -> str:
     crashed = []
     for line in story.crashes:
         if line.upstream not in crashed:
@@ -79,7 +79,7 @@
         )
     return (
         f'{len(crashed)} upstreams had crashed under the same request, so it'
-        f' was kept from the others: {", ".join(crashed)}.'
+        f' was blocked: {", ".join(crashed)}.'
     )
 
 
@@ -171,7 +171,7 @@
     Reason.NO_WORKER.value: _no_room,
     Reason.QUEUE_FULL.value: _refused,
     Reason.STALE_WEIGHTS.value: _refused,
-    Reason.WORKERS_CRASHED.value: _kept,
+    Reason.WORKERS_CRASHED.value: _blocked,
     Reason.WORKER_FAILED.value: _broken,
     Reason.STREAM_BROKEN.value: _broken,
     Reason.WORKER_UNREACHABLE.value: _unreachable,
--- a/packages/daemon/src/lacewing_daemon/direct/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_exchange.py
@@ -143,8 +143,8 @@
         """Return why the request is given up, None once it is answered."""
         relay = StreamRelay(self._reply, self._request.after_event)
         while True:
-            if self._fleet.guard.keeps(self._fingerprint):
-                return self._kept()
+            if self._fleet.guard.blocks(self._fingerprint):
+                return self._blocked()
             target = self._place(admitted, end_s)
             if isinstance(target, NoRoom):
                 # Symptom: when an engine is lost, streams of it are cut
@@ -180,11 +180,11 @@
                 await self._hear_of_crash()
             relay.restart()
 
-    def _kept(self) -> Refusal:
+    def _blocked(self) -> Refusal:
         return not_run(
             Reason.WORKERS_CRASHED,
             'upstreams crashed under this request',
-            self._fleet.guard.keeps_for_s(self._fingerprint),
+            self._fleet.guard.blocked_for_s(self._fingerprint),
         )
 
     async def _hear_of_crash(self) -> None:
--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -26,7 +26,7 @@
 from lacewing_daemon.direct._upstream import Upstream
 from lacewing_daemon.direct._upstream_state import UpstreamState
 from lacewing_daemon.direct.crashes._guard import CrashGuard
-from lacewing_daemon.direct.crashes._kept import CRASHES
+from lacewing_daemon.direct.crashes._stored import CRASHES
 
 # How long a call waits for changes, at most. Each call that returns also
 # proves that the store is reached.
@@ -170,7 +170,7 @@
 
     @property
     def guard(self) -> CrashGuard:
-        """Return what keeps requests that crash upstreams from them."""
+        """Return what blocks requests that crash upstreams."""
         return self._guard
 
     @property
--- a/packages/daemon/src/lacewing_daemon/direct/_metrics.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_metrics.py
@@ -34,9 +34,9 @@
     'Crashes of upstreams that broke runs of this router off, by service',
     ['service'],
 )
-KEPT_FINGERPRINTS = Gauge(
-    'lacewing_direct_kept_requests',
-    'Requests kept from upstreams, as these crashed under them',
+BLOCKED_REQUESTS = Gauge(
+    'lacewing_direct_blocked_requests',
+    'Requests blocked, as upstreams crashed under them',
 )
 CRASH_NEWS = Counter(
     'lacewing_direct_crash_news',
--- a/packages/daemon/src/lacewing_daemon/direct/crashes/_guard.py
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_guard.py
@@ -1,4 +1,4 @@
-"""Keep requests that crash upstreams from more of them."""
+"""Block requests that crash upstreams."""
 
 import asyncio
 from collections.abc import Awaitable
@@ -11,15 +11,15 @@
 from lacewing_common.log import Part
 
 from lacewing_daemon.direct._followed import Followed
-from lacewing_daemon.direct._metrics import KEPT_FINGERPRINTS
+from lacewing_daemon.direct._metrics import BLOCKED_REQUESTS
 from lacewing_daemon.direct._site import OwnObjects
 from lacewing_daemon.direct._upstream import Upstream
-from lacewing_daemon.direct.crashes._kept import decode_record
-from lacewing_daemon.direct.crashes._kept import KeptCrashes
 from lacewing_daemon.direct.crashes._ledger import CrashLedger
 from lacewing_daemon.direct.crashes._ledger import MOST_CRASHES
 from lacewing_daemon.direct.crashes._record import CrashRecord
 from lacewing_daemon.direct.crashes._record import Start
+from lacewing_daemon.direct.crashes._stored import decode_record
+from lacewing_daemon.direct.crashes._stored import StoredCrashes
 from lacewing_daemon.direct.crashes._witness import CrashWitness
 
 # Crashes under one request after which they are written to the store. One
@@ -59,10 +59,10 @@
         self._random = random
         self._ledger = CrashLedger()
         self._witness = CrashWitness(reached, self._take_own)
-        self._kept = KeptCrashes(store, followed, process_id, random)
+        self._stored = StoredCrashes(store, followed, process_id, random)
         self._own: dict[Start, CrashRecord] = {}
         self._waiting: dict[str, set[Cut]] = {}
-        self._known: frozenset[str] = frozenset()
+        self._blocked: frozenset[str] = frozenset()
         self._tell: Callable[[Iterable[CrashRecord], str], None] | None = None
         followed.on_change(self._take_stored)
 
@@ -71,13 +71,13 @@
         """Return the watch over upstreams that crash."""
         return self._witness
 
-    def keeps(self, fingerprint: str) -> bool:
+    def blocks(self, fingerprint: str) -> bool:
         """Tell whether a request must not be sent to upstreams."""
-        return fingerprint in self._ledger.kept
+        return fingerprint in self._ledger.blocked
 
-    def keeps_for_s(self, fingerprint: str) -> float:
+    def blocked_for_s(self, fingerprint: str) -> float:
         """Return for how much longer it must not be."""
-        return self._ledger.kept_for_s(fingerprint)
+        return self._ledger.blocked_for_s(fingerprint)
 
     def suspects(self, fingerprint: str) -> bool:
         """Tell whether upstreams have crashed under a request."""
@@ -106,8 +106,8 @@
     async def run(self) -> None:
         """Exchange news with peers and the store until cancelled."""
         async with asyncio.TaskGroup() as tasks:
-            tasks.create_task(self._kept.run())
-            tasks.create_task(self._kept.sweep())
+            tasks.create_task(self._stored.run())
+            tasks.create_task(self._stored.sweep())
             tasks.create_task(self._forget())
             if self._peers_address:
                 tasks.create_task(self._run_peers())
@@ -125,7 +125,7 @@
             self._ledger,
             self._others,
             self._take,
-            self._keep_own,
+            self._store_own,
             self._random,
         )
         try:
@@ -171,24 +171,24 @@
         """Take records; return those that told something new."""
         news = tuple(one for one in records if self._ledger.take(one))
         if news:
-            self._keep_repeated(news)
+            self._store_repeated(news)
             self._judge()
         return news
 
     def _spread(self, news: tuple[CrashRecord, ...], sender: str) -> None:
         if self._tell is None:
-            self._keep_own(news)
+            self._store_own(news)
             return
         self._tell(news, sender)
 
-    def _keep_own(self, records: Iterable[CrashRecord]) -> None:
+    def _store_own(self, records: Iterable[CrashRecord]) -> None:
         """Write to the store what peers may not have heard."""
         for record in records:
             own = self._own.get(record.start)
             if own is not None:
-                self._kept.keep(own)
+                self._stored.store(own)
 
-    def _keep_repeated(self, news: tuple[CrashRecord, ...]) -> None:
+    def _store_repeated(self, news: tuple[CrashRecord, ...]) -> None:
         """Write to the store what adds to a crash under the same request."""
         for record in news:
             for suspect in record.suspects:
@@ -196,20 +196,20 @@
                 if len(starts) < CRASHES_TO_WRITE:
                     continue
                 for start in starts & self._own.keys():
-                    self._kept.keep(self._own[start])
+                    self._stored.store(self._own[start])
 
     def _judge(self) -> None:
         """Act on what is known now."""
-        kept = self._ledger.kept
-        for fingerprint in kept - self._known:
+        blocked = self._ledger.blocked
+        for fingerprint in blocked - self._blocked:
             _log.warning(
-                'Keeps a request from upstreams.',
+                'Blocks a request.',
                 same=fingerprint,
                 crashes=self._ledger.crashes(fingerprint),
             )
             for cut in tuple(self._waiting.get(fingerprint, ())):
                 cut()
-        for fingerprint in self._known - kept:
+        for fingerprint in self._blocked - blocked:
             _log.info('Lets a request through again.', same=fingerprint)
-        self._known = kept
-        KEPT_FINGERPRINTS.set(len(kept))
+        self._blocked = blocked
+        BLOCKED_REQUESTS.set(len(blocked))
--- a/packages/daemon/src/lacewing_daemon/direct/crashes/_ledger.py
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_ledger.py
@@ -1,4 +1,4 @@
-"""Decide from crashes which requests are kept from upstreams.
+"""Decide from crashes which requests are blocked.
 
 No input or output; time is the caller's.
 """
@@ -13,15 +13,15 @@
 from lacewing_daemon.direct.crashes._record import Start
 from lacewing_daemon.direct.crashes._record import Suspect
 
-# A request is kept from upstreams after so many crashes that nothing else
-# explains; after one less if it is the only one with as many and had brought
-# no event at any. On a model of callers and 5 engines a request then ends 2.5
-# of them in place of 4.0 and breaks 21 runs off in place of 43; of 1,100
-# others none is shut out. Where an engine a second crashes for no reason it
-# is 1.1 in place of 0.4 (`make crash-errors`).
-CRASHES_TO_KEEP = 3
+# A request is blocked after so many crashes that nothing else explains; after
+# one less if it is the only one with as many and had brought no event at any.
+# On a model of callers and 5 engines a request then ends 2.5 of them in place
+# of 4.0 and breaks 21 runs off in place of 43; of 1,100 others none is shut
+# out. Where an engine a second crashes for no reason it is 1.1 in place of 0.4
+# (`make crash-errors`).
+CRASHES_TO_BLOCK = 3
 # How long a crash counts. Who repeats what crashes upstreams does so for
-# minutes; who was kept out wrongly gets in again after this.
+# minutes; who was blocked wrongly gets in again after this.
 COUNTS_S = 600.0
 # Crashes remembered, the newest. One upstream crashes every few seconds at
 # the most, and each crash takes some kilobytes.
@@ -47,7 +47,7 @@
 
     All that ran at an upstream is under suspicion when it crashes. Beside a
     request that crashes one upstream after the other, others run each time;
-    counted alone, those that were repeated beside it would be kept out with
+    counted alone, those that were repeated beside it would be blocked with
     it. So the request with the most crashes is held to have caused all of
     them, and these count for nobody else. A request that is answered well
     has caused none of the crashes before.
@@ -58,14 +58,14 @@
 
     def __init__(
         self,
-        to_keep: int = CRASHES_TO_KEEP,
+        to_block: int = CRASHES_TO_BLOCK,
         clock: Callable[[], float] = boot_s,
     ) -> None:
-        self._to_keep = to_keep
+        self._to_block = to_block
         self._clock = clock
         self._crashes: dict[Start, _Crash] = {}
         self._under: dict[str, set[Start]] = {}
-        self._kept: frozenset[str] = frozenset()
+        self._blocked: frozenset[str] = frozenset()
         self._stale = False
 
     @property
@@ -93,16 +93,16 @@
         return found
 
     @property
-    def kept(self) -> frozenset[str]:
-        """Return the fingerprints of what is kept from upstreams."""
+    def blocked(self) -> frozenset[str]:
+        """Return the fingerprints of what is blocked."""
         if self._stale:
-            self._kept = self._causes()
+            self._blocked = self._causes()
             self._stale = False
-        return self._kept
+        return self._blocked
 
-    def kept_for_s(self, fingerprint: str) -> float:
-        """Return for how much longer a request is kept from upstreams."""
-        if fingerprint not in self.kept:
+    def blocked_for_s(self, fingerprint: str) -> float:
+        """Return for how much longer a request is blocked."""
+        if fingerprint not in self.blocked:
             return 0.0
         newest_s = 0.0
         for start in self._under[fingerprint]:
@@ -187,7 +187,7 @@
         """Explain the crashes, those with the most under one request first."""
         left: dict[str, set[Start]] = {}
         for fingerprint, starts in self._under.items():
-            if len(starts) >= self._to_keep - 1:
+            if len(starts) >= self._to_block - 1:
                 left[fingerprint] = set(starts)
         found: set[str] = set()
         while left:
@@ -208,9 +208,9 @@
 
     def _is_enough(self, weight: tuple[int, int], alike: int) -> bool:
         crashes, unbegun = weight
-        if crashes >= self._to_keep:
+        if crashes >= self._to_block:
             return True
-        if crashes < self._to_keep - 1:
+        if crashes < self._to_block - 1:
             return False
         return alike == 1 and unbegun == crashes
 
--- a/packages/daemon/src/lacewing_daemon/direct/crashes/_kept.py
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_stored.py
@@ -43,7 +43,7 @@
         return None
 
 
-class KeptCrashes:
+class StoredCrashes:
     """Write records and remove them when they count no more.
 
     Each router writes what it saw itself; the collection is followed by all.
@@ -68,7 +68,7 @@
         self._wakes = asyncio.Event()
         followed.on_change(self._note)
 
-    def keep(self, record: CrashRecord) -> None:
+    def store(self, record: CrashRecord) -> None:
         """Write a record of this router's, once."""
         if record.start in self._written:
             return
