End no caller when the connection of its call to a peer is lost

Cause: the library wakes up whoever waits on a lost connection by cancelling its task and raising its own error after that. Since a call whose task counts a cancellation ends cancelled, so a peer that is killed or cut off in the middle of a call ended the loop around it, without a line in the log: a direct router then neither told, heard nor compared crashes any more, and an agent no longer gossiped with its peers. Change: the call runs in a task of its own. A port that is in use at the start is tried again every second; closing what never listened raised an error that ended all sharing of crashes, writes to the store included. Ports of scenarios come from below the range of outgoing connections, as those of the soak.

--- a/features/direct_crashes.feature
+++ b/features/direct_crashes.feature
@@ -65,6 +65,37 @@
       And it comes again to "/open/1" 6 times after 0 seconds
       Then it reaches at most 0 more upstreams
 
+    Scenario: A router can't listen for the others at its start
+      # Symptom: what a router knows of crashes reaches neither peers nor the
+      #   store, until it is started again.
+      # Sequence: it starts while its port for peers is in use, as by the
+      #   router before it that still ends its last requests.
+      # Cause: it tried to listen once; as that failed, its closing failed
+      #   as well and ended all sharing of crashes.
+      Given a store with a configuration
+      And a public path "/open/" of "registry" with one attempt
+      And 5 upstreams of "registry" that come back after a crash
+      And routers that call each other
+      And somebody else listens where they would
+      And 2 direct routers
+      And each router knows the 1 other
+      When callers send what crashes them to "/open/1" until 2 have crashed
+      Then 2 crashes are written within 2 seconds
+
+    Scenario: A router can listen for the others some time after its start
+      Given a store with a configuration
+      And a public path "/open/" of "registry" with one attempt
+      And 5 upstreams of "registry" that come back after a crash
+      And routers that call each other
+      And somebody else listens where they would
+      And 2 direct routers
+      And each router knows the 1 other
+      And he goes away
+      When the store is busy
+      And callers send what crashes them to "/open/1" until 2 have crashed
+      And it comes again to "/open/1" 4 times after 0 seconds
+      Then it reaches at most 0 more upstreams
+
     Scenario: All routers are new
       # Symptom: after a herd of restarts a request ends upstreams again.
       # Sequence: two upstreams crash under it; all routers are killed, and
@@ -138,6 +169,15 @@
       When a call to a peer is cancelled as its connection is lost
       Then the call ends cancelled
 
+    Scenario: A call whose connection is lost does not end its caller
+      # Symptom: a router hears nothing of others any more, and tells them
+      #   nothing, until it is started again; its log says nothing.
+      # Sequence: a peer is killed, or cut off, while it is called.
+      # Cause: the library wakes up whoever waits on a lost connection by
+      #   cancelling its task, which was taken for a stop of the router.
+      When the connection of a call to a peer is lost
+      Then the call is answered as one without a reply
+
   Rule: Who merely ran beside a crash is not shut out
 
     Scenario Outline: One request explains the crashes of others
--- a/features/steps/crashes_steps.py
+++ b/features/steps/crashes_steps.py
@@ -11,6 +11,7 @@
 from behave.runner import Context
 from lacewing_daemon.direct import DirectRouter
 from lacewing_daemon.direct.crashes._guard import PEERS_AFTER_S
+from lacewing_daemon.direct.crashes._news import LISTEN_AGAIN_S
 from lacewing_platform_testing import Behaviour
 from lacewing_platform_testing import StandInUpstream
 from support.direct_bench import direct_bench
@@ -67,6 +68,19 @@
     direct_bench(context).routers_call = True
 
 
+@given('somebody else listens where they would')
+def step_taken(context: Context) -> None:
+    """Take the ports for calls of routers before these start."""
+    direct_bench(context).peer_ports_taken = True
+
+
+@given('he goes away')
+def step_goes(context: Context) -> None:
+    """Leave the ports, and the routers time to see it."""
+    direct_bench(context).free_peer_ports()
+    time.sleep(LISTEN_AGAIN_S + PAUSE_S)
+
+
 @given('each router knows the {count:d} other')
 @given('each router knows the {count:d} others')
 def step_know(context: Context, count: int) -> None:
@@ -191,6 +205,7 @@
 
 
 @when('{count:d} crashes are written within {seconds:d} seconds')
+@then('{count:d} crashes are written within {seconds:d} seconds')
 @then('{count:d} crash is written within {seconds:d} seconds')
 def step_written(context: Context, count: int, seconds: int) -> None:
     """Look into the store until it is there."""
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -14,13 +14,13 @@
 from behave import when
 from behave.runner import Context
 from lacewing_bench.loop_thread import LoopThread
+from lacewing_platform_testing import free_ports
 from lacewing_platform_testing.soak import run_seed
 from lacewing_platform_testing.soak import SoakReport
 from lacewing_platform_testing.soak import Theme
 from lacewing_platform_testing.soak._callers import ask
 from lacewing_platform_testing.soak._callers import Seen
 from lacewing_platform_testing.soak._routers import RouterProcess
-from lacewing_platform_testing.soak._run import free_ports
 from lacewing_platform_testing.soak._run import serves
 from lacewing_platform_testing.soak._site import KEYS
 from lacewing_platform_testing.soak._site import SoakSite
--- a/features/support/direct_bench.py
+++ b/features/support/direct_bench.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import http.client
+import socket
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -18,6 +19,7 @@
 from lacewing_platform import PlatformSite
 from lacewing_platform import PlatformWire
 from lacewing_platform_testing import BORN
+from lacewing_platform_testing import free_ports
 from lacewing_platform_testing import StandInStore
 from lacewing_platform_testing import StandInUpstream
 from support.router_process import RouterProcess
@@ -71,6 +73,8 @@
         self.config = _config()
         self.bounds = BOUNDS
         self.routers_call = False
+        self.peer_ports_taken = False
+        self._taken: list[socket.socket] = []
         self.store: StandInStore = self.run(_start_store())
 
     @property
@@ -239,6 +243,20 @@
         self.on_loop(self.store.server.close)
         self._loop.close()
 
+    def free_peer_ports(self) -> None:
+        """Let go of the ports at which routers listen for each other."""
+        for taken in self._taken:
+            taken.close()
+        self._taken.clear()
+
+    def _peers_address(self) -> str:
+        if not self.routers_call:
+            return ''
+        port = free_ports()
+        if self.peer_ports_taken:
+            self._taken.extend(bind_sockets(port, '127.0.0.1'))
+        return f'127.0.0.1:{port}'
+
     async def _start_router(self, name: str) -> DirectRouter:
         settings = DirectSettings(
             process_id=name,
@@ -247,7 +265,7 @@
             ready='127.0.0.1:0',
             platform=self.store.address,
             bounds=self.bounds,
-            peers=f'127.0.0.1:{_free_port()}' if self.routers_call else '',
+            peers=self._peers_address(),
             policy=LoadPolicy(load_late_ms=LOAD_LATE_MS),
         )
         site = PlatformSite(settings.platform)
@@ -313,13 +331,6 @@
     }
 
 
-def _free_port() -> int:
-    sockets = bind_sockets(0, '127.0.0.1')
-    port: int = sockets[0].getsockname()[1]
-    sockets[0].close()
-    return port
-
-
 async def _start_store() -> StandInStore:
     store = StandInStore()
     store.server.start()
--- a/packages/daemon/src/lacewing_daemon/direct/crashes/_guard.py
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_guard.py
@@ -128,13 +128,9 @@
             self._store_own,
             self._random,
         )
+        self._tell = news.tell
         try:
-            await news.start()
-            self._tell = news.tell
             await news.run()
-        except OSError as error:
-            # The store is left to share by.
-            _log.error('Cannot listen for peers.', error=str(error))
         finally:
             self._tell = None
             news.close()
--- a/packages/daemon/src/lacewing_daemon/direct/crashes/_news.py
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_news.py
@@ -43,6 +43,9 @@
 COMPARE_S = 1.0
 RECENT_S = 10.0
 COMPARE_SELDOM_S = 8.0
+# A port that is in use at the start is tried again this often. The router
+# before, which ends its last requests, holds it for seconds.
+LISTEN_AGAIN_S = 1.0
 # The newest records that one answer holds, some kilobytes each.
 MOST_RECORDS = 100
 
@@ -74,6 +77,7 @@
         self._random = random
         self._channels = Channels(None)
         self._server = Server([self], codec=MsgpackCodec())
+        self._listens = False
         self._callers: dict[str, None] = {}
         self._news: list[tuple[CrashRecord, str]] = []
         self._tasks: set[asyncio.Task[None]] = set()
@@ -85,13 +89,34 @@
             COMPARE_METHOD: _unary(self._on_compared, Compared, Differences),
         }
 
-    async def start(self) -> None:
-        """Listen for peers."""
-        address = parse_address(self._address)
-        await self._server.start(address.host, address.port)
-
     async def run(self) -> None:
-        """Compare with one peer after the other until cancelled."""
+        """Listen for peers and compare with them until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._listen())
+            tasks.create_task(self._compare_often())
+
+    async def _listen(self) -> None:
+        """Listen as soon as the port is free.
+
+        Until then this router calls others but is not called, and whoever
+        tries writes to the store.
+        """
+        address = parse_address(self._address)
+        told = False
+        while not self._listens:
+            try:
+                await self._server.start(address.host, address.port)
+                self._listens = True
+            except OSError as error:
+                if not told:
+                    _log.error('Cannot listen for peers.', error=str(error))
+                told = True
+                await asyncio.sleep(LISTEN_AGAIN_S)
+        if told:
+            _log.info('Listens for peers.')
+
+    async def _compare_often(self) -> None:
+        """Compare with one peer after the other."""
         while True:
             await self._compare()
             self._channels.close_idle()
@@ -113,7 +138,8 @@
         """End all connections."""
         for task in self._tasks:
             task.cancel()
-        self._server.close()
+        if self._listens:
+            self._server.close()
         self._channels.close()
 
     async def _tell_soon(self) -> None:
--- a/packages/daemon/src/lacewing_daemon/peers/_channels.py
+++ b/packages/daemon/src/lacewing_daemon/peers/_channels.py
@@ -81,9 +81,12 @@
         call: UnaryUnaryMethod[Any, Any] = UnaryUnaryMethod(
             channel, method, type(request), reply_type
         )
+        # When a connection is lost the library cancels the task that waits on
+        # it. In one of its own that can't be taken for a stop of the caller.
+        called = asyncio.create_task(_run(call, request))
         try:
             async with asyncio.timeout(timeout_s):
-                reply: T = await call(request)
+                reply: T = await called
         except (
             OSError,
             TimeoutError,
@@ -133,3 +136,7 @@
         held = self._open.pop(address, None)
         if held is not None:
             held.channel.close()
+
+
+async def _run(call: UnaryUnaryMethod[Any, Any], request: object) -> Any:
+    return await call(request)
