Count the crashes of an upstream whose new start nobody can read

Cause: a crash is known by the start of its upstream in the store, and a start crashes once at most. While the store is away, later starts are not read, so each further crash of the same upstream counted as the first; with few upstreams the request was never blocked. Ruled out: counting each broken run (one crash breaks many off, at many routers), the times of crashes (clocks of VMs differ). Change: a run on a connection that was opened after a crash was heard of belongs to a later start, if nobody listened after that crash; after a cut link the connection may be to the same one, and nothing is added, so nobody is shut out for it. The same holds for upstreams that tell no start. A loop of the steps ends after 30 sends in place of 4 for each crash: with one upstream most are refused while it starts again.

--- a/features/direct_crashes.feature
+++ b/features/direct_crashes.feature
@@ -65,6 +65,24 @@
       And it comes again to "/open/1" 6 times after 0 seconds
       Then it reaches at most 0 more upstreams
 
+    Scenario: The store is away and one upstream crashes twice
+      # Symptom: a request goes on to end the same upstream while the store
+      #   is away.
+      # Sequence: an upstream crashes, starts again, crashes again; routers
+      #   know it by the start that they read last.
+      # Cause: both crashes were taken for one, as an upstream crashes but
+      #   once for each start.
+      Given a store with a configuration
+      And a public path "/open/" of "registry" with one attempt
+      And 1 upstream of "registry" that comes back after a crash
+      And routers that call each other
+      And 2 direct routers
+      And each router knows the 1 other
+      When the store has been busy for 4 seconds
+      And callers send what crashes them to "/open/1" until 2 have crashed
+      And it comes again to "/open/1" 4 times after 0 seconds
+      Then it reaches at most 0 more upstreams
+
     Scenario: A router can't listen for the others at its start
       # Symptom: what a router knows of crashes reaches neither peers nor the
       #   store, until it is started again.
@@ -208,6 +226,19 @@
       And "a" is answered at one of them, and told to the others
       Then they block ""
 
+    Scenario Outline: One crash breaks off the runs of many connections
+      # A cut link ends connections like a crash does, and nothing has
+      # started again after it.
+      When an upstream at which somebody <listens> crashes under "a" at 1000
+      And a run of "a" on a connection opened at <opened> is broken off there
+      Then "a" is held to have run at <crashes>
+
+      Examples:
+        | listens        | opened | crashes   |
+        | listens no more | 999   | 1 crash   |
+        | listens no more | 1001  | 2 crashes |
+        | can't be reached | 1001 | 1 crash   |
+
     Scenario: A crash counts for ten minutes
       When routers hear of the crashes "a; a; a" in any order
       And 601 seconds pass
--- a/features/steps/crash_ledger_steps.py
+++ b/features/steps/crash_ledger_steps.py
@@ -14,6 +14,7 @@
 from lacewing_daemon.direct.crashes import Suspect
 
 BEGUN = '+'
+UP = Start('up', 7)
 
 
 @when('routers hear of the crashes "{text}" in any order')
@@ -37,6 +38,36 @@
             ledger.take(record)
 
 
+@when(
+    'an upstream at which somebody {state} crashes under "{name}" at {now:d}'
+)
+def step_crash(context: Context, state: str, name: str, now: int) -> None:
+    """Tell one router of it."""
+    context.now_s = float(now)
+    context.ledger = CrashLedger(clock=lambda: float(context.now_s))
+    gone = state == 'listens no more'
+    record = CrashRecord(UP, (Suspect(name, False),), gone=gone)
+    context.ledger.take(record)
+
+
+@when(
+    'a run of "{name}" on a connection opened at {opened:d} is broken off '
+    'there'
+)
+def step_broken(context: Context, name: str, opened: int) -> None:
+    """Let the same router see it, with no later start of the upstream."""
+    start = context.ledger.start_of(UP, float(opened))
+    context.ledger.take(CrashRecord(start, (Suspect(name, False),)))
+
+
+@then('"{name}" is held to have run at {count:d} crash')
+@then('"{name}" is held to have run at {count:d} crashes')
+def step_held(context: Context, name: str, count: int) -> None:
+    """Count them."""
+    crashes = context.ledger.crashes(name)
+    assert crashes == count, f'expected {count}, got {crashes}'
+
+
 @when('{seconds:d} seconds pass')
 def step_pass(context: Context, seconds: int) -> None:
     """Let time pass for all of them."""
--- a/features/steps/crashes_steps.py
+++ b/features/steps/crashes_steps.py
@@ -14,6 +14,7 @@
 from lacewing_daemon.direct.crashes._news import LISTEN_AGAIN_S
 from lacewing_platform_testing import Behaviour
 from lacewing_platform_testing import StandInUpstream
+from lacewing_platform_testing import StoreMode
 from support.direct_bench import direct_bench
 from support.direct_bench import DirectBench
 from support.direct_bench import KEY
@@ -23,9 +24,13 @@
 CRASHES = b'what crashes upstreams'
 BACK_S = 0.4
 PAUSE_S = 0.1
+# Ends a loop in which nothing crashes; those to upstreams that are just
+# starting again are refused.
+MOST_SENDS = 30
 STORED_KIND = 'lacewing-crashes'
 
 
+@given('{count:d} upstream of "{service}" that comes back after a crash')
 @given('{count:d} upstreams of "{service}" that come back after a crash')
 def step_upstreams(context: Context, count: int, service: str) -> None:
     """Start upstreams; all of the service start again after each crash."""
@@ -127,7 +132,7 @@
     while _crashes(bench) < count:
         _send(bench, path, asked)
         asked += 1
-        assert asked < 4 * count, f'{asked} sent, {_crashes(bench)} crashed'
+        assert asked < MOST_SENDS, f'{asked} sent, {_crashes(bench)} crashed'
         time.sleep(PAUSE_S)
 
 
@@ -152,6 +157,13 @@
         time.sleep(PAUSE_S)
 
 
+@when('the store has been busy for {seconds:d} seconds')
+def step_busy(context: Context, seconds: int) -> None:
+    """Let no call of the routers be under way that would still succeed."""
+    direct_bench(context).store.mode = StoreMode.BUSY
+    time.sleep(seconds)
+
+
 @when('all routers are replaced')
 def step_replaced(context: Context) -> None:
     """End all of them at once and start as many others."""
--- a/packages/daemon/src/lacewing_daemon/direct/_attempt.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_attempt.py
@@ -45,7 +45,8 @@
 
     ``head`` is None when no answer began; ``body`` is that of an answer
     that was not streamed; ``complete`` if nothing of the answer is missing.
-    ``broken``: the upstream ended the connection before the answer's end.
+    ``broken``: the upstream ended the connection before the answer's end;
+    ``opened_s``: when it was opened, on the boot clock.
     """
 
     verdict: Verdict
@@ -55,6 +56,7 @@
     complete: bool = False
     contact: Contact = Contact.MADE
     broken: bool = False
+    opened_s: float = 0.0
 
 
 class Attempt:
@@ -76,6 +78,7 @@
         self._ended: asyncio.Future[bool] = asyncio.Future()
         self._last_piece_s = 0.0
         self._broken = False
+        self._opened_s = 0.0
 
     async def run(
         self,
@@ -159,6 +162,7 @@
     def _send(
         self, connection: UpstreamConnection, dispatch: Dispatch
     ) -> None:
+        self._opened_s = connection.opened_s
         connection.send(
             self._request.method,
             self._request.path,
@@ -201,6 +205,7 @@
                 Verdict.MAY_HAVE_RUN,
                 Reason.WORKER_FAILED,
                 broken=self._broken,
+                opened_s=self._opened_s,
             )
         if head.misdirected:
             return AttemptEnd(
@@ -217,6 +222,7 @@
                 head,
                 body,
                 broken=self._broken,
+                opened_s=self._opened_s,
             )
         if not head.proven:
             return AttemptEnd(
--- a/packages/daemon/src/lacewing_daemon/direct/_connection.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_connection.py
@@ -24,6 +24,8 @@
 from tornado.iostream import StreamClosedError
 from tornado.iostream import UnsatisfiableReadError
 
+from lacewing_daemon.direct._clock import boot_s
+
 # A peer without power answers nothing, not even with a reset: unsent or
 # unacknowledged bytes end the connection after this long.
 UNACKNOWLEDGED_MS = 1500
@@ -58,8 +60,9 @@
 class UpstreamConnection:
     """Hold one connection; one request at a time."""
 
-    def __init__(self, stream: IOStream) -> None:
+    def __init__(self, stream: IOStream, opened_s: float) -> None:
         self._stream = stream
+        self._opened_s = opened_s
         self._sink: ReplySink | None = None
         self._idle_since_s = time.monotonic()
         self._reuse_until_s = float('inf')
@@ -72,6 +75,11 @@
             return False
         return time.monotonic() < self._reuse_until_s
 
+    @property
+    def opened_s(self) -> float:
+        """Return when it was begun to open it, on the boot clock."""
+        return self._opened_s
+
     @property
     def idle_s(self) -> float:
         """Return for how long it has carried no request."""
@@ -205,6 +213,7 @@
 async def connect(address: str, timeout_s: float) -> UpstreamConnection:
     """Open a connection to ``ip:port``; raises OSError when it fails."""
     host, _, port = address.rpartition(':')
+    opened_s = boot_s()
     raw = socket.socket(socket.AF_INET)
     stream = IOStream(raw)
     prepare_socket(raw)
@@ -219,7 +228,7 @@
     except BaseException:
         stream.close()
         raise
-    return UpstreamConnection(stream)
+    return UpstreamConnection(stream, opened_s)
 
 
 def prepare_socket(raw: socket.socket) -> None:
--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -7,6 +7,7 @@
 from lacewing_common.log import get_log
 from lacewing_common.log import Part
 
+from lacewing_daemon.direct._attempt import Contact
 from lacewing_daemon.direct._connection import connect
 from lacewing_daemon.direct._directory import Directory
 from lacewing_daemon.direct._followed import CONFIRM_PART
@@ -314,11 +315,13 @@
         _log.error('A task ended.', error=repr(task.exception()))
 
 
-async def _reached(upstream: Upstream) -> bool:
-    """Tell whether an upstream takes a connection."""
+async def _reached(upstream: Upstream) -> Contact:
+    """Try whether an upstream takes a connection."""
     try:
         connection = await connect(upstream.address, REACHED_S)
+    except ConnectionRefusedError:
+        return Contact.REFUSED
     except OSError:
-        return False
+        return Contact.NONE
     connection.close()
-    return True
+    return Contact.MADE
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -275,7 +275,7 @@
         if end.verdict is Verdict.MAY_HAVE_RUN:
             self._state.failed(now_s)
             if end.broken:
-                self._report_broken()
+                self._report_broken(end)
             return
         if end.contact is Contact.REFUSED:
             self._state.refused_connection(now_s)
@@ -285,13 +285,13 @@
             return
         self._state.pause(now_s, REFUSED_PAUSE_S)
 
-    def _report_broken(self) -> None:
+    def _report_broken(self, end: AttemptEnd) -> None:
         run = BrokenRun(
             request=self._request.request_id,
             same=self._fingerprint,
             begun=self._first_s is not None,
         )
-        self._guard.witness.broke(self._state.upstream, run)
+        self._guard.broke(self._state.upstream, run, end.opened_s)
 
     def _told_newer(self, end: AttemptEnd) -> bool:
         prompt = self._request.prompt
--- a/packages/daemon/src/lacewing_daemon/direct/crashes/_guard.py
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_guard.py
@@ -9,7 +9,9 @@
 
 from lacewing_common.log import get_log
 from lacewing_common.log import Part
+from lacewing_common.log_lines import BrokenRun
 
+from lacewing_daemon.direct._attempt import Contact
 from lacewing_daemon.direct._followed import Followed
 from lacewing_daemon.direct._metrics import BLOCKED_REQUESTS
 from lacewing_daemon.direct._site import OwnObjects
@@ -51,7 +53,7 @@
         store: OwnObjects,
         followed: Followed[str],
         others: Callable[[], Sequence[str]],
-        reached: Callable[[Upstream], Awaitable[bool]],
+        reached: Callable[[Upstream], Awaitable[Contact]],
         random: Random,
     ) -> None:
         self._peers_address = peers_address
@@ -66,11 +68,6 @@
         self._tell: Callable[[Iterable[CrashRecord], str], None] | None = None
         followed.on_change(self._take_stored)
 
-    @property
-    def witness(self) -> CrashWitness:
-        """Return the watch over upstreams that crash."""
-        return self._witness
-
     def blocks(self, fingerprint: str) -> bool:
         """Tell whether a request must not be sent to upstreams."""
         return fingerprint in self._ledger.blocked
@@ -96,6 +93,17 @@
         if not cuts:
             del self._waiting[fingerprint]
 
+    def broke(
+        self, upstream: Upstream, run: BrokenRun, opened_s: float
+    ) -> None:
+        """Note that an upstream broke a run off.
+
+        ``opened_s`` is when its connection was opened, on the boot clock.
+        """
+        known = Start(upstream.upstream_id, upstream.started_ms)
+        start = self._ledger.start_of(known, opened_s)
+        self._witness.broke(upstream, start, run)
+
     def ran_well(self, fingerprint: str) -> None:
         """Note that a request was answered: it crashed nothing before."""
         news = self._ledger.clear(fingerprint)
@@ -146,7 +154,8 @@
         before = self._own.get(record.start)
         if before is not None:
             suspects = (*before.suspects, *record.suspects)
-            record = CrashRecord(record.start, suspects)
+            gone = before.gone or record.gone
+            record = CrashRecord(record.start, suspects, gone=gone)
         self._own[record.start] = record
         if len(self._own) > MOST_CRASHES:
             del self._own[next(iter(self._own))]
--- a/packages/daemon/src/lacewing_daemon/direct/crashes/_ledger.py
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_ledger.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+import msgspec
+
 from lacewing_daemon.direct._clock import boot_s
 from lacewing_daemon.direct.crashes._record import CrashRecord
 from lacewing_daemon.direct.crashes._record import mark
@@ -32,13 +34,15 @@
 class _Crash:
     """Hold what ran at an upstream that crashed, and when that was heard.
 
-    ``begun`` maps each request to whether it had brought an event.
-    ``marked`` is the record of it all with its mark, None once out of date.
+    ``begun`` maps each request to whether it had brought an event; ``gone``:
+    nobody listened there any more. ``marked`` is the record of it all with
+    its mark, None once out of date.
     """
 
     heard_s: float
     begun: dict[str, bool] = field(default_factory=dict)
     cleared: set[str] = field(default_factory=set)
+    gone: bool = False
     marked: tuple[int, CrashRecord] | None = None
 
 
@@ -117,6 +121,22 @@
         """Return the starts of upstreams that crashed under a request."""
         return frozenset(self._under.get(fingerprint, ()))
 
+    def start_of(self, known: Start, opened_s: float) -> Start:
+        """Return the start to which a connection was opened.
+
+        ``known`` is the one read last in the store. While the store is away
+        later ones are not heard of, and two crashes would count as one. Who
+        takes a connection after a crash that left nobody listening has
+        started again; after a crash without that proof, as with a cut link,
+        it may be the same one.
+        """
+        start = known
+        while True:
+            crash = self._crashes.get(start)
+            if crash is None or not crash.gone or opened_s <= crash.heard_s:
+                return start
+            start = msgspec.structs.replace(start, again=start.again + 1)
+
     def take(self, record: CrashRecord) -> bool:
         """Take what was told of a crash; false if all of it was known."""
         crash = self._crashes.get(record.start)
@@ -126,6 +146,10 @@
             crash = _Crash(self._clock())
             self._crashes[record.start] = crash
             new = True
+        if record.gone and not crash.gone:
+            crash.gone = True
+            crash.marked = None
+            new = True
         for fingerprint in record.cleared:
             new |= self._clear_of(record.start, crash, fingerprint)
         for suspect in record.suspects:
@@ -231,4 +255,5 @@
     suspects = []
     for fingerprint in sorted(crash.begun):
         suspects.append(Suspect(fingerprint, crash.begun[fingerprint]))
-    return CrashRecord(start, tuple(suspects), tuple(sorted(crash.cleared)))
+    cleared = tuple(sorted(crash.cleared))
+    return CrashRecord(start, tuple(suspects), cleared, crash.gone)
--- a/packages/daemon/src/lacewing_daemon/direct/crashes/_record.py
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_record.py
@@ -7,10 +7,14 @@
 
 
 class Start(msgspec.Struct, frozen=True):
-    """Name one start of an upstream; it crashes once at most."""
+    """Name one start of an upstream; it crashes once at most.
+
+    ``again`` counts starts after it that nobody could read in the store.
+    """
 
     upstream_id: str
     started_ms: int
+    again: int = 0
 
 
 class Suspect(msgspec.Struct, frozen=True):
@@ -23,12 +27,14 @@
 class CrashRecord(msgspec.Struct, frozen=True):
     """Hold what ran at an upstream when it crashed, as far as known.
 
-    ``cleared`` are the fingerprints of requests that did not cause it.
+    ``cleared`` are the fingerprints of requests that did not cause it;
+    ``gone``: nobody listened at its address any more.
     """
 
     start: Start
     suspects: tuple[Suspect, ...] = ()
     cleared: tuple[str, ...] = ()
+    gone: bool = False
 
 
 def mark(record: CrashRecord) -> int:
--- a/packages/daemon/src/lacewing_daemon/direct/crashes/_stored.py
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_stored.py
@@ -103,7 +103,8 @@
     async def _write(self, start: Start) -> bool:
         """Return whether nothing more has to be done for a record."""
         record = self._due[start]
-        name = f'{start.upstream_id}.{start.started_ms}.{self._process_id}'
+        name = f'{start.upstream_id}.{start.started_ms}.{start.again}'
+        name = f'{name}.{self._process_id}'
         answer = await self._store.put(
             CRASHES, name, msgspec.json.encode(record), MUST_NOT_EXIST
         )
--- a/packages/daemon/src/lacewing_daemon/direct/crashes/_witness.py
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_witness.py
@@ -10,6 +10,7 @@
 from lacewing_common.log import Part
 from lacewing_common.log_lines import BrokenRun
 
+from lacewing_daemon.direct._attempt import Contact
 from lacewing_daemon.direct._metrics import UPSTREAM_CRASHES
 from lacewing_daemon.direct._upstream import Upstream
 from lacewing_daemon.direct.crashes._record import CrashRecord
@@ -30,12 +31,12 @@
 
     A connection that is reset or closed too soon looks the same in both
     cases. An upstream that ended takes no connection for some seconds, so
-    one is tried; ``reached`` tells whether it was taken.
+    one is tried; ``reached`` tells how that ended.
     """
 
     def __init__(
         self,
-        reached: Callable[[Upstream], Awaitable[bool]],
+        reached: Callable[[Upstream], Awaitable[Contact]],
         on_crash: Callable[[CrashRecord], None],
     ) -> None:
         self._reached = reached
@@ -43,12 +44,11 @@
         self._broken: dict[Start, list[BrokenRun]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def broke(self, upstream: Upstream, run: BrokenRun) -> None:
-        """Note that an upstream broke a run off."""
+    def broke(self, upstream: Upstream, start: Start, run: BrokenRun) -> None:
+        """Note that a start of an upstream broke a run off."""
         if upstream.leaving:
             # It ends on purpose, whatever it runs.
             return
-        start = Start(upstream.upstream_id, upstream.started_ms)
         runs = self._broken.setdefault(start, [])
         runs.append(run)
         if len(runs) > 1:
@@ -66,18 +66,21 @@
         await asyncio.sleep(GATHER_S)
         reached = await self._reached(upstream)
         runs = self._broken.pop(start)
-        if reached:
+        if reached is Contact.MADE:
             return
+        gone = reached is Contact.REFUSED
         runs.sort(key=attrgetter('begun'))
         UPSTREAM_CRASHES.labels(upstream.service).inc()
         _log.warning(
             'An upstream crashed.',
             upstream=start.upstream_id,
             started_ms=start.started_ms,
+            again=start.again,
+            gone=gone,
             service=upstream.service,
             runs=msgspec.to_builtins(runs[:MOST_RUNS]),
         )
         suspects = []
         for run in runs[:MOST_RUNS]:
             suspects.append(Suspect(run.same, run.begun))
-        self._on_crash(CrashRecord(start, tuple(suspects)))
+        self._on_crash(CrashRecord(start, tuple(suspects), gone=gone))
