Wait for peers' documents at a start, and end no call for another that is late

Ruled out: a bundle that is lost or refused (each was accepted a moment later). Change: a start waits up to 1 s for fetches under way and asks a second time if nobody answered. A connection with a late call takes no new ones and is closed once the others on it have ended; so a large document on a narrow link no longer falls with a short exchange.

--- a/features/direct_crashes.feature
+++ b/features/direct_crashes.feature
@@ -196,6 +196,14 @@
       When the connection of a call to a peer is lost
       Then the call is answered as one without a reply
 
+    Scenario: A call that is late ends no other call to the same peer
+      # Symptom: a large document never arrives over a link that it fills.
+      # Sequence: while it is under way, the short exchanges with the same
+      #   peer come late.
+      # Cause: a late call closed the connection that all calls share.
+      When two calls to a peer are under way and the first is late
+      Then the second is answered
+
   Rule: Who merely ran beside a crash is not shut out
 
     Scenario Outline: One request explains the crashes of others
--- a/features/peers.feature
+++ b/features/peers.feature
@@ -61,6 +61,18 @@
     And all peers but "p3" start again
     Then version 7 is in force at all peers
 
+  Scenario: A process has its peers' bundle before it serves
+    # Symptom: a process that starts in an outage of the platform has no
+    #   bundle, though the peer that it asked has one.
+    # Sequence: documents take longer than what peers tell of each other.
+    # Cause: a start waited for what was told alone, not for what is fetched.
+    Given 2 peers
+    When "p1" takes version 7 of the bundle
+    And version 7 is in force at all peers
+    And a fetch takes 200 ms longer
+    And all peers but "p1" start again
+    Then version 7 is in force at all peers
+
   Scenario: Two rolls at once end with the higher number everywhere
     Given 8 peers
     When "p2" takes version 5 and "p7" version 6 of the bundle
--- a/features/steps/peer_calls_steps.py
+++ b/features/steps/peer_calls_steps.py
@@ -5,10 +5,17 @@
 from behave import then
 from behave import when
 from behave.runner import Context
+from grpclib.const import Cardinality
+from grpclib.const import Handler
+from grpclib.server import Server
+from grpclib.server import Stream
+from lacewing_common.codec import MsgpackCodec
 from lacewing_daemon.direct.crashes._messages import TELL_METHOD
 from lacewing_daemon.direct.crashes._messages import Told
 from lacewing_daemon.direct.crashes._messages import TookTold
 from lacewing_daemon.peers import Channels
+from lacewing_daemon.peers import NoReply
+from lacewing_platform_testing import free_ports
 
 TIMEOUT_S = 5.0
 UNDER_WAY_S = 0.1
@@ -59,6 +66,53 @@
     return call.cancelled()
 
 
+class _SlowPeer:
+    """Answer each call a while after it came."""
+
+    def __mapping__(self) -> dict[str, Handler]:
+        """Map the method for grpclib."""
+        handler = Handler(self._take, Cardinality.UNARY_UNARY, Told, TookTold)
+        return {TELL_METHOD: handler}
+
+    async def _take(self, stream: Stream[Told, TookTold]) -> None:
+        await stream.recv_message()
+        await asyncio.sleep(2 * UNDER_WAY_S)
+        await stream.send_message(TookTold())
+
+
+@when('two calls to a peer are under way and the first is late')
+def step_late(context: Context) -> None:
+    """Give up one call while another goes on."""
+    context.answer = asyncio.run(_late())
+
+
+async def _late() -> object:
+    server = Server([_SlowPeer()], codec=MsgpackCodec())
+    port = free_ports()
+    await server.start('127.0.0.1', port)
+    channels = Channels(None)
+    answers = await asyncio.gather(
+        _tell(channels, port, UNDER_WAY_S), _tell(channels, port, TIMEOUT_S)
+    )
+    channels.close()
+    server.close()
+    await server.wait_closed()
+    assert isinstance(answers[0], NoReply), answers[0]
+    return answers[1]
+
+
+async def _tell(channels: Channels, port: int, timeout_s: float) -> object:
+    address = f'127.0.0.1:{port}'
+    told = Told('', ())
+    return await channels.call(address, TELL_METHOD, told, TookTold, timeout_s)
+
+
+@then('the second is answered')
+def step_second(context: Context) -> None:
+    """Look that it came to its end."""
+    assert context.answer == TookTold(), context.answer
+
+
 async def _cancelled() -> bool:
     server = await asyncio.start_server(_read_on, '127.0.0.1', 0)
     host, port = server.sockets[0].getsockname()
--- a/features/steps/peers_steps.py
+++ b/features/steps/peers_steps.py
@@ -83,6 +83,12 @@
     context.bench.network.lose(0.33)
 
 
+@when('a fetch takes {fetch_ms:d} ms longer')
+def when_slow(context: Context, fetch_ms: int) -> None:
+    """Let documents come later than all other answers."""
+    context.bench.network.fetch_s = fetch_ms / 1000
+
+
 @when('"{name}" takes version {version:d} of the bundle')
 def when_rolls(context: Context, name: str, version: int) -> None:
     """Give a version to one peer."""
--- a/features/support/peers_bench.py
+++ b/features/support/peers_bench.py
@@ -65,6 +65,7 @@
         self._groups: dict[str, int] = {}
         self._cut_pairs: set[tuple[str, str]] = set()
         self._lose_share = 0.0
+        self.fetch_s = 0.0
         self.parts_fetched: list[str] = []
         self.refused = 0
 
@@ -110,6 +111,7 @@
         if method == FETCH_METHOD:
             digests = getattr(request, 'digests', ())
             self._network.parts_fetched.extend(digests)
+            await asyncio.sleep(self._network.fetch_s)
         answer = await super().call(
             address, method, request, reply_type, timeout_s
         )
--- a/packages/daemon/src/lacewing_daemon/peers/_channels.py
+++ b/packages/daemon/src/lacewing_daemon/peers/_channels.py
@@ -51,8 +51,12 @@
 
 @dataclass
 class _Open:
+    """Hold a connection; ``left``: no new call is made over it."""
+
     channel: Channel
     used_at_s: float
+    calls: int = 0
+    left: bool = False
 
 
 class Channels:
@@ -61,6 +65,7 @@
     def __init__(self, tls: ssl.SSLContext | None) -> None:
         self._tls = tls
         self._open: dict[str, _Open] = {}
+        self._left: list[_Open] = []
 
     def __len__(self) -> int:
         return len(self._open)
@@ -75,12 +80,13 @@
     ) -> T | NoReply:
         """Call one peer once."""
         try:
-            channel = self._channel(address)
+            held = self._hold(address)
         except SettingsError as error:
             return NoReply(str(error))
         call: UnaryUnaryMethod[Any, Any] = UnaryUnaryMethod(
-            channel, method, type(request), reply_type
+            held.channel, method, type(request), reply_type
         )
+        held.calls += 1
         # When a connection is lost the library cancels the task that waits on
         # it. In one of its own that can't be taken for a stop of the caller.
         called = asyncio.create_task(_run(call, request))
@@ -96,8 +102,9 @@
             DecodeError,
         ) as error:
             # A connection to a VM that vanished sends no end; kept, each
-            # further call would wait on it in vain.
-            self._drop(address)
+            # further call would wait on it in vain. Calls under way on it
+            # have times of their own.
+            self._leave(address, held)
             task = asyncio.current_task()
             if task is not None and task.cancelling():
                 # A connection that ends as its call is cancelled shows as
@@ -105,6 +112,9 @@
                 # on, and a process that was told to stop would never end.
                 raise asyncio.CancelledError from error
             return NoReply(f'{address}: {error!r}')
+        finally:
+            held.calls -= 1
+            self._close_left()
         return reply
 
     def close_idle(self) -> None:
@@ -112,30 +122,46 @@
         before_s = time.monotonic() - _IDLE_S
         for address in list(self._open):
             if self._open[address].used_at_s < before_s:
-                self._drop(address)
+                self._leave(address, self._open[address])
+        self._close_left()
 
     def close(self) -> None:
         """Close all connections."""
-        for address in list(self._open):
-            self._drop(address)
+        for held in (*self._open.values(), *self._left):
+            held.channel.close()
+        self._open.clear()
+        self._left.clear()
 
-    def _channel(self, address: str) -> Channel:
+    def _hold(self, address: str) -> _Open:
         now_s = time.monotonic()
         held = self._open.get(address)
         if held is not None:
             held.used_at_s = now_s
-            return held.channel
+            return held
         parsed = parse_address(address)
         channel = Channel(
             parsed.host, parsed.port, codec=_codec, ssl=self._tls
         )
-        self._open[address] = _Open(channel, now_s)
-        return channel
-
-    def _drop(self, address: str) -> None:
-        held = self._open.pop(address, None)
-        if held is not None:
+        opened = _Open(channel, now_s)
+        self._open[address] = opened
+        return opened
+
+    def _leave(self, address: str, held: _Open) -> None:
+        """Make no new call over a connection."""
+        if held.left:
+            return
+        held.left = True
+        self._left.append(held)
+        if self._open.get(address) is held:
+            del self._open[address]
+
+    def _close_left(self) -> None:
+        """Close connections that are left once their calls have ended."""
+        for held in tuple(self._left):
+            if held.calls:
+                continue
             held.channel.close()
+            self._left.remove(held)
 
 
 async def _run(call: UnaryUnaryMethod[Any, Any], request: object) -> Any:
--- a/packages/daemon/src/lacewing_daemon/peers/_fetcher.py
+++ b/packages/daemon/src/lacewing_daemon/peers/_fetcher.py
@@ -74,6 +74,12 @@
                 task = asyncio.create_task(self._run(note.document))
                 self._tasks[note.document] = task
 
+    async def settle(self, longest_s: float) -> None:
+        """Wait until no fetch is under way."""
+        tasks = list(self._tasks.values())
+        if tasks:
+            await asyncio.wait(tasks, timeout=longest_s)
+
     async def close(self) -> None:
         """Stop all fetches."""
         tasks = list(self._tasks.values())
--- a/packages/daemon/src/lacewing_daemon/peers/_gossip.py
+++ b/packages/daemon/src/lacewing_daemon/peers/_gossip.py
@@ -31,6 +31,7 @@
 
 FANOUT = 3
 _HELPERS = 3
+_FIRST_TRIES = 2
 _JITTER = 0.25
 # So many times the period passes before an address that is not a member,
 # or a dead member, is tried again beside the partner.
@@ -76,13 +77,19 @@
         return self._answered_at_s
 
     async def discover(self) -> None:
-        """Call a few known addresses at once, before serving."""
-        addresses = self._strangers()
-        self._rng.shuffle(addresses)
-        calls = []
-        for address in addresses[: 2 * FANOUT]:
-            calls.append(self._exchange_with(address, None))
-        await asyncio.gather(*calls)
+        """Call a few known addresses at once, before serving.
+
+        One lost message shall not leave a process with nobody it knows of.
+        """
+        for _ in range(_FIRST_TRIES):
+            addresses = self._strangers()
+            self._rng.shuffle(addresses)
+            calls = []
+            for address in addresses[: 2 * FANOUT]:
+                calls.append(self._exchange_with(address, None))
+            answered = await asyncio.gather(*calls)
+            if any(answered) or not calls:
+                return
 
     def meet(self) -> None:
         """Call a few of the addresses that were never called."""
--- a/packages/daemon/src/lacewing_daemon/peers/_node.py
+++ b/packages/daemon/src/lacewing_daemon/peers/_node.py
@@ -29,6 +29,11 @@
 from lacewing_daemon.peers._service import PeerService
 from lacewing_daemon.peers._table import MemberTable
 
+# A process that starts waits for its peers' documents, or callers would find
+# it without any. A large one on a narrow link may take longer than callers
+# of a VM that is back want to wait.
+FIRST_FETCH_S = 1.0
+
 _log = get_log(Part.MEMBERS)
 
 
@@ -139,6 +144,7 @@
     async def discover(self) -> None:
         """Learn members and documents from a few peers before serving."""
         await self._gossip.discover()
+        await self._fetcher.settle(FIRST_FETCH_S)
 
     def start(self, address: str) -> None:
         """Join the fleet under the address of the listener for peers."""
