--- a/features/direct_crashes.feature
+++ b/features/direct_crashes.feature
@@ -94,7 +94,7 @@
       And a public path "/open/" of "registry" with one attempt
       And 5 upstreams of "registry" that come back after a crash
       And routers that call each other
-      And somebody else listens where they would
+      And another process listens at their ports for peers
       And 2 direct routers
       And each router knows the 1 other
       When callers send what crashes them to "/open/1" until 2 have crashed
@@ -105,10 +105,10 @@
       And a public path "/open/" of "registry" with one attempt
       And 5 upstreams of "registry" that come back after a crash
       And routers that call each other
-      And somebody else listens where they would
+      And another process listens at their ports for peers
       And 2 direct routers
       And each router knows the 1 other
-      And he goes away
+      And that process has ended
       When the store is busy
       And callers send what crashes them to "/open/1" until 2 have crashed
       And it comes again to "/open/1" 4 times after 0 seconds
@@ -237,15 +237,15 @@
     Scenario Outline: One crash breaks off the runs of many connections
       # A cut link ends connections like a crash does, and nothing has
       # started again after it.
-      When an upstream at which somebody <listens> crashes under "a" at 1000
+      When an upstream that <listens> crashes under "a" at 1000
       And a run of "a" on a connection opened at <opened> is broken off there
       Then "a" is held to have run at <crashes>
 
       Examples:
-        | listens        | opened | crashes   |
-        | listens no more | 999   | 1 crash   |
-        | listens no more | 1001  | 2 crashes |
-        | can't be reached | 1001 | 1 crash   |
+        | listens          | opened | crashes   |
+        | listens no more  | 999    | 1 crash   |
+        | listens no more  | 1001   | 2 crashes |
+        | can't be reached | 1001   | 1 crash   |
 
     Scenario: A crash counts for ten minutes
       When routers hear of the crashes "a; a; a" in any order
--- a/features/steps/crash_ledger_steps.py
+++ b/features/steps/crash_ledger_steps.py
@@ -38,9 +38,7 @@
             ledger.take(record)
 
 
-@when(
-    'an upstream at which somebody {state} crashes under "{name}" at {now:d}'
-)
+@when('an upstream that {state} crashes under "{name}" at {now:d}')
 def step_crash(context: Context, state: str, name: str, now: int) -> None:
     """Tell one router of it."""
     context.now_s = float(now)
--- a/features/steps/crashes_steps.py
+++ b/features/steps/crashes_steps.py
@@ -73,15 +73,15 @@
     direct_bench(context).routers_call = True
 
 
-@given('somebody else listens where they would')
+@given('another process listens at their ports for peers')
 def step_taken(context: Context) -> None:
     """Take the ports for calls of routers before these start."""
     direct_bench(context).peer_ports_taken = True
 
 
-@given('he goes away')
+@given('that process has ended')
 def step_goes(context: Context) -> None:
-    """Leave the ports, and the routers time to see it."""
+    """Free the ports, and give the routers time to see it."""
     direct_bench(context).free_peer_ports()
     time.sleep(LISTEN_AGAIN_S + PAUSE_S)
 
