--- a/features/steps/peer_calls_steps.py
+++ b/features/steps/peer_calls_steps.py
@@ -53,13 +53,9 @@
 
 async def _lost() -> bool:
     server = await asyncio.start_server(_break_off, '127.0.0.1', 0)
-    host, port = server.sockets[0].getsockname()
+    port = server.sockets[0].getsockname()[1]
     channels = Channels(None)
-    call = asyncio.create_task(
-        channels.call(
-            f'{host}:{port}', TELL_METHOD, Told('', ()), TookTold, TIMEOUT_S
-        )
-    )
+    call = asyncio.create_task(_tell(channels, port, TIMEOUT_S))
     await asyncio.wait((call,))
     channels.close()
     server.close()
@@ -115,13 +111,9 @@
 
 async def _cancelled() -> bool:
     server = await asyncio.start_server(_read_on, '127.0.0.1', 0)
-    host, port = server.sockets[0].getsockname()
+    port = server.sockets[0].getsockname()[1]
     channels = Channels(None)
-    call = asyncio.create_task(
-        channels.call(
-            f'{host}:{port}', TELL_METHOD, Told('', ()), TookTold, TIMEOUT_S
-        )
-    )
+    call = asyncio.create_task(_tell(channels, port, TIMEOUT_S))
     await asyncio.sleep(UNDER_WAY_S)
     call.cancel()
     channels.close()
