--- a/features/steps/store_calls_steps.py
+++ b/features/steps/store_calls_steps.py
@@ -14,6 +14,7 @@
 from lacewing_common.store import StoreFault
 from lacewing_daemon.direct import Changes
 from lacewing_daemon.direct import Listing
+from lacewing_daemon.direct._eras import StoreEras
 from lacewing_daemon.direct._followed import Followed
 from lacewing_daemon.direct._store_calls import CountedObjects
 from lacewing_daemon.direct._store_calls import StoreCalls
@@ -97,7 +98,7 @@
 def step_own_objects(context: Context) -> None:
     """Count the calls for own objects."""
     context.calls = StoreCalls()
-    context.objects = CountedObjects(_NoObjects(), context.calls)
+    context.objects = CountedObjects(_NoObjects(), context.calls, StoreEras())
 
 
 @when('an object is written, read, looked at cheaply and removed')
--- a/packages/common/src/lacewing_common/put_resolving.py
+++ b/packages/common/src/lacewing_common/put_resolving.py
@@ -29,6 +29,7 @@
     expect: int,
     policy: ResolvePolicy | None = None,
     random: Random | None = None,
+    era: int = 0,
 ) -> StoredObject | StoreError:
     """Write if the version is ``expect``; read back after a lost answer.
 
@@ -50,6 +51,13 @@
     give_up_at = loop.time() + policy.give_up_after_s
     while loop.time() < give_up_at:
         seen = await store.get(kind, name)
+        if 0 < era < seen.era:
+            return StoreError(
+                StoreFault.UNKNOWN,
+                f'the store returned from a copy during the write of {kind}/'
+                f'{name}; expected era {era}, got {seen.era}',
+                era=seen.era,
+            )
         settled = _settle(seen, value, expect)
         if settled is not None:
             return settled
--- a/packages/common/src/lacewing_common/store.py
+++ b/packages/common/src/lacewing_common/store.py
@@ -34,22 +34,29 @@
 
     ``retry_after_s`` is the platform's advice in seconds, if it gave any.
     ``received``: bytes of an answer that was given up in its middle.
+    ``era`` is the store's when it answered, 0 if it told none.
     """
 
     fault: StoreFault
     message: str
     retry_after_s: float | None = None
     received: int = 0
+    era: int = 0
 
 
 @dataclass(frozen=True)
 class StoredObject:
-    """Hold one object; ``version`` grows with each change, from 1."""
+    """Hold one object; ``version`` grows with each change, from 1.
+
+    A store that returns from an older copy begins a new ``era``, in which
+    versions go back and are given out again; 0 if it told none.
+    """
 
     kind: str
     name: str
     version: int
     value: bytes
+    era: int = 0
 
 
 class VmState(Enum):
--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -10,11 +10,15 @@
 from lacewing_daemon.direct._attempt import Contact
 from lacewing_daemon.direct._connection import connect
 from lacewing_daemon.direct._directory import Directory
+from lacewing_daemon.direct._eras import StoreEras
 from lacewing_daemon.direct._followed import CONFIRM_PART
 from lacewing_daemon.direct._followed import Followed
 from lacewing_daemon.direct._knowledge import Knowledge
 from lacewing_daemon.direct._knowledge import Learnt
 from lacewing_daemon.direct._metrics import STORE_AGE_SECONDS
+from lacewing_daemon.direct._older import older_directory
+from lacewing_daemon.direct._older import older_upstream
+from lacewing_daemon.direct._older import older_weights
 from lacewing_daemon.direct._pool import ConnectionPool
 from lacewing_daemon.direct._router_count import RouterCount
 from lacewing_daemon.direct._settings import DirectSettings
@@ -51,6 +55,9 @@
 # second, could never confirm anything, only so much of it is allowed for.
 DEAF_PART = 0.5
 SWEEP_S = 1.0
+# An entry of an upstream that had gone before the store returned from a copy
+# lapses again within three heartbeats, unless the upstream lives after all.
+COPIED_UPSTREAM_S = 10.0
 # An upstream that lives takes a connection within some ms.
 REACHED_S = 0.3
 
@@ -90,7 +97,8 @@
         self._knowledge = Knowledge(settings.bounds, settings.policy)
         random = Random()
         self._calls = StoreCalls()
-        self._store = CountedObjects(site.store, self._calls)
+        self._eras = StoreEras()
+        self._store = CountedObjects(site.store, self._calls, self._eras)
         self._directories: Followed[Directory] = Followed(
             'configuration',
             site.directories,
@@ -101,6 +109,8 @@
             strict=True,
             doubted_s=keys_believed_s(settings.bounds.revoke_s),
             calls=self._calls,
+            eras=self._eras,
+            is_older=older_directory,
         )
         self._upstreams: Followed[Upstream] = Followed(
             'upstreams',
@@ -112,6 +122,9 @@
             drop_unreadable=True,
             calls=self._calls,
             guide=self._directories,
+            eras=self._eras,
+            is_older=older_upstream,
+            doubt_s=COPIED_UPSTREAM_S,
         )
         self._weights: Followed[NamedWeights] = Followed(
             'weights',
@@ -120,6 +133,8 @@
             random,
             calls=self._calls,
             guide=self._directories,
+            eras=self._eras,
+            is_older=older_weights,
         )
         self._crashes: Followed[str] = Followed(
             CRASHES,
@@ -129,6 +144,7 @@
             gather_s=CRASHES_GATHER_S,
             calls=self._calls,
             guide=self._directories,
+            eras=self._eras,
         )
         self._on_directory: Callable[[Directory], None] | None = None
         self._pool = ConnectionPool()
@@ -138,6 +154,7 @@
             random,
             self._knowledge.take_routers,
             address=settings.peers,
+            eras=self._eras,
         )
         self._guard = CrashGuard(
             settings.process_id,
@@ -147,6 +164,7 @@
             lambda: self._routers.addresses,
             _reached,
             random,
+            self._eras,
         )
         self._silence = SilenceWatch(settings.policy.mute_ms / 1000)
         self._tasks: list[asyncio.Task[None]] = []
--- a/packages/daemon/src/lacewing_daemon/direct/_followed.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_followed.py
@@ -16,8 +16,14 @@
 from lacewing_common.store import StoreError
 from lacewing_common.store import StoreFault
 
+from lacewing_daemon.direct._change_age import ChangeAge
+from lacewing_daemon.direct._change_age import LATE_S
 from lacewing_daemon.direct._clock import boot_s
-from lacewing_daemon.direct._metrics import ENTRIES_LEFT_OUT
+from lacewing_daemon.direct._copied_entries import CopiedEntries
+from lacewing_daemon.direct._copied_entries import IsOlder
+from lacewing_daemon.direct._eras import StoreEras
+from lacewing_daemon.direct._held_entries import HeldEntries
+from lacewing_daemon.direct._held_entries import OnChange
 from lacewing_daemon.direct._site import Changes
 from lacewing_daemon.direct._site import Collection
 from lacewing_daemon.direct._site import HistoryGone
@@ -28,23 +34,21 @@
 from lacewing_daemon.direct._told_revisions import ToldRevisions
 
 T = TypeVar('T')
-OnChange = Callable[[str, T | None], None]
 
 BACKOFF_BASE_S = 0.1
 BACKOFF_CAP_S = 0.6
-# The platform says that entries which lapsed during its outage are back
-# within about 2 s of its return, if the upstream lives.
-KEEP_LAPSED_S = 2.3
 # The part of the time for which entries are believed within which they are
 # confirmed anew; the rest is left to the way of calls to a slow store.
 CONFIRM_PART = 0.8
 # A call waits no shorter than this for the sake of a large answer that may
 # follow, as each call has its price; at most three a second.
 LEAST_WAIT_S = 0.3
-# How often it is looked, while a call waits, whether the process stood still,
-# and by how much a look or an answer may be late on a busy VM.
+# How often it is looked, while a call waits, whether the process stood still
+# or the store has returned from a copy.
 BEAT_S = 0.5
-LATE_S = 0.5
+# What was lost with a copy is written again within about this time, as the
+# platform says of entries that lapsed.
+REWRITTEN_S = 2.0
 # While another collection is lost too and asks for the store, this one tries
 # only so often by itself: the other may be lost for a reason of its own.
 GUIDED_S = 1.5
@@ -64,17 +68,7 @@
 
 
 class Followed(Generic[T]):
-    """Hold the entries of one collection, kept up to date by a task.
-
-    When the store is away, upstreams can't renew their entries either, and
-    these lapse although the upstreams serve. Believing the first list after
-    an outage would leave a router without upstreams; so an entry that is
-    gone then is kept until all that live are back. Counted from the store's
-    return and not from the removal: an upstream that leaves a while after
-    an outage must not be kept any longer than in calm times.
-
-    What was known of an entry that can't be read any more is kept, or with
-    ``drop_unreadable`` dropped at once, as it no longer says so itself.
+    """Keep the entries of one collection up to date by a task.
 
     After a failed call, changes since a known revision are asked for, and
     not the whole collection: on a narrow link reading it anew takes seconds,
@@ -100,32 +94,37 @@
         clock: Callable[[], float] = boot_s,
         calls: StoreCalls | None = None,
         guide: 'Followed[Any] | None' = None,
+        eras: StoreEras | None = None,
+        is_older: IsOlder[T] | None = None,
+        doubt_s: float = float('inf'),
     ) -> None:
         self._guide = guide
         self._found = asyncio.Event()
         self._calls = calls or StoreCalls()
-        self._drop_unreadable = drop_unreadable
+        self._eras = eras or StoreEras()
         self._doubted_s = doubted_s
         self._clock = clock
         self._deaf_s = deaf_s
         self._strict = strict
-        self._unread: set[str] = set()
         self._name = name
         self._collection = collection
         self._wait_s = wait_s
         self._backoff = Backoff(BACKOFF_BASE_S, BACKOFF_CAP_S, random)
-        self._keep_lapsed = keep_lapsed
         self._gather_s = gather_s
-        self._entries: dict[str, T] = {}
-        self._lapsed: dict[str, asyncio.TimerHandle] = {}
-        self._callbacks: list[OnChange[T]] = []
+        self._held: HeldEntries[T] = HeldEntries(
+            name,
+            CopiedEntries(is_older or _never_older, doubt_s),
+            clock,
+            keep_lapsed,
+            drop_unreadable,
+        )
         self._revision: int | None = None
+        self._era: int | None = None
         self._told = ToldRevisions()
         self._last_revision = 0
         self._confirmed_s: float | None = None
-        self._unheard_from_s: float | None = float('-inf')
-        self._noted_s = float('-inf')
-        self._regained_s = float('-inf')
+        self._confirms_from_s = float('-inf')
+        self._age = ChangeAge(clock)
         self._lost = False
         self._rewound = False
         self._read = LastRead(0, 0.0)
@@ -135,7 +134,7 @@
     @property
     def entries(self) -> Mapping[str, T]:
         """Return the entries as far as they are known."""
-        return self._entries
+        return self._held.entries
 
     @property
     def read_once(self) -> bool:
@@ -169,19 +168,12 @@
 
     @property
     def unsure_s(self) -> float:
-        """Return how long ago a change that is told now may have been made.
-
-        One that was waited for has just been made, unless the process stood
-        still meanwhile or the answer was long on its way. One found in a
-        list was made at some time since the last confirmation.
-        """
-        if self._unheard_from_s is None:
-            return 0.0
-        return self._clock() - self._unheard_from_s
+        """Return how long ago a change that is told now may have been made."""
+        return self._age.unsure_s
 
     def on_change(self, callback: OnChange[T]) -> None:
         """Call back with the name and value (None: removed) of a change."""
-        self._callbacks.append(callback)
+        self._held.on_change(callback)
 
     async def run(self) -> None:
         """Follow the collection until cancelled."""
@@ -190,6 +182,9 @@
 
     async def step(self) -> float:
         """Make one call; return the time until the next one, in seconds."""
+        self._held.believe_copied()
+        if self._era_passed:
+            self._revision = None
         self._calls.note(self._name, self._reason())
         wait_s = self._next_wait_s()
         sent_s = self._clock()
@@ -197,9 +192,15 @@
         self._last_changed = isinstance(answer, Changes) and bool(
             answer.changed
         )
+        if answer is None:
+            return 0.0
+        self._eras.take(answer.era)
         if isinstance(answer, StoreError):
             self._failed(answer, sent_s)
             return self._backoff.next_s()
+        if self._of_other_era(answer):
+            self._revision = None
+            return self._backoff.next_s()
         self._backoff.reset()
         if isinstance(answer, HistoryGone):
             _log.info(
@@ -207,19 +208,14 @@
                 collection=self._name,
                 reason=answer.message,
             )
-            self._unheard_since(self._clock() - self._deaf_s)
+            self._age.unheard_since(self._clock() - self._deaf_s)
             self._revision = None
             return 0.0
         self._regained()
         self._read = LastRead(answer.size, answer.took_s)
-        self._judge_way(answer, self._clock() - sent_s, wait_s)
+        self._age.judge(sent_s, wait_s, isinstance(answer, Listing))
         self._take(answer)
-        # An answer that was long on its way, or was read after a standstill,
-        # tells what was so when it was sent. What the next one tells at once
-        # was made since then; taken for just made, older weights were used
-        # for too long. So only an answer that was asked for later ends it.
-        if self._noted_s <= sent_s:
-            self._unheard_from_s = None
+        self._age.end(sent_s)
         self.confirm(answer, sent_s, wait_s)
         if isinstance(answer, Listing):
             self._last_took_s = answer.took_s
@@ -244,9 +240,12 @@
         Counting from the sending alone would take what is known for older
         by the time that was waited, and refuse keys so much sooner. With
         ``strict``, nothing is known while there is an unreadable entry: a
-        configuration that can't be read may take keys away.
+        configuration that can't be read may take keys away. Nor is it while
+        the store, back from a copy, lacks what may not be written again yet.
         """
-        if self._strict and self._unread:
+        if self._strict and self._unconfirmable:
+            return
+        if sent_s < self._confirms_from_s:
             return
         if wait_s is None:
             wait_s = self._wait_s
@@ -260,20 +259,6 @@
         if self._confirmed_s is None or confirmed_s > self._confirmed_s:
             self._confirmed_s = confirmed_s
 
-    def _judge_way(
-        self, answer: Listing[T] | Changes[T], took_s: float, wait_s: float
-    ) -> None:
-        """Note whether an answer was long on its way, or was waited for."""
-        sent_s = self._clock() - took_s
-        if took_s > wait_s + LATE_S:
-            self._unheard_since(sent_s)
-            return
-        if isinstance(answer, Listing) or took_s <= LATE_S:
-            return
-        if self._noted_s <= sent_s:
-            # There was nothing to tell when it was asked for.
-            self._unheard_from_s = None
-
     async def _rest(self, pause_s: float) -> None:
         """Sleep, or until the guide has found the store again."""
         guide = self._guide
@@ -301,7 +286,10 @@
         """
         if self._lost:
             return 0.0
-        if self._strict and self._unread:
+        unwritten_s = self._confirms_from_s - self._clock()
+        if unwritten_s > 0:
+            return min(self._wait_s, unwritten_s)
+        if self._strict and self._unconfirmable:
             # No answer makes it fresher before the entry changes; calls
             # that don't wait would only load the store.
             return self._wait_s
@@ -313,6 +301,31 @@
         fresh_s = self._doubted_s * CONFIRM_PART - age_s
         return max(0.0, min(self._wait_s, max(room_s, LEAST_WAIT_S), fresh_s))
 
+    @property
+    def _unconfirmable(self) -> bool:
+        return self._held.any_unreadable or self._held.any_doubtful
+
+    @property
+    def _era_passed(self) -> bool:
+        """Tell whether the store began an era after what is known."""
+        if self._era is None:
+            return False
+        return self._eras.current not in (0, self._era)
+
+    def _of_other_era(
+        self, answer: Listing[T] | Changes[T] | HistoryGone
+    ) -> bool:
+        """Tell whether an answer can't be joined to what is known.
+
+        A list that was long on its way may be of an era that has ended, and
+        changes are told since a revision of one era only.
+        """
+        if not answer.era:
+            return False
+        if isinstance(answer, Changes):
+            return answer.era != self._era
+        return answer.era < self._eras.current
+
     def _reason(self) -> CallReason:
         if self._revision is None:
             return CallReason.READ
@@ -324,11 +337,13 @@
 
     async def _watched(
         self, wait_s: float
-    ) -> Listing[T] | Changes[T] | HistoryGone | StoreError:
+    ) -> Listing[T] | Changes[T] | HistoryGone | StoreError | None:
         """Make the next call; note if the process stood still meanwhile.
 
         After a pause an answer that has waited is read as if it had just
-        come, and what it tells would count as just made.
+        come, and what it tells would count as just made. A call for changes
+        is given up (None) once the store has returned from a copy: what was
+        lost need not show in it.
         """
         call = asyncio.ensure_future(self._next(wait_s))
         try:
@@ -336,7 +351,9 @@
                 looked_s = self._clock()
                 await asyncio.wait((call,), timeout=BEAT_S)
                 if self._clock() - looked_s > BEAT_S + LATE_S:
-                    self._unheard_since(looked_s)
+                    self._age.unheard_since(looked_s)
+                if self._revision is not None and self._era_passed:
+                    return call.result() if call.done() else None
         finally:
             call.cancel()
         return call.result()
@@ -351,34 +368,27 @@
     def _take(self, answer: Listing[T] | Changes[T]) -> None:
         self._revision = answer.revision
         self._last_revision = answer.revision
-        if isinstance(answer, Listing):
-            self._told.read(answer.revision, self._clock())
-        else:
-            self._told.tell(answer.revision, self._clock())
         if isinstance(answer, Changes):
-            for name, value in self._new(answer):
-                self._unread.discard(name)
-                self._set(name, value)
-            self._unread.update(answer.unreadable)
-        else:
-            self._take_all(answer)
+            self._told.tell(answer.revision, self._clock())
+            self._held.take_changes(self._new(answer), answer.unreadable)
+            self._rewound = False
+            return
+        self._told.read(answer.revision, self._clock())
+        era = answer.era or self._eras.current
+        from_copy = self._era is not None and era != self._era
+        if from_copy:
+            self._begin_era()
+        self._era = era
+        self._held.take_list(answer.entries, answer.unreadable, from_copy)
         self._rewound = False
-        for name in answer.unreadable:
-            # One entry that somebody wrote wrongly must not stop what
-            # depends on the others.
-            ENTRIES_LEFT_OUT.labels(self._name).inc()
-            _log.error('Left an entry out.', collection=self._name, entry=name)
-            if self._drop_unreadable and name in self._entries:
-                self._drop(name)
-
-    def _take_all(self, answer: Listing[T]) -> None:
-        self._unread = set(answer.unreadable)
-        for name in list(self._entries):
-            if name in answer.entries or name in answer.unreadable:
-                continue
-            self._set(name, None)
-        for name, value in answer.entries.items():
-            self._set(name, value)
+
+    def _begin_era(self) -> None:
+        """Doubt what the store tells until what it lost is written again."""
+        self._held.note_back()
+        if self._confirmed_s is not None:
+            self._age.unheard_since(self._confirmed_s)
+        if self._strict:
+            self._confirms_from_s = self._clock() + REWRITTEN_S
 
     def _new(self, answer: Changes[T]) -> Iterable[tuple[str, T | None]]:
         """Return the changes to take, in their order.
@@ -392,36 +402,6 @@
             return answer.changed
         return dict(answer.changed).items()
 
-    def _set(self, name: str, value: T | None) -> None:
-        timer = self._lapsed.pop(name, None)
-        if timer is not None:
-            timer.cancel()
-        if value is not None:
-            if self._entries.get(name) == value:
-                return
-            self._entries[name] = value
-            self._tell(name, value)
-            return
-        if name not in self._entries:
-            return
-        keep_s = self._regained_s + KEEP_LAPSED_S - self._clock()
-        if self._keep_lapsed and keep_s > 0:
-            loop = asyncio.get_running_loop()
-            self._lapsed[name] = loop.call_later(keep_s, self._drop, name)
-            return
-        self._drop(name)
-
-    def _drop(self, name: str) -> None:
-        timer = self._lapsed.pop(name, None)
-        if timer is not None:
-            timer.cancel()
-        self._entries.pop(name, None)
-        self._tell(name, None)
-
-    def _tell(self, name: str, value: T | None) -> None:
-        for callback in self._callbacks:
-            callback(name, value)
-
     def _failed(self, error: StoreError, sent_s: float) -> None:
         # A second answer that is cut in its middle may hold more changes
         # than the whole collection is large.
@@ -432,7 +412,7 @@
             self._revision = self._told.sure()
             self._rewound = True
         if self._confirmed_s is not None:
-            self._unheard_since(self._confirmed_s)
+            self._age.unheard_since(self._confirmed_s)
         if self._lost:
             return
         self._lost = True
@@ -446,20 +426,18 @@
             revision=self.revision,
         )
 
-    def _unheard_since(self, at_s: float) -> None:
-        """Note from when on changes may have gone unheard."""
-        self._noted_s = self._clock()
-        if self._unheard_from_s is None:
-            self._unheard_from_s = at_s
-
     def _regained(self) -> None:
         if not self._lost:
             return
         self._lost = False
         self._found.set()
-        self._regained_s = self._clock()
+        self._held.note_back()
         _log.info(
             'Follows a collection again.',
             collection=self._name,
             age_s=round(self.age_s, 2),
         )
+
+
+def _never_older(_value: object, _known: object) -> bool:
+    return False
--- a/packages/daemon/src/lacewing_daemon/direct/_metrics.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_metrics.py
@@ -66,6 +66,10 @@
     'Seconds since what is known of a collection was confirmed',
     ['collection'],
 )
+STORE_ERA = Gauge(
+    'lacewing_direct_store_era',
+    'Era of the store, one higher each time that it lost changes',
+)
 STORE_CALLS = Counter(
     'lacewing_direct_store_calls',
     'Calls to the store, by what is asked and why',
--- a/packages/daemon/src/lacewing_daemon/direct/_router_count.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_router_count.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 from dataclasses import dataclass
+from dataclasses import replace
 from random import Random
 from uuid import uuid4
 
@@ -16,6 +17,7 @@
 from lacewing_common.store import StoreFault
 
 from lacewing_daemon.direct._clock import boot_s
+from lacewing_daemon.direct._eras import StoreEras
 from lacewing_daemon.direct._metrics import ROUTERS_LIVE
 from lacewing_daemon.direct._site import OwnObjects
 
@@ -55,6 +57,7 @@
     version: int
     since_s: float
     address: str = ''
+    era: int = 0
 
 
 class RouterCount:
@@ -74,8 +77,12 @@
         on_count: Callable[[int], None],
         clock: Callable[[], float] = boot_s,
         address: str = '',
+        eras: StoreEras | None = None,
     ) -> None:
         self._address = address
+        self._eras = eras or StoreEras()
+        self._eras.on_return(self._take_return)
+        self._returned_s = float('-inf')
         self._on_count = on_count
         self._store = store
         self._name = name
@@ -86,6 +93,7 @@
         self._seen: dict[str, _Seen] = {}
         self._count = ROUTERS_ASSUMED
         self._leaving = False
+        self._doubts_own = False
 
     @property
     def count(self) -> int:
@@ -118,6 +126,8 @@
         if self._leaving:
             return
         value = f'{uuid4().hex} {self._address}'.strip()
+        if self._doubts_own:
+            await self._read_own()
         answer = await self._store.put(
             ROUTERS, self._name, value.encode(), self._version
         )
@@ -160,9 +170,14 @@
         for entry in listed:
             known = self._seen.get(entry.name)
             value = _VALUE.fullmatch(entry.value)
+            if known is not None and known.era < entry.era:
+                # Its versions have gone back; only the next one renews it.
+                known = replace(known, version=entry.version, era=entry.era)
             if known is None or known.version < entry.version:
                 address = b'' if value is None else value.group(1) or b''
-                known = _Seen(entry.version, now_s, address.decode())
+                known = _Seen(
+                    entry.version, now_s, address.decode(), entry.era
+                )
             seen[entry.name] = known
             own = entry.name == self._name
             if not own and value is None:
@@ -171,6 +186,13 @@
                 continue
             if own or now_s - known.since_s <= LIVE_S:
                 live += 1
+        for name, known in self._seen.items():
+            if name in seen or now_s - self._returned_s > RENEW_S:
+                continue
+            # Lost with what the store lost, until its router writes it again.
+            seen[name] = known
+            if now_s - known.since_s <= LIVE_S:
+                live += 1
         self._seen = seen
         return max(1, live)
 
@@ -180,7 +202,18 @@
         if self._version != MUST_NOT_EXIST:
             await self._store.delete(ROUTERS, self._name, self._version)
 
+    def _take_return(self) -> None:
+        """Write the own entry again soon: it may be lost, or an older one."""
+        self._returned_s = self._clock()
+        self._renewed_s = float('-inf')
+        self._doubts_own = True
+
     async def _read_own(self) -> None:
         found = await self._store.get(ROUTERS, self._name)
         if isinstance(found, StoredObject):
             self._version = found.version
+            self._doubts_own = False
+            return
+        if found.fault is StoreFault.NOT_FOUND:
+            self._version = MUST_NOT_EXIST
+            self._doubts_own = False
--- a/packages/daemon/src/lacewing_daemon/direct/_site.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_site.py
@@ -30,6 +30,7 @@
 
     ``unreadable``: names of entries that are there but not as agreed.
     ``size`` and ``took_s``: bytes read and the time that they arrived in.
+    ``era`` is the store's when it answered, 0 if it told none.
     """
 
     entries: Mapping[str, T]
@@ -37,6 +38,7 @@
     unreadable: tuple[str, ...] = ()
     size: int = 0
     took_s: float = 0.0
+    era: int = 0
 
 
 @dataclass(frozen=True)
@@ -45,6 +47,7 @@
 
     ``unreadable``: names of entries that changed to what was not agreed.
     ``size`` and ``took_s``: bytes read and the time that they arrived in.
+    ``era`` is the store's when it answered, 0 if it told none.
     """
 
     changed: tuple[tuple[str, T | None], ...]
@@ -52,6 +55,7 @@
     unreadable: tuple[str, ...] = ()
     size: int = 0
     took_s: float = 0.0
+    era: int = 0
 
 
 @dataclass(frozen=True)
@@ -59,6 +63,7 @@
     """Report that changes were forgotten: the collection is read anew."""
 
     message: str
+    era: int = 0
 
 
 class Collection(Protocol[T]):
--- a/packages/daemon/src/lacewing_daemon/direct/_store_calls.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_store_calls.py
@@ -10,6 +10,7 @@
 from lacewing_common.store import StoredObject
 from lacewing_common.store import StoreError
 
+from lacewing_daemon.direct._eras import StoreEras
 from lacewing_daemon.direct._metrics import STORE_CALLS
 from lacewing_daemon.direct._site import OwnObjects
 
@@ -75,39 +76,58 @@
 
 
 class CountedObjects:
-    """Keep the system's own objects and count the calls for them."""
+    """Keep the system's own objects; count the calls and note the era."""
 
-    def __init__(self, objects: OwnObjects, calls: StoreCalls) -> None:
+    def __init__(
+        self, objects: OwnObjects, calls: StoreCalls, eras: StoreEras
+    ) -> None:
         self._objects = objects
         self._calls = calls
+        self._eras = eras
 
     async def get(self, kind: str, name: str) -> StoredObject | StoreError:
         """Read one object."""
         self._calls.note(kind, CallReason.GET)
-        return await self._objects.get(kind, name)
+        return self._noted(await self._objects.get(kind, name))
 
     async def peek(self, kind: str, name: str) -> StoredObject | StoreError:
         """Read one object cheaply; it may be seconds old."""
         self._calls.note(kind, CallReason.PEEK)
-        return await self._objects.peek(kind, name)
+        return self._noted(await self._objects.peek(kind, name))
 
     async def peek_all(
         self, kind: str
     ) -> tuple[StoredObject, ...] | StoreError:
         """Read all objects of a kind cheaply; they may be seconds old."""
         self._calls.note(kind, CallReason.PEEK)
-        return await self._objects.peek_all(kind)
+        answer = await self._objects.peek_all(kind)
+        if isinstance(answer, StoreError):
+            self._eras.take(answer.era)
+            return answer
+        for found in answer:
+            self._eras.take(found.era)
+        return answer
 
     async def put(
         self, kind: str, name: str, value: bytes, expect: int
     ) -> StoredObject | StoreError:
         """Write an object if its version is ``expect``."""
         self._calls.note(kind, CallReason.WRITE)
-        return await self._objects.put(kind, name, value, expect)
+        answer = await self._objects.put(kind, name, value, expect)
+        return self._noted(answer)
 
     async def delete(
         self, kind: str, name: str, expect: int
     ) -> None | StoreError:
         """Delete an object if its version is ``expect``."""
         self._calls.note(kind, CallReason.WRITE)
-        return await self._objects.delete(kind, name, expect)
+        answer = await self._objects.delete(kind, name, expect)
+        if answer is not None:
+            self._eras.take(answer.era)
+        return answer
+
+    def _noted(
+        self, answer: StoredObject | StoreError
+    ) -> StoredObject | StoreError:
+        self._eras.take(answer.era)
+        return answer
--- a/packages/daemon/src/lacewing_daemon/direct/crashes/_guard.py
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_guard.py
@@ -12,6 +12,7 @@
 from lacewing_common.log_lines import BrokenRun
 
 from lacewing_daemon.direct._attempt import Contact
+from lacewing_daemon.direct._eras import StoreEras
 from lacewing_daemon.direct._followed import Followed
 from lacewing_daemon.direct._metrics import BLOCKED_REQUESTS
 from lacewing_daemon.direct._site import OwnObjects
@@ -55,13 +56,14 @@
         others: Callable[[], Sequence[str]],
         reached: Callable[[Upstream], Awaitable[Contact]],
         random: Random,
+        eras: StoreEras,
     ) -> None:
         self._peers_address = peers_address
         self._others = others
         self._random = random
         self._ledger = CrashLedger()
         self._witness = CrashWitness(reached, self._take_own)
-        self._stored = StoredCrashes(store, followed, process_id, random)
+        self._stored = StoredCrashes(store, followed, process_id, random, eras)
         self._own: dict[Start, CrashRecord] = {}
         self._waiting: dict[str, set[Cut]] = {}
         self._blocked: frozenset[str] = frozenset()
--- a/packages/daemon/src/lacewing_daemon/direct/crashes/_stored.py
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_stored.py
@@ -5,7 +5,9 @@
 """
 
 import asyncio
+from collections import OrderedDict
 from collections.abc import Callable
+from dataclasses import dataclass
 from random import Random
 
 import msgspec
@@ -16,9 +18,11 @@
 from lacewing_common.store import StoreFault
 
 from lacewing_daemon.direct._clock import boot_s
+from lacewing_daemon.direct._eras import StoreEras
 from lacewing_daemon.direct._followed import Followed
 from lacewing_daemon.direct._site import OwnObjects
 from lacewing_daemon.direct.crashes._ledger import COUNTS_S
+from lacewing_daemon.direct.crashes._ledger import MOST_CRASHES
 from lacewing_daemon.direct.crashes._record import CrashRecord
 from lacewing_daemon.direct.crashes._record import Start
 
@@ -43,6 +47,14 @@
         return None
 
 
+@dataclass(frozen=True)
+class _Written:
+    """Hold a record of this router's and when it was first written."""
+
+    record: CrashRecord
+    at_s: float
+
+
 class StoredCrashes:
     """Write records and remove them when they count no more.
 
@@ -55,6 +67,7 @@
         followed: Followed[str],
         process_id: str,
         random: Random,
+        eras: StoreEras,
         clock: Callable[[], float] = boot_s,
     ) -> None:
         self._store = store
@@ -63,16 +76,19 @@
         self._random = random
         self._clock = clock
         self._due: dict[Start, CrashRecord] = {}
-        self._written: set[Start] = set()
+        self._written: OrderedDict[Start, _Written] = OrderedDict()
         self._heard_s: dict[str, float] = {}
         self._wakes = asyncio.Event()
         followed.on_change(self._note)
+        eras.on_return(self._write_again)
 
     def store(self, record: CrashRecord) -> None:
         """Write a record of this router's, once."""
         if record.start in self._written:
             return
-        self._written.add(record.start)
+        self._written[record.start] = _Written(record, self._clock())
+        if len(self._written) > MOST_CRASHES:
+            self._written.popitem(last=False)
         self._due[record.start] = record
         self._wakes.set()
 
@@ -94,6 +110,15 @@
                 if heard_s < oldest_s:
                     await self._remove(name)
 
+    def _write_again(self) -> None:
+        """Write what the store may have lost; what it has is a conflict."""
+        oldest_s = self._clock() - COUNTS_S
+        for start, written in self._written.items():
+            if written.at_s < oldest_s:
+                continue
+            self._due[start] = written.record
+        self._wakes.set()
+
     async def _rest(self) -> None:
         if self._followed.lost:
             await self._followed.found_again(LOST_AGAIN_S)
--- a/packages/daemon/src/lacewing_daemon/lease.py
+++ b/packages/daemon/src/lacewing_daemon/lease.py
@@ -1,7 +1,8 @@
 """Hold a lease in the platform: one holder at a time, by own clocks.
 
-The object's version is the fencing number: it grows with each change, so a
-holder that was replaced carries a lower one than its successor.
+The fencing number is made of the store's era and the object's version. Both
+only grow, so a holder that was replaced carries a lower one than its
+successor, also after the store has returned from an older copy.
 """
 
 import time
@@ -23,6 +24,8 @@
 LEASES = 'leases'
 # Written for a holder that never acted; JSON has no infinity.
 _LONG_S = 3600.0
+# Versions are below two to this power.
+_VERSION_BITS = 32
 # Durations of a lease's holders differ where a deployment is changed, but
 # not by more; a record that says so was written by somebody else.
 _MOST_LONGER = 10.0
@@ -38,12 +41,14 @@
     when the answer was lost. ``duration_s`` is the holder's promise.
     ``acted_ago_s``: at the time of this write the holder had not acted for
     so long, and will not before its next write; 0: it may be acting.
+    ``era`` is the store's in which it was written, 0 if none is told.
     """
 
     holder: str
     nonce: str
     duration_s: float
     acted_ago_s: float = 0.0
+    era: int = 0
 
 
 @dataclass(frozen=True)
@@ -67,6 +72,11 @@
     the lease do all the time: an old version only makes them wait longer.
     Durations are measured by the process's own monotonic clock: ``margin_s``
     covers what clocks and calls under way may differ.
+
+    A store that returns from an older copy may show the lease as free, or as
+    held by an earlier holder, while the last one still acts under it. So a
+    record of an earlier era counts as one of an unknown holder that acted
+    until that era ended, and is waited out like any other.
     """
 
     def __init__(
@@ -88,7 +98,9 @@
         self._margin_s = margin_s
         self._clock = clock
         self._random = random or Random()
-        self._fence = 0
+        self._version = 0
+        self._era = 0
+        self._era_from_s = float('-inf')
         self._until_s = 0.0
         self._seen_version = 0
         self._seen_at_s = 0.0
@@ -110,12 +122,14 @@
     @property
     def held(self) -> bool:
         """Tell whether this process's own clock is within the lease."""
-        return self._fence > 0 and self._clock() < self._until_s
+        return self._version > 0 and self._clock() < self._until_s
 
     @property
     def fence(self) -> int:
         """Return the fencing number last held, 0 before the first."""
-        return self._fence
+        if not self._version:
+            return 0
+        return (self._era << _VERSION_BITS) + self._version
 
     async def acquire(self) -> Held | NotHeld:
         """Renew the lease, or take one that is free or has lapsed.
@@ -123,18 +137,23 @@
         Returns a fencing number higher than all before it.
         """
         if self.held:
-            answer = await self._write(self._holder, self._fence)
+            answer = await self._write(self._holder, self._version)
             if isinstance(answer, Held) or self.held:
                 return answer
         glimpse = await self._peek(LEASES, self._name)
+        self._take_era(glimpse.era)
         if isinstance(glimpse, StoredObject):
             waiting = self._look(glimpse)
             if waiting is not None:
                 return waiting
         seen = await self._store.get(LEASES, self._name)
+        self._take_era(seen.era)
         if isinstance(seen, StoreError):
             if seen.fault is not StoreFault.NOT_FOUND:
                 return NotHeld(seen.message)
+            if self._may_be_held_from_before(self._duration_s):
+                return NotHeld(f'{self._name} may have been lost')
+            self._other_acted_s = self._era_from_s
             return await self._write(self._holder, MUST_NOT_EXIST)
         waiting = self._look(seen)
         if waiting is not None:
@@ -155,7 +174,7 @@
             # Taking it over first would skip the wait for a predecessor.
             return False
         self._acting = True
-        if isinstance(await self._write(self._holder, self._fence), Held):
+        if isinstance(await self._write(self._holder, self._version), Held):
             return True
         self._acting = False
         return False
@@ -170,13 +189,28 @@
 
     async def release(self) -> None:
         """Let others take the lease without waiting it out."""
-        if not self.held:
-            self._fence = 0
+        version = self._version if self.held else 0
+        self._version = 0
+        self._acting = False
+        if version:
+            await self._put('', version)
+
+    def _take_era(self, era: int) -> None:
+        """Take the era of an answer; a new one ends the lease."""
+        if era <= self._era:
             return
-        fence = self._fence
-        self._fence = 0
+        if self._era:
+            # The first one that is told has not begun just now.
+            self._era_from_s = self._clock()
+        self._era = era
+        self._version = 0
         self._acting = False
-        await self._put('', fence)
+        self._seen_version = 0
+
+    def _may_be_held_from_before(self, duration_s: float) -> bool:
+        """Tell whether a holder of the era before may still act."""
+        since_s = self._clock() - self._era_from_s
+        return since_s < duration_s + self._margin_s
 
     def _look(self, seen: StoredObject) -> NotHeld | None:
         """Tell whether a lease seen has to be waited out.
@@ -185,8 +219,12 @@
         before this process first saw that version: after a whole duration
         the holder's own clock has passed the end, paused or not.
         """
+        if seen.era < self._era:
+            return NotHeld(f'{self._name} was read before the store returned')
         record = self._record(seen)
         now_s = self._clock()
+        if self._from_before(record):
+            record = None
         if record is not None and record.holder in ('', self._holder):
             # Released, or this process's own write whose answer was lost.
             return None
@@ -217,8 +255,20 @@
             return None
         return record
 
+    def _from_before(self, record: LeaseRecord | None) -> bool:
+        """Tell whether a record was written before the store returned.
+
+        Routers of an earlier release write no era.
+        """
+        return record is not None and 0 < record.era < self._era
+
     def _note_other(self, seen: StoredObject) -> None:
         record = self._record(seen)
+        if self._from_before(record):
+            # Its successors may have acted until the store returned, which
+            # was before this process first saw the record.
+            self._other_acted_s = max(self._era_from_s, self._seen_at_s)
+            return
         if record is not None and record.holder == self._holder:
             return
         acted_ago_s = 0.0 if record is None else record.acted_ago_s
@@ -228,15 +278,20 @@
         # Counted from before the call: when its answer comes late, the
         # lease has run since the platform took the write.
         began_s = self._clock()
+        era = self._era
         answer = await self._put(holder, expect)
+        self._take_era(answer.era)
+        if self._era != era and era:
+            # Versions are given out again: the condition held by chance.
+            return NotHeld('the store has returned from a copy')
         if isinstance(answer, StoredObject):
-            self._fence = answer.version
+            self._version = answer.version
             self._until_s = began_s + self._duration_s
             if self.held:
-                return Held(self._fence)
+                return Held(self.fence)
             return NotHeld('the renewal took as long as the lease')
         if answer.fault is StoreFault.CONFLICT:
-            self._fence = 0
+            self._version = 0
         return NotHeld(answer.message)
 
     async def _put(
@@ -246,7 +301,7 @@
         if not self._acting:
             acted_ago_s = min(_LONG_S, self._clock() - self._acted_s)
         record = LeaseRecord(
-            holder, uuid4().hex, self._duration_s, acted_ago_s
+            holder, uuid4().hex, self._duration_s, acted_ago_s, self._era
         )
         return await put_resolving(
             self._store,
@@ -256,6 +311,7 @@
             expect,
             ResolvePolicy(give_up_after_s=self._duration_s),
             self._random,
+            era=self._era,
         )
 
 
