--- a/Makefile
+++ b/Makefile
@@ -96,6 +96,15 @@
 	$(BIN)/python -m lacewing_bench.experiment --deployment=$(ON) \
 		--load=$(LOAD) $(if $(SWEEP),--sweep)
 
+# Revisions and settings compared on days of the users' bench, paired by seed:
+# make policy-trials BENCH=... SITES="..." DAYS="..." SEEDS=1-4 \
+#     ARMS='base=2205b15 new=HEAD half=HEAD{"patience":0.5}' WHY="..."
+.PHONY: policy-trials
+policy-trials: $(VENV)/.made
+	$(BIN)/python -m lacewing_bench.policy_trials --bench=$(BENCH) \
+		--sites="$(SITES)" --days="$(DAYS)" --seeds=$(or $(SEEDS),1-3) \
+		--arms='$(ARMS)' --why="$(WHY)"
+
 # Crashing upstreams once more, against shutting others out.
 .PHONY: crash-errors
 crash-errors: $(VENV)/.made
