--- /dev/null
+++ b/features/direct_estimates.feature
@@ -0,0 +1,77 @@
+Feature: Routers learn how fast engines work
+
+  Figures of one deployment's engines are wrong for another's. Engines that
+  read more slowly than configured get more prompts than they can read in
+  time, and their first events come late. Time is the scenario's.
+
+  Scenario Outline: The speed of reading is learnt beside other routers' load
+    # Guards against figures that were measured on other engines.
+    Given engines that read <speed> tokens a ms and take 9 ms for a step
+    When a router sees 40 first events while <load> of them wait for others
+    Then the speed is estimated within 15%
+
+    Examples:
+      | speed | load |
+      | 20    | 0.0  |
+      | 20    | 0.5  |
+      | 41    | 0.0  |
+      | 41    | 0.5  |
+      | 110   | 0.5  |
+      | 300   | 0.0  |
+
+  Scenario: Stragglers change the estimate little
+    # Guards against a frozen VM that makes all engines seem slow.
+    Given engines that read 41 tokens a ms and take 9 ms for a step
+    When a router sees 40 first events, 6 of them 3 s late
+    Then the speed is estimated within 15%
+
+  Scenario: Prompts of one length tell nothing of the speed
+    # Guards against an estimate from the constant part of a first event.
+    Given engines that read 41 tokens a ms and take 9 ms for a step
+    When a router sees 40 first events of prompts of 2,000 tokens
+    Then the configured speed holds
+
+  Scenario: Before anything is seen what is configured holds
+    Given engines that read 41 tokens a ms and take 9 ms for a step
+    Then the configured speed holds
+
+  Scenario: What was seen long ago holds no more
+    # Guards against figures of engines that were replaced.
+    Given engines that read 41 tokens a ms and take 9 ms for a step
+    When a router sees 40 first events while 0.0 of them wait for others
+    And 61 s pass
+    Then the configured speed holds
+
+  Scenario: Changed engines are followed
+    Given engines that read 110 tokens a ms and take 9 ms for a step
+    When a router sees 48 first events while 0.2 of them wait for others
+    And the engines read 41 tokens a ms from now on
+    And a router sees 48 first events while 0.2 of them wait for others
+    Then the speed is estimated within 15%
+
+  Scenario: The time of a token is learnt from runs of guessed lengths
+    Given runs of 73 tokens on average that take 5.5 ms a token
+    When 30 of them end, their lengths guessed half to twice as long
+    Then a token is estimated to take 5.5 ms within 20%
+
+  Scenario: The time of a load is learnt though some orders come late
+    # Guards against shunning engines for as long as a late order takes.
+    Given a load that takes 700 ms
+    When 12 engines have loaded, 5 of them 3 s late
+    Then a load is estimated to take 700 ms within 20%
+
+  Scenario: No engine is taken for infinitely fast
+    Given engines that read 100000 tokens a ms and take 9 ms for a step
+    When a router sees 40 first events while 0.0 of them wait for others
+    Then the speed is at most 1000 tokens a ms
+
+  Scenario: Shared parts that are kept or not change the estimate little
+    # Guards against taking parts that other routers' prompts left for read.
+    Given engines that read 41 tokens a ms and take 9 ms for a step
+    When a router sees 48 first events of two routes, half of their shared parts kept
+    Then the speed is estimated within 40%
+
+  Scenario: A router decides by what its engines have shown
+    Given a router that has seen engines read 41 tokens a ms
+    Then it decides by about 41 tokens a ms for that service
+    And by the configured figures for another service
--- a/features/experiment.feature
+++ b/features/experiment.feature
@@ -68,3 +68,14 @@
       # Cause: what surely comes late was not refused.
       When refusing and not refusing are played at 3 times the load
       Then refusing earns at least 1.2 times as much
+
+  Scenario Outline: What routers learn of their engines is as good as the truth
+    # Guards against estimates that mislead where engines are slow or fast.
+    When engines <factor> times as fast get <load> times the usual load
+    Then routers that learn the speed earn within 5% of those told it
+
+    Examples:
+      | factor | load |
+      | 0.2    | 1.4  |
+      | 0.5    | 1.0  |
+      | 2.7    | 1.0  |
--- a/features/steps/direct_load_steps.py
+++ b/features/steps/direct_load_steps.py
@@ -27,6 +27,7 @@
 WANTED_MS = 400.0
 MEAN_READ_MS = 50.0
 NO_LIMIT_MS = 1e9
+SPEED = LoadPolicy().prefill_tokens_per_ms
 
 
 @dataclass
@@ -246,13 +247,13 @@
 @then('an urgent prompt expects to wait less than {most:d} ms')
 def step_urgent(context: Context, most: int) -> None:
     """Check what goes before it."""
-    assert context.state.waiting_ms(3) < most
+    assert context.state.waiting_ms(3, SPEED) < most
 
 
 @then('a less urgent one expects to wait {wait_ms:d} ms')
 def step_less_urgent(context: Context, wait_ms: int) -> None:
     """Check what goes before it."""
-    assert context.state.waiting_ms(5) == wait_ms
+    assert context.state.waiting_ms(5, SPEED) == wait_ms
 
 
 @given('an upstream with a request that waits for {wait_ms:d} ms unheard')
--- /dev/null
+++ b/features/steps/estimates_steps.py
@@ -0,0 +1,197 @@
+"""Check what routers learn of the speed of engines."""
+
+from random import Random
+
+from behave import given
+from behave import then
+from behave import when
+from behave.runner import Context
+from lacewing_daemon.direct._estimates import estimated
+from lacewing_daemon.direct._estimates import Estimates
+from lacewing_daemon.direct._estimates import Read
+from lacewing_daemon.direct._knowledge import Knowledge
+from lacewing_daemon.direct._policy import LoadPolicy
+from support.direct_bench import BOUNDS
+
+CONFIGURED = LoadPolicy()
+GAP_S = 0.3
+WAY_MS = 4.0
+MEAN_WAIT_MS = 60.0
+MEAN_TOKENS = 2000.0
+LATE_MS = 3000.0
+
+
+@given(
+    'engines that read {speed:d} tokens a ms and take {step_ms:d} ms for a'
+    ' step'
+)
+def step_engines(context: Context, speed: int, step_ms: int) -> None:
+    """Begin without knowledge."""
+    context.random = Random(1)
+    context.estimates = Estimates()
+    context.now_s = 100.0
+    context.speed = float(speed)
+    context.step_ms = float(step_ms)
+
+
+def _see(
+    context: Context, tokens: int, extra_ms: float, shared: int = 0
+) -> None:
+    read_ms = tokens / context.speed
+    took_ms = read_ms + context.step_ms + WAY_MS + extra_ms
+    context.estimates.learn_read(Read(context.now_s, tokens, shared, took_ms))
+    context.now_s += GAP_S
+
+
+def _tokens(context: Context) -> int:
+    return 50 + int(context.random.expovariate(1 / MEAN_TOKENS))
+
+
+@when(
+    'a router sees {count:d} first events while {load:f} of them wait for'
+    ' others'
+)
+def step_sees(context: Context, count: int, load: float) -> None:
+    """Let a part wait for prompts that the router doesn't know of."""
+    for _ in range(count):
+        waits_ms = 0.0
+        if context.random.random() < load:
+            waits_ms = context.random.expovariate(1 / MEAN_WAIT_MS)
+        _see(context, _tokens(context), waits_ms)
+
+
+@when('a router sees {count:d} first events, {late:d} of them 3 s late')
+def step_late(context: Context, count: int, late: int) -> None:
+    """Spread the late ones."""
+    for number in range(count):
+        is_late = number % (count // late) == 0 and number // late < count
+        _see(context, _tokens(context), LATE_MS if is_late else 0.0)
+
+
+@when('a router sees {count:d} first events of prompts of 2,000 tokens')
+def step_alike(context: Context, count: int) -> None:
+    """See the same length only."""
+    for _ in range(count):
+        _see(context, 2000, 0.0)
+
+
+@when('{span_s:d} s pass')
+def step_pass(context: Context, span_s: int) -> None:
+    """Let time pass."""
+    context.now_s += span_s
+
+
+@when('the engines read {speed:d} tokens a ms from now on')
+def step_changed(context: Context, speed: int) -> None:
+    """Change the engines."""
+    context.speed = float(speed)
+
+
+def _policy(context: Context) -> LoadPolicy:
+    return estimated(CONFIGURED, context.estimates, context.now_s)
+
+
+@then('the speed is estimated within {part:d}%')
+def step_estimated(context: Context, part: int) -> None:
+    """Compare with the truth."""
+    speed = _policy(context).prefill_tokens_per_ms
+    off = abs(speed / context.speed - 1)
+    assert off <= part / 100, speed
+
+
+@then('the speed is at most {most:d} tokens a ms')
+def step_most(context: Context, most: int) -> None:
+    """Compare with the bound."""
+    assert _policy(context).prefill_tokens_per_ms <= most
+
+
+@then('the configured speed holds')
+def step_configured(context: Context) -> None:
+    """Compare."""
+    assert _policy(context) == CONFIGURED, _policy(context)
+
+
+@given('runs of {tokens:d} tokens on average that take {step_ms:f} ms a token')
+def step_runs(context: Context, tokens: int, step_ms: float) -> None:
+    """Begin without knowledge."""
+    step_engines(context, 41, 9)
+    context.tokens = tokens
+    context.token_ms = step_ms
+
+
+@when('{count:d} of them end, their lengths guessed half to twice as long')
+def step_end(context: Context, count: int) -> None:
+    """Guess around the true length, right at the median."""
+    for _ in range(count):
+        tokens = 1 + int(context.random.expovariate(1 / context.tokens))
+        guess = max(1, int(tokens * 2 ** context.random.uniform(-1, 1)))
+        took_ms = tokens * context.token_ms
+        context.estimates.learn_run(guess, took_ms, context.now_s)
+
+
+@then('a token is estimated to take {step_ms:f} ms within {part:d}%')
+def step_token(context: Context, step_ms: float, part: int) -> None:
+    """Compare."""
+    seen = _policy(context).step_ms
+    assert abs(seen / step_ms - 1) <= part / 100, seen
+
+
+@given('a load that takes {load_ms:d} ms')
+def step_load(context: Context, load_ms: int) -> None:
+    """Begin without knowledge."""
+    step_engines(context, 41, 9)
+    context.load_ms = load_ms
+
+
+@when('{count:d} engines have loaded, {late:d} of them 3 s late')
+def step_loaded(context: Context, count: int, late: int) -> None:
+    """Take the late ones first."""
+    for number in range(count):
+        late_ms = LATE_MS if number < late else 0.0
+        spread_ms = context.random.uniform(-50, 50)
+        took_ms = context.load_ms + late_ms + spread_ms
+        context.estimates.learn_load(took_ms, context.now_s)
+
+
+@then('a load is estimated to take {load_ms:d} ms within {part:d}%')
+def step_load_ms(context: Context, load_ms: int, part: int) -> None:
+    """Compare."""
+    seen = _policy(context).load_ms
+    assert abs(seen / load_ms - 1) <= part / 100, seen
+
+
+@when(
+    'a router sees {count:d} first events of two routes, half of their shared'
+    ' parts kept'
+)
+def step_routes(context: Context, count: int) -> None:
+    """Let one route have long parts of both kinds, the other short ones."""
+    for number in range(count):
+        scale = 4 if number % 2 else 1
+        shared = 1500 * scale
+        extra_ms = 0.0
+        if context.random.random() < 0.5:
+            extra_ms = shared / context.speed
+        _see(context, scale * _tokens(context) // 3, extra_ms, shared)
+
+
+@given('a router that has seen engines read {speed:d} tokens a ms')
+def step_router(context: Context, speed: int) -> None:
+    """Fill the estimates of one service."""
+    step_engines(context, speed, 9)
+    context.knowledge = Knowledge(BOUNDS, CONFIGURED, lambda: context.now_s)
+    context.estimates = context.knowledge.estimates('models')
+    step_sees(context, 40, 0.0)
+
+
+@then('it decides by about {speed:d} tokens a ms for that service')
+def step_decides(context: Context, speed: int) -> None:
+    """Look at the policy."""
+    seen = context.knowledge.policy_for('models').prefill_tokens_per_ms
+    assert abs(seen / speed - 1) < 0.1, seen
+
+
+@then('by the configured figures for another service')
+def step_other(context: Context) -> None:
+    """Look at the policy."""
+    assert context.knowledge.policy_for('others') == CONFIGURED
--- a/features/steps/experiment_steps.py
+++ b/features/steps/experiment_steps.py
@@ -13,6 +13,7 @@
 from lacewing_bench.experiment._simulation import Variant
 from lacewing_bench.experiment._site import LAHORE
 from lacewing_bench.experiment._sweep import changed
+from lacewing_bench.experiment._sweep import with_speed
 from lacewing_daemon.direct import PromptPart
 from lacewing_daemon.direct._policy import LoadPolicy
 
@@ -217,3 +218,28 @@
 def _until_idle(context: Context) -> None:
     while context.engine.running or context.engine.waiting:
         _steps(context, 1)
+
+
+@when('engines {factor:f} times as fast get {load:f} times the usual load')
+def step_speed(context: Context, factor: float, load: float) -> None:
+    """Play routers that learn the speed, and routers that were told it."""
+    site = with_speed(LAHORE, factor)
+    told = LoadPolicy(
+        prefill_tokens_per_ms=site.engine.prefill_tokens_per_ms,
+        step_ms=site.engine.step_ms,
+    )
+    pattern = Pattern(load=load, seconds=SECONDS)
+    context.worth = {}
+    for variant in (
+        Variant('told', told, estimating=False),
+        Variant('learns'),
+    ):
+        played = Simulation(site, pattern, variant, SEED).run()
+        context.worth[variant.name] = played.worth
+
+
+@then('routers that learn the speed earn within {part:d}% of those told it')
+def step_as_good(context: Context, part: int) -> None:
+    """Compare."""
+    told = context.worth['told']
+    assert context.worth['learns'] >= told * (1 - part / 100), context.worth
--- a/packages/bench/src/lacewing_bench/experiment/__main__.py
+++ b/packages/bench/src/lacewing_bench/experiment/__main__.py
@@ -26,6 +26,7 @@
     Variant('as it is'),
     Variant('no refusing', refusing=False),
     Variant('no learning of lateness', learning=False),
+    Variant('no learning of speeds', estimating=False),
     Variant('all load at once', LoadPolicy(load_early_part=1.0)),
     Variant('no drain before loads', LoadPolicy(lost_run_ms=0.0)),
     Variant('old weights count full', LoadPolicy(old_weights_ms=0.0)),
--- a/packages/bench/src/lacewing_bench/experiment/_router.py
+++ b/packages/bench/src/lacewing_bench/experiment/_router.py
@@ -18,6 +18,7 @@
 from lacewing_daemon.direct._admission import Admitted
 from lacewing_daemon.direct._choice import NoRoom
 from lacewing_daemon.direct._knowledge import Knowledge
+from lacewing_daemon.direct._learning import learn_first_event
 from lacewing_daemon.direct._placing import Placer
 from lacewing_daemon.direct._policy import LoadPolicy
 from lacewing_daemon.direct._settings import Bounds
@@ -57,7 +58,11 @@
 
 
 class Router:
-    """Hold one router's knowledge; ``learning`` off leaves lateness out."""
+    """Hold one router's knowledge.
+
+    ``learning`` off leaves lateness out, ``estimating`` off what engines show
+    of their speed.
+    """
 
     def __init__(
         self,
@@ -65,8 +70,10 @@
         zone: int,
         policy: LoadPolicy,
         learning: bool,
+        estimating: bool,
     ) -> None:
         self._learning = learning
+        self._estimating = estimating
         self._now_ms = 0.0
         self._limits = EngineLimits(
             site.engine.slots,
@@ -190,9 +197,17 @@
         self._learn(sent.target, engine)
         self._placer.kept.note_read(sent.target, sent.prompt, now_s)
         counted_ms = sent.target.first_ms - sent.target.excess_ms
+        took_ms = now_ms - sent.sent_ms
         if self._learning:
-            late_ms = now_ms - sent.sent_ms - counted_ms
-            state.learn_first(late_ms, now_s)
+            state.learn_first(took_ms - counted_ms, now_s)
+        if self._estimating:
+            learn_first_event(
+                self.knowledge.estimates(SERVICE),
+                sent.target,
+                sent.prompt,
+                took_ms,
+                now_s,
+            )
 
     def ended(self, sent: Sent, cut: Callable[[], None]) -> None:
         """Count a request as ended."""
--- a/packages/bench/src/lacewing_bench/experiment/_simulation.py
+++ b/packages/bench/src/lacewing_bench/experiment/_simulation.py
@@ -48,6 +48,7 @@
     name: str
     policy: LoadPolicy = LoadPolicy()
     learning: bool = True
+    estimating: bool = True
     refusing: bool = True
     routers: int = 0
 
@@ -107,7 +108,13 @@
         self._routers = []
         for number in range(variant.routers or site.routers):
             self._routers.append(
-                Router(site, number, variant.policy, variant.learning)
+                Router(
+                    site,
+                    number,
+                    variant.policy,
+                    variant.learning,
+                    variant.estimating,
+                )
             )
         self._outcome = Outcome(site)
 
--- a/packages/common/src/lacewing_common/log_lines.py
+++ b/packages/common/src/lacewing_common/log_lines.py
@@ -31,6 +31,7 @@
     named: int = 0
     old_ms: int = 0
     first_ms: int = -1
+    tokens_per_ms: float = 0.0
     went_on: bool = False
     copy: str = ''
 
--- a/packages/daemon/src/lacewing_daemon/direct/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_exchange.py
@@ -272,7 +272,8 @@
         left_ms = (end_s - now_s) * _MS
         if self._request.prompt is not None:
             tokens = self._request.prompt.expected_tokens
-            left_ms -= tokens * self._serving.policy.step_ms
+            policy = self._fleet.knowledge.policy_for(admitted.service.name)
+            left_ms -= tokens * policy.step_ms
         tried = self._tried | {target.state.upstream.upstream_id}
         placed = placer.place(self._request, admitted, tried, left_ms, now_s)
         return not isinstance(placed, NoRoom)
--- a/packages/daemon/src/lacewing_daemon/direct/_kept_parts.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_kept_parts.py
@@ -63,13 +63,13 @@
         engine: Engine,
         kv_store: KvStore | None,
         now_s: float,
+        speed: float,
     ) -> float:
         """Return how long an engine reads a prompt, fetching included."""
         missing = state.missing_tokens(wall, prompt, now_s)
         fetched = 0
         if kv_store is not None:
             fetched = self._fetchable(wall, prompt, missing, now_s)
-        speed = self._knowledge.policy.prefill_tokens_per_ms
         read_ms = (missing - fetched) / speed
         if fetched and kv_store is not None:
             link = min(engine.link_bytes_per_s, kv_store.link_bytes_per_s)
--- a/packages/daemon/src/lacewing_daemon/direct/_knowledge.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_knowledge.py
@@ -14,9 +14,13 @@
 from lacewing_daemon.direct._clock import boot_s
 from lacewing_daemon.direct._directory import Directory
 from lacewing_daemon.direct._directory import Service
+from lacewing_daemon.direct._estimates import estimated
+from lacewing_daemon.direct._estimates import Estimates
+from lacewing_daemon.direct._estimates import RENEW_S
 from lacewing_daemon.direct._line_budget import LineBudget
 from lacewing_daemon.direct._loading import load_times
 from lacewing_daemon.direct._loading import nearly_overdue_s
+from lacewing_daemon.direct._metrics import ENGINE_ESTIMATE
 from lacewing_daemon.direct._namings import NamedVersion
 from lacewing_daemon.direct._namings import Naming
 from lacewing_daemon.direct._namings import superseded_s
@@ -49,6 +53,7 @@
 GONE_KEPT = 256
 
 _MS = 1000.0
+_ESTIMATED = ('prefill_tokens_per_ms', 'step_ms', 'load_ms', 'usual_read_ms')
 
 _log = get_log(Part.PLACEMENT)
 _platform_log = get_log(Part.PLATFORM)
@@ -69,6 +74,14 @@
     times: Mapping[str, float]
 
 
+@dataclass(frozen=True)
+class _PolicySeen:
+    """Hold a policy with estimates and when it was worked out."""
+
+    policy: LoadPolicy
+    at_s: float
+
+
 class Knowledge:
     """Hold configuration, upstreams, named weights and kept parts.
 
@@ -90,6 +103,8 @@
         self._gone: OrderedDict[str, UpstreamState] = OrderedDict()
         self._by_service: dict[str, list[UpstreamState]] = {}
         self._paces: dict[str, Pace] = {}
+        self._estimates: dict[str, Estimates] = {}
+        self._policies: dict[str, _PolicySeen] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._namings: dict[str, tuple[Naming, ...]] = {}
         self._told_s: dict[str, float] = {}
@@ -120,9 +135,30 @@
 
     @property
     def policy(self) -> LoadPolicy:
-        """Return the figures that decisions are made by."""
+        """Return the figures that are configured."""
         return self._policy
 
+    def policy_for(self, service: str) -> LoadPolicy:
+        """Return the figures that decisions on a service are made by.
+
+        What its engines have shown of late stands in place of what is
+        configured.
+        """
+        now_s = self._clock()
+        known = self._policies.get(service)
+        if known is not None and now_s - known.at_s < RENEW_S:
+            return known.policy
+        policy = estimated(self._policy, self.estimates(service), now_s)
+        self._policies[service] = _PolicySeen(policy, now_s)
+        for figure in _ESTIMATED:
+            gauge = ENGINE_ESTIMATE.labels(service, figure)
+            gauge.set(getattr(policy, figure))
+        return policy
+
+    def estimates(self, service: str) -> Estimates:
+        """Return what the engines of a service have shown."""
+        return self._estimates.setdefault(service, Estimates())
+
     @property
     def upstreams(self) -> Mapping[str, UpstreamState]:
         """Return all known upstreams by id."""
@@ -331,10 +367,29 @@
         A version that one of them has was named, also if this router is cut
         from the store and could not read it.
         """
+        self._learn_load(state, model, version)
         state.learn_weights(model, version)
         named = NamedWeights(model, version)
         self.take_weights(named, unsure_s, Learnt.UPSTREAM)
 
+    def _learn_load(
+        self, state: UpstreamState, model: str, version: int
+    ) -> None:
+        """Learn from an engine's new weights how long after its turn."""
+        had = state.weights(model)
+        if had is None or had >= version:
+            return
+        plan = self._load_times.get(model)
+        named = self.named_weights(model)
+        if plan is None or not plan.version == version == named.version:
+            return
+        turn_s = plan.times.get(state.upstream.upstream_id)
+        if turn_s is None:
+            return
+        self.estimates(state.upstream.service).learn_load(
+            (named.age_s - turn_s) * _MS, self._clock()
+        )
+
     def take_weights(
         self,
         value: NamedWeights,
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/direct/_learning.py
@@ -0,0 +1,25 @@
+"""Learn from the events of one request how fast its engine works."""
+
+from lacewing_daemon.direct._call import Prompt
+from lacewing_daemon.direct._estimates import Estimates
+from lacewing_daemon.direct._estimates import Read
+from lacewing_daemon.direct._target import Target
+
+
+def learn_first_event(
+    estimates: Estimates,
+    target: Target,
+    prompt: Prompt,
+    took_ms: float,
+    now_s: float,
+) -> None:
+    """Learn from the time to a first event.
+
+    Only if nothing is known to have waited before it, and if the engine was
+    not sent the prompt's own part before, which it may have kept.
+    """
+    estimates.learn_sent(target.read_ms, now_s)
+    if not target.is_first or target.waits_ms > target.excess_ms:
+        return
+    shared = sum(part.tokens for part in prompt.shared)
+    estimates.learn_read(Read(now_s, prompt.tokens - shared, shared, took_ms))
--- a/packages/daemon/src/lacewing_daemon/direct/_metrics.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_metrics.py
@@ -66,6 +66,11 @@
     'Seconds since what is known of a collection was confirmed',
     ['collection'],
 )
+ENGINE_ESTIMATE = Gauge(
+    'lacewing_direct_engine_estimate',
+    'What engines have shown, or what is configured, by service and figure',
+    ['service', 'figure'],
+)
 STORE_ERA = Gauge(
     'lacewing_direct_store_era',
     'Era of the store, one higher each time that it lost changes',
--- a/packages/daemon/src/lacewing_daemon/direct/_placing.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_placing.py
@@ -24,6 +24,7 @@
 from lacewing_daemon.direct._namings import floor_of
 from lacewing_daemon.direct._namings import NamedVersion
 from lacewing_daemon.direct._namings import superseded_s
+from lacewing_daemon.direct._policy import LoadPolicy
 from lacewing_daemon.direct._target import Target
 from lacewing_daemon.direct._target import urgency_of
 from lacewing_daemon.direct._upstream_state import UpstreamState
@@ -35,9 +36,6 @@
 # repeat and a pause. More than any target, so that it is asked last, and
 # still asked, as what is known of it may be old.
 OVERDUE_MS = 10_000.0
-# Requests of other routers that an engine says wait are taken to need as
-# much reading as a usual one of this router.
-USUAL_READ_MS = 30.0
 
 
 @dataclass(frozen=True)
@@ -53,6 +51,7 @@
     floor: int
     urgency: int
     now_s: float
+    policy: LoadPolicy
 
 
 class Placer:
@@ -61,7 +60,6 @@
     def __init__(self, knowledge: Knowledge, availability_zone: str) -> None:
         self._knowledge = knowledge
         self._zone = availability_zone
-        self._policy = knowledge.policy
         self._kept = KeptParts(knowledge)
 
     @property
@@ -105,6 +103,7 @@
             floor_of(namings, self._knowledge.old_limit_s),
             urgency_of(admitted),
             now_s,
+            self._knowledge.policy_for(admitted.service.name),
         )
         return self._engine(asked, in_order(prompt, usable), left_ms)
 
@@ -162,7 +161,7 @@
             targets[state.upstream.upstream_id] = target
             views.append(self._view(asked, target))
         tokens = asked.prompt.expected_tokens
-        placed = place(views, left_ms, self._policy, tokens)
+        placed = place(views, left_ms, asked.policy, tokens)
         if isinstance(placed, NoRoom):
             return placed
         target = targets[placed.upstream_id]
@@ -183,12 +182,17 @@
         wall = cache_wall(asked.admitted.team, prompt.model, weights)
         kv_store = asked.kv_store
         excess_ms = state.excess_ms(now_s)
-        waits_ms = state.waiting_ms(asked.urgency) + excess_ms
-        waits_ms += state.others_waiting(now_s) * USUAL_READ_MS
+        policy = asked.policy
+        speed = policy.prefill_tokens_per_ms
+        own_ms = state.waiting_ms(asked.urgency, speed)
+        # Other routers' requests are taken to need as much reading as a
+        # usual one of this router.
+        others_ms = state.others_waiting(now_s) * policy.usual_read_ms
+        waits_ms = own_ms + others_ms + excess_ms
         return Target(
             state,
             self._kept.read_ms(
-                state, wall, prompt, asked.engine, kv_store, now_s
+                state, wall, prompt, asked.engine, kv_store, now_s, speed
             ),
             wall,
             weights or None,
@@ -199,6 +203,8 @@
             excess_ms=excess_ms,
             named=asked.named.version,
             old_ms=old_ms,
+            is_first=not state.holds(wall, prompt.parts[-1].part_id, now_s),
+            tokens_per_ms=speed,
         )
 
     def _view(self, asked: _Asked, target: Target) -> EngineView:
@@ -210,8 +216,8 @@
         handicap_ms = 0.0
         # Answers count less from the first naming that the engine lacks.
         old_s = superseded_s(asked.namings, has)
-        if old_s > self._policy.old_weights_s:
-            handicap_ms = self._policy.old_weights_ms
+        if old_s > asked.policy.old_weights_s:
+            handicap_ms = asked.policy.old_weights_ms
         if has < asked.floor:
             handicap_ms = OVERDUE_MS
         return EngineView(
@@ -247,9 +253,9 @@
         """Return where a copy of a run that must not begin again is kept."""
         if not asked.engine.copies or asked.admitted.route.may_repeat:
             return None
-        run_ms = asked.prompt.expected_tokens * self._policy.step_ms
+        run_ms = asked.prompt.expected_tokens * asked.policy.step_ms
         room = room_for_copy(
-            asked.engine.kv_tokens * self._policy.copies_part,
+            asked.engine.kv_tokens * asked.policy.copies_part,
             self._knowledge.routers,
             asked.prompt.tokens,
         )
--- a/packages/daemon/src/lacewing_daemon/direct/_policy.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_policy.py
@@ -9,7 +9,10 @@
     """Bound and weigh what is admitted and where it is placed.
 
     ``prefill_tokens_per_ms``: how fast an engine reads a prompt.
-    ``step_ms``: time of one step of an engine that is half full.
+    ``step_ms``: the time that an engine takes for a token of an answer.
+    ``usual_read_ms``: reading that a request of another router needs.
+    ``load_ms``: how long a load of weights takes. These four hold until the
+    engines of a service have shown theirs.
     ``patience``: the part of a request's target by which its first event
     must be expected, or it is refused; the rest is for errors of the
     estimate.
@@ -36,7 +39,6 @@
     ms earned 0.735, 2,500 0.774 and 1,500 0.781, as half of the caches are
     little used meanwhile.
     ``load_turn_ms``: time from one turn to the next.
-    ``load_ms``: how long a load takes.
     ``lost_run_ms``: how much sooner a first event must be expected of an
     engine that is about to load, if the whole run would be lost by it.
     ``old_weights_ms``: the same for an engine with older weights, from
@@ -45,6 +47,7 @@
 
     prefill_tokens_per_ms: float = 110.0
     step_ms: float = 9.0
+    usual_read_ms: float = 30.0
     patience: float = 0.8
     other_zone_ms: float = 25.0
     max_waiting: int = 2
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -14,7 +14,10 @@
 from lacewing_daemon.direct._attempt import AttemptEnd
 from lacewing_daemon.direct._attempt import Contact
 from lacewing_daemon.direct._call import CallerRequest
+from lacewing_daemon.direct._clock import boot_s
+from lacewing_daemon.direct._estimates import Estimates
 from lacewing_daemon.direct._fleet import Fleet
+from lacewing_daemon.direct._learning import learn_first_event
 from lacewing_daemon.direct._metrics import ATTEMPTS
 from lacewing_daemon.direct._metrics import FIRST_SECONDS
 from lacewing_daemon.direct._metrics import RUNS_GONE_ON
@@ -208,6 +211,21 @@
         counted_ms = self._target.first_ms - self._target.excess_ms
         took_ms = (self._first_s - self._began_s) * _MS
         self._state.learn_first(took_ms - counted_ms, self._first_s)
+        learn_first_event(
+            self._estimates, self._target, prompt, took_ms, boot_s()
+        )
+
+    @property
+    def _estimates(self) -> Estimates:
+        return self._fleet.knowledge.estimates(self._admitted.service.name)
+
+    def _learn_run(self) -> None:
+        """Learn from a whole run how long a token of an answer takes."""
+        prompt = self._request.prompt
+        if prompt is None or self._first_s is None or self._target.goes_on:
+            return
+        took_ms = (time.monotonic() - self._first_s) * _MS
+        self._estimates.learn_run(prompt.expected_tokens, took_ms, boot_s())
 
     def _note_parts(self) -> None:
         engine = self._admitted.service.engine
@@ -267,6 +285,7 @@
         if end.verdict is Verdict.RAN:
             self._state.succeeded()
             self._guard.ran_well(self._fingerprint)
+            self._learn_run()
             if self._first_s is not None:
                 FIRST_SECONDS.labels(service).observe(
                     self._first_s - self._request.received_s
@@ -319,6 +338,7 @@
             named=target.named if old else 0,
             old_ms=int(target.old_ms),
             first_ms=first_ms,
+            tokens_per_ms=round(target.tokens_per_ms, 1),
             went_on=target.goes_on,
             copy=_id_of(target.copy_to),
         )
--- a/packages/daemon/src/lacewing_daemon/direct/_target.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_target.py
@@ -21,7 +21,8 @@
     ``named``: the version of the weights that was named last, 0 for none;
     ``old_ms``: for how long a newer version than ``weights`` was named.
     ``copy_to`` keeps a copy of the run's memory; ``goes_on``: the run is
-    continued from such a copy.
+    continued from such a copy. ``is_first``: the prompt's own part was not
+    sent there lately; ``tokens_per_ms``: how fast prompts are read.
     """
 
     state: UpstreamState
@@ -38,6 +39,8 @@
     old_ms: float = 0.0
     copy_to: UpstreamState | None = None
     goes_on: bool = False
+    is_first: bool = False
+    tokens_per_ms: float = 0.0
 
 
 def urgency_of(admitted: Admitted) -> int:
--- a/packages/daemon/src/lacewing_daemon/direct/_upstream_state.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_upstream_state.py
@@ -34,9 +34,9 @@
 SHUN_CAP_S = 4.0
 
 
-# An engine reads prompts in pieces of 4,096 tokens, 37 ms each; one that is
-# under way is half read on average.
-PIECE_MS = 18.0
+# An engine reads prompts in pieces of so many tokens; one that is under way
+# is half read on average.
+PIECE_TOKENS = 4096
 
 
 @dataclass(frozen=True, eq=False)
@@ -105,7 +105,7 @@
                 count += 1
         return count
 
-    def waiting_ms(self, urgency: int) -> float:
+    def waiting_ms(self, urgency: int, tokens_per_ms: float) -> float:
         """Return the reading that goes before a request of an urgency.
 
         Of what is less urgent at most the piece that is being read.
@@ -117,7 +117,7 @@
                 before_ms += ticket.read_ms
             else:
                 after_ms += ticket.read_ms
-        return before_ms + min(after_ms, PIECE_MS)
+        return before_ms + min(after_ms, PIECE_TOKENS / 2 / tokens_per_ms)
 
     def update(self, upstream: Upstream) -> None:
         """Take a new entry; one that is leaving never comes back.
