--- /dev/null
+++ b/features/direct_subjects.feature
@@ -0,0 +1,34 @@
+Feature: Many routers send one subject to one engine
+
+  Each of many routers sees a subject rarely, so by what it sent itself it
+  knows of no engine that keeps the subject's parts.
+
+  Background:
+    Given engines that read 40 tokens a ms and a prompt with 6,000 shared tokens
+
+  Scenario Outline: A short queue does not spread a subject
+    # Guards against a subject that is read again at each engine.
+    When the first engine in the prompt's order has <wait> ms to read before it
+    Then the prompt is placed on the <engine> engine
+
+    Examples:
+      | wait | engine |
+      | 0    | first  |
+      | 60   | first  |
+      | 100  | other  |
+      | 300  | other  |
+
+  Scenario: What a router sent itself counts for more
+    # Guards against reading parts again that another engine surely keeps.
+    When the other engine was sent the shared parts before
+    Then the prompt is placed on the other engine
+
+  Scenario: Faster engines save less time
+    When engines are seen to read 400 tokens a ms
+    And the first engine in the prompt's order has 20 ms to read before it
+    Then the prompt is placed on the other engine
+
+  Scenario: An expected first event does not count on kept parts
+    # Guards against admitting prompts that come late where nothing is kept.
+    When the first engine in the prompt's order has 0 ms to read before it
+    Then its first event is expected after at least 150 ms
--- /dev/null
+++ b/features/steps/subjects_steps.py
@@ -0,0 +1,139 @@
+"""Check where a prompt is placed of whose subject a router knows little."""
+
+from behave import given
+from behave import then
+from behave import when
+from behave.runner import Context
+from lacewing_daemon.direct import CallerRequest
+from lacewing_daemon.direct import Engine
+from lacewing_daemon.direct import Prompt
+from lacewing_daemon.direct import PromptPart
+from lacewing_daemon.direct import Route
+from lacewing_daemon.direct import Service
+from lacewing_daemon.direct import Share
+from lacewing_daemon.direct import Upstream
+from lacewing_daemon.direct._admission import Admitted
+from lacewing_daemon.direct._candidates import in_order
+from lacewing_daemon.direct._knowledge import Knowledge
+from lacewing_daemon.direct._placing import Placer
+from lacewing_daemon.direct._policy import LoadPolicy
+from lacewing_daemon.direct._target import Target
+from support.direct_bench import BOUNDS
+from tornado.httputil import HTTPHeaders
+
+SERVICE = 'models'
+MODEL = 'tutor'
+URGENCY = 0
+LEFT_MS = 2000.0
+NOW_S = 100.0
+PARTS = (
+    PromptPart('a', 2000),
+    PromptPart('b', 4000),
+    PromptPart('own', 400),
+)
+PROMPT = Prompt(MODEL, 6400, 20, 20, PARTS)
+
+
+def _make(context: Context, speed: float) -> None:
+    policy = LoadPolicy(prefill_tokens_per_ms=speed)
+    context.knowledge = Knowledge(BOUNDS, policy, lambda: NOW_S)
+    for name in ('m-1', 'm-2'):
+        upstream = Upstream(
+            name, SERVICE, f'{name}:1', 'east', 8, False, {MODEL: 1}
+        )
+        context.knowledge.take_upstream(name, upstream)
+    context.placer = Placer(context.knowledge, 'east')
+    states = context.knowledge.states(SERVICE)
+    context.first, context.other = in_order(PROMPT, states)
+
+
+@given(
+    'engines that read {speed:d} tokens a ms and a prompt with 6,000 shared'
+    ' tokens'
+)
+def step_engines(context: Context, speed: int) -> None:
+    """Make a router that has sent nothing."""
+    _make(context, float(speed))
+
+
+@when('engines are seen to read {speed:d} tokens a ms')
+def step_faster(context: Context, speed: int) -> None:
+    """Begin anew with faster ones."""
+    _make(context, float(speed))
+
+
+@when(
+    "the first engine in the prompt's order has {wait_ms:d} ms to read before"
+    ' it'
+)
+def step_waits(context: Context, wait_ms: int) -> None:
+    """Let an own request wait there."""
+    if wait_ms:
+        context.first.open(float(wait_ms), URGENCY, NOW_S)
+
+
+@when('the other engine was sent the shared parts before')
+def step_sent(context: Context) -> None:
+    """Note what was sent."""
+    wall = _place(context).wall
+    engine = _service().engine
+    assert wall is not None and engine is not None
+    context.other.remember(wall, PROMPT, engine, NOW_S)
+
+
+@then('the prompt is placed on the {which} engine')
+def step_placed(context: Context, which: str) -> None:
+    """Place it."""
+    expected = context.first if which == 'first' else context.other
+    placed = _place(context).state
+    assert placed is expected, placed.upstream.upstream_id
+
+
+@then('its first event is expected after at least {least_ms:d} ms')
+def step_expected(context: Context, least_ms: int) -> None:
+    """Place it."""
+    first_ms = _place(context).first_ms
+    assert first_ms >= least_ms, first_ms
+
+
+def _service() -> Service:
+    return Service(SERVICE, 50, Engine(8, 100_000, 1.0, 1e9, (MODEL,)))
+
+
+def _place(context: Context) -> Target:
+    route = Route(
+        name='chat',
+        host='host',
+        path_prefix='/chat/',
+        repeatable=False,
+        streams=True,
+        resumable=True,
+        timeout_s=15.0,
+        target_s=2.0,
+        rank=URGENCY,
+        max_runs=2,
+        public=True,
+        shares=(Share(SERVICE, 1.0),),
+    )
+    request = CallerRequest(
+        'POST',
+        '/chat/1',
+        'host',
+        'request-1',
+        HTTPHeaders(),
+        b'',
+        NOW_S,
+        15.0,
+        '',
+        PROMPT,
+        None,
+    )
+    placed = context.placer.place(
+        request,
+        Admitted(route, _service(), None),
+        frozenset(),
+        LEFT_MS,
+        NOW_S,
+    )
+    assert isinstance(placed, Target), placed
+    return placed
--- a/packages/daemon/src/lacewing_daemon/direct/_placing.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_placing.py
@@ -156,10 +156,12 @@
     ) -> Target | NoRoom:
         views = []
         targets = {}
+        away_ms = 0.0
         for state in states:
             target = self._target(asked, state)
             targets[state.upstream.upstream_id] = target
-            views.append(self._view(asked, target))
+            views.append(self._view(asked, target, away_ms))
+            away_ms = _away_ms(asked)
         tokens = asked.prompt.expected_tokens
         placed = place(views, left_ms, asked.policy, tokens)
         if isinstance(placed, NoRoom):
@@ -207,17 +209,22 @@
             tokens_per_ms=speed,
         )
 
-    def _view(self, asked: _Asked, target: Target) -> EngineView:
-        """Return what deciding needs to know of one engine."""
+    def _view(
+        self, asked: _Asked, target: Target, away_ms: float
+    ) -> EngineView:
+        """Return what deciding needs to know of one engine.
+
+        ``away_ms``: what being away from the first one counts for.
+        """
         state = target.state
         upstream = state.upstream
         model = asked.prompt.model
         has = state.weights(model) or asked.named.version
-        handicap_ms = 0.0
+        handicap_ms = away_ms
         # Answers count less from the first naming that the engine lacks.
         old_s = superseded_s(asked.namings, has)
         if old_s > asked.policy.old_weights_s:
-            handicap_ms = asked.policy.old_weights_ms
+            handicap_ms += asked.policy.old_weights_ms
         if has < asked.floor:
             handicap_ms = OVERDUE_MS
         return EngineView(
@@ -261,3 +268,15 @@
         )
         ends_ms = placed.first_ms + run_ms
         return copy_holder(target, others, views, ends_ms, room)
+
+
+def _away_ms(asked: _Asked) -> float:
+    """Return the reading that the first engine in order likely saves.
+
+    Load pattern: many routers, each of which sees a subject rarely. By what
+    each has sent itself, all engines cost the same but for their queues, so a
+    subject is spread over them and read again at each.
+    """
+    shared = sum(part.tokens for part in asked.prompt.shared)
+    likely = asked.policy.kept_at_first * shared
+    return likely / asked.policy.prefill_tokens_per_ms
--- a/packages/daemon/src/lacewing_daemon/direct/_policy.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_policy.py
@@ -18,6 +18,9 @@
     estimate.
     ``other_zone_ms``: how much sooner an upstream of another availability
     zone must be expected to answer to be preferred.
+    ``kept_at_first``: the part of a prompt's shared tokens that is expected
+    to be kept at the first engine in the prompt's order, to which all routers
+    send it, beyond what this router has sent there itself.
     ``max_waiting``: requests without a first event that one router has at
     an engine. Routers do not see each other's: at 1.6 times what 5 engines
     can read, 4 routers with 3 each answer 27% of it in time, with 2 each
@@ -50,6 +53,7 @@
     usual_read_ms: float = 30.0
     patience: float = 0.8
     other_zone_ms: float = 25.0
+    kept_at_first: float = 0.5
     max_waiting: int = 2
     max_in_flight: int = 24
     mute_ms: float = 220.0
