--- a/features/direct_estimates.feature
+++ b/features/direct_estimates.feature
@@ -39,7 +39,7 @@
     # Guards against figures of engines that were replaced.
     Given engines that read 41 tokens a ms and take 9 ms for a step
     When a router sees 40 first events while 0.0 of them wait for others
-    And 61 s pass
+    And what was seen grows 61 s old
     Then the configured speed holds
 
   Scenario: Changed engines are followed
--- a/features/steps/estimates_steps.py
+++ b/features/steps/estimates_steps.py
@@ -75,7 +75,7 @@
         _see(context, 2000, 0.0)
 
 
-@when('{span_s:d} s pass')
+@when('what was seen grows {span_s:d} s old')
 def step_pass(context: Context, span_s: int) -> None:
     """Let time pass."""
     context.now_s += span_s
