--- a/packages/bench/src/lacewing_bench/policy_trials/_runner.py
+++ b/packages/bench/src/lacewing_bench/policy_trials/_runner.py
@@ -7,6 +7,7 @@
 from collections.abc import Sequence
 from concurrent.futures import as_completed
 from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -57,9 +58,9 @@
     Journal entries are copied to ``journal`` as they were written.
     """
     failed = []
-    for _, place in places:
-        subprocess.run([bench, 'build'], cwd=place, check=True)
     with ThreadPoolExecutor(at_once) as pool:
+        # Plays of one clone would otherwise build it side by side.
+        list(pool.map(partial(_build, bench), places))
         running = []
         for play in plays:
             for arm, place in places:
@@ -77,6 +78,12 @@
     return failed
 
 
+def _build(bench: Path, place: tuple[Arm, Path]) -> None:
+    subprocess.run(
+        [bench, 'build'], cwd=place[1], check=True, capture_output=True
+    )
+
+
 def _play(
     bench: Path, arm: Arm, place: Path, play: Play, why: str, journal: Path
 ) -> Result:
