--- a/features/direct_subjects.feature
+++ b/features/direct_subjects.feature
@@ -28,6 +28,11 @@
     And the first engine in the prompt's order has 20 ms to read before it
     Then the prompt is placed on the other engine
 
+  Scenario: A prompt that names no parts is placed
+    # Guards against requests that end without an answer for want of a part.
+    When the prompt names no parts
+    Then the prompt is placed on any engine
+
   Scenario: An expected first event does not count on kept parts
     # Guards against admitting prompts that come late where nothing is kept.
     When the first engine in the prompt's order has 0 ms to read before it
--- a/features/steps/subjects_steps.py
+++ b/features/steps/subjects_steps.py
@@ -42,6 +42,7 @@
             name, SERVICE, f'{name}:1', 'east', 8, False, {MODEL: 1}
         )
         context.knowledge.take_upstream(name, upstream)
+    context.prompt = PROMPT
     context.placer = Placer(context.knowledge, 'east')
     states = context.knowledge.states(SERVICE)
     context.first, context.other = in_order(PROMPT, states)
@@ -81,6 +82,19 @@
     context.other.remember(wall, PROMPT, engine, NOW_S)
 
 
+@when('the prompt names no parts')
+def step_no_parts(context: Context) -> None:
+    """Send a model's name and a length only."""
+    context.prompt = Prompt(MODEL, 6400, 20, 20, ())
+
+
+@then('the prompt is placed on any engine')
+def step_any(context: Context) -> None:
+    """Place it."""
+    placed = _place(context).state
+    assert placed in (context.first, context.other)
+
+
 @then('the prompt is placed on the {which} engine')
 def step_placed(context: Context, which: str) -> None:
     """Place it."""
@@ -125,7 +139,7 @@
         NOW_S,
         15.0,
         '',
-        PROMPT,
+        context.prompt,
         None,
     )
     placed = context.placer.place(
