--- a/packages/daemon/src/lacewing_daemon/direct/_placing.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_placing.py
@@ -205,7 +205,7 @@
             excess_ms=excess_ms,
             named=asked.named.version,
             old_ms=old_ms,
-            is_first=not state.holds(wall, prompt.parts[-1].part_id, now_s),
+            is_first=_is_first(state, wall, prompt, now_s),
             tokens_per_ms=speed,
         )
 
@@ -270,6 +270,15 @@
         return copy_holder(target, others, views, ends_ms, room)
 
 
+def _is_first(
+    state: UpstreamState, wall: str, prompt: Prompt, now_s: float
+) -> bool:
+    """Tell whether a prompt's own part was not sent to an engine lately."""
+    if not prompt.parts:
+        return True
+    return not state.holds(wall, prompt.parts[-1].part_id, now_s)
+
+
 def _away_ms(asked: _Asked) -> float:
     """Return the reading that the first engine in order likely saves.
 
--- a/packages/daemon/src/lacewing_daemon/lease.py
+++ b/packages/daemon/src/lacewing_daemon/lease.py
@@ -153,7 +153,7 @@
                 return NotHeld(seen.message)
             if self._may_be_held_from_before(self._duration_s):
                 return NotHeld(f'{self._name} may have been lost')
-            self._other_acted_s = self._era_from_s
+            self._other_acted_s = max(self._other_acted_s, self._era_from_s)
             return await self._write(self._holder, MUST_NOT_EXIST)
         waiting = self._look(seen)
         if waiting is not None:
