--- a/packages/daemon/src/lacewing_daemon/direct/_estimates.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_estimates.py
@@ -6,8 +6,6 @@
 from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass
-from statistics import median
-from statistics import quantiles
 
 from msgspec.structs import replace
 
@@ -76,7 +74,7 @@
         slopes = _slopes(reads)
         if len(slopes) < LEAST_PAIRS:
             return None
-        slope = median(slopes)
+        slope = _quantile(slopes, 0.5)
         if slope <= 0:
             return None
         return _bounded(1.0 / slope, READ_TOKENS_PER_MS)
@@ -137,7 +135,7 @@
         seen = self._steps.values(now_s)
         if len(seen) < LEAST_RUNS:
             return None
-        return _bounded(median(seen), STEP_MS)
+        return _bounded(_quantile(seen, 0.5), STEP_MS)
 
     def load_ms(self, now_s: float) -> float | None:
         """Return how long a load takes.
@@ -148,12 +146,14 @@
         seen = self._loads.values(now_s)
         if len(seen) < LEAST_LOADS:
             return None
-        return _bounded(quantiles(seen, n=4)[0], LOAD_MS)
+        return _bounded(_quantile(seen, 0.25), LOAD_MS)
 
     def usual_read_ms(self, now_s: float) -> float | None:
         """Return the reading that a usual request needs."""
         seen = self._sent.values(now_s)
-        return median(seen) if len(seen) >= LEAST_RUNS else None
+        if len(seen) < LEAST_RUNS:
+            return None
+        return _quantile(seen, 0.5)
 
 
 def estimated(
@@ -187,6 +187,14 @@
     return slopes
 
 
+def _quantile(values: Sequence[float], part: float) -> float:
+    """Return the value below which a part of all lies.
+
+    Importing the standard library's module takes 7 ms of each start.
+    """
+    return sorted(values)[int(len(values) * part)]
+
+
 def _bounded(value: float, bounds: _Bounds) -> float:
     least, most = bounds
     return min(most, max(least, value))
--- a/packages/daemon/src/lacewing_daemon/direct/_placing.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_placing.py
@@ -156,12 +156,13 @@
     ) -> Target | NoRoom:
         views = []
         targets = {}
-        away_ms = 0.0
-        for state in states:
+        away_ms = _away_ms(asked)
+        for position, state in enumerate(states):
             target = self._target(asked, state)
             targets[state.upstream.upstream_id] = target
-            views.append(self._view(asked, target, away_ms))
-            away_ms = _away_ms(asked)
+            is_first = position == 0
+            view = self._view(asked, target, 0.0 if is_first else away_ms)
+            views.append(view)
         tokens = asked.prompt.expected_tokens
         placed = place(views, left_ms, asked.policy, tokens)
         if isinstance(placed, NoRoom):
