--- a/features/direct_estimates.feature
+++ b/features/direct_estimates.feature
@@ -5,7 +5,7 @@
   time, and their first events come late. Time is the scenario's.
 
   Scenario Outline: The speed of reading is learnt beside other routers' load
-    # Guards against figures that were measured on other engines.
+    # Guards against decisions by the speed of other engines.
     Given engines that read <speed> tokens a ms and take 9 ms for a step
     When a router sees 40 first events while <load> of them wait for others
     Then the speed is estimated within 15%
--- a/features/experiment.feature
+++ b/features/experiment.feature
@@ -72,7 +72,7 @@
   Scenario Outline: What routers learn of their engines is as good as the truth
     # Guards against estimates that mislead where engines are slow or fast.
     When engines <factor> times as fast get <load> times the usual load
-    Then routers that learn the speed earn within 5% of those told it
+    Then routers that learn the speed earn within 5% of those that know it
 
     Examples:
       | factor | load |
--- a/features/steps/experiment_steps.py
+++ b/features/steps/experiment_steps.py
@@ -238,7 +238,9 @@
         context.worth[variant.name] = played.worth
 
 
-@then('routers that learn the speed earn within {part:d}% of those told it')
+@then(
+    'routers that learn the speed earn within {part:d}% of those that know it'
+)
 def step_as_good(context: Context, part: int) -> None:
     """Compare."""
     told = context.worth['told']
