Keep the narrow test link at its rate under load

Under load, all scenarios of direct_narrow.feature that wait for a large configuration fail: the last route is unknown after 6 s, valid keys get 503, and engines receive new weights late.

Three causes were considered: the router gives up on answers that are still arriving; the router blocks while it decodes the configuration; the link is slower than the scenario states. A trace of each large answer and of each abandoned call distinguishes them. An answer of 650,307 bytes on a link that needs 2 s for it took 5.28 to 6.08 s (5 of 6 runs), and calls were abandoned because they were queued behind it. The router itself blocked for 0.8 to 2.3 s in the same runs.

The stand-in scheduled each 8 KiB piece relative to the time it woke up, so every late wake-up slowed the link: 80 pieces, about 50 ms each. A real link keeps transmitting while a process waits for a CPU. No check of an existing scenario changes.

--- a/features/direct_narrow.feature
+++ b/features/direct_narrow.feature
@@ -77,3 +77,15 @@
       Given a direct router
       When all connections to the store break 3 times
       Then the configuration was read once and is still confirmed
+
+  Rule: The narrow link of the stand-in keeps its configured rate
+
+    Scenario: Late wake-ups do not slow a narrow link
+      # Guards against a lower link rate when the machine is under load.
+      When an answer is sent on a link that needs 0.8 s with wake-ups 30 ms late
+      Then sending the answer took at least 0.8 s and at most 1.5 s
+
+    Scenario: A narrow link does not exceed its rate after an idle period
+      # Guards against unused link capacity being carried over.
+      When an answer is sent on a link that needs 0.4 s after 1 s of idle time
+      Then sending the answer took at least 0.4 s and at most 1.1 s
--- a/features/steps/narrow_steps.py
+++ b/features/steps/narrow_steps.py
@@ -1,5 +1,6 @@
 """Check what direct routers do on a link that an answer fills."""
 
+import asyncio
 import threading
 import time
 from typing import Any
@@ -9,6 +10,7 @@
 from behave import then
 from behave import when
 from behave.runner import Context
+from lacewing_platform_testing._server import NarrowLink
 from support.direct_bench import Answer
 from support.direct_bench import BOUNDS
 from support.direct_bench import direct_bench
@@ -21,6 +23,7 @@
 ASK_EVERY_S = 0.03
 OK = 200
 NEW = 2
+LINK_ANSWER_BYTES = 650_000
 
 
 class Asking:
@@ -168,3 +171,60 @@
     lists = [call for call in bench.store.calls if call.endswith('/config')]
     assert len(lists) == 1, lists
     assert bench.ask().status == 200, bench.answer
+
+
+class NullStream:
+    """A stream that discards what is written to it."""
+
+    async def write(self, data: bytes) -> None:
+        """Discard the data."""
+
+
+async def _block_event_loop(block_s: float) -> None:
+    while True:
+        time.sleep(block_s)
+        await asyncio.sleep(0)
+
+
+async def _time_answer(needs_s: float, idle_s: float, block_s: float) -> float:
+    """Return the seconds that sending an answer on a narrow link takes."""
+    link = NarrowLink()
+    stream: Any = NullStream()
+    answer = bytes(LINK_ANSWER_BYTES)
+    link.bytes_s = LINK_ANSWER_BYTES / needs_s
+    await link.send(stream, b'first')
+    await asyncio.sleep(idle_s)
+    blocker = asyncio.create_task(_block_event_loop(block_s))
+    began_s = time.monotonic()
+    await link.send(stream, answer)
+    took_s = time.monotonic() - began_s
+    blocker.cancel()
+    return took_s
+
+
+@when(
+    'an answer is sent on a link that needs {needs_s:g} s with wake-ups'
+    ' {late_ms:d} ms late'
+)
+def step_send_late(context: Context, needs_s: float, late_ms: int) -> None:
+    """Send an answer while each event loop iteration is blocked."""
+    context.took_s = asyncio.run(_time_answer(needs_s, 0.0, late_ms / 1000))
+
+
+@when(
+    'an answer is sent on a link that needs {needs_s:g} s after {idle_s:g} s'
+    ' of idle time'
+)
+def step_send_after_idle(
+    context: Context, needs_s: float, idle_s: float
+) -> None:
+    """Send an answer after the link has been idle."""
+    context.took_s = asyncio.run(_time_answer(needs_s, idle_s, 0.0))
+
+
+@then(
+    'sending the answer took at least {least_s:g} s and at most {most_s:g} s'
+)
+def step_took(context: Context, least_s: float, most_s: float) -> None:
+    """Compare the sending time with the bounds."""
+    assert least_s <= context.took_s <= most_s, context.took_s
