Do not count time in which a process was stalled as silence of its peers

Visible effect: under load, processes declare healthy peers dead and consider themselves isolated. All of them then read each roll from the platform, which allows only a few readers, and routers drop agents from their lists until the agents refute it.

Hypotheses: readers are elected on incomplete tables; peers are falsely declared dead; a process considers itself isolated. The logs did not show why a process reads, so the new log line "Duty changed." gives its duty and the numbers of members that it holds as alive, suspect and dead.

Cause: the limits for an exchange (probe_s), for a suspect (suspect_s) and for isolation (ten periods) were measured in wall-clock time, including time in which the process was not scheduled and answers stayed unread. Only pauses of more than one second were excluded, a constant that does not follow the settings.

RunningClock excludes the time by which the wake-ups of the exchange loop are late. Isolation and suspicion are measured on it, and the timeout of a call is extended by the late wake-ups that an exchange passes through. A process that considers itself isolated checks once more before it reads.

Measured: two of the three new scenarios fail on the previous code (one peer reads, or none does); the third guards the opposite case, that a killed process is still declared dead. peers.feature passes in full (26 scenarios).

--- a/features/peers.feature
+++ b/features/peers.feature
@@ -206,3 +206,25 @@
     Then the role of each peer hears that the VM of "p5" is leaving
     When the VM list shows the VM of "p5" as live
     Then the role of each peer hears that the VM of "p5" is live
+
+  Scenario: Processes with slow event loops do not declare each other dead
+    # Guards against counting time in which a process did not run as silence
+    # of its peers.
+    Given 8 peers in two regions and a platform
+    When 2 peers watch the platform
+    And each iteration of the event loop is delayed by 80 ms
+    Then for 4 s no peer is declared dead and 2 peers watch the platform
+
+  Scenario: After a blocked event loop no peer is dead and two still read
+    # Guards against mistaking a stall of the process for isolation.
+    Given 8 peers in two regions and a platform
+    When 2 peers watch the platform
+    And the event loop is blocked for 2 s
+    Then for 2 s no peer is declared dead and 2 peers watch the platform
+
+  Scenario: Processes with slow event loops declare a killed process dead
+    # Guards against late wake-ups postponing failure detection indefinitely.
+    Given 6 peers
+    When each iteration of the event loop is delayed by 60 ms
+    And peer "p5" is killed
+    Then all agree that "p5" is dead
--- /dev/null
+++ b/features/steps/peers_stalls_steps.py
@@ -0,0 +1,53 @@
+"""Delay the event loop and check failure detection and reader election."""
+
+import asyncio
+import time
+
+from behave import then
+from behave import when
+from behave.runner import Context
+from lacewing_common.wire_peers import Liveness
+from support.peers_bench import PeersBench
+
+POLL_S = 0.05
+
+
+async def _delay_iterations(delay_s: float) -> None:
+    while True:
+        time.sleep(delay_s)
+        await asyncio.sleep(0)
+
+
+async def _block_loop(stall_s: float) -> None:
+    time.sleep(stall_s)
+
+
+@when('each iteration of the event loop is delayed by {delay_ms:d} ms')
+def when_iterations_delayed(context: Context, delay_ms: int) -> None:
+    """Delay every loop iteration until the scenario ends."""
+    bench: PeersBench = context.bench
+    bench.start_loop_blocker(_delay_iterations(delay_ms / 1000))
+
+
+@when('the event loop is blocked for {stall_s:g} s')
+def when_loop_blocked(context: Context, stall_s: float) -> None:
+    """Block the event loop once."""
+    context.bench.run(_block_loop(stall_s))
+
+
+@then(
+    'for {duration_s:g} s no peer is declared dead and {readers:d} peers'
+    ' watch the platform'
+)
+def then_membership_stable(
+    context: Context, duration_s: float, readers: int
+) -> None:
+    """Poll the liveness records and the readers of all peers."""
+    bench: PeersBench = context.bench
+    end_s = time.monotonic() + duration_s
+    while time.monotonic() < end_s:
+        for name in bench.peers:
+            assert not bench.some_think(name, Liveness.DEAD), name
+        reading = [each.name for each in bench.peers.values() if each.reading]
+        assert len(reading) == readers, reading
+        bench.run(asyncio.sleep(POLL_S))
--- a/features/support/peers_bench.py
+++ b/features/support/peers_bench.py
@@ -223,12 +223,17 @@
         self.contacts: list[str] = []
         self.peers: dict[str, Peer] = {}
         self.store: FakeStore | None = None
+        self._loop_blocker: asyncio.Task[None] | None = None
 
     def run(self, work: Coroutine[Any, Any, T]) -> T:
         """Run a coroutine to its end in the scenario's event loop."""
         result: T = self._runner.run(work)
         return result
 
+    def start_loop_blocker(self, work: Coroutine[Any, Any, None]) -> None:
+        """Start a task that blocks the event loop of the peers."""
+        self._loop_blocker = self._runner.get_loop().create_task(work)
+
     def start(self, number: int) -> None:
         """Start peers that know the first as their seed."""
         for index in range(number):
@@ -328,6 +333,8 @@
 
     def close(self) -> None:
         """End all peers."""
+        if self._loop_blocker is not None:
+            self._loop_blocker.cancel()
         for name in list(self.peers):
             self.kill(name)
 
--- a/packages/daemon/src/lacewing_daemon/peers/_election.py
+++ b/packages/daemon/src/lacewing_daemon/peers/_election.py
@@ -1,11 +1,11 @@
 """Agree, without a message, on the few that read from the platform."""
 
-import time
 from enum import Enum
 
 import xxhash
 from lacewing_common.settings import PeerSettings
 
+from lacewing_daemon.peers._running_clock import RunningClock
 from lacewing_daemon.peers._table import MemberTable
 
 # So many periods without a word from any peer, and what a process thinks
@@ -29,10 +29,13 @@
     more or fewer, which is harmless.
     """
 
-    def __init__(self, settings: PeerSettings, table: MemberTable) -> None:
+    def __init__(
+        self, settings: PeerSettings, table: MemberTable, clock: RunningClock
+    ) -> None:
         self._settings = settings
         self._table = table
-        self._began_s = time.monotonic()
+        self._clock = clock
+        self._began_s = clock.now_s
 
     @property
     def known(self) -> int:
@@ -40,10 +43,14 @@
         return len(self._table.all())
 
     def duty(self, heard_at_s: float) -> Duty:
-        """Tell the duty of this process, given when it last heard a peer."""
+        """Return the duty of this process.
+
+        ``heard_at_s`` is the running-clock time of the last message from a
+        peer.
+        """
         if self.known == 1:
             return Duty.READ
-        silent_s = time.monotonic() - max(heard_at_s, self._began_s)
+        silent_s = self._clock.now_s - max(heard_at_s, self._began_s)
         if silent_s > _ISOLATED_AFTER * self._settings.exchange_s:
             return Duty.ALONE
         if self._rank() < self._settings.readers:
--- a/packages/daemon/src/lacewing_daemon/peers/_gossip.py
+++ b/packages/daemon/src/lacewing_daemon/peers/_gossip.py
@@ -27,6 +27,7 @@
 from lacewing_daemon.peers._metrics import MEMBERS
 from lacewing_daemon.peers._news import News
 from lacewing_daemon.peers._partners import Partners
+from lacewing_daemon.peers._running_clock import RunningClock
 from lacewing_daemon.peers._table import MemberTable
 
 FANOUT = 3
@@ -39,8 +40,6 @@
 _MAX_TABLE_PULLS = 32
 _TABLE_PULL_EVERY = 5.0
 _MAX_RUNNING = 16
-# A sleep that ends so many seconds late shows that this process stood still.
-_PAUSE_S = 1.0
 
 _log = get_log(Part.MEMBERS)
 
@@ -57,7 +56,9 @@
         channels: Channels,
         rng: Random,
         contacts: Callable[[], tuple[str, ...]],
+        clock: RunningClock,
     ) -> None:
+        self._clock = clock
         self._settings = settings
         self._table = table
         self._news = news
@@ -73,7 +74,7 @@
 
     @property
     def answered_at_s(self) -> float:
-        """Return the monotonic time of the last answer of a peer."""
+        """Return the running-clock time of the last answer of a peer."""
         return self._answered_at_s
 
     async def discover(self) -> None:
@@ -132,9 +133,8 @@
 
     async def _sleep(self, period_s: float) -> None:
         wait_s = period_s * self._rng.uniform(1 - _JITTER, 1 + _JITTER)
-        before_s = time.monotonic()
-        await asyncio.sleep(wait_s)
-        if time.monotonic() - before_s - wait_s > _PAUSE_S:
+        late_s = await self._clock.sleep(wait_s)
+        if late_s > self._settings.probe_s:
             # This process stood still. Refutations may have been waiting to
             # be read all the while; confirming now would declare healthy
             # peers dead all over the fleet.
@@ -176,11 +176,12 @@
         await self._exchange_with(address, None)
 
     async def _exchange(self, record: MemberRecord) -> None:
-        started_s = time.monotonic()
+        started_s, running_from_s = time.monotonic(), self._clock.now_s
         if await self._exchange_with(record.address, record):
             return
-        late_s = time.monotonic() - started_s - self._settings.probe_s
-        if late_s > _PAUSE_S:
+        ran_s = self._clock.now_s - running_from_s
+        stalled_s = time.monotonic() - started_s - ran_s
+        if stalled_s > self._settings.probe_s > 2 * ran_s:
             # The peer may well have answered while this process stood still.
             return
         if record.liveness is Liveness.ALIVE:
@@ -194,14 +195,14 @@
             EXCHANGE_METHOD,
             self._news.fill(record or self._dead_at(address)),
             Exchange,
-            self._settings.probe_s,
+            self._clock.extend_timeout(self._settings.probe_s),
         )
         if isinstance(answer, NoReply):
             EXCHANGES.labels('failed').inc()
             _log.debug('Exchange failed.', error=answer.message)
             return False
         EXCHANGES.labels('answered').inc()
-        self._answered_at_s = time.monotonic()
+        self._answered_at_s = self._clock.now_s
         self._news.hear(answer)
         self._note_owner(record, answer.sender)
         if answer.table_hash != self._table.hash:
@@ -246,12 +247,12 @@
             PROBE_METHOD,
             Probe(record.address),
             ProbeReply,
-            2 * self._settings.probe_s,
+            2 * self._clock.extend_timeout(self._settings.probe_s),
         )
         return isinstance(answer, ProbeReply) and answer.answered
 
     def _confirm_suspects(self) -> None:
-        before_s = time.monotonic() - self._settings.suspect_s
+        before_s = self._clock.now_s - self._settings.suspect_s
         for record in self._table.suspected_before(before_s):
             if self._table.set_liveness(record, Liveness.DEAD):
                 _log.info('Dead.', member=record.process_id)
@@ -274,7 +275,7 @@
                 TABLE_METHOD,
                 query,
                 TableReply,
-                self._settings.probe_s,
+                self._clock.extend_timeout(self._settings.probe_s),
             )
             if isinstance(answer, NoReply):
                 return
--- a/packages/daemon/src/lacewing_daemon/peers/_node.py
+++ b/packages/daemon/src/lacewing_daemon/peers/_node.py
@@ -26,6 +26,7 @@
 from lacewing_daemon.peers._notes import VmNotes
 from lacewing_daemon.peers._partners import Partners
 from lacewing_daemon.peers._replicas import Replicas
+from lacewing_daemon.peers._running_clock import RunningClock
 from lacewing_daemon.peers._service import PeerService
 from lacewing_daemon.peers._table import MemberTable
 
@@ -52,7 +53,10 @@
         rng: Random,
         channels: Channels | None = None,
     ) -> None:
-        self._table = MemberTable(_my_record(name, settings))
+        self._clock = RunningClock()
+        self._table = MemberTable(
+            _my_record(name, settings), lambda: self._clock.now_s
+        )
         self._notes = VmNotes()
         self._replicas = Replicas(guards)
         if channels is None:
@@ -74,6 +78,7 @@
             self._channels,
             rng,
             contacts,
+            self._clock,
         )
         self._service = PeerService(
             self._news,
@@ -83,6 +88,7 @@
             self._channels,
             settings.peers.probe_s,
             rng,
+            self._clock,
         )
         self._members = GossipMembers(self._table, self._notes, contacts)
         self._tasks: list[asyncio.Task[None]] = []
@@ -124,9 +130,14 @@
 
     @property
     def heard_at_s(self) -> float:
-        """Return the monotonic time of the last call or answer of a peer."""
+        """Return the ``clock`` time of the last call or answer of a peer."""
         return max(self._gossip.answered_at_s, self._service.heard_at_s)
 
+    @property
+    def clock(self) -> RunningClock:
+        """Return the clock that measures the silence of peers."""
+        return self._clock
+
     @property
     def untold(self) -> int:
         """Return how many pieces of news are still being told."""
--- a/packages/daemon/src/lacewing_daemon/peers/_reader.py
+++ b/packages/daemon/src/lacewing_daemon/peers/_reader.py
@@ -7,6 +7,8 @@
 from typing import Any
 
 from lacewing_common.document import DocumentName
+from lacewing_common.log import get_log
+from lacewing_common.log import Part
 from lacewing_common.settings import PeerSettings
 from lacewing_common.store import ObjectReads
 
@@ -26,6 +28,8 @@
 _LEAST_ALONE_S = 5.0
 _KEEP_LIST_ROUNDS = 60
 
+_log = get_log(Part.MEMBERS)
+
 
 class PlatformReader:
     """Follow documents and VM list while this process is a reader.
@@ -47,13 +51,14 @@
         self._settings = settings
         self._follow = follow
         self._rng = rng
-        self._election = Election(settings, node.table)
+        self._election = Election(settings, node.table, node.clock)
         self._heads = HeadWatch(platform, node.documents, rng)
         self._vm_list = VmListReader(
             platform, node.vm_notes, take_list, settings.vm_list_s, rng
         )
         self._take_list = take_list
         self._listened = 0
+        self._logged_duty: Duty | None = None
         self._tasks: dict[str, asyncio.Task[None]] = {}
 
     @property
@@ -89,6 +94,7 @@
 
     async def _do_duty(self) -> None:
         duty = self._election.duty(self._node.heard_at_s)
+        self._log_duty_change(duty)
         if duty is Duty.READ:
             self._start_all()
         else:
@@ -102,6 +108,20 @@
             return
         await asyncio.sleep(self._settings.exchange_s)
 
+    def _log_duty_change(self, duty: Duty) -> None:
+        if duty is self._logged_duty:
+            return
+        self._logged_duty = duty
+        counts = self._node.counts
+        _log.info(
+            'Duty changed.',
+            duty=duty.value,
+            member=self._node.table.me.process_id,
+            alive=counts.alive,
+            suspect=counts.suspect,
+            dead=counts.dead,
+        )
+
     def _age_list(self) -> None:
         """Forget the list some time after others have begun to read it.
 
@@ -122,6 +142,8 @@
         least_s = _LEAST_ALONE_S * self._settings.exchange_s
         mean_s = max(least_s, self._election.known / _ALONE_READS_PER_S)
         await asyncio.sleep(mean_s * self._rng.uniform(0.5, 1.5))
+        if self._election.duty(self._node.heard_at_s) is not Duty.ALONE:
+            return
         for name in self._follow():
             await self._heads.read(name)
         await self._vm_list.read()
--- a/packages/daemon/src/lacewing_daemon/peers/_service.py
+++ b/packages/daemon/src/lacewing_daemon/peers/_service.py
@@ -1,6 +1,5 @@
 """Answer the calls of peers."""
 
-import time
 from random import Random
 from typing import Any
 
@@ -26,6 +25,7 @@
 from lacewing_daemon.peers._news import News
 from lacewing_daemon.peers._notes import VmNotes
 from lacewing_daemon.peers._replicas import Replicas
+from lacewing_daemon.peers._running_clock import RunningClock
 from lacewing_daemon.peers._table import BUCKETS
 from lacewing_daemon.peers._table import MemberTable
 
@@ -47,7 +47,9 @@
         channels: Channels,
         probe_timeout_s: float,
         rng: Random,
+        clock: RunningClock,
     ) -> None:
+        self._clock = clock
         self._news = news
         self._table = table
         self._notes = notes
@@ -70,7 +72,7 @@
         call = await stream.recv_message()
         if call is None:
             return
-        self.heard_at_s = time.monotonic()
+        self.heard_at_s = self._clock.now_s
         await stream.send_message(self._news.reply(call))
 
     async def _probe(self, stream: Stream[Probe, ProbeReply]) -> None:
@@ -82,7 +84,7 @@
             EXCHANGE_METHOD,
             self._news.fill(),
             Exchange,
-            self._probe_timeout_s,
+            self._clock.extend_timeout(self._probe_timeout_s),
         )
         if isinstance(answer, NoReply):
             await stream.send_message(ProbeReply(False))
--- a/packages/daemon/src/lacewing_daemon/peers/_table.py
+++ b/packages/daemon/src/lacewing_daemon/peers/_table.py
@@ -41,8 +41,11 @@
 class MemberTable:
     """Merge records so that all processes come to hold the same ones."""
 
-    def __init__(self, me: MemberRecord) -> None:
+    def __init__(
+        self, me: MemberRecord, clock: Callable[[], float] = time.monotonic
+    ) -> None:
         self._me = me
+        self._clock = clock
         self._records = {me.process_id: me}
         self._changed_at_s: dict[str, float] = {}
         self._bucket_hashes = [0] * BUCKETS
@@ -121,7 +124,7 @@
         return found
 
     def suspected_before(self, time_s: float) -> list[MemberRecord]:
-        """Return the members suspected since before a monotonic time."""
+        """Return the members suspected since before a time on its clock."""
         found: list[MemberRecord] = []
         for process_id in self._suspects:
             if self._changed_at_s[process_id] < time_s:
@@ -194,13 +197,13 @@
 
     def restart_suspicions(self) -> None:
         """Give all suspects their whole time again."""
-        now_s = time.monotonic()
+        now_s = self._clock()
         for process_id in self._changed_at_s:
             self._changed_at_s[process_id] = now_s
 
     def forget_dead(self) -> None:
         """Drop members that have long been dead."""
-        before_s = time.monotonic() - _FORGET_DEAD_S
+        before_s = self._clock() - _FORGET_DEAD_S
         for record in self.dead():
             if self._changed_at_s[record.process_id] < before_s:
                 self._uncount(record)
@@ -234,7 +237,7 @@
         if held is not None:
             self._uncount(held)
         self._records[record.process_id] = record
-        self._changed_at_s[record.process_id] = time.monotonic()
+        self._changed_at_s[record.process_id] = self._clock()
         self._count(record)
         self._tell(record)
 
