--- a/features/steps/narrow_steps.py
+++ b/features/steps/narrow_steps.py
@@ -19,6 +19,7 @@
 from support.direct_bench import PREFIX
 from support.direct_bench import route
 from support.direct_bench import sleep
+from support.event_loop import delay_iterations
 
 ASK_EVERY_S = 0.03
 OK = 200
@@ -180,12 +181,6 @@
         """Discard the data."""
 
 
-async def _block_event_loop(block_s: float) -> None:
-    while True:
-        time.sleep(block_s)
-        await asyncio.sleep(0)
-
-
 async def _time_answer(needs_s: float, idle_s: float, block_s: float) -> float:
     """Return the seconds that sending an answer on a narrow link takes."""
     link = NarrowLink()
@@ -194,7 +189,7 @@
     link.bytes_s = LINK_ANSWER_BYTES / needs_s
     await link.send(stream, b'first')
     await asyncio.sleep(idle_s)
-    blocker = asyncio.create_task(_block_event_loop(block_s))
+    blocker = asyncio.create_task(delay_iterations(block_s))
     began_s = time.monotonic()
     await link.send(stream, answer)
     took_s = time.monotonic() - began_s
--- a/features/steps/peers_stalls_steps.py
+++ b/features/steps/peers_stalls_steps.py
@@ -7,17 +7,12 @@
 from behave import when
 from behave.runner import Context
 from lacewing_common.wire_peers import Liveness
+from support.event_loop import delay_iterations
 from support.peers_bench import PeersBench
 
 POLL_S = 0.05
 
 
-async def _delay_iterations(delay_s: float) -> None:
-    while True:
-        time.sleep(delay_s)
-        await asyncio.sleep(0)
-
-
 async def _block_loop(stall_s: float) -> None:
     time.sleep(stall_s)
 
@@ -26,7 +21,7 @@
 def when_iterations_delayed(context: Context, delay_ms: int) -> None:
     """Delay every loop iteration until the scenario ends."""
     bench: PeersBench = context.bench
-    bench.start_loop_blocker(_delay_iterations(delay_ms / 1000))
+    bench.start_loop_blocker(delay_iterations(delay_ms / 1000))
 
 
 @when('the event loop is blocked for {stall_s:g} s')
--- a/packages/daemon/src/lacewing_daemon/peers/_gossip.py
+++ b/packages/daemon/src/lacewing_daemon/peers/_gossip.py
@@ -181,7 +181,8 @@
             return
         ran_s = self._clock.now_s - running_from_s
         stalled_s = time.monotonic() - started_s - ran_s
-        if stalled_s > self._settings.probe_s > 2 * ran_s:
+        ran_briefly = ran_s < self._settings.probe_s / 2
+        if ran_briefly and stalled_s > self._settings.probe_s:
             # The peer may well have answered while this process stood still.
             return
         if record.liveness is Liveness.ALIVE:
