Do not count a stall of the process as silence of the platform

Callers received 503 for valid keys. While a large configuration was being received, its call was given up and the configuration was read again from the first byte, so keys stayed unconfirmed for longer than allowed.

Cause: after a stall, the overdue call was checked twice within 50 ms. When event loop iterations are slow, both checks run before the data that arrived meanwhile is read. Also, data read in the iteration of the last check is only delivered in the next one.

Change: the lateness of a check extends the limit, by one silence limit in total (and a recheck delay at most) until data arrives. The call is given up in the next event loop iteration, after data that was read has been delivered. The limit of a write without an answer is not extended.

Add two scenarios to features/slow_answers.feature.

--- a/features/slow_answers.feature
+++ b/features/slow_answers.feature
@@ -23,6 +23,18 @@
     And the error tells of 90000 to 100000 bytes
     And the next call has room at once
 
+  Scenario: A stall of the process does not end a call
+    # Guards against giving up an answer that arrived during the stall and has
+    # not been read yet.
+    When an object of 600000 bytes comes at 300000 bytes a second
+    And the process stalls for 0.6 s after 0.3 s
+    Then it is read whole
+
+  Scenario: A call whose data is read at its last check is not given up
+    # Guards against giving up a call whose data was read but not delivered.
+    When a call gets its first data in the iteration of its last check
+    Then the call is not given up
+
   Scenario: A trickle does not hold a call for ever
     # Symptom: all calls wait for room though the platform answers others.
     # Sequence: a broken connection gives a few bytes now and then, and is
--- a/features/steps/slow_answers_steps.py
+++ b/features/steps/slow_answers_steps.py
@@ -2,7 +2,11 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
+from typing import Any
+from unittest.mock import patch
 
 from behave import given
 from behave import then
@@ -11,6 +15,7 @@
 from lacewing_bench.loop_thread import LoopThread
 from lacewing_common.platform_client import ClientOptions
 from lacewing_common.platform_client import PlatformClient
+from lacewing_common.platform_http import _Transfer
 from lacewing_common.store import MUST_NOT_EXIST
 from lacewing_common.store import StoredObject
 from lacewing_common.store import StoreError
@@ -19,9 +24,14 @@
 from lacewing_platform_testing._server import Received
 from lacewing_platform_testing._server import StandInServer
 from lacewing_platform_testing._server import whole_answer
+from support.event_loop import delay_iterations
 
 KIND = 'bundle'
 SMALL = b'small'
+SLOW_ITERATION_S = 0.06
+SLOW_ITERATIONS = 6
+LIMIT_S = 0.2
+RECHECK_DELAY_S = 0.05
 
 
 @dataclass(frozen=True)
@@ -132,6 +142,102 @@
     context.platform.piece = piece
 
 
+async def _stall(after_s: float, stall_s: float) -> None:
+    """Block the event loop once, then slow its next iterations."""
+    await asyncio.sleep(after_s)
+    time.sleep(stall_s)
+    slow = asyncio.create_task(delay_iterations(SLOW_ITERATION_S))
+    await asyncio.sleep(SLOW_ITERATIONS * SLOW_ITERATION_S)
+    slow.cancel()
+
+
+@when('the process stalls for {stall_s:f} s after {after_s:f} s')
+def step_stall(context: Context, stall_s: float, after_s: float) -> None:
+    """Stall the event loop shared by the client and the platform."""
+
+    async def begin() -> 'asyncio.Task[None]':
+        return asyncio.create_task(_stall(after_s, stall_s))
+
+    context.stall = context.loop.call(begin())
+
+
+class _RecordingClient:
+    """Record the messages of calls that are given up."""
+
+    def __init__(self) -> None:
+        self.given_up: list[str] = []
+
+    def give_up(self, _request: object, message: str) -> None:
+        """Record the message."""
+        self.given_up.append(message)
+
+
+class _ManualLoop:
+    """Event loop stub whose clock and callbacks the test controls."""
+
+    def __init__(self) -> None:
+        self._now_s = 0.0
+        self._timers: list[tuple[float, Callable[[], None]]] = []
+        self._ready: list[Callable[[], None]] = []
+
+    def time(self) -> float:
+        """Return the current time in seconds."""
+        return self._now_s
+
+    def call_at(self, at_s: float, callback: Callable[[], None]) -> None:
+        """Schedule a callback at a given time."""
+        self._timers.append((at_s, callback))
+
+    def call_soon(self, callback: Callable[[], None]) -> None:
+        """Queue a callback for the next iteration."""
+        self._ready.append(callback)
+
+    def advance(self, to_s: float) -> None:
+        """Advance the clock and run the scheduled callbacks that are due."""
+        self._now_s = to_s
+        due = [callback for at_s, callback in self._timers if at_s <= to_s]
+        self._timers = [timer for timer in self._timers if timer[0] > to_s]
+        for callback in due:
+            callback()
+
+    def run_ready(self) -> None:
+        """Run the queued callbacks."""
+        ready, self._ready = self._ready, []
+        for callback in ready:
+            callback()
+
+
+def _take_at_last_check() -> list[str]:
+    """Deliver the first data of a call right after its last check.
+
+    Return the messages of the calls that are given up.
+    """
+    recorder = _RecordingClient()
+    client: Any = recorder
+    request: Any = object()
+    loop = _ManualLoop()
+    with patch.object(asyncio, 'get_running_loop', lambda: loop):
+        transfer = _Transfer(client, LIMIT_S, LIMIT_S, False)
+    transfer.watch(request)
+    loop.advance(LIMIT_S)
+    loop.call_soon(partial(transfer.take, b'data'))
+    loop.advance(LIMIT_S + RECHECK_DELAY_S)
+    loop.run_ready()
+    return recorder.given_up
+
+
+@when('a call gets its first data in the iteration of its last check')
+def step_last_check(context: Context) -> None:
+    """Read the data and run the check in one event loop iteration."""
+    context.given_up = _take_at_last_check()
+
+
+@then('the call is not given up')
+def step_not_given_up(context: Context) -> None:
+    """Check that no call was given up."""
+    assert not context.given_up, context.given_up
+
+
 @when('its reader leaves after {after_s:f} s')
 def step_leave(context: Context, after_s: float) -> None:
     """Cancel a read."""
--- a/packages/common/src/lacewing_common/platform_http.py
+++ b/packages/common/src/lacewing_common/platform_http.py
@@ -22,9 +22,12 @@
 # A request's body is given this time to leave: the system can't see how much
 # of it has left the VM. A tenth of the narrowest links in use.
 SLOWEST_SENT_BYTES_S = 65_536
-# What has arrived is told by the event loop; after a pause of the process a
-# call is looked at once more before it is given up.
-_SECOND_LOOK_S = 0.05
+# An overdue call is checked again after this delay before it is given up, so
+# that data that has already arrived is read first.
+_RECHECK_DELAY_S = 0.05
+# A check that runs later than scheduled by more than this indicates a stall
+# of the process.
+_STALL_THRESHOLD_S = 0.02
 # With these libcurl ends a call before it has sent a byte of the request.
 _NEVER_SENT = (
     pycurl.E_COULDNT_RESOLVE_HOST,
@@ -104,15 +107,22 @@
     """
 
     def __init__(
-        self, client: _CurlClient, begin_s: float, silence_s: float
+        self,
+        client: _CurlClient,
+        begin_s: float,
+        silence_s: float,
+        is_read: bool,
     ) -> None:
         self._client = client
+        self._is_read = is_read
         self._loop = asyncio.get_running_loop()
         self._silence_s = silence_s
         self._begin_by_s = self._loop.time() + begin_s
         self._request: HTTPRequest | None = None
-        self._timer: asyncio.TimerHandle | None = None
-        self._looked_twice = False
+        self._timer: asyncio.Handle | None = None
+        self._check_due_s = 0.0
+        self._rechecked = False
+        self._extended_s = 0.0
         self._first_s = 0.0
         self._last_s = 0.0
         self._pieces: list[bytes] = []
@@ -136,7 +146,7 @@
     def watch(self, request: HTTPRequest) -> None:
         """Give the call up in time, until ``end``."""
         self._request = request
-        self._timer = self._loop.call_at(self._due_s(), self._look)
+        self._schedule_check(self._due_s())
 
     def take(self, piece: bytes) -> None:
         """Take a piece of the body."""
@@ -144,7 +154,8 @@
         if not self._pieces:
             self._first_s = now_s
         self._last_s = now_s
-        self._looked_twice = False
+        self._rechecked = False
+        self._extended_s = 0.0
         self._pieces.append(piece)
         self._received += len(piece)
 
@@ -163,15 +174,46 @@
         )
         return max(self._begin_by_s, min(silent_s, slow_s))
 
-    def _look(self) -> None:
+    def _schedule_check(self, at_s: float) -> None:
+        self._check_due_s = at_s
+        self._timer = self._loop.call_at(at_s, self._check)
+
+    def _check(self) -> None:
         now_s = self._loop.time()
         due_s = self._due_s()
         if now_s < due_s:
-            self._timer = self._loop.call_at(due_s, self._look)
+            self._schedule_check(due_s)
             return
-        if not self._looked_twice:
-            self._looked_twice = True
-            self._timer = self._loop.call_later(_SECOND_LOOK_S, self._look)
+        recheck_delay_s = self._recheck_delay_s(now_s)
+        if recheck_delay_s > 0:
+            self._rechecked = True
+            self._schedule_check(now_s + recheck_delay_s)
+            return
+        # Data read in this event loop iteration is passed to ``take`` in the
+        # next one, before ``_give_up`` runs.
+        self._timer = self._loop.call_soon(self._give_up)
+
+    def _recheck_delay_s(self, now_s: float) -> float:
+        """Return the delay until an overdue call is rechecked, 0 for never.
+
+        A late check indicates a stall of this process. The stall does not
+        count as silence: data may have arrived meanwhile without being read.
+        The limit of a write without an answer is not extended: its caller
+        relies on the call ending in time.
+        """
+        lateness_s = now_s - self._check_due_s
+        remaining_s = self._silence_s - self._extended_s
+        stalled = lateness_s > _STALL_THRESHOLD_S
+        if stalled and remaining_s > 0 and (self._is_read or self._pieces):
+            extension_s = max(_RECHECK_DELAY_S, min(lateness_s, remaining_s))
+            self._extended_s += extension_s
+            return extension_s
+        return 0.0 if self._rechecked else _RECHECK_DELAY_S
+
+    def _give_up(self) -> None:
+        due_s = self._due_s()
+        if self._loop.time() < due_s:
+            self._schedule_check(due_s)
             return
         self._timer = None
         assert self._request is not None
@@ -212,7 +254,10 @@
             return NoAnswer(False, 'too many calls to the platform wait')
         body_s = len(call.body or b'') / SLOWEST_SENT_BYTES_S
         transfer = _Transfer(
-            self._client, call.timeout_s + body_s, self._silence_s
+            self._client,
+            call.timeout_s + body_s,
+            self._silence_s,
+            call.is_read,
         )
         request = self._request(call, transfer)
         fetch = self._client.fetch(request, raise_error=False)
