Probe requests whose block may be wrong

Callers with harmless requests were refused for ten minutes. When three upstreams crashed under the same two requests, both were blocked: the one that crashes upstreams, and a frequent one from other callers that ran at the same time in each case. A blocked request is never run, so it could not be cleared before the block expired. Also, a router that had not yet received the reports of its peers blocked a harmless request for some 50 ms, and told its caller to retry after ten minutes.

Change: a block is ambiguous if other requests may have caused too many of the same crashes. Each router admits one run of such a request 2 to 4 s after the block, then after intervals that double, up to 60 s; each wait is one to two intervals, chosen at random. A successful answer clears the request at all routers; a further crash determines which request is the cause. While a block is ambiguous, and for 2 s after a crash, callers are told to retry after 2 s.

Scenarios in features/direct_crashes.feature. On the code before, "A harmless request blocked with the cause is admitted again" fails with a retry delay of 599.996 s; the others use attributes that it lacks.

--- a/features/direct_crashes.feature
+++ b/features/direct_crashes.feature
@@ -252,6 +252,50 @@
       And 601 seconds pass
       Then they block ""
 
+    Scenario Outline: Blocks for the same crashes are ambiguous
+      # Guards against refusing a harmless request for ten minutes because it
+      # ran at the same crashes as the one that caused them.
+      When routers hear of the crashes "<crashes>" in any order
+      Then the blocks of "<ambiguous>" are ambiguous
+
+      Examples:
+        | crashes               | ambiguous |
+        | a b; a b; a b         | a b       |
+        | a b; a b; a b; a c    |           |
+        | a b; a c              |           |
+        | a b; a c; a d; b e; b |           |
+
+    Scenario: Probes of a request are infrequent
+      # Guards against probes that crash one upstream after another.
+      When the block of "a" stays ambiguous for 300 seconds
+      Then its first probe comes after 2 to 4 seconds
+      And it is probed at most 10 times
+
+    Scenario Outline: The retry delay of a recent or ambiguous block is short
+      # Guards against a retry delay of minutes before other routers have
+      # reported which requests ran at the same crashes.
+      When routers hear of the crashes "<crashes>" in any order
+      And <seconds> seconds pass
+      Then "a" may be retried after <least> to <most> seconds
+
+      Examples:
+        | crashes       | seconds | least | most |
+        | a b; a c      | 0       | 1     | 5    |
+        | a b; a c      | 3       | 590   | 600  |
+        | a b; a b; a b | 3       | 1     | 5    |
+
+    Scenario: A harmless request blocked with the cause is admitted again
+      # Guards against blocking a harmless request for ten minutes.
+      Given a store with a configuration
+      And 5 upstreams of "registry" that come back after a crash
+      And routers that call each other
+      And 2 direct routers
+      And each router knows the 1 other
+      When 3 crashes are reported under a crashing and a harmless request
+      Then the harmless request is refused with a short retry delay
+      And it is served by all routers within 10 seconds
+      And the crashing request reaches at most 3 more upstreams in 12 seconds
+
     Scenario: On the model others are let through
       # Load pattern: a caller repeats what crashes engines, 37 others a
       # second run beside it, and one in five of these asks what others ask.
--- a/features/steps/crash_ledger_steps.py
+++ b/features/steps/crash_ledger_steps.py
@@ -1,6 +1,7 @@
 """Check which requests are held to have crashed upstreams."""
 
 from itertools import permutations
+from random import Random
 
 from behave import then
 from behave import when
@@ -12,6 +13,7 @@
 from lacewing_daemon.direct.crashes import CrashRecord
 from lacewing_daemon.direct.crashes import Start
 from lacewing_daemon.direct.crashes import Suspect
+from lacewing_daemon.direct.crashes._probes import ProbeSchedule
 
 BEGUN = '+'
 UP = Start('up', 7)
@@ -87,6 +89,54 @@
     step_block(context, '')
 
 
+@then('the blocks of "{names}" are ambiguous')
+def step_ambiguous(context: Context, names: str) -> None:
+    """Compare the ambiguous blocks of each router."""
+    for ledger in context.ledgers:
+        assert ledger.ambiguous == frozenset(names.split()), ledger.ambiguous
+
+
+@then('the blocks of "" are ambiguous')
+def step_none_ambiguous(context: Context) -> None:
+    """Check that no router has an ambiguous block."""
+    step_ambiguous(context, '')
+
+
+@then('"{name}" may be retried after {least_s:d} to {most_s:d} seconds')
+def step_retry_after(
+    context: Context, name: str, least_s: int, most_s: int
+) -> None:
+    """Check the retry delay at each router."""
+    for ledger in context.ledgers:
+        retry_s = ledger.retry_after_s(name)
+        assert least_s <= retry_s <= most_s, retry_s
+
+
+@when('the block of "{name}" stays ambiguous for {seconds:d} seconds')
+def step_probes(context: Context, name: str, seconds: int) -> None:
+    """Request a probe every tenth of a second."""
+    now_s = 0.0
+    probes = ProbeSchedule(Random(1), lambda: now_s)
+    probes.update(frozenset((name,)))
+    context.probes_s = []
+    for tenth in range(seconds * 10):
+        now_s = tenth / 10
+        if probes.admit(name):
+            context.probes_s.append(now_s)
+
+
+@then('its first probe comes after {least_s:d} to {most_s:d} seconds')
+def step_first_probe(context: Context, least_s: int, most_s: int) -> None:
+    """Check the time of the first probe."""
+    assert least_s <= context.probes_s[0] <= most_s + 0.1, context.probes_s
+
+
+@then('it is probed at most {count:d} times')
+def step_probe_count(context: Context, count: int) -> None:
+    """Count the probes."""
+    assert len(context.probes_s) <= count, context.probes_s
+
+
 @when('one caller of the model crashes engines in {plays:d} plays')
 def step_plays(context: Context, plays: int) -> None:
     """Play the load with seeds that are always the same."""
--- a/packages/daemon/src/lacewing_daemon/direct/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_exchange.py
@@ -143,7 +143,7 @@
         """Return why the request is given up, None once it is answered."""
         relay = StreamRelay(self._reply, self._request.after_event)
         while True:
-            if self._fleet.guard.blocks(self._fingerprint):
+            if self._is_blocked():
                 return self._blocked()
             target = self._place(admitted, end_s)
             if isinstance(target, NoRoom):
@@ -180,11 +180,19 @@
                 await self._hear_of_crash()
             relay.restart()
 
+    def _is_blocked(self) -> bool:
+        guard = self._fleet.guard
+        if not guard.blocks(self._fingerprint):
+            return False
+        # A retry is never a probe: the request may have caused the newest
+        # crash on an earlier attempt.
+        return self._sends > 0 or not guard.admits_probe(self._fingerprint)
+
     def _blocked(self) -> Refusal:
         return not_run(
             Reason.WORKERS_CRASHED,
             'upstreams crashed under this request',
-            self._fleet.guard.blocked_for_s(self._fingerprint),
+            self._fleet.guard.retry_after_s(self._fingerprint),
         )
 
     async def _hear_of_crash(self) -> None:
--- a/packages/daemon/src/lacewing_daemon/direct/crashes/_guard.py
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_guard.py
@@ -19,6 +19,7 @@
 from lacewing_daemon.direct._upstream import Upstream
 from lacewing_daemon.direct.crashes._ledger import CrashLedger
 from lacewing_daemon.direct.crashes._ledger import MOST_CRASHES
+from lacewing_daemon.direct.crashes._probes import ProbeSchedule
 from lacewing_daemon.direct.crashes._record import CrashRecord
 from lacewing_daemon.direct.crashes._record import Start
 from lacewing_daemon.direct.crashes._stored import decode_record
@@ -62,6 +63,7 @@
         self._others = others
         self._random = random
         self._ledger = CrashLedger()
+        self._probes = ProbeSchedule(random)
         self._witness = CrashWitness(reached, self._take_own)
         self._stored = StoredCrashes(store, followed, process_id, random, eras)
         self._own: dict[Start, CrashRecord] = {}
@@ -74,9 +76,16 @@
         """Tell whether a request must not be sent to upstreams."""
         return fingerprint in self._ledger.blocked
 
-    def blocked_for_s(self, fingerprint: str) -> float:
-        """Return for how much longer it must not be."""
-        return self._ledger.blocked_for_s(fingerprint)
+    def admits_probe(self, fingerprint: str) -> bool:
+        """Admit one run of a blocked request if a probe of it is due."""
+        if not self._probes.admit(fingerprint):
+            return False
+        _log.info('Admits a probe of a blocked request.', same=fingerprint)
+        return True
+
+    def retry_after_s(self, fingerprint: str) -> float:
+        """Return the delay after which a blocked request may be retried."""
+        return self._ledger.retry_after_s(fingerprint)
 
     def suspects(self, fingerprint: str) -> bool:
         """Tell whether upstreams have crashed under a request."""
@@ -219,4 +228,5 @@
         for fingerprint in self._blocked - blocked:
             _log.info('Lets a request through again.', same=fingerprint)
         self._blocked = blocked
+        self._probes.update(self._ledger.ambiguous)
         BLOCKED_REQUESTS.set(len(blocked))
--- a/packages/daemon/src/lacewing_daemon/direct/crashes/_ledger.py
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_ledger.py
@@ -3,9 +3,11 @@
 No input or output; time is the caller's.
 """
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
+from itertools import chain
 
 import msgspec
 
@@ -25,6 +27,10 @@
 # How long a crash counts. Who repeats what crashes upstreams does so for
 # minutes; who was blocked wrongly gets in again after this.
 COUNTS_S = 600.0
+# Other routers report a crash within this time.
+REPORT_DELAY_S = 2.0
+# Retry delay of blocks that further reports or probes may still lift.
+PROVISIONAL_RETRY_S = 2.0
 # Crashes remembered, the newest. One upstream crashes every few seconds at
 # the most, and each crash takes some kilobytes.
 MOST_CRASHES = 500
@@ -70,6 +76,7 @@
         self._crashes: dict[Start, _Crash] = {}
         self._under: dict[str, set[Start]] = {}
         self._blocked: frozenset[str] = frozenset()
+        self._ambiguous: frozenset[str] = frozenset()
         self._stale = False
 
     @property
@@ -99,19 +106,31 @@
     @property
     def blocked(self) -> frozenset[str]:
         """Return the fingerprints of what is blocked."""
-        if self._stale:
-            self._blocked = self._causes()
-            self._stale = False
+        self._refresh()
         return self._blocked
 
-    def blocked_for_s(self, fingerprint: str) -> float:
-        """Return for how much longer a request is blocked."""
+    @property
+    def ambiguous(self) -> frozenset[str]:
+        """Return the blocked requests that may not have caused a crash."""
+        self._refresh()
+        return self._ambiguous
+
+    def retry_after_s(self, fingerprint: str) -> float:
+        """Return the delay after which a blocked request may be retried.
+
+        The delay is short for a recent or ambiguous block, since reports of
+        peers or probes may lift it long before it expires.
+        """
         if fingerprint not in self.blocked:
             return 0.0
         newest_s = 0.0
         for start in self._under[fingerprint]:
             newest_s = max(newest_s, self._crashes[start].heard_s)
-        return max(0.0, newest_s + COUNTS_S - self._clock())
+        now_s = self._clock()
+        recent = now_s < newest_s + REPORT_DELAY_S
+        if fingerprint in self._ambiguous or recent:
+            return PROVISIONAL_RETRY_S
+        return max(0.0, newest_s + COUNTS_S - now_s)
 
     def crashes(self, fingerprint: str) -> int:
         """Return the crashes under a request, whoever caused them."""
@@ -207,13 +226,19 @@
         if not starts:
             del self._under[fingerprint]
 
-    def _causes(self) -> frozenset[str]:
+    def _refresh(self) -> None:
+        if self._stale:
+            self._find_causes()
+            self._stale = False
+
+    def _find_causes(self) -> None:
         """Explain the crashes, those with the most under one request first."""
         left: dict[str, set[Start]] = {}
         for fingerprint, starts in self._under.items():
             if len(starts) >= self._to_block - 1:
                 left[fingerprint] = set(starts)
         found: set[str] = set()
+        ambiguous: set[str] = set()
         while left:
             most = max(self._weight(*item) for item in left.items())
             causes = []
@@ -222,13 +247,27 @@
                     causes.append(fingerprint)
             if not self._is_enough(most, len(causes)):
                 break
+            ambiguous |= self._ambiguous_among(
+                {cause: left[cause] for cause in causes}
+            )
             explained: set[Start] = set()
             for fingerprint in causes:
                 explained |= left.pop(fingerprint)
             found.update(causes)
             for starts in left.values():
                 starts -= explained
-        return frozenset(found)
+        self._blocked = frozenset(found)
+        self._ambiguous = frozenset(ambiguous)
+
+    def _ambiguous_among(self, causes: dict[str, set[Start]]) -> set[str]:
+        """Return the causes that share too many crashes with other causes."""
+        counts = Counter(chain.from_iterable(causes.values()))
+        ambiguous = set()
+        for fingerprint, starts in causes.items():
+            unshared = sum(counts[start] == 1 for start in starts)
+            if unshared < min(len(starts), self._to_block - 1):
+                ambiguous.add(fingerprint)
+        return ambiguous
 
     def _is_enough(self, weight: tuple[int, int], alike: int) -> bool:
         crashes, unbegun = weight
