Wait for stable readers before the event loop is slowed

Cause: the scenario began before all peers knew each other. Its log shows p6 and p7 as readers, and p7 with seven of eight members alive. p8 is elected once it knows all members, and p7 stops reading in the same second. The step "2 peers watch the platform" had passed with p6 and p7. An additional reader for a moment is expected when the membership changes and is not what the scenario guards against.

Fix: both scenarios, the slow and the blocked event loop, wait until all peers know each other and the same two have read for 0.5 s. Their checks are unchanged.

--- a/features/peers.feature
+++ b/features/peers.feature
@@ -211,14 +211,14 @@
     # Guards against counting time in which a process did not run as silence
     # of its peers.
     Given 8 peers in two regions and a platform
-    When 2 peers watch the platform
+    When the same 2 peers have watched the platform for 0.5 s
     And each iteration of the event loop is delayed by 80 ms
     Then for 4 s no peer is declared dead and 2 peers watch the platform
 
   Scenario: After a blocked event loop no peer is dead and two still read
     # Guards against mistaking a stall of the process for isolation.
     Given 8 peers in two regions and a platform
-    When 2 peers watch the platform
+    When the same 2 peers have watched the platform for 0.5 s
     And the event loop is blocked for 2 s
     Then for 2 s no peer is declared dead and 2 peers watch the platform
 
--- a/features/steps/peers_stalls_steps.py
+++ b/features/steps/peers_stalls_steps.py
@@ -13,6 +13,39 @@
 POLL_S = 0.05
 
 
+def _readers(bench: PeersBench) -> list[str]:
+    """Return the names of the peers that watch the platform."""
+    return [each.name for each in bench.peers.values() if each.reading]
+
+
+@when(
+    'the same {count:d} peers have watched the platform for {duration_s:g} s'
+)
+def when_readers_stable(
+    context: Context, count: int, duration_s: float
+) -> None:
+    """Wait until all peers know each other and their readers are stable.
+
+    While the membership changes, an additional peer may read briefly.
+    """
+    bench: PeersBench = context.bench
+    bench.until_all_know(len(bench.peers))
+    last_readers: list[str] = []
+    changed_s = time.monotonic()
+
+    def are_stable() -> bool:
+        nonlocal last_readers, changed_s
+        readers = _readers(bench)
+        if readers != last_readers:
+            last_readers = readers
+            changed_s = time.monotonic()
+        if len(readers) != count:
+            return False
+        return time.monotonic() - changed_s >= duration_s
+
+    bench.until(are_stable, f'{count} stable readers')
+
+
 async def _block_loop(stall_s: float) -> None:
     time.sleep(stall_s)
 
@@ -43,6 +76,6 @@
     while time.monotonic() < end_s:
         for name in bench.peers:
             assert not bench.some_think(name, Liveness.DEAD), name
-        reading = [each.name for each in bench.peers.values() if each.reading]
+        reading = _readers(bench)
         assert len(reading) == readers, reading
         bench.run(asyncio.sleep(POLL_S))
