Send what crashes upstreams to a router process, too

The step ends once all routers block a request, which also held where the scenario runs a router process and the bench has no routers of its own.

--- a/features/steps/crashes_steps.py
+++ b/features/steps/crashes_steps.py
@@ -147,7 +147,7 @@
 
 def _all_routers_block(bench: DirectBench) -> bool:
     def all_block() -> bool:
-        return all(
+        return bool(bench.routers) and all(
             router._fleet.guard._ledger.blocked for router in bench.routers
         )
 
