Renew an expired lease by a write alone, without reading it first

Cause: in "A large answer that all others wait behind" about a second passes before the first order. The answer to a renewal waits behind the large answer for longer than the lease lasts; the holder then read the lease twice, each time behind the same answer, before it wrote again. Change: a process that knows the version of its own last write renews by a write on that version, also when the lease has expired. The precondition fails if anybody else has held it. A write that is answered late is followed by another at once.

--- a/packages/daemon/src/lacewing_daemon/lease.py
+++ b/packages/daemon/src/lacewing_daemon/lease.py
@@ -137,8 +137,8 @@
 
         Returns a fencing number higher than all previous ones.
         """
-        if self.is_held:
-            answer = await self._write(self._holder, self._version)
+        if self._version:
+            answer = await self._renew()
             if isinstance(answer, LeaseHeld) or self.is_held:
                 return answer
         peeked = await self._peek(LEASES, self._name)
@@ -165,6 +165,20 @@
         self._record_other_holder(stored)
         return await self._write(self._holder, stored.version)
 
+    async def _renew(self) -> LeaseHeld | LeaseNotHeld:
+        """Write on the condition that nobody has written since this process.
+
+        This also renews a lease that has expired: no other process has held
+        it meanwhile. On a slow link an answer may take longer than the lease
+        lasts, and reading the lease first would take that long again.
+        """
+        version = self._version
+        answer = await self._write(self._holder, version)
+        is_late = self._version > version and not self.is_held
+        if not is_late:
+            return answer
+        return await self._write(self._holder, self._version)
+
     async def begin_acting(self) -> bool:
         """Announce that the holder acts from now on; false if it must not.
 
