Time the narrow link of the fakes by a simulated clock

Cause: "Late wake-ups do not slow a narrow link" failed at load 27 to 37 with 1.67 and 1.76 s. The check measured the machine: 16 runs of the same steps at once, at the beginning of such a load, took 0.82 to 0.94 s, and each was longer by about what its process had waited for a processor (0.002 to 0.125 s in /proc/self/schedstat). The link sends pieces by the time since it became busy; only a process that gets no processor makes the whole late. Change: both scenarios of the link run on an event loop whose clock advances only by what is waited for. Bounds, link and delays are as they were. Result: 0.810 s, the same in each run. With the fault that the scenario guards against (pieces due from the time of the wake-up) it fails with 7.2 s, as the check before did (7.3 s).

--- a/features/steps/narrow_steps.py
+++ b/features/steps/narrow_steps.py
@@ -19,7 +19,9 @@
 from support.direct_bench import PREFIX
 from support.direct_bench import route
 from support.direct_bench import sleep
-from support.event_loop import delay_iterations
+from support.event_loop import delay_simulated_iterations
+from support.event_loop import run_simulated
+from support.event_loop import SimulatedLoop
 
 REQUEST_INTERVAL_S = 0.03
 OK = 200
@@ -185,7 +187,9 @@
         """Discard the data."""
 
 
-async def _time_answer(needs_s: float, idle_s: float, block_s: float) -> float:
+async def _time_answer(
+    loop: SimulatedLoop, needs_s: float, idle_s: float, block_s: float
+) -> float:
     """Return the seconds that sending an answer on a narrow link takes."""
     link = NarrowLink()
     stream: Any = NullStream()
@@ -193,23 +197,31 @@
     link.bytes_s = LINK_ANSWER_BYTES / needs_s
     await link.send(stream, b'first')
     await asyncio.sleep(idle_s)
-    blocker = asyncio.create_task(delay_iterations(block_s))
-    started_s = time.monotonic()
+    blocker = None
+    if block_s:
+        blocker = asyncio.create_task(
+            delay_simulated_iterations(loop, block_s)
+        )
+    started_s = loop.time()
     await link.send(stream, answer)
-    duration_s = time.monotonic() - started_s
-    blocker.cancel()
+    duration_s = loop.time() - started_s
+    if blocker is not None:
+        blocker.cancel()
     return duration_s
 
 
+def _simulate_answer(needs_s: float, idle_s: float, block_s: float) -> float:
+    loop = SimulatedLoop()
+    return run_simulated(loop, _time_answer(loop, needs_s, idle_s, block_s))
+
+
 @when(
     'an answer is sent on a link that needs {needs_s:g} s with wake-ups'
     ' {late_ms:d} ms late'
 )
 def step_send_late(context: Context, needs_s: float, late_ms: int) -> None:
     """Send an answer while each event loop iteration is blocked."""
-    context.send_duration_s = asyncio.run(
-        _time_answer(needs_s, 0.0, late_ms / 1000)
-    )
+    context.send_duration_s = _simulate_answer(needs_s, 0.0, late_ms / 1000)
 
 
 @when(
@@ -220,7 +232,7 @@
     context: Context, needs_s: float, idle_s: float
 ) -> None:
     """Send an answer after the link has been idle."""
-    context.send_duration_s = asyncio.run(_time_answer(needs_s, idle_s, 0.0))
+    context.send_duration_s = _simulate_answer(needs_s, idle_s, 0.0)
 
 
 @then('sending the answer took at least {min_s:g} s and at most {max_s:g} s')
