--- a/features/direct_settings.feature
+++ b/features/direct_settings.feature
@@ -16,3 +16,7 @@
   Scenario: The template for the platform renders to valid settings
     When the template is filled with the fields that the platform provides
     Then the settings are valid and have the platform's bounds in seconds
+
+  Scenario: The template passes on the bounds of limits where there are any
+    When the template is filled on a platform that limits teams
+    Then the settings have the bounds of limits
--- a/features/steps/crashes_steps.py
+++ b/features/steps/crashes_steps.py
@@ -10,8 +10,8 @@
 from behave import when
 from behave.runner import Context
 from lacewing_daemon.direct import DirectRouter
-from lacewing_daemon.direct.crashes._gossip import LISTEN_RETRY_S
-from lacewing_daemon.direct.crashes._guard import PEERS_START_DELAY_S
+from lacewing_daemon.direct._fleet import PEERS_START_DELAY_S
+from lacewing_daemon.direct._peer_link import LISTEN_RETRY_S
 from lacewing_daemon.direct.crashes._registry import CRASHES_TO_BLOCK
 from lacewing_platform_testing import Behaviour
 from lacewing_platform_testing import FakeUpstream
--- /dev/null
+++ b/features/steps/direct_limits_steps.py
@@ -0,0 +1,311 @@
+"""Check the limits of teams over the limiters of many routers."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from random import Random
+
+from behave import given
+from behave import then
+from behave import when
+from behave.runner import Context
+from lacewing_daemon.direct._routing_config import Quota
+from lacewing_daemon.direct.limits import WindowBounds
+from support.event_loop import run_simulated
+from support.event_loop import SimulatedLoop
+from support.limits_fleet import draw_offers
+from support.limits_fleet import fitting
+from support.limits_fleet import LimitFleet
+from support.limits_fleet import most_in_window
+from support.limits_fleet import Offer
+from support.limits_fleet import token_quota
+
+TEAM = 'north'
+WINDOW = WindowBounds(8.0, 0.1, 72000.0)
+# Routers have shares and settle for so long before the first request.
+WARM_UP_S = 5.0
+
+Fault = Callable[[LimitFleet], Awaitable[None]]
+
+
+@given(
+    '{routers:d} routers and a team with a limit of {rate:d} tokens a second'
+)
+def step_fleet(context: Context, routers: int, rate: int) -> None:
+    """Create routers that count each other."""
+    quotas = {TEAM: token_quota(float(rate), float(rate))}
+    context.fleet = LimitFleet(SimulatedLoop(), routers, quotas, WINDOW, 1)
+    context.faults = []
+    context.lowered_s = None
+
+
+@given('the halves are cut from each other')
+def step_halves(context: Context) -> None:
+    """Cut the fleet in two for the middle of the play."""
+    fleet = context.fleet
+    half = fleet.size // 2
+
+    async def cut(fleet: LimitFleet) -> None:
+        await asyncio.sleep(WARM_UP_S + 5.0)
+        fleet.is_cut = lambda one, other: (one < half) != (other < half)
+        await asyncio.sleep(11.0)
+        fleet.is_cut = lambda _one, _other: False
+
+    context.faults.append(cut)
+
+
+@given('cuts come and go')
+def step_cuts(context: Context) -> None:
+    """Cut other routers off each second."""
+
+    async def cut(fleet: LimitFleet) -> None:
+        random = Random(fleet.seed)
+        while True:
+            alone = set(random.sample(range(fleet.size), fleet.size // 3))
+            fleet.is_cut = lambda one, other: (
+                (one in alone) != (other in alone)
+            )
+            await asyncio.sleep(random.uniform(0.2, 2.0))
+
+    context.faults.append(cut)
+
+
+@given('all are killed and start again')
+def step_all_killed(context: Context) -> None:
+    """Kill all processes twice; the new ones are counted already."""
+
+    async def kill(fleet: LimitFleet) -> None:
+        for _ in range(2):
+            await asyncio.sleep(WARM_UP_S + 3.0)
+            for index in range(fleet.size):
+                fleet.stop_router(index)
+            await asyncio.sleep(0.5)
+            fleet.start_all()
+
+    context.faults.append(kill)
+
+
+@given('they are restarted in turn')
+def step_roll(context: Context) -> None:
+    """Restart one router after the other; all stay counted."""
+
+    async def roll(fleet: LimitFleet) -> None:
+        await asyncio.sleep(WARM_UP_S + 2.0)
+        for index in range(fleet.size):
+            fleet.stop_router(index)
+            await asyncio.sleep(0.4)
+            fleet.start_router(index, 1.0 / fleet.size)
+            await asyncio.sleep(0.4)
+
+    context.faults.append(roll)
+
+
+@given('a third of them is not counted yet')
+def step_uncounted(context: Context) -> None:
+    """Replace routers by new ones that have no share."""
+
+    async def replace(fleet: LimitFleet) -> None:
+        await asyncio.sleep(WARM_UP_S)
+        for index in range(0, fleet.size, 3):
+            fleet.stop_router(index)
+            fleet.start_router(index, 0.0)
+
+    context.faults.append(replace)
+
+
+@given('they count one router too few')
+def step_miscount(context: Context) -> None:
+    """Give each router a share that is too large."""
+    context.counted = context.fleet.size - 1
+
+
+@given('upstreams refuse half of what is sent')
+def step_unrun(context: Context) -> None:
+    """Let every second charge be given back."""
+    context.fleet.unrun_fraction = 0.5
+
+
+@given('it is lowered to {rate:d} tokens a second after {at_s:d} s')
+def step_lowered(context: Context, rate: int, at_s: int) -> None:
+    """Bring a lower limit into force at all routers within 0.5 s."""
+    lowered = token_quota(float(rate), float(rate))
+    context.lowered = lowered
+    context.lowered_s = WARM_UP_S + at_s + 0.5
+
+    async def lower(fleet: LimitFleet) -> None:
+        await asyncio.sleep(WARM_UP_S + at_s)
+        for router in fleet.routers.values():
+            router.quotas = {TEAM: lowered}
+            await asyncio.sleep(0.5 / fleet.size)
+
+    context.faults.append(lower)
+
+
+@given('the keeper of its pool is killed after {at_s:d} s')
+def step_keeper_killed(context: Context, at_s: int) -> None:
+    """Kill the router that holds most of the pool."""
+
+    async def kill(fleet: LimitFleet) -> None:
+        await asyncio.sleep(WARM_UP_S + at_s)
+        held = {
+            index: router.limiter.pool_tokens(TEAM)
+            for index, router in fleet.routers.items()
+        }
+        fleet.stop_router(max(held, key=lambda index: held[index]))
+
+    context.faults.append(kill)
+
+
+@given('drawn routers, limits, cuts and restarts with seed {seed:d}')
+def step_drawn(context: Context, seed: int) -> None:
+    """Draw a fleet, three teams and a series of faults."""
+    random = Random(seed)
+    quotas = {}
+    for team in ('north', 'south', 'east'):
+        rate_per_s = 18000.0 * random.uniform(1, 12)
+        quotas[team] = token_quota(
+            rate_per_s, rate_per_s * random.uniform(0.5, 1.5)
+        )
+    size = random.choice((2, 5, 9, 22))
+    fleet = LimitFleet(SimulatedLoop(), size, quotas, WINDOW, seed)
+    context.fleet = fleet
+    context.faults = [_drawn_faults]
+    context.lowered_s = None
+
+
+@when(
+    'it sends {load:g} times its limit {skew} for {duration_s:d} s, with seed'
+    ' {seed:d}'
+)
+def step_send(
+    context: Context, load: float, skew: str, duration_s: int, seed: int
+) -> None:
+    """Send requests of one team and run the faults."""
+    fleet = context.fleet
+    fleet.seed = seed
+    random = Random(seed)
+    per_s = fleet.quotas[TEAM].rate_per_s * load
+    seconds = (WARM_UP_S, WARM_UP_S + duration_s)
+    choose = _choice(skew, fleet.size, random)
+    _play(context, draw_offers(random, TEAM, per_s, seconds, choose))
+
+
+@when('all teams send for {duration_s:d} s')
+def step_send_all(context: Context, duration_s: int) -> None:
+    """Send requests of all teams, each in its own skew and load."""
+    fleet = context.fleet
+    random = Random(fleet.seed)
+    offers: list[Offer] = []
+    for team, quota in fleet.quotas.items():
+        skew = random.choice(tuple(_SKEWS))
+        offers += draw_offers(
+            random,
+            team,
+            quota.rate_per_s * random.uniform(0.8, 4.0),
+            (WARM_UP_S, WARM_UP_S + duration_s),
+            _choice(skew, fleet.size, random),
+        )
+    _play(context, offers)
+
+
+@then('no window exceeds the limit')
+def step_within(context: Context) -> None:
+    """Compare what ran in each window with what may run."""
+    for team, quota in context.fleet.quotas.items():
+        runs = [run for run in context.fleet.runs if run.team == team]
+        assert runs, f'nothing of {team} ran'
+        most = most_in_window(runs, WINDOW.window_s)
+        assert most <= _allowed(quota), (team, most, _allowed(quota))
+
+
+@then('no window from {after_s:d} s after that exceeds the lower limit')
+def step_within_lower(context: Context, after_s: int) -> None:
+    """Compare with the limit that was lowered."""
+    from_s = context.lowered_s + after_s
+    runs = [run for run in context.fleet.runs if run.at_s >= from_s]
+    assert runs, 'nothing ran under the lower limit'
+    most = most_in_window(runs, WINDOW.window_s)
+    assert most <= _allowed(context.lowered), (most, context.lowered)
+
+
+@then('at least {fraction:g} of what fits is let through')
+def step_efficient(context: Context, fraction: float) -> None:
+    """Compare with one router that receives all requests."""
+    fits = fitting(context.fleet.offers, context.fleet.quotas[TEAM])
+    ran = sum(run.cost for run in context.fleet.runs)
+    assert ran >= fits * fraction, (ran, fits, ran / fits)
+
+
+@then('each router sends at most {most:g} messages a second')
+def step_messages(context: Context, most: float) -> None:
+    """Count the messages of the whole play."""
+    fleet = context.fleet
+    per_s = fleet.messages / fleet.size / fleet.loop.time()
+    assert per_s <= most, per_s
+
+
+@then('refused callers are told to return at different times')
+def step_spread(context: Context) -> None:
+    """Check that no twentieth of a second gets a tenth of the returns."""
+    returns: dict[int, int] = {}
+    for at_s in context.fleet.returns_s:
+        slot = int(at_s * 20)
+        returns[slot] = returns.get(slot, 0) + 1
+    count = len(context.fleet.returns_s)
+    assert count > 50, count
+    assert max(returns.values()) <= count / 10, max(returns.values())
+
+
+async def _drawn_faults(fleet: LimitFleet) -> None:
+    random = Random(f'faults {fleet.seed}')
+    await asyncio.sleep(WARM_UP_S)
+    while True:
+        await asyncio.sleep(random.uniform(0.3, 3.0))
+        if random.random() < 0.4:
+            alone = set(random.sample(range(fleet.size), fleet.size // 2))
+            fleet.is_cut = lambda one, other: (
+                (one in alone) != (other in alone)
+            )
+            continue
+        if random.random() < 0.5:
+            fleet.is_cut = lambda _one, _other: False
+            continue
+        for index in random.sample(range(fleet.size), fleet.size // 2):
+            fleet.stop_router(index)
+            fleet.start_router(index, 1.0 / fleet.size)
+
+
+_SKEWS = ('evenly', 'through two', 'through one that changes')
+
+
+def _choice(skew: str, size: int, random: Random) -> Callable[[float], int]:
+    assert skew in _SKEWS, skew
+    chosen = random.sample(range(size), min(2, size))
+    if skew == 'evenly':
+        return lambda _at_s: random.randrange(size)
+    if skew == 'through two':
+        return lambda _at_s: random.choice(chosen)
+    return lambda at_s: (int(at_s) * 7) % size
+
+
+def _play(context: Context, offers: list[Offer]) -> None:
+    fleet = context.fleet
+
+    async def play() -> None:
+        fleet.start_all(getattr(context, 'counted', 0))
+        faults = [
+            asyncio.create_task(fault(fleet)) for fault in context.faults
+        ]
+        await asyncio.sleep(WARM_UP_S)
+        await fleet.play(offers)
+        for fault in faults:
+            if fault.done():
+                fault.result()
+            fault.cancel()
+
+    run_simulated(fleet.loop, play())
+
+
+def _allowed(quota: Quota) -> float:
+    of_window = quota.rate_per_s * WINDOW.window_s + quota.burst
+    return of_window * (1 + WINDOW.overage) + WINDOW.slack
--- a/features/steps/direct_settings_steps.py
+++ b/features/steps/direct_settings_steps.py
@@ -3,6 +3,7 @@
 import json
 import re
 import tempfile
+from collections.abc import Mapping
 from pathlib import Path
 from typing import Any
 
@@ -46,6 +47,11 @@
     'Bounds.RetryBudgetSlack': 54,
     'Bounds.BudgetWindowS': 10,
 }
+LIMIT_FIELDS = {
+    'Bounds.QuotaWindowS': 8,
+    'Bounds.QuotaOverage': 0.1,
+    'Bounds.QuotaSlack': 0,
+}
 
 
 def _read_settings(text: str) -> DirectSettings:
@@ -80,14 +86,41 @@
 @when('the template is filled with the fields that the platform provides')
 def step_template(context: Context) -> None:
     """Replace each placeholder as the platform does."""
+    context.settings = _read_settings(_render(TEMPLATE_FIELDS))
+
+
+@when('the template is filled on a platform that limits teams')
+def step_template_limits(context: Context) -> None:
+    """Add the bounds of teams' limits, one of which is 0."""
+    context.settings = _read_settings(
+        _render({**TEMPLATE_FIELDS, **LIMIT_FIELDS})
+    )
+
+
+@then('the settings have the bounds of limits')
+def step_limit_bounds(context: Context) -> None:
+    """Compare them with the fields of the platform."""
+    bounds = context.settings.bounds
+    found = (bounds.limit_window_s, bounds.limit_overage, bounds.limit_slack)
+    assert found == (8, 0.1, 0), found
+
+
+def _render(fields: Mapping[str, object]) -> str:
+    """Fill the template; sections are left out without a value."""
+
+    def render_section(match: re.Match[str]) -> str:
+        return match.group(2) if fields.get(match.group(1)) else ''
 
     def render(match: re.Match[str]) -> str:
         name, _, filter_name = match.group(1).partition('|')
-        value = TEMPLATE_FIELDS[name]
+        value = fields[name]
         return json.dumps(value) if filter_name == 'json' else str(value)
 
-    text = re.sub(r'\{\{([^}]+)\}\}', render, TEMPLATE.read_text())
-    context.settings = _read_settings(text)
+    text = TEMPLATE.read_text()
+    text = re.sub(
+        r'\{\{#([^}]+)\}\}(.*?)\{\{/\1\}\}', render_section, text, flags=re.S
+    )
+    return re.sub(r'\{\{([^}]+)\}\}', render, text)
 
 
 @then("the settings are valid and have the platform's bounds in seconds")
--- a/packages/daemon/src/lacewing_daemon/direct/__init__.py
+++ b/packages/daemon/src/lacewing_daemon/direct/__init__.py
@@ -8,6 +8,8 @@
 from lacewing_daemon.direct._routing_config import Engine
 from lacewing_daemon.direct._routing_config import KvStore
 from lacewing_daemon.direct._routing_config import Limits
+from lacewing_daemon.direct._routing_config import LimitUnit
+from lacewing_daemon.direct._routing_config import Quota
 from lacewing_daemon.direct._routing_config import Route
 from lacewing_daemon.direct._routing_config import RoutingConfig
 from lacewing_daemon.direct._routing_config import Service
@@ -44,6 +46,8 @@
     'HistoryExpired',
     'KvStore',
     'Limits',
+    'LimitUnit',
+    'Quota',
     'Listing',
     'LoadOrder',
     'ReleasedWeights',
--- a/packages/daemon/src/lacewing_daemon/direct/_call.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_call.py
@@ -40,6 +40,8 @@
     ``received_s`` is on the monotonic clock; ``deadline_s`` is relative to
     it, None if the caller set none. ``after_event`` is the id of the last
     event that the caller received of a stream that it resumes.
+    ``stated_tokens``: prompt tokens and the maximum of answer tokens, None if
+    the caller states none.
     """
 
     method: str
@@ -53,3 +55,4 @@
     key: str
     prompt: Prompt | None
     after_event: int | None
+    stated_tokens: int | None = None
--- a/packages/daemon/src/lacewing_daemon/direct/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_exchange.py
@@ -36,6 +36,7 @@
 from lacewing_daemon.direct._target import Target
 from lacewing_daemon.direct.crashes._detector import COLLECT_WINDOW_S
 from lacewing_daemon.direct.crashes._fingerprint import fingerprint
+from lacewing_daemon.direct.limits import Charge
 from lacewing_daemon.refusals import Refusals
 
 _MS = 1000.0
@@ -62,10 +63,12 @@
     Reason.BAD_KEY: 401,
     Reason.UNKNOWN_PATH: 404,
     Reason.TOO_LARGE: 413,
+    Reason.TEAM_LIMIT: 429,
 }
 _ROUTER_NOT_READY = frozenset((Reason.NOT_READY, Reason.PLATFORM_UNAVAILABLE))
 _SUCCESS = range(200, 300)
 _UNAVAILABLE = 503
+_RETRIED_LATER = (429, _UNAVAILABLE)
 _BAD_GATEWAY = 502
 _TIMED_OUT = 504
 # Logged as the status if the caller disconnected or its answer was aborted.
@@ -108,6 +111,7 @@
         self._run_count = 0
         self._continuation: Target | None = None
         self._capacity_wait_end_s: float | None = None
+        self._charge_made: Charge | None = None
 
     async def run(self) -> None:
         """Serve the request; cancelled when the caller disconnects."""
@@ -131,6 +135,8 @@
         except TimeoutError:
             refusal = self._deadline_refusal()
         except (CallerGoneError, asyncio.CancelledError):
+            if not self._send_count:
+                self._refund()
             self._record_outcome(_NO_STATUS, self._interrupted_refusal())
             self._reply.abort()
             raise
@@ -147,6 +153,9 @@
         self, admitted: Admitted, end_s: float
     ) -> Refusal | None:
         """Return why the request failed, None once it is answered."""
+        refusal = await self._charge(admitted)
+        if refusal is not None:
+            return refusal
         relay = StreamRelay(self._reply, self._request.after_event)
         while True:
             if self._is_blocked():
@@ -189,6 +198,26 @@
                 await self._await_crash_detection()
             relay.restart()
 
+    async def _charge(self, admitted: Admitted) -> Refusal | None:
+        """Charge the request to its team's limit."""
+        if admitted.team is None or admitted.team.quota is None:
+            return None
+        charge = await self._fleet.limiter.admit(
+            admitted.team.name,
+            admitted.team.quota,
+            self._request.stated_tokens,
+        )
+        if isinstance(charge, Refusal):
+            return charge
+        self._charge_made = charge
+        return None
+
+    def _refund(self) -> None:
+        """Give back what was charged, as the request has not run."""
+        if self._charge_made is not None:
+            self._fleet.limiter.refund(self._charge_made)
+            self._charge_made = None
+
     def _is_blocked(self) -> bool:
         guard = self._fleet.crash_guard
         if not guard.is_blocked(self._fingerprint):
@@ -405,6 +434,8 @@
 
     def _refuse(self, refusal: Refusal) -> None:
         status = _status_of(refusal)
+        if refusal.verdict is Verdict.NOT_RUN:
+            self._refund()
         if self._reply.has_started:
             # The caller has a part of the answer. Aborting it keeps the
             # caller from taking that part for the complete answer.
@@ -412,7 +443,7 @@
             self._record_outcome(_NO_STATUS, refusal)
             return
         retry_after_s = None
-        if status == _UNAVAILABLE:
+        if status in _RETRIED_LATER:
             retry_after_s = refusal.retry_after_s
         if refusal.reason in _ROUTER_NOT_READY:
             # This router would refuse the caller's next request as well; a
--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -32,6 +32,9 @@
 from lacewing_daemon.direct._upstream_state import UpstreamState
 from lacewing_daemon.direct.crashes._crash_store import CRASHES
 from lacewing_daemon.direct.crashes._guard import CrashGuard
+from lacewing_daemon.direct.limits import LimitTerms
+from lacewing_daemon.direct.limits import TeamLimiter
+from lacewing_daemon.direct.limits import WindowBounds
 
 # The maximum time for which a call waits for changes. Each call that returns
 # also confirms that the store is reachable.
@@ -61,6 +64,10 @@
 # removed since lapses again within three heartbeats, unless the upstream is
 # alive after all.
 RESTORED_UPSTREAM_TIMEOUT_S = 10.0
+# Delay from process start until peers are served. Importing the modules that
+# this needs takes 60 ms of CPU time; before the first read of the store it
+# would delay readiness.
+PEERS_START_DELAY_S = 0.15
 # A live upstream accepts a connection within some ms.
 PROBE_TIMEOUT_S = 0.3
 
@@ -169,7 +176,6 @@
         )
         self._crash_guard = CrashGuard(
             settings.process_id,
-            settings.peers,
             self._store,
             self._crash_watcher,
             lambda: self._router_count.addresses,
@@ -177,6 +183,13 @@
             random,
             self._eras,
         )
+        self._peers_address = settings.peers
+        self._limiter = TeamLimiter(
+            settings.peers,
+            self._limit_terms,
+            lambda: self._router_count.addresses,
+            random,
+        )
         self._silence_detector = SilenceDetector(
             settings.policy.mute_ms / 1000
         )
@@ -205,6 +218,11 @@
         """Return the guard that blocks requests that crash upstreams."""
         return self._crash_guard
 
+    @property
+    def limiter(self) -> TeamLimiter:
+        """Return the limiter that charges requests of teams."""
+        return self._limiter
+
     @property
     def peer_addresses(self) -> tuple[str, ...]:
         """Return the addresses at which the other routers listen for peers."""
@@ -262,6 +280,7 @@
             ('weights', self._weights_watcher.age_s),
         ):
             STORE_AGE_SECONDS.labels(name).set(age_s)
+        self._limiter.update_metrics()
 
     def start(self) -> None:
         """Start watching the store."""
@@ -275,13 +294,15 @@
             self._silence_detector.run(),
             self._router_count.run(),
             self._store_calls.run(),
+            self._limiter.run(),
+            self._run_peers(),
         ):
             task = asyncio.create_task(run)
             task.add_done_callback(_log_failure)
             self._tasks.append(task)
 
     async def deregister(self) -> None:
-        """Remove the own entry, so that other routers stop counting it."""
+        """Mark the own entry, so that other routers stop counting it."""
         await self._router_count.deregister()
 
     def close(self) -> None:
@@ -344,6 +365,37 @@
             if model in models:
                 self.update_weights(state, model, version)
 
+    def _limit_terms(self) -> LimitTerms:
+        config = self._cluster_state.routing_config
+        bounds = self._cluster_state.bounds
+        return LimitTerms(
+            {} if config is None else config.quotas,
+            WindowBounds(
+                bounds.limit_window_s, bounds.limit_overage, bounds.limit_slack
+            ),
+            self._router_count.share,
+            self._router_count.share_holders,
+        )
+
+    async def _run_peers(self) -> None:
+        """Serve peers and call them until cancelled."""
+        if not self._peers_address:
+            return
+        await asyncio.sleep(PEERS_START_DELAY_S)
+        from lacewing_daemon.direct._peer_link import PeerLink
+        from lacewing_daemon.direct.limits._service import LimitService
+
+        link = PeerLink(self._peers_address)
+        limits = LimitService(link, self._limiter)
+        link.add_service(limits)
+        self._limiter.connect(limits)
+        try:
+            async with asyncio.TaskGroup() as tasks:
+                tasks.create_task(self._crash_guard.exchange(link))
+                tasks.create_task(link.run())
+        finally:
+            link.close()
+
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(POOL_SWEEP_S)
--- a/packages/daemon/src/lacewing_daemon/direct/_metrics.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_metrics.py
@@ -91,3 +91,26 @@
 LOG_LINES_DROPPED = Counter(
     'lacewing_direct_lines_left_out', 'Log lines of requests not written'
 )
+LIMIT_DEMAND = Counter(
+    'lacewing_direct_limit_demand',
+    'What requests of teams with a limit count, by team and result',
+    ['team', 'result'],
+)
+LIMIT_TOKENS = Gauge(
+    'lacewing_direct_limit_held',
+    "What is left of a team's limit at this router, or in a pool it keeps",
+    ['team', 'holder'],
+)
+LIMIT_SHARE = Gauge(
+    'lacewing_direct_limit_share',
+    'Share of each limit that comes in at this router, 0 to 1',
+)
+LIMIT_SETTLED_AGE_SECONDS = Gauge(
+    'lacewing_direct_limit_settled_age_seconds',
+    'Seconds since a keeper of pools answered',
+)
+LIMIT_MESSAGES = Counter(
+    'lacewing_direct_limit_messages',
+    'Calls to other routers about limits, by result',
+    ['result'],
+)
--- a/packages/daemon/src/lacewing_daemon/direct/_router_count.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_router_count.py
@@ -32,15 +32,21 @@
 # An entry that was not renewed for this long belongs to a terminated router;
 # two renewals may be lost.
 LIVE_TIMEOUT_S = 3.5 * RENEW_S
-# After this time any router removes the entry; a router that is still alive
-# writes its entry again.
-REMOVE_AFTER_S = 300.0
+# After this time the entry is removed; a router that is still alive writes a
+# new one. A process that finds an entry here is counted by the others.
+REMOVE_AFTER_S = LIVE_TIMEOUT_S + 5.0
+# How many of the routers remove such an entry, on average.
+REMOVERS = 3.0
+# How much later than the count interval all routers have counted a new entry:
+# intervals vary by a quarter, and eventually consistent reads lag by seconds.
+COUNT_DELAY_S = 4.0
 # Assumed before the first count. Too high a number only makes shares smaller.
 DEFAULT_ROUTER_COUNT = 8
 
 # The value of an entry: 16 random bytes in hexadecimal, and the address at
-# which the router listens for other routers, if it does.
-_ENTRY_PATTERN = re.compile(rb'[0-9a-f]{32}(?: ([0-9.]+:[0-9]{1,5}))?')
+# which the router listens for other routers, if it does, or that it has left.
+_LEAVING = 'leaving'
+_ENTRY_PATTERN = re.compile(rb'[0-9a-f]{32}(?: ([0-9.]+:[0-9]{1,5}|leaving))?')
 
 _log = get_log(Part.MEMBERS)
 
@@ -59,6 +65,11 @@
     address: str = ''
     era: int = 0
 
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether the router has stopped; a successor may start."""
+        return self.address == _LEAVING
+
 
 class RouterCount:
     """Count the routers that share the limits of the whole fleet.
@@ -91,14 +102,40 @@
         self._renewed_s = float('-inf')
         self._seen_entries: dict[str, _SeenEntry] = {}
         self._count = DEFAULT_ROUTER_COUNT
+        self._holders = DEFAULT_ROUTER_COUNT
         self._leaving = False
         self._is_own_version_unknown = False
+        self._has_counted = False
+        self._counted_by_all_s = float('inf')
 
     @property
     def count(self) -> int:
         """Return the number of live routers, including this one."""
         return self._count
 
+    @property
+    def share_holders(self) -> int:
+        """Return how many routers the limits of teams are divided among.
+
+        A router that stops is included until its successor may have started,
+        so that a rolling restart does not move shares back and forth.
+        """
+        return self._holders
+
+    @property
+    def share(self) -> float:
+        """Return the part of the limits of teams that is this router's own.
+
+        0 while other routers may not count this one: they divide the limits
+        among themselves. A process that finds the entry of its predecessor is
+        counted already.
+        """
+        if not self._has_counted or self._leaving:
+            return 0.0
+        if self._clock() < self._counted_by_all_s and self._holders > 1:
+            return 0.0
+        return 1.0 / self._holders
+
     @property
     def addresses(self) -> tuple[str, ...]:
         """Return the addresses at which other live routers listen."""
@@ -107,6 +144,8 @@
         for name, seen in self._seen_entries.items():
             if name == self._name or not seen.address:
                 continue
+            if seen.is_leaving:
+                continue
             if now_s - seen.first_seen_s <= LIVE_TIMEOUT_S:
                 found.append(seen.address)
         return tuple(found)
@@ -124,20 +163,36 @@
         """Write the own entry, unless this router is leaving."""
         if self._leaving:
             return
-        value = f'{uuid4().hex} {self._address}'.strip()
         if self._is_own_version_unknown:
             await self._read_own_version()
-        response = await self._store.put(
-            ROUTERS, self._name, value.encode(), self._version
-        )
+        response = await self._write()
         if isinstance(response, StoredObject):
-            self._version = response.version
-            self._renewed_s = self._clock()
             return
-        if response.fault is StoreFault.CONFLICT:
-            await self._read_own_version()
         if response.fault is StoreFault.NOT_FOUND:
             self._version = MUST_NOT_EXIST
+        if response.fault is StoreFault.CONFLICT:
+            await self._read_own_version()
+            if self._renewed_s == float('-inf'):
+                # The predecessor's entry: renewed at once, so that this
+                # process is known to be counted.
+                await self._write()
+
+    async def _write(self) -> StoredObject | StoreError:
+        value = f'{uuid4().hex} {self._address}'.strip()
+        version = self._version
+        response = await self._store.put(
+            ROUTERS, self._name, value.encode(), version
+        )
+        if not isinstance(response, StoredObject):
+            return response
+        self._version = response.version
+        self._renewed_s = self._clock()
+        if version == MUST_NOT_EXIST:
+            wait_s = COUNT_DELAY_S + count_interval_s(self._count)
+            self._counted_by_all_s = self._renewed_s + wait_s
+        elif self._counted_by_all_s == float('inf'):
+            self._counted_by_all_s = self._renewed_s
+        return response
 
     async def refresh(self) -> None:
         """Count the entries that were renewed recently."""
@@ -150,9 +205,13 @@
             self._on_count(count)
         LIVE_ROUTERS.set(count)
         self._count = count
+        self._holders = self._count_holders(count)
+        self._has_counted = True
         for entry in listed:
             seen = self._seen_entries[entry.name]
-            if self._clock() - seen.first_seen_s > REMOVE_AFTER_S:
+            if self._clock() - seen.first_seen_s <= REMOVE_AFTER_S:
+                continue
+            if self._random.random() < REMOVERS / count:
                 await self._store.delete(ROUTERS, entry.name, entry.version)
 
     def count_live(self, listed: Sequence[StoredObject]) -> int:
@@ -182,7 +241,12 @@
                 if entry.name not in self._seen_entries:
                     _log.error('Left an entry out.', entry=entry.name)
                 continue
-            if own or now_s - known.first_seen_s <= LIVE_TIMEOUT_S:
+            if own:
+                live += 1
+                continue
+            if known.is_leaving:
+                continue
+            if now_s - known.first_seen_s <= LIVE_TIMEOUT_S:
                 live += 1
         for name, known in self._seen_entries.items():
             if name in seen or now_s - self._restored_s > RENEW_S:
@@ -194,11 +258,24 @@
         self._seen_entries = seen
         return max(1, live)
 
+    def _count_holders(self, live: int) -> int:
+        now_s = self._clock()
+        leaving = 0
+        for name, seen in self._seen_entries.items():
+            if name == self._name or not seen.is_leaving:
+                continue
+            if now_s - seen.first_seen_s <= LIVE_TIMEOUT_S:
+                leaving += 1
+        return live + leaving
+
     async def deregister(self) -> None:
-        """Remove the own entry, so that other routers' shares grow at once."""
+        """Mark the own entry, so that other routers stop counting it."""
         self._leaving = True
         if self._version != MUST_NOT_EXIST:
-            await self._store.delete(ROUTERS, self._name, self._version)
+            value = f'{uuid4().hex} {_LEAVING}'
+            await self._store.put(
+                ROUTERS, self._name, value.encode(), self._version
+            )
 
     def _handle_restore(self) -> None:
         """Schedule a renewal: the own entry may be lost or outdated."""
--- a/packages/daemon/src/lacewing_daemon/direct/_routing_config.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_routing_config.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
+from enum import Enum
 
 
 @dataclass(frozen=True)
@@ -121,13 +122,43 @@
 MIN_IDLE_CONNECTIONS = 4
 
 
+class LimitUnit(Enum):
+    """Name what a team's limit counts."""
+
+    REQUESTS = 'requests'
+    TOKENS = 'tokens'
+
+
+@dataclass(frozen=True)
+class Quota:
+    """Limit what a team may run at all routers together.
+
+    ``rate_per_s`` and ``burst`` are in ``unit``. Where that is tokens, a
+    request counts those that it states, or ``unstated_tokens``.
+    """
+
+    rate_per_s: float
+    burst: float
+    unit: LimitUnit = LimitUnit.REQUESTS
+    unstated_tokens: float = 0.0
+
+    def cost(self, stated_tokens: int | None) -> float:
+        """Return what a request counts."""
+        if self.unit is LimitUnit.REQUESTS:
+            return 1.0
+        if stated_tokens is None:
+            return self.unstated_tokens
+        return float(stated_tokens)
+
+
 @dataclass(frozen=True)
 class Team:
-    """Hold the team that a caller's key belongs to."""
+    """Hold the team that a caller's key belongs to; None: without a limit."""
 
     name: str
     priority: int
     isolated: bool
+    quota: Quota | None = None
 
 
 @dataclass(frozen=True)
@@ -159,6 +190,9 @@
     _kv_stores: tuple[KvStore, ...] = field(
         default=(), init=False, compare=False
     )
+    _quotas: dict[str, Quota] = field(
+        default_factory=dict, init=False, compare=False
+    )
 
     def __post_init__(self) -> None:
         """Index the routes by host and prefix."""
@@ -170,6 +204,14 @@
             if service.kv_store is not None:
                 stores.append(service.kv_store)
         object.__setattr__(self, '_kv_stores', tuple(stores))
+        for team in (self.teams or {}).values():
+            if team.quota is not None:
+                self._quotas[team.name] = team.quota
+
+    @property
+    def quotas(self) -> Mapping[str, Quota]:
+        """Return the limits of the teams that have one, by team name."""
+        return self._quotas
 
     def route(self, host: str, path: str) -> Route | None:
         """Return the route of the longest prefix that begins the path."""
--- a/packages/daemon/src/lacewing_daemon/direct/_settings.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_settings.py
@@ -22,6 +22,9 @@
     this.
     ``repeat_ratio``, ``repeat_slack``, ``repeat_window_s``: the retry
     budget of all routers together for one service.
+    ``limit_window_s``, ``limit_overage``, ``limit_slack``: in any window, a
+    team may run its limit for the window and its burst, times 1 +
+    ``limit_overage``, and ``limit_slack`` in the unit of the limit.
     """
 
     drain_s: float
@@ -31,6 +34,9 @@
     repeat_ratio: float
     repeat_slack: float
     repeat_window_s: float
+    limit_window_s: float = 0.0
+    limit_overage: float = 0.0
+    limit_slack: float = 0.0
 
 
 class DirectSettings(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/daemon/src/lacewing_daemon/direct/crashes/_gossip.py
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_gossip.py
@@ -5,18 +5,12 @@
 from collections.abc import Iterable
 from collections.abc import Sequence
 from random import Random
-from typing import Any
 
-from grpclib.const import Cardinality
 from grpclib.const import Handler
-from grpclib.server import Server
-from grpclib.server import Stream
-from lacewing_common.codec import MsgpackCodec
-from lacewing_common.log import get_log
-from lacewing_common.log import Part
-from lacewing_common.settings import parse_address
 
 from lacewing_daemon.direct._metrics import CRASH_MESSAGES
+from lacewing_daemon.direct._peer_link import PeerLink
+from lacewing_daemon.direct._peer_link import unary
 from lacewing_daemon.direct.crashes._messages import COMPARE_METHOD
 from lacewing_daemon.direct.crashes._messages import CompareReply
 from lacewing_daemon.direct.crashes._messages import CompareRequest
@@ -26,7 +20,6 @@
 from lacewing_daemon.direct.crashes._record import CrashRecord
 from lacewing_daemon.direct.crashes._registry import CrashRegistry
 from lacewing_daemon.peers import PeerCallFailed
-from lacewing_daemon.peers import PeerChannels
 
 # Number of peers to which a router forwards each update. With up to nine
 # routers, the first one reaches all others; with 330 routers, all but one in
@@ -46,15 +39,10 @@
 RECENT_COMPARE_INTERVAL_S = 1.0
 RECENT_CRASH_S = 10.0
 COMPARE_INTERVAL_S = 8.0
-# Retry interval if the port is in use at startup. The previous router process
-# keeps it for some seconds while it drains.
-LISTEN_RETRY_S = 1.0
 # Maximum number of records in one message, the latest ones; a record takes
 # several kilobytes.
 MAX_RECORDS = 100
 
-_log = get_log(Part.MEMBERS)
-
 
 class CrashGossip:
     """Broadcast crash records to peers and reconcile records with them.
@@ -66,22 +54,20 @@
 
     def __init__(
         self,
-        address: str,
+        link: PeerLink,
         registry: CrashRegistry,
         peer_addresses: Callable[[], Sequence[str]],
         merge: Callable[[Iterable[CrashRecord]], tuple[CrashRecord, ...]],
         on_undelivered: Callable[[Iterable[CrashRecord]], None],
         random: Random,
     ) -> None:
-        self._address = address
+        self._link = link
+        self._address = link.address
         self._registry = registry
         self._peer_addresses = peer_addresses
         self._merge = merge
         self._on_undelivered = on_undelivered
         self._random = random
-        self._channels = PeerChannels(None)
-        self._server = Server([self], codec=MsgpackCodec())
-        self._is_listening = False
         self._recent_callers: dict[str, None] = {}
         self._pending: list[tuple[CrashRecord, str]] = []
         self._tasks: set[asyncio.Task[None]] = set()
@@ -89,43 +75,16 @@
     def __mapping__(self) -> dict[str, Handler]:
         """Return the handlers by method, for grpclib."""
         return {
-            TELL_METHOD: _unary(self._on_report, CrashReport, CrashReportAck),
-            COMPARE_METHOD: _unary(
+            TELL_METHOD: unary(self._on_report, CrashReport, CrashReportAck),
+            COMPARE_METHOD: unary(
                 self._on_compare, CompareRequest, CompareReply
             ),
         }
 
     async def run(self) -> None:
-        """Listen for peers and compare with them until cancelled."""
-        async with asyncio.TaskGroup() as tasks:
-            tasks.create_task(self._listen())
-            tasks.create_task(self._compare_regularly())
-
-    async def _listen(self) -> None:
-        """Listen as soon as the port is free.
-
-        Until then this router calls peers but cannot be called; a peer that
-        cannot reach it writes its records to the store.
-        """
-        address = parse_address(self._address)
-        has_failed = False
-        while not self._is_listening:
-            try:
-                await self._server.start(address.host, address.port)
-                self._is_listening = True
-            except OSError as error:
-                if not has_failed:
-                    _log.error('Cannot listen for peers.', error=str(error))
-                has_failed = True
-                await asyncio.sleep(LISTEN_RETRY_S)
-        if has_failed:
-            _log.info('Listens for peers.')
-
-    async def _compare_regularly(self) -> None:
         """Compare records with one random peer per interval."""
         while True:
             await self._compare()
-            self._channels.close_idle()
             interval_s = COMPARE_INTERVAL_S
             if self._registry.newest_age_s < RECENT_CRASH_S:
                 interval_s = RECENT_COMPARE_INTERVAL_S
@@ -143,12 +102,9 @@
             self._pending.append((record, sender))
 
     def close(self) -> None:
-        """Close all connections."""
+        """Cancel what is being sent."""
         for task in self._tasks:
             task.cancel()
-        if self._is_listening:
-            self._server.close()
-        self._channels.close()
 
     async def _send_pending(self) -> None:
         await asyncio.sleep(BATCH_DELAY_S)
@@ -204,32 +160,21 @@
     async def _call(
         self, address: str, method: str, request: object, reply: type
     ) -> object:
-        answer: object = await self._channels.call(
+        answer: object = await self._link.call(
             address, method, request, reply, CALL_TIMEOUT_S
         )
         result = 'failed' if isinstance(answer, PeerCallFailed) else 'answered'
         CRASH_MESSAGES.labels(result).inc()
         if isinstance(answer, PeerCallFailed):
             self._recent_callers.pop(address, None)
-            _log.debug('Call to a peer failed.', error=answer.message)
         return answer
 
-    async def _on_report(
-        self, stream: Stream[CrashReport, CrashReportAck]
-    ) -> None:
-        call = await stream.recv_message()
-        if call is None:
-            return
+    def _on_report(self, call: CrashReport) -> CrashReportAck:
         self._record_caller(call.sender)
         self._forward(call.records, call.sender)
-        await stream.send_message(CrashReportAck())
+        return CrashReportAck()
 
-    async def _on_compare(
-        self, stream: Stream[CompareRequest, CompareReply]
-    ) -> None:
-        call = await stream.recv_message()
-        if call is None:
-            return
+    def _on_compare(self, call: CompareRequest) -> CompareReply:
         self._record_caller(call.sender)
         peer_digests = frozenset(call.marks)
         records = self._registry.records_by_digest
@@ -239,10 +184,8 @@
         missing_here = [
             digest for digest in call.marks if digest not in records
         ]
-        await stream.send_message(
-            CompareReply(
-                tuple(missing_there[-MAX_RECORDS:]), tuple(missing_here)
-            )
+        return CompareReply(
+            tuple(missing_there[-MAX_RECORDS:]), tuple(missing_here)
         )
 
     def _forward(self, records: Iterable[CrashRecord], sender: str) -> None:
@@ -262,7 +205,3 @@
         addresses.update(self._recent_callers)
         addresses.pop(self._address, None)
         return list(addresses)
-
-
-def _unary(function: Any, call: type, reply: type) -> Handler:
-    return Handler(function, Cardinality.UNARY_UNARY, call, reply)
--- a/packages/daemon/src/lacewing_daemon/direct/crashes/_guard.py
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_guard.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 from collections.abc import Sequence
 from random import Random
+from typing import TYPE_CHECKING
 
 from lacewing_common.log import get_log
 from lacewing_common.log import Part
@@ -29,13 +30,12 @@
 # Crashes under one request from which on they are written to the store. A
 # single crash is no evidence, and store calls are expensive.
 MIN_CRASHES_TO_SAVE = 2
-# Delay from process start until peers are served. Importing the modules that
-# this needs takes 60 ms of CPU time; before the first read of the store it
-# would delay readiness.
-PEERS_START_DELAY_S = 0.15
 # Interval between removals of expired crashes.
 EXPIRY_INTERVAL_S = 5.0
 
+if TYPE_CHECKING:
+    from lacewing_daemon.direct._peer_link import PeerLink
+
 AbortCallback = Callable[[], None]
 
 _log = get_log(Part.LINK)
@@ -52,7 +52,6 @@
     def __init__(
         self,
         process_id: str,
-        peers_address: str,
         store: SystemObjects,
         watcher: CollectionWatcher[str],
         peer_addresses: Callable[[], Sequence[str]],
@@ -60,7 +59,6 @@
         random: Random,
         eras: StoreEras,
     ) -> None:
-        self._peers_address = peers_address
         self._peer_addresses = peer_addresses
         self._random = random
         self._registry = CrashRegistry()
@@ -128,30 +126,25 @@
             self._publish(updates, '')
 
     async def run(self) -> None:
-        """Exchange records with peers and the store until cancelled."""
+        """Exchange records with the store until cancelled."""
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(self._crash_store.run())
             tasks.create_task(self._crash_store.sweep())
             tasks.create_task(self._expire())
-            if self._peers_address:
-                tasks.create_task(self._run_peers())
-
-    def close(self) -> None:
-        """Cancel pending connection probes of upstreams."""
-        self._detector.close()
 
-    async def _run_peers(self) -> None:
-        await asyncio.sleep(PEERS_START_DELAY_S)
+    async def exchange(self, link: 'PeerLink') -> None:
+        """Exchange records over a link until cancelled."""
         from lacewing_daemon.direct.crashes._gossip import CrashGossip
 
         gossip = CrashGossip(
-            self._peers_address,
+            link,
             self._registry,
             self._peer_addresses,
             self._merge,
             self._save_own,
             self._random,
         )
+        link.add_service(gossip)
         self._broadcast = gossip.broadcast
         try:
             await gossip.run()
@@ -159,6 +152,10 @@
             self._broadcast = None
             gossip.close()
 
+    def close(self) -> None:
+        """Cancel pending connection probes of upstreams."""
+        self._detector.close()
+
     async def _expire(self) -> None:
         while True:
             await asyncio.sleep(EXPIRY_INTERVAL_S)
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/direct/limits/_keepers.py
@@ -0,0 +1,66 @@
+"""Choose the router that keeps the pool of a team."""
+
+import math
+from collections.abc import Sequence
+
+import xxhash
+
+# Routers that call one keeper; with more of them the pools are spread.
+ROUTERS_PER_KEEPER = 50
+# A router that did not answer is not asked again for this long.
+SUSPECT_S = 2.0
+
+
+class Keepers:
+    """Choose keepers so that all routers that know each other agree.
+
+    Where routers disagree for a moment, a team has two pools. That costs
+    efficiency only, as tokens are never in both.
+    """
+
+    def __init__(self) -> None:
+        self._suspected_until_s: dict[str, float] = {}
+
+    def suspect(self, address: str, now: float) -> None:
+        """Do not choose a router that did not answer for a while."""
+        self._suspected_until_s[address] = now + SUSPECT_S
+
+    def keeper(
+        self, team: str, addresses: Sequence[str], now: float
+    ) -> str | None:
+        """Return the address of a team's keeper, None if there is none."""
+        shard = xxhash.xxh64_intdigest(team.encode()) % _shard_count(addresses)
+        return self._keeper_of_shard(shard, addresses, now)
+
+    def all_keepers(
+        self, addresses: Sequence[str], now: float
+    ) -> frozenset[str]:
+        """Return the addresses of all routers that keep pools."""
+        keepers = set()
+        for shard in range(_shard_count(addresses)):
+            keeper = self._keeper_of_shard(shard, addresses, now)
+            if keeper is not None:
+                keepers.add(keeper)
+        return frozenset(keepers)
+
+    def _keeper_of_shard(
+        self, shard: int, addresses: Sequence[str], now: float
+    ) -> str | None:
+        best: tuple[int, str] | None = None
+        for address in addresses:
+            if self._suspected_until_s.get(address, 0.0) > now:
+                continue
+            rank = xxhash.xxh64_intdigest(f'{shard}/{address}'.encode())
+            if best is None or (rank, address) > best:
+                best = (rank, address)
+        return None if best is None else best[1]
+
+    def forget_expired(self, now: float) -> None:
+        """Remove suspicions that have ended."""
+        for address, until_s in tuple(self._suspected_until_s.items()):
+            if until_s <= now:
+                del self._suspected_until_s[address]
+
+
+def _shard_count(addresses: Sequence[str]) -> int:
+    return max(1, math.ceil(len(addresses) / ROUTERS_PER_KEEPER))
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/direct/limits/_limiter.py
@@ -0,0 +1,315 @@
+"""Admit requests of teams within their limits over all routers."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from collections.abc import Sequence
+from dataclasses import dataclass
+from random import Random
+from typing import Protocol
+
+from lacewing_common.log import get_log
+from lacewing_common.log import Part
+from lacewing_common.verdict import not_run
+from lacewing_common.verdict import Reason
+from lacewing_common.verdict import Refusal
+
+from lacewing_daemon.direct._metrics import LIMIT_DEMAND
+from lacewing_daemon.direct._metrics import LIMIT_MESSAGES
+from lacewing_daemon.direct._metrics import LIMIT_SETTLED_AGE_SECONDS
+from lacewing_daemon.direct._metrics import LIMIT_SHARE
+from lacewing_daemon.direct._metrics import LIMIT_TOKENS
+from lacewing_daemon.direct._routing_config import Quota
+from lacewing_daemon.direct.limits._account import TeamAccount
+from lacewing_daemon.direct.limits._keepers import Keepers
+from lacewing_daemon.direct.limits._ledger import LimitTerms
+from lacewing_daemon.direct.limits._ledger import Settlement
+from lacewing_daemon.direct.limits._ledger import TokenLedger
+from lacewing_daemon.direct.limits._messages import TokenReply
+from lacewing_daemon.direct.limits._messages import TokenRequest
+
+# Intervals of settlements: while all pools are full, while one takes deposits,
+# and while one needs them at once.
+SETTLE_INTERVAL_S = 1.0
+LACKING_SETTLE_INTERVAL_S = 0.4
+SHORT_SETTLE_INTERVAL_S = 0.25
+# A request is held for a wait this short, in place of refusing it: its caller
+# would need longer to come back.
+MAX_HOLD_S = 0.15
+# How often a request asks for tokens, also of the next keeper.
+MAX_ASKS = 3
+# After a denial, further requests of the team are refused without asking for
+# at most this long.
+MAX_DENIAL_S = 0.1
+MIN_RETRY_AFTER_S = 0.05
+# Delays a caller by up to this fraction more, so that callers that were
+# refused together do not return together.
+RETRY_SPREAD = 0.5
+# Used while no router that keeps the pool can be reached.
+UNREACHABLE_RETRY_AFTER_S = 0.2
+
+_log = get_log(Part.LIMITS)
+
+
+@dataclass(frozen=True)
+class Charge:
+    """Hold what was charged for a request, and when."""
+
+    team: str
+    cost: float
+    charged_s: float
+
+
+@dataclass(frozen=True)
+class _Denial:
+    """Hold when a team's next request would fit, on the limiter's clock."""
+
+    fits_s: float
+    asks_again_s: float
+
+
+class TokenCarrier(Protocol):
+    """Carry a message about tokens to another router."""
+
+    async def move(
+        self, address: str, request: TokenRequest
+    ) -> TokenReply | None:
+        """Return the reply, None if there was none in time."""
+
+
+class TeamLimiter:
+    """Charge requests at this router; move tokens to and from others.
+
+    ``address`` is where this router takes calls of its peers, ``share`` its
+    part of each limit, 0 until all others count it. ``terms`` returns what
+    is in force.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        terms: Callable[[], LimitTerms],
+        peer_addresses: Callable[[], Sequence[str]],
+        random: Random,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._address = address
+        self._terms = terms
+        self._peer_addresses = peer_addresses
+        self._random = random
+        self._clock = clock
+        self._ledger = TokenLedger(clock)
+        self._keepers = Keepers()
+        self._carrier: TokenCarrier | None = None
+        self._lacking: dict[str, frozenset[str]] = {}
+        self._short_keepers: set[str] = set()
+        self._denials: dict[str, _Denial] = {}
+        self._settled_s = clock()
+
+    def connect(self, carrier: TokenCarrier) -> None:
+        """Use a carrier from now on; until then no peer is called."""
+        self._carrier = carrier
+
+    async def admit(
+        self, team: str, quota: Quota, stated_tokens: int | None
+    ) -> Charge | Refusal:
+        """Charge a request, or refuse it as not run."""
+        self._ledger.apply(self._terms())
+        account = self._ledger.account(team)
+        cost = quota.cost(stated_tokens)
+        if account is None:
+            return Charge(team, 0.0, self._clock())
+        self._ledger.count_demand(team, cost)
+        if cost > account.allowance.max_cost:
+            LIMIT_DEMAND.labels(team, 'refused').inc(cost)
+            return not_run(
+                Reason.TEAM_LIMIT,
+                f'counts {cost:g}, more than the limit of {team} ever allows',
+            )
+        wait_s = await self._charge(team, account, cost)
+        if wait_s is None:
+            LIMIT_DEMAND.labels(team, 'admitted').inc(cost)
+            return Charge(team, cost, self._clock())
+        LIMIT_DEMAND.labels(team, 'refused').inc(cost)
+        wait_s = max(MIN_RETRY_AFTER_S, wait_s)
+        wait_s *= 1.0 + RETRY_SPREAD * self._random.random()
+        return not_run(
+            Reason.TEAM_LIMIT,
+            f'over the limit of {quota.rate_per_s:g} {quota.unit.value} a'
+            f' second: counts {cost:g}, this router holds'
+            f' {account.tokens(self._clock()):.0f}',
+            wait_s,
+        )
+
+    def refund(self, charge: Charge) -> None:
+        """Give back the charge of a request that never ran."""
+        account = self._ledger.account(charge.team)
+        if account is not None:
+            account.refund(charge.cost, charge.charged_s, self._clock())
+
+    def serve(self, request: TokenRequest) -> TokenReply:
+        """Serve a peer as the keeper of pools."""
+        self._ledger.apply(self._terms())
+        return self._ledger.serve(request)
+
+    def pool_tokens(self, team: str) -> float:
+        """Return the tokens of a pool that this router keeps."""
+        return self._ledger.pool_tokens(team)
+
+    async def run(self) -> None:
+        """Settle with the keepers of pools until cancelled."""
+        while True:
+            interval_s = self._settle_interval_s()
+            await asyncio.sleep(interval_s * self._random.uniform(0.75, 1.25))
+            await self._settle(interval_s)
+
+    def update_metrics(self) -> None:
+        """Update the metrics of shares and tokens."""
+        now = self._clock()
+        LIMIT_SHARE.set(self._terms().share)
+        LIMIT_SETTLED_AGE_SECONDS.set(now - self._settled_s)
+        for team in self._ledger.teams:
+            account = self._ledger.account(team)
+            if account is not None:
+                LIMIT_TOKENS.labels(team, 'router').set(account.tokens(now))
+            pooled = self._ledger.pool_tokens(team)
+            LIMIT_TOKENS.labels(team, 'pool').set(pooled)
+
+    async def _charge(
+        self, team: str, account: TeamAccount, cost: float
+    ) -> float | None:
+        """Return None once charged, or the seconds until it would fit."""
+        if account.charge(cost, self._clock()):
+            return None
+        denial = self._denials.get(team)
+        if denial is not None and self._clock() < denial.asks_again_s:
+            return max(0.0, denial.fits_s - self._clock())
+        # Taken before the call: what the account holds must not count for
+        # two requests that ask at once.
+        own = account.withdraw(cost, self._clock())
+        wait_s: float | None = UNREACHABLE_RETRY_AFTER_S
+        try:
+            wait_s = await self._ask(team, cost - own)
+        finally:
+            if wait_s is not None:
+                account.deposit(own, self._clock())
+        if wait_s is None:
+            return None
+        now = self._clock()
+        self._denials[team] = _Denial(
+            now + wait_s, now + min(wait_s, MAX_DENIAL_S)
+        )
+        return wait_s
+
+    async def _ask(self, team: str, need: float) -> float | None:
+        """Ask for tokens; None once granted, or the seconds to wait."""
+        wait_s = UNREACHABLE_RETRY_AFTER_S
+        was_held = False
+        for _ in range(MAX_ASKS):
+            keeper = self._keeper(team)
+            if keeper is None:
+                return wait_s
+            reply = await self._move(
+                keeper, TokenRequest(self._address, needs={team: need})
+            )
+            if reply is None:
+                continue
+            if team in reply.granted:
+                return None
+            wait_s = reply.waits.get(team, wait_s)
+            if was_held or wait_s > MAX_HOLD_S:
+                return wait_s
+            was_held = True
+            await asyncio.sleep(wait_s)
+        return wait_s
+
+    def _settle_interval_s(self) -> float:
+        if self._short_keepers:
+            return SHORT_SETTLE_INTERVAL_S
+        if any(self._lacking.values()):
+            return LACKING_SETTLE_INTERVAL_S
+        return SETTLE_INTERVAL_S
+
+    async def _settle(self, interval_s: float) -> None:
+        self._ledger.apply(self._terms())
+        if not self._ledger.teams:
+            return
+        now = self._clock()
+        self._keepers.forget_expired(now)
+        self._ledger.keep_pools(
+            team
+            for team in self._ledger.teams
+            if self._keeper(team) == self._address
+        )
+        settlements = self._ledger.settle(
+            self._keeper, self._address, self._lacking, interval_s
+        )
+        keepers = self._keepers.all_keepers(self._candidates(), now)
+        self._lacking = {
+            keeper: teams
+            for keeper, teams in self._lacking.items()
+            if keeper in keepers
+        }
+        self._short_keepers &= keepers
+        moves = []
+        for keeper in keepers:
+            settlement = settlements.get(keeper, Settlement({}, {}))
+            request = TokenRequest(
+                self._address, settlement.deposits, {}, settlement.wishes
+            )
+            moves.append(self._move_settlement(keeper, request))
+        await asyncio.gather(*moves)
+
+    async def _move_settlement(
+        self, keeper: str, request: TokenRequest
+    ) -> None:
+        reply = await self._move(keeper, request)
+        if reply is None:
+            return
+        self._settled_s = self._clock()
+        for team, tokens in reply.granted.items():
+            account = self._ledger.account(team)
+            if account is not None:
+                account.deposit(tokens, self._clock())
+
+    async def _move(
+        self, keeper: str, request: TokenRequest
+    ) -> TokenReply | None:
+        """Move tokens at this router itself or by a call.
+
+        What a call carries is lost if there is no reply: it may have arrived.
+        """
+        if keeper == self._address:
+            reply: TokenReply | None = self.serve(request)
+        elif self._carrier is None:
+            return None
+        else:
+            reply = await self._carrier.move(keeper, request)
+            result = 'failed' if reply is None else 'answered'
+            LIMIT_MESSAGES.labels(result).inc()
+        if reply is None:
+            self._lacking.pop(keeper, None)
+            self._short_keepers.discard(keeper)
+            self._keepers.suspect(keeper, self._clock())
+            _log.debug('A keeper of limits did not answer.', peer=keeper)
+            return None
+        self._lacking[keeper] = frozenset(reply.lacking)
+        self._short_keepers.discard(keeper)
+        if reply.is_short:
+            self._short_keepers.add(keeper)
+        return reply
+
+    def _keeper(self, team: str) -> str | None:
+        return self._keepers.keeper(team, self._candidates(), self._clock())
+
+    def _candidates(self) -> list[str]:
+        """Return the routers that may keep pools.
+
+        Others do not know this one before they count it.
+        """
+        addresses: list[str] = []
+        if self._carrier is not None:
+            addresses.extend(self._peer_addresses())
+        if self._terms().share > 0 and self._address not in addresses:
+            addresses.append(self._address)
+        return addresses
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/direct/limits/_messages.py
@@ -0,0 +1,33 @@
+"""Define the messages about team limits between routers."""
+
+import msgspec
+
+MOVE_METHOD = '/lacewing.Limits/Move'
+
+
+class TokenRequest(msgspec.Struct, frozen=True):
+    """Move tokens to and from the pools that a router keeps, by team.
+
+    ``sender`` is the ``ip:port`` at which the sending router takes calls.
+    ``deposits`` were taken from its accounts. ``needs`` are granted whole or
+    not at all, ``wishes`` as far as there is plenty.
+    """
+
+    sender: str
+    deposits: dict[str, float] = {}
+    needs: dict[str, float] = {}
+    wishes: dict[str, float] = {}
+
+
+class TokenReply(msgspec.Struct, frozen=True):
+    """Return what was granted, by team.
+
+    ``waits``: seconds after which a need that was denied would fit.
+    ``lacking``: teams of whose tokens the router takes deposits; ``is_short``
+    if it needs some of them at once.
+    """
+
+    granted: dict[str, float] = {}
+    waits: dict[str, float] = {}
+    lacking: tuple[str, ...] = ()
+    is_short: bool = False
--- a/packages/daemon/src/lacewing_daemon/limits/_team.py
+++ b/packages/daemon/src/lacewing_daemon/limits/_team.py
@@ -6,8 +6,8 @@
 from lacewing_common.wire_limits import TeamAllotment
 from lacewing_common.wire_limits import TeamDemand
 
-from lacewing_daemon.limits._bucket import RateBucket
-from lacewing_daemon.limits._meter import DemandMeter
+from lacewing_daemon.demand_meter import DemandMeter
+from lacewing_daemon.rate_bucket import RateBucket
 
 # A team far below its limit is reported rarely, one close to it often: the
 # messages go where the precision is needed.
