Let a successor claim what came in while it started

Cause: after all routers lose power every account and pool is empty. Change: a process that finds the entry of its predecessor adds the share that came in since it was started, when nobody used it, at most two capacities; it settles every 0.25 s until a keeper has answered; requests are held for 0.25 s in place of 0.15 s where that is enough.

--- a/features/ctl_explain.feature
+++ b/features/ctl_explain.feature
@@ -14,6 +14,10 @@
     When a caller orders a certificate
     Then explaining it shows status 503 and "were full"
 
+  Scenario: A request beyond its team's limit
+    When a caller of a team that may run 1 request a second sends several
+    Then explaining it shows status 429 and "over the limit of 1 requests"
+
   Scenario: An answer that is interrupted
     Given the next upstream reset
     When a caller orders a certificate
--- a/features/direct_limits.feature
+++ b/features/direct_limits.feature
@@ -111,6 +111,15 @@
       When it sends 0.55 times its limit evenly for 20 s, with seed 33
       Then at least 0.8 of what fits is let through
 
+    Scenario: Little is refused after all were killed
+      # Guards against refusing teams that are far below their limits: all
+      # accounts and pools are empty when all processes are new.
+      Given 22 routers and a team with a limit of 134000 tokens a second
+      And all are killed and start again
+      When it sends 0.55 times its limit evenly for 20 s, with seed 34
+      Then no window exceeds the limit
+      And at most 0.1 of what comes right after a start is refused
+
   Rule: Messages do not follow refusals
 
     Scenario: A flood costs few messages
--- a/features/steps/ctl_explain_steps.py
+++ b/features/steps/ctl_explain_steps.py
@@ -167,6 +167,20 @@
     return sum(line.event == event for line in process.events())
 
 
+@when(
+    'a caller of a team that may run {rate:d} request a second sends several'
+)
+def step_over_limit(context: Context, rate: int) -> None:
+    """Limit the team of the caller and send requests until one is refused."""
+    bench = direct_bench(context)
+    tenants = [
+        {**tenant, 'RatePerS': rate, 'Burst': rate}
+        for tenant in bench.config['Tenants']
+    ]
+    bench.configure(Tenants=tenants)
+    bench.until(lambda: bench.ask().status == 429, 'a refused request')
+
+
 @then('explaining it shows status {status:d} and "{text}"')
 def step_explain(context: Context, status: int, text: str) -> None:
     """Run lacewingctl explain once the request is logged."""
--- a/features/steps/direct_limits_steps.py
+++ b/features/steps/direct_limits_steps.py
@@ -25,6 +25,10 @@
 # Routers have shares and settle for so long before the first request.
 WARM_UP_S = 5.0
 
+# Killed processes are started after the first and serve after the second time.
+DOWN_S = 0.3
+START_S = 0.7
+
 Fault = Callable[[LimitFleet], Awaitable[None]]
 
 
@@ -79,8 +83,9 @@
             await asyncio.sleep(WARM_UP_S + 3.0)
             for index in range(fleet.size):
                 fleet.stop_router(index)
-            await asyncio.sleep(0.5)
-            fleet.start_all()
+            await asyncio.sleep(DOWN_S + START_S)
+            fleet.start_all(unclaimed_s=START_S)
+            context.started_s = fleet.loop.time()
 
     context.faults.append(kill)
 
@@ -236,6 +241,20 @@
     assert ran >= fits * fraction, (ran, fits, ran / fits)
 
 
+@then('at most {fraction:g} of what comes right after a start is refused')
+def step_after_start(context: Context, fraction: float) -> None:
+    """Compare what is refused in the 2 s after the last start."""
+    since_s = context.started_s
+    sent = _sum_costs(context.fleet.offers, since_s, since_s + 2.0)
+    refused = _sum_costs(context.fleet.refused, since_s, since_s + 2.0)
+    assert sent > 0, context.fleet.offers
+    assert refused <= fraction * sent, (refused, sent, refused / sent)
+
+
+def _sum_costs(offers: list[Offer], from_s: float, until_s: float) -> float:
+    return sum(one.cost for one in offers if from_s <= one.at_s < until_s)
+
+
 @then('each router sends at most {most:g} messages a second')
 def step_messages(context: Context, most: float) -> None:
     """Count the messages of the whole play."""
--- a/features/support/limits_fleet.py
+++ b/features/support/limits_fleet.py
@@ -70,7 +70,9 @@
     routers: dict[int, Router] = field(default_factory=dict)
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
-    def start_router(self, index: int, share: float) -> None:
+    def start_router(
+        self, index: int, share: float, unclaimed_s: float = 0.0
+    ) -> None:
         """Start a router, or a new process of one that was stopped."""
         quotas = dict(self.quotas)
         router: Router | None = None
@@ -78,7 +80,9 @@
         def terms() -> LimitTerms:
             known = share if router is None else router.share
             in_force = quotas if router is None else router.quotas
-            return LimitTerms(in_force, self.bounds, known, self.size)
+            return LimitTerms(
+                in_force, self.bounds, known, self.size, unclaimed_s
+            )
 
         limiter = TeamLimiter(
             str(index),
@@ -101,10 +105,11 @@
         """Kill a router's process."""
         self.routers.pop(index).settling.cancel()
 
-    def start_all(self, counted: int = 0) -> None:
+    def start_all(self, counted: int = 0, unclaimed_s: float = 0.0) -> None:
         """Start all routers; each counts so many, or all."""
         for index in range(self.size):
-            self.start_router(index, 1.0 / (counted or self.size))
+            share = 1.0 / (counted or self.size)
+            self.start_router(index, share, unclaimed_s)
 
     async def play(self, offers: list[Offer]) -> None:
         """Send requests at their times and wait until all have ended."""
--- a/packages/common/src/lacewing_common/log_lines.py
+++ b/packages/common/src/lacewing_common/log_lines.py
@@ -64,6 +64,7 @@
     timestamp: datetime
     request: str = ''
     service: str = ''
+    team: str = ''
     status: int = -1
     verdict: str = ''
     reason: str = ''
--- a/packages/ctl/src/lacewing_ctl/_causes.py
+++ b/packages/ctl/src/lacewing_ctl/_causes.py
@@ -150,6 +150,14 @@
     return f'Configuration {timeline.line.config} holds no such route.'
 
 
+def _over_limit(timeline: RequestTimeline) -> str:
+    line = timeline.line
+    return (
+        f'Team {line.team} was {line.message}, under configuration'
+        f' {line.config}. It was not sent.'
+    )
+
+
 def _last_try(timeline: RequestTimeline) -> Try:
     if timeline.line.tries:
         return timeline.line.tries[-1]
@@ -180,4 +188,5 @@
     Reason.DRAINING.value: _draining,
     Reason.BAD_KEY.value: _unknown_key,
     Reason.UNKNOWN_PATH.value: _unknown_path,
+    Reason.TEAM_LIMIT.value: _over_limit,
 }
--- a/packages/daemon/src/lacewing_daemon/direct/_cluster_state.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_cluster_state.py
@@ -137,6 +137,13 @@
         """Return for how long after a release superseded weights are used."""
         return self._bounds.weights_s * OLD_WEIGHTS_FRACTION
 
+    @property
+    def process_age_s(self) -> float:
+        """Return how long ago this process was started, 0 if unknown."""
+        if self._process_started_s is None:
+            return 0.0
+        return self._clock() - self._process_started_s
+
     @property
     def router_count(self) -> int:
         """Return the number of live routers, including this one."""
--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -368,6 +368,9 @@
     def _limit_terms(self) -> LimitTerms:
         config = self._cluster_state.routing_config
         bounds = self._cluster_state.bounds
+        unclaimed_s = 0.0
+        if self._router_count.has_predecessor:
+            unclaimed_s = self._cluster_state.process_age_s
         return LimitTerms(
             {} if config is None else config.quotas,
             WindowBounds(
@@ -375,6 +378,7 @@
             ),
             self._router_count.share,
             self._router_count.share_holders,
+            unclaimed_s,
         )
 
     async def _run_peers(self) -> None:
--- a/packages/daemon/src/lacewing_daemon/direct/_router_count.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_router_count.py
@@ -106,6 +106,7 @@
         self._leaving = False
         self._is_own_version_unknown = False
         self._has_counted = False
+        self._has_predecessor = False
         self._counted_by_all_s = float('inf')
 
     @property
@@ -122,6 +123,11 @@
         """
         return self._holders
 
+    @property
+    def has_predecessor(self) -> bool:
+        """Return whether this process found an entry of its name."""
+        return self._has_predecessor
+
     @property
     def share(self) -> float:
         """Return the part of the limits of teams that is this router's own.
@@ -192,6 +198,7 @@
             self._counted_by_all_s = self._renewed_s + wait_s
         elif self._counted_by_all_s == float('inf'):
             self._counted_by_all_s = self._renewed_s
+            self._has_predecessor = True
         return response
 
     async def refresh(self) -> None:
--- a/packages/daemon/src/lacewing_daemon/direct/limits/_account.py
+++ b/packages/daemon/src/lacewing_daemon/direct/limits/_account.py
@@ -8,6 +8,9 @@
 # back. Later on the routers have received new tokens in place of those, and
 # more could run in a window than its limit.
 REFUND_S = 0.2
+# How much a process that starts may claim, in capacities of a router. The
+# pools are empty if all routers start, so all claims fit into the reserve.
+MAX_CLAIM = 2.0
 
 
 class TeamAccount:
@@ -49,6 +52,16 @@
             allowance.router_rate_per_s, now, allowance.router_capacity
         )
 
+    def claim(self, unclaimed_s: float, now: float) -> None:
+        """Add what came in while no process had the router's share.
+
+        Otherwise, after all routers were killed at once, callers that come
+        back are refused until enough has come in.
+        """
+        tokens = self._allowance.router_rate_per_s * unclaimed_s
+        max_tokens = self._allowance.router_capacity * MAX_CLAIM
+        self._bucket.move(min(tokens, max_tokens), now)
+
     def count_demand(self, cost: float, now: float) -> None:
         """Count a request, whether it is admitted or not."""
         if self._meter is None:
--- a/packages/daemon/src/lacewing_daemon/direct/limits/_ledger.py
+++ b/packages/daemon/src/lacewing_daemon/direct/limits/_ledger.py
@@ -29,13 +29,15 @@
 class LimitTerms:
     """Hold the limits in force and the router's share of them, 0 to 1.
 
-    ``routers``: how many routers share them.
+    ``routers``: how many routers share them. ``unclaimed_s``: for how long
+    nobody has used the share of this router, as its predecessor had ended.
     """
 
     quotas: Mapping[str, Quota]
     bounds: WindowBounds
     share: float
     routers: int = 1
+    unclaimed_s: float = 0.0
 
     def is_same(self, other: 'LimitTerms') -> bool:
         """Return whether nothing has changed; each change is a new mapping."""
@@ -68,6 +70,7 @@
         self._pools: dict[str, TeamPool] = {}
         self._active: set[str] = set()
         self._settled_s: dict[str, float] = {}
+        self._has_claimed = False
 
     @property
     def teams(self) -> Iterable[str]:
@@ -78,6 +81,10 @@
         """Bring limits and the share into force; lower ones at once."""
         if terms.is_same(self._terms):
             return
+        claims = (
+            terms.share > 0 and bool(terms.quotas) and not self._has_claimed
+        )
+        self._has_claimed |= claims
         self._terms = terms
         now = self._clock()
         for team in tuple(self._accounts):
@@ -89,6 +96,8 @@
             if team not in self._accounts:
                 self._accounts[team] = TeamAccount(in_force, now)
             self._accounts[team].set_allowance(in_force, now)
+            if claims:
+                self._accounts[team].claim(terms.unclaimed_s, now)
         self._update_pools()
 
     def account(self, team: str) -> TeamAccount | None:
--- a/packages/daemon/src/lacewing_daemon/direct/limits/_limiter.py
+++ b/packages/daemon/src/lacewing_daemon/direct/limits/_limiter.py
@@ -35,7 +35,7 @@
 SHORT_SETTLE_INTERVAL_S = 0.25
 # A request is held for a wait this short, in place of refusing it: its caller
 # would need longer to come back.
-MAX_HOLD_S = 0.15
+MAX_HOLD_S = 0.25
 # How often a request asks for tokens, also of the next keeper.
 MAX_ASKS = 3
 # After a denial, further requests of the team are refused without asking for
@@ -224,7 +224,9 @@
         return wait_s
 
     def _settle_interval_s(self) -> float:
-        if self._short_keepers:
+        if self._short_keepers or not self._lacking:
+            # Without a reply yet, the pools are taken to be empty, as after
+            # all routers have started.
             return SHORT_SETTLE_INTERVAL_S
         if any(self._lacking.values()):
             return LACKING_SETTLE_INTERVAL_S
