Draw faults in the soak while a team presses against its limit

Cause: limits have to hold under the soak's faults as well. Change: the theme `limits` (make soak THEME=limits) gives the team of one key 3 requests a second and counts what all upstreams began for it in any window of 4 s.

--- a/Makefile
+++ b/Makefile
@@ -115,9 +115,9 @@
 	$(BIN)/python -m lacewing_bench.capacity
 
 # Real routers under random faults:
-# make soak [FIRST=1] [LAST=50] [LASTS=15] [ROUTERS=3]
+# make soak [FIRST=1] [LAST=50] [LASTS=15] [ROUTERS=3] [THEME=limits]
 .PHONY: soak
 soak: $(VENV)/.made
 	$(BIN)/python -m lacewing_platform_testing.soak \
 		$(or $(FIRST),1) $(or $(LAST),50) \
-		$(or $(LASTS),15) $(or $(ROUTERS),3)
+		$(or $(LASTS),15) $(or $(ROUTERS),3) $(THEME)
