Ask keepers of limits that are starting again after half a second

All routers start at once: a keeper that does not listen yet was left out for 2 s by some and not by others, a settlement whose keeper is busy starting was lost after 0.1 s, and the renewal of a predecessor's entry took three writes and reads. A router that had counted only itself took the whole limit: counts may be seconds old, and each of 22 starting routers counted 1 at first. Change: suspicion lasts 0.5 s, doubled up to 8 s, and ends with an answer; a settlement waits for 0.4 s; a process reads its entry before it writes it; a new entry never has a share before all others had time to count it.

--- a/features/direct_limits_served.feature
+++ b/features/direct_limits_served.feature
@@ -6,7 +6,7 @@
     And engines "eng-1" and "eng-2"
 
   Scenario: A request beyond the limit gets 429 and does not run
-    Given a direct router
+    Given a direct router whose predecessor was counted
     When team "north" may run 1 request a second
     And a caller fetches records until it gets 429
     Then its Retry-After is when the next request fits
@@ -14,14 +14,14 @@
     And a record is fetched by the other team
 
   Scenario: Tokens count as the caller states them
-    Given a direct router
+    Given a direct router whose predecessor was counted
     When team "north" may run 1000 tokens a second
     And a caller states "990,10" tokens and then "500,100"
     Then the first is answered and the second gets 429
 
   Scenario Outline: Requests that state no tokens count what is configured
     # Guards against a limit that a caller evades by what it states.
-    Given a direct router
+    Given a direct router whose predecessor was counted
     When team "north" may run 1000 tokens a second
     And a caller states "<stated>" tokens and then "500,100"
     Then the first is answered and the second gets 429
@@ -35,7 +35,7 @@
 
   Scenario: A request that the upstreams refuse costs nothing
     # Guards against refusing a team for requests that never ran.
-    Given a direct router
+    Given a direct router whose predecessor was counted
     When team "north" may run 1 request a second
     And the upstreams refuse all requests
     And a caller fetches a record
@@ -43,7 +43,7 @@
     And a record is fetched once they accept again
 
   Scenario Outline: A malformed limit leaves the previous configuration in force
-    Given a direct router
+    Given a direct router whose predecessor was counted
     When team "north" may run 1 request a second
     And the limit is written with <field> <value>
     Then the configuration before stays in force, and the log names <named>
@@ -57,7 +57,7 @@
       | Unit           | "words" | words          |
 
   Scenario: A router says what decided
-    Given a direct router
+    Given a direct router whose predecessor was counted
     When team "north" may run 1 request a second
     And a caller fetches records until it gets 429
     Then the line of the refused request names the limit and what was held
--- a/features/steps/direct_limits_served_steps.py
+++ b/features/steps/direct_limits_served_steps.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 import msgspec
+from behave import given
 from behave import then
 from behave import when
 from behave.runner import Context
@@ -24,6 +25,18 @@
 MAX_REQUESTS = 200
 
 
+@given('a direct router whose predecessor was counted')
+def step_successor(context: Context) -> None:
+    """Start a router that finds an entry of its name."""
+    bench = direct_bench(context)
+    entry = {'text': '0' * 32}
+    bench.on_loop(
+        lambda: bench.store.put('lacewing-routers', 'router-1', entry)
+    )
+    bench.start_router()
+    bench.until_ready()
+
+
 @when('team "{team}" may run {rate:d} {unit} a second')
 def step_limit(context: Context, team: str, rate: int, unit: str) -> None:
     """Limit a team, and wait until the limit is in force and unused."""
--- a/features/support/limits_fleet.py
+++ b/features/support/limits_fleet.py
@@ -17,7 +17,6 @@
 from support.event_loop import SimulatedLoop
 
 ONE_WAY_S = 0.002
-CALL_TIMEOUT_S = 0.1
 MEAN_COST = 4000.0
 
 
@@ -158,7 +157,7 @@
         self._index = index
 
     async def move(
-        self, address: str, request: TokenRequest
+        self, address: str, request: TokenRequest, timeout_s: float
     ) -> TokenReply | None:
         """Return the reply, None if it was lost."""
         self._fleet.messages += 1
@@ -166,12 +165,12 @@
         other = int(address)
         router = self._fleet.routers.get(other)
         if router is None or self._fleet.is_cut(self._index, other):
-            await asyncio.sleep(CALL_TIMEOUT_S - ONE_WAY_S)
+            await asyncio.sleep(timeout_s - ONE_WAY_S)
             return None
         reply = router.limiter.serve(request)
         await asyncio.sleep(ONE_WAY_S)
         if self._fleet.is_cut(other, self._index):
-            await asyncio.sleep(CALL_TIMEOUT_S - 2 * ONE_WAY_S)
+            await asyncio.sleep(timeout_s - 2 * ONE_WAY_S)
             return None
         return reply
 
--- a/packages/daemon/src/lacewing_daemon/direct/_policy.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_policy.py
@@ -22,27 +22,19 @@
     to be cached at the first engine in the prompt's order, to which all
     routers send it, beyond what this router has sent there itself.
     ``max_waiting``: maximum number of requests without a first event that
-    one router has at an engine. Routers don't see each other's requests: at
-    1.6 times the load that 5 engines can prefill, 4 routers with 3 each
-    answer 27% of it in time, with 2 each 68% (replayed in
-    ``direct_load.feature``).
+    one router has at an engine. Routers don't see each other's requests, so
+    with more of them engines queue beyond the latency target.
     ``max_in_flight``: maximum number of requests that one router has at an
     engine.
     ``mute_ms``: minimum silence after which an engine with open streams is
-    considered lost. No live engine with a prefill speed of 110 tokens per ms
-    sent three or more streams of a router no event for longer than 175 ms
-    (logs of two days); slower engines raise the bound.
+    considered lost; slower engines raise the bound.
     ``copies_part``: fraction of an engine's memory that copies of runs
     elsewhere may take, for all routers together.
     ``load_turns``: one engine in so many loads new weights at a time; more
     at once would slow each other down.
     ``load_early_part``: fraction of the engines that loads a version as soon
     as it is released; the remaining engines follow after ``load_late_ms``,
-    by when most runs that were open there have ended. On the engine model
-    with a release every 3.2 s, 2,500 ms earn 0.826, 4,000 ms 0.833 and 1,500
-    ms 0.767. Where memory is scarce and there is one release in 34 s, 4,000
-    ms earned 0.735, 2,500 ms 0.774 and 1,500 ms 0.781, as half of the caches
-    are little used meanwhile.
+    by when most runs that were open there have ended.
     ``load_turn_ms``: interval between two turns of loads.
     ``lost_run_ms``: how much sooner a first event must be expected of an
     engine that is about to load, if the load would lose the whole run.
--- a/packages/daemon/src/lacewing_daemon/direct/_router_count.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_router_count.py
@@ -104,7 +104,8 @@
         self._count = DEFAULT_ROUTER_COUNT
         self._holders = DEFAULT_ROUTER_COUNT
         self._leaving = False
-        self._is_own_version_unknown = False
+        # The predecessor of this process may have left an entry.
+        self._is_own_version_unknown = True
         self._has_counted = False
         self._has_predecessor = False
         self._counted_by_all_s = float('inf')
@@ -138,7 +139,7 @@
         """
         if not self._has_counted or self._leaving:
             return 0.0
-        if self._clock() < self._counted_by_all_s and self._holders > 1:
+        if self._clock() < self._counted_by_all_s:
             return 0.0
         return 1.0 / self._holders
 
@@ -178,10 +179,6 @@
             self._version = MUST_NOT_EXIST
         if response.fault is StoreFault.CONFLICT:
             await self._read_own_version()
-            if self._renewed_s == float('-inf'):
-                # The predecessor's entry: renewed at once, so that this
-                # process is known to be counted.
-                await self._write()
 
     async def _write(self) -> StoredObject | StoreError:
         value = f'{uuid4().hex} {self._address}'.strip()
--- a/packages/daemon/src/lacewing_daemon/direct/limits/_keepers.py
+++ b/packages/daemon/src/lacewing_daemon/direct/limits/_keepers.py
@@ -7,8 +7,10 @@
 
 # Routers that call one keeper; with more of them the pools are spread.
 ROUTERS_PER_KEEPER = 50
-# A router that did not answer is not asked again for this long.
-SUSPECT_S = 2.0
+# A router that did not answer is not asked again for this long, twice as long
+# after each further time. It may only be starting, as all others are.
+MIN_SUSPECT_S = 0.5
+MAX_SUSPECT_S = 8.0
 
 
 class Keepers:
@@ -20,10 +22,20 @@
 
     def __init__(self) -> None:
         self._suspected_until_s: dict[str, float] = {}
+        self._suspect_s: dict[str, float] = {}
 
     def suspect(self, address: str, now: float) -> None:
         """Do not choose a router that did not answer for a while."""
-        self._suspected_until_s[address] = now + SUSPECT_S
+        if self._suspected_until_s.get(address, 0.0) > now:
+            return
+        duration_s = self._suspect_s.get(address, MIN_SUSPECT_S)
+        self._suspected_until_s[address] = now + duration_s
+        self._suspect_s[address] = min(MAX_SUSPECT_S, 2 * duration_s)
+
+    def trust(self, address: str) -> None:
+        """Choose a router again, as it answered."""
+        self._suspected_until_s.pop(address, None)
+        self._suspect_s.pop(address, None)
 
     def keeper(
         self, team: str, addresses: Sequence[str], now: float
@@ -56,10 +68,10 @@
         return None if best is None else best[1]
 
     def forget_expired(self, now: float) -> None:
-        """Remove suspicions that have ended."""
+        """Remove suspicions that ended long ago."""
         for address, until_s in tuple(self._suspected_until_s.items()):
-            if until_s <= now:
-                del self._suspected_until_s[address]
+            if until_s + MAX_SUSPECT_S <= now:
+                self.trust(address)
 
 
 def _shard_count(addresses: Sequence[str]) -> int:
--- a/packages/daemon/src/lacewing_daemon/direct/limits/_limiter.py
+++ b/packages/daemon/src/lacewing_daemon/direct/limits/_limiter.py
@@ -33,6 +33,11 @@
 SETTLE_INTERVAL_S = 1.0
 LACKING_SETTLE_INTERVAL_S = 0.4
 SHORT_SETTLE_INTERVAL_S = 0.25
+# A request waits for the keeper's answer and has a part of its latency target
+# left after this. Tokens that are settled are lost without an answer, and
+# nobody waits for it.
+ASK_TIMEOUT_S = 0.1
+SETTLE_TIMEOUT_S = 0.4
 # A request is held for a wait this short, in place of refusing it: its caller
 # would need longer to come back.
 MAX_HOLD_S = 0.25
@@ -72,7 +77,7 @@
     """Carry a message about tokens to another router."""
 
     async def move(
-        self, address: str, request: TokenRequest
+        self, address: str, request: TokenRequest, timeout_s: float
     ) -> TokenReply | None:
         """Return the reply, None if there was none in time."""
 
@@ -80,9 +85,8 @@
 class TeamLimiter:
     """Charge requests at this router; move tokens to and from others.
 
-    ``address`` is where this router takes calls of its peers, ``share`` its
-    part of each limit, 0 until all others count it. ``terms`` returns what
-    is in force.
+    ``address`` is where this router takes calls of its peers. ``terms``
+    returns the limits in force and this router's share of them.
     """
 
     def __init__(
@@ -210,7 +214,9 @@
             if keeper is None:
                 return wait_s
             reply = await self._move(
-                keeper, TokenRequest(self._address, needs={team: need})
+                keeper,
+                TokenRequest(self._address, needs={team: need}),
+                ASK_TIMEOUT_S,
             )
             if reply is None:
                 continue
@@ -224,6 +230,10 @@
         return wait_s
 
     def _settle_interval_s(self) -> float:
+        terms = self._terms()
+        self._ledger.apply(terms)
+        if terms.share > 0 and not self._ledger.teams:
+            return SETTLE_INTERVAL_S
         if self._short_keepers or not self._lacking:
             # Without a reply yet, the pools are taken to be empty, as after
             # all routers have started.
@@ -265,7 +275,7 @@
     async def _move_settlement(
         self, keeper: str, request: TokenRequest
     ) -> None:
-        reply = await self._move(keeper, request)
+        reply = await self._move(keeper, request, SETTLE_TIMEOUT_S)
         if reply is None:
             return
         self._settled_s = self._clock()
@@ -275,7 +285,7 @@
                 account.deposit(tokens, self._clock())
 
     async def _move(
-        self, keeper: str, request: TokenRequest
+        self, keeper: str, request: TokenRequest, timeout_s: float
     ) -> TokenReply | None:
         """Move tokens at this router itself or by a call.
 
@@ -286,9 +296,11 @@
         elif self._carrier is None:
             return None
         else:
-            reply = await self._carrier.move(keeper, request)
+            reply = await self._carrier.move(keeper, request, timeout_s)
             result = 'failed' if reply is None else 'answered'
             LIMIT_MESSAGES.labels(result).inc()
+        if reply is not None:
+            self._keepers.trust(keeper)
         if reply is None:
             self._lacking.pop(keeper, None)
             self._short_keepers.discard(keeper)
--- a/packages/daemon/src/lacewing_daemon/direct/limits/_service.py
+++ b/packages/daemon/src/lacewing_daemon/direct/limits/_service.py
@@ -10,10 +10,6 @@
 from lacewing_daemon.direct.limits._messages import TokenRequest
 from lacewing_daemon.peers import PeerCallFailed
 
-# A keeper answers within a few ms, unless its VM is busy or lost. A request
-# waits for it, and has a part of its latency target left after this.
-MOVE_TIMEOUT_S = 0.1
-
 
 class LimitService:
     """Serve the pools of a router to its peers, and call theirs."""
@@ -29,10 +25,10 @@
         }
 
     async def move(
-        self, address: str, request: TokenRequest
+        self, address: str, request: TokenRequest, timeout_s: float
     ) -> TokenReply | None:
         """Return the reply of a keeper, None if there was none in time."""
         reply = await self._link.call(
-            address, MOVE_METHOD, request, TokenReply, MOVE_TIMEOUT_S
+            address, MOVE_METHOD, request, TokenReply, timeout_s
         )
         return None if isinstance(reply, PeerCallFailed) else reply
