Choose the keepers of pools once for a settlement, not for each team

Cause: read once more, the settlement chose the keeper of each team twice by hashing the addresses of all routers. On a model of the target size (330 routers, 2,500 teams) one settlement took 340 ms of processor time and blocked the event loop for as long, up to four times a second. Change: the keepers of all shards are chosen once and looked up by team. "A settlement of thousands of teams" failed on the code before.

--- a/features/direct_limits.feature
+++ b/features/direct_limits.feature
@@ -129,9 +129,17 @@
       Then no window exceeds the limit
       And each router sends at most 12 messages a second
 
-  Rule: Callers are told when to come back
+  Rule: Settling costs little with many teams
+
+    Scenario: A settlement of thousands of teams
+      # Guards against an event loop that is blocked for a third of a second
+      # by choosing the keeper of each team among all routers.
+      When a router of 330 settles the limits of 2500 teams
+      Then it reads the list of routers at most 2 times
+
+  Rule: Retry-After spreads the callers that return
 
     Scenario: Callers that are refused together return spread out
       Given 22 routers and a team with a limit of 18000 tokens a second
       When it sends 6 times its limit evenly for 20 s, with seed 51
-      Then refused callers are told to return at different times
+      Then no Retry-After makes many callers return at once
--- a/features/steps/direct_limits_steps.py
+++ b/features/steps/direct_limits_steps.py
@@ -10,7 +10,10 @@
 from behave import when
 from behave.runner import Context
 from lacewing_daemon.direct._routing_config import Quota
+from lacewing_daemon.direct.limits import LimitTerms
+from lacewing_daemon.direct.limits import TeamLimiter
 from lacewing_daemon.direct.limits import WindowBounds
+from lacewing_daemon.direct.limits._messages import TokenRequest
 from support.event_loop import run_simulated
 from support.event_loop import SimulatedLoop
 from support.limits_fleet import draw_offers
@@ -29,6 +32,16 @@
 DOWN_S = 0.3
 START_S = 0.7
 
+
+class SilentCarrier:
+    """Carry messages to routers that never answer."""
+
+    async def move(
+        self, address: str, request: TokenRequest, timeout_s: float
+    ) -> None:
+        """Return no reply."""
+
+
 Fault = Callable[[LimitFleet], Awaitable[None]]
 
 
@@ -213,6 +226,28 @@
     _play(context, offers)
 
 
+@when('a router of {routers:d} settles the limits of {teams:d} teams')
+def step_settle(context: Context, routers: int, teams: int) -> None:
+    """Settle once, and count how often the list of routers is read."""
+    quotas = {f'team-{one}': token_quota(1.0, 1.0) for one in range(teams)}
+    terms = LimitTerms(quotas, WINDOW, 1.0 / routers, routers)
+    context.list_reads = 0
+
+    def peer_addresses() -> list[str]:
+        context.list_reads += 1
+        return [str(one) for one in range(1, routers)]
+
+    limiter = TeamLimiter('0', lambda: terms, peer_addresses, Random(1))
+    limiter.connect(SilentCarrier())
+    asyncio.run(limiter._settle(1.0))
+
+
+@then('it reads the list of routers at most {most:d} times')
+def step_list_reads(context: Context, most: int) -> None:
+    """Compare the count with the bound."""
+    assert 0 < context.list_reads <= most, context.list_reads
+
+
 @then('no window exceeds the limit')
 def step_within(context: Context) -> None:
     """Compare what ran in each window with what may run."""
@@ -263,7 +298,7 @@
     assert per_s <= most, per_s
 
 
-@then('refused callers are told to return at different times')
+@then('no Retry-After makes many callers return at once')
 def step_spread(context: Context) -> None:
     """Check that no twentieth of a second gets a tenth of the returns."""
     returns: dict[int, int] = {}
--- a/packages/daemon/src/lacewing_daemon/direct/limits/_keepers.py
+++ b/packages/daemon/src/lacewing_daemon/direct/limits/_keepers.py
@@ -44,16 +44,14 @@
         shard = xxhash.xxh64_intdigest(team.encode()) % _shard_count(addresses)
         return self._keeper_of_shard(shard, addresses, now)
 
-    def all_keepers(
+    def by_shard(
         self, addresses: Sequence[str], now: float
-    ) -> frozenset[str]:
-        """Return the addresses of all routers that keep pools."""
-        keepers = set()
+    ) -> tuple[str | None, ...]:
+        """Return the keeper of each shard, for ``keeper_among``."""
+        keepers = []
         for shard in range(_shard_count(addresses)):
-            keeper = self._keeper_of_shard(shard, addresses, now)
-            if keeper is not None:
-                keepers.add(keeper)
-        return frozenset(keepers)
+            keepers.append(self._keeper_of_shard(shard, addresses, now))
+        return tuple(keepers)
 
     def _keeper_of_shard(
         self, shard: int, addresses: Sequence[str], now: float
@@ -74,5 +72,10 @@
                 self.trust(address)
 
 
+def keeper_among(keepers: Sequence[str | None], team: str) -> str | None:
+    """Return the keeper of a team among those of all shards."""
+    return keepers[xxhash.xxh64_intdigest(team.encode()) % len(keepers)]
+
+
 def _shard_count(addresses: Sequence[str]) -> int:
     return max(1, math.ceil(len(addresses) / ROUTERS_PER_KEEPER))
--- a/packages/daemon/src/lacewing_daemon/direct/limits/_limiter.py
+++ b/packages/daemon/src/lacewing_daemon/direct/limits/_limiter.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 from dataclasses import dataclass
+from functools import partial
 from random import Random
 from typing import Protocol
 
@@ -21,6 +22,7 @@
 from lacewing_daemon.direct._metrics import LIMIT_TOKENS
 from lacewing_daemon.direct._routing_config import Quota
 from lacewing_daemon.direct.limits._account import TeamAccount
+from lacewing_daemon.direct.limits._keepers import keeper_among
 from lacewing_daemon.direct.limits._keepers import Keepers
 from lacewing_daemon.direct.limits._ledger import LimitTerms
 from lacewing_daemon.direct.limits._ledger import Settlement
@@ -248,15 +250,21 @@
             return
         now = self._clock()
         self._keepers.forget_expired(now)
+        # Chosen once for all teams: with thousands of them the choice would
+        # block the event loop.
+        by_shard = self._keepers.by_shard(self._candidates(), now)
         self._ledger.keep_pools(
             team
             for team in self._ledger.teams
-            if self._keeper(team) == self._address
+            if keeper_among(by_shard, team) == self._address
         )
         settlements = self._ledger.settle(
-            self._keeper, self._address, self._lacking, interval_s
+            partial(keeper_among, by_shard),
+            self._address,
+            self._lacking,
+            interval_s,
         )
-        keepers = self._keepers.all_keepers(self._candidates(), now)
+        keepers = {keeper for keeper in by_shard if keeper is not None}
         self._lacking = {
             keeper: teams
             for keeper, teams in self._lacking.items()
