Log the limits that upstreams name, and count malformed ones

Cause: an upstream may name in its answers the requests a second that it takes from all routers. No line and no metric says that a router learned of it, so that three hypotheses of the incident look the same. Change: the adapter decodes Server-Limit as a decimal number; a malformed value is counted and changes nothing. NamedLimits holds the latest statement of each incarnation, logs one line when a limit begins, changes or ends, and sets lacewing_direct_upstream_limit. Answers overtake each other, so one without a limit ends it only if its request was sent after the limit was named. Nothing is decided by it yet.

--- a/packages/daemon/src/lacewing_daemon/direct/__init__.py
+++ b/packages/daemon/src/lacewing_daemon/direct/__init__.py
@@ -27,6 +27,7 @@
 from lacewing_daemon.direct._site import ReplyHead
 from lacewing_daemon.direct._site import Site
 from lacewing_daemon.direct._site import SwitchMode
+from lacewing_daemon.direct._site import Unstated
 from lacewing_daemon.direct._site import UpstreamControl
 from lacewing_daemon.direct._site import UpstreamLoad
 from lacewing_daemon.direct._site import UpstreamReport
@@ -61,6 +62,7 @@
     'Site',
     'SwitchMode',
     'Team',
+    'Unstated',
     'Upstream',
     'UpstreamControl',
     'UpstreamLoad',
--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -33,6 +33,7 @@
 from lacewing_daemon.direct.crashes._crash_store import CRASHES
 from lacewing_daemon.direct.crashes._guard import CrashGuard
 from lacewing_daemon.direct.limits import LimitTerms
+from lacewing_daemon.direct.limits import NamedLimits
 from lacewing_daemon.direct.limits import TeamLimiter
 from lacewing_daemon.direct.limits import WindowBounds
 
@@ -190,6 +191,7 @@
             lambda: self._router_count.addresses,
             random,
         )
+        self._named_limits = NamedLimits()
         self._silence_detector = SilenceDetector(
             settings.policy.mute_ms / 1000
         )
@@ -223,6 +225,11 @@
         """Return the limiter that charges requests of teams."""
         return self._limiter
 
+    @property
+    def named_limits(self) -> NamedLimits:
+        """Return the limits that upstreams name."""
+        return self._named_limits
+
     @property
     def peer_addresses(self) -> tuple[str, ...]:
         """Return the addresses at which the other routers listen for peers."""
@@ -405,6 +412,7 @@
             await asyncio.sleep(POOL_SWEEP_S)
             states = self._cluster_state.upstreams.values()
             self._pool.close_expired(state.upstream for state in states)
+            self._named_limits.forget_old()
 
 
 def _log_failure(task: asyncio.Task[None]) -> None:
--- a/packages/daemon/src/lacewing_daemon/direct/_metrics.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_metrics.py
@@ -114,3 +114,13 @@
     'Calls to other routers about limits, by result',
     ['result'],
 )
+UPSTREAM_LIMIT = Gauge(
+    'lacewing_direct_upstream_limit',
+    'Requests a second that an upstream says it takes, by upstream',
+    ['upstream'],
+)
+MALFORMED_STATEMENTS = Counter(
+    'lacewing_direct_statements_malformed',
+    'Statements in answers of upstreams that could not be read, by subject',
+    ['subject'],
+)
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -286,6 +286,10 @@
             return
         if self._state.replaced:
             return
+        if head.is_signed or head.not_run:
+            self._fleet.named_limits.record(
+                self._state.upstream, head.request_limit, self._start_s
+            )
         if head.load is not None:
             self._state.update_load(head.load, time.monotonic())
         prompt = self._request.prompt
--- a/packages/daemon/src/lacewing_daemon/direct/_site.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_site.py
@@ -226,6 +226,13 @@
     slots: int
 
 
+class Unstated(Enum):
+    """Say why a value is missing from an answer."""
+
+    ABSENT = 'absent'
+    MALFORMED = 'malformed'
+
+
 @dataclass(frozen=True)
 class ReplyHead:
     """Hold the head of an upstream's answer.
@@ -234,6 +241,8 @@
     ``misdirected``: another incarnation answered, and ran nothing.
     ``is_signed``: the answer carries the upstream's signature.
     ``responder_id`` is the id of the upstream that answered, '' if not given.
+    ``request_limit``: the requests a second that the upstream takes from all
+    routers together.
     """
 
     status: int
@@ -248,6 +257,7 @@
     retry_after_s: float | None
     headers: HTTPHeaders
     responder_id: str = ''
+    request_limit: float | Unstated = Unstated.ABSENT
 
 
 class Wire(Protocol):
--- a/packages/daemon/src/lacewing_daemon/direct/_upstream.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_upstream.py
@@ -33,6 +33,11 @@
         """
         return (self.upstream_id, self.started_ms, self.address)
 
+    @property
+    def incarnation(self) -> str:
+        """Return the name by which routers tell each other of this start."""
+        return f'{self.upstream_id}/{self.started_ms}'
+
 
 @dataclass(frozen=True)
 class ReleasedWeights:
