Show upstreams that get more requests than they say they take

Change: scenarios of one router and of three, of prompts and of plain requests, of retries, of refusals, of the end of a limit and of a restart.

--- a/features/direct_upstream_limits.feature
+++ b/features/direct_upstream_limits.feature
@@ -27,3 +27,64 @@
         | 1e3      |
         | 2.5, 2.5 |
         |          |
+
+  Rule: Routers together send an upstream what it says that it takes
+
+    Scenario: Requests through one router
+      # Guards against an upstream that gets what it said it has no room for.
+      Given the limit of "eng-1" is named as "2"
+      When callers ask a model 12 times a second for 8 s
+      Then "eng-1" gets no more than it takes, and no less than three quarters
+      And all requests are answered
+
+    Scenario: Requests through three routers
+      # Guards against a limit that each router takes for its own.
+      Given 3 routers in all that call each other
+      And the limit of "eng-1" is named as "2"
+      When callers ask a model 12 times a second for 8 s
+      Then "eng-1" gets no more than it takes, and no less than three quarters
+      And all requests are answered
+
+    Scenario: Requests of a plain service
+      Given the limit of "reg-1" is named as "3"
+      When callers fetch a record 16 times a second for 8 s
+      Then "reg-1" gets no more than it takes, and no less than three quarters
+      And all requests are answered
+
+    Scenario: Requests that another upstream broke off
+      # Guards against retries that pass a limit by.
+      Given the limit of "eng-1" is named as "2"
+      And "eng-2" resets all requests
+      When callers ask a model 6 times a second for 8 s
+      Then "eng-1" gets no more than it takes, and no less than three quarters
+
+    Scenario: A refused caller is told when an upstream takes a request again
+      # Guards against requests that wait at the router for their deadline.
+      Given the limit of "eng-1" is named as "1"
+      And the limit of "eng-2" is named as "1"
+      When callers ask a model 12 times a second for 4 s
+      Then what is refused is refused at once, with a time to come back
+
+    Scenario: A limit that ends
+      Given the limit of "eng-1" is named as "1"
+      When callers ask a model 12 times a second for 3 s
+      And "eng-1" names no limit
+      And callers ask a model 12 times a second for 4 s
+      Then "eng-1" gets at least a quarter of the last 24 requests
+
+    Scenario: A router that sends nothing learns that a limit ended
+      # Guards against an upstream that a router avoids for good, as no answer
+      # tells it that the limit ended.
+      Given 3 routers in all that call each other
+      And the limit of "eng-1" is named as "2"
+      When callers ask a model 12 times a second for 4 s
+      And "eng-1" names no limit
+      And callers ask a model 12 times a second for 3 s, through the first only
+      Then no router limits what it sends to "eng-1"
+
+    Scenario: A limit belongs to the start that named it
+      Given the limit of "eng-1" is named as "1"
+      When callers ask a model 12 times a second for 3 s
+      And "eng-1" restarts and is known
+      And callers ask a model 12 times a second for 4 s
+      Then "eng-1" gets at least a quarter of the last 24 requests
