Separate the limiter from what it limits

Cause: the limiter of teams holds a rate over all routers by shares, pools and keepers, and only its entry point knows of teams, prompts and refusals. Upstreams name limits that must hold in the same way. Accounts, pools, keepers and messages speak of limits. The method on the wire is a parameter; the team's is the same as before, so that old and new routers serve each other.

--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -394,10 +394,11 @@
             return
         await asyncio.sleep(PEERS_START_DELAY_S)
         from lacewing_daemon.direct._peer_link import PeerLink
+        from lacewing_daemon.direct.limits._messages import MOVE_METHOD
         from lacewing_daemon.direct.limits._service import LimitService
 
         link = PeerLink(self._peers_address)
-        limits = LimitService(link, self._limiter)
+        limits = LimitService(link, self._limiter, MOVE_METHOD)
         link.add_service(limits)
         self._limiter.connect(limits)
         try:
--- a/packages/daemon/src/lacewing_daemon/direct/limits/_account.py
+++ b/packages/daemon/src/lacewing_daemon/direct/limits/_account.py
@@ -1,4 +1,4 @@
-"""Hold one router's tokens of a team's limit."""
+"""Hold one router's tokens of a limit."""
 
 from lacewing_daemon.demand_meter import DemandMeter
 from lacewing_daemon.direct.limits._allowance import Allowance
@@ -13,10 +13,10 @@
 MAX_CLAIM = 2.0
 
 
-class TeamAccount:
-    """Charge requests of a team at one router; ``now`` is in seconds.
+class LimitAccount:
+    """Charge requests to a limit at one router; ``now`` is in seconds.
 
-    Tokens come in at the router's share of the limit, or from the team's pool.
+    Tokens come in at the router's share of the limit, or from its pool.
     They are only ever moved, so the sum over all routers stays within the
     limit also if messages are lost, late, or cut off by a partition.
     """
--- a/packages/daemon/src/lacewing_daemon/direct/limits/_keepers.py
+++ b/packages/daemon/src/lacewing_daemon/direct/limits/_keepers.py
@@ -1,4 +1,4 @@
-"""Choose the router that keeps the pool of a team."""
+"""Choose the router that keeps the pool of a limit."""
 
 import math
 from collections.abc import Sequence
@@ -16,7 +16,7 @@
 class Keepers:
     """Choose keepers so that all routers that know each other agree.
 
-    Where routers disagree for a moment, a team has two pools. That costs
+    Where routers disagree for a moment, a limit has two pools. That costs
     efficiency only, as tokens are never in both.
     """
 
@@ -38,10 +38,10 @@
         self._suspect_s.pop(address, None)
 
     def keeper(
-        self, team: str, addresses: Sequence[str], now: float
+        self, key: str, addresses: Sequence[str], now: float
     ) -> str | None:
-        """Return the address of a team's keeper, None if there is none."""
-        shard = xxhash.xxh64_intdigest(team.encode()) % _shard_count(addresses)
+        """Return the address of a limit's keeper, None if there is none."""
+        shard = xxhash.xxh64_intdigest(key.encode()) % _shard_count(addresses)
         return self._keeper_of_shard(shard, addresses, now)
 
     def by_shard(
@@ -72,9 +72,9 @@
                 self.trust(address)
 
 
-def keeper_among(keepers: Sequence[str | None], team: str) -> str | None:
-    """Return the keeper of a team among those of all shards."""
-    return keepers[xxhash.xxh64_intdigest(team.encode()) % len(keepers)]
+def keeper_among(keepers: Sequence[str | None], key: str) -> str | None:
+    """Return the keeper of a limit among those of all shards."""
+    return keepers[xxhash.xxh64_intdigest(key.encode()) % len(keepers)]
 
 
 def _shard_count(addresses: Sequence[str]) -> int:
--- a/packages/daemon/src/lacewing_daemon/direct/limits/_ledger.py
+++ b/packages/daemon/src/lacewing_daemon/direct/limits/_ledger.py
@@ -6,19 +6,19 @@
 from dataclasses import dataclass
 
 from lacewing_daemon.direct._routing_config import Quota
-from lacewing_daemon.direct.limits._account import TeamAccount
+from lacewing_daemon.direct.limits._account import LimitAccount
 from lacewing_daemon.direct.limits._allowance import Allowance
 from lacewing_daemon.direct.limits._allowance import allowance
 from lacewing_daemon.direct.limits._allowance import WindowBounds
 from lacewing_daemon.direct.limits._messages import TokenReply
 from lacewing_daemon.direct.limits._messages import TokenRequest
 from lacewing_daemon.direct.limits._pool import Denied
-from lacewing_daemon.direct.limits._pool import TeamPool
+from lacewing_daemon.direct.limits._pool import TokenPool
 
-# Limits how long a reply is; further teams are named once these have enough.
-MAX_LACKING_TEAMS = 128
-# Retry interval if the keeper does not know the team's limit yet.
-UNKNOWN_TEAM_WAIT_S = 0.5
+# Limits how long a reply is; further limits are named once these have enough.
+MAX_LACKING_KEYS = 128
+# Retry interval if the keeper does not know the limit yet.
+UNKNOWN_KEY_WAIT_S = 0.5
 # A router that has not settled for this long settles elsewhere, or has ended.
 SETTLING_TIMEOUT_S = 3.0
 # Smaller amounts are not worth a message.
@@ -66,15 +66,15 @@
     def __init__(self, clock: Callable[[], float]) -> None:
         self._clock = clock
         self._terms = LimitTerms({}, WindowBounds(0.0, 0.0, 0.0), 0.0)
-        self._accounts: dict[str, TeamAccount] = {}
-        self._pools: dict[str, TeamPool] = {}
+        self._accounts: dict[str, LimitAccount] = {}
+        self._pools: dict[str, TokenPool] = {}
         self._active: set[str] = set()
         self._settled_s: dict[str, float] = {}
         self._has_claimed = False
 
     @property
-    def teams(self) -> Iterable[str]:
-        """Return the teams that have a limit."""
+    def keys(self) -> Iterable[str]:
+        """Return the names of the limits in force."""
         return self._accounts
 
     def apply(self, terms: LimitTerms) -> None:
@@ -87,31 +87,31 @@
         self._has_claimed |= claims
         self._terms = terms
         now = self._clock()
-        for team in tuple(self._accounts):
-            if team not in terms.quotas:
-                del self._accounts[team]
-                self._pools.pop(team, None)
-        for team in terms.quotas:
-            in_force = self._allowance(team)
-            if team not in self._accounts:
-                self._accounts[team] = TeamAccount(in_force, now)
-            self._accounts[team].set_allowance(in_force, now)
+        for key in tuple(self._accounts):
+            if key not in terms.quotas:
+                del self._accounts[key]
+                self._pools.pop(key, None)
+        for key in terms.quotas:
+            in_force = self._allowance(key)
+            if key not in self._accounts:
+                self._accounts[key] = LimitAccount(in_force, now)
+            self._accounts[key].set_allowance(in_force, now)
             if claims:
-                self._accounts[team].claim(terms.unclaimed_s, now)
+                self._accounts[key].claim(terms.unclaimed_s, now)
         self._update_pools()
 
-    def account(self, team: str) -> TeamAccount | None:
-        """Return the account of a team, None if it has no limit."""
-        return self._accounts.get(team)
+    def account(self, key: str) -> LimitAccount | None:
+        """Return the account of a limit, None if it is not in force."""
+        return self._accounts.get(key)
 
-    def count_demand(self, team: str, cost: float) -> None:
-        """Count a request of a team as demand at this router."""
-        self._active.add(team)
-        self._accounts[team].count_demand(cost, self._clock())
+    def count_demand(self, key: str, cost: float) -> None:
+        """Count a request as demand for a limit at this router."""
+        self._active.add(key)
+        self._accounts[key].count_demand(cost, self._clock())
 
-    def pool_tokens(self, team: str) -> float:
+    def pool_tokens(self, key: str) -> float:
         """Return the tokens of a pool that this router keeps."""
-        pool = self._pools.get(team)
+        pool = self._pools.get(key)
         return 0.0 if pool is None else pool.tokens
 
     def serve(self, request: TokenRequest) -> TokenReply:
@@ -119,32 +119,32 @@
         self._record_settlement(request.sender)
         granted: dict[str, float] = {}
         waits: dict[str, float] = {}
-        for team, tokens in request.deposits.items():
-            if team in self._accounts:
-                self._pool(team).deposit(tokens)
-        for team, need in request.needs.items():
-            if team not in self._accounts:
-                waits[team] = UNKNOWN_TEAM_WAIT_S
+        for key, tokens in request.deposits.items():
+            if key in self._accounts:
+                self._pool(key).deposit(tokens)
+        for key, need in request.needs.items():
+            if key not in self._accounts:
+                waits[key] = UNKNOWN_KEY_WAIT_S
                 continue
-            result = self._pool(team).grant(need, self._clock())
+            result = self._pool(key).grant(need, self._clock())
             if isinstance(result, Denied):
-                waits[team] = result.wait_s
+                waits[key] = result.wait_s
                 continue
-            granted[team] = result.tokens
-        for team, wish in request.wishes.items():
-            if team not in self._accounts:
+            granted[key] = result.tokens
+        for key, wish in request.wishes.items():
+            if key not in self._accounts:
                 continue
-            tokens = self._pool(team).grant_in_advance(wish)
+            tokens = self._pool(key).grant_in_advance(wish)
             if tokens > _MIN_MOVED:
-                granted[team] = granted.get(team, 0.0) + tokens
+                granted[key] = granted.get(key, 0.0) + tokens
         is_short = any(pool.is_short for pool in self._pools.values())
-        return TokenReply(granted, waits, self._lacking_teams(), is_short)
+        return TokenReply(granted, waits, self._lacking_keys(), is_short)
 
-    def keep_pools(self, teams: Iterable[str]) -> None:
-        """Keep the pools of these teams, which begin empty."""
-        for team in teams:
-            if team in self._accounts:
-                self._pool(team)
+    def keep_pools(self, keys: Iterable[str]) -> None:
+        """Keep the pools of these limits, which begin empty."""
+        for key in keys:
+            if key in self._accounts:
+                self._pool(key)
 
     def settle(
         self,
@@ -155,58 +155,56 @@
     ) -> dict[str, Settlement]:
         """Take what other routers can use; return it by keeper.
 
-        ``lacking`` names, by keeper, the teams that it takes tokens of.
+        ``lacking`` names, by keeper, the limits that it takes tokens of.
         ``ahead_s`` is the time until the next settlement.
         """
         now = self._clock()
         settlements: dict[str, Settlement] = {}
-        for team in self._teams_to_settle(lacking):
-            account = self._accounts[team]
+        for key in self._keys_to_settle(lacking):
+            account = self._accounts[key]
             account.measure_demand(now)
-            keeper = keeper_of(team)
+            keeper = keeper_of(key)
             if keeper is None:
                 continue
             settlement = settlements.setdefault(keeper, Settlement({}, {}))
             deposit = account.excess(now)
-            if team in lacking.get(keeper, ()):
+            if key in lacking.get(keeper, ()):
                 deposit = account.surplus(ahead_s, now)
             deposit = account.withdraw(deposit, now)
-            if keeper != own_address and team in self._pools:
-                deposit += self._pools[team].withdraw_all()
+            if keeper != own_address and key in self._pools:
+                deposit += self._pools[key].withdraw_all()
             if deposit > _MIN_MOVED:
-                settlement.deposits[team] = deposit
+                settlement.deposits[key] = deposit
             wish = account.shortfall(ahead_s, now)
             if wish > _MIN_MOVED:
-                settlement.wishes[team] = wish
+                settlement.wishes[key] = wish
         return settlements
 
-    def _teams_to_settle(
+    def _keys_to_settle(
         self, lacking: Mapping[str, frozenset[str]]
     ) -> list[str]:
-        teams = self._active | self._pools.keys()
+        keys = self._active | self._pools.keys()
         for named in lacking.values():
-            teams |= named
+            keys |= named
         self._active.clear()
-        return [team for team in teams if team in self._accounts]
+        return [key for key in keys if key in self._accounts]
 
-    def _lacking_teams(self) -> tuple[str, ...]:
+    def _lacking_keys(self) -> tuple[str, ...]:
         lacking = []
-        for team, pool in self._pools.items():
+        for key, pool in self._pools.items():
             if pool.is_full:
                 continue
-            lacking.append(team)
-            if len(lacking) == MAX_LACKING_TEAMS:
+            lacking.append(key)
+            if len(lacking) == MAX_LACKING_KEYS:
                 break
         return tuple(lacking)
 
-    def _pool(self, team: str) -> TeamPool:
-        pool = self._pools.get(team)
+    def _pool(self, key: str) -> TokenPool:
+        pool = self._pools.get(key)
         if pool is None:
-            pool = TeamPool(self._allowance(team), self._clock())
-            self._pools[team] = pool
-            pool.set_allowance(
-                self._allowance(team), self._settling_fraction()
-            )
+            pool = TokenPool(self._allowance(key), self._clock())
+            self._pools[key] = pool
+            pool.set_allowance(self._allowance(key), self._settling_fraction())
         return pool
 
     def _record_settlement(self, sender: str) -> None:
@@ -226,9 +224,9 @@
 
     def _update_pools(self) -> None:
         fraction = self._settling_fraction()
-        for team, pool in self._pools.items():
-            pool.set_allowance(self._allowance(team), fraction)
+        for key, pool in self._pools.items():
+            pool.set_allowance(self._allowance(key), fraction)
 
-    def _allowance(self, team: str) -> Allowance:
+    def _allowance(self, key: str) -> Allowance:
         terms = self._terms
-        return allowance(terms.quotas[team], terms.bounds, terms.share)
+        return allowance(terms.quotas[key], terms.bounds, terms.share)
--- a/packages/daemon/src/lacewing_daemon/direct/limits/_limiter.py
+++ b/packages/daemon/src/lacewing_daemon/direct/limits/_limiter.py
@@ -1,8 +1,9 @@
-"""Admit requests of teams within their limits over all routers."""
+"""Charge requests to limits that hold over all routers together."""
 
 import asyncio
 import time
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Sequence
 from dataclasses import dataclass
 from functools import partial
@@ -11,17 +12,9 @@
 
 from lacewing_common.log import get_log
 from lacewing_common.log import Part
-from lacewing_common.verdict import not_run
-from lacewing_common.verdict import Reason
-from lacewing_common.verdict import Refusal
 
-from lacewing_daemon.direct._metrics import LIMIT_DEMAND
 from lacewing_daemon.direct._metrics import LIMIT_MESSAGES
-from lacewing_daemon.direct._metrics import LIMIT_SETTLED_AGE_SECONDS
-from lacewing_daemon.direct._metrics import LIMIT_SHARE
-from lacewing_daemon.direct._metrics import LIMIT_TOKENS
-from lacewing_daemon.direct._routing_config import Quota
-from lacewing_daemon.direct.limits._account import TeamAccount
+from lacewing_daemon.direct.limits._account import LimitAccount
 from lacewing_daemon.direct.limits._keepers import keeper_among
 from lacewing_daemon.direct.limits._keepers import Keepers
 from lacewing_daemon.direct.limits._ledger import LimitTerms
@@ -45,13 +38,9 @@
 MAX_HOLD_S = 0.25
 # How often a request asks for tokens, also of the next keeper.
 MAX_ASKS = 3
-# After a denial, further requests of the team are refused without asking for
-# at most this long.
+# After a denial, further requests are denied without asking for at most this
+# long.
 MAX_DENIAL_S = 0.1
-MIN_RETRY_AFTER_S = 0.05
-# Delays a caller by up to this fraction more, so that callers that were
-# refused together do not return together.
-RETRY_SPREAD = 0.5
 # Used while no router that keeps the pool can be reached.
 UNREACHABLE_RETRY_AFTER_S = 0.2
 
@@ -60,21 +49,37 @@
 
 @dataclass(frozen=True)
 class Charge:
-    """Hold what was charged for a request, and when."""
+    """Hold what was charged for a request to a limit, and when."""
 
-    team: str
+    key: str
     cost: float
     charged_s: float
 
 
 @dataclass(frozen=True)
-class _Denial:
-    """Hold when a team's next request would fit, on the limiter's clock."""
+class Denial:
+    """Report that a request does not fit now.
+
+    ``wait_s``: when it is expected to. ``is_final``: it exceeds the limit by
+    itself. ``is_answered``: some keeper of the limit's pool could be asked.
+    """
+
+    wait_s: float
+    is_final: bool = False
+    is_answered: bool = True
+
+
+@dataclass(frozen=True)
+class _LastDenial:
+    """Hold when the next request would fit, on the limiter's clock."""
 
     fits_s: float
     asks_again_s: float
 
 
+_UNREACHABLE = Denial(UNREACHABLE_RETRY_AFTER_S, is_answered=False)
+
+
 class TokenCarrier(Protocol):
     """Carry a message about tokens to another router."""
 
@@ -84,7 +89,7 @@
         """Return the reply, None if there was none in time."""
 
 
-class TeamLimiter:
+class RateLimiter:
     """Charge requests at this router; move tokens to and from others.
 
     ``address`` is where this router takes calls of its peers. ``terms``
@@ -109,47 +114,45 @@
         self._carrier: TokenCarrier | None = None
         self._lacking: dict[str, frozenset[str]] = {}
         self._short_keepers: set[str] = set()
-        self._denials: dict[str, _Denial] = {}
+        self._denials: dict[str, _LastDenial] = {}
         self._settled_s = clock()
 
+    @property
+    def keys(self) -> Iterable[str]:
+        """Return the names of the limits in force."""
+        return self._ledger.keys
+
+    @property
+    def settled_age_s(self) -> float:
+        """Return the time since a keeper of pools answered."""
+        return self._clock() - self._settled_s
+
     def connect(self, carrier: TokenCarrier) -> None:
         """Use a carrier from now on; until then no peer is called."""
         self._carrier = carrier
 
-    async def admit(
-        self, team: str, quota: Quota, stated_tokens: int | None
-    ) -> Charge | Refusal:
-        """Charge a request, or refuse it as not run."""
+    def tokens(self, key: str) -> float:
+        """Return the tokens of a limit that this router holds."""
+        account = self._ledger.account(key)
+        return 0.0 if account is None else account.tokens(self._clock())
+
+    async def charge(self, key: str, cost: float) -> Charge | Denial:
+        """Charge a request; without such a limit it costs nothing."""
         self._ledger.apply(self._terms())
-        account = self._ledger.account(team)
-        cost = quota.cost(stated_tokens)
+        account = self._ledger.account(key)
         if account is None:
-            return Charge(team, 0.0, self._clock())
-        self._ledger.count_demand(team, cost)
+            return Charge(key, 0.0, self._clock())
+        self._ledger.count_demand(key, cost)
         if cost > account.allowance.max_cost:
-            LIMIT_DEMAND.labels(team, 'refused').inc(cost)
-            return not_run(
-                Reason.TEAM_LIMIT,
-                f'counts {cost:g}, more than the limit of {team} ever allows',
-            )
-        wait_s = await self._charge(team, account, cost)
-        if wait_s is None:
-            LIMIT_DEMAND.labels(team, 'admitted').inc(cost)
-            return Charge(team, cost, self._clock())
-        LIMIT_DEMAND.labels(team, 'refused').inc(cost)
-        wait_s = max(MIN_RETRY_AFTER_S, wait_s)
-        wait_s *= 1.0 + RETRY_SPREAD * self._random.random()
-        return not_run(
-            Reason.TEAM_LIMIT,
-            f'over the limit of {quota.rate_per_s:g} {quota.unit.value} a'
-            f' second: counts {cost:g}, this router holds'
-            f' {account.tokens(self._clock()):.0f}',
-            wait_s,
-        )
+            return Denial(0.0, is_final=True)
+        denial = await self._charge(key, account, cost)
+        if denial is not None:
+            return denial
+        return Charge(key, cost, self._clock())
 
     def refund(self, charge: Charge) -> None:
         """Give back the charge of a request that never ran."""
-        account = self._ledger.account(charge.team)
+        account = self._ledger.account(charge.key)
         if account is not None:
             account.refund(charge.cost, charge.charged_s, self._clock())
 
@@ -158,9 +161,9 @@
         self._ledger.apply(self._terms())
         return self._ledger.serve(request)
 
-    def pool_tokens(self, team: str) -> float:
+    def pool_tokens(self, key: str) -> float:
         """Return the tokens of a pool that this router keeps."""
-        return self._ledger.pool_tokens(team)
+        return self._ledger.pool_tokens(key)
 
     async def run(self) -> None:
         """Settle with the keepers of pools until cancelled."""
@@ -169,72 +172,60 @@
             await asyncio.sleep(interval_s * self._random.uniform(0.75, 1.25))
             await self._settle(interval_s)
 
-    def update_metrics(self) -> None:
-        """Update the metrics of shares and tokens."""
-        now = self._clock()
-        LIMIT_SHARE.set(self._terms().share)
-        LIMIT_SETTLED_AGE_SECONDS.set(now - self._settled_s)
-        for team in self._ledger.teams:
-            account = self._ledger.account(team)
-            if account is not None:
-                LIMIT_TOKENS.labels(team, 'router').set(account.tokens(now))
-            pooled = self._ledger.pool_tokens(team)
-            LIMIT_TOKENS.labels(team, 'pool').set(pooled)
-
     async def _charge(
-        self, team: str, account: TeamAccount, cost: float
-    ) -> float | None:
-        """Return None once charged, or the seconds until it would fit."""
+        self, key: str, account: LimitAccount, cost: float
+    ) -> Denial | None:
+        """Return None once charged, or why not."""
         if account.charge(cost, self._clock()):
             return None
-        denial = self._denials.get(team)
-        if denial is not None and self._clock() < denial.asks_again_s:
-            return max(0.0, denial.fits_s - self._clock())
+        last = self._denials.get(key)
+        if last is not None and self._clock() < last.asks_again_s:
+            return Denial(max(0.0, last.fits_s - self._clock()))
         # Taken before the call: what the account holds must not count for
         # two requests that ask at once.
         own = account.withdraw(cost, self._clock())
-        wait_s: float | None = UNREACHABLE_RETRY_AFTER_S
+        denial: Denial | None = _UNREACHABLE
         try:
-            wait_s = await self._ask(team, cost - own)
+            denial = await self._ask(key, cost - own)
         finally:
-            if wait_s is not None:
+            if denial is not None:
                 account.deposit(own, self._clock())
-        if wait_s is None:
+        if denial is None:
             return None
         now = self._clock()
-        self._denials[team] = _Denial(
-            now + wait_s, now + min(wait_s, MAX_DENIAL_S)
+        self._denials[key] = _LastDenial(
+            now + denial.wait_s, now + min(denial.wait_s, MAX_DENIAL_S)
         )
-        return wait_s
+        return denial
 
-    async def _ask(self, team: str, need: float) -> float | None:
-        """Ask for tokens; None once granted, or the seconds to wait."""
-        wait_s = UNREACHABLE_RETRY_AFTER_S
+    async def _ask(self, key: str, need: float) -> Denial | None:
+        """Ask for tokens; None once granted."""
+        denial = _UNREACHABLE
         was_held = False
         for _ in range(MAX_ASKS):
-            keeper = self._keeper(team)
+            keeper = self._keeper(key)
             if keeper is None:
-                return wait_s
+                return denial
             reply = await self._move(
                 keeper,
-                TokenRequest(self._address, needs={team: need}),
+                TokenRequest(self._address, needs={key: need}),
                 ASK_TIMEOUT_S,
             )
             if reply is None:
                 continue
-            if team in reply.granted:
+            if key in reply.granted:
                 return None
-            wait_s = reply.waits.get(team, wait_s)
-            if was_held or wait_s > MAX_HOLD_S:
-                return wait_s
+            denial = Denial(reply.waits.get(key, denial.wait_s))
+            if was_held or denial.wait_s > MAX_HOLD_S:
+                return denial
             was_held = True
-            await asyncio.sleep(wait_s)
-        return wait_s
+            await asyncio.sleep(denial.wait_s)
+        return denial
 
     def _settle_interval_s(self) -> float:
         terms = self._terms()
         self._ledger.apply(terms)
-        if terms.share > 0 and not self._ledger.teams:
+        if terms.share > 0 and not self._ledger.keys:
             return SETTLE_INTERVAL_S
         if self._short_keepers or not self._lacking:
             # Without a reply yet, the pools are taken to be empty, as after
@@ -246,17 +237,17 @@
 
     async def _settle(self, interval_s: float) -> None:
         self._ledger.apply(self._terms())
-        if not self._ledger.teams:
+        if not self._ledger.keys:
             return
         now = self._clock()
         self._keepers.forget_expired(now)
-        # Chosen once for all teams: with thousands of them the choice would
+        # Chosen once for all limits: with thousands of them the choice would
         # block the event loop.
         by_shard = self._keepers.by_shard(self._candidates(), now)
         self._ledger.keep_pools(
-            team
-            for team in self._ledger.teams
-            if keeper_among(by_shard, team) == self._address
+            key
+            for key in self._ledger.keys
+            if keeper_among(by_shard, key) == self._address
         )
         settlements = self._ledger.settle(
             partial(keeper_among, by_shard),
@@ -266,8 +257,8 @@
         )
         keepers = {keeper for keeper in by_shard if keeper is not None}
         self._lacking = {
-            keeper: teams
-            for keeper, teams in self._lacking.items()
+            keeper: keys
+            for keeper, keys in self._lacking.items()
             if keeper in keepers
         }
         self._short_keepers &= keepers
@@ -287,8 +278,8 @@
         if reply is None:
             return
         self._settled_s = self._clock()
-        for team, tokens in reply.granted.items():
-            account = self._ledger.account(team)
+        for key, tokens in reply.granted.items():
+            account = self._ledger.account(key)
             if account is not None:
                 account.deposit(tokens, self._clock())
 
@@ -321,8 +312,8 @@
             self._short_keepers.add(keeper)
         return reply
 
-    def _keeper(self, team: str) -> str | None:
-        return self._keepers.keeper(team, self._candidates(), self._clock())
+    def _keeper(self, key: str) -> str | None:
+        return self._keepers.keeper(key, self._candidates(), self._clock())
 
     def _candidates(self) -> list[str]:
         """Return the routers that may keep pools.
--- a/packages/daemon/src/lacewing_daemon/direct/limits/_messages.py
+++ b/packages/daemon/src/lacewing_daemon/direct/limits/_messages.py
@@ -1,4 +1,4 @@
-"""Define the messages about team limits between routers."""
+"""Define the messages about limits between routers."""
 
 import msgspec
 
@@ -6,7 +6,7 @@
 
 
 class TokenRequest(msgspec.Struct, frozen=True):
-    """Move tokens to and from the pools that a router keeps, by team.
+    """Move tokens to and from the pools that a router keeps, by limit.
 
     ``sender`` is the ``ip:port`` at which the sending router takes calls.
     ``deposits`` were taken from its accounts. ``needs`` are granted whole or
@@ -20,10 +20,10 @@
 
 
 class TokenReply(msgspec.Struct, frozen=True):
-    """Return what was granted, by team.
+    """Return what was granted, by limit.
 
     ``waits``: seconds after which a need that was denied would fit.
-    ``lacking``: teams of whose tokens the router takes deposits; ``is_short``
+    ``lacking``: limits of whose tokens the router takes deposits; ``is_short``
     if it needs some of them at once.
     """
 
--- a/packages/daemon/src/lacewing_daemon/direct/limits/_pool.py
+++ b/packages/daemon/src/lacewing_daemon/direct/limits/_pool.py
@@ -1,7 +1,7 @@
-"""Hold the tokens of a team that any router may take.
+"""Hold the tokens of a limit that any router may take.
 
-Load pattern: the requests of a team come to one router, or move to others
-within a second, while the rest of its limit comes in at routers that do not
+Load pattern: the requests that count come to one router, or move to others
+within a second, while the rest of the limit comes in at routers that do not
 need it.
 """
 
@@ -34,8 +34,8 @@
     wait_s: float
 
 
-class TeamPool:
-    """Grant tokens of one team in the order in which they are asked for."""
+class TokenPool:
+    """Grant tokens of one limit in the order in which they are asked for."""
 
     def __init__(self, allowance: Allowance, now: float) -> None:
         self._allowance = allowance
