Move the share of one of many routers in a small limit to its pool

What callers saw: at 330 routers nobody gets through a limit of 3 requests a second, also after a pause. Found while the limiter was prepared for limits that upstreams name, which are that small. Cause: amounts under 0.01 are not moved, which fits tokens of prompts. The share of one router of 330 in such a limit fills its account with 0.008 and is lost there. Change: what is worth a message is a fraction of the pool's capacity. Conclusion: a small limit is usable at the target size.

--- a/features/direct_limits.feature
+++ b/features/direct_limits.feature
@@ -143,3 +143,18 @@
       Given 22 routers and a team with a limit of 18000 tokens a second
       When it sends 6 times its limit evenly for 20 s, with seed 51
       Then no Retry-After makes many callers return at once
+
+  Rule: A small limit is not lost between many routers
+
+    Scenario Outline: A request after a pause
+      # Guards against shares that are too small to be moved to the pool, so
+      # that no router ever holds what one request counts.
+      Given <routers> routers and a limit of 3 requests a second
+      When nothing is sent for 10 s
+      Then any router lets a request through
+
+      Examples:
+        | routers |
+        | 4       |
+        | 22      |
+        | 330     |
--- a/features/steps/direct_limits_steps.py
+++ b/features/steps/direct_limits_steps.py
@@ -56,6 +56,14 @@
     context.lowered_s = None
 
 
+@given('{routers:d} routers and a limit of {rate:d} requests a second')
+def step_small_limit(context: Context, routers: int, rate: int) -> None:
+    """Create routers that hold few tokens each."""
+    bounds = WindowBounds(4.0, 0.25, 5.0)
+    quotas = {TEAM: Quota(float(rate), 0.0)}
+    context.fleet = LimitFleet(SimulatedLoop(), routers, quotas, bounds, 1)
+
+
 @given('the halves are cut from each other')
 def step_halves(context: Context) -> None:
     """Cut the fleet in two for the middle of the play."""
@@ -226,6 +234,26 @@
     _play(context, offers)
 
 
+@when('nothing is sent for {seconds:d} s')
+def step_pause(context: Context, seconds: int) -> None:
+    """Let the routers settle, then send one request to one of them."""
+    fleet = context.fleet
+    last = fleet.size - 1
+    offer = Offer(float(seconds), TEAM, 1.0, last)
+
+    async def play() -> None:
+        fleet.start_all()
+        await fleet.play([offer])
+
+    run_simulated(fleet.loop, play())
+
+
+@then('any router lets a request through')
+def step_let_through(context: Context) -> None:
+    """Check that the request ran."""
+    assert len(context.fleet.runs) == 1, context.fleet.refused
+
+
 @when('a router of {routers:d} settles the limits of {teams:d} teams')
 def step_settle(context: Context, routers: int, teams: int) -> None:
     """Settle once, and count how often the list of routers is read."""
--- a/packages/daemon/src/lacewing_daemon/direct/limits/_ledger.py
+++ b/packages/daemon/src/lacewing_daemon/direct/limits/_ledger.py
@@ -21,8 +21,9 @@
 UNKNOWN_KEY_WAIT_S = 0.5
 # A router that has not settled for this long settles elsewhere, or has ended.
 SETTLING_TIMEOUT_S = 3.0
-# Smaller amounts are not worth a message.
-_MIN_MOVED = 0.01
+# Smaller fractions of a pool's capacity are not worth a message. The share of
+# one of hundreds of routers in a small limit is still above that.
+_MIN_MOVED_FRACTION = 1e-5
 
 
 @dataclass(frozen=True)
@@ -135,7 +136,7 @@
             if key not in self._accounts:
                 continue
             tokens = self._pool(key).grant_in_advance(wish)
-            if tokens > _MIN_MOVED:
+            if tokens > self._min_moved(key):
                 granted[key] = granted.get(key, 0.0) + tokens
         is_short = any(pool.is_short for pool in self._pools.values())
         return TokenReply(granted, waits, self._lacking_keys(), is_short)
@@ -173,10 +174,10 @@
             deposit = account.withdraw(deposit, now)
             if keeper != own_address and key in self._pools:
                 deposit += self._pools[key].withdraw_all()
-            if deposit > _MIN_MOVED:
+            if deposit > self._min_moved(key):
                 settlement.deposits[key] = deposit
             wish = account.shortfall(ahead_s, now)
-            if wish > _MIN_MOVED:
+            if wish > self._min_moved(key):
                 settlement.wishes[key] = wish
         return settlements
 
@@ -207,6 +208,10 @@
             pool.set_allowance(self._allowance(key), self._settling_fraction())
         return pool
 
+    def _min_moved(self, key: str) -> float:
+        account = self._accounts[key]
+        return account.allowance.pool_capacity * _MIN_MOVED_FRACTION
+
     def _record_settlement(self, sender: str) -> None:
         """Count a router among those whose tokens the pools hold."""
         now = self._clock()
