Decide on the next upstream of a request in a module of its own

Change: TargetChooser places each send, waits for capacity, asks the retry budget and answers whether a run can move; RequestProgress has the counts on which both parts go by. Conclusion: no behaviour changes.

--- a/packages/daemon/src/lacewing_daemon/direct/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_exchange.py
@@ -23,8 +23,11 @@
 from lacewing_daemon.direct._caller_reply import CallerReply
 from lacewing_daemon.direct._choice import NoCapacity
 from lacewing_daemon.direct._fleet import Fleet
-from lacewing_daemon.direct._metrics import REPEATS_DENIED
 from lacewing_daemon.direct._metrics import REQUESTS
+from lacewing_daemon.direct._next_target import BUDGET_RETRY_AFTER_S
+from lacewing_daemon.direct._next_target import MAX_SENDS
+from lacewing_daemon.direct._next_target import RequestProgress
+from lacewing_daemon.direct._next_target import TargetChooser
 from lacewing_daemon.direct._placing import Placer
 from lacewing_daemon.direct._policy import LoadPolicy
 from lacewing_daemon.direct._request_log import RequestLog
@@ -40,21 +43,14 @@
 from lacewing_daemon.refusals import Refusals
 
 _MS = 1000.0
-# Sends of one request, refused ones included; if all of them fail, the fleet
-# is taken to be at capacity.
-MAX_SENDS = 4
 # An answer that arrives this long before the caller's deadline still reaches
 # the caller in time.
 RETURN_MARGIN_S = 0.02
+# A started stream checks for capacity at this interval.
+CAPACITY_CHECK_INTERVAL_S = 0.03
 # Used when all upstreams that were tried refused: some of them will have a
 # free slot within the duration of a few requests.
 REFUSED_RETRY_AFTER_S = 0.2
-# A started stream checks for capacity at this interval, for this fraction of
-# the time after which its caller abandons it. The silence before the move has
-# used up the rest.
-CAPACITY_CHECK_INTERVAL_S = 0.03
-CAPACITY_WAIT_FRACTION = 0.35
-BUDGET_RETRY_AFTER_S = 1.0
 # A crash is detected once a connection is refused, some ms after the
 # interrupted runs of the upstream were collected.
 CRASH_DETECTION_S = 2 * COLLECT_WINDOW_S
@@ -103,14 +99,17 @@
         self._admitted: Admitted | None = None
         self._fingerprint = ''
         self._refusals = Refusals()
-        self._tried_ids: frozenset[str] = frozenset()
         self._try_log: list[Try] = []
         self._current_send: Send | None = None
-        self._send_count = 0
-        self._has_reached_upstream = False
-        self._run_count = 0
-        self._continuation: Target | None = None
-        self._capacity_wait_end_s: float | None = None
+        self._progress = RequestProgress()
+        self._chooser = TargetChooser(
+            context.fleet,
+            context.placer,
+            context.policy,
+            request,
+            reply,
+            self._progress,
+        )
         self._charge_made: Charge | None = None
 
     async def run(self) -> None:
@@ -135,7 +134,7 @@
         except TimeoutError:
             refusal = self._deadline_refusal()
         except (CallerGoneError, asyncio.CancelledError):
-            if not self._send_count:
+            if not self._progress.sends:
                 self._refund()
             self._record_outcome(_NO_STATUS, self._interrupted_refusal())
             self._reply.abort()
@@ -160,7 +159,7 @@
         while True:
             if self._is_blocked():
                 return self._blocked_refusal()
-            target = self._place(admitted, end_s)
+            target = self._chooser.choose(admitted, end_s)
             if isinstance(target, NoCapacity):
                 # When an engine is lost, all its streams move at the same
                 # time. The first ones fill the queues of the other engines,
@@ -171,7 +170,7 @@
                 continue
             if isinstance(target, Refusal):
                 return target
-            self._send_count += 1
+            self._progress.sends += 1
             self._current_send = Send(
                 self._fleet,
                 self._context.wire,
@@ -179,13 +178,13 @@
                 self._request,
                 admitted,
                 target,
-                partial(self._can_move, admitted, target, end_s),
+                partial(self._chooser.can_move, admitted, target, end_s),
                 self._fingerprint,
             )
             result = await self._current_send.run(relay, end_s)
             self._current_send = None
             self._try_log.append(result.log_entry)
-            self._has_reached_upstream |= (
+            self._progress.has_reached_upstream |= (
                 result.end.contact is Contact.CONNECTED
             )
             if self._is_answer(result.end):
@@ -224,7 +223,7 @@
             return False
         # A retry is never a probe: the request may have caused the newest
         # crash on an earlier attempt.
-        return self._send_count > 0 or not guard.admits_probe(
+        return self._progress.sends > 0 or not guard.admits_probe(
             self._fingerprint
         )
 
@@ -245,115 +244,6 @@
         if self._fleet.crash_guard.is_suspected(self._fingerprint):
             await asyncio.sleep(CRASH_DETECTION_S)
 
-    def _place(
-        self, admitted: Admitted, end_s: float
-    ) -> Target | NoCapacity | Refusal:
-        """Return the target, NoCapacity to check again, or a refusal."""
-        now_s = time.monotonic()
-        placed: Target | NoCapacity
-        if self._continuation is not None:
-            placed = self._continuation
-        else:
-            placed = self._context.placer.place(
-                self._request,
-                admitted,
-                self._tried_ids,
-                self._first_event_limit_ms(admitted, end_s, now_s),
-                now_s,
-            )
-        if isinstance(placed, NoCapacity):
-            if self._can_wait_for_capacity(admitted, now_s):
-                return placed
-            return not_run(
-                Reason.NO_WORKER,
-                'no upstream can answer in time',
-                placed.retry_after_ms / _MS,
-            )
-        if not self._has_reached_upstream:
-            # The retry budget bounds the extra load of retries. A request
-            # that has reached no upstream has caused no load. When such
-            # sends were charged, crashing engines used up the budget and
-            # prompts were refused although other engines were idle.
-            return placed
-        budget = self._fleet.cluster_state.retry_budget(admitted.service)
-        if budget.spend(
-            now_s, self._fleet.cluster_state.router_count, self._run_count > 0
-        ):
-            return placed
-        REPEATS_DENIED.labels(admitted.service.name).inc()
-        return not_run(
-            Reason.NO_WORKER,
-            'the retry budget is used up',
-            BUDGET_RETRY_AFTER_S,
-        )
-
-    def _can_wait_for_capacity(self, admitted: Admitted, now_s: float) -> bool:
-        """Return whether a started stream still waits for capacity."""
-        if not self._reply.has_started:
-            return False
-        if self._capacity_wait_end_s is None:
-            wait_s = admitted.route.abandon_after_s * CAPACITY_WAIT_FRACTION
-            self._capacity_wait_end_s = now_s + wait_s
-        return now_s < self._capacity_wait_end_s
-
-    def _can_move(
-        self,
-        admitted: Admitted,
-        target: Target,
-        end_s: float,
-        other_moves: int,
-    ) -> bool:
-        """Return whether a run could be finished at another upstream.
-
-        ``other_moves``: runs that are moved at the same moment and spend
-        their retries after this check.
-
-        A stream is interrupted on suspicion alone: its engine may be alive
-        and would have continued. If the request then has no run, retry or
-        time left, or no upstream has capacity, the caller's answer is
-        aborted needlessly. All of these are therefore checked before.
-        """
-        now_s = time.monotonic()
-        budget = self._fleet.cluster_state.retry_budget(admitted.service)
-        routers = self._fleet.cluster_state.router_count
-        if self._send_count >= MAX_SENDS:
-            return False
-        if not budget.allows(now_s, routers, True, other_moves):
-            return False
-        placer = self._context.placer
-        if not admitted.route.can_retry:
-            return self._reply.has_started and placer.copy_is_usable(
-                self._request, target, now_s
-            )
-        if self._run_count + 1 >= admitted.route.max_runs:
-            return False
-        left_ms = (end_s - now_s) * _MS
-        if self._request.prompt is not None:
-            tokens = self._request.prompt.expected_tokens
-            policy = self._fleet.cluster_state.policy_for(
-                admitted.service.name
-            )
-            left_ms -= tokens * policy.step_ms
-        tried = self._tried_ids | {target.state.upstream.upstream_id}
-        placed = placer.place(self._request, admitted, tried, left_ms, now_s)
-        return not isinstance(placed, NoCapacity)
-
-    def _first_event_limit_ms(
-        self, admitted: Admitted, end_s: float, now_s: float
-    ) -> float:
-        """Return the time within which a first event must be expected.
-
-        A request that has reached an upstream is completed even if that
-        misses the latency target. An interrupted stream would otherwise
-        not be continued.
-        """
-        if self._has_reached_upstream:
-            return (end_s - now_s) * _MS
-        first_event_limit_s = (
-            admitted.route.latency_target_s * self._context.policy.patience
-        )
-        return (self._request.received_s + first_event_limit_s - now_s) * _MS
-
     def _process_failure(
         self, admitted: Admitted, target: Target, result: SendResult
     ) -> Refusal | None:
@@ -366,21 +256,21 @@
             return may_have_run(Reason.STREAM_BROKEN, 'no copy of the run')
         if end.verdict is Verdict.NOT_RUN:
             if not result.has_newer_weights:
-                self._tried_ids |= {state.upstream.upstream_id}
+                self._progress.tried_ids |= {state.upstream.upstream_id}
             refusal = not_run(
                 end.reason, 'the upstream refused', REFUSED_RETRY_AFTER_S
             )
             self._refusals.add(refusal)
-            return refusal if self._send_count >= MAX_SENDS else None
-        self._run_count += 1
-        self._tried_ids |= {state.upstream.upstream_id}
+            return refusal if self._progress.sends >= MAX_SENDS else None
+        self._progress.runs += 1
+        self._progress.tried_ids |= {state.upstream.upstream_id}
         interruption = may_have_run(end.reason, 'the upstream broke off')
         self._refusals.add(interruption)
         if not admitted.route.can_retry:
             return self._continue_run(target, interruption)
         if (
-            self._run_count >= admitted.route.max_runs
-            or self._send_count >= MAX_SENDS
+            self._progress.runs >= admitted.route.max_runs
+            or self._progress.sends >= MAX_SENDS
         ):
             return interruption
         return None
@@ -393,10 +283,10 @@
         This is no second run: the engine continues after the last event
         that the caller has, from the KV cache that was copied to it.
         """
-        if not self._reply.has_started or self._send_count >= MAX_SENDS:
+        if not self._reply.has_started or self._progress.sends >= MAX_SENDS:
             return interruption
-        self._continuation = self._context.placer.continuation(target)
-        return interruption if self._continuation is None else None
+        self._progress.continuation = self._context.placer.continuation(target)
+        return interruption if self._progress.continuation is None else None
 
     def _is_answer(self, end: AttemptEnd) -> bool:
         """Return whether the answer of an attempt completes the request.
@@ -419,7 +309,7 @@
         self._record_outcome(end.head.status, None)
 
     def _deadline_refusal(self) -> Refusal:
-        if self._send_count:
+        if self._progress.sends:
             return may_have_run(Reason.DEADLINE, 'no answer in time')
         return not_run(
             Reason.DEADLINE, 'no answer in time', BUDGET_RETRY_AFTER_S
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/direct/_next_target.py
@@ -0,0 +1,174 @@
+"""Decide where a request is sent next, or that it is refused."""
+
+import time
+from dataclasses import dataclass
+
+from lacewing_common.verdict import not_run
+from lacewing_common.verdict import Reason
+from lacewing_common.verdict import Refusal
+
+from lacewing_daemon.direct._admission import Admitted
+from lacewing_daemon.direct._call import CallerRequest
+from lacewing_daemon.direct._caller_reply import CallerReply
+from lacewing_daemon.direct._choice import NoCapacity
+from lacewing_daemon.direct._fleet import Fleet
+from lacewing_daemon.direct._metrics import REPEATS_DENIED
+from lacewing_daemon.direct._placing import Placer
+from lacewing_daemon.direct._policy import LoadPolicy
+from lacewing_daemon.direct._target import Target
+
+_MS = 1000.0
+# Sends of one request, refused ones included; if all of them fail, the fleet
+# is taken to be at capacity.
+MAX_SENDS = 4
+# A started stream waits for capacity for this fraction of the time after which
+# its caller abandons it. The silence before the move has used up the rest.
+CAPACITY_WAIT_FRACTION = 0.35
+BUDGET_RETRY_AFTER_S = 1.0
+
+
+@dataclass
+class RequestProgress:
+    """Count what was done for a request so far.
+
+    ``runs``: sends that may have run; ``continuation``: where an interrupted
+    run goes on, None if it is not to.
+    """
+
+    sends: int = 0
+    runs: int = 0
+    has_reached_upstream: bool = False
+    tried_ids: frozenset[str] = frozenset()
+    continuation: Target | None = None
+
+
+class TargetChooser:
+    """Choose the upstream of each send of one request."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        placer: Placer,
+        policy: LoadPolicy,
+        request: CallerRequest,
+        reply: CallerReply,
+        progress: RequestProgress,
+    ) -> None:
+        self._fleet = fleet
+        self._placer = placer
+        self._policy = policy
+        self._request = request
+        self._reply = reply
+        self._progress = progress
+        self._capacity_wait_end_s: float | None = None
+
+    def choose(
+        self, admitted: Admitted, end_s: float
+    ) -> Target | NoCapacity | Refusal:
+        """Return the target, NoCapacity to check again, or a refusal."""
+        now_s = time.monotonic()
+        placed: Target | NoCapacity
+        if self._progress.continuation is not None:
+            placed = self._progress.continuation
+        else:
+            placed = self._placer.place(
+                self._request,
+                admitted,
+                self._progress.tried_ids,
+                self._first_event_limit_ms(admitted, end_s, now_s),
+                now_s,
+            )
+        if isinstance(placed, NoCapacity):
+            if self._can_wait_for_capacity(admitted, now_s):
+                return placed
+            return not_run(
+                Reason.NO_WORKER,
+                'no upstream can answer in time',
+                placed.retry_after_ms / _MS,
+            )
+        if not self._progress.has_reached_upstream:
+            # The retry budget bounds the extra load of retries. A request
+            # that has reached no upstream has caused no load. When such
+            # sends were charged, crashing engines used up the budget and
+            # prompts were refused although other engines were idle.
+            return placed
+        budget = self._fleet.cluster_state.retry_budget(admitted.service)
+        if budget.spend(
+            now_s,
+            self._fleet.cluster_state.router_count,
+            self._progress.runs > 0,
+        ):
+            return placed
+        REPEATS_DENIED.labels(admitted.service.name).inc()
+        return not_run(
+            Reason.NO_WORKER,
+            'the retry budget is used up',
+            BUDGET_RETRY_AFTER_S,
+        )
+
+    def can_move(
+        self,
+        admitted: Admitted,
+        target: Target,
+        end_s: float,
+        other_moves: int,
+    ) -> bool:
+        """Return whether a run could be finished at another upstream.
+
+        ``other_moves``: runs that are moved at the same moment and spend
+        their retries after this check.
+
+        A stream is interrupted on suspicion alone: its engine may be alive
+        and would have continued. If the request then has no run, retry or
+        time left, or no upstream has capacity, the caller's answer is
+        aborted needlessly. All of these are therefore checked before.
+        """
+        now_s = time.monotonic()
+        budget = self._fleet.cluster_state.retry_budget(admitted.service)
+        routers = self._fleet.cluster_state.router_count
+        if self._progress.sends >= MAX_SENDS:
+            return False
+        if not budget.allows(now_s, routers, True, other_moves):
+            return False
+        placer = self._placer
+        if not admitted.route.can_retry:
+            return self._reply.has_started and placer.copy_is_usable(
+                self._request, target, now_s
+            )
+        if self._progress.runs + 1 >= admitted.route.max_runs:
+            return False
+        left_ms = (end_s - now_s) * _MS
+        if self._request.prompt is not None:
+            tokens = self._request.prompt.expected_tokens
+            policy = self._fleet.cluster_state.policy_for(
+                admitted.service.name
+            )
+            left_ms -= tokens * policy.step_ms
+        tried = self._progress.tried_ids | {target.state.upstream.upstream_id}
+        placed = placer.place(self._request, admitted, tried, left_ms, now_s)
+        return not isinstance(placed, NoCapacity)
+
+    def _can_wait_for_capacity(self, admitted: Admitted, now_s: float) -> bool:
+        """Return whether a started stream still waits for capacity."""
+        if not self._reply.has_started:
+            return False
+        if self._capacity_wait_end_s is None:
+            wait_s = admitted.route.abandon_after_s * CAPACITY_WAIT_FRACTION
+            self._capacity_wait_end_s = now_s + wait_s
+        return now_s < self._capacity_wait_end_s
+
+    def _first_event_limit_ms(
+        self, admitted: Admitted, end_s: float, now_s: float
+    ) -> float:
+        """Return the time within which a first event must be expected.
+
+        A request that has reached an upstream is completed even if that
+        misses the latency target. An interrupted stream would otherwise
+        not be continued.
+        """
+        if self._progress.has_reached_upstream:
+            return (end_s - now_s) * _MS
+        first_event_limit_s = (
+            admitted.route.latency_target_s * self._policy.patience
+        )
+        return (self._request.received_s + first_event_limit_s - now_s) * _MS
