Keep to the limits that upstreams name, over all routers together

What callers saw: answers of up to 5.8 s from upstreams that had said that they are in need, while others had room. The class is a statement of an upstream that reaches the adapter and no decision. Change: UpstreamLimiter holds the limits by the limiter of teams, with shares that come in at each router, a pool at one of them and no call to the store. A request is charged before it is sent; where that is denied, placement leaves the upstream out until a token is due and takes another. Retries, continuations and streams that waited for capacity are charged in the same place. A run is not moved to a limited upstream, as it would be broken off before that is known to take it. If all upstreams are out the request is refused at once with the time at which the first takes one. A router that sees a limit begin, change or end tells the keeper of its pool, which tells all others; a settlement carries what was missed. A router that reaches no keeper sends one probe in routers/limit seconds. Measured: features/direct_upstream_limits.feature failed 6 of 15 before, now 15 passed; the new upstream_limits.feature 20 passed; direct_limits and direct_limits_served 59 passed.

--- a/features/steps/upstream_limits_steps.py
+++ b/features/steps/upstream_limits_steps.py
@@ -46,7 +46,7 @@
 
 
 def _limit(router: DirectRouter, incarnation: str) -> float | None:
-    return router._fleet.named_limits.rate_per_s(incarnation)
+    return router._fleet.upstream_limiter.named.rate_per_s(incarnation)
 
 
 @given('the limit of "{name}" is {first:g}, then {second:g}, then none')
--- a/packages/daemon/src/lacewing_daemon/direct/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_exchange.py
@@ -159,7 +159,7 @@
         while True:
             if self._is_blocked():
                 return self._blocked_refusal()
-            target = self._chooser.choose(admitted, end_s)
+            target = await self._chooser.choose(admitted, end_s)
             if isinstance(target, NoCapacity):
                 # When an engine is lost, all its streams move at the same
                 # time. The first ones fill the queues of the other engines,
@@ -184,9 +184,10 @@
             result = await self._current_send.run(relay, end_s)
             self._current_send = None
             self._try_log.append(result.log_entry)
-            self._progress.has_reached_upstream |= (
-                result.end.contact is Contact.CONNECTED
-            )
+            if result.end.contact is Contact.CONNECTED:
+                self._progress.has_reached_upstream = True
+            else:
+                self._chooser.refund()
             if self._is_answer(result.end):
                 await self._deliver(relay, result.end)
                 return None
--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -33,8 +33,8 @@
 from lacewing_daemon.direct.crashes._crash_store import CRASHES
 from lacewing_daemon.direct.crashes._guard import CrashGuard
 from lacewing_daemon.direct.limits import LimitTerms
-from lacewing_daemon.direct.limits import NamedLimits
 from lacewing_daemon.direct.limits import TeamLimiter
+from lacewing_daemon.direct.limits import UpstreamLimiter
 from lacewing_daemon.direct.limits import WindowBounds
 
 # The maximum time for which a call waits for changes. Each call that returns
@@ -191,7 +191,12 @@
             lambda: self._router_count.addresses,
             random,
         )
-        self._named_limits = NamedLimits()
+        self._upstream_limiter = UpstreamLimiter(
+            settings.peers,
+            self._limit_terms,
+            lambda: self._router_count.addresses,
+            random,
+        )
         self._silence_detector = SilenceDetector(
             settings.policy.mute_ms / 1000
         )
@@ -226,9 +231,9 @@
         return self._limiter
 
     @property
-    def named_limits(self) -> NamedLimits:
-        """Return the limits that upstreams name."""
-        return self._named_limits
+    def upstream_limiter(self) -> UpstreamLimiter:
+        """Return the limiter that keeps to what upstreams say they take."""
+        return self._upstream_limiter
 
     @property
     def peer_addresses(self) -> tuple[str, ...]:
@@ -302,6 +307,7 @@
             self._router_count.run(),
             self._store_calls.run(),
             self._limiter.run(),
+            self._upstream_limiter.run(),
             self._run_peers(),
         ):
             task = asyncio.create_task(run)
@@ -395,12 +401,20 @@
         await asyncio.sleep(PEERS_START_DELAY_S)
         from lacewing_daemon.direct._peer_link import PeerLink
         from lacewing_daemon.direct.limits._messages import MOVE_METHOD
+        from lacewing_daemon.direct.limits._messages import (
+            MOVE_UPSTREAM_METHOD,
+        )
         from lacewing_daemon.direct.limits._service import LimitService
 
         link = PeerLink(self._peers_address)
         limits = LimitService(link, self._limiter, MOVE_METHOD)
         link.add_service(limits)
         self._limiter.connect(limits)
+        upstream_limits = LimitService(
+            link, self._upstream_limiter.limiter, MOVE_UPSTREAM_METHOD
+        )
+        link.add_service(upstream_limits)
+        self._upstream_limiter.connect(upstream_limits)
         try:
             async with asyncio.TaskGroup() as tasks:
                 tasks.create_task(self._crash_guard.exchange(link))
@@ -413,7 +427,7 @@
             await asyncio.sleep(POOL_SWEEP_S)
             states = self._cluster_state.upstreams.values()
             self._pool.close_expired(state.upstream for state in states)
-            self._named_limits.forget_old()
+            self._upstream_limiter.forget_old()
 
 
 def _log_failure(task: asyncio.Task[None]) -> None:
--- a/packages/daemon/src/lacewing_daemon/direct/_metrics.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_metrics.py
@@ -119,6 +119,11 @@
     'Requests a second that an upstream says it takes, by upstream',
     ['upstream'],
 )
+UPSTREAM_CHARGES = Counter(
+    'lacewing_direct_upstream_limit_charges',
+    'Requests counted against limits that upstreams name, by result',
+    ['result'],
+)
 MALFORMED_STATEMENTS = Counter(
     'lacewing_direct_statements_malformed',
     'Statements in answers of upstreams that could not be read, by subject',
--- a/packages/daemon/src/lacewing_daemon/direct/_next_target.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_next_target.py
@@ -2,6 +2,7 @@
 
 import time
 from dataclasses import dataclass
+from math import isinf
 
 from lacewing_common.verdict import not_run
 from lacewing_common.verdict import Reason
@@ -16,6 +17,9 @@
 from lacewing_daemon.direct._placing import Placer
 from lacewing_daemon.direct._policy import LoadPolicy
 from lacewing_daemon.direct._target import Target
+from lacewing_daemon.direct._upstream_state import UpstreamState
+from lacewing_daemon.direct.limits import Charge
+from lacewing_daemon.direct.limits import Denial
 
 _MS = 1000.0
 # Sends of one request, refused ones included; if all of them fail, the fleet
@@ -61,31 +65,25 @@
         self._reply = reply
         self._progress = progress
         self._capacity_wait_end_s: float | None = None
+        self._charge: Charge | None = None
 
-    def choose(
+    async def choose(
         self, admitted: Admitted, end_s: float
     ) -> Target | NoCapacity | Refusal:
         """Return the target, NoCapacity to check again, or a refusal."""
-        now_s = time.monotonic()
-        placed: Target | NoCapacity
-        if self._progress.continuation is not None:
-            placed = self._progress.continuation
-        else:
-            placed = self._placer.place(
-                self._request,
-                admitted,
-                self._progress.tried_ids,
-                self._first_event_limit_ms(admitted, end_s, now_s),
-                now_s,
-            )
-        if isinstance(placed, NoCapacity):
-            if self._can_wait_for_capacity(admitted, now_s):
-                return placed
-            return not_run(
-                Reason.NO_WORKER,
-                'no upstream can answer in time',
-                placed.retry_after_ms / _MS,
-            )
+        while True:
+            now_s = time.monotonic()
+            placed = self._place(admitted, end_s, now_s)
+            if isinstance(placed, NoCapacity):
+                if self._can_wait_for_capacity(admitted, placed, now_s):
+                    return placed
+                return not_run(
+                    Reason.NO_WORKER,
+                    'no upstream can answer in time',
+                    placed.retry_after_ms / _MS,
+                )
+            if await self._reserve(placed.state):
+                break
         if not self._progress.has_reached_upstream:
             # The retry budget bounds the extra load of retries. A request
             # that has reached no upstream has caused no load. When such
@@ -94,11 +92,12 @@
             return placed
         budget = self._fleet.cluster_state.retry_budget(admitted.service)
         if budget.spend(
-            now_s,
+            time.monotonic(),
             self._fleet.cluster_state.router_count,
             self._progress.runs > 0,
         ):
             return placed
+        self.refund()
         REPEATS_DENIED.labels(admitted.service.name).inc()
         return not_run(
             Reason.NO_WORKER,
@@ -106,6 +105,12 @@
             BUDGET_RETRY_AFTER_S,
         )
 
+    def refund(self) -> None:
+        """Give back what the last target was charged, as nothing was sent."""
+        if self._charge is not None:
+            self._fleet.upstream_limiter.refund(self._charge)
+            self._charge = None
+
     def can_move(
         self,
         admitted: Admitted,
@@ -131,7 +136,11 @@
         if not budget.allows(now_s, routers, True, other_moves):
             return False
         placer = self._placer
+        limiter = self._fleet.upstream_limiter
         if not admitted.route.can_retry:
+            copy = target.copy_to
+            if copy is None or limiter.is_limited(copy.upstream):
+                return False
             return self._reply.has_started and placer.copy_is_usable(
                 self._request, target, now_s
             )
@@ -144,13 +153,60 @@
                 admitted.service.name
             )
             left_ms -= tokens * policy.step_ms
-        tried = self._progress.tried_ids | {target.state.upstream.upstream_id}
-        placed = placer.place(self._request, admitted, tried, left_ms, now_s)
+        excluded = {target.state.upstream.upstream_id}
+        for state in self._fleet.cluster_state.upstreams_of(
+            admitted.service.name
+        ):
+            # Whether it takes another request is known only once it is asked
+            # for, and the run would be broken off by then.
+            if limiter.is_limited(state.upstream):
+                excluded.add(state.upstream.upstream_id)
+        placed = placer.place(
+            self._request,
+            admitted,
+            self._progress.tried_ids | excluded,
+            left_ms,
+            now_s,
+        )
         return not isinstance(placed, NoCapacity)
 
-    def _can_wait_for_capacity(self, admitted: Admitted, now_s: float) -> bool:
+    def _place(
+        self, admitted: Admitted, end_s: float, now_s: float
+    ) -> Target | NoCapacity:
+        continuation = self._progress.continuation
+        if continuation is None:
+            return self._placer.place(
+                self._request,
+                admitted,
+                self._progress.tried_ids,
+                self._first_event_limit_ms(admitted, end_s, now_s),
+                now_s,
+            )
+        pause_s = continuation.state.usable_in_s(now_s)
+        return NoCapacity(pause_s * _MS) if pause_s > 0 else continuation
+
+    async def _reserve(self, state: UpstreamState) -> bool:
+        """Charge a send to an upstream's limit; false if it can't be sent."""
+        self._charge = None
+        limiter = self._fleet.upstream_limiter
+        if not limiter.is_limited(state.upstream):
+            return True
+        charged = await limiter.admit(state.upstream)
+        now_s = time.monotonic()
+        if isinstance(charged, Denial):
+            state.exclude_for(now_s, charged.wait_s)
+            return False
+        self._charge = charged
+        if state.is_usable(now_s):
+            return True
+        self.refund()
+        return False
+
+    def _can_wait_for_capacity(
+        self, admitted: Admitted, missing: NoCapacity, now_s: float
+    ) -> bool:
         """Return whether a started stream still waits for capacity."""
-        if not self._reply.has_started:
+        if not self._reply.has_started or isinf(missing.retry_after_ms):
             return False
         if self._capacity_wait_end_s is None:
             wait_s = admitted.route.abandon_after_s * CAPACITY_WAIT_FRACTION
--- a/packages/daemon/src/lacewing_daemon/direct/_placing.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_placing.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 from dataclasses import replace
+from math import isinf
 
 from lacewing_daemon.direct._admission import Admitted
 from lacewing_daemon.direct._cache_salt import compute_cache_salt
@@ -31,6 +32,8 @@
 from lacewing_daemon.direct._weights_releases import superseded_for_s
 
 _MS = 1000.0
+# Callers that are refused come back no sooner.
+MIN_RETRY_MS = 50.0
 # The handicap of an engine whose weights are overdue as far as is known: it
 # refuses, which costs a retry and a pause. Larger than any latency target, so
 # that such an engine is chosen last, and still chosen, as the known version
@@ -81,6 +84,7 @@
         engine = admitted.service.engine
         prompt = request.prompt
         usable = []
+        paused = []
         for state in self._cluster_state.upstreams_of(admitted.service.name):
             if state.upstream.upstream_id in excluded:
                 continue
@@ -91,6 +95,12 @@
                     continue
             if state.is_usable(now_s):
                 usable.append(state)
+                continue
+            paused.append(state)
+        if not usable and paused:
+            pause_s = min(state.usable_in_s(now_s) for state in paused)
+            if not isinf(pause_s):
+                return NoCapacity(max(MIN_RETRY_MS, pause_s * _MS))
         usable = responsive_upstreams(usable, now_s)
         if engine is None or prompt is None:
             return self._place_plain(usable, now_s)
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -287,7 +287,7 @@
         if self._state.replaced:
             return
         if head.is_signed or head.not_run:
-            self._fleet.named_limits.record(
+            self._fleet.upstream_limiter.record(
                 self._state.upstream, head.request_limit, self._start_s
             )
         if head.load is not None:
--- a/packages/daemon/src/lacewing_daemon/direct/_upstream_state.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_upstream_state.py
@@ -157,6 +157,12 @@
             return False
         return now_s >= self._excluded_until_s
 
+    def usable_in_s(self, now_s: float) -> float:
+        """Return the time until it is usable, infinite if never again."""
+        if self._replaced or self._upstream.leaving:
+            return float('inf')
+        return max(0.0, self._excluded_until_s - now_s)
+
     def is_silent(self, now_s: float) -> bool:
         """Return whether requests wait there and no data is received.
 
--- a/packages/daemon/src/lacewing_daemon/direct/limits/__init__.py
+++ b/packages/daemon/src/lacewing_daemon/direct/limits/__init__.py
@@ -3,13 +3,15 @@
 from lacewing_daemon.direct.limits._allowance import WindowBounds
 from lacewing_daemon.direct.limits._ledger import LimitTerms
 from lacewing_daemon.direct.limits._limiter import Charge
-from lacewing_daemon.direct.limits._named import NamedLimits
+from lacewing_daemon.direct.limits._limiter import Denial
 from lacewing_daemon.direct.limits._teams import TeamLimiter
+from lacewing_daemon.direct.limits._upstreams import UpstreamLimiter
 
 __all__ = [
     'Charge',
+    'Denial',
     'LimitTerms',
-    'NamedLimits',
     'TeamLimiter',
+    'UpstreamLimiter',
     'WindowBounds',
 ]
--- a/packages/daemon/src/lacewing_daemon/direct/limits/_keepers.py
+++ b/packages/daemon/src/lacewing_daemon/direct/limits/_keepers.py
@@ -1,6 +1,7 @@
 """Choose the router that keeps the pool of a limit."""
 
 import math
+from collections.abc import Callable
 from collections.abc import Sequence
 
 import xxhash
@@ -41,17 +42,25 @@
         self, key: str, addresses: Sequence[str], now: float
     ) -> str | None:
         """Return the address of a limit's keeper, None if there is none."""
-        shard = xxhash.xxh64_intdigest(key.encode()) % _shard_count(addresses)
-        return self._keeper_of_shard(shard, addresses, now)
+        return self.among(addresses, now)(key)
 
-    def by_shard(
+    def among(
         self, addresses: Sequence[str], now: float
-    ) -> tuple[str | None, ...]:
-        """Return the keeper of each shard, for ``keeper_among``."""
-        keepers = []
-        for shard in range(_shard_count(addresses)):
-            keepers.append(self._keeper_of_shard(shard, addresses, now))
-        return tuple(keepers)
+    ) -> Callable[[str], str | None]:
+        """Return a function that returns the keeper of a limit.
+
+        It ranks the routers once for all limits that share a keeper.
+        """
+        chosen: dict[int, str | None] = {}
+        shards = _shard_count(addresses)
+
+        def keeper(key: str) -> str | None:
+            shard = xxhash.xxh64_intdigest(key.encode()) % shards
+            if shard not in chosen:
+                chosen[shard] = self._keeper_of_shard(shard, addresses, now)
+            return chosen[shard]
+
+        return keeper
 
     def _keeper_of_shard(
         self, shard: int, addresses: Sequence[str], now: float
@@ -72,10 +81,5 @@
                 self.trust(address)
 
 
-def keeper_among(keepers: Sequence[str | None], key: str) -> str | None:
-    """Return the keeper of a limit among those of all shards."""
-    return keepers[xxhash.xxh64_intdigest(key.encode()) % len(keepers)]
-
-
 def _shard_count(addresses: Sequence[str]) -> int:
     return max(1, math.ceil(len(addresses) / ROUTERS_PER_KEEPER))
--- a/packages/daemon/src/lacewing_daemon/direct/limits/_limiter.py
+++ b/packages/daemon/src/lacewing_daemon/direct/limits/_limiter.py
@@ -4,22 +4,23 @@
 import time
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 from collections.abc import Sequence
 from dataclasses import dataclass
-from functools import partial
 from random import Random
 from typing import Protocol
 
 from lacewing_common.log import get_log
 from lacewing_common.log import Part
+from msgspec import structs
 
 from lacewing_daemon.direct._metrics import LIMIT_MESSAGES
 from lacewing_daemon.direct.limits._account import LimitAccount
-from lacewing_daemon.direct.limits._keepers import keeper_among
 from lacewing_daemon.direct.limits._keepers import Keepers
 from lacewing_daemon.direct.limits._ledger import LimitTerms
 from lacewing_daemon.direct.limits._ledger import Settlement
 from lacewing_daemon.direct.limits._ledger import TokenLedger
+from lacewing_daemon.direct.limits._messages import StatedLimit
 from lacewing_daemon.direct.limits._messages import TokenReply
 from lacewing_daemon.direct.limits._messages import TokenRequest
 
@@ -89,6 +90,36 @@
         """Return the reply, None if there was none in time."""
 
 
+class Statements(Protocol):
+    """Exchange what routers know of limits that are not configured."""
+
+    def outgoing(self, keys: Iterable[str]) -> dict[str, StatedLimit] | None:
+        """Return what is known of some limits."""
+
+    def incoming(self, stated: Mapping[str, StatedLimit]) -> None:
+        """Apply what another router knows."""
+
+    def unknown_to(
+        self, stated: Mapping[str, StatedLimit] | None
+    ) -> dict[str, StatedLimit]:
+        """Return what another router does not know, by what it has sent."""
+
+
+class _NoStatements:
+    """Exchange nothing: all limits are configured."""
+
+    def outgoing(self, _keys: Iterable[str]) -> dict[str, StatedLimit] | None:
+        return None
+
+    def incoming(self, stated: Mapping[str, StatedLimit]) -> None:
+        """Ignore what another router sends."""
+
+    def unknown_to(
+        self, _stated: Mapping[str, StatedLimit] | None
+    ) -> dict[str, StatedLimit]:
+        return {}
+
+
 class RateLimiter:
     """Charge requests at this router; move tokens to and from others.
 
@@ -103,8 +134,10 @@
         peer_addresses: Callable[[], Sequence[str]],
         random: Random,
         clock: Callable[[], float] = time.monotonic,
+        statements: Statements | None = None,
     ) -> None:
         self._address = address
+        self._statements = statements or _NoStatements()
         self._terms = terms
         self._peer_addresses = peer_addresses
         self._random = random
@@ -136,8 +169,17 @@
         account = self._ledger.account(key)
         return 0.0 if account is None else account.tokens(self._clock())
 
-    async def charge(self, key: str, cost: float) -> Charge | Denial:
-        """Charge a request; without such a limit it costs nothing."""
+    def keeper(self, key: str) -> str | None:
+        """Return the router that keeps a limit's pool, None for none."""
+        return self._keepers.keeper(key, self._candidates(), self._clock())
+
+    async def charge(
+        self, key: str, cost: float, may_hold: bool = True
+    ) -> Charge | Denial:
+        """Charge a request; without such a limit it costs nothing.
+
+        ``may_hold``: a request that fits within a moment waits for that.
+        """
         self._ledger.apply(self._terms())
         account = self._ledger.account(key)
         if account is None:
@@ -145,7 +187,7 @@
         self._ledger.count_demand(key, cost)
         if cost > account.allowance.max_cost:
             return Denial(0.0, is_final=True)
-        denial = await self._charge(key, account, cost)
+        denial = await self._charge(key, account, cost, may_hold)
         if denial is not None:
             return denial
         return Charge(key, cost, self._clock())
@@ -158,8 +200,12 @@
 
     def serve(self, request: TokenRequest) -> TokenReply:
         """Serve a peer as the keeper of pools."""
+        if request.stated:
+            self._statements.incoming(request.stated)
         self._ledger.apply(self._terms())
-        return self._ledger.serve(request)
+        reply = self._ledger.serve(request)
+        unknown = self._statements.unknown_to(request.stated)
+        return structs.replace(reply, stated=unknown) if unknown else reply
 
     def pool_tokens(self, key: str) -> float:
         """Return the tokens of a pool that this router keeps."""
@@ -173,7 +219,7 @@
             await self._settle(interval_s)
 
     async def _charge(
-        self, key: str, account: LimitAccount, cost: float
+        self, key: str, account: LimitAccount, cost: float, may_hold: bool
     ) -> Denial | None:
         """Return None once charged, or why not."""
         if account.charge(cost, self._clock()):
@@ -186,7 +232,7 @@
         own = account.withdraw(cost, self._clock())
         denial: Denial | None = _UNREACHABLE
         try:
-            denial = await self._ask(key, cost - own)
+            denial = await self._ask(key, cost - own, may_hold)
         finally:
             if denial is not None:
                 account.deposit(own, self._clock())
@@ -198,17 +244,22 @@
         )
         return denial
 
-    async def _ask(self, key: str, need: float) -> Denial | None:
+    async def _ask(
+        self, key: str, need: float, may_hold: bool
+    ) -> Denial | None:
         """Ask for tokens; None once granted."""
         denial = _UNREACHABLE
-        was_held = False
         for _ in range(MAX_ASKS):
-            keeper = self._keeper(key)
+            keeper = self.keeper(key)
             if keeper is None:
                 return denial
             reply = await self._move(
                 keeper,
-                TokenRequest(self._address, needs={key: need}),
+                TokenRequest(
+                    self._address,
+                    needs={key: need},
+                    stated=self._statements.outgoing((key,)),
+                ),
                 ASK_TIMEOUT_S,
             )
             if reply is None:
@@ -216,9 +267,9 @@
             if key in reply.granted:
                 return None
             denial = Denial(reply.waits.get(key, denial.wait_s))
-            if was_held or denial.wait_s > MAX_HOLD_S:
+            if not may_hold or denial.wait_s > MAX_HOLD_S:
                 return denial
-            was_held = True
+            may_hold = False
             await asyncio.sleep(denial.wait_s)
         return denial
 
@@ -243,30 +294,34 @@
         self._keepers.forget_expired(now)
         # Chosen once for all limits: with thousands of them the choice would
         # block the event loop.
-        by_shard = self._keepers.by_shard(self._candidates(), now)
-        self._ledger.keep_pools(
-            key
-            for key in self._ledger.keys
-            if keeper_among(by_shard, key) == self._address
-        )
+        keeper_of = self._keepers.among(self._candidates(), now)
+        by_keeper: dict[str, list[str]] = {}
+        for key in self._ledger.keys:
+            keeper = keeper_of(key)
+            if keeper is not None:
+                by_keeper.setdefault(keeper, []).append(key)
+        self._ledger.keep_pools(by_keeper.get(self._address, ()))
         settlements = self._ledger.settle(
-            partial(keeper_among, by_shard),
+            keeper_of,
             self._address,
             self._lacking,
             interval_s,
         )
-        keepers = {keeper for keeper in by_shard if keeper is not None}
         self._lacking = {
             keeper: keys
             for keeper, keys in self._lacking.items()
-            if keeper in keepers
+            if keeper in by_keeper
         }
-        self._short_keepers &= keepers
+        self._short_keepers &= by_keeper.keys()
         moves = []
-        for keeper in keepers:
+        for keeper, keys in by_keeper.items():
             settlement = settlements.get(keeper, Settlement({}, {}))
             request = TokenRequest(
-                self._address, settlement.deposits, {}, settlement.wishes
+                self._address,
+                settlement.deposits,
+                {},
+                settlement.wishes,
+                self._statements.outgoing(keys),
             )
             moves.append(self._move_settlement(keeper, request))
         await asyncio.gather(*moves)
@@ -306,15 +361,14 @@
             self._keepers.suspect(keeper, self._clock())
             _log.debug('A keeper of limits did not answer.', peer=keeper)
             return None
+        if reply.stated:
+            self._statements.incoming(reply.stated)
         self._lacking[keeper] = frozenset(reply.lacking)
         self._short_keepers.discard(keeper)
         if reply.is_short:
             self._short_keepers.add(keeper)
         return reply
 
-    def _keeper(self, key: str) -> str | None:
-        return self._keepers.keeper(key, self._candidates(), self._clock())
-
     def _candidates(self) -> list[str]:
         """Return the routers that may keep pools.
 
--- a/packages/daemon/src/lacewing_daemon/direct/limits/_named.py
+++ b/packages/daemon/src/lacewing_daemon/direct/limits/_named.py
@@ -10,6 +10,7 @@
 
 from lacewing_daemon.direct._metrics import MALFORMED_STATEMENTS
 from lacewing_daemon.direct._metrics import UPSTREAM_LIMIT
+from lacewing_daemon.direct._routing_config import Quota
 from lacewing_daemon.direct._site import Unstated
 from lacewing_daemon.direct._upstream import Upstream
 
@@ -18,9 +19,9 @@
 # The end of a limit is remembered for this long, as other routers may report
 # from before it.
 REMEMBER_END_S = 10.0
-# A limit that no answer has named for this long belongs to an upstream that
-# has ended or gets no requests.
-FORGET_LIMIT_S = 600.0
+# A limit that no router has seen named for this long belongs to an upstream
+# that has ended or gets no requests.
+FORGET_LIMIT_S = 60.0
 
 _log = get_log(Part.LIMITS)
 
@@ -43,6 +44,7 @@
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         self._clock = clock
         self._limits: dict[str, NamedLimit] = {}
+        self._quotas: Mapping[str, Quota] = {}
 
     @property
     def limits(self) -> Mapping[str, NamedLimit]:
@@ -66,7 +68,7 @@
         if stated is Unstated.MALFORMED:
             MALFORMED_STATEMENTS.labels('limit').inc()
             return False
-        if isinstance(stated, float):
+        if not isinstance(stated, Unstated):
             rate_per_s = max(MIN_LIMIT_PER_S, stated)
             return self.apply(
                 upstream.incarnation, NamedLimit(rate_per_s, self._clock())
@@ -84,6 +86,7 @@
         known_per_s = None if before is None else before.rate_per_s
         if limit.rate_per_s == known_per_s:
             return False
+        self._update_quotas()
         upstream_id = _upstream_id(incarnation)
         if limit.rate_per_s is None:
             UPSTREAM_LIMIT.remove(upstream_id)
@@ -98,10 +101,14 @@
         )
         return True
 
-    def forget_old(self) -> bool:
-        """Remove old statements; return whether a limit was removed."""
+    @property
+    def quotas(self) -> Mapping[str, Quota]:
+        """Return the limits in force; each change is a new mapping."""
+        return self._quotas
+
+    def forget_old(self) -> None:
+        """Remove old statements."""
         now = self._clock()
-        has_removed = False
         for incarnation, limit in tuple(self._limits.items()):
             age_s = now - limit.stated_s
             if limit.rate_per_s is None and age_s > REMEMBER_END_S:
@@ -109,8 +116,14 @@
             if limit.rate_per_s is not None and age_s > FORGET_LIMIT_S:
                 del self._limits[incarnation]
                 UPSTREAM_LIMIT.remove(_upstream_id(incarnation))
-                has_removed = True
-        return has_removed
+                self._update_quotas()
+
+    def _update_quotas(self) -> None:
+        quotas = {}
+        for incarnation, limit in self._limits.items():
+            if limit.rate_per_s is not None:
+                quotas[incarnation] = Quota(limit.rate_per_s, 0.0)
+        self._quotas = quotas
 
 
 def _upstream_id(incarnation: str) -> str:
