--- a/features/steps/upstream_limits_steps.py
+++ b/features/steps/upstream_limits_steps.py
@@ -300,3 +300,20 @@
         assert state is not None
         incarnation = state.upstream.incarnation
         assert _limit(router, incarnation) is None, router.callers_address
+
+
+@given('all upstreams name a limit of {rate:d} request a second')
+def step_all_limited(context: Context, rate: int) -> None:
+    """Have all upstreams name the same limit."""
+    for upstream in direct_bench(context).upstreams.values():
+        upstream.states = {LIMIT: str(rate)}
+
+
+@when('a caller fetches records until one is refused')
+def step_until_refused(context: Context) -> None:
+    """Send requests one after the other."""
+    bench = direct_bench(context)
+    for _ in range(MAX_REQUESTS):
+        if bench.ask().status == UNAVAILABLE:
+            return
+    raise AssertionError(f'none of {MAX_REQUESTS} requests was refused')
--- a/packages/ctl/src/lacewing_ctl/_causes.py
+++ b/packages/ctl/src/lacewing_ctl/_causes.py
@@ -48,10 +48,13 @@
     if line.upstreams == 0:
         return 'No upstream of the service was known.'
     if not line.tries:
-        return (
+        text = (
             f'None of {line.upstreams} upstreams was expected to answer in'
             ' time, so it was refused at once.'
         )
+        # What upstreams have said about themselves follows a semicolon.
+        _, _, stated = line.message.partition('; ')
+        return f'{text} Of them {stated}.' if stated else text
     return f'{line.message}, after {len(line.tries)} sends.'
 
 
--- a/packages/daemon/src/lacewing_daemon/direct/_next_target.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_next_target.py
@@ -79,7 +79,7 @@
                     return placed
                 return not_run(
                     Reason.NO_WORKER,
-                    'no upstream can answer in time',
+                    self._describe_missing(admitted, now_s),
                     placed.retry_after_ms / _MS,
                 )
             if await self._reserve(placed.state):
@@ -185,6 +185,21 @@
         pause_s = continuation.state.usable_in_s(now_s)
         return NoCapacity(pause_s * _MS) if pause_s > 0 else continuation
 
+    def _describe_missing(self, admitted: Admitted, now_s: float) -> str:
+        """Say why no upstream was chosen, by what upstreams have said."""
+        limited = 0
+        for state in self._fleet.cluster_state.upstreams_of(
+            admitted.service.name
+        ):
+            if state.is_usable(now_s):
+                continue
+            if self._fleet.upstream_limiter.is_limited(state.upstream):
+                limited += 1
+        text = 'no upstream can answer in time'
+        if limited:
+            text += f'; {limited} take no more now by the limits they name'
+        return text
+
     async def _reserve(self, state: UpstreamState) -> bool:
         """Charge a send to an upstream's limit; false if it can't be sent."""
         self._charge = None
