--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -17,6 +17,7 @@
 from lacewing_daemon.direct._entry_order import is_older_routing_config
 from lacewing_daemon.direct._entry_order import is_older_upstream
 from lacewing_daemon.direct._metrics import STORE_AGE_SECONDS
+from lacewing_daemon.direct._metrics import UPSTREAMS_LEAVING
 from lacewing_daemon.direct._observed_revisions import WATCH_GAP_S
 from lacewing_daemon.direct._pool import ConnectionPool
 from lacewing_daemon.direct._router_count import RouterCount
@@ -284,6 +285,16 @@
             state, model, version, self._weights_watcher.age_s
         )
 
+    def record_leaving(self, state: UpstreamState) -> None:
+        """Record that an answer of an upstream says that it leaves."""
+        if state.upstream.leaving:
+            return
+        UPSTREAMS_LEAVING.labels(state.upstream.service).inc()
+        _log.info(
+            'An upstream says that it leaves.',
+            upstream=state.upstream.upstream_id,
+        )
+
     def update_age_metrics(self) -> None:
         """Update the metrics of the ages of watched collections."""
         for name, age_s in (
--- a/packages/daemon/src/lacewing_daemon/direct/_metrics.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_metrics.py
@@ -124,6 +124,11 @@
     'Requests counted against limits that upstreams name, by result',
     ['result'],
 )
+UPSTREAMS_LEAVING = Counter(
+    'lacewing_direct_upstreams_leaving',
+    'Upstreams whose answers told first that they leave, by service',
+    ['service'],
+)
 MALFORMED_STATEMENTS = Counter(
     'lacewing_direct_statements_malformed',
     'Statements in answers of upstreams that could not be read, by subject',
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -287,6 +287,8 @@
         if self._state.replaced:
             return
         if head.is_signed or head.not_run:
+            if head.is_leaving:
+                self._fleet.record_leaving(self._state)
             self._fleet.upstream_limiter.record(
                 self._state.upstream, head.request_limit, self._start_s
             )
--- a/packages/daemon/src/lacewing_daemon/direct/_site.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_site.py
@@ -242,7 +242,7 @@
     ``is_signed``: the answer carries the upstream's signature.
     ``responder_id`` is the id of the upstream that answered, '' if not given.
     ``request_limit``: the requests a second that the upstream takes from all
-    routers together.
+    routers together. ``is_leaving``: the upstream ends soon.
     """
 
     status: int
@@ -258,6 +258,7 @@
     headers: HTTPHeaders
     responder_id: str = ''
     request_limit: float | Unstated = Unstated.ABSENT
+    is_leaving: bool = False
 
 
 class Wire(Protocol):
