Send nothing new to an upstream whose answer says that it leaves

Cause: leaving was read from the store's entries only, and the store was away for 12 s. What each answer said (Server-Leaving) was not read. The class is that of the limits: a statement of an upstream that reaches the adapter and no decision. Change: such an answer marks that start of the upstream as leaving, as its entry would: no placement, retry, move or continuation, and no load order. An entry that still says ready does not take it back; the next start has a state of its own. A refusal counts the upstreams that are leaving.

--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -289,6 +289,7 @@
         """Record that an answer of an upstream says that it leaves."""
         if state.upstream.leaving:
             return
+        state.mark_leaving()
         UPSTREAMS_LEAVING.labels(state.upstream.service).inc()
         _log.info(
             'An upstream says that it leaves.',
--- a/packages/daemon/src/lacewing_daemon/direct/_next_target.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_next_target.py
@@ -187,18 +187,25 @@
 
     def _describe_missing(self, admitted: Admitted, now_s: float) -> str:
         """Say why no upstream was chosen, by what upstreams have said."""
-        limited = 0
+        limited = leaving = 0
         for state in self._fleet.cluster_state.upstreams_of(
             admitted.service.name
         ):
             if state.is_usable(now_s):
                 continue
+            if state.upstream.leaving:
+                leaving += 1
+                continue
             if self._fleet.upstream_limiter.is_limited(state.upstream):
                 limited += 1
-        text = 'no upstream can answer in time'
+        stated = []
         if limited:
-            text += f'; {limited} take no more now by the limits they name'
-        return text
+            stated.append(
+                f'{limited} take no more now by the limits they name'
+            )
+        if leaving:
+            stated.append(f'{leaving} are leaving')
+        return '; '.join(['no upstream can answer in time', *stated])
 
     async def _reserve(self, state: UpstreamState) -> bool:
         """Charge a send to an upstream's limit; false if it can't be sent."""
--- a/packages/daemon/src/lacewing_daemon/direct/_upstream_state.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_upstream_state.py
@@ -2,6 +2,7 @@
 
 from collections import OrderedDict
 from dataclasses import dataclass
+from dataclasses import replace
 from math import exp
 
 from lacewing_daemon.direct._call import Prompt
@@ -143,6 +144,10 @@
                 continue
             self.update_weights(model, version)
 
+    def mark_leaving(self) -> None:
+        """Mark this incarnation as leaving, before its entry says so."""
+        self._upstream = replace(self._upstream, leaving=True)
+
     def mark_replaced(self) -> None:
         """Mark this incarnation as replaced by a later one.
 
