Apply what upstreams say in a module of its own

Cause: the three statements were recorded in three places of the fleet and the send, and described in a fourth. Change: Statements takes the head of an answer, decides what to believe, marks the upstream and writes the lines; it also counts the reasons for which upstreams are left out. The fleet's limiter of teams is named so.

--- a/features/ctl_explain.feature
+++ b/features/ctl_explain.feature
@@ -17,7 +17,7 @@
   Scenario: A request that upstreams take no more of by their limits
     Given all upstreams name a limit of 1 request a second
     When a caller fetches records until one is refused
-    Then explaining it shows status 503 and "2 take no more now by the limits"
+    Then explaining it shows status 503 and "2 take no more now by their limits"
 
   Scenario: A request beyond its team's limit
     When a caller of a team that may run 1 request a second sends several
--- a/packages/daemon/src/lacewing_daemon/direct/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_exchange.py
@@ -202,7 +202,7 @@
         """Charge the request to its team's limit."""
         if admitted.team is None or admitted.team.quota is None:
             return None
-        charge = await self._fleet.limiter.admit(
+        charge = await self._fleet.team_limiter.admit(
             admitted.team.name,
             admitted.team.quota,
             self._request.stated_tokens,
@@ -215,7 +215,7 @@
     def _refund(self) -> None:
         """Give back what was charged, as the request has not run."""
         if self._charge_made is not None:
-            self._fleet.limiter.refund(self._charge_made)
+            self._fleet.team_limiter.refund(self._charge_made)
             self._charge_made = None
 
     def _is_blocked(self) -> bool:
--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -1,7 +1,6 @@
 """Keep a direct router's view of the deployment up to date."""
 
 import asyncio
-import time
 from collections.abc import Callable
 from random import Random
 
@@ -17,10 +16,7 @@
 from lacewing_daemon.direct._entry_order import is_older_release
 from lacewing_daemon.direct._entry_order import is_older_routing_config
 from lacewing_daemon.direct._entry_order import is_older_upstream
-from lacewing_daemon.direct._metrics import MALFORMED_STATEMENTS
 from lacewing_daemon.direct._metrics import STORE_AGE_SECONDS
-from lacewing_daemon.direct._metrics import UPSTREAM_RESTS
-from lacewing_daemon.direct._metrics import UPSTREAMS_LEAVING
 from lacewing_daemon.direct._observed_revisions import WATCH_GAP_S
 from lacewing_daemon.direct._pool import ConnectionPool
 from lacewing_daemon.direct._router_count import RouterCount
@@ -28,7 +24,7 @@
 from lacewing_daemon.direct._settings import DirectSettings
 from lacewing_daemon.direct._silence_detector import SilenceDetector
 from lacewing_daemon.direct._site import Site
-from lacewing_daemon.direct._site import Unstated
+from lacewing_daemon.direct._statements import Statements
 from lacewing_daemon.direct._store_calls import InstrumentedObjects
 from lacewing_daemon.direct._store_calls import StoreCallCounter
 from lacewing_daemon.direct._store_eras import StoreEras
@@ -190,7 +186,7 @@
             self._eras,
         )
         self._peers_address = settings.peers
-        self._limiter = TeamLimiter(
+        self._team_limiter = TeamLimiter(
             settings.peers,
             self._limit_terms,
             lambda: self._router_count.addresses,
@@ -202,6 +198,7 @@
             lambda: self._router_count.addresses,
             random,
         )
+        self._statements = Statements(self._upstream_limiter)
         self._silence_detector = SilenceDetector(
             settings.policy.mute_ms / 1000
         )
@@ -231,15 +228,20 @@
         return self._crash_guard
 
     @property
-    def limiter(self) -> TeamLimiter:
+    def team_limiter(self) -> TeamLimiter:
         """Return the limiter that charges requests of teams."""
-        return self._limiter
+        return self._team_limiter
 
     @property
     def upstream_limiter(self) -> UpstreamLimiter:
         """Return the limiter that keeps to what upstreams say they take."""
         return self._upstream_limiter
 
+    @property
+    def statements(self) -> Statements:
+        """Return the record of what upstreams say about themselves."""
+        return self._statements
+
     @property
     def peer_addresses(self) -> tuple[str, ...]:
         """Return the addresses at which the other routers listen for peers."""
@@ -289,35 +291,6 @@
             state, model, version, self._weights_watcher.age_s
         )
 
-    def record_leaving(self, state: UpstreamState) -> None:
-        """Record that an answer of an upstream says that it leaves."""
-        if state.upstream.leaving:
-            return
-        state.mark_leaving()
-        UPSTREAMS_LEAVING.labels(state.upstream.service).inc()
-        _log.info(
-            'An upstream says that it leaves.',
-            upstream=state.upstream.upstream_id,
-        )
-
-    def record_rest(
-        self, state: UpstreamState, duration_s: float | Unstated
-    ) -> None:
-        """Record that an upstream refuses and asks for rest."""
-        if duration_s is Unstated.MALFORMED:
-            MALFORMED_STATEMENTS.labels('rest').inc()
-        if isinstance(duration_s, Unstated):
-            return
-        now_s = time.monotonic()
-        if not state.is_resting(now_s):
-            UPSTREAM_RESTS.labels(state.upstream.service).inc()
-            _log.info(
-                'An upstream asks for rest.',
-                upstream=state.upstream.upstream_id,
-                seconds=duration_s,
-            )
-        state.rest_for(now_s, duration_s)
-
     def update_age_metrics(self) -> None:
         """Update the metrics of the ages of watched collections."""
         for name, age_s in (
@@ -326,7 +299,7 @@
             ('weights', self._weights_watcher.age_s),
         ):
             STORE_AGE_SECONDS.labels(name).set(age_s)
-        self._limiter.update_metrics()
+        self._team_limiter.update_metrics()
 
     def start(self) -> None:
         """Start watching the store."""
@@ -340,7 +313,7 @@
             self._silence_detector.run(),
             self._router_count.run(),
             self._store_calls.run(),
-            self._limiter.run(),
+            self._team_limiter.run(),
             self._upstream_limiter.run(),
             self._run_peers(),
         ):
@@ -441,9 +414,9 @@
         from lacewing_daemon.direct.limits._service import LimitService
 
         link = PeerLink(self._peers_address)
-        limits = LimitService(link, self._limiter, MOVE_METHOD)
+        limits = LimitService(link, self._team_limiter, MOVE_METHOD)
         link.add_service(limits)
-        self._limiter.connect(limits)
+        self._team_limiter.connect(limits)
         upstream_limits = LimitService(
             link, self._upstream_limiter.limiter, MOVE_UPSTREAM_METHOD
         )
--- a/packages/daemon/src/lacewing_daemon/direct/_next_target.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_next_target.py
@@ -79,7 +79,7 @@
                     return placed
                 return not_run(
                     Reason.NO_WORKER,
-                    self._describe_missing(admitted, now_s),
+                    self._describe_missing(admitted),
                     placed.retry_after_ms / _MS,
                 )
             if await self._reserve(placed.state):
@@ -186,32 +186,12 @@
         pause_s = continuation.state.wanted_in_s(now_s)
         return NoCapacity(pause_s * _MS) if pause_s > 0 else continuation
 
-    def _describe_missing(self, admitted: Admitted, now_s: float) -> str:
-        """Say why no upstream was chosen, by what upstreams have said."""
-        limited = leaving = resting = 0
-        for state in self._fleet.cluster_state.upstreams_of(
-            admitted.service.name
-        ):
-            if state.is_usable(now_s):
-                continue
-            if state.upstream.leaving:
-                leaving += 1
-                continue
-            if state.is_resting(now_s):
-                resting += 1
-                continue
-            if self._fleet.upstream_limiter.is_limited(state.upstream):
-                limited += 1
-        stated = []
-        if limited:
-            stated.append(
-                f'{limited} take no more now by the limits they name'
-            )
-        if leaving:
-            stated.append(f'{leaving} are leaving')
-        if resting:
-            stated.append(f'{resting} asked for rest')
-        return '; '.join(['no upstream can answer in time', *stated])
+    def _describe_missing(self, admitted: Admitted) -> str:
+        """Say why no upstream was chosen."""
+        states = self._fleet.cluster_state.upstreams_of(admitted.service.name)
+        stated = self._fleet.statements.describe(states)
+        text = 'no upstream can answer in time'
+        return f'{text}; {stated}' if stated else text
 
     async def _reserve(self, state: UpstreamState) -> bool:
         """Charge a send to an upstream's limit; false if it can't be sent."""
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -30,7 +30,6 @@
 from lacewing_daemon.direct._upstream_state import UpstreamState
 
 _MS = 1000.0
-_UNAVAILABLE = 503
 # An upstream at whose address another one answers has terminated; its store
 # entry is removed within a few seconds.
 MOVED_UPSTREAM_PAUSE_S = 4.0
@@ -287,14 +286,7 @@
             return
         if self._state.replaced:
             return
-        if head.status == _UNAVAILABLE:
-            self._fleet.record_rest(self._state, head.retry_after_s)
-        if head.is_signed or head.not_run:
-            if head.is_leaving:
-                self._fleet.record_leaving(self._state)
-            self._fleet.upstream_limiter.record(
-                self._state.upstream, head.request_limit, self._start_s
-            )
+        self._fleet.statements.record(self._state, head, self._start_s)
         if head.load is not None:
             self._state.update_load(head.load, time.monotonic())
         prompt = self._request.prompt
