Let a cut stream wait for a restarted worker after another refused it

The failing stream of the one that failed broke off at the first engine, was then refused by the second, which could not be reached (worker_unreachable, not run), and ended with "no worker of the service is left to try". A router waits for a worker that has restarted only after a fault; a refusal that ran nothing took that back, though the caller still had half of its answer. Ruled out: the retry budget (9 of 10 left) and the deadline (119 s left). Change: once the caller has a part of its answer, the wait holds for the attempts after it as well. The class is a decision on the last verdict alone where an earlier one still matters. Measured: the new scenario of features/router.feature failed before and passes.

--- a/features/router.feature
+++ b/features/router.feature
@@ -250,6 +250,16 @@
     When "rahmat" asks the model "handbook" for 6 words until the first vanishes
     Then every stream has 6 words, one id, events numbered in order, its end
 
+  Scenario: A cut stream waits for a worker that restarts
+    # Guards against half an answer: a stream breaks off, the only other worker
+    # can't be reached, and the first one is back a moment later.
+    Given an agent of "tutor" that chats 6 words and once fails after 3
+    When "rahmat" asks the model "handbook" for 6 words
+    And an agent of "tutor" that can't reach its worker joins amid the stream
+    And the first worker fails and restarts 0.3 s later
+    Then every stream has 6 words, one id, events numbered in order, its end
+    And both agents were asked to go on
+
   Scenario: A cut stream that must not go on elsewhere ends with an error
     # Symptom: a caller takes half an answer for a whole one.
     # Sequence: 3 of 6 words arrive; the worker fails.
--- a/packages/daemon/src/lacewing_daemon/router/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/router/_exchange.py
@@ -315,10 +315,13 @@
         if self._reply.started:
             if not may_continue(self._original, self._transcript):
                 return False
-        self._after_fault = is_fault(refusal) and self._call.idempotent
-        if self._after_fault:
+        if is_fault(refusal) and self._call.idempotent:
+            self._after_fault = True
             self._renew_start_deadline()
-        elif not is_not_run_here(refusal):
+        elif is_not_run_here(refusal):
+            # A stream that broke off needs a worker all the same.
+            self._after_fault &= self._reply.started
+        else:
             return False
         return time.monotonic() < self._start_by_s
 
