Share the simulated links of both limit models, and rename for newcomers

Cause: the models of team and upstream limits had the same carrier and the same two faults twice; Statements named two things; docs of the limiter's parts spoke of teams only. Change: support/simulated_links.py has carrier and faults; the limiter's protocol is LimitExchange; quotas, allowances and bounds speak of limits.

--- a/features/steps/direct_limits_steps.py
+++ b/features/steps/direct_limits_steps.py
@@ -22,6 +22,8 @@
 from support.limits_fleet import most_in_window
 from support.limits_fleet import Offer
 from support.limits_fleet import token_quota
+from support.simulated_links import cut_halves
+from support.simulated_links import cut_others_each_second
 
 TEAM = 'north'
 WINDOW = WindowBounds(8.0, 0.1, 72000.0)
@@ -67,32 +69,13 @@
 @given('the halves are cut from each other')
 def step_halves(context: Context) -> None:
     """Cut the fleet in two for the middle of the play."""
-    fleet = context.fleet
-    half = fleet.size // 2
-
-    async def cut(fleet: LimitFleet) -> None:
-        await asyncio.sleep(WARM_UP_S + 5.0)
-        fleet.is_cut = lambda one, other: (one < half) != (other < half)
-        await asyncio.sleep(11.0)
-        fleet.is_cut = lambda _one, _other: False
-
-    context.faults.append(cut)
+    context.faults.append(cut_halves(WARM_UP_S + 5.0, 11.0))
 
 
 @given('cuts come and go')
 def step_cuts(context: Context) -> None:
     """Cut other routers off each second."""
-
-    async def cut(fleet: LimitFleet) -> None:
-        random = Random(fleet.seed)
-        while True:
-            alone = set(random.sample(range(fleet.size), fleet.size // 3))
-            fleet.is_cut = lambda one, other: (
-                (one in alone) != (other in alone)
-            )
-            await asyncio.sleep(random.uniform(0.2, 2.0))
-
-    context.faults.append(cut)
+    context.faults.append(cut_others_each_second)
 
 
 @given('all are killed and start again')
--- a/features/steps/upstream_fleet_steps.py
+++ b/features/steps/upstream_fleet_steps.py
@@ -11,6 +11,8 @@
 from behave.runner import Context
 from support.event_loop import run_simulated
 from support.event_loop import SimulatedLoop
+from support.simulated_links import cut_halves
+from support.simulated_links import cut_others_each_second
 from support.upstream_fleet import UPSTREAM
 from support.upstream_fleet import UpstreamFleet
 
@@ -50,15 +52,7 @@
 @given('among them the halves are cut from each other')
 def step_halves(context: Context) -> None:
     """Cut the fleet in two for the middle of the play."""
-
-    async def cut(fleet: UpstreamFleet) -> None:
-        half = fleet.size // 2
-        await asyncio.sleep(12.0)
-        fleet.is_cut = lambda one, other: (one < half) != (other < half)
-        await asyncio.sleep(10.0)
-        fleet.is_cut = lambda _one, _other: False
-
-    context.faults.append(cut)
+    context.faults.append(cut_halves(12.0, 10.0))
 
 
 @given('among them all are cut off from each other after {seconds:d} s')
@@ -75,17 +69,7 @@
 @given('among them cuts come and go')
 def step_cuts(context: Context) -> None:
     """Cut other routers off each second."""
-
-    async def cut(fleet: UpstreamFleet) -> None:
-        random = Random(fleet.seed)
-        while True:
-            alone = set(random.sample(range(fleet.size), fleet.size // 3))
-            fleet.is_cut = lambda one, other: (
-                (one in alone) != (other in alone)
-            )
-            await asyncio.sleep(random.uniform(0.2, 2.0))
-
-    context.faults.append(cut)
+    context.faults.append(cut_others_each_second)
 
 
 @given('among them all are killed and start again')
--- a/features/support/limits_fleet.py
+++ b/features/support/limits_fleet.py
@@ -12,11 +12,13 @@
 from lacewing_daemon.direct.limits import LimitTerms
 from lacewing_daemon.direct.limits import TeamLimiter
 from lacewing_daemon.direct.limits import WindowBounds
-from lacewing_daemon.direct.limits._messages import TokenReply
-from lacewing_daemon.direct.limits._messages import TokenRequest
 from support.event_loop import SimulatedLoop
+from support.simulated_links import Carrier
+from support.simulated_links import IsCut
+from support.simulated_links import never_cut
+from support.simulated_links import ONE_WAY_S
+from support.simulated_links import Serve
 
-ONE_WAY_S = 0.002
 MEAN_COST = 4000.0
 
 
@@ -65,7 +67,7 @@
     returns_s: list[float] = field(default_factory=list)
     messages: int = 0
     unrun_fraction: float = 0.0
-    is_cut: Callable[[int, int], bool] = lambda _one, _other: False
+    is_cut: IsCut = field(default=never_cut)
     routers: dict[int, Router] = field(default_factory=dict)
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
@@ -90,7 +92,7 @@
             Random(f'{self.seed}/{index}'),
             self.loop.time,
         )
-        limiter.connect(_Carrier(self, index))
+        limiter.connect(Carrier(self, index))
         router = Router(
             str(index),
             share,
@@ -100,6 +102,15 @@
         )
         self.routers[index] = router
 
+    def cut(self, is_cut: IsCut) -> None:
+        """Lose the messages between some routers from now on."""
+        self.is_cut = is_cut
+
+    def serving(self, index: int) -> Serve | None:
+        """Return how a router serves its peers, None if it is down."""
+        router = self.routers.get(index)
+        return None if router is None else router.limiter.serve
+
     def stop_router(self, index: int) -> None:
         """Kill a router's process."""
         self.routers.pop(index).settling.cancel()
@@ -149,32 +160,6 @@
         return drawn < self.unrun_fraction
 
 
-class _Carrier:
-    """Carry messages with a delay; a cut loses requests and replies."""
-
-    def __init__(self, fleet: LimitFleet, index: int) -> None:
-        self._fleet = fleet
-        self._index = index
-
-    async def move(
-        self, address: str, request: TokenRequest, timeout_s: float
-    ) -> TokenReply | None:
-        """Return the reply, None if it was lost."""
-        self._fleet.messages += 1
-        await asyncio.sleep(ONE_WAY_S)
-        other = int(address)
-        router = self._fleet.routers.get(other)
-        if router is None or self._fleet.is_cut(self._index, other):
-            await asyncio.sleep(timeout_s - ONE_WAY_S)
-            return None
-        reply = router.limiter.serve(request)
-        await asyncio.sleep(ONE_WAY_S)
-        if self._fleet.is_cut(other, self._index):
-            await asyncio.sleep(timeout_s - 2 * ONE_WAY_S)
-            return None
-        return reply
-
-
 def token_quota(rate_per_s: float, burst: float) -> Quota:
     """Return a limit in tokens."""
     return Quota(rate_per_s, burst, LimitUnit.TOKENS, MEAN_COST)
--- a/features/support/upstream_fleet.py
+++ b/features/support/upstream_fleet.py
@@ -13,11 +13,12 @@
 from lacewing_daemon.direct.limits import LimitTerms
 from lacewing_daemon.direct.limits import UpstreamLimiter
 from lacewing_daemon.direct.limits import WindowBounds
-from lacewing_daemon.direct.limits._messages import TokenReply
-from lacewing_daemon.direct.limits._messages import TokenRequest
 from support.event_loop import SimulatedLoop
+from support.simulated_links import Carrier
+from support.simulated_links import IsCut
+from support.simulated_links import never_cut
+from support.simulated_links import Serve
 
-ONE_WAY_S = 0.002
 ANSWER_S = 0.3
 UPSTREAM = Upstream('eng-1', 'models', '10.0.0.1:80', 'east', 4, False, {}, 1)
 _NO_WINDOW = WindowBounds(0.0, 0.0, 0.0)
@@ -60,7 +61,7 @@
     arrivals: list[Arrival] = field(default_factory=list)
     denied: int = 0
     messages: int = 0
-    is_cut: Callable[[int, int], bool] = lambda _one, _other: False
+    is_cut: IsCut = field(default=never_cut)
     routers: dict[int, Router] = field(default_factory=dict)
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
@@ -80,10 +81,19 @@
             Random(f'{self.seed}/{index}'),
             self.loop.time,
         )
-        limiter.connect(_Carrier(self, index))
+        limiter.connect(Carrier(self, index))
         task = asyncio.create_task(limiter.run())
         self.routers[index] = Router(limiter, share, task)
 
+    def cut(self, is_cut: IsCut) -> None:
+        """Lose the messages between some routers from now on."""
+        self.is_cut = is_cut
+
+    def serving(self, index: int) -> Serve | None:
+        """Return how a router serves its peers, None if it is down."""
+        router = self.routers.get(index)
+        return None if router is None else router.limiter.limiter.serve
+
     def stop_router(self, index: int) -> None:
         """Kill a router's process."""
         self.routers.pop(index).task.cancel()
@@ -129,26 +139,3 @@
             return
         router.limiter.record(UPSTREAM, self.rate_per_s, sent_s)
         router.told_s = min(router.told_s, self.loop.time() + 0.5)
-
-
-class _Carrier:
-    """Carry messages with a delay; a cut loses requests and replies."""
-
-    def __init__(self, fleet: UpstreamFleet, index: int) -> None:
-        self._fleet = fleet
-        self._index = index
-
-    async def move(
-        self, address: str, request: TokenRequest, timeout_s: float
-    ) -> TokenReply | None:
-        """Return the reply, None if it was lost."""
-        self._fleet.messages += 1
-        await asyncio.sleep(ONE_WAY_S)
-        other = int(address)
-        router = self._fleet.routers.get(other)
-        if router is None or self._fleet.is_cut(self._index, other):
-            await asyncio.sleep(timeout_s - ONE_WAY_S)
-            return None
-        reply = router.limiter.limiter.serve(request)
-        await asyncio.sleep(ONE_WAY_S)
-        return None if self._fleet.is_cut(other, self._index) else reply
--- a/packages/daemon/src/lacewing_daemon/direct/_routing_config.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_routing_config.py
@@ -131,7 +131,7 @@
 
 @dataclass(frozen=True)
 class Quota:
-    """Limit what a team may run at all routers together.
+    """Limit what may run at all routers together.
 
     ``rate_per_s`` and ``burst`` are in ``unit``. Where that is tokens, a
     request counts those that it states, or ``unstated_tokens``.
--- a/packages/daemon/src/lacewing_daemon/direct/limits/_allowance.py
+++ b/packages/daemon/src/lacewing_daemon/direct/limits/_allowance.py
@@ -1,9 +1,9 @@
-"""Divide a team's limit into what routers may hold at any moment.
+"""Divide a limit into what routers may hold at any moment.
 
-Load pattern: a team's requests reach few of many routers, and which ones
+Load pattern: the requests that count reach few of many routers, and which ones
 changes within a second. So most of what may be held is held by the routers
 for the requests that they receive without asking each other, and a part in
-one pool per team, from which any router can take.
+one pool per limit, from which any router can take.
 """
 
 from dataclasses import dataclass
@@ -23,7 +23,7 @@
 
 @dataclass(frozen=True)
 class WindowBounds:
-    """Hold by how much a team may exceed its limit in any window.
+    """Hold by how much a limit may be exceeded in any window.
 
     ``overage`` is a fraction of the limit, ``slack`` is in its unit.
     """
@@ -35,9 +35,9 @@
 
 @dataclass(frozen=True)
 class Allowance:
-    """Hold what one router may hold of a team's limit.
+    """Hold what one router may hold of a limit.
 
-    ``rate_per_s`` is the team's limit at all routers; ``router_rate_per_s``
+    ``rate_per_s`` is the limit at all routers; ``router_rate_per_s``
     comes in at this router, up to ``router_capacity``. A request that counts
     more than ``max_cost`` exceeds the limit by itself.
     """
--- a/packages/daemon/src/lacewing_daemon/direct/limits/_limiter.py
+++ b/packages/daemon/src/lacewing_daemon/direct/limits/_limiter.py
@@ -90,7 +90,7 @@
         """Return the reply, None if there was none in time."""
 
 
-class Statements(Protocol):
+class LimitExchange(Protocol):
     """Exchange what routers know of limits that are not configured."""
 
     def outgoing(self, keys: Iterable[str]) -> dict[str, StatedLimit] | None:
@@ -105,7 +105,7 @@
         """Return what another router does not know, by what it has sent."""
 
 
-class _NoStatements:
+class _NoExchange:
     """Exchange nothing: all limits are configured."""
 
     def outgoing(self, _keys: Iterable[str]) -> dict[str, StatedLimit] | None:
@@ -134,10 +134,10 @@
         peer_addresses: Callable[[], Sequence[str]],
         random: Random,
         clock: Callable[[], float] = time.monotonic,
-        statements: Statements | None = None,
+        exchange: LimitExchange | None = None,
     ) -> None:
         self._address = address
-        self._statements = statements or _NoStatements()
+        self._exchange = exchange or _NoExchange()
         self._terms = terms
         self._peer_addresses = peer_addresses
         self._random = random
@@ -201,10 +201,10 @@
     def serve(self, request: TokenRequest) -> TokenReply:
         """Serve a peer as the keeper of pools."""
         if request.stated:
-            self._statements.incoming(request.stated)
+            self._exchange.incoming(request.stated)
         self._ledger.apply(self._terms())
         reply = self._ledger.serve(request)
-        unknown = self._statements.unknown_to(request.stated)
+        unknown = self._exchange.unknown_to(request.stated)
         return structs.replace(reply, stated=unknown) if unknown else reply
 
     def pool_tokens(self, key: str) -> float:
@@ -258,7 +258,7 @@
                 TokenRequest(
                     self._address,
                     needs={key: need},
-                    stated=self._statements.outgoing((key,)),
+                    stated=self._exchange.outgoing((key,)),
                 ),
                 ASK_TIMEOUT_S,
             )
@@ -321,7 +321,7 @@
                 settlement.deposits,
                 {},
                 settlement.wishes,
-                self._statements.outgoing(keys),
+                self._exchange.outgoing(keys),
             )
             moves.append(self._move_settlement(keeper, request))
         await asyncio.gather(*moves)
@@ -362,7 +362,7 @@
             _log.debug('A keeper of limits did not answer.', peer=keeper)
             return None
         if reply.stated:
-            self._statements.incoming(reply.stated)
+            self._exchange.incoming(reply.stated)
         self._lacking[keeper] = frozenset(reply.lacking)
         self._short_keepers.discard(keeper)
         if reply.is_short:
--- a/packages/daemon/src/lacewing_daemon/direct/limits/_named.py
+++ b/packages/daemon/src/lacewing_daemon/direct/limits/_named.py
@@ -51,6 +51,11 @@
         """Return the latest statements by incarnation, ends included."""
         return self._limits
 
+    @property
+    def quotas(self) -> Mapping[str, Quota]:
+        """Return the limits in force; each change is a new mapping."""
+        return self._quotas
+
     def rate_per_s(self, incarnation: str) -> float | None:
         """Return the limit in force, None for none."""
         limit = self._limits.get(incarnation)
@@ -101,11 +106,6 @@
         )
         return True
 
-    @property
-    def quotas(self) -> Mapping[str, Quota]:
-        """Return the limits in force; each change is a new mapping."""
-        return self._quotas
-
     def forget_old(self) -> None:
         """Remove old statements."""
         now = self._clock()
