Check the end of a limit by what it would refuse, not by shares

Traced by its log: after "An upstream has started again." no line names a limit and nothing was refused; the router preferred the other engine, as it does after late first events. So the check measured how placement spreads, which no limit decides. Change: in both scenarios the other engine is taken out of use, then all of 12 requests a second must reach the engine and be answered, where the limit named before allows one. This is stricter: one refusal fails it.

--- a/features/direct_upstream_limits.feature
+++ b/features/direct_upstream_limits.feature
@@ -70,7 +70,10 @@
       When callers ask a model 12 times a second for 3 s
       And "eng-1" names no limit
       And callers ask a model 12 times a second for 4 s
-      Then "eng-1" gets at least a quarter of the last 24 requests
+      And "eng-2" is draining
+      And callers ask a model 12 times a second for 2 s
+      Then "eng-1" gets all of them, far beyond its limit
+      And all requests are answered
 
     Scenario: A router that sends nothing learns that a limit ended
       # Guards against an upstream that a router avoids for good, as no answer
@@ -86,5 +89,7 @@
       Given the limit of "eng-1" is named as "1"
       When callers ask a model 12 times a second for 3 s
       And "eng-1" restarts and is known
+      And "eng-2" is draining
       And callers ask a model 12 times a second for 4 s
-      Then "eng-1" gets at least a quarter of the last 24 requests
+      Then "eng-1" gets all of them, far beyond its limit
+      And all requests are answered
--- a/features/steps/upstream_limits_steps.py
+++ b/features/steps/upstream_limits_steps.py
@@ -277,18 +277,28 @@
     assert refused, 'all were answered'
 
 
-@then('"{name}" gets at least a quarter of the last {count:d} requests')
-def step_gets_its_part(context: Context, name: str, count: int) -> None:
-    """Compare what the upstreams of a service got last."""
+@when('"{name}" is draining')
+def step_drains(context: Context, name: str) -> None:
+    """Take an upstream out of use, and wait until the routers know."""
     bench = direct_bench(context)
-    service = bench.upstreams[name].service
-    arrived = []
-    for upstream in bench.upstreams.values():
-        if upstream.service == service:
-            for at_s in upstream.received_s:
-                arrived.append((at_s, upstream.upstream_id))
-    last = [upstream_id for _, upstream_id in sorted(arrived)[-count:]]
-    assert last.count(name) >= count / 4, last
+    bench.register(name, 'draining')
+    for router in bench.routers:
+        _await_draining(bench, router, name)
+
+
+def _await_draining(
+    bench: DirectBench, router: DirectRouter, name: str
+) -> None:
+    state = router._fleet.cluster_state
+    bench.until(lambda: state.upstreams[name].upstream.leaving, 'its entry')
+
+
+@then('"{name}" gets all of them, far beyond its limit')
+def step_gets_all(context: Context, name: str) -> None:
+    """Count what was sent last, of which the limit allows a few."""
+    upstream = direct_bench(context).upstreams[name]
+    received = len(upstream.received) - context.counts[name]
+    assert received >= len(context.ended) >= 24, received
 
 
 @then('no router limits what it sends to "{name}"')
