Check that the next start of an upstream has no limit before it answers

Cause: with the start left out of the name of a limit (a trial) the scenario passed, as the first answer of the new start ends the limit. Change: it looks at what the router knows once the new start is known. Measured: passes; fails with the start left out of the name.

--- a/features/direct_upstream_limits.feature
+++ b/features/direct_upstream_limits.feature
@@ -89,7 +89,8 @@
       Given the limit of "eng-1" is named as "1"
       When callers ask a model 12 times a second for 3 s
       And "eng-1" restarts and is known
-      And "eng-2" is draining
+      Then no router limits what it sends to "eng-1"
+      When "eng-2" is draining
       And callers ask a model 12 times a second for 4 s
       Then "eng-1" gets all of them, far beyond its limit
       And all requests are answered
