Serve a router's own settlement before any other request

What callers saw: a team far within its limit got 429, with a Retry-After of a second.

Cause: a settlement takes tokens out of the accounts, then sends them in tasks. For a pool that the router keeps itself the task runs an iteration of the event loop later, and a request that is charged in between finds the tokens neither in the account nor in the pool. Ruled out: a stall of the process (4 ms from charge to refund) and the rest that upstreams ask for (the stand-in asks for none there).

Change: a router serves its own settlement at once, before the messages to other keepers.

The new scenario failed before (429, Retry-After 1.0).

--- a/features/direct_limits.feature
+++ b/features/direct_limits.feature
@@ -158,3 +158,12 @@
         | 4       |
         | 22      |
         | 330     |
+
+  Rule: A settlement hides no tokens from requests
+
+    Scenario: A request that arrives as its router settles
+      # Guards against refusing a team while what it may use is on its way to
+      # the pool that the same router keeps.
+      Given a router that alone holds a limit of 1 request a second
+      When a request is refunded, and the next one arrives as the router settles
+      Then both are let through
--- a/features/steps/direct_limits_steps.py
+++ b/features/steps/direct_limits_steps.py
@@ -9,7 +9,9 @@
 from behave import then
 from behave import when
 from behave.runner import Context
+from lacewing_common.verdict import Refusal
 from lacewing_daemon.direct._routing_config import Quota
+from lacewing_daemon.direct.limits import Charge
 from lacewing_daemon.direct.limits import LimitTerms
 from lacewing_daemon.direct.limits import TeamLimiter
 from lacewing_daemon.direct.limits import WindowBounds
@@ -253,6 +255,47 @@
     asyncio.run(limiter._settle(1.0))
 
 
+@given('a router that alone holds a limit of 1 request a second')
+def step_alone(context: Context) -> None:
+    """Create a router that has all tokens, and keeps the pool itself."""
+    quota = Quota(1.0, 1.0)
+    terms = LimitTerms({TEAM: quota}, WindowBounds(8.0, 0.1, 0.0), 1.0)
+    loop = SimulatedLoop()
+    limiter = TeamLimiter('0', lambda: terms, tuple, Random(1), loop.time)
+
+    async def admit() -> Charge | Refusal:
+        return await limiter.admit(TEAM, quota, None)
+
+    context.loop = loop
+    context.limiter = limiter
+    context.admit = admit
+
+
+@when('a request is refunded, and the next one arrives as the router settles')
+def step_settle_between(context: Context) -> None:
+    """Charge and refund a request; start a settlement, then the next one."""
+    limiter = context.limiter
+
+    async def play() -> list[Charge | Refusal]:
+        settling = asyncio.create_task(limiter.run())
+        await asyncio.sleep(WARM_UP_S)
+        settling.cancel()
+        first = await context.admit()
+        assert isinstance(first, Charge), first
+        limiter.refund(first)
+        _, second = await asyncio.gather(limiter._settle(1.0), context.admit())
+        return [first, second]
+
+    context.admitted = run_simulated(context.loop, play())
+
+
+@then('both are let through')
+def step_both(context: Context) -> None:
+    """Check that no request was refused."""
+    for admitted in context.admitted:
+        assert isinstance(admitted, Charge), admitted
+
+
 @then('it reads the list of routers at most {most:d} times')
 def step_list_reads(context: Context, most: int) -> None:
     """Compare the count with the bound."""
--- a/packages/daemon/src/lacewing_daemon/direct/limits/_limiter.py
+++ b/packages/daemon/src/lacewing_daemon/direct/limits/_limiter.py
@@ -323,7 +323,13 @@
                 settlement.wishes,
                 self._exchange.outgoing(keys),
             )
-            moves.append(self._move_settlement(keeper, request))
+            move = self._move_settlement(keeper, request)
+            if keeper != self._address:
+                moves.append(move)
+                continue
+            # Not in a task: requests that are charged before the task runs
+            # would find these tokens neither in the account nor in the pool.
+            await move
         await asyncio.gather(*moves)
 
     async def _move_settlement(
