Refund late refusals less what has come in since

What callers saw: (1) a team far within its limit was refused right after a request of it that an upstream had kept for half a second and then refused; (2) the other way round, a team got more than its limit after upstreams had refused for some seconds what it sent.

Cause: a refund later than 0.2 s filled up the router's own account, whatever the pool had lost for that request and whatever had come in since.

A refund less what the whole limit brought in since the charge (kept) never adds to what is held at any moment: what was taken before has been replaced by that much.

--- a/features/direct_limits.feature
+++ b/features/direct_limits.feature
@@ -167,3 +167,26 @@
       Given a router that alone holds a limit of 1 request a second
       When a request is refunded, and the next one arrives as the router settles
       Then both are let through
+
+  Rule: What never ran costs a team nothing
+
+    Scenario: A request that is refused late
+      # Guards against refusing a team whose request waited at an upstream that
+      # refused it in the end.
+      Given a router that alone holds a limit of 1 request a second
+      When a request is refunded after 0.5 s, and the next one arrives
+      Then both are let through
+
+    Scenario Outline: Upstreams that refuse late
+      # Guards against a limit that is exceeded by what is given back after the
+      # routers have received new tokens in place of that.
+      Given <routers> routers and a team with a limit of <rate> tokens a second
+      And upstreams refuse what is sent in the first 8 s, after <after> s
+      When it sends 3 times its limit evenly for 24 s, with seed <seed>
+      Then no window exceeds the limit
+
+      Examples:
+        | routers | rate   | after | seed |
+        | 1       | 18000  | 3     | 61   |
+        | 22      | 134000 | 3     | 62   |
+        | 22      | 134000 | 6     | 63   |
--- a/features/steps/direct_limits_steps.py
+++ b/features/steps/direct_limits_steps.py
@@ -136,6 +136,18 @@
     context.fleet.unrun_fraction = 0.5
 
 
+@given(
+    'upstreams refuse what is sent in the first {first_s:d} s, after'
+    ' {after_s:d} s'
+)
+def step_unrun_late(context: Context, first_s: int, after_s: int) -> None:
+    """Let charges be given back when new tokens have come in."""
+    fleet = context.fleet
+    fleet.unrun_fraction = 1.0
+    fleet.unrun_after_s = float(after_s)
+    fleet.unrun_until_s = WARM_UP_S + first_s
+
+
 @given('it is lowered to {rate:d} tokens a second after {at_s:d} s')
 def step_lowered(context: Context, rate: int, at_s: int) -> None:
     """Bring a lower limit into force at all routers within 0.5 s."""
@@ -277,11 +289,7 @@
     limiter = context.limiter
 
     async def play() -> list[Charge | Refusal]:
-        settling = asyncio.create_task(limiter.run())
-        await asyncio.sleep(WARM_UP_S)
-        settling.cancel()
-        first = await context.admit()
-        assert isinstance(first, Charge), first
+        first = await _charge_first(context)
         limiter.refund(first)
         _, second = await asyncio.gather(limiter._settle(1.0), context.admit())
         return [first, second]
@@ -289,6 +297,29 @@
     context.admitted = run_simulated(context.loop, play())
 
 
+@when('a request is refunded after {after_s:g} s, and the next one arrives')
+def step_refunded_late(context: Context, after_s: float) -> None:
+    """Charge a request, and refund it after a while."""
+
+    async def play() -> list[Charge | Refusal]:
+        first = await _charge_first(context)
+        await asyncio.sleep(after_s)
+        context.limiter.refund(first)
+        return [first, await context.admit()]
+
+    context.admitted = run_simulated(context.loop, play())
+
+
+async def _charge_first(context: Context) -> Charge:
+    """Charge a request of a team that has used nothing for a while."""
+    settling = asyncio.create_task(context.limiter.run())
+    await asyncio.sleep(WARM_UP_S)
+    settling.cancel()
+    charged = await context.admit()
+    assert isinstance(charged, Charge), charged
+    return charged
+
+
 @then('both are let through')
 def step_both(context: Context) -> None:
     """Check that no request was refused."""
--- a/features/support/limits_fleet.py
+++ b/features/support/limits_fleet.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
+from math import inf
 from random import Random
 
 from lacewing_common.verdict import Refusal
@@ -67,6 +68,8 @@
     returns_s: list[float] = field(default_factory=list)
     messages: int = 0
     unrun_fraction: float = 0.0
+    unrun_after_s: float = ONE_WAY_S
+    unrun_until_s: float = inf
     is_cut: IsCut = field(default=never_cut)
     routers: dict[int, Router] = field(default_factory=dict)
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
@@ -129,7 +132,7 @@
                 await asyncio.sleep(wait_s)
             task = asyncio.create_task(self._serve(offer))
             self._tasks.add(task)
-        await asyncio.sleep(1.0)
+        await asyncio.sleep(1.0 + self.unrun_after_s)
         for task in self._tasks:
             task.result()
         for router in self.routers.values():
@@ -148,13 +151,13 @@
             self.returns_s.append(self.loop.time() + charge.retry_after_s)
             return
         if self._is_refused_by_upstream(offer):
-            await asyncio.sleep(ONE_WAY_S)
+            await asyncio.sleep(self.unrun_after_s)
             router.limiter.refund(charge)
             return
         self.runs.append(Run(self.loop.time(), offer.team, offer.cost))
 
     def _is_refused_by_upstream(self, offer: Offer) -> bool:
-        if not self.unrun_fraction:
+        if not self.unrun_fraction or offer.at_s >= self.unrun_until_s:
             return False
         drawn = Random(f'{self.seed}/{offer.at_s}').random()
         return drawn < self.unrun_fraction
--- a/packages/daemon/src/lacewing_daemon/direct/limits/_account.py
+++ b/packages/daemon/src/lacewing_daemon/direct/limits/_account.py
@@ -6,7 +6,7 @@
 
 # A request that is refused this soon after it was charged gets everything
 # back. Later on the routers have received new tokens in place of those, and
-# more could run in a window than its limit.
+# more could run in a window than its limit: what came in is not given back.
 REFUND_S = 0.2
 # How much a process that starts may claim, in capacities of a router. The
 # pools are empty if all routers start, so all claims fit into the reserve.
@@ -87,12 +87,9 @@
 
     def refund(self, cost: float, charged_s: float, now: float) -> None:
         """Give back what was charged for a request that never ran."""
-        if now - charged_s <= REFUND_S:
-            self._bucket.move(cost, now)
-            return
-        held = self._bucket.tokens(now)
-        room = max(0.0, self._allowance.router_capacity - held)
-        self._bucket.move(min(cost, room), now)
+        late_s = max(0.0, now - charged_s - REFUND_S)
+        replaced = self._allowance.rate_per_s * late_s
+        self._bucket.move(max(0.0, cost - replaced), now)
 
     def measure_demand(self, now: float) -> None:
         """Measure the demand since the last call."""
