Ask an ordered engine whether it has loaded

Cause, from the log of that play: the first engine was ordered, and nothing but its own entry tells that it has loaded, which may be seconds late. The holder learned it from the report before the repeated order, 1.2 s later, and only then ordered the second engine.

Ruled out: the lease (held throughout) and the narrow link (its answers were through before the first order).

Change: after an order that was accepted the holder requests the engine's report each 0.15 s until it has loaded, at most until the order would be repeated. Those requests are no orders and do not prolong the time in which the holder counts as acting.

--- a/features/direct_store.feature
+++ b/features/direct_store.feature
@@ -141,6 +141,14 @@
       When new weights are named
       Then all engines have them, by orders of one holder
 
+    Scenario: An engine that has loaded holds up no other one
+      # Guards against a turn that lasts until the order would be repeated
+      # although the engine has loaded long before: its entry does not say so
+      # yet.
+      When new weights are named
+      Then all engines have them, by orders of one holder
+      And the last engine was ordered less than 1.0 s after the first
+
     Scenario: Versions named in quick succession
       When three versions of weights are named at once
       Then all engines have the last one
--- a/features/steps/lease_orders_steps.py
+++ b/features/steps/lease_orders_steps.py
@@ -94,6 +94,17 @@
     assert holders == {'router-1'}, holders
 
 
+@then('the last engine was ordered less than {limit_s:g} s after the first')
+def step_ordered_soon(context: Context, limit_s: float) -> None:
+    """Compare the times of the first orders to the engines."""
+    first_orders_s = []
+    for upstream in direct_bench(context).upstreams.values():
+        if upstream.ordered_s:
+            first_orders_s.append(upstream.ordered_s[0])
+    took_s = max(first_orders_s) - min(first_orders_s)
+    assert took_s < limit_s, took_s
+
+
 @then('all engines have the last one')
 def step_last(context: Context) -> None:
     """Wait for the last version."""
--- a/packages/daemon/src/lacewing_daemon/direct/_planner.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_planner.py
@@ -12,6 +12,7 @@
 from lacewing_daemon.direct._cluster_state import ClusterState
 from lacewing_daemon.direct._loading import EngineWeights
 from lacewing_daemon.direct._loading import next_loads
+from lacewing_daemon.direct._loading import ORDER_RETRY_S
 from lacewing_daemon.direct._metrics import LEASE_HELD
 from lacewing_daemon.direct._metrics import LOAD_ORDERS
 from lacewing_daemon.direct._site import LoadOrder
@@ -35,6 +36,8 @@
 LEASE_MARGIN_S = 0.4
 LEASE_NAME = 'weights'
 ORDER_TIMEOUT_S = 0.6
+# Interval of the reports that are requested until an engine has loaded.
+LOAD_CHECK_INTERVAL_S = 0.15
 # How long a stop waits for an open call to the store.
 STOP_TIMEOUT_S = 1.2
 
@@ -72,6 +75,7 @@
         )
         self._busy: set[UpstreamState] = set()
         self._tasks: set[asyncio.Task[None]] = set()
+        self._load_checks: set[asyncio.Task[None]] = set()
         self._planning: asyncio.Task[None] | None = None
         self._stopping = False
         self._backoff = Backoff(
@@ -103,7 +107,7 @@
         for the lease to lapse and then for orders that nobody sent.
         """
         self._stopping = True
-        for task in self._tasks:
+        for task in self._tasks | self._load_checks:
             task.cancel()
         if self._planning is not None:
             await asyncio.wait((self._planning,), timeout=STOP_TIMEOUT_S)
@@ -113,6 +117,8 @@
     def close(self) -> None:
         """Stop at once, without releasing the lease."""
         self._stopping = True
+        for task in self._load_checks:
+            task.cancel()
         if self._planning is not None:
             self._planning.cancel()
 
@@ -215,6 +221,12 @@
             )
             if verdict is OrderVerdict.ALREADY_LOADED:
                 state.update_weights(model, version)
+            if verdict is OrderVerdict.ACCEPTED:
+                check = asyncio.create_task(
+                    self._check_load(state, model, version)
+                )
+                self._load_checks.add(check)
+                check.add_done_callback(self._load_checks.discard)
             if verdict in (OrderVerdict.BUSY, OrderVerdict.OTHER_INCARNATION):
                 # The engine carries out another order, or one side does not
                 # know the new incarnation yet; ordered again at the next
@@ -223,6 +235,22 @@
         finally:
             self._busy.discard(state)
 
+    async def _check_load(
+        self, state: UpstreamState, model: str, version: int
+    ) -> None:
+        """Request reports until an engine has loaded, or is ordered again.
+
+        Its entry tells seconds later, and the next engine waits for that.
+        """
+        end_s = boot_s() + ORDER_RETRY_S
+        while boot_s() < end_s:
+            await asyncio.sleep(LOAD_CHECK_INTERVAL_S)
+            if (state.weights(model) or 0) >= version:
+                return
+            report = await self._control.report(state.upstream)
+            if report is not None:
+                self._cluster_state.apply_report(state, report)
+
     async def _send_order(
         self,
         state: UpstreamState,
