--- a/features/soak.feature
+++ b/features/soak.feature
@@ -13,6 +13,12 @@
     When the process gets two stop signals and the upstreams resume
     Then the request is answered and the process exits by itself
 
+  Scenario: Output that is read after a router was terminated
+    # Guards against a soak that fails by itself: the rest of the output was
+    # written to a log that had been closed.
+    When a router is terminated while its output is unread
+    Then no task of the soak fails
+
   Scenario: Seeds that failed once
     When every seed that ever failed is run
     Then no promise is broken
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -1,6 +1,7 @@
 """Run the soak seeds, and single faults on router processes."""
 
 import asyncio
+import gc
 import http.client
 import signal
 import tempfile
@@ -136,6 +137,43 @@
     assert context.single_router.wait_exit() == 0
 
 
+@when('a router is terminated while its output is unread')
+def step_terminate_unread(context: Context) -> None:
+    """Read on after the process has ended; collect errors of tasks."""
+    directory = context.resources.enter_context(tempfile.TemporaryDirectory())
+    context.errors = asyncio.run(_terminate_unread(Path(directory)))
+
+
+@then('no task of the soak fails')
+def step_no_errors(context: Context) -> None:
+    """Check that the loop saw no error."""
+    assert not context.errors, context.errors
+
+
+async def _terminate_unread(directory: Path) -> list[Any]:
+    errors: list[Any] = []
+    asyncio.get_running_loop().set_exception_handler(
+        lambda _loop, found: errors.append(found.get('exception'))
+    )
+    site = SoakSite()
+    await site.start()
+    router = RouterProcess(
+        'router-0', directory, free_ports(), site.store.address
+    )
+    router.read_output.clear()
+    router.start()
+    assert await is_serving([router.address], 20.0)
+    await router.terminate()
+    router.read_output.set()
+    await asyncio.sleep(0.3)
+    # The error of a task that nobody awaits shows once the task is collected.
+    del router
+    gc.collect()
+    await asyncio.sleep(0)
+    site.close()
+    return errors
+
+
 @when('every seed that ever failed is run')
 def step_seeds(context: Context) -> None:
     """Run the listed seeds concurrently, except those with crashes."""
