Print the output of features that failed last

Of the last one only the name of the failed scenario was left; what it asserted stood before the output of the features that ended later, and the two lines on known failures were printed once for each feature.

Change: the output of features with failures is printed after all others, and only the process that merges the counts names the tests on record.

--- a/features/steps/testrun_steps.py
+++ b/features/steps/testrun_steps.py
@@ -2,6 +2,8 @@
 
 import subprocess
 import sys
+from contextlib import redirect_stdout
+from io import StringIO
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
@@ -13,6 +15,7 @@
 from lacewing_bench.testrun._known_red import KnownRed
 from lacewing_bench.testrun._known_red import KnownRedError
 from lacewing_bench.testrun._known_red import read_known_red
+from lacewing_bench.testrun._side_by_side import run_features
 from lacewing_bench.testrun._verdict import passes
 from lacewing_bench.testrun._verdict import report
 
@@ -43,6 +46,19 @@
     Given a step that nobody wrote
 """
 
+_TWO_STEPS = """
+from time import sleep
+from behave import given
+
+@given('a step that fails at once')
+def fails(context):
+    assert False, 'the reason of the failure'
+
+@given('a step that takes long')
+def passes(context):
+    sleep(1.5)
+"""
+
 
 def _names(text: str) -> tuple[str, ...]:
     return tuple(name.strip() for name in text.split(',') if name.strip())
@@ -151,3 +167,45 @@
 def then_code(context: Context, code: int) -> None:
     """Compare the exit code of the test run."""
     assert context.run.returncode == code, context.run.returncode
+
+
+@given('a feature that fails, and one that passes later')
+def given_two(context: Context) -> None:
+    """Write two features; the one that passes takes longer."""
+    context.features = _directory(context)
+    steps = context.features / 'steps'
+    steps.mkdir()
+    (steps / 'all_steps.py').write_text(_TWO_STEPS)
+    for name, step in (('fails', 'fails at once'), ('passes', 'takes long')):
+        (context.features / f'{name}.feature').write_text(
+            f'Feature: It {name}\n'
+            f'  Scenario: One\n    Given a step that {step}\n'
+        )
+
+
+@when('both are run side by side')
+def when_two(context: Context) -> None:
+    """Keep what is printed."""
+    paths = [
+        context.features / 'fails.feature',
+        context.features / 'passes.feature',
+    ]
+    printed = StringIO()
+    with redirect_stdout(printed):
+        context.counts = run_features(paths)
+    context.printed = printed.getvalue()
+
+
+@then('the reason of the failure comes after the other feature')
+def then_reason_last(context: Context) -> None:
+    """Compare the places in the output."""
+    printed = context.printed
+    reason_at = printed.index('the reason of the failure')
+    assert 0 <= printed.index('It passes') < reason_at, printed
+
+
+@then('one scenario passed and one failed')
+def then_counts(context: Context) -> None:
+    """Compare the merged counts."""
+    counts = context.counts
+    assert len(counts.passed) == len(counts.failed) == 1, counts
--- a/features/testrun.feature
+++ b/features/testrun.feature
@@ -29,3 +29,10 @@
     When the test run takes that feature
     Then its last line is "1 passed, 3 failed"
     And its exit code is 1
+
+  Scenario: What failed is printed last
+    # Guards against a failure whose reason is lost in the output of others.
+    Given a feature that fails, and one that passes later
+    When both are run side by side
+    Then the reason of the failure comes after the other feature
+    And one scenario passed and one failed
--- a/packages/bench/src/lacewing_bench/testrun/__main__.py
+++ b/packages/bench/src/lacewing_bench/testrun/__main__.py
@@ -35,10 +35,15 @@
         print(f'testrun: {error}')
         print('0 passed, 1 failed')
         return 1
-    if len(sys.argv) == 1:
-        counts = run_features(_all_features())
-    else:
+    if len(sys.argv) > 1 and sys.argv[1].startswith(COUNTS_OPTION):
+        counts = _run_here(sys.argv[2:])
+        write_counts(Path(sys.argv[1].removeprefix(COUNTS_OPTION)), counts)
+        # The process that merges the counts knows what is on record.
+        known = ()
+    elif len(sys.argv) > 1:
         counts = _run_here(sys.argv[1:])
+    else:
+        counts = run_features(_all_features())
     for line in report(counts, known):
         print(line)
     return 0 if passes(counts, known) else 1
@@ -56,10 +61,6 @@
 
 def _run_here(arguments: list[str]) -> Counts:
     """Run behave in this process."""
-    target: Path | None = None
-    if arguments[0].startswith(COUNTS_OPTION):
-        target = Path(arguments[0].removeprefix(COUNTS_OPTION))
-        arguments = arguments[1:]
     # Without this a time limit would end the run before the scenario under
     # way has ended its processes.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
@@ -71,8 +72,6 @@
         counts = Counts(
             counts.passed, ('behave: a hook or a feature',), counts.skipped
         )
-    if target is not None:
-        write_counts(target, counts)
     return counts
 
 
--- a/packages/bench/src/lacewing_bench/testrun/_side_by_side.py
+++ b/packages/bench/src/lacewing_bench/testrun/_side_by_side.py
@@ -3,6 +3,7 @@
 import asyncio
 import sys
 import tempfile
+from dataclasses import dataclass
 from pathlib import Path
 
 import msgspec
@@ -15,35 +16,49 @@
 COUNTS_OPTION = '--counts='
 
 
+@dataclass(frozen=True)
+class _FeatureRun:
+    """Hold the counts of one feature and what its run printed."""
+
+    counts: Counts
+    printed: str
+
+
 def write_counts(path: Path, counts: Counts) -> None:
     """Write counts for the process that merges them."""
     path.write_bytes(msgspec.json.encode(counts))
 
 
 def run_features(features: list[Path]) -> Counts:
-    """Run each feature in a process of its own; print what it printed."""
-    return asyncio.run(_run_all(features))
+    """Run each feature in a process of its own; print what it printed.
+
+    What failed comes last, where it is kept if only the end of the output is.
+    """
+    runs = asyncio.run(_run_all(features))
+    passed: list[str] = []
+    failed: list[str] = []
+    skipped: list[str] = []
+    for run in runs:
+        passed.extend(run.counts.passed)
+        failed.extend(run.counts.failed)
+        skipped.extend(run.counts.skipped)
+        if run.counts.failed:
+            sys.stdout.write(run.printed)
+    sys.stdout.flush()
+    return Counts(tuple(passed), tuple(failed), tuple(skipped))
 
 
-async def _run_all(features: list[Path]) -> Counts:
+async def _run_all(features: list[Path]) -> list[_FeatureRun]:
     slots = asyncio.Semaphore(AT_ONCE)
     with tempfile.TemporaryDirectory() as directory:
-        found = await asyncio.gather(
+        return await asyncio.gather(
             *(_run_one(one, Path(directory), slots) for one in features)
         )
-    passed: list[str] = []
-    failed: list[str] = []
-    skipped: list[str] = []
-    for counts in found:
-        passed.extend(counts.passed)
-        failed.extend(counts.failed)
-        skipped.extend(counts.skipped)
-    return Counts(tuple(passed), tuple(failed), tuple(skipped))
 
 
 async def _run_one(
     feature: Path, directory: Path, slots: asyncio.Semaphore
-) -> Counts:
+) -> _FeatureRun:
     path = directory / f'{feature.stem}.json'
     async with slots:
         process = await asyncio.create_subprocess_exec(
@@ -61,8 +76,12 @@
             process.terminate()
             await process.wait()
             raise
-    sys.stdout.write(printed.decode(errors='replace'))
-    sys.stdout.flush()
-    if not path.exists():
-        return Counts((), (f'{feature}: the run ended without counts',), ())
-    return msgspec.json.decode(path.read_bytes(), type=Counts)
+    if path.exists():
+        counts = msgspec.json.decode(path.read_bytes(), type=Counts)
+    else:
+        counts = Counts((), (f'{feature}: the run ended without counts',), ())
+    run = _FeatureRun(counts, printed.decode(errors='replace'))
+    if not counts.failed:
+        sys.stdout.write(run.printed)
+        sys.stdout.flush()
+    return run
