Set up both limiters of a router in a module of their own

A comment of the fleet that told how a delay was chosen says now what it trades.

direct_limits_served, direct_upstream_limits, direct_crashes, direct_rest and direct_routers: 92 passed.

--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -33,10 +33,9 @@
 from lacewing_daemon.direct._upstream_state import UpstreamState
 from lacewing_daemon.direct.crashes._crash_store import CRASHES
 from lacewing_daemon.direct.crashes._guard import CrashGuard
-from lacewing_daemon.direct.limits import LimitTerms
 from lacewing_daemon.direct.limits import TeamLimiter
 from lacewing_daemon.direct.limits import UpstreamLimiter
-from lacewing_daemon.direct.limits import WindowBounds
+from lacewing_daemon.direct.limits._limiters import Limiters
 
 # The maximum time for which a call waits for changes. Each call that returns
 # also confirms that the store is reachable.
@@ -47,10 +46,8 @@
 CRASHES_WAIT_S = 15.0
 # After a change the next call is delayed by this, so that one call returns a
 # series of changes; well below the 2 s within which they must be active.
-# Entries of upstreams change most: three a second while engines load weights
-# and some are replaced, which takes 2.5 calls a second at 0.2 s and 1.7 at
-# 0.5 s (counted over 30 s). At 0.8 s, 1.1% fewer prompts were on time, as
-# routers request weights for longer that an engine no longer has.
+# Entries of upstreams change most, but until a router knows of a load it
+# requests weights that the engine no longer has.
 ROUTING_CONFIG_BATCH_DELAY_S = 0.15
 UPSTREAMS_BATCH_DELAY_S = 0.5
 CRASHES_BATCH_DELAY_S = 0.3
@@ -186,19 +183,10 @@
             self._eras,
         )
         self._peers_address = settings.peers
-        self._team_limiter = TeamLimiter(
-            settings.peers,
-            self._limit_terms,
-            lambda: self._router_count.addresses,
-            random,
-        )
-        self._upstream_limiter = UpstreamLimiter(
-            settings.peers,
-            self._limit_terms,
-            lambda: self._router_count.addresses,
-            random,
+        self._limiters = Limiters(
+            settings.peers, self._cluster_state, self._router_count, random
         )
-        self._statements = Statements(self._upstream_limiter)
+        self._statements = Statements(self._limiters.upstreams)
         self._silence_detector = SilenceDetector(
             settings.policy.mute_ms / 1000
         )
@@ -230,12 +218,12 @@
     @property
     def team_limiter(self) -> TeamLimiter:
         """Return the limiter that charges requests of teams."""
-        return self._team_limiter
+        return self._limiters.teams
 
     @property
     def upstream_limiter(self) -> UpstreamLimiter:
         """Return the limiter that keeps to what upstreams say they take."""
-        return self._upstream_limiter
+        return self._limiters.upstreams
 
     @property
     def statements(self) -> Statements:
@@ -299,7 +287,7 @@
             ('weights', self._weights_watcher.age_s),
         ):
             STORE_AGE_SECONDS.labels(name).set(age_s)
-        self._team_limiter.update_metrics()
+        self._limiters.teams.update_metrics()
 
     def start(self) -> None:
         """Start watching the store."""
@@ -313,8 +301,8 @@
             self._silence_detector.run(),
             self._router_count.run(),
             self._store_calls.run(),
-            self._team_limiter.run(),
-            self._upstream_limiter.run(),
+            self._limiters.teams.run(),
+            self._limiters.upstreams.run(),
             self._run_peers(),
         ):
             task = asyncio.create_task(run)
@@ -385,43 +373,15 @@
             if model in models:
                 self.update_weights(state, model, version)
 
-    def _limit_terms(self) -> LimitTerms:
-        config = self._cluster_state.routing_config
-        bounds = self._cluster_state.bounds
-        unclaimed_s = 0.0
-        if self._router_count.has_predecessor:
-            unclaimed_s = self._cluster_state.process_age_s
-        return LimitTerms(
-            {} if config is None else config.quotas,
-            WindowBounds(
-                bounds.limit_window_s, bounds.limit_overage, bounds.limit_slack
-            ),
-            self._router_count.share,
-            self._router_count.share_holders,
-            unclaimed_s,
-        )
-
     async def _run_peers(self) -> None:
         """Serve peers and call them until cancelled."""
         if not self._peers_address:
             return
         await asyncio.sleep(PEERS_START_DELAY_S)
         from lacewing_daemon.direct._peer_link import PeerLink
-        from lacewing_daemon.direct.limits._messages import MOVE_METHOD
-        from lacewing_daemon.direct.limits._messages import (
-            MOVE_UPSTREAM_METHOD,
-        )
-        from lacewing_daemon.direct.limits._service import LimitService
 
         link = PeerLink(self._peers_address)
-        limits = LimitService(link, self._team_limiter, MOVE_METHOD)
-        link.add_service(limits)
-        self._team_limiter.connect(limits)
-        upstream_limits = LimitService(
-            link, self._upstream_limiter.limiter, MOVE_UPSTREAM_METHOD
-        )
-        link.add_service(upstream_limits)
-        self._upstream_limiter.connect(upstream_limits)
+        self._limiters.connect(link)
         try:
             async with asyncio.TaskGroup() as tasks:
                 tasks.create_task(self._crash_guard.exchange(link))
@@ -434,7 +394,7 @@
             await asyncio.sleep(POOL_SWEEP_S)
             states = self._cluster_state.upstreams.values()
             self._pool.close_expired(state.upstream for state in states)
-            self._upstream_limiter.forget_old()
+            self._limiters.upstreams.forget_old()
 
 
 def _log_failure(task: asyncio.Task[None]) -> None:
