Send at the stated rate after the scenario's process stood still

Its log: the process of the scenario stood still for 1.0 s right after its start, and then sent 14 prompts within 75 ms, where it states 12 a second. While the first three had no first event the router refused ten.

The load now keeps the stated gap also after a standstill; the counts and bounds are the same, and the last window is counted back from the last request, so that it is no longer than 4 s.

--- a/features/steps/upstream_limits_steps.py
+++ b/features/steps/upstream_limits_steps.py
@@ -197,19 +197,22 @@
     context: Context, path: str, per_s: int, seconds: int, routers: int
 ) -> None:
     bench = direct_bench(context)
-    context.sent_s = time.monotonic()
     context.counts = {
         name: len(upstream.received)
         for name, upstream in bench.upstreams.items()
     }
     ended: list[Future[tuple[Answer, float]]] = []
+    due_s = time.monotonic()
     with ThreadPoolExecutor(CALLERS) as callers:
         for number in range(per_s * seconds):
-            due_s = context.sent_s + number / per_s
+            # Not faster after this process stood still: the rate is stated.
+            due_s = max(due_s, time.monotonic())
             time.sleep(max(0.0, due_s - time.monotonic()))
             ended.append(
                 callers.submit(_ask, bench, path, number, number % routers)
             )
+            due_s += 1.0 / per_s
+    context.last_sent_s = due_s
     context.ended = [future.result() for future in ended]
 
 
@@ -250,7 +253,7 @@
             ]
         )
         assert count <= allowed, f'{count} in {WINDOW_S} s, {allowed} allowed'
-    last_s = context.sent_s + WINDOW_S
+    last_s = context.last_sent_s - WINDOW_S
     count = len([at_s for at_s in arrived_s if at_s >= last_s])
     least = LEAST_USED * rate_per_s * WINDOW_S
     assert count >= least, f'{count} in the last {WINDOW_S} s'
