--- a/features/direct_upstream_limits.feature
+++ b/features/direct_upstream_limits.feature
@@ -66,7 +66,7 @@
       And 14 prompts come before an engine has begun the first of them
       Then all requests are answered
 
-    Scenario: A refused caller is told when an upstream takes a request again
+    Scenario: A refused caller learns when an upstream takes a request again
       # Guards against requests that wait at the router for their deadline.
       Given the limit of "eng-1" is named as "1"
       And the limit of "eng-2" is named as "1"
--- a/features/steps/upstream_fleet_steps.py
+++ b/features/steps/upstream_fleet_steps.py
@@ -143,16 +143,16 @@
     run_simulated(fleet.loop, play())
 
 
-@then('no window of told routers exceeds what the upstream takes')
+@then('no window of informed routers exceeds what the upstream takes')
 def step_within(context: Context) -> None:
-    """Count what came in each window from routers that had been told."""
+    """Count what came in each window from routers that knew the limit."""
     fleet = context.fleet
     from_s = fleet.begins_s + GRACE_S
     arrived_s = []
     for arrival in fleet.arrivals:
-        if arrival.was_told and from_s <= arrival.at_s < fleet.ends_s:
+        if arrival.was_informed and from_s <= arrival.at_s < fleet.ends_s:
             arrived_s.append(arrival.at_s)
-    assert arrived_s, 'no router was told'
+    assert arrived_s, 'no router was informed'
     allowed = RATE_FACTOR * fleet.rate_per_s * WINDOW_S + MAX_BEYOND
     first = 0
     for position, at_s in enumerate(arrived_s):
--- a/features/steps/upstream_limits_steps.py
+++ b/features/steps/upstream_limits_steps.py
@@ -24,11 +24,11 @@
 MAX_REQUESTS = 40
 CALLERS = 24
 # What an upstream with a limit may get in a window, and the time after which
-# this holds for routers that it has told.
+# this holds for routers that it has informed.
 WINDOW_S = 4.0
 MAX_RATE_FACTOR = 1.5
 MAX_BEYOND = 5
-TOLD_S = 0.5
+INFORMED_S = 0.5
 LEAST_USED = 0.75
 # A refusal that waits for nothing.
 AT_ONCE_S = 0.3
@@ -259,8 +259,8 @@
     """Count what the upstream got in each window, and after the first."""
     upstream = direct_bench(context).upstreams[name]
     rate_per_s = float(upstream.states[LIMIT])
-    told_s = upstream.received_s[0] + TOLD_S
-    arrived_s = [at_s for at_s in upstream.received_s if at_s >= told_s]
+    informed_s = upstream.received_s[0] + INFORMED_S
+    arrived_s = [at_s for at_s in upstream.received_s if at_s >= informed_s]
     allowed = MAX_RATE_FACTOR * rate_per_s * WINDOW_S + MAX_BEYOND
     for first_s in arrived_s:
         count = len(
--- a/features/support/upstream_fleet.py
+++ b/features/support/upstream_fleet.py
@@ -28,12 +28,12 @@
 class Arrival:
     """Hold a request that reached the upstream.
 
-    ``was_told``: its router had learned of the limit 0.5 s before.
+    ``was_informed``: its router had learned of the limit 0.5 s before.
     """
 
     at_s: float
     router: int
-    was_told: bool
+    was_informed: bool
 
 
 @dataclass
@@ -43,7 +43,7 @@
     limiter: UpstreamLimiter
     share: float
     task: asyncio.Task[None]
-    told_s: float = float('inf')
+    informed_s: float = float('inf')
     paused_until_s: float = 0.0
 
 
@@ -132,10 +132,12 @@
                 router.paused_until_s = self.loop.time() + charged.wait_s
                 return
         sent_s = self.loop.time()
-        self.arrivals.append(Arrival(sent_s, index, sent_s >= router.told_s))
+        self.arrivals.append(
+            Arrival(sent_s, index, sent_s >= router.informed_s)
+        )
         await asyncio.sleep(ANSWER_S)
         if not self.names_limit:
             router.limiter.record(UPSTREAM, Unstated.ABSENT, sent_s)
             return
         router.limiter.record(UPSTREAM, self.rate_per_s, sent_s)
-        router.told_s = min(router.told_s, self.loop.time() + 0.5)
+        router.informed_s = min(router.informed_s, self.loop.time() + 0.5)
--- a/features/upstream_limits.feature
+++ b/features/upstream_limits.feature
@@ -9,7 +9,7 @@
     Scenario Outline: Requests in steady skew
       Given <routers> routers and an upstream that names <rate> requests a second
       When it is wanted <load> times as often <skew> for <seconds> s, with seed <seed>
-      Then no window of told routers exceeds what the upstream takes
+      Then no window of informed routers exceeds what the upstream takes
       And it gets at least 0.8 of what it names
 
       Examples:
@@ -29,7 +29,7 @@
       Given <routers> routers and an upstream that names <rate> requests a second
       And among them <fault>
       When it is wanted <load> times as often evenly for 30 s, with seed <seed>
-      Then no window of told routers exceeds what the upstream takes
+      Then no window of informed routers exceeds what the upstream takes
 
       Examples:
         | routers | rate | load | fault                              | seed |
@@ -62,5 +62,5 @@
       And the limit ends after 20 s
       And among them all are cut off from each other after 12 s
       When it is wanted 20 times as often evenly for 70 s, with seed 24
-      Then no window of told routers exceeds what the upstream takes
+      Then no window of informed routers exceeds what the upstream takes
       And no router holds the limit at the end
--- a/packages/daemon/src/lacewing_daemon/direct/limits/_upstreams.py
+++ b/packages/daemon/src/lacewing_daemon/direct/limits/_upstreams.py
@@ -1,8 +1,8 @@
 """Keep to the limits that upstreams name, over all routers together.
 
 Load pattern: an upstream in need names a few requests a second. The routers
-that it told send it whatever their callers ask for, and what one of them may
-send is less than one request in a second.
+that have its answers send it whatever their callers ask for, and what one of
+them may send is less than one request in a second.
 """
 
 import asyncio
