--- a/packages/common/src/lacewing_common/log_lines.py
+++ b/packages/common/src/lacewing_common/log_lines.py
@@ -17,7 +17,9 @@
     is the version released last and ``old_ms`` the time for which a later
     version had been released. ``went_on``: the run of an earlier send was
     continued from the copy of its KV cache. ``copy``: the upstream that kept
-    a copy of this run's KV cache, '' for none.
+    a copy of this run's KV cache, '' for none. ``ended``: how the body of the
+    answer ended, '' if the router gave the send up before; ``partial_bytes``:
+    the bytes after the last complete event of a stream.
     """
 
     upstream: str
@@ -35,6 +37,8 @@
     tokens_per_ms: float = 0.0
     went_on: bool = False
     copy: str = ''
+    ended: str = ''
+    partial_bytes: int = 0
 
 
 class BrokenRun(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/daemon/src/lacewing_daemon/direct/_attempt.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_attempt.py
@@ -4,12 +4,14 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from dataclasses import dataclass
+from dataclasses import replace
 from enum import Enum
 
 from lacewing_common.verdict import Reason
 from lacewing_common.verdict import Verdict
 from tornado.httputil import HTTPHeaders
 
+from lacewing_daemon.direct._answer_end import BodyEnd
 from lacewing_daemon.direct._call import CallerRequest
 from lacewing_daemon.direct._connection import UpstreamConnection
 from lacewing_daemon.direct._pool import ConnectionPool
@@ -47,6 +49,7 @@
     that was not streamed; ``complete``: the whole answer was received.
     ``connection_broken``: the upstream closed the connection before the end
     of the answer; ``opened_s``: when it was opened, on the boot clock.
+    ``body_end`` is None if the attempt ended before the body.
     """
 
     verdict: Verdict
@@ -57,6 +60,7 @@
     contact: Contact = Contact.CONNECTED
     connection_broken: bool = False
     opened_s: float = 0.0
+    body_end: BodyEnd | None = None
 
 
 class Attempt:
@@ -78,6 +82,7 @@
         self._ended: asyncio.Future[bool] = asyncio.Future()
         self._last_piece_s = 0.0
         self._connection_broken = False
+        self._body_end: BodyEnd | None = None
         self._opened_s = 0.0
 
     async def run(
@@ -110,7 +115,7 @@
             complete = await self._wait_for_end(
                 first_wait_s, gap_wait_s, should_abandon
             )
-            end = self._classify(complete)
+            end = replace(self._classify(complete), body_end=self._body_end)
             if (
                 end.complete
                 and end.head is not None
@@ -160,11 +165,12 @@
             return
         self._body.append(piece)
 
-    def on_end(self, complete: bool) -> None:
+    def on_end(self, body_end: BodyEnd) -> None:
         """End the attempt at the end of the answer."""
         if not self._ended.done():
-            self._connection_broken = not complete
-            self._ended.set_result(complete)
+            self._body_end = body_end
+            self._connection_broken = body_end is BodyEnd.BROKEN
+            self._ended.set_result(body_end is not BodyEnd.BROKEN)
 
     def _send(
         self, connection: UpstreamConnection, dispatch: Dispatch
--- a/packages/daemon/src/lacewing_daemon/direct/_connection.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_connection.py
@@ -23,6 +23,8 @@
 from tornado.iostream import StreamClosedError
 from tornado.iostream import UnsatisfiableReadError
 
+from lacewing_daemon.direct._answer_end import BodyEnd
+from lacewing_daemon.direct._answer_end import end_of_parsed_body
 from lacewing_daemon.direct._clock import boot_s
 
 # A peer without power sends nothing, not even a reset. The kernel closes the
@@ -52,8 +54,8 @@
     async def on_data(self, piece: bytes) -> None:
         """Handle a chunk of the body; return when ready for the next one."""
 
-    def on_end(self, complete: bool) -> None:
-        """Handle the end of the response; ``complete``: not interrupted."""
+    def on_end(self, body_end: BodyEnd) -> None:
+        """Handle the end of the response."""
 
 
 class UpstreamConnection:
@@ -132,7 +134,7 @@
             return
         finally:
             self._stream.close()
-            self._end_reply(False)
+            self._end_reply(BodyEnd.BROKEN)
 
     async def _read_reply(self) -> bool:
         connection = HTTP1Connection(self._stream, True, _PARAMETERS)
@@ -142,12 +144,12 @@
         self._stream.set_nodelay(True)
         return await connection.read_response(_ReplyReader(self))
 
-    def _end_reply(self, complete: bool) -> None:
+    def _end_reply(self, body_end: BodyEnd) -> None:
         sink = self._sink
         if sink is None:
             return
         self._sink = None
-        sink.on_end(complete)
+        sink.on_end(body_end)
 
     def _start_reply(
         self, status: int, headers: HTTPHeaders
@@ -163,13 +165,11 @@
         self._sink.on_head(status, headers)
         return self._sink
 
-    def _finish_reply(self, sink: ReplySink, is_framed: bool) -> None:
+    def _finish_reply(self, sink: ReplySink, headers: HTTPHeaders) -> None:
         if sink is not self._sink:
             return
-        # A response without a length ends when the connection is closed. The
-        # parser cannot distinguish that from a reset, after which data is
-        # missing.
-        self._end_reply(is_framed or self._stream.error is None)
+        has_error = self._stream.error is not None
+        self._end_reply(end_of_parsed_body(headers, has_error))
 
 
 class _ReplyReader(HTTPMessageDelegate):
@@ -178,7 +178,7 @@
     def __init__(self, connection: UpstreamConnection) -> None:
         self._connection = connection
         self._sink: ReplySink | None = None
-        self._is_framed = False
+        self._headers = HTTPHeaders()
 
     def headers_received(
         self,
@@ -189,9 +189,7 @@
         assert isinstance(start_line, ResponseStartLine)
         if start_line.code < _MIN_FINAL_STATUS:
             return
-        self._is_framed = (
-            'Content-Length' in headers or 'Transfer-Encoding' in headers
-        )
+        self._headers = headers
         self._sink = self._connection._start_reply(start_line.code, headers)
 
     async def data_received(self, chunk: bytes) -> None:
@@ -202,7 +200,7 @@
     def finish(self) -> None:
         """Report the end of the response."""
         if self._sink is not None:
-            self._connection._finish_reply(self._sink, self._is_framed)
+            self._connection._finish_reply(self._sink, self._headers)
 
     def on_connection_close(self) -> None:
         """Do nothing: the connection's read task ends and reports it."""
--- a/packages/daemon/src/lacewing_daemon/direct/_metrics.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_metrics.py
@@ -19,6 +19,11 @@
     'Sends to upstreams, by service and verdict',
     ['service', 'verdict'],
 )
+BODY_ENDS = Counter(
+    'lacewing_direct_body_ends',
+    "Bodies of upstreams' answers, by service and how they ended",
+    ['service', 'end'],
+)
 REPEATS_DENIED = Counter(
     'lacewing_direct_repeats_denied',
     'Repeated sends that the retry budget did not allow, by service',
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -19,6 +19,7 @@
 from lacewing_daemon.direct._first_event import record_first_event
 from lacewing_daemon.direct._fleet import Fleet
 from lacewing_daemon.direct._metrics import ATTEMPTS
+from lacewing_daemon.direct._metrics import BODY_ENDS
 from lacewing_daemon.direct._metrics import FIRST_SECONDS
 from lacewing_daemon.direct._metrics import RUNS_CONTINUED
 from lacewing_daemon.direct._placing import Placer
@@ -106,7 +107,7 @@
 
     def unfinished(self, reason: Reason) -> Try:
         """Return the log entry of a send that was abandoned."""
-        return self._log_entry(AttemptEnd(Verdict.MAY_HAVE_RUN, reason))
+        return self._log_entry(AttemptEnd(Verdict.MAY_HAVE_RUN, reason), 0)
 
     async def run(self, relay: StreamRelay, end_s: float) -> SendResult:
         """Send the request, relay a stream, and return how it ended."""
@@ -165,7 +166,8 @@
         has_newer_weights = self._reported_newer_weights(end)
         if not has_newer_weights:
             self._record_end(end)
-        return SendResult(end, self._log_entry(end), has_newer_weights)
+        log_entry = self._log_entry(end, relay.partial_bytes)
+        return SendResult(end, log_entry, has_newer_weights)
 
     @property
     def _can_continue(self) -> bool:
@@ -301,6 +303,8 @@
         """Update metrics and the state of the upstream from the end."""
         service = self._admitted.service.name
         ATTEMPTS.labels(service, end.verdict.value).inc()
+        if end.body_end is not None:
+            BODY_ENDS.labels(service, end.body_end.value).inc()
         if self._target.is_continuation:
             RUNS_CONTINUED.labels(service, end.verdict.value).inc()
         now_s = time.monotonic()
@@ -341,7 +345,7 @@
         reported_version = self._state.weights(prompt.model) or 0
         return reported_version > (self._target.weights or 0)
 
-    def _log_entry(self, end: AttemptEnd) -> Try:
+    def _log_entry(self, end: AttemptEnd, partial_bytes: int) -> Try:
         target = self._target
         is_superseded = target.superseded_ms > 0
         first_ms = -1
@@ -363,6 +367,8 @@
             tokens_per_ms=round(target.tokens_per_ms, 1),
             went_on=target.is_continuation,
             copy=_id_of(target.copy_to),
+            ended='' if end.body_end is None else end.body_end.value,
+            partial_bytes=partial_bytes,
         )
 
 
--- a/packages/daemon/src/lacewing_daemon/direct/_stream_relay.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_stream_relay.py
@@ -28,6 +28,11 @@
         """Return the id of the last event that the caller has."""
         return self._last_event
 
+    @property
+    def partial_bytes(self) -> int:
+        """Return the number of bytes of the event that is incomplete."""
+        return len(self._splitter.remainder)
+
     async def forward(self, head: ReplyHead, piece: bytes) -> None:
         """Forward complete events; the first call sends the head."""
         if not self._reply.has_started:
