Take a stream that ends inside an event for broken off

Such a stream had neither a length nor chunks, and its upstream closed the connection in an orderly way in the middle of an event: an orderly close made any answer without framing complete, and the partial event was passed on as its last bytes.

One function, is_whole, now decides for relays, buffered answers, retries, continuations and moves: the transfer must have reached its end (length, last chunk, or an orderly close without framing), and a stream must not end inside an event; without framing it also needs an event. The splitter belongs to the attempt that receives the bytes, so that a partial event ends with its attempt; relays get complete events only. Lines may also end with CR, which would otherwise look like one event without an end.

--- a/packages/daemon/src/lacewing_daemon/direct/_answer_end.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_answer_end.py
@@ -1,9 +1,13 @@
-"""State how the body of an answer ended."""
+"""Decide whether an answer arrived whole."""
 
 from enum import Enum
 
 from tornado.httputil import HTTPHeaders
 
+from lacewing_daemon.direct._events import EventSplitter
+
+_EVENT_STREAM = 'text/event-stream'
+
 
 class BodyEnd(Enum):
     """Name how the transfer of a body ended.
@@ -31,3 +35,36 @@
     if 'Content-Length' in headers:
         return BodyEnd.LENGTH
     return BodyEnd.BROKEN if has_error else BodyEnd.CLOSED
+
+
+def is_event_stream(headers: HTTPHeaders) -> bool:
+    """Return whether a body consists of events, as no other type is named."""
+    media_type = headers.get('Content-Type', _EVENT_STREAM)
+    return media_type.partition(';')[0].strip().lower() == _EVENT_STREAM
+
+
+def is_whole(
+    body_end: BodyEnd | None,
+    events: EventSplitter | None,
+    after_event: int | None,
+) -> bool:
+    """Return whether an answer arrived whole.
+
+    ``body_end`` is None if the answer was abandoned, ``events`` is None for
+    an answer that is no stream of events. ``after_event`` is the event after
+    which the stream was to start.
+    """
+    if body_end in (None, BodyEnd.BROKEN):
+        return False
+    if events is None:
+        return True
+    if events.is_inside_event:
+        return False
+    # The close of the connection is the only sign that such a stream is
+    # complete. Without any event it is none, unless the caller may have had
+    # the last event before.
+    return (
+        body_end is not BodyEnd.CLOSED
+        or events.has_returned_events
+        or after_event is not None
+    )
--- a/packages/daemon/src/lacewing_daemon/direct/_attempt.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_attempt.py
@@ -4,7 +4,6 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from dataclasses import dataclass
-from dataclasses import replace
 from enum import Enum
 
 from lacewing_common.verdict import Reason
@@ -12,8 +11,11 @@
 from tornado.httputil import HTTPHeaders
 
 from lacewing_daemon.direct._answer_end import BodyEnd
+from lacewing_daemon.direct._answer_end import is_event_stream
+from lacewing_daemon.direct._answer_end import is_whole
 from lacewing_daemon.direct._call import CallerRequest
 from lacewing_daemon.direct._connection import UpstreamConnection
+from lacewing_daemon.direct._events import EventSplitter
 from lacewing_daemon.direct._pool import ConnectionPool
 from lacewing_daemon.direct._site import Dispatch
 from lacewing_daemon.direct._site import ReplyHead
@@ -24,6 +26,8 @@
 # Interval at which an answer past its time limit is checked again.
 RECHECK_INTERVAL_S = 0.1
 
+OnEvents = Callable[[ReplyHead, list[bytes]], Awaitable[None]]
+
 
 def _abandon_immediately(_waited_s: float) -> bool:
     return True
@@ -45,11 +49,12 @@
 class AttemptEnd:
     """Hold how an attempt ended.
 
-    ``head`` is None if no head was received; ``body`` is that of an answer
-    that was not streamed; ``complete``: the whole answer was received.
+    ``head`` is None if no head was received; ``body`` is what was not passed
+    on as events; ``complete``: the whole answer was received.
     ``connection_broken``: the upstream closed the connection before the end
     of the answer; ``opened_s``: when it was opened, on the boot clock.
-    ``body_end`` is None if the attempt ended before the body.
+    ``body_end`` is None if the attempt ended before the body;
+    ``partial_bytes`` is the size of an event that is not complete.
     """
 
     verdict: Verdict
@@ -61,6 +66,7 @@
     connection_broken: bool = False
     opened_s: float = 0.0
     body_end: BodyEnd | None = None
+    partial_bytes: int = 0
 
 
 class Attempt:
@@ -71,17 +77,18 @@
         request: CallerRequest,
         wire: Wire,
         on_head: Callable[[ReplyHead], None],
-        on_piece: Callable[[ReplyHead, bytes], Awaitable[None]] | None,
+        on_events: OnEvents | None,
     ) -> None:
         self._request = request
         self._wire = wire
         self._on_head = on_head
-        self._on_piece = on_piece
+        self._on_events = on_events
+        self._events: EventSplitter | None = None
+        self._after_event: int | None = None
         self._head: ReplyHead | None = None
         self._body: list[bytes] = []
-        self._ended: asyncio.Future[bool] = asyncio.Future()
+        self._ended: asyncio.Future[None] = asyncio.Future()
         self._last_piece_s = 0.0
-        self._connection_broken = False
         self._body_end: BodyEnd | None = None
         self._opened_s = 0.0
 
@@ -112,10 +119,8 @@
         is_released = False
         try:
             self._send(connection, dispatch)
-            complete = await self._wait_for_end(
-                first_wait_s, gap_wait_s, should_abandon
-            )
-            end = replace(self._classify(complete), body_end=self._body_end)
+            await self._wait_for_end(first_wait_s, gap_wait_s, should_abandon)
+            end = self._classify()
             if (
                 end.complete
                 and end.head is not None
@@ -135,7 +140,7 @@
     def abort(self) -> None:
         """End the attempt as if the answer had been interrupted."""
         if not self._ended.done():
-            self._ended.set_result(False)
+            self._ended.set_result(None)
 
     def expects(self, status: int, headers: HTTPHeaders) -> bool:
         """Return whether an answer belongs to this request."""
@@ -148,34 +153,40 @@
 
     def on_head(self, status: int, headers: HTTPHeaders) -> None:
         """Store the status and the headers of the answer."""
-        self._head = self._wire.read_reply(status, headers)
-        self._on_head(self._head)
+        head = self._wire.read_reply(status, headers)
+        self._head = head
+        if (
+            self._on_events is not None
+            and _is_signed_success(head)
+            and is_event_stream(head.headers)
+        ):
+            self._events = EventSplitter()
+        self._on_head(head)
 
     async def on_data(self, piece: bytes) -> None:
-        """Pass on a piece of a successful stream; collect any other."""
-        head = self._head
-        assert head is not None
-        if self._on_piece is not None and _is_signed_success(head):
-            self._last_piece_s = asyncio.get_running_loop().time()
-            try:
-                await self._on_piece(head, piece)
-            except Exception as error:
-                if not self._ended.done():
-                    self._ended.set_exception(error)
+        """Pass on the events that a piece completes; collect other pieces."""
+        if self._events is None:
+            self._body.append(piece)
             return
-        self._body.append(piece)
+        assert self._head is not None and self._on_events is not None
+        self._last_piece_s = asyncio.get_running_loop().time()
+        try:
+            await self._on_events(self._head, self._events.feed(piece))
+        except Exception as error:
+            if not self._ended.done():
+                self._ended.set_exception(error)
 
     def on_end(self, body_end: BodyEnd) -> None:
         """End the attempt at the end of the answer."""
         if not self._ended.done():
             self._body_end = body_end
-            self._connection_broken = body_end is BodyEnd.BROKEN
-            self._ended.set_result(body_end is not BodyEnd.BROKEN)
+            self._ended.set_result(None)
 
     def _send(
         self, connection: UpstreamConnection, dispatch: Dispatch
     ) -> None:
         self._opened_s = connection.opened_s
+        self._after_event = dispatch.after_event
         connection.send(
             self._request.method,
             self._request.path,
@@ -189,8 +200,8 @@
         first_wait_s: float,
         gap_wait_s: float,
         should_abandon: Callable[[float], bool],
-    ) -> bool:
-        """Return whether the answer is complete; false if it stalled."""
+    ) -> None:
+        """Wait until the answer ends or is to be abandoned."""
         loop = asyncio.get_running_loop()
         start_s = loop.time()
         self._last_piece_s = start_s
@@ -202,47 +213,50 @@
             left_s = limit_s - waited_s
             if left_s <= 0:
                 if should_abandon(waited_s):
-                    return False
+                    return
                 left_s = RECHECK_INTERVAL_S
             # If the first piece arrives meanwhile, the gap limit applies from
             # then on.
             timeout_s = min(left_s, gap_wait_s)
             await asyncio.wait((self._ended,), timeout=timeout_s)
             if self._ended.done():
-                return self._ended.result()
+                self._ended.result()
+                return
 
-    def _classify(self, complete: bool) -> AttemptEnd:
-        head = self._head
+    def _classify(self) -> AttemptEnd:
+        complete = is_whole(self._body_end, self._events, self._after_event)
+        verdict, reason = self._verdict(complete)
         body = b''.join(self._body)
+        partial_bytes = 0
+        if self._events is not None:
+            body = self._events.remainder
+            partial_bytes = len(body) if self._events.is_inside_event else 0
+        was_interrupted = verdict is Verdict.MAY_HAVE_RUN and not complete
+        return AttemptEnd(
+            verdict,
+            reason,
+            self._head,
+            body,
+            complete,
+            connection_broken=(was_interrupted and self._body_end is not None),
+            opened_s=self._opened_s,
+            body_end=self._body_end,
+            partial_bytes=partial_bytes,
+        )
+
+    def _verdict(self, complete: bool) -> tuple[Verdict, Reason]:
+        head = self._head
         if head is None:
-            return AttemptEnd(
-                Verdict.MAY_HAVE_RUN,
-                Reason.WORKER_FAILED,
-                connection_broken=self._connection_broken,
-                opened_s=self._opened_s,
-            )
+            return Verdict.MAY_HAVE_RUN, Reason.WORKER_FAILED
         if head.misdirected:
-            return AttemptEnd(
-                Verdict.NOT_RUN, Reason.STALE_WEIGHTS, head, body, complete
-            )
+            return Verdict.NOT_RUN, Reason.STALE_WEIGHTS
         if head.not_run:
-            return AttemptEnd(
-                Verdict.NOT_RUN, Reason.QUEUE_FULL, head, body, complete
-            )
+            return Verdict.NOT_RUN, Reason.QUEUE_FULL
         if not complete:
-            return AttemptEnd(
-                Verdict.MAY_HAVE_RUN,
-                Reason.STREAM_BROKEN,
-                head,
-                body,
-                connection_broken=self._connection_broken,
-                opened_s=self._opened_s,
-            )
+            return Verdict.MAY_HAVE_RUN, Reason.STREAM_BROKEN
         if not head.is_signed:
-            return AttemptEnd(
-                Verdict.MAY_HAVE_RUN, Reason.WORKER_FAILED, head, body, True
-            )
-        return AttemptEnd(Verdict.RAN, Reason.WORKER_FAILED, head, body, True)
+            return Verdict.MAY_HAVE_RUN, Reason.WORKER_FAILED
+        return Verdict.RAN, Reason.WORKER_FAILED
 
 
 def _unreachable(contact: Contact) -> AttemptEnd:
--- a/packages/daemon/src/lacewing_daemon/direct/_events.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_events.py
@@ -1,7 +1,8 @@
 """Split a stream of server-sent events and read their ids."""
 
 _ID = b'id:'
-_SEPARATORS = (b'\n\n', b'\r\n\r\n')
+_SEPARATORS = (b'\n\n', b'\r\n\r\n', b'\r\r')
+_LINE_ENDS = b'\r\n'
 
 
 class EventSplitter:
@@ -14,12 +15,23 @@
 
     def __init__(self) -> None:
         self._remainder = b''
+        self._has_returned_events = False
 
     @property
     def remainder(self) -> bytes:
         """Return the bytes after the last complete event."""
         return self._remainder
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Return whether an event was begun that is not complete."""
+        return bool(self._remainder.strip(_LINE_ENDS))
+
+    @property
+    def has_returned_events(self) -> bool:
+        """Return whether any event was complete."""
+        return self._has_returned_events
+
     def feed(self, piece: bytes) -> list[bytes]:
         """Add a piece; return the events that it completes."""
         data = self._remainder + piece
@@ -32,6 +44,7 @@
             events.append(data[start:end])
             start = end
         self._remainder = data[start:]
+        self._has_returned_events = self._has_returned_events or bool(events)
         return events
 
 
--- a/packages/daemon/src/lacewing_daemon/direct/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_exchange.py
@@ -196,7 +196,6 @@
                 return refusal
             if result.end.connection_broken:
                 await self._await_crash_detection()
-            relay.restart()
 
     async def _charge(self, admitted: Admitted) -> Refusal | None:
         """Charge the request to its team's limit."""
@@ -303,7 +302,7 @@
     async def _deliver(self, relay: StreamRelay, end: AttemptEnd) -> None:
         assert end.head is not None
         if self._reply.has_started:
-            await relay.end(end.head)
+            await relay.end(end.body)
         else:
             headers = HTTPHeaders(end.head.headers)
             self._reply.send_complete(end.head.status, headers, end.body)
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -107,21 +107,21 @@
 
     def unfinished(self, reason: Reason) -> Try:
         """Return the log entry of a send that was abandoned."""
-        return self._log_entry(AttemptEnd(Verdict.MAY_HAVE_RUN, reason), 0)
+        return self._log_entry(AttemptEnd(Verdict.MAY_HAVE_RUN, reason))
 
     async def run(self, relay: StreamRelay, end_s: float) -> SendResult:
         """Send the request, relay a stream, and return how it ended."""
         self._record_sent_parts()
         is_streaming = self._admitted.route.is_streaming
 
-        async def on_piece(head: ReplyHead, piece: bytes) -> None:
+        async def on_events(head: ReplyHead, events: list[bytes]) -> None:
             self._fleet.silence_detector.data_received(
                 self._state, time.monotonic()
             )
             if self._first_event_s is None and self._can_continue:
                 self._watch(attempt)
             self._record_first_event()
-            await relay.forward(head, piece)
+            await relay.forward(head, events)
 
         def should_abandon(waited_s: float) -> bool:
             return self._should_abandon(waited_s, relay.has_started)
@@ -130,7 +130,7 @@
             self._request,
             self._wire,
             self._learn,
-            on_piece if is_streaming else None,
+            on_events if is_streaming else None,
         )
         self._abort = attempt.abort
         self._guard.run_opened(self._fingerprint, self._abort)
@@ -166,8 +166,7 @@
         has_newer_weights = self._reported_newer_weights(end)
         if not has_newer_weights:
             self._record_end(end)
-        log_entry = self._log_entry(end, relay.partial_bytes)
-        return SendResult(end, log_entry, has_newer_weights)
+        return SendResult(end, self._log_entry(end), has_newer_weights)
 
     @property
     def _can_continue(self) -> bool:
@@ -345,7 +344,7 @@
         reported_version = self._state.weights(prompt.model) or 0
         return reported_version > (self._target.weights or 0)
 
-    def _log_entry(self, end: AttemptEnd, partial_bytes: int) -> Try:
+    def _log_entry(self, end: AttemptEnd) -> Try:
         target = self._target
         is_superseded = target.superseded_ms > 0
         first_ms = -1
@@ -368,7 +367,7 @@
             went_on=target.is_continuation,
             copy=_id_of(target.copy_to),
             ended='' if end.body_end is None else end.body_end.value,
-            partial_bytes=partial_bytes,
+            partial_bytes=end.partial_bytes,
         )
 
 
--- a/packages/daemon/src/lacewing_daemon/direct/_stream_relay.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_stream_relay.py
@@ -1,8 +1,9 @@
 """Relay a stream of events to a caller from one or more upstreams."""
 
+from collections.abc import Iterable
+
 from lacewing_daemon.direct._caller_reply import CallerReply
 from lacewing_daemon.direct._events import event_id
-from lacewing_daemon.direct._events import EventSplitter
 from lacewing_daemon.direct._site import ReplyHead
 
 
@@ -15,7 +16,6 @@
 
     def __init__(self, reply: CallerReply, after_event: int | None) -> None:
         self._reply = reply
-        self._splitter = EventSplitter()
         self._last_event = after_event
 
     @property
@@ -28,17 +28,10 @@
         """Return the id of the last event that the caller has."""
         return self._last_event
 
-    @property
-    def partial_bytes(self) -> int:
-        """Return the number of bytes of the event that is incomplete."""
-        return len(self._splitter.remainder)
-
-    async def forward(self, head: ReplyHead, piece: bytes) -> None:
-        """Forward complete events; the first call sends the head."""
-        if not self._reply.has_started:
-            self._reply.send_head(head.status, head.headers)
+    async def forward(self, head: ReplyHead, events: Iterable[bytes]) -> None:
+        """Forward complete events; the first ones send the head."""
         new_events = []
-        for event in self._splitter.feed(piece):
+        for event in events:
             number = event_id(event)
             if number is not None:
                 if self._last_event is not None:
@@ -46,17 +39,14 @@
                         continue
                 self._last_event = number
             new_events.append(event)
-        if new_events:
-            await self._reply.write(b''.join(new_events))
-
-    async def end(self, head: ReplyHead) -> None:
-        """Send the bytes after the last event and complete the answer."""
+        if not new_events:
+            return
         if not self._reply.has_started:
             self._reply.send_head(head.status, head.headers)
-        if self._splitter.remainder:
-            await self._reply.write(self._splitter.remainder)
-        self._reply.end()
+        await self._reply.write(b''.join(new_events))
 
-    def restart(self) -> None:
-        """Discard the partial event of an interrupted stream."""
-        self._splitter = EventSplitter()
+    async def end(self, blank_lines: bytes) -> None:
+        """Complete the answer, with the blank lines after its last event."""
+        if blank_lines:
+            await self._reply.write(blank_lines)
+        self._reply.end()
