Send a stream with a length to a caller that can't read chunks

A caller got the first events of a broken-off stream, and for a whole one nothing told that it was whole.

Such a stream is held and sent with its length once it is complete; after an abort the connection closes without an answer.

--- a/features/direct_answer_ends.feature
+++ b/features/direct_answer_ends.feature
@@ -108,6 +108,18 @@
       Then the answer is 502
       And exactly one upstream ran the request
 
+    Scenario: A caller that can't read chunks sees that a stream is broken off
+      # Guards against the close of a connection that ends both a whole stream
+      # and an aborted one.
+      Given the next upstream cut without framing
+      When a caller with HTTP/1.0 requests a non-resumable stream
+      Then it gets no answer
+
+    Scenario: A caller that can't read chunks gets a whole stream
+      # Guards against a whole stream whose end its caller can't see.
+      When a caller with HTTP/1.0 requests a non-resumable stream
+      Then it gets all events and their length
+
   Rule: An answer without framing that is whole still arrives whole
 
     Background:
--- a/features/steps/answer_ends_steps.py
+++ b/features/steps/answer_ends_steps.py
@@ -1,5 +1,7 @@
 """Check that only an answer that arrived whole passes for one."""
 
+import socket
+
 from behave import given
 from behave import then
 from behave import when
@@ -11,6 +13,7 @@
 from support.direct_bench import direct_bench
 from support.direct_bench import HOST
 from support.direct_bench import KEY
+from support.direct_bench import LIMIT_S
 from support.direct_bench import PREFIX
 from support.direct_bench import PROMPT
 
@@ -81,3 +84,40 @@
 def step_got_first(context: Context) -> None:
     """Check the piece."""
     assert context.first_piece == ALL_EVENTS[: len(b'id: 1\ndata: word 1\n\n')]
+
+
+@when('a caller with HTTP/1.0 requests a non-resumable stream')
+def step_old_http(context: Context) -> None:
+    """Read all bytes up to the close of the connection."""
+    bench = direct_bench(context)
+    host, _, port = bench.routers[0].callers_address.rpartition(':')
+    lines = ['POST /talk/1 HTTP/1.0', f'Host: {HOST}', 'Content-Length: 6']
+    headers = {
+        **PROMPT,
+        'Authorization': f'Token {KEY}',
+        PREFIX + 'Request-Id': 'old-http',
+        PREFIX + 'Deadline-Ms': '3000',
+    }
+    for name, value in headers.items():
+        lines.append(f'{name}: {value}')
+    request = '\r\n'.join((*lines, '', 'prompt')).encode()
+    received = b''
+    with socket.create_connection((host, int(port)), LIMIT_S) as connection:
+        connection.sendall(request)
+        while piece := connection.recv(65536):
+            received += piece
+    context.received = received
+
+
+@then('it gets no answer')
+def step_no_answer(context: Context) -> None:
+    """Check that not even a head came."""
+    assert context.received == b'', context.received
+
+
+@then('it gets all events and their length')
+def step_all_with_length(context: Context) -> None:
+    """Check framing and body."""
+    head, _, body = context.received.partition(b'\r\n\r\n')
+    assert body == ALL_EVENTS, context.received
+    assert b'Content-Length: %d' % len(ALL_EVENTS) in head, head
--- a/packages/daemon/src/lacewing_daemon/direct/_caller_reply.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_caller_reply.py
@@ -14,10 +14,21 @@
 
 
 class CallerReply:
-    """Send the answer to one request, complete or streamed."""
+    """Send the answer to one request, complete or streamed.
 
-    def __init__(self, connection: HTTP1Connection) -> None:
+    Without ``accepts_chunks`` only the close of the connection would end a
+    stream, and its caller could not distinguish an abort from the end. It is
+    sent as one answer with a length, once it is complete.
+    """
+
+    def __init__(
+        self, connection: HTTP1Connection, accepts_chunks: bool = True
+    ) -> None:
         self._connection = connection
+        self._accepts_chunks = accepts_chunks
+        self._held_status = 0
+        self._held_headers = HTTPHeaders()
+        self._held_body: list[bytes] = []
         self._will_close = False
         self._stopped = False
         self._has_started = False
@@ -49,11 +60,18 @@
     def send_head(self, status: int, headers: HTTPHeaders) -> None:
         """Send the head of an answer that is streamed."""
         self._has_started = True
+        if not self._accepts_chunks:
+            self._held_status = status
+            self._held_headers = headers
+            return
         self._add_close_header(headers)
         self._connection.write_headers(_status_line(status), headers)
 
     async def write(self, data: bytes) -> None:
         """Send a piece; wait until the connection accepts more data."""
+        if not self._accepts_chunks:
+            self._held_body.append(data)
+            return
         try:
             await self._connection.write(data)
         except StreamClosedError as error:
@@ -61,6 +79,10 @@
 
     def end(self) -> None:
         """Complete a streamed answer."""
+        if not self._accepts_chunks:
+            body = b''.join(self._held_body)
+            self.send_complete(self._held_status, self._held_headers, body)
+            return
         self._has_ended = True
         self._connection.finish()
 
--- a/packages/daemon/src/lacewing_daemon/direct/_caller_server.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_caller_server.py
@@ -33,6 +33,8 @@
 IDLE_S = 15.0
 IDLE_MARGIN_S = 1.0
 
+_HTTP_WITHOUT_CHUNKS = 'HTTP/1.0'
+
 Serve = Callable[[CallerRequest, CallerReply], Awaitable[None]]
 
 _log = get_log(Part.CALLERS)
@@ -161,7 +163,8 @@
         request = self._wire.read_request(
             start_line.method, start_line.path, headers, body, received_s
         )
-        reply = CallerReply(connection)
+        accepts_chunks = start_line.version != _HTTP_WITHOUT_CHUNKS
+        reply = CallerReply(connection, accepts_chunks)
         task = asyncio.create_task(self._run(request, reply))
         self._open[task] = reply
         task.add_done_callback(self._open.pop)
