--- a/packages/daemon/src/lacewing_daemon/direct/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_exchange.py
@@ -31,7 +31,7 @@
 from lacewing_daemon.direct._placing import Placer
 from lacewing_daemon.direct._policy import LoadPolicy
 from lacewing_daemon.direct._request_log import RequestLog
-from lacewing_daemon.direct._request_log import RequestOutcome
+from lacewing_daemon.direct._request_outcome import describe_outcome
 from lacewing_daemon.direct._send import Send
 from lacewing_daemon.direct._send import SendResult
 from lacewing_daemon.direct._site import Wire
@@ -42,7 +42,6 @@
 from lacewing_daemon.direct.limits import Charge
 from lacewing_daemon.refusals import Refusals
 
-_MS = 1000.0
 # An answer that arrives this long before the caller's deadline still reaches
 # the caller in time.
 RETURN_MARGIN_S = 0.02
@@ -348,42 +347,19 @@
     def _record_outcome(self, status: int, refusal: Refusal | None) -> None:
         if self._current_send is not None and refusal is not None:
             self._try_log.append(self._current_send.unfinished(refusal.reason))
-        admitted = self._admitted
-        routing_config = self._fleet.cluster_state.routing_config
         now_s = time.monotonic()
-        service = '' if admitted is None else admitted.service.name
-        team = '' if admitted is None else admitted.team_name
-        reason = '' if refusal is None else refusal.reason.value
-        verdict = Verdict.RAN if refusal is None else refusal.verdict
-        REQUESTS.labels(service, str(status), reason).inc()
-        deadline_s = self._request.deadline_s or 0.0
-        elapsed_s = now_s - self._request.received_s
-        self._context.log.log_outcome(
-            RequestOutcome(
-                request_id=self._request.request_id,
-                service=service,
-                team=team,
-                status=status,
-                verdict=verdict.value,
-                reason=reason,
-                message='' if refusal is None else refusal.message,
-                ms=int(elapsed_s * _MS),
-                left_ms=int((deadline_s - elapsed_s) * _MS),
-                config=0 if routing_config is None else routing_config.version,
-                config_age_ms=int(
-                    min(self._fleet.routing_config_age_s, _MAX_LOGGED_AGE_S)
-                    * _MS
-                ),
-                upstreams=len(self._fleet.cluster_state.upstreams_of(service)),
-                tries=tuple(self._try_log),
-                fingerprint=self._fingerprint,
-            ),
+        outcome = describe_outcome(
+            self._request,
+            self._admitted,
+            self._fleet,
+            status,
+            refusal,
+            tuple(self._try_log),
+            self._fingerprint,
             now_s,
         )
-
-
-# Upper bound of ages in the log; JSON has no infinity.
-_MAX_LOGGED_AGE_S = 9999.0
+        REQUESTS.labels(outcome.service, str(status), outcome.reason).inc()
+        self._context.log.log_outcome(outcome, now_s)
 
 
 def _status_of(refusal: Refusal) -> int:
--- a/packages/daemon/src/lacewing_daemon/direct/_request_log.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_request_log.py
@@ -1,15 +1,14 @@
 """Log how each request ended and what its decisions were based on."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
 
 import msgspec
 from lacewing_common.log import get_log
 from lacewing_common.log import Part
-from lacewing_common.log_lines import Try
 
 from lacewing_daemon.direct._line_budget import LineBudget
 from lacewing_daemon.direct._metrics import LOG_LINES_DROPPED
+from lacewing_daemon.direct._request_outcome import RequestOutcome
 
 # Interval at which the number of dropped lines is logged.
 DROPPED_LOG_INTERVAL_S = 5.0
@@ -17,37 +16,6 @@
 _log = get_log(Part.CALLERS)
 
 
-@dataclass(frozen=True)
-class RequestOutcome:
-    """Hold how a request ended; ``reason`` '' for an upstream's answer.
-
-    ``fingerprint`` is shared by all requests with the same content.
-    """
-
-    request_id: str
-    service: str
-    team: str
-    status: int
-    verdict: str
-    reason: str
-    message: str
-    ms: int
-    left_ms: int
-    config: int
-    config_age_ms: int
-    upstreams: int
-    tries: tuple[Try, ...]
-    fingerprint: str = ''
-
-    @property
-    def failed(self) -> bool:
-        """Return whether the caller got an error or no complete answer."""
-        return self.status == 0 or self.status >= _FIRST_ERROR_STATUS
-
-
-_FIRST_ERROR_STATUS = 400
-
-
 class RequestLog:
     """Write one line per request within the line budget."""
 
