Log software versions and the streams that requests take up

The logs could not tell a router that goes on elsewhere in one answer from a caller that takes a stream up in a new request.

Entries' software version reaches the router, each send's log entry has it, and a request that names a stream in Resumes is logged with it. No decision uses them yet.

--- a/packages/common/src/lacewing_common/log_lines.py
+++ b/packages/common/src/lacewing_common/log_lines.py
@@ -19,7 +19,8 @@
     continued from the copy of its KV cache. ``copy``: the upstream that kept
     a copy of this run's KV cache, '' for none. ``ended``: how the body of the
     answer ended, '' if the router gave the send up before; ``partial_bytes``:
-    the bytes after the last complete event of a stream.
+    the bytes after the last complete event of a stream. ``software``: the
+    version of the upstream's software.
     """
 
     upstream: str
@@ -39,6 +40,7 @@
     copy: str = ''
     ended: str = ''
     partial_bytes: int = 0
+    software: str = ''
 
 
 class BrokenRun(msgspec.Struct, frozen=True, kw_only=True):
@@ -60,7 +62,8 @@
     that identical requests share; ``upstream`` and ``version`` belong to an
     order to load weights, ``collection`` and ``fault`` to a collection of the
     store that can't be watched; ``runs`` are those that a crash of
-    ``upstream`` interrupted.
+    ``upstream`` interrupted. ``resumes`` is the id of the request that brought
+    the first event of a stream that is taken up.
     """
 
     event: str
@@ -85,3 +88,4 @@
     fault: str = ''
     same: str = ''
     runs: tuple[BrokenRun, ...] = ()
+    resumes: str = ''
--- a/packages/daemon/src/lacewing_daemon/direct/_call.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_call.py
@@ -41,7 +41,8 @@
     it, None if the caller set none. ``after_event`` is the id of the last
     event that the caller received of a stream that it resumes.
     ``stated_tokens``: prompt tokens and the maximum of answer tokens, None if
-    the caller states none.
+    the caller states none. ``resumed_request`` is the id of the request that
+    brought the first event of a stream that is taken up, '' if none is named.
     """
 
     method: str
@@ -56,3 +57,4 @@
     prompt: Prompt | None
     after_event: int | None
     stated_tokens: int | None = None
+    resumed_request: str = ''
--- a/packages/daemon/src/lacewing_daemon/direct/_request_log.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_request_log.py
@@ -50,6 +50,8 @@
         'ms': end.ms,
         'tries': tries,
     }
+    if end.resumed_request:
+        fields['resumes'] = end.resumed_request
     if end.failed:
         fields['reason'] = end.reason
         fields['message'] = end.message
--- a/packages/daemon/src/lacewing_daemon/direct/_request_outcome.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_request_outcome.py
@@ -21,6 +21,8 @@
     """Hold how a request ended; ``reason`` '' for an upstream's answer.
 
     ``fingerprint`` is shared by all requests with the same content.
+    ``resumed_request`` brought the first event of the stream that this one
+    takes up.
     """
 
     request_id: str
@@ -37,6 +39,7 @@
     upstreams: int
     tries: tuple[Try, ...]
     fingerprint: str = ''
+    resumed_request: str = ''
 
     @property
     def failed(self) -> bool:
@@ -76,4 +79,5 @@
         upstreams=len(fleet.cluster_state.upstreams_of(service)),
         tries=tries,
         fingerprint=fingerprint,
+        resumed_request=request.resumed_request,
     )
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -368,6 +368,7 @@
             copy=_id_of(target.copy_to),
             ended='' if end.body_end is None else end.body_end.value,
             partial_bytes=end.partial_bytes,
+            software=self._state.upstream.software,
         )
 
 
--- a/packages/daemon/src/lacewing_daemon/direct/_upstream.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_upstream.py
@@ -11,7 +11,8 @@
     ``leaving``: it accepts no new work. ``weights`` maps each model to the
     version of its weights that the upstream last reported. ``started_ms``
     is the start time in Unix milliseconds, 0 if it is not reported; an id
-    then has one incarnation only.
+    then has one incarnation only. ``software`` is the version of its
+    software, '' if it is unknown.
     """
 
     upstream_id: str
@@ -22,6 +23,7 @@
     leaving: bool
     weights: Mapping[str, int]
     started_ms: int = 0
+    software: str = ''
 
     @property
     def endpoint(self) -> tuple[str, int, str]:
