--- a/features/support/direct_bench.py
+++ b/features/support/direct_bench.py
@@ -105,10 +105,15 @@
         self.on_loop(lambda: self.store.put('config', 'main', self.config))
 
     def add_upstream(
-        self, name: str, service: str, born: int = PROCESS_START_MS
+        self,
+        name: str,
+        service: str,
+        born: int = PROCESS_START_MS,
+        software: str = 'v1',
     ) -> FakeUpstream:
         """Start an upstream and register it."""
         upstream = FakeUpstream(name, service)
+        upstream.software = software
         upstream.born = born
         if service == 'models':
             upstream.weights[MODEL] = 1
