Go on with a stream only at the software version that began it

The version in an upstream's entry was read by no decision.

A version is part of each start of an upstream. Once a stream has begun, its next upstream, the check before a move and the choice of the upstream that keeps a copy of the run are bound to that version. If none of it is left, the answer is aborted at once instead of waiting for capacity. A start that no entry has named yet, or that two entries name differently, continues nothing.

What callers take up in a new request is as it was.

--- a/packages/daemon/src/lacewing_daemon/direct/_cluster_state.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_cluster_state.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 from dataclasses import dataclass
-from dataclasses import replace
 from enum import Enum
 
 from lacewing_common.log import get_log
@@ -364,12 +363,7 @@
                 if self._upstreams.get(upstream.upstream_id) is state:
                     self.update_upstream(
                         upstream.upstream_id,
-                        replace(
-                            upstream,
-                            leaving=False,
-                            weights=report.weights,
-                            started_ms=report.started_ms,
-                        ),
+                        upstream.restarted(report.started_ms, report.weights),
                     )
                 return False
         for model, version in report.weights.items():
--- a/packages/daemon/src/lacewing_daemon/direct/_copies.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_copies.py
@@ -32,11 +32,13 @@
     Load pattern: engines crash with runs that can't be retried. The copy
     must outlast the run, which is expected to end in ``ends_ms``, so engines
     that load weights before are excluded, as are those where this router
-    has copies of over ``max_copy_tokens``. Of the remaining candidates those
-    in the target's zone are preferred, then the least busy one.
+    has copies of over ``max_copy_tokens`` and those of other software. Of
+    the remaining candidates those in the target's zone are preferred, then
+    the least busy one.
     """
     best: UpstreamState | None = None
     best_rank = (0, 0)
+    software = target.state.upstream.software
     zone = target.state.upstream.availability_zone
     for candidate, view in zip(candidates, views, strict=True):
         if (
@@ -44,6 +46,8 @@
             or candidate.weights != target.weights
         ):
             continue
+        if not candidate.state.upstream.has_same_software(software):
+            continue
         if view.load_in_ms < ends_ms:
             continue
         if candidate.state.copy_tokens > max_copy_tokens:
--- a/packages/daemon/src/lacewing_daemon/direct/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_exchange.py
@@ -183,6 +183,8 @@
             result = await self._current_send.run(relay, end_s)
             self._current_send = None
             self._try_log.append(result.log_entry)
+            if relay.has_started and self._progress.software is None:
+                self._progress.software = target.state.upstream.software
             if result.end.contact is Contact.CONNECTED:
                 self._progress.has_reached_upstream = True
             else:
--- a/packages/daemon/src/lacewing_daemon/direct/_next_target.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_next_target.py
@@ -17,6 +17,7 @@
 from lacewing_daemon.direct._placing import Placer
 from lacewing_daemon.direct._policy import LoadPolicy
 from lacewing_daemon.direct._target import Target
+from lacewing_daemon.direct._upstream import Software
 from lacewing_daemon.direct._upstream_state import UpstreamState
 from lacewing_daemon.direct.limits import Charge
 from lacewing_daemon.direct.limits import Denial
@@ -29,6 +30,8 @@
 # its caller abandons it. The silence before the move has used up the rest.
 CAPACITY_WAIT_FRACTION = 0.35
 BUDGET_RETRY_AFTER_S = 1.0
+# An upstream of the software that began a stream may start again.
+NO_SOFTWARE_RETRY_S = 1.0
 
 
 @dataclass
@@ -36,7 +39,8 @@
     """Count what was done for a request so far.
 
     ``runs``: sends that may have run; ``continuation``: where an interrupted
-    run goes on, None if it is not to.
+    run goes on, None if it is not to. ``software``: the version of upstreams'
+    software that began the stream, None before its first event.
     """
 
     sends: int = 0
@@ -44,6 +48,7 @@
     has_reached_upstream: bool = False
     tried_ids: frozenset[str] = frozenset()
     continuation: Target | None = None
+    software: Software | None = None
 
 
 class TargetChooser:
@@ -77,11 +82,7 @@
             if isinstance(placed, NoCapacity):
                 if self._can_wait_for_capacity(admitted, placed, now_s):
                     return placed
-                return not_run(
-                    Reason.NO_WORKER,
-                    self._describe_missing(admitted),
-                    placed.retry_after_ms / _MS,
-                )
+                return self._refusal(admitted, placed)
             if await self._reserve(placed.state):
                 break
         if not self._progress.has_reached_upstream:
@@ -167,6 +168,9 @@
             self._progress.tried_ids | excluded,
             left_ms,
             now_s,
+            target.state.upstream.software
+            if self._reply.has_started
+            else self._progress.software,
         )
         return not isinstance(placed, NoCapacity)
 
@@ -181,11 +185,26 @@
                 self._progress.tried_ids,
                 self._first_event_limit_ms(admitted, end_s, now_s),
                 now_s,
+                self._progress.software,
             )
         # A pause for failures holds nothing back: the copy is nowhere else.
         pause_s = continuation.state.wanted_in_s(now_s)
         return NoCapacity(pause_s * _MS) if pause_s > 0 else continuation
 
+    def _refusal(self, admitted: Admitted, missing: NoCapacity) -> Refusal:
+        if isinf(missing.retry_after_ms):
+            return not_run(
+                Reason.NO_WORKER,
+                f'no upstream of software {self._progress.software!r},'
+                ' which began the stream, is left',
+                NO_SOFTWARE_RETRY_S,
+            )
+        return not_run(
+            Reason.NO_WORKER,
+            self._describe_missing(admitted),
+            missing.retry_after_ms / _MS,
+        )
+
     def _describe_missing(self, admitted: Admitted) -> str:
         """Say why no upstream was chosen."""
         states = self._fleet.cluster_state.upstreams_of(admitted.service.name)
--- a/packages/daemon/src/lacewing_daemon/direct/_placing.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_placing.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 from dataclasses import replace
+from math import inf
 from math import isinf
 
 from lacewing_daemon.direct._admission import Admitted
@@ -27,6 +28,7 @@
 from lacewing_daemon.direct._routing_config import KvStore
 from lacewing_daemon.direct._target import Target
 from lacewing_daemon.direct._target import urgency_of
+from lacewing_daemon.direct._upstream import Software
 from lacewing_daemon.direct._upstream_state import UpstreamState
 from lacewing_daemon.direct._weights_releases import min_allowed_version
 from lacewing_daemon.direct._weights_releases import ReleaseAge
@@ -80,8 +82,15 @@
         excluded: frozenset[str],
         left_ms: float,
         now_s: float,
+        software: Software | None = None,
     ) -> Target | NoCapacity:
-        """Choose an upstream for one attempt."""
+        """Choose an upstream for one attempt.
+
+        ``software``: the only version of upstreams' software that may serve
+        it. Without any upstream of it there will be no capacity.
+        """
+        if software is not None and not self._has_software(admitted, software):
+            return NoCapacity(inf)
         engine = admitted.service.engine
         prompt = request.prompt
         usable = []
@@ -89,6 +98,9 @@
         for state in self._cluster_state.upstreams_of(admitted.service.name):
             if state.upstream.upstream_id in excluded:
                 continue
+            if software is not None:
+                if not state.upstream.has_same_software(software):
+                    continue
             if engine is not None and prompt is not None:
                 if state.weights(prompt.model) is None:
                     # The entry, which another process may have written,
@@ -124,12 +136,23 @@
             context, by_preference(prompt, usable), left_ms
         )
 
+    def _has_software(self, admitted: Admitted, software: Software) -> bool:
+        for state in self._cluster_state.upstreams_of(admitted.service.name):
+            if state.upstream.leaving:
+                continue
+            if state.upstream.has_same_software(software):
+                return True
+        return False
+
     def continuation(self, target: Target) -> Target | None:
         """Return where an interrupted run can continue, None if nowhere."""
         copy = target.copy_to
         if copy is None or copy.replaced or copy.upstream.leaving:
             # A later incarnation does not have the copy.
             return None
+        software = target.state.upstream.software
+        if not copy.upstream.has_same_software(software):
+            return None
         return replace(target, state=copy, copy_to=None, is_continuation=True)
 
     def copy_is_usable(
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -28,6 +28,7 @@
 from lacewing_daemon.direct._site import Wire
 from lacewing_daemon.direct._stream_relay import StreamRelay
 from lacewing_daemon.direct._target import Target
+from lacewing_daemon.direct._upstream import Software
 from lacewing_daemon.direct._upstream_state import UpstreamState
 
 _MS = 1000.0
@@ -368,9 +369,13 @@
             copy=_id_of(target.copy_to),
             ended='' if end.body_end is None else end.body_end.value,
             partial_bytes=end.partial_bytes,
-            software=self._state.upstream.software,
+            software=_name_of(self._state.upstream.software),
         )
 
 
+def _name_of(software: Software) -> str:
+    return software if isinstance(software, str) else software.value
+
+
 def _id_of(state: UpstreamState | None) -> str:
     return '' if state is None else state.upstream.upstream_id
--- a/packages/daemon/src/lacewing_daemon/direct/_upstream.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_upstream.py
@@ -2,6 +2,22 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
+from dataclasses import replace
+from enum import Enum
+
+
+class UnknownSoftware(Enum):
+    """Say why the version of an upstream's software is unknown.
+
+    NO_ENTRY: this start has written no entry yet. DISPUTED: two entries of
+    one start named different versions.
+    """
+
+    NO_ENTRY = 'no-entry'
+    DISPUTED = 'disputed'
+
+
+Software = str | UnknownSoftware
 
 
 @dataclass(frozen=True)
@@ -12,7 +28,7 @@
     version of its weights that the upstream last reported. ``started_ms``
     is the start time in Unix milliseconds, 0 if it is not reported; an id
     then has one incarnation only. ``software`` is the version of its
-    software, '' if it is unknown.
+    software.
     """
 
     upstream_id: str
@@ -23,7 +39,23 @@
     leaving: bool
     weights: Mapping[str, int]
     started_ms: int = 0
-    software: str = ''
+    software: Software = ''
+
+    def restarted(
+        self, started_ms: int, weights: Mapping[str, int]
+    ) -> 'Upstream':
+        """Return a later start, as far as it is known before its entry."""
+        return replace(
+            self,
+            leaving=False,
+            weights=weights,
+            started_ms=started_ms,
+            software=UnknownSoftware.NO_ENTRY,
+        )
+
+    def has_same_software(self, software: Software) -> bool:
+        """Return whether a stream of a software version may go on here."""
+        return isinstance(software, str) and software == self.software
 
     @property
     def endpoint(self) -> tuple[str, int, str]:
--- a/packages/daemon/src/lacewing_daemon/direct/_upstream_state.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_upstream_state.py
@@ -9,6 +9,7 @@
 from lacewing_daemon.direct._routing_config import Engine
 from lacewing_daemon.direct._silence_history import SilenceHistory
 from lacewing_daemon.direct._site import UpstreamLoad
+from lacewing_daemon.direct._upstream import UnknownSoftware
 from lacewing_daemon.direct._upstream import Upstream
 
 _MS = 1000.0
@@ -138,6 +139,9 @@
         """
         if self._upstream.leaving and not upstream.leaving:
             return
+        known = self._upstream.software
+        if known not in (upstream.software, UnknownSoftware.NO_ENTRY):
+            upstream = replace(upstream, software=UnknownSoftware.DISPUTED)
         previous = self._upstream.weights
         self._upstream = upstream
         for model, version in upstream.weights.items():
