Take a stream up only at the software version that began it

The router that relays a resumable stream records its service and version under a key of team and request id, until the stream is over, and sends the record to two other routers, chosen by rendezvous hashing, while the first event leaves. A router that a caller comes to with Resumes or Last-Event-Id asks four; the first answers must agree. Unknown, unnamed or reused ids, another team's and routers that peers don't answer are refused at once: not run, Retry-After. On a divided route the stream stays with its service. Records go over the peers' connections; no call to the store.

--- a/features/ctl_explain.feature
+++ b/features/ctl_explain.feature
@@ -23,6 +23,10 @@
     When a caller of a team that may run 1 request a second sends several
     Then explaining it shows status 429 and "over the limit of 1 requests"
 
+  Scenario: A request for the rest of a stream that is not known
+    When a caller takes up a stream that no router knows
+    Then explaining it shows status 503 and "takes up made-up"
+
   Scenario: An answer that is interrupted
     Given the next upstream reset
     When a caller orders a certificate
--- a/features/steps/software_versions_steps.py
+++ b/features/steps/software_versions_steps.py
@@ -1,19 +1,33 @@
 """Check that streams go on only at the software version that began them."""
 
+import time
+
 from behave import given
 from behave import then
 from behave import when
 from behave.runner import Context
+from lacewing_daemon.direct._cluster_state import ClusterState
+from lacewing_daemon.direct._policy import LoadPolicy
+from lacewing_daemon.direct._site import UpstreamReport
+from lacewing_daemon.direct._upstream import Upstream
+from lacewing_daemon.direct.origins import UnknownOrigin
 from lacewing_platform_testing import Behaviour
 from steps.direct_steps import ALL_EVENTS
+from support.direct_bench import BOUNDS
 from support.direct_bench import direct_bench
 from support.direct_bench import HOST
 from support.direct_bench import KEY
+from support.direct_bench import MODEL
+from support.direct_bench import OTHER_KEY
 from support.direct_bench import PREFIX
 from support.direct_bench import PROMPT
+from support.direct_bench import route
+from support.origin_fleet import SilentCalls
 
 FIRST_EVENT = ALL_EVENTS[: ALL_EVENTS.index(b'id: 2')]
 FIRST_REQUEST = 'brought-the-first-event'
+NO_STREAM = bytes(16)
+NO_RECORD = UnknownOrigin.NO_RECORD
 
 
 @given('an engine "{name}" of software "{software}"')
@@ -40,6 +54,12 @@
             lambda: len(router.peer_addresses) == count - 1,
             'routers that know each other',
         )
+        if count > 1:
+            origins = router._fleet.stream_origins
+            bench.until(
+                lambda: bench.run(origins.find(NO_STREAM)) is NO_RECORD,
+                'routers that answer each other',
+            )
 
 
 @given('"{name}" is draining')
@@ -74,21 +94,159 @@
         upstream.script.clear()
 
 
+@given('the entry of "{name}" names software "{software}"')
+def step_entry(context: Context, name: str, software: str) -> None:
+    """Write another entry of the same start; all routers know it."""
+    bench = direct_bench(context)
+    bench.upstreams[name].software = software
+    revision = bench.store.revision
+    bench.register(name)
+    for router in bench.routers:
+        watcher = router._fleet._upstream_watcher
+        bench.until(lambda: watcher.revision > revision, 'the new entry')
+
+
+@given('"{name}" starts again with software "{software}"')
+def step_starts_again(context: Context, name: str, software: str) -> None:
+    """Start a new incarnation; all routers know its entry."""
+    bench = direct_bench(context)
+    bench.upstreams[name].software = software
+    bench.start_again(name)
+    for router in bench.routers:
+        state = router._fleet.cluster_state
+
+        def known() -> bool:
+            found = state.upstream(name)
+            return found is not None and found.upstream.software == software
+
+        bench.until(known, f'{name} of software {software}')
+
+
+@when('an engine of software "{software}" reports a later start')
+def step_reports_start(context: Context, software: str) -> None:
+    """Apply a report before the entry of the start."""
+    context.software = software
+    context.state = ClusterState(BOUNDS, LoadPolicy())
+    entry = Upstream(
+        'eng-1', 'models', '127.0.0.1:1', 'east', 4, False, {}, 5, software
+    )
+    context.state.update_upstream('eng-1', entry)
+    report = UpstreamReport(0, False, {MODEL: 1}, 6)
+    context.state.apply_report(context.state.upstream('eng-1'), report)
+
+
+@then('its software is unknown until its entry names it')
+def step_unknown_software(context: Context) -> None:
+    """Check the state before and after the entry."""
+    state = context.state.upstream('eng-1')
+    assert not state.upstream.has_same_software(context.software)
+    entry = Upstream(
+        'eng-1', 'models', '127.0.0.1:1', 'east', 4, False, {}, 6, 'v2'
+    )
+    context.state.update_upstream('eng-1', entry)
+    assert context.state.upstream('eng-1').upstream.has_same_software('v2')
+
+
+@given('router {number:d} is killed')
+@when('router {number:d} is killed')
+def step_killed(context: Context, number: int) -> None:
+    """Close a router without a drain."""
+    bench = direct_bench(context)
+    bench.run(bench.routers[number - 1].close())
+
+
+@given('router {number:d} reaches no peer')
+def step_no_peer(context: Context, number: int) -> None:
+    """Leave the calls of a router unanswered."""
+    origins = direct_bench(context).routers[number - 1]._fleet.stream_origins
+    origins.connect(SilentCalls())
+
+
+@given('the route now leads to two services')
+def step_two_services(context: Context) -> None:
+    """Divide the requests of the route among two services."""
+    bench = direct_bench(context)
+    split = [
+        {'Service': 'models', 'Weight': 1},
+        {'Service': 'registry', 'Weight': 99},
+    ]
+    streams = route('/chat/', 'streaming', '', Resumable=True)
+    del streams['Service']
+    streams['TrafficSplit'] = split
+    bench.configure(Routes=[streams])
+    version = bench.config['Version']
+    for router in bench.routers:
+        bench.until(lambda: router.configuration == version, 'the split')
+
+
 @when('it takes the stream up at router {number:d}')
 def step_take_up(context: Context, number: int) -> None:
     """Ask for the events after the first one."""
     take_up(context, number, Resumes=FIRST_REQUEST)
 
 
+@when('it takes the stream up at router {number:d} ten times')
+def step_take_up_often(context: Context, number: int) -> None:
+    """Ask for the events after the first one, time and again."""
+    for _ in range(10):
+        step_take_up(context, number)
+
+
+@when('it takes the stream up at router {number:d} with {what}')
+def step_take_up_with(context: Context, number: int, what: str) -> None:
+    """Ask in a way that does not tell which stream it is."""
+    if what == 'no Resumes':
+        take_up(context, number)
+        return
+    if what == 'a Resumes made up':
+        take_up(context, number, Resumes='made-up')
+        return
+    authorization = f'Token {OTHER_KEY}'
+    take_up(
+        context, number, Resumes=FIRST_REQUEST, Authorization=authorization
+    )
+
+
 def take_up(context: Context, number: int, **headers: str) -> None:
     """Ask a router for the events after the first one."""
     bench = direct_bench(context)
     connection = bench.connect(number - 1)
     sent = {**PROMPT, 'Last-Event-Id': '1', **headers}
+    asked_s = time.monotonic()
     try:
         bench.ask_on(connection, '/chat/1', KEY, 'POST', b'prompt', **sent)
     finally:
         connection.close()
+    context.took_s = time.monotonic() - asked_s
+
+
+@when('a caller takes up a stream that no router knows')
+def step_unknown_stream(context: Context) -> None:
+    """Name a request that began no stream."""
+    sent = {'Last-Event-Id': '1', 'Resumes': 'made-up'}
+    direct_bench(context).ask_model(**sent)
+
+
+@then('it was refused within {limit_s:f} s')
+def step_at_once(context: Context, limit_s: float) -> None:
+    """Check how long the refusal took."""
+    assert context.took_s <= limit_s, context.took_s
+
+
+@then('the answer is 200 with the events after the first one')
+def step_rest(context: Context) -> None:
+    """Check the events that a caller gets which takes a stream up."""
+    answer = direct_bench(context).answer
+    assert answer.status == 200, answer
+    assert FIRST_EVENT + answer.body == ALL_EVENTS, answer
+
+
+@then('every answer is 200 with the events after the first one')
+def step_every_rest(context: Context) -> None:
+    """Check all answers."""
+    for answer in direct_bench(context).answers:
+        assert answer.status == 200, answer
+        assert FIRST_EVENT + answer.body == ALL_EVENTS, answer
 
 
 @then('no engine of software "{software}" received anything')
@@ -97,3 +255,23 @@
     for upstream in direct_bench(context).upstreams.values():
         if upstream.software == software:
             assert not upstream.received, upstream.received
+
+
+@then('all engines that received the request have one software version')
+def step_one_version(context: Context) -> None:
+    """Check the engines of the request."""
+    versions = set()
+    count = 0
+    for upstream in direct_bench(context).upstreams.values():
+        count += len(upstream.received)
+        if upstream.received:
+            versions.add(upstream.software)
+    assert count == 2, count
+    assert len(versions) == 1, versions
+
+
+@then('no upstream was asked to copy a run')
+def step_no_copy(context: Context) -> None:
+    """Check the requests that upstreams received."""
+    for received in direct_bench(context).received():
+        assert PREFIX + 'Kv-Backup' not in received.headers, received
--- /dev/null
+++ b/features/support/origin_fleet.py
@@ -0,0 +1,72 @@
+"""Connect the stream origins of many routers in one process."""
+
+import asyncio
+from collections.abc import Sequence
+
+from lacewing_daemon.direct.origins import StreamOrigin
+from lacewing_daemon.direct.origins import StreamOrigins
+from lacewing_daemon.direct.origins import UnknownOrigin
+from lacewing_daemon.direct.origins._directory import SentOrigin
+
+
+class SilentCalls:
+    """Answer no call until its time is over."""
+
+    async def record(
+        self, _address: str, _origins: Sequence[SentOrigin], timeout_s: float
+    ) -> bool:
+        """Wait, then report that nothing is kept."""
+        await asyncio.sleep(timeout_s)
+        return False
+
+    async def find(
+        self, _address: str, _key: bytes, timeout_s: float
+    ) -> StreamOrigin | UnknownOrigin:
+        """Wait, then report that no answer came."""
+        await asyncio.sleep(timeout_s)
+        return UnknownOrigin.NO_ANSWER
+
+
+class OriginFleet:
+    """Hold the origins of all routers and carry the calls between them.
+
+    It is the ``OriginCalls`` of each of them. Routers in ``killed`` refuse
+    calls at once, those in ``dark`` answer none.
+    """
+
+    def __init__(self, count: int) -> None:
+        self.killed: set[str] = set()
+        self.dark: set[str] = set()
+        self.now_s = 0.0
+        self.routers: dict[str, StreamOrigins] = {}
+        for number in range(count):
+            address = f'10.0.{number // 250}.{number % 250}:7000'
+            self.routers[address] = self._router(address)
+
+    def _router(self, address: str) -> StreamOrigins:
+        def peers() -> Sequence[str]:
+            return [each for each in self.routers if each != address]
+
+        origins = StreamOrigins(peers, lambda: self.now_s)
+        origins.connect(self)
+        return origins
+
+    async def record(
+        self, address: str, origins: Sequence[SentOrigin], timeout_s: float
+    ) -> bool:
+        """Keep records at a router that lives."""
+        await asyncio.sleep(timeout_s if address in self.dark else 0)
+        if address in self.killed | self.dark:
+            return False
+        for sent in origins:
+            self.routers[address].keep(sent)
+        return True
+
+    async def find(
+        self, address: str, key: bytes, timeout_s: float
+    ) -> StreamOrigin | UnknownOrigin:
+        """Look a stream up at a router that lives."""
+        await asyncio.sleep(timeout_s if address in self.dark else 0)
+        if address in self.killed | self.dark:
+            return UnknownOrigin.NO_ANSWER
+        return self.routers[address].find_here(key)
--- a/packages/common/src/lacewing_common/verdict.py
+++ b/packages/common/src/lacewing_common/verdict.py
@@ -42,6 +42,7 @@
     WORKERS_CRASHED = 'workers_crashed'
     ANSWER_MISMATCHED = 'answer_of_another_request'
     STREAM_BROKEN = 'stream_broken'
+    STREAM_UNKNOWN = 'stream_unknown'
     PLATFORM_UNAVAILABLE = 'platform_unavailable'
     CLAIM_EXISTS = 'idempotency_key_in_use'
     KEY_REUSED = 'idempotency_key_reused'
--- a/packages/ctl/src/lacewing_ctl/_causes.py
+++ b/packages/ctl/src/lacewing_ctl/_causes.py
@@ -161,6 +161,15 @@
     )
 
 
+def _stream_unknown(timeline: RequestTimeline) -> str:
+    line = timeline.line
+    stream = line.resumes or 'a stream'
+    return (
+        f'It takes up {stream}, whose software version {line.process} could'
+        f' not learn: {line.message}. It was not sent.'
+    )
+
+
 def _last_try(timeline: RequestTimeline) -> Try:
     if timeline.line.tries:
         return timeline.line.tries[-1]
@@ -185,6 +194,7 @@
     Reason.WORKERS_CRASHED.value: _blocked,
     Reason.WORKER_FAILED.value: _connection_broken,
     Reason.STREAM_BROKEN.value: _connection_broken,
+    Reason.STREAM_UNKNOWN.value: _stream_unknown,
     Reason.WORKER_UNREACHABLE.value: _unreachable,
     Reason.DEADLINE.value: _deadline_exceeded,
     Reason.CALLER_GONE.value: _caller_gone,
--- a/packages/daemon/src/lacewing_daemon/direct/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_exchange.py
@@ -36,6 +36,7 @@
 from lacewing_daemon.direct._send import SendResult
 from lacewing_daemon.direct._site import Wire
 from lacewing_daemon.direct._stream_relay import StreamRelay
+from lacewing_daemon.direct._take_up import place_stream
 from lacewing_daemon.direct._target import Target
 from lacewing_daemon.direct.crashes._detector import COLLECT_WINDOW_S
 from lacewing_daemon.direct.crashes._fingerprint import fingerprint
@@ -124,8 +125,6 @@
             return
         self._admitted = admitted
         self._fingerprint = fingerprint(self._request, admitted.team_name)
-        budget = self._fleet.cluster_state.retry_budget(admitted.service)
-        budget.count_request(time.monotonic())
         end_s = self._request.received_s + self._time_limit_s(admitted)
         try:
             async with asyncio.timeout(end_s - time.monotonic()):
@@ -151,6 +150,18 @@
         self, admitted: Admitted, end_s: float
     ) -> Refusal | None:
         """Return why the request failed, None once it is answered."""
+        placed = await place_stream(
+            self._request,
+            admitted,
+            self._fleet.cluster_state.routing_config,
+            self._fleet.stream_origins,
+        )
+        if isinstance(placed, Refusal):
+            return placed
+        admitted = self._admitted = placed.admitted
+        self._progress.software = placed.software
+        budget = self._fleet.cluster_state.retry_budget(admitted.service)
+        budget.count_request(time.monotonic())
         refusal = await self._charge(admitted)
         if refusal is not None:
             return refusal
--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -36,6 +36,7 @@
 from lacewing_daemon.direct.limits import TeamLimiter
 from lacewing_daemon.direct.limits import UpstreamLimiter
 from lacewing_daemon.direct.limits._limiters import Limiters
+from lacewing_daemon.direct.origins import StreamOrigins
 
 # The maximum time for which a call waits for changes. Each call that returns
 # also confirms that the store is reachable.
@@ -186,6 +187,9 @@
         self._limiters = Limiters(
             settings.peers, self._cluster_state, self._router_count, random
         )
+        self._stream_origins = StreamOrigins(
+            lambda: self._router_count.addresses
+        )
         self._statements = Statements(self._limiters.upstreams)
         self._silence_detector = SilenceDetector(
             settings.policy.mute_ms / 1000
@@ -225,6 +229,11 @@
         """Return the limiter that keeps to what upstreams say they take."""
         return self._limiters.upstreams
 
+    @property
+    def stream_origins(self) -> StreamOrigins:
+        """Return the record of the software versions that began streams."""
+        return self._stream_origins
+
     @property
     def statements(self) -> Statements:
         """Return the record of what upstreams say about themselves."""
@@ -303,6 +312,7 @@
             self._store_calls.run(),
             self._limiters.teams.run(),
             self._limiters.upstreams.run(),
+            self._stream_origins.run(),
             self._run_peers(),
         ):
             task = asyncio.create_task(run)
@@ -318,6 +328,7 @@
         for task in self._tasks:
             task.cancel()
         self._crash_guard.close()
+        self._stream_origins.close()
         self._store_calls.log_counts()
         self._pool.close()
 
@@ -379,9 +390,13 @@
             return
         await asyncio.sleep(PEERS_START_DELAY_S)
         from lacewing_daemon.direct._peer_link import PeerLink
+        from lacewing_daemon.direct.origins._service import OriginService
 
         link = PeerLink(self._peers_address)
         self._limiters.connect(link)
+        origins = OriginService(link, self._stream_origins)
+        link.add_service(origins)
+        self._stream_origins.connect(origins)
         try:
             async with asyncio.TaskGroup() as tasks:
                 tasks.create_task(self._crash_guard.exchange(link))
--- a/packages/daemon/src/lacewing_daemon/direct/_metrics.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_metrics.py
@@ -34,6 +34,20 @@
     'Runs continued from copies of their memory, by service and verdict',
     ['service', 'verdict'],
 )
+STREAMS_TAKEN_UP = Counter(
+    'lacewing_direct_streams_taken_up',
+    'Requests for the rest of a stream, by service and what is known of it',
+    ['service', 'origin'],
+)
+ORIGINS_SENT = Counter(
+    'lacewing_direct_stream_origins_sent',
+    'Origins of streams sent to other routers, by result',
+    ['result'],
+)
+ORIGIN_RECORDS = Gauge(
+    'lacewing_direct_stream_origins',
+    'Origins of streams that this router has recorded',
+)
 UPSTREAM_CRASHES = Counter(
     'lacewing_direct_upstream_crashes',
     'Crashes of upstreams that broke runs of this router off, by service',
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -30,6 +30,8 @@
 from lacewing_daemon.direct._target import Target
 from lacewing_daemon.direct._upstream import Software
 from lacewing_daemon.direct._upstream_state import UpstreamState
+from lacewing_daemon.direct.origins import stream_key
+from lacewing_daemon.direct.origins import StreamOrigin
 
 _MS = 1000.0
 # An upstream at whose address another one answers has terminated; its store
@@ -49,6 +51,9 @@
 # A plain upstream answers within some tens of ms, 0.25 s at its slowest. After
 # this time without data a request that can be retried is sent to another one.
 PLAIN_SILENT_S = 0.45
+# Bounds how long the origin of a stream is kept, whatever deadline its caller
+# states.
+MAX_STREAM_LIFE_S = 120.0
 
 
 @dataclass(frozen=True)
@@ -122,6 +127,8 @@
             if self._first_event_s is None and self._can_continue:
                 self._watch(attempt)
             self._record_first_event()
+            if events and not relay.has_started:
+                self._record_origin()
             await relay.forward(head, events)
 
         def should_abandon(waited_s: float) -> bool:
@@ -229,6 +236,25 @@
             self._estimates, self._target, prompt, elapsed_ms, boot_s()
         )
 
+    def _record_origin(self) -> None:
+        """Record at which software version the caller's events begin.
+
+        The caller may take the stream up until its deadline is over.
+        """
+        software = self._state.upstream.software
+        route = self._admitted.route
+        request_id = self._request.resumed_request or self._request.request_id
+        if not route.can_retry or not request_id:
+            return
+        if not isinstance(software, str):
+            return
+        life_s = max(route.timeout_s, self._request.deadline_s or 0.0)
+        self._fleet.stream_origins.record(
+            stream_key(self._admitted.team_name, request_id),
+            StreamOrigin(self._admitted.service.name, software),
+            min(life_s, MAX_STREAM_LIFE_S),
+        )
+
     @property
     def _estimates(self) -> Estimates:
         return self._fleet.cluster_state.estimates(self._admitted.service.name)
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/direct/_take_up.py
@@ -0,0 +1,80 @@
+"""Find out where a stream that a caller takes up may go on."""
+
+from dataclasses import dataclass
+from dataclasses import replace
+
+from lacewing_common.verdict import not_run
+from lacewing_common.verdict import Reason
+from lacewing_common.verdict import Refusal
+
+from lacewing_daemon.direct._admission import Admitted
+from lacewing_daemon.direct._call import CallerRequest
+from lacewing_daemon.direct._metrics import STREAMS_TAKEN_UP
+from lacewing_daemon.direct._routing_config import RoutingConfig
+from lacewing_daemon.direct.origins import stream_key
+from lacewing_daemon.direct.origins import StreamOrigin
+from lacewing_daemon.direct.origins import StreamOrigins
+from lacewing_daemon.direct.origins import UnknownOrigin
+
+# Another router may know the stream, or this one once its peers answer.
+UNKNOWN_RETRY_S = 0.5
+_MESSAGES = {
+    UnknownOrigin.UNNAMED: 'it names no request that began the stream',
+    UnknownOrigin.NO_RECORD: 'no router knows the stream',
+    UnknownOrigin.NO_ANSWER: 'routers that may know the stream do not answer',
+    UnknownOrigin.REUSED: 'two streams have the id of this one',
+}
+
+
+@dataclass(frozen=True)
+class StreamPlace:
+    """Hold where a stream may run.
+
+    ``software`` is the version that it must go on at, None for a new stream.
+    """
+
+    admitted: Admitted
+    software: str | None = None
+
+
+def is_taken_up(request: CallerRequest, admitted: Admitted) -> bool:
+    """Return whether a request asks for the rest of a stream."""
+    if not admitted.route.is_streaming:
+        return False
+    return request.after_event is not None or request.resumed_request != ''
+
+
+async def place_stream(
+    request: CallerRequest,
+    admitted: Admitted,
+    config: RoutingConfig | None,
+    origins: StreamOrigins,
+) -> StreamPlace | Refusal:
+    """Return where a request may run; refuse if its stream is unknown."""
+    if not is_taken_up(request, admitted):
+        return StreamPlace(admitted)
+    origin: StreamOrigin | UnknownOrigin = UnknownOrigin.UNNAMED
+    if request.resumed_request:
+        origin = await origins.find(
+            stream_key(admitted.team_name, request.resumed_request)
+        )
+    label = 'known'
+    if isinstance(origin, UnknownOrigin):
+        label = origin.value
+    STREAMS_TAKEN_UP.labels(admitted.service.name, label).inc()
+    if isinstance(origin, UnknownOrigin):
+        return _refusal(_MESSAGES[origin])
+    if origin.service == admitted.service.name:
+        return StreamPlace(admitted, origin.software)
+    # Requests of one route may be divided among services.
+    for share in admitted.route.shares:
+        if share.service == origin.service and config is not None:
+            service = config.services.get(origin.service)
+            if service is not None:
+                moved = replace(admitted, service=service)
+                return StreamPlace(moved, origin.software)
+    return _refusal("the route no longer leads to the stream's service")
+
+
+def _refusal(message: str) -> Refusal:
+    return not_run(Reason.STREAM_UNKNOWN, message, UNKNOWN_RETRY_S)
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/direct/origins/__init__.py
@@ -0,0 +1,8 @@
+"""Know at which software version each resumable stream began."""
+
+from lacewing_daemon.direct.origins._directory import StreamOrigins
+from lacewing_daemon.direct.origins._records import stream_key
+from lacewing_daemon.direct.origins._records import StreamOrigin
+from lacewing_daemon.direct.origins._records import UnknownOrigin
+
+__all__ = ['StreamOrigin', 'StreamOrigins', 'UnknownOrigin', 'stream_key']
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/direct/origins/_messages.py
@@ -0,0 +1,41 @@
+"""Define the messages about the origins of streams between routers."""
+
+import msgspec
+
+RECORD_METHOD = '/lacewing.Origins/Record'
+FIND_METHOD = '/lacewing.Origins/Find'
+
+
+class OriginRecord(msgspec.Struct, frozen=True, array_like=True):
+    """Report at which software version a stream began.
+
+    ``life_s``: seconds until the stream is over. ``software`` is None if two
+    streams have the same key.
+    """
+
+    key: bytes
+    service: str
+    software: str | None
+    life_s: float
+
+
+class RecordRequest(msgspec.Struct, frozen=True, array_like=True):
+    """Ask a router to keep records."""
+
+    records: tuple[OriginRecord, ...]
+
+
+class RecordReply(msgspec.Struct, frozen=True, array_like=True):
+    """Confirm that the records are kept."""
+
+
+class FindRequest(msgspec.Struct, frozen=True, array_like=True):
+    """Ask for the origin of a stream."""
+
+    key: bytes
+
+
+class FindReply(msgspec.Struct, frozen=True, array_like=True):
+    """Return the record of a stream, None if there is none."""
+
+    record: OriginRecord | None = None
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/direct/origins/_service.py
@@ -0,0 +1,91 @@
+"""Carry the origins of streams between routers."""
+
+from collections.abc import Sequence
+
+from grpclib.const import Handler
+
+from lacewing_daemon.direct._peer_link import PeerLink
+from lacewing_daemon.direct._peer_link import unary
+from lacewing_daemon.direct.origins._directory import SentOrigin
+from lacewing_daemon.direct.origins._directory import StreamOrigins
+from lacewing_daemon.direct.origins._messages import FIND_METHOD
+from lacewing_daemon.direct.origins._messages import FindReply
+from lacewing_daemon.direct.origins._messages import FindRequest
+from lacewing_daemon.direct.origins._messages import OriginRecord
+from lacewing_daemon.direct.origins._messages import RECORD_METHOD
+from lacewing_daemon.direct.origins._messages import RecordReply
+from lacewing_daemon.direct.origins._messages import RecordRequest
+from lacewing_daemon.direct.origins._records import StreamOrigin
+from lacewing_daemon.direct.origins._records import UnknownOrigin
+from lacewing_daemon.peers import PeerCallFailed
+
+
+class OriginService:
+    """Serve a router's records to its peers, and call them for theirs."""
+
+    def __init__(self, link: PeerLink, origins: StreamOrigins) -> None:
+        self._link = link
+        self._origins = origins
+
+    def __mapping__(self) -> dict[str, Handler]:
+        """Return the handlers by method, for grpclib."""
+        return {
+            RECORD_METHOD: unary(self._on_record, RecordRequest, RecordReply),
+            FIND_METHOD: unary(self._on_find, FindRequest, FindReply),
+        }
+
+    async def record(
+        self, address: str, origins: Sequence[SentOrigin], timeout_s: float
+    ) -> bool:
+        """Have a router keep records; return whether it does."""
+        records = tuple(
+            _encode(sent.key, sent.origin, sent.life_s) for sent in origins
+        )
+        reply = await self._link.call(
+            address,
+            RECORD_METHOD,
+            RecordRequest(records),
+            RecordReply,
+            timeout_s,
+        )
+        return not isinstance(reply, PeerCallFailed)
+
+    async def find(
+        self, address: str, key: bytes, timeout_s: float
+    ) -> StreamOrigin | UnknownOrigin:
+        """Return what a router has recorded of a stream."""
+        reply = await self._link.call(
+            address, FIND_METHOD, FindRequest(key), FindReply, timeout_s
+        )
+        if isinstance(reply, PeerCallFailed):
+            return UnknownOrigin.NO_ANSWER
+        if reply.record is None:
+            return UnknownOrigin.NO_RECORD
+        return _decode(reply.record)
+
+    def _on_record(self, request: RecordRequest) -> RecordReply:
+        for record in request.records:
+            self._origins.keep(
+                SentOrigin(record.key, _decode(record), record.life_s)
+            )
+        return RecordReply()
+
+    def _on_find(self, request: FindRequest) -> FindReply:
+        found = self._origins.find_here(request.key)
+        if found is UnknownOrigin.NO_RECORD:
+            return FindReply()
+        return FindReply(_encode(request.key, found, 0.0))
+
+
+def _encode(
+    key: bytes, origin: StreamOrigin | UnknownOrigin, life_s: float
+) -> OriginRecord:
+    if isinstance(origin, UnknownOrigin):
+        return OriginRecord(key, '', None, life_s)
+    return OriginRecord(key, origin.service, origin.software, life_s)
+
+
+def _decode(record: OriginRecord) -> StreamOrigin | UnknownOrigin:
+    if record.software is None:
+        return UnknownOrigin.REUSED
+    return StreamOrigin(record.service, record.software)
