--- a/Makefile
+++ b/Makefile
@@ -121,3 +121,8 @@
 	$(BIN)/python -m lacewing_platform_testing.soak \
 		$(or $(FIRST),1) $(or $(LAST),50) \
 		$(or $(LASTS),15) $(or $(ROUTERS),3) $(THEME)
+
+# Ways by which routers learn at which software version a stream began.
+.PHONY: origins-cost
+origins-cost: $(VENV)/.made
+	$(BIN)/python -m lacewing_bench.origins_cost
