Take a stream up without a name where one version only can have begun it

A router goes on with a stream that it can't look up if its list of upstreams shows one version of the service, and no other, for twice the longest life of a request, with confirmations at most 3.5 s apart; after a gap it observes anew. Anything else is refused as before. A version that has appeared within the age of the list is not known yet: that window stays for callers without Resumes.

--- a/features/direct_software_versions.feature
+++ b/features/direct_software_versions.feature
@@ -157,6 +157,36 @@
         | a Resumes made up     |
         | the key of another team |
 
+    Scenario: A stream of the only software version goes on without a name
+      # Guards against streams that are refused where no version is in doubt.
+      Given an engine "eng-1" of software "v1"
+      And 2 routers that know each other
+      And both routers have known the engines for long
+      And a caller that read the first event of a stream at router 1
+      When it takes the stream up at router 2 with no Resumes
+      Then the answer is 200 with the events after the first one
+
+    Scenario Outline: A version is the only one if no other was there for long
+      # Guards against a version that is taken for that of a stream which
+      # another one began.
+      Given a list of upstreams that is <observed>
+      And it has had <upstreams>
+      When a stream of the last 10 s is taken up without a name
+      Then the only version is <version>
+
+      Examples:
+        | observed                    | upstreams                       | version |
+        | confirmed for 20 s          | v1 only                         | v1      |
+        | confirmed for 9 s           | v1 only                         | unknown |
+        | unconfirmed for 4 s         | v1 only                         | unknown |
+        | confirmed again for 9 s     | v1 only                         | unknown |
+        | confirmed for 20 s          | v1 and v2                       | unknown |
+        | confirmed for 20 s          | v1, and v2 until 9 s ago        | unknown |
+        | confirmed for 20 s          | v1, and v2 until 11 s ago       | v1      |
+        | confirmed for 20 s          | v1, one renamed to v2 9 s ago   | unknown |
+        | confirmed for 20 s          | v1 and one not known            | unknown |
+        | confirmed for 20 s          | none                            | unknown |
+
     Scenario: An id of two streams tells nothing
       # Guards against the version of the wrong one of two streams.
       Given an engine "eng-1" of software "v1"
--- a/features/steps/software_versions_steps.py
+++ b/features/steps/software_versions_steps.py
@@ -179,6 +179,15 @@
         bench.until(lambda: router.configuration == version, 'the split')
 
 
+@given('both routers have known the engines for long')
+def step_known_long(context: Context) -> None:
+    """Predate what the routers have observed."""
+    for router in direct_bench(context).routers:
+        history = router._fleet.software_history
+        history.confirm(0.0)
+        history._observed_since_s = float('-inf')
+
+
 @when('it takes the stream up at router {number:d}')
 def step_take_up(context: Context, number: int) -> None:
     """Ask for the events after the first one."""
--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -1,6 +1,7 @@
 """Keep a direct router's view of the deployment up to date."""
 
 import asyncio
+import time
 from collections.abc import Callable
 from random import Random
 
@@ -36,6 +37,7 @@
 from lacewing_daemon.direct.limits import TeamLimiter
 from lacewing_daemon.direct.limits import UpstreamLimiter
 from lacewing_daemon.direct.limits._limiters import Limiters
+from lacewing_daemon.direct.origins import SoftwareHistory
 from lacewing_daemon.direct.origins import StreamOrigins
 
 # The maximum time for which a call waits for changes. Each call that returns
@@ -190,6 +192,9 @@
         self._stream_origins = StreamOrigins(
             lambda: self._router_count.addresses
         )
+        self._software_history = SoftwareHistory(
+            self._upstreams_of, time.monotonic
+        )
         self._statements = Statements(self._limiters.upstreams)
         self._silence_detector = SilenceDetector(
             settings.policy.mute_ms / 1000
@@ -234,6 +239,11 @@
         """Return the record of the software versions that began streams."""
         return self._stream_origins
 
+    @property
+    def software_history(self) -> SoftwareHistory:
+        """Return the record of the software versions of upstreams."""
+        return self._software_history
+
     @property
     def statements(self) -> Statements:
         """Return the record of what upstreams say about themselves."""
@@ -365,6 +375,11 @@
             )
 
     def _apply_upstream(self, name: str, value: Upstream | None) -> None:
+        before = self._cluster_state.upstream(name)
+        if before is not None:
+            known = before.upstream
+            if value is None or value.software != known.software:
+                self._software_history.replaced(known)
         self._cluster_state.update_upstream(name, value)
         if value is None:
             return
@@ -384,6 +399,10 @@
             if model in models:
                 self.update_weights(state, model, version)
 
+    def _upstreams_of(self, service: str) -> list[Upstream]:
+        states = self._cluster_state.upstreams_of(service)
+        return [state.upstream for state in states]
+
     async def _run_peers(self) -> None:
         """Serve peers and call them until cancelled."""
         if not self._peers_address:
@@ -410,6 +429,7 @@
             states = self._cluster_state.upstreams.values()
             self._pool.close_expired(state.upstream for state in states)
             self._limiters.upstreams.forget_old()
+            self._software_history.confirm(self._upstream_watcher.age_s)
 
 
 def _log_failure(task: asyncio.Task[None]) -> None:
--- a/packages/daemon/src/lacewing_daemon/direct/_take_up.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_take_up.py
@@ -11,6 +11,7 @@
 from lacewing_daemon.direct._call import CallerRequest
 from lacewing_daemon.direct._metrics import STREAMS_TAKEN_UP
 from lacewing_daemon.direct._routing_config import RoutingConfig
+from lacewing_daemon.direct.origins import SoftwareHistory
 from lacewing_daemon.direct.origins import stream_key
 from lacewing_daemon.direct.origins import StreamOrigin
 from lacewing_daemon.direct.origins import StreamOrigins
@@ -18,6 +19,9 @@
 
 # Another router may know the stream, or this one once its peers answer.
 UNKNOWN_RETRY_S = 0.5
+# A stream and the tries to take it up last no longer than this many times the
+# longest time that one request may take.
+MAX_LIVES = 2.0
 _MESSAGES = {
     UnknownOrigin.UNNAMED: 'it names no request that began the stream',
     UnknownOrigin.NO_RECORD: 'no router knows the stream',
@@ -49,6 +53,7 @@
     admitted: Admitted,
     config: RoutingConfig | None,
     origins: StreamOrigins,
+    history: SoftwareHistory,
 ) -> StreamPlace | Refusal:
     """Return where a request may run; refuse if its stream is unknown."""
     if not is_taken_up(request, admitted):
@@ -61,6 +66,12 @@
     label = 'known'
     if isinstance(origin, UnknownOrigin):
         label = origin.value
+        only = history.only_software(
+            admitted.service.name, _max_age_s(request, admitted)
+        )
+        if only is not None:
+            label = 'only-version'
+            origin = StreamOrigin(admitted.service.name, only)
     STREAMS_TAKEN_UP.labels(admitted.service.name, label).inc()
     if isinstance(origin, UnknownOrigin):
         return _refusal(_MESSAGES[origin])
@@ -76,5 +87,11 @@
     return _refusal("the route no longer leads to the stream's service")
 
 
+def _max_age_s(request: CallerRequest, admitted: Admitted) -> float:
+    """Return how long ago a stream that is not known may have begun."""
+    life_s = max(admitted.route.timeout_s, request.deadline_s or 0.0)
+    return MAX_LIVES * life_s
+
+
 def _refusal(message: str) -> Refusal:
     return not_run(Reason.STREAM_UNKNOWN, message, UNKNOWN_RETRY_S)
--- a/packages/daemon/src/lacewing_daemon/direct/origins/__init__.py
+++ b/packages/daemon/src/lacewing_daemon/direct/origins/__init__.py
@@ -1,8 +1,15 @@
 """Know at which software version each resumable stream began."""
 
 from lacewing_daemon.direct.origins._directory import StreamOrigins
+from lacewing_daemon.direct.origins._history import SoftwareHistory
 from lacewing_daemon.direct.origins._records import stream_key
 from lacewing_daemon.direct.origins._records import StreamOrigin
 from lacewing_daemon.direct.origins._records import UnknownOrigin
 
-__all__ = ['StreamOrigin', 'StreamOrigins', 'UnknownOrigin', 'stream_key']
+__all__ = [
+    'SoftwareHistory',
+    'StreamOrigin',
+    'StreamOrigins',
+    'UnknownOrigin',
+    'stream_key',
+]
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/direct/origins/_history.py
@@ -0,0 +1,68 @@
+"""Tell whether a service had only one software version for some time."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+
+from lacewing_daemon.direct._upstream import Software
+from lacewing_daemon.direct._upstream import Upstream
+
+# A confirmed list is at most this old: a call that waits for changes, and the
+# time until the next one.
+MAX_LIST_AGE_S = 3.5
+# Versions that have left are forgotten after this; nothing is known of longer
+# times.
+MAX_HISTORY_S = 300.0
+
+
+class SoftwareHistory:
+    """Remember which software versions upstreams had.
+
+    ``present`` returns the upstreams of a service.
+    """
+
+    def __init__(
+        self,
+        present: Callable[[str], Iterable[Upstream]],
+        clock: Callable[[], float],
+    ) -> None:
+        self._present = present
+        self._clock = clock
+        self._observed_since_s: float | None = None
+        self._left_s: dict[tuple[str, Software], float] = {}
+
+    def confirm(self, list_age_s: float) -> None:
+        """Record how old the list of upstreams is; called each second."""
+        if list_age_s > MAX_LIST_AGE_S:
+            # An upstream may have come and gone meanwhile.
+            self._observed_since_s = None
+        elif self._observed_since_s is None:
+            self._observed_since_s = self._clock()
+        oldest_s = self._clock() - MAX_HISTORY_S
+        for key, left_s in tuple(self._left_s.items()):
+            if left_s < oldest_s:
+                del self._left_s[key]
+
+    def replaced(self, before: Upstream) -> None:
+        """Record that an entry is gone or names another version now."""
+        self._left_s[before.service, before.software] = self._clock()
+
+    def only_software(self, service: str, since_s: float) -> str | None:
+        """Return the only version of the last seconds, None if unknown.
+
+        Of a version that appears this router learns within the age of its
+        list.
+        """
+        now_s = self._clock()
+        observed_since_s = self._observed_since_s
+        if observed_since_s is None or since_s > MAX_HISTORY_S:
+            return None
+        if now_s - observed_since_s < since_s:
+            return None
+        versions = {each.software for each in self._present(service)}
+        for (left_service, software), left_s in self._left_s.items():
+            if left_service == service and now_s - left_s < since_s:
+                versions.add(software)
+        if len(versions) != 1:
+            return None
+        only = versions.pop()
+        return only if isinstance(only, str) else None
