Send the origins of streams only while there may be two software versions

A router that has observed one version only for twice the life of the stream holds the record back, and sends all that it holds back once another version appears or its list is unconfirmed. What others have observed answers for a router that has just started, unless it knows another version itself.

--- a/features/direct_software_versions.feature
+++ b/features/direct_software_versions.feature
@@ -231,6 +231,31 @@
       When 1 of them are killed and the others look the streams up
       Then at least 1.0 of the streams that others relayed are known
 
+    Scenario Outline: Records are sent once there may be two versions
+      # Guards against messages for each stream while no version is in doubt,
+      # and against streams that nobody knows once one is.
+      Given 4 routers that have long known software "v1" only
+      When router 1 relays a stream and "v2" appears <where>
+      Then <what>
+      And its record was sent to <count> routers
+
+      Examples:
+        | where            | what                                    | count |
+        | nowhere          | the stream is known to have begun at "v1" | 0     |
+        | everywhere       | the stream is known to have begun at "v1" | 2     |
+        | at router 2 only | nothing is known of the stream          | 0     |
+
+    Scenario Outline: A router that has just started asks what others observed
+      # Guards against streams that a restarted router refuses needlessly.
+      Given 4 routers that have long known software "v1" only
+      When router 2 has just started and is asked for a stream <named>
+      Then the stream is known to have begun at "v1"
+
+      Examples:
+        | named          |
+        | by its name    |
+        | without a name |
+
     Scenario: Records are removed once their streams are over
       # Guards against memory that grows with the streams of a day.
       When 50000 streams begin, 1000 a second, that last 5 s each
--- a/features/steps/origin_records_steps.py
+++ b/features/steps/origin_records_steps.py
@@ -8,6 +8,8 @@
 from behave import then
 from behave import when
 from behave.runner import Context
+from lacewing_daemon.direct._upstream import Upstream
+from lacewing_daemon.direct.origins import Question
 from lacewing_daemon.direct.origins import stream_key
 from lacewing_daemon.direct.origins import StreamOrigin
 from lacewing_daemon.direct.origins import UnknownOrigin
@@ -17,6 +19,8 @@
 
 SEED = 7
 LIFE_S = 15.0
+SERVICE = 'models'
+STREAM = stream_key('north', 'request-1')
 
 
 @dataclass(frozen=True)
@@ -67,7 +71,7 @@
         relay = random.choice(live)
         key = stream_key('north', f'request-{number}')
         software = f'v{number % 3}'
-        origin = StreamOrigin('models', software)
+        origin = StreamOrigin(SERVICE, software)
         fleet.routers[relay].record(key, origin, LIFE_S)
         recorded.append(Recorded(key, relay, software))
     await asyncio.sleep(2.5 * RECORD_TIMEOUT_S if dark else 0.05)
@@ -77,7 +81,8 @@
     for stream in recorded:
         others = [each for each in left if each != stream.relay]
         asked = fleet.routers[random.choice(others)]
-        found.append((stream, await asked.find(stream.key)))
+        question = Question(stream.key, SERVICE, LIFE_S)
+        found.append((stream, await asked.find(question)))
     return found
 
 
@@ -127,3 +132,85 @@
     """Check the last sweep."""
     context.records.remove_expired(context.end_s + seconds)
     assert len(context.records) == 0, len(context.records)
+
+
+@given('{count:d} routers that have long known software "{software}" only')
+def step_one_version(context: Context, count: int, software: str) -> None:
+    """Describe what the routers of the next step have observed."""
+    context.versions_known = (count, software)
+
+
+def _observing_fleet(context: Context) -> OriginFleet:
+    count, software = context.versions_known
+    fleet = OriginFleet(count)
+    for address, history in fleet.histories.items():
+        fleet.present[address] = [_engine(software)]
+        history.confirm(0.0)
+    fleet.now_s = 100.0
+    return fleet
+
+
+def _engine(software: str) -> Upstream:
+    return Upstream(
+        'eng', SERVICE, '127.0.0.1:1', 'east', 4, False, {}, 0, software
+    )
+
+
+@when('router 1 relays a stream and "{software}" appears {where}')
+def step_appears(context: Context, software: str, where: str) -> None:
+    """Record, add a version at some routers and look the stream up."""
+
+    async def play() -> None:
+        fleet = _observing_fleet(context)
+        first, second = list(fleet.routers)[:2]
+        origin = StreamOrigin(SERVICE, 'v1')
+        fleet.routers[first].record(STREAM, origin, LIFE_S)
+        await asyncio.sleep(0)
+        assert fleet.records_sent == 0, fleet.records_sent
+        seen_at = [] if where == 'nowhere' else list(fleet.routers)
+        if where == 'at router 2 only':
+            seen_at = [second]
+        for address in seen_at:
+            fleet.present[address].append(_engine(software))
+            fleet.routers[address].send_held_back()
+        await asyncio.sleep(0.05)
+        context.records_sent = fleet.records_sent
+        fleet.killed = {first}
+        question = Question(STREAM, SERVICE, LIFE_S)
+        context.origin = await fleet.routers[second].find(question)
+
+    asyncio.run(play())
+
+
+@when('router 2 has just started and is asked for a stream {named}')
+def step_just_started(context: Context, named: str) -> None:
+    """Let one router have observed nothing yet."""
+
+    async def play() -> None:
+        fleet = _observing_fleet(context)
+        second = list(fleet.routers)[1]
+        fleet.histories[second].confirm(60.0)
+        fleet.histories[second].confirm(0.0)
+        key = None if named == 'without a name' else STREAM
+        question = Question(key, SERVICE, LIFE_S)
+        context.origin = await fleet.routers[second].find(question)
+
+    asyncio.run(play())
+
+
+@then('the stream is known to have begun at "{software}"')
+def step_begun_at(context: Context, software: str) -> None:
+    """Check the origin."""
+    assert context.origin == StreamOrigin(SERVICE, software), context.origin
+
+
+@then('nothing is known of the stream')
+def step_not_known(context: Context) -> None:
+    """Check that no origin was found."""
+    assert isinstance(context.origin, UnknownOrigin), context.origin
+
+
+@then('its record was sent to {count:d} routers')
+def step_sent(context: Context, count: int) -> None:
+    """Check the records that keepers got."""
+    assert context.records_sent == count, context.records_sent
--- a/features/steps/software_versions_steps.py
+++ b/features/steps/software_versions_steps.py
@@ -10,6 +10,7 @@
 from lacewing_daemon.direct._policy import LoadPolicy
 from lacewing_daemon.direct._site import UpstreamReport
 from lacewing_daemon.direct._upstream import Upstream
+from lacewing_daemon.direct.origins import Question
 from lacewing_daemon.direct.origins import UnknownOrigin
 from lacewing_platform_testing import Behaviour
 from steps.direct_steps import ALL_EVENTS
@@ -26,7 +27,7 @@
 
 FIRST_EVENT = ALL_EVENTS[: ALL_EVENTS.index(b'id: 2')]
 FIRST_REQUEST = 'brought-the-first-event'
-NO_STREAM = bytes(16)
+NO_STREAM = Question(bytes(16), 'models', 1000.0)
 NO_RECORD = UnknownOrigin.NO_RECORD
 
 
--- a/features/support/origin_fleet.py
+++ b/features/support/origin_fleet.py
@@ -3,9 +3,12 @@
 import asyncio
 from collections.abc import Sequence
 
-from lacewing_daemon.direct.origins import StreamOrigin
+from lacewing_daemon.direct._upstream import Upstream
+from lacewing_daemon.direct.origins import Question
+from lacewing_daemon.direct.origins import SoftwareHistory
 from lacewing_daemon.direct.origins import StreamOrigins
 from lacewing_daemon.direct.origins import UnknownOrigin
+from lacewing_daemon.direct.origins._directory import Answer
 from lacewing_daemon.direct.origins._directory import SentOrigin
 
 
@@ -20,18 +23,19 @@
         return False
 
     async def find(
-        self, _address: str, _key: bytes, timeout_s: float
-    ) -> StreamOrigin | UnknownOrigin:
+        self, _address: str, _question: Question, timeout_s: float
+    ) -> Answer:
         """Wait, then report that no answer came."""
         await asyncio.sleep(timeout_s)
-        return UnknownOrigin.NO_ANSWER
+        return Answer(UnknownOrigin.NO_ANSWER)
 
 
 class OriginFleet:
     """Hold the origins of all routers and carry the calls between them.
 
     It is the ``OriginCalls`` of each of them. Routers in ``killed`` refuse
-    calls at once, those in ``dark`` answer none.
+    calls at once, those in ``dark`` answer none. ``present`` has the
+    upstreams that a router knows.
     """
 
     def __init__(self, count: int) -> None:
@@ -39,6 +43,9 @@
         self.dark: set[str] = set()
         self.now_s = 0.0
         self.routers: dict[str, StreamOrigins] = {}
+        self.histories: dict[str, SoftwareHistory] = {}
+        self.present: dict[str, list[Upstream]] = {}
+        self.records_sent = 0
         for number in range(count):
             address = f'10.0.{number // 250}.{number % 250}:7000'
             self.routers[address] = self._router(address)
@@ -47,8 +54,12 @@
         def peers() -> Sequence[str]:
             return [each for each in self.routers if each != address]
 
-        origins = StreamOrigins(peers, lambda: self.now_s)
+        history = SoftwareHistory(
+            lambda _service: self.present.get(address, []), lambda: self.now_s
+        )
+        origins = StreamOrigins(peers, history, lambda: self.now_s)
         origins.connect(self)
+        self.histories[address] = history
         return origins
 
     async def record(
@@ -59,14 +70,15 @@
         if address in self.killed | self.dark:
             return False
         for sent in origins:
+            self.records_sent += 1
             self.routers[address].keep(sent)
         return True
 
     async def find(
-        self, address: str, key: bytes, timeout_s: float
-    ) -> StreamOrigin | UnknownOrigin:
+        self, address: str, question: Question, timeout_s: float
+    ) -> Answer:
         """Look a stream up at a router that lives."""
         await asyncio.sleep(timeout_s if address in self.dark else 0)
         if address in self.killed | self.dark:
-            return UnknownOrigin.NO_ANSWER
-        return self.routers[address].find_here(key)
+            return Answer(UnknownOrigin.NO_ANSWER)
+        return self.routers[address].answer(question)
--- a/packages/bench/src/lacewing_bench/origins_cost.py
+++ b/packages/bench/src/lacewing_bench/origins_cost.py
@@ -15,6 +15,7 @@
 import fire
 from grpclib.protocol import H2Protocol
 from lacewing_daemon.direct._peer_link import PeerLink
+from lacewing_daemon.direct.origins import SoftwareHistory
 from lacewing_daemon.direct.origins import stream_key
 from lacewing_daemon.direct.origins import StreamOrigin
 from lacewing_daemon.direct.origins import StreamOrigins
@@ -104,7 +105,8 @@
     links = [PeerLink(address) for address in addresses]
     services = []
     for link in links:
-        origins = StreamOrigins(lambda: ())
+        history = SoftwareHistory(lambda _service: (), time.monotonic)
+        origins = StreamOrigins(lambda: (), history)
         service = OriginService(link, origins)
         link.add_service(service)
         services.append(service)
--- a/packages/daemon/src/lacewing_daemon/direct/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_exchange.py
@@ -155,7 +155,6 @@
             admitted,
             self._fleet.cluster_state.routing_config,
             self._fleet.stream_origins,
-            self._fleet.software_history,
         )
         if isinstance(placed, Refusal):
             return placed
--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -189,12 +189,12 @@
         self._limiters = Limiters(
             settings.peers, self._cluster_state, self._router_count, random
         )
-        self._stream_origins = StreamOrigins(
-            lambda: self._router_count.addresses
-        )
         self._software_history = SoftwareHistory(
             self._upstreams_of, time.monotonic
         )
+        self._stream_origins = StreamOrigins(
+            lambda: self._router_count.addresses, self._software_history
+        )
         self._statements = Statements(self._limiters.upstreams)
         self._silence_detector = SilenceDetector(
             settings.policy.mute_ms / 1000
@@ -381,6 +381,7 @@
             if value is None or value.software != known.software:
                 self._software_history.replaced(known)
         self._cluster_state.update_upstream(name, value)
+        self._stream_origins.send_held_back()
         if value is None:
             return
         state = self._cluster_state.upstream(name)
--- a/packages/daemon/src/lacewing_daemon/direct/_take_up.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_take_up.py
@@ -11,17 +11,14 @@
 from lacewing_daemon.direct._call import CallerRequest
 from lacewing_daemon.direct._metrics import STREAMS_TAKEN_UP
 from lacewing_daemon.direct._routing_config import RoutingConfig
-from lacewing_daemon.direct.origins import SoftwareHistory
+from lacewing_daemon.direct.origins import MAX_LIVES
+from lacewing_daemon.direct.origins import Question
 from lacewing_daemon.direct.origins import stream_key
-from lacewing_daemon.direct.origins import StreamOrigin
 from lacewing_daemon.direct.origins import StreamOrigins
 from lacewing_daemon.direct.origins import UnknownOrigin
 
 # Another router may know the stream, or this one once its peers answer.
 UNKNOWN_RETRY_S = 0.5
-# A stream and the tries to take it up last no longer than this many times the
-# longest time that one request may take.
-MAX_LIVES = 2.0
 _MESSAGES = {
     UnknownOrigin.UNNAMED: 'it names no request that began the stream',
     UnknownOrigin.NO_RECORD: 'no router knows the stream',
@@ -53,29 +50,22 @@
     admitted: Admitted,
     config: RoutingConfig | None,
     origins: StreamOrigins,
-    history: SoftwareHistory,
 ) -> StreamPlace | Refusal:
     """Return where a request may run; refuse if its stream is unknown."""
     if not is_taken_up(request, admitted):
         return StreamPlace(admitted)
-    origin: StreamOrigin | UnknownOrigin = UnknownOrigin.UNNAMED
+    key: bytes | None = None
     if request.resumed_request:
-        origin = await origins.find(
-            stream_key(admitted.team_name, request.resumed_request)
-        )
-    label = 'known'
-    if isinstance(origin, UnknownOrigin):
-        label = origin.value
-        only = history.only_software(
-            admitted.service.name, _max_age_s(request, admitted)
-        )
-        if only is not None:
-            label = 'only-version'
-            origin = StreamOrigin(admitted.service.name, only)
+        key = stream_key(admitted.team_name, request.resumed_request)
+    service_name = admitted.service.name
+    origin = await origins.find(
+        Question(key, service_name, _max_age_s(request, admitted))
+    )
+    label = origin.value if isinstance(origin, UnknownOrigin) else 'known'
     STREAMS_TAKEN_UP.labels(admitted.service.name, label).inc()
     if isinstance(origin, UnknownOrigin):
         return _refusal(_MESSAGES[origin])
-    if origin.service == admitted.service.name:
+    if origin.service == service_name:
         return StreamPlace(admitted, origin.software)
     # Requests of one route may be divided among services.
     for share in admitted.route.shares:
--- a/packages/daemon/src/lacewing_daemon/direct/origins/__init__.py
+++ b/packages/daemon/src/lacewing_daemon/direct/origins/__init__.py
@@ -1,5 +1,7 @@
 """Know at which software version each resumable stream began."""
 
+from lacewing_daemon.direct.origins._directory import MAX_LIVES
+from lacewing_daemon.direct.origins._directory import Question
 from lacewing_daemon.direct.origins._directory import StreamOrigins
 from lacewing_daemon.direct.origins._history import SoftwareHistory
 from lacewing_daemon.direct.origins._records import stream_key
@@ -7,6 +9,8 @@
 from lacewing_daemon.direct.origins._records import UnknownOrigin
 
 __all__ = [
+    'MAX_LIVES',
+    'Question',
     'SoftwareHistory',
     'StreamOrigin',
     'StreamOrigins',
--- a/packages/daemon/src/lacewing_daemon/direct/origins/_directory.py
+++ b/packages/daemon/src/lacewing_daemon/direct/origins/_directory.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import time
-from collections import deque
 from collections.abc import Callable
 from collections.abc import Coroutine
 from collections.abc import Sequence
@@ -13,6 +12,7 @@
 
 from lacewing_daemon.direct._metrics import ORIGIN_RECORDS
 from lacewing_daemon.direct._metrics import ORIGINS_SENT
+from lacewing_daemon.direct.origins._history import SoftwareHistory
 from lacewing_daemon.direct.origins._records import combine
 from lacewing_daemon.direct.origins._records import OriginRecords
 from lacewing_daemon.direct.origins._records import StreamOrigin
@@ -31,8 +31,9 @@
 # have the same key.
 AGREE_S = 0.03
 SWEEP_S = 1.0
-# Streams that begin in the fraction of a second before peers are served.
-MAX_EARLY_RECORDS = 1024
+# A stream and the tries to take it up last no longer than this many times the
+# longest time that one request may take.
+MAX_LIVES = 2.0
 _RANK_BYTES = 8
 
 T = TypeVar('T')
@@ -47,6 +48,31 @@
     life_s: float
 
 
+@dataclass(frozen=True)
+class Question:
+    """Ask for the origin of a stream of a service.
+
+    ``key`` is None for a stream that its caller does not name. The stream
+    began within the last ``since_s`` seconds.
+    """
+
+    key: bytes | None
+    service: str
+    since_s: float
+
+
+@dataclass(frozen=True)
+class Answer:
+    """Hold what a router has recorded of a stream.
+
+    ``only``: the only software version that can have begun it, None if there
+    may be several.
+    """
+
+    origin: StreamOrigin | UnknownOrigin
+    only: str | None = None
+
+
 class OriginCalls(Protocol):
     """Call other routers."""
 
@@ -56,9 +82,9 @@
         """Have a router keep records; return whether it does."""
 
     async def find(
-        self, address: str, key: bytes, timeout_s: float
-    ) -> StreamOrigin | UnknownOrigin:
-        """Return what a router has recorded of a stream."""
+        self, address: str, question: Question, timeout_s: float
+    ) -> Answer:
+        """Return what a router knows of a stream."""
 
 
 @dataclass(frozen=True)
@@ -72,38 +98,57 @@
 class StreamOrigins:
     """Know the origin of each stream that a caller may take up.
 
-    The router that relays a stream records its origin and sends it to the
-    keepers of the stream's key, without delaying the stream. Another router
-    asks the keepers. ``peer_addresses`` returns the other routers.
+    The router that relays a stream records its origin. While its service
+    may have several software versions, it sends the record to the keepers of
+    the stream's key, without delaying the stream, and another router asks
+    the keepers. While there is one version only, all that have observed that
+    for long enough know the origin. ``peer_addresses`` returns the other
+    routers.
     """
 
     def __init__(
         self,
         peer_addresses: Callable[[], Sequence[str]],
+        history: SoftwareHistory,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._peer_addresses = peer_addresses
+        self._history = history
         self._clock = clock
         self._records = OriginRecords()
         self._calls: OriginCalls | None = None
-        self._early: deque[SentOrigin] = deque(maxlen=MAX_EARLY_RECORDS)
+        self._unsent: dict[bytes, StreamOrigin] = {}
         self._pending: dict[str, list[_Pending]] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
 
     def connect(self, calls: OriginCalls) -> None:
         """Send records to other routers from now on, and earlier ones."""
         self._calls = calls
-        while self._early:
-            self._distribute(self._early.popleft())
+        self.send_held_back()
 
     def record(self, key: bytes, origin: StreamOrigin, life_s: float) -> None:
         """Record a stream that this router relays, here and at keepers."""
-        known = self._records.add(key, origin, life_s, self._clock())
-        sent = SentOrigin(key, known, life_s)
+        self._records.add(key, origin, life_s, self._clock())
+        since_s = MAX_LIVES * life_s
+        is_only = self._history.only_software(origin.service, since_s)
+        if self._calls is None or is_only is not None:
+            self._unsent[key] = origin
+            return
+        self._distribute(key)
+
+    def send_held_back(self) -> None:
+        """Send the records of services that may have several versions now."""
         if self._calls is None:
-            self._early.append(sent)
             return
-        self._distribute(sent)
+        is_only: dict[str, bool] = {}
+        for key, origin in tuple(self._unsent.items()):
+            service = origin.service
+            if service not in is_only:
+                only = self._history.only_software(service, 0.0)
+                is_only[service] = only is not None
+            if not is_only[service]:
+                del self._unsent[key]
+                self._distribute(key)
 
     def keep(self, sent: SentOrigin) -> None:
         """Keep a record for another router."""
@@ -113,27 +158,41 @@
         """Return what this router has recorded of a stream."""
         return self._records.find(key, self._clock())
 
-    async def find(self, key: bytes) -> StreamOrigin | UnknownOrigin:
+    def answer(self, question: Question) -> Answer:
+        """Return what this router knows of a stream."""
+        origin: StreamOrigin | UnknownOrigin = UnknownOrigin.UNNAMED
+        if question.key is not None:
+            origin = self.find_here(question.key)
+        only = self._history.only_software(question.service, question.since_s)
+        return Answer(origin, only)
+
+    async def find(self, question: Question) -> StreamOrigin | UnknownOrigin:
         """Return the origin of a stream; ask other routers if needed."""
-        found = self.find_here(key)
-        if found is not UnknownOrigin.NO_RECORD:
-            return found
-        candidates = self._candidates(key)
-        if not candidates:
-            return found
-        if self._calls is None:
-            return UnknownOrigin.NO_ANSWER
-        open_calls = set()
-        for address in candidates:
-            call = self._calls.find(address, key, FIND_TIMEOUT_S)
-            open_calls.add(self._start(call))
-        return await self._collect(open_calls)
+        known = self.answer(question)
+        if known.origin is UnknownOrigin.UNNAMED and known.only is not None:
+            return StreamOrigin(question.service, known.only)
+        if not isinstance(known.origin, UnknownOrigin):
+            return known.origin
+        if known.origin is UnknownOrigin.REUSED:
+            return known.origin
+        answers = [known, *await self._ask(question)]
+        origin = combine(answer.origin for answer in answers)
+        if not isinstance(origin, UnknownOrigin):
+            return origin
+        if origin is UnknownOrigin.REUSED:
+            return origin
+        return self._only_origin(question.service, answers) or origin
 
     async def run(self) -> None:
         """Remove expired records until cancelled."""
         while True:
             await asyncio.sleep(SWEEP_S)
-            self._records.remove_expired(self._clock())
+            now_s = self._clock()
+            self._records.remove_expired(now_s)
+            for key in tuple(self._unsent):
+                if not self._records.life_s(key, now_s):
+                    del self._unsent[key]
+            self.send_held_back()
             ORIGIN_RECORDS.set(len(self._records))
 
     def close(self) -> None:
@@ -145,12 +204,38 @@
         addresses = tuple(self._peer_addresses())
         return rank_workers(key[:_RANK_BYTES], addresses, CANDIDATES)
 
+    def _only_origin(
+        self, service: str, answers: Sequence[Answer]
+    ) -> StreamOrigin | None:
+        """Return the origin if one version only can have begun a stream.
+
+        What another router has observed counts only if this one knows no
+        other version.
+        """
+        here = self._history.present_software(service)
+        versions = {each.only for each in answers if each.only is not None}
+        if len(versions) != 1 or here != versions:
+            return None
+        return StreamOrigin(service, versions.pop())
+
+    async def _ask(self, question: Question) -> list[Answer]:
+        """Ask the candidates of a key; those of an unnamed stream are any."""
+        candidates = self._candidates(
+            question.key or question.service.encode()
+        )
+        if self._calls is None:
+            return [Answer(UnknownOrigin.NO_ANSWER)]
+        open_calls = set()
+        for address in candidates:
+            call = self._calls.find(address, question, FIND_TIMEOUT_S)
+            open_calls.add(self._start(call))
+        return await self._collect(open_calls)
+
     async def _collect(
-        self,
-        open_calls: set[asyncio.Task[StreamOrigin | UnknownOrigin]],
-    ) -> StreamOrigin | UnknownOrigin:
-        """Return what the first answers agree on."""
-        answers: list[StreamOrigin | UnknownOrigin] = []
+        self, open_calls: set[asyncio.Task[Answer]]
+    ) -> list[Answer]:
+        """Return the first answers, enough of them to see a reused key."""
+        answers: list[Answer] = []
         known = 0
         while open_calls and known < KEEPERS:
             ended, open_calls = await asyncio.wait(
@@ -163,12 +248,17 @@
             for call in ended:
                 answer = call.result()
                 answers.append(answer)
-                known += isinstance(answer, StreamOrigin)
-        return combine(answers)
+                known += isinstance(answer.origin, StreamOrigin)
+        return answers
 
-    def _distribute(self, sent: SentOrigin) -> None:
+    def _distribute(self, key: bytes) -> None:
         """Send a record to its keepers."""
-        candidates = self._candidates(sent.key)
+        now_s = self._clock()
+        life_s = self._records.life_s(key, now_s)
+        if not life_s:
+            return
+        sent = SentOrigin(key, self._records.find(key, now_s), life_s)
+        candidates = self._candidates(key)
         pending = _Pending(sent, candidates[KEEPERS:])
         for address in candidates[:KEEPERS]:
             self._send(address, pending)
--- a/packages/daemon/src/lacewing_daemon/direct/origins/_history.py
+++ b/packages/daemon/src/lacewing_daemon/direct/origins/_history.py
@@ -46,6 +46,10 @@
         """Record that an entry is gone or names another version now."""
         self._left_s[before.service, before.software] = self._clock()
 
+    def present_software(self, service: str) -> set[Software]:
+        """Return the versions of the upstreams that are there."""
+        return {each.software for each in self._present(service)}
+
     def only_software(self, service: str, since_s: float) -> str | None:
         """Return the only version of the last seconds, None if unknown.
 
@@ -58,7 +62,7 @@
             return None
         if now_s - observed_since_s < since_s:
             return None
-        versions = {each.software for each in self._present(service)}
+        versions = self.present_software(service)
         for (left_service, software), left_s in self._left_s.items():
             if left_service == service and now_s - left_s < since_s:
                 versions.add(software)
--- a/packages/daemon/src/lacewing_daemon/direct/origins/_messages.py
+++ b/packages/daemon/src/lacewing_daemon/direct/origins/_messages.py
@@ -30,12 +30,21 @@
 
 
 class FindRequest(msgspec.Struct, frozen=True, array_like=True):
-    """Ask for the origin of a stream."""
+    """Ask for the origin of a stream that began in the last ``since_s``.
 
-    key: bytes
+    ``key`` is None for a stream that its caller does not name.
+    """
+
+    key: bytes | None
+    service: str
+    since_s: float
 
 
 class FindReply(msgspec.Struct, frozen=True, array_like=True):
-    """Return the record of a stream, None if there is none."""
+    """Return the record of a stream, None if there is none.
+
+    ``only``: the only software version that can have begun it.
+    """
 
     record: OriginRecord | None = None
+    only: str | None = None
--- a/packages/daemon/src/lacewing_daemon/direct/origins/_records.py
+++ b/packages/daemon/src/lacewing_daemon/direct/origins/_records.py
@@ -42,6 +42,14 @@
     return blake2b(text.encode(), digest_size=_KEY_BYTES).digest()
 
 
+# Of several reasons the last one of these is given.
+_REASONS = (
+    UnknownOrigin.NO_RECORD,
+    UnknownOrigin.NO_ANSWER,
+    UnknownOrigin.UNNAMED,
+)
+
+
 def combine(
     found: Iterable[StreamOrigin | UnknownOrigin],
 ) -> StreamOrigin | UnknownOrigin:
@@ -52,8 +60,7 @@
         if each is UnknownOrigin.REUSED:
             return each
         if isinstance(each, UnknownOrigin):
-            if each is not UnknownOrigin.NO_RECORD:
-                unknown = each
+            unknown = max(unknown, each, key=_REASONS.index)
             continue
         if origin is not None and each != origin:
             return UnknownOrigin.REUSED
@@ -104,6 +111,11 @@
             return UnknownOrigin.NO_RECORD
         return known.origin
 
+    def life_s(self, key: bytes, now_s: float) -> float:
+        """Return for how long a record is still kept."""
+        known = self._records.get(key)
+        return 0.0 if known is None else max(0.0, known.expires_s - now_s)
+
     def remove_expired(self, now_s: float) -> None:
         """Remove the records of streams that are over."""
         for key, record in tuple(self._records.items()):
--- a/packages/daemon/src/lacewing_daemon/direct/origins/_service.py
+++ b/packages/daemon/src/lacewing_daemon/direct/origins/_service.py
@@ -6,6 +6,8 @@
 
 from lacewing_daemon.direct._peer_link import PeerLink
 from lacewing_daemon.direct._peer_link import unary
+from lacewing_daemon.direct.origins._directory import Answer
+from lacewing_daemon.direct.origins._directory import Question
 from lacewing_daemon.direct.origins._directory import SentOrigin
 from lacewing_daemon.direct.origins._directory import StreamOrigins
 from lacewing_daemon.direct.origins._messages import FIND_METHOD
@@ -19,6 +21,8 @@
 from lacewing_daemon.direct.origins._records import UnknownOrigin
 from lacewing_daemon.peers import PeerCallFailed
 
+_WITHOUT_RECORD = (UnknownOrigin.NO_RECORD, UnknownOrigin.UNNAMED)
+
 
 class OriginService:
     """Serve a router's records to its peers, and call them for theirs."""
@@ -51,17 +55,18 @@
         return not isinstance(reply, PeerCallFailed)
 
     async def find(
-        self, address: str, key: bytes, timeout_s: float
-    ) -> StreamOrigin | UnknownOrigin:
-        """Return what a router has recorded of a stream."""
+        self, address: str, question: Question, timeout_s: float
+    ) -> Answer:
+        """Return what a router knows of a stream."""
+        request = FindRequest(question.key, question.service, question.since_s)
         reply = await self._link.call(
-            address, FIND_METHOD, FindRequest(key), FindReply, timeout_s
+            address, FIND_METHOD, request, FindReply, timeout_s
         )
         if isinstance(reply, PeerCallFailed):
-            return UnknownOrigin.NO_ANSWER
+            return Answer(UnknownOrigin.NO_ANSWER)
         if reply.record is None:
-            return UnknownOrigin.NO_RECORD
-        return _decode(reply.record)
+            return Answer(UnknownOrigin.NO_RECORD, reply.only)
+        return Answer(_decode(reply.record), reply.only)
 
     def _on_record(self, request: RecordRequest) -> RecordReply:
         for record in request.records:
@@ -71,10 +76,13 @@
         return RecordReply()
 
     def _on_find(self, request: FindRequest) -> FindReply:
-        found = self._origins.find_here(request.key)
-        if found is UnknownOrigin.NO_RECORD:
-            return FindReply()
-        return FindReply(_encode(request.key, found, 0.0))
+        answer = self._origins.answer(
+            Question(request.key, request.service, request.since_s)
+        )
+        if answer.origin in _WITHOUT_RECORD or request.key is None:
+            return FindReply(None, answer.only)
+        record = _encode(request.key, answer.origin, 0.0)
+        return FindReply(record, answer.only)
 
 
 def _encode(
