Move what records a stream's origin beside what takes streams up

Both directions of the origin of a stream, with its life, are in _take_up.py now; an upstream names its own software for the log. Nothing else changes: direct, direct_answer_ends and direct_software_versions pass.

--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -27,11 +27,9 @@
 from lacewing_daemon.direct._site import ReplyHead
 from lacewing_daemon.direct._site import Wire
 from lacewing_daemon.direct._stream_relay import StreamRelay
+from lacewing_daemon.direct._take_up import record_origin
 from lacewing_daemon.direct._target import Target
-from lacewing_daemon.direct._upstream import Software
 from lacewing_daemon.direct._upstream_state import UpstreamState
-from lacewing_daemon.direct.origins import stream_key
-from lacewing_daemon.direct.origins import StreamOrigin
 
 _MS = 1000.0
 # An upstream at whose address another one answers has terminated; its store
@@ -51,9 +49,6 @@
 # A plain upstream answers within some tens of ms, 0.25 s at its slowest. After
 # this time without data a request that can be retried is sent to another one.
 PLAIN_SILENT_S = 0.45
-# Bounds how long the origin of a stream is kept, whatever deadline its caller
-# states.
-MAX_STREAM_LIFE_S = 120.0
 
 
 @dataclass(frozen=True)
@@ -128,7 +123,12 @@
                 self._watch(attempt)
             self._record_first_event()
             if events and not relay.has_started:
-                self._record_origin()
+                record_origin(
+                    self._request,
+                    self._admitted,
+                    self._state.upstream.software,
+                    self._fleet.stream_origins,
+                )
             await relay.forward(head, events)
 
         def should_abandon(waited_s: float) -> bool:
@@ -236,25 +236,6 @@
             self._estimates, self._target, prompt, elapsed_ms, boot_s()
         )
 
-    def _record_origin(self) -> None:
-        """Record at which software version the caller's events begin.
-
-        The caller may take the stream up until its deadline is over.
-        """
-        software = self._state.upstream.software
-        route = self._admitted.route
-        request_id = self._request.resumed_request or self._request.request_id
-        if not route.can_retry or not request_id:
-            return
-        if not isinstance(software, str):
-            return
-        life_s = max(route.timeout_s, self._request.deadline_s or 0.0)
-        self._fleet.stream_origins.record(
-            stream_key(self._admitted.team_name, request_id),
-            StreamOrigin(self._admitted.service.name, software),
-            min(life_s, MAX_STREAM_LIFE_S),
-        )
-
     @property
     def _estimates(self) -> Estimates:
         return self._fleet.cluster_state.estimates(self._admitted.service.name)
@@ -395,13 +376,9 @@
             copy=_id_of(target.copy_to),
             ended='' if end.body_end is None else end.body_end.value,
             partial_bytes=end.partial_bytes,
-            software=_name_of(self._state.upstream.software),
+            software=self._state.upstream.software_name,
         )
 
 
-def _name_of(software: Software) -> str:
-    return software if isinstance(software, str) else software.value
-
-
 def _id_of(state: UpstreamState | None) -> str:
     return '' if state is None else state.upstream.upstream_id
--- a/packages/daemon/src/lacewing_daemon/direct/_take_up.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_take_up.py
@@ -1,4 +1,4 @@
-"""Find out where a stream that a caller takes up may go on."""
+"""Record where streams begin, and find out where they may go on."""
 
 from dataclasses import dataclass
 from dataclasses import replace
@@ -11,14 +11,19 @@
 from lacewing_daemon.direct._call import CallerRequest
 from lacewing_daemon.direct._metrics import STREAMS_TAKEN_UP
 from lacewing_daemon.direct._routing_config import RoutingConfig
+from lacewing_daemon.direct._upstream import Software
 from lacewing_daemon.direct.origins import MAX_LIVES
 from lacewing_daemon.direct.origins import Question
 from lacewing_daemon.direct.origins import stream_key
+from lacewing_daemon.direct.origins import StreamOrigin
 from lacewing_daemon.direct.origins import StreamOrigins
 from lacewing_daemon.direct.origins import UnknownOrigin
 
 # Another router may know the stream, or this one once its peers answer.
 UNKNOWN_RETRY_S = 0.5
+# Bounds how long the origin of a stream is kept, whatever deadline its caller
+# states.
+MAX_STREAM_LIFE_S = 120.0
 _MESSAGES = {
     UnknownOrigin.UNNAMED: 'it names no request that began the stream',
     UnknownOrigin.NO_RECORD: 'no router knows the stream',
@@ -77,10 +82,35 @@
     return _refusal("the route no longer leads to the stream's service")
 
 
+def record_origin(
+    request: CallerRequest,
+    admitted: Admitted,
+    software: Software,
+    origins: StreamOrigins,
+) -> None:
+    """Record at which software version the events of a caller begin.
+
+    The caller may take the stream up until its deadline is over.
+    """
+    request_id = request.resumed_request or request.request_id
+    if not admitted.route.can_retry or not request_id:
+        return
+    if not isinstance(software, str):
+        return
+    origins.record(
+        stream_key(admitted.team_name, request_id),
+        StreamOrigin(admitted.service.name, software),
+        min(_life_s(request, admitted), MAX_STREAM_LIFE_S),
+    )
+
+
+def _life_s(request: CallerRequest, admitted: Admitted) -> float:
+    return max(admitted.route.timeout_s, request.deadline_s or 0.0)
+
+
 def _max_age_s(request: CallerRequest, admitted: Admitted) -> float:
     """Return how long ago a stream that is not known may have begun."""
-    life_s = max(admitted.route.timeout_s, request.deadline_s or 0.0)
-    return MAX_LIVES * life_s
+    return MAX_LIVES * _life_s(request, admitted)
 
 
 def _refusal(message: str) -> Refusal:
--- a/packages/daemon/src/lacewing_daemon/direct/_upstream.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_upstream.py
@@ -41,6 +41,13 @@
     started_ms: int = 0
     software: Software = ''
 
+    @property
+    def software_name(self) -> str:
+        """Return the version of its software, or why it is unknown."""
+        if isinstance(self.software, UnknownSoftware):
+            return self.software.value
+        return self.software
+
     def restarted(
         self, started_ms: int, weights: Mapping[str, int]
     ) -> 'Upstream':
--- a/packages/daemon/src/lacewing_daemon/direct/origins/_directory.py
+++ b/packages/daemon/src/lacewing_daemon/direct/origins/_directory.py
@@ -171,15 +171,11 @@
         known = self.answer(question)
         if known.origin is UnknownOrigin.UNNAMED and known.only is not None:
             return StreamOrigin(question.service, known.only)
-        if not isinstance(known.origin, UnknownOrigin):
-            return known.origin
-        if known.origin is UnknownOrigin.REUSED:
+        if _is_settled(known.origin):
             return known.origin
         answers = [known, *await self._ask(question)]
         origin = combine(answer.origin for answer in answers)
-        if not isinstance(origin, UnknownOrigin):
-            return origin
-        if origin is UnknownOrigin.REUSED:
+        if _is_settled(origin):
             return origin
         return self._only_origin(question.service, answers) or origin
 
@@ -294,3 +290,8 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         return task
+
+
+def _is_settled(origin: StreamOrigin | UnknownOrigin) -> bool:
+    """Return whether further answers can't tell more of a stream."""
+    return isinstance(origin, StreamOrigin) or origin is UnknownOrigin.REUSED
