Do not end a begun stream with a document

Found in the last read of the change: when a stream had begun and the next upstream answered 200 with another type of body, the document was written after the caller's events and the answer completed.

Only a successful stream of events completes a begun stream now; anything else counts as broken off. The new scenario failed before; direct and direct_answer_ends pass.

--- a/features/direct_answer_ends.feature
+++ b/features/direct_answer_ends.feature
@@ -81,6 +81,13 @@
       When a caller asks a model
       Then the caller's answer is aborted
 
+    Scenario: A document does not complete a stream that has begun
+      # Guards against a document among events, which is taken for their end.
+      Given the next upstream cut
+      And the next upstream answers with a document
+      When a caller asks a model
+      Then the caller's answer is aborted
+
     Scenario: A run without framing goes on from its copy
       # Guards against a broken-off run that is not continued from its copy.
       Given engines that copy the KV cache of runs
--- a/packages/daemon/src/lacewing_daemon/direct/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_exchange.py
@@ -16,6 +16,7 @@
 
 from lacewing_daemon.direct._admission import admit
 from lacewing_daemon.direct._admission import Admitted
+from lacewing_daemon.direct._answer_end import is_event_stream
 from lacewing_daemon.direct._attempt import AttemptEnd
 from lacewing_daemon.direct._attempt import Contact
 from lacewing_daemon.direct._call import CallerRequest
@@ -304,12 +305,16 @@
         """Return whether the answer of an attempt completes the request.
 
         Once a stream has started, only a successful continuation does. An
-        error response of the next upstream would otherwise be taken for the
-        regular end of the stream, although events are missing.
+        error response or a document of the next upstream would otherwise be
+        taken for the end of the stream, although events are missing.
         """
         if end.verdict is not Verdict.RAN or end.head is None:
             return False
-        return not self._reply.has_started or end.head.status in _SUCCESS
+        if not self._reply.has_started:
+            return True
+        return end.head.status in _SUCCESS and is_event_stream(
+            end.head.headers
+        )
 
     async def _deliver(self, relay: StreamRelay, end: AttemptEnd) -> None:
         assert end.head is not None
