Retry a router's first entry and count after a second

A router has its share of the limits once its entry is written and it has counted the others. Both calls were made once for each count, and that interval grows with the routers: 15 s at 300. At a start of all routers the store refuses calls over its rate, and those routers refused teams until the next count.

--- a/features/direct_routers.feature
+++ b/features/direct_routers.feature
@@ -23,6 +23,15 @@
     And one is killed and the others run for 20 seconds
     Then each of the others counts 3 routers
 
+  Scenario: Routers that were all killed have their shares soon
+    # Guards against routers that refuse teams for tens of seconds: at a start
+    # the store refuses most calls, and the next try waits for a count whose
+    # interval grows with the number of routers.
+    Given 300 routers that have entries of predecessors
+    And a store that takes 100 writes a second
+    When all of them start at once
+    Then each has its share within 8 seconds
+
   Scenario: A router that stops is no longer counted
     Given 3 routers that share a store
     When all of them renew their entries and count
--- a/features/steps/router_count_steps.py
+++ b/features/steps/router_count_steps.py
@@ -1,6 +1,9 @@
 """Check how direct routers count each other."""
 
 import asyncio
+import heapq
+from collections import Counter
+from collections.abc import Callable
 from random import Random
 
 from behave import given
@@ -16,6 +19,7 @@
 from lacewing_daemon.direct._router_count import ROUTERS
 
 COUNT_INTERVAL_S = RENEW_S / 2
+_START_LIMIT_S = 120.0
 
 
 class _Store:
@@ -25,8 +29,19 @@
         self.objects: dict[str, StoredObject] = {}
         self.lose_next_response = False
         self.is_unavailable = False
+        self.writes_per_s = 0
+        self.clock: Callable[[], float] = lambda: 0.0
+        self._write_counts: Counter[int] = Counter()
         self._version = 0
 
+    def _takes_write(self) -> bool:
+        """Count a write; return false beyond the rate, 0 for no limit."""
+        second = int(self.clock())
+        self._write_counts[second] += 1
+        if not self.writes_per_s:
+            return True
+        return self._write_counts[second] <= self.writes_per_s
+
     async def get(self, kind: str, name: str) -> StoredObject | StoreError:
         """Read one object."""
         found = self.objects.get(name)
@@ -53,6 +68,8 @@
         """Write if the version matches."""
         if self.is_unavailable:
             return StoreError(StoreFault.UNAVAILABLE, 'unavailable')
+        if not self._takes_write():
+            return StoreError(StoreFault.RATE_LIMITED, 'too many writes')
         found = self.objects.get(name)
         if (0 if found is None else found.version) != expect:
             return StoreError(StoreFault.CONFLICT, 'changed meanwhile')
@@ -93,6 +110,53 @@
         )
 
 
+@given('{count:d} routers that have entries of predecessors')
+def step_predecessors(context: Context, count: int) -> None:
+    """Write an entry for each router before it starts."""
+    step_routers(context, count)
+    for number in range(count):
+        value = f'{number:032x}'.encode()
+        entry = context.store.put(ROUTERS, f'router-{number}', value, 0)
+        asyncio.run(entry)
+
+
+@given('a store that takes {count:d} writes a second')
+def step_rate(context: Context, count: int) -> None:
+    """Have the store refuse further writes in the same second."""
+    context.store.writes_per_s = count
+    context.store.clock = lambda: float(context.now_s)
+
+
+@when('all of them start at once')
+def step_start(context: Context) -> None:
+    """Run each router's steps at its own times until it has its share."""
+    asyncio.run(_start_all(context))
+
+
+async def _start_all(context: Context) -> None:
+    random = Random(0)
+    start_s = context.now_s
+    due = []
+    for number in range(len(context.counts)):
+        due.append((start_s + random.uniform(0.0, 0.3), number))
+    context.shared_after_s = []
+    while due and context.now_s < start_s + _START_LIMIT_S:
+        context.now_s, number = heapq.heappop(due)
+        count = context.counts[number]
+        await count.step()
+        if count.share > 0:
+            context.shared_after_s.append(context.now_s - start_s)
+            continue
+        heapq.heappush(due, (context.now_s + count.next_step_in_s, number))
+
+
+@then('each has its share within {seconds:d} seconds')
+def step_shares(context: Context, seconds: int) -> None:
+    """Check how long each router had no share."""
+    assert len(context.shared_after_s) == len(context.counts)
+    assert max(context.shared_after_s) <= seconds, max(context.shared_after_s)
+
+
 @when('all of them renew their entries and count')
 def step_all(context: Context) -> None:
     """Let each router write its entry, then let each read."""
--- a/packages/daemon/src/lacewing_daemon/direct/_router_count.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_router_count.py
@@ -26,6 +26,9 @@
 # eventually consistent reads cost a tenth.
 RENEW_S = 10.0
 MIN_COUNT_INTERVAL_S = 4.0
+# A router whose entry is not written yet, or that has not counted yet, has no
+# share of the limits of teams, and tries again after this.
+RETRY_S = 1.0
 # Each count reads all entries, some 150 bytes each. With more routers than
 # this they count less often: 330 routers read 3 KB/s each instead of 12 KB/s.
 FULL_RATE_ROUTERS = 80
@@ -143,6 +146,15 @@
             return 0.0
         return 1.0 / self._holders
 
+    @property
+    def next_step_in_s(self) -> float:
+        """Return the time until the next step, a random one near its mean."""
+        interval_s = count_interval_s(self._count)
+        if not self._has_counted or self._renewed_s == float('-inf'):
+            interval_s = min(interval_s, RETRY_S)
+        jitter = 0.75 + self._random.random() / 2
+        return interval_s * jitter
+
     @property
     def addresses(self) -> tuple[str, ...]:
         """Return the addresses at which other live routers listen."""
@@ -160,11 +172,14 @@
     async def run(self) -> None:
         """Renew the own entry and count all entries until cancelled."""
         while True:
-            if self._clock() - self._renewed_s >= RENEW_S:
-                await self.renew()
-            await self.refresh()
-            jitter = 0.75 + self._random.random() / 2
-            await asyncio.sleep(count_interval_s(self._count) * jitter)
+            await self.step()
+            await asyncio.sleep(self.next_step_in_s)
+
+    async def step(self) -> None:
+        """Renew the own entry if that is due, and count all entries."""
+        if self._clock() - self._renewed_s >= RENEW_S:
+            await self.renew()
+        await self.refresh()
 
     async def renew(self) -> None:
         """Write the own entry, unless this router is leaving."""
