--- a/features/steps/origin_records_steps.py
+++ b/features/steps/origin_records_steps.py
@@ -143,9 +143,9 @@
 def _observing_fleet(context: Context) -> OriginFleet:
     count, software = context.versions_known
     fleet = OriginFleet(count)
-    for address, history in fleet.histories.items():
+    for address, origins in fleet.routers.items():
         fleet.present[address] = [_engine(software)]
-        history.confirm(0.0)
+        origins.history.confirm(0.0)
     fleet.now_s = 100.0
     return fleet
 
@@ -189,8 +189,9 @@
     async def play() -> None:
         fleet = _observing_fleet(context)
         second = list(fleet.routers)[1]
-        fleet.histories[second].confirm(60.0)
-        fleet.histories[second].confirm(0.0)
+        history = fleet.routers[second].history
+        history.confirm(60.0)
+        history.confirm(0.0)
         key = None if named == 'without a name' else STREAM
         question = Question(key, SERVICE, LIFE_S)
         context.origin = await fleet.routers[second].find(question)
--- a/features/steps/software_history_steps.py
+++ b/features/steps/software_history_steps.py
@@ -7,7 +7,7 @@
 from lacewing_daemon.direct._upstream import Software
 from lacewing_daemon.direct._upstream import UnknownSoftware
 from lacewing_daemon.direct._upstream import Upstream
-from lacewing_daemon.direct.origins import SoftwareHistory
+from lacewing_daemon.direct.origins._history import SoftwareHistory
 
 NOW_S = 100.0
 SERVICE = 'models'
--- a/features/steps/software_versions_steps.py
+++ b/features/steps/software_versions_steps.py
@@ -184,7 +184,7 @@
 def step_known_long(context: Context) -> None:
     """Predate what the routers have observed."""
     for router in direct_bench(context).routers:
-        history = router._fleet.software_history
+        history = router._fleet.stream_origins.history
         history.confirm(0.0)
         history._observed_since_s = float('-inf')
 
--- a/features/support/origin_fleet.py
+++ b/features/support/origin_fleet.py
@@ -5,7 +5,6 @@
 
 from lacewing_daemon.direct._upstream import Upstream
 from lacewing_daemon.direct.origins import Question
-from lacewing_daemon.direct.origins import SoftwareHistory
 from lacewing_daemon.direct.origins import StreamOrigins
 from lacewing_daemon.direct.origins import UnknownOrigin
 from lacewing_daemon.direct.origins._directory import Answer
@@ -43,7 +42,6 @@
         self.dark: set[str] = set()
         self.now_s = 0.0
         self.routers: dict[str, StreamOrigins] = {}
-        self.histories: dict[str, SoftwareHistory] = {}
         self.present: dict[str, list[Upstream]] = {}
         self.records_sent = 0
         for number in range(count):
@@ -54,12 +52,12 @@
         def peers() -> Sequence[str]:
             return [each for each in self.routers if each != address]
 
-        history = SoftwareHistory(
-            lambda _service: self.present.get(address, []), lambda: self.now_s
+        origins = StreamOrigins(
+            peers,
+            lambda _service: self.present.get(address, []),
+            lambda: self.now_s,
         )
-        origins = StreamOrigins(peers, history, lambda: self.now_s)
         origins.connect(self)
-        self.histories[address] = history
         return origins
 
     async def record(
--- a/packages/bench/src/lacewing_bench/origins_cost.py
+++ b/packages/bench/src/lacewing_bench/origins_cost.py
@@ -15,7 +15,6 @@
 import fire
 from grpclib.protocol import H2Protocol
 from lacewing_daemon.direct._peer_link import PeerLink
-from lacewing_daemon.direct.origins import SoftwareHistory
 from lacewing_daemon.direct.origins import stream_key
 from lacewing_daemon.direct.origins import StreamOrigin
 from lacewing_daemon.direct.origins import StreamOrigins
@@ -66,7 +65,7 @@
 
 
 WAYS = (
-    Way('all told before the first event', None, True, 0),
+    Way('all others before the first event', None, True, 0),
     Way('two keepers, before the first event', 2, True, CANDIDATES),
     Way('two keepers, beside the first event', 2, False, CANDIDATES),
     Way('one keeper, beside the first event', 1, False, CANDIDATES),
@@ -105,8 +104,7 @@
     links = [PeerLink(address) for address in addresses]
     services = []
     for link in links:
-        history = SoftwareHistory(lambda _service: (), time.monotonic)
-        origins = StreamOrigins(lambda: (), history)
+        origins = StreamOrigins(lambda: (), lambda _service: ())
         service = OriginService(link, origins)
         link.add_service(service)
         services.append(service)
--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -1,7 +1,6 @@
 """Keep a direct router's view of the deployment up to date."""
 
 import asyncio
-import time
 from collections.abc import Callable
 from random import Random
 
@@ -37,7 +36,6 @@
 from lacewing_daemon.direct.limits import TeamLimiter
 from lacewing_daemon.direct.limits import UpstreamLimiter
 from lacewing_daemon.direct.limits._limiters import Limiters
-from lacewing_daemon.direct.origins import SoftwareHistory
 from lacewing_daemon.direct.origins import StreamOrigins
 
 # The maximum time for which a call waits for changes. Each call that returns
@@ -189,11 +187,8 @@
         self._limiters = Limiters(
             settings.peers, self._cluster_state, self._router_count, random
         )
-        self._software_history = SoftwareHistory(
-            self._upstreams_of, time.monotonic
-        )
         self._stream_origins = StreamOrigins(
-            lambda: self._router_count.addresses, self._software_history
+            lambda: self._router_count.addresses, self._upstreams_of
         )
         self._statements = Statements(self._limiters.upstreams)
         self._silence_detector = SilenceDetector(
@@ -239,11 +234,6 @@
         """Return the record of the software versions that began streams."""
         return self._stream_origins
 
-    @property
-    def software_history(self) -> SoftwareHistory:
-        """Return the record of the software versions of upstreams."""
-        return self._software_history
-
     @property
     def statements(self) -> Statements:
         """Return the record of what upstreams say about themselves."""
@@ -376,12 +366,9 @@
 
     def _apply_upstream(self, name: str, value: Upstream | None) -> None:
         before = self._cluster_state.upstream(name)
-        if before is not None:
-            known = before.upstream
-            if value is None or value.software != known.software:
-                self._software_history.replaced(known)
+        known = None if before is None else before.upstream
         self._cluster_state.update_upstream(name, value)
-        self._stream_origins.send_held_back()
+        self._stream_origins.upstream_changed(known, value)
         if value is None:
             return
         state = self._cluster_state.upstream(name)
@@ -410,13 +397,11 @@
             return
         await asyncio.sleep(PEERS_START_DELAY_S)
         from lacewing_daemon.direct._peer_link import PeerLink
-        from lacewing_daemon.direct.origins._service import OriginService
+        from lacewing_daemon.direct.origins._service import connect_origins
 
         link = PeerLink(self._peers_address)
         self._limiters.connect(link)
-        origins = OriginService(link, self._stream_origins)
-        link.add_service(origins)
-        self._stream_origins.connect(origins)
+        connect_origins(self._stream_origins, link)
         try:
             async with asyncio.TaskGroup() as tasks:
                 tasks.create_task(self._crash_guard.exchange(link))
@@ -430,7 +415,8 @@
             states = self._cluster_state.upstreams.values()
             self._pool.close_expired(state.upstream for state in states)
             self._limiters.upstreams.forget_old()
-            self._software_history.confirm(self._upstream_watcher.age_s)
+            age_s = self._upstream_watcher.age_s
+            self._stream_origins.history.confirm(age_s)
 
 
 def _log_failure(task: asyncio.Task[None]) -> None:
--- a/packages/daemon/src/lacewing_daemon/direct/origins/__init__.py
+++ b/packages/daemon/src/lacewing_daemon/direct/origins/__init__.py
@@ -3,7 +3,6 @@
 from lacewing_daemon.direct.origins._directory import MAX_LIVES
 from lacewing_daemon.direct.origins._directory import Question
 from lacewing_daemon.direct.origins._directory import StreamOrigins
-from lacewing_daemon.direct.origins._history import SoftwareHistory
 from lacewing_daemon.direct.origins._records import stream_key
 from lacewing_daemon.direct.origins._records import StreamOrigin
 from lacewing_daemon.direct.origins._records import UnknownOrigin
@@ -11,7 +10,6 @@
 __all__ = [
     'MAX_LIVES',
     'Question',
-    'SoftwareHistory',
     'StreamOrigin',
     'StreamOrigins',
     'UnknownOrigin',
--- a/packages/daemon/src/lacewing_daemon/direct/origins/_directory.py
+++ b/packages/daemon/src/lacewing_daemon/direct/origins/_directory.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Callable
 from collections.abc import Coroutine
+from collections.abc import Iterable
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Any
@@ -12,6 +13,7 @@
 
 from lacewing_daemon.direct._metrics import ORIGIN_RECORDS
 from lacewing_daemon.direct._metrics import ORIGINS_SENT
+from lacewing_daemon.direct._upstream import Upstream
 from lacewing_daemon.direct.origins._history import SoftwareHistory
 from lacewing_daemon.direct.origins._records import combine
 from lacewing_daemon.direct.origins._records import OriginRecords
@@ -103,17 +105,17 @@
     the stream's key, without delaying the stream, and another router asks
     the keepers. While there is one version only, all that have observed that
     for long enough know the origin. ``peer_addresses`` returns the other
-    routers.
+    routers, ``present`` the upstreams of a service.
     """
 
     def __init__(
         self,
         peer_addresses: Callable[[], Sequence[str]],
-        history: SoftwareHistory,
+        present: Callable[[str], Iterable[Upstream]],
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._peer_addresses = peer_addresses
-        self._history = history
+        self._history = SoftwareHistory(present, clock)
         self._clock = clock
         self._records = OriginRecords()
         self._calls: OriginCalls | None = None
@@ -121,6 +123,11 @@
         self._pending: dict[str, list[_Pending]] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
 
+    @property
+    def history(self) -> SoftwareHistory:
+        """Return the record of the software versions of upstreams."""
+        return self._history
+
     def connect(self, calls: OriginCalls) -> None:
         """Send records to other routers from now on, and earlier ones."""
         self._calls = calls
@@ -136,6 +143,15 @@
             return
         self._distribute(key)
 
+    def upstream_changed(
+        self, before: Upstream | None, after: Upstream | None
+    ) -> None:
+        """Record the change of an upstream's entry, None for no entry."""
+        if before is not None:
+            if after is None or after.software != before.software:
+                self._history.replaced(before)
+        self.send_held_back()
+
     def send_held_back(self) -> None:
         """Send the records of services that may have several versions now."""
         if self._calls is None:
--- a/packages/daemon/src/lacewing_daemon/direct/origins/_history.py
+++ b/packages/daemon/src/lacewing_daemon/direct/origins/_history.py
@@ -43,7 +43,7 @@
                 del self._left_s[key]
 
     def replaced(self, before: Upstream) -> None:
-        """Record that an entry is gone or names another version now."""
+        """Record that an entry was removed or names another version."""
         self._left_s[before.service, before.software] = self._clock()
 
     def present_software(self, service: str) -> set[Software]:
--- a/packages/daemon/src/lacewing_daemon/direct/origins/_service.py
+++ b/packages/daemon/src/lacewing_daemon/direct/origins/_service.py
@@ -85,6 +85,13 @@
         return FindReply(record, answer.only)
 
 
+def connect_origins(origins: StreamOrigins, link: PeerLink) -> None:
+    """Exchange records over the connections between routers from now on."""
+    service = OriginService(link, origins)
+    link.add_service(service)
+    origins.connect(service)
+
+
 def _encode(
     key: bytes, origin: StreamOrigin | UnknownOrigin, life_s: float
 ) -> OriginRecord:
