--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -26,6 +26,9 @@
 from lacewing_platform_testing.soak._site import KEYS
 from lacewing_platform_testing.soak._site import SoakSite
 
+# Bounds the file descriptors and processes that the seeds take together.
+_SEEDS_AT_ONCE = 7
+
 
 class _SingleRouter:
     """Run a site, one router process and a slow request."""
@@ -203,12 +206,15 @@
 
 
 async def _run_all(seeds: list[dict[str, Any]]) -> list[SoakReport]:
-    return await asyncio.gather(
-        *(
-            run_seed(one['number'], one['seconds'], Theme(one['theme']))
-            for one in seeds
-        )
-    )
+    slots = asyncio.Semaphore(_SEEDS_AT_ONCE)
+
+    async def run_one(one: dict[str, Any]) -> SoakReport:
+        async with slots:
+            return await run_seed(
+                one['number'], one['seconds'], Theme(one['theme'])
+            )
+
+    return await asyncio.gather(*(run_one(one) for one in seeds))
 
 
 @then('no promise is broken')
