Log the shared parts of the prompts that a crash interrupted

Cause: the line of a crash names interrupted runs by the fingerprint of the whole request. Change: each run has the fingerprints of the parts that other prompts may share, every one but the last. They hold neither team nor model: a part is the same wherever it stands. No decision changes.

--- a/packages/common/src/lacewing_common/log_lines.py
+++ b/packages/common/src/lacewing_common/log_lines.py
@@ -47,12 +47,14 @@
     """Hold a run that its upstream interrupted.
 
     ``same`` is the fingerprint that identical requests share; ``begun``: at
-    least one event of the run had been received.
+    least one event of the run had been received. ``parts`` are fingerprints
+    of the parts of its prompt that others may share, in order.
     """
 
     request: str
     same: str
     begun: bool
+    parts: tuple[str, ...] = ()
 
 
 class LogLine(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -30,6 +30,7 @@
 from lacewing_daemon.direct._take_up import record_origin
 from lacewing_daemon.direct._target import Target
 from lacewing_daemon.direct._upstream_state import UpstreamState
+from lacewing_daemon.direct.crashes._fingerprint import part_fingerprints
 
 _MS = 1000.0
 # An upstream at whose address another one answers has terminated; its store
@@ -342,6 +343,7 @@
             request=self._request.request_id,
             same=self._fingerprint,
             begun=self._first_event_s is not None,
+            parts=part_fingerprints(self._request.prompt),
         )
         self._guard.run_broken(self._state.upstream, run, end.opened_s)
 
