--- a/packages/daemon/src/lacewing_daemon/direct/crashes/_fingerprint.py
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_fingerprint.py
@@ -31,7 +31,7 @@
     """
     if prompt is None:
         return ()
-    digests = {}
+    digests: dict[str, None] = {}
     for part in prompt.shared:
         text = part.part_id.encode(errors='surrogateescape')
         digest = blake2b(text, digest_size=_DIGEST_BYTES, person=b'part')
