Add failing tests of a part of prompts that crashes upstreams

Expected: five upstreams lost at the most, three sends later, 95 percent of the sound prompts begin.

--- a/features/direct_crash_parts.feature
+++ b/features/direct_crash_parts.feature
@@ -12,3 +12,24 @@
       And a direct router that logs to a file
       When 2 different prompts "own,bad,last" come, one after the other
       Then the crashes in its log have 2 requests and 2 parts in common
+
+    Scenario Outline: Prompts that are never alike share a part that crashes
+      # Guards against upstreams that crash one after the other under one part
+      # of prompts: each request with it is new, so each crashed two or three
+      # before it was blocked, 36 in one day.
+      Given a store with a configuration
+      And 5 upstreams of "models" that come back after a crash
+      And the part "bad" of prompts crashes upstreams
+      And routers that call each other
+      And 3 direct routers
+      And each router knows the 2 others
+      When different prompts "<crashing>" come for 8 seconds, beside sound ones "<sound>"
+      Then at most 5 upstreams have crashed
+      And at most 3 prompts with it reach upstreams after the fifth crash
+      And refused prompts with it have not run and may come back later
+      And 95 percent of the sound ones begin once 2 seconds have passed
+
+      Examples: the first part or another
+        | crashing        | sound             |
+        | bad,shared,last | other,shared,last |
+        | shared,bad,last | shared,other,last |
--- a/features/steps/crash_parts_steps.py
+++ b/features/steps/crash_parts_steps.py
@@ -2,6 +2,8 @@
 
 import json
 import time
+from dataclasses import dataclass
+from threading import Thread
 
 from behave import given
 from behave import then
@@ -18,6 +20,15 @@
 PATH = '/chat/1'
 RESTART_WAIT_S = 0.6
 CRASHED = 'link: An upstream crashed.'
+MAX_LOST = 5
+
+
+@dataclass(frozen=True)
+class TimedAnswer:
+    """Hold an answer and when it was asked for, from the start of the load."""
+
+    sent_s: float
+    answer: Answer
 
 
 def ask_prompt(bench: DirectBench, parts: str, number: int) -> Answer:
@@ -68,3 +79,79 @@
     assert len({run['same'] for run in runs}) == requests, runs
     common = set.intersection(*(set(run['parts']) for run in runs))
     assert len(common) == parts, runs
+
+
+@when(
+    'different prompts "{crashing}" come for {seconds:d} seconds, beside sound'
+    ' ones "{sound}"'
+)
+def step_load(
+    context: Context, crashing: str, seconds: int, sound: str
+) -> None:
+    """Send both kinds to all routers, from two callers at once."""
+    bench = direct_bench(context)
+    context.sound = []
+    context.crashing = []
+    start_s = time.monotonic()
+    end_s = start_s + seconds
+
+    def send(parts: str, answers: list[TimedAnswer], pause_s: float) -> None:
+        number = 0
+        while time.monotonic() < end_s:
+            sent_s = time.monotonic() - start_s
+            answer = ask_prompt(bench, parts, number)
+            answers.append(TimedAnswer(sent_s, answer))
+            number += 1
+            time.sleep(pause_s)
+
+    callers = (
+        Thread(target=send, args=(crashing, context.crashing, 0.25)),
+        Thread(target=send, args=(sound, context.sound, 0.02)),
+    )
+    for caller in callers:
+        caller.start()
+    for caller in callers:
+        caller.join()
+
+
+@then('at most {count:d} upstreams have crashed')
+def step_crashes(context: Context, count: int) -> None:
+    """Count the crashes of all upstreams."""
+    crashes = _crash_count(direct_bench(context))
+    assert 0 < crashes <= count, f'{crashes} crashes'
+
+
+@then(
+    'at most {count:d} prompts with it reach upstreams after the fifth crash'
+)
+def step_sends(context: Context, count: int) -> None:
+    """Count what upstreams received beyond five prompts that crash."""
+    received = 0
+    for upstream in direct_bench(context).upstreams.values():
+        for one in upstream.received:
+            received += upstream.crashes_under(one)
+    assert received <= MAX_LOST + count, f'{received} received'
+
+
+@then('refused prompts with it have not run and may come back later')
+def step_refused(context: Context) -> None:
+    """Check the refusals after the crashes."""
+    statuses = [one.answer.status for one in context.crashing]
+    assert statuses[-1] == 503, statuses
+    last: Answer = context.crashing[-1].answer
+    assert float(last.headers['Retry-After']) > 0, last
+
+
+@then(
+    '{percent:d} percent of the sound ones begin once {after:d} seconds have'
+    ' passed'
+)
+def step_sound(context: Context, percent: int, after: int) -> None:
+    """Count the sound prompts that are answered at their first attempt."""
+    late = [one for one in context.sound if one.sent_s >= after]
+    served = [one for one in late if one.answer.status == 200]
+    assert len(served) * 100 >= percent * len(late), (len(served), len(late))
+
+
+def _crash_count(bench: DirectBench) -> int:
+    return sum(one.crashes for one in bench.upstreams.values())
--- a/features/support/direct_bench.py
+++ b/features/support/direct_bench.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
+from itertools import count
 from pathlib import Path
 from typing import Any
 
@@ -65,7 +66,8 @@
     def __init__(self) -> None:
         self._loop = LoopThread()
         self._sites: list[PlatformSite] = []
-        self._request_count = 0
+        self._request_numbers = count(1)
+        self._last_request = ''
         self.routers: list[DirectRouter] = []
         self.process: RouterProcess | None = None
         self.upstreams: dict[str, FakeUpstream] = {}
@@ -80,7 +82,7 @@
     @property
     def last_request(self) -> str:
         """Return the id of the last request sent."""
-        return f'request-{self._request_count}'
+        return self._last_request
 
     @property
     def answer(self) -> Answer:
@@ -197,10 +199,12 @@
         **headers: str,
     ) -> Answer:
         """Send one request on a connection and read its answer."""
-        self._request_count += 1
+        # Several threads may ask at once.
+        request_id = f'request-{next(self._request_numbers)}'
+        self._last_request = request_id
         sent = {
             'Host': HOST,
-            PREFIX + 'Request-Id': f'request-{self._request_count}',
+            PREFIX + 'Request-Id': request_id,
             PREFIX + 'Deadline-Ms': '3000',
             'Authorization': f'Token {key}',
         }
