Learn which part of prompts crashes upstreams, and block it

Cause: what a crash taught was kept for one request, its fingerprint. Prompts with a part that crashes are never alike, so each new one crashed two or three upstreams before it was blocked. The class: what is learnt of a failure is kept for the occasion and not for its subject. Ruled out by the log fields of: one request that changes a little (H2), load on what is left (H3). Change: each run at a crash is recorded with the parts of its prompt that others may share, in the same records, registry, gossip, store and guard. Crashes are attributed to the fewest subjects that explain them, requests and parts alike (moved into _attribution.py). A part is a cause from two different requests on. Parts whose prompts had completed before are causes only of what nothing else explains. Runs of a blocked part that wait are broken off; a successful answer, and no begun one, clears its parts at all routers. Two causes that share no crash are both enough with two crashes each; they blocked each other before.

--- a/features/direct_crash_parts.feature
+++ b/features/direct_crash_parts.feature
@@ -33,3 +33,52 @@
         | crashing        | sound             |
         | bad,shared,last | other,shared,last |
         | shared,bad,last | shared,other,last |
+        | a,b,bad,c,last  | a,b,other,c,last  |
+
+  Rule: The fewest parts and requests that explain all crashes are blocked
+
+    Scenario Outline: A part explains the crashes of several requests
+      # Words are requests with the parts of their prompts; + after a request
+      # that had returned an event, ! after a part whose prompts had completed.
+      When routers receive the crashes "<crashes>" in any order
+      Then they block "<blocked>"
+
+      Examples: enough
+        | crashes                                | blocked       |
+        | a:p; b:p                               | part-p        |
+        | a:s!,p; b:s!,p                         | part-p        |
+        | a:p,s! c+:s!; b:p,s! d:s!              | part-p        |
+        | a:p; a:p; b:p                          | part-p        |
+        | a:p,q; b:p,q                           | part-p part-q |
+        | a:p,q; b:p,q; c:p                      | part-p        |
+        | a+:p; b+:p; c+:p                       | part-p        |
+        | a:p; b:p; c:q; d:q                     | part-p part-q |
+        | a:p; b:p c:q; d:q; e:p; f:q            | part-p part-q |
+        | a:s!; b:s!; c:s!; d:s!                 | part-s        |
+
+      Examples: not enough, or one request is
+        | crashes                | blocked |
+        | a:p                    |         |
+        | a:p b:p                |         |
+        | a+:p; b+:p             |         |
+        | a:p; a:p               | a       |
+        | a:p b:p; a:p           | a       |
+        | a:p b:q; c:p d:q       |         |
+        | a:p b:q; c:p; d:q      |         |
+        | a:s!; b:s!; c:s!       |         |
+
+    Scenario: A completed answer clears the parts of its prompt
+      When routers receive the crashes "a:p; b:p; c:p" in any order
+      And "part-p" completes at one of them, which informs the others
+      Then they block ""
+
+    Scenario: A block of a part ends when its crashes are forgotten
+      When routers receive the crashes "a:p; b:p; c:p" in any order
+      And 601 seconds pass
+      Then they block ""
+
+    Scenario: A part that was proven harmless before is blocked provisionally
+      # Guards against ten minutes without service for a part that many prompts
+      # have, after several upstreams lost power at once.
+      When routers receive the crashes "a:s!; b:s!; c:s!; d:s!" in any order
+      Then the blocks of "part-s" are ambiguous
--- a/features/steps/block_probes_steps.py
+++ b/features/steps/block_probes_steps.py
@@ -13,6 +13,7 @@
 from lacewing_daemon.direct.crashes import Suspect
 from lacewing_daemon.direct.crashes import UpstreamIncarnation
 from lacewing_daemon.direct.crashes._fingerprint import fingerprint
+from lacewing_daemon.direct.crashes._fingerprint import RequestSubjects
 from lacewing_platform_testing import PROCESS_START_MS
 from support.direct_bench import Answer
 from support.direct_bench import direct_bench
@@ -67,7 +68,9 @@
     for router in bench.routers:
         guard = router._fleet.crash_guard
         bench.until(
-            partial(guard.is_blocked, _fingerprint(HARMLESS_BODY)),
+            partial(
+                guard.is_blocked, RequestSubjects(_fingerprint(HARMLESS_BODY))
+            ),
             'a blocked request',
         )
     assert _ask(bench, 0, HARMLESS_BODY).status == 503, bench.answer
--- a/features/steps/crash_ledger_steps.py
+++ b/features/steps/crash_ledger_steps.py
@@ -16,6 +16,7 @@
 from lacewing_daemon.direct.crashes._probes import ProbeSchedule
 
 BEGUN_SUFFIX = '+'
+PROVEN_SUFFIX = '!'
 INCARNATION = UpstreamIncarnation('up', 7)
 
 
@@ -34,7 +35,7 @@
 @when('"{name}" completes at one of them, which informs the others')
 def step_completed(context: Context, name: str) -> None:
     """Exonerate it at the first registry; merge the updates at the others."""
-    updates = context.registries[0].exonerate(name)
+    updates = context.registries[0].exonerate([name])
     for registry in context.registries[1:]:
         for record in updates:
             registry.merge(record)
@@ -157,13 +158,34 @@
 
 
 def _records(text: str) -> tuple[CrashRecord, ...]:
+    """Return a record of each crash.
+
+    A word is a request, with + if it had returned an event; the parts of its
+    prompt follow a colon, with ! if their prompts had completed before.
+    """
     records = []
     for number, names in enumerate(text.split(';')):
         suspects = []
+        proven = []
         for name in names.split():
-            begun = name.endswith(BEGUN_SUFFIX)
-            suspects.append(Suspect(name.removesuffix(BEGUN_SUFFIX), begun))
+            request, _, listed = name.partition(':')
+            parts = []
+            for part in filter(None, listed.split(',')):
+                parts.append(_part(part.removesuffix(PROVEN_SUFFIX)))
+                if part.endswith(PROVEN_SUFFIX):
+                    proven.append(parts[-1])
+            begun = request.endswith(BEGUN_SUFFIX)
+            request = request.removesuffix(BEGUN_SUFFIX)
+            suspects.append(Suspect(request, begun, tuple(parts)))
         records.append(
-            CrashRecord(UpstreamIncarnation('up', number), tuple(suspects))
+            CrashRecord(
+                UpstreamIncarnation('up', number),
+                tuple(suspects),
+                proven=tuple(proven),
+            )
         )
     return tuple(records)
+
+
+def _part(name: str) -> str:
+    return f'part-{name}'
--- a/features/steps/direct_starts_steps.py
+++ b/features/steps/direct_starts_steps.py
@@ -13,6 +13,7 @@
 from lacewing_daemon.direct._send import Send
 from lacewing_daemon.direct._silence_detector import SilenceDetector
 from lacewing_daemon.direct._target import Target
+from lacewing_daemon.direct.crashes._fingerprint import RequestSubjects
 from lacewing_platform import PlatformWire
 from lacewing_platform_testing import Behaviour
 from support.direct_bench import direct_bench
@@ -187,7 +188,7 @@
         admitted,
         Target(context.previous_state, 0.0),
         lambda _others: True,
-        'a fingerprint',
+        RequestSubjects('a fingerprint'),
     )
     send._learn(head)
 
--- a/packages/bench/src/lacewing_bench/crash_errors/_model.py
+++ b/packages/bench/src/lacewing_bench/crash_errors/_model.py
@@ -239,7 +239,7 @@
 
     def _complete(self, engine: _Engine, run_id: int) -> None:
         self._answered += 1
-        self._registry.exonerate(engine.runs.pop(run_id).request.fingerprint)
+        self._registry.exonerate([engine.runs.pop(run_id).request.fingerprint])
 
     def _crash(self, engine: _Engine) -> None:
         self._crashes += 1
--- a/packages/bench/src/lacewing_bench/crash_errors/_rules.py
+++ b/packages/bench/src/lacewing_bench/crash_errors/_rules.py
@@ -1,6 +1,7 @@
 """Define the blocking rules to compare: the one in use and alternatives."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -21,7 +22,7 @@
     def merge(self, record: CrashRecord) -> object:
         """Merge the record of a crash."""
 
-    def exonerate(self, fingerprint: str) -> object:
+    def exonerate(self, subjects: Iterable[str]) -> object:
         """Exonerate a request that completed."""
 
 
@@ -49,9 +50,10 @@
             )
             incarnations.add(record.start)
 
-    def exonerate(self, fingerprint: str) -> None:
+    def exonerate(self, subjects: Iterable[str]) -> None:
         """Exonerate a request that completed."""
-        self._incarnations.pop(fingerprint, None)
+        for subject in subjects:
+            self._incarnations.pop(subject, None)
 
 
 @dataclass(frozen=True)
--- a/packages/daemon/src/lacewing_daemon/direct/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_exchange.py
@@ -40,7 +40,8 @@
 from lacewing_daemon.direct._take_up import place_stream
 from lacewing_daemon.direct._target import Target
 from lacewing_daemon.direct.crashes._detector import COLLECT_WINDOW_S
-from lacewing_daemon.direct.crashes._fingerprint import fingerprint
+from lacewing_daemon.direct.crashes._fingerprint import identify
+from lacewing_daemon.direct.crashes._fingerprint import RequestSubjects
 from lacewing_daemon.direct.limits import Charge
 from lacewing_daemon.refusals import Refusals
 
@@ -98,7 +99,7 @@
         self._request = request
         self._reply = reply
         self._admitted: Admitted | None = None
-        self._fingerprint = ''
+        self._subjects = RequestSubjects('')
         self._refusals = Refusals()
         self._try_log: list[Try] = []
         self._current_send: Send | None = None
@@ -125,7 +126,7 @@
             self._refuse(admitted)
             return
         self._admitted = admitted
-        self._fingerprint = fingerprint(self._request, admitted.team_name)
+        self._subjects = identify(self._request, admitted.team_name)
         end_s = self._request.received_s + self._time_limit_s(admitted)
         try:
             async with asyncio.timeout(end_s - time.monotonic()):
@@ -190,7 +191,7 @@
                 admitted,
                 target,
                 partial(self._chooser.can_move, admitted, target, end_s),
-                self._fingerprint,
+                self._subjects,
             )
             result = await self._current_send.run(relay, end_s)
             self._current_send = None
@@ -232,19 +233,20 @@
 
     def _is_blocked(self) -> bool:
         guard = self._fleet.crash_guard
-        if not guard.is_blocked(self._fingerprint):
+        if not guard.is_blocked(self._subjects):
             return False
         # A retry is never a probe: the request may have caused the newest
         # crash on an earlier attempt.
         return self._progress.sends > 0 or not guard.admits_probe(
-            self._fingerprint
+            self._subjects
         )
 
     def _blocked_refusal(self) -> Refusal:
+        guard = self._fleet.crash_guard
         return not_run(
             Reason.WORKERS_CRASHED,
-            'upstreams crashed under this request',
-            self._fleet.crash_guard.retry_after_s(self._fingerprint),
+            guard.describe_block(self._subjects),
+            guard.retry_after_s(self._subjects),
         )
 
     async def _await_crash_detection(self) -> None:
@@ -254,7 +256,7 @@
         could crash a third one while this router is still checking the
         second.
         """
-        if self._fleet.crash_guard.is_suspected(self._fingerprint):
+        if self._fleet.crash_guard.is_suspected(self._subjects):
             await asyncio.sleep(CRASH_DETECTION_S)
 
     def _process_failure(
@@ -373,7 +375,7 @@
             status,
             refusal,
             tuple(self._try_log),
-            self._fingerprint,
+            self._subjects,
             now_s,
         )
         REQUESTS.labels(outcome.service, str(status), outcome.reason).inc()
--- a/packages/daemon/src/lacewing_daemon/direct/_request_log.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_request_log.py
@@ -5,6 +5,7 @@
 import msgspec
 from lacewing_common.log import get_log
 from lacewing_common.log import Part
+from lacewing_common.verdict import Reason
 
 from lacewing_daemon.direct._line_budget import LineBudget
 from lacewing_daemon.direct._metrics import LOG_LINES_DROPPED
@@ -55,7 +56,9 @@
     if end.failed:
         fields['reason'] = end.reason
         fields['message'] = end.message
-        fields['same'] = end.fingerprint
+        fields['same'] = end.subjects.request
+        if end.reason == Reason.WORKERS_CRASHED.value:
+            fields['parts'] = end.subjects.parts
         fields['left_ms'] = end.left_ms
         fields['config'] = end.config
         fields['config_age_ms'] = end.config_age_ms
--- a/packages/daemon/src/lacewing_daemon/direct/_request_outcome.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_request_outcome.py
@@ -9,6 +9,7 @@
 from lacewing_daemon.direct._admission import Admitted
 from lacewing_daemon.direct._call import CallerRequest
 from lacewing_daemon.direct._fleet import Fleet
+from lacewing_daemon.direct.crashes._fingerprint import RequestSubjects
 
 _MS = 1000.0
 # Upper bound of ages in the log; JSON has no infinity.
@@ -20,7 +21,7 @@
 class RequestOutcome:
     """Hold how a request ended; ``reason`` '' for an upstream's answer.
 
-    ``fingerprint`` is shared by all requests with the same content.
+    ``subjects`` are what a crash under it may be attributed to.
     ``resumed_request`` brought the first event of the stream that this one
     takes up.
     """
@@ -38,7 +39,7 @@
     config_age_ms: int
     upstreams: int
     tries: tuple[Try, ...]
-    fingerprint: str = ''
+    subjects: RequestSubjects
     resumed_request: str = ''
 
     @property
@@ -54,7 +55,7 @@
     status: int,
     refusal: Refusal | None,
     tries: tuple[Try, ...],
-    fingerprint: str,
+    subjects: RequestSubjects,
     now_s: float,
 ) -> RequestOutcome:
     """Return the outcome of a request; ``admitted`` is None if refused."""
@@ -78,6 +79,6 @@
         config_age_ms=int(config_age_s * _MS),
         upstreams=len(fleet.cluster_state.upstreams_of(service)),
         tries=tries,
-        fingerprint=fingerprint,
+        subjects=subjects,
         resumed_request=request.resumed_request,
     )
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -30,9 +30,10 @@
 from lacewing_daemon.direct._take_up import record_origin
 from lacewing_daemon.direct._target import Target
 from lacewing_daemon.direct._upstream_state import UpstreamState
-from lacewing_daemon.direct.crashes._fingerprint import part_fingerprints
+from lacewing_daemon.direct.crashes._fingerprint import RequestSubjects
 
 _MS = 1000.0
+_SUCCESS = range(200, 300)
 # An upstream at whose address another one answers has terminated; its store
 # entry is removed within a few seconds.
 MOVED_UPSTREAM_PAUSE_S = 4.0
@@ -71,8 +72,8 @@
     Counts the load that the request adds until it ends, and updates the
     state of the upstream from the answer. ``can_move`` returns whether the
     request could be finished at another upstream, given the number of other
-    requests that move at the same moment. ``fingerprint`` is shared by all
-    requests with the same content.
+    requests that move at the same moment. ``subjects`` may be the cause of a
+    crash.
     """
 
     def __init__(
@@ -84,7 +85,7 @@
         admitted: Admitted,
         target: Target,
         can_move: Callable[[int], bool],
-        fingerprint: str,
+        subjects: RequestSubjects,
     ) -> None:
         self._fleet = fleet
         self._wire = wire
@@ -94,7 +95,7 @@
         self._target = target
         self._state = target.state
         self._can_move = can_move
-        self._fingerprint = fingerprint
+        self._subjects = subjects
         self._guard = fleet.crash_guard
         self._start_s = time.monotonic()
         self._first_event_s: float | None = None
@@ -142,7 +143,7 @@
             on_events if is_streaming else None,
         )
         self._abort = attempt.abort
-        self._guard.run_opened(self._fingerprint, self._abort)
+        self._guard.run_opened(self._subjects, self._abort)
         left_s = end_s - self._start_s
         first_wait_s = left_s
         if self._admitted.route.can_retry:
@@ -164,7 +165,7 @@
                 should_abandon,
             )
         finally:
-            self._guard.run_closed(self._fingerprint, self._abort)
+            self._guard.run_closed(self._subjects, self._abort)
             self._fleet.silence_detector.stream_closed(
                 self._state, attempt.abort
             )
@@ -220,7 +221,7 @@
         if self._first_event_s is not None:
             return
         self._first_event_s = time.monotonic()
-        self._guard.run_closed(self._fingerprint, self._abort)
+        self._guard.run_closed(self._subjects, self._abort)
         self._state.mark_started(self._open_request)
         prompt = self._request.prompt
         if prompt is None or self._target.is_continuation:
@@ -318,7 +319,10 @@
         now_s = time.monotonic()
         if end.verdict is Verdict.RAN:
             self._state.record_success()
-            self._guard.run_succeeded(self._fingerprint)
+            self._guard.run_completed(
+                self._subjects,
+                end.head is not None and end.head.status in _SUCCESS,
+            )
             self._record_run()
             if self._first_event_s is not None:
                 FIRST_SECONDS.labels(service).observe(
@@ -341,9 +345,9 @@
     def _report_interrupted_run(self, end: AttemptEnd) -> None:
         run = BrokenRun(
             request=self._request.request_id,
-            same=self._fingerprint,
+            same=self._subjects.request,
             begun=self._first_event_s is not None,
-            parts=part_fingerprints(self._request.prompt),
+            parts=self._subjects.parts,
         )
         self._guard.run_broken(self._state.upstream, run, end.opened_s)
 
--- a/packages/daemon/src/lacewing_daemon/direct/crashes/_detector.py
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_detector.py
@@ -90,5 +90,5 @@
         )
         suspects = []
         for run in runs[:MAX_RUNS]:
-            suspects.append(Suspect(run.same, run.begun))
+            suspects.append(Suspect(run.same, run.begun, run.parts))
         self._on_crash(CrashRecord(incarnation, tuple(suspects), gone=gone))
--- a/packages/daemon/src/lacewing_daemon/direct/crashes/_guard.py
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_guard.py
@@ -1,4 +1,4 @@
-"""Block requests that crash upstreams."""
+"""Block requests, and parts of prompts, that crash upstreams."""
 
 import asyncio
 from collections.abc import Awaitable
@@ -8,6 +8,7 @@
 from random import Random
 from typing import TYPE_CHECKING
 
+import msgspec
 from lacewing_common.log import get_log
 from lacewing_common.log import Part
 from lacewing_common.log_lines import BrokenRun
@@ -21,7 +22,10 @@
 from lacewing_daemon.direct.crashes._crash_store import CrashStore
 from lacewing_daemon.direct.crashes._crash_store import decode_record
 from lacewing_daemon.direct.crashes._detector import CrashDetector
+from lacewing_daemon.direct.crashes._fingerprint import is_part
+from lacewing_daemon.direct.crashes._fingerprint import RequestSubjects
 from lacewing_daemon.direct.crashes._probes import ProbeSchedule
+from lacewing_daemon.direct.crashes._proven_parts import ProvenParts
 from lacewing_daemon.direct.crashes._record import CrashRecord
 from lacewing_daemon.direct.crashes._record import UpstreamIncarnation
 from lacewing_daemon.direct.crashes._registry import CrashRegistry
@@ -62,6 +66,7 @@
         self._peer_addresses = peer_addresses
         self._random = random
         self._registry = CrashRegistry()
+        self._proven_parts = ProvenParts()
         self._probes = ProbeSchedule(random)
         self._detector = CrashDetector(probe_connection, self._record_own)
         self._crash_store = CrashStore(
@@ -75,37 +80,65 @@
         ) = None
         watcher.on_change(self._merge_stored)
 
-    def is_blocked(self, fingerprint: str) -> bool:
+    def is_blocked(self, subjects: RequestSubjects) -> bool:
         """Return whether a request must not be sent to upstreams."""
-        return fingerprint in self._registry.blocked
+        return bool(self._blocked_among(subjects))
 
-    def admits_probe(self, fingerprint: str) -> bool:
-        """Admit one run of a blocked request if a probe of it is due."""
-        if not self._probes.admit(fingerprint):
+    def describe_block(self, subjects: RequestSubjects) -> str:
+        """Say what of a request is blocked."""
+        parts = filter(is_part, self._blocked_among(subjects))
+        named = ' and '.join(parts)
+        if not named:
+            return 'upstreams crashed under this request'
+        return f'upstreams crashed under {named} of its prompt'
+
+    def admits_probe(self, subjects: RequestSubjects) -> bool:
+        """Admit one run of a blocked request if a probe of it is due.
+
+        A request with several blocked subjects can't show which of them is
+        harmless.
+        """
+        blocked = self._blocked_among(subjects)
+        if len(blocked) != 1 or not self._probes.admit(blocked[0]):
             return False
-        _log.info('Admits a probe of a blocked request.', same=fingerprint)
+        _log.info('Admits a probe of a blocked request.', same=blocked[0])
         return True
 
-    def retry_after_s(self, fingerprint: str) -> float:
+    def retry_after_s(self, subjects: RequestSubjects) -> float:
         """Return the delay after which a blocked request may be retried."""
-        return self._registry.retry_after_s(fingerprint)
+        delay_s = 0.0
+        for subject in self._blocked_among(subjects):
+            delay_s = max(delay_s, self._registry.retry_after_s(subject))
+        return delay_s
+
+    def is_suspected(self, subjects: RequestSubjects) -> bool:
+        """Return whether upstreams have crashed while running a request.
 
-    def is_suspected(self, fingerprint: str) -> bool:
-        """Return whether upstreams have crashed while running a request."""
-        return self._registry.crash_count(fingerprint) > 0
+        Neither the request nor any part of its prompt has completed since.
+        """
+        for subject in subjects.all:
+            if self._registry.crash_count(subject) > 0:
+                return True
+        return False
 
-    def run_opened(self, fingerprint: str, abort: AbortCallback) -> None:
+    def run_opened(
+        self, subjects: RequestSubjects, abort: AbortCallback
+    ) -> None:
         """Register a run without an event yet; ``abort`` interrupts it."""
-        self._pending_runs.setdefault(fingerprint, set()).add(abort)
+        for subject in subjects.all:
+            self._pending_runs.setdefault(subject, set()).add(abort)
 
-    def run_closed(self, fingerprint: str, abort: AbortCallback) -> None:
+    def run_closed(
+        self, subjects: RequestSubjects, abort: AbortCallback
+    ) -> None:
         """Unregister a run that returned its first event or ended."""
-        callbacks = self._pending_runs.get(fingerprint)
-        if callbacks is None:
-            return
-        callbacks.discard(abort)
-        if not callbacks:
-            del self._pending_runs[fingerprint]
+        for subject in subjects.all:
+            callbacks = self._pending_runs.get(subject)
+            if callbacks is None:
+                continue
+            callbacks.discard(abort)
+            if not callbacks:
+                del self._pending_runs[subject]
 
     def run_broken(
         self, upstream: Upstream, run: BrokenRun, opened_s: float
@@ -118,9 +151,18 @@
         incarnation = self._registry.incarnation_of(latest, opened_s)
         self._detector.run_broken(upstream, incarnation, run)
 
-    def run_succeeded(self, fingerprint: str) -> None:
-        """Record that a request completed, so it caused no earlier crash."""
-        updates = self._registry.exonerate(fingerprint)
+    def run_completed(
+        self, subjects: RequestSubjects, has_succeeded: bool
+    ) -> None:
+        """Record that a request completed, so it caused no earlier crash.
+
+        Only a successful answer shows the same of the parts of its prompt.
+        """
+        cleared: tuple[str, ...] = (subjects.request,)
+        if has_succeeded and subjects.parts:
+            cleared = subjects.all
+            self._proven_parts.record((*subjects.parts, subjects.last_part))
+        updates = self._registry.exonerate(cleared)
         if updates:
             self._update_blocks()
             self._publish(updates, '')
@@ -169,6 +211,7 @@
             suspects = (*previous.suspects, *record.suspects)
             gone = previous.gone or record.gone
             record = CrashRecord(record.start, suspects, gone=gone)
+        record = self._with_proven_parts(record)
         self._own_records[record.start] = record
         if len(self._own_records) > MAX_CRASHES:
             del self._own_records[next(iter(self._own_records))]
@@ -176,6 +219,13 @@
         if updates:
             self._publish(updates, '')
 
+    def _with_proven_parts(self, record: CrashRecord) -> CrashRecord:
+        parts: set[str] = set()
+        for suspect in record.suspects:
+            parts.update(suspect.parts)
+        proven = self._proven_parts.among(parts)
+        return msgspec.structs.replace(record, proven=proven)
+
     def _merge_stored(self, name: str, text: str | None) -> None:
         if text is None:
             return
@@ -197,6 +247,12 @@
             self._update_blocks()
         return updates
 
+    def _blocked_among(self, subjects: RequestSubjects) -> tuple[str, ...]:
+        blocked = self._registry.blocked
+        if not blocked:
+            return ()
+        return tuple(subject for subject in subjects.all if subject in blocked)
+
     def _publish(self, updates: tuple[CrashRecord, ...], sender: str) -> None:
         if self._broadcast is None:
             self._save_own(updates)
@@ -213,8 +269,11 @@
     def _save_repeated(self, updates: tuple[CrashRecord, ...]) -> None:
         """Save own records of crashes under a request that has several."""
         for record in updates:
+            subjects: set[str] = set()
             for suspect in record.suspects:
-                incarnations = self._registry.incarnations(suspect.fingerprint)
+                subjects.update((suspect.fingerprint, *suspect.parts))
+            for subject in subjects:
+                incarnations = self._registry.incarnations(subject)
                 if len(incarnations) < MIN_CRASHES_TO_SAVE:
                     continue
                 for incarnation in incarnations & self._own_records.keys():
@@ -223,16 +282,23 @@
     def _update_blocks(self) -> None:
         """Apply changes of the blocked and ambiguous requests."""
         blocked = self._registry.blocked
-        for fingerprint in blocked - self._blocked:
+        for subject in blocked - self._blocked:
             _log.warning(
-                'Blocks a request.',
-                same=fingerprint,
-                crashes=self._registry.crash_count(fingerprint),
+                'Blocks a part of prompts.'
+                if is_part(subject)
+                else 'Blocks a request.',
+                same=subject,
+                crashes=self._registry.crash_count(subject),
             )
-            for abort in tuple(self._pending_runs.get(fingerprint, ())):
+            for abort in tuple(self._pending_runs.get(subject, ())):
                 abort()
-        for fingerprint in self._blocked - blocked:
-            _log.info('Lets a request through again.', same=fingerprint)
+        for subject in self._blocked - blocked:
+            _log.info(
+                'Lets a part of prompts through again.'
+                if is_part(subject)
+                else 'Lets a request through again.',
+                same=subject,
+            )
         self._blocked = blocked
         self._probes.update(self._registry.ambiguous)
         BLOCKED_REQUESTS.set(len(blocked))
--- a/packages/daemon/src/lacewing_daemon/direct/crashes/_record.py
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_record.py
@@ -20,24 +20,29 @@
 class Suspect(msgspec.Struct, frozen=True):
     """Hold a request that a crash interrupted.
 
-    ``begun`` is set if the request had returned an event.
+    ``begun`` is set if the request had returned an event. ``parts`` has the
+    fingerprints of the parts of its prompt that others may share.
     """
 
     fingerprint: str
     begun: bool
+    parts: tuple[str, ...] = ()
 
 
 class CrashRecord(msgspec.Struct, frozen=True):
     """Hold what is known of the requests that ran at a crashed upstream.
 
-    ``cleared`` holds the fingerprints of requests that did not cause the
-    crash. ``gone`` is set if the connection probe after it was refused.
+    ``cleared`` holds the fingerprints of requests and parts that did not
+    cause the crash, ``proven`` those of parts whose prompts had completed
+    shortly before it. ``gone`` is set if the connection probe after it was
+    refused.
     """
 
     start: UpstreamIncarnation
     suspects: tuple[Suspect, ...] = ()
     cleared: tuple[str, ...] = ()
     gone: bool = False
+    proven: tuple[str, ...] = ()
 
 
 def record_digest(record: CrashRecord) -> int:
--- a/packages/daemon/src/lacewing_daemon/direct/crashes/_registry.py
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_registry.py
@@ -1,17 +1,22 @@
-"""Determine from crashes which requests are blocked.
+"""Determine from crashes which requests and parts of prompts are blocked.
 
 This module does no I/O; the clock is injected.
 """
 
-from collections import Counter
 from collections.abc import Callable
+from collections.abc import Iterable
 from dataclasses import dataclass
 from dataclasses import field
-from itertools import chain
 
 import msgspec
 
 from lacewing_daemon.direct._clock import boot_s
+from lacewing_daemon.direct.crashes._attribution import attribute_to_fewest
+from lacewing_daemon.direct.crashes._attribution import Attribution
+from lacewing_daemon.direct.crashes._attribution import Causes
+from lacewing_daemon.direct.crashes._attribution import Evidence
+from lacewing_daemon.direct.crashes._attribution import Run
+from lacewing_daemon.direct.crashes._fingerprint import is_part
 from lacewing_daemon.direct.crashes._record import CrashRecord
 from lacewing_daemon.direct.crashes._record import record_digest
 from lacewing_daemon.direct.crashes._record import Suspect
@@ -41,28 +46,31 @@
 class _CrashState:
     """Hold what ran at an upstream that crashed.
 
-    ``received_s`` is when the crash was first reported. ``begun`` maps each
-    request to whether it had returned an event. ``gone`` is set if the
-    connection probe after the crash was refused. ``digested`` caches the
-    record and its digest; None if outdated.
+    ``received_s`` is when the crash was first reported. ``suspects`` maps
+    each request to what ran of it. ``gone`` is set if the connection probe
+    after the crash was refused. ``digested`` caches the record and its
+    digest; None if outdated.
     """
 
     received_s: float
-    begun: dict[str, bool] = field(default_factory=dict)
+    suspects: dict[str, Suspect] = field(default_factory=dict)
     cleared: set[str] = field(default_factory=set)
+    proven: set[str] = field(default_factory=set)
     gone: bool = False
     digested: tuple[int, CrashRecord] | None = None
 
 
 class CrashRegistry:
-    """Hold recent crashes and determine which requests caused them.
+    """Hold recent crashes and determine which subjects caused them.
 
-    Every request that ran at a crashed upstream is a suspect. Other requests
-    run concurrently with one that crashes upstreams repeatedly; if each were
-    counted on its own, those that are repeated at the same time would be
-    blocked as well. Therefore all crashes under the request with the most
-    crashes are attributed to it, and they do not count against any other
-    request. A request that completes has caused none of the crashes before.
+    A subject is a request or a part that prompts share. Every request that
+    ran at a crashed upstream is a suspect, and so is each part of its prompt.
+    Others run concurrently with one that crashes upstreams repeatedly; if
+    each were counted on its own, those that are repeated at the same time
+    would be blocked as well. Therefore all crashes under the subject with the
+    most crashes are attributed to it, and they do not count against any other
+    one. A request that completes, and its parts, have caused none of the
+    crashes before.
 
     The result depends only on the set of merged records, not on their order,
     so all routers reach the same result.
@@ -72,13 +80,14 @@
         self,
         to_block: int = CRASHES_TO_BLOCK,
         clock: Callable[[], float] = boot_s,
+        attribute: Attribution = attribute_to_fewest,
     ) -> None:
         self._to_block = to_block
+        self._attribute = attribute
         self._clock = clock
         self._crashes: dict[UpstreamIncarnation, _CrashState] = {}
-        self._incarnations: dict[str, set[UpstreamIncarnation]] = {}
-        self._blocked: frozenset[str] = frozenset()
-        self._ambiguous: frozenset[str] = frozenset()
+        self._runs: dict[str, dict[Run, bool]] = {}
+        self._causes = Causes(frozenset(), frozenset())
         self._stale = False
 
     @property
@@ -107,40 +116,41 @@
 
     @property
     def blocked(self) -> frozenset[str]:
-        """Return the fingerprints of the blocked requests."""
+        """Return the fingerprints of the blocked requests and parts."""
         self._update_causes()
-        return self._blocked
+        return self._causes.blocked
 
     @property
     def ambiguous(self) -> frozenset[str]:
-        """Return the blocked requests that may not have caused a crash."""
+        """Return those blocked that may not have caused a crash."""
         self._update_causes()
-        return self._ambiguous
+        return self._causes.ambiguous
 
-    def retry_after_s(self, fingerprint: str) -> float:
-        """Return the delay after which a blocked request may be retried.
+    def retry_after_s(self, subject: str) -> float:
+        """Return the delay after which a blocked subject may be retried.
 
         The delay is short for a recent or ambiguous block, since reports of
         peers or probes may lift it long before it expires.
         """
-        if fingerprint not in self.blocked:
+        if subject not in self.blocked:
             return 0.0
         newest_s = 0.0
-        for incarnation in self._incarnations[fingerprint]:
+        for incarnation in self.incarnations(subject):
             newest_s = max(newest_s, self._crashes[incarnation].received_s)
         now_s = self._clock()
         recent = now_s < newest_s + REPORT_DELAY_S
-        if fingerprint in self._ambiguous or recent:
+        if subject in self._causes.ambiguous or recent:
             return PROVISIONAL_RETRY_S
         return max(0.0, newest_s + CRASH_TTL_S - now_s)
 
-    def crash_count(self, fingerprint: str) -> int:
-        """Return the number of crashes under a request, for any cause."""
-        return len(self._incarnations.get(fingerprint, ()))
+    def crash_count(self, subject: str) -> int:
+        """Return the number of crashes under a subject, for any cause."""
+        return len(self.incarnations(subject))
 
-    def incarnations(self, fingerprint: str) -> frozenset[UpstreamIncarnation]:
-        """Return the upstream incarnations that crashed under a request."""
-        return frozenset(self._incarnations.get(fingerprint, ()))
+    def incarnations(self, subject: str) -> frozenset[UpstreamIncarnation]:
+        """Return the upstream incarnations that crashed under a subject."""
+        runs = self._runs.get(subject, {})
+        return frozenset(incarnation for incarnation, _ in runs)
 
     def incarnation_of(
         self, latest: UpstreamIncarnation, opened_s: float
@@ -175,21 +185,32 @@
             crash.gone = True
             crash.digested = None
             new = True
-        for fingerprint in record.cleared:
-            new |= self._exonerate_in(record.start, crash, fingerprint)
+        for subject in record.cleared:
+            new |= self._exonerate_in(record.start, crash, subject)
+        if not crash.proven.issuperset(record.proven):
+            crash.proven.update(record.proven)
+            crash.digested = None
+            new = True
         for suspect in record.suspects:
             new |= self._add_suspect(record.start, crash, suspect)
         self._stale |= new
         return new
 
-    def exonerate(self, fingerprint: str) -> tuple[CrashRecord, ...]:
-        """Record that a request completed; return the updates to publish."""
+    def exonerate(self, subjects: Iterable[str]) -> tuple[CrashRecord, ...]:
+        """Record that a request completed; return the updates to publish.
+
+        ``subjects``: the request and the parts of its prompt.
+        """
+        cleared: dict[UpstreamIncarnation, list[str]] = {}
+        for subject in subjects:
+            for incarnation in self.incarnations(subject):
+                self._exonerate_in(
+                    incarnation, self._crashes[incarnation], subject
+                )
+                cleared.setdefault(incarnation, []).append(subject)
         updates = []
-        for incarnation in tuple(self._incarnations.get(fingerprint, ())):
-            self._exonerate_in(
-                incarnation, self._crashes[incarnation], fingerprint
-            )
-            updates.append(CrashRecord(incarnation, cleared=(fingerprint,)))
+        for incarnation, found in cleared.items():
+            updates.append(CrashRecord(incarnation, cleared=tuple(found)))
         self._stale |= bool(updates)
         return tuple(updates)
 
@@ -204,8 +225,8 @@
             ):
                 # Crashes are in the order in which they were first reported.
                 return
-            for fingerprint in crash.begun:
-                self._remove(incarnation, fingerprint)
+            for suspect in crash.suspects.values():
+                self._remove_run(incarnation, suspect)
             del self._crashes[incarnation]
             self._stale = True
 
@@ -215,118 +236,92 @@
         crash: _CrashState,
         suspect: Suspect,
     ) -> bool:
-        fingerprint = suspect.fingerprint
-        if fingerprint in crash.cleared:
+        if suspect.fingerprint in crash.cleared:
             return False
-        begun = crash.begun.get(fingerprint)
-        if begun is not None and begun <= suspect.begun:
+        known = crash.suspects.get(suspect.fingerprint)
+        merged = _merge_suspects(known, suspect)
+        if merged == known:
             return False
-        # The request may have run there twice; the run without an event
-        # counts.
-        crash.begun[fingerprint] = suspect.begun
+        crash.suspects[suspect.fingerprint] = merged
         crash.digested = None
-        self._incarnations.setdefault(fingerprint, set()).add(incarnation)
+        run = (incarnation, merged.fingerprint)
+        for subject in (merged.fingerprint, *merged.parts):
+            if subject not in crash.cleared:
+                self._runs.setdefault(subject, {})[run] = merged.begun
         return True
 
     def _exonerate_in(
         self,
         incarnation: UpstreamIncarnation,
         crash: _CrashState,
-        fingerprint: str,
+        subject: str,
     ) -> bool:
-        if fingerprint in crash.cleared:
+        if subject in crash.cleared:
             return False
-        crash.cleared.add(fingerprint)
+        crash.cleared.add(subject)
         crash.digested = None
-        if crash.begun.pop(fingerprint, None) is not None:
-            self._remove(incarnation, fingerprint)
+        suspect = crash.suspects.pop(subject, None)
+        if suspect is not None:
+            self._remove_run(incarnation, suspect)
+            return True
+        for run in tuple(self._runs.get(subject, ())):
+            if run[0] == incarnation:
+                self._remove(subject, run)
         return True
 
-    def _remove(
-        self, incarnation: UpstreamIncarnation, fingerprint: str
+    def _remove_run(
+        self, incarnation: UpstreamIncarnation, suspect: Suspect
     ) -> None:
-        incarnations = self._incarnations[fingerprint]
-        incarnations.discard(incarnation)
-        if not incarnations:
-            del self._incarnations[fingerprint]
+        for subject in (suspect.fingerprint, *suspect.parts):
+            self._remove(subject, (incarnation, suspect.fingerprint))
+
+    def _remove(self, subject: str, run: Run) -> None:
+        runs = self._runs.get(subject, {})
+        runs.pop(run, None)
+        if not runs:
+            self._runs.pop(subject, None)
 
     def _update_causes(self) -> None:
         if self._stale:
-            self._attribute_crashes()
+            self._causes = self._attribute(self._evidence(), self._to_block)
             self._stale = False
 
-    def _attribute_crashes(self) -> None:
-        """Attribute crashes to requests, to that with the most first."""
-        unexplained: dict[str, set[UpstreamIncarnation]] = {}
-        for fingerprint, incarnations in self._incarnations.items():
-            if len(incarnations) >= self._to_block - 1:
-                unexplained[fingerprint] = set(incarnations)
-        blocked: set[str] = set()
-        ambiguous: set[str] = set()
-        while unexplained:
-            max_weight = max(
-                self._weight(*item) for item in unexplained.items()
-            )
-            causes = []
-            for fingerprint, incarnations in unexplained.items():
-                if self._weight(fingerprint, incarnations) == max_weight:
-                    causes.append(fingerprint)
-            if not self._is_enough(max_weight, len(causes)):
-                break
-            ambiguous |= self._ambiguous_among(
-                {cause: unexplained[cause] for cause in causes}
-            )
-            explained: set[UpstreamIncarnation] = set()
-            for fingerprint in causes:
-                explained |= unexplained.pop(fingerprint)
-            blocked.update(causes)
-            for incarnations in unexplained.values():
-                incarnations -= explained
-        self._blocked = frozenset(blocked)
-        self._ambiguous = frozenset(ambiguous)
-
-    def _ambiguous_among(
-        self, causes: dict[str, set[UpstreamIncarnation]]
-    ) -> set[str]:
-        """Return the causes that share too many crashes with other causes."""
-        counts = Counter(chain.from_iterable(causes.values()))
-        ambiguous = set()
-        for fingerprint, incarnations in causes.items():
-            unshared = sum(
-                counts[incarnation] == 1 for incarnation in incarnations
-            )
-            if unshared < min(len(incarnations), self._to_block - 1):
-                ambiguous.add(fingerprint)
-        return ambiguous
+    def _evidence(self) -> dict[str, Evidence]:
+        """Return the evidence against all that ran at several crashes."""
+        evidence = {}
+        for subject, runs in self._runs.items():
+            if len(runs) < self._to_block - 1:
+                continue
+            proven = False
+            for incarnation, _ in runs:
+                proven = proven or subject in self._crashes[incarnation].proven
+            evidence[subject] = Evidence(runs, is_part(subject), proven)
+        return evidence
 
-    def _is_enough(self, weight: tuple[int, int], tied_count: int) -> bool:
-        crashes, without_event = weight
-        if crashes >= self._to_block:
-            return True
-        if crashes < self._to_block - 1:
-            return False
-        return tied_count == 1 and without_event == crashes
 
-    def _weight(
-        self, fingerprint: str, incarnations: set[UpstreamIncarnation]
-    ) -> tuple[int, int]:
-        """Return the crashes, and how many came before the first event.
+def _merge_suspects(known: Suspect | None, suspect: Suspect) -> Suspect:
+    """Return what ran of a request that may have run twice.
 
-        A crash-causing request crashes its upstream as soon as it runs; one
-        that has already returned events is less likely the cause.
-        """
-        without_event = 0
-        for incarnation in incarnations:
-            if not self._crashes[incarnation].begun[fingerprint]:
-                without_event += 1
-        return len(incarnations), without_event
+    The run without an event counts.
+    """
+    parts = set(suspect.parts)
+    begun = suspect.begun
+    if known is not None:
+        parts.update(known.parts)
+        begun = begun and known.begun
+    return Suspect(suspect.fingerprint, begun, tuple(sorted(parts)))
 
 
 def _make_record(
     incarnation: UpstreamIncarnation, crash: _CrashState
 ) -> CrashRecord:
     suspects = []
-    for fingerprint in sorted(crash.begun):
-        suspects.append(Suspect(fingerprint, crash.begun[fingerprint]))
+    for fingerprint in sorted(crash.suspects):
+        suspect = crash.suspects[fingerprint]
+        parts = tuple(sorted(set(suspect.parts) - crash.cleared))
+        suspects.append(Suspect(fingerprint, suspect.begun, parts))
     cleared = tuple(sorted(crash.cleared))
-    return CrashRecord(incarnation, tuple(suspects), cleared, crash.gone)
+    proven = tuple(sorted(crash.proven - crash.cleared))
+    return CrashRecord(
+        incarnation, tuple(suspects), cleared, crash.gone, proven
+    )
