Weigh ways to name the part that crashes upstreams on a model

Ways: requests only (the code before), counts of each part, likelihood, fewest parts that explain all crashes, each with its variants.

--- a/Makefile
+++ b/Makefile
@@ -110,6 +110,11 @@
 crash-errors: $(VENV)/.made
 	$(BIN)/python -m lacewing_bench.crash_errors
 
+# Ways to name the part of prompts that crashes upstreams.
+.PHONY: crash-parts
+crash-parts: $(VENV)/.made
+	$(BIN)/python -m lacewing_bench.crash_parts
+
 .PHONY: capacity
 capacity: $(VENV)/.made
 	$(BIN)/python -m lacewing_bench.capacity
--- /dev/null
+++ b/packages/bench/src/lacewing_bench/crash_parts/_rules.py
@@ -0,0 +1,95 @@
+"""Define the ways to name the part that crashes upstreams."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from math import inf
+from math import log
+
+from lacewing_daemon.direct.crashes._attribution import attribute_to_fewest
+from lacewing_daemon.direct.crashes._attribution import Attribution
+from lacewing_daemon.direct.crashes._attribution import Causes
+from lacewing_daemon.direct.crashes._attribution import Evidence
+
+# Odds at which a part is held to be the cause, as a logarithm.
+_ENOUGH = log(1000.0)
+# A part of all interrupted runs may still be the cause.
+_MAX_SHARE = 0.9
+
+
+def attribute_to_requests(
+    evidence: Mapping[str, Evidence], to_block: int
+) -> Causes:
+    """Attribute crashes to requests only."""
+    requests = {}
+    for subject, found in evidence.items():
+        if not found.is_part:
+            requests[subject] = found
+    return attribute_to_fewest(requests, to_block)
+
+
+def count_parts(evidence: Mapping[str, Evidence], to_block: int) -> Causes:
+    """Block each part under which enough upstreams have crashed."""
+    blocked = set(attribute_to_requests(evidence, to_block).blocked)
+    for subject, found in evidence.items():
+        if found.is_part and found.request_count > 1:
+            if len(found.incarnations) >= to_block:
+                blocked.add(subject)
+    return Causes(frozenset(blocked), frozenset(blocked))
+
+
+def weigh_parts(evidence: Mapping[str, Evidence], to_block: int) -> Causes:
+    """Block the parts that are likelier the cause than there by chance.
+
+    The chance is the share of the interrupted runs that have the part; each
+    crash that it was at without an event counts by it.
+    """
+    blocked = set(attribute_to_requests(evidence, to_block).blocked)
+    run_count = 0
+    for found in evidence.values():
+        if not found.is_part:
+            run_count += len(found.runs)
+    for subject, found in evidence.items():
+        if not found.is_part or found.request_count < 2:
+            continue
+        share = len(found.runs) / max(run_count, len(found.runs) + 1)
+        crashes = found.count_without_event(found.incarnations)
+        odds = crashes * -log(min(_MAX_SHARE, share))
+        enough = _ENOUGH * 2 if found.proven else _ENOUGH
+        if odds >= enough or (crashes >= to_block + 1 and not found.proven):
+            blocked.add(subject)
+    return Causes(frozenset(blocked), frozenset(blocked))
+
+
+def wait_for_third(evidence: Mapping[str, Evidence], to_block: int) -> Causes:
+    """Attribute crashes to the fewest, to no part before the third one."""
+    known = {}
+    for subject, found in evidence.items():
+        if not found.is_part or len(found.incarnations) >= to_block:
+            known[subject] = found
+    return attribute_to_fewest(known, to_block)
+
+
+@dataclass(frozen=True)
+class Rule:
+    """Hold a way to attribute crashes and how suspects are placed.
+
+    ``isolates``: requests with suspected parts go to few upstreams, others
+    to the rest. ``uses_proof``: routers report which parts were in prompts
+    that had completed.
+    """
+
+    name: str
+    attribute: Attribution
+    isolates: bool = True
+    uses_proof: bool = True
+    max_probe_crashes: float = 5
+
+
+REQUESTS = Rule('requests only', attribute_to_requests, False, False, inf)
+COUNTS = Rule('counts of parts', count_parts)
+LIKELIHOOD = Rule('likelihood', weigh_parts)
+UNPROVEN = Rule('fewest, no proof', attribute_to_fewest, True, False)
+SPREAD = Rule('fewest, spread', attribute_to_fewest, False)
+USED = Rule('fewest (in use)', attribute_to_fewest)
+THIRD = Rule('fewest, three', wait_for_third)
+RULES = (REQUESTS, COUNTS, LIKELIHOOD, UNPROVEN, SPREAD, THIRD, USED)
