Let one router decide who probes what is blocked

Cause: each router scheduled its own probes of an ambiguous block, so what crashes upstreams could crash as many as there are routers; and a part that is blocked alone was not probed, so that harmless prompts with it would be refused for ten minutes. Change: the keeper of a subject, chosen as keepers of limits are, grants probes; others ask it in the background, never on a request's way, and use the grant for a later request. A part that is blocked alone is probed 15 to 30 s later, while fewer than four upstreams have crashed under it; an ambiguous one while fewer than eight. A prompt with two blocked parts is no probe. Retry-After is the time to the next probe where one is left. Attribution counts crashes once for each subject and round, not for each comparison.

--- a/features/direct_crash_parts.feature
+++ b/features/direct_crash_parts.feature
@@ -82,3 +82,40 @@
       # have, after several upstreams lost power at once.
       When routers receive the crashes "a:s!; b:s!; c:s!; d:s!" in any order
       Then the blocks of "part-s" are ambiguous
+
+  Rule: One router decides who probes
+
+    Scenario Outline: A part is probed by all routers together
+      # Guards against as many crashes as there are routers, each of which
+      # probes by itself.
+      Given <routers> routers that block a part <kind>
+      When each has a request with it ten times a second for <seconds> seconds
+      Then <least> to <most> of these are sent, over all routers
+
+      Examples:
+        | routers | kind          | seconds | least | most |
+        | 1       | ambiguously   | 60      | 3     | 5    |
+        | 4       | ambiguously   | 60      | 3     | 5    |
+        | 330     | ambiguously   | 20      | 2     | 3    |
+        | 4       | as its cause  | 14      | 0     | 0    |
+        | 4       | as its cause  | 60      | 1     | 2    |
+
+    Scenario: The router that decides is killed
+      Given 4 routers that block a part ambiguously
+      When each has a request with it ten times a second for 3 seconds
+      And the router that decides is killed
+      And each has a request with it ten times a second for 60 seconds
+      Then 3 to 8 of these are sent, over all routers
+
+    Scenario Outline: Probes end before they crash many upstreams
+      When routers receive the crashes "<crashes>" in any order
+      Then "<probed>" are probed
+
+      Examples:
+        | crashes                                | probed        |
+        | a:p; b:p; c:p                          | part-p        |
+        | a:p; b:p; c:p; d:p                     |               |
+        | a:p,q; b:p,q; c:p,q; d:p,q             | part-p part-q |
+        | a; a; a                                |               |
+        | a b; a b; a b                          | a b           |
+        | a b; a b; a b; a b; a b; a b; a b; a b |               |
--- a/features/steps/crash_ledger_steps.py
+++ b/features/steps/crash_ledger_steps.py
@@ -13,6 +13,7 @@
 from lacewing_daemon.direct.crashes import CrashRegistry
 from lacewing_daemon.direct.crashes import Suspect
 from lacewing_daemon.direct.crashes import UpstreamIncarnation
+from lacewing_daemon.direct.crashes._probes import FIRST_PROBE_INTERVAL_S
 from lacewing_daemon.direct.crashes._probes import ProbeSchedule
 
 BEGUN_SUFFIX = '+'
@@ -117,7 +118,7 @@
     """Request a probe every tenth of a second."""
     now_s = 0.0
     probes = ProbeSchedule(Random(1), lambda: now_s)
-    probes.update(frozenset((name,)))
+    probes.update({name: FIRST_PROBE_INTERVAL_S})
     context.probes_s = []
     for tenth in range(seconds * 10):
         now_s = tenth / 10
--- a/packages/bench/src/lacewing_bench/crash_parts/_rules.py
+++ b/packages/bench/src/lacewing_bench/crash_parts/_rules.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
-from math import inf
 from math import log
 
 from lacewing_daemon.direct.crashes._attribution import attribute_to_fewest
@@ -52,7 +51,12 @@
         if not found.is_part or found.request_count < 2:
             continue
         share = len(found.runs) / max(run_count, len(found.runs) + 1)
-        crashes = found.count_without_event(found.incarnations)
+        before_event = {
+            incarnation
+            for (incarnation, _), begun in found.runs.items()
+            if not begun
+        }
+        crashes = len(before_event)
         odds = crashes * -log(min(_MAX_SHARE, share))
         enough = _ENOUGH * 2 if found.proven else _ENOUGH
         if odds >= enough or (crashes >= to_block + 1 and not found.proven):
@@ -82,10 +86,9 @@
     attribute: Attribution
     isolates: bool = True
     uses_proof: bool = True
-    max_probe_crashes: float = 5
 
 
-REQUESTS = Rule('requests only', attribute_to_requests, False, False, inf)
+REQUESTS = Rule('requests only', attribute_to_requests, False, False)
 COUNTS = Rule('counts of parts', count_parts)
 LIKELIHOOD = Rule('likelihood', weigh_parts)
 UNPROVEN = Rule('fewest, no proof', attribute_to_fewest, True, False)
--- a/packages/bench/src/lacewing_bench/crash_parts/_simulation.py
+++ b/packages/bench/src/lacewing_bench/crash_parts/_simulation.py
@@ -16,6 +16,8 @@
 from lacewing_daemon.direct.crashes import CrashRegistry
 from lacewing_daemon.direct.crashes import Suspect
 from lacewing_daemon.direct.crashes import UpstreamIncarnation
+from lacewing_daemon.direct.crashes._probes import probe_intervals
+from lacewing_daemon.direct.crashes._probes import ProbeSchedule
 
 from lacewing_bench.crash_parts._load import Load
 from lacewing_bench.crash_parts._load import Outcome
@@ -40,8 +42,6 @@
 FIRST_PARTS = 6
 MIDDLE_PARTS_PER_UPSTREAM = 12
 SINGLE_MIDDLE = 0.2
-PROBE_DELAY_S = 3.0
-LATE_PROBE_DELAY_S = 20.0
 
 
 @dataclass(frozen=True)
@@ -90,7 +90,7 @@
         ]
         self._completed: list[set[str]] = [set() for _ in range(load.routers)]
         self._suspects: set[str] = set()
-        self._probes_s: dict[str, float] = {}
+        self._probes = ProbeSchedule(self._random, lambda: self._now_s)
         self._bad = frozenset(
             part for parts in load.culprits for part in parts
         )
@@ -214,19 +214,7 @@
         )
 
     def _admits_probe(self, blocked: list[str]) -> bool:
-        subject = blocked[0]
-        if len(blocked) > 1:
-            return False
-        if self._registry.crash_count(subject) >= self._rule.max_probe_crashes:
-            return False
-        delay_s = LATE_PROBE_DELAY_S
-        if subject in self._registry.ambiguous:
-            delay_s = PROBE_DELAY_S
-        due_s = self._probes_s.setdefault(subject, self._now_s + delay_s)
-        if self._now_s < due_s:
-            return False
-        self._probes_s[subject] = self._now_s + 2 * delay_s
-        return True
+        return len(blocked) == 1 and self._probes.admit(blocked[0])
 
     def _choose(self, request: _Request) -> _Upstream | None:
         up = []
@@ -335,6 +323,7 @@
 
     def _abort_blocked(self) -> None:
         blocked = self._registry.blocked
+        self._probes.update(probe_intervals(self._registry))
         self._suspects -= blocked
         for upstream in self._upstreams:
             for run_id, run in tuple(upstream.runs.items()):
--- a/packages/daemon/src/lacewing_daemon/direct/_metrics.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_metrics.py
@@ -55,7 +55,11 @@
 )
 BLOCKED_REQUESTS = Gauge(
     'lacewing_direct_blocked_requests',
-    'Requests blocked, as upstreams crashed under them',
+    'Requests and parts of prompts blocked, as upstreams crashed under them',
+)
+CRASH_PROBES = Counter(
+    'lacewing_direct_crash_probes',
+    'Runs of blocked requests, to learn whether they are harmless',
 )
 CRASH_MESSAGES = Counter(
     'lacewing_direct_crash_news',
--- a/packages/daemon/src/lacewing_daemon/direct/crashes/_attribution.py
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_attribution.py
@@ -6,7 +6,6 @@
 
 from collections import Counter
 from collections.abc import Mapping
-from collections.abc import Set
 from dataclasses import dataclass
 from itertools import chain
 from typing import Protocol
@@ -46,16 +45,6 @@
         """Return the number of different requests."""
         return len({request for _, request in self.runs})
 
-    def count_without_event(
-        self, incarnations: Set[UpstreamIncarnation]
-    ) -> int:
-        """Count the incarnations at which a run had returned no event."""
-        found = set()
-        for (incarnation, _), begun in self.runs.items():
-            if not begun and incarnation in incarnations:
-                found.add(incarnation)
-        return len(found)
-
 
 @dataclass(frozen=True)
 class Causes:
@@ -87,51 +76,50 @@
     what nothing else explains.
     """
     explained: set[UpstreamIncarnation] = set()
-    causes = Causes(frozenset(), frozenset())
+    blocked: set[str] = set()
+    ambiguous: set[str] = set()
     for proven in (False, True):
-        candidates = {}
+        candidates = []
         for subject, found in evidence.items():
             if found.proven is proven and _is_candidate(found):
-                candidates[subject] = found
-        causes = _attribute(candidates, explained, causes, to_block)
-    return causes
+                candidates.append(_Candidate(subject, found))
+        while True:
+            causes = _next_causes(candidates, explained, to_block)
+            if not causes:
+                break
+            ambiguous |= _ambiguous_among(causes, to_block)
+            for cause in causes:
+                blocked.add(cause.subject)
+                explained |= cause.unexplained
+                candidates.remove(cause)
+    return Causes(frozenset(blocked), frozenset(ambiguous))
 
 
-def _attribute(
-    candidates: Mapping[str, Evidence],
-    explained: set[UpstreamIncarnation],
-    causes: Causes,
-    to_block: int,
-) -> Causes:
-    """Add the causes of crashes that are not ``explained`` yet, and do so.
+class _Candidate:
+    """Hold the crashes of a subject that no cause explains yet."""
 
-    One crash less than ``to_block`` is enough for a cause that is alone with
-    its crashes and whose runs had returned no event at any of them.
-    """
-    blocked = set(causes.blocked)
-    ambiguous = set(causes.ambiguous)
-    unexplained: dict[str, frozenset[UpstreamIncarnation]] = {}
-    while True:
-        weights = {}
-        for subject, evidence in candidates.items():
-            unexplained[subject] = evidence.incarnations - explained
-            if len(unexplained[subject]) >= _min_crashes(evidence, to_block):
-                weights[subject] = _weight(evidence, unexplained[subject])
-        if not weights:
-            break
-        max_weight = max(weights.values())
-        found = {}
-        for subject, weight in weights.items():
-            if weight == max_weight:
-                found[subject] = unexplained[subject]
-        if max_weight[0] < to_block:
-            found = _uncontested(candidates, found)
-            if not found or max_weight[1] < max_weight[0]:
-                break
-        ambiguous |= _ambiguous_among(candidates, found, to_block)
-        blocked.update(found)
-        explained.update(chain.from_iterable(found.values()))
-    return Causes(frozenset(blocked), frozenset(ambiguous))
+    def __init__(self, subject: str, evidence: Evidence) -> None:
+        self.subject = subject
+        self.evidence = evidence
+        self.unexplained = set(evidence.incarnations)
+        self.without_event = set()
+        for (incarnation, _), begun in evidence.runs.items():
+            if not begun:
+                self.without_event.add(incarnation)
+
+    @property
+    def weight(self) -> tuple[int, int, bool]:
+        """Return the crashes, how many came before an event, and ties.
+
+        A cause crashes its upstream as soon as it runs; one that has already
+        returned events is less likely the cause. Of a request and a part with
+        the same crashes the request is blocked, which affects fewer callers.
+        """
+        return (
+            len(self.unexplained),
+            len(self.unexplained & self.without_event),
+            not self.evidence.is_part,
+        )
 
 
 def _is_candidate(evidence: Evidence) -> bool:
@@ -140,64 +128,63 @@
     )
 
 
-def _min_crashes(evidence: Evidence, to_block: int) -> int:
-    if evidence.proven:
-        return to_block + EXTRA_CRASHES_IF_PROVEN
-    return to_block - 1
-
-
-_Weight = tuple[int, int, bool]
-
-
-def _weight(
-    evidence: Evidence, incarnations: frozenset[UpstreamIncarnation]
-) -> _Weight:
-    """Return the crashes, and how many came before an event.
+def _next_causes(
+    candidates: list[_Candidate],
+    explained: set[UpstreamIncarnation],
+    to_block: int,
+) -> list[_Candidate]:
+    """Return the causes of most crashes that are not explained yet.
 
-    A cause crashes its upstream as soon as it runs; one that has already
-    returned events is less likely the cause. Of a request and a part with
-    the same crashes the request is blocked, which affects fewer callers.
+    One crash less than ``to_block`` is enough for a cause that is alone with
+    its crashes and whose runs had returned no event at any of them.
     """
-    return (
-        len(incarnations),
-        evidence.count_without_event(incarnations),
-        not evidence.is_part,
-    )
-
-
-def _uncontested(
-    evidence: Mapping[str, Evidence],
-    causes: Mapping[str, frozenset[UpstreamIncarnation]],
-) -> dict[str, frozenset[UpstreamIncarnation]]:
+    best: list[_Candidate] = []
+    best_weight = (0, 0, False)
+    for candidate in candidates:
+        candidate.unexplained -= explained
+        min_crashes = to_block - 1
+        if candidate.evidence.proven:
+            min_crashes = to_block + EXTRA_CRASHES_IF_PROVEN
+        if len(candidate.unexplained) < min_crashes:
+            continue
+        weight = candidate.weight
+        if weight > best_weight:
+            best = []
+            best_weight = weight
+        if weight == best_weight:
+            best.append(candidate)
+    crashes, without_event, _ = best_weight
+    if crashes >= to_block:
+        return best
+    return _uncontested(best) if without_event == crashes else []
+
+
+def _uncontested(causes: list[_Candidate]) -> list[_Candidate]:
     """Return the causes whose crashes no other one explains as well.
 
     Those with the same runs throughout can't be distinguished and are one.
     """
     groups: dict[UpstreamIncarnation, set[frozenset[Run]]] = {}
-    for subject, incarnations in causes.items():
-        for incarnation in incarnations:
-            group = frozenset(evidence[subject].runs)
+    for cause in causes:
+        group = frozenset(cause.evidence.runs)
+        for incarnation in cause.unexplained:
             groups.setdefault(incarnation, set()).add(group)
-    uncontested = {}
-    for subject, incarnations in causes.items():
-        if all(len(groups[incarnation]) == 1 for incarnation in incarnations):
-            uncontested[subject] = incarnations
+    uncontested = []
+    for cause in causes:
+        if all(len(groups[one]) == 1 for one in cause.unexplained):
+            uncontested.append(cause)
     return uncontested
 
 
-def _ambiguous_among(
-    evidence: Mapping[str, Evidence],
-    causes: Mapping[str, frozenset[UpstreamIncarnation]],
-    to_block: int,
-) -> set[str]:
+def _ambiguous_among(causes: list[_Candidate], to_block: int) -> set[str]:
     """Return the causes that share too many crashes, or that are proven."""
-    counts = Counter(chain.from_iterable(causes.values()))
+    counts = Counter(chain.from_iterable(one.unexplained for one in causes))
     ambiguous = set()
-    for subject, incarnations in causes.items():
+    for cause in causes:
         unshared = sum(
-            counts[incarnation] == 1 for incarnation in incarnations
+            counts[incarnation] == 1 for incarnation in cause.unexplained
         )
-        required = min(len(incarnations), to_block - 1)
-        if unshared < required or evidence[subject].proven:
-            ambiguous.add(subject)
+        required = min(len(cause.unexplained), to_block - 1)
+        if unshared < required or cause.evidence.proven:
+            ambiguous.add(cause.subject)
     return ambiguous
--- a/packages/daemon/src/lacewing_daemon/direct/crashes/_guard.py
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_guard.py
@@ -16,6 +16,7 @@
 from lacewing_daemon.direct._attempt import Contact
 from lacewing_daemon.direct._collection_watcher import CollectionWatcher
 from lacewing_daemon.direct._metrics import BLOCKED_REQUESTS
+from lacewing_daemon.direct._metrics import CRASH_PROBES
 from lacewing_daemon.direct._site import SystemObjects
 from lacewing_daemon.direct._store_eras import StoreEras
 from lacewing_daemon.direct._upstream import Upstream
@@ -24,12 +25,15 @@
 from lacewing_daemon.direct.crashes._detector import CrashDetector
 from lacewing_daemon.direct.crashes._fingerprint import is_part
 from lacewing_daemon.direct.crashes._fingerprint import RequestSubjects
+from lacewing_daemon.direct.crashes._probe_grants import ProbeGrants
+from lacewing_daemon.direct.crashes._probes import probe_intervals
 from lacewing_daemon.direct.crashes._probes import ProbeSchedule
 from lacewing_daemon.direct.crashes._proven_parts import ProvenParts
 from lacewing_daemon.direct.crashes._record import CrashRecord
 from lacewing_daemon.direct.crashes._record import UpstreamIncarnation
 from lacewing_daemon.direct.crashes._registry import CrashRegistry
 from lacewing_daemon.direct.crashes._registry import MAX_CRASHES
+from lacewing_daemon.direct.crashes._registry import PROVISIONAL_RETRY_S
 
 # Crashes under one request from which on they are written to the store. A
 # single crash is no evidence, and store calls are expensive.
@@ -68,6 +72,7 @@
         self._registry = CrashRegistry()
         self._proven_parts = ProvenParts()
         self._probes = ProbeSchedule(random)
+        self._probe_grants = ProbeGrants(self._probes, peer_addresses)
         self._detector = CrashDetector(probe_connection, self._record_own)
         self._crash_store = CrashStore(
             store, watcher, process_id, random, eras
@@ -99,8 +104,9 @@
         harmless.
         """
         blocked = self._blocked_among(subjects)
-        if len(blocked) != 1 or not self._probes.admit(blocked[0]):
+        if len(blocked) != 1 or not self._probe_grants.admit(blocked[0]):
             return False
+        CRASH_PROBES.inc()
         _log.info('Admits a probe of a blocked request.', same=blocked[0])
         return True
 
@@ -108,7 +114,9 @@
         """Return the delay after which a blocked request may be retried."""
         delay_s = 0.0
         for subject in self._blocked_among(subjects):
-            delay_s = max(delay_s, self._registry.retry_after_s(subject))
+            block_s = self._registry.retry_after_s(subject)
+            probe_s = max(PROVISIONAL_RETRY_S, self._probes.due_in_s(subject))
+            delay_s = max(delay_s, min(block_s, probe_s))
         return delay_s
 
     def is_suspected(self, subjects: RequestSubjects) -> bool:
@@ -177,6 +185,9 @@
     async def exchange(self, link: 'PeerLink') -> None:
         """Exchange records over a link until cancelled."""
         from lacewing_daemon.direct.crashes._gossip import CrashGossip
+        from lacewing_daemon.direct.crashes._probe_service import (
+            connect_probes,
+        )
 
         gossip = CrashGossip(
             link,
@@ -187,6 +198,7 @@
             self._random,
         )
         link.add_service(gossip)
+        connect_probes(self._probe_grants, self._probes, link)
         self._broadcast = gossip.broadcast
         try:
             await gossip.run()
@@ -195,8 +207,9 @@
             gossip.close()
 
     def close(self) -> None:
-        """Cancel pending connection probes of upstreams."""
+        """Cancel pending connection probes and calls for probes."""
         self._detector.close()
+        self._probe_grants.close()
 
     async def _expire(self) -> None:
         while True:
@@ -300,5 +313,6 @@
                 same=subject,
             )
         self._blocked = blocked
-        self._probes.update(self._registry.ambiguous)
+        self._probes.update(probe_intervals(self._registry))
+        self._probe_grants.retain(blocked)
         BLOCKED_REQUESTS.set(len(blocked))
--- a/packages/daemon/src/lacewing_daemon/direct/crashes/_messages.py
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_messages.py
@@ -6,6 +6,7 @@
 
 TELL_METHOD = '/lacewing.Crashes/Tell'
 COMPARE_METHOD = '/lacewing.Crashes/Compare'
+PROBE_METHOD = '/lacewing.Crashes/Probe'
 
 
 class CrashReport(msgspec.Struct, frozen=True):
@@ -40,3 +41,15 @@
 
     records: tuple[CrashRecord, ...]
     lacking: tuple[int, ...]
+
+
+class ProbeRequest(msgspec.Struct, frozen=True):
+    """Request leave to run one request of a blocked subject."""
+
+    subject: str
+
+
+class ProbeReply(msgspec.Struct, frozen=True):
+    """Grant a probe, or not."""
+
+    granted: bool
