Keep prompts with suspected parts apart from others

Cause: between the first crash and the block, prompts with the part that crashes go to any upstream, one each, and each crash interrupts all that runs there. Change: a part whose prompts have not completed, and that ran without an event at a crash, is suspected until it is cleared. Prompts with such a part go to one in eight upstreams (one to four, the same for all routers); for 3 s after a crash the others go to the rest. Where that leaves no capacity, a prompt may go anywhere, unless two upstreams have crashed under its suspected part.

--- a/features/direct_crash_parts.feature
+++ b/features/direct_crash_parts.feature
@@ -119,3 +119,39 @@
         | a; a; a                                |               |
         | a b; a b; a b                          | a b           |
         | a b; a b; a b; a b; a b; a b; a b; a b |               |
+
+  Rule: Prompts with suspected parts are kept apart from others
+
+    Scenario Outline: After a crash
+      # Guards against prompts that come at the same time and crash one
+      # upstream each, with all that runs there.
+      When routers receive the crashes "<crashes>" in any order
+      And <seconds> seconds pass
+      Then of <upstreams> upstreams a prompt with "<suspect>" may use <few>
+      And one with "<other>" may use the other <most>
+
+      Examples:
+        | crashes | seconds | upstreams | suspect | few | other | most |
+        | a:p     | 0       | 5         | p       | 1   | q     | 4    |
+        | a:p,s!  | 0       | 5         | p,s     | 1   | q,s   | 4    |
+        | a:p     | 0       | 22        | p       | 2   | q     | 20   |
+        | a:p     | 0       | 890       | p       | 4   | q     | 886  |
+        | a:p     | 4       | 5         | p       | 1   | q     | 5    |
+        | a+:p    | 0       | 5         | p       | 5   | q     | 5    |
+        | a:p!    | 0       | 5         | p       | 5   | q     | 5    |
+        | a:p     | 0       | 1         | p       | 1   | q     | 1    |
+
+    Scenario Outline: Without capacity where a prompt should go
+      When routers receive the crashes "<crashes>" in any order
+      Then a prompt with "p" <may> use another upstream
+
+      Examples:
+        | crashes          | may     |
+        | a:p              | may     |
+        | a:p b:q; c:p d:q | may not |
+
+    Scenario: A completed answer ends a suspicion
+      When routers receive the crashes "a:p" in any order
+      And "part-p" completes at one of them, which informs the others
+      Then of 5 upstreams a prompt with "p" may use 5
+      And one with "q" may use the other 5
--- a/features/steps/crash_ledger_steps.py
+++ b/features/steps/crash_ledger_steps.py
@@ -13,6 +13,8 @@
 from lacewing_daemon.direct.crashes import CrashRegistry
 from lacewing_daemon.direct.crashes import Suspect
 from lacewing_daemon.direct.crashes import UpstreamIncarnation
+from lacewing_daemon.direct.crashes._fingerprint import RequestSubjects
+from lacewing_daemon.direct.crashes._isolation import Isolation
 from lacewing_daemon.direct.crashes._probes import FIRST_PROBE_INTERVAL_S
 from lacewing_daemon.direct.crashes._probes import ProbeSchedule
 
@@ -158,6 +160,46 @@
         assert outcome.shut_out == 0, context.outcomes
 
 
+@then('of {count:d} upstreams a prompt with "{names}" may use {few:d}')
+def step_isolated(context: Context, count: int, names: str, few: int) -> None:
+    """Check that all routers allow the same upstreams."""
+    context.upstream_ids = [f'up-{number}' for number in range(count)]
+    context.isolated = _allowed(context, names)
+    assert len(context.isolated) == few, context.isolated
+
+
+@then('one with "{names}" may use the other {most:d}')
+def step_others(context: Context, names: str, most: int) -> None:
+    """Check that they are others, unless it may use all."""
+    allowed = _allowed(context, names)
+    assert len(allowed) == most, allowed
+    if most < len(context.upstream_ids):
+        assert allowed.isdisjoint(context.isolated)
+
+
+@then('a prompt with "{name}" {may} use another upstream')
+def step_mix(context: Context, name: str, may: str) -> None:
+    """Check whether it is sent elsewhere rather than refused."""
+    for registry in context.registries:
+        may_mix = Isolation(registry).may_mix(_subjects(name))
+        assert may_mix is (may == 'may')
+
+
+def _allowed(context: Context, names: str) -> frozenset[str]:
+    found = set()
+    for registry in context.registries:
+        excluded = Isolation(registry).excluded(
+            _subjects(names), 'models', context.upstream_ids
+        )
+        found.add(frozenset(context.upstream_ids) - excluded)
+    assert len(found) == 1, found
+    return found.pop()
+
+
+def _subjects(names: str) -> RequestSubjects:
+    return RequestSubjects('r', tuple(map(_part, names.split(','))))
+
+
 def _records(text: str) -> tuple[CrashRecord, ...]:
     """Return a record of each crash.
 
--- a/packages/daemon/src/lacewing_daemon/direct/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_exchange.py
@@ -171,7 +171,9 @@
         while True:
             if self._is_blocked():
                 return self._blocked_refusal()
-            target = await self._chooser.choose(admitted, end_s)
+            target = await self._chooser.choose(
+                admitted, self._subjects, end_s
+            )
             if isinstance(target, NoCapacity):
                 # When an engine is lost, all its streams move at the same
                 # time. The first ones fill the queues of the other engines,
--- a/packages/daemon/src/lacewing_daemon/direct/_next_target.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_next_target.py
@@ -19,6 +19,7 @@
 from lacewing_daemon.direct._target import Target
 from lacewing_daemon.direct._upstream import Software
 from lacewing_daemon.direct._upstream_state import UpstreamState
+from lacewing_daemon.direct.crashes._fingerprint import RequestSubjects
 from lacewing_daemon.direct.limits import Charge
 from lacewing_daemon.direct.limits import Denial
 
@@ -73,12 +74,12 @@
         self._charge: Charge | None = None
 
     async def choose(
-        self, admitted: Admitted, end_s: float
+        self, admitted: Admitted, subjects: RequestSubjects, end_s: float
     ) -> Target | NoCapacity | Refusal:
         """Return the target, NoCapacity to check again, or a refusal."""
         while True:
             now_s = time.monotonic()
-            placed = self._place(admitted, end_s, now_s)
+            placed = self._place(admitted, subjects, end_s, now_s)
             if isinstance(placed, NoCapacity):
                 if self._can_wait_for_capacity(admitted, placed, now_s):
                     return placed
@@ -175,21 +176,59 @@
         return not isinstance(placed, NoCapacity)
 
     def _place(
-        self, admitted: Admitted, end_s: float, now_s: float
+        self,
+        admitted: Admitted,
+        subjects: RequestSubjects,
+        end_s: float,
+        now_s: float,
     ) -> Target | NoCapacity:
         continuation = self._progress.continuation
-        if continuation is None:
-            return self._placer.place(
-                self._request,
-                admitted,
-                self._progress.tried_ids,
-                self._first_event_limit_ms(admitted, end_s, now_s),
-                now_s,
-                self._progress.software,
-            )
-        # A pause for failures holds nothing back: the copy is nowhere else.
-        pause_s = continuation.state.wanted_in_s(now_s)
-        return NoCapacity(pause_s * _MS) if pause_s > 0 else continuation
+        if continuation is not None:
+            # A pause for failures holds nothing back: the copy is nowhere
+            # else.
+            pause_s = continuation.state.wanted_in_s(now_s)
+            return NoCapacity(pause_s * _MS) if pause_s > 0 else continuation
+        tried_ids = self._progress.tried_ids
+        apart = self._kept_apart(admitted, subjects, now_s)
+        placed = self._place_beyond(tried_ids | apart, admitted, end_s, now_s)
+        if not apart or not isinstance(placed, NoCapacity):
+            return placed
+        if not self._fleet.crash_guard.isolation.may_mix(subjects):
+            return placed
+        return self._place_beyond(tried_ids, admitted, end_s, now_s)
+
+    def _place_beyond(
+        self,
+        excluded: frozenset[str],
+        admitted: Admitted,
+        end_s: float,
+        now_s: float,
+    ) -> Target | NoCapacity:
+        return self._placer.place(
+            self._request,
+            admitted,
+            excluded,
+            self._first_event_limit_ms(admitted, end_s, now_s),
+            now_s,
+            self._progress.software,
+        )
+
+    def _kept_apart(
+        self, admitted: Admitted, subjects: RequestSubjects, now_s: float
+    ) -> frozenset[str]:
+        """Return upstreams that suspects of a crash, or others, do not use."""
+        isolation = self._fleet.crash_guard.isolation
+        if not isolation.is_active:
+            return frozenset()
+        service = admitted.service.name
+        usable = []
+        for state in self._fleet.cluster_state.upstreams_of(service):
+            upstream_id = state.upstream.upstream_id
+            if upstream_id in self._progress.tried_ids:
+                continue
+            if state.is_usable(now_s) and not state.is_silent(now_s):
+                usable.append(upstream_id)
+        return isolation.excluded(subjects, service, usable)
 
     def _refusal(self, admitted: Admitted, missing: NoCapacity) -> Refusal:
         if isinf(missing.retry_after_ms):
--- a/packages/daemon/src/lacewing_daemon/direct/crashes/_guard.py
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_guard.py
@@ -25,6 +25,7 @@
 from lacewing_daemon.direct.crashes._detector import CrashDetector
 from lacewing_daemon.direct.crashes._fingerprint import is_part
 from lacewing_daemon.direct.crashes._fingerprint import RequestSubjects
+from lacewing_daemon.direct.crashes._isolation import Isolation
 from lacewing_daemon.direct.crashes._probe_grants import ProbeGrants
 from lacewing_daemon.direct.crashes._probes import probe_intervals
 from lacewing_daemon.direct.crashes._probes import ProbeSchedule
@@ -71,6 +72,7 @@
         self._random = random
         self._registry = CrashRegistry()
         self._proven_parts = ProvenParts()
+        self._isolation = Isolation(self._registry)
         self._probes = ProbeSchedule(random)
         self._probe_grants = ProbeGrants(self._probes, peer_addresses)
         self._detector = CrashDetector(probe_connection, self._record_own)
@@ -85,6 +87,11 @@
         ) = None
         watcher.on_change(self._merge_stored)
 
+    @property
+    def isolation(self) -> Isolation:
+        """Return what keeps prompts with suspected parts apart."""
+        return self._isolation
+
     def is_blocked(self, subjects: RequestSubjects) -> bool:
         """Return whether a request must not be sent to upstreams."""
         return bool(self._blocked_among(subjects))
--- a/packages/daemon/src/lacewing_daemon/direct/crashes/_registry.py
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_registry.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Iterator
 from dataclasses import dataclass
 from dataclasses import field
 
@@ -22,13 +23,9 @@
 from lacewing_daemon.direct.crashes._record import Suspect
 from lacewing_daemon.direct.crashes._record import UpstreamIncarnation
 
-# A request is blocked after this many crashes that no other request explains.
-# One crash less suffices if no other request has as many and if none of its
-# runs had returned an event. In a model of callers and 5 engines this reduces
-# the engines that a request crashes from 4.0 to 2.5 and the interrupted runs
-# from 43 to 21; none of 1,100 other requests is blocked. If one engine per
-# second crashes for unrelated reasons, 1.1 of them are blocked instead of 0.4
-# (`make crash-errors`).
+# A subject is blocked after this many crashes that no other one explains. One
+# less suffices if no other explains them as well and if none of its runs had
+# returned an event.
 CRASHES_TO_BLOCK = 3
 # How long a crash counts. Callers repeat a crash-causing request for minutes;
 # a wrongly blocked request is unblocked after this time at the latest.
@@ -88,6 +85,7 @@
         self._crashes: dict[UpstreamIncarnation, _CrashState] = {}
         self._runs: dict[str, dict[Run, bool]] = {}
         self._causes = Causes(frozenset(), frozenset())
+        self._suspected_parts: frozenset[str] = frozenset()
         self._stale = False
 
     @property
@@ -126,6 +124,15 @@
         self._update_causes()
         return self._causes.ambiguous
 
+    @property
+    def suspected_parts(self) -> frozenset[str]:
+        """Return the parts that may have caused a crash.
+
+        Their prompts had not completed before, and ran without an event.
+        """
+        self._update_causes()
+        return self._suspected_parts
+
     def retry_after_s(self, subject: str) -> float:
         """Return the delay after which a blocked subject may be retried.
 
@@ -284,20 +291,33 @@
     def _update_causes(self) -> None:
         if self._stale:
             self._causes = self._attribute(self._evidence(), self._to_block)
+            self._suspected_parts = frozenset(self._find_suspected_parts())
             self._stale = False
 
     def _evidence(self) -> dict[str, Evidence]:
         """Return the evidence against all that ran at several crashes."""
         evidence = {}
         for subject, runs in self._runs.items():
-            if len(runs) < self._to_block - 1:
-                continue
-            proven = False
-            for incarnation, _ in runs:
-                proven = proven or subject in self._crashes[incarnation].proven
-            evidence[subject] = Evidence(runs, is_part(subject), proven)
+            if len(runs) >= self._to_block - 1:
+                evidence[subject] = Evidence(
+                    runs, is_part(subject), self._is_proven(subject)
+                )
         return evidence
 
+    def _find_suspected_parts(self) -> Iterator[str]:
+        for subject, runs in self._runs.items():
+            if not is_part(subject) or self._is_proven(subject):
+                continue
+            if not all(runs.values()):
+                yield subject
+
+    def _is_proven(self, part: str) -> bool:
+        """Return whether prompts with it had completed before a crash."""
+        for incarnation, _ in self._runs[part]:
+            if part in self._crashes[incarnation].proven:
+                return True
+        return False
+
 
 def _merge_suspects(known: Suspect | None, suspect: Suspect) -> Suspect:
     """Return what ran of a request that may have run twice.
