Bound a router's requests by the observed load of others

Cause: a router has at most two waiting requests and 24 open ones at an engine, which stand for those of the others, whatever these send. A router that is alone was held to 24 open ones as well. Class: a share that is fixed by the number of routers, not by what they do. Change: a router compares its open requests with those that engines report, smoothed over 0.2 s, and raises both bounds as the part of others falls below that of equal routers; the engine's slots limit open requests. Without reports the bounds are as before. Compared on the model of make experiment, which now can send most prompts to one router, let it move, and delay reports by 0.2 s.

--- a/features/direct_load.feature
+++ b/features/direct_load.feature
@@ -50,6 +50,39 @@
         | 5       | 1.6  | 1.0  |
         | 9       | 2.5  | 1.0  |
 
+    Scenario Outline: Most prompts come to one of several routers
+      # Guards against prompts that are refused at once although engines have
+      # capacity, as each router kept to its share of the waiting requests
+      # while the others had none.
+      Given 8 engines with slow steps and <routers> routers
+      When <share> of 300 prompts a second come to one router, another each <moves> seconds
+      Then at least <part> times as many are answered in time as if they came to all alike
+
+      Examples:
+        | routers | share | moves | part |
+        | 4       | 0.99  | 0     | 0.9  |
+        | 4       | 0.9   | 0     | 0.9  |
+        | 4       | 0.99  | 1     | 0.75 |
+        | 22      | 0.99  | 0     | 0.9  |
+
+    Scenario: A router that is alone uses all slots of its engines
+      Given 8 engines with slow steps and 1 routers
+      When 0 of 300 prompts a second come to one router, another each 0 seconds
+      Then at most 1 percent are refused
+
+    Scenario Outline: The bounds of a router with a share of the load
+      Then a router with <share> of the load of <routers> routers has bounds of <waiting> and <in flight>
+
+      Examples:
+        | routers | share | waiting | in flight |
+        | 4       | 0.25  | 2       | 24        |
+        | 4       | 0.05  | 2       | 24        |
+        | 4       | 0.5   | 3       | 36        |
+        | 4       | 0.75  | 6       | 72        |
+        | 330     | 0.01  | 2       | 24        |
+        | 4       | 1     | inf     | inf       |
+        | 1       | 1     | inf     | inf       |
+
     Scenario: A refusal reports when capacity is expected
       Given an engine with 500 ms of queued prefill
       When a prompt with 60 ms of prefill needs its first event within 240 ms
--- a/features/steps/direct_load_steps.py
+++ b/features/steps/direct_load_steps.py
@@ -10,9 +10,10 @@
 from behave.runner import Context
 from lacewing_daemon.direct import Upstream
 from lacewing_daemon.direct._choice import EngineView
-from lacewing_daemon.direct._choice import max_waiting
 from lacewing_daemon.direct._choice import NoCapacity
 from lacewing_daemon.direct._choice import place_prompt
+from lacewing_daemon.direct._choice import send_bounds
+from lacewing_daemon.direct._choice import SendBounds
 from lacewing_daemon.direct._loading import EngineWeights
 from lacewing_daemon.direct._loading import next_loads
 from lacewing_daemon.direct._policy import LoadPolicy
@@ -58,10 +59,10 @@
         engines: int,
         policy: LoadPolicy,
         use_lateness: bool,
-        waiting_bound: float,
+        bounds: SendBounds,
     ) -> None:
         self._policy = policy
-        self._waiting_bound = waiting_bound
+        self._bounds = bounds
         self._use_lateness = use_lateness
         self._sent: list[list[_SentPrompt]] = []
         self._states: list[UpstreamState] = []
@@ -91,7 +92,7 @@
                 )
             )
         placed = place_prompt(
-            views, left_ms, self._policy, waiting_bound=self._waiting_bound
+            views, left_ms, self._policy, bounds=self._bounds
         )
         if isinstance(placed, NoCapacity):
             return None
@@ -137,10 +138,10 @@
     policy = LoadPolicy()
     if not refuse_late:
         policy = LoadPolicy(max_in_flight=10**6, max_waiting=10**6)
-    bound = max_waiting(bound_of or routers, policy)
+    bounds = send_bounds(bound_of or routers, None, policy)
     fleet = []
     for _ in range(routers):
-        fleet.append(_Router(engines, policy, use_lateness, bound))
+        fleet.append(_Router(engines, policy, use_lateness, bounds))
     gap_ms = MEAN_PREFILL_MS / (engines * load)
     now_ms = 0.0
     in_time_ms = 0.0
--- a/packages/bench/src/lacewing_bench/experiment/_engine.py
+++ b/packages/bench/src/lacewing_bench/experiment/_engine.py
@@ -5,11 +5,16 @@
 parts share the memory, and loading weights empties the cache.
 """
 
+from collections import deque
 from collections import OrderedDict
 from dataclasses import dataclass
 from dataclasses import field
 
 from lacewing_daemon.direct import PromptPart
+from lacewing_daemon.direct import UpstreamLoad
+
+# Loads of the last steps, which take some ms each.
+_MAX_LOADS = 200
 
 
 @dataclass(frozen=True)
@@ -89,6 +94,27 @@
     cached: OrderedDict[tuple[str, str], int] = field(
         default_factory=OrderedDict
     )
+    loads: deque[tuple[float, UpstreamLoad]] = field(
+        default_factory=lambda: deque(maxlen=_MAX_LOADS)
+    )
+
+    @property
+    def load_now(self) -> UpstreamLoad:
+        """Return the runs under way and those that wait."""
+        return UpstreamLoad(
+            len(self.running), len(self.waiting), self.model.slots
+        )
+
+    def record_load(self, now_ms: float) -> None:
+        """Record the load, for reports that are late."""
+        self.loads.append((now_ms, self.load_now))
+
+    def load_at(self, at_ms: float) -> UpstreamLoad:
+        """Return the load that was recorded last at that time."""
+        for recorded_ms, load in reversed(self.loads):
+            if recorded_ms <= at_ms:
+                return load
+        return self.load_now
 
     def accepts_requests(self, now_ms: float) -> bool:
         """Return whether a request that arrives now is accepted."""
--- a/packages/bench/src/lacewing_bench/experiment/_router.py
+++ b/packages/bench/src/lacewing_bench/experiment/_router.py
@@ -195,15 +195,12 @@
         self._silence.check(now_ms / _MS)
 
     def handle_first_event(
-        self, sent: Sent, engine: Engine, now_ms: float
+        self, sent: Sent, engine: Engine, load: UpstreamLoad, now_ms: float
     ) -> None:
-        """Update the estimates from a first event."""
+        """Update the estimates from a first event and the reported load."""
         now_s = now_ms / _MS
         state = sent.target.state
         state.mark_started(sent.ticket)
-        load = UpstreamLoad(
-            len(engine.running), len(engine.waiting), engine.model.slots
-        )
         state.update_load(load, now_s)
         self._update_weights(sent.target, engine)
         self._placer.cached_parts.record_prefilled(
--- a/packages/bench/src/lacewing_bench/experiment/_simulation.py
+++ b/packages/bench/src/lacewing_bench/experiment/_simulation.py
@@ -56,12 +56,22 @@
 
 @dataclass(frozen=True)
 class Pattern:
-    """Describe the load: its factor, weight releases and crashes."""
+    """Describe the load: its factor, weight releases and crashes.
+
+    ``concentrated``: share of the requests that one router gets beyond an
+    even distribution, from ``concentrated_from_s`` on; every ``moves_s`` the
+    next router gets them, 0 for never. ``report_lag_ms``: age of the load
+    that engines report.
+    """
 
     load: float = 1.0
     seconds: float = 30.0
     release_interval_s: float = 0.0
     crash_interval_s: float = 0.0
+    concentrated: float = 0.0
+    concentrated_from_s: float = 0.0
+    moves_s: float = 0.0
+    report_lag_ms: float = 0.0
 
 
 def _do_nothing() -> None:
@@ -158,10 +168,23 @@
         # Drawn even if there is only one router, so that every variant gets
         # the same load.
         share = self._random.random()
-        router = self._routers[int(share * len(self._routers))]
+        router = self._routers[self._router_number(share)]
         self._outcome.count_arrival(kind)
         self._place(_OpenRequest(kind, prompt, router, self._now_ms, answer))
 
+    def _router_number(self, share: float) -> int:
+        """Return the router of a request, by a number from 0 to 1."""
+        count = len(self._routers)
+        concentrated = self._pattern.concentrated
+        since_s = self._now_ms / _MS - self._pattern.concentrated_from_s
+        if since_s < 0 or share >= concentrated:
+            if since_s >= 0:
+                share = (share - concentrated) / (1.0 - concentrated)
+            return int(share * count)
+        if not self._pattern.moves_s:
+            return 0
+        return int(since_s / self._pattern.moves_s) % count
+
     def _draw_prompt(self, kind: Kind) -> Prompt:
         parts = []
         name = kind.name
@@ -257,6 +280,7 @@
 
     def _step(self, number: int) -> None:
         engine = self._engines[number]
+        engine.record_load(self._now_ms)
         took_ms, result = engine.step(self._now_ms)
         if not took_ms:
             self._active_engines.discard(number)
@@ -277,7 +301,8 @@
         if request is None or request.sent is None:
             return
         now_ms = self._now_ms + ONE_WAY_LATENCY_MS
-        request.router.handle_first_event(request.sent, engine, now_ms)
+        load = engine.load_at(self._now_ms - self._pattern.report_lag_ms)
+        request.router.handle_first_event(request.sent, engine, load, now_ms)
         request.abort = partial(self._abort_stream, run, engine)
         request.router.watch(
             request.sent,
--- a/packages/daemon/src/lacewing_daemon/direct/_choice.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_choice.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
+from math import floor
 from math import inf
 
 from lacewing_daemon.direct._policy import LoadPolicy
@@ -20,7 +21,8 @@
     a first event and all. ``load_in_ms``: time until the engine loads new
     weights, negative once it has begun, infinite if it loads none.
     ``handicap_ms``: cost added to the expected first event when engines are
-    compared.
+    compared. ``slots``: runs that the engine has at the same time, 0 if that
+    is unknown.
     """
 
     upstream_id: str
@@ -31,6 +33,7 @@
     in_flight: int
     load_in_ms: float = float('inf')
     handicap_ms: float = 0.0
+    slots: int = 0
 
 
 # Without any candidate there is no estimate of when capacity is available.
@@ -53,14 +56,37 @@
     retry_after_ms: float
 
 
-def max_waiting(routers: int, policy: LoadPolicy) -> float:
-    """Return how many requests without a first event a router may have.
+@dataclass(frozen=True)
+class SendBounds:
+    """Bound the requests that one router has at an engine.
+
+    ``waiting``: those without a first event. ``in_flight``: all; an engine's
+    slots limit it further.
+    """
+
+    waiting: float
+    in_flight: float
+
+
+def send_bounds(
+    routers: int, own_share: float | None, policy: LoadPolicy
+) -> SendBounds:
+    """Return the bounds for a router with a share of the engines' load.
 
-    Load pattern: a burst at the only router. The bound is for the requests
-    of others, which make the estimate too low; a router that is alone sees
-    all requests, and its estimate needs no bound.
+    Load pattern: a burst at the only router, or most connections at one of
+    several. The bounds are for the requests of others, which make the
+    estimate too low. They are set for routers with equal shares; the fewer
+    requests are of others, the closer is the estimate, and the higher are
+    the bounds. A router that is alone sees all requests.
     """
-    return inf if routers <= 1 else policy.max_waiting
+    others = 1.0 - (own_share or 0.0)
+    if routers <= 1 or others <= 0:
+        return SendBounds(inf, inf)
+    factor = max(1.0, (1.0 - 1.0 / routers) / others)
+    return SendBounds(
+        floor(policy.max_waiting * factor),
+        floor(policy.max_in_flight * factor),
+    )
 
 
 def place_prompt(
@@ -68,7 +94,7 @@
     left_ms: float,
     policy: LoadPolicy,
     answer_tokens: int = 0,
-    waiting_bound: float | None = None,
+    bounds: SendBounds | None = None,
 ) -> Placement | NoCapacity:
     """Place a prompt whose first event is wanted within ``left_ms``.
 
@@ -80,22 +106,23 @@
     estimate too low. Of engines with equal costs the first wins, so the
     caller determines the preference by the order. ``answer_tokens`` is the
     expected length of the answer; tokens that a run generates after its
-    engine has loaded new weights are lost. ``waiting_bound`` replaces the
-    policy's ``max_waiting``.
+    engine has loaded new weights are lost. ``bounds`` replace those of the
+    policy.
     """
     if not engines:
         return NoCapacity(NO_ENGINE_RETRY_MS)
-    if waiting_bound is None:
-        waiting_bound = policy.max_waiting
+    if bounds is None:
+        bounds = SendBounds(policy.max_waiting, policy.max_in_flight)
     best: Placement | None = None
     best_cost_ms = 0.0
     earliest_ms = float('inf')
     for engine in engines:
         first_event_ms = _first_event_ms(engine, policy)
         earliest_ms = min(earliest_ms, first_event_ms)
-        if engine.waiting >= waiting_bound:
+        if engine.waiting >= bounds.waiting:
             continue
-        if engine.in_flight >= policy.max_in_flight:
+        slots = max(engine.slots, policy.max_in_flight)
+        if engine.in_flight >= min(bounds.in_flight, slots):
             continue
         if first_event_ms > left_ms:
             continue
--- a/packages/daemon/src/lacewing_daemon/direct/_placing.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_placing.py
@@ -13,15 +13,16 @@
 from lacewing_daemon.direct._candidates import by_preference
 from lacewing_daemon.direct._candidates import responsive_upstreams
 from lacewing_daemon.direct._choice import EngineView
-from lacewing_daemon.direct._choice import max_waiting
 from lacewing_daemon.direct._choice import NoCapacity
 from lacewing_daemon.direct._choice import place_plain
 from lacewing_daemon.direct._choice import place_prompt
 from lacewing_daemon.direct._choice import Placement
 from lacewing_daemon.direct._choice import PlainView
+from lacewing_daemon.direct._choice import send_bounds
 from lacewing_daemon.direct._cluster_state import ClusterState
 from lacewing_daemon.direct._copies import choose_copy_upstream
 from lacewing_daemon.direct._copies import copy_token_limit
+from lacewing_daemon.direct._load_share import LoadShare
 from lacewing_daemon.direct._loading import nearly_overdue_after_s
 from lacewing_daemon.direct._policy import LoadPolicy
 from lacewing_daemon.direct._routing_config import Engine
@@ -69,6 +70,7 @@
         self._cluster_state = cluster_state
         self._zone = availability_zone
         self._cached_parts = CachedParts(cluster_state)
+        self._load_shares: dict[str, LoadShare] = {}
 
     @property
     def cached_parts(self) -> CachedParts:
@@ -208,13 +210,16 @@
                 context, target, 0.0 if is_first else non_preferred_ms
             )
             views.append(view)
-        tokens = context.prompt.expected_tokens
         placed = place_prompt(
             views,
             left_ms,
             context.policy,
-            tokens,
-            max_waiting(self._cluster_state.router_count, context.policy),
+            context.prompt.expected_tokens,
+            send_bounds(
+                self._cluster_state.router_count,
+                self._own_share(context, states),
+                context.policy,
+            ),
         )
         if isinstance(placed, NoCapacity):
             return placed
@@ -225,6 +230,21 @@
             target, first_event_ms=placed.first_event_ms, copy_to=copy_to
         )
 
+    def _own_share(
+        self, context: _PromptContext, states: list[UpstreamState]
+    ) -> float | None:
+        """Return this router's share of the load that engines report."""
+        own = others = 0
+        for state in states:
+            if state.has_recent_load(context.now_s):
+                own += state.in_flight
+                others += state.other_requests(context.now_s)
+        load_share = self._load_shares.setdefault(
+            context.admitted.service.name, LoadShare()
+        )
+        load_share.observe(own, others, context.now_s)
+        return load_share.share(context.now_s)
+
     def _target(self, context: _PromptContext, state: UpstreamState) -> Target:
         """Return the target of the request at one engine."""
         prompt, now_s = context.prompt, context.now_s
@@ -304,6 +324,7 @@
                 state, model, superseded_s, context.current_release.age_s
             ),
             handicap_ms,
+            upstream.slots,
         )
 
     def _load_in_ms(
--- a/packages/daemon/src/lacewing_daemon/direct/_upstream_state.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_upstream_state.py
@@ -246,6 +246,10 @@
         )
         self._lateness_s = now_s
 
+    def has_recent_load(self, now_s: float) -> bool:
+        """Return whether its last report is recent enough to use."""
+        return self._load is not None and now_s - self._load_s <= LOAD_TTL_S
+
     def other_requests(self, now_s: float) -> int:
         """Return the open requests of other routers by its last report."""
         if self._load is None or now_s - self._load_s > LOAD_TTL_S:
