Explain a refusal for a part that crashes upstreams

Cause: explain looked for crashes of the same request only, and a prompt that is refused for one of its parts has often run nowhere, so it said that other routers had told of crashes.

--- a/features/ctl_explain.feature
+++ b/features/ctl_explain.feature
@@ -46,6 +46,14 @@
     And it comes again to "/records/1" 1 time after 0 seconds
     Then explaining it shows status 503 and "2 upstreams had crashed under"
 
+  Scenario: A part of prompts that crashes upstreams
+    # A prompt that was never sent is refused: the crashes are those of other
+    # prompts with one of its parts.
+    Given 5 upstreams of "models" that come back after a crash
+    And the part "bad" of prompts crashes upstreams
+    When 4 different prompts "own,bad,last" come, one after the other
+    Then explaining it shows status 503 and "upstreams had crashed under prompts with part-"
+
   Scenario: New weights that are not loaded
     # Engines that do not answer load orders keep superseded weights for a
     # long time. The cause is in the log of the router that holds the lease.
--- a/packages/common/src/lacewing_common/log_lines.py
+++ b/packages/common/src/lacewing_common/log_lines.py
@@ -65,7 +65,8 @@
     order to load weights, ``collection`` and ``fault`` to a collection of the
     store that can't be watched; ``runs`` are those that a crash of
     ``upstream`` interrupted. ``resumes`` is the id of the request that brought
-    the first event of a stream that is taken up.
+    the first event of a stream that is taken up. ``parts`` are fingerprints
+    of the shared parts of the prompt of a request that was blocked.
     """
 
     event: str
@@ -91,3 +92,4 @@
     same: str = ''
     runs: tuple[BrokenRun, ...] = ()
     resumes: str = ''
+    parts: tuple[str, ...] = ()
--- a/packages/ctl/src/lacewing_ctl/_causes.py
+++ b/packages/ctl/src/lacewing_ctl/_causes.py
@@ -75,13 +75,19 @@
     for line in timeline.crashes:
         if line.upstream not in crashed:
             crashed.append(line.upstream)
+    named = [
+        part for part in timeline.line.parts if part in timeline.line.message
+    ]
+    common = 'the same request'
+    if named:
+        common = f'prompts with {" and ".join(named)}'
     if not crashed:
         return (
-            'Other routers told that upstreams had crashed under the same'
-            ' request; none of that stands in these logs.'
+            f'Other routers told that upstreams had crashed under {common};'
+            ' none of that stands in these logs.'
         )
     return (
-        f'{len(crashed)} upstreams had crashed under the same request, so it'
+        f'{len(crashed)} upstreams had crashed under {common}, so it'
         f' was blocked: {", ".join(crashed)}.'
     )
 
--- a/packages/ctl/src/lacewing_ctl/_timeline.py
+++ b/packages/ctl/src/lacewing_ctl/_timeline.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from lacewing_common.log_lines import BrokenRun
 from lacewing_common.log_lines import LogLine
 
 REQUEST_FAILED = 'callers: Request failed.'
@@ -29,7 +30,8 @@
     ``orders``: orders of weights to the upstreams that were tried.
     ``related_lines``: other requests that failed at one of these upstreams.
     ``process``: lost collections, starts and drains of the same process.
-    ``crashes``: crashes of upstreams that interrupted the same request.
+    ``crashes``: crashes of upstreams that interrupted the same request, or
+    prompts with a part for which it was blocked.
     """
 
     line: LogLine
@@ -86,7 +88,7 @@
             line.event == UPSTREAM_CRASHED
             and line.timestamp <= request_line.timestamp + RELATED_WINDOW
         ):
-            if any(run.same == request_line.same for run in line.runs):
+            if any(_has_common(run, request_line) for run in line.runs):
                 crashes.append(line)
         if (
             line.process == request_line.process
@@ -117,6 +119,20 @@
     )
 
 
+def _has_common(run: BrokenRun, request_line: LogLine) -> bool:
+    """Return whether a run is of the same request or a part that it names.
+
+    A request that was refused as parts of its prompt crash upstreams has
+    often run nowhere.
+    """
+    if run.same == request_line.same:
+        return True
+    for part in run.parts:
+        if part in request_line.parts and part in request_line.message:
+            return True
+    return False
+
+
 def _failed_at(line: LogLine, upstreams: frozenset[str]) -> bool:
     for each in line.tries:
         if each.upstream in upstreams and each.reason:
