Save and wait only for parts that are suspected

Cause: the first part of most prompts stands at most crashes. Two crashes in a row made each router write its records to the store, as for a request that crashed two upstreams, and each stream that a crash interrupted waited 40 ms for the next one to be detected. Change: a part counts for both only while it is suspected, as for where its prompts are sent; parts that had completed before do not. Measured: the new scenario finds the records of both crashes saved on the code before and none now.

--- a/features/direct_crash_parts.feature
+++ b/features/direct_crash_parts.feature
@@ -35,6 +35,18 @@
         | shared,bad,last | shared,other,last |
         | a,b,bad,c,last  | a,b,other,c,last  |
 
+    Scenario: Parts of many prompts cause no calls to the store
+      # Guards against a write by each router for each crash, as the first part
+      # of most prompts stands at all of them.
+      Given a store with a configuration
+      And 5 upstreams of "models" that come back after a crash
+      And routers that call each other
+      And 2 direct routers
+      And each router knows the 1 other
+      When 2 different prompts "shared,other,last" come, one after the other
+      And 2 upstreams crash in turn, each under a different one of "shared,other,last"
+      Then no crash record is saved within 1 second
+
   Rule: The fewest parts and requests that explain all crashes are blocked
 
     Scenario Outline: A part explains the crashes of several requests
--- a/features/steps/crash_parts_steps.py
+++ b/features/steps/crash_parts_steps.py
@@ -18,6 +18,8 @@
 
 PART_TOKENS = 100
 PATH = '/chat/1'
+# Its prompts are not sent to another upstream once they have run.
+ONE_RUN_PATH = '/talk/1'
 RESTART_WAIT_S = 0.6
 CRASHED = 'link: An upstream crashed.'
 MAX_LOST = 5
@@ -31,7 +33,9 @@
     answer: Answer
 
 
-def ask_prompt(bench: DirectBench, parts: str, number: int) -> Answer:
+def ask_prompt(
+    bench: DirectBench, parts: str, number: int, path: str = PATH
+) -> Answer:
     """Send a prompt of named parts and an own last one."""
     names = [*parts.split(',')[:-1], f'last-{number}']
     sized = ','.join(f'{name}:{PART_TOKENS}' for name in names)
@@ -44,7 +48,7 @@
     at = number % max(1, len(bench.routers))
     connection = bench.connect(at)
     try:
-        return bench.ask_on(connection, PATH, KEY, 'POST', body, **headers)
+        return bench.ask_on(connection, path, KEY, 'POST', body, **headers)
     finally:
         connection.close()
 
@@ -65,6 +69,33 @@
         time.sleep(RESTART_WAIT_S)
 
 
+@when(
+    '{count:d} upstreams crash in turn, each under a different one of'
+    ' "{parts}"'
+)
+def step_crash_under(context: Context, count: int, parts: str) -> None:
+    """Crash each upstream that a prompt has reached and left unanswered."""
+    bench = direct_bench(context)
+    upstreams = tuple(bench.upstreams.values())
+    for number in range(count):
+        for upstream in upstreams:
+            upstream.hold.clear()
+        received = len(bench.received())
+        caller = Thread(
+            target=ask_prompt, args=(bench, parts, -number, ONE_RUN_PATH)
+        )
+        caller.start()
+        bench.until(
+            lambda: len(bench.received()) > received, 'a prompt at an upstream'
+        )
+        for upstream in upstreams:
+            if upstream.ran and upstream.ran[-1] == bench.last_request:
+                bench.on_loop(upstream.crash)
+        caller.join()
+    for upstream in upstreams:
+        bench.on_loop(upstream.hold.set)
+
+
 @then(
     'the crashes in its log have {requests:d} requests and {parts:d} parts in'
     ' common'
--- a/packages/daemon/src/lacewing_daemon/direct/crashes/_guard.py
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_guard.py
@@ -127,14 +127,10 @@
         return delay_s
 
     def is_suspected(self, subjects: RequestSubjects) -> bool:
-        """Return whether upstreams have crashed while running a request.
-
-        Neither the request nor any part of its prompt has completed since.
-        """
-        for subject in subjects.all:
-            if self._registry.crash_count(subject) > 0:
-                return True
-        return False
+        """Return whether a request may have crashed an upstream."""
+        if self._registry.crash_count(subjects.request) > 0:
+            return True
+        return self._isolation.is_suspected(subjects)
 
     def run_opened(
         self, subjects: RequestSubjects, abort: AbortCallback
@@ -287,12 +283,17 @@
                 self._crash_store.save(own)
 
     def _save_repeated(self, updates: tuple[CrashRecord, ...]) -> None:
-        """Save own records of crashes under a request that has several."""
+        """Save own records of crashes under a subject that has several."""
+        suspected = self._registry.suspected_parts
         for record in updates:
             subjects: set[str] = set()
             for suspect in record.suspects:
-                subjects.update((suspect.fingerprint, *suspect.parts))
+                subjects.add(suspect.fingerprint)
+                subjects.update(suspect.parts)
             for subject in subjects:
+                if is_part(subject) and subject not in suspected:
+                    # Harmless parts of many prompts stand at most crashes.
+                    continue
                 incarnations = self._registry.incarnations(subject)
                 if len(incarnations) < MIN_CRASHES_TO_SAVE:
                     continue
