Attribute crashes to parts without a rule of its own

Cause: a part needed two different requests. A part with one request has the same crashes as that request, which wins the tie, so the rule decided nothing: a mutation of it failed no scenario. Two other mutations passed as well, that only a successful answer clears parts, and that parts known to complete are recorded as such. Change: the rule is gone; scenarios with two routers for both others.

--- a/features/direct_crash_parts.feature
+++ b/features/direct_crash_parts.feature
@@ -35,6 +35,33 @@
         | shared,bad,last | shared,other,last |
         | a,b,bad,c,last  | a,b,other,c,last  |
 
+    Scenario Outline: A prompt clears its parts at all routers
+      # Guards against prompts that are refused for ten minutes for a part that
+      # has answered since, and against a failed answer that clears a part.
+      Given a store with a configuration
+      And routers that call each other
+      And 2 direct routers
+      And each router knows the 1 other
+      When a router detects 3 crashes under different prompts with "shared"
+      And both routers block prompts with "shared"
+      And a prompt with "shared" <ends> at that router
+      Then <count> routers still block prompts with "shared"
+
+      Examples:
+        | ends      | count |
+        | completes | 0     |
+        | fails     | 2     |
+
+    Scenario: A part that has completed before is not suspected at any router
+      Given a store with a configuration
+      And routers that call each other
+      And 2 direct routers
+      And each router knows the 1 other
+      When a prompt with "shared" completes at that router
+      And a router detects 1 crash under different prompts with "shared"
+      And a router detects 1 crash under different prompts with "other"
+      Then both routers suspect only prompts with "other"
+
     Scenario: Parts of many prompts cause no calls to the store
       # Guards against a write by each router for each crash, as the first part
       # of most prompts stands at all of them.
@@ -74,6 +101,7 @@
         | a:p b:p                |         |
         | a+:p; b+:p             |         |
         | a:p; a:p               | a       |
+        | a:p; a:p; a:p; a:p     | a       |
         | a:p b:p; a:p           | a       |
         | a:p b:q; c:p d:q       |         |
         | a:p b:q; c:p; d:q      |         |
--- a/features/steps/crash_parts_steps.py
+++ b/features/steps/crash_parts_steps.py
@@ -3,12 +3,20 @@
 import json
 import time
 from dataclasses import dataclass
+from functools import partial
 from threading import Thread
 
 from behave import given
 from behave import then
 from behave import when
 from behave.runner import Context
+from lacewing_daemon.direct._call import PromptPart
+from lacewing_daemon.direct.crashes import CrashRecord
+from lacewing_daemon.direct.crashes import Suspect
+from lacewing_daemon.direct.crashes import UpstreamIncarnation
+from lacewing_daemon.direct.crashes._fingerprint import part_fingerprint
+from lacewing_daemon.direct.crashes._fingerprint import RequestSubjects
+from lacewing_platform_testing import PROCESS_START_MS
 from support.direct_bench import Answer
 from support.direct_bench import direct_bench
 from support.direct_bench import DirectBench
@@ -23,6 +31,9 @@
 RESTART_WAIT_S = 0.6
 CRASHED = 'link: An upstream crashed.'
 MAX_LOST = 5
+CRASH_COUNT = 3
+# A report reaches all routers in some tens of ms.
+GOSSIP_S = 0.5
 
 
 @dataclass(frozen=True)
@@ -186,3 +197,74 @@
 
 def _crash_count(bench: DirectBench) -> int:
     return sum(one.crashes for one in bench.upstreams.values())
+
+
+@when('a router detects {count:d} crash under different prompts with "{name}"')
+@when(
+    'a router detects {count:d} crashes under different prompts with "{name}"'
+)
+def step_detects(context: Context, count: int, name: str) -> None:
+    """Report crashes as the first router's detector does."""
+    bench = direct_bench(context)
+    guard = bench.routers[0]._fleet.crash_guard
+    for number in range(count):
+        start = UpstreamIncarnation(f'{name}-{number}', PROCESS_START_MS)
+        subjects = _subjects(name, number)
+        suspect = Suspect(subjects.request, False, subjects.parts)
+        record = CrashRecord(start, (suspect,), gone=True)
+        bench.on_loop(partial(guard._record_own, record))
+
+
+@when('both routers block prompts with "{name}"')
+def step_all_block(context: Context, name: str) -> None:
+    """Wait until all routers have merged the records."""
+    bench = direct_bench(context)
+    bench.until(
+        lambda: _blocking(bench, name) == len(bench.routers), 'a block'
+    )
+
+
+@when('a prompt with "{name}" {ends} at that router')
+def step_ends(context: Context, name: str, ends: str) -> None:
+    """End a run at the first router, with or without success."""
+    bench = direct_bench(context)
+    guard = bench.routers[0]._fleet.crash_guard
+    has_succeeded = ends == 'completes'
+    subjects = _subjects(name, CRASH_COUNT)
+    bench.on_loop(lambda: guard.run_completed(subjects, has_succeeded))
+    time.sleep(GOSSIP_S)
+
+
+@then('{count:d} routers still block prompts with "{name}"')
+def step_still_block(context: Context, count: int, name: str) -> None:
+    """Count the routers that block."""
+    blocking = _blocking(direct_bench(context), name)
+    assert blocking == count, blocking
+
+
+@then('both routers suspect only prompts with "{name}"')
+def step_suspect(context: Context, name: str) -> None:
+    """Compare the suspected parts of each router."""
+    bench = direct_bench(context)
+    time.sleep(GOSSIP_S)
+    for router in bench.routers:
+        registry = router._fleet.crash_guard._registry
+        suspected = bench.on_loop(lambda: registry.suspected_parts)
+        assert suspected == set(_subjects(name, 0).parts), suspected
+
+
+def _blocking(bench: DirectBench, name: str) -> int:
+    subjects = _subjects(name, CRASH_COUNT)
+
+    def count() -> int:
+        return sum(
+            router._fleet.crash_guard.is_blocked(subjects)
+            for router in bench.routers
+        )
+
+    return int(bench.on_loop(count))
+
+
+def _subjects(name: str, number: int) -> RequestSubjects:
+    part = part_fingerprint(PromptPart(name, PART_TOKENS))
+    return RequestSubjects(f'{name} {number}', (part,))
--- a/packages/bench/src/lacewing_bench/crash_parts/_rules.py
+++ b/packages/bench/src/lacewing_bench/crash_parts/_rules.py
@@ -26,11 +26,15 @@
     return attribute_to_fewest(requests, to_block)
 
 
+def _request_count(evidence: Evidence) -> int:
+    return len({request for _, request in evidence.runs})
+
+
 def count_parts(evidence: Mapping[str, Evidence], to_block: int) -> Causes:
     """Block each part under which enough upstreams have crashed."""
     blocked = set(attribute_to_requests(evidence, to_block).blocked)
     for subject, found in evidence.items():
-        if found.is_part and found.request_count > 1:
+        if found.is_part and _request_count(found) > 1:
             if len(found.incarnations) >= to_block:
                 blocked.add(subject)
     return Causes(frozenset(blocked), frozenset(blocked))
@@ -48,7 +52,7 @@
         if not found.is_part:
             run_count += len(found.runs)
     for subject, found in evidence.items():
-        if not found.is_part or found.request_count < 2:
+        if not found.is_part or _request_count(found) < 2:
             continue
         share = len(found.runs) / max(run_count, len(found.runs) + 1)
         before_event = {
--- a/packages/daemon/src/lacewing_daemon/direct/crashes/_attribution.py
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_attribution.py
@@ -12,9 +12,6 @@
 
 from lacewing_daemon.direct.crashes._record import UpstreamIncarnation
 
-# A part is a cause only if this many different requests with it were
-# interrupted. The crashes of one request are attributed to that request.
-MIN_REQUESTS_OF_PART = 2
 # A part whose prompts had completed shortly before a crash is likely harmless,
 # so that more crashes are needed.
 EXTRA_CRASHES_IF_PROVEN = 1
@@ -40,11 +37,6 @@
         """Return the incarnations that crashed under the subject."""
         return frozenset(incarnation for incarnation, _ in self.runs)
 
-    @property
-    def request_count(self) -> int:
-        """Return the number of different requests."""
-        return len({request for _, request in self.runs})
-
 
 @dataclass(frozen=True)
 class Causes:
@@ -81,7 +73,7 @@
     for proven in (False, True):
         candidates = []
         for subject, found in evidence.items():
-            if found.proven is proven and _is_candidate(found):
+            if found.proven is proven:
                 candidates.append(_Candidate(subject, found))
         while True:
             causes = _next_causes(candidates, explained, to_block)
@@ -113,7 +105,8 @@
 
         A cause crashes its upstream as soon as it runs; one that has already
         returned events is less likely the cause. Of a request and a part with
-        the same crashes the request is blocked, which affects fewer callers.
+        the same crashes the request is blocked, which affects fewer callers;
+        so a part is a cause only once different requests have crashed.
         """
         return (
             len(self.unexplained),
@@ -122,12 +115,6 @@
         )
 
 
-def _is_candidate(evidence: Evidence) -> bool:
-    return (
-        not evidence.is_part or evidence.request_count >= MIN_REQUESTS_OF_PART
-    )
-
-
 def _next_causes(
     candidates: list[_Candidate],
     explained: set[UpstreamIncarnation],
