--- a/features/steps/crash_ledger_steps.py
+++ b/features/steps/crash_ledger_steps.py
@@ -80,8 +80,12 @@
 @then('they block "{names}"')
 def step_block(context: Context, names: str) -> None:
     """Compare the blocked requests of each registry."""
+    digests = set()
     for registry in context.registries:
         assert registry.blocked == frozenset(names.split()), registry.blocked
+        digests.add(frozenset(registry.records_by_digest))
+    # Routers exchange the records whose digests differ.
+    assert len(digests) == 1, digests
 
 
 @then('they block ""')
