--- a/packages/daemon/src/lacewing_daemon/direct/_next_target.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_next_target.py
@@ -190,14 +190,14 @@
             return NoCapacity(pause_s * _MS) if pause_s > 0 else continuation
         tried_ids = self._progress.tried_ids
         apart = self._kept_apart(admitted, subjects, now_s)
-        placed = self._place_beyond(tried_ids | apart, admitted, end_s, now_s)
+        placed = self._place_outside(tried_ids | apart, admitted, end_s, now_s)
         if not apart or not isinstance(placed, NoCapacity):
             return placed
         if not self._fleet.crash_guard.isolation.may_mix(subjects):
             return placed
-        return self._place_beyond(tried_ids, admitted, end_s, now_s)
+        return self._place_outside(tried_ids, admitted, end_s, now_s)
 
-    def _place_beyond(
+    def _place_outside(
         self,
         excluded: frozenset[str],
         admitted: Admitted,
@@ -216,7 +216,7 @@
     def _kept_apart(
         self, admitted: Admitted, subjects: RequestSubjects, now_s: float
     ) -> frozenset[str]:
-        """Return upstreams that suspects of a crash, or others, do not use."""
+        """Return where it should not be sent while parts are suspected."""
         isolation = self._fleet.crash_guard.isolation
         if not isolation.is_active:
             return frozenset()
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -72,8 +72,8 @@
     Counts the load that the request adds until it ends, and updates the
     state of the upstream from the answer. ``can_move`` returns whether the
     request could be finished at another upstream, given the number of other
-    requests that move at the same moment. ``subjects`` may be the cause of a
-    crash.
+    requests that move at the same moment. ``subjects`` are what a crash under
+    it may be attributed to.
     """
 
     def __init__(
