Continue started streams after refusals of upstreams

A stream that its upstream broke off was aborted after four sends, also when three of them were refused within some ms and other upstreams had not been asked. Once an answer has started, refused sends no longer count towards MAX_SENDS. The stream goes on while the retry budget, the time limit and untried upstreams last; then those that refused are asked again after their pause, at most eight times a second, for as long as the stream waits for capacity. Runs are bounded by the route as before, and a request without an answer is still refused after four sends.

--- /dev/null
+++ b/features/steps/broken_streams_steps.py
@@ -0,0 +1,76 @@
+"""Check how a router continues streams that upstreams refuse."""
+
+from collections import deque
+
+from behave import given
+from behave import then
+from behave.runner import Context
+from lacewing_platform_testing import Behaviour
+from msgspec.structs import replace
+from support.direct_bench import direct_bench
+
+# What a router may spend of the fleet's retry budget if it is alone.
+_OWN_FRACTION = 0.6
+
+
+@given('a retry budget of {retries:d} retries')
+def step_budget(context: Context, retries: int) -> None:
+    """Start routers with a retry budget that requests do not raise."""
+    bench = direct_bench(context)
+    slack = (retries + 0.5) / _OWN_FRACTION
+    bench.bounds = replace(bench.bounds, repeat_ratio=0.0, repeat_slack=slack)
+
+
+@given('a router with {count:d} engines')
+def step_router(context: Context, count: int) -> None:
+    """Start engines and a router that knows all of them."""
+    context.execute_steps('Given a store with a configuration')
+    bench = direct_bench(context)
+    for number in range(count):
+        bench.add_upstream(f'eng-{number + 1}', 'models')
+    context.execute_steps('Given a direct router')
+    router = bench.routers[0]
+    bench.until(lambda: len(router.upstream_ids) == count, 'all engines')
+
+
+@given('the next engines answer with "{behaviours}" and then all refuse')
+def step_script_refuse(context: Context, behaviours: str) -> None:
+    """Script the answers; later sends are refused."""
+    _script(context, behaviours)
+    for upstream in direct_bench(context).upstreams.values():
+        upstream.always = Behaviour.SHED
+
+
+@given('the next engines answer with "{behaviours}"')
+def step_script(context: Context, behaviours: str) -> None:
+    """Script the answers; later sends succeed."""
+    _script(context, behaviours)
+
+
+def _script(context: Context, behaviours: str) -> None:
+    # All engines share one script, as the router may choose any of them.
+    names = behaviours.split(', ')
+    script = deque(Behaviour(name) for name in names)
+    for upstream in direct_bench(context).upstreams.values():
+        upstream.script = script
+
+
+@then('engines received {count:d} sends')
+def step_sends(context: Context, count: int) -> None:
+    """Count the sends."""
+    received = direct_bench(context).received()
+    assert len(received) == count, received
+
+
+@then('sends after the first {count:d} are at least {gap_ms:d} ms apart')
+def step_gaps(context: Context, count: int, gap_ms: int) -> None:
+    """Compare the times of later sends with their predecessors."""
+    times = []
+    for upstream in direct_bench(context).upstreams.values():
+        times.extend(upstream.received_s)
+    times.sort()
+    assert len(times) > count + 1, times
+    gaps = []
+    for before_s, after_s in zip(times[count:], times[count + 1 :]):
+        gaps.append(after_s - before_s)
+    assert min(gaps) * 1000 >= gap_ms, gaps
--- a/packages/daemon/src/lacewing_daemon/direct/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_exchange.py
@@ -24,6 +24,7 @@
 from lacewing_daemon.direct._caller_reply import CallerReply
 from lacewing_daemon.direct._choice import NoCapacity
 from lacewing_daemon.direct._fleet import Fleet
+from lacewing_daemon.direct._metrics import CONTINUATIONS_REFUSED
 from lacewing_daemon.direct._metrics import REQUESTS
 from lacewing_daemon.direct._next_target import BUDGET_RETRY_AFTER_S
 from lacewing_daemon.direct._next_target import MAX_SENDS
@@ -113,6 +114,7 @@
             self._progress,
         )
         self._charge_made: Charge | None = None
+        self._has_logged_refusals = False
 
     async def run(self) -> None:
         """Serve the request; cancelled when the caller disconnects."""
@@ -272,26 +274,49 @@
             # the request must not be sent to any other upstream.
             return may_have_run(Reason.STREAM_BROKEN, 'no copy of the run')
         if end.verdict is Verdict.NOT_RUN:
-            if not result.has_newer_weights:
-                self._progress.tried_ids |= {state.upstream.upstream_id}
+            self._progress.refusals += 1
+            if (
+                not result.has_newer_weights
+                or self._progress.sends >= MAX_SENDS
+            ):
+                self._progress.add_refusal(state.upstream.upstream_id)
             refusal = not_run(
                 end.reason, 'the upstream refused', REFUSED_RETRY_AFTER_S
             )
             self._refusals.add(refusal)
-            return refusal if self._progress.sends >= MAX_SENDS else None
-        self._progress.runs += 1
-        self._progress.tried_ids |= {state.upstream.upstream_id}
+            if self._reply.has_started:
+                self._record_refused_rest(admitted)
+            return None if self._may_send_again else refusal
+        self._progress.add_run(state.upstream.upstream_id)
         interruption = may_have_run(end.reason, 'the upstream broke off')
         self._refusals.add(interruption)
         if not admitted.route.can_retry:
             return self._continue_run(target, interruption)
         if (
             self._progress.runs >= admitted.route.max_runs
-            or self._progress.sends >= MAX_SENDS
+            or not self._may_send_again
         ):
             return interruption
         return None
 
+    @property
+    def _may_send_again(self) -> bool:
+        return self._progress.may_send(self._reply.has_started)
+
+    def _record_refused_rest(self, admitted: Admitted) -> None:
+        """Record that an upstream refused the rest of a started stream."""
+        service = admitted.service.name
+        CONTINUATIONS_REFUSED.labels(service).inc()
+        if self._progress.sends < MAX_SENDS or self._has_logged_refusals:
+            return
+        self._has_logged_refusals = True
+        self._context.log.log_refused_rest(
+            self._request.request_id,
+            service,
+            self._progress.refusals,
+            time.monotonic(),
+        )
+
     def _continue_run(
         self, target: Target, interruption: Refusal
     ) -> Refusal | None:
@@ -300,7 +325,7 @@
         This is no second run: the engine continues after the last event
         that the caller has, from the KV cache that was copied to it.
         """
-        if not self._reply.has_started or self._progress.sends >= MAX_SENDS:
+        if not self._reply.has_started or not self._may_send_again:
             return interruption
         self._progress.continuation = self._context.placer.continuation(target)
         return interruption if self._progress.continuation is None else None
--- a/packages/daemon/src/lacewing_daemon/direct/_metrics.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_metrics.py
@@ -34,6 +34,11 @@
     'Runs continued from copies of their memory, by service and verdict',
     ['service', 'verdict'],
 )
+CONTINUATIONS_REFUSED = Counter(
+    'lacewing_direct_continuations_refused',
+    'Sends of the rest of a started stream that upstreams refused, by service',
+    ['service'],
+)
 STREAMS_TAKEN_UP = Counter(
     'lacewing_direct_streams_taken_up',
     'Requests for the rest of a stream, by service and what is known of it',
--- a/packages/daemon/src/lacewing_daemon/direct/_next_target.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_next_target.py
@@ -24,9 +24,13 @@
 from lacewing_daemon.direct.limits import Denial
 
 _MS = 1000.0
-# Sends of one request, refused ones included; if all of them fail, the fleet
-# is taken to be at capacity.
+# Sends of one request; if all of them fail, the fleet is taken to be at
+# capacity. Refused ones are included until the answer has started: a request
+# without an answer can be refused, a started answer would be aborted.
 MAX_SENDS = 4
+# A started stream that all upstreams have refused is sent again at this
+# interval: fewer than ten sends per second.
+RESEND_INTERVAL_S = 0.125
 # A started stream waits for capacity for this fraction of the time after which
 # its caller abandons it. The silence before the move has used up the rest.
 CAPACITY_WAIT_FRACTION = 0.35
@@ -39,18 +43,41 @@
 class RequestProgress:
     """Count what was done for a request so far.
 
-    ``runs``: sends that may have run; ``continuation``: where an interrupted
-    run goes on, None if it is not to. ``software``: the version of upstreams'
-    software that began the stream, None before its first event.
+    ``runs``: sends that may have run; ``refusals``: sends that did not.
+    ``refused_ids``: those of ``tried_ids`` that refused and did not run it.
+    ``continuation``: where an interrupted run goes on, None if it is not to.
+    ``software``: the version of upstreams' software that began the stream,
+    None before its first event.
     """
 
     sends: int = 0
     runs: int = 0
+    refusals: int = 0
     has_reached_upstream: bool = False
     tried_ids: frozenset[str] = frozenset()
+    refused_ids: frozenset[str] = frozenset()
     continuation: Target | None = None
     software: Software | None = None
 
+    def may_send(self, has_started: bool) -> bool:
+        """Return whether a further send is within ``MAX_SENDS``.
+
+        ``has_started``: the caller has a part of the answer.
+        """
+        counted = self.sends - self.refusals if has_started else self.sends
+        return counted < MAX_SENDS
+
+    def add_refusal(self, upstream_id: str) -> None:
+        """Record that an upstream refused the request."""
+        self.tried_ids |= {upstream_id}
+        self.refused_ids |= {upstream_id}
+
+    def add_run(self, upstream_id: str) -> None:
+        """Record that the request may have run at an upstream."""
+        self.runs += 1
+        self.tried_ids |= {upstream_id}
+        self.refused_ids -= {upstream_id}
+
 
 class TargetChooser:
     """Choose the upstream of each send of one request."""
@@ -71,6 +98,7 @@
         self._reply = reply
         self._progress = progress
         self._capacity_wait_end_s: float | None = None
+        self._resend_s = 0.0
         self._charge: Charge | None = None
 
     async def choose(
@@ -86,6 +114,8 @@
                 return self._refusal(admitted, placed)
             if await self._reserve(placed.state):
                 break
+        if placed.state.upstream.upstream_id in self._progress.refused_ids:
+            self._resend_s = time.monotonic() + RESEND_INTERVAL_S
         if not self._progress.has_reached_upstream:
             # The retry budget bounds the extra load of retries. A request
             # that has reached no upstream has caused no load. When such
@@ -133,7 +163,7 @@
         now_s = time.monotonic()
         budget = self._fleet.cluster_state.retry_budget(admitted.service)
         routers = self._fleet.cluster_state.router_count
-        if self._progress.sends >= MAX_SENDS:
+        if not self._progress.may_send(self._reply.has_started):
             return False
         if not budget.allows(now_s, routers, True, other_moves):
             return False
@@ -189,7 +219,30 @@
             pause_s = continuation.state.wanted_in_s(now_s)
             return NoCapacity(pause_s * _MS) if pause_s > 0 else continuation
         tried_ids = self._progress.tried_ids
-        apart = self._kept_apart(admitted, subjects, now_s)
+        placed = self._place_apart(tried_ids, admitted, subjects, end_s, now_s)
+        if not isinstance(placed, NoCapacity):
+            return placed
+        if not self._reply.has_started or now_s < self._resend_s:
+            return placed
+        # All usable upstreams have been tried. Those that refused the rest
+        # of the stream may have capacity once their pause is over.
+        refused_ids = self._progress.refused_ids
+        if not refused_ids:
+            return placed
+        return self._place_apart(
+            tried_ids - refused_ids, admitted, subjects, end_s, now_s
+        )
+
+    def _place_apart(
+        self,
+        tried_ids: frozenset[str],
+        admitted: Admitted,
+        subjects: RequestSubjects,
+        end_s: float,
+        now_s: float,
+    ) -> Target | NoCapacity:
+        """Place it away from other requests while parts are suspected."""
+        apart = self._kept_apart(tried_ids, admitted, subjects, now_s)
         placed = self._place_outside(tried_ids | apart, admitted, end_s, now_s)
         if not apart or not isinstance(placed, NoCapacity):
             return placed
@@ -214,7 +267,11 @@
         )
 
     def _kept_apart(
-        self, admitted: Admitted, subjects: RequestSubjects, now_s: float
+        self,
+        tried_ids: frozenset[str],
+        admitted: Admitted,
+        subjects: RequestSubjects,
+        now_s: float,
     ) -> frozenset[str]:
         """Return where it should not be sent while parts are suspected."""
         isolation = self._fleet.crash_guard.isolation
@@ -224,7 +281,7 @@
         usable = []
         for state in self._fleet.cluster_state.upstreams_of(service):
             upstream_id = state.upstream.upstream_id
-            if upstream_id in self._progress.tried_ids:
+            if upstream_id in tried_ids:
                 continue
             if state.is_usable(now_s) and not state.is_silent(now_s):
                 usable.append(upstream_id)
--- a/packages/daemon/src/lacewing_daemon/direct/_request_log.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_request_log.py
@@ -24,6 +24,18 @@
         self._budget = LineBudget(now_s)
         self._last_logged_s = now_s
 
+    def log_refused_rest(
+        self, request_id: str, service: str, refusals: int, now_s: float
+    ) -> None:
+        """Log that a started stream goes on after many refused sends."""
+        if self._budget.allow(True, now_s):
+            _log.info(
+                'Upstreams refuse the rest of a stream; asks others.',
+                request=request_id,
+                service=service,
+                refusals=refusals,
+            )
+
     def log_outcome(self, end: RequestOutcome, now_s: float) -> None:
         """Log how a request ended."""
         if self._budget.allow(end.failed, now_s):
