Recognize contended services

Workers that share their machines report a fourth figure in the load header, how long work currently takes there in percent of the usual. Such a header was not decoded at all, so running, waiting and slots were lost too. The figure is now UpstreamLoad.slowdown; without a valid one the first three remain valid.

ClusterState.is_contended is the switch for what is new in contended services: the setting contention says "on" or "off", and with "auto" a service is contended from the first reported slowdown on. The platform's contract "pressure" sets "on" where the settings say nothing. Errors of settings with a fixed set of values now name these values. Scenarios of settings read them as the platform's process does.

--- a/features/direct_settings.feature
+++ b/features/direct_settings.feature
@@ -12,11 +12,35 @@
       | bounds.drain_s | -1        | expected a number of at least 0, got -1 |
       | bounds.drain_s | "soon"    | $.bounds.drain_s                        |
       | log_level      | "loud"    | $.log_level                             |
+      | contention     | "maybe"   | Invalid enum value 'maybe' - at `$.contention`, expected one of "auto", "on", "off" |
+      | contention     | true      | Expected `str`, got `bool` - at `$.contention` |
+      | contracts      | "pressure" | Expected `array`, got `str` - at `$.contracts` |
+      | contracts      | ["a", 3]  | Expected `str`, got `int` - at `$.contracts[1]` |
 
   Scenario: The template for the platform renders to valid settings
     When the template is filled with the fields that the platform provides
     Then the settings are valid and have the platform's bounds in seconds
 
+  Scenario Outline: Contracts set the contention where settings leave it open
+    # Guards against a deployment under pressure that is served as usual, and
+    # against contracts that override the settings.
+    When settings with contention <contention> have the contracts <contracts>
+    Then the contention is "<result>"
+
+    Examples:
+      | contention | contracts       | result |
+      | none       | none            | auto   |
+      | none       | retry           | auto   |
+      | none       | retry, pressure | on     |
+      | auto       | pressure        | auto   |
+      | off        | pressure        | off    |
+      | on         | none            | on     |
+
+  Scenario: The template passes on the contracts of the platform
+    # Guards against a template without the contracts.
+    When the template is filled on a platform with the contracts "retry, pressure"
+    Then the contention is "on"
+
   Scenario: The template passes on the bounds of limits where there are any
     When the template is filled on a platform that limits teams
     Then the settings have the bounds of limits
--- a/features/steps/direct_settings_steps.py
+++ b/features/steps/direct_settings_steps.py
@@ -11,8 +11,9 @@
 from behave import when
 from behave.runner import Context
 from lacewing_common.settings import SettingsError
+from lacewing_daemon.direct import Contention
 from lacewing_daemon.direct import DirectSettings
-from lacewing_daemon.direct import read_direct_settings
+from lacewing_platform._settings import read_platform_settings
 
 TEMPLATE = Path('deploy/router.json')
 VALID_SETTINGS: dict[str, Any] = {
@@ -46,6 +47,7 @@
     'Bounds.RetryBudgetRatio': 0.2,
     'Bounds.RetryBudgetSlack': 54,
     'Bounds.BudgetWindowS': 10,
+    'ActiveContracts': ['retry', 'deadline'],
 }
 LIMIT_FIELDS = {
     'Bounds.QuotaWindowS': 8,
@@ -58,7 +60,7 @@
     with tempfile.TemporaryDirectory() as directory:
         path = Path(directory) / 'settings.json'
         path.write_text(text)
-        return read_direct_settings(path)
+        return read_platform_settings(path)
 
 
 @when('settings of a direct router have {value} at {field}')
@@ -97,6 +99,31 @@
     )
 
 
+@when('the template is filled on a platform with the contracts "{contracts}"')
+def step_template_contracts(context: Context, contracts: str) -> None:
+    """Replace the contracts."""
+    fields = {**TEMPLATE_FIELDS, 'ActiveContracts': contracts.split(', ')}
+    context.settings = _read_settings(_render(fields))
+
+
+@when('settings with contention {setting} have the contracts {contracts}')
+def step_contracts(context: Context, setting: str, contracts: str) -> None:
+    """Read settings; "none" leaves a field out."""
+    settings = dict(VALID_SETTINGS)
+    if setting != 'none':
+        settings['contention'] = setting
+    if contracts != 'none':
+        settings['contracts'] = contracts.split(', ')
+    context.settings = _read_settings(json.dumps(settings))
+
+
+@then('the contention is "{expected}"')
+def step_contention(context: Context, expected: str) -> None:
+    """Compare."""
+    found = context.settings.contention
+    assert found is Contention(expected), found
+
+
 @then('the settings have the bounds of limits')
 def step_limit_bounds(context: Context) -> None:
     """Compare them with the fields of the platform."""
--- a/packages/daemon/src/lacewing_daemon/direct/__init__.py
+++ b/packages/daemon/src/lacewing_daemon/direct/__init__.py
@@ -4,6 +4,7 @@
 from lacewing_daemon.direct._call import Prompt
 from lacewing_daemon.direct._call import PromptPart
 from lacewing_daemon.direct._clock import process_start_s
+from lacewing_daemon.direct._contention import Contention
 from lacewing_daemon.direct._router import DirectRouter
 from lacewing_daemon.direct._routing_config import Engine
 from lacewing_daemon.direct._routing_config import KvStore
@@ -15,8 +16,10 @@
 from lacewing_daemon.direct._routing_config import Service
 from lacewing_daemon.direct._routing_config import Team
 from lacewing_daemon.direct._routing_config import TrafficShare
+from lacewing_daemon.direct._settings import decode_direct_settings
 from lacewing_daemon.direct._settings import DirectSettings
 from lacewing_daemon.direct._settings import read_direct_settings
+from lacewing_daemon.direct._settings import read_settings_file
 from lacewing_daemon.direct._site import Changes
 from lacewing_daemon.direct._site import Collection
 from lacewing_daemon.direct._site import Dispatch
@@ -39,6 +42,7 @@
     'CallerRequest',
     'Changes',
     'Collection',
+    'Contention',
     'DirectRouter',
     'DirectSettings',
     'RoutingConfig',
@@ -68,6 +72,8 @@
     'UpstreamLoad',
     'UpstreamReport',
     'Wire',
+    'decode_direct_settings',
     'process_start_s',
     'read_direct_settings',
+    'read_settings_file',
 ]
--- a/packages/daemon/src/lacewing_daemon/direct/_cluster_state.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_cluster_state.py
@@ -11,6 +11,8 @@
 
 from lacewing_daemon.direct._budget import RetryBudget
 from lacewing_daemon.direct._clock import boot_s
+from lacewing_daemon.direct._contention import ContendedServices
+from lacewing_daemon.direct._contention import Contention
 from lacewing_daemon.direct._estimates import apply_estimates
 from lacewing_daemon.direct._estimates import ESTIMATE_INTERVAL_S
 from lacewing_daemon.direct._estimates import Estimates
@@ -99,8 +101,10 @@
         bounds: Bounds,
         policy: LoadPolicy,
         clock: Callable[[], float] = boot_s,
+        contention: Contention = Contention.AUTO,
     ) -> None:
         self._bounds = bounds
+        self._contended = ContendedServices(contention)
         self._policy = policy
         self._clock = clock
         self._router_count = DEFAULT_ROUTER_COUNT
@@ -172,6 +176,10 @@
             gauge.set(getattr(policy, figure))
         return policy
 
+    def is_contended(self, service: str) -> bool:
+        """Return whether a service shares machines or lacks capacity."""
+        return self._contended.is_contended(service)
+
     def estimates(self, service: str) -> Estimates:
         """Return the estimates for the engines of a service."""
         return self._estimates.setdefault(service, Estimates())
@@ -292,6 +300,10 @@
         if len(self._saved_parts) > MAX_SAVED_PARTS:
             self._saved_parts.popitem(last=False)
 
+    def record_shared_machine(self, service: str) -> None:
+        """Record that an upstream reports the slowdown of its machine."""
+        self._contended.record_shared_machine(service)
+
     def set_bounds(self, bounds: Bounds) -> None:
         """Replace the bounds and reset the retry budgets."""
         self._bounds = bounds
@@ -311,6 +323,7 @@
         if current is not None and value.version <= current.version:
             return False
         self._routing_config = value
+        self._contended.add_services(value.services)
         return True
 
     def update_upstream(self, name: str, value: Upstream | None) -> None:
--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -104,7 +104,9 @@
     """Watch the store and track the upstreams."""
 
     def __init__(self, settings: DirectSettings, site: Site) -> None:
-        self._cluster_state = ClusterState(settings.bounds, settings.policy)
+        self._cluster_state = ClusterState(
+            settings.bounds, settings.policy, contention=settings.contention
+        )
         random = Random()
         self._store_calls = StoreCallCounter()
         self._eras = StoreEras()
--- a/packages/daemon/src/lacewing_daemon/direct/_metrics.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_metrics.py
@@ -5,6 +5,7 @@
 from prometheus_client import Histogram
 
 _BUCKETS_S = (0.01, 0.03, 0.1, 0.2, 0.3, 0.4, 0.8, 1.5, 3.0, 5.0, 15.0)
+_SLOWDOWN_BUCKETS = (0.5, 0.8, 1.0, 1.25, 1.5, 2.0, 3.0, 5.0, 10.0)
 
 REQUESTS = Counter(
     'lacewing_direct_requests',
@@ -99,6 +100,17 @@
     'What engines have shown, or what is configured, by service and figure',
     ['service', 'figure'],
 )
+CONTENDED = Gauge(
+    'lacewing_direct_contended',
+    'Whether a service counts as contended (0, 1), by service',
+    ['service'],
+)
+MACHINE_SLOWDOWN = Histogram(
+    'lacewing_direct_machine_slowdown',
+    'Slowdown of their machines that upstreams report, 1 as usual, by service',
+    ['service'],
+    buckets=_SLOWDOWN_BUCKETS,
+)
 STORE_ERA = Gauge(
     'lacewing_direct_store_era',
     'Era of the store, one higher each time that it lost changes',
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -21,10 +21,12 @@
 from lacewing_daemon.direct._metrics import ATTEMPTS
 from lacewing_daemon.direct._metrics import BODY_ENDS
 from lacewing_daemon.direct._metrics import FIRST_SECONDS
+from lacewing_daemon.direct._metrics import MACHINE_SLOWDOWN
 from lacewing_daemon.direct._metrics import RUNS_CONTINUED
 from lacewing_daemon.direct._placing import Placer
 from lacewing_daemon.direct._site import Dispatch
 from lacewing_daemon.direct._site import ReplyHead
+from lacewing_daemon.direct._site import UpstreamLoad
 from lacewing_daemon.direct._site import Wire
 from lacewing_daemon.direct._stream_relay import StreamRelay
 from lacewing_daemon.direct._take_up import record_origin
@@ -300,10 +302,18 @@
         self._fleet.statements.record(self._state, head, self._start_s)
         if head.load is not None:
             self._state.update_load(head.load, time.monotonic())
+            self._record_slowdown(head.load)
         prompt = self._request.prompt
         if head.weights is not None and prompt is not None:
             self._fleet.update_weights(self._state, prompt.model, head.weights)
 
+    def _record_slowdown(self, load: UpstreamLoad) -> None:
+        if load.slowdown is None:
+            return
+        service = self._admitted.service.name
+        MACHINE_SLOWDOWN.labels(service).observe(load.slowdown)
+        self._fleet.cluster_state.record_shared_machine(service)
+
     def _answered_by_another(self, head: ReplyHead) -> bool:
         upstream_id = self._state.upstream.upstream_id
         return head.responder_id not in ('', upstream_id)
--- a/packages/daemon/src/lacewing_daemon/direct/_settings.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_settings.py
@@ -1,5 +1,6 @@
 """Read the JSON settings of a router that calls upstreams directly."""
 
+from enum import Enum
 from pathlib import Path
 
 import msgspec
@@ -8,6 +9,7 @@
 from lacewing_common.settings import parse_address
 from lacewing_common.settings import SettingsError
 
+from lacewing_daemon.direct._contention import Contention
 from lacewing_daemon.direct._policy import LoadPolicy
 
 
@@ -44,7 +46,8 @@
 
     ``callers``, ``ready``, ``peers`` and ``metrics`` are the ``ip:port`` to
     listen on, the last two '' for none; ``platform`` is the address of the
-    store. Other routers call at ``peers``.
+    store. Other routers call at ``peers``. ``contention``: when services are
+    contended.
     """
 
     process_id: str
@@ -57,6 +60,7 @@
     metrics: str = ''
     log_level: LogLevel = LogLevel.INFO
     policy: LoadPolicy = LoadPolicy()
+    contention: Contention = Contention.AUTO
 
     @property
     def callers_address(self) -> Address:
@@ -70,22 +74,46 @@
 
 
 _OPTIONAL_ADDRESSES = ('peers', 'metrics')
+_ENUMS: dict[str, type[Enum]] = {
+    '`$.contention`': Contention,
+    '`$.log_level`': LogLevel,
+}
 
 
 def read_direct_settings(path: Path) -> DirectSettings:
     """Read settings from a file; SettingsError names an invalid field."""
+    return decode_direct_settings(read_settings_file(path))
+
+
+def read_settings_file(path: Path) -> bytes:
+    """Return the content of a settings file; SettingsError if unreadable."""
     try:
-        text = path.read_bytes()
+        return path.read_bytes()
     except OSError as error:
         raise SettingsError(f'settings file {path}: {error}') from error
+
+
+def decode_direct_settings(text: bytes) -> DirectSettings:
+    """Decode settings; SettingsError names an invalid field."""
     try:
         settings = msgspec.json.decode(text, type=DirectSettings)
     except msgspec.DecodeError as error:
-        raise SettingsError(f'settings: {error}') from error
+        raise SettingsError(
+            f'settings: {error}{_expected_values(str(error))}'
+        ) from error
     _validate(settings)
     return settings
 
 
+def _expected_values(message: str) -> str:
+    """Return what a field with an invalid value may be, '' if unknown."""
+    for field, values in _ENUMS.items():
+        if message.endswith(field):
+            names = ', '.join(f'"{each.value}"' for each in values)
+            return f', expected one of {names}'
+    return ''
+
+
 def _validate(settings: DirectSettings) -> None:
     for field in ('callers', 'ready', 'platform', 'peers', 'metrics'):
         text = getattr(settings, field)
