Log the load of upstreams that refuse orders as busy

An engine that refuses to load weights as busy left no trace of what kept it busy. Its report has its queue, runs and KV memory; each figure is decoded by itself, so that a malformed one does not affect the others. They are logged with the order and used nowhere else.

--- a/features/direct_contention.feature
+++ b/features/direct_contention.feature
@@ -30,6 +30,30 @@
         | 3,,48,250            | unknown   | None     |
         | 3,x,48,250           | unknown   | None     |
 
+  Rule: Reports of upstreams may tell their usage
+
+    Scenario Outline: Each figure of a report is decoded by itself
+      # Guards against a report that is lost because of one malformed figure.
+      When an upstream reports the usage <usage>
+      Then its queue, runs, KV memory and first prompt are <figures>
+      And the rest of the report is valid
+
+      Examples:
+        | usage | figures |
+        | {} | None, None, None, None, None |
+        | {"QueuedRequests": 3, "RunningRequests": 48, "KvUsed": 900, "KvTotal": 1000, "Next": 70} | 3, 48, 900, 1000, 70 |
+        | {"QueuedRequests": -3, "RunningRequests": "48", "KvUsed": 0.5, "KvTotal": null, "Next": 70} | None, None, None, None, 70 |
+        | {"QueuedRequests": 0, "RunningRequests": [], "KvUsed": {}, "KvTotal": true} | 0, None, None, None, None |
+
+    Scenario: The usage is logged with an order that is refused as busy
+      # Guards against an engine that never loads without a trace of why.
+      Given a store with a configuration
+      And engines "eng-1" and "eng-2"
+      And engines that are busy with 3 queued and 48 running requests
+      And a direct router
+      When weights are released and an engine refuses to load them
+      Then the log line has 3 queued and 48 running requests
+
   Rule: The setting decides, or what upstreams report
 
     Scenario Outline: A service is contended or not
--- a/features/steps/contention_steps.py
+++ b/features/steps/contention_steps.py
@@ -1,5 +1,7 @@
 """Check how routers recognize contended services."""
 
+import json
+from collections.abc import MutableMapping
 from types import SimpleNamespace
 from typing import Any
 
@@ -11,7 +13,9 @@
 from lacewing_daemon.direct._cluster_state import ClusterState
 from lacewing_daemon.direct._policy import LoadPolicy
 from lacewing_platform import PlatformWire
+from lacewing_platform._documents import decode_report
 from prometheus_client import REGISTRY
+from steps.direct_steps import name_weights
 from structlog.testing import capture_logs
 from support.direct_bench import BOUNDS
 from support.direct_bench import direct_bench
@@ -98,3 +102,74 @@
     router = direct_bench(context).routers[0]
     context.cluster_state = router._fleet.cluster_state
     step_contended(context, service, contended)
+
+
+@when('an upstream reports the usage {usage}')
+def step_usage(context: Context, usage: str) -> None:
+    """Decode a report."""
+    report = {
+        'Sequence': 4,
+        'Busy': True,
+        'Models': [{'Name': 'tutor', 'Version': 2}],
+        **json.loads(usage),
+    }
+    context.report = decode_report(json.dumps(report).encode())
+
+
+@then('its queue, runs, KV memory and first prompt are {figures}')
+def step_figures(context: Context, figures: str) -> None:
+    """Compare the figures."""
+    report = context.report
+    found = (
+        report.queued,
+        report.running,
+        report.kv_used,
+        report.kv_total,
+        report.first_queued_tokens,
+    )
+    assert ', '.join(str(each) for each in found) == figures, found
+
+
+@then('the rest of the report is valid')
+def step_rest(context: Context) -> None:
+    """Check the fields that all upstreams report."""
+    report = context.report
+    assert report.accepted_orders == 4, report
+    assert report.busy, report
+    assert report.weights == {'tutor': 2}, report
+
+
+@given(
+    'engines that are busy with {queued:d} queued and {running:d} running'
+    ' requests'
+)
+def step_busy(context: Context, queued: int, running: int) -> None:
+    """Have engines refuse orders."""
+    for upstream in direct_bench(context).upstreams.values():
+        upstream.busy = True
+        upstream.usage = {'QueuedRequests': queued, 'RunningRequests': running}
+
+
+@when('weights are released and an engine refuses to load them')
+def step_release(context: Context) -> None:
+    """Release weights and wait for the line of an order."""
+    bench = direct_bench(context)
+    with capture_logs() as lines:
+        name_weights(context, 2)
+        bench.until(lambda: bool(_orders(lines)), 'an order')
+    context.lines = _orders(lines)
+
+
+def _orders(
+    lines: list[MutableMapping[str, Any]],
+) -> list[MutableMapping[str, Any]]:
+    return [line for line in lines if line['event'] == 'Ordered weights.']
+
+
+@then('the log line has {queued:d} queued and {running:d} running requests')
+def step_order_line(context: Context, queued: int, running: int) -> None:
+    """Compare the line; fields that were not reported are left out."""
+    line = context.lines[0]
+    assert line['verdict'] == 'busy', line
+    assert (line['queued'], line['running']) == (queued, running), line
+    assert 'kv_used' not in line, line
--- a/packages/daemon/src/lacewing_daemon/direct/_planner.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_planner.py
@@ -18,6 +18,7 @@
 from lacewing_daemon.direct._site import LoadOrder
 from lacewing_daemon.direct._site import OrderVerdict
 from lacewing_daemon.direct._site import UpstreamControl
+from lacewing_daemon.direct._site import UpstreamReport
 from lacewing_daemon.direct._upstream import ReleasedWeights
 from lacewing_daemon.direct._upstream import Upstream
 from lacewing_daemon.direct._upstream_state import UpstreamState
@@ -40,6 +41,14 @@
 LOAD_CHECK_INTERVAL_S = 0.15
 # How long a stop waits for an open call to the store.
 STOP_TIMEOUT_S = 1.2
+# Fields of a report that are logged with an order that it refuses as busy.
+_USAGE_FIELDS = (
+    'queued',
+    'running',
+    'kv_used',
+    'kv_total',
+    'first_queued_tokens',
+)
 
 _log = get_log(Part.PLACEMENT)
 
@@ -209,7 +218,10 @@
         ordered = self._ordered_s.setdefault(state, {})
         ordered[model] = boot_s()
         try:
-            verdict = await self._send_order(state, upstream, model, version)
+            report = await self._control.report(upstream)
+            verdict = await self._send_order(
+                state, upstream, report, model, version
+            )
             LOAD_ORDERS.labels(verdict.value).inc()
             _log.info(
                 'Ordered weights.',
@@ -218,6 +230,7 @@
                 version=version,
                 fence=self._lease.fence,
                 verdict=verdict.value,
+                **_usage(verdict, report),
             )
             if verdict is OrderVerdict.ALREADY_LOADED:
                 state.update_weights(model, version)
@@ -255,10 +268,10 @@
         self,
         state: UpstreamState,
         upstream: Upstream,
+        report: UpstreamReport | None,
         model: str,
         version: int,
     ) -> OrderVerdict:
-        report = await self._control.report(upstream)
         if report is None:
             return OrderVerdict.UNKNOWN
         if not self._cluster_state.apply_report(state, report):
@@ -282,3 +295,17 @@
                 self._policy.switch_mode,
             ),
         )
+
+
+def _usage(
+    verdict: OrderVerdict, report: UpstreamReport | None
+) -> dict[str, int]:
+    """Return what an upstream that is busy reported of its load."""
+    usage: dict[str, int] = {}
+    if verdict is not OrderVerdict.BUSY or report is None:
+        return usage
+    for name in _USAGE_FIELDS:
+        figure = getattr(report, name)
+        if figure is not None:
+            usage[name] = figure
+    return usage
--- a/packages/daemon/src/lacewing_daemon/direct/_site.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_site.py
@@ -100,13 +100,21 @@
 
     ``accepted_orders`` counts the orders it accepted since its start;
     ``busy`` is true while it executes one. ``started_ms`` is the Unix time of
-    its start in milliseconds, 0 if not reported.
+    its start in milliseconds, 0 if not reported. ``queued`` and ``running``
+    count requests, ``kv_used`` and ``kv_total`` tokens of KV memory, and
+    ``first_queued_tokens`` those of the prompt that is first in the queue.
+    Each of these is None if absent or malformed. They are logged only.
     """
 
     accepted_orders: int
     busy: bool
     weights: Mapping[str, int]
     started_ms: int = 0
+    queued: int | None = None
+    running: int | None = None
+    kv_used: int | None = None
+    kv_total: int | None = None
+    first_queued_tokens: int | None = None
 
 
 class SwitchMode(Enum):
