Know software versions from the first start on

Requests for the rest of a stream that name no request were refused in the first half minute of a system, as no router had observed the list of upstreams for twice the life of a stream. When the whole system starts for the first time, which the platform tells, no stream can have begun before. With the setting first_start the first list of upstreams then tells the versions of all time, until a list is out of date.

--- a/features/direct_settings.feature
+++ b/features/direct_settings.feature
@@ -14,6 +14,7 @@
       | log_level      | "loud"    | $.log_level                             |
       | contention     | "maybe"   | Invalid enum value 'maybe' - at `$.contention`, expected one of "auto", "on", "off" |
       | contention     | true      | Expected `str`, got `bool` - at `$.contention` |
+      | first_start    | "yes"     | Expected `bool`, got `str` - at `$.first_start` |
       | contracts      | "pressure" | Expected `array`, got `str` - at `$.contracts` |
       | contracts      | ["a", 3]  | Expected `str`, got `int` - at `$.contracts[1]` |
 
@@ -41,6 +42,16 @@
     When the template is filled on a platform with the contracts "retry, pressure"
     Then the contention is "on"
 
+  Scenario Outline: The template passes on whether the system starts first
+    # Guards against a template without the first start, or with it always.
+    When the template is filled on a platform with the first start <first_start>
+    Then the settings have the first start <first_start>
+
+    Examples:
+      | first_start |
+      | true        |
+      | false       |
+
   Scenario: The template passes on the bounds of limits where there are any
     When the template is filled on a platform that limits teams
     Then the settings have the bounds of limits
--- a/features/direct_software_versions.feature
+++ b/features/direct_software_versions.feature
@@ -166,6 +166,17 @@
       When it takes the stream up at router 2 with no Resumes
       Then the answer is 200 with the events after the first one
 
+    Scenario: A stream goes on soon after the first start of the system
+      # Guards against streams that are refused for the first half minute of a
+      # system that has just been started.
+      Given an engine "eng-1" of software "v1"
+      And a system that starts for the first time
+      And 2 routers that know each other
+      And both routers have confirmed the engines
+      And a caller that read the first event of a stream at router 1
+      When it takes the stream up at router 2 with no Resumes
+      Then the answer is 200 with the events after the first one
+
     Scenario Outline: A version is the only one if no other was there for long
       # Guards against a version that is taken for that of a stream which
       # another one began.
@@ -187,6 +198,17 @@
         | confirmed for 20 s          | v1 and one not known            | unknown |
         | confirmed for 20 s          | none                            | unknown |
 
+      Examples: The whole system was started for the first time
+        | observed                                | upstreams            | version |
+        | confirmed for 1 s, first start          | v1 only              | v1      |
+        | confirmed for 1 s, first start          | v1 and v2            | unknown |
+        | confirmed for 1 s, first start          | v1, and v2 until 1 s ago | unknown |
+        | late for 30 s, then 1 s, first start    | v1 only              | v1      |
+        | unconfirmed for 4 s, first start        | v1 only              | unknown |
+        | old at first, then 1 s, first start     | v1 only              | unknown |
+        | confirmed again for 9 s, first start    | v1 only              | unknown |
+        | confirmed again for 20 s, first start   | v1 only              | v1      |
+
     Scenario: An id of two streams tells nothing
       # Guards against the version of the wrong one of two streams.
       Given an engine "eng-1" of software "v1"
--- a/features/steps/direct_settings_steps.py
+++ b/features/steps/direct_settings_steps.py
@@ -48,6 +48,7 @@
     'Bounds.RetryBudgetSlack': 54,
     'Bounds.BudgetWindowS': 10,
     'ActiveContracts': ['retry', 'deadline'],
+    'Bootstrap': False,
 }
 LIMIT_FIELDS = {
     'Bounds.QuotaWindowS': 8,
@@ -106,6 +107,19 @@
     context.settings = _read_settings(_render(fields))
 
 
+@when('the template is filled on a platform with the first start {first}')
+def step_template_first(context: Context, first: str) -> None:
+    """Replace whether the system starts for the first time."""
+    fields = {**TEMPLATE_FIELDS, 'Bootstrap': json.loads(first)}
+    context.settings = _read_settings(_render(fields))
+
+
+@then('the settings have the first start {first}')
+def step_first(context: Context, first: str) -> None:
+    """Compare."""
+    assert context.settings.first_start is json.loads(first)
+
+
 @when('settings with contention {setting} have the contracts {contracts}')
 def step_contracts(context: Context, setting: str, contracts: str) -> None:
     """Read settings; "none" leaves a field out."""
--- a/features/steps/software_history_steps.py
+++ b/features/steps/software_history_steps.py
@@ -1,5 +1,7 @@
 """Check when a software version counts as the only one of a service."""
 
+from math import inf
+
 from behave import given
 from behave import then
 from behave import when
@@ -12,16 +14,17 @@
 NOW_S = 100.0
 SERVICE = 'models'
 UNKNOWN = 'unknown'
+FIRST_START = ', first start'
 
 
 class _Site:
     """Hold the upstreams that are present, and the time."""
 
-    def __init__(self) -> None:
+    def __init__(self, first_start: bool) -> None:
         self.now_s = 0.0
         self.present: list[Upstream] = []
         self.history = SoftwareHistory(
-            lambda _service: self.present, lambda: self.now_s
+            lambda _service: self.present, lambda: self.now_s, first_start
         )
 
     def confirm(self, at_s: float, age_s: float = 0.0) -> None:
@@ -44,11 +47,25 @@
 @given('a list of upstreams that is {observed}')
 def step_observed(context: Context, observed: str) -> None:
     """Confirm the list as the words say."""
-    site = context.software_site = _Site()
+    first_start = observed.endswith(FIRST_START)
+    observed = observed.removesuffix(FIRST_START)
+    site = context.software_site = _Site(first_start)
     if observed == 'confirmed for 20 s':
         site.confirm(NOW_S - 20.0)
     elif observed == 'confirmed for 9 s':
         site.confirm(NOW_S - 9.0)
+    elif observed == 'confirmed for 1 s':
+        site.confirm(NOW_S - 1.0)
+    elif observed == 'late for 30 s, then 1 s':
+        site.confirm(NOW_S - 31.0, inf)
+        site.confirm(NOW_S - 1.0)
+    elif observed == 'old at first, then 1 s':
+        site.confirm(NOW_S - 5.0, 4.0)
+        site.confirm(NOW_S - 1.0)
+    elif observed == 'confirmed again for 20 s':
+        site.confirm(NOW_S - 40.0)
+        site.confirm(NOW_S - 30.0, 4.0)
+        site.confirm(NOW_S - 20.0)
     elif observed == 'unconfirmed for 4 s':
         site.confirm(NOW_S - 20.0)
         site.confirm(NOW_S, 4.0)
--- a/features/steps/software_versions_steps.py
+++ b/features/steps/software_versions_steps.py
@@ -180,6 +180,21 @@
         bench.until(lambda: router.configuration == version, 'the split')
 
 
+@given('a system that starts for the first time')
+def step_first_start(context: Context) -> None:
+    """Start routers with the setting."""
+    direct_bench(context).first_start = True
+
+
+@given('both routers have confirmed the engines')
+def step_confirmed(context: Context) -> None:
+    """Wait until the routers themselves have confirmed their lists."""
+    bench = direct_bench(context)
+    for router in bench.routers:
+        history = router._fleet.stream_origins.history
+        bench.until(lambda: history.observed_s > 0, 'a confirmed list')
+
+
 @given('both routers have known the engines for long')
 def step_known_long(context: Context) -> None:
     """Predate what the routers have observed."""
--- a/features/support/direct_bench.py
+++ b/features/support/direct_bench.py
@@ -76,6 +76,7 @@
         self.bounds = BOUNDS
         self.routers_call = False
         self.peer_ports_taken = False
+        self.first_start = False
         self._reserved_sockets: list[socket.socket] = []
         self.store: FakeStore = self.run(_start_store())
 
@@ -276,6 +277,7 @@
             bounds=self.bounds,
             peers=self._peers_address(),
             policy=LoadPolicy(load_late_ms=LOAD_LATE_MS),
+            first_start=self.first_start,
         )
         site = PlatformSite(settings.platform)
         self._sites.append(site)
--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -190,7 +190,9 @@
             settings.peers, self._cluster_state, self._router_count, random
         )
         self._stream_origins = StreamOrigins(
-            lambda: self._router_count.addresses, self._upstreams_of
+            lambda: self._router_count.addresses,
+            self._upstreams_of,
+            first_start=settings.first_start,
         )
         self._statements = Statements(self._limiters.upstreams)
         self._silence_detector = SilenceDetector(
@@ -418,7 +420,7 @@
             self._pool.close_expired(state.upstream for state in states)
             self._limiters.upstreams.forget_old()
             age_s = self._upstream_watcher.age_s
-            self._stream_origins.history.confirm(age_s)
+            self._stream_origins.confirm_upstreams(age_s)
 
 
 def _log_failure(task: asyncio.Task[None]) -> None:
--- a/packages/daemon/src/lacewing_daemon/direct/_metrics.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_metrics.py
@@ -54,6 +54,10 @@
     'lacewing_direct_stream_origins',
     'Origins of streams that this router has recorded',
 )
+SOFTWARE_OBSERVED_SECONDS = Gauge(
+    'lacewing_direct_software_observed_seconds',
+    'Seconds for which all software versions of upstreams are known',
+)
 UPSTREAM_CRASHES = Counter(
     'lacewing_direct_upstream_crashes',
     'Crashes of upstreams that broke runs of this router off, by service',
--- a/packages/daemon/src/lacewing_daemon/direct/_settings.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_settings.py
@@ -47,7 +47,8 @@
     ``callers``, ``ready``, ``peers`` and ``metrics`` are the ``ip:port`` to
     listen on, the last two '' for none; ``platform`` is the address of the
     store. Other routers call at ``peers``. ``contention``: when services are
-    contended.
+    contended. ``first_start``: the whole system is starting for the first
+    time, so no stream has begun before this process was started.
     """
 
     process_id: str
@@ -61,6 +62,7 @@
     log_level: LogLevel = LogLevel.INFO
     policy: LoadPolicy = LoadPolicy()
     contention: Contention = Contention.AUTO
+    first_start: bool = False
 
     @property
     def callers_address(self) -> Address:
--- a/packages/daemon/src/lacewing_daemon/direct/origins/_directory.py
+++ b/packages/daemon/src/lacewing_daemon/direct/origins/_directory.py
@@ -7,12 +7,17 @@
 from collections.abc import Iterable
 from collections.abc import Sequence
 from dataclasses import dataclass
+from math import isinf
 from typing import Any
 from typing import Protocol
 from typing import TypeVar
 
+from lacewing_common.log import get_log
+from lacewing_common.log import Part
+
 from lacewing_daemon.direct._metrics import ORIGIN_RECORDS
 from lacewing_daemon.direct._metrics import ORIGINS_SENT
+from lacewing_daemon.direct._metrics import SOFTWARE_OBSERVED_SECONDS
 from lacewing_daemon.direct._upstream import Upstream
 from lacewing_daemon.direct.origins._history import SoftwareHistory
 from lacewing_daemon.direct.origins._records import combine
@@ -38,6 +43,8 @@
 MAX_LIVES = 2.0
 _RANK_BYTES = 8
 
+_log = get_log(Part.PLATFORM)
+
 T = TypeVar('T')
 
 
@@ -105,7 +112,8 @@
     the stream's key, without delaying the stream, and another router asks
     the keepers. While there is one version only, all that have observed that
     for long enough know the origin. ``peer_addresses`` returns the other
-    routers, ``present`` the upstreams of a service.
+    routers, ``present`` the upstreams of a service; ``first_start`` is that of
+    ``SoftwareHistory``.
     """
 
     def __init__(
@@ -113,9 +121,10 @@
         peer_addresses: Callable[[], Sequence[str]],
         present: Callable[[str], Iterable[Upstream]],
         clock: Callable[[], float] = time.monotonic,
+        first_start: bool = False,
     ) -> None:
         self._peer_addresses = peer_addresses
-        self._history = SoftwareHistory(present, clock)
+        self._history = SoftwareHistory(present, clock, first_start)
         self._clock = clock
         self._records = OriginRecords()
         self._calls: OriginCalls | None = None
@@ -133,6 +142,20 @@
         self._calls = calls
         self.send_held_back()
 
+    def confirm_upstreams(self, list_age_s: float) -> None:
+        """Record how old the list of upstreams is; called each second."""
+        was_observed = self._history.observed_s > 0
+        self._history.confirm(list_age_s)
+        observed_s = self._history.observed_s
+        SOFTWARE_OBSERVED_SECONDS.set(observed_s)
+        if isinf(observed_s) and not was_observed:
+            _log.info('Knows the software versions since the first start.')
+        if was_observed and observed_s <= 0:
+            _log.info(
+                'Software versions may have changed unobserved.',
+                list_age_s=round(list_age_s, 1),
+            )
+
     def record(self, key: bytes, origin: StreamOrigin, life_s: float) -> None:
         """Record a stream that this router relays, here and at keepers."""
         self._records.add(key, origin, life_s, self._clock())
--- a/packages/daemon/src/lacewing_daemon/direct/origins/_history.py
+++ b/packages/daemon/src/lacewing_daemon/direct/origins/_history.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from math import inf
+from math import isinf
 
 from lacewing_daemon.direct._upstream import Software
 from lacewing_daemon.direct._upstream import Upstream
@@ -17,26 +19,45 @@
 class SoftwareHistory:
     """Remember which software versions upstreams had.
 
-    ``present`` returns the upstreams of a service.
+    ``present`` returns the upstreams of a service. ``first_start``: the whole
+    system is starting for the first time. No stream can have begun before
+    the process then, so the first list tells the versions of all time.
     """
 
     def __init__(
         self,
         present: Callable[[str], Iterable[Upstream]],
         clock: Callable[[], float],
+        first_start: bool = False,
     ) -> None:
         self._present = present
         self._clock = clock
+        self._first_start = first_start
         self._observed_since_s: float | None = None
         self._left_s: dict[tuple[str, Software], float] = {}
 
+    @property
+    def observed_s(self) -> float:
+        """Return for how long versions are known, infinite for all time."""
+        if self._observed_since_s is None:
+            return 0.0
+        return self._clock() - self._observed_since_s
+
     def confirm(self, list_age_s: float) -> None:
-        """Record how old the list of upstreams is; called each second."""
+        """Record how old the list of upstreams is; called each second.
+
+        The age is infinite before the first list.
+        """
         if list_age_s > MAX_LIST_AGE_S:
             # An upstream may have come and gone meanwhile.
             self._observed_since_s = None
+            if not isinf(list_age_s):
+                self._first_start = False
         elif self._observed_since_s is None:
-            self._observed_since_s = self._clock()
+            self._observed_since_s = (
+                -inf if self._first_start else self._clock()
+            )
+            self._first_start = False
         oldest_s = self._clock() - MAX_HISTORY_S
         for key, left_s in tuple(self._left_s.items()):
             if left_s < oldest_s:
