Keep the software versions of streams in the store

After a loss of power of all routers every request for the rest of a stream whose caller names no stream was refused for half a minute: no router had observed the versions, and no peer either.

One object a service holds the versions that may have begun streams. Routers add a version when they see it and read the record when they start and after each time without a current list. Weighed against router entries, time stamps and records of each stream (docs/design/streams-and-software.md).

--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -37,6 +37,7 @@
 from lacewing_daemon.direct.limits import UpstreamLimiter
 from lacewing_daemon.direct.limits._limiters import Limiters
 from lacewing_daemon.direct.origins import StreamOrigins
+from lacewing_daemon.direct.origins import VersionRecords
 
 # The maximum time for which a call waits for changes. Each call that returns
 # also confirms that the store is reachable.
@@ -194,6 +195,14 @@
             self._upstreams_of,
             first_start=settings.first_start,
         )
+        self._version_records = VersionRecords(
+            self._store,
+            self._stream_origins.history,
+            self._engine_services,
+            settings.peers,
+            lambda: self._router_count.addresses,
+            self._eras,
+        )
         self._statements = Statements(self._limiters.upstreams)
         self._silence_detector = SilenceDetector(
             settings.policy.mute_ms / 1000
@@ -317,6 +326,7 @@
             self._limiters.teams.run(),
             self._limiters.upstreams.run(),
             self._stream_origins.run(),
+            self._version_records.run(),
             self._run_peers(),
         ):
             task = asyncio.create_task(run)
@@ -395,6 +405,16 @@
         states = self._cluster_state.upstreams_of(service)
         return [state.upstream for state in states]
 
+    def _engine_services(self) -> list[str]:
+        config = self._cluster_state.routing_config
+        if config is None:
+            return []
+        return [
+            service.name
+            for service in config.services.values()
+            if service.engine is not None
+        ]
+
     async def _run_peers(self) -> None:
         """Serve peers and call them until cancelled."""
         if not self._peers_address:
--- a/packages/daemon/src/lacewing_daemon/direct/_metrics.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_metrics.py
@@ -54,6 +54,11 @@
     'lacewing_direct_stream_origins',
     'Origins of streams that this router has recorded',
 )
+SOFTWARE_RECORDS = Counter(
+    'lacewing_direct_software_records',
+    'Reads and writes of the recorded software versions, by result',
+    ['result'],
+)
 SOFTWARE_OBSERVED_SECONDS = Gauge(
     'lacewing_direct_software_observed_seconds',
     'Seconds for which all software versions of upstreams are known',
--- a/packages/daemon/src/lacewing_daemon/direct/origins/__init__.py
+++ b/packages/daemon/src/lacewing_daemon/direct/origins/__init__.py
@@ -6,6 +6,7 @@
 from lacewing_daemon.direct.origins._records import stream_key
 from lacewing_daemon.direct.origins._records import StreamOrigin
 from lacewing_daemon.direct.origins._records import UnknownOrigin
+from lacewing_daemon.direct.origins._version_records import VersionRecords
 
 __all__ = [
     'MAX_LIVES',
@@ -13,5 +14,6 @@
     'StreamOrigin',
     'StreamOrigins',
     'UnknownOrigin',
+    'VersionRecords',
     'stream_key',
 ]
--- a/packages/daemon/src/lacewing_daemon/direct/origins/_history.py
+++ b/packages/daemon/src/lacewing_daemon/direct/origins/_history.py
@@ -35,6 +35,7 @@
         self._first_start = first_start
         self._observed_since_s: float | None = None
         self._left_s: dict[tuple[str, Software], float] = {}
+        self._recorded: dict[str, frozenset[str]] = {}
 
     @property
     def observed_s(self) -> float:
@@ -51,6 +52,7 @@
         if list_age_s > MAX_LIST_AGE_S:
             # An upstream may have come and gone meanwhile.
             self._observed_since_s = None
+            self._recorded.clear()
             if not isinf(list_age_s):
                 self._first_start = False
         elif self._observed_since_s is None:
@@ -67,6 +69,27 @@
         """Record that an entry was removed or names another version."""
         self._left_s[before.service, before.software] = self._clock()
 
+    def set_recorded(self, service: str, versions: frozenset[str]) -> None:
+        """Set the versions that any router has seen, as the store has them.
+
+        Read since the list is observed, they include all versions before.
+        """
+        if versions:
+            self._recorded[service] = versions
+
+    def has_recorded(self, service: str) -> bool:
+        """Return whether versions were set since the list is observed."""
+        return service in self._recorded
+
+    def recent_software(self, service: str) -> frozenset[str]:
+        """Return the known versions since the list is observed.
+
+        Empty if one of them is unknown.
+        """
+        versions = self._versions_since(service, MAX_HISTORY_S)
+        named = frozenset(each for each in versions if isinstance(each, str))
+        return named if len(named) == len(versions) else frozenset()
+
     def present_software(self, service: str) -> set[Software]:
         """Return the versions of the upstreams that are there."""
         return {each.software for each in self._present(service)}
@@ -81,13 +104,22 @@
         observed_since_s = self._observed_since_s
         if observed_since_s is None or since_s > MAX_HISTORY_S:
             return None
+        versions = self._versions_since(service, since_s)
         if now_s - observed_since_s < since_s:
+            recorded = self._recorded.get(service)
+            if recorded is None:
+                return None
+            versions |= recorded
+        if len(versions) != 1:
             return None
+        only = versions.pop()
+        return only if isinstance(only, str) else None
+
+    def _versions_since(self, service: str, since_s: float) -> set[Software]:
+        """Return the versions that were observed in the last seconds."""
+        now_s = self._clock()
         versions = self.present_software(service)
         for (left_service, software), left_s in self._left_s.items():
             if left_service == service and now_s - left_s < since_s:
                 versions.add(software)
-        if len(versions) != 1:
-            return None
-        only = versions.pop()
-        return only if isinstance(only, str) else None
+        return versions
