Take malformed numbers in headers for absent

Numbers in headers were read by float(): "nan" and "inf" raised an error that lost the request, or the answer for Weight-Versions; a negative prompt size was subtracted from the queue of its engine, so that other requests were sent to a full one; a negative deadline ended the request at once.

--- a/features/direct_hostile.feature
+++ b/features/direct_hostile.feature
@@ -18,3 +18,36 @@
   Scenario: Corrupted responses of the store are errors
     When 300 responses of the store are corrupted at random positions
     Then each of them yields a value or an error, and no reader ends
+
+  Scenario Outline: A malformed number in a header counts as absent
+    # Guards against requests and answers that are lost because of one number,
+    # and against a negative size that makes a full engine look free.
+    When a caller or upstream sends "<header>" with "<value>"
+    Then it is read as <result>
+
+    Examples: Callers
+      | header                   | value   | result |
+      | Deadline-Ms              | nan     | None   |
+      | Deadline-Ms              | inf     | None   |
+      | Deadline-Ms              | -5      | None   |
+      | Deadline-Ms              | 1500.5  | 1.5005 |
+      | Last-Event-Id            | nan     | None   |
+      | Last-Event-Id            | 12      | 12     |
+      | Token-Usage              | nan,5   | 0      |
+      | Token-Usage              | -900,5  | 0      |
+      | Token-Usage              | 1e300,5 | 0      |
+      | Token-Usage              | 1460,80 | 1460   |
+      | Length-Hint              | inf     | 80     |
+      | Length-Hint              | 12.4    | 12     |
+      | Prompt-Prefix            | a1:nan  | 0      |
+      | Prompt-Prefix            | a1:-7   | 0      |
+
+    Examples: Upstreams
+      | header                   | value       | result |
+      | Weight-Versions          | nan         | None   |
+      | Weight-Versions          | inf         | None   |
+      | Weight-Versions          | -3          | None   |
+      | Weight-Versions          | 3           | 3      |
+      | Keep-Alive               | timeout=nan | None   |
+      | Keep-Alive               | timeout=-3  | None   |
+      | Keep-Alive               | timeout=5   | 5.0    |
--- a/features/steps/hostile_steps.py
+++ b/features/steps/hostile_steps.py
@@ -237,3 +237,36 @@
         assert isinstance(result, expected_types), result
         error_count += isinstance(result, StoreError)
     assert 0 < error_count < context.count, error_count
+
+
+@when('a caller or upstream sends "{header}" with "{value}"')
+def step_header_number(context: Context, header: str, value: str) -> None:
+    """Decode a request, or a response, with this header."""
+    wire = PlatformWire()
+    if header in ('Weight-Versions', 'Keep-Alive'):
+        name = PREFIX + header if header == 'Weight-Versions' else header
+        head = wire.read_reply(200, HTTPHeaders({name: value}))
+        found: object = head.weights
+        if header == 'Keep-Alive':
+            found = head.keep_alive_s
+        context.found = found
+        return
+    headers = HTTPHeaders({PREFIX + 'Model': 'tutor'})
+    headers[PREFIX + 'Token-Usage'] = '1460,80'
+    headers[header if header == 'Last-Event-Id' else PREFIX + header] = value
+    request = wire.read_request('POST', '/chat/1', headers, b'', 0.0)
+    prompt = request.prompt
+    assert prompt is not None
+    context.found = {
+        'Deadline-Ms': request.deadline_s,
+        'Last-Event-Id': request.after_event,
+        'Token-Usage': prompt.tokens,
+        'Length-Hint': prompt.expected_tokens,
+        'Prompt-Prefix': sum(part.tokens for part in prompt.parts),
+    }[header]
+
+
+@then('it is read as {result}')
+def step_read_as(context: Context, result: str) -> None:
+    """Compare."""
+    assert str(context.found) == result, context.found
