Read the recorded software versions before a router is ready

The list is confirmed as soon as it is read, the record right after it, and readiness waits for the first read, whether it succeeds or not.

--- a/features/steps/software_records_steps.py
+++ b/features/steps/software_records_steps.py
@@ -60,6 +60,7 @@
 
     def __init__(self) -> None:
         self.now_s = 0.0
+        self.age_s = 0.0
         self.present = [_upstream('v1')]
         self.objects = _Objects()
         self.history = SoftwareHistory(
@@ -69,10 +70,12 @@
         self.records = VersionRecords(
             objects,
             self.history,
+            self.history.confirm,
             lambda: (SERVICE,),
             '10.0.0.1:7000',
             lambda: (),
             StoreEras(),
+            lambda: self.age_s,
         )
 
     def record(self, versions: str) -> None:
@@ -134,13 +137,11 @@
 
 @given('a router that starts later')
 def step_later(context: Context) -> None:
-    """Start a router once the system has run, and let it read the record."""
+    """Start a router once the system has run."""
     bench = direct_bench(context)
     bench.first_start = False
     router = bench.start_router('router-later')
     bench.until(lambda: router.ready, 'a ready router')
-    origins = router._fleet.stream_origins
-    bench.until(lambda: origins.history.observed_s > 0.6, 'a read record')
 
 
 @given('"{name}" has left')
--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -198,10 +198,12 @@
         self._version_records = VersionRecords(
             self._store,
             self._stream_origins.history,
+            self._stream_origins.confirm_upstreams,
             self._engine_services,
             settings.peers,
             lambda: self._router_count.addresses,
             self._eras,
+            lambda: self._upstream_watcher.age_s,
         )
         self._statements = Statements(self._limiters.upstreams)
         self._silence_detector = SilenceDetector(
@@ -269,6 +271,7 @@
             self._cluster_state.routing_config is not None
             and self._upstream_watcher.has_loaded
             and self._crash_watcher.has_loaded
+            and self._version_records.has_tried
             and self.keys_confirmed
         )
 
@@ -405,10 +408,10 @@
         states = self._cluster_state.upstreams_of(service)
         return [state.upstream for state in states]
 
-    def _engine_services(self) -> list[str]:
+    def _engine_services(self) -> list[str] | None:
         config = self._cluster_state.routing_config
         if config is None:
-            return []
+            return None
         return [
             service.name
             for service in config.services.values()
@@ -439,8 +442,6 @@
             states = self._cluster_state.upstreams.values()
             self._pool.close_expired(state.upstream for state in states)
             self._limiters.upstreams.forget_old()
-            age_s = self._upstream_watcher.age_s
-            self._stream_origins.confirm_upstreams(age_s)
 
 
 def _log_failure(task: asyncio.Task[None]) -> None:
--- a/packages/daemon/src/lacewing_daemon/direct/origins/_directory.py
+++ b/packages/daemon/src/lacewing_daemon/direct/origins/_directory.py
@@ -143,7 +143,7 @@
         self.send_held_back()
 
     def confirm_upstreams(self, list_age_s: float) -> None:
-        """Record how old the list of upstreams is; called each second."""
+        """Record how old the list of upstreams is."""
         was_observed = self._history.observed_s > 0
         self._history.confirm(list_age_s)
         observed_s = self._history.observed_s
--- a/packages/daemon/src/lacewing_daemon/direct/origins/_history.py
+++ b/packages/daemon/src/lacewing_daemon/direct/origins/_history.py
@@ -45,7 +45,7 @@
         return self._clock() - self._observed_since_s
 
     def confirm(self, list_age_s: float) -> None:
-        """Record how old the list of upstreams is; called each second.
+        """Record how old the list of upstreams is, several times a second.
 
         The age is infinite before the first list.
         """
--- a/packages/daemon/src/lacewing_daemon/direct/origins/_version_records.py
+++ b/packages/daemon/src/lacewing_daemon/direct/origins/_version_records.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 from collections.abc import Sequence
 from dataclasses import dataclass
+from math import isfinite
 
 import msgspec
 import xxhash
@@ -28,6 +29,9 @@
 
 KIND = 'software'
 CHECK_INTERVAL_S = 0.25
+# Until the list of upstreams has been read first. Callers whose streams broke
+# off when all routers were killed come back as soon as one is up.
+START_INTERVAL_S = 0.02
 # Delay after a failed read or write.
 RETRY_DELAY_S = 1.0
 # The router ranked first writes at once. Each later one waits this much
@@ -57,41 +61,58 @@
 
     A version is recorded as soon as a router sees it, and removed once one
     has observed for ``MAX_HISTORY_S`` that it is gone. A record is created
-    only by a router that knows all versions of that time.
+    only by a router that knows all versions of that time. ``confirm`` records
+    in the history how old the list of upstreams is; ``services`` returns
+    None until they are known.
     """
 
     def __init__(
         self,
         store: SystemObjects,
         history: SoftwareHistory,
-        services: Callable[[], Iterable[str]],
+        confirm: Callable[[float], None],
+        services: Callable[[], Iterable[str] | None],
         own_address: str,
         peer_addresses: Callable[[], Sequence[str]],
         eras: StoreEras,
+        list_age_s: Callable[[], float],
     ) -> None:
         self._store = store
         self._history = history
+        self._confirm = confirm
         self._services = services
         self._own_address = own_address
         self._peer_addresses = peer_addresses
         self._stored: dict[str, _Stored] = {}
+        self._list_age_s = list_age_s
+        self._has_tried = False
         eras.on_restore(self._stored.clear)
 
+    @property
+    def has_tried(self) -> bool:
+        """Return whether the records were read once, or could not be."""
+        return self._has_tried
+
     async def run(self) -> None:
         """Keep the records up to date until cancelled."""
+        while self._services() is None or not isfinite(self._list_age_s()):
+            await asyncio.sleep(START_INTERVAL_S)
         while True:
-            await asyncio.sleep(CHECK_INTERVAL_S)
+            delay_s = CHECK_INTERVAL_S
             if not await self.update():
-                await asyncio.sleep(RETRY_DELAY_S)
+                delay_s = RETRY_DELAY_S
+            self._has_tried = True
+            await asyncio.sleep(delay_s)
 
     async def update(self) -> bool:
         """Read and write what is needed now; false if that failed."""
+        self._confirm(self._list_age_s())
         if self._history.observed_s <= 0:
             # Other routers may write while this one is disconnected.
             self._stored.clear()
             return True
         succeeded = True
-        for service in tuple(self._services()):
+        for service in tuple(self._services() or ()):
             succeeded &= await self._check(service)
         return succeeded
 
