Count crashes at one moment as one

When 30 percent of 23 upstreams terminate together, some parts of prompts run at several of them by chance and were blocked. Crash records now have the earliest time at which a router saw a run break, and crashes within 150 ms count as one for what ran there but does not explain them all. The model of `make crash-parts` has waves of crashes.

Ran: make check; direct_crash_parts, direct_crashes and direct_subjects (129 scenarios).

--- a/features/direct_crash_parts.feature
+++ b/features/direct_crash_parts.feature
@@ -123,6 +123,93 @@
       When routers receive the crashes "a:s!; b:s!; c:s!; d:s!" in any order
       Then the blocks of "part-s" are ambiguous
 
+  Rule: Crashes at one moment count as one
+
+    Scenario Outline: A common cause may explain crashes at one moment
+      # Guards against blocking harmless parts when many upstreams terminate
+      # together: of several hundred parts, some run at two of them by chance.
+      # A number after @ is the time of a crash in ms.
+      When routers receive the crashes "<crashes>" in any order
+      Then they block "<blocked>"
+
+      Examples: by chance
+        | crashes                                                    | blocked |
+        | @0 a:p; @50 b:p; @90 c:q; @150 d:r                         |         |
+        | @0 a:p; @9 b:q; @9 c:r; @3500 d:p; @3509 e:s; @3509 f:t    |         |
+        | @0 a:s!; @9 b:s!; @9 c:s!; @9 d:s!; @9 e:s!                |         |
+        | @0 a:s!; @9 b:s!; @9 c:s!; @9 d:s!; @9 e:q                 |         |
+        | @0 a; @9 a; @9 b; @9 c                                     |         |
+
+      Examples: the part explains them, or others
+        | crashes                                                    | blocked |
+        | @0 a:p; @50 b:p; @90 c:p; @150 d:p                         | part-p  |
+        | @0 a:p; @50 b:p; @90 c:p; @150 d:q                         | part-p  |
+        | @0 a:p; @50 b:p; @151 c:q; @152 d:r                        | part-p  |
+        | @0 a:p; @50 b:p; @90 c:q; @90 d:r; @500 e:p                | part-p  |
+        | @0 a:p; @9 b:q; @9 c:r; @500 d:p                           | part-p  |
+        | @0 a; @9 a; @9 b; @9 c; @500 a                             | a       |
+
+      Examples: routers that don't report the time
+        | crashes                                                    | blocked |
+        | a:p; b:p; @0 c:q; @9 d:r; @9 e:t                           | part-p  |
+        | a:p; @0 b:p; @9 c:q; @9 d:r; @9 e:t                        | part-p  |
+
+    Scenario Outline: A crash has the earliest time that a router reports
+      # Guards against routers that reach different results, as their clocks
+      # and the delays of their reports differ.
+      When routers receive reports of a crash at "<times>" in any order
+      Then its time is <time> at each
+
+      Examples:
+        | times        | time |
+        | 7 5 9        | 5    |
+        | 0 5          | 5    |
+        | 0 0          | 0    |
+
+    Scenario: Routers without the time of crashes exchange records with others
+      # Guards against a roll-out in which routers can't read records.
+      When a router without the time of crashes and one with it exchange records
+      Then both know the runs of all crashes
+
+    Scenario: A router reports when its first run broke
+      Given a store with a configuration
+      And 3 upstreams of "models" that come back after a crash
+      And the part "bad" of prompts crashes upstreams
+      And a direct router
+      When 1 different prompts "own,bad,last" come, one after the other
+      Then the router knows when upstreams crashed
+
+    Scenario Outline: Waves of crashes in the simulation
+      # Guards against blocks of harmless parts when 30 percent of 23 upstreams
+      # terminate three times, and against a part that crashes more than five
+      # because its crashes are taken for those of a wave.
+      When "<load>" is simulated 10 times
+      Then no harmless part is blocked
+      And at most 5 upstreams crash under one part
+      And at most 3 prompts with it are sent after the fifth crash
+
+      Examples:
+        | load                         |
+        | waves                        |
+        | waves, clocks 0.1 s off      |
+        | waves and a part             |
+        | waves and a part, one router |
+
+    Scenario Outline: Without capacity where a prompt should go after a wave
+      When routers receive the crashes "<crashes>" in any order
+      Then a prompt with "p" <may> use another upstream
+
+      Examples:
+        | crashes                                                | may     |
+        | @0 a:p x:u; @9 b:p y:v; @9 c:q; @9 d:r                 | may     |
+        | @0 a:p x:u; @9 b:p y:v; @9 c:q; @9 d:r; @500 e:p z:w   | may not |
+
+    Scenario: The crashes that count as one are logged
+      # Guards against a log without the reason why crashes under a part don't
+      # block it.
+      When a router reports these moments of crashes in turn "3 4 6 7 14"
+      Then 3 lines of its log say so, with "3 6 14" crashes
+
   Rule: One router decides who probes
 
     Scenario Outline: A part is probed by all routers together
--- a/features/steps/crash_ledger_steps.py
+++ b/features/steps/crash_ledger_steps.py
@@ -20,6 +20,8 @@
 
 BEGUN_SUFFIX = '+'
 PROVEN_SUFFIX = '!'
+TIME_PREFIX = '@'
+START_MS = 1_800_000_000_000
 INCARNATION = UpstreamIncarnation('up', 7)
 
 
@@ -208,13 +210,19 @@
     """Return a record of each crash.
 
     A word is a request, with + if it had returned an event; the parts of its
-    prompt follow a colon, with ! if their prompts had completed before.
+    prompt follow a colon, with ! if their prompts had completed before. An @
+    precedes the time of a crash in ms; others were reported by routers that
+    don't report it.
     """
     records = []
     for number, names in enumerate(text.split(';')):
         suspects = []
         proven = []
+        crashed_ms = 0
         for name in names.split():
+            if name.startswith(TIME_PREFIX):
+                crashed_ms = START_MS + int(name.removeprefix(TIME_PREFIX))
+                continue
             request, _, listed = name.partition(':')
             parts = []
             for part in filter(None, listed.split(',')):
@@ -229,6 +237,7 @@
                 UpstreamIncarnation('up', number),
                 tuple(suspects),
                 proven=tuple(proven),
+                crashed_ms=crashed_ms,
             )
         )
     return tuple(records)
--- a/packages/bench/src/lacewing_bench/crash_parts/_load.py
+++ b/packages/bench/src/lacewing_bench/crash_parts/_load.py
@@ -16,6 +16,14 @@
     ``rare_s``: seconds between two such prompts in place of the ratio.
     ``propagation_s``: time until all routers know of a crash. ``killed_s``:
     interval at which a router is killed with all that it holds, 0 for never.
+    ``turned_s``: time for which the culprits are sound at first.
+    ``first_parts`` and ``middle_parts``: how many there are of each in sound
+    prompts, 0 for middle ones in proportion to the upstreams; ``single``:
+    share of prompts with a middle part of their own. ``waves``: how often a
+    ``wave_share`` of the upstreams terminates within ``wave_spread_s``, from
+    the first prompt that crashes upstreams on, ``wave_interval_s`` apart.
+    ``report_spread_s`` and ``skew_s``: by how much the time at which the
+    report of a router is known, and the clocks of routers, differ.
     """
 
     routers: int = 4
@@ -29,6 +37,17 @@
     stray_crash_s: float = 0.0
     propagation_s: float = 0.1
     killed_s: float = 0.0
+    turned_s: float = 0.0
+    first_event_s: tuple[float, float] = (0.05, 0.2)
+    first_parts: int = 6
+    middle_parts: int = 0
+    single: float = 0.2
+    waves: int = 0
+    wave_share: float = 0.3
+    wave_interval_s: float = 3.5
+    wave_spread_s: float = 0.05
+    report_spread_s: float = 0.0
+    skew_s: float = 0.0
 
 
 @dataclass
--- a/packages/bench/src/lacewing_bench/crash_parts/_rules.py
+++ b/packages/bench/src/lacewing_bench/crash_parts/_rules.py
@@ -2,12 +2,21 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
+from dataclasses import replace
+from functools import partial
 from math import log
 
 from lacewing_daemon.direct.crashes._attribution import attribute_to_fewest
 from lacewing_daemon.direct.crashes._attribution import Attribution
 from lacewing_daemon.direct.crashes._attribution import Causes
 from lacewing_daemon.direct.crashes._attribution import Evidence
+from lacewing_daemon.direct.crashes._moments import count_as_one
+from lacewing_daemon.direct.crashes._moments import count_moments_once
+from lacewing_daemon.direct.crashes._moments import find_moments
+from lacewing_daemon.direct.crashes._moments import MomentRule
+from lacewing_daemon.direct.crashes._moments import moments_by_crash
+from lacewing_daemon.direct.crashes._moments import Times
+from lacewing_daemon.direct.crashes._moments import unexplained_moments
 
 # Odds at which a part is held to be the cause, as a logarithm.
 _ENOUGH = log(1000.0)
@@ -77,19 +86,54 @@
     return attribute_to_fewest(known, to_block)
 
 
+def count_each(
+    evidence: Mapping[str, Evidence], times_ms: Times
+) -> Mapping[str, Evidence]:
+    """Count each crash, whenever it happened."""
+    return evidence
+
+
+def count_windows(
+    evidence: Mapping[str, Evidence], times_ms: Times, window_ms: int
+) -> Mapping[str, Evidence]:
+    """Count all crashes within a window as one, whatever ran there."""
+    moments = find_moments(times_ms, window_ms, min_crashes=2)
+    counted = {}
+    for subject, found in evidence.items():
+        counted[subject] = count_as_one(found, moments)
+    return counted
+
+
+def count_none(
+    evidence: Mapping[str, Evidence], times_ms: Times
+) -> Mapping[str, Evidence]:
+    """Leave out the moments that a subject does not explain."""
+    moments = moments_by_crash(times_ms)
+    counted = {}
+    for subject, found in evidence.items():
+        left_out = unexplained_moments(found, moments)
+        runs = {}
+        for run, begun in found.runs.items():
+            if moments.get(run[0]) not in left_out:
+                runs[run] = begun
+        counted[subject] = replace(found, runs=runs)
+    return counted
+
+
 @dataclass(frozen=True)
 class Rule:
     """Hold a way to attribute crashes and how suspects are placed.
 
     ``isolates``: requests with suspected parts go to few upstreams, others
     to the rest. ``uses_proof``: routers report which parts were in prompts
-    that had completed.
+    that had completed. ``count_moments`` counts crashes at one moment.
     """
 
     name: str
     attribute: Attribution
     isolates: bool = True
     uses_proof: bool = True
+    count_moments: MomentRule = count_moments_once
 
 
 REQUESTS = Rule('requests only', attribute_to_requests, False, False)
@@ -100,3 +144,19 @@
 USED = Rule('fewest (in use)', attribute_to_fewest)
 THIRD = Rule('fewest, three', wait_for_third)
 RULES = (REQUESTS, COUNTS, LIKELIHOOD, UNPROVEN, SPREAD, THIRD, USED)
+
+# Ways to count crashes at one moment.
+EACH = Rule('each crash', attribute_to_fewest, count_moments=count_each)
+WINDOW = Rule(
+    'all within 0.15 s',
+    attribute_to_fewest,
+    count_moments=partial(count_windows, window_ms=150),
+)
+LONG_WINDOW = Rule(
+    'all within 0.5 s',
+    attribute_to_fewest,
+    count_moments=partial(count_windows, window_ms=500),
+)
+NONE = Rule('unexplained: none', attribute_to_fewest, count_moments=count_none)
+ONCE = Rule('unexplained: one (in use)', attribute_to_fewest)
+MOMENT_RULES = (EACH, WINDOW, LONG_WINDOW, NONE, ONCE)
--- a/packages/daemon/src/lacewing_daemon/direct/_metrics.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_metrics.py
@@ -57,6 +57,10 @@
     'lacewing_direct_blocked_requests',
     'Requests and parts of prompts blocked, as upstreams crashed under them',
 )
+CRASHES_AT_ONE_MOMENT = Gauge(
+    'lacewing_direct_crashes_at_one_moment',
+    'Recent crashes of upstreams that count as one with others',
+)
 CRASH_PROBES = Counter(
     'lacewing_direct_crash_probes',
     'Runs of blocked requests, to learn whether they are harmless',
--- a/packages/daemon/src/lacewing_daemon/direct/crashes/_detector.py
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_detector.py
@@ -1,6 +1,7 @@
 """Detect that an upstream has crashed, and which requests it ran."""
 
 import asyncio
+import time
 from collections.abc import Awaitable
 from collections.abc import Callable
 from operator import attrgetter
@@ -24,6 +25,8 @@
 # come first.
 MAX_RUNS = 64
 
+_NS_PER_MS = 1_000_000
+
 _log = get_log(Part.LINK)
 
 
@@ -39,9 +42,11 @@
         self,
         probe_connection: Callable[[Upstream], Awaitable[Contact]],
         on_crash: Callable[[CrashRecord], None],
+        clock_ns: Callable[[], int] = time.time_ns,
     ) -> None:
         self._probe_connection = probe_connection
         self._on_crash = on_crash
+        self._clock_ns = clock_ns
         self._broken_runs: dict[UpstreamIncarnation, list[BrokenRun]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -59,7 +64,10 @@
         runs.append(run)
         if len(runs) > 1:
             return
-        task = asyncio.create_task(self._check(upstream, incarnation))
+        crashed_ms = self._clock_ns() // _NS_PER_MS
+        task = asyncio.create_task(
+            self._check(upstream, incarnation, crashed_ms)
+        )
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -69,7 +77,10 @@
             task.cancel()
 
     async def _check(
-        self, upstream: Upstream, incarnation: UpstreamIncarnation
+        self,
+        upstream: Upstream,
+        incarnation: UpstreamIncarnation,
+        crashed_ms: int,
     ) -> None:
         await asyncio.sleep(COLLECT_WINDOW_S)
         contact = await self._probe_connection(upstream)
@@ -85,10 +96,18 @@
             started_ms=incarnation.started_ms,
             again=incarnation.again,
             gone=gone,
+            crashed_ms=crashed_ms,
             service=upstream.service,
             runs=msgspec.to_builtins(runs[:MAX_RUNS]),
         )
         suspects = []
         for run in runs[:MAX_RUNS]:
             suspects.append(Suspect(run.same, run.begun, run.parts))
-        self._on_crash(CrashRecord(incarnation, tuple(suspects), gone=gone))
+        self._on_crash(
+            CrashRecord(
+                incarnation,
+                tuple(suspects),
+                gone=gone,
+                crashed_ms=crashed_ms,
+            )
+        )
--- a/packages/daemon/src/lacewing_daemon/direct/crashes/_guard.py
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_guard.py
@@ -26,6 +26,7 @@
 from lacewing_daemon.direct.crashes._fingerprint import is_part
 from lacewing_daemon.direct.crashes._fingerprint import RequestSubjects
 from lacewing_daemon.direct.crashes._isolation import Isolation
+from lacewing_daemon.direct.crashes._moment_log import MomentLog
 from lacewing_daemon.direct.crashes._probe_grants import ProbeGrants
 from lacewing_daemon.direct.crashes._probes import probe_intervals
 from lacewing_daemon.direct.crashes._probes import ProbeSchedule
@@ -73,6 +74,7 @@
         self._registry = CrashRegistry()
         self._proven_parts = ProvenParts()
         self._isolation = Isolation(self._registry)
+        self._moment_log = MomentLog()
         self._probes = ProbeSchedule(random)
         self._probe_grants = ProbeGrants(self._probes, peer_addresses)
         self._detector = CrashDetector(probe_connection, self._record_own)
@@ -226,7 +228,9 @@
         if previous is not None:
             suspects = (*previous.suspects, *record.suspects)
             gone = previous.gone or record.gone
-            record = CrashRecord(record.start, suspects, gone=gone)
+            record = msgspec.structs.replace(
+                previous, suspects=suspects, gone=gone
+            )
         record = self._with_proven_parts(record)
         self._own_records[record.start] = record
         if len(self._own_records) > MAX_CRASHES:
@@ -303,6 +307,7 @@
     def _update_blocks(self) -> None:
         """Apply changes of the blocked and ambiguous requests."""
         blocked = self._registry.blocked
+        self._moment_log.update(self._registry.moments)
         for subject in blocked - self._blocked:
             _log.warning(
                 'Blocks a part of prompts.'
@@ -310,6 +315,7 @@
                 else 'Blocks a request.',
                 same=subject,
                 crashes=self._registry.crash_count(subject),
+                counted=self._registry.counted_crashes(subject),
             )
             for abort in tuple(self._pending_runs.get(subject, ())):
                 abort()
--- a/packages/daemon/src/lacewing_daemon/direct/crashes/_isolation.py
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_isolation.py
@@ -57,12 +57,13 @@
     def may_mix(self, subjects: RequestSubjects) -> bool:
         """Return whether a request may be sent anywhere if it must.
 
-        A part under which several upstreams have crashed may not.
+        A part under which several upstreams have crashed may not; crashes
+        that count as one are not several.
         """
         for part in subjects.parts:
             if part not in self._registry.suspected_parts:
                 continue
-            if self._registry.crash_count(part) > 1:
+            if self._registry.counted_crashes(part) > 1:
                 return False
         return True
 
--- a/packages/daemon/src/lacewing_daemon/direct/crashes/_record.py
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_record.py
@@ -35,7 +35,9 @@
     ``cleared`` holds the fingerprints of requests and parts that did not
     cause the crash, ``proven`` those of parts whose prompts had completed
     shortly before it. ``gone`` is set if the connection probe after it was
-    refused.
+    refused. ``crashed_ms`` is the Unix time in ms at which its first run
+    broke, by the clock of a router with a run there; 0 in records of routers
+    that do not report it.
     """
 
     start: UpstreamIncarnation
@@ -43,6 +45,7 @@
     cleared: tuple[str, ...] = ()
     gone: bool = False
     proven: tuple[str, ...] = ()
+    crashed_ms: int = 0
 
 
 def record_digest(record: CrashRecord) -> int:
--- a/packages/daemon/src/lacewing_daemon/direct/crashes/_registry.py
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_registry.py
@@ -6,8 +6,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
-from dataclasses import dataclass
-from dataclasses import field
+from collections.abc import Mapping
 
 import msgspec
 
@@ -17,7 +16,14 @@
 from lacewing_daemon.direct.crashes._attribution import Causes
 from lacewing_daemon.direct.crashes._attribution import Evidence
 from lacewing_daemon.direct.crashes._attribution import Run
+from lacewing_daemon.direct.crashes._crash_state import CrashState
+from lacewing_daemon.direct.crashes._crash_state import make_record
+from lacewing_daemon.direct.crashes._crash_state import merge_suspects
 from lacewing_daemon.direct.crashes._fingerprint import is_part
+from lacewing_daemon.direct.crashes._moments import count_moments_once
+from lacewing_daemon.direct.crashes._moments import find_moments
+from lacewing_daemon.direct.crashes._moments import Moment
+from lacewing_daemon.direct.crashes._moments import MomentRule
 from lacewing_daemon.direct.crashes._record import CrashRecord
 from lacewing_daemon.direct.crashes._record import record_digest
 from lacewing_daemon.direct.crashes._record import Suspect
@@ -39,24 +45,6 @@
 MAX_CRASHES = 500
 
 
-@dataclass
-class _CrashState:
-    """Hold what ran at an upstream that crashed.
-
-    ``received_s`` is when the crash was first reported. ``suspects`` maps
-    each request to what ran of it. ``gone`` is set if the connection probe
-    after the crash was refused. ``digested`` caches the record and its
-    digest; None if outdated.
-    """
-
-    received_s: float
-    suspects: dict[str, Suspect] = field(default_factory=dict)
-    cleared: set[str] = field(default_factory=set)
-    proven: set[str] = field(default_factory=set)
-    gone: bool = False
-    digested: tuple[int, CrashRecord] | None = None
-
-
 class CrashRegistry:
     """Hold recent crashes and determine which subjects caused them.
 
@@ -67,7 +55,8 @@
     would be blocked as well. Therefore all crashes under the subject with the
     most crashes are attributed to it, and they do not count against any other
     one. A request that completes, and its parts, have caused none of the
-    crashes before.
+    crashes before. Several upstreams that crash at one moment may have a
+    common cause, so for what does not explain it the moment is one crash.
 
     The result depends only on the set of merged records, not on their order,
     so all routers reach the same result.
@@ -78,14 +67,18 @@
         to_block: int = CRASHES_TO_BLOCK,
         clock: Callable[[], float] = boot_s,
         attribute: Attribution = attribute_to_fewest,
+        count_moments: MomentRule = count_moments_once,
     ) -> None:
         self._to_block = to_block
         self._attribute = attribute
+        self._count_moments = count_moments
         self._clock = clock
-        self._crashes: dict[UpstreamIncarnation, _CrashState] = {}
+        self._crashes: dict[UpstreamIncarnation, CrashState] = {}
         self._runs: dict[str, dict[Run, bool]] = {}
         self._causes = Causes(frozenset(), frozenset())
         self._suspected_parts: frozenset[str] = frozenset()
+        self._counted: Mapping[str, Evidence] = {}
+        self._moments: tuple[Moment, ...] = ()
         self._stale = False
 
     @property
@@ -107,7 +100,7 @@
         records = {}
         for incarnation, crash in self._crashes.items():
             if crash.digested is None:
-                record = _make_record(incarnation, crash)
+                record = make_record(incarnation, crash)
                 crash.digested = (record_digest(record), record)
             records[crash.digested[0]] = crash.digested[1]
         return records
@@ -133,6 +126,12 @@
         self._update_causes()
         return self._suspected_parts
 
+    @property
+    def moments(self) -> tuple[Moment, ...]:
+        """Return the groups of crashes at one moment, the earliest first."""
+        self._update_causes()
+        return self._moments
+
     def retry_after_s(self, subject: str) -> float:
         """Return the delay after which a blocked subject may be retried.
 
@@ -154,6 +153,17 @@
         """Return the number of crashes under a subject, for any cause."""
         return len(self.incarnations(subject))
 
+    def counted_crashes(self, subject: str) -> int:
+        """Return the number of crashes that count against a subject.
+
+        Crashes at one moment that it does not explain count as one.
+        """
+        self._update_causes()
+        counted = self._counted.get(subject)
+        if counted is None:
+            return self.crash_count(subject)
+        return len(counted.incarnations)
+
     def incarnations(self, subject: str) -> frozenset[UpstreamIncarnation]:
         """Return the upstream incarnations that crashed under a subject."""
         runs = self._runs.get(subject, {})
@@ -185,9 +195,15 @@
         new = False
         if crash is None:
             self.expire()
-            crash = _CrashState(self._clock())
+            crash = CrashState(self._clock())
             self._crashes[record.start] = crash
             new = True
+        if record.crashed_ms and (
+            not crash.crashed_ms or record.crashed_ms < crash.crashed_ms
+        ):
+            crash.crashed_ms = record.crashed_ms
+            crash.digested = None
+            new = True
         if record.gone and not crash.gone:
             crash.gone = True
             crash.digested = None
@@ -240,13 +256,13 @@
     def _add_suspect(
         self,
         incarnation: UpstreamIncarnation,
-        crash: _CrashState,
+        crash: CrashState,
         suspect: Suspect,
     ) -> bool:
         if suspect.fingerprint in crash.cleared:
             return False
         known = crash.suspects.get(suspect.fingerprint)
-        merged = _merge_suspects(known, suspect)
+        merged = merge_suspects(known, suspect)
         if merged == known:
             return False
         crash.suspects[suspect.fingerprint] = merged
@@ -260,7 +276,7 @@
     def _exonerate_in(
         self,
         incarnation: UpstreamIncarnation,
-        crash: _CrashState,
+        crash: CrashState,
         subject: str,
     ) -> bool:
         if subject in crash.cleared:
@@ -290,10 +306,20 @@
 
     def _update_causes(self) -> None:
         if self._stale:
-            self._causes = self._attribute(self._evidence(), self._to_block)
+            times_ms = self._crash_times_ms()
+            self._moments = find_moments(times_ms)
+            self._counted = self._count_moments(self._evidence(), times_ms)
+            self._causes = self._attribute(self._counted, self._to_block)
             self._suspected_parts = frozenset(self._find_suspected_parts())
             self._stale = False
 
+    def _crash_times_ms(self) -> dict[UpstreamIncarnation, int]:
+        times_ms = {}
+        for incarnation, crash in self._crashes.items():
+            if crash.crashed_ms:
+                times_ms[incarnation] = crash.crashed_ms
+        return times_ms
+
     def _evidence(self) -> dict[str, Evidence]:
         """Return the evidence against all that ran at several crashes."""
         evidence = {}
@@ -317,31 +343,3 @@
             if part in self._crashes[incarnation].proven:
                 return True
         return False
-
-
-def _merge_suspects(known: Suspect | None, suspect: Suspect) -> Suspect:
-    """Return what ran of a request that may have run twice.
-
-    The run without an event counts.
-    """
-    parts = set(suspect.parts)
-    begun = suspect.begun
-    if known is not None:
-        parts.update(known.parts)
-        begun = begun and known.begun
-    return Suspect(suspect.fingerprint, begun, tuple(sorted(parts)))
-
-
-def _make_record(
-    incarnation: UpstreamIncarnation, crash: _CrashState
-) -> CrashRecord:
-    suspects = []
-    for fingerprint in sorted(crash.suspects):
-        suspect = crash.suspects[fingerprint]
-        parts = tuple(sorted(set(suspect.parts) - crash.cleared))
-        suspects.append(Suspect(fingerprint, suspect.begun, parts))
-    cleared = tuple(sorted(crash.cleared))
-    proven = tuple(sorted(crash.proven - crash.cleared))
-    return CrashRecord(
-        incarnation, tuple(suspects), cleared, crash.gone, proven
-    )
