Don't take parts that crash upstreams at once for a common cause

Cause: of two or three parts that crash upstreams at the same time, each was taken for the common cause of the other's crashes. Change: crashes that an unproven part with a third of a moment explains show no common cause.

--- a/features/direct_crash_parts.feature
+++ b/features/direct_crash_parts.feature
@@ -147,6 +147,7 @@
         | @0 a:p; @50 b:p; @151 c:q; @152 d:r                        | part-p  |
         | @0 a:p; @50 b:p; @90 c:q; @90 d:r; @500 e:p                | part-p  |
         | @0 a:p; @9 b:q; @9 c:r; @500 d:p                           | part-p  |
+        | @0 a:p; @9 b:p; @9 c:q; @9 d:q                             | part-p part-q |
         | @0 a; @9 a; @9 b; @9 c; @500 a                             | a       |
 
       Examples: routers that don't report the time
--- a/packages/bench/src/lacewing_bench/crash_parts/_loads.py
+++ b/packages/bench/src/lacewing_bench/crash_parts/_loads.py
@@ -43,6 +43,9 @@
     'waves, slow first events': SLOW_WAVES,
     'waves within 0.3 s': replace(WAVES, wave_spread_s=0.3),
     'waves, long queues': replace(SLOW_WAVES, first_event_s=(0.5, 2.0)),
+    'waves of 20 percent, long queues': replace(
+        SLOW_WAVES, first_event_s=(0.5, 2.0), wave_share=0.2
+    ),
     'waves, clocks 0.1 s off': replace(WAVES, skew_s=0.1),
     'waves, clocks 10 s off': replace(WAVES, skew_s=10.0),
     'waves and a part': replace(WAVES, culprits=BAD),
@@ -58,6 +61,13 @@
     'two parts without waves': replace(
         WAVES, culprits=(('part-bad',), ('part-worse',)), waves=0
     ),
+    'three parts, 80 upstreams': Load(
+        routers=25,
+        upstreams=80,
+        ratio=20.0,
+        culprits=(('part-bad',), ('part-worse',), ('part-worst',)),
+        duration_s=12.0,
+    ),
     'a part that turns, without waves': replace(
         WAVES, culprits=BAD, turned_s=6.4, waves=0
     ),
--- a/packages/bench/src/lacewing_bench/crash_parts/_rules.py
+++ b/packages/bench/src/lacewing_bench/crash_parts/_rules.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from dataclasses import replace
 from functools import partial
+from itertools import chain
 from math import log
 
 from lacewing_daemon.direct.crashes._attribution import attribute_to_fewest
@@ -14,7 +15,7 @@
 from lacewing_daemon.direct.crashes._moments import count_moments_once
 from lacewing_daemon.direct.crashes._moments import find_moments
 from lacewing_daemon.direct.crashes._moments import MomentRule
-from lacewing_daemon.direct.crashes._moments import moments_by_crash
+from lacewing_daemon.direct.crashes._moments import runs_at_moments
 from lacewing_daemon.direct.crashes._moments import Times
 from lacewing_daemon.direct.crashes._moments import unexplained_moments
 
@@ -108,13 +109,18 @@
     evidence: Mapping[str, Evidence], times_ms: Times
 ) -> Mapping[str, Evidence]:
     """Leave out the moments that a subject does not explain."""
-    moments = moments_by_crash(times_ms)
+    moments = find_moments(times_ms)
+    at_moments = runs_at_moments(evidence, moments)
     counted = {}
     for subject, found in evidence.items():
-        left_out = unexplained_moments(found, moments)
+        left_out = frozenset(
+            chain.from_iterable(
+                unexplained_moments(found, moments, at_moments[subject])
+            )
+        )
         runs = {}
         for run, begun in found.runs.items():
-            if moments.get(run[0]) not in left_out:
+            if run[0] not in left_out:
                 runs[run] = begun
         counted[subject] = replace(found, runs=runs)
     return counted
--- a/packages/daemon/src/lacewing_daemon/direct/crashes/_moments.py
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_moments.py
@@ -6,9 +6,11 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
+from collections.abc import Sequence
 from collections.abc import Set
 from dataclasses import replace
 from itertools import chain
+from math import ceil
 
 from lacewing_daemon.direct.crashes._attribution import Evidence
 from lacewing_daemon.direct.crashes._attribution import Run
@@ -25,6 +27,10 @@
 # subject. With one, two parts that crash upstreams at the same time are each
 # taken for the other's common cause.
 MIN_UNEXPLAINED = 2
+# A part that ran without an event at a third of the crashes of a moment, or
+# at three, may have caused these and shows no common cause of the others.
+# With two of seven, harmless parts explain waves under long queues.
+MAX_RUNS_TO_EXPLAIN = 3
 # The first part of many prompts runs at most upstreams by chance.
 MIN_UNEXPLAINED_IF_PROVEN = 1
 # Under many queued prompts it runs at all of them. A proven part that begins
@@ -36,6 +42,9 @@
 MAX_MOMENTS_AS_ONE = 3
 
 Moment = tuple[UpstreamIncarnation, ...]
+# The crashes at which a subject ran without an event, by the index of their
+# moment; empty at a moment where all its runs had returned events.
+RunsAtMoments = Mapping[int, Set[UpstreamIncarnation]]
 # When upstreams crashed, in ms of Unix time.
 Times = Mapping[UpstreamIncarnation, int]
 MomentRule = Callable[[Mapping[str, Evidence], Times], Mapping[str, Evidence]]
@@ -74,29 +83,22 @@
     A subject that ran without an event at all of its crashes explains them as
     simply as a common cause does, and so they count one by one.
     """
-    moments = moments_by_crash(times_ms)
+    moments = find_moments(times_ms)
+    if not moments:
+        return evidence
+    runs = runs_at_moments(evidence, moments)
+    explained = _explained_by_parts(evidence, moments, runs)
     counted = {}
     for subject, found in evidence.items():
-        groups = sorted(
-            unexplained_moments(found, moments),
-            key=lambda moment: times_ms[moment[0]],
-        )
-        together = tuple(chain.from_iterable(groups))
-        if len(groups) <= MAX_MOMENTS_AS_ONE:
+        groups = unexplained_moments(found, moments, runs[subject], explained)
+        if 0 < len(groups) <= MAX_MOMENTS_AS_ONE:
+            together = tuple(chain.from_iterable(groups))
             if found.incarnations.issubset(together):
-                groups = [together]
+                groups = (together,)
         counted[subject] = count_as_one(found, groups)
     return counted
 
 
-def moments_by_crash(times_ms: Times) -> dict[UpstreamIncarnation, Moment]:
-    """Return the moment of each crash that is not alone."""
-    moments: dict[UpstreamIncarnation, Moment] = {}
-    for moment in find_moments(times_ms):
-        moments.update(dict.fromkeys(moment, moment))
-    return moments
-
-
 def count_as_one(found: Evidence, groups: Iterable[Moment]) -> Evidence:
     """Count the runs at the crashes of each group as runs at its first."""
     first: dict[UpstreamIncarnation, UpstreamIncarnation] = {}
@@ -111,31 +113,79 @@
     return replace(found, runs=runs)
 
 
+def runs_at_moments(
+    evidence: Mapping[str, Evidence], moments: Sequence[Moment]
+) -> dict[str, RunsAtMoments]:
+    """Return the runs of each subject at the moments, by their indexes."""
+    index: dict[UpstreamIncarnation, int] = {}
+    for number, moment in enumerate(moments):
+        index.update(dict.fromkeys(moment, number))
+    runs: dict[str, RunsAtMoments] = {}
+    for subject, found in evidence.items():
+        own: dict[int, set[UpstreamIncarnation]] = {}
+        for (incarnation, _), begun in found.runs.items():
+            at = index.get(incarnation)
+            if at is None:
+                continue
+            without_event = own.setdefault(at, set())
+            if not begun:
+                without_event.add(incarnation)
+        runs[subject] = own
+    return runs
+
+
 def unexplained_moments(
-    found: Evidence, moments: Mapping[UpstreamIncarnation, Moment]
-) -> set[Moment]:
-    """Return the moments of a subject that it does not explain."""
-    without_event: set[UpstreamIncarnation] = set()
-    own: set[Moment] = set()
-    for (incarnation, _), begun in found.runs.items():
-        if not begun:
-            without_event.add(incarnation)
-        if incarnation in moments:
-            own.add(moments[incarnation])
-    unexplained = set()
-    for moment in own:
-        if not _explains(found.proven, without_event, moment):
-            unexplained.add(moment)
-    return unexplained
-
-
-def _explains(
-    proven: bool, without_event: Set[UpstreamIncarnation], moment: Moment
-) -> bool:
-    """Return whether a subject may have caused a moment, but for a few."""
-    unexplained = len(set(moment) - without_event)
-    if not proven:
-        return unexplained < MIN_UNEXPLAINED
-    if len(moment) >= LARGE_MOMENT:
-        return False
-    return unexplained < MIN_UNEXPLAINED_IF_PROVEN
+    found: Evidence,
+    moments: Sequence[Moment],
+    runs: RunsAtMoments,
+    explained: Set[UpstreamIncarnation] = frozenset(),
+) -> tuple[Moment, ...]:
+    """Return the moments of a subject that it does not explain, in order.
+
+    ``explained``: crashes that parts with many of their moment may explain.
+    """
+    unexplained = []
+    for number in sorted(runs):
+        moment = moments[number]
+        without_event = runs[number]
+        if found.proven:
+            left = len(moment) - len(without_event)
+            if (
+                len(moment) >= LARGE_MOMENT
+                or left >= MIN_UNEXPLAINED_IF_PROVEN
+            ):
+                unexplained.append(moment)
+            continue
+        if len(moment) - len(without_event) < MIN_UNEXPLAINED:
+            continue
+        left = 0
+        for incarnation in moment:
+            if incarnation not in without_event:
+                left += incarnation not in explained
+        if left >= MIN_UNEXPLAINED:
+            unexplained.append(moment)
+    return tuple(unexplained)
+
+
+def _explained_by_parts(
+    evidence: Mapping[str, Evidence],
+    moments: Sequence[Moment],
+    runs: Mapping[str, RunsAtMoments],
+) -> set[UpstreamIncarnation]:
+    """Return the crashes that an unproven part with many of them explains.
+
+    Several parts that crash upstreams at the same time would otherwise be
+    each other's common cause.
+    """
+    enough = []
+    for moment in moments:
+        third = ceil(len(moment) / 3)
+        enough.append(max(2, min(MAX_RUNS_TO_EXPLAIN, third)))
+    explained: set[UpstreamIncarnation] = set()
+    for subject, found in evidence.items():
+        if found.proven or not found.is_part:
+            continue
+        for number, without_event in runs[subject].items():
+            if len(without_event) >= enough[number]:
+                explained |= without_event
+    return explained
