--- a/packages/daemon/src/lacewing_daemon/direct/_cluster_state.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_cluster_state.py
@@ -120,6 +120,7 @@
         self._saved_parts: OrderedDict[tuple[str, str], float] = OrderedDict()
         self._line_budget = LineBudget(clock())
         self._process_started_s: float | None = None
+        self._is_contended: Callable[[str], bool] = _is_never_contended
 
     @property
     def routing_config(self) -> RoutingConfig | None:
@@ -189,6 +190,14 @@
             weights.append(ReleasedWeights(model, releases[-1].version))
         return tuple(weights)
 
+    def is_contended(self, service: str) -> bool:
+        """Return whether decisions on a service assume scarce capacity."""
+        return self._is_contended(service)
+
+    def set_contended(self, is_contended: Callable[[str], bool]) -> None:
+        """Replace the predicate of contended services."""
+        self._is_contended = is_contended
+
     def upstreams_of(self, service: str) -> list[UpstreamState]:
         """Return the upstreams of a service."""
         return self._by_service.get(service, [])
@@ -507,3 +516,7 @@
             self._load_schedules[model] = _LoadSchedule(
                 schedule.version, times
             )
+
+
+def _is_never_contended(_service: str) -> bool:
+    return False
