Let routers tell each other their load at engines

Reason: a router observes 0.3 sends a second to an engine, and 24 others send there too. Each allows itself two waiting prompts there, so an engine of metering has up to 44 waiting, and each router detects lost engines by itself.

Change: while a service is contended, routers stream their waiting prompts, requests and failures to each other over PeerLink. Placement then expects first events behind the work of all routers, in place of the bounds on one router's requests, and leaves out engines that no router reaches. Services that are not contended are decided as before.

--- /dev/null
+++ b/packages/bench/src/lacewing_bench/exchange/__init__.py
@@ -0,0 +1,1 @@
+"""Evaluate what routers tell each other of their load at engines."""
--- a/packages/daemon/src/lacewing_daemon/direct/_choice.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_choice.py
@@ -22,7 +22,8 @@
     weights, negative once it has begun, infinite if it loads none.
     ``handicap_ms``: cost added to the expected first event when engines are
     compared. ``slots``: runs that the engine has at the same time, 0 if that
-    is unknown.
+    is unknown. ``has_room``: it has a slot and memory for the prompt, by the
+    load of all routers.
     """
 
     upstream_id: str
@@ -34,6 +35,7 @@
     load_in_ms: float = float('inf')
     handicap_ms: float = 0.0
     slots: int = 0
+    has_room: bool = True
 
 
 # Without any candidate there is no estimate of when capacity is available.
@@ -119,7 +121,7 @@
     for engine in engines:
         first_event_ms = _first_event_ms(engine, policy)
         earliest_ms = min(earliest_ms, first_event_ms)
-        if engine.waiting >= bounds.waiting:
+        if not engine.has_room or engine.waiting >= bounds.waiting:
             continue
         slots = max(engine.slots, policy.max_in_flight)
         if engine.in_flight >= min(bounds.in_flight, slots):
--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -33,6 +33,9 @@
 from lacewing_daemon.direct._upstream_state import UpstreamState
 from lacewing_daemon.direct.crashes._crash_store import CRASHES
 from lacewing_daemon.direct.crashes._guard import CrashGuard
+from lacewing_daemon.direct.exchange import LoadExchange
+from lacewing_daemon.direct.exchange._load_section import LoadSection
+from lacewing_daemon.direct.exchange._shared_loads import SharedLoads
 from lacewing_daemon.direct.limits import TeamLimiter
 from lacewing_daemon.direct.limits import UpstreamLimiter
 from lacewing_daemon.direct.limits._limiters import Limiters
@@ -190,6 +193,21 @@
         self._stream_origins = StreamOrigins(
             lambda: self._router_count.addresses, self._upstreams_of
         )
+        self._load_section = LoadSection(
+            settings.peers,
+            self._cluster_state,
+            lambda: self._router_count.addresses,
+        )
+        self._shared_loads = SharedLoads(
+            self._cluster_state, self._load_section.loads, random
+        )
+        self._load_exchange = LoadExchange(
+            settings.peers,
+            self._has_contended_services,
+            lambda: self._router_count.addresses,
+            random,
+        )
+        self._load_exchange.add_section(self._load_section)
         self._statements = Statements(self._limiters.upstreams)
         self._silence_detector = SilenceDetector(
             settings.policy.mute_ms / 1000
@@ -234,6 +252,16 @@
         """Return the record of the software versions that began streams."""
         return self._stream_origins
 
+    @property
+    def load_exchange(self) -> LoadExchange:
+        """Return the exchange of loads with the other routers."""
+        return self._load_exchange
+
+    @property
+    def shared_loads(self) -> SharedLoads:
+        """Return the load of the other routers, for placement."""
+        return self._shared_loads
+
     @property
     def statements(self) -> Statements:
         """Return the record of what upstreams say about themselves."""
@@ -391,20 +419,29 @@
         states = self._cluster_state.upstreams_of(service)
         return [state.upstream for state in states]
 
+    def _has_contended_services(self) -> bool:
+        config = self._cluster_state.routing_config
+        if config is None:
+            return False
+        return any(map(self._cluster_state.is_contended, config.services))
+
     async def _run_peers(self) -> None:
         """Serve peers and call them until cancelled."""
         if not self._peers_address:
             return
         await asyncio.sleep(PEERS_START_DELAY_S)
         from lacewing_daemon.direct._peer_link import PeerLink
+        from lacewing_daemon.direct.exchange._service import connect_exchange
         from lacewing_daemon.direct.origins._service import connect_origins
 
         link = PeerLink(self._peers_address)
         self._limiters.connect(link)
         connect_origins(self._stream_origins, link)
+        carrier = connect_exchange(link, self._load_exchange)
         try:
             async with asyncio.TaskGroup() as tasks:
                 tasks.create_task(self._crash_guard.exchange(link))
+                tasks.create_task(self._load_exchange.run(carrier))
                 tasks.create_task(link.run())
         finally:
             link.close()
--- a/packages/daemon/src/lacewing_daemon/direct/_metrics.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_metrics.py
@@ -162,3 +162,30 @@
     'Statements in answers of upstreams that could not be read, by subject',
     ['subject'],
 )
+EXCHANGE_MESSAGES = Counter(
+    'lacewing_direct_exchange_messages',
+    'Messages about loads to and from other routers, by result',
+    ['result'],
+)
+EXCHANGE_BYTES = Counter(
+    'lacewing_direct_exchange_bytes',
+    'Bytes of messages about loads, with their frames, by direction',
+    ['direction'],
+)
+EXCHANGE_PEERS = Gauge(
+    'lacewing_direct_exchange_peers',
+    'Routers that read messages about loads, or that were heard of lately',
+    ['state'],
+)
+EXCHANGE_INTERVAL_SECONDS = Gauge(
+    'lacewing_direct_exchange_interval_seconds',
+    'Interval between messages about loads',
+)
+OTHER_LOAD_AGE_SECONDS = Gauge(
+    'lacewing_direct_other_load_age_seconds',
+    'Mean age of what other routers told of their load, -1 if unknown',
+)
+UNREACHABLE_UPSTREAMS = Gauge(
+    'lacewing_direct_upstreams_unreachable',
+    'Upstreams that no router reaches, as routers told',
+)
--- a/packages/daemon/src/lacewing_daemon/direct/_peer_link.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_peer_link.py
@@ -1,6 +1,7 @@
 """Serve calls of other routers and call them over shared connections."""
 
 import asyncio
+from collections.abc import AsyncIterable
 from collections.abc import Callable
 from typing import Any
 from typing import Protocol
@@ -70,6 +71,20 @@
             _log.debug('Call to a peer failed.', error=answer.message)
         return answer
 
+    async def stream(
+        self,
+        address: str,
+        method: str,
+        messages: AsyncIterable[Any],
+        message_type: type,
+        reply_type: type[T],
+        timeout_s: float,
+    ) -> T | PeerCallFailed:
+        """Send a peer messages in one call; ``timeout_s`` is for each."""
+        return await self._channels.stream(
+            address, method, messages, message_type, reply_type, timeout_s
+        )
+
     async def run(self) -> None:
         """Listen and close idle connections until cancelled."""
         await self._listen()
--- a/packages/daemon/src/lacewing_daemon/direct/_placing.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_placing.py
@@ -34,6 +34,8 @@
 from lacewing_daemon.direct._weights_releases import min_allowed_version
 from lacewing_daemon.direct._weights_releases import ReleaseAge
 from lacewing_daemon.direct._weights_releases import superseded_for_s
+from lacewing_daemon.direct.exchange._shared_choice import place_shared
+from lacewing_daemon.direct.exchange._shared_loads import SharedLoads
 
 _MS = 1000.0
 # Callers that are refused come back no sooner.
@@ -47,7 +49,10 @@
 
 @dataclass(frozen=True)
 class _PromptContext:
-    """Hold what is common to all candidate engines of a prompt."""
+    """Hold what is common to all candidate engines of a prompt.
+
+    ``shared``: the load of other routers, None while it is not to be used.
+    """
 
     prompt: Prompt
     admitted: Admitted
@@ -59,15 +64,20 @@
     urgency: int
     now_s: float
     policy: LoadPolicy
+    shared: SharedLoads | None
 
 
 class Placer:
     """Place requests on the upstreams of a fleet."""
 
     def __init__(
-        self, cluster_state: ClusterState, availability_zone: str
+        self,
+        cluster_state: ClusterState,
+        availability_zone: str,
+        shared: SharedLoads | None = None,
     ) -> None:
         self._cluster_state = cluster_state
+        self._shared = shared
         self._zone = availability_zone
         self._cached_parts = CachedParts(cluster_state)
         self._load_shares: dict[str, LoadShare] = {}
@@ -117,6 +127,8 @@
             if not isinf(pause_s):
                 return NoCapacity(max(MIN_RETRY_MS, pause_s * _MS))
         usable = responsive_upstreams(usable, now_s)
+        if self._shared is not None:
+            usable = self._shared.reachable(admitted, usable, now_s)
         if engine is None or prompt is None:
             return self._place_plain(usable, now_s)
         releases = self._cluster_state.releases(prompt.model)
@@ -133,11 +145,18 @@
             urgency_of(admitted),
             now_s,
             self._cluster_state.policy_for(admitted.service.name),
+            self._known_loads(admitted.service.name, now_s),
         )
         return self._place_prompt(
             context, by_preference(prompt, usable), left_ms
         )
 
+    def _known_loads(self, service: str, now_s: float) -> SharedLoads | None:
+        shared = self._shared
+        if shared is None or not shared.is_known(service, now_s):
+            return None
+        return shared
+
     def _has_software(self, admitted: Admitted, software: Software) -> bool:
         for state in self._cluster_state.upstreams_of(admitted.service.name):
             if state.upstream.leaving:
@@ -210,17 +229,7 @@
                 context, target, 0.0 if is_first else non_preferred_ms
             )
             views.append(view)
-        placed = place_prompt(
-            views,
-            left_ms,
-            context.policy,
-            context.prompt.expected_tokens,
-            send_bounds(
-                self._cluster_state.router_count,
-                self._own_share(context, states),
-                context.policy,
-            ),
-        )
+        placed = self._choose(context, views, states, left_ms)
         if isinstance(placed, NoCapacity):
             return placed
         target = targets[placed.upstream_id]
@@ -230,6 +239,26 @@
             target, first_event_ms=placed.first_event_ms, copy_to=copy_to
         )
 
+    def _choose(
+        self,
+        context: _PromptContext,
+        views: list[EngineView],
+        states: list[UpstreamState],
+        left_ms: float,
+    ) -> Placement | NoCapacity:
+        policy = context.policy
+        answer_tokens = context.prompt.expected_tokens
+        if context.shared is not None:
+            return place_shared(
+                context.shared.spread(views), left_ms, policy, answer_tokens
+            )
+        bounds = send_bounds(
+            self._cluster_state.router_count,
+            self._own_share(context, states),
+            policy,
+        )
+        return place_prompt(views, left_ms, policy, answer_tokens, bounds)
+
     def _own_share(
         self, context: _PromptContext, states: list[UpstreamState]
     ) -> float | None:
@@ -264,11 +293,7 @@
         lateness_ms = state.lateness_ms(now_s)
         policy = context.policy
         tokens_per_ms = policy.prefill_tokens_per_ms
-        own_wait_ms = state.queued_prefill_ms(context.urgency, tokens_per_ms)
-        # Requests of other routers are assumed to need the usual prefill of
-        # this router's requests.
-        other_wait_ms = state.other_waiting(now_s) * policy.usual_read_ms
-        wait_ms = own_wait_ms + other_wait_ms + lateness_ms
+        wait_ms = self._queued_ms(context, state) + lateness_ms
         return Target(
             state,
             self._cached_parts.prefill_ms(
@@ -295,6 +320,21 @@
             tokens_per_ms=tokens_per_ms,
         )
 
+    def _queued_ms(
+        self, context: _PromptContext, state: UpstreamState
+    ) -> float:
+        """Return the prefill that precedes a request at one engine."""
+        policy, now_s = context.policy, context.now_s
+        urgency = context.urgency
+        tokens_per_ms = policy.prefill_tokens_per_ms
+        if context.shared is not None:
+            return context.shared.wait_ms(state, urgency, tokens_per_ms, now_s)
+        own_wait_ms = state.queued_prefill_ms(urgency, tokens_per_ms)
+        # Requests of other routers are assumed to need the usual prefill of
+        # this router's requests.
+        other_wait_ms = state.other_waiting(now_s) * policy.usual_read_ms
+        return own_wait_ms + other_wait_ms
+
     def _view(
         self, context: _PromptContext, target: Target, non_preferred_ms: float
     ) -> EngineView:
@@ -325,6 +365,15 @@
             ),
             handicap_ms,
             upstream.slots,
+            self._has_room(context, state),
+        )
+
+    def _has_room(self, context: _PromptContext, state: UpstreamState) -> bool:
+        if context.shared is None:
+            return True
+        tokens = context.prompt.tokens + context.prompt.expected_tokens
+        return context.shared.has_room(
+            state, tokens, context.engine.kv_tokens, context.now_s
         )
 
     def _load_in_ms(
--- a/packages/daemon/src/lacewing_daemon/direct/_router.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_router.py
@@ -71,7 +71,11 @@
         self._context = ServingContext(
             self._fleet,
             wire,
-            Placer(self._fleet.cluster_state, settings.availability_zone),
+            Placer(
+                self._fleet.cluster_state,
+                settings.availability_zone,
+                self._fleet.shared_loads,
+            ),
             settings.policy,
             Random(),
             RequestLog(time.monotonic()),
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -104,8 +104,17 @@
         if target.copy_to is not None and request.prompt is not None:
             self._copy_tokens = request.prompt.tokens
             target.copy_to.open_copy(self._copy_tokens)
+        fleet.shared_loads.record_placed(self._state, self._start_s)
+        expected_tokens = 0
+        if request.prompt is not None:
+            expected_tokens = request.prompt.expected_tokens
+        prefill_tokens = target.prefill_ms * target.tokens_per_ms
         self._open_request = self._state.open_request(
-            target.prefill_ms, target.urgency, self._start_s
+            target.prefill_ms,
+            target.urgency,
+            self._start_s,
+            prefill_tokens,
+            int(prefill_tokens) + expected_tokens,
         )
 
     def unfinished(self, reason: Reason) -> Try:
@@ -172,7 +181,7 @@
             if self._target.copy_to is not None:
                 self._target.copy_to.close_copy(self._copy_tokens)
             self._state.mark_started(self._open_request)
-            self._state.close_request()
+            self._state.close_request(self._open_request)
         has_newer_weights = self._reported_newer_weights(end)
         if not has_newer_weights:
             self._record_end(end)
@@ -338,7 +347,7 @@
             self._state.record_refused_connection(now_s)
             return
         if end.contact is Contact.UNREACHABLE:
-            self._state.record_failure(now_s)
+            self._state.record_unreachable(now_s)
             return
         self._state.exclude_for(now_s, REFUSED_PAUSE_S)
 
--- a/packages/daemon/src/lacewing_daemon/direct/_silence_detector.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_silence_detector.py
@@ -168,6 +168,7 @@
             moving += len(due)
             if due:
                 self._abort_streams(state, due, silent_s)
+                state.own_load.fell_silent(now_s)
 
     def _can_move(
         self, stream: WatchedStream, moving: int, now_s: float
--- a/packages/daemon/src/lacewing_daemon/direct/_upstream_state.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_upstream_state.py
@@ -11,6 +11,7 @@
 from lacewing_daemon.direct._site import UpstreamLoad
 from lacewing_daemon.direct._upstream import UnknownSoftware
 from lacewing_daemon.direct._upstream import Upstream
+from lacewing_daemon.direct.exchange._own_load import OwnLoad
 
 _MS = 1000.0
 # Reported loads are some hundred ms old when they are used; older ones
@@ -44,11 +45,17 @@
 
 @dataclass(frozen=True, eq=False)
 class OpenRequest:
-    """Hold the load of one open request on an upstream."""
+    """Hold the load of one open request on an upstream.
+
+    ``prefill_tokens``: what it prefills; ``kv_tokens``: what it adds to the
+    KV memory until its end.
+    """
 
     prefill_ms: float
     urgency: int
     sent_s: float
+    prefill_tokens: float = 0.0
+    kv_tokens: int = 0
 
 
 class UpstreamState:
@@ -69,6 +76,7 @@
         self._sent_s = 0.0
         self._last_data_s = 0.0
         self._waiting: set[OpenRequest] = set()
+        self._own_load = OwnLoad()
         self._weights = dict(upstream.weights)
         self._load: UpstreamLoad | None = None
         self._load_s = 0.0
@@ -102,6 +110,11 @@
         """Return the number of this router's open requests there."""
         return self._in_flight
 
+    @property
+    def own_load(self) -> OwnLoad:
+        """Return what other routers are told of it."""
+        return self._own_load
+
     def idle_s(self, now_s: float) -> float:
         """Return the time since the last request was sent there."""
         return now_s - self._sent_s
@@ -203,10 +216,21 @@
         limit_s = self._silence_history.usual_silence_s(now_s) * SILENCE_FACTOR
         return silent_s > min(limit_s, MAX_SILENCE_S)
 
+    @property
+    def last_data_s(self) -> float | None:
+        """Return when data was last received from it, None if never."""
+        return self._last_data_s or None
+
     def since_last_data_s(self, now_s: float) -> float:
         """Return the time since data was last received from it."""
         return now_s - self._last_data_s
 
+    def last_report(self, now_s: float) -> tuple[UpstreamLoad, float] | None:
+        """Return its recent load report and when it arrived."""
+        if self._load is None or not self.has_recent_load(now_s):
+            return None
+        return self._load, self._load_s
+
     def data_received(self, now_s: float) -> None:
         """Record that data was received from the upstream."""
         self._last_data_s = now_s
@@ -264,22 +288,34 @@
         return max(0, self._load.waiting - len(self._waiting))
 
     def open_request(
-        self, prefill_ms: float, urgency: int, now_s: float
+        self,
+        prefill_ms: float,
+        urgency: int,
+        now_s: float,
+        prefill_tokens: float = 0.0,
+        kv_tokens: int = 0,
     ) -> OpenRequest:
         """Count a request that is sent there."""
         self._in_flight += 1
         self._sent_s = now_s
-        request = OpenRequest(prefill_ms, urgency, now_s)
+        request = OpenRequest(
+            prefill_ms, urgency, now_s, prefill_tokens, kv_tokens
+        )
         self._waiting.add(request)
+        self._own_load.opened(urgency, prefill_tokens, kv_tokens)
         return request
 
     def mark_started(self, request: OpenRequest) -> None:
         """Record that a request got its first event or its answer."""
-        self._waiting.discard(request)
+        if request in self._waiting:
+            self._waiting.remove(request)
+            self._own_load.started(request.urgency, request.prefill_tokens)
 
-    def close_request(self) -> None:
+    def close_request(self, request: OpenRequest | None = None) -> None:
         """Stop counting a request."""
         self._in_flight -= 1
+        if request is not None:
+            self._own_load.closed(request.kv_tokens)
 
     @property
     def copy_tokens(self) -> int:
@@ -314,8 +350,14 @@
         as many requests to each crashed engine.
         """
         self.record_failure(now_s)
+        self._own_load.connection_failed(now_s)
         self.exclude_for(now_s, EXCLUDE_BASE_S)
 
+    def record_unreachable(self, now_s: float) -> None:
+        """Count a failure to connect that is not a refusal."""
+        self.record_failure(now_s)
+        self._own_load.connection_failed(now_s)
+
     def rest_for(self, now_s: float, duration_s: float) -> None:
         """Send no requests there for as long as it has asked for."""
         until_s = now_s + duration_s
--- /dev/null
+++ b/packages/daemon/src/lacewing_daemon/direct/exchange/_interval.py
@@ -0,0 +1,58 @@
+"""Determine how often a router tells others its load, and how many of them.
+
+Pure functions: no clock, no input or output.
+"""
+
+from collections.abc import Sequence
+from math import ceil
+
+import xxhash
+
+# Prompts wait for some hundred ms, so more frequent messages tell little
+# more.
+MIN_INTERVAL_S = 0.15
+# The load of others is used for 1.5 s; with a longer interval a single late
+# message would make it unknown.
+MAX_INTERVAL_S = 1.0
+# The share of a core and the bytes a second that the exchange may take.
+CORE_SHARE = 0.016
+BYTES_PER_S = 7000.0
+# Processor time to send one message and to receive one, as measured by
+# `make exchange-cost`.
+MESSAGE_COST_S = 0.00016
+# Frame headers of HTTP/2 and of gRPC.
+FRAME_BYTES = 14
+# Peers to which a router sends, at the most. With more, the interval that the
+# bounds allow is too long for the load of others to be of use.
+MAX_PEERS = 40
+
+
+def interval_s(peers: int, message_bytes: float) -> float:
+    """Return the interval between messages of a mean size to some peers."""
+    by_core_s = peers * MESSAGE_COST_S / CORE_SHARE
+    by_bytes_s = peers * (message_bytes + FRAME_BYTES) / BYTES_PER_S
+    wanted_s = max(MIN_INTERVAL_S, by_core_s, by_bytes_s)
+    return min(wanted_s, MAX_INTERVAL_S)
+
+
+def peers_to_tell(own_address: str, addresses: Sequence[str]) -> set[str]:
+    """Return the peers that messages are sent to.
+
+    Deterministic subsetting: with more than ``MAX_PEERS`` the routers form
+    groups by a hash of their addresses, which are the same at all routers
+    that know each other, and only those of one group exchange messages.
+    """
+    routers = len(addresses) + 1
+    groups = ceil(routers / (MAX_PEERS + 1))
+    if groups == 1:
+        return set(addresses)
+    own_group = _rank(own_address) % groups
+    members = []
+    for address in addresses:
+        if _rank(address) % groups == own_group:
+            members.append(address)
+    return set(sorted(members, key=_rank)[:MAX_PEERS])
+
+
+def _rank(address: str) -> int:
+    return xxhash.xxh64_intdigest(address.encode())
--- a/packages/daemon/src/lacewing_daemon/peers/_channels.py
+++ b/packages/daemon/src/lacewing_daemon/peers/_channels.py
@@ -3,11 +3,14 @@
 import asyncio
 import ssl
 import time
+from collections.abc import AsyncIterable
+from collections.abc import Coroutine
 from dataclasses import dataclass
 from typing import Any
 from typing import TypeVar
 
 from grpclib.client import Channel
+from grpclib.client import StreamUnaryMethod
 from grpclib.client import UnaryUnaryMethod
 from grpclib.exceptions import GRPCError
 from grpclib.exceptions import ProtocolError
@@ -86,10 +89,46 @@
         call: UnaryUnaryMethod[Any, Any] = UnaryUnaryMethod(
             connection.channel, method, type(request), reply_type
         )
+        return await self._finish(
+            address, connection, _await_call(call, request), timeout_s
+        )
+
+    async def stream(
+        self,
+        address: str,
+        method: str,
+        messages: AsyncIterable[Any],
+        message_type: type,
+        reply_type: type[T],
+        timeout_s: float,
+    ) -> T | PeerCallFailed:
+        """Send messages in one call, and return the reply to all of them.
+
+        ``timeout_s`` limits each send, and the wait for the reply.
+        """
+        try:
+            connection = self._connect(address)
+        except SettingsError as error:
+            return PeerCallFailed(str(error))
+        call: StreamUnaryMethod[Any, Any] = StreamUnaryMethod(
+            connection.channel, method, message_type, reply_type
+        )
+        return await self._finish(
+            address, connection, _send_all(call, messages, timeout_s)
+        )
+
+    async def _finish(
+        self,
+        address: str,
+        connection: _Connection,
+        call: Coroutine[Any, Any, T],
+        timeout_s: float | None = None,
+    ) -> T | PeerCallFailed:
+        """Run a call; retire its connection if it fails."""
         connection.calls += 1
         # On a lost connection, grpclib cancels the task that waits for it. In
         # a separate task this is not mistaken for cancellation of the caller.
-        call_task = asyncio.create_task(_await_call(call, request))
+        call_task = asyncio.create_task(call)
         try:
             async with asyncio.timeout(timeout_s):
                 reply: T = await call_task
@@ -168,3 +207,17 @@
     call: UnaryUnaryMethod[Any, Any], request: object
 ) -> Any:
     return await call(request)
+
+
+async def _send_all(
+    call: StreamUnaryMethod[Any, Any],
+    messages: AsyncIterable[Any],
+    timeout_s: float,
+) -> Any:
+    async with call.open() as stream:
+        async for message in messages:
+            async with asyncio.timeout(timeout_s):
+                await stream.send_message(message)
+        async with asyncio.timeout(timeout_s):
+            await stream.end()
+            return await stream.recv_message()
