Compute what a request adds to the KV memory where it is placed

features/direct_starts.feature sends with a bare fleet and prompt, and failed as Send asked both for more. The target holds the figure now, and the placer records probes.

--- a/packages/daemon/src/lacewing_daemon/direct/_placing.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_placing.py
@@ -165,6 +165,11 @@
                 return True
         return False
 
+    def record_probe(self, state: UpstreamState, now_s: float) -> None:
+        """Record that a request is sent, maybe to an unreachable upstream."""
+        if self._shared is not None:
+            self._shared.record_placed(state, now_s)
+
     def continuation(self, target: Target) -> Target | None:
         """Return where an interrupted run can continue, None if nowhere."""
         copy = target.copy_to
@@ -298,17 +303,19 @@
         policy = context.policy
         tokens_per_ms = policy.prefill_tokens_per_ms
         wait_ms = self._queued_ms(context, state) + lateness_ms
+        prefill_ms = self._cached_parts.prefill_ms(
+            state,
+            cache_salt,
+            prompt,
+            context.engine,
+            kv_store,
+            now_s,
+            tokens_per_ms,
+        )
+        missing_tokens = int(prefill_ms * tokens_per_ms)
         return Target(
             state,
-            self._cached_parts.prefill_ms(
-                state,
-                cache_salt,
-                prompt,
-                context.engine,
-                kv_store,
-                now_s,
-                tokens_per_ms,
-            ),
+            prefill_ms,
             cache_salt,
             weights or None,
             None if kv_store is None else kv_store.address,
@@ -322,6 +329,7 @@
             superseded_ms=superseded_ms,
             is_first=_is_first(state, cache_salt, prompt, now_s),
             tokens_per_ms=tokens_per_ms,
+            kv_tokens=missing_tokens + prompt.expected_tokens,
         )
 
     def _queued_ms(
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -104,17 +104,12 @@
         if target.copy_to is not None and request.prompt is not None:
             self._copy_tokens = request.prompt.tokens
             target.copy_to.open_copy(self._copy_tokens)
-        fleet.shared_loads.record_placed(self._state, self._start_s)
-        expected_tokens = 0
-        if request.prompt is not None:
-            expected_tokens = request.prompt.expected_tokens
-        prefill_tokens = target.prefill_ms * target.tokens_per_ms
         self._open_request = self._state.open_request(
             target.prefill_ms,
             target.urgency,
             self._start_s,
-            prefill_tokens,
-            int(prefill_tokens) + expected_tokens,
+            target.prefill_ms * target.tokens_per_ms,
+            target.kv_tokens,
         )
 
     def unfinished(self, reason: Reason) -> Try:
@@ -270,6 +265,7 @@
         prompt = self._request.prompt
         if engine is None or prompt is None:
             return
+        self._placer.record_probe(self._state, self._start_s)
         self._placer.cached_parts.record_sent(
             self._target, prompt, engine, self._start_s
         )
--- a/packages/daemon/src/lacewing_daemon/direct/_target.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_target.py
@@ -23,7 +23,8 @@
     than ``weights`` was released. ``copy_to``: the upstream that keeps a copy
     of the run's KV cache; ``is_continuation``: the run continues from such a
     copy. ``is_first``: the prompt's own part was not sent there lately;
-    ``tokens_per_ms``: prefill speed.
+    ``tokens_per_ms``: prefill speed. ``kv_tokens``: what the request adds to
+    the engine's KV memory.
     """
 
     state: UpstreamState
@@ -42,6 +43,7 @@
     is_continuation: bool = False
     is_first: bool = False
     tokens_per_ms: float = 0.0
+    kv_tokens: int = 0
 
 
 def urgency_of(admitted: Admitted) -> int:
