--- a/packages/daemon/src/lacewing_daemon/direct/_cluster_state.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_cluster_state.py
@@ -2,6 +2,7 @@
 
 from collections import OrderedDict
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum
@@ -197,6 +198,11 @@
             weights.append(ReleasedWeights(model, releases[-1].version))
         return tuple(weights)
 
+    @property
+    def services(self) -> Collection[str]:
+        """Return the services that have or had upstreams."""
+        return self._by_service.keys()
+
     def upstreams_of(self, service: str) -> list[UpstreamState]:
         """Return the upstreams of a service."""
         return self._by_service.get(service, [])
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -107,7 +107,11 @@
             self._copy_tokens = request.prompt.tokens
             target.copy_to.open_copy(self._copy_tokens)
         self._open_request = self._state.open_request(
-            target.prefill_ms, target.urgency, self._start_s
+            target.prefill_ms,
+            target.urgency,
+            self._start_s,
+            target.prefill_ms * target.tokens_per_ms,
+            target.kv_tokens,
         )
 
     def unfinished(self, reason: Reason) -> Try:
@@ -174,7 +178,7 @@
             if self._target.copy_to is not None:
                 self._target.copy_to.close_copy(self._copy_tokens)
             self._state.mark_started(self._open_request)
-            self._state.close_request()
+            self._state.close_request(self._open_request)
         has_newer_weights = self._reported_newer_weights(end)
         if not has_newer_weights:
             self._record_end(end)
@@ -263,6 +267,7 @@
         prompt = self._request.prompt
         if engine is None or prompt is None:
             return
+        self._placer.record_probe(self._state, self._start_s)
         self._placer.cached_parts.record_sent(
             self._target, prompt, engine, self._start_s
         )
@@ -348,7 +353,7 @@
             self._state.record_refused_connection(now_s)
             return
         if end.contact is Contact.UNREACHABLE:
-            self._state.record_failure(now_s)
+            self._state.record_unreachable(now_s)
             return
         self._state.exclude_for(now_s, REFUSED_PAUSE_S)
 
