--- a/Makefile
+++ b/Makefile
@@ -131,3 +131,8 @@
 .PHONY: origins-cost
 origins-cost: $(VENV)/.made
 	$(BIN)/python -m lacewing_bench.origins_cost
+
+# Expected first events on engines of different speeds on shared machines.
+.PHONY: engine-speeds
+engine-speeds: $(VENV)/.made
+	$(BIN)/python -m lacewing_bench.engine_speeds
