--- a/packages/daemon/src/lacewing_daemon/direct/_cluster_state.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_cluster_state.py
@@ -189,6 +189,10 @@
             weights.append(ReleasedWeights(model, releases[-1].version))
         return tuple(weights)
 
+    def is_contended(self, service_name: str) -> bool:
+        """Return whether a service's upstreams share their machines."""
+        return False
+
     def upstreams_of(self, service: str) -> list[UpstreamState]:
         """Return the upstreams of a service."""
         return self._by_service.get(service, [])
--- a/packages/daemon/src/lacewing_daemon/direct/_site.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_site.py
@@ -219,11 +219,16 @@
 
 @dataclass(frozen=True)
 class UpstreamLoad:
-    """Hold the load that an upstream reported with an answer."""
+    """Hold the load that an upstream reported with an answer.
+
+    ``slowdown``: how long work currently takes there because of others on its
+    machine, where 1.0 means as usual, None if it is not reported.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float | None = None
 
 
 class Unstated(Enum):
