Place prompts of contended services by the model of each engine

First events of a contended service came 39 to 804 ms later than expected, as one speed was used for engines of different speeds. For contended services the model's figures now decide on the choice, Retry-After, copies, lost runs at loads and the expected silence, and lateness has no effect. Subjects prefer engines by weighted rendezvous hashing. Factors and errors are exposed, slow engines logged. Services that are not contended keep the service's figures.

Run: behave of engine_placing, direct_estimates, direct_load, direct_subjects, direct_silence, direct_pace, direct_starts, direct_weights, direct, caching, experiment: all passed; make check.

--- a/packages/daemon/src/lacewing_daemon/direct/_candidates.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_candidates.py
@@ -1,9 +1,11 @@
 """Select and order the candidate upstreams of a request."""
 
+from collections.abc import Sequence
 from hashlib import blake2b
 
 from lacewing_daemon.direct._call import Prompt
 from lacewing_daemon.direct._upstream_state import UpstreamState
+from lacewing_daemon.rendezvous import rank_weighted
 from lacewing_daemon.rendezvous import rank_workers
 
 _KEY_BYTES = 8
@@ -17,10 +19,16 @@
 
 
 def by_preference(
-    prompt: Prompt, states: list[UpstreamState]
+    prompt: Prompt,
+    states: list[UpstreamState],
+    shares: Sequence[float] | None = None,
 ) -> list[UpstreamState]:
     """Order engines by rendezvous hashing, so that all routers agree.
 
+    ``shares``: the engines' relative shares of all subjects, None for equal
+    ones. Slow engines that are first for as many subjects as fast ones have
+    long queues, and their subjects move on to engines without them.
+
     Where several engines cost the same, all routers then send one subject
     to the same engine and different subjects to different engines. In the
     order of the list they would all choose the first idle engine.
@@ -30,7 +38,11 @@
         return states
     rank = {}
     key = prompt_key(prompt)
-    for position, upstream_id in enumerate(rank_workers(key, ids, len(ids))):
+    if shares is None:
+        ranked = rank_workers(key, ids, len(ids))
+    else:
+        ranked = rank_weighted(key, ids, shares)
+    for position, upstream_id in enumerate(ranked):
         rank[upstream_id] = position
     return sorted(states, key=lambda state: rank[state.upstream.upstream_id])
 
--- a/packages/daemon/src/lacewing_daemon/direct/_choice.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_choice.py
@@ -22,7 +22,9 @@
     weights, negative once it has begun, infinite if it loads none.
     ``handicap_ms``: cost added to the expected first event when engines are
     compared. ``slots``: runs that the engine has at the same time, 0 if that
-    is unknown.
+    is unknown. ``fixed_ms``: part of the first event that depends on neither
+    prompt nor queue; ``step_ms``: time per generated token; None for the step
+    time of the policy.
     """
 
     upstream_id: str
@@ -34,6 +36,8 @@
     load_in_ms: float = float('inf')
     handicap_ms: float = 0.0
     slots: int = 0
+    fixed_ms: float | None = None
+    step_ms: float | None = None
 
 
 # Without any candidate there is no estimate of when capacity is available.
@@ -147,11 +151,12 @@
     started, and it accepts none until the load ends: a request sent there
     costs a retry.
     """
-    first_event_ms = engine.wait_ms + engine.prefill_ms + policy.step_ms
+    fixed_ms = policy.step_ms if engine.fixed_ms is None else engine.fixed_ms
+    first_event_ms = engine.wait_ms + engine.prefill_ms + fixed_ms
     loaded_ms = engine.load_in_ms + policy.load_ms
     if loaded_ms <= 0 or first_event_ms <= engine.load_in_ms:
         return first_event_ms
-    return loaded_ms + engine.prefill_ms + policy.step_ms
+    return loaded_ms + engine.prefill_ms + fixed_ms
 
 
 def _lost_run_cost_ms(
@@ -161,7 +166,8 @@
     policy: LoadPolicy,
 ) -> float:
     """Return the cost of losing the part of a run after a load."""
-    run_ms = answer_tokens * policy.step_ms
+    step_ms = policy.step_ms if engine.step_ms is None else engine.step_ms
+    run_ms = answer_tokens * step_ms
     lost_ms = first_event_ms + run_ms - engine.load_in_ms
     if run_ms <= 0 or first_event_ms > engine.load_in_ms or lost_ms <= 0:
         return 0.0
--- a/packages/daemon/src/lacewing_daemon/direct/_cluster_state.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_cluster_state.py
@@ -8,6 +8,7 @@
 
 from lacewing_common.log import get_log
 from lacewing_common.log import Part
+from msgspec.structs import replace
 
 from lacewing_daemon.direct._budget import RetryBudget
 from lacewing_daemon.direct._clock import boot_s
@@ -32,6 +33,9 @@
 from lacewing_daemon.direct._weights_releases import ReleaseAge
 from lacewing_daemon.direct._weights_releases import superseded_for_s
 from lacewing_daemon.direct._weights_releases import WeightsRelease
+from lacewing_daemon.direct.engines import EngineEstimate
+from lacewing_daemon.direct.engines import EngineModels
+from lacewing_daemon.direct.engines import EngineSpeeds
 
 # The KV store does not report evictions, so parts saved longer ago than this
 # are saved again.
@@ -113,6 +117,7 @@
         self._silence_histories: dict[str, SilenceHistory] = {}
         self._estimates: dict[str, Estimates] = {}
         self._policies: dict[str, _CachedPolicy] = {}
+        self._engine_speeds = EngineSpeeds(policy, self._is_engine)
         self._budgets: dict[str, RetryBudget] = {}
         self._releases: dict[str, tuple[WeightsRelease, ...]] = {}
         self._learned_s: dict[str, float] = {}
@@ -156,7 +161,9 @@
     def policy_for(self, service: str) -> LoadPolicy:
         """Return the policy for decisions on a service.
 
-        Recent estimates of its engines replace the configured figures.
+        Recent estimates of its engines replace the configured figures. For
+        a contended service they are those of an engine without samples;
+        ``engine_estimate`` returns those of each engine.
         """
         now_s = self._clock()
         cached = self._policies.get(service)
@@ -166,6 +173,13 @@
         ):
             return cached.policy
         policy = apply_estimates(self._policy, self.estimates(service), now_s)
+        if self.is_contended(service):
+            usual = self.engine_models(service).latest_service_estimate
+            policy = replace(
+                policy,
+                prefill_tokens_per_ms=usual.tokens_per_ms,
+                step_ms=usual.step_ms,
+            )
         self._policies[service] = _CachedPolicy(policy, now_s)
         for figure in _ESTIMATED_FIGURES:
             gauge = ENGINE_ESTIMATE.labels(service, figure)
@@ -176,6 +190,33 @@
         """Return the estimates for the engines of a service."""
         return self._estimates.setdefault(service, Estimates())
 
+    @property
+    def engine_speeds(self) -> EngineSpeeds:
+        """Return the models of engines, a section of the exchange."""
+        return self._engine_speeds
+
+    def engine_models(self, service: str) -> EngineModels:
+        """Return the models of a service's engines."""
+        return self._engine_speeds.models(service)
+
+    def engine_estimate(
+        self, state: UpstreamState, policy: LoadPolicy, now_s: float
+    ) -> EngineEstimate:
+        """Return an engine's figures, those of the policy if uncontended.
+
+        ``now_s``: monotonic seconds.
+        """
+        service = state.upstream.service
+        if not self.is_contended(service):
+            return EngineEstimate(
+                policy.prefill_tokens_per_ms,
+                policy.step_ms,
+                policy.step_ms,
+                1.0,
+            )
+        models = self.engine_models(service)
+        return models.estimate(state.upstream.upstream_id, now_s)
+
     @property
     def upstreams(self) -> Mapping[str, UpstreamState]:
         """Return all known upstreams by id."""
@@ -335,6 +376,9 @@
                 value = None
             elif value.started_ms > known_ms:
                 before.mark_replaced()
+                self._engine_speeds.forget_engine(
+                    before.upstream.service, name
+                )
                 self._apply_restart(value)
         if state is not None and value is not None and not state.replaced:
             self._update(state, value)
@@ -483,8 +527,15 @@
         members = self._by_service.setdefault(state.upstream.service, [])
         members.append(state)
 
+    def _is_engine(self, service: str, upstream_id: str) -> bool:
+        state = self._upstreams.get(upstream_id)
+        return state is not None and state.upstream.service == service
+
     def _remove(self, state: UpstreamState) -> None:
         upstream = state.upstream
+        self._engine_speeds.forget_engine(
+            upstream.service, upstream.upstream_id
+        )
         del self._upstreams[upstream.upstream_id]
         self._by_service[upstream.service].remove(state)
         self._removed_upstreams[upstream.upstream_id] = state
--- a/packages/daemon/src/lacewing_daemon/direct/_first_event.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_first_event.py
@@ -1,9 +1,11 @@
-"""Record samples of the prefill speed from first events."""
+"""Record samples of the speed of engines from first events."""
 
 from lacewing_daemon.direct._call import Prompt
 from lacewing_daemon.direct._estimates import Estimates
 from lacewing_daemon.direct._estimates import PrefillSample
 from lacewing_daemon.direct._target import Target
+from lacewing_daemon.direct.engines import EngineModels
+from lacewing_daemon.direct.engines import FirstEvent
 
 
 def record_first_event(
@@ -19,10 +21,39 @@
     and if the prompt's own part was not sent to the engine before, as it may
     be cached there.
     """
-    estimates.record_expected_prefill(target.prefill_ms, now_s)
+    usual_ms = target.prefill_ms / target.speed_factor
+    estimates.record_expected_prefill(usual_ms, now_s)
     if not target.is_first or target.wait_ms > target.lateness_ms:
         return
     shared = sum(part.tokens for part in prompt.shared)
     estimates.record_prefill(
         PrefillSample(now_s, prompt.tokens - shared, shared, took_ms)
     )
+
+
+def record_engine_event(
+    models: EngineModels,
+    target: Target,
+    took_ms: float,
+    slowdown: float | None,
+    now_s: float,
+) -> None:
+    """Record the time to a first event as a sample of its engine's speed.
+
+    Excluded are prompts whose own part was sent to the engine before, as it
+    may be cached there, and those that waited for a load of weights.
+    ``slowdown`` is what the engine reported; ``now_s`` is monotonic.
+    """
+    expected_ms = target.wait_ms + target.prefill_ms + target.fixed_ms
+    if not target.is_first or target.first_event_ms > expected_ms + 1.0:
+        return
+    models.record_first_event(
+        target.state.upstream.upstream_id,
+        FirstEvent(
+            target.prefill_ms * target.tokens_per_ms,
+            target.wait_ms / target.speed_factor,
+            took_ms,
+            slowdown,
+        ),
+        now_s,
+    )
--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -1,6 +1,7 @@
 """Keep a direct router's view of the deployment up to date."""
 
 import asyncio
+import time
 from collections.abc import Callable
 from random import Random
 
@@ -33,6 +34,7 @@
 from lacewing_daemon.direct._upstream_state import UpstreamState
 from lacewing_daemon.direct.crashes._crash_store import CRASHES
 from lacewing_daemon.direct.crashes._guard import CrashGuard
+from lacewing_daemon.direct.engines import SpeedReporter
 from lacewing_daemon.direct.limits import TeamLimiter
 from lacewing_daemon.direct.limits import UpstreamLimiter
 from lacewing_daemon.direct.limits._limiters import Limiters
@@ -190,6 +192,7 @@
         self._stream_origins = StreamOrigins(
             lambda: self._router_count.addresses, self._upstreams_of
         )
+        self._speed_reporter = SpeedReporter(time.monotonic())
         self._statements = Statements(self._limiters.upstreams)
         self._silence_detector = SilenceDetector(
             settings.policy.mute_ms / 1000
@@ -219,6 +222,11 @@
         """Return the guard that blocks requests that crash upstreams."""
         return self._crash_guard
 
+    @property
+    def speed_reporter(self) -> SpeedReporter:
+        """Return the reporter of the speed of engines."""
+        return self._speed_reporter
+
     @property
     def team_limiter(self) -> TeamLimiter:
         """Return the limiter that charges requests of teams."""
--- a/packages/daemon/src/lacewing_daemon/direct/_metrics.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_metrics.py
@@ -5,6 +5,7 @@
 from prometheus_client import Histogram
 
 _BUCKETS_S = (0.01, 0.03, 0.1, 0.2, 0.3, 0.4, 0.8, 1.5, 3.0, 5.0, 15.0)
+_ERROR_BUCKETS_S = (-0.4, -0.2, -0.1, -0.05, 0.0, 0.05, 0.1, 0.2, 0.4, 0.8, 2)
 
 REQUESTS = Counter(
     'lacewing_direct_requests',
@@ -94,6 +95,17 @@
     'What engines have shown, or what is configured, by service and figure',
     ['service', 'figure'],
 )
+ENGINE_FACTOR = Gauge(
+    'lacewing_direct_engine_factor',
+    'Ratio of the times of an engine of a contended service to the usual ones',
+    ['service', 'upstream'],
+)
+EXPECTATION_ERROR_SECONDS = Histogram(
+    'lacewing_direct_expectation_error_seconds',
+    'How much later a first event came than expected, by contended service',
+    ['service'],
+    buckets=_ERROR_BUCKETS_S,
+)
 STORE_ERA = Gauge(
     'lacewing_direct_store_era',
     'Era of the store, one higher each time that it lost changes',
--- a/packages/daemon/src/lacewing_daemon/direct/_placing.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_placing.py
@@ -135,9 +135,24 @@
             self._cluster_state.policy_for(admitted.service.name),
         )
         return self._place_prompt(
-            context, by_preference(prompt, usable), left_ms
+            context,
+            by_preference(prompt, usable, self._shares(usable, now_s)),
+            left_ms,
         )
 
+    def _shares(
+        self, states: list[UpstreamState], now_s: float
+    ) -> list[float] | None:
+        """Return the engines' shares of subjects, None for equal ones."""
+        shares = []
+        for state in states:
+            service = state.upstream.service
+            if not self._cluster_state.is_contended(service):
+                return None
+            models = self._cluster_state.engine_models(service)
+            shares.append(models.share(state.upstream.upstream_id, now_s))
+        return shares
+
     def _has_software(self, admitted: Admitted, software: Software) -> bool:
         for state in self._cluster_state.upstreams_of(admitted.service.name):
             if state.upstream.leaving:
@@ -261,13 +276,18 @@
             context.admitted.team, prompt.model, weights
         )
         kv_store = context.kv_store
-        lateness_ms = state.lateness_ms(now_s)
         policy = context.policy
-        tokens_per_ms = policy.prefill_tokens_per_ms
+        speed = self._cluster_state.engine_estimate(state, policy, now_s)
+        state.update_speed_factor(speed.factor)
+        tokens_per_ms = speed.tokens_per_ms
+        lateness_ms = 0.0
+        if not self._cluster_state.is_contended(state.upstream.service):
+            lateness_ms = state.lateness_ms(now_s)
         own_wait_ms = state.queued_prefill_ms(context.urgency, tokens_per_ms)
         # Requests of other routers are assumed to need the usual prefill of
         # this router's requests.
         other_wait_ms = state.other_waiting(now_s) * policy.usual_read_ms
+        other_wait_ms *= speed.factor
         wait_ms = own_wait_ms + other_wait_ms + lateness_ms
         return Target(
             state,
@@ -293,6 +313,9 @@
             superseded_ms=superseded_ms,
             is_first=_is_first(state, cache_salt, prompt, now_s),
             tokens_per_ms=tokens_per_ms,
+            step_ms=speed.step_ms,
+            fixed_ms=speed.fixed_ms,
+            speed_factor=speed.factor,
         )
 
     def _view(
@@ -325,6 +348,8 @@
             ),
             handicap_ms,
             upstream.slots,
+            target.fixed_ms,
+            target.step_ms,
         )
 
     def _load_in_ms(
@@ -358,7 +383,7 @@
             or context.admitted.route.can_retry
         ):
             return None
-        run_ms = context.prompt.expected_tokens * context.policy.step_ms
+        run_ms = context.prompt.expected_tokens * target.step_ms
         max_copy_tokens = copy_token_limit(
             context.engine.kv_tokens * context.policy.copies_part,
             self._cluster_state.router_count,
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -16,6 +16,7 @@
 from lacewing_daemon.direct._call import CallerRequest
 from lacewing_daemon.direct._clock import boot_s
 from lacewing_daemon.direct._estimates import Estimates
+from lacewing_daemon.direct._first_event import record_engine_event
 from lacewing_daemon.direct._first_event import record_first_event
 from lacewing_daemon.direct._fleet import Fleet
 from lacewing_daemon.direct._metrics import ATTEMPTS
@@ -99,6 +100,8 @@
         self._guard = fleet.crash_guard
         self._start_s = time.monotonic()
         self._first_event_s: float | None = None
+        self._slowdown: float | None = None
+        self._is_own_answer = True
         self._other_requests = self._state.other_requests(self._start_s)
         self._copy_tokens = 0
         if target.copy_to is not None and request.prompt is not None:
@@ -229,15 +232,48 @@
         self._placer.cached_parts.record_prefilled(
             self._target, prompt, self._first_event_s
         )
-        estimated_ms = self._target.first_event_ms - self._target.lateness_ms
         elapsed_ms = (self._first_event_s - self._start_s) * _MS
-        self._state.record_lateness(
-            elapsed_ms - estimated_ms, self._first_event_s
-        )
+        if self._is_contended:
+            self._record_engine_event(elapsed_ms, self._first_event_s)
+        else:
+            estimated_ms = (
+                self._target.first_event_ms - self._target.lateness_ms
+            )
+            self._state.record_lateness(
+                elapsed_ms - estimated_ms, self._first_event_s
+            )
         record_first_event(
             self._estimates, self._target, prompt, elapsed_ms, boot_s()
         )
 
+    def _record_engine_event(self, took_ms: float, now_s: float) -> None:
+        """Record a first event of a contended service.
+
+        The models keep figures by id, so a first event of another upstream
+        or of an incarnation that was replaced is dropped.
+        """
+        if self._state.replaced or not self._is_own_answer:
+            return
+        service = self._admitted.service.name
+        upstream_id = self._state.upstream.upstream_id
+        models = self._fleet.cluster_state.engine_models(service)
+        record_engine_event(
+            models, self._target, took_ms, self._slowdown, now_s
+        )
+        self._fleet.speed_reporter.report(
+            service,
+            upstream_id,
+            models.estimate(upstream_id, now_s),
+            took_ms - self._target.first_event_ms,
+            now_s,
+        )
+
+    @property
+    def _is_contended(self) -> bool:
+        return self._fleet.cluster_state.is_contended(
+            self._admitted.service.name
+        )
+
     @property
     def _estimates(self) -> Estimates:
         return self._fleet.cluster_state.estimates(self._admitted.service.name)
@@ -251,7 +287,17 @@
             or self._target.is_continuation
         ):
             return
-        elapsed_ms = (time.monotonic() - self._first_event_s) * _MS
+        now_s = time.monotonic()
+        elapsed_ms = (now_s - self._first_event_s) * _MS
+        if self._is_contended and not self._state.replaced:
+            self._fleet.cluster_state.engine_models(
+                self._admitted.service.name
+            ).record_run(
+                self._state.upstream.upstream_id,
+                prompt.expected_tokens,
+                elapsed_ms,
+                now_s,
+            )
         self._estimates.record_run(
             prompt.expected_tokens, elapsed_ms, boot_s()
         )
@@ -288,9 +334,12 @@
         self._fleet.silence_detector.data_received(
             self._state, time.monotonic()
         )
+        self._is_own_answer = not self._answered_by_another(head)
+        if head.load is not None:
+            self._slowdown = head.load.slowdown
         if not self._admitted.route.is_streaming and head.is_signed:
             self._record_first_event()
-        if self._answered_by_another(head):
+        if not self._is_own_answer:
             # The load and weights in the answer are those of the other
             # upstream.
             self._state.exclude_for(time.monotonic(), MOVED_UPSTREAM_PAUSE_S)
--- a/packages/daemon/src/lacewing_daemon/direct/_silence_detector.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_silence_detector.py
@@ -139,7 +139,7 @@
         if self._all_silent_until_s <= now_s - silent_s:
             # The other upstreams were not all silent meanwhile, as they are
             # when this router's own link is full.
-            state.silence_history.record(silent_s, now_s)
+            state.silence_history.record(silent_s, now_s, state.speed_factor)
 
     async def run(self) -> None:
         """Check all streams periodically until cancelled."""
@@ -156,7 +156,9 @@
                 continue
             if not self._receives_from_others(state, now_s):
                 continue
-            usual_s = state.silence_history.usual_silence_s(now_s)
+            usual_s = state.silence_history.usual_silence_s(
+                now_s, state.speed_factor
+            )
             due: list[Abort] = []
             for stream in list(streams.values()):
                 if silent_s < stream.silence_limit_s(
--- a/packages/daemon/src/lacewing_daemon/direct/_silence_history.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_silence_history.py
@@ -29,17 +29,27 @@
             maxlen=_MAX_SILENCES
         )
 
-    def record(self, silent_s: float, now_s: float) -> None:
-        """Record a silence that ended."""
-        self._silences.append((now_s, silent_s))
+    def record(
+        self, silent_s: float, now_s: float, speed_factor: float = 1.0
+    ) -> None:
+        """Record a silence that ended.
 
-    def usual_silence_s(self, now_s: float) -> float:
-        """Return how long live engines are silent, 0 if unknown.
+        ``speed_factor``: ratio of the engine's times to the usual ones.
+        """
+        self._silences.append((now_s, silent_s / speed_factor))
+
+    def usual_silence_s(
+        self, now_s: float, speed_factor: float = 1.0
+    ) -> float:
+        """Return how long a live engine is silent, 0 if unknown.
 
+        A fast engine is given as long as a usual one: it may have become
+        slower, and a false detection costs more than a late one.
         The longest silence is ignored: a single one may be due to a link.
         """
         while self._silences and self._silences[0][0] < now_s - SILENCE_TTL_S:
             self._silences.popleft()
         if len(self._silences) < 2:
             return 0.0
-        return sorted(silent_s for _, silent_s in self._silences)[-2]
+        usual_s = sorted(silent_s for _, silent_s in self._silences)[-2]
+        return usual_s * max(1.0, speed_factor)
--- a/packages/daemon/src/lacewing_daemon/direct/_target.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_target.py
@@ -23,7 +23,10 @@
     than ``weights`` was released. ``copy_to``: the upstream that keeps a copy
     of the run's KV cache; ``is_continuation``: the run continues from such a
     copy. ``is_first``: the prompt's own part was not sent there lately;
-    ``tokens_per_ms``: prefill speed.
+    ``tokens_per_ms``: prefill speed; ``step_ms``: time per generated token;
+    ``fixed_ms``: part of the first event that depends on neither prompt nor
+    queue; ``speed_factor``: ratio of the engine's times to the usual ones of
+    its service, contained in the others.
     """
 
     state: UpstreamState
@@ -42,6 +45,9 @@
     is_continuation: bool = False
     is_first: bool = False
     tokens_per_ms: float = 0.0
+    step_ms: float = 0.0
+    fixed_ms: float = 0.0
+    speed_factor: float = 1.0
 
 
 def urgency_of(admitted: Admitted) -> int:
--- a/packages/daemon/src/lacewing_daemon/direct/_upstream_state.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_upstream_state.py
@@ -74,6 +74,7 @@
         self._load_s = 0.0
         self._own_at_load = 0
         self._copy_tokens = 0
+        self._speed_factor = 1.0
         self._lateness_ms = 0.0
         self._lateness_s = 0.0
         self._failures = 0
@@ -97,6 +98,11 @@
         """Return the silence history of its service's upstreams."""
         return self._silence_history
 
+    @property
+    def speed_factor(self) -> float:
+        """Return the ratio of its times to the usual ones of its service."""
+        return self._speed_factor
+
     @property
     def in_flight(self) -> int:
         """Return the number of this router's open requests there."""
@@ -200,7 +206,9 @@
         silent_s = now_s - max(oldest_s, self._last_data_s)
         if silent_s <= MIN_SILENCE_S:
             return False
-        limit_s = self._silence_history.usual_silence_s(now_s) * SILENCE_FACTOR
+        limit_s = SILENCE_FACTOR * self._silence_history.usual_silence_s(
+            now_s, self._speed_factor
+        )
         return silent_s > min(limit_s, MAX_SILENCE_S)
 
     def since_last_data_s(self, now_s: float) -> float:
@@ -246,6 +254,10 @@
         )
         self._lateness_s = now_s
 
+    def update_speed_factor(self, factor: float) -> None:
+        """Apply the estimate of its speed."""
+        self._speed_factor = factor
+
     def has_recent_load(self, now_s: float) -> bool:
         """Return whether its last report is recent enough to use."""
         return self._load is not None and now_s - self._load_s <= LOAD_TTL_S
--- a/packages/daemon/src/lacewing_daemon/direct/engines/__init__.py
+++ b/packages/daemon/src/lacewing_daemon/direct/engines/__init__.py
@@ -3,6 +3,7 @@
 from lacewing_daemon.direct.engines._model import EngineEstimate
 from lacewing_daemon.direct.engines._model import EngineModels
 from lacewing_daemon.direct.engines._model import FirstEvent
+from lacewing_daemon.direct.engines._reporter import SpeedReporter
 from lacewing_daemon.direct.engines._section import EngineSpeeds
 
 __all__ = [
@@ -10,4 +11,5 @@
     'EngineModels',
     'EngineSpeeds',
     'FirstEvent',
+    'SpeedReporter',
 ]
--- a/packages/daemon/src/lacewing_daemon/direct/engines/_model.py
+++ b/packages/daemon/src/lacewing_daemon/direct/engines/_model.py
@@ -95,10 +95,16 @@
         self._engines: dict[str, EngineSpeed] = {}
         self._unknown_engine = EngineSpeed()
         self._estimates: dict[str, _CachedEstimate] = {}
+        self._latest_s = 0.0
         self._unsent_fit: FitSums | None = None
         self._unsent: dict[str, EngineSums] = {}
         self._allowances: dict[str, SenderAllowance] = {}
 
+    @property
+    def latest_service_estimate(self) -> EngineEstimate:
+        """Return the figures of the service as of the latest estimate."""
+        return self.service_estimate(self._latest_s)
+
     @property
     def engines(self) -> tuple[str, ...]:
         """Return the ids of the engines with samples."""
@@ -234,6 +240,7 @@
             self._runs.add((sums.run_tokens * allowed, took_ms), now_s)
 
     def _estimate(self, engine: EngineSpeed, now_s: float) -> EngineEstimate:
+        self._latest_s = now_s
         figures = self._fit.figures(now_s)
         factor = engine.factor(figures, now_s)
         factor *= engine.slowdown(self._slowdown(now_s), now_s)
--- a/packages/daemon/src/lacewing_daemon/rendezvous.py
+++ b/packages/daemon/src/lacewing_daemon/rendezvous.py
@@ -2,6 +2,8 @@
 
 import heapq
 from collections import OrderedDict
+from collections.abc import Sequence
+from math import log
 
 import xxhash
 
@@ -9,6 +11,8 @@
 # and recur, so their rankings stay in the cache.
 MAX_CACHED_RANKINGS = 1024
 MAX_WIDTH = 16
+_DIGESTS = 2.0**64
+_MIN_LOG = 1e-300
 
 
 def highest_ranked(key: bytes, process_ids: tuple[str, ...]) -> str:
@@ -29,6 +33,26 @@
     return tuple(process_ids[index] for index in top)
 
 
+def rank_weighted(
+    key: bytes, process_ids: tuple[str, ...], shares: Sequence[float]
+) -> tuple[str, ...]:
+    """Return all workers, best first, each first for its share of keys.
+
+    Weighted rendezvous hashing: a change of one share moves only keys to or
+    from its worker. Equal shares give the order of ``rank_workers``, but for
+    hashes that are equal as floating-point numbers.
+    """
+    seed = int.from_bytes(key, 'big')
+    digest = xxhash.xxh3_64_intdigest
+    ranked = []
+    for name, share in zip(process_ids, shares, strict=True):
+        fraction = (digest(name.encode(), seed) + 0.5) / _DIGESTS
+        # Rounding may give 1.0, whose logarithm is 0.
+        ranked.append((share / max(-log(fraction), _MIN_LOG), name))
+    ranked.sort(reverse=True)
+    return tuple(name for _, name in ranked)
+
+
 class RankingCache:
     """Cache the rankings of recent keys over one set of workers."""
 
