--- a/Makefile
+++ b/Makefile
@@ -136,3 +136,8 @@
 .PHONY: engine-speeds
 engine-speeds: $(VENV)/.made
 	$(BIN)/python -m lacewing_bench.engine_speeds
+
+# Expected against observed first events: make calibration LOGS="FILE FILE"
+.PHONY: calibration
+calibration: $(VENV)/.made
+	$(BIN)/python -m lacewing_bench.calibration --logs="$(LOGS)"
