Bound the engines in a message about speeds and its cost

A message of 23 engines took 1.0 ms to apply and its size was not bounded. It now holds at most 32 engines; sums are decayed without generators.

--- a/features/engine_models.feature
+++ b/features/engine_models.feature
@@ -87,3 +87,9 @@
     Given two models that exchange sums
     When one records 40 first events that are 1000 times later than expected
     Then the factor of the engine is 10
+
+  Scenario: A message holds a bounded number of engines
+    # Guards against a control overhead that grows with the engines.
+    Given two models that exchange sums
+    When one records first events of 100 engines, most of the last one
+    Then it sends sums of 32 engines with the last one
--- a/features/steps/engine_models_steps.py
+++ b/features/steps/engine_models_steps.py
@@ -331,3 +331,22 @@
     """Compare with the bound."""
     estimate = _models(context, 0).estimate(ENGINE, context.now_s)
     assert estimate.factor == factor, estimate
+
+
+@when('one records first events of {count:d} engines, most of the last one')
+def step_many_engines(context: Context, count: int) -> None:
+    """Record one first event of each, and two of the last."""
+    for number in (*range(count), count - 1):
+        event = FirstEvent(3000, 0.0, 80.0, 1.0)
+        _models(context, 0).record_first_event(
+            f'other-{number}', event, context.now_s
+        )
+
+
+@then('it sends sums of {count:d} engines with the last one')
+def step_bounded(context: Context, count: int) -> None:
+    """Compare the engines of the message."""
+    sums = _models(context, 0).collect()
+    assert sums is not None
+    assert len(sums.engines) == count
+    assert sums.engines['other-99'].count == 2
--- a/packages/daemon/src/lacewing_daemon/direct/engines/_model.py
+++ b/packages/daemon/src/lacewing_daemon/direct/engines/_model.py
@@ -6,6 +6,7 @@
 """
 
 from dataclasses import dataclass
+from heapq import nlargest
 from math import isfinite
 
 from lacewing_daemon.direct._estimates import STEP_MS_BOUNDS
@@ -34,6 +35,9 @@
 SLOWDOWN_PRIOR_MS = 500.0
 # Runs of several engines are alike but for outliers such as a stalled VM.
 MAX_RUN_RATIO = 3.0
+# Bounds the size of a message to 2 KB and the time to apply it to 1 ms. A
+# router of the target size has samples of 23 engines per second.
+MAX_SENT_ENGINES = 32
 # Every decision reads the estimates of all engines; without new samples they
 # change by less than 5 % in this time.
 ESTIMATE_TTL_S = 0.2
@@ -183,10 +187,19 @@
         self._unsent.pop(upstream_id, None)
 
     def collect(self) -> ServiceSums | None:
-        """Return this router's samples since the last call, None if none."""
+        """Return this router's samples since the last call, None if none.
+
+        Those of engines beyond MAX_SENT_ENGINES are dropped.
+        """
         if not self._unsent:
             return None
-        sums = ServiceSums(self._unsent_fit or FitSums(), self._unsent)
+        engines = self._unsent
+        if len(engines) > MAX_SENT_ENGINES:
+            most = nlargest(
+                MAX_SENT_ENGINES, engines, key=lambda name: engines[name].count
+            )
+            engines = {name: engines[name] for name in most}
+        sums = ServiceSums(self._unsent_fit or FitSums(), engines)
         self._unsent_fit = None
         self._unsent = {}
         return sums
@@ -255,10 +268,18 @@
     def _engine(self, upstream_id: str) -> EngineSpeed:
         """Return an engine that gets samples; its estimate is outdated."""
         self._estimates.pop(upstream_id, None)
-        return self._engines.setdefault(upstream_id, EngineSpeed())
+        engine = self._engines.get(upstream_id)
+        if engine is None:
+            engine = EngineSpeed()
+            self._engines[upstream_id] = engine
+        return engine
 
     def _unsent_sums(self, upstream_id: str) -> EngineSums:
-        return self._unsent.setdefault(upstream_id, EngineSums())
+        sums = self._unsent.get(upstream_id)
+        if sums is None:
+            sums = EngineSums()
+            self._unsent[upstream_id] = sums
+        return sums
 
     def _step_ms(self, now_s: float) -> float:
         tokens, took_ms = self._runs.at(now_s)
--- a/packages/daemon/src/lacewing_daemon/direct/engines/_sums.py
+++ b/packages/daemon/src/lacewing_daemon/direct/engines/_sums.py
@@ -26,22 +26,29 @@
 
     def at(self, now_s: float) -> tuple[float, ...]:
         """Return the sums as they count at a time."""
-        age_s = now_s - self._at_s
-        if age_s <= 0:
+        factor = self._decay(now_s)
+        if factor == 1.0:
             return self._values
-        factor = 0.5 ** (age_s / self._half_life_s)
-        return tuple(value * factor for value in self._values)
+        return tuple([value * factor for value in self._values])
 
     def add(self, values: tuple[float, ...], now_s: float) -> None:
         """Add a sample, or sums of several."""
-        pairs = zip(self.at(now_s), values, strict=True)
-        added = tuple(before + value for before, value in pairs)
+        factor = self._decay(now_s)
+        pairs = zip(self._values, values, strict=True)
+        added = [before * factor + value for before, value in pairs]
         if added[0] > self._max_weight:
-            factor = self._max_weight / added[0]
-            added = tuple(value * factor for value in added)
-        self._values = added
+            excess = self._max_weight / added[0]
+            added = [value * excess for value in added]
+        self._values = tuple(added)
         self._at_s = max(now_s, self._at_s)
 
+    def _decay(self, now_s: float) -> float:
+        age_s = now_s - self._at_s
+        if age_s <= 0:
+            return 1.0
+        decay: float = 0.5 ** (age_s / self._half_life_s)
+        return decay
+
 
 class FitSums(msgspec.Struct, array_like=True):
     """Hold sums of a weighted least-squares fit of times over tokens.
