Don't take prompts for fast that other routers had cached in part

A router does not see which shared parts prompts of others have left in an engine's cache. Counted as prefilled, they made the engine look fast, and prompts that were not cached were then expected too early. The tokens of such a sample are now those that its time is best explained by.

--- a/features/engine_models.feature
+++ b/features/engine_models.feature
@@ -93,3 +93,17 @@
     Given two models that exchange sums
     When one records first events of 100 engines, most of the last one
     Then it sends sums of 32 engines with the last one
+
+  Scenario: Parts cached for other routers don't make an engine look fast
+    # Guards against prompts expected too early, as others of their length
+    # were shortened by parts that this router did not know to be cached.
+    Given two models that exchange sums
+    When one records 200 first events, half of whose 6,300 shared tokens were cached
+    Then the factor of the engine is 1 within 15%
+    And prompts of 9,190 tokens are expected within 15% of their time
+
+  Scenario: An engine turns slow whose parts may be cached
+    Given two models that exchange sums
+    When one records 200 first events, half of whose 6,300 shared tokens were cached
+    And it records 10 more at a fifth of the speed
+    Then the factor of the engine is at least 3
--- a/features/steps/engine_models_steps.py
+++ b/features/steps/engine_models_steps.py
@@ -350,3 +350,60 @@
     assert sums is not None
     assert len(sums.engines) == count
     assert sums.engines['other-99'].count == 2
+
+
+def _record_unsure(context: Context, count: int, slower: float) -> None:
+    """Record prompts with much shared and with hardly any, in turn."""
+    for number in range(count):
+        shared, own, is_cached = 198, 628, False
+        if number % 2:
+            shared, own, is_cached = 6300, 2890, number % 4 == 1
+        tokens = own if is_cached else own + shared
+        took_ms = (10.0 + tokens / 42.8) * slower
+        for name in (ENGINE, f'other-{number % 10}'):
+            _models(context, 0).record_first_event(
+                name,
+                FirstEvent(shared + own, 0.0, took_ms, 1.0, shared),
+                context.now_s,
+            )
+        context.now_s += 0.3
+
+
+@when(
+    'one records {count:d} first events, half of whose 6,300 shared tokens'
+    ' were cached'
+)
+def step_unsure(context: Context, count: int) -> None:
+    """Record at the usual speed."""
+    _record_unsure(context, count, 1.0)
+
+
+@when('it records {count:d} more at a fifth of the speed')
+def step_unsure_slow(context: Context, count: int) -> None:
+    """Record at one engine only."""
+    for _ in range(count):
+        event = FirstEvent(9190, 5.0, 5 * (15.0 + 9190 / 42.8), 1.0, 6300)
+        _models(context, 0).record_first_event(ENGINE, event, context.now_s)
+        context.now_s += 0.3
+
+
+@then('the factor of the engine is at least {factor:d}')
+def step_min_factor(context: Context, factor: int) -> None:
+    """Compare with the lower bound."""
+    estimate = _models(context, 0).estimate(ENGINE, context.now_s)
+    assert estimate.factor >= factor, estimate
+
+
+@then('the factor of the engine is 1 within {part:d}%')
+def step_usual_factor(context: Context, part: int) -> None:
+    """Compare with the other engines."""
+    estimate = _models(context, 0).estimate(ENGINE, context.now_s)
+    assert abs(estimate.factor - 1) <= part / 100, estimate
+
+
+@then('prompts of 9,190 tokens are expected within {part:d}% of their time')
+def step_long(context: Context, part: int) -> None:
+    """Compare with the true time of a prompt that is not cached."""
+    estimate = _models(context, 0).estimate(ENGINE, context.now_s)
+    expected_ms = estimate.fixed_ms + 9190 / estimate.tokens_per_ms
+    assert abs(expected_ms / (10.0 + 9190 / 42.8) - 1) <= part / 100, estimate
--- a/packages/daemon/src/lacewing_daemon/direct/_first_event.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_first_event.py
@@ -34,6 +34,7 @@
 def record_engine_event(
     models: EngineModels,
     target: Target,
+    prompt: Prompt,
     took_ms: float,
     slowdown: float | None,
     now_s: float,
@@ -47,13 +48,16 @@
     expected_ms = target.wait_ms + target.prefill_ms + target.fixed_ms
     if not target.is_first or target.first_event_ms > expected_ms + 1.0:
         return
+    prefill_tokens = target.prefill_ms * target.tokens_per_ms
+    own_tokens = prompt.tokens - sum(part.tokens for part in prompt.shared)
     models.record_first_event(
         target.state.upstream.upstream_id,
         FirstEvent(
-            target.prefill_ms * target.tokens_per_ms,
+            prefill_tokens,
             target.wait_ms / target.speed_factor,
             took_ms,
             slowdown,
+            max(0.0, prefill_tokens - own_tokens),
         ),
         now_s,
     )
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -14,6 +14,7 @@
 from lacewing_daemon.direct._attempt import AttemptEnd
 from lacewing_daemon.direct._attempt import Contact
 from lacewing_daemon.direct._call import CallerRequest
+from lacewing_daemon.direct._call import Prompt
 from lacewing_daemon.direct._clock import boot_s
 from lacewing_daemon.direct._estimates import Estimates
 from lacewing_daemon.direct._first_event import record_engine_event
@@ -234,7 +235,7 @@
         )
         elapsed_ms = (self._first_event_s - self._start_s) * _MS
         if self._is_contended:
-            self._record_engine_event(elapsed_ms, self._first_event_s)
+            self._record_engine_event(prompt, elapsed_ms, self._first_event_s)
         else:
             estimated_ms = (
                 self._target.first_event_ms - self._target.lateness_ms
@@ -246,7 +247,9 @@
             self._estimates, self._target, prompt, elapsed_ms, boot_s()
         )
 
-    def _record_engine_event(self, took_ms: float, now_s: float) -> None:
+    def _record_engine_event(
+        self, prompt: Prompt, took_ms: float, now_s: float
+    ) -> None:
         """Record a first event of a contended service.
 
         The models keep figures by id, so a first event of another upstream
@@ -258,7 +261,7 @@
         upstream_id = self._state.upstream.upstream_id
         models = self._fleet.cluster_state.engine_models(service)
         record_engine_event(
-            models, self._target, took_ms, self._slowdown, now_s
+            models, self._target, prompt, took_ms, self._slowdown, now_s
         )
         self._fleet.speed_reporter.report(
             service,
--- a/packages/daemon/src/lacewing_daemon/direct/engines/_model.py
+++ b/packages/daemon/src/lacewing_daemon/direct/engines/_model.py
@@ -51,12 +51,15 @@
     ``queued_ms``: the time that the prompts ahead of it were expected to take
     at the usual speed of the service. ``slowdown``: what the engine reported
     of its machine with the answer, None if it reported nothing.
+    ``unsure_tokens``: the part of ``prefill_tokens`` that prompts of other
+    routers may have left in the cache.
     """
 
     prefill_tokens: float
     queued_ms: float
     took_ms: float
     slowdown: float | None = None
+    unsure_tokens: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -150,12 +153,20 @@
         # In tokens, queues remain correct when the speed of the service is
         # estimated anew, and at routers that estimate it differently.
         tokens = event.prefill_tokens + event.queued_ms / figures.token_ms
-        likely_ms = figures.expected_ms(1.0, tokens) * engine.factor(
-            figures, now_s
-        )
-        took_ms = _near(event.took_ms / slowdown, likely_ms, MAX_SAMPLE_RATIO)
+        factor = engine.factor(figures, now_s)
+        took_ms = event.took_ms / slowdown
+        if event.unsure_tokens > 0:
+            # Whether these were cached is taken to be as the current estimate
+            # explains best. Counted in full, cached parts would make engines
+            # look three times as fast.
+            explained = (
+                took_ms / factor - figures.fixed_ms
+            ) / figures.token_ms
+            tokens = clamp(explained, (tokens - event.unsure_tokens, tokens))
+        likely_ms = figures.expected_ms(1.0, tokens) * factor
+        took_ms = _near(took_ms, likely_ms, MAX_SAMPLE_RATIO)
         if event.queued_ms < UNQUEUED_MS:
-            sums = self._fit.record(event.prefill_tokens, took_ms, now_s)
+            sums = self._fit.record(tokens, took_ms, now_s)
             self._unsent_fit = _added(self._unsent_fit, sums)
         engine.add_first_events(1.0, tokens, took_ms, now_s)
         engine.add_slowdown(took_ms, took_ms * slowdown, now_s)
