Merge the model of each engine

Waits of other routers' work use the engine's own speed, in placement and where known work drains between messages. The samples of the models are a section of the exchange. The stand-in for contended services goes.

--- a/Makefile
+++ b/Makefile
@@ -139,3 +139,13 @@
 
 exchange-model: $(VENV)/.made
 	$(BIN)/python -m lacewing_bench.exchange model --seconds=10
+
+# Expected first events on engines of different speeds on shared machines.
+.PHONY: engine-speeds
+engine-speeds: $(VENV)/.made
+	$(BIN)/python -m lacewing_bench.engine_speeds
+
+# Expected against observed first events: make calibration LOGS="FILE FILE"
+.PHONY: calibration
+calibration: $(VENV)/.made
+	$(BIN)/python -m lacewing_bench.calibration --logs="$(LOGS)"
--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -1,6 +1,7 @@
 """Keep a direct router's view of the deployment up to date."""
 
 import asyncio
+import time
 from collections.abc import Callable
 from random import Random
 
@@ -33,6 +34,7 @@
 from lacewing_daemon.direct._upstream_state import UpstreamState
 from lacewing_daemon.direct.crashes._crash_store import CRASHES
 from lacewing_daemon.direct.crashes._guard import CrashGuard
+from lacewing_daemon.direct.engines import SpeedReporter
 from lacewing_daemon.direct.exchange import LoadExchange
 from lacewing_daemon.direct.exchange._load_section import LoadSection
 from lacewing_daemon.direct.exchange._shared_loads import SharedLoads
@@ -223,6 +225,8 @@
             random,
         )
         self._load_exchange.add_section(self._load_section)
+        self._load_exchange.add_section(self._cluster_state.engine_speeds)
+        self._speed_reporter = SpeedReporter(time.monotonic())
         self._statements = Statements(self._limiters.upstreams)
         self._silence_detector = SilenceDetector(
             settings.policy.mute_ms / 1000
@@ -252,6 +256,11 @@
         """Return the guard that blocks requests that crash upstreams."""
         return self._crash_guard
 
+    @property
+    def speed_reporter(self) -> SpeedReporter:
+        """Return the reporter of the speed of engines."""
+        return self._speed_reporter
+
     @property
     def team_limiter(self) -> TeamLimiter:
         """Return the limiter that charges requests of teams."""
--- a/packages/daemon/src/lacewing_daemon/direct/_placing.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_placing.py
@@ -34,6 +34,7 @@
 from lacewing_daemon.direct._weights_releases import min_allowed_version
 from lacewing_daemon.direct._weights_releases import ReleaseAge
 from lacewing_daemon.direct._weights_releases import superseded_for_s
+from lacewing_daemon.direct.engines import EngineEstimate
 from lacewing_daemon.direct.exchange._shared_choice import place_shared
 from lacewing_daemon.direct.exchange._shared_loads import SharedLoads
 
@@ -148,7 +149,9 @@
             self._known_loads(admitted.service.name, now_s),
         )
         return self._place_prompt(
-            context, by_preference(prompt, usable), left_ms
+            context,
+            by_preference(prompt, usable, self._shares(usable, now_s)),
+            left_ms,
         )
 
     def _known_loads(self, service: str, now_s: float) -> SharedLoads | None:
@@ -157,6 +160,19 @@
             return None
         return shared
 
+    def _shares(
+        self, states: list[UpstreamState], now_s: float
+    ) -> list[float] | None:
+        """Return the engines' shares of subjects, None for equal ones."""
+        shares = []
+        for state in states:
+            service = state.upstream.service
+            if not self._cluster_state.is_contended(service):
+                return None
+            models = self._cluster_state.engine_models(service)
+            shares.append(models.share(state.upstream.upstream_id, now_s))
+        return shares
+
     def _has_software(self, admitted: Admitted, software: Software) -> bool:
         for state in self._cluster_state.upstreams_of(admitted.service.name):
             if state.upstream.leaving:
@@ -299,10 +315,14 @@
             context.admitted.team, prompt.model, weights
         )
         kv_store = context.kv_store
-        lateness_ms = state.lateness_ms(now_s)
         policy = context.policy
-        tokens_per_ms = policy.prefill_tokens_per_ms
-        wait_ms = self._queued_ms(context, state) + lateness_ms
+        speed = self._cluster_state.engine_estimate(state, policy, now_s)
+        state.update_speed_factor(speed.factor)
+        tokens_per_ms = speed.tokens_per_ms
+        lateness_ms = 0.0
+        if not self._cluster_state.is_contended(state.upstream.service):
+            lateness_ms = state.lateness_ms(now_s)
+        wait_ms = self._queued_ms(context, state, speed) + lateness_ms
         prefill_ms = self._cached_parts.prefill_ms(
             state,
             cache_salt,
@@ -330,22 +350,28 @@
             is_first=_is_first(state, cache_salt, prompt, now_s),
             tokens_per_ms=tokens_per_ms,
             kv_tokens=missing_tokens + prompt.expected_tokens,
+            step_ms=speed.step_ms,
+            fixed_ms=speed.fixed_ms,
+            speed_factor=speed.factor,
         )
 
     def _queued_ms(
-        self, context: _PromptContext, state: UpstreamState
+        self,
+        context: _PromptContext,
+        state: UpstreamState,
+        speed: EngineEstimate,
     ) -> float:
         """Return the prefill that precedes a request at one engine."""
-        policy, now_s = context.policy, context.now_s
+        now_s = context.now_s
         urgency = context.urgency
-        tokens_per_ms = policy.prefill_tokens_per_ms
+        tokens_per_ms = speed.tokens_per_ms
         if context.shared is not None:
             return context.shared.wait_ms(state, urgency, tokens_per_ms, now_s)
         own_wait_ms = state.queued_prefill_ms(urgency, tokens_per_ms)
         # Requests of other routers are assumed to need the usual prefill of
         # this router's requests.
-        other_wait_ms = state.other_waiting(now_s) * policy.usual_read_ms
-        return own_wait_ms + other_wait_ms
+        usual_ms = context.policy.usual_read_ms * speed.factor
+        return own_wait_ms + state.other_waiting(now_s) * usual_ms
 
     def _view(
         self, context: _PromptContext, target: Target, non_preferred_ms: float
@@ -378,16 +404,17 @@
             handicap_ms,
             upstream.slots,
             self._has_room(context, state),
-            self._unseen_ms(context, state),
+            self._unseen_ms(context, target),
+            target.fixed_ms,
+            target.step_ms,
         )
 
-    def _unseen_ms(
-        self, context: _PromptContext, state: UpstreamState
-    ) -> float:
+    def _unseen_ms(self, context: _PromptContext, target: Target) -> float:
         if context.shared is None:
             return 0.0
-        tokens_per_ms = context.policy.prefill_tokens_per_ms
-        return context.shared.unseen_ms(state, tokens_per_ms, context.now_s)
+        return context.shared.unseen_ms(
+            target.state, target.tokens_per_ms, context.now_s
+        )
 
     def _has_room(self, context: _PromptContext, state: UpstreamState) -> bool:
         if context.shared is None:
@@ -428,7 +455,7 @@
             or context.admitted.route.can_retry
         ):
             return None
-        run_ms = context.prompt.expected_tokens * context.policy.step_ms
+        run_ms = context.prompt.expected_tokens * target.step_ms
         max_copy_tokens = copy_token_limit(
             context.engine.kv_tokens * context.policy.copies_part,
             self._cluster_state.router_count,
--- a/packages/daemon/src/lacewing_daemon/direct/_target.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_target.py
@@ -23,8 +23,11 @@
     than ``weights`` was released. ``copy_to``: the upstream that keeps a copy
     of the run's KV cache; ``is_continuation``: the run continues from such a
     copy. ``is_first``: the prompt's own part was not sent there lately;
-    ``tokens_per_ms``: prefill speed. ``kv_tokens``: what the request adds to
-    the engine's KV memory.
+    ``tokens_per_ms``: prefill speed; ``step_ms``: time per generated token;
+    ``fixed_ms``: part of the first event that depends on neither prompt nor
+    queue; ``speed_factor``: ratio of the engine's times to the usual ones of
+    its service, contained in the others. ``kv_tokens``: what the
+    request adds to the engine's KV memory.
     """
 
     state: UpstreamState
@@ -44,6 +47,9 @@
     is_first: bool = False
     tokens_per_ms: float = 0.0
     kv_tokens: int = 0
+    step_ms: float = 0.0
+    fixed_ms: float = 0.0
+    speed_factor: float = 1.0
 
 
 def urgency_of(admitted: Admitted) -> int:
--- a/packages/daemon/src/lacewing_daemon/direct/exchange/_load_section.py
+++ b/packages/daemon/src/lacewing_daemon/direct/exchange/_load_section.py
@@ -12,7 +12,6 @@
 from lacewing_daemon.direct._cluster_state import ClusterState
 from lacewing_daemon.direct._metrics import OTHER_LOAD_AGE_SECONDS
 from lacewing_daemon.direct._metrics import UNREACHABLE_UPSTREAMS
-from lacewing_daemon.direct._upstream import Upstream
 from lacewing_daemon.direct._upstream_state import UpstreamState
 from lacewing_daemon.direct.exchange._interval import MAX_INTERVAL_S
 from lacewing_daemon.direct.exchange._interval import MIN_INTERVAL_S
@@ -54,10 +53,12 @@
 _NOTHING = _Told(0, 0, None, None, None, float('-inf'))
 
 
-def prefill_speed(cluster_state: ClusterState, upstream: Upstream) -> float:
+def prefill_speed(
+    cluster_state: ClusterState, state: UpstreamState, now_s: float
+) -> float:
     """Return the tokens that an engine prefills in a millisecond."""
-    policy = cluster_state.policy_for(upstream.service)
-    return policy.prefill_tokens_per_ms
+    policy = cluster_state.policy_for(state.upstream.service)
+    return cluster_state.engine_estimate(state, policy, now_s).tokens_per_ms
 
 
 class LoadSection:
@@ -76,7 +77,7 @@
         self._loads = PeerLoads(
             address, lambda: len(self._addresses), self._tokens_per_ms
         )
-        self._upstreams: dict[int, Upstream] = {}
+        self._states: dict[int, UpstreamState] = {}
         self._keys: WeakKeyDictionary[UpstreamState, int] = WeakKeyDictionary()
         self._told: dict[int, _Told] = {}
         self._unreachable: set[int] = set()
@@ -101,11 +102,11 @@
         self._loads.set_interval(min(interval_s, MAX_INTERVAL_S))
         self._stepped_s = now_s
         tells_load = self._tells_load()
-        upstreams = {}
+        states = {}
         failed = self._loads.reachability.failed_engines
         for state in self._contended_states():
             key = self._key(state)
-            upstreams[key] = state.upstream
+            states[key] = state
             if self._has_no_news(key, state) and key not in failed:
                 continue
             load = self._own_load(key, state, now_s)
@@ -116,8 +117,8 @@
             if self._has_news(key, state, load, full, now_s):
                 load = self._with_sent(state, load, now_s)
                 entries.append(self._entry(key, load, now_s))
-        self._upstreams = upstreams
-        self._loads.reachability.observes(self._address, upstreams.keys())
+        self._states = states
+        self._loads.reachability.observes(self._address, states.keys())
         self._forget_ended(now_s)
         self._update_unreachable(now_s)
         age_s = self._loads.age_s(now_s)
@@ -246,13 +247,13 @@
         return encode_entry(key, load, now_s)
 
     def _tokens_per_ms(self, key: int) -> float:
-        upstream = self._upstreams.get(key)
-        if upstream is None:
+        state = self._states.get(key)
+        if state is None:
             return self._cluster_state.policy.prefill_tokens_per_ms
-        return prefill_speed(self._cluster_state, upstream)
+        return prefill_speed(self._cluster_state, state, self._stepped_s)
 
     def _forget_ended(self, now_s: float) -> None:
-        known = frozenset(self._upstreams)
+        known = frozenset(self._states)
         self._loads.forget_engines(known, now_s - ENGINE_TTL_S)
         for key in self._told.keys() - known:
             del self._told[key]
@@ -261,19 +262,19 @@
         """Log which engines no router reaches, or some do again."""
         unreachable = set()
         reachability = self._loads.reachability
-        for key in reachability.failed_engines & self._upstreams.keys():
+        for key in reachability.failed_engines & self._states.keys():
             if reachability.is_unreachable(key, now_s):
                 unreachable.add(key)
         for key in unreachable - self._unreachable:
             _log.warning(
                 'No router reaches an upstream.',
-                upstream=self._upstreams[key].upstream_id,
+                upstream=self._states[key].upstream.upstream_id,
             )
         for key in self._unreachable - unreachable:
-            if key in self._upstreams:
+            if key in self._states:
                 _log.info(
                     'An upstream is reached again.',
-                    upstream=self._upstreams[key].upstream_id,
+                    upstream=self._states[key].upstream.upstream_id,
                 )
         self._unreachable = unreachable
         UNREACHABLE_UPSTREAMS.set(len(unreachable))
