--- a/packages/daemon/src/lacewing_daemon/direct/_cluster_state.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_cluster_state.py
@@ -172,6 +172,10 @@
             gauge.set(getattr(policy, figure))
         return policy
 
+    def is_contended(self, _service: str) -> bool:
+        """Return whether requests of a service compete for capacity."""
+        return False
+
     def estimates(self, service: str) -> Estimates:
         """Return the estimates for the engines of a service."""
         return self._estimates.setdefault(service, Estimates())
