Let requests of contended services wait at the router

Reason: a request is refused if its first event is not expected within 0.8 of its target, although an engine could answer it before its deadline; and what waits at an engine can't be reordered.

Change: the queue of each contended service (package queueing) decides the order by urgency, lateness and the service that teams have received; after two refused sends a request waits there again. A stop of the router refuses what waits.

--- a/Makefile
+++ b/Makefile
@@ -131,3 +131,8 @@
 .PHONY: origins-cost
 origins-cost: $(VENV)/.made
 	$(BIN)/python -m lacewing_bench.origins_cost
+
+# Where requests wait under overload, on a model of engines.
+.PHONY: queueing
+queueing: $(VENV)/.made
+	$(BIN)/python -m lacewing_bench.queueing
--- a/packages/common/src/lacewing_common/log_lines.py
+++ b/packages/common/src/lacewing_common/log_lines.py
@@ -67,6 +67,8 @@
     ``upstream`` interrupted. ``resumes`` is the id of the request that brought
     the first event of a stream that is taken up. ``parts`` are fingerprints
     of the shared parts of the prompt of a request that was blocked.
+    ``queue_ahead``: requests that preceded this one when it joined the
+    router's queue, -1 if it did not wait there; ``queued_ms``: its wait.
     """
 
     event: str
@@ -93,3 +95,5 @@
     runs: tuple[BrokenRun, ...] = ()
     resumes: str = ''
     parts: tuple[str, ...] = ()
+    queued_ms: int = 0
+    queue_ahead: int = -1
--- a/packages/ctl/src/lacewing_ctl/_queries/explain.py
+++ b/packages/ctl/src/lacewing_ctl/_queries/explain.py
@@ -77,6 +77,11 @@
         f'status {line.status}, {line.verdict} after {line.ms} ms'
         f' {line.reason}'.rstrip(),
     ]
+    if line.queue_ahead >= 0:
+        parts.append(
+            f'waited {line.queued_ms} ms at the router,'
+            f' {line.queue_ahead} ahead'
+        )
     if line.tries:
         rows = []
         for one in line.tries:
--- a/packages/daemon/src/lacewing_daemon/direct/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_exchange.py
@@ -208,6 +208,10 @@
                 await self._deliver(relay, result.end)
                 return None
             refusal = self._process_failure(admitted, target, result)
+            if self._chooser.returns_to_queue(
+                admitted, target, result.end.verdict
+            ):
+                refusal = None
             if refusal is not None:
                 return refusal
             if result.end.connection_broken:
@@ -330,7 +334,12 @@
         self._record_outcome(end.head.status, None)
 
     def _deadline_refusal(self) -> Refusal:
-        if self._progress.sends:
+        waited_again = (
+            self._chooser.stay.ahead >= 0
+            and self._current_send is None
+            and not self._progress.runs
+        )
+        if self._progress.sends and not waited_again:
             return may_have_run(Reason.DEADLINE, 'no answer in time')
         return not_run(
             Reason.DEADLINE, 'no answer in time', BUDGET_RETRY_AFTER_S
@@ -379,6 +388,7 @@
             tuple(self._try_log),
             self._subjects,
             now_s,
+            self._chooser.stay,
         )
         REQUESTS.labels(outcome.service, str(status), outcome.reason).inc()
         self._context.log.log_outcome(outcome, now_s)
--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -28,6 +28,7 @@
 from lacewing_daemon.direct._store_calls import InstrumentedObjects
 from lacewing_daemon.direct._store_calls import StoreCallCounter
 from lacewing_daemon.direct._store_eras import StoreEras
+from lacewing_daemon.direct._target import Target
 from lacewing_daemon.direct._upstream import ReleasedWeights
 from lacewing_daemon.direct._upstream import Upstream
 from lacewing_daemon.direct._upstream_state import UpstreamState
@@ -37,6 +38,7 @@
 from lacewing_daemon.direct.limits import UpstreamLimiter
 from lacewing_daemon.direct.limits._limiters import Limiters
 from lacewing_daemon.direct.origins import StreamOrigins
+from lacewing_daemon.direct.queueing import RequestQueues
 
 # The maximum time for which a call waits for changes. Each call that returns
 # also confirms that the store is reachable.
@@ -190,6 +192,7 @@
         self._stream_origins = StreamOrigins(
             lambda: self._router_count.addresses, self._upstreams_of
         )
+        self._queues: RequestQueues[Target] = RequestQueues(random)
         self._statements = Statements(self._limiters.upstreams)
         self._silence_detector = SilenceDetector(
             settings.policy.mute_ms / 1000
@@ -234,6 +237,11 @@
         """Return the record of the software versions that began streams."""
         return self._stream_origins
 
+    @property
+    def queues(self) -> RequestQueues[Target]:
+        """Return the queues of requests that wait for an upstream."""
+        return self._queues
+
     @property
     def statements(self) -> Statements:
         """Return the record of what upstreams say about themselves."""
@@ -327,6 +335,7 @@
         """Stop watching the store and close idle connections."""
         for task in self._tasks:
             task.cancel()
+        self._queues.close()
         self._crash_guard.close()
         self._stream_origins.close()
         self._store_calls.log_counts()
--- a/packages/daemon/src/lacewing_daemon/direct/_metrics.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_metrics.py
@@ -162,3 +162,19 @@
     'Statements in answers of upstreams that could not be read, by subject',
     ['subject'],
 )
+QUEUE_WAITING = Gauge(
+    'lacewing_direct_queue_waiting',
+    'Requests that wait at this router for an upstream, by service',
+    ['service'],
+)
+QUEUE_SECONDS = Histogram(
+    'lacewing_direct_queue_seconds',
+    'Seconds that requests waited at this router, by service',
+    ['service'],
+    buckets=_BUCKETS_S,
+)
+QUEUE_REFUSED = Counter(
+    'lacewing_direct_queue_refused',
+    'Requests refused instead of waiting on, by service and cause',
+    ['service', 'cause'],
+)
--- a/packages/daemon/src/lacewing_daemon/direct/_next_target.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_next_target.py
@@ -2,11 +2,13 @@
 
 import time
 from dataclasses import dataclass
+from functools import partial
 from math import isinf
 
 from lacewing_common.verdict import not_run
 from lacewing_common.verdict import Reason
 from lacewing_common.verdict import Refusal
+from lacewing_common.verdict import Verdict
 
 from lacewing_daemon.direct._admission import Admitted
 from lacewing_daemon.direct._call import CallerRequest
@@ -22,11 +24,18 @@
 from lacewing_daemon.direct.crashes._fingerprint import RequestSubjects
 from lacewing_daemon.direct.limits import Charge
 from lacewing_daemon.direct.limits import Denial
+from lacewing_daemon.direct.queueing import Cause
+from lacewing_daemon.direct.queueing import QueueStay
+from lacewing_daemon.direct.queueing import QueueTurn
 
 _MS = 1000.0
 # Sends of one request, refused ones included; if all of them fail, the fleet
 # is taken to be at capacity.
 MAX_SENDS = 4
+# Refused sends after which a request of a contended service waits in the
+# queue: engines that refuse are full or load, and the next ones are as likely
+# to, a few ms later.
+MAX_REFUSALS_AT_ONCE = 2
 # A started stream waits for capacity for this fraction of the time after which
 # its caller abandons it. The silence before the move has used up the rest.
 CAPACITY_WAIT_FRACTION = 0.35
@@ -42,6 +51,7 @@
     ``runs``: sends that may have run; ``continuation``: where an interrupted
     run goes on, None if it is not to. ``software``: the version of upstreams'
     software that began the stream, None before its first event.
+    ``refused_ids``, ``refusals``: upstreams that refused it, and how often.
     """
 
     sends: int = 0
@@ -50,6 +60,8 @@
     tried_ids: frozenset[str] = frozenset()
     continuation: Target | None = None
     software: Software | None = None
+    refused_ids: frozenset[str] = frozenset()
+    refusals: int = 0
 
 
 class TargetChooser:
@@ -72,6 +84,12 @@
         self._progress = progress
         self._capacity_wait_end_s: float | None = None
         self._charge: Charge | None = None
+        self._turn = QueueTurn(fleet.queues, request)
+
+    @property
+    def stay(self) -> QueueStay:
+        """Return how the request has waited in the queue."""
+        return self._turn.stay
 
     async def choose(
         self, admitted: Admitted, subjects: RequestSubjects, end_s: float
@@ -79,33 +97,42 @@
         """Return the target, NoCapacity to check again, or a refusal."""
         while True:
             now_s = time.monotonic()
-            placed = self._place(admitted, subjects, end_s, now_s)
+            left_ms = self._first_event_limit_ms(admitted, end_s, now_s)
+            uses_queue = self._uses_queue(admitted)
+            placed: Target | NoCapacity | Refusal = NoCapacity(0.0)
+            if not uses_queue or self._is_first_retry:
+                placed = self._place(admitted, subjects, left_ms, now_s)
+            if uses_queue and isinstance(placed, NoCapacity):
+                placed = await self._wait_in_queue(admitted, subjects, end_s)
+            if isinstance(placed, Refusal):
+                return placed
             if isinstance(placed, NoCapacity):
                 if self._can_wait_for_capacity(admitted, placed, now_s):
                     return placed
                 return self._refusal(admitted, placed)
             if await self._reserve(placed.state):
                 break
-        if not self._progress.has_reached_upstream:
-            # The retry budget bounds the extra load of retries. A request
-            # that has reached no upstream has caused no load. When such
-            # sends were charged, crashing engines used up the budget and
-            # prompts were refused although other engines were idle.
-            return placed
-        budget = self._fleet.cluster_state.retry_budget(admitted.service)
-        if budget.spend(
-            time.monotonic(),
-            self._fleet.cluster_state.router_count,
-            self._progress.runs > 0,
-        ):
-            return placed
-        self.refund()
-        REPEATS_DENIED.labels(admitted.service.name).inc()
-        return not_run(
-            Reason.NO_WORKER,
-            'the retry budget is used up',
-            BUDGET_RETRY_AFTER_S,
-        )
+        # The retry budget bounds the extra load of retries. A request that
+        # has reached no upstream has caused no load. When such sends were
+        # charged, crashing engines used up the budget and prompts were
+        # refused although other engines were idle.
+        if self._progress.has_reached_upstream:
+            budget = self._fleet.cluster_state.retry_budget(admitted.service)
+            if not budget.spend(
+                time.monotonic(),
+                self._fleet.cluster_state.router_count,
+                self._progress.runs > 0,
+            ):
+                self.refund()
+                REPEATS_DENIED.labels(admitted.service.name).inc()
+                return not_run(
+                    Reason.NO_WORKER,
+                    'the retry budget is used up',
+                    BUDGET_RETRY_AFTER_S,
+                )
+        if uses_queue:
+            self._turn.record_service(admitted, placed)
+        return placed
 
     def refund(self) -> None:
         """Give back what the last target was charged, as nothing was sent."""
@@ -113,6 +140,28 @@
             self._fleet.upstream_limiter.refund(self._charge)
             self._charge = None
 
+    def returns_to_queue(
+        self, admitted: Admitted, target: Target, verdict: Verdict
+    ) -> bool:
+        """Return whether a request is queued after a send has ended.
+
+        A send that was refused has not run. The queue sends the request
+        again when an upstream is usable, which may be one that has refused
+        it.
+        """
+        if verdict is not Verdict.NOT_RUN or target.is_continuation:
+            return False
+        if not self._uses_queue(admitted):
+            return False
+        self._turn.take_back_service(admitted)
+        self._progress.refusals += 1
+        self._progress.refused_ids |= {target.state.upstream.upstream_id}
+        if self._progress.refusals < MAX_REFUSALS_AT_ONCE:
+            return False
+        self._progress.tried_ids -= self._progress.refused_ids
+        self._progress.refused_ids = frozenset()
+        return True
+
     def can_move(
         self,
         admitted: Admitted,
@@ -175,11 +224,51 @@
         )
         return not isinstance(placed, NoCapacity)
 
+    @property
+    def _is_first_retry(self) -> bool:
+        """Return whether another upstream is tried without waiting."""
+        progress = self._progress
+        return 0 < progress.sends and progress.refusals < MAX_REFUSALS_AT_ONCE
+
+    def _uses_queue(self, admitted: Admitted) -> bool:
+        """Return whether the request waits in the queue of its service.
+
+        A started stream waits on its own: its caller abandons it within a
+        few seconds, whatever else waits.
+        """
+        if self._reply.has_started or self._progress.continuation is not None:
+            return False
+        return self._fleet.cluster_state.is_contended(admitted.service.name)
+
+    async def _wait_in_queue(
+        self, admitted: Admitted, subjects: RequestSubjects, end_s: float
+    ) -> Target | Refusal:
+        """Return the target once it is the request's turn, or a refusal."""
+        placed = await self._turn.wait(
+            admitted,
+            self._fleet.cluster_state.policy_for(admitted.service.name),
+            end_s,
+            partial(self._place, admitted, subjects),
+        )
+        if isinstance(placed, Target):
+            return placed
+        if isinf(placed.retry_s):
+            return self._refusal(admitted, NoCapacity(placed.retry_s))
+        if placed.cause is Cause.DRAINING:
+            text = 'the router stops, and the request still waited'
+            return not_run(Reason.DRAINING, text, placed.retry_s)
+        text = self._describe_missing(admitted)
+        return not_run(
+            Reason.NO_WORKER,
+            f'{text}; waiting: {placed.cause.value}',
+            placed.retry_s,
+        )
+
     def _place(
         self,
         admitted: Admitted,
         subjects: RequestSubjects,
-        end_s: float,
+        left_ms: float,
         now_s: float,
     ) -> Target | NoCapacity:
         continuation = self._progress.continuation
@@ -190,25 +279,27 @@
             return NoCapacity(pause_s * _MS) if pause_s > 0 else continuation
         tried_ids = self._progress.tried_ids
         apart = self._kept_apart(admitted, subjects, now_s)
-        placed = self._place_outside(tried_ids | apart, admitted, end_s, now_s)
+        placed = self._place_outside(
+            tried_ids | apart, admitted, left_ms, now_s
+        )
         if not apart or not isinstance(placed, NoCapacity):
             return placed
         if not self._fleet.crash_guard.isolation.may_mix(subjects):
             return placed
-        return self._place_outside(tried_ids, admitted, end_s, now_s)
+        return self._place_outside(tried_ids, admitted, left_ms, now_s)
 
     def _place_outside(
         self,
         excluded: frozenset[str],
         admitted: Admitted,
-        end_s: float,
+        left_ms: float,
         now_s: float,
     ) -> Target | NoCapacity:
         return self._placer.place(
             self._request,
             admitted,
             excluded,
-            self._first_event_limit_ms(admitted, end_s, now_s),
+            left_ms,
             now_s,
             self._progress.software,
         )
--- a/packages/daemon/src/lacewing_daemon/direct/_request_log.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_request_log.py
@@ -51,6 +51,9 @@
         'ms': end.ms,
         'tries': tries,
     }
+    if end.queue_ahead >= 0:
+        fields['queued_ms'] = end.queued_ms
+        fields['queue_ahead'] = end.queue_ahead
     if end.resumed_request:
         fields['resumes'] = end.resumed_request
     if end.failed:
--- a/packages/daemon/src/lacewing_daemon/direct/_request_outcome.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_request_outcome.py
@@ -10,6 +10,7 @@
 from lacewing_daemon.direct._call import CallerRequest
 from lacewing_daemon.direct._fleet import Fleet
 from lacewing_daemon.direct.crashes._fingerprint import RequestSubjects
+from lacewing_daemon.direct.queueing import QueueStay
 
 _MS = 1000.0
 # Upper bound of ages in the log; JSON has no infinity.
@@ -23,7 +24,8 @@
 
     ``subjects`` are what a crash under it may be attributed to.
     ``resumed_request`` brought the first event of the stream that this one
-    takes up.
+    takes up. ``queue_ahead``: requests that preceded it when it joined the
+    queue, -1 if it never did; ``queued_ms``: how long it waited there.
     """
 
     request_id: str
@@ -41,6 +43,8 @@
     tries: tuple[Try, ...]
     subjects: RequestSubjects
     resumed_request: str = ''
+    queued_ms: int = 0
+    queue_ahead: int = -1
 
     @property
     def failed(self) -> bool:
@@ -57,6 +61,7 @@
     tries: tuple[Try, ...],
     subjects: RequestSubjects,
     now_s: float,
+    stay: QueueStay,
 ) -> RequestOutcome:
     """Return the outcome of a request; ``admitted`` is None if refused."""
     routing_config = fleet.cluster_state.routing_config
@@ -81,4 +86,6 @@
         tries=tries,
         subjects=subjects,
         resumed_request=request.resumed_request,
+        queued_ms=int(stay.queued_s * _MS),
+        queue_ahead=stay.ahead,
     )
--- a/packages/daemon/src/lacewing_daemon/direct/_router.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_router.py
@@ -173,6 +173,7 @@
         start_s = time.monotonic()
         end_s = start_s + self._settings.bounds.drain_s - CLOSE_S
         self._caller_server.begin_drain()
+        self._fleet.queues.close()
         await asyncio.sleep(OUT_OF_ROTATION_S)
         self._caller_server.stop_listening()
         while self._caller_server.open_requests and time.monotonic() < end_s:
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -173,6 +173,7 @@
                 self._target.copy_to.close_copy(self._copy_tokens)
             self._state.mark_started(self._open_request)
             self._state.close_request()
+            self._fleet.queues.capacity_changed(self._admitted.service.name)
         has_newer_weights = self._reported_newer_weights(end)
         if not has_newer_weights:
             self._record_end(end)
@@ -223,6 +224,7 @@
         self._first_event_s = time.monotonic()
         self._guard.run_closed(self._subjects, self._abort)
         self._state.mark_started(self._open_request)
+        self._fleet.queues.capacity_changed(self._admitted.service.name)
         prompt = self._request.prompt
         if prompt is None or self._target.is_continuation:
             return
