Keep free slots and short queues for requests on time

Change: a late request is sent only where a quarter of the slots is free; a team that has received over twice the mean waits at an engine for no more than a quarter of the target.

--- /dev/null
+++ b/features/steps/queue_served_steps.py
@@ -0,0 +1,332 @@
+"""Check the queue of waiting requests with fakes and in a router."""
+
+import asyncio
+import threading
+import time
+from collections.abc import Callable
+from http.client import HTTPConnection
+from random import Random
+from unittest.mock import patch
+
+from behave import given
+from behave import then
+from behave import when
+from behave.runner import Context
+from lacewing_daemon.direct._cluster_state import ClusterState
+from lacewing_daemon.direct.queueing import Offer
+from lacewing_daemon.direct.queueing import QueuedRequest
+from lacewing_daemon.direct.queueing import QueueStay
+from lacewing_daemon.direct.queueing import Refuse
+from lacewing_daemon.direct.queueing import RequestQueue
+from lacewing_daemon.direct.queueing import TeamShares
+from lacewing_daemon.direct.queueing import Unavailable
+from lacewing_platform_testing import Behaviour
+from structlog.testing import capture_logs
+from support.direct_bench import direct_bench
+from support.direct_bench import DirectBench
+from support.direct_bench import PREFIX
+
+DEADLINE_S = 0.3
+SERVICE = 'models'
+LONG_PROMPT = 200_000
+
+
+class _Engine:
+    """Offer nothing until it is opened, then one place at a time."""
+
+    def __init__(self) -> None:
+        self.taken: list[int] = []
+        self.is_open = False
+        self.is_busy = False
+        self.fails = False
+
+    def bidder(self, number: int) -> '_Bidder':
+        """Return the bidder of one request."""
+        return _Bidder(self, number)
+
+
+class _Bidder:
+    def __init__(self, engine: _Engine, number: int) -> None:
+        self._engine = engine
+        self._number = number
+
+    def offer(self, now_s: float) -> Offer[int] | Unavailable:
+        """Return the engine if it is free."""
+        if self._engine.fails:
+            raise RuntimeError('no choice')
+        if not self._engine.is_open or self._engine.is_busy:
+            return Unavailable(0.01)
+        return Offer(self._number, 0.01, 0.0, 0.0, 0.1, 1.0)
+
+
+class _Waits:
+    """Hold requests that wait in a queue; used within one event loop."""
+
+    def __init__(self) -> None:
+        self.engine = _Engine()
+        self.queue: RequestQueue[int] = RequestQueue(
+            SERVICE, TeamShares(), Random(1)
+        )
+        self.tasks: list[asyncio.Task[None]] = []
+        self.ends: list[str] = []
+
+    async def start(self, count: int) -> None:
+        """Let requests join the queue."""
+        for number in range(count):
+            self.tasks.append(asyncio.create_task(self._wait(number)))
+        await asyncio.sleep(0.03)
+        assert self.queue.length == count
+
+    async def finish(self) -> None:
+        """Wait until all have ended."""
+        await asyncio.wait_for(
+            asyncio.gather(*self.tasks, return_exceptions=True), 2.0
+        )
+
+    async def _wait(self, number: int) -> None:
+        now_s = time.monotonic()
+        request = QueuedRequest(
+            1,
+            'north',
+            1.0,
+            now_s,
+            now_s + 0.2 + number / 100,
+            now_s + DEADLINE_S,
+        )
+        bidder = self.engine.bidder(number)
+        try:
+            result = await self.queue.wait(request, bidder, QueueStay())
+        except asyncio.CancelledError:
+            self.ends.append('cancelled')
+            raise
+        except RuntimeError:
+            self.ends.append('error')
+            return
+        if isinstance(result, Refuse):
+            self.ends.append(result.cause.value)
+            return
+        # The next one is chosen only once this one counts at its engine.
+        assert not self.engine.is_busy
+        self.engine.taken.append(result)
+        self.engine.is_busy = True
+        await asyncio.sleep(0.01)
+        self.engine.is_busy = False
+        self.queue.capacity_changed()
+
+
+@given('3 requests that wait for engines without capacity')
+def step_waiting(context: Context) -> None:
+    """Let requests wait in a queue of a loop of its own."""
+    context.runner = context.resources.enter_context(asyncio.Runner())
+    context.waits = _Waits()
+    context.runner.run(context.waits.start(3))
+
+
+async def _leave(waits: _Waits) -> None:
+    for task in waits.tasks:
+        task.cancel()
+    await waits.finish()
+
+
+async def _close(waits: _Waits) -> None:
+    waits.queue.close()
+    await waits.finish()
+
+
+async def _expire(waits: _Waits) -> None:
+    await waits.finish()
+
+
+async def _fail(waits: _Waits) -> None:
+    waits.engine.fails = True
+    await waits.finish()
+
+
+async def _open(waits: _Waits) -> None:
+    waits.engine.is_open = True
+    await waits.finish()
+
+
+_EVENTS = {
+    'their callers leave': _leave,
+    'the queue is closed': _close,
+    'their deadline is over': _expire,
+    'choosing an engine fails': _fail,
+    'an engine takes one request at a time': _open,
+}
+
+
+def _add_event_step(text: str) -> None:
+    @when(text)
+    def step_event(context: Context) -> None:
+        """Let the waits end."""
+        context.runner.run(_EVENTS[text](context.waits))
+
+
+for _text in _EVENTS:
+    _add_event_step(_text)
+
+
+@then('all have ended as "{result}"')
+def step_ended(context: Context, result: str) -> None:
+    """Check how the waits ended."""
+    assert context.waits.ends == [result] * 3, context.waits.ends
+
+
+@then('the queue is empty and no timer runs')
+def step_empty(context: Context) -> None:
+    """Check that nothing is left of the requests."""
+    queue = context.waits.queue
+    assert queue.length == 0
+    assert not queue._waiters
+    assert queue._timer is None
+
+
+@then('the requests were placed one after the other in their order')
+def step_in_order(context: Context) -> None:
+    """Check the order; each was checked to find the engine free."""
+    assert context.waits.engine.taken == [0, 1, 2]
+
+
+@given('the service is {state}')
+def step_contended(context: Context, state: str) -> None:
+    """Replace the decision whether a service is contended."""
+    replaced = patch.object(
+        ClusterState, 'is_contended', return_value=state == 'contended'
+    )
+    context.resources.enter_context(replaced)
+
+
+@when('a caller sends a prompt of {tokens:d} tokens')
+def step_send(context: Context, tokens: int) -> None:
+    """Send a prompt and read the answer."""
+    headers = {PREFIX + 'Token-Usage': f'{tokens},20'}
+    headers[PREFIX + 'Prompt-Prefix'] = f'aa:{tokens}'
+    direct_bench(context).ask_model(**headers)
+
+
+@then('it gets {status:d}')
+def step_gets(context: Context, status: int) -> None:
+    """Check the status of the last answer."""
+    assert direct_bench(context).answer.status == status
+
+
+def _in_thread(context: Context, call: Callable[[], object]) -> None:
+    thread = threading.Thread(target=call)
+    thread.start()
+    context.resources.callback(thread.join)
+    context.threads = [*getattr(context, 'threads', ()), thread]
+
+
+def _length(bench: DirectBench) -> int:
+    queue = bench.routers[0]._fleet.queues.queue(SERVICE)
+    return int(bench.on_loop(lambda: queue.length))
+
+
+@given('an engine that prefills a long prompt')
+def step_prefills(context: Context) -> None:
+    """Let the engine hold a prompt before its first event."""
+    context.logs = context.resources.enter_context(capture_logs())
+    bench = direct_bench(context)
+    engine = bench.upstreams['eng-1']
+    bench.on_loop(engine.hold.clear)
+    context.resources.callback(lambda: bench.on_loop(engine.hold.set))
+    _in_thread(context, lambda: step_send(context, LONG_PROMPT))
+    bench.until(lambda: len(engine.received) == 1, 'the long prompt')
+
+
+@when("a caller's prompt waits at the router")
+def step_waits_at_router(context: Context) -> None:
+    """Send a prompt that the engine can't answer in time."""
+    bench = direct_bench(context)
+    context.connection = bench.connect()
+    _in_thread(context, lambda: _ask_on(bench, context.connection))
+    bench.until(lambda: _length(bench) == 1, 'a waiting request')
+
+
+def _ask_on(bench: DirectBench, connection: HTTPConnection) -> None:
+    headers = {
+        PREFIX + 'Model': 'tutor',
+        PREFIX + 'Token-Usage': '300,20',
+        PREFIX + 'Prompt-Prefix': 'bb:300',
+    }
+    bench.ask_on(
+        connection, '/chat/1', method='POST', body=b'prompt', **headers
+    )
+
+
+@when('the engine has prefilled')
+def step_prefilled(context: Context) -> None:
+    """Let the engine answer."""
+    bench = direct_bench(context)
+    bench.on_loop(bench.upstreams['eng-1'].hold.set)
+    for thread in context.threads:
+        thread.join()
+
+
+@then('both are answered')
+def step_both_answered(context: Context) -> None:
+    """Check the answers."""
+    statuses = [answer.status for answer in direct_bench(context).answers]
+    assert statuses == [200, 200], statuses
+
+
+@then('the log tells how long the second waited and how many were ahead')
+def step_log(context: Context) -> None:
+    """Check the fields of the line of the request that waited."""
+    lines = [line for line in context.logs if 'queued_ms' in line]
+    assert len(lines) == 1, lines
+    assert lines[0]['queue_ahead'] == 0 and lines[0]['queued_ms'] > 0, lines
+
+
+@when('the router stops')
+def step_stops(context: Context) -> None:
+    """Begin to stop the router, without waiting for its end."""
+    bench = direct_bench(context)
+    router = bench.routers[0]
+    context.stopping = bench.on_loop(
+        lambda: asyncio.ensure_future(router.stop())
+    )
+    context.threads[-1].join()
+
+
+@then('the waiting caller gets 503 and its prompt was not sent')
+def step_drained(context: Context) -> None:
+    """Check the answer and what the engine received."""
+    bench = direct_bench(context)
+    assert bench.answer.status == 503, bench.answer
+    assert 'Retry-After' in bench.answer.headers, bench.answer
+    assert len(bench.upstreams['eng-1'].received) == 1
+    assert _length(bench) == 0
+
+
+@when('that caller leaves')
+def step_leaves(context: Context) -> None:
+    """Close the connection of the caller that waits."""
+    context.connection.sock.shutdown(2)
+    bench = direct_bench(context)
+    bench.until(lambda: _length(bench) == 0, 'an empty queue')
+
+
+@then('nothing waits and its prompt was not sent')
+def step_left(context: Context) -> None:
+    """Check what the engine received."""
+    bench = direct_bench(context)
+    assert len(bench.upstreams['eng-1'].received) == 1
+    assert _length(bench) == 0
+
+
+@given('the engine refuses {count:d} requests')
+def step_refuses(context: Context, count: int) -> None:
+    """Let the engine refuse its next requests."""
+    engine = direct_bench(context).upstreams['eng-1']
+    engine.script.extend([Behaviour.SHED] * count)
+
+
+@then('{count:d} sends reached the only engine, at least {gap:d} ms apart')
+def step_apart(context: Context, count: int, gap: int) -> None:
+    """Check the times at which the engine was asked."""
+    times = direct_bench(context).upstreams['eng-1'].received_s
+    assert len(times) == count, times
+    for earlier, later in zip(times, times[1:], strict=False):
+        assert later - earlier >= gap / 1000, times
--- a/packages/bench/src/lacewing_bench/queueing/_simulation.py
+++ b/packages/bench/src/lacewing_bench/queueing/_simulation.py
@@ -9,13 +9,13 @@
 from random import Random
 
 import msgspec
-from lacewing_daemon.direct.queueing import ENGINE_WAIT_SHARE
 from lacewing_daemon.direct.queueing import Offer
 from lacewing_daemon.direct.queueing import QueuedRequest
 from lacewing_daemon.direct.queueing import Refuse
 from lacewing_daemon.direct.queueing import service_tokens
 from lacewing_daemon.direct.queueing import TeamShares
 from lacewing_daemon.direct.queueing import Unavailable
+from lacewing_daemon.direct.queueing import wait_limit_s
 from lacewing_daemon.direct.queueing import WaitingRequests
 
 from lacewing_bench.queueing._engine import CHUNK_TOKENS
@@ -127,6 +127,7 @@
                     service_tokens(
                         job.kind.prompt_tokens, job.kind.output_tokens
                     ),
+                    in_flight / SLOTS,
                 )
         if best is None:
             return Unavailable(STEP_S)
@@ -146,7 +147,9 @@
             job.arrived_s,
             job.arrived_s + kind.target_s * PATIENCE,
             job.arrived_s + kind.deadline_s - run_s,
-            kind.target_s * ENGINE_WAIT_SHARE,
+            wait_limit_s(
+                kind.target_s, self.shares.exceeds_share(job.team, now_s)
+            ),
         )
         self.shares.mark_active(job.team, now_s)
         self.jobs[request] = job
--- a/packages/daemon/src/lacewing_daemon/direct/_next_target.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_next_target.py
@@ -146,8 +146,7 @@
         """Return whether a request is queued after a send has ended.
 
         A send that was refused has not run. The queue sends the request
-        again when an upstream is usable, which may be one that has refused
-        it.
+        again when an upstream is usable.
         """
         if verdict is not Verdict.NOT_RUN or target.is_continuation:
             return False
@@ -156,11 +155,7 @@
         self._turn.take_back_service(admitted)
         self._progress.refusals += 1
         self._progress.refused_ids |= {target.state.upstream.upstream_id}
-        if self._progress.refusals < MAX_REFUSALS_AT_ONCE:
-            return False
-        self._progress.tried_ids -= self._progress.refused_ids
-        self._progress.refused_ids = frozenset()
-        return True
+        return self._progress.refusals >= MAX_REFUSALS_AT_ONCE
 
     def can_move(
         self,
@@ -243,7 +238,12 @@
     async def _wait_in_queue(
         self, admitted: Admitted, subjects: RequestSubjects, end_s: float
     ) -> Target | Refusal:
-        """Return the target once it is the request's turn, or a refusal."""
+        """Return the target once it is the request's turn, or a refusal.
+
+        Upstreams that refused it may have capacity by then.
+        """
+        self._progress.tried_ids -= self._progress.refused_ids
+        self._progress.refused_ids = frozenset()
         placed = await self._turn.wait(
             admitted,
             self._fleet.cluster_state.policy_for(admitted.service.name),
--- a/packages/daemon/src/lacewing_daemon/direct/queueing/__init__.py
+++ b/packages/daemon/src/lacewing_daemon/direct/queueing/__init__.py
@@ -12,16 +12,15 @@
 from lacewing_daemon.direct.queueing._shares import TeamShares
 from lacewing_daemon.direct.queueing._turn import QueueTurn
 from lacewing_daemon.direct.queueing._verdict import Cause
-from lacewing_daemon.direct.queueing._verdict import ENGINE_WAIT_SHARE
 from lacewing_daemon.direct.queueing._verdict import Place
 from lacewing_daemon.direct.queueing._verdict import Refuse
 from lacewing_daemon.direct.queueing._verdict import verdict
 from lacewing_daemon.direct.queueing._verdict import Wait
+from lacewing_daemon.direct.queueing._verdict import wait_limit_s
 from lacewing_daemon.direct.queueing._waiting import WaitingRequests
 
 __all__ = [
     'Cause',
-    'ENGINE_WAIT_SHARE',
     'Offer',
     'Place',
     'QueueStay',
@@ -38,4 +37,5 @@
     'order',
     'service_tokens',
     'verdict',
+    'wait_limit_s',
 ]
--- a/packages/daemon/src/lacewing_daemon/direct/queueing/_bids.py
+++ b/packages/daemon/src/lacewing_daemon/direct/queueing/_bids.py
@@ -15,7 +15,7 @@
 from lacewing_daemon.direct.queueing._request import QueuedRequest
 from lacewing_daemon.direct.queueing._request import service_tokens
 from lacewing_daemon.direct.queueing._request import Unavailable
-from lacewing_daemon.direct.queueing._verdict import ENGINE_WAIT_SHARE
+from lacewing_daemon.direct.queueing._verdict import wait_limit_s
 
 _MS = 1000.0
 
@@ -27,6 +27,7 @@
     admitted: Admitted,
     policy: LoadPolicy,
     end_s: float,
+    exceeds_share: bool,
 ) -> QueuedRequest:
     """Describe a request that is to be answered by ``end_s``.
 
@@ -50,7 +51,7 @@
         request.received_s,
         request.received_s + target_s * policy.patience,
         max(end_s - run_s, on_time_s),
-        target_s * ENGINE_WAIT_SHARE,
+        wait_limit_s(target_s, exceeds_share),
     )
 
 
@@ -78,9 +79,9 @@
             placed = self._place(inf, now_s)
         if isinstance(placed, NoCapacity):
             return Unavailable(placed.retry_after_ms / _MS)
-        return self._describe(placed)
+        return self._describe(placed, now_s)
 
-    def _describe(self, target: Target) -> Offer[Target]:
+    def _describe(self, target: Target, now_s: float) -> Offer[Target]:
         state, speed = target.state, target.tokens_per_ms
         wait_ms = target.wait_ms - target.lateness_ms
         queued_ms, chunk_ms = wait_ms, 0.0
@@ -88,6 +89,9 @@
             chunk_ms = CHUNK_TOKENS / speed
             queued_ms += state.queued_prefill_ms(LEAST_URGENCY, speed)
             queued_ms -= state.queued_prefill_ms(target.urgency, speed)
+        load, slots = 0.0, state.upstream.slots
+        if slots > 0:
+            load = (state.in_flight + state.other_requests(now_s)) / slots
         return Offer(
             target,
             target.first_event_ms / _MS,
@@ -95,4 +99,5 @@
             queued_ms / _MS,
             chunk_ms / _MS,
             service_tokens(target.prefill_ms * speed, self._output_tokens),
+            load,
         )
--- a/packages/daemon/src/lacewing_daemon/direct/queueing/_request.py
+++ b/packages/daemon/src/lacewing_daemon/direct/queueing/_request.py
@@ -49,6 +49,7 @@
     that precedes the request there; ``queued_s``: all prefill that waits
     there, whatever its urgency; ``chunk_s``: duration of a prefill chunk.
     ``tokens``: expected service there, without cached prompt tokens.
+    ``load``: share of its slots in use, 0 if that is unknown.
     """
 
     target: T
@@ -57,6 +58,7 @@
     queued_s: float
     chunk_s: float
     tokens: float
+    load: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/packages/daemon/src/lacewing_daemon/direct/queueing/_shares.py
+++ b/packages/daemon/src/lacewing_daemon/direct/queueing/_shares.py
@@ -18,6 +18,11 @@
 HALF_LIFE_S = 10.0
 # A team without requests for so long was idle.
 ACTIVE_S = 10.0
+# A team that has received this many times the mean of the active ones sends
+# more than its share: the counters of teams that send alike differ by less.
+EXCESS_FACTOR = 2.0
+# The mean is computed this often, as it takes time in proportion to the teams.
+MEAN_INTERVAL_S = 0.2
 # Bounds the memory and the time to find the lowest counter.
 MAX_TEAMS = 4096
 # Bounds a message; the rest follows with the next one.
@@ -52,6 +57,8 @@
     def __init__(self) -> None:
         self._counters: dict[str, _Counter] = {}
         self._unsent: dict[str, float] = {}
+        self._mean_tokens = 0.0
+        self._mean_s = float('-inf')
 
     @property
     def name(self) -> str:
@@ -63,6 +70,14 @@
         counter = self._counters.get(team)
         return 0.0 if counter is None else counter.value(now_s)
 
+    def exceeds_share(self, team: str, now_s: float) -> bool:
+        """Return whether a team has received far more than the others."""
+        if now_s - self._mean_s >= MEAN_INTERVAL_S:
+            values = self._active_values(now_s)
+            self._mean_tokens = sum(values) / max(1, len(values))
+            self._mean_s = now_s
+        return self.service(team, now_s) > EXCESS_FACTOR * self._mean_tokens
+
     def mark_active(self, team: str, now_s: float) -> None:
         """Record that a team has a request.
 
@@ -73,12 +88,11 @@
         if counter is not None and now_s - counter.used_s < ACTIVE_S:
             counter.used_s = now_s
             return
-        lowest = self._lowest_active(now_s)
+        lowest = min(self._active_values(now_s), default=0.0)
         if counter is None:
             counter = self._add_counter(team, now_s)
         counter.used_s = now_s
-        if lowest is not None:
-            counter.add(max(0.0, lowest - counter.value(now_s)), now_s)
+        counter.add(max(0.0, lowest - counter.value(now_s)), now_s)
 
     def record(self, team: str, tokens: float, now_s: float) -> None:
         """Add service at this router, negative to take it back."""
@@ -131,12 +145,9 @@
         counter = self._counters[team] = _Counter(0.0, now_s, now_s)
         return counter
 
-    def _lowest_active(self, now_s: float) -> float | None:
-        lowest: float | None = None
+    def _active_values(self, now_s: float) -> list[float]:
+        values = []
         for counter in self._counters.values():
-            if now_s - counter.used_s >= ACTIVE_S:
-                continue
-            value = counter.value(now_s)
-            if lowest is None or value < lowest:
-                lowest = value
-        return lowest
+            if now_s - counter.used_s < ACTIVE_S:
+                values.append(counter.value(now_s))
+        return values
--- a/packages/daemon/src/lacewing_daemon/direct/queueing/_turn.py
+++ b/packages/daemon/src/lacewing_daemon/direct/queueing/_turn.py
@@ -39,7 +39,12 @@
         place: PlaceWithin,
     ) -> Target | Refuse:
         """Return the target once it is the request's turn, or a refusal."""
-        queued = describe_request(self._request, admitted, policy, end_s)
+        exceeds_share = self._queues.shares.exceeds_share(
+            admitted.team_name, time.monotonic()
+        )
+        queued = describe_request(
+            self._request, admitted, policy, end_s, exceeds_share
+        )
         bidder = TargetBidder(queued, self._output_tokens, place)
         queue = self._queues.queue(admitted.service.name)
         return await queue.wait(queued, bidder, self._stay)
--- a/packages/daemon/src/lacewing_daemon/direct/queueing/_verdict.py
+++ b/packages/daemon/src/lacewing_daemon/direct/queueing/_verdict.py
@@ -19,6 +19,13 @@
 # its own prefill. With a quarter, engines ran out of work between two updates
 # of what routers know (make queueing).
 ENGINE_WAIT_SHARE = 0.5
+# The same for a team that has received far more service than the others, so
+# that it leaves them the rest of the engines' queues.
+EXCESS_WAIT_SHARE = 0.25
+# A late request is sent only to an engine with fewer of its slots in use. One
+# that takes the last slot keeps it for its whole answer, and the next request
+# that is on time waits for that (make queueing, "starving").
+MAX_LOAD_FOR_LATE = 0.75
 # Callers that are refused come back no sooner.
 MIN_RETRY_S = 0.05
 
@@ -53,6 +60,16 @@
     retry_s: float
 
 
+def wait_limit_s(target_s: float, exceeds_share: bool) -> float:
+    """Return how long a request that is on time may wait at an engine.
+
+    ``target_s``: its latency target. ``exceeds_share``: its team has received
+    far more service than the others.
+    """
+    share = EXCESS_WAIT_SHARE if exceeds_share else ENGINE_WAIT_SHARE
+    return target_s * share
+
+
 def verdict(
     request: QueuedRequest,
     offer: Offer[T] | Unavailable | None,
@@ -102,4 +119,6 @@
     """
     if not request.is_late(now_s + offer.first_event_s):
         return offer.wait_s <= max(offer.chunk_s, request.wait_limit_s)
+    if offer.load > MAX_LOAD_FOR_LATE:
+        return False
     return offer.queued_s <= offer.chunk_s
