Merge the queue at the router and fair shares

Shares of teams are a section of the exchange, and a message evaluates the queues. Refusals are counted once, by the handling of failures.

--- a/Makefile
+++ b/Makefile
@@ -149,3 +149,8 @@
 .PHONY: calibration
 calibration: $(VENV)/.made
 	$(BIN)/python -m lacewing_bench.calibration --logs="$(LOGS)"
+
+# Where requests wait under overload, on a model of engines.
+.PHONY: queueing
+queueing: $(VENV)/.made
+	$(BIN)/python -m lacewing_bench.queueing
--- a/packages/daemon/src/lacewing_daemon/direct/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_exchange.py
@@ -16,6 +16,7 @@
 
 from lacewing_daemon.direct._admission import admit
 from lacewing_daemon.direct._admission import Admitted
+from lacewing_daemon.direct._admission import confirm_key
 from lacewing_daemon.direct._answer_end import is_event_stream
 from lacewing_daemon.direct._attempt import AttemptEnd
 from lacewing_daemon.direct._attempt import Contact
@@ -173,9 +174,17 @@
         while True:
             if self._is_blocked():
                 return self._blocked_refusal()
+            was_blocked = self._fleet.crash_guard.is_blocked(self._subjects)
+            queued_s = self._chooser.stay.queued_s
             target = await self._chooser.choose(
                 admitted, self._subjects, end_s
             )
+            if isinstance(target, Target):
+                if self._chooser.stay.queued_s > queued_s:
+                    refusal = self._check_after_wait(admitted, was_blocked)
+                    if refusal is not None:
+                        self._chooser.give_back(admitted)
+                        return refusal
             if isinstance(target, NoCapacity):
                 # When an engine is lost, all its streams move at the same
                 # time. The first ones fill the queues of the other engines,
@@ -210,6 +219,10 @@
                 await self._deliver(relay, result.end)
                 return None
             refusal = self._process_failure(admitted, target, result)
+            if self._chooser.returns_to_queue(
+                admitted, target, result.end.verdict
+            ):
+                refusal = None
             if refusal is not None:
                 return refusal
             if result.end.connection_broken:
@@ -245,6 +258,26 @@
             self._subjects
         )
 
+    def _check_after_wait(
+        self, admitted: Admitted, was_blocked: bool
+    ) -> Refusal | None:
+        """Return why a request that has waited must not be sent any more.
+
+        Without this, requests that waited while others like them crashed
+        upstreams would crash more, and a key that was taken away would be
+        used until the deadlines of the requests with it. A request that
+        ``was_blocked`` before it waited is a probe.
+        """
+        if not was_blocked:
+            if self._fleet.crash_guard.is_blocked(self._subjects):
+                return self._blocked_refusal()
+        return confirm_key(
+            self._request,
+            admitted,
+            self._fleet.cluster_state.routing_config,
+            self._fleet.keys_confirmed,
+        )
+
     def _blocked_refusal(self) -> Refusal:
         guard = self._fleet.crash_guard
         return not_run(
@@ -355,7 +388,12 @@
         self._record_outcome(end.head.status, None)
 
     def _deadline_refusal(self) -> Refusal:
-        if self._progress.sends:
+        waited_again = (
+            self._chooser.stay.ahead >= 0
+            and self._current_send is None
+            and not self._progress.runs
+        )
+        if self._progress.sends and not waited_again:
             return may_have_run(Reason.DEADLINE, 'no answer in time')
         return not_run(
             Reason.DEADLINE, 'no answer in time', BUDGET_RETRY_AFTER_S
@@ -404,6 +442,7 @@
             tuple(self._try_log),
             self._subjects,
             now_s,
+            self._chooser.stay,
         )
         REQUESTS.labels(outcome.service, str(status), outcome.reason).inc()
         self._context.log.log_outcome(outcome, now_s)
--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -29,6 +29,7 @@
 from lacewing_daemon.direct._store_calls import InstrumentedObjects
 from lacewing_daemon.direct._store_calls import StoreCallCounter
 from lacewing_daemon.direct._store_eras import StoreEras
+from lacewing_daemon.direct._target import Target
 from lacewing_daemon.direct._upstream import ReleasedWeights
 from lacewing_daemon.direct._upstream import Upstream
 from lacewing_daemon.direct._upstream_state import UpstreamState
@@ -43,6 +44,7 @@
 from lacewing_daemon.direct.limits._limiters import Limiters
 from lacewing_daemon.direct.origins import StreamOrigins
 from lacewing_daemon.direct.origins import VersionRecords
+from lacewing_daemon.direct.queueing import RequestQueues
 
 # The maximum time for which a call waits for changes. Each call that returns
 # also confirms that the store is reachable.
@@ -227,6 +229,9 @@
         self._load_exchange.add_section(self._load_section)
         self._load_exchange.add_section(self._cluster_state.engine_speeds)
         self._speed_reporter = SpeedReporter(time.monotonic())
+        self._queues: RequestQueues[Target] = RequestQueues(random)
+        self._load_exchange.add_section(self._queues.shares)
+        self._load_exchange.on_message(self._queues.all_changed)
         self._statements = Statements(self._limiters.upstreams)
         self._silence_detector = SilenceDetector(
             settings.policy.mute_ms / 1000
@@ -286,6 +291,11 @@
         """Return the load of the other routers, for placement."""
         return self._shared_loads
 
+    @property
+    def queues(self) -> RequestQueues[Target]:
+        """Return the queues of requests that wait for an upstream."""
+        return self._queues
+
     @property
     def statements(self) -> Statements:
         """Return the record of what upstreams say about themselves."""
@@ -381,6 +391,7 @@
         """Stop watching the store and close idle connections."""
         for task in self._tasks:
             task.cancel()
+        self._queues.close()
         self._crash_guard.close()
         self._stream_origins.close()
         self._store_calls.log_counts()
--- a/packages/daemon/src/lacewing_daemon/direct/_metrics.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_metrics.py
@@ -231,3 +231,19 @@
     'lacewing_direct_upstreams_unreachable',
     'Upstreams that no router reaches, as routers told',
 )
+QUEUE_WAITING = Gauge(
+    'lacewing_direct_queue_waiting',
+    'Requests that wait at this router for an upstream, by service',
+    ['service'],
+)
+QUEUE_SECONDS = Histogram(
+    'lacewing_direct_queue_seconds',
+    'Seconds that requests waited at this router, by service',
+    ['service'],
+    buckets=_BUCKETS_S,
+)
+QUEUE_REFUSED = Counter(
+    'lacewing_direct_queue_refused',
+    'Requests refused instead of waiting on, by service and cause',
+    ['service', 'cause'],
+)
