--- a/packages/daemon/src/lacewing_daemon/direct/crashes/_probes.py
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_probes.py
@@ -36,7 +36,8 @@
     is affected.
     """
     intervals = {}
-    for subject in registry.blocked:
+    # Sorted, so that simulations draw the same random delays each time.
+    for subject in sorted(registry.blocked):
         crashes = registry.crash_count(subject)
         if subject in registry.ambiguous:
             if crashes < MAX_PROBED_CRASHES:
