--- a/features/steps/queue_served_steps.py
+++ b/features/steps/queue_served_steps.py
@@ -49,12 +49,12 @@
         self.is_busy = False
         self.fails = False
 
-    def bidder(self, number: int) -> '_Bidder':
-        """Return the bidder of one request."""
-        return _Bidder(self, number)
+    def offers(self, number: int) -> '_Offers':
+        """Return the offers of one request."""
+        return _Offers(self, number)
 
 
-class _Bidder:
+class _Offers:
     def __init__(self, engine: _Engine, number: int) -> None:
         self._engine = engine
         self._number = number
@@ -102,9 +102,9 @@
             now_s + 0.2 + number / 100,
             now_s + DEADLINE_S,
         )
-        bidder = self.engine.bidder(number)
+        offers = self.engine.offers(number)
         try:
-            result = await self.queue.wait(request, bidder, QueueStay())
+            result = await self.queue.wait(request, offers, QueueStay())
         except asyncio.CancelledError:
             self.ends.append('cancelled')
             raise
--- a/packages/daemon/src/lacewing_daemon/direct/queueing/_bids.py
+++ b/packages/daemon/src/lacewing_daemon/direct/queueing/_offers.py
@@ -55,7 +55,7 @@
     )
 
 
-class TargetBidder:
+class TargetOffers:
     """Find the best upstream for one waiting request.
 
     ``place`` chooses an upstream whose first event is expected within a time
--- a/packages/daemon/src/lacewing_daemon/direct/queueing/_queue.py
+++ b/packages/daemon/src/lacewing_daemon/direct/queueing/_queue.py
@@ -14,8 +14,8 @@
 from lacewing_daemon.direct._metrics import QUEUE_REFUSED
 from lacewing_daemon.direct._metrics import QUEUE_SECONDS
 from lacewing_daemon.direct._metrics import QUEUE_WAITING
-from lacewing_daemon.direct.queueing._request import Bidder
 from lacewing_daemon.direct.queueing._request import Offer
+from lacewing_daemon.direct.queueing._request import OfferSource
 from lacewing_daemon.direct.queueing._request import QueuedRequest
 from lacewing_daemon.direct.queueing._request import Unavailable
 from lacewing_daemon.direct.queueing._shares import TeamShares
@@ -61,7 +61,7 @@
 class _Waiter(Generic[T]):
     """Hold the caller's side of a waiting request."""
 
-    bidder: Bidder[T]
+    offers: OfferSource[T]
     result: 'asyncio.Future[Offer[T] | Refuse]'
 
 
@@ -96,7 +96,7 @@
         return len(self._waiting)
 
     async def wait(
-        self, request: QueuedRequest, bidder: Bidder[T], stay: QueueStay
+        self, request: QueuedRequest, offers: OfferSource[T], stay: QueueStay
     ) -> T | Refuse:
         """Return where to send a request, or why it is refused.
 
@@ -106,7 +106,7 @@
         self._shares.mark_active(request.team, now_s)
         ahead = self._waiting.count_ahead(request.urgency)
         if not ahead:
-            decision = verdict(request, bidder.offer(now_s), 0.0, now_s)
+            decision = verdict(request, offers.offer(now_s), 0.0, now_s)
             if isinstance(decision, Place):
                 self._waiting.record_placed(request, decision.offer.tokens)
                 return decision.offer.target
@@ -115,7 +115,7 @@
         if self._is_closed:
             return self._refused(Refuse(Cause.DRAINING, DRAIN_RETRY_S))
         stay.ahead = max(stay.ahead, ahead)
-        result = await self._join(request, bidder, stay)
+        result = await self._join(request, offers, stay)
         if isinstance(result, Refuse):
             return self._refused(result)
         return result.target
@@ -134,10 +134,10 @@
             self._resolve(waiter, Refuse(Cause.DRAINING, DRAIN_RETRY_S))
 
     async def _join(
-        self, request: QueuedRequest, bidder: Bidder[T], stay: QueueStay
+        self, request: QueuedRequest, offers: OfferSource[T], stay: QueueStay
     ) -> Offer[T] | Refuse:
         result = asyncio.get_running_loop().create_future()
-        self._waiters[request] = _Waiter(bidder, result)
+        self._waiters[request] = _Waiter(offers, result)
         joined_s = self._clock()
         gauge = QUEUE_WAITING.labels(self._service)
         gauge.inc()
@@ -193,7 +193,7 @@
             return None
         waiter = self._waiters[request]
         try:
-            return waiter.bidder.offer(now_s)
+            return waiter.offers.offer(now_s)
         except Exception as error:
             # Raised in the request's own coroutine; the others wait on.
             if not waiter.result.done():
--- a/packages/daemon/src/lacewing_daemon/direct/queueing/_request.py
+++ b/packages/daemon/src/lacewing_daemon/direct/queueing/_request.py
@@ -71,7 +71,7 @@
     retry_s: float
 
 
-class Bidder(Protocol[T]):
+class OfferSource(Protocol[T]):
     """Find the best engine for one request."""
 
     def offer(self, now_s: float) -> Offer[T] | Unavailable:
--- a/packages/daemon/src/lacewing_daemon/direct/queueing/_turn.py
+++ b/packages/daemon/src/lacewing_daemon/direct/queueing/_turn.py
@@ -6,9 +6,9 @@
 from lacewing_daemon.direct._call import CallerRequest
 from lacewing_daemon.direct._policy import LoadPolicy
 from lacewing_daemon.direct._target import Target
-from lacewing_daemon.direct.queueing._bids import describe_request
-from lacewing_daemon.direct.queueing._bids import PlaceWithin
-from lacewing_daemon.direct.queueing._bids import TargetBidder
+from lacewing_daemon.direct.queueing._offers import describe_request
+from lacewing_daemon.direct.queueing._offers import PlaceWithin
+from lacewing_daemon.direct.queueing._offers import TargetOffers
 from lacewing_daemon.direct.queueing._queue import QueueStay
 from lacewing_daemon.direct.queueing._queue import RequestQueues
 from lacewing_daemon.direct.queueing._request import service_tokens
@@ -45,9 +45,9 @@
         queued = describe_request(
             self._request, admitted, policy, end_s, exceeds_share
         )
-        bidder = TargetBidder(queued, self._output_tokens, place)
+        offers = TargetOffers(queued, self._output_tokens, place)
         queue = self._queues.queue(admitted.service.name)
-        return await queue.wait(queued, bidder, self._stay)
+        return await queue.wait(queued, offers, self._stay)
 
     def record_service(self, admitted: Admitted, target: Target) -> None:
         """Count the expected service of a send for its team."""
