--- a/features/direct_exchange.feature
+++ b/features/direct_exchange.feature
@@ -219,22 +219,3 @@
       When it has told its peers of the engine
       And the engine has loaded version 2
       Then it tells that in 3 messages and then no more
-
-    Scenario Outline: A peer tells that an engine loads
-      # Guards against a refusal at each router during each load, and against
-      # an engine that a wrong time shuts out.
-      Given a router that knows version 2, and an engine with 1
-      When a peer tells that it loads for <told> ms
-      Then the loading engine is left alone for <ms> ms
-
-      Examples:
-        | told    | ms   |
-        | 400     | 400  |
-        | 3600000 | 2000 |
-        | -400    | 0    |
-
-    Scenario: News that save refusals are sent at once
-      # Guards against an interval of news after which each peer is refused.
-      Given a router that tells two others each second
-      When it has urgent news 0.3 s after a message
-      Then its next message is sent within 0.2 s
--- a/features/steps/told_weights_steps.py
+++ b/features/steps/told_weights_steps.py
@@ -1,10 +1,6 @@
 """Check what routers tell each other of loaded weights."""
 
-import asyncio
-import time
-from random import Random
 from typing import Any
-from unittest.mock import patch
 
 import msgspec
 from behave import given
@@ -20,7 +16,6 @@
 from lacewing_daemon.direct._cluster_state import ClusterState
 from lacewing_daemon.direct._contention import Contention
 from lacewing_daemon.direct._policy import LoadPolicy
-from lacewing_daemon.direct.exchange import LoadExchange
 from lacewing_daemon.direct.exchange._weights_section import WeightsSection
 from support.direct_bench import BOUNDS
 
@@ -100,58 +95,3 @@
     for _ in range(count + 1):
         told.append(context.told_section.collect(1.0, False) is not None)
     assert told == [True] * count + [False], told
-
-
-@when('a peer tells that it loads for {loading_ms:d} ms')
-def step_loads(context: Context, loading_ms: int) -> None:
-    """Apply a message."""
-    data = msgspec.msgpack.encode({ENGINE: [STARTED_MS, {}, loading_ms]})
-    context.told_section.apply('peer', data, 1.0)
-
-
-@then('the loading engine is left alone for {expected_ms:d} ms')
-def step_unused(context: Context, expected_ms: int) -> None:
-    """Compare."""
-    found_s = context.told_state.upstream(ENGINE).usable_in_s(1.0)
-    assert round(found_s * 1000) == expected_ms, found_s
-
-
-@given('a router that tells two others each second')
-def step_slow(context: Context) -> None:
-    """Do nothing until an event loop runs."""
-
-
-@when('it has urgent news {after_s:f} s after a message')
-def step_urgent(context: Context, after_s: float) -> None:
-    """Run an exchange, and note when the news come."""
-    context.news_s, context.sent_s = asyncio.run(_urgent(after_s))
-
-
-async def _urgent(after_s: float) -> tuple[float, list[float]]:
-    steps: list[float] = []
-    carrier: Any = None
-    exchange = LoadExchange('10.0.0.1:1', lambda: True, lambda: (), Random(1))
-
-    def record(_carrier: object) -> None:
-        steps.append(time.monotonic())
-
-    with (
-        patch.object(exchange, 'step', record),
-        patch.object(LoadExchange, 'interval_s', 1.0),
-    ):
-        task = asyncio.create_task(exchange.run(carrier))
-        await asyncio.sleep(after_s)
-        news_s = time.monotonic()
-        exchange.send_soon()
-        await asyncio.sleep(0.3)
-        task.cancel()
-        await asyncio.gather(task, return_exceptions=True)
-    return news_s, steps
-
-
-@then('its next message is sent within {limit_s:f} s')
-def step_soon(context: Context, limit_s: float) -> None:
-    """Compare the times."""
-    later = [one - context.news_s for one in context.sent_s]
-    later = [one for one in later if one >= 0]
-    assert later and later[0] <= limit_s, later
--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -239,8 +239,7 @@
             lambda: self._cluster_state.bounds.repeat_window_s,
         )
         self._load_exchange.add_section(retries)
-        self._weights_section = WeightsSection(self._cluster_state)
-        self._load_exchange.add_section(self._weights_section)
+        self._load_exchange.add_section(WeightsSection(self._cluster_state))
         self._cluster_state.set_other_retries(retries.others)
         self._load_exchange.on_message(self._queues.all_changed)
         self._statements = Statements(self._limiters.upstreams)
@@ -362,12 +361,6 @@
             state, model, version, self._weights_watcher.age_s
         )
 
-    def record_load(self, state: UpstreamState, duration_s: float) -> None:
-        """Tell other routers that an engine most likely loads weights."""
-        now_s = time.monotonic()
-        self._weights_section.record_load(state, duration_s, now_s)
-        self._load_exchange.send_soon()
-
     def update_age_metrics(self) -> None:
         """Update the metrics of the ages of watched collections."""
         for name, age_s in (
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -364,10 +364,7 @@
             self._record_slowdown(head.load)
         prompt = self._request.prompt
         if head.weights is not None and prompt is not None:
-            known = self._state.weights(prompt.model) or 0
             self._fleet.update_weights(self._state, prompt.model, head.weights)
-            if head.weights > known:
-                self._fleet.load_exchange.send_soon()
 
     def _record_slowdown(self, load: UpstreamLoad) -> None:
         if load.slowdown is None:
@@ -429,9 +426,7 @@
             return REFUSED_PAUSE_S
         if self._target.superseded_ms <= 0:
             return REFUSED_PAUSE_S
-        load_s = state.policy_for(service).load_ms / _MS
-        self._fleet.record_load(self._state, load_s)
-        return max(REFUSED_PAUSE_S, load_s)
+        return max(REFUSED_PAUSE_S, state.policy_for(service).load_ms / _MS)
 
     def _report_interrupted_run(self, end: AttemptEnd) -> None:
         run = BrokenRun(
--- a/packages/daemon/src/lacewing_daemon/direct/exchange/_load_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/direct/exchange/_load_exchange.py
@@ -17,7 +17,6 @@
 from lacewing_daemon.direct.exchange._interval import FRAME_BYTES
 from lacewing_daemon.direct.exchange._interval import interval_s
 from lacewing_daemon.direct.exchange._interval import MAX_PEERS
-from lacewing_daemon.direct.exchange._interval import MIN_INTERVAL_S
 from lacewing_daemon.direct.exchange._interval import peers_to_tell
 from lacewing_daemon.direct.exchange._messages import ExchangeMessage
 from lacewing_daemon.direct.exchange._messages import Section
@@ -79,7 +78,6 @@
         self._mean_bytes = 0.0
         self._logged_s: dict[str, float] = {}
         self._on_message: list[Callable[[], None]] = []
-        self._has_urgent_news = asyncio.Event()
 
     @property
     def interval_s(self) -> float:
@@ -107,22 +105,12 @@
                     await self._stop()
                     await asyncio.sleep(IDLE_CHECK_S)
                     continue
-                self._has_urgent_news.clear()
                 self.step(carrier)
-                await asyncio.sleep(MIN_INTERVAL_S)
                 jitter = 0.9 + 0.2 * self._random.random()
-                left_s = self.interval_s * jitter - MIN_INTERVAL_S
-                await self._wait_for_urgent_news(left_s)
+                await asyncio.sleep(self.interval_s * jitter)
         finally:
             await self._stop()
 
-    def send_soon(self) -> None:
-        """Send the next message without waiting for the interval.
-
-        For rare news that save the peers a refusal each.
-        """
-        self._has_urgent_news.set()
-
     def step(self, carrier: StreamCarrier) -> None:
         """Send one message to all peers, if there is something to tell."""
         now_s = self._clock()
@@ -203,13 +191,6 @@
                 error=str(error),
             )
 
-    async def _wait_for_urgent_news(self, timeout_s: float) -> None:
-        try:
-            async with asyncio.timeout(max(0.0, timeout_s)):
-                await self._has_urgent_news.wait()
-        except TimeoutError:
-            return
-
     def _forget_silent(self, now_s: float) -> None:
         for sender, heard_s in tuple(self._heard_s.items()):
             if now_s - heard_s > FORGET_S:
--- a/packages/daemon/src/lacewing_daemon/direct/exchange/_weights_section.py
+++ b/packages/daemon/src/lacewing_daemon/direct/exchange/_weights_section.py
@@ -9,55 +9,35 @@
 import msgspec
 
 from lacewing_daemon.direct._cluster_state import ClusterState
-from lacewing_daemon.direct._upstream_state import UpstreamState
 
 # A message may be lost, and a receiver may not know of the release yet.
 REPEATS = 3
 # Bounds what a peer may add to a message; the rest follows with the next one.
 MAX_ENGINES = 64
-# An engine loads within a second; a wrong time keeps requests away from it no
-# longer than this.
-MAX_LOADING_S = 2.0
-_MS = 1000.0
 
 
 class _Loaded(msgspec.Struct, frozen=True, array_like=True):
-    """Hold the versions of one incarnation of an engine by model.
-
-    ``loading_ms``: time until a load is expected to end, 0 for none.
-    """
+    """Hold the versions of one incarnation of an engine by model."""
 
     started_ms: int
     versions: dict[str, int]
-    loading_ms: int = 0
 
 
 _decoder = msgspec.msgpack.Decoder(dict[str, _Loaded])
 
 
 class WeightsSection:
-    """Tell of loads, and learn of them from others.
+    """Tell of loads that have ended, and learn of them from others.
 
     Load pattern: new weights at all engines within seconds. A router that
-    does not know of a load is refused while it lasts, and once more as it
-    asks for the old version; with many routers this uses up the retry budget.
+    does not know of a load asks for the old version and is refused, once for
+    each engine; with many routers this uses up the retry budget.
     """
 
     def __init__(self, cluster_state: ClusterState) -> None:
         self._cluster_state = cluster_state
         self._told: dict[str, _Loaded] = {}
         self._pending: dict[str, int] = {}
-        self._loading_until_s: dict[str, float] = {}
-
-    def record_load(
-        self, state: UpstreamState, duration_s: float, now_s: float
-    ) -> None:
-        """Record that an engine most likely loads for so long."""
-        upstream_id = state.upstream.upstream_id
-        if self._loading_until_s.get(upstream_id, 0.0) > now_s:
-            return
-        self._loading_until_s[upstream_id] = now_s + duration_s
-        self._pending[upstream_id] = REPEATS
 
     @property
     def name(self) -> str:
@@ -70,17 +50,13 @@
         for upstream_id in self._told.keys() - loaded.keys():
             del self._told[upstream_id]
             self._pending.pop(upstream_id, None)
-            self._loading_until_s.pop(upstream_id, None)
         for upstream_id, versions in loaded.items():
             if self._told.get(upstream_id) != versions:
                 self._told[upstream_id] = versions
                 self._pending[upstream_id] = REPEATS
         news = {}
         for upstream_id in tuple(islice(self._pending, MAX_ENGINES)):
-            if upstream_id in loaded:
-                news[upstream_id] = self._with_load(
-                    upstream_id, loaded[upstream_id], now_s
-                )
+            news[upstream_id] = loaded[upstream_id]
             self._pending[upstream_id] -= 1
             if not self._pending[upstream_id]:
                 del self._pending[upstream_id]
@@ -99,23 +75,10 @@
             if state.upstream.started_ms != loaded.started_ms:
                 continue
             self._apply_versions(upstream_id, loaded.versions)
-            if loaded.loading_ms > 0:
-                loading_s = min(MAX_LOADING_S, loaded.loading_ms / _MS)
-                state.exclude_for(now_s, loading_s)
 
     def forget(self, sender: str) -> None:
         """Keep what a lost router has told: loads don't end with it."""
 
-    def _with_load(
-        self, upstream_id: str, loaded: _Loaded, now_s: float
-    ) -> _Loaded:
-        until_s = self._loading_until_s.get(upstream_id, 0.0)
-        loading_ms = int((until_s - now_s) * _MS)
-        if loading_ms <= 0:
-            self._loading_until_s.pop(upstream_id, None)
-            return loaded
-        return _Loaded(loaded.started_ms, loaded.versions, loading_ms)
-
     def _apply_versions(
         self, upstream_id: str, versions: Mapping[str, int]
     ) -> None:
