--- a/packages/daemon/src/lacewing_daemon/direct/_budget.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_budget.py
@@ -10,10 +10,10 @@
 # Fraction of a router's budget that is reserved for requests that have begun
 # to run.
 RESERVED_FOR_RUNS = 0.4
-# The part of the whole budget that is spent where the other routers' retries
-# are known. Within a second each router takes at most its part of what is
-# left, so that all together stay below the budget until they tell each other.
-_SHARED_FRACTION = 0.85
+# What is left of the whole budget is divided among the routers, times this:
+# few need retries at the same time. If all do within one message, they spend
+# 1.5 times what is left, and ``_OWN_FRACTION`` keeps that below the limit.
+_LEFT_FACTOR = 1.5
 # Other routers tell their retries within this time.
 _NEWS_S = 1.0
 
@@ -96,12 +96,12 @@
         if others is None:
             return False
         requests = len(self._requests) + others.requests
-        left = (self._ratio * requests + self._slack) * _SHARED_FRACTION
+        left = (self._ratio * requests + self._slack) * _OWN_FRACTION
         if not for_runs:
             left *= 1.0 - RESERVED_FOR_RUNS
         left -= len(self._retries) + others.retries + before
         recent = sum(at_s >= now_s - _NEWS_S for at_s in self._retries)
-        return recent + before + 1 <= left / max(1, routers)
+        return recent + before + 1 <= left * _LEFT_FACTOR / max(1, routers)
 
     def _expire(self, now_s: float) -> None:
         oldest_s = now_s - self._window_s
