--- a/features/direct_exchange.feature
+++ b/features/direct_exchange.feature
@@ -196,26 +196,3 @@
       # Guards against a peer whose figures give or take the whole budget.
       When a peer tells -5 requests and -1000000 retries
       Then others count 0 requests and 0 retries
-
-  Rule: Routers tell each other which weights engines have
-
-    Scenario Outline: An engine has loaded new weights
-      # Guards against a refusal at each router for each engine that loads, and
-      # against an engine that is not used as a peer is wrong about it.
-      Given a router that knows version 2, and an engine with 1
-      When a peer tells that <engine> has <versions>
-      Then the router takes the engine's version for <version>
-
-      Examples:
-        | engine                   | versions      | version |
-        | the engine               | version 2     | 2       |
-        | the engine               | version 3     | 1       |
-        | an earlier incarnation   | version 2     | 1       |
-        | the engine               | another model | 1       |
-
-    Scenario: News of a load are repeated
-      # Guards against a lost message after which each router is refused.
-      Given a router that knows version 2, and an engine with 1
-      When it has told its peers of the engine
-      And the engine has loaded version 2
-      Then it tells that in 3 messages and then no more
--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -40,7 +40,6 @@
 from lacewing_daemon.direct.exchange._load_section import LoadSection
 from lacewing_daemon.direct.exchange._retry_section import RetrySection
 from lacewing_daemon.direct.exchange._shared_loads import SharedLoads
-from lacewing_daemon.direct.exchange._weights_section import WeightsSection
 from lacewing_daemon.direct.limits import TeamLimiter
 from lacewing_daemon.direct.limits import UpstreamLimiter
 from lacewing_daemon.direct.limits._limiters import Limiters
@@ -239,7 +238,6 @@
             lambda: self._cluster_state.bounds.repeat_window_s,
         )
         self._load_exchange.add_section(retries)
-        self._load_exchange.add_section(WeightsSection(self._cluster_state))
         self._cluster_state.set_other_retries(retries.others)
         self._load_exchange.on_message(self._queues.all_changed)
         self._statements = Statements(self._limiters.upstreams)
