--- a/features/direct_queue.feature
+++ b/features/direct_queue.feature
@@ -188,15 +188,3 @@
       When a caller sends a prompt of 300 tokens
       Then it gets 200
       And 3 sends reached the only engine, at least 100 ms apart
-
-    Scenario: An engine refuses while it loads new weights
-      # Guards against several requests of each router that an engine refuses
-      # during one load, which use up the retry budget.
-      Given a store with a configuration
-      And engines "eng-1" and "eng-2"
-      And the service is contended
-      And a direct router
-      And weights that are released, and engines that refuse
-      When a caller asks a model
-      Then it gets 200
-      And no engine that refused is asked again within 400 ms
--- a/features/steps/queue_served_steps.py
+++ b/features/steps/queue_served_steps.py
@@ -28,11 +28,9 @@
 from lacewing_daemon.direct.queueing import TeamShares
 from lacewing_daemon.direct.queueing import Unavailable
 from lacewing_platform_testing import Behaviour
-from steps.direct_steps import name_weights
 from structlog.testing import capture_logs
 from support.direct_bench import direct_bench
 from support.direct_bench import DirectBench
-from support.direct_bench import MODEL
 from support.direct_bench import PREFIX
 
 DEADLINE_S = 0.3
@@ -371,28 +369,3 @@
     assert len(times) == count, times
     for earlier, later in zip(times, times[1:], strict=False):
         assert later - earlier >= gap / 1000, times
-
-
-@given('weights that are released, and engines that refuse')
-def step_refusing(context: Context) -> None:
-    """Release weights that no engine loads, and let engines refuse once."""
-    bench = direct_bench(context)
-    for upstream in bench.upstreams.values():
-        upstream.busy = True
-        upstream.script.append(Behaviour.SHED)
-    name_weights(context, 2)
-    state = bench.routers[0]._fleet.cluster_state
-    bench.until(
-        lambda: state.current_release(MODEL).version == 2, 'released weights'
-    )
-
-
-@then('no engine that refused is asked again within {limit_ms:d} ms')
-def step_pause(context: Context, limit_ms: int) -> None:
-    """Compare the times of the sends to each engine."""
-    gaps = []
-    for upstream in direct_bench(context).upstreams.values():
-        times = upstream.received_s
-        for before_s, after_s in zip(times, times[1:]):
-            gaps.append((after_s - before_s) * 1000)
-    assert gaps and min(gaps) >= limit_ms, gaps
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -409,24 +409,7 @@
         if end.contact is Contact.UNREACHABLE:
             self._state.record_unreachable(now_s)
             return
-        self._state.exclude_for(now_s, self._refused_pause_s(end))
-
-    def _refused_pause_s(self, end: AttemptEnd) -> float:
-        """Return for how long a refusal keeps requests from an engine.
-
-        One with superseded weights that is full most likely loads the new
-        ones, and refuses until it has. Asked earlier, each router would have
-        several requests refused there for each load.
-        """
-        service = self._admitted.service.name
-        state = self._fleet.cluster_state
-        if end.reason is not Reason.QUEUE_FULL or not state.is_contended(
-            service
-        ):
-            return REFUSED_PAUSE_S
-        if self._target.superseded_ms <= 0:
-            return REFUSED_PAUSE_S
-        return max(REFUSED_PAUSE_S, state.policy_for(service).load_ms / _MS)
+        self._state.exclude_for(now_s, REFUSED_PAUSE_S)
 
     def _report_interrupted_run(self, end: AttemptEnd) -> None:
         run = BrokenRun(
