--- a/features/direct_exchange.feature
+++ b/features/direct_exchange.feature
@@ -162,37 +162,3 @@
     Scenario: 330 routers form groups that all agree on
       # Guards against cost that grows with the number of routers.
       Then each of 330 routers tells at most 32 peers, which tell it too
-
-  Rule: Routers share the retry budget
-
-    Scenario Outline: Few or all routers need retries
-      # Guards against requests that are refused after one send while other
-      # routers leave their parts of the budget unused, and against routers
-      # that together retry more than the budget allows.
-      Given 25 routers that tell their retries every 0.75 s
-      When <busy> of them retry each of 6 requests a second for 30 s
-      Then no window of 10 s has more retries than 0.2 of its requests and 90
-      And the retries are at least <part> times those without telling
-
-      Examples:
-        | busy | part |
-        | 1    | 3.0  |
-        | 5    | 2.0  |
-        | 25   | 1.0  |
-
-    Scenario Outline: The retries of others are not known
-      # Guards against a budget that is spent without knowing of others.
-      Given 25 routers that tell their retries every 0.75 s
-      And what they tell is <lost>
-      When 5 of them retry each of 6 requests a second for 30 s
-      Then the retries are as many as without telling
-
-      Examples:
-        | lost             |
-        | lost             |
-        | heard from 10    |
-
-    Scenario: Counts that make no sense
-      # Guards against a peer whose figures give or take the whole budget.
-      When a peer tells -5 requests and -1000000 retries
-      Then others count 0 requests and 0 retries
--- a/packages/daemon/src/lacewing_daemon/direct/_cluster_state.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_cluster_state.py
@@ -6,13 +6,11 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum
-from functools import partial
 
 from lacewing_common.log import get_log
 from lacewing_common.log import Part
 from msgspec.structs import replace
 
-from lacewing_daemon.direct._budget import OtherRetries
 from lacewing_daemon.direct._budget import RetryBudget
 from lacewing_daemon.direct._clock import boot_s
 from lacewing_daemon.direct._contention import ContendedServices
@@ -126,9 +124,6 @@
         self._policies: dict[str, _CachedPolicy] = {}
         self._engine_speeds = EngineSpeeds(policy, self._is_engine)
         self._budgets: dict[str, RetryBudget] = {}
-        self._others_of: Callable[[str, float], OtherRetries | None] | None = (
-            None
-        )
         self._releases: dict[str, tuple[WeightsRelease, ...]] = {}
         self._learned_s: dict[str, float] = {}
         self._load_schedules: dict[str, _LoadSchedule] = {}
@@ -335,29 +330,10 @@
                 self._bounds.repeat_ratio,
                 self._bounds.repeat_slack,
                 self._bounds.repeat_window_s,
-                partial(self._other_retries, service.name),
             )
             self._budgets[service.name] = budget
         return budget
 
-    @property
-    def retry_budgets(self) -> Mapping[str, RetryBudget]:
-        """Return the retry budgets in use, by service."""
-        return self._budgets
-
-    def set_other_retries(
-        self, others: Callable[[str, float], OtherRetries | None]
-    ) -> None:
-        """Set what returns the retries of other routers, by service."""
-        self._others_of = others
-
-    def _other_retries(
-        self, service: str, now_s: float
-    ) -> OtherRetries | None:
-        if self._others_of is None or not self.is_contended(service):
-            return None
-        return self._others_of(service, now_s)
-
     def is_saved(self, cache_salt: str, part_id: str, now_s: float) -> bool:
         """Return whether a part was sent to the KV store recently."""
         saved_s = self._saved_parts.get((cache_salt, part_id))
--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -38,7 +38,6 @@
 from lacewing_daemon.direct.engines import SpeedReporter
 from lacewing_daemon.direct.exchange import LoadExchange
 from lacewing_daemon.direct.exchange._load_section import LoadSection
-from lacewing_daemon.direct.exchange._retry_section import RetrySection
 from lacewing_daemon.direct.exchange._shared_loads import SharedLoads
 from lacewing_daemon.direct.limits import TeamLimiter
 from lacewing_daemon.direct.limits import UpstreamLimiter
@@ -232,13 +231,6 @@
         self._speed_reporter = SpeedReporter(time.monotonic())
         self._queues: RequestQueues[Target] = RequestQueues(random)
         self._load_exchange.add_section(self._queues.shares)
-        retries = RetrySection(
-            lambda: self._cluster_state.retry_budgets,
-            lambda: len(self._router_count.addresses),
-            lambda: self._cluster_state.bounds.repeat_window_s,
-        )
-        self._load_exchange.add_section(retries)
-        self._cluster_state.set_other_retries(retries.others)
         self._load_exchange.on_message(self._queues.all_changed)
         self._statements = Statements(self._limiters.upstreams)
         self._silence_detector = SilenceDetector(
