--- a/features/direct_exchange.feature
+++ b/features/direct_exchange.feature
@@ -68,7 +68,7 @@
 
     Scenario: About one probe a second of all routers together
       # Guards against 22 callers a second whose requests wait for an engine
-      # that is gone.
+      # that was removed.
       Given 22 routers that know of an unreachable engine
       Then one of them may probe it in each of 50 seconds
       And each of them probes at most 9 times
--- a/packages/daemon/src/lacewing_daemon/direct/exchange/_interval.py
+++ b/packages/daemon/src/lacewing_daemon/direct/exchange/_interval.py
@@ -17,8 +17,8 @@
 # The share of a core and the bytes a second that the exchange may take.
 CORE_SHARE = 0.016
 BYTES_PER_S = 7000.0
-# Processor time to send one message and to receive and apply one: 0.41 to
-# 0.54 ms as measured by `make exchange-cost` on a busy machine.
+# Processor time to send one message and to receive and apply one. A lower
+# figure shortens the interval and costs routers on small VMs their share.
 MESSAGE_COST_S = 0.0005
 # Frame headers of HTTP/2 and of gRPC.
 FRAME_BYTES = 14
