Show that a stream goes on at a worker that left two seconds before

Cause: an upstream whose entry is removed is dropped from the list, but its state is not marked as leaving, and a run that may go on from its copy there is judged by that mark alone.

--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -27,6 +27,8 @@
 _PREFIX = 'x-lacewingstack-'
 _ID = _PREFIX + 'request-id'
 _NOT_EXECUTED = {'X-Lacewingstack-Not-Executed': '1'}
+# Memory of runs is sent to the worker that keeps a copy this often.
+_COPY_EVERY_S = 0.25
 
 
 class Worker:
@@ -35,7 +37,9 @@
     ``spoils`` is called with the status of each answer to a request. If it
     returns true, the same answer is sent once more on that connection, late:
     where the next answer is expected. The first event of a stream has the id
-    ``id_base`` plus one.
+    ``id_base`` plus one. ``peers`` has the workers by address, to which runs
+    are copied; ``arrivals`` has the time, the request's id and the status of
+    each request that reached this one.
     """
 
     def __init__(
@@ -44,7 +48,12 @@
         self.worker_id = worker_id
         self.spoils: Callable[[int], bool] = lambda _status: False
         self.id_base = 0
+        self.peers: dict[str, Worker] = {}
         self.runs: list[str] = []
+        self.arrivals: list[tuple[float, str, int]] = []
+        self._copies: set[str] = set()
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._beating: asyncio.Task[None] | None = None
         self._service = service
         self._model = model
         self._record = record
@@ -58,13 +67,33 @@
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
+    @property
+    def copies(self) -> int:
+        """Return the number of runs elsewhere whose copies it keeps."""
+        return len(self._copies)
+
     async def start(self, host: str, store: Store) -> None:
         """Listen on a free port and register in the store."""
         self._server = await asyncio.start_server(self._serve, host, 0)
         port = self._server.sockets[0].getsockname()[1]
         self._address = f'{host}:{port}'
         self._note_report()
-        self._spawn(self._beat(store))
+        self.peers[self._address] = self
+        self._beating = asyncio.create_task(self._beat(store))
+
+    def leave(self, store: Store) -> None:
+        """Remove the entry, without reporting to drain; serve on."""
+        assert self._beating is not None
+        self._beating.cancel()
+        store.remove('servers', self.worker_id)
+
+    def crash(self) -> None:
+        """End at once: no heartbeats, no connections, nothing listens."""
+        assert self._beating is not None and self._server is not None
+        self._beating.cancel()
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
 
     def _spawn(self, job: 'asyncio._CoroutineLike[None]') -> None:
         task = asyncio.create_task(job)
@@ -122,6 +151,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         late = b''
+        self._writers.add(writer)
         try:
             while True:
                 request = await read_message(reader)
@@ -138,6 +168,7 @@
         except (ConnectionError, asyncio.CancelledError):
             return
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _answer(
@@ -160,8 +191,9 @@
             writer.write(format_response(200, headers, b''))
             return b''
         status, extra = self._refusal(request.headers)
+        request_id = request.headers.get(_ID, '')
+        self.arrivals.append((time.monotonic(), request_id, status))
         if status:
-            request_id = request.headers.get(_ID, '')
             headers = {
                 'X-Lacewingstack-Request-Id': request_id,
                 'X-Lacewingstack-Weight-Versions': str(self._version),
@@ -186,6 +218,11 @@
             return 503, _NOT_EXECUTED
         if expected is not None and int(expected) != self._version:
             return 421, _NOT_EXECUTED
+        if 'kv-from' in headers:
+            copy = f'{self._address}/{headers.get(_ID, "")}'
+            known = headers.get(_ID) in self._copies
+            if headers['kv-from'] != copy or not known:
+                return 503, _NOT_EXECUTED
         return 0, {}
 
     async def _run(
@@ -196,7 +233,13 @@
     ) -> None:
         request_id = request.headers[_ID]
         sizes = request.headers[_PREFIX + 'token-usage'].split(',')
-        await asyncio.sleep(int(sizes[0]) / TOKENS_PER_MS / 1000)
+        if 'kv-from' in request.headers:
+            # A copy is used once.
+            self._copies.discard(request_id)
+        else:
+            await asyncio.sleep(int(sizes[0]) / TOKENS_PER_MS / 1000)
+        keeper = self.peers.get(request.headers.get(_PREFIX + 'kv-backup', ''))
+        copied_s = time.monotonic()
         events = max(1, int(sizes[1]) // TOKENS_PER_EVENT)
         last = request.headers.get('last-event-id', str(self.id_base))
         first = int(last) - self.id_base + 1
@@ -223,8 +266,14 @@
                 event = f'id: {event_id}\ndata: {request_id} {number}\n\n'
                 writer.write(format_chunk(event.encode()))
                 await writer.drain()
+                now_s = time.monotonic()
+                if keeper is not None and now_s - copied_s > _COPY_EVERY_S:
+                    keeper._copies.add(request_id)
+                    copied_s = now_s
                 await asyncio.sleep(STEP_S * TOKENS_PER_EVENT)
             writer.write(format_chunk(b''))
+            if keeper is not None:
+                keeper._copies.discard(request_id)
         finally:
             self._running -= 1
 
