--- a/review/1/play.py
+++ b/review/1/play.py
@@ -12,13 +12,14 @@
 from collections import Counter
 from pathlib import Path
 
-from standins.client import ask
-from standins.record import Record
-from standins.routers import Router
-from standins.store import Store
-from standins.worker import Worker
-
-HOST = '127.0.0.1'
+from standin_client import ask
+from standin_record import Record
+from standin_routers import loopback_address
+from standin_routers import Router
+from standin_store import Store
+from standin_worker import Worker
+
+HOST = loopback_address()
 SERVICE = 'tutor-llm'
 MODEL = 'daka510000'
 ROUTERS = 4
--- a/review/standins/client.py
+++ b/review/standin_client.py
@@ -3,10 +3,10 @@
 import asyncio
 from dataclasses import dataclass
 
-from standins.http import format_head
-from standins.http import Headers
-from standins.http import read_chunk
-from standins.http import read_head
+from standin_http import format_head
+from standin_http import Headers
+from standin_http import read_chunk
+from standin_http import read_head
 
 CONNECT_TIMEOUT_S = 1.0
 
--- a/review/standins/routers.py
+++ b/review/standin_routers.py
@@ -3,11 +3,12 @@
 import asyncio
 import json
 import os
+import random
 import signal
 import socket
 from pathlib import Path
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 READY_TIMEOUT_S = 20.0
 BOUNDS = {
     'drain_s': 8,
@@ -24,6 +25,13 @@
 )
 
 
+def loopback_address() -> str:
+    """Return a loopback address that no other run is likely to use."""
+    draw = random.SystemRandom()
+    numbers = [str(draw.randrange(1, 255)) for _ in range(3)]
+    return '.'.join(('127', *numbers))
+
+
 def free_port(host: str) -> int:
     """Return a port that is free now."""
     with socket.socket() as probe:
@@ -84,11 +92,11 @@
             reader, writer = await asyncio.open_connection(
                 self.host, self._ready_port
             )
+            writer.write(b'GET /readiness HTTP/1.1\r\nHost: x\r\n\r\n')
+            line = await reader.readline()
+            writer.close()
         except OSError:
             return False
-        writer.write(b'GET /readiness HTTP/1.1\r\nHost: x\r\n\r\n')
-        line = await reader.readline()
-        writer.close()
         return b' 200 ' in line
 
     def signal(self, number: signal.Signals) -> None:
--- a/review/standins/store.py
+++ b/review/standin_store.py
@@ -8,9 +8,9 @@
 from urllib.parse import unquote
 from urllib.parse import urlsplit
 
-from standins.http import format_response
-from standins.http import Message
-from standins.http import read_message
+from standin_http import format_response
+from standin_http import Message
+from standin_http import read_message
 
 PAGE_SIZE = 500
 HISTORY_S = 20.0
--- a/review/standins/worker.py
+++ b/review/standin_worker.py
@@ -6,14 +6,14 @@
 import time
 from collections.abc import Callable
 
-from standins.http import format_chunk
-from standins.http import format_head
-from standins.http import format_response
-from standins.http import Headers
-from standins.http import Message
-from standins.http import read_message
-from standins.record import Record
-from standins.store import Store
+from standin_http import format_chunk
+from standin_http import format_head
+from standin_http import format_response
+from standin_http import Headers
+from standin_http import Message
+from standin_http import read_message
+from standin_record import Record
+from standin_store import Store
 
 HEARTBEAT_S = 1.2
 SLOTS = 48
