Log why a router ended a send and why it made no further one

Cause: the line of a failed stream names the last upstream's refusal. It can't tell a used-up retry budget from a lack of upstreams, and not a stream that its upstream cut from one that the router broke off.

Change: given_up in each send, no_send in the line of the request, and what was spent of the retry budget in its message.

--- a/packages/common/src/lacewing_common/log_lines.py
+++ b/packages/common/src/lacewing_common/log_lines.py
@@ -20,7 +20,8 @@
     a copy of this run's KV cache, '' for none. ``ended``: how the body of the
     answer ended, '' if the router gave the send up before; ``partial_bytes``:
     the bytes after the last complete event of a stream. ``software``: the
-    version of the upstream's software.
+    version of the upstream's software. ``given_up``: why the router itself
+    ended the send, '' if it did not.
     """
 
     upstream: str
@@ -41,6 +42,7 @@
     ended: str = ''
     partial_bytes: int = 0
     software: str = ''
+    given_up: str = ''
 
 
 class BrokenRun(msgspec.Struct, frozen=True, kw_only=True):
@@ -69,6 +71,8 @@
     of the shared parts of the prompt of a request that was blocked.
     ``queue_ahead``: requests that preceded this one when it joined the
     router's queue, -1 if it did not wait there; ``queued_ms``: its wait.
+    ``no_send``: why no further send was made, where ``message`` tells what an
+    earlier one met.
     """
 
     event: str
@@ -97,3 +101,4 @@
     parts: tuple[str, ...] = ()
     queued_ms: int = 0
     queue_ahead: int = -1
+    no_send: str = ''
--- a/packages/daemon/src/lacewing_daemon/direct/_budget.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_budget.py
@@ -47,12 +47,23 @@
         a retry. One that did not run can be refused, and its caller retries.
         """
         self._expire(now_s)
-        allowed = self._ratio * len(self._requests) * _OWN_FRACTION
-        allowed += self._slack * _OWN_FRACTION / max(1, routers)
+        allowed = self._allowed(routers)
         if not for_runs:
             allowed *= 1.0 - RESERVED_FOR_RUNS
         return len(self._retries) + before + 1 <= allowed
 
+    def describe(self, routers: int) -> str:
+        """Return how much is spent of what runs may spend."""
+        allowed = self._allowed(routers)
+        return (
+            f'{len(self._retries)} retries of {allowed:.1f}'
+            f' for {len(self._requests)} requests'
+        )
+
+    def _allowed(self, routers: int) -> float:
+        allowed = self._ratio * len(self._requests) * _OWN_FRACTION
+        return allowed + self._slack * _OWN_FRACTION / max(1, routers)
+
     def _expire(self, now_s: float) -> None:
         oldest_s = now_s - self._window_s
         for times in (self._requests, self._retries):
--- a/packages/daemon/src/lacewing_daemon/direct/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_exchange.py
@@ -116,6 +116,7 @@
         )
         self._charge_made: Charge | None = None
         self._has_logged_refusals = False
+        self._no_send = ''
 
     async def run(self) -> None:
         """Serve the request; cancelled when the caller disconnects."""
@@ -143,7 +144,10 @@
             self._reply.abort()
             raise
         if refusal is not None:
-            self._refuse(self._refusals.final_refusal(refusal))
+            final = self._refusals.final_refusal(refusal)
+            if final.message != refusal.message:
+                self._no_send = refusal.message
+            self._refuse(final)
 
     def _time_limit_s(self, admitted: Admitted) -> float:
         limit_s = admitted.route.timeout_s
@@ -443,6 +447,7 @@
             self._subjects,
             now_s,
             self._chooser.stay,
+            self._no_send,
         )
         REQUESTS.labels(outcome.service, str(status), outcome.reason).inc()
         self._context.log.log_outcome(outcome, now_s)
--- a/packages/daemon/src/lacewing_daemon/direct/_next_target.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_next_target.py
@@ -152,9 +152,10 @@
             ):
                 self.refund()
                 REPEATS_DENIED.labels(admitted.service.name).inc()
+                spent = budget.describe(self._fleet.cluster_state.router_count)
                 return not_run(
                     Reason.NO_WORKER,
-                    'the retry budget is used up',
+                    f'the retry budget is used up: {spent}',
                     BUDGET_RETRY_AFTER_S,
                 )
         if uses_queue:
--- a/packages/daemon/src/lacewing_daemon/direct/_request_log.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_request_log.py
@@ -71,6 +71,8 @@
     if end.failed:
         fields['reason'] = end.reason
         fields['message'] = end.message
+        if end.no_send:
+            fields['no_send'] = end.no_send
         fields['same'] = end.subjects.request
         if end.reason == Reason.WORKERS_CRASHED.value:
             fields['parts'] = end.subjects.parts
--- a/packages/daemon/src/lacewing_daemon/direct/_request_outcome.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_request_outcome.py
@@ -26,6 +26,7 @@
     ``resumed_request`` brought the first event of the stream that this one
     takes up. ``queue_ahead``: requests that preceded it when it joined the
     queue, -1 if it never did; ``queued_ms``: how long it waited there.
+    ``no_send``: why no further send was made, '' if ``message`` tells.
     """
 
     request_id: str
@@ -45,6 +46,7 @@
     resumed_request: str = ''
     queued_ms: int = 0
     queue_ahead: int = -1
+    no_send: str = ''
 
     @property
     def failed(self) -> bool:
@@ -62,6 +64,7 @@
     subjects: RequestSubjects,
     now_s: float,
     stay: QueueStay,
+    no_send: str,
 ) -> RequestOutcome:
     """Return the outcome of a request; ``admitted`` is None if refused."""
     routing_config = fleet.cluster_state.routing_config
@@ -88,4 +91,5 @@
         resumed_request=request.resumed_request,
         queued_ms=int(stay.queued_s * _MS),
         queue_ahead=stay.ahead,
+        no_send=no_send,
     )
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -3,6 +3,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 
 from lacewing_common.log_lines import BrokenRun
 from lacewing_common.log_lines import Try
@@ -57,6 +58,18 @@
 PLAIN_SILENT_S = 0.45
 
 
+class GivenUp(Enum):
+    """Name why a router ended a send; the value is logged.
+
+    SILENT: the upstream sent nothing on any stream. STALLED: the stream had
+    no event for too long.
+    """
+
+    NO = ''
+    SILENT = 'upstream_silent'
+    STALLED = 'stalled'
+
+
 @dataclass(frozen=True)
 class SendResult:
     """Hold how a send ended and its entry in the request log.
@@ -105,6 +118,8 @@
         self._first_event_s: float | None = None
         self._slowdown: float | None = None
         self._is_own_answer = True
+        self._given_up = GivenUp.NO
+        self._attempt: Attempt | None = None
         self._other_requests = self._state.other_requests(self._start_s)
         self._copy_tokens = 0
         if target.copy_to is not None and request.prompt is not None:
@@ -132,7 +147,7 @@
                 self._state, time.monotonic()
             )
             if self._first_event_s is None and self._can_continue:
-                self._watch(attempt)
+                self._watch()
             self._record_first_event()
             if events and not relay.has_started:
                 record_origin(
@@ -144,7 +159,10 @@
             await relay.forward(head, events)
 
         def should_abandon(waited_s: float) -> bool:
-            return self._should_abandon(waited_s, relay.has_started)
+            if not self._should_abandon(waited_s, relay.has_started):
+                return False
+            self._given_up = GivenUp.STALLED
+            return True
 
         attempt = Attempt(
             self._request,
@@ -152,6 +170,7 @@
             self._learn,
             on_events if is_streaming else None,
         )
+        self._attempt = attempt
         self._abort = attempt.abort
         self._guard.run_opened(self._subjects, self._abort)
         left_s = end_s - self._start_s
@@ -177,7 +196,7 @@
         finally:
             self._guard.run_closed(self._subjects, self._abort)
             self._fleet.silence_detector.stream_closed(
-                self._state, attempt.abort
+                self._state, self._end_silent
             )
             if self._target.copy_to is not None:
                 self._target.copy_to.close_copy(self._copy_tokens)
@@ -196,17 +215,22 @@
             self._admitted.route.can_retry or self._target.copy_to is not None
         )
 
-    def _watch(self, attempt: Attempt) -> None:
+    def _watch(self) -> None:
         route = self._admitted.route
         self._fleet.silence_detector.stream_opened(
             self._state,
-            attempt.abort,
+            self._end_silent,
             route.can_retry,
             route.max_event_gap_s,
             route.abandon_after_s,
             self._can_move,
         )
 
+    def _end_silent(self) -> None:
+        if self._attempt is not None:
+            self._given_up = GivenUp.SILENT
+            self._attempt.abort()
+
     def _should_abandon(self, waited_s: float, has_started: bool) -> bool:
         """Return whether to abandon an answer on which no data arrives.
 
@@ -452,6 +476,7 @@
             ended='' if end.body_end is None else end.body_end.value,
             partial_bytes=end.partial_bytes,
             software=self._state.upstream.software_name,
+            given_up=self._given_up.value,
         )
 
 
