--- a/features/steps/broken_streams_steps.py
+++ b/features/steps/broken_streams_steps.py
@@ -21,6 +21,16 @@
     bench.bounds = replace(bench.bounds, repeat_ratio=0.0, repeat_slack=slack)
 
 
+@given('a retry budget of {retries:d} retries in {window_s:g} seconds')
+def step_budget_window(
+    context: Context, retries: int, window_s: float
+) -> None:
+    """Start routers whose retry budget has room again after the window."""
+    step_budget(context, retries)
+    bench = direct_bench(context)
+    bench.bounds = replace(bench.bounds, repeat_window_s=window_s)
+
+
 @given('a router with {count:d} engines')
 def step_router(context: Context, count: int) -> None:
     """Start engines and a router that knows all of them."""
@@ -55,6 +65,13 @@
         upstream.script = script
 
 
+@then('one engine ran the request')
+def step_one_ran(context: Context) -> None:
+    """Count the runs."""
+    ran = direct_bench(context).ran()
+    assert len(ran) == 1, ran
+
+
 @then('engines received {count:d} sends')
 def step_sends(context: Context, count: int) -> None:
     """Count the sends."""
