Move a stream only once another upstream has sent an event

Callers saw a started stream closed in the middle with 11 s left. An engine that lived had been silent for 367 ms; the router broke the run off, the next engine refused the rest (it loaded weights), and the retry budget, 3.7 sends in 10 s for this router, allowed no third send.

Cause: a run was given up on a suspicion before any other upstream had accepted the stream. The check before a move asks for one retry, and one refusal uses it up; whether an engine refuses is known only once it is asked.

Change: a stream that may run again stays at its upstream while another one is asked for the rest. The first of the two that sends an event is kept; a refusal leaves the run as it was.

--- a/features/direct_moves.feature
+++ b/features/direct_moves.feature
@@ -12,3 +12,34 @@
       When a caller asks a model
       Then the answer is 200 with all events once and in order
       And engines received 2 sends
+
+    Scenario: All other engines refuse for longer than a stream waits
+      # Guards against the same abort once the wait for capacity is over.
+      Given a router with 3 engines
+      And the next engines answer with "pauses" and then all refuse
+      When a caller asks a model
+      Then the answer is 200 with all events once and in order
+
+    Scenario: An engine goes on before the next one has begun
+      # Guards against a live run that is given up for one that waits in the
+      # queue of another engine.
+      Given a router with 3 engines
+      And the next engines answer with "pauses, mute"
+      When a caller asks a model
+      Then the answer is 200 with all events once and in order
+      And one engine ran the request
+
+    Scenario: An engine that sends nothing more is left
+      # Guards against streams that stay at a lost engine as others may refuse.
+      Given a router with 3 engines
+      And the next engines answer with "stalls, shed"
+      When a caller asks a model
+      Then the answer is 200 with all events once and in order
+      And engines received 3 sends
+
+    Scenario: An engine breaks a stream off while the next one is asked
+      # Guards against a stream that is lost as both sends are under way.
+      Given a router with 3 engines
+      And the next engines answer with "pauses and cuts, slow"
+      When a caller asks a model
+      Then the answer is 200 with all events once and in order
--- a/packages/daemon/src/lacewing_daemon/direct/_metrics.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_metrics.py
@@ -41,6 +41,12 @@
     'Sends of the rest of a started stream that upstreams refused, by service',
     ['service'],
 )
+HANDOVERS = Counter(
+    'lacewing_direct_handovers',
+    'Started streams that other upstreams were asked for while their run went'
+    ' on, by service and end',
+    ['service', 'end'],
+)
 STREAMS_TAKEN_UP = Counter(
     'lacewing_direct_streams_taken_up',
     'Requests for the rest of a stream, by service and what is known of it',
--- a/packages/daemon/src/lacewing_daemon/direct/_next_target.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_next_target.py
@@ -76,6 +76,11 @@
         counted = self.sends - self.refusals if has_started else self.sends
         return counted < MAX_SENDS
 
+    def leave(self, upstream_id: str) -> None:
+        """Record that a run goes on at an upstream that is to be left."""
+        self.has_reached_upstream = True
+        self.tried_ids |= {upstream_id}
+
     def add_refusal(self, upstream_id: str) -> None:
         """Record that an upstream refused the request."""
         self.tried_ids |= {upstream_id}
@@ -117,9 +122,16 @@
         return self._turn.stay
 
     async def choose(
-        self, admitted: Admitted, subjects: RequestSubjects, end_s: float
+        self,
+        admitted: Admitted,
+        subjects: RequestSubjects,
+        end_s: float,
+        may_wait: bool = True,
     ) -> Target | NoCapacity | Refusal:
-        """Return the target, NoCapacity to check again, or a refusal."""
+        """Return the target, NoCapacity to check again, or a refusal.
+
+        ``may_wait``: a started stream may wait for capacity.
+        """
         while True:
             now_s = time.monotonic()
             left_ms = self._first_event_limit_ms(admitted, end_s, now_s)
@@ -132,7 +144,9 @@
             if isinstance(placed, Refusal):
                 return placed
             if isinstance(placed, NoCapacity):
-                if self._can_wait_for_capacity(admitted, placed, now_s):
+                if may_wait and self._can_wait_for_capacity(
+                    admitted, placed, now_s
+                ):
                     return placed
                 return self._refusal(admitted, placed)
             if await self._reserve(placed.state):
@@ -148,7 +162,7 @@
             if not budget.spend(
                 time.monotonic(),
                 self._fleet.cluster_state.router_count,
-                self._progress.runs > 0,
+                self._is_for_run,
             ):
                 self.refund()
                 REPEATS_DENIED.labels(admitted.service.name).inc()
@@ -250,6 +264,11 @@
         )
         return not isinstance(placed, NoCapacity)
 
+    @property
+    def _is_for_run(self) -> bool:
+        """Return whether a run is lost without the next send."""
+        return self._progress.runs > 0 or self._reply.has_started
+
     @property
     def _is_first_retry(self) -> bool:
         """Return whether another upstream is tried without waiting."""
--- a/packages/daemon/src/lacewing_daemon/direct/_router.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_router.py
@@ -19,7 +19,6 @@
 from lacewing_daemon.direct._caller_server import CallerServer
 from lacewing_daemon.direct._clock import boot_s
 from lacewing_daemon.direct._exchange import RequestExchange
-from lacewing_daemon.direct._exchange import ServingContext
 from lacewing_daemon.direct._fleet import Fleet
 from lacewing_daemon.direct._pages import metrics_page
 from lacewing_daemon.direct._pages import Page
@@ -32,6 +31,7 @@
 from lacewing_daemon.direct._planner import WeightsPlanner
 from lacewing_daemon.direct._request_log import RequestLog
 from lacewing_daemon.direct._routing_config import RoutingConfig
+from lacewing_daemon.direct._serving_context import ServingContext
 from lacewing_daemon.direct._settings import DirectSettings
 from lacewing_daemon.direct._site import Site
 from lacewing_daemon.direct._site import Wire
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
+from functools import partial
+from typing import Any
 
 from lacewing_common.log_lines import BrokenRun
 from lacewing_common.log_lines import Try
@@ -21,6 +23,7 @@
 from lacewing_daemon.direct._first_event import record_engine_event
 from lacewing_daemon.direct._first_event import record_first_event
 from lacewing_daemon.direct._fleet import Fleet
+from lacewing_daemon.direct._handover import Handover
 from lacewing_daemon.direct._metrics import ATTEMPTS
 from lacewing_daemon.direct._metrics import BODY_ENDS
 from lacewing_daemon.direct._metrics import FIRST_SECONDS
@@ -31,7 +34,7 @@
 from lacewing_daemon.direct._site import ReplyHead
 from lacewing_daemon.direct._site import UpstreamLoad
 from lacewing_daemon.direct._site import Wire
-from lacewing_daemon.direct._stream_relay import StreamRelay
+from lacewing_daemon.direct._stream_relay import EventRelay
 from lacewing_daemon.direct._take_up import record_origin
 from lacewing_daemon.direct._target import Target
 from lacewing_daemon.direct._upstream_state import UpstreamState
@@ -62,12 +65,13 @@
     """Name why a router ended a send; the value is logged.
 
     SILENT: the upstream sent nothing on any stream. STALLED: the stream had
-    no event for too long.
+    no event for too long. RESUMED: the earlier run of the stream went on.
     """
 
     NO = ''
     SILENT = 'upstream_silent'
     STALLED = 'stalled'
+    RESUMED = 'earlier_run_resumed'
 
 
 @dataclass(frozen=True)
@@ -90,7 +94,8 @@
     state of the upstream from the answer. ``can_move`` returns whether the
     request could be finished at another upstream, given the number of other
     requests that move at the same moment. ``subjects`` are what a crash under
-    it may be attributed to.
+    it may be attributed to. ``handover`` moves the stream once it has events;
+    without one, its run is ended before another upstream is asked.
     """
 
     def __init__(
@@ -103,8 +108,10 @@
         target: Target,
         can_move: Callable[[int], bool],
         subjects: RequestSubjects,
+        handover: Handover[Any] | None = None,
     ) -> None:
         self._fleet = fleet
+        self._handover = handover
         self._wire = wire
         self._placer = placer
         self._request = request
@@ -133,11 +140,14 @@
             target.kv_tokens,
         )
 
-    def unfinished(self, reason: Reason) -> Try:
+    def unfinished(
+        self, reason: Reason, given_up: GivenUp = GivenUp.NO
+    ) -> Try:
         """Return the log entry of a send that was abandoned."""
+        self._given_up = given_up
         return self._log_entry(AttemptEnd(Verdict.MAY_HAVE_RUN, reason))
 
-    async def run(self, relay: StreamRelay, end_s: float) -> SendResult:
+    async def run(self, relay: EventRelay, end_s: float) -> SendResult:
         """Send the request, relay a stream, and return how it ended."""
         self._record_sent_parts()
         is_streaming = self._admitted.route.is_streaming
@@ -146,6 +156,8 @@
             self._fleet.silence_detector.data_received(
                 self._state, time.monotonic()
             )
+            if self._handover is not None and not self._handover.keep_run():
+                return
             if self._first_event_s is None and self._can_continue:
                 self._watch()
             self._record_first_event()
@@ -161,8 +173,7 @@
         def should_abandon(waited_s: float) -> bool:
             if not self._should_abandon(waited_s, relay.has_started):
                 return False
-            self._given_up = GivenUp.STALLED
-            return True
+            return self._leave(GivenUp.STALLED)
 
         attempt = Attempt(
             self._request,
@@ -196,7 +207,7 @@
         finally:
             self._guard.run_closed(self._subjects, self._abort)
             self._fleet.silence_detector.stream_closed(
-                self._state, self._end_silent
+                self._state, self._leave_silent
             )
             if self._target.copy_to is not None:
                 self._target.copy_to.close_copy(self._copy_tokens)
@@ -219,16 +230,27 @@
         route = self._admitted.route
         self._fleet.silence_detector.stream_opened(
             self._state,
-            self._end_silent,
+            self._leave_silent,
             route.can_retry,
             route.max_event_gap_s,
             route.abandon_after_s,
             self._can_move,
         )
 
-    def _end_silent(self) -> None:
+    def _leave_silent(self) -> None:
+        self._leave(GivenUp.SILENT)
+
+    def _leave(self, reason: GivenUp) -> bool:
+        """Let another upstream go on; return whether the run has ended."""
+        if self._handover is None or self._first_event_s is None:
+            self._end_run(reason)
+            return True
+        self._handover.begin(partial(self._end_run, reason))
+        return False
+
+    def _end_run(self, reason: GivenUp) -> None:
+        self._given_up = reason
         if self._attempt is not None:
-            self._given_up = GivenUp.SILENT
             self._attempt.abort()
 
     def _should_abandon(self, waited_s: float, has_started: bool) -> bool:
--- a/packages/daemon/src/lacewing_daemon/direct/_stream_relay.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_stream_relay.py
@@ -1,12 +1,28 @@
 """Relay a stream of events to a caller from one or more upstreams."""
 
 from collections.abc import Iterable
+from typing import Protocol
 
 from lacewing_daemon.direct._caller_reply import CallerReply
 from lacewing_daemon.direct._events import event_id
 from lacewing_daemon.direct._site import ReplyHead
 
 
+class EventRelay(Protocol):
+    """Relay the events of one upstream to a caller."""
+
+    @property
+    def has_started(self) -> bool:
+        """Return whether the head of the answer was sent."""
+
+    @property
+    def last_event(self) -> int | None:
+        """Return the id of the last event that the caller has."""
+
+    async def forward(self, head: ReplyHead, events: Iterable[bytes]) -> None:
+        """Forward complete events."""
+
+
 class StreamRelay:
     """Forward each event once and in order.
 
