Let a stream that was broken off wait for the retry budget

Callers saw a started stream closed at once when its router had no retry left, though they wait for the next event for seconds.

Cause: each router has an equal part of the fleet's budget, a few sends in ten seconds, and a refused send uses one up. A lack of engines was waited out, a lack of retries was not.

Change: a started stream waits for a retry for 0.85 of the time after which its caller leaves, counted from its last event.

Measured: the new scenario (one retry in 0.8 s, an engine that cuts and one that refuses) failed before, with the answer aborted, and passes.

--- a/features/direct_moves.feature
+++ b/features/direct_moves.feature
@@ -43,3 +43,15 @@
       And the next engines answer with "pauses and cuts, slow"
       When a caller asks a model
       Then the answer is 200 with all events once and in order
+
+  Rule: A stream that was broken off waits for the retry budget
+
+    Scenario: The retry budget has room again before the caller leaves
+      # Guards against a started answer that is aborted at once although its
+      # caller waits for it for seconds.
+      Given a retry budget of 1 retries in 0.8 seconds
+      And a router with 3 engines
+      And the next engines answer with "cut, shed"
+      When a caller asks a model
+      Then the answer is 200 with all events once and in order
+      And engines received 3 sends
--- a/packages/daemon/src/lacewing_daemon/direct/_caller_reply.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_caller_reply.py
@@ -1,6 +1,7 @@
 """Write the answer to one caller."""
 
 import asyncio
+import time
 from http.client import responses
 
 from tornado.http1connection import HTTP1Connection
@@ -33,6 +34,7 @@
         self._stopped = False
         self._has_started = False
         self._has_ended = False
+        self._written_s = 0.0
 
     @property
     def has_started(self) -> bool:
@@ -44,6 +46,11 @@
         """Return whether the answer is complete or was aborted."""
         return self._has_ended
 
+    @property
+    def written_s(self) -> float:
+        """Return when the last piece was written, by the monotonic clock."""
+        return self._written_s
+
     @property
     def stopped(self) -> bool:
         """Return whether the stop of this process closed the connection."""
@@ -69,6 +76,7 @@
 
     async def write(self, data: bytes) -> None:
         """Send a piece; wait until the connection accepts more data."""
+        self._written_s = time.monotonic()
         if not self._accepts_chunks:
             self._held_body.append(data)
             return
--- a/packages/daemon/src/lacewing_daemon/direct/_next_target.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_next_target.py
@@ -44,6 +44,10 @@
 # its caller abandons it. The silence before the move has used up the rest.
 CAPACITY_WAIT_FRACTION = 0.35
 BUDGET_RETRY_AFTER_S = 1.0
+# A started stream waits for the retry budget until this fraction of the time
+# after which its caller abandons it has passed since its last event. The rest
+# is for the first event of the next upstream.
+BUDGET_WAIT_FRACTION = 0.85
 # An upstream of the software that began a stream may start again.
 NO_SOFTWARE_RETRY_S = 1.0
 
@@ -130,10 +134,12 @@
     ) -> Target | NoCapacity | Refusal:
         """Return the target, NoCapacity to check again, or a refusal.
 
-        ``may_wait``: a started stream may wait for capacity.
+        ``may_wait``: a started stream may wait for capacity and retries.
         """
         while True:
             now_s = time.monotonic()
+            if may_wait and self._can_wait_for_budget(admitted, now_s):
+                return NoCapacity(BUDGET_RETRY_AFTER_S * _MS)
             left_ms = self._first_event_limit_ms(admitted, end_s, now_s)
             uses_queue = self._uses_queue(admitted)
             placed: Target | NoCapacity | Refusal = NoCapacity(0.0)
@@ -449,6 +455,22 @@
             self._capacity_wait_end_s = now_s + wait_s
         return now_s < self._capacity_wait_end_s
 
+    def _can_wait_for_budget(self, admitted: Admitted, now_s: float) -> bool:
+        """Return whether a started stream waits until a retry is left.
+
+        Each router has an equal part of the fleet's budget, and one refusal
+        may use it up, while the caller waits for the stream for seconds.
+        """
+        if not self._reply.has_started:
+            return False
+        wait_s = admitted.route.abandon_after_s * BUDGET_WAIT_FRACTION
+        if now_s >= self._reply.written_s + wait_s:
+            return False
+        cluster_state = self._fleet.cluster_state
+        return not cluster_state.retry_budget(admitted.service).allows(
+            now_s, cluster_state.router_count, True
+        )
+
     def _first_event_limit_ms(
         self, admitted: Admitted, end_s: float, now_s: float
     ) -> float:
