Ask the upstream with a copy before the run is given up

Callers would see a started stream closed in the middle: a run that must not start again is broken off on suspicion, and the upstream that should have the copy of its KV cache refuses.

Change: the run goes on until the upstream with the copy has sent an event.

Measured: the new scenario failed before with the answer aborted and passes; features of streams, crashes, software versions and silence pass.

--- a/features/direct_moves.feature
+++ b/features/direct_moves.feature
@@ -55,3 +55,26 @@
       When a caller asks a model
       Then the answer is 200 with all events once and in order
       And engines received 3 sends
+
+  Rule: A run that can go on only from its copy is not given up for a refusal
+
+    Background:
+      Given a router with 3 engines
+      And engines that copy the KV cache of runs
+
+    Scenario: The upstream that should have the copy refuses
+      # Guards against a started answer that is aborted although its engine
+      # lives: its run is broken off on suspicion, and there is no copy of it.
+      Given the copies are lost
+      And the next engines answer with "pauses"
+      When a caller requests a non-resumable stream
+      Then the answer is 200 with all events once and in order
+      And one engine ran the request and no other continued it
+
+    Scenario: An engine that sends nothing more is left for the copy
+      # Guards against streams that stay at a lost engine although a copy of
+      # their run could go on.
+      Given the next engines answer with "stalls"
+      When a caller requests a non-resumable stream
+      Then the answer is 200 with all events once and in order
+      And one engine ran the request and the other continued it
--- a/packages/daemon/src/lacewing_daemon/direct/_request_sends.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_request_sends.py
@@ -222,11 +222,13 @@
         self._progress.sends += 1
         handover: Handover[EndedSend] | None = None
         route = self._admitted.route
-        if route.is_streaming and route.can_retry:
+        has_copy = target.copy_to is not None
+        if route.is_streaming and (route.can_retry or has_copy):
             handover = Handover(
                 self._admitted.service.name,
                 self._relay,
                 partial(self._ask_successor, target),
+                not route.can_retry,
             )
             self._handovers.append(handover)
         send = Send(
@@ -284,8 +286,7 @@
         """Send the rest of a stream while its run goes on at ``left``."""
         self._progress.leave(left.state.upstream.upstream_id)
         self._fix_software(left)
-        may_run = self._progress.runs + 1 < self._admitted.route.max_runs
-        if not may_run or not self._may_send_again or self._is_blocked():
+        if not self._may_ask(left):
             return NoSuccessor.NOBODY
         target = await self._chooser.choose(
             self._admitted, self._subjects, self._end_s, may_wait=False
@@ -304,10 +305,22 @@
         if relay.has_taken_over or self._is_answer(result.end):
             relay.take_over()
             return ended
+        self._progress.continuation = None
         self._close_send(ended)
         self._record_failure(ended)
         return NoSuccessor.FAILED
 
+    def _may_ask(self, left: Target) -> bool:
+        """Return whether another upstream may go on with a run that lasts."""
+        if not self._may_send_again or self._is_blocked():
+            return False
+        route = self._admitted.route
+        if route.can_retry:
+            return self._progress.runs + 1 < route.max_runs
+        continuation = self._context.placer.continuation(left)
+        self._progress.continuation = continuation
+        return continuation is not None
+
     def _log_resumed(self, opened: OpenSend) -> None:
         """Record a successor that was ended, as the earlier run went on."""
         self._progress.add_run(opened.target.state.upstream.upstream_id)
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -156,7 +156,7 @@
             self._fleet.silence_detector.data_received(
                 self._state, time.monotonic()
             )
-            if self._handover is not None and not self._handover.keep_run():
+            if not await self._is_kept():
                 return
             if self._first_event_s is None and self._can_continue:
                 self._watch()
@@ -237,6 +237,12 @@
             self._can_move,
         )
 
+    async def _is_kept(self) -> bool:
+        """Return whether the run goes on here; a successor is ended then."""
+        if self._handover is None or not self._handover.has_begun:
+            return True
+        return await self._handover.keep_run()
+
     def _leave_silent(self) -> None:
         self._leave(GivenUp.SILENT)
 
