--- a/features/ctl_explain.feature
+++ b/features/ctl_explain.feature
@@ -93,6 +93,11 @@
     Given a log file in which an engine refuses requests while it loads
     Then explaining it shows status 503 and "was loading weights 2"
 
+  Scenario: A started stream for which no retry was left
+    # Guards against a used-up retry budget that is shown as a full upstream.
+    Given a log file of a started stream for which no retry was left
+    Then explaining it shows status 0 and "the retry budget is used up"
+
   Scenario: A request at a router that lost power
     Given a log file in which the log of one of two routers ends early
     Then explaining an unlogged request fails and names that router
--- a/features/steps/ctl_explain_steps.py
+++ b/features/steps/ctl_explain_steps.py
@@ -70,6 +70,15 @@
     context.explained = 'refused-1'
 
 
+@given('a log file of a started stream for which no retry was left')
+def step_no_retry(context: Context) -> None:
+    """Write the line of the stream."""
+    line = {**_REFUSED, 'status': 0, 'no_send': 'the retry budget is used up'}
+    context.log = context.log.with_name('no_retry.log')
+    context.log.write_text(json.dumps(line))
+    context.explained = 'refused-1'
+
+
 @when('a caller disconnects after the first event of a stream')
 def step_disconnect(context: Context) -> None:
     """Read one event and close the connection."""
--- a/packages/ctl/src/lacewing_ctl/_causes.py
+++ b/packages/ctl/src/lacewing_ctl/_causes.py
@@ -28,8 +28,12 @@
         )
     describe = _DESCRIBE_BY_REASON.get(line.reason)
     if describe is None:
-        return f'{line.message or line.reason}.'
-    return describe(timeline)
+        text = f'{line.message or line.reason}.'
+    else:
+        text = describe(timeline)
+    if line.no_send:
+        return f'{text} No further send was made: {line.no_send}.'
+    return text
 
 
 def _stale_configuration(timeline: RequestTimeline) -> str:
