Keep one of two runs of a stream, whatever order their events come in

Callers would see an aborted answer although both runs went on, or a stream that stays at a lost engine.

Cause: cancelling the send of a successor takes effect a turn of the loop later; an event that it read in between ended the earlier run too. The check before a move counted upstreams that had refused as used for good. Found by a review of the handover.

Change: a successor that is not needed is closed at once, its events are dropped, and it counts as no run if it sent none; a pause follows each handover that ends without one. A stream is moved only once a whole event of its upstream was forwarded. Events held for a copy wait for 0.35 s at the most, and nothing is forwarded once the request has ended.

--- a/features/direct_moves.feature
+++ b/features/direct_moves.feature
@@ -37,6 +37,27 @@
       Then the answer is 200 with all events once and in order
       And engines received 3 sends
 
+    Scenario: Every other engine has refused once
+      # Guards against a lost engine that is never left, as those that refused
+      # are not asked again.
+      Given a router with 3 engines
+      And the next engines answer with "stalls, shed, shed"
+      When a caller asks a model
+      Then the answer is 200 with all events once and in order
+      And engines received 4 sends
+
+    Scenario Outline: Both upstreams send an event at the same moment
+      # Guards against two runs that each end the other one.
+      Given a handover whose successor has been asked
+      When events arrive from the <first> and then from the <second> run
+      Then only those of the <first> run are forwarded
+      And the <first> run goes on
+
+      Examples:
+        | first   | second  |
+        | earlier | next    |
+        | next    | earlier |
+
     Scenario: An engine breaks a stream off while the next one is asked
       # Guards against a stream that is lost as both sends are under way.
       Given a router with 3 engines
--- a/packages/daemon/src/lacewing_daemon/direct/_handover.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_handover.py
@@ -25,8 +25,8 @@
 MAX_SENDS_AT_ONCE = 2
 # Time until upstreams are asked again, once none has taken the stream over.
 RETRY_INTERVAL_S = 0.2
-# Events of the earlier run wait this long for the upstream that has its copy.
-MAX_HOLD_S = 0.5
+# Events of the earlier run wait this long for the upstream with its copy.
+MAX_HOLD_S = 0.35
 
 
 class NoSuccessor(Enum):
@@ -60,6 +60,7 @@
         self._relay = relay
         self._take_over = take_over
         self._has_taken_over = False
+        self._is_closed = False
 
     @property
     def has_started(self) -> bool:
@@ -73,20 +74,26 @@
 
     @property
     def has_taken_over(self) -> bool:
-        """Return whether the successor has sent an event."""
+        """Return whether the successor has answered."""
         return self._has_taken_over
 
+    def close(self) -> None:
+        """Drop what a successor still sends that is not needed any more."""
+        self._is_closed = True
+
     def take_over(self) -> None:
         """End the earlier run, as the successor has answered."""
-        if not self._has_taken_over:
-            self._has_taken_over = True
-            self._take_over()
+        if self._has_taken_over or self._is_closed:
+            return
+        self._has_taken_over = True
+        self._take_over()
 
     async def forward(self, head: ReplyHead, events: Iterable[bytes]) -> None:
         """Forward complete events."""
         pieces = list(events)
-        if pieces:
-            self.take_over()
+        if not pieces or self._is_closed:
+            return
+        self.take_over()
         await self._relay.forward(head, pieces)
 
 
@@ -97,14 +104,15 @@
     """Move one started stream away from an upstream that delays it.
 
     That its upstream is lost is a suspicion: the upstream may be silent and
-    go on, and the next one may refuse. The run therefore goes on until a
-    successor has sent an event; whichever sends one first is kept.
+    go on, and the next one may refuse. The earlier run therefore goes on
+    until a successor has sent an event, with which its own run begins;
+    whichever sends one first is kept.
 
     ``ask`` sends the rest of the stream to one other upstream and returns
     when that has ended. ``from_copy``: only the upstream with the copy of the
     run can go on. It uses the copy up, so it is asked once, and events of the
-    run wait until it has refused or begun: with both, the run would go on at
-    two upstreams.
+    earlier run wait until it has refused or begun: with both, the run would
+    go on at two upstreams.
     """
 
     def __init__(
@@ -117,46 +125,48 @@
         self._service = service
         self._relay = relay
         self._ask = ask
+        self._from_copy = from_copy
         self._end_run: Callable[[], None] | None = None
         self._task: asyncio.Task[T | NoSuccessor] | None = None
-        self._has_taken_over = False
-        self._from_copy = from_copy
-        self._ask_again_s = 0.0
+        self._asked: SuccessorRelay | None = None
+        self._has_ended_run = False
+        self._is_closed = False
         self._is_decided = asyncio.Event()
+        self._ask_again_s = 0.0
+
+    @property
+    def has_begun(self) -> bool:
+        """Return whether other upstreams are asked, or were."""
+        return self._task is not None or self._has_ended_run
 
     def can_begin(self, now_s: float) -> bool:
         """Return whether other upstreams may be asked now."""
         return self._task is None and now_s >= self._ask_again_s
 
     def begin(self, end_run: Callable[[], None]) -> None:
-        """Ask other upstreams; ``end_run`` ends the run once one answers."""
-        if self._task is not None:
+        """Ask other upstreams; ``end_run`` ends the earlier run."""
+        if self._task is not None or self._is_closed:
             return
         self._end_run = end_run
+        self._is_decided.clear()
         self._task = asyncio.create_task(self._find_successor())
-
-    @property
-    def has_begun(self) -> bool:
-        """Return whether other upstreams are asked, or one has answered."""
-        return self._task is not None or self._has_taken_over
+        self._task.add_done_callback(_log_error)
 
     async def keep_run(self) -> bool:
-        """Keep the run, as it goes on; return false if it has a successor."""
+        """Return whether an event of the earlier run is to be forwarded.
+
+        Other upstreams are not asked any more then.
+        """
         if self._from_copy and self._task is not None:
-            try:
-                async with asyncio.timeout(MAX_HOLD_S):
-                    await self._is_decided.wait()
-            except TimeoutError:
-                _log.info('An upstream with a copy is slow to answer.')
-        if self._has_taken_over:
+            await self._hold_event()
+        if self._has_ended_run or self._is_closed:
             return False
-        if self._task is not None:
-            self._count(HandoverEnd.RESUMED)
-            self.close()
+        self._stop_asking()
         return True
 
     async def successor(self) -> T | None:
         """Return the successor of a run that ended, once it has ended too."""
+        self._has_ended_run = True
         if self._task is None:
             return None
         found = await self._task
@@ -164,31 +174,62 @@
 
     def close(self) -> None:
         """Stop asking other upstreams, and end a successor."""
+        self._is_closed = True
+        self._is_decided.set()
+        if self._asked is not None:
+            self._asked.close()
         if self._task is not None:
             self._task.cancel()
-            self._task = None
+
+    async def _hold_event(self) -> None:
+        """Wait until the upstream with the copy has refused or begun."""
+        try:
+            async with asyncio.timeout(MAX_HOLD_S):
+                await self._is_decided.wait()
+        except TimeoutError:
+            _log.info('An upstream with a copy is slow; the run is kept.')
+
+    def _stop_asking(self) -> None:
+        """Keep the earlier run; a cancelled task may still get an event."""
+        if self._task is None:
+            return
+        if self._asked is not None:
+            self._asked.close()
+        self._task.cancel()
+        self._task = None
+        self._pause(self._from_copy)
+        self._count(HandoverEnd.RESUMED)
+        self._is_decided.set()
 
     async def _find_successor(self) -> T | NoSuccessor:
         found: T | NoSuccessor = NoSuccessor.NOBODY
         for _ in range(1 if self._from_copy else MAX_SENDS_AT_ONCE):
-            relay = SuccessorRelay(self._relay, self._take_over)
-            found = await self._ask(relay)
+            self._asked = SuccessorRelay(self._relay, self._take_over)
+            found = await self._ask(self._asked)
             if found is not NoSuccessor.FAILED:
                 break
         if isinstance(found, NoSuccessor):
             self._count(HandoverEnd.NO_SUCCESSOR)
-            pause_s = inf if self._from_copy else RETRY_INTERVAL_S
-            self._ask_again_s = time.monotonic() + pause_s
             self._task = None
+            self._pause(self._from_copy and found is NoSuccessor.FAILED)
             self._is_decided.set()
         return found
 
     def _take_over(self) -> None:
-        self._has_taken_over = True
-        self._is_decided.set()
         self._count(HandoverEnd.TAKEN_OVER)
+        self._has_ended_run = True
+        self._is_decided.set()
         if self._end_run is not None:
             self._end_run()
 
+    def _pause(self, for_good: bool) -> None:
+        pause_s = inf if for_good else RETRY_INTERVAL_S
+        self._ask_again_s = time.monotonic() + pause_s
+
     def _count(self, end: HandoverEnd) -> None:
         HANDOVERS.labels(self._service, end.value).inc()
+
+
+def _log_error(task: 'asyncio.Task[T | NoSuccessor]') -> None:
+    if not task.cancelled() and task.exception() is not None:
+        _log.info('A handover failed.', error=repr(task.exception()))
--- a/packages/daemon/src/lacewing_daemon/direct/_next_target.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_next_target.py
@@ -258,10 +258,14 @@
             # for, and the run would be broken off by then.
             if limiter.is_limited(state.upstream):
                 excluded.add(state.upstream.upstream_id)
+        tried_ids = self._progress.tried_ids
+        if self._reply.has_started and now_s >= self._resend_s:
+            # Those that refused the rest may have capacity again.
+            tried_ids -= self._progress.refused_ids
         placed = placer.place(
             self._request,
             admitted,
-            self._progress.tried_ids | excluded,
+            tried_ids | excluded,
             left_ms,
             now_s,
             target.state.upstream.software
@@ -272,7 +276,7 @@
 
     @property
     def _is_for_run(self) -> bool:
-        """Return whether a run is lost without the next send."""
+        """Return whether the next send is for a run that may be lost."""
         return self._progress.runs > 0 or self._reply.has_started
 
     @property
--- a/packages/daemon/src/lacewing_daemon/direct/_request_sends.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_request_sends.py
@@ -322,8 +322,12 @@
         return continuation is not None
 
     def _log_resumed(self, opened: OpenSend) -> None:
-        """Record a successor that was ended, as the earlier run went on."""
-        self._progress.add_run(opened.target.state.upstream.upstream_id)
+        """Record a successor that was ended, as the earlier run went on.
+
+        Without an event it has not begun to run.
+        """
+        self._progress.leave(opened.target.state.upstream.upstream_id)
+        self._progress.continuation = None
         self._try_log.append(
             opened.send.unfinished(Reason.STREAM_BROKEN, GivenUp.RESUMED)
         )
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -126,6 +126,8 @@
         self._slowdown: float | None = None
         self._is_own_answer = True
         self._given_up = GivenUp.NO
+        self._has_events = False
+        self._relay: EventRelay | None = None
         self._attempt: Attempt | None = None
         self._other_requests = self._state.other_requests(self._start_s)
         self._copy_tokens = 0
@@ -151,6 +153,7 @@
         """Send the request, relay a stream, and return how it ended."""
         self._record_sent_parts()
         is_streaming = self._admitted.route.is_streaming
+        self._relay = relay
 
         async def on_events(head: ReplyHead, events: list[bytes]) -> None:
             self._fleet.silence_detector.data_received(
@@ -158,8 +161,10 @@
             )
             if not await self._is_kept():
                 return
-            if self._first_event_s is None and self._can_continue:
-                self._watch()
+            if events and not self._has_events:
+                self._has_events = True
+                if self._can_continue:
+                    self._watch()
             self._record_first_event()
             if events and not relay.has_started:
                 record_origin(
@@ -248,12 +253,19 @@
 
     def _leave(self, reason: GivenUp) -> bool:
         """Let another upstream go on; return whether the run has ended."""
-        if self._handover is None or self._first_event_s is None:
+        if self._handover is None or not self._has_forwarded:
             self._end_run(reason)
             return True
         self._handover.begin(partial(self._end_run, reason))
         return False
 
+    @property
+    def _has_forwarded(self) -> bool:
+        """Return whether the caller has events of this run."""
+        if self._relay is None or not self._has_events:
+            return False
+        return self._relay.has_started
+
     def _end_run(self, reason: GivenUp) -> None:
         self._given_up = reason
         if self._attempt is not None:
