Keep the last run of a request that has no answer yet

Callers got 502 with seconds left: their request had two runs, each was given up as slow, after 0.45 s for plain upstreams and 1.4 s for engines, although no further send could follow. A used-up retry budget had the same end.

Cause: whether another upstream could finish a request was asked for started streams only.

Change: it is asked for all requests before a slow run is given up.

--- a/features/direct_moves.feature
+++ b/features/direct_moves.feature
@@ -99,3 +99,28 @@
       When a caller requests a non-resumable stream
       Then the answer is 200 with all events once and in order
       And one engine ran the request and the other continued it
+
+  Rule: The last run of a request is not given up on suspicion
+
+    Scenario: Two plain upstreams are slow
+      # Guards against an error for a request whose second upstream, the last
+      # that it may be sent to, would have answered in time.
+      Given a router with 2 plain upstreams
+      And the next engines answer with "slow, slow"
+      When a caller fetches a record
+      Then the answer is 200 with the whole body and its proof
+
+    Scenario: The last engine is slow with the first event
+      # Guards against the same error for streams that have no event yet.
+      Given a router with 3 engines
+      And the next engines answer with "reset, slower"
+      When a caller asks a model
+      Then the answer is 200 with all events once and in order
+
+    Scenario: The retry budget is used up before the first event
+      # Guards against a run that is given up for one that can't be made.
+      Given a retry budget of 0 retries
+      And a router with 3 engines
+      And the next engines answer with "slower"
+      When a caller asks a model
+      Then the answer is 200 with all events once and in order
--- a/features/steps/broken_streams_steps.py
+++ b/features/steps/broken_streams_steps.py
@@ -43,6 +43,18 @@
     bench.until(lambda: len(router.upstream_ids) == count, 'all engines')
 
 
+@given('a router with {count:d} plain upstreams')
+def step_plain_router(context: Context, count: int) -> None:
+    """Start upstreams of a plain service and a router that knows them."""
+    context.execute_steps('Given a store with a configuration')
+    bench = direct_bench(context)
+    for number in range(count):
+        bench.add_upstream(f'reg-{number + 1}', 'registry')
+    context.execute_steps('Given a direct router')
+    router = bench.routers[0]
+    bench.until(lambda: len(router.upstream_ids) == count, 'all upstreams')
+
+
 @given('the next engines answer with "{behaviours}" and then all refuse')
 def step_script_refuse(context: Context, behaviours: str) -> None:
     """Script the answers; later sends are refused."""
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -275,16 +275,16 @@
         """Return whether to abandon an answer on which no data arrives.
 
         An upstream that prefills long prompts or has preempted a run
-        continues seconds later. A started stream that can't be finished at
-        another upstream is therefore kept until the deadline or until the
-        caller disconnects: abandoning it would abort an answer that would
-        have continued.
+        continues seconds later, and plain ones differ in speed. A run that
+        can't be finished at another upstream is therefore kept until the
+        deadline or until the caller disconnects: abandoning it would lose an
+        answer that would have come.
         """
         route = self._admitted.route
+        if not self._can_move(0):
+            return False
         if not route.is_streaming:
             return True
-        if has_started and not self._can_move(0):
-            return False
         if waited_s >= route.abandon_after_s * STREAM_MOVE_FRACTION:
             return True
         return (
