Let a test step the planner of loads on a clock of its own

The steps of a planner and its clock were fixed to the running loop and to the clock since boot, so the wait between two holders of the lease could be played in real time only. One step is public now, and the clock can be given. Routers behave as before.

--- a/packages/daemon/src/lacewing_daemon/direct/_planner.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_planner.py
@@ -1,6 +1,7 @@
 """Order engines to load released weights, under a lease."""
 
 import asyncio
+from collections.abc import Callable
 from random import Random
 from weakref import WeakKeyDictionary
 
@@ -68,7 +69,9 @@
         control: UpstreamControl,
         lease: Lease,
         holder: str,
+        clock: Callable[[], float] = boot_s,
     ) -> None:
+        self._clock = clock
         self._policy = cluster_state.policy
         self._cluster_state = cluster_state
         self._control = control
@@ -98,15 +101,20 @@
     async def run(self) -> None:
         """Plan until stopped."""
         while not self._stopping:
-            await self._keep_lease()
+            await self.step()
             if not self._holds_lease:
                 await asyncio.sleep(
                     STANDBY_INTERVAL_S / 2 + self._backoff.next_s()
                 )
                 continue
-            await self._order_due()
             await asyncio.sleep(CHECK_INTERVAL_S)
 
+    async def step(self) -> None:
+        """Acquire or renew the lease; as its holder, send due orders."""
+        await self._keep_lease()
+        if self._holds_lease:
+            await self._order_due()
+
     async def stop(self) -> None:
         """Cancel pending orders and release the lease.
 
@@ -132,7 +140,7 @@
             self._planning.cancel()
 
     async def _keep_lease(self) -> None:
-        now_s = boot_s()
+        now_s = self._clock()
         if self._lease.is_held and now_s - self._renewed_s < RENEW_INTERVAL_S:
             return
         was_held = self._holds_lease and self._lease.is_held
@@ -148,7 +156,7 @@
             return
         wait_s = self._cluster_state.bounds.lease_s + ORDER_TIMEOUT_S
         wait_s = max(0.0, wait_s - self._lease.other_acted_ago_s)
-        self._orders_from_s = boot_s() + wait_s
+        self._orders_from_s = self._clock() + wait_s
         _log.info(
             'Holds the lease for weights.',
             fence=self._lease.fence,
@@ -156,7 +164,7 @@
         )
 
     async def _order_due(self) -> None:
-        if self._stopping or boot_s() < self._orders_from_s:
+        if self._stopping or self._clock() < self._orders_from_s:
             return
         due = self._due()
         if not due:
@@ -165,7 +173,7 @@
             return
         if not await self._lease.begin_acting():
             return
-        self._renewed_s = boot_s()
+        self._renewed_s = self._clock()
         for state, released in due:
             self._busy.add(state)
             task = asyncio.create_task(
@@ -203,7 +211,7 @@
                 EngineWeights(
                     upstream_id,
                     version,
-                    boot_s() - ordered_s,
+                    self._clock() - ordered_s,
                     state.in_flight,
                     schedule.get(upstream_id, 0.0) - age_s,
                     self._cluster_state.nearly_overdue_in_s(model, version),
@@ -216,7 +224,7 @@
     ) -> None:
         upstream = state.upstream
         ordered = self._ordered_s.setdefault(state, {})
-        ordered[model] = boot_s()
+        ordered[model] = self._clock()
         try:
             report = await self._control.report(upstream)
             verdict = await self._send_order(
@@ -255,8 +263,8 @@
 
         Its entry tells seconds later, and the next engine waits for that.
         """
-        end_s = boot_s() + ORDER_RETRY_S
-        while boot_s() < end_s:
+        end_s = self._clock() + ORDER_RETRY_S
+        while self._clock() < end_s:
             await asyncio.sleep(LOAD_CHECK_INTERVAL_S)
             if (state.weights(model) or 0) >= version:
                 return
