Keep in the lease who acted last, over any chain of holders

Cause: the record of the lease said for how long its holder had not acted. A holder that never ordered wrote an hour, whoever had ordered before it. Two stops of holders within a second let the third one order at once.

Change: the record names who acted last (acted_by), and acted_ago_s counts from that action, of whichever holder. A holder that takes over counts on from when it first saw the record; after a holder that did not release it, from the end of that lease. Ages take the place of times as before, so clocks need not agree. Processes of an earlier release read acted_ago_s as before and ignore the new field. Their own records lack it; the holders before them then count as having acted until the record was seen, which costs one wait during a roll. A process that finds the record of its own predecessor keeps what it says of other holders, which it dropped before; only its own writes, known by their nonce, are left out.

--- a/features/lease.feature
+++ b/features/lease.feature
@@ -16,3 +16,16 @@
     Given router "a" holds a lease on a slow link
     When it expires and router "b" takes it over
     Then router "a" does not get it back
+
+  Scenario: The third of three holders that stop waits for the orders of the first
+    # Guards against turns within the lease's duration: a holder that never
+    # ordered wrote that nobody had, whoever had ordered before it.
+    Given router "a" orders under the lease
+    When router "a" stops, and router "b" after it without an order
+    And router "c" wants to order
+    Then its first order comes within the wait after the last one of "a"
+
+  Scenario: Any chain of holders that stop keeps the time of the last order
+    # Guards against turns within the lease's duration: the record of the lease
+    # names the last holder, and not who ordered last.
+    Then holders that stop one after the other never take turns too soon
--- a/packages/daemon/src/lacewing_daemon/lease.py
+++ b/packages/daemon/src/lacewing_daemon/lease.py
@@ -22,36 +22,18 @@
 from lacewing_common.store import StoreError
 from lacewing_common.store import StoreFault
 
+from lacewing_daemon.lease_record import decode_record
+from lacewing_daemon.lease_record import LastActions
+from lacewing_daemon.lease_record import LeaseRecord
+
 LEASES = 'leases'
-# Written if the holder never acted, as JSON has no infinity.
-_NEVER_ACTED_S = 3600.0
 # Versions are less than two to this power.
 _VERSION_BITS = 32
-# Holders' lease durations differ while a deployment is being reconfigured, but
-# not by more than this factor; a longer one was written by another writer.
-_MAX_DURATION_FACTOR = 10.0
 
 Clock = Callable[[], float]
 Peek = Callable[[str, str], Awaitable[StoredObject | StoreError]]
 
 
-class LeaseRecord(msgspec.Struct, frozen=True):
-    """Hold a lease's value; ``holder`` '' means released.
-
-    ``nonce`` is unique to each write, so that a writer recognizes its own
-    write if the answer was lost. ``duration_s`` is the lease duration that
-    the holder observes. ``acted_ago_s``: for how long the holder had not acted
-    when it wrote this; it will not act before its next write. 0: it may be
-    acting. ``era`` is the store era of the write, 0 if the store gave none.
-    """
-
-    holder: str
-    nonce: str
-    duration_s: float
-    acted_ago_s: float = 0.0
-    era: int = 0
-
-
 @dataclass(frozen=True)
 class LeaseHeld:
     """Report that the lease is held; ``fence`` is its fencing number."""
@@ -107,8 +89,9 @@
         self._observed_at_s = 0.0
         self._observed_duration_s = duration_s
         self._acting = False
-        self._acted_s = float('-inf')
-        self._other_acted_s = float('-inf')
+        self._actions = LastActions(holder, clock)
+        self._nonce_prefix = uuid4().hex
+        self._writes = 0
 
     @property
     def is_acting(self) -> bool:
@@ -118,7 +101,7 @@
     @property
     def other_acted_ago_s(self) -> float:
         """Return the minimum time since another holder may have acted."""
-        return self._clock() - self._other_acted_s
+        return self._actions.other_ago_s
 
     @property
     def is_held(self) -> bool:
@@ -157,12 +140,12 @@
                     f'the record of lease {self._name} may have been lost when'
                     ' the store was restored'
                 )
-            self._other_acted_s = max(self._other_acted_s, self._era_started_s)
+            self._actions.record('', self._era_started_s)
             return await self._write(self._holder, MUST_NOT_EXIST)
         not_held = self._check_expired(stored)
         if not_held is not None:
             return not_held
-        self._record_other_holder(stored)
+        self._record_last_action(stored)
         return await self._write(self._holder, stored.version)
 
     async def _renew(self) -> LeaseHeld | LeaseNotHeld:
@@ -201,7 +184,7 @@
 
     def record_action(self) -> None:
         """Record that the holder acts now."""
-        self._acted_s = self._clock()
+        self._actions.record(self._holder, self._clock())
 
     def end_acting(self) -> None:
         """Mark that the holder does not act before ``begin_acting``."""
@@ -243,41 +226,25 @@
             return LeaseNotHeld(
                 f'lease {self._name} was read before the store was restored'
             )
-        record = self._decode_valid(stored)
+        record = decode_record(stored.value, self._duration_s)
         now_s = self._clock()
         if self._is_of_earlier_era(record):
             record = None
-        if record is not None and record.holder in ('', self._holder):
-            # Released, or this process's own write whose answer was lost.
-            return None
         if stored.version != self._observed_version:
             self._observed_version = stored.version
             self._observed_at_s = now_s
             self._observed_duration_s = self._duration_s
             if record is not None:
                 self._observed_duration_s = record.duration_s
+        if record is not None and record.holder in ('', self._holder):
+            # Released, or this process's own write whose answer was lost.
+            return None
         wait_s = self._observed_duration_s + self._margin_s
         if now_s - self._observed_at_s >= wait_s:
             return None
         holder = 'an unknown holder' if record is None else record.holder
         return LeaseNotHeld(f'lease {self._name} is held by {holder}')
 
-    def _decode_valid(self, stored: StoredObject) -> LeaseRecord | None:
-        """Decode a lease's value; None if no holder wrote it.
-
-        If accepted, a record that lasts for years would block the lease for
-        everybody, and one that acted long ago would let two holders act.
-        """
-        record = _decode(stored.value)
-        if record is None:
-            return None
-        max_duration_s = self._duration_s * _MAX_DURATION_FACTOR
-        if not 0 < record.duration_s <= max_duration_s:
-            return None
-        if not 0 <= record.acted_ago_s <= _NEVER_ACTED_S:
-            return None
-        return record
-
     def _is_of_earlier_era(self, record: LeaseRecord | None) -> bool:
         """Return whether a record was written before the store was restored.
 
@@ -285,17 +252,31 @@
         """
         return record is not None and 0 < record.era < self._era
 
-    def _record_other_holder(self, stored: StoredObject) -> None:
-        record = self._decode_valid(stored)
+    def _record_last_action(self, stored: StoredObject) -> None:
+        """Record who acted last, before this process acquires the lease."""
+        record = decode_record(stored.value, self._duration_s)
+        if record is None:
+            self._actions.record('', self._clock())
+            return
         if self._is_of_earlier_era(record):
             # Its successors may have acted until the store was restored,
             # which was before this process first saw the record.
-            self._other_acted_s = max(self._era_started_s, self._observed_at_s)
+            acted_s = max(self._era_started_s, self._observed_at_s)
+            self._actions.record('', acted_s)
             return
-        if record is not None and record.holder == self._holder:
+        if record.nonce.startswith(self._nonce_prefix):
             return
-        acted_ago_s = 0.0 if record is None else record.acted_ago_s
-        self._other_acted_s = self._clock() - acted_ago_s
+        acted_s = self._observed_at_s - record.acted_ago_s
+        if record.may_be_acting:
+            acted_s += self._observed_duration_s + self._margin_s
+        elif record.acted_by is None:
+            # The holders before it may have acted until it took the lease.
+            self._actions.record('', self._observed_at_s)
+            return
+        acted_by = record.acted_by
+        if acted_by is None:
+            acted_by = record.holder
+        self._actions.record(acted_by, acted_s)
 
     async def _write(
         self, holder: str, expect: int
@@ -325,11 +306,18 @@
     async def _put(
         self, holder: str, expect: int
     ) -> StoredObject | StoreError:
-        acted_ago_s = 0.0
+        acted_by, acted_ago_s = self._holder, 0.0
         if not self._acting:
-            acted_ago_s = min(_NEVER_ACTED_S, self._clock() - self._acted_s)
+            acted_by = self._actions.last_holder
+            acted_ago_s = self._actions.last_ago_s
+        self._writes += 1
         record = LeaseRecord(
-            holder, uuid4().hex, self._duration_s, acted_ago_s, self._era
+            holder,
+            f'{self._nonce_prefix}{self._writes:x}',
+            self._duration_s,
+            acted_ago_s,
+            self._era,
+            acted_by,
         )
         return await put_with_resolution(
             self._store,
@@ -341,10 +329,3 @@
             self._random,
             era=self._era,
         )
-
-
-def _decode(value: bytes) -> LeaseRecord | None:
-    try:
-        return msgspec.json.decode(value, type=LeaseRecord)
-    except msgspec.DecodeError:
-        return None
