Wait for another holder's orders also after a renewal

What callers saw: nothing reported.

Cause: the wait was computed only when the lease was not held before a call to acquire it. One call renews the lease, finds it lost, and acquires it again if the other holder has released it. A machine that is suspended during that call, while another router takes the lease, orders and stops, did not wait.

Change: the wait is computed after each call. For a lease that stayed here it gives the same time as before, as that of the other's last order stays.

Result: 'A holder that is suspended during a renewal waits for its successor's orders' failed before (2.1 s apart), and passes.

--- a/features/lease.feature
+++ b/features/lease.feature
@@ -29,3 +29,11 @@
     # Guards against turns within the lease's duration: the record of the lease
     # names the last holder, and not who ordered last.
     Then holders that stop one after the other never take turns too soon
+
+  Scenario: A holder that is suspended during a renewal waits for its successor's orders
+    # Guards against turns within the lease's duration: one call renews a
+    # lease, finds it lost and acquires it again, and looks like a renewal.
+    Given router "a" holds the lease and orders nothing
+    When it is suspended during a renewal, and router "b" orders and stops
+    And it resumes with an order due
+    Then its first order comes within the wait after the last one of "b"
--- a/features/steps/lease_chain_steps.py
+++ b/features/steps/lease_chain_steps.py
@@ -99,6 +99,60 @@
     assert waited_s <= MAX_WAIT_S + SLACK_S, waited_s
 
 
+@given('router "{name}" holds the lease and orders nothing')
+def step_idle(context: Context, name: str) -> None:
+    """Let a router hold the lease for a while."""
+    fleet = _fleet(context)
+    fleet.start(name)
+    fleet.advance(2 * MAX_WAIT_S)
+    assert fleet.holder == name
+
+
+@given('router "{name}" waits for a report of the engine that it is to order')
+def step_prepares(context: Context, name: str) -> None:
+    """Withhold the report that an order needs."""
+    fleet = _fleet(context)
+    machine = fleet.start(name)
+    machine.control.answers_reports.clear()
+    machine.want_orders()
+    fleet.advance(2 * TICK_S)
+    assert machine.lease.is_acting
+    assert not fleet.orders
+
+
+@when('it is suspended during a renewal, and router "{name}" orders and stops')
+def step_suspended(context: Context, name: str) -> None:
+    """Let another router take the lease meanwhile."""
+    fleet = _fleet(context)
+    suspended = fleet.machines[fleet.holder]
+    suspended.connection.fault = WriteFault.SUSPENDED_BEFORE
+    fleet.start(name).want_orders()
+    fleet.advance(2 * EXPIRY_S + MAX_WAIT_S)
+    assert suspended.is_suspended
+    assert [each.holder for each in fleet.orders], 'no order'
+    fleet.stop(name)
+
+
+@when('it resumes with an order due')
+def step_resumes(context: Context) -> None:
+    """Let it take the lease back and order."""
+    fleet = _fleet(context)
+    (name,) = fleet.machines
+    fleet.machines[name].want_orders()
+    fleet.resume(name)
+    fleet.advance(MAX_WAIT_S + SLACK_S)
+
+
+@when('it resumes, and the report is answered')
+def step_report(context: Context) -> None:
+    """Let it take the lease back before its report comes."""
+    fleet = _fleet(context)
+    (name,) = fleet.machines
+    fleet.resume(name)
+    fleet.machines[name].control.answers_reports.set()
+    fleet.advance(2 * MAX_WAIT_S)
+
+
 @then('holders that stop one after the other never take turns too soon')
 def step_chain(context: Context) -> None:
     """Draw chains of holders, of which the first and the last order."""
--- a/packages/daemon/src/lacewing_daemon/direct/_planner.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_planner.py
@@ -152,11 +152,13 @@
                 _log.warning('Lost the lease for weights.')
             return
         self._renewed_s = now_s
-        if was_held:
-            return
+        # Also after a renewal: one that took long may have acquired the lease
+        # from another holder.
         wait_s = self._cluster_state.bounds.lease_s + ORDER_TIMEOUT_S
         wait_s = max(0.0, wait_s - self._lease.other_acted_ago_s)
         self._orders_from_s = self._clock() + wait_s
+        if was_held:
+            return
         _log.info(
             'Holds the lease for weights.',
             fence=self._lease.fence,
