End the announcement of a holder that acts with its hold

What callers saw: nothing reported; found while the wait after a suspension was mended. An order that waits for the engine's report while its router loses the lease was sent as soon as the router held the lease again, without the wait.

Cause: the flag that the holder acts stayed set while the lease was lost and acquired again, and the last check before an order looks at that flag. It was also set before the store had answered the announcement, so that an order prepared before could be sent that no successor would know of.

Change: acquiring the lease anew clears it, and only the answer of the store sets it.

Result: 'An order that was prepared before a suspension waits as well' failed before, also with the wait after each renewal (2.1 s apart), and passes.

--- a/features/lease.feature
+++ b/features/lease.feature
@@ -37,3 +37,16 @@
     When it is suspended during a renewal, and router "b" orders and stops
     And it resumes with an order due
     Then its first order comes within the wait after the last one of "b"
+
+  Scenario: An order that was prepared before a suspension waits as well
+    # Guards against turns within the lease's duration: the order was due
+    # under an earlier hold of the lease, and is sent under a later one.
+    Given router "a" waits for a report of the engine that it is to order
+    When it is suspended during a renewal, and router "b" orders and stops
+    And it resumes, and the report is answered
+    Then its first order comes within the wait after the last one of "b"
+
+  Scenario: Routers stop, die, are suspended and get no answers at random
+    # Guards against turns within the lease's duration, and against holders
+    # that never order again.
+    Then holders with random faults never take turns too soon
--- a/packages/daemon/src/lacewing_daemon/lease.py
+++ b/packages/daemon/src/lacewing_daemon/lease.py
@@ -124,6 +124,8 @@
             answer = await self._renew()
             if isinstance(answer, LeaseHeld) or self.is_held:
                 return answer
+        # What was announced under an earlier hold does not apply to a new one.
+        self._acting = False
         peeked = await self._peek(LEASES, self._name)
         self._update_era(peeked.era)
         if isinstance(peeked, StoredObject):
@@ -174,13 +176,9 @@
         if not self.is_held:
             # Acquiring it here would skip the wait for a predecessor.
             return False
-        self._acting = True
-        if isinstance(
-            await self._write(self._holder, self._version), LeaseHeld
-        ):
-            return True
-        self._acting = False
-        return False
+        answer = await self._write(self._holder, self._version, announces=True)
+        self._acting = isinstance(answer, LeaseHeld)
+        return self._acting
 
     def record_action(self) -> None:
         """Record that the holder acts now."""
@@ -279,13 +277,13 @@
         self._actions.record(acted_by, acted_s)
 
     async def _write(
-        self, holder: str, expect: int
+        self, holder: str, expect: int, announces: bool = False
     ) -> LeaseHeld | LeaseNotHeld:
         # Counted from before the call: if its answer arrives late, the lease
         # has been running since the store applied the write.
         sent_s = self._clock()
         era = self._era
-        answer = await self._put(holder, expect)
+        answer = await self._put(holder, expect, announces)
         self._update_era(answer.era)
         if self._era != era and era:
             # A restored store reuses versions: the precondition may have
@@ -304,10 +302,10 @@
         return LeaseNotHeld(answer.message)
 
     async def _put(
-        self, holder: str, expect: int
+        self, holder: str, expect: int, announces: bool = False
     ) -> StoredObject | StoreError:
         acted_by, acted_ago_s = self._holder, 0.0
-        if not self._acting:
+        if not self._acting and not announces:
             acted_by = self._actions.last_holder
             acted_ago_s = self._actions.last_ago_s
         self._writes += 1
