Count holders from before a restore as acting until their leases end

What callers saw: nothing reported; found by reading the lines that keep who acted last.

Cause: after a restore of the store, a holder from before counted as having acted until the restore. One that gets no answers of the store does not learn of it, and may order until its lease ends, 1.8 s later. Its successor ordered 3.6 s after the restore.

Change: such a holder counts as having acted until its lease ended, also if the record itself was lost. The first order of a successor comes up to 2.2 s later after a restore; no other change of holders is affected.

--- a/features/lease.feature
+++ b/features/lease.feature
@@ -46,6 +46,14 @@
     And it resumes, and the report is answered
     Then its first order comes within the wait after the last one of "b"
 
+  Scenario: A holder that does not learn of a restore may order until its lease ends
+    # Guards against turns within the lease's duration: its successor counted
+    # from the restore, and the holder ordered after it.
+    Given router "a" holds the lease, and router "b" knows of it
+    When no answer reaches "a" after a restore of the store, and it orders at last
+    And router "b" takes the lease and orders
+    Then its first order comes within the wait after the lease of "a" ends
+
   Scenario: Routers stop, die, are suspended and get no answers at random
     # Guards against turns within the lease's duration, and against holders
     # that never order again.
--- a/features/steps/lease_chain_steps.py
+++ b/features/steps/lease_chain_steps.py
@@ -9,6 +9,7 @@
 from hypothesis import given as for_any
 from hypothesis import settings
 from hypothesis import strategies as draw
+from lacewing_daemon.direct._planner import LEASE_S
 from support.lease_fleet import BOUNDS
 from support.lease_fleet import check_turns
 from support.lease_fleet import EXPIRY_S
@@ -153,6 +154,52 @@
     fleet.advance(2 * MAX_WAIT_S)
 
 
+@given('router "{first}" holds the lease, and router "{second}" knows of it')
+def step_two(context: Context, first: str, second: str) -> None:
+    """Start a holder that prepares an order, and a standby."""
+    fleet = _fleet(context)
+    fleet.store.take_snapshot()
+    step_prepares(context, first)
+    fleet.start(second)
+    fleet.advance(TICK_S)
+
+
+@when(
+    'no answer reaches "{name}" after a restore of the store, and it orders at'
+    ' last'
+)
+def step_cut_off(context: Context, name: str) -> None:
+    """Send an order shortly before the lease of its holder ends."""
+    fleet = _fleet(context)
+    machine = fleet.machines[name]
+    machine.connection.fault = WriteFault.SUSPENDED_AFTER
+    while not machine.is_suspended:
+        fleet.advance(TICK_S)
+    fleet.store.restore()
+    context.restored_s = fleet.now_s
+    fleet.advance(LEASE_S - 8 * TICK_S)
+    fleet.answer_reports(name)
+    assert [each.holder for each in fleet.orders] == [name]
+
+
+@when('router "{name}" takes the lease and orders')
+def step_takes_over(context: Context, name: str) -> None:
+    """Let the standby take over."""
+    fleet = _fleet(context)
+    fleet.machines[name].want_orders()
+    fleet.advance(EXPIRY_S + MAX_WAIT_S + SLACK_S)
+
+
+@then('its first order comes within the wait after the lease of "{name}" ends')
+def step_after_end(context: Context, name: str) -> None:
+    """Check the time since the restore, from which the lease is counted."""
+    fleet = _fleet(context)
+    check_turns(fleet.orders)
+    after_s = [each.arrived_s for each in fleet.orders if each.holder != name]
+    waited_s = min(after_s) - context.restored_s - EXPIRY_S
+    assert waited_s <= MAX_WAIT_S + SLACK_S, waited_s
+
+
 @then('holders that stop one after the other never take turns too soon')
 def step_chain(context: Context) -> None:
     """Draw chains of holders, of which the first and the last order."""
--- a/features/support/lease_fleet.py
+++ b/features/support/lease_fleet.py
@@ -277,6 +277,15 @@
 
         self.run(resume())
 
+    def answer_reports(self, name: str) -> None:
+        """Let a report that a router waits for be answered."""
+
+        async def answer() -> None:
+            self.machines[name].control.answers_reports.set()
+            await settle()
+
+        self.run(answer())
+
     def deliver_late_writes(self) -> None:
         """Let writes arrive that were delayed in the network."""
         late, self.late_writes = self.late_writes, []
--- a/packages/daemon/src/lacewing_daemon/lease.py
+++ b/packages/daemon/src/lacewing_daemon/lease.py
@@ -142,7 +142,9 @@
                     f'the record of lease {self._name} may have been lost when'
                     ' the store was restored'
                 )
-            self._actions.record('', self._era_started_s)
+            self._actions.record(
+                '', self._era_started_s + self._duration_s + self._margin_s
+            )
             return await self._write(self._holder, MUST_NOT_EXIST)
         not_held = self._check_expired(stored)
         if not_held is not None:
@@ -257,9 +259,11 @@
             self._actions.record('', self._clock())
             return
         if self._is_of_earlier_era(record):
-            # Its successors may have acted until the store was restored,
-            # which was before this process first saw the record.
+            # Its successors had renewed before the store was restored, which
+            # was before this process first saw the record, and may have acted
+            # until their leases ended.
             acted_s = max(self._era_started_s, self._observed_at_s)
+            acted_s += self._duration_s + self._margin_s
             self._actions.record('', acted_s)
             return
         if record.nonce.startswith(self._nonce_prefix):
