Wait for the log lines of a request that waited

Cause: the step read the log when the callers had their answers. The router writes the line after the answer.

The other steps that read the log of a router were read: they wait for their line, or read lines that are written before the answer (limits that upstreams name, at the head of the answer), or call the code that logs by themselves.

Change: the step waits, bounded by the bench's limit, until both requests have their line, then checks that exactly one line has queued_ms. It is stricter than before: a line of the other request counts too, even if it comes last.

--- a/features/steps/queue_served_steps.py
+++ b/features/steps/queue_served_steps.py
@@ -5,10 +5,12 @@
 import json
 import threading
 from collections.abc import Callable
+from collections.abc import MutableMapping
 from contextlib import redirect_stdout
 from http.client import HTTPConnection
 from pathlib import Path
 from tempfile import TemporaryDirectory
+from typing import Any
 from unittest.mock import patch
 
 from behave import given
@@ -111,9 +113,17 @@
     assert statuses == [200, 200], statuses
 
 
+def _outcomes(context: Context) -> list[MutableMapping[str, Any]]:
+    return [line for line in context.logs if 'tries' in line]
+
+
 @then('the log and lacewingctl tell how long the second waited')
 def step_log(context: Context) -> None:
     """Check the fields of the line of the request that waited."""
+    # A router logs a request after it has sent the answer.
+    direct_bench(context).until(
+        lambda: len(_outcomes(context)) == 2, 'the lines of both requests'
+    )
     lines = [line for line in context.logs if 'queued_ms' in line]
     assert len(lines) == 1, lines
     assert lines[0]['queue_ahead'] == 0 and lines[0]['queued_ms'] > 0, lines
