Keep the counts of retries when the settings are read again

Seen: each SIGHUP brought a router a new retry budget for each service.

Cause: the budgets were dropped when the bounds were applied, as only new ones took the new bounds.

No other count lets more through. One limit stays: with a longer window, retries that had left the shorter one are not counted again.

Change: a budget takes new bounds and keeps what it counted. The budgets of the services are in a module of their own, which leaves the cluster state shorter.

Measured: both new scenarios fail on the code before and pass now.

--- a/features/direct_broken_streams.feature
+++ b/features/direct_broken_streams.feature
@@ -58,6 +58,29 @@
       Then the caller's answer is aborted
       And engines received 4 sends
 
+    Scenario: The settings are read again while the retry budget is used up
+      # Guards against a new retry budget with each SIGHUP.
+      Given a retry budget of 3 retries
+      And a router with 7 engines
+      And the next engines answer with "cut" and then all refuse
+      When a caller asks a model
+      And the router reads its settings again
+      And a caller asks a model
+      And the router reads its settings again
+      And a caller asks a model
+      Then engines received 6 sends
+
+    Scenario: The settings are read again with a larger retry budget
+      # Guards against bounds that are read again without effect, and against
+      # retries that the new bounds do not count.
+      Given a retry budget of 3 retries
+      And a router with 7 engines
+      And the next engines answer with "cut" and then all refuse
+      When a caller asks a model
+      And the router reads its settings again with a budget of 5 retries
+      And a caller's stream is cut and then refused
+      Then engines received 7 sends
+
     Scenario: A stream breaks off more often than its route allows
       # Guards against further runs of a stream that refusals make possible.
       Given a router with 7 engines
--- a/features/steps/broken_streams_steps.py
+++ b/features/steps/broken_streams_steps.py
@@ -1,10 +1,13 @@
 """Check how a router continues streams that upstreams refuse."""
 
 from collections import deque
+from unittest.mock import patch
 
 from behave import given
 from behave import then
+from behave import when
 from behave.runner import Context
+from lacewing_daemon.direct._settings import Bounds
 from lacewing_platform_testing import Behaviour
 from msgspec.structs import replace
 from support.direct_bench import direct_bench
@@ -17,8 +20,33 @@
 def step_budget(context: Context, retries: int) -> None:
     """Start routers with a retry budget that requests do not raise."""
     bench = direct_bench(context)
+    bench.bounds = _budget_bounds(context, retries)
+
+
+def _budget_bounds(context: Context, retries: int) -> Bounds:
     slack = (retries + 0.5) / _OWN_FRACTION
-    bench.bounds = replace(bench.bounds, repeat_ratio=0.0, repeat_slack=slack)
+    bounds = direct_bench(context).bounds
+    return replace(bounds, repeat_ratio=0.0, repeat_slack=slack)
+
+
+@when('the router reads its settings again')
+def step_reload(context: Context) -> None:
+    """Do what a router does at SIGHUP."""
+    bench = direct_bench(context)
+    bench.on_loop(bench.routers[0]._reload)
+
+
+@when(
+    'the router reads its settings again with a budget of {retries:d} retries'
+)
+def step_reload_budget(context: Context, retries: int) -> None:
+    """Change the settings, then do what a router does at SIGHUP."""
+    router = direct_bench(context).routers[0]
+    settings = replace(
+        router._settings, bounds=_budget_bounds(context, retries)
+    )
+    with patch.object(router, '_reload_settings', return_value=settings):
+        step_reload(context)
 
 
 @given('a router with {count:d} engines')
@@ -55,6 +83,13 @@
         upstream.script = script
 
 
+@when("a caller's stream is cut and then refused")
+def step_cut_again(context: Context) -> None:
+    """Script the next answer, then ask."""
+    _script(context, Behaviour.CUT.value)
+    context.execute_steps('When a caller asks a model')
+
+
 @then('engines received {count:d} sends')
 def step_sends(context: Context, count: int) -> None:
     """Count the sends."""
--- a/packages/daemon/src/lacewing_daemon/direct/_budget.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_budget.py
@@ -26,6 +26,12 @@
         self._requests: deque[float] = deque()
         self._retries: deque[float] = deque()
 
+    def set_bounds(self, ratio: float, slack: float, window_s: float) -> None:
+        """Change the bounds; counted requests and retries stay."""
+        self._ratio = ratio
+        self._slack = slack
+        self._window_s = window_s
+
     def count_request(self, now_s: float) -> None:
         """Count a request that a caller sent."""
         self._requests.append(now_s)
--- a/packages/daemon/src/lacewing_daemon/direct/_cluster_state.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_cluster_state.py
@@ -26,6 +26,7 @@
 from lacewing_daemon.direct._router_count import DEFAULT_ROUTER_COUNT
 from lacewing_daemon.direct._routing_config import RoutingConfig
 from lacewing_daemon.direct._routing_config import Service
+from lacewing_daemon.direct._service_budgets import ServiceBudgets
 from lacewing_daemon.direct._settings import Bounds
 from lacewing_daemon.direct._silence_history import SilenceHistory
 from lacewing_daemon.direct._site import UpstreamReport
@@ -123,7 +124,7 @@
         self._estimates: dict[str, Estimates] = {}
         self._policies: dict[str, _CachedPolicy] = {}
         self._engine_speeds = EngineSpeeds(policy, self._is_engine)
-        self._budgets: dict[str, RetryBudget] = {}
+        self._budgets = ServiceBudgets(bounds)
         self._releases: dict[str, tuple[WeightsRelease, ...]] = {}
         self._learned_s: dict[str, float] = {}
         self._load_schedules: dict[str, _LoadSchedule] = {}
@@ -324,15 +325,7 @@
 
     def retry_budget(self, service: Service) -> RetryBudget:
         """Return the retry budget of a service."""
-        budget = self._budgets.get(service.name)
-        if budget is None:
-            budget = RetryBudget(
-                self._bounds.repeat_ratio,
-                self._bounds.repeat_slack,
-                self._bounds.repeat_window_s,
-            )
-            self._budgets[service.name] = budget
-        return budget
+        return self._budgets.budget(service.name)
 
     def is_saved(self, cache_salt: str, part_id: str, now_s: float) -> bool:
         """Return whether a part was sent to the KV store recently."""
@@ -352,9 +345,9 @@
         self._contended.record_shared_machine(service)
 
     def set_bounds(self, bounds: Bounds) -> None:
-        """Replace the bounds and reset the retry budgets."""
+        """Replace the bounds; the counts of retries stay."""
         self._bounds = bounds
-        self._budgets.clear()
+        self._budgets.set_bounds(bounds)
 
     def set_process_start(self, at_s: float) -> None:
         """Set when the process was started, in time of ``clock``."""
