Signal a daemon at the latest when it has started

Seen: "SIGHUP while a daemon starts" failed once, at 0.4 s of processor time: "no router-1 that has run for 0.4 s in time".

Cause: a fault of the new step. A router may have started with less, and uses hardly any processor time once it is idle.

Change: the step also sends the signal once the daemon says that it listens, as the one for routers on the platform does.

--- a/features/steps/early_signals_steps.py
+++ b/features/steps/early_signals_steps.py
@@ -15,6 +15,7 @@
 from support.router_process import RouterProcess
 
 POLL_S = 0.005
+LISTENING = 'main: Listening.'
 READ_AGAIN = 'main: Read the settings again.'
 
 
@@ -96,13 +97,17 @@
             callers=last.callers or Listen().callers,
         )
     )
+    starts = daemon.process.output().count(LISTENING)
     daemon.process.start()
     process = psutil.Process(daemon.process.pid)
 
     def has_used() -> bool:
         time.sleep(POLL_S)
         times = process.cpu_times()
-        return bool(times.user + times.system >= moment_s)
+        if times.user + times.system >= moment_s:
+            return True
+        # An idle process does not use a processor any more.
+        return bool(daemon.process.output().count(LISTENING) > starts)
 
     bench.until_asked(has_used, f'{name} that has run for {moment_s} s')
     daemon.process.send(signal.SIGHUP)
