End an answer without a body at its head

Seen: a caller of HEAD got 502 at the time limit if the upstream stated a length, as it should. An answer of status 304 got a length of 0 in place of its own, and one of status 204 to a request for a stream got 502.

Cause: requests are written without the parser, so the parser does not know their method and waits for a body of the stated length. The length was dropped with the headers of the connection, and the router stated that of the body, which is empty.

Ruled out: setting the method in the parser, which has no public way but to write the request itself.

Change: at the head of the expected answer to HEAD the connection takes the stream back from the parser (detach) and goes on with the next answer. The end of such an answer, and of one of status 204 or 304, is called NO_BODY and counts as whole. Its length is passed on as it came, and none is added where there was none.

--- a/features/direct_answer_ends.feature
+++ b/features/direct_answer_ends.feature
@@ -10,22 +10,23 @@
       Then the answer counts as <counts>
 
       Examples:
-        | events               | end    | after | counts    |
-        | id: 1\n\n            | length | -     | whole     |
-        | id: 1\n\n            | chunks | -     | whole     |
-        | id: 1\n\n            | closed | -     | whole     |
-        | id: 1\n\n            | broken | -     | not whole |
-        | id: 1\n\nid: 2\n     | length | -     | not whole |
-        | id: 1\n\nid: 2\n     | chunks | -     | not whole |
-        | id: 1\n\nid: 2\n     | closed | -     | not whole |
-        | id: 1\n              | closed | -     | not whole |
-        | id: 1\r\n\r\n        | closed | -     | whole     |
-        | id: 1\r\rid: 2\r\r   | closed | -     | whole     |
-        | id: 1\r\rid: 2\r     | closed | -     | not whole |
-        | id: 1\n\n\n          | closed | -     | whole     |
-        | (none)               | closed | -     | not whole |
-        | (none)               | closed | 4     | whole     |
-        | (none)               | chunks | -     | whole     |
+        | events               | end     | after | counts    |
+        | id: 1\n\n            | length  | -     | whole     |
+        | id: 1\n\n            | chunks  | -     | whole     |
+        | id: 1\n\n            | closed  | -     | whole     |
+        | id: 1\n\n            | broken  | -     | not whole |
+        | id: 1\n\nid: 2\n     | length  | -     | not whole |
+        | id: 1\n\nid: 2\n     | chunks  | -     | not whole |
+        | id: 1\n\nid: 2\n     | closed  | -     | not whole |
+        | id: 1\n              | closed  | -     | not whole |
+        | id: 1\r\n\r\n        | closed  | -     | whole     |
+        | id: 1\r\rid: 2\r\r   | closed  | -     | whole     |
+        | id: 1\r\rid: 2\r     | closed  | -     | not whole |
+        | id: 1\n\n\n          | closed  | -     | whole     |
+        | (none)               | closed  | -     | not whole |
+        | (none)               | closed  | 4     | whole     |
+        | (none)               | chunks  | -     | whole     |
+        | (none)               | no body | -     | whole     |
 
     Scenario Outline: The end of any other answer decides whether it is whole
       When a body ends as <end>
@@ -35,6 +36,7 @@
         | end       | counts    |
         | length    | whole     |
         | chunks    | whole     |
+        | no body   | whole     |
         | closed    | whole     |
         | broken    | not whole |
         | abandoned | not whole |
--- a/packages/daemon/src/lacewing_daemon/direct/_answer_end.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_answer_end.py
@@ -7,22 +7,35 @@
 from lacewing_daemon.direct._events import EventSplitter
 
 _EVENT_STREAM = 'text/event-stream'
+_HEAD = 'HEAD'
+# No content, not modified.
+_STATUSES_WITHOUT_BODY = frozenset((204, 304))
 
 
 class BodyEnd(Enum):
     """Name how the transfer of a body ended.
 
     LENGTH: all announced bytes were received. CHUNKS: the last chunk was
-    received. CLOSED: the body had no framing and its connection was closed
-    in an orderly way. BROKEN: the connection ended before the body did.
+    received. NO_BODY: the answer ended with its head. CLOSED: the body had
+    no framing and its connection was closed in an orderly way. BROKEN: the
+    connection ended before the body did.
     """
 
     LENGTH = 'length'
     CHUNKS = 'chunks'
+    NO_BODY = 'no body'
     CLOSED = 'closed'
     BROKEN = 'broken'
 
 
+def has_body(method: str, status: int) -> bool:
+    """Return whether an answer to a method may have a body.
+
+    What its headers say of a length is that of a body which is not sent.
+    """
+    return method != _HEAD and status not in _STATUSES_WITHOUT_BODY
+
+
 def end_of_parsed_body(headers: HTTPHeaders, has_error: bool) -> BodyEnd:
     """Return how a body ended that the parser read to its end.
 
--- a/packages/daemon/src/lacewing_daemon/direct/_attempt.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_attempt.py
@@ -11,6 +11,7 @@
 from tornado.httputil import HTTPHeaders
 
 from lacewing_daemon.direct._answer_end import BodyEnd
+from lacewing_daemon.direct._answer_end import has_body
 from lacewing_daemon.direct._answer_end import is_event_stream
 from lacewing_daemon.direct._answer_end import is_whole
 from lacewing_daemon.direct._call import CallerRequest
@@ -155,6 +156,10 @@
         """Store the status and the headers of the answer."""
         head = self._wire.read_reply(status, headers)
         self._head = head
+        length = headers.get('Content-Length')
+        if length is not None and not has_body(self._request.method, status):
+            # It can't be derived from a body as for other answers.
+            head.headers['Content-Length'] = length
         if (
             self._on_events is not None
             and _is_signed_success(head)
--- a/packages/daemon/src/lacewing_daemon/direct/_caller_reply.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_caller_reply.py
@@ -8,6 +8,8 @@
 from tornado.httputil import ResponseStartLine
 from tornado.iostream import StreamClosedError
 
+from lacewing_daemon.direct._answer_end import has_body
+
 
 class CallerGoneError(Exception):
     """Report that the caller closed its connection."""
@@ -18,13 +20,18 @@
 
     Without ``accepts_chunks`` only the close of the connection would end a
     stream, and its caller could not distinguish an abort from the end. It is
-    sent as one answer with a length, once it is complete.
+    sent as one answer with a length, once it is complete. ``method`` is that
+    of the request.
     """
 
     def __init__(
-        self, connection: HTTP1Connection, accepts_chunks: bool = True
+        self,
+        connection: HTTP1Connection,
+        accepts_chunks: bool = True,
+        method: str = 'GET',
     ) -> None:
         self._connection = connection
+        self._method = method
         self._accepts_chunks = accepts_chunks
         self._held_status = 0
         self._held_headers = HTTPHeaders()
@@ -93,7 +100,7 @@
         self._has_started = True
         self._has_ended = True
         self._add_close_header(headers)
-        if 'Content-Length' not in headers:
+        if has_body(self._method, status) and 'Content-Length' not in headers:
             headers['Content-Length'] = str(len(body))
         written = self._connection.write_headers(
             _status_line(status), headers, body
--- a/packages/daemon/src/lacewing_daemon/direct/_caller_server.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_caller_server.py
@@ -164,7 +164,7 @@
             start_line.method, start_line.path, headers, body, received_s
         )
         accepts_chunks = start_line.version != _HTTP_WITHOUT_CHUNKS
-        reply = CallerReply(connection, accepts_chunks)
+        reply = CallerReply(connection, accepts_chunks, start_line.method)
         task = asyncio.create_task(self._run(request, reply))
         self._open[task] = reply
         task.add_done_callback(self._open.pop)
--- a/packages/daemon/src/lacewing_daemon/direct/_connection.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_connection.py
@@ -25,6 +25,7 @@
 
 from lacewing_daemon.direct._answer_end import BodyEnd
 from lacewing_daemon.direct._answer_end import end_of_parsed_body
+from lacewing_daemon.direct._answer_end import has_body
 from lacewing_daemon.direct._clock import boot_s
 
 # A peer without power sends nothing, not even a reset. The kernel closes the
@@ -65,6 +66,7 @@
         self._stream = stream
         self._opened_s = opened_s
         self._sink: ReplySink | None = None
+        self._method = ''
         self._idle_since_s = time.monotonic()
         self._reuse_until_s = float('inf')
         self._reader = asyncio.create_task(self._read())
@@ -96,6 +98,7 @@
     ) -> None:
         """Send one request; its response is passed to the sink."""
         self._sink = sink
+        self._method = method
         head = _format_head(method, path, headers, body)
         future = self._stream.write(head + body)
         future.add_done_callback(_retrieve_exception)
@@ -142,7 +145,9 @@
         # wait until a request of its own is finished.
         connection.finish()
         self._stream.set_nodelay(True)
-        return await connection.read_response(_ReplyReader(self))
+        reader = _ReplyReader(self, connection)
+        is_open = await connection.read_response(reader)
+        return is_open or reader.has_detached
 
     def _end_reply(self, body_end: BodyEnd) -> None:
         sink = self._sink
@@ -165,9 +170,17 @@
         self._sink.on_head(status, headers)
         return self._sink
 
-    def _finish_reply(self, sink: ReplySink, headers: HTTPHeaders) -> None:
+    def _has_body(self, status: int) -> bool:
+        return has_body(self._method, status)
+
+    def _finish_reply(
+        self, sink: ReplySink, status: int, headers: HTTPHeaders
+    ) -> None:
         if sink is not self._sink:
             return
+        if not self._has_body(status):
+            self._end_reply(BodyEnd.NO_BODY)
+            return
         has_error = self._stream.error is not None
         self._end_reply(end_of_parsed_body(headers, has_error))
 
@@ -175,10 +188,20 @@
 class _ReplyReader(HTTPMessageDelegate):
     """Pass one response to the sink of its connection."""
 
-    def __init__(self, connection: UpstreamConnection) -> None:
+    def __init__(
+        self, connection: UpstreamConnection, parser: HTTP1Connection
+    ) -> None:
         self._connection = connection
+        self._parser = parser
         self._sink: ReplySink | None = None
+        self._status = 0
         self._headers = HTTPHeaders()
+        self._has_detached = False
+
+    @property
+    def has_detached(self) -> bool:
+        """Return whether the parser was stopped at the end of a head."""
+        return self._has_detached
 
     def headers_received(
         self,
@@ -189,8 +212,16 @@
         assert isinstance(start_line, ResponseStartLine)
         if start_line.code < _MIN_FINAL_STATUS:
             return
+        self._status = start_line.code
         self._headers = headers
-        self._sink = self._connection._start_reply(start_line.code, headers)
+        self._sink = self._connection._start_reply(self._status, headers)
+        if self._sink is None or self._connection._has_body(self._status):
+            return
+        # The parser does not know the method, and would read a body of the
+        # length that the headers state.
+        self._parser.detach()
+        self._has_detached = True
+        self.finish()
 
     async def data_received(self, chunk: bytes) -> None:
         """Pass a chunk of the body to the sink."""
@@ -200,7 +231,9 @@
     def finish(self) -> None:
         """Report the end of the response."""
         if self._sink is not None:
-            self._connection._finish_reply(self._sink, self._headers)
+            self._connection._finish_reply(
+                self._sink, self._status, self._headers
+            )
 
     def on_connection_close(self) -> None:
         """Do nothing: the connection's read task ends and reports it."""
