--- a/features/steps/handover_steps.py
+++ b/features/steps/handover_steps.py
@@ -25,7 +25,7 @@
     def __init__(self) -> None:
         self.events: list[bytes] = []
         self.has_started = True
-        self.last_event: int | None = 1
+        self.last_event: str | None = '1'
 
     async def forward(self, _head: ReplyHead, events: Iterable[bytes]) -> None:
         """Record events."""
--- a/packages/daemon/src/lacewing_daemon/direct/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_exchange.py
@@ -19,6 +19,9 @@
 from lacewing_daemon.direct._caller_reply import CallerReply
 from lacewing_daemon.direct._metrics import REQUESTS
 from lacewing_daemon.direct._next_target import BUDGET_RETRY_AFTER_S
+from lacewing_daemon.direct._refusal_status import BAD_REQUEST
+from lacewing_daemon.direct._refusal_status import status_of
+from lacewing_daemon.direct._refusal_status import UNAVAILABLE
 from lacewing_daemon.direct._request_outcome import describe_outcome
 from lacewing_daemon.direct._request_sends import RequestSends
 from lacewing_daemon.direct._serving_context import ServingContext
@@ -33,17 +36,8 @@
 # the caller in time.
 RETURN_MARGIN_S = 0.02
 
-_STATUS = {
-    Reason.BAD_KEY: 401,
-    Reason.UNKNOWN_PATH: 404,
-    Reason.TOO_LARGE: 413,
-    Reason.TEAM_LIMIT: 429,
-}
 _ROUTER_NOT_READY = frozenset((Reason.NOT_READY, Reason.PLATFORM_UNAVAILABLE))
-_UNAVAILABLE = 503
-_RETRIED_LATER = (429, _UNAVAILABLE)
-_BAD_GATEWAY = 502
-_TIMED_OUT = 504
+_RETRIED_LATER = (429, UNAVAILABLE)
 # Logged as the status if the caller disconnected or its answer was aborted.
 _NO_STATUS = 0
 
@@ -187,7 +181,7 @@
         return may_have_run(Reason.CALLER_GONE, 'the caller left')
 
     def _refuse(self, refusal: Refusal) -> None:
-        status = _status_of(refusal)
+        status = status_of(refusal)
         if refusal.verdict is Verdict.NOT_RUN:
             self._refund()
         if self._reply.has_started:
@@ -203,10 +197,13 @@
             # This router would refuse the caller's next request as well; a
             # new connection is routed to a router that is ready.
             self._reply.announce_close()
+        body = b''
+        if status == BAD_REQUEST:
+            body = refusal.message.encode()
         headers = self._context.wire.refusal(
-            self._request.request_id, retry_after_s
+            self._request.request_id, retry_after_s, status == BAD_REQUEST
         )
-        self._reply.send_complete(status, headers, b'')
+        self._reply.send_complete(status, headers, body)
         self._record_outcome(status, refusal)
 
     def _record_outcome(self, status: int, refusal: Refusal | None) -> None:
@@ -232,11 +229,3 @@
         )
         REQUESTS.labels(outcome.service, str(status), outcome.reason).inc()
         self._context.log.log_outcome(outcome, now_s)
-
-
-def _status_of(refusal: Refusal) -> int:
-    if refusal.verdict is Verdict.NOT_RUN:
-        return _STATUS.get(refusal.reason, _UNAVAILABLE)
-    if refusal.reason is Reason.DEADLINE:
-        return _TIMED_OUT
-    return _BAD_GATEWAY
--- a/packages/daemon/src/lacewing_daemon/direct/_handover.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_handover.py
@@ -68,7 +68,7 @@
         return self._relay.has_started
 
     @property
-    def last_event(self) -> int | None:
+    def last_event(self) -> str | None:
         """Return the id of the last event that the caller has."""
         return self._relay.last_event
 
--- a/packages/daemon/src/lacewing_daemon/direct/_request_sends.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_request_sends.py
@@ -191,6 +191,10 @@
                 admitted, ended.opened.target, ended.end.verdict
             ):
                 final = None
+            if final is None and not self._relay.can_go_on:
+                final = may_have_run(
+                    Reason.STREAM_BROKEN, 'its events have no ids'
+                )
             if final is not None:
                 return final
             if ended.end.connection_broken:
@@ -276,6 +280,8 @@
     ) -> bool:
         if handover is not None and not handover.can_begin(time.monotonic()):
             return False
+        if not self._relay.can_go_on:
+            return False
         return self._chooser.can_move(
             self._admitted, target, self._end_s, other_moves
         )
@@ -314,6 +320,8 @@
         """Return whether another upstream may go on with a run that lasts."""
         if not self._may_send_again or self._is_blocked():
             return False
+        if not self._relay.can_go_on:
+            return False
         route = self._admitted.route
         if route.can_retry:
             return self._progress.runs + 1 < route.max_runs
