Send nothing to an upstream whose entry was removed

Cause: a state object said by two flags that it takes no requests: replaced by a later incarnation, or leaving by its entry. An entry that is gone was neither; it only took the state out of the table, and whoever held the state took it for one in service. After a connection was opened nothing was checked at all.

Change: an incarnation is listed, removed or replaced, and UpstreamState.takes_requests alone decides from that and its entry whether it may get requests. Placement, the reservation at a limit, the choice of a continuation and the check whether a run can move ask it, and Attempt asks it again when the connection is open, with nothing awaited before the bytes; if not, the request has not run (contact "withdrawn"). An entry of the same incarnation that returns makes the state listed again. In outages of the store entries are kept as before; only their drop is a removal. A run whose copy has gone stays at its engine while that lives, and ends as one without a copy if that breaks off.

The kind, a state used after its removal from the table: - copy of a run, queue, reservation, retry, move, probe: could send; all end at the check before the bytes. - connection that is opened: could send, also to a leaving or replaced upstream; mended. - order to load: was sent if the entry went during the report call, and reports were requested on; mended. - crash check: the end of a removed upstream counted as a crash under its last requests; mended, as for one that announced it. One that lapsed although it lives, and crashes then, no longer counts either. - engine models: a run at a removed engine brought its samples back; mended. - idle connections: only used after the state is asked, closed within a second. Limits, rest, peers' loads, reachability: kept by incarnation and read for listed upstreams. Silence detector: keeps open streams of a removed upstream on purpose, they may move. Leases and peers name routers. A waiting request keeps route and service of an earlier configuration; its key is checked again and upstreams come from the table. Unchanged, by reading only. - not mended: a copy at an upstream whose entry changed its service within one incarnation; the address of a copy that went while the connection was opened is still sent with the run.

--- a/features/steps/hostile_steps.py
+++ b/features/steps/hostile_steps.py
@@ -23,6 +23,7 @@
 from lacewing_daemon.direct._events import event_id
 from lacewing_daemon.direct._events import EventSplitter
 from lacewing_daemon.direct._pool import ConnectionPool
+from lacewing_daemon.direct._upstream_state import UpstreamState
 from lacewing_platform import PlatformSite
 from lacewing_platform import PlatformWire
 from lacewing_platform_testing._server import complete_response
@@ -137,7 +138,13 @@
     attempt = Attempt(request, PlatformWire(), lambda head: None, None)
     upstream = Upstream('up', 'a', address, 'east', 4, False, {})
     return await attempt.run(
-        pool, upstream, Dispatch('up', 1.0), False, TIMEOUT_S, TIMEOUT_S, 4
+        pool,
+        UpstreamState(upstream),
+        Dispatch('up', 1.0),
+        False,
+        TIMEOUT_S,
+        TIMEOUT_S,
+        4,
     )
 
 
--- a/features/steps/known_starts_steps.py
+++ b/features/steps/known_starts_steps.py
@@ -181,9 +181,10 @@
     return WeightsPlanner(context.cluster_state, context.control, lease, 'me')
 
 
-def _release_and_order(
+def release_and_order(
     context: Context, report: UpstreamReport, before_report: Any
 ) -> None:
+    """Release weights and order them; call back before the report."""
     context.cluster_state.record_release(ReleasedWeights(MODEL, 4), False)
     context.planner = _planner(context, report)
     context.control.before_report = before_report
@@ -193,7 +194,7 @@
 @when('version 4 is released and ordered')
 def step_ordered(context: Context) -> None:
     """Send the order, so that none is due."""
-    _release_and_order(
+    release_and_order(
         context, UpstreamReport(0, False, {MODEL: 3}, STARTED_MS), None
     )
     assert len(context.control.orders) == 1
@@ -213,14 +214,14 @@
     is_later = incarnation == 'a later one'
     started_ms = STARTED_MS + (1000 if is_later else -1000)
     report = UpstreamReport(0, False, {MODEL: 1}, started_ms)
-    _release_and_order(context, report, None)
+    release_and_order(context, report, None)
 
 
 @when('version 4 is released and the engine restarts before its report')
 def step_restart_before_report(context: Context) -> None:
     """Apply the entry of a later incarnation during the report call."""
     report = UpstreamReport(0, False, {MODEL: 3}, STARTED_MS)
-    _release_and_order(context, report, lambda: _restart(context, 2))
+    release_and_order(context, report, lambda: _restart(context, 2))
 
 
 @then('no order is given and its weights are those of version {version:d}')
--- a/packages/bench/src/lacewing_bench/exchange/_cost.py
+++ b/packages/bench/src/lacewing_bench/exchange/_cost.py
@@ -14,10 +14,10 @@
 from lacewing_daemon.direct import Upstream
 from lacewing_daemon.direct._cluster_state import ClusterState
 from lacewing_daemon.direct._contention import Contention
+from lacewing_daemon.direct._open_request import OpenRequest
 from lacewing_daemon.direct._peer_link import PeerLink
 from lacewing_daemon.direct._policy import LoadPolicy
 from lacewing_daemon.direct._settings import Bounds
-from lacewing_daemon.direct._upstream_state import OpenRequest
 from lacewing_daemon.direct._upstream_state import UpstreamState
 from lacewing_daemon.direct.exchange import PeerLoads
 from lacewing_daemon.direct.exchange._interval import interval_s
--- a/packages/bench/src/lacewing_bench/exchange/_model.py
+++ b/packages/bench/src/lacewing_bench/exchange/_model.py
@@ -10,10 +10,10 @@
 from lacewing_daemon.direct._choice import place_prompt
 from lacewing_daemon.direct._choice import Placement
 from lacewing_daemon.direct._choice import send_bounds
+from lacewing_daemon.direct._open_request import OpenRequest
 from lacewing_daemon.direct._policy import LoadPolicy
 from lacewing_daemon.direct._site import UpstreamLoad
 from lacewing_daemon.direct._upstream import Upstream
-from lacewing_daemon.direct._upstream_state import OpenRequest
 from lacewing_daemon.direct._upstream_state import UpstreamState
 from lacewing_daemon.direct.exchange._load_entries import engine_key
 from lacewing_daemon.direct.exchange._load_entries import EngineLoad
--- a/packages/bench/src/lacewing_bench/experiment/_router.py
+++ b/packages/bench/src/lacewing_bench/experiment/_router.py
@@ -19,12 +19,12 @@
 from lacewing_daemon.direct._choice import NoCapacity
 from lacewing_daemon.direct._cluster_state import ClusterState
 from lacewing_daemon.direct._first_event import record_first_event
+from lacewing_daemon.direct._open_request import OpenRequest
 from lacewing_daemon.direct._placing import Placer
 from lacewing_daemon.direct._policy import LoadPolicy
 from lacewing_daemon.direct._settings import Bounds
 from lacewing_daemon.direct._silence_detector import SilenceDetector
 from lacewing_daemon.direct._target import Target
-from lacewing_daemon.direct._upstream_state import OpenRequest
 from tornado.httputil import HTTPHeaders
 
 from lacewing_bench.experiment._engine import Engine
--- a/packages/daemon/src/lacewing_daemon/direct/_attempt.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_attempt.py
@@ -20,7 +20,7 @@
 from lacewing_daemon.direct._site import Dispatch
 from lacewing_daemon.direct._site import ReplyHead
 from lacewing_daemon.direct._site import Wire
-from lacewing_daemon.direct._upstream import Upstream
+from lacewing_daemon.direct._upstream_state import UpstreamState
 
 _SUCCESS = range(200, 300)
 # Interval at which an answer past its time limit is checked again.
@@ -37,12 +37,14 @@
     """State whether an upstream could be reached.
 
     REFUSED: no process listens at its address. UNREACHABLE: no connection
-    could be opened for another reason, such as a lost packet.
+    could be opened for another reason, such as a lost packet. WITHDRAWN: it
+    stopped taking requests before this one was sent.
     """
 
     CONNECTED = 'made'
     REFUSED = 'refused'
     UNREACHABLE = 'none'
+    WITHDRAWN = 'withdrawn'
 
 
 @dataclass(frozen=True)
@@ -95,7 +97,7 @@
     async def run(
         self,
         pool: ConnectionPool,
-        upstream: Upstream,
+        state: UpstreamState,
         dispatch: Dispatch,
         can_retry: bool,
         first_wait_s: float,
@@ -110,6 +112,7 @@
         ``should_abandon`` is called with the time waited, and again every
         ``RECHECK_INTERVAL_S``, until it returns true or a piece arrives.
         """
+        upstream = state.upstream
         try:
             connection = await pool.acquire(upstream, not can_retry)
         except ConnectionRefusedError:
@@ -118,6 +121,9 @@
             return _unreachable(Contact.UNREACHABLE)
         is_released = False
         try:
+            # Checked last: nothing is awaited between this and the sending.
+            if not state.takes_requests:
+                return _unreachable(Contact.WITHDRAWN)
             self._send(connection, dispatch)
             await self._wait_for_end(first_wait_s, gap_wait_s, should_abandon)
             end = self._classify()
--- a/packages/daemon/src/lacewing_daemon/direct/_cluster_state.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_cluster_state.py
@@ -548,12 +548,12 @@
 
     def _remove(self, state: UpstreamState) -> None:
         upstream = state.upstream
-        self._engine_speeds.forget_engine(
-            upstream.service, upstream.upstream_id
-        )
-        del self._upstreams[upstream.upstream_id]
+        name = upstream.upstream_id
+        state.mark_removed()
+        self._engine_speeds.forget_engine(upstream.service, name)
+        del self._upstreams[name]
         self._by_service[upstream.service].remove(state)
-        self._removed_upstreams[upstream.upstream_id] = state
+        self._removed_upstreams[name] = state
         if len(self._removed_upstreams) > MAX_REMOVED_UPSTREAMS:
             self._removed_upstreams.popitem(last=False)
 
--- a/packages/daemon/src/lacewing_daemon/direct/_placing.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_placing.py
@@ -189,8 +189,8 @@
     def continuation(self, target: Target) -> Target | None:
         """Return where an interrupted run can continue, None if nowhere."""
         copy = target.copy_to
-        if copy is None or copy.replaced or copy.upstream.leaving:
-            # A later incarnation does not have the copy.
+        if copy is None or not copy.takes_requests:
+            # Nor does a later incarnation have the copy.
             return None
         software = target.state.upstream.software
         if not copy.upstream.has_same_software(software):
--- a/packages/daemon/src/lacewing_daemon/direct/_planner.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_planner.py
@@ -258,7 +258,7 @@
         end_s = boot_s() + ORDER_RETRY_S
         while boot_s() < end_s:
             await asyncio.sleep(LOAD_CHECK_INTERVAL_S)
-            if (state.weights(model) or 0) >= version:
+            if (state.weights(model) or 0) >= version or not state.is_listed:
                 return
             report = await self._control.report(state.upstream)
             if report is not None:
@@ -281,7 +281,7 @@
         if report.busy:
             return OrderVerdict.BUSY
         # Checked last: nothing is awaited between this and the sending.
-        if not self._lease.is_acting:
+        if not self._lease.is_acting or not state.takes_requests:
             return OrderVerdict.REFUSED
         self._lease.record_action()
         return await self._control.load(
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -164,7 +164,7 @@
         try:
             end = await attempt.run(
                 self._fleet.pool,
-                self._state.upstream,
+                self._state,
                 self._dispatch(left_s, relay.last_event),
                 self._admitted.route.can_retry,
                 first_wait_s,
@@ -261,9 +261,9 @@
         """Record a first event of a contended service.
 
         The models keep figures by id, so a first event of another upstream
-        or of an incarnation that was replaced is dropped.
+        or of an incarnation that was replaced or removed is dropped.
         """
-        if self._state.replaced or not self._is_own_answer:
+        if not self._state.is_listed or not self._is_own_answer:
             return
         service = self._admitted.service.name
         upstream_id = self._state.upstream.upstream_id
@@ -300,7 +300,7 @@
             return
         now_s = time.monotonic()
         elapsed_ms = (now_s - self._first_event_s) * _MS
-        if self._is_contended and not self._state.replaced:
+        if self._is_contended and self._state.is_listed:
             self._fleet.cluster_state.engine_models(
                 self._admitted.service.name
             ).record_run(
@@ -400,7 +400,7 @@
             return
         if end.verdict is Verdict.MAY_HAVE_RUN:
             self._state.record_failure(now_s)
-            if end.connection_broken:
+            if end.connection_broken and not self._state.removed:
                 self._report_interrupted_run(end)
             return
         if end.contact is Contact.REFUSED:
--- a/packages/daemon/src/lacewing_daemon/direct/_upstream.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_upstream.py
@@ -17,6 +17,18 @@
     DISPUTED = 'disputed'
 
 
+class Presence(Enum):
+    """Say whether the list of upstreams has an incarnation.
+
+    REMOVED: its entry is gone and may come back. REPLACED: a later
+    incarnation has its id, for good.
+    """
+
+    LISTED = 'listed'
+    REMOVED = 'removed'
+    REPLACED = 'replaced'
+
+
 Software = str | UnknownSoftware
 
 
--- a/packages/daemon/src/lacewing_daemon/direct/_upstream_state.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_upstream_state.py
@@ -1,14 +1,15 @@
 """Track what one router knows of one upstream beyond its entry."""
 
-from collections import OrderedDict
-from dataclasses import dataclass
 from dataclasses import replace
 from math import exp
 
 from lacewing_daemon.direct._call import Prompt
+from lacewing_daemon.direct._open_request import OpenRequest
 from lacewing_daemon.direct._routing_config import Engine
+from lacewing_daemon.direct._sent_parts import SentParts
 from lacewing_daemon.direct._silence_history import SilenceHistory
 from lacewing_daemon.direct._site import UpstreamLoad
+from lacewing_daemon.direct._upstream import Presence
 from lacewing_daemon.direct._upstream import UnknownSoftware
 from lacewing_daemon.direct._upstream import Upstream
 from lacewing_daemon.direct.exchange._own_load import OwnLoad
@@ -17,8 +18,6 @@
 # Reported loads are some hundred ms old when they are used; older ones
 # mislead.
 LOAD_TTL_S = 0.6
-# Parts are evicted within seconds; one sent longer ago may be gone.
-PART_TTL_S = 8.0
 # Smoothing weight of the latest lateness, its decay time, and the maximum
 # that one first event counts for, so that a single one excludes no engine.
 LATENESS_WEIGHT = 0.5
@@ -43,21 +42,6 @@
 CHUNK_TOKENS = 4096
 
 
-@dataclass(frozen=True, eq=False)
-class OpenRequest:
-    """Hold the load of one open request on an upstream.
-
-    ``prefill_tokens``: what it prefills; ``kv_tokens``: what it adds to the
-    KV memory until its end.
-    """
-
-    prefill_ms: float
-    urgency: int
-    sent_s: float
-    prefill_tokens: float = 0.0
-    kv_tokens: int = 0
-
-
 class UpstreamState:
     """Track one incarnation of an upstream.
 
@@ -71,7 +55,7 @@
         self._silence_history = (
             SilenceHistory() if silence_history is None else silence_history
         )
-        self._replaced = False
+        self._presence = Presence.LISTED
         self._in_flight = 0
         self._sent_s = 0.0
         self._last_data_s = 0.0
@@ -89,7 +73,7 @@
         self._excluded_until_s = 0.0
         self._rests_until_s = 0.0
         self._limited_until_s = 0.0
-        self._cached: OrderedDict[tuple[str, str], float] = OrderedDict()
+        self._sent_parts = SentParts()
 
     @property
     def upstream(self) -> Upstream:
@@ -99,7 +83,26 @@
     @property
     def replaced(self) -> bool:
         """Return whether a later incarnation has replaced this one."""
-        return self._replaced
+        return self._presence is Presence.REPLACED
+
+    @property
+    def removed(self) -> bool:
+        """Return whether its entry is gone and it was not replaced."""
+        return self._presence is Presence.REMOVED
+
+    @property
+    def is_listed(self) -> bool:
+        """Return whether it was neither removed nor replaced."""
+        return self._presence is Presence.LISTED
+
+    @property
+    def takes_requests(self) -> bool:
+        """Return whether requests may be sent there at all.
+
+        Decided only here, and asked again right before each send: a request
+        may have waited since its upstream was chosen.
+        """
+        return self.is_listed and not self._upstream.leaving
 
     @property
     def silence_history(self) -> SilenceHistory:
@@ -150,12 +153,16 @@
     def update(self, upstream: Upstream) -> None:
         """Apply a new entry; an upstream that is leaving stays so.
 
+        One whose entry was removed is listed again.
+
         Entries are read in the order in which they were written. A lower
         version than in the previous entry means that the engine went back to
         it, as by a late order. If it were ignored as stale, requests would
         ask for weights that the engine refuses forever, and no load would be
         ordered.
         """
+        if self.removed:
+            self._presence = Presence.LISTED
         if self._upstream.leaving and not upstream.leaving:
             return
         known = self._upstream.software
@@ -173,13 +180,18 @@
         """Mark this incarnation as leaving, before its entry says so."""
         self._upstream = replace(self._upstream, leaving=True)
 
+    def mark_removed(self) -> None:
+        """Mark this incarnation as without an entry, until it has one."""
+        if self.is_listed:
+            self._presence = Presence.REMOVED
+
     def mark_replaced(self) -> None:
         """Mark this incarnation as replaced by a later one.
 
         Its open requests still count here; nothing recorded here applies to
         the later incarnation, which has a state of its own.
         """
-        self._replaced = True
+        self._presence = Presence.REPLACED
 
     def is_usable(self, now_s: float) -> bool:
         """Return whether requests may be sent there now."""
@@ -192,7 +204,7 @@
 
     def wanted_in_s(self, now_s: float) -> float:
         """Return the time until it takes requests, by what it has said."""
-        if self._replaced or self._upstream.leaving:
+        if not self.takes_requests:
             return float('inf')
         until_s = max(self._rests_until_s, self._limited_until_s)
         return max(0.0, until_s - now_s)
@@ -388,31 +400,14 @@
         self, cache_salt: str, prompt: Prompt, engine: Engine, now_s: float
     ) -> None:
         """Record the parts of a prompt as cached there."""
-        for part in prompt.parts:
-            key = (cache_salt, part.part_id)
-            self._cached[key] = now_s
-            self._cached.move_to_end(key)
-        max_parts = max(1, engine.kv_tokens // _TOKENS_PER_PART)
-        while len(self._cached) > max_parts:
-            self._cached.popitem(last=False)
+        self._sent_parts.record(cache_salt, prompt, engine, now_s)
 
     def missing_tokens(
         self, cache_salt: str, prompt: Prompt, now_s: float
     ) -> int:
         """Return the tokens of a prompt from its first uncached part on."""
-        missing = prompt.tokens
-        for part in prompt.parts:
-            if not self.has_part(cache_salt, part.part_id, now_s):
-                break
-            missing -= part.tokens
-        return max(0, missing)
+        return self._sent_parts.missing_tokens(cache_salt, prompt, now_s)
 
     def has_part(self, cache_salt: str, part_id: str, now_s: float) -> bool:
         """Return whether a part was sent there lately."""
-        sent_s = self._cached.get((cache_salt, part_id))
-        return sent_s is not None and now_s - sent_s <= PART_TTL_S
-
-
-# Parts of prompts have some thousand tokens. Only the number of remembered
-# parts depends on it.
-_TOKENS_PER_PART = 2000
+        return self._sent_parts.has(cache_salt, part_id, now_s)
