Carry a request only once on a connection to an upstream

Cause: an upstream refuses a request for newer weights, and the router sends it there again on the same connection, as the pool hands out the one that was returned last. A faulty upstream sends the refusal once more where the next answer is expected, then runs the request. The second copy has the request's id, by which alone an answer was matched to a send. A refusal without an id, sent twice, decided the next request on the connection in the same way, whatever its id.

Change: a connection remembers the ids of its last 64 requests and does not carry one of them again; the pool hands out another idle one or a new one. After a refusal without an id the connection is closed. The upstream itself is still asked again. Stand-ins can send refusals twice and with an id; their behaviours move to a module of their own.

Ruled out: closing the connection after each refusal.

The same kind elsewhere, by reading, without runs: moves, continuations with Kv-From and sends at one time are on connections of their own and now never on one that carried the request; calls between routers are streams of HTTP/2; orders and writes to the store have new connections. Reports of engines are matched by their kept connection alone: an older one may be taken for a newer one and decides nothing, as versions only grow and an order has the count of orders as its precondition. Reads of the store are safe as long as the store answers once. Agents' requests have an id for each attempt; their polls and cancellations do not.

--- /dev/null
+++ b/features/direct_late_refusals.feature
@@ -0,0 +1,31 @@
+Feature: A refusal that an upstream sends twice decides one send only
+
+  A faulty upstream sends a response once more, late: on the same connection,
+  where the next response is expected.
+
+  Background:
+    Given a store with a configuration
+
+  Scenario: A request that is sent again is not refused by the earlier answer
+    # Guards against a stream that runs twice: an engine refuses it for newer
+    # weights, gets it again on the same connection, and sends the refusal once
+    # more before it runs it. The second refusal counted as the answer to the
+    # second send, and a third one ran the stream at another engine.
+    Given engines "eng-1" and "eng-2"
+    And a direct router
+    And all engines have newer weights than the router knows
+    And upstreams send each refusal twice, the second time late
+    When a caller asks a model for a stream that may run once
+    Then upstreams ran each of the 1 requests once
+    And no connection carried a request twice
+
+  Scenario: A refusal without an id does not refuse the next request
+    # Guards against a request that runs twice: an upstream refuses another one
+    # without naming it, and sends that refusal once more where the answer to
+    # the next request on the connection is expected.
+    Given plain upstreams "reg-1" and "reg-2"
+    And a direct router
+    And upstreams refuse every third request
+    And upstreams send each refusal twice, without an id
+    When a caller orders 12 certificates, one after the other
+    Then upstreams ran each of the 12 requests once
--- a/features/steps/direct_limits_served_steps.py
+++ b/features/steps/direct_limits_served_steps.py
@@ -8,7 +8,7 @@
 from behave import then
 from behave import when
 from behave.runner import Context
-from lacewing_platform_testing._upstream import Behaviour
+from lacewing_platform_testing._behaviour import Behaviour
 from structlog.testing import capture_logs
 from support.direct_bench import BOUNDS
 from support.direct_bench import direct_bench
--- /dev/null
+++ b/features/steps/late_refusals_steps.py
@@ -0,0 +1,87 @@
+"""Check requests whose refusals an upstream sends twice."""
+
+from behave import given
+from behave import then
+from behave import when
+from behave.runner import Context
+from lacewing_platform_testing import Behaviour
+from support.direct_bench import direct_bench
+from support.direct_bench import MODEL
+from support.direct_bench import PREFIX
+from support.direct_bench import sleep
+
+REQUEST_ID = PREFIX + 'Request-Id'
+NEWER_VERSION = 2
+# Longer than an upstream that refused is left alone.
+PAUSE_S = 0.2
+ANSWERS = (Behaviour.SHED, Behaviour.GOOD, Behaviour.GOOD)
+
+
+@given('upstreams send each refusal twice, the second time late')
+def step_repeat(context: Context) -> None:
+    """Have all refusals carry the request's id and come twice."""
+    _repeat_refusals(context, True)
+
+
+@given('upstreams send each refusal twice, without an id')
+def step_repeat_unnamed(context: Context) -> None:
+    """Have all refusals come twice, without an id."""
+    _repeat_refusals(context, False)
+
+
+def _repeat_refusals(context: Context, names_refusals: bool) -> None:
+    for upstream in direct_bench(context).upstreams.values():
+        upstream.names_refusals = names_refusals
+        upstream.late_refusals.count = 1000
+
+
+@given('all engines have newer weights than the router knows')
+def step_newer(context: Context) -> None:
+    """Change the weights of the engines, not their entries."""
+    for upstream in direct_bench(context).upstreams.values():
+        upstream.weights[MODEL] = NEWER_VERSION
+
+
+@given('upstreams refuse every third request')
+def step_alternate(context: Context) -> None:
+    """Script the answers that all upstreams share."""
+    upstreams = tuple(direct_bench(context).upstreams.values())
+    for upstream in upstreams:
+        upstream.script = upstreams[0].script
+    upstreams[0].script.extend(ANSWERS * 100)
+
+
+@when('a caller asks a model for a stream that may run once')
+def step_ask_once(context: Context) -> None:
+    """Send a prompt to a route whose streams may not be resumed."""
+    direct_bench(context).ask_model('/talk/1')
+
+
+@when('a caller orders {count:d} certificates, one after the other')
+def step_order(context: Context, count: int) -> None:
+    """Send requests with pauses in which no upstream is excluded."""
+    bench = direct_bench(context)
+    for _ in range(count):
+        bench.ask('/certificates/1', method='POST', body=b'order')
+        bench.run(sleep(PAUSE_S))
+
+
+@then('upstreams ran each of the {count:d} requests once')
+def step_ran_once(context: Context, count: int) -> None:
+    """Compare what ran with what callers were told."""
+    bench = direct_bench(context)
+    statuses = [answer.status for answer in bench.answers]
+    ran = bench.ran()
+    assert len(ran) == len(set(ran)) == count, (ran, statuses)
+    assert statuses == [200] * count, statuses
+
+
+@then('no connection carried a request twice')
+def step_connections(context: Context) -> None:
+    """Check the requests of each connection."""
+    carried = set()
+    for upstream in direct_bench(context).upstreams.values():
+        for received in upstream.received:
+            key = (received.stream, received.headers[REQUEST_ID])
+            assert key not in carried, key
+            carried.add(key)
--- a/packages/daemon/src/lacewing_daemon/direct/_attempt.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_attempt.py
@@ -111,7 +111,9 @@
         ``RECHECK_INTERVAL_S``, until it returns true or a piece arrives.
         """
         try:
-            connection = await pool.acquire(upstream, not can_retry)
+            connection = await pool.acquire(
+                upstream, not can_retry, self._request.request_id
+            )
         except ConnectionRefusedError:
             return _unreachable(Contact.REFUSED)
         except OSError:
@@ -121,9 +123,12 @@
             self._send(connection, dispatch)
             await self._wait_for_end(first_wait_s, gap_wait_s, should_abandon)
             end = self._classify()
+            # A second response without an id, sent late, would be taken for
+            # the one to the next request.
             if (
                 end.complete
                 and end.head is not None
+                and end.head.request_id
                 and not end.head.will_close
             ):
                 pool.release(
@@ -188,6 +193,7 @@
         self._opened_s = connection.opened_s
         self._after_event = dispatch.after_event
         connection.send(
+            self._request.request_id,
             self._request.method,
             self._request.path,
             self._wire.forward(self._request, dispatch),
--- a/packages/daemon/src/lacewing_daemon/direct/_connection.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_connection.py
@@ -9,6 +9,7 @@
 import asyncio
 import socket
 import time
+from collections import deque
 from typing import Protocol
 
 from lacewing_common.log import get_log
@@ -37,6 +38,9 @@
 # Responses arrive in chunks; no valid response is larger than this.
 MAX_REPLY_BYTES = 64 * 1024 * 1024
 MAX_HEADER_BYTES = 65536
+# Requests whose ids a connection remembers. An upstream sends a late second
+# response where the next one is expected, long before this many others.
+MAX_REMEMBERED_REQUESTS = 64
 _MIN_FINAL_STATUS = 200
 
 _log = get_log(Part.LINK)
@@ -67,6 +71,7 @@
         self._sink: ReplySink | None = None
         self._idle_since_s = time.monotonic()
         self._reuse_until_s = float('inf')
+        self._carried: deque[str] = deque(maxlen=MAX_REMEMBERED_REQUESTS)
         self._reader = asyncio.create_task(self._read())
 
     @property
@@ -86,8 +91,13 @@
         """Return the time since the last request on it ended."""
         return time.monotonic() - self._idle_since_s
 
+    def has_carried(self, request_id: str) -> bool:
+        """Return whether one of the last requests on it has this id."""
+        return request_id in self._carried
+
     def send(
         self,
+        request_id: str,
         method: str,
         path: str,
         headers: HTTPHeaders,
@@ -96,6 +106,7 @@
     ) -> None:
         """Send one request; its response is passed to the sink."""
         self._sink = sink
+        self._carried.append(request_id)
         head = _format_head(method, path, headers, body)
         future = self._stream.write(head + body)
         future.add_done_callback(_retrieve_exception)
--- a/packages/daemon/src/lacewing_daemon/direct/_pool.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_pool.py
@@ -31,20 +31,28 @@
         self._idle: dict[_Endpoint, list[UpstreamConnection]] = {}
 
     async def acquire(
-        self, upstream: Upstream, only_fresh: bool
+        self, upstream: Upstream, only_fresh: bool, request_id: str
     ) -> UpstreamConnection:
-        """Return an idle connection or a new one; raise OSError on failure."""
+        """Return an idle connection or a new one; raise OSError on failure.
+
+        A connection carries a request only once. An upstream may send a
+        response twice, the second time where the next one is expected, and
+        the id does not tell two sends of one request apart.
+        """
         idle = self._idle.get(upstream.endpoint, [])
         max_idle_s = MAX_NON_RETRYABLE_IDLE_S if only_fresh else MAX_IDLE_S
-        while idle:
-            connection = idle[-1]
-            if connection.is_usable and connection.idle_s > max_idle_s:
+        for connection in reversed(tuple(idle)):
+            if not connection.is_usable:
+                idle.remove(connection)
+                connection.close()
+                continue
+            if connection.idle_s > max_idle_s:
                 # The remaining ones have been idle for even longer.
                 break
-            idle.pop()
-            if connection.is_usable:
-                return connection
-            connection.close()
+            if connection.has_carried(request_id):
+                continue
+            idle.remove(connection)
+            return connection
         return await connect(upstream.address, CONNECT_TIMEOUT_S)
 
     def release(
