Do not take a plain answer for silent while its body arrives

Callers of plain services with slow answers waited for a second run, or got 502: the first was given up 0.45 s after it was sent, whatever had arrived.

Cause: only pieces of streams counted as signs of life.

Measured: the scenario (five pieces, 0.2 s apart) had two runs before and has one.

--- a/features/direct_moves.feature
+++ b/features/direct_moves.feature
@@ -124,3 +124,12 @@
       And the next engines answer with "slower"
       When a caller asks a model
       Then the answer is 200 with all events once and in order
+
+    Scenario: A plain answer arrives in pieces
+      # Guards against an answer that is given up while its body arrives, as
+      # if its upstream were silent.
+      Given a router with 2 plain upstreams
+      And the next engines answer with "trickles"
+      When a caller fetches a record
+      Then the answer is 200 with the whole body and its proof
+      And exactly one upstream received the request
--- a/packages/daemon/src/lacewing_daemon/direct/_attempt.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_attempt.py
@@ -181,11 +181,11 @@
 
     async def on_data(self, piece: bytes) -> None:
         """Pass on the events that a piece completes; collect other pieces."""
+        self._last_piece_s = asyncio.get_running_loop().time()
         if self._events is None:
             self._body.append(piece)
             return
         assert self._head is not None and self._on_events is not None
-        self._last_piece_s = asyncio.get_running_loop().time()
         try:
             await self._on_events(self._head, self._events.feed(piece))
         except Exception as error:
