--- a/features/direct_hostile.feature
+++ b/features/direct_hostile.feature
@@ -46,10 +46,46 @@
       | Weight-Versions          | inf         | None   |
       | Weight-Versions          | -3          | None   |
       | Weight-Versions          | 3           | 3      |
+      | Weight-Versions          | 3.7         | None   |
+      | Weight-Versions          | ²           | None   |
+      | Server-Load              | 1,2,4       | 2      |
+      | Server-Load              | 1, 2, 4     | 2      |
+      | Server-Load              | 1,-2,4      | None   |
+      | Server-Load              | 1,+2,4      | None   |
+      | Server-Load              | 1,2_0,4     | None   |
+      | Server-Load              | 1,²,4       | None   |
+      | Server-Load              | 1,1e3,4     | None   |
+      | Server-Load              | 1,1234567890,4 | None |
       | Keep-Alive               | timeout=nan | None   |
       | Keep-Alive               | timeout=-3  | None   |
       | Keep-Alive               | timeout=5   | 5.0    |
 
+  Scenario Outline: A connection that is to be closed is not used again
+    # Guards against a request that is lost on a connection whose upstream
+    # closes it, and says so in a list of options.
+    When a caller or upstream sends "Connection" with "<value>"
+    Then it is read as <closes>
+
+    Examples:
+      | value      | closes |
+      | close      | True   |
+      | Close      | True   |
+      | te, close  | True   |
+      | close , te | True   |
+      | keep-alive | False  |
+      | closed     | False  |
+
+  Scenario Outline: A version of weights may have many digits
+    # Guards against an engine whose newer weights its router never learns.
+    When a caller or upstream sends "Weight-Versions" with "<value>"
+    Then it is read as <value>
+
+    Examples:
+      | value               |
+      | 1764800000000       |
+      | 9007199254740993    |
+      | 9223372036854775807 |
+
   Scenario Outline: The id of an event is any text
     # Guards against a stream that starts again, as its caller's last id
     # counted as absent.
--- a/features/steps/hostile_steps.py
+++ b/features/steps/hostile_steps.py
@@ -243,13 +243,21 @@
 def step_header_number(context: Context, header: str, value: str) -> None:
     """Decode a request, or a response, with this header."""
     wire = PlatformWire()
-    if header in ('Weight-Versions', 'Keep-Alive'):
-        name = PREFIX + header if header == 'Weight-Versions' else header
+    if header in (
+        'Weight-Versions',
+        'Keep-Alive',
+        'Server-Load',
+        'Connection',
+    ):
+        is_plain = header in ('Keep-Alive', 'Connection')
+        name = header if is_plain else PREFIX + header
         head = wire.read_reply(200, HTTPHeaders({name: value}))
-        found: object = head.weights
-        if header == 'Keep-Alive':
-            found = head.keep_alive_s
-        context.found = found
+        context.found = {
+            'Weight-Versions': head.weights,
+            'Keep-Alive': head.keep_alive_s,
+            'Connection': head.will_close,
+            'Server-Load': head.load and head.load.waiting,
+        }[header]
         return
     headers = HTTPHeaders({PREFIX + 'Model': 'tutor'})
     headers[PREFIX + 'Token-Usage'] = '1460,80'
