--- a/features/soak.feature
+++ b/features/soak.feature
@@ -19,6 +19,13 @@
     When a router is terminated while its output is unread
     Then no task of the soak fails
 
+  Scenario: Two test runs on one machine choose other ports
+    # Guards against a router that can't listen after a restart, as a test run
+    # beside this one has chosen its port while it was down.
+    Given ports for a router of this test run
+    When 6 other processes choose ports from a range with these
+    Then none of them chose these
+
   Scenario: Seeds that failed once
     When every seed that ever failed is run
     Then no promise is broken
