--- a/packages/daemon/src/lacewing_daemon/direct/_next_target.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_next_target.py
@@ -1,7 +1,6 @@
 """Decide where a request is sent next, or that it is refused."""
 
 import time
-from dataclasses import dataclass
 from functools import partial
 from math import isinf
 
@@ -18,8 +17,8 @@
 from lacewing_daemon.direct._metrics import REPEATS_DENIED
 from lacewing_daemon.direct._placing import Placer
 from lacewing_daemon.direct._policy import LoadPolicy
+from lacewing_daemon.direct._progress import RequestProgress
 from lacewing_daemon.direct._target import Target
-from lacewing_daemon.direct._upstream import Software
 from lacewing_daemon.direct._upstream_state import UpstreamState
 from lacewing_daemon.direct.crashes._fingerprint import RequestSubjects
 from lacewing_daemon.direct.limits import Charge
@@ -29,10 +28,6 @@
 from lacewing_daemon.direct.queueing import QueueTurn
 
 _MS = 1000.0
-# Sends of one request; if all of them fail, the fleet is taken to be at
-# capacity. Refused ones are included until the answer has started: a request
-# without an answer can be refused, a started answer would be aborted.
-MAX_SENDS = 4
 # A started stream that all upstreams have refused is sent again at this
 # interval: fewer than ten sends per second.
 RESEND_INTERVAL_S = 0.125
@@ -52,51 +47,6 @@
 NO_SOFTWARE_RETRY_S = 1.0
 
 
-@dataclass
-class RequestProgress:
-    """Count what was done for a request so far.
-
-    ``runs``: sends that may have run; ``refusals``: sends that did not.
-    ``refused_ids``: those of ``tried_ids`` that refused and did not run it.
-    ``continuation``: where an interrupted run goes on, None if it is not to.
-    ``software``: the version of upstreams' software that began the stream,
-    None before its first event.
-    """
-
-    sends: int = 0
-    runs: int = 0
-    refusals: int = 0
-    has_reached_upstream: bool = False
-    tried_ids: frozenset[str] = frozenset()
-    refused_ids: frozenset[str] = frozenset()
-    continuation: Target | None = None
-    software: Software | None = None
-
-    def may_send(self, has_started: bool) -> bool:
-        """Return whether a further send is within ``MAX_SENDS``.
-
-        ``has_started``: the caller has a part of the answer.
-        """
-        counted = self.sends - self.refusals if has_started else self.sends
-        return counted < MAX_SENDS
-
-    def leave(self, upstream_id: str) -> None:
-        """Record that a run goes on at an upstream that is to be left."""
-        self.has_reached_upstream = True
-        self.tried_ids |= {upstream_id}
-
-    def add_refusal(self, upstream_id: str) -> None:
-        """Record that an upstream refused the request."""
-        self.tried_ids |= {upstream_id}
-        self.refused_ids |= {upstream_id}
-
-    def add_run(self, upstream_id: str) -> None:
-        """Record that the request may have run at an upstream."""
-        self.runs += 1
-        self.tried_ids |= {upstream_id}
-        self.refused_ids -= {upstream_id}
-
-
 class TargetChooser:
     """Choose the upstream of each send of one request."""
 
--- a/packages/daemon/src/lacewing_daemon/direct/_request_sends.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_request_sends.py
@@ -20,20 +20,20 @@
 from lacewing_daemon.direct._call import CallerRequest
 from lacewing_daemon.direct._caller_reply import CallerReply
 from lacewing_daemon.direct._choice import NoCapacity
+from lacewing_daemon.direct._crash_checks import CrashChecks
 from lacewing_daemon.direct._handover import Handover
 from lacewing_daemon.direct._handover import NoSuccessor
 from lacewing_daemon.direct._handover import SuccessorRelay
 from lacewing_daemon.direct._metrics import CONTINUATIONS_REFUSED
-from lacewing_daemon.direct._next_target import MAX_SENDS
-from lacewing_daemon.direct._next_target import RequestProgress
 from lacewing_daemon.direct._next_target import TargetChooser
-from lacewing_daemon.direct._send import GivenUp
+from lacewing_daemon.direct._progress import MAX_SENDS
+from lacewing_daemon.direct._progress import RequestProgress
 from lacewing_daemon.direct._send import Send
 from lacewing_daemon.direct._send import SendResult
 from lacewing_daemon.direct._serving_context import ServingContext
 from lacewing_daemon.direct._stream_relay import StreamRelay
 from lacewing_daemon.direct._target import Target
-from lacewing_daemon.direct.crashes._detector import COLLECT_WINDOW_S
+from lacewing_daemon.direct._try_entry import GivenUp
 from lacewing_daemon.direct.crashes._fingerprint import RequestSubjects
 from lacewing_daemon.direct.queueing import QueueStay
 from lacewing_daemon.refusals import Refusals
@@ -44,9 +44,6 @@
 # Used when all upstreams that were tried refused: some of them will have a
 # free slot within the duration of a few requests.
 REFUSED_RETRY_AFTER_S = 0.2
-# A crash is detected once a connection is refused, some ms after the
-# interrupted runs of the upstream were collected.
-CRASH_DETECTION_S = 2 * COLLECT_WINDOW_S
 
 
 @dataclass(frozen=True)
@@ -100,6 +97,7 @@
         self._open_sends: list[OpenSend] = []
         self._handovers: list[Handover[EndedSend]] = []
         self._progress = RequestProgress()
+        self._crash_checks = CrashChecks(context.fleet.crash_guard, subjects)
         self._chooser = TargetChooser(
             context.fleet,
             context.placer,
@@ -160,9 +158,9 @@
         admitted = self._admitted
         self._progress.software = software
         while True:
-            if self._is_blocked():
-                return self._blocked_refusal()
-            was_blocked = self._fleet.crash_guard.is_blocked(self._subjects)
+            if not self._crash_checks.may_send(self.has_sent):
+                return self._crash_checks.refusal()
+            was_blocked = self._crash_checks.is_blocked
             queued_s = self._chooser.stay.queued_s
             target = await self._chooser.choose(
                 admitted, self._subjects, self._end_s
@@ -198,7 +196,7 @@
             if final is not None:
                 return final
             if ended.end.connection_broken:
-                await self._await_crash_detection()
+                await self._crash_checks.await_detection()
 
     async def _send(self, target: Target) -> tuple[EndedSend, Refusal | None]:
         """Send to one upstream, and move the stream while that is useful.
@@ -318,7 +316,7 @@
 
     def _may_ask(self, left: Target) -> bool:
         """Return whether another upstream may go on with a run that lasts."""
-        if not self._may_send_again or self._is_blocked():
+        if not self._may_send_again or self._crash_checks.is_blocked:
             return False
         if not self._relay.can_go_on:
             return False
@@ -340,16 +338,6 @@
             opened.send.unfinished(Reason.STREAM_BROKEN, GivenUp.RESUMED)
         )
 
-    def _is_blocked(self) -> bool:
-        guard = self._fleet.crash_guard
-        if not guard.is_blocked(self._subjects):
-            return False
-        # A retry is never a probe: the request may have caused the newest
-        # crash on an earlier attempt.
-        return self._progress.sends > 0 or not guard.admits_probe(
-            self._subjects
-        )
-
     def _check_after_wait(self, was_blocked: bool) -> Refusal | None:
         """Return why a request that has waited must not be sent any more.
 
@@ -358,9 +346,8 @@
         used until the deadlines of the requests with it. A request that
         ``was_blocked`` before it waited is a probe.
         """
-        if not was_blocked:
-            if self._fleet.crash_guard.is_blocked(self._subjects):
-                return self._blocked_refusal()
+        if not was_blocked and self._crash_checks.is_blocked:
+            return self._crash_checks.refusal()
         return confirm_key(
             self._request,
             self._admitted,
@@ -368,24 +355,6 @@
             self._fleet.keys_confirmed,
         )
 
-    def _blocked_refusal(self) -> Refusal:
-        guard = self._fleet.crash_guard
-        return not_run(
-            Reason.WORKERS_CRASHED,
-            guard.describe_block(self._subjects),
-            guard.retry_after_s(self._subjects),
-        )
-
-    async def _await_crash_detection(self) -> None:
-        """Wait until a further crash of an upstream would be detected.
-
-        Retried immediately, a request that has crashed one upstream before
-        could crash a third one while this router is still checking the
-        second.
-        """
-        if self._fleet.crash_guard.is_suspected(self._subjects):
-            await asyncio.sleep(CRASH_DETECTION_S)
-
     def _record_failure(self, ended: EndedSend) -> Refusal:
         """Record a send that did not answer the request."""
         target, end = ended.opened.target, ended.end
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -3,7 +3,6 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
-from enum import Enum
 from functools import partial
 from typing import Any
 
@@ -37,7 +36,8 @@
 from lacewing_daemon.direct._stream_relay import EventRelay
 from lacewing_daemon.direct._take_up import record_origin
 from lacewing_daemon.direct._target import Target
-from lacewing_daemon.direct._upstream_state import UpstreamState
+from lacewing_daemon.direct._try_entry import describe_try
+from lacewing_daemon.direct._try_entry import GivenUp
 from lacewing_daemon.direct.crashes._fingerprint import RequestSubjects
 
 _MS = 1000.0
@@ -61,19 +61,6 @@
 PLAIN_SILENT_S = 0.45
 
 
-class GivenUp(Enum):
-    """Name why a router ended a send; the value is logged.
-
-    SILENT: the upstream sent nothing on any stream. STALLED: the stream had
-    no event for too long. RESUMED: the earlier run of the stream went on.
-    """
-
-    NO = ''
-    SILENT = 'upstream_silent'
-    STALLED = 'stalled'
-    RESUMED = 'earlier_run_resumed'
-
-
 @dataclass(frozen=True)
 class SendResult:
     """Hold how a send ended and its entry in the request log.
@@ -492,33 +479,14 @@
         return reported_version > (self._target.weights or 0)
 
     def _log_entry(self, end: AttemptEnd) -> Try:
-        target = self._target
-        is_superseded = target.superseded_ms > 0
         first_ms = -1
         if self._first_event_s is not None:
             first_ms = int((self._first_event_s - self._start_s) * _MS)
-        return Try(
-            upstream=self._state.upstream.upstream_id,
-            verdict=end.verdict.value,
-            reason='' if end.verdict is Verdict.RAN else end.reason.value,
-            ms=int((time.monotonic() - self._start_s) * _MS),
-            status=0 if end.head is None else end.head.status,
-            expected_ms=int(target.first_event_ms),
-            waits_ms=int(target.wait_ms),
-            others=self._other_requests,
-            weights=target.weights or 0,
-            named=target.released_version if is_superseded else 0,
-            old_ms=int(target.superseded_ms),
-            first_ms=first_ms,
-            tokens_per_ms=round(target.tokens_per_ms, 1),
-            went_on=target.is_continuation,
-            copy=_id_of(target.copy_to),
-            ended='' if end.body_end is None else end.body_end.value,
-            partial_bytes=end.partial_bytes,
-            software=self._state.upstream.software_name,
-            given_up=self._given_up.value,
+        return describe_try(
+            self._target,
+            end,
+            int((time.monotonic() - self._start_s) * _MS),
+            first_ms,
+            self._other_requests,
+            self._given_up,
         )
-
-
-def _id_of(state: UpstreamState | None) -> str:
-    return '' if state is None else state.upstream.upstream_id
