Say that silent upstreams' streams are moved, not aborted

Names and comments of the silence detector and of the check before a move still told of the interruption that handovers replaced. No change of behaviour; direct_silence, direct_pace and direct_moves pass.

--- a/packages/daemon/src/lacewing_daemon/direct/_next_target.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_next_target.py
@@ -170,10 +170,10 @@
         ``other_moves``: runs that are moved at the same moment and spend
         their retries after this check.
 
-        A stream is interrupted on suspicion alone: its engine may be alive
-        and would have continued. If the request then has no run, retry or
-        time left, or no upstream has capacity, the caller's answer is
-        aborted needlessly. All of these are therefore checked before.
+        That its upstream is lost is a suspicion. If the request then has no
+        run, retry or time left, or no upstream has capacity, asking others
+        would cost retries for nothing, and a run that can't go on beside
+        another one would be lost. All of these are therefore checked before.
         """
         now_s = time.monotonic()
         budget = self._fleet.cluster_state.retry_budget(admitted.service)
@@ -204,8 +204,7 @@
         for state in self._fleet.cluster_state.upstreams_of(
             admitted.service.name
         ):
-            # Whether it takes another request is known only once it is asked
-            # for, and the run would be broken off by then.
+            # Whether it takes another request is known only once it is asked.
             if limiter.is_limited(state.upstream):
                 excluded.add(state.upstream.upstream_id)
         tried_ids = self._progress.tried_ids
--- a/packages/daemon/src/lacewing_daemon/direct/_silence_detector.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_silence_detector.py
@@ -1,4 +1,4 @@
-"""Abort streams whose upstream has fallen silent as a whole."""
+"""Move streams whose upstream has fallen silent as a whole."""
 
 import asyncio
 import time
@@ -30,7 +30,7 @@
 # When callers abandon streams of routes that set nothing else.
 DEFAULT_ABANDON_AFTER_S = 2.0
 
-Abort = Callable[[], None]
+Move = Callable[[], None]
 
 _log = get_log(Part.LINK)
 
@@ -39,15 +39,15 @@
 class WatchedStream:
     """Describe a stream that has started.
 
-    ``abort`` interrupts it. ``can_retry``: it may start again elsewhere;
-    otherwise it has a copy to continue from. ``max_event_gap_s``: the gap
-    between two events that its route allows, 0 if unset;
-    ``abandon_after_s``: the gap after which its caller abandons it.
+    ``move`` lets another upstream go on with it. ``can_retry``: it may start
+    again elsewhere; otherwise it has a copy to continue from.
+    ``max_event_gap_s``: the gap between two events that its route allows, 0
+    if unset; ``abandon_after_s``: the gap after which its caller abandons it.
     ``can_move`` returns whether it could be finished elsewhere, given the
     number of streams that move before it.
     """
 
-    abort: Abort
+    move: Move
     can_retry: bool
     max_event_gap_s: float
     abandon_after_s: float
@@ -74,7 +74,7 @@
 
 
 class SilenceDetector:
-    """Track the started streams of each upstream and abort stalled ones.
+    """Track the started streams of each upstream and move stalled ones.
 
     An engine sends all its streams their next events together, every few
     steps. One that lost power sends none, and its connections show that
@@ -82,7 +82,7 @@
     fall silent at once show it sooner, and each can continue elsewhere.
 
     The detection can be wrong. Only streams that can continue elsewhere are
-    tracked, and each is checked again before it is aborted: one at its last
+    tracked, and each is checked again before it is moved: one at its last
     attempt, or one that no other upstream has capacity for, would lose its
     answer. While this router receives no data from any other upstream
     either, its own link is the likelier cause, as when a narrow link is
@@ -92,16 +92,16 @@
 
     def __init__(self, min_silence_s: float) -> None:
         self._min_silence_s = min_silence_s
-        self._open: dict[UpstreamState, dict[Abort, WatchedStream]] = {}
-        self._retry_at_s: dict[Abort, float] = {}
-        self._aborted: WeakSet[UpstreamState] = WeakSet()
+        self._open: dict[UpstreamState, dict[Move, WatchedStream]] = {}
+        self._retry_at_s: dict[Move, float] = {}
+        self._suspected: WeakSet[UpstreamState] = WeakSet()
         self._last_data_s = 0.0
         self._all_silent_until_s = 0.0
 
     def stream_opened(
         self,
         state: UpstreamState,
-        abort: Abort,
+        move: Move,
         can_retry: bool,
         max_event_gap_s: float = 0.0,
         abandon_after_s: float = DEFAULT_ABANDON_AFTER_S,
@@ -109,17 +109,17 @@
     ) -> None:
         """Track a stream that has started."""
         stream = WatchedStream(
-            abort, can_retry, max_event_gap_s, abandon_after_s, can_move
+            move, can_retry, max_event_gap_s, abandon_after_s, can_move
         )
-        self._open.setdefault(state, {})[abort] = stream
+        self._open.setdefault(state, {})[move] = stream
 
-    def stream_closed(self, state: UpstreamState, abort: Abort) -> None:
+    def stream_closed(self, state: UpstreamState, move: Move) -> None:
         """Stop tracking a stream; it may never have started."""
         streams = self._open.get(state)
         if streams is None:
             return
-        streams.pop(abort, None)
-        self._retry_at_s.pop(abort, None)
+        streams.pop(move, None)
+        self._retry_at_s.pop(move, None)
         if not streams:
             del self._open[state]
 
@@ -132,9 +132,9 @@
         state.data_received(now_s)
         if silent_s * SILENCE_MARGIN < self._min_silence_s:
             return
-        was_aborted = state in self._aborted
-        self._aborted.discard(state)
-        if not was_aborted and len(self._open.get(state, ())) < MIN_STREAMS:
+        was_suspected = state in self._suspected
+        self._suspected.discard(state)
+        if not was_suspected and len(self._open.get(state, ())) < MIN_STREAMS:
             return
         if self._all_silent_until_s <= now_s - silent_s:
             # The other upstreams were not all silent meanwhile, as they are
@@ -148,7 +148,7 @@
             self.check(time.monotonic())
 
     def check(self, now_s: float) -> None:
-        """Abort the streams of upstreams that are silent."""
+        """Move the streams of upstreams that are silent."""
         moving = 0
         for state, streams in list(self._open.items()):
             silent_s = state.since_last_data_s(now_s)
@@ -159,27 +159,27 @@
             usual_s = state.silence_history.usual_silence_s(
                 now_s, state.speed_factor
             )
-            due: list[Abort] = []
+            due: list[Move] = []
             for stream in list(streams.values()):
                 if silent_s < stream.silence_limit_s(
                     self._min_silence_s, usual_s
                 ):
                     continue
                 if self._can_move(stream, len(due) + moving, now_s):
-                    due.append(stream.abort)
+                    due.append(stream.move)
             moving += len(due)
             if due:
-                self._abort_streams(state, due, silent_s)
+                self._move_streams(state, due, silent_s)
                 state.own_load.fell_silent(now_s)
 
     def _can_move(
         self, stream: WatchedStream, moving: int, now_s: float
     ) -> bool:
-        if now_s < self._retry_at_s.get(stream.abort, 0.0):
+        if now_s < self._retry_at_s.get(stream.move, 0.0):
             return False
         if stream.can_move(moving):
             return True
-        self._retry_at_s[stream.abort] = now_s + MOVE_RETRY_S
+        self._retry_at_s[stream.move] = now_s + MOVE_RETRY_S
         return False
 
     def _receives_from_others(
@@ -192,19 +192,19 @@
                 return True
         return False
 
-    def _abort_streams(
-        self, state: UpstreamState, aborts: list[Abort], silent_s: float
+    def _move_streams(
+        self, state: UpstreamState, moves: list[Move], silent_s: float
     ) -> None:
-        self._aborted.add(state)
+        self._suspected.add(state)
         SILENT_UPSTREAMS.inc()
         _log.warning(
             'An upstream fell silent.',
             upstream=state.upstream.upstream_id,
-            streams=len(aborts),
+            streams=len(moves),
             silent_ms=int(silent_s * 1000),
         )
-        for abort in aborts:
-            abort()
+        for move in moves:
+            move()
 
 
 # A run that can't be retried can continue only from its copy; its limit is
