--- a/features/steps/hostile_steps.py
+++ b/features/steps/hostile_steps.py
@@ -20,9 +20,10 @@
 from lacewing_daemon.direct import Upstream
 from lacewing_daemon.direct._attempt import Attempt
 from lacewing_daemon.direct._attempt import AttemptEnd
-from lacewing_daemon.direct._events import event_id
+from lacewing_daemon.direct._event_ids import event_id
 from lacewing_daemon.direct._events import EventSplitter
 from lacewing_daemon.direct._pool import ConnectionPool
+from lacewing_daemon.direct._upstream_state import UpstreamState
 from lacewing_platform import PlatformSite
 from lacewing_platform import PlatformWire
 from lacewing_platform_testing._server import complete_response
@@ -76,9 +77,9 @@
     for events, received_events, remainder in context.streams:
         assert received_events == events, (events, received_events)
         assert remainder == b'', remainder
-        assert [event_id(event) for event in received_events] == list(
-            range(len(received_events))
-        )
+        assert [event_id(event) for event in received_events] == [
+            str(number) for number in range(len(received_events))
+        ]
 
 
 @when('{count:d} responses are corrupted at random positions')
@@ -137,7 +138,13 @@
     attempt = Attempt(request, PlatformWire(), lambda head: None, None)
     upstream = Upstream('up', 'a', address, 'east', 4, False, {})
     return await attempt.run(
-        pool, upstream, Dispatch('up', 1.0), False, TIMEOUT_S, TIMEOUT_S, 4
+        pool,
+        UpstreamState(upstream),
+        Dispatch('up', 1.0),
+        False,
+        TIMEOUT_S,
+        TIMEOUT_S,
+        4,
     )
 
 
@@ -243,13 +250,21 @@
 def step_header_number(context: Context, header: str, value: str) -> None:
     """Decode a request, or a response, with this header."""
     wire = PlatformWire()
-    if header in ('Weight-Versions', 'Keep-Alive'):
-        name = PREFIX + header if header == 'Weight-Versions' else header
+    if header in (
+        'Weight-Versions',
+        'Keep-Alive',
+        'Server-Load',
+        'Connection',
+    ):
+        is_plain = header in ('Keep-Alive', 'Connection')
+        name = header if is_plain else PREFIX + header
         head = wire.read_reply(200, HTTPHeaders({name: value}))
-        found: object = head.weights
-        if header == 'Keep-Alive':
-            found = head.keep_alive_s
-        context.found = found
+        context.found = {
+            'Weight-Versions': head.weights,
+            'Keep-Alive': head.keep_alive_s,
+            'Connection': head.will_close,
+            'Server-Load': head.load and head.load.waiting,
+        }[header]
         return
     headers = HTTPHeaders({PREFIX + 'Model': 'tutor'})
     headers[PREFIX + 'Token-Usage'] = '1460,80'
--- a/packages/daemon/src/lacewing_daemon/direct/_attempt.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_attempt.py
@@ -11,6 +11,7 @@
 from tornado.httputil import HTTPHeaders
 
 from lacewing_daemon.direct._answer_end import BodyEnd
+from lacewing_daemon.direct._answer_end import has_body
 from lacewing_daemon.direct._answer_end import is_event_stream
 from lacewing_daemon.direct._answer_end import is_whole
 from lacewing_daemon.direct._call import CallerRequest
@@ -20,7 +21,7 @@
 from lacewing_daemon.direct._site import Dispatch
 from lacewing_daemon.direct._site import ReplyHead
 from lacewing_daemon.direct._site import Wire
-from lacewing_daemon.direct._upstream import Upstream
+from lacewing_daemon.direct._upstream_state import UpstreamState
 
 _SUCCESS = range(200, 300)
 # Interval at which an answer past its time limit is checked again.
@@ -37,12 +38,14 @@
     """State whether an upstream could be reached.
 
     REFUSED: no process listens at its address. UNREACHABLE: no connection
-    could be opened for another reason, such as a lost packet.
+    could be opened for another reason, such as a lost packet. WITHDRAWN: it
+    stopped taking requests before this one was sent.
     """
 
     CONNECTED = 'made'
     REFUSED = 'refused'
     UNREACHABLE = 'none'
+    WITHDRAWN = 'withdrawn'
 
 
 @dataclass(frozen=True)
@@ -84,7 +87,7 @@
         self._on_head = on_head
         self._on_events = on_events
         self._events: EventSplitter | None = None
-        self._after_event: int | None = None
+        self._after_event: str | None = None
         self._head: ReplyHead | None = None
         self._body: list[bytes] = []
         self._ended: asyncio.Future[None] = asyncio.Future()
@@ -95,7 +98,7 @@
     async def run(
         self,
         pool: ConnectionPool,
-        upstream: Upstream,
+        state: UpstreamState,
         dispatch: Dispatch,
         can_retry: bool,
         first_wait_s: float,
@@ -110,20 +113,29 @@
         ``should_abandon`` is called with the time waited, and again every
         ``RECHECK_INTERVAL_S``, until it returns true or a piece arrives.
         """
+        upstream = state.upstream
         try:
-            connection = await pool.acquire(upstream, not can_retry)
+            connection = await pool.acquire(
+                upstream, not can_retry, self._request.request_id
+            )
         except ConnectionRefusedError:
             return _unreachable(Contact.REFUSED)
         except OSError:
             return _unreachable(Contact.UNREACHABLE)
         is_released = False
         try:
+            # Checked last: nothing is awaited between this and the sending.
+            if not state.takes_requests:
+                return _unreachable(Contact.WITHDRAWN)
             self._send(connection, dispatch)
             await self._wait_for_end(first_wait_s, gap_wait_s, should_abandon)
             end = self._classify()
+            # A second response without an id, sent late, would be taken for
+            # the one to the next request.
             if (
                 end.complete
                 and end.head is not None
+                and end.head.request_id
                 and not end.head.will_close
             ):
                 pool.release(
@@ -155,6 +167,10 @@
         """Store the status and the headers of the answer."""
         head = self._wire.read_reply(status, headers)
         self._head = head
+        length = headers.get('Content-Length')
+        if length is not None and not has_body(self._request.method, status):
+            # It can't be derived from a body as for other answers.
+            head.headers['Content-Length'] = length
         if (
             self._on_events is not None
             and _is_signed_success(head)
@@ -165,11 +181,11 @@
 
     async def on_data(self, piece: bytes) -> None:
         """Pass on the events that a piece completes; collect other pieces."""
+        self._last_piece_s = asyncio.get_running_loop().time()
         if self._events is None:
             self._body.append(piece)
             return
         assert self._head is not None and self._on_events is not None
-        self._last_piece_s = asyncio.get_running_loop().time()
         try:
             await self._on_events(self._head, self._events.feed(piece))
         except Exception as error:
@@ -188,6 +204,7 @@
         self._opened_s = connection.opened_s
         self._after_event = dispatch.after_event
         connection.send(
+            self._request.request_id,
             self._request.method,
             self._request.path,
             self._wire.forward(self._request, dispatch),
--- a/packages/daemon/src/lacewing_daemon/direct/_caller_reply.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_caller_reply.py
@@ -1,6 +1,7 @@
 """Write the answer to one caller."""
 
 import asyncio
+import time
 from http.client import responses
 
 from tornado.http1connection import HTTP1Connection
@@ -8,6 +9,8 @@
 from tornado.httputil import ResponseStartLine
 from tornado.iostream import StreamClosedError
 
+from lacewing_daemon.direct._answer_end import has_body
+
 
 class CallerGoneError(Exception):
     """Report that the caller closed its connection."""
@@ -18,13 +21,18 @@
 
     Without ``accepts_chunks`` only the close of the connection would end a
     stream, and its caller could not distinguish an abort from the end. It is
-    sent as one answer with a length, once it is complete.
+    sent as one answer with a length, once it is complete. ``method`` is that
+    of the request.
     """
 
     def __init__(
-        self, connection: HTTP1Connection, accepts_chunks: bool = True
+        self,
+        connection: HTTP1Connection,
+        accepts_chunks: bool = True,
+        method: str = 'GET',
     ) -> None:
         self._connection = connection
+        self._method = method
         self._accepts_chunks = accepts_chunks
         self._held_status = 0
         self._held_headers = HTTPHeaders()
@@ -33,6 +41,7 @@
         self._stopped = False
         self._has_started = False
         self._has_ended = False
+        self._written_s = 0.0
 
     @property
     def has_started(self) -> bool:
@@ -44,6 +53,11 @@
         """Return whether the answer is complete or was aborted."""
         return self._has_ended
 
+    @property
+    def written_s(self) -> float:
+        """Return when the last piece was written, by the monotonic clock."""
+        return self._written_s
+
     @property
     def stopped(self) -> bool:
         """Return whether the stop of this process closed the connection."""
@@ -69,6 +83,7 @@
 
     async def write(self, data: bytes) -> None:
         """Send a piece; wait until the connection accepts more data."""
+        self._written_s = time.monotonic()
         if not self._accepts_chunks:
             self._held_body.append(data)
             return
@@ -93,7 +108,7 @@
         self._has_started = True
         self._has_ended = True
         self._add_close_header(headers)
-        if 'Content-Length' not in headers:
+        if has_body(self._method, status) and 'Content-Length' not in headers:
             headers['Content-Length'] = str(len(body))
         written = self._connection.write_headers(
             _status_line(status), headers, body
--- a/packages/daemon/src/lacewing_daemon/direct/_next_target.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_next_target.py
@@ -1,7 +1,6 @@
 """Decide where a request is sent next, or that it is refused."""
 
 import time
-from dataclasses import dataclass
 from functools import partial
 from math import isinf
 
@@ -18,8 +17,8 @@
 from lacewing_daemon.direct._metrics import REPEATS_DENIED
 from lacewing_daemon.direct._placing import Placer
 from lacewing_daemon.direct._policy import LoadPolicy
+from lacewing_daemon.direct._progress import RequestProgress
 from lacewing_daemon.direct._target import Target
-from lacewing_daemon.direct._upstream import Software
 from lacewing_daemon.direct._upstream_state import UpstreamState
 from lacewing_daemon.direct.crashes._fingerprint import RequestSubjects
 from lacewing_daemon.direct.limits import Charge
@@ -29,10 +28,6 @@
 from lacewing_daemon.direct.queueing import QueueTurn
 
 _MS = 1000.0
-# Sends of one request; if all of them fail, the fleet is taken to be at
-# capacity. Refused ones are included until the answer has started: a request
-# without an answer can be refused, a started answer would be aborted.
-MAX_SENDS = 4
 # A started stream that all upstreams have refused is sent again at this
 # interval: fewer than ten sends per second.
 RESEND_INTERVAL_S = 0.125
@@ -44,50 +39,14 @@
 # its caller abandons it. The silence before the move has used up the rest.
 CAPACITY_WAIT_FRACTION = 0.35
 BUDGET_RETRY_AFTER_S = 1.0
+# A started stream waits for the retry budget until this fraction of the time
+# after which its caller abandons it has passed since its last event. The rest
+# is for the first event of the next upstream.
+BUDGET_WAIT_FRACTION = 0.85
 # An upstream of the software that began a stream may start again.
 NO_SOFTWARE_RETRY_S = 1.0
 
 
-@dataclass
-class RequestProgress:
-    """Count what was done for a request so far.
-
-    ``runs``: sends that may have run; ``refusals``: sends that did not.
-    ``refused_ids``: those of ``tried_ids`` that refused and did not run it.
-    ``continuation``: where an interrupted run goes on, None if it is not to.
-    ``software``: the version of upstreams' software that began the stream,
-    None before its first event.
-    """
-
-    sends: int = 0
-    runs: int = 0
-    refusals: int = 0
-    has_reached_upstream: bool = False
-    tried_ids: frozenset[str] = frozenset()
-    refused_ids: frozenset[str] = frozenset()
-    continuation: Target | None = None
-    software: Software | None = None
-
-    def may_send(self, has_started: bool) -> bool:
-        """Return whether a further send is within ``MAX_SENDS``.
-
-        ``has_started``: the caller has a part of the answer.
-        """
-        counted = self.sends - self.refusals if has_started else self.sends
-        return counted < MAX_SENDS
-
-    def add_refusal(self, upstream_id: str) -> None:
-        """Record that an upstream refused the request."""
-        self.tried_ids |= {upstream_id}
-        self.refused_ids |= {upstream_id}
-
-    def add_run(self, upstream_id: str) -> None:
-        """Record that the request may have run at an upstream."""
-        self.runs += 1
-        self.tried_ids |= {upstream_id}
-        self.refused_ids -= {upstream_id}
-
-
 class TargetChooser:
     """Choose the upstream of each send of one request."""
 
@@ -117,11 +76,20 @@
         return self._turn.stay
 
     async def choose(
-        self, admitted: Admitted, subjects: RequestSubjects, end_s: float
+        self,
+        admitted: Admitted,
+        subjects: RequestSubjects,
+        end_s: float,
+        may_wait: bool = True,
     ) -> Target | NoCapacity | Refusal:
-        """Return the target, NoCapacity to check again, or a refusal."""
+        """Return the target, NoCapacity to check again, or a refusal.
+
+        ``may_wait``: a started stream may wait for capacity and retries.
+        """
         while True:
             now_s = time.monotonic()
+            if may_wait and self._can_wait_for_budget(admitted, now_s):
+                return NoCapacity(BUDGET_RETRY_AFTER_S * _MS)
             left_ms = self._first_event_limit_ms(admitted, end_s, now_s)
             uses_queue = self._uses_queue(admitted)
             placed: Target | NoCapacity | Refusal = NoCapacity(0.0)
@@ -132,7 +100,9 @@
             if isinstance(placed, Refusal):
                 return placed
             if isinstance(placed, NoCapacity):
-                if self._can_wait_for_capacity(admitted, placed, now_s):
+                if may_wait and self._can_wait_for_capacity(
+                    admitted, placed, now_s
+                ):
                     return placed
                 return self._refusal(admitted, placed)
             if await self._reserve(placed.state):
@@ -148,13 +118,14 @@
             if not budget.spend(
                 time.monotonic(),
                 self._fleet.cluster_state.router_count,
-                self._progress.runs > 0,
+                self._is_for_run,
             ):
                 self.refund()
                 REPEATS_DENIED.labels(admitted.service.name).inc()
+                spent = budget.describe(self._fleet.cluster_state.router_count)
                 return not_run(
                     Reason.NO_WORKER,
-                    'the retry budget is used up',
+                    f'the retry budget is used up: {spent}',
                     BUDGET_RETRY_AFTER_S,
                 )
         if uses_queue:
@@ -199,10 +170,10 @@
         ``other_moves``: runs that are moved at the same moment and spend
         their retries after this check.
 
-        A stream is interrupted on suspicion alone: its engine may be alive
-        and would have continued. If the request then has no run, retry or
-        time left, or no upstream has capacity, the caller's answer is
-        aborted needlessly. All of these are therefore checked before.
+        That its upstream is lost is a suspicion. If the request then has no
+        run, retry or time left, or no upstream has capacity, asking others
+        would cost retries for nothing, and a run that can't go on beside
+        another one would be lost. All of these are therefore checked before.
         """
         now_s = time.monotonic()
         budget = self._fleet.cluster_state.retry_budget(admitted.service)
@@ -233,14 +204,17 @@
         for state in self._fleet.cluster_state.upstreams_of(
             admitted.service.name
         ):
-            # Whether it takes another request is known only once it is asked
-            # for, and the run would be broken off by then.
+            # Whether it takes another request is known only once it is asked.
             if limiter.is_limited(state.upstream):
                 excluded.add(state.upstream.upstream_id)
+        tried_ids = self._progress.tried_ids
+        if self._reply.has_started and now_s >= self._resend_s:
+            # Those that refused the rest may have capacity again.
+            tried_ids -= self._progress.refused_ids
         placed = placer.place(
             self._request,
             admitted,
-            self._progress.tried_ids | excluded,
+            tried_ids | excluded,
             left_ms,
             now_s,
             target.state.upstream.software
@@ -249,6 +223,11 @@
         )
         return not isinstance(placed, NoCapacity)
 
+    @property
+    def _is_for_run(self) -> bool:
+        """Return whether the next send is for a run that may be lost."""
+        return self._progress.runs > 0 or self._reply.has_started
+
     @property
     def _is_first_retry(self) -> bool:
         """Return whether another upstream is tried without waiting."""
@@ -429,6 +408,22 @@
             self._capacity_wait_end_s = now_s + wait_s
         return now_s < self._capacity_wait_end_s
 
+    def _can_wait_for_budget(self, admitted: Admitted, now_s: float) -> bool:
+        """Return whether a started stream waits until a retry is left.
+
+        Each router has an equal part of the fleet's budget, and one refusal
+        may use it up, while the caller waits for the stream for seconds.
+        """
+        if not self._reply.has_started:
+            return False
+        wait_s = admitted.route.abandon_after_s * BUDGET_WAIT_FRACTION
+        if now_s >= self._reply.written_s + wait_s:
+            return False
+        cluster_state = self._fleet.cluster_state
+        return not cluster_state.retry_budget(admitted.service).allows(
+            now_s, cluster_state.router_count, True
+        )
+
     def _first_event_limit_ms(
         self, admitted: Admitted, end_s: float, now_s: float
     ) -> float:
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -3,6 +3,8 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
+from typing import Any
 
 from lacewing_common.log_lines import BrokenRun
 from lacewing_common.log_lines import Try
@@ -20,6 +22,7 @@
 from lacewing_daemon.direct._first_event import record_engine_event
 from lacewing_daemon.direct._first_event import record_first_event
 from lacewing_daemon.direct._fleet import Fleet
+from lacewing_daemon.direct._handover import Handover
 from lacewing_daemon.direct._metrics import ATTEMPTS
 from lacewing_daemon.direct._metrics import BODY_ENDS
 from lacewing_daemon.direct._metrics import FIRST_SECONDS
@@ -30,10 +33,11 @@
 from lacewing_daemon.direct._site import ReplyHead
 from lacewing_daemon.direct._site import UpstreamLoad
 from lacewing_daemon.direct._site import Wire
-from lacewing_daemon.direct._stream_relay import StreamRelay
+from lacewing_daemon.direct._stream_relay import EventRelay
 from lacewing_daemon.direct._take_up import record_origin
 from lacewing_daemon.direct._target import Target
-from lacewing_daemon.direct._upstream_state import UpstreamState
+from lacewing_daemon.direct._try_entry import describe_try
+from lacewing_daemon.direct._try_entry import GivenUp
 from lacewing_daemon.direct.crashes._fingerprint import RequestSubjects
 
 _MS = 1000.0
@@ -77,7 +81,8 @@
     state of the upstream from the answer. ``can_move`` returns whether the
     request could be finished at another upstream, given the number of other
     requests that move at the same moment. ``subjects`` are what a crash under
-    it may be attributed to.
+    it may be attributed to. ``handover`` moves the stream once it has events;
+    without one, its run is ended before another upstream is asked.
     """
 
     def __init__(
@@ -90,8 +95,10 @@
         target: Target,
         can_move: Callable[[int], bool],
         subjects: RequestSubjects,
+        handover: Handover[Any] | None = None,
     ) -> None:
         self._fleet = fleet
+        self._handover = handover
         self._wire = wire
         self._placer = placer
         self._request = request
@@ -105,6 +112,10 @@
         self._first_event_s: float | None = None
         self._slowdown: float | None = None
         self._is_own_answer = True
+        self._given_up = GivenUp.NO
+        self._has_events = False
+        self._relay: EventRelay | None = None
+        self._attempt: Attempt | None = None
         self._other_requests = self._state.other_requests(self._start_s)
         self._copy_tokens = 0
         if target.copy_to is not None and request.prompt is not None:
@@ -118,21 +129,29 @@
             target.kv_tokens,
         )
 
-    def unfinished(self, reason: Reason) -> Try:
+    def unfinished(
+        self, reason: Reason, given_up: GivenUp = GivenUp.NO
+    ) -> Try:
         """Return the log entry of a send that was abandoned."""
+        self._given_up = given_up
         return self._log_entry(AttemptEnd(Verdict.MAY_HAVE_RUN, reason))
 
-    async def run(self, relay: StreamRelay, end_s: float) -> SendResult:
+    async def run(self, relay: EventRelay, end_s: float) -> SendResult:
         """Send the request, relay a stream, and return how it ended."""
         self._record_sent_parts()
         is_streaming = self._admitted.route.is_streaming
+        self._relay = relay
 
         async def on_events(head: ReplyHead, events: list[bytes]) -> None:
             self._fleet.silence_detector.data_received(
                 self._state, time.monotonic()
             )
-            if self._first_event_s is None and self._can_continue:
-                self._watch(attempt)
+            if not await self._is_kept():
+                return
+            if events and not self._has_events:
+                self._has_events = True
+                if self._can_continue:
+                    self._watch()
             self._record_first_event()
             if events and not relay.has_started:
                 record_origin(
@@ -144,7 +163,9 @@
             await relay.forward(head, events)
 
         def should_abandon(waited_s: float) -> bool:
-            return self._should_abandon(waited_s, relay.has_started)
+            if not self._should_abandon(waited_s, relay.has_started):
+                return False
+            return self._leave(GivenUp.STALLED)
 
         attempt = Attempt(
             self._request,
@@ -152,6 +173,7 @@
             self._learn,
             on_events if is_streaming else None,
         )
+        self._attempt = attempt
         self._abort = attempt.abort
         self._guard.run_opened(self._subjects, self._abort)
         left_s = end_s - self._start_s
@@ -164,7 +186,7 @@
         try:
             end = await attempt.run(
                 self._fleet.pool,
-                self._state.upstream,
+                self._state,
                 self._dispatch(left_s, relay.last_event),
                 self._admitted.route.can_retry,
                 first_wait_s,
@@ -177,7 +199,7 @@
         finally:
             self._guard.run_closed(self._subjects, self._abort)
             self._fleet.silence_detector.stream_closed(
-                self._state, attempt.abort
+                self._state, self._leave_silent
             )
             if self._target.copy_to is not None:
                 self._target.copy_to.close_copy(self._copy_tokens)
@@ -196,31 +218,60 @@
             self._admitted.route.can_retry or self._target.copy_to is not None
         )
 
-    def _watch(self, attempt: Attempt) -> None:
+    def _watch(self) -> None:
         route = self._admitted.route
         self._fleet.silence_detector.stream_opened(
             self._state,
-            attempt.abort,
+            self._leave_silent,
             route.can_retry,
             route.max_event_gap_s,
             route.abandon_after_s,
             self._can_move,
         )
 
+    async def _is_kept(self) -> bool:
+        """Return whether the run goes on here; a successor is ended then."""
+        if self._handover is None or not self._handover.has_begun:
+            return True
+        return await self._handover.keep_run()
+
+    def _leave_silent(self) -> None:
+        self._leave(GivenUp.SILENT)
+
+    def _leave(self, reason: GivenUp) -> bool:
+        """Let another upstream go on; return whether the run has ended."""
+        if self._handover is None or not self._has_forwarded:
+            self._end_run(reason)
+            return True
+        self._handover.begin(partial(self._end_run, reason))
+        return False
+
+    @property
+    def _has_forwarded(self) -> bool:
+        """Return whether the caller has events of this run."""
+        if self._relay is None or not self._has_events:
+            return False
+        return self._relay.has_started
+
+    def _end_run(self, reason: GivenUp) -> None:
+        self._given_up = reason
+        if self._attempt is not None:
+            self._attempt.abort()
+
     def _should_abandon(self, waited_s: float, has_started: bool) -> bool:
         """Return whether to abandon an answer on which no data arrives.
 
         An upstream that prefills long prompts or has preempted a run
-        continues seconds later. A started stream that can't be finished at
-        another upstream is therefore kept until the deadline or until the
-        caller disconnects: abandoning it would abort an answer that would
-        have continued.
+        continues seconds later, and plain ones differ in speed. A run that
+        can't be finished at another upstream is therefore kept until the
+        deadline or until the caller disconnects: abandoning it would lose an
+        answer that would have come.
         """
         route = self._admitted.route
+        if not self._can_move(0):
+            return False
         if not route.is_streaming:
             return True
-        if has_started and not self._can_move(0):
-            return False
         if waited_s >= route.abandon_after_s * STREAM_MOVE_FRACTION:
             return True
         return (
@@ -261,9 +312,9 @@
         """Record a first event of a contended service.
 
         The models keep figures by id, so a first event of another upstream
-        or of an incarnation that was replaced is dropped.
+        or of an incarnation that was replaced or removed is dropped.
         """
-        if self._state.replaced or not self._is_own_answer:
+        if not self._state.is_listed or not self._is_own_answer:
             return
         service = self._admitted.service.name
         upstream_id = self._state.upstream.upstream_id
@@ -300,7 +351,7 @@
             return
         now_s = time.monotonic()
         elapsed_ms = (now_s - self._first_event_s) * _MS
-        if self._is_contended and not self._state.replaced:
+        if self._is_contended and self._state.is_listed:
             self._fleet.cluster_state.engine_models(
                 self._admitted.service.name
             ).record_run(
@@ -323,7 +374,7 @@
             self._target, prompt, engine, self._start_s
         )
 
-    def _dispatch(self, left_s: float, after_event: int | None) -> Dispatch:
+    def _dispatch(self, left_s: float, after_event: str | None) -> Dispatch:
         target = self._target
         team = self._admitted.team
         return Dispatch(
@@ -400,7 +451,7 @@
             return
         if end.verdict is Verdict.MAY_HAVE_RUN:
             self._state.record_failure(now_s)
-            if end.connection_broken:
+            if end.connection_broken and not self._state.removed:
                 self._report_interrupted_run(end)
             return
         if end.contact is Contact.REFUSED:
@@ -428,32 +479,14 @@
         return reported_version > (self._target.weights or 0)
 
     def _log_entry(self, end: AttemptEnd) -> Try:
-        target = self._target
-        is_superseded = target.superseded_ms > 0
         first_ms = -1
         if self._first_event_s is not None:
             first_ms = int((self._first_event_s - self._start_s) * _MS)
-        return Try(
-            upstream=self._state.upstream.upstream_id,
-            verdict=end.verdict.value,
-            reason='' if end.verdict is Verdict.RAN else end.reason.value,
-            ms=int((time.monotonic() - self._start_s) * _MS),
-            status=0 if end.head is None else end.head.status,
-            expected_ms=int(target.first_event_ms),
-            waits_ms=int(target.wait_ms),
-            others=self._other_requests,
-            weights=target.weights or 0,
-            named=target.released_version if is_superseded else 0,
-            old_ms=int(target.superseded_ms),
-            first_ms=first_ms,
-            tokens_per_ms=round(target.tokens_per_ms, 1),
-            went_on=target.is_continuation,
-            copy=_id_of(target.copy_to),
-            ended='' if end.body_end is None else end.body_end.value,
-            partial_bytes=end.partial_bytes,
-            software=self._state.upstream.software_name,
+        return describe_try(
+            self._target,
+            end,
+            int((time.monotonic() - self._start_s) * _MS),
+            first_ms,
+            self._other_requests,
+            self._given_up,
         )
-
-
-def _id_of(state: UpstreamState | None) -> str:
-    return '' if state is None else state.upstream.upstream_id
