--- a/review/4/case.py
+++ b/review/4/case.py
@@ -23,6 +23,8 @@
 # The entry stands for so long.
 FOREIGN_S = 1.0
 FOREIGN_ID = 'another-writer'
+# No configuration names this service.
+FOREIGN_SERVICE = 'another-service'
 # An address that names no address: its port has more digits than any has.
 FOREIGN_ADDRESS = '127.0.0.1:' + '1' * 5000
 
@@ -71,7 +73,11 @@
     ]
     await asyncio.sleep(STABILITY_S)
     if has_trouble:
-        entry = {**workers[0].store_entry(), 'Address': FOREIGN_ADDRESS}
+        entry = {
+            **workers[0].store_entry(),
+            'Service': FOREIGN_SERVICE,
+            'Address': FOREIGN_ADDRESS,
+        }
         store.put('servers', FOREIGN_ID, entry)
         record.write('another writer adds an entry that names no address')
         await asyncio.sleep(FOREIGN_S)
