Leave out entries whose address has a port of thousands of digits

Cause: parse_address converted any text of decimal digits. Python refuses to convert more than 4,300 of them with a ValueError, which is neither a SettingsError nor a decode error. It left the decoder of the entry, the read of the collection and the task that watches it, which ended for good.

"A number of an entry has thousands of digits" failed for Address on the code before and passed for the other fields, whose decoder has a bound of its own; "Entries with fields that are missing or invalid" failed with the new rows: a port of "000080", of Arabic digits, or a host in brackets was taken for an address.

Change: a port has one to five ASCII digits, brackets are taken off in pairs only, and an entry's address must be written as it is sent to. Ruled out by runs: Slots, Sequence, born and versions of that length.

That the task ended for good is the other half of the cause, which this commit does not mend.

--- a/features/direct_foreign.feature
+++ b/features/direct_foreign.feature
@@ -31,6 +31,9 @@
         | Address         | "127.0.0.1:0"                     |
         | Address         | "127.0.0.1:x"                     |
         | Address         | "127.0.0.1:99999"                 |
+        | Address         | "127.0.0.1:000080"                |
+        | Address         | "127.0.0.1:٨٠"                    |
+        | Address         | "[127.0.0.1]:80"                  |
         | Address         | "127.0.0.1:80\r\nX: y"            |
         | Address         | "host.example:80"                 |
         | Zone            | null                              |
@@ -101,6 +104,22 @@
       Then an upstream that registers afterwards is used
       And a router that starts now knows it too
 
+    Scenario Outline: A number of an entry has thousands of digits
+      # Guards against a router that follows upstreams no more, or doesn't
+      # become ready: the conversion of that many digits fails with an error
+      # of its own.
+      When an entry is written whose <field> has 5000 digits
+      Then an upstream that registers afterwards is used
+      And a router that starts now knows it too
+
+      Examples:
+        | field    |
+        | Address  |
+        | Slots    |
+        | Sequence |
+        | born     |
+        | Models   |
+
   Rule: Objects of other writers block no operation
 
     Background:
--- a/features/steps/foreign_steps.py
+++ b/features/steps/foreign_steps.py
@@ -80,6 +80,19 @@
         _write(context, msgspec.Raw(data))
 
 
+@when('an entry is written whose {field} has {count:d} digits')
+def step_digits(context: Context, field: str, count: int) -> None:
+    """Write the number in place of a port, a version or the whole field."""
+    entry = _decoy(context).store_entry()
+    number = '1' * count
+    replaced = {
+        'Address': f'"127.0.0.1:{number}"',
+        'Models': f'[{{"Name": "{MODEL}", "Version": {number}}}]',
+    }
+    entry[field] = msgspec.Raw(replaced.get(field, number).encode())
+    _write(context, msgspec.Raw(msgspec.json.encode(entry)))
+
+
 @when('upstream "{name}" reports an undefined state')
 def step_undefined_state(context: Context, name: str) -> None:
     """Write its entry with a state that is not defined."""
--- a/packages/common/src/lacewing_common/settings.py
+++ b/packages/common/src/lacewing_common/settings.py
@@ -1,5 +1,6 @@
 """Read and validate the JSON settings of a daemon."""
 
+import re
 from enum import Enum
 from ipaddress import ip_address
 from pathlib import Path
@@ -16,6 +17,7 @@
     """Report the invalid field, the expected value and the actual one."""
 
 
+_PORT = re.compile('[0-9]{1,5}')
 _PORT_LIMIT = 65536
 _PUBLIC_KEY_HEX_DIGITS = 64
 _HEX_DIGITS = frozenset('0123456789abcdef')
@@ -156,8 +158,10 @@
 def parse_address(text: str) -> Address:
     """Parse ``ip:port`` or ``[ip]:port``; raise SettingsError if invalid."""
     host, colon, port = text.rpartition(':')
-    host = host.strip('[]')
-    if not colon or not port.isdecimal() or int(port) >= _PORT_LIMIT:
+    if host.startswith('[') and host.endswith(']'):
+        host = host[1:-1]
+    # int() raises ValueError for a text of thousands of digits.
+    if not colon or _PORT.fullmatch(port) is None or int(port) >= _PORT_LIMIT:
         raise _invalid_address(text)
     try:
         ip_address(host)
