Leave out records of the system's own kinds that are nested too deeply

What callers saw: beside one crash record or one record of software versions by another writer, no router that starts becomes ready; running routers learn of no further crash. Beside such a lease record no router holds the lease, so named weights are not loaded.

Cause: as for a port of thousands of digits, the decoder reports some texts with an error of its own, here RecursionError, which only the readers of platform/ expected. It ended the watch of crashes, the keeper of software versions and the planner.

"A record of another writer is nested too deeply" failed before for crash, software and lease, passed for router, and passes for all four now.

Change: lacewing_common.decode_errors names the errors of decoders, and all readers of other processes' documents in common and daemon use it, agents too.

--- a/features/direct_foreign.feature
+++ b/features/direct_foreign.feature
@@ -167,6 +167,21 @@
         | garbage                                                        |
         | 5                                                              |
 
+    Scenario Outline: A record of another writer is nested too deeply
+      # Guards against a router that does not become ready, or never holds the
+      # lease: decoders report such a text with an error of its own.
+      Given a too deeply nested <record> record of another writer
+      And a direct router
+      Then all routers become ready
+      And one of them soon holds the lease
+
+      Examples:
+        | record   |
+        | crash    |
+        | software |
+        | lease    |
+        | router   |
+
     Scenario: Invalid entries are not counted as routers
       # Guards against refused requests: each router takes its fraction of what
       # all routers share, which is too small if entries of other writers count
--- a/features/steps/foreign_steps.py
+++ b/features/steps/foreign_steps.py
@@ -21,6 +21,14 @@
 APPLY_DELAY_S = 0.5
 # Deeper than the nesting limit of any decoder used here.
 NESTING_DEPTH = 100_000
+RECORD_DEPTH = 5000
+# Kinds and names of objects that routers write.
+RECORDS = {
+    'crash': ('lacewing-crashes', 'odd'),
+    'software': ('lacewing-software', 'models'),
+    'lease': ('lacewing-leases', 'weights'),
+    'router': ('lacewing-routers', 'odd'),
+}
 
 
 def _decoy(context: Context) -> FakeUpstream:
@@ -223,6 +231,31 @@
     bench.on_loop(lambda: bench.store.put('lacewing-leases', 'weights', value))
 
 
+@given('a too deeply nested {record} record of another writer')
+def step_nested_record(context: Context, record: str) -> None:
+    """Write it as another writer would, under a name that is read."""
+    bench = direct_bench(context)
+    kind, name = RECORDS[record]
+    nested = '{"x":' * RECORD_DEPTH + '1' + '}' * RECORD_DEPTH
+    bench.on_loop(lambda: bench.store.put(kind, name, {'text': nested}))
+
+
+@then('all routers become ready')
+def step_become_ready(context: Context) -> None:
+    """Wait until the routers are ready."""
+    direct_bench(context).until_ready()
+
+
+@then('one of them soon holds the lease')
+def step_one_holds(context: Context) -> None:
+    """Wait for a holder of the lease."""
+    bench = direct_bench(context)
+    bench.until(
+        lambda: any(router._planner._holds_lease for router in bench.routers),
+        'a lease holder',
+    )
+
+
 @then('the router soon holds the lease as if another holder had just acted')
 def step_holds(context: Context) -> None:
     """Wait for the lease and check when another holder may have acted."""
--- a/features/steps/fuzzed_reads_steps.py
+++ b/features/steps/fuzzed_reads_steps.py
@@ -12,6 +12,7 @@
 from hypothesis import given as for_any
 from hypothesis import settings
 from hypothesis import strategies as draw
+from lacewing_common.decode_errors import DECODE_ERRORS
 from lacewing_daemon.direct import CallerRequest
 from lacewing_daemon.direct import Dispatch
 from lacewing_daemon.direct import Upstream
@@ -25,7 +26,6 @@
 from lacewing_daemon.direct._upstream_state import UpstreamState
 from lacewing_platform import PlatformWire
 from lacewing_platform._documents import decode_report
-from lacewing_platform._objects import DECODE_ERRORS
 from support.direct_bench import PREFIX
 from tornado.httputil import HTTPHeaders
 
--- a/packages/common/src/lacewing_common/audit/_entries.py
+++ b/packages/common/src/lacewing_common/audit/_entries.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from lacewing_common.decode_errors import DECODE_ERRORS
+
 
 class Action(Enum):
     """Name the kind of a recorded change."""
@@ -75,7 +77,7 @@
     """Decode a chunk; return None if it is malformed."""
     try:
         return msgspec.json.decode(value, type=Chunk)
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return None
 
 
--- a/packages/common/src/lacewing_common/bundles/_parts.py
+++ b/packages/common/src/lacewing_common/bundles/_parts.py
@@ -17,6 +17,7 @@
 from lacewing_common.bundle import Policies
 from lacewing_common.bundle import Service
 from lacewing_common.bundle import Team
+from lacewing_common.decode_errors import DECODE_ERRORS
 from lacewing_common.document import part_digest
 from lacewing_common.verdict import not_run
 from lacewing_common.verdict import Reason
@@ -137,7 +138,7 @@
     """
     try:
         content = _DECODER.decode(part)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         return _malformed(str(error))
     if _ENCODER.encode(_canonical_content(content)) != part:
         return _malformed('a part is not in its one order and encoding')
@@ -173,7 +174,7 @@
     """Decode a trust part."""
     try:
         return msgspec.json.decode(part, type=TrustPart)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         return _malformed(f'trust part: {error}')
 
 
--- a/packages/common/src/lacewing_common/bundles/_proof.py
+++ b/packages/common/src/lacewing_common/bundles/_proof.py
@@ -17,6 +17,7 @@
 from lacewing_common.bundles._sign_off import check_sign_offs
 from lacewing_common.bundles._sign_off import Roll
 from lacewing_common.bundles._sign_off import SignOff
+from lacewing_common.decode_errors import DECODE_ERRORS
 from lacewing_common.document import DocumentHead
 from lacewing_common.document import part_digest
 from lacewing_common.verdict import not_run
@@ -58,7 +59,7 @@
     """Decode the proof of a head without verifying it."""
     try:
         return msgspec.json.decode(head.proof, type=Proof)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         return _invalid(f'proof: {error}')
 
 
--- a/packages/common/src/lacewing_common/bundles/_read.py
+++ b/packages/common/src/lacewing_common/bundles/_read.py
@@ -12,6 +12,7 @@
 from lacewing_common.bundles._check import check_bundle
 from lacewing_common.bundles._problems import closest
 from lacewing_common.bundles._problems import Problem
+from lacewing_common.decode_errors import DECODE_ERRORS
 
 _ROOT = '$'
 
@@ -24,7 +25,7 @@
     """
     try:
         raw = msgspec.json.decode(text)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         return (Problem(_ROOT, f'expected JSON: {error}'),)
     problems = _unknown_fields(raw, Bundle, _ROOT)
     if not problems:
--- a/packages/common/src/lacewing_common/document_objects.py
+++ b/packages/common/src/lacewing_common/document_objects.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from lacewing_common.decode_errors import DECODE_ERRORS
 from lacewing_common.document import DocumentHead
 from lacewing_common.document import DocumentKind
 from lacewing_common.document import DocumentName
@@ -30,5 +31,5 @@
     """Decode the value of a head's object; None if it is malformed."""
     try:
         return msgspec.json.decode(value, type=DocumentHead)
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return None
--- a/packages/common/src/lacewing_common/plan.py
+++ b/packages/common/src/lacewing_common/plan.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from lacewing_common.decode_errors import DECODE_ERRORS
 from lacewing_common.document import Document
 from lacewing_common.document import DocumentHead
 from lacewing_common.document import DocumentKind
@@ -105,7 +106,7 @@
     try:
         text = decompressor.decompress(document.parts[0], _MAX_BYTES)
         plan = msgspec.json.decode(text, type=Plan)
-    except (zlib.error, msgspec.DecodeError) as error:
+    except (zlib.error, *DECODE_ERRORS) as error:
         return _reject(head, str(error))
     if plan_name(plan.service) != head.document:
         return _reject(head, f'it is for service {plan.service!r}')
--- a/packages/common/src/lacewing_common/platform_client.py
+++ b/packages/common/src/lacewing_common/platform_client.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from lacewing_common.backoff import Backoff
+from lacewing_common.decode_errors import DECODE_ERRORS
 from lacewing_common.platform_http import HttpAnswer
 from lacewing_common.platform_http import HttpCall
 from lacewing_common.platform_http import HttpClient
@@ -105,7 +106,7 @@
             return answer
         try:
             rows = msgspec.json.decode(answer.body, type=list[_NameRow])
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             return _malformed_error(f'a list of names: {error}')
         objects = []
         for row in rows:
@@ -119,7 +120,7 @@
             return answer
         try:
             return msgspec.json.decode(answer.body, type=tuple[Vm, ...])
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             return _malformed_error(f'a list of VMs: {error}')
 
     async def put(
--- a/packages/daemon/src/lacewing_daemon/_operators.py
+++ b/packages/daemon/src/lacewing_daemon/_operators.py
@@ -3,6 +3,7 @@
 from typing import Protocol
 
 import msgspec
+from lacewing_common.decode_errors import DECODE_ERRORS
 from lacewing_common.document import Document
 from lacewing_common.settings import Address
 from lacewing_common.settings import parse_address
@@ -122,7 +123,7 @@
             return
         try:
             document = msgspec.msgpack.decode(self.request.body, type=Document)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             self._refuse(_BAD_REQUEST, f'expected a document: {error}')
             return
         refusal = self._accept(document)
--- a/packages/daemon/src/lacewing_daemon/agent/_cache_follower.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_cache_follower.py
@@ -5,6 +5,7 @@
 
 import msgspec
 from lacewing_common.backoff import Backoff
+from lacewing_common.decode_errors import DECODE_ERRORS
 from lacewing_common.log import get_log
 from lacewing_common.log import Part
 
@@ -72,7 +73,7 @@
                 continue
             try:
                 self._take(_events.decode(line[len(_DATA) :]))
-            except (msgspec.DecodeError, ValueError):
+            except (*DECODE_ERRORS, ValueError):
                 # Counts as a gap: the next event's number tells.
                 _log.warning('a cache event could not be read')
 
@@ -144,5 +145,5 @@
         CACHE_SNAPSHOTS.inc()
         try:
             self._view.reset(_snapshots.decode(found))
-        except (msgspec.DecodeError, ValueError):
+        except (*DECODE_ERRORS, ValueError):
             _log.warning('a cache snapshot could not be read')
--- a/packages/daemon/src/lacewing_daemon/agent/_events.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_events.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 import msgspec
+from lacewing_common.decode_errors import DECODE_ERRORS
 from lacewing_common.wire import CacheReport
 
 from lacewing_daemon.agent._metrics import MISMATCHED
@@ -65,7 +66,7 @@
     """Read an answer's id and usage; None if it is not such a document."""
     try:
         return _documents.decode(text)
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return None
 
 
--- a/packages/daemon/src/lacewing_daemon/agent/_kv_client.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_kv_client.py
@@ -4,6 +4,7 @@
 
 import msgspec
 import pycurl
+from lacewing_common.decode_errors import DECODE_ERRORS
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPClientError
 from tornado.httpclient import HTTPRequest
@@ -101,7 +102,7 @@
         return None
     try:
         return msgspec.json.decode(found, type=kind)
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return None
 
 
--- a/packages/daemon/src/lacewing_daemon/agent/_watch.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_watch.py
@@ -6,6 +6,7 @@
 from typing import TypeVar
 
 import msgspec
+from lacewing_common.decode_errors import DECODE_ERRORS
 from lacewing_common.log import get_log
 from lacewing_common.log import Part
 from lacewing_common.wait_event import wait_event
@@ -169,5 +170,5 @@
         return None
     try:
         return msgspec.json.decode(found, type=kind)
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return None
--- a/packages/daemon/src/lacewing_daemon/claims/_document.py
+++ b/packages/daemon/src/lacewing_daemon/claims/_document.py
@@ -4,6 +4,7 @@
 from dataclasses import field
 
 import msgspec
+from lacewing_common.decode_errors import DECODE_ERRORS
 from lacewing_common.store import StoredObject
 
 from lacewing_daemon.claims._folded import Folded
@@ -44,7 +45,7 @@
     """Decode an object; None when it is no list of claims."""
     try:
         found = msgspec.msgpack.decode(stored.value, type=RangeDocument)
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return None
     folded = folded_from(found.folded)
     if folded is None:
--- a/packages/daemon/src/lacewing_daemon/direct/crashes/_crash_store.py
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_crash_store.py
@@ -11,6 +11,7 @@
 from random import Random
 
 import msgspec
+from lacewing_common.decode_errors import DECODE_ERRORS
 from lacewing_common.log import get_log
 from lacewing_common.log import Part
 from lacewing_common.store import MUST_NOT_EXIST
@@ -47,7 +48,7 @@
     """Decode a record from the store; return None if it is invalid."""
     try:
         return msgspec.json.decode(text, type=CrashRecord)
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return None
 
 
--- a/packages/daemon/src/lacewing_daemon/direct/exchange/_load_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/direct/exchange/_load_exchange.py
@@ -7,6 +7,7 @@
 from random import Random
 
 import msgspec
+from lacewing_common.decode_errors import DECODE_ERRORS
 from lacewing_common.log import get_log
 from lacewing_common.log import Part
 
@@ -178,7 +179,7 @@
     ) -> None:
         try:
             section.apply(sender, bytes(data), now_s)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             EXCHANGE_MESSAGES.labels('malformed').inc()
             logged_s = self._logged_s.get(section.name, float('-inf'))
             if now_s - logged_s < LOG_INTERVAL_S:
--- a/packages/daemon/src/lacewing_daemon/direct/origins/_version_records.py
+++ b/packages/daemon/src/lacewing_daemon/direct/origins/_version_records.py
@@ -13,6 +13,7 @@
 
 import msgspec
 import xxhash
+from lacewing_common.decode_errors import DECODE_ERRORS
 from lacewing_common.log import get_log
 from lacewing_common.log import Part
 from lacewing_common.store import MUST_NOT_EXIST
@@ -191,7 +192,7 @@
     def _apply(self, service: str, stored: StoredObject) -> bool:
         try:
             record = msgspec.json.decode(stored.value, type=VersionRecord)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             SOFTWARE_RECORDS.labels('unreadable').inc()
             _log.error(
                 'Left a record of software versions out.',
--- a/packages/daemon/src/lacewing_daemon/lease_record.py
+++ b/packages/daemon/src/lacewing_daemon/lease_record.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 import msgspec
+from lacewing_common.decode_errors import DECODE_ERRORS
 
 # Written if nobody ever acted, as JSON has no infinity.
 NEVER_ACTED_S = 3600.0
@@ -45,7 +46,7 @@
     """
     try:
         record = msgspec.json.decode(value, type=LeaseRecord)
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return None
     if not 0 < record.duration_s <= duration_s * _MAX_DURATION_FACTOR:
         return None
--- a/packages/daemon/src/lacewing_daemon/placement/_order_client.py
+++ b/packages/daemon/src/lacewing_daemon/placement/_order_client.py
@@ -6,6 +6,7 @@
 import msgspec
 from lacewing_common.curl import connect_once
 from lacewing_common.curl import CurlClient
+from lacewing_common.decode_errors import DECODE_ERRORS
 from lacewing_common.plan import HeldAdapter
 from lacewing_common.plan import HeldModel
 from tornado.curl_httpclient import CurlError
@@ -140,5 +141,5 @@
             if response.code != _OK:
                 return OrderFailed(f'status {response.code}')
             return msgspec.json.decode(response.body, type=OrderState)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             return OrderFailed(f'not a state: {error}')
