Restart background tasks that fail, and report each failure

Cause: Fleet.start, the planner, the guard against crashes, both limiters and the exchanges between routers started tasks that nothing watched but a callback that logs. In a task group, one failure also ended its siblings.

Each task begins from a known state: watchers read their collection anew, the planner has to take the lease again, writers take up what is pending. Tasks that end by themselves are held in a TaskSet, which reports their errors; six hand-made sets are gone. Beside it: a check of a crash that fails no longer keeps that upstream from being checked again, a record of software versions that a restore of the store has cleared is not removed twice, and a start counts as tried when reading these records fails.

--- a/packages/daemon/src/lacewing_daemon/direct/_collection_watcher.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_collection_watcher.py
@@ -177,7 +177,8 @@
         self._cache.on_change(callback)
 
     async def run(self) -> None:
-        """Watch the collection until cancelled."""
+        """Read the whole collection, then watch it until cancelled."""
+        self._read_anew()
         while True:
             await self._sleep(await self.step())
 
@@ -418,17 +419,21 @@
             return response.changed
         return dict(response.changed).items()
 
+    def _read_anew(self) -> None:
+        """Discard a position up to which changes may not be applied."""
+        self._revision = None
+        if self._confirmed_s is not None:
+            self._age.mark_unobserved_since(self._confirmed_s)
+
     def _handle_failure(self, error: StoreError, sent_s: float) -> None:
         # A second truncated response may contain changes that are larger
         # than the whole collection.
         truncated_again = self._disconnected and error.received > 0
-        self._revision = None
+        self._read_anew()
         if error.fault in _TRANSIENT_FAULTS and not truncated_again:
             self._observed.discard_unreliable(sent_s)
             self._revision = self._observed.last_reliable()
             self._may_repeat_changes = True
-        if self._confirmed_s is not None:
-            self._age.mark_unobserved_since(self._confirmed_s)
         if self._disconnected:
             return
         self._disconnected = True
--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -3,11 +3,13 @@
 import asyncio
 import time
 from collections.abc import Callable
+from functools import partial
 from random import Random
 
 from lacewing_common.log import get_log
 from lacewing_common.log import Part
 
+from lacewing_daemon.background import keep_all_running
 from lacewing_daemon.direct._attempt import Contact
 from lacewing_daemon.direct._cluster_state import ClusterState
 from lacewing_daemon.direct._cluster_state import ReleaseSource
@@ -236,7 +238,7 @@
         self._silence_detector = SilenceDetector(
             settings.policy.mute_ms / 1000
         )
-        self._tasks: list[asyncio.Task[None]] = []
+        self._running: asyncio.Task[None] | None = None
         self._config_watcher.on_change(self._apply_routing_config)
         self._upstream_watcher.on_change(self._apply_upstream)
         self._weights_watcher.on_change(self._apply_release)
@@ -363,25 +365,26 @@
 
     def start(self) -> None:
         """Start watching the store."""
-        for run in (
-            self._config_watcher.run(),
-            self._upstream_watcher.run(),
-            self._weights_watcher.run(),
-            self._crash_watcher.run(),
-            self._crash_guard.run(),
-            self._sweep(),
-            self._silence_detector.run(),
-            self._router_count.run(),
-            self._store_calls.run(),
-            self._limiters.teams.run(),
-            self._limiters.upstreams.run(),
-            self._stream_origins.run(),
-            self._version_records.run(),
-            self._run_peers(),
-        ):
-            task = asyncio.create_task(run)
-            task.add_done_callback(_log_failure)
-            self._tasks.append(task)
+        self._running = asyncio.create_task(
+            keep_all_running(
+                {
+                    'configuration': self._config_watcher.run,
+                    'upstreams': self._upstream_watcher.run,
+                    'weights': self._weights_watcher.run,
+                    'crashes': self._crash_watcher.run,
+                    'crash guard': self._crash_guard.run,
+                    'sweep': self._sweep,
+                    'silence': self._silence_detector.run,
+                    'routers': self._router_count.run,
+                    'store calls': self._store_calls.run,
+                    'team limits': self._limiters.teams.run,
+                    'upstream limits': self._limiters.upstreams.run,
+                    'stream origins': self._stream_origins.run,
+                    'software records': self._version_records.run,
+                    'peers': self._run_peers,
+                }
+            )
+        )
 
     async def deregister(self) -> None:
         """Mark the own entry, so that other routers stop counting it."""
@@ -389,8 +392,8 @@
 
     def close(self) -> None:
         """Stop watching the store and close idle connections."""
-        for task in self._tasks:
-            task.cancel()
+        if self._running is not None:
+            self._running.cancel()
         self._queues.close()
         self._crash_guard.close()
         self._stream_origins.close()
@@ -483,12 +486,18 @@
         self._limiters.connect(link)
         connect_origins(self._stream_origins, link)
         carrier = connect_exchange(link, self._load_exchange)
+        gossip = self._crash_guard.connect(link)
         try:
-            async with asyncio.TaskGroup() as tasks:
-                tasks.create_task(self._crash_guard.exchange(link))
-                tasks.create_task(self._load_exchange.run(carrier))
-                tasks.create_task(link.run())
+            await keep_all_running(
+                {
+                    'crash gossip': gossip.run,
+                    'load exchange': partial(self._load_exchange.run, carrier),
+                    'peer link': link.run,
+                }
+            )
         finally:
+            self._crash_guard.disconnect()
+            gossip.close()
             link.close()
 
     async def _sweep(self) -> None:
@@ -499,11 +508,6 @@
             self._limiters.upstreams.forget_old()
 
 
-def _log_failure(task: asyncio.Task[None]) -> None:
-    if not task.cancelled() and task.exception() is not None:
-        _log.error('A background task failed.', error=repr(task.exception()))
-
-
 async def _probe_connection(upstream: Upstream) -> Contact:
     """Probe whether an upstream accepts a connection."""
     try:
--- a/packages/daemon/src/lacewing_daemon/direct/_planner.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_planner.py
@@ -9,6 +9,8 @@
 from lacewing_common.log import get_log
 from lacewing_common.log import Part
 
+from lacewing_daemon.background import keep_running
+from lacewing_daemon.background import TaskSet
 from lacewing_daemon.direct._clock import boot_s
 from lacewing_daemon.direct._cluster_state import ClusterState
 from lacewing_daemon.direct._loading import EngineWeights
@@ -86,8 +88,8 @@
             WeakKeyDictionary()
         )
         self._busy: set[UpstreamState] = set()
-        self._tasks: set[asyncio.Task[None]] = set()
-        self._load_checks: set[asyncio.Task[None]] = set()
+        self._orders = TaskSet('load order')
+        self._load_checks = TaskSet('load check')
         self._planning: asyncio.Task[None] | None = None
         self._stopping = False
         self._backoff = Backoff(
@@ -96,10 +98,13 @@
 
     def start(self) -> None:
         """Start the planning task."""
-        self._planning = asyncio.create_task(self.run())
+        self._planning = asyncio.create_task(keep_running('planner', self.run))
 
     async def run(self) -> None:
         """Plan until stopped."""
+        # Another router may hold the lease by now.
+        self._holds_lease = False
+        LEASE_HELD.set(0)
         while not self._stopping:
             await self.step()
             if not self._holds_lease:
@@ -124,8 +129,8 @@
         for the lease to lapse and then for orders that nobody sent.
         """
         self._stopping = True
-        for task in self._tasks | self._load_checks:
-            task.cancel()
+        self._orders.cancel()
+        self._load_checks.cancel()
         if self._planning is not None:
             await asyncio.wait((self._planning,), timeout=STOP_TIMEOUT_S)
             self._planning.cancel()
@@ -134,8 +139,7 @@
     def close(self) -> None:
         """Stop at once, without releasing the lease."""
         self._stopping = True
-        for task in self._load_checks:
-            task.cancel()
+        self._load_checks.cancel()
         if self._planning is not None:
             self._planning.cancel()
 
@@ -170,7 +174,7 @@
             return
         due = self._due()
         if not due:
-            if not self._tasks:
+            if not self._orders:
                 self._lease.end_acting()
             return
         if not await self._lease.begin_acting():
@@ -178,11 +182,9 @@
         self._renewed_s = self._clock()
         for state, released in due:
             self._busy.add(state)
-            task = asyncio.create_task(
+            self._orders.start(
                 self._load(state, released.model, released.version)
             )
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
 
     def _due(self) -> list[tuple[UpstreamState, ReleasedWeights]]:
         """Return the engines to order now, with the weights to load."""
@@ -245,11 +247,9 @@
             if verdict is OrderVerdict.ALREADY_LOADED:
                 state.update_weights(model, version)
             if verdict is OrderVerdict.ACCEPTED:
-                check = asyncio.create_task(
+                self._load_checks.start(
                     self._check_load(state, model, version)
                 )
-                self._load_checks.add(check)
-                check.add_done_callback(self._load_checks.discard)
             if verdict in (OrderVerdict.BUSY, OrderVerdict.OTHER_INCARNATION):
                 # The engine carries out another order, or one side does not
                 # know the new incarnation yet; ordered again at the next
--- a/packages/daemon/src/lacewing_daemon/direct/crashes/_crash_store.py
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_crash_store.py
@@ -102,11 +102,16 @@
 
     async def run(self) -> None:
         """Write pending records until cancelled."""
+        if self._pending:
+            self._has_pending.set()
         while True:
             await self._has_pending.wait()
             self._has_pending.clear()
             while self._pending:
-                if not await self._write(next(iter(self._pending))):
+                incarnation = next(iter(self._pending))
+                # Moved to the end, so that it delays no other record.
+                self._pending[incarnation] = self._pending.pop(incarnation)
+                if not await self._write(incarnation):
                     await self._wait_for_retry()
 
     async def sweep(self) -> None:
--- a/packages/daemon/src/lacewing_daemon/direct/crashes/_detector.py
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_detector.py
@@ -11,6 +11,7 @@
 from lacewing_common.log import Part
 from lacewing_common.log_lines import BrokenRun
 
+from lacewing_daemon.background import TaskSet
 from lacewing_daemon.direct._attempt import Contact
 from lacewing_daemon.direct._metrics import UPSTREAM_CRASHES
 from lacewing_daemon.direct._upstream import Upstream
@@ -48,7 +49,7 @@
         self._on_crash = on_crash
         self._clock_ns = clock_ns
         self._broken_runs: dict[UpstreamIncarnation, list[BrokenRun]] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = TaskSet('crash check')
 
     def run_broken(
         self,
@@ -65,16 +66,11 @@
         if len(runs) > 1:
             return
         crashed_ms = self._clock_ns() // _NS_PER_MS
-        task = asyncio.create_task(
-            self._check(upstream, incarnation, crashed_ms)
-        )
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks.start(self._check(upstream, incarnation, crashed_ms))
 
     def close(self) -> None:
         """Cancel pending checks."""
-        for task in self._tasks:
-            task.cancel()
+        self._tasks.cancel()
 
     async def _check(
         self,
@@ -82,9 +78,11 @@
         incarnation: UpstreamIncarnation,
         crashed_ms: int,
     ) -> None:
-        await asyncio.sleep(COLLECT_WINDOW_S)
-        contact = await self._probe_connection(upstream)
-        runs = self._broken_runs.pop(incarnation)
+        try:
+            await asyncio.sleep(COLLECT_WINDOW_S)
+            contact = await self._probe_connection(upstream)
+        finally:
+            runs = self._broken_runs.pop(incarnation)
         if contact is Contact.CONNECTED:
             return
         gone = contact is Contact.REFUSED
--- a/packages/daemon/src/lacewing_daemon/direct/crashes/_gossip.py
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_gossip.py
@@ -8,6 +8,7 @@
 
 from grpclib.const import Handler
 
+from lacewing_daemon.background import TaskSet
 from lacewing_daemon.direct._metrics import CRASH_MESSAGES
 from lacewing_daemon.direct._peer_link import PeerLink
 from lacewing_daemon.direct._peer_link import unary
@@ -70,7 +71,7 @@
         self._random = random
         self._recent_callers: dict[str, None] = {}
         self._pending: list[tuple[CrashRecord, str]] = []
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = TaskSet('crash gossip')
 
     def __mapping__(self) -> dict[str, Handler]:
         """Return the handlers by method, for grpclib."""
@@ -95,16 +96,13 @@
     ) -> None:
         """Send records to a few peers, batched with those that follow."""
         if not self._pending:
-            task = asyncio.create_task(self._send_pending())
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._tasks.start(self._send_pending())
         for record in records:
             self._pending.append((record, sender))
 
     def close(self) -> None:
         """Cancel what is being sent."""
-        for task in self._tasks:
-            task.cancel()
+        self._tasks.cancel()
 
     async def _send_pending(self) -> None:
         await asyncio.sleep(BATCH_DELAY_S)
--- a/packages/daemon/src/lacewing_daemon/direct/crashes/_guard.py
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_guard.py
@@ -13,6 +13,7 @@
 from lacewing_common.log import Part
 from lacewing_common.log_lines import BrokenRun
 
+from lacewing_daemon.background import keep_all_running
 from lacewing_daemon.direct._attempt import Contact
 from lacewing_daemon.direct._collection_watcher import CollectionWatcher
 from lacewing_daemon.direct._metrics import BLOCKED_REQUESTS
@@ -45,6 +46,7 @@
 
 if TYPE_CHECKING:
     from lacewing_daemon.direct._peer_link import PeerLink
+    from lacewing_daemon.direct.crashes._gossip import CrashGossip
 
 AbortCallback = Callable[[], None]
 
@@ -182,13 +184,16 @@
 
     async def run(self) -> None:
         """Exchange records with the store until cancelled."""
-        async with asyncio.TaskGroup() as tasks:
-            tasks.create_task(self._crash_store.run())
-            tasks.create_task(self._crash_store.sweep())
-            tasks.create_task(self._expire())
+        await keep_all_running(
+            {
+                'crash writes': self._crash_store.run,
+                'crash sweep': self._crash_store.sweep,
+                'crash expiry': self._expire,
+            }
+        )
 
-    async def exchange(self, link: 'PeerLink') -> None:
-        """Exchange records over a link until cancelled."""
+    def connect(self, link: 'PeerLink') -> 'CrashGossip':
+        """Exchange records over a link from now on."""
         from lacewing_daemon.direct.crashes._gossip import CrashGossip
         from lacewing_daemon.direct.crashes._probe_service import (
             connect_probes,
@@ -205,11 +210,11 @@
         link.add_service(gossip)
         connect_probes(self._probe_grants, self._probes, link)
         self._broadcast = gossip.broadcast
-        try:
-            await gossip.run()
-        finally:
-            self._broadcast = None
-            gossip.close()
+        return gossip
+
+    def disconnect(self) -> None:
+        """Write records to the store instead, as no link is open."""
+        self._broadcast = None
 
     def close(self) -> None:
         """Cancel pending connection probes and calls for probes."""
--- a/packages/daemon/src/lacewing_daemon/direct/crashes/_probe_grants.py
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_probe_grants.py
@@ -1,6 +1,5 @@
 """Let one router decide who probes a blocked subject."""
 
-import asyncio
 from collections.abc import Callable
 from collections.abc import Sequence
 from collections.abc import Set
@@ -9,6 +8,7 @@
 from lacewing_common.log import get_log
 from lacewing_common.log import Part
 
+from lacewing_daemon.background import TaskSet
 from lacewing_daemon.direct._clock import boot_s
 from lacewing_daemon.direct.crashes._probes import ProbeSchedule
 from lacewing_daemon.direct.limits._keepers import Keepers
@@ -53,7 +53,7 @@
         self._caller: GrantCaller | None = None
         self._granted_until_s: dict[str, float] = {}
         self._asked_s: dict[str, float] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = TaskSet('probe grant')
 
     def connect(self, own_address: str, caller: GrantCaller) -> None:
         """Ask other routers from now on."""
@@ -85,17 +85,14 @@
 
     def close(self) -> None:
         """Cancel the calls under way."""
-        for task in self._tasks:
-            task.cancel()
+        self._tasks.cancel()
 
     def _request_grant(self, keeper: str, subject: str, now_s: float) -> None:
         asked_s = self._asked_s.get(subject)
         if asked_s is not None and now_s < asked_s + ASK_INTERVAL_S:
             return
         self._asked_s[subject] = now_s
-        task = asyncio.create_task(self._ask(keeper, subject))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks.start(self._ask(keeper, subject))
 
     async def _ask(self, keeper: str, subject: str) -> None:
         assert self._caller is not None
--- a/packages/daemon/src/lacewing_daemon/direct/exchange/_load_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/direct/exchange/_load_exchange.py
@@ -11,6 +11,7 @@
 from lacewing_common.log import get_log
 from lacewing_common.log import Part
 
+from lacewing_daemon.background import keep_running
 from lacewing_daemon.direct._metrics import EXCHANGE_BYTES
 from lacewing_daemon.direct._metrics import EXCHANGE_INTERVAL_SECONDS
 from lacewing_daemon.direct._metrics import EXCHANGE_MESSAGES
@@ -217,7 +218,9 @@
         for address in sorted(wanted - self._streams.keys()):
             stream = PeerStream(address, carrier, self._random)
             self._streams[address] = stream
-            self._tasks[address] = asyncio.create_task(stream.run())
+            self._tasks[address] = asyncio.create_task(
+                keep_running('peer stream', stream.run)
+            )
 
     async def _stop(self) -> None:
         """Close all streams and forget all senders."""
--- a/packages/daemon/src/lacewing_daemon/direct/limits/_upstreams.py
+++ b/packages/daemon/src/lacewing_daemon/direct/limits/_upstreams.py
@@ -14,6 +14,7 @@
 from dataclasses import replace
 from random import Random
 
+from lacewing_daemon.background import keep_all_running
 from lacewing_daemon.direct._metrics import LIMIT_MESSAGES
 from lacewing_daemon.direct._metrics import UPSTREAM_CHARGES
 from lacewing_daemon.direct._site import Unstated
@@ -132,9 +133,12 @@
 
     async def run(self) -> None:
         """Settle, and announce changes, until cancelled."""
-        async with asyncio.TaskGroup() as tasks:
-            tasks.create_task(self._limiter.run())
-            tasks.create_task(self._run_announcements())
+        await keep_all_running(
+            {
+                'upstream settlement': self._limiter.run,
+                'upstream announcements': self._run_announcements,
+            }
+        )
 
     def outgoing(self, keys: Iterable[str]) -> dict[str, StatedLimit]:
         """Return what is known of some limits."""
@@ -203,6 +207,8 @@
         self._has_changed.set()
 
     async def _run_announcements(self) -> None:
+        if self._unannounced:
+            self._has_changed.set()
         while True:
             await self._has_changed.wait()
             await asyncio.sleep(ANNOUNCE_DELAY_S)
--- a/packages/daemon/src/lacewing_daemon/direct/origins/_directory.py
+++ b/packages/daemon/src/lacewing_daemon/direct/origins/_directory.py
@@ -3,18 +3,17 @@
 import asyncio
 import time
 from collections.abc import Callable
-from collections.abc import Coroutine
 from collections.abc import Iterable
 from collections.abc import Sequence
 from dataclasses import dataclass
 from math import isinf
-from typing import Any
 from typing import Protocol
 from typing import TypeVar
 
 from lacewing_common.log import get_log
 from lacewing_common.log import Part
 
+from lacewing_daemon.background import TaskSet
 from lacewing_daemon.direct._metrics import ORIGIN_RECORDS
 from lacewing_daemon.direct._metrics import ORIGINS_SENT
 from lacewing_daemon.direct._metrics import SOFTWARE_OBSERVED_SECONDS
@@ -130,7 +129,7 @@
         self._calls: OriginCalls | None = None
         self._unsent: dict[bytes, StreamOrigin] = {}
         self._pending: dict[str, list[_Pending]] = {}
-        self._tasks: set[asyncio.Task[Any]] = set()
+        self._tasks = TaskSet('origin call')
 
     @property
     def history(self) -> SoftwareHistory:
@@ -232,8 +231,7 @@
 
     def close(self) -> None:
         """Cancel open calls."""
-        for task in self._tasks:
-            task.cancel()
+        self._tasks.cancel()
 
     def _candidates(self, key: bytes) -> tuple[str, ...]:
         addresses = tuple(self._peer_addresses())
@@ -263,7 +261,7 @@
         open_calls = set()
         for address in candidates:
             call = self._calls.find(address, question, FIND_TIMEOUT_S)
-            open_calls.add(self._start(call))
+            open_calls.add(self._tasks.start(call))
         return await self._collect(open_calls)
 
     async def _collect(
@@ -306,7 +304,7 @@
             queue.append(pending)
             return
         self._pending[address] = [pending]
-        self._start(self._send_queue(self._calls, address))
+        self._tasks.start(self._send_queue(self._calls, address))
 
     async def _send_queue(self, calls: OriginCalls, address: str) -> None:
         try:
@@ -324,12 +322,6 @@
         finally:
             del self._pending[address]
 
-    def _start(self, call: Coroutine[Any, Any, T]) -> asyncio.Task[T]:
-        task = asyncio.create_task(call)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
-
 
 def _is_settled(origin: StreamOrigin | UnknownOrigin) -> bool:
     """Return whether further answers can't tell more of a stream."""
--- a/packages/daemon/src/lacewing_daemon/direct/origins/_version_records.py
+++ b/packages/daemon/src/lacewing_daemon/direct/origins/_version_records.py
@@ -100,9 +100,11 @@
             await asyncio.sleep(START_INTERVAL_S)
         while True:
             delay_s = CHECK_INTERVAL_S
-            if not await self.update():
-                delay_s = RETRY_DELAY_S
-            self._has_tried = True
+            try:
+                if not await self.update():
+                    delay_s = RETRY_DELAY_S
+            finally:
+                self._has_tried = True
             await asyncio.sleep(delay_s)
 
     async def update(self) -> bool:
@@ -178,7 +180,8 @@
         )
         if isinstance(answer, StoreError):
             # Another router may have written, or this write took effect.
-            del self._stored[service]
+            # A restore of the store has cleared all of them.
+            self._stored.pop(service, None)
             SOFTWARE_RECORDS.labels('write_failed').inc()
             return False
         SOFTWARE_RECORDS.labels('written').inc()
