Keep a callback that fails from affecting other entries

What callers saw (scenarios only): after one error in a callback of a watcher, a key that was taken away stayed valid for as long as the router ran, and an upstream stayed in use by an entry that had been replaced.

Cause: the cache held the new value before its callbacks were called.

Change: an error of a callback is reported and affects its entry only. That entry counts as not applied: with a strict collection nothing is confirmed meanwhile, so keys go stale by their usual bound, and all callbacks are called for it again before the next call. An upstream whose entry can't be applied is dropped, as one that can't be read. Errors in callbacks for a restore of the store, a block of a request, a move of a stream, a message of the exchange and a new count of routers no longer keep the others from being called.

--- a/features/direct_tasks.feature
+++ b/features/direct_tasks.feature
@@ -61,3 +61,33 @@
       When _fleet._config_watcher.step fails no more
       Then the router is soon ready
       And requests are answered
+
+  Rule: What can't be applied affects nothing else, and is applied later
+
+    Background:
+      Given a store with a configuration
+      And plain upstreams "reg-1" and "reg-2"
+      And a direct router
+      And the router is ready
+
+    Scenario: The entry of an upstream can't be applied
+      # Guards against an upstream that is used by an entry that is no longer
+      # valid, and against others whose entries are not applied either.
+      When the changed entry of upstream "reg-1" can't be applied
+      Then an upstream that registers afterwards is used
+      And soon only "reg-2" and the new one receive requests
+      When entries can be applied again
+      Then all three receive requests
+
+    Scenario: A configuration can't be applied at first
+      # Guards against a key that stays valid for as long as the router runs,
+      # as the configuration without it counts as applied.
+      When a configuration without a key is written that can't be applied at first
+      Then a request with that key soon gets 401
+      And the router is soon ready
+
+    Scenario: A configuration can't be applied
+      # Guards against keys that count as confirmed by a configuration that is
+      # not in force.
+      When a configuration without a key is written that can't be applied at all
+      Then the router soon is not ready, and refuses keys with 503
--- a/features/steps/direct_tasks_steps.py
+++ b/features/steps/direct_tasks_steps.py
@@ -16,6 +16,8 @@
 from lacewing_daemon import background
 from lacewing_daemon.background import Run
 from lacewing_daemon.direct import _planner
+from lacewing_daemon.direct import RoutingConfig
+from lacewing_daemon.direct import Upstream
 from lacewing_daemon.direct.exchange import _load_exchange
 from prometheus_client import REGISTRY
 from structlog.testing import capture_logs
@@ -241,6 +243,88 @@
         assert answer.status == 200, answer
 
 
+@when('the changed entry of upstream "{name}" can\'t be applied')
+def step_unapplied_entry(context: Context, name: str) -> None:
+    """Fail for this upstream, and change its entry."""
+    bench = direct_bench(context)
+    context.state = bench.routers[0]._fleet.cluster_state
+    update = context.state.update_upstream
+
+    def fail(upstream_id: str, value: Upstream | None) -> None:
+        if upstream_id == name and value is not None:
+            raise InjectedError
+        update(upstream_id, value)
+
+    bench.on_loop(lambda: setattr(context.state, 'update_upstream', fail))
+    bench.register(name, 'draining')
+    bench.register(name)
+
+
+@then('soon only "{name}" and the new one receive requests')
+def step_without_first(context: Context, name: str) -> None:
+    """Wait until the router does not know the upstream any more."""
+    bench = direct_bench(context)
+    router = bench.routers[0]
+    bench.until(
+        lambda: 'reg-1' not in router.upstream_ids, 'the upstream left out'
+    )
+    _check_receivers(context, {name, 'late'})
+
+
+@when('entries can be applied again')
+def step_applicable(context: Context) -> None:
+    """Uncover the method."""
+    bench = direct_bench(context)
+    bench.on_loop(partial(delattr, context.state, 'update_upstream'))
+
+
+@then('all three receive requests')
+def step_all_three(context: Context) -> None:
+    """Wait until the router knows all, though nothing was written."""
+    bench = direct_bench(context)
+    router = bench.routers[0]
+    bench.until(lambda: 'reg-1' in router.upstream_ids, 'the upstream')
+    _check_receivers(context, {'reg-1', 'reg-2', 'late'})
+
+
+@when("a configuration without a key is written that can't be applied {times}")
+def step_unapplied_config(context: Context, times: str) -> None:
+    """Fail to apply it at first, or at all."""
+    bench = direct_bench(context)
+    state = bench.routers[0]._fleet.cluster_state
+    update = state.update_routing_config
+    failures = 0
+
+    def fail(value: RoutingConfig) -> bool:
+        nonlocal failures
+        failures += 1
+        if failures > 1 and times == 'at first':
+            return update(value)
+        raise InjectedError
+
+    bench.on_loop(lambda: setattr(state, 'update_routing_config', fail))
+    bench.configure(
+        Tenants=[{'Name': 'north', 'ApiKeys': ['new'], 'Isolated': False}]
+    )
+
+
+def _check_receivers(context: Context, names: set[str]) -> None:
+    """Send requests and check which upstreams receive them."""
+    bench = direct_bench(context)
+    before = {
+        name: len(upstream.received)
+        for name, upstream in bench.upstreams.items()
+    }
+    for _ in range(24):
+        assert bench.ask().status == 200, bench.answer
+    receivers = {
+        name
+        for name, upstream in bench.upstreams.items()
+        if len(upstream.received) > before[name]
+    }
+    assert receivers == names, receivers
+
+
 def _failures() -> float:
     """Return the counted failures of the watch of the configuration."""
     value: float | None = REGISTRY.get_sample_value(
--- a/packages/daemon/src/lacewing_daemon/direct/_collection_watcher.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_collection_watcher.py
@@ -185,6 +185,7 @@
     async def step(self) -> float:
         """Make one call; return the delay until the next one in seconds."""
         self._cache.accept_expired()
+        self._cache.apply_again()
         if self._is_era_outdated:
             self._revision = None
         self._calls.count(self._name, self._call_reason())
@@ -241,8 +242,8 @@
         reported nothing, but the watch may have missed changes in its last
         ``watch_gap_s``. Counting from the request alone would overstate the
         age by the time waited, and reject keys that much sooner. With
-        ``strict``, nothing is confirmed while an entry is unreadable, because
-        a configuration that can't be read may revoke keys. Nor is anything
+        ``strict``, nothing is confirmed while an entry is unreadable or not
+        applied, because such a configuration may revoke keys. Nor is anything
         confirmed right after a restore, while lost writes may not have been
         repeated yet.
         """
@@ -311,7 +312,11 @@
 
     @property
     def _has_untrusted_entries(self) -> bool:
-        return self._cache.any_unreadable or self._cache.any_unverified
+        return (
+            self._cache.any_unreadable
+            or self._cache.any_unverified
+            or self._cache.any_unapplied
+        )
 
     @property
     def _is_era_outdated(self) -> bool:
--- a/packages/daemon/src/lacewing_daemon/direct/_entry_cache.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_entry_cache.py
@@ -10,6 +10,7 @@
 from lacewing_common.log import get_log
 from lacewing_common.log import Part
 
+from lacewing_daemon.background import call_back
 from lacewing_daemon.direct._metrics import ENTRIES_SKIPPED
 from lacewing_daemon.direct._restored_entries import RestoredEntries
 
@@ -37,6 +38,9 @@
     The last readable value of an entry that can't be read any more is kept,
     or with ``drop_unreadable`` dropped at once, because the entry itself no
     longer confirms that value.
+
+    A callback that fails affects its entry only, which then counts as not
+    applied, and all callbacks are called for it again later.
     """
 
     def __init__(
@@ -56,6 +60,7 @@
         self._lapse_timers: dict[str, asyncio.TimerHandle] = {}
         self._callbacks: list[OnChange[T]] = []
         self._unreadable: set[str] = set()
+        self._unapplied: set[str] = set()
         self._reconnected_s = float('-inf')
 
     @property
@@ -73,6 +78,11 @@
         """Return whether any entry was restored to an earlier value."""
         return self._restored_entries.any_unverified
 
+    @property
+    def any_unapplied(self) -> bool:
+        """Return whether a callback failed for any entry."""
+        return bool(self._unapplied)
+
     def on_change(self, callback: OnChange[T]) -> None:
         """Register a callback for the name and value (None: removed)."""
         self._callbacks.append(callback)
@@ -125,6 +135,11 @@
         ).items():
             self._set(name, value)
 
+    def apply_again(self) -> None:
+        """Call back for the entries for which a callback failed."""
+        for name in tuple(self._unapplied):
+            self._notify(name, self._entries.get(name))
+
     def _skip_unreadable(self, unreadable: tuple[str, ...]) -> None:
         for name in unreadable:
             # One malformed entry must not affect what depends on the other
@@ -167,5 +182,9 @@
         self._notify(name, None)
 
     def _notify(self, name: str, value: T | None) -> None:
+        self._unapplied.discard(name)
         for callback in self._callbacks:
-            callback(name, value)
+            if not call_back(
+                f'{self._collection} change', callback, name, value
+            ):
+                self._unapplied.add(name)
--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -403,20 +403,21 @@
     def _apply_routing_config(
         self, _name: str, value: RoutingConfig | None
     ) -> None:
+        if value is None:
+            return
         before = self._cluster_state.routing_config
-        if value is None or not self._cluster_state.update_routing_config(
-            value
-        ):
+        if self._cluster_state.update_routing_config(value):
+            response = self._config_watcher.last_response
+            _log.info(
+                'Took a configuration.',
+                version=value.version,
+                before=None if before is None else before.version,
+                routes=len(value.routes),
+                read_bytes=response.size,
+                read_ms=round(response.took_s * 1000),
+            )
+        if self._cluster_state.routing_config is not value:
             return
-        response = self._config_watcher.last_response
-        _log.info(
-            'Took a configuration.',
-            version=value.version,
-            before=None if before is None else before.version,
-            routes=len(value.routes),
-            read_bytes=response.size,
-            read_ms=round(response.took_s * 1000),
-        )
         for state in self._cluster_state.upstreams.values():
             self._apply_entry_weights(state)
         if self._on_config is not None:
@@ -435,7 +436,13 @@
     def _apply_upstream(self, name: str, value: Upstream | None) -> None:
         before = self._cluster_state.upstream(name)
         known = None if before is None else before.upstream
-        self._cluster_state.update_upstream(name, value)
+        try:
+            self._cluster_state.update_upstream(name, value)
+        except Exception:
+            # Its earlier entry no longer holds.
+            self._cluster_state.update_upstream(name, None)
+            self._stream_origins.upstream_changed(known, None)
+            raise
         self._stream_origins.upstream_changed(known, value)
         if value is None:
             return
--- a/packages/daemon/src/lacewing_daemon/direct/_router_count.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_router_count.py
@@ -16,6 +16,7 @@
 from lacewing_common.store import StoreError
 from lacewing_common.store import StoreFault
 
+from lacewing_daemon.background import call_back
 from lacewing_daemon.direct._clock import boot_s
 from lacewing_daemon.direct._metrics import LIVE_ROUTERS
 from lacewing_daemon.direct._site import SystemObjects
@@ -221,7 +222,7 @@
         count = self.count_live(listed)
         if count != self._count:
             _log.info('Counts other routers.', routers=count)
-            self._on_count(count)
+            call_back('router count', self._on_count, count)
         LIVE_ROUTERS.set(count)
         self._count = count
         self._holders = self._count_holders(count)
--- a/packages/daemon/src/lacewing_daemon/direct/_silence_detector.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_silence_detector.py
@@ -9,6 +9,7 @@
 from lacewing_common.log import get_log
 from lacewing_common.log import Part
 
+from lacewing_daemon.background import call_back
 from lacewing_daemon.direct._metrics import SILENT_UPSTREAMS
 from lacewing_daemon.direct._silence_history import SILENCE_MARGIN
 from lacewing_daemon.direct._upstream_state import UpstreamState
@@ -204,7 +205,7 @@
             silent_ms=int(silent_s * 1000),
         )
         for move in moves:
-            move()
+            call_back('stream move', move)
 
 
 # A run that can't be retried can continue only from its copy; its limit is
--- a/packages/daemon/src/lacewing_daemon/direct/_store_eras.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_store_eras.py
@@ -5,6 +5,7 @@
 from lacewing_common.log import get_log
 from lacewing_common.log import Part
 
+from lacewing_daemon.background import call_back
 from lacewing_daemon.direct._metrics import STORE_ERA
 
 _log = get_log(Part.PLATFORM)
@@ -45,4 +46,4 @@
             'The store has returned from a copy.', era=era, before=previous
         )
         for callback in self._callbacks:
-            callback()
+            call_back('store restore', callback)
--- a/packages/daemon/src/lacewing_daemon/direct/crashes/_guard.py
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_guard.py
@@ -13,6 +13,7 @@
 from lacewing_common.log import Part
 from lacewing_common.log_lines import BrokenRun
 
+from lacewing_daemon.background import call_back
 from lacewing_daemon.background import keep_all_running
 from lacewing_daemon.direct._attempt import Contact
 from lacewing_daemon.direct._collection_watcher import CollectionWatcher
@@ -323,7 +324,7 @@
                 counted=self._registry.counted_crashes(subject),
             )
             for abort in tuple(self._pending_runs.get(subject, ())):
-                abort()
+                call_back('crash block', abort)
         for subject in self._blocked - blocked:
             _log.info(
                 'Lets a part of prompts through again.'
--- a/packages/daemon/src/lacewing_daemon/direct/exchange/_load_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/direct/exchange/_load_exchange.py
@@ -11,6 +11,7 @@
 from lacewing_common.log import get_log
 from lacewing_common.log import Part
 
+from lacewing_daemon.background import call_back
 from lacewing_daemon.background import keep_running
 from lacewing_daemon.direct._metrics import EXCHANGE_BYTES
 from lacewing_daemon.direct._metrics import EXCHANGE_INTERVAL_SECONDS
@@ -173,7 +174,7 @@
             if section is not None:
                 self._apply(section, sender, data, now_s)
         for callback in self._on_message:
-            callback()
+            call_back('exchange message', callback)
 
     def _apply(
         self, section: Section, sender: str, data: msgspec.Raw, now_s: float
