--- a/features/direct_foreign.feature
+++ b/features/direct_foreign.feature
@@ -120,6 +120,14 @@
         | born     |
         | Models   |
 
+    Scenario: An entry whose decoder fails with an error of its own
+      # Guards against one entry that keeps a router from following all others
+      # whenever a decoder raises what nobody foresaw.
+      Given decoders fail for the entry "odd-1" with an error of their own
+      When an entry is written whose born has 13 digits
+      Then an upstream that registers afterwards is used
+      And a router that starts now knows it too
+
   Rule: Objects of other writers block no operation
 
     Background:
--- a/features/steps/foreign_steps.py
+++ b/features/steps/foreign_steps.py
@@ -5,12 +5,16 @@
 from functools import partial
 from random import Random
 from typing import Any
+from unittest.mock import patch
 
 import msgspec
 from behave import given
 from behave import then
 from behave import when
 from behave.runner import Context
+from lacewing_daemon.direct import Upstream
+from lacewing_platform import _site
+from lacewing_platform._documents import decode_upstream
 from lacewing_platform_testing import FakeUpstream
 from support.direct_bench import BOUNDS
 from support.direct_bench import direct_bench
@@ -88,6 +92,26 @@
         _write(context, msgspec.Raw(data))
 
 
+@given('decoders fail for the entry "{name}" with an error of their own')
+def step_decoder_fails(context: Context, name: str) -> None:
+    """Replace the decoder of the routers that run, and of later ones."""
+
+    def decode(entry: str, specification: msgspec.Raw) -> Upstream:
+        if entry == name:
+            raise ValueError(entry)
+        return decode_upstream(entry, specification)
+
+    bench = direct_bench(context)
+    for router in bench.routers:
+        watcher = router._fleet._upstream_watcher
+        context.resources.enter_context(
+            patch.object(watcher._collection, '_decode', decode)
+        )
+    context.resources.enter_context(
+        patch.object(_site, 'decode_upstream', decode)
+    )
+
+
 @when('an entry is written whose {field} has {count:d} digits')
 def step_digits(context: Context, field: str, count: int) -> None:
     """Write the number in place of a port, a version or the whole field."""
