--- a/features/support/direct_bench.py
+++ b/features/support/direct_bench.py
@@ -75,7 +75,7 @@
         self.process: RouterProcess | None = None
         self.upstreams: dict[str, FakeUpstream] = {}
         self.answers: list[Answer] = []
-        self.config = _config()
+        self.config = direct_config()
         self.bounds = BOUNDS
         self.routers_call = False
         self.peer_ports_taken = False
@@ -321,7 +321,8 @@
     }
 
 
-def _config() -> dict[str, Any]:
+def direct_config() -> dict[str, Any]:
+    """Return the first configuration of a bench."""
     engine = {
         'Slots': 4,
         'KvCacheTokens': 10000,
--- a/packages/common/src/lacewing_common/platform_client.py
+++ b/packages/common/src/lacewing_common/platform_client.py
@@ -19,6 +19,7 @@
 from lacewing_common.store import StoreError
 from lacewing_common.store import StoreFault
 from lacewing_common.store import Vm
+from lacewing_common.whole_number import whole_number
 
 _STATUS_FAULTS = {
     404: StoreFault.NOT_FOUND,
@@ -243,8 +244,7 @@
 
 
 def _version_of(answer: HttpAnswer) -> int | None:
-    text = answer.headers.get('Etag', '').strip('"')
-    return int(text) if text.isdigit() else None
+    return whole_number(answer.headers.get('Etag', '').strip('"'))
 
 
 def _object_from(
@@ -272,8 +272,7 @@
 
 
 def _retry_after_s(answer: HttpAnswer) -> float | None:
-    text = answer.headers.get('Retry-After', '')
-    return float(text) if text.isdigit() else None
+    return whole_number(answer.headers.get('Retry-After', ''))
 
 
 def _retry_delay_s(error: StoreError, backoff: Backoff) -> float:
--- a/packages/common/src/lacewing_common/settings.py
+++ b/packages/common/src/lacewing_common/settings.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from lacewing_common.bundle import Operator
+from lacewing_common.decode_errors import DECODE_ERRORS
 from lacewing_common.identity import Place
 from lacewing_common.identity import Role
 
@@ -181,7 +182,7 @@
     """Parse JSON settings; raise SettingsError naming an invalid field."""
     try:
         settings = msgspec.json.decode(text, type=Settings)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         raise SettingsError(f'settings: {error}') from error
     _check(settings)
     return settings
--- a/packages/daemon/src/lacewing_daemon/agent/_events.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_events.py
@@ -4,6 +4,7 @@
 
 import msgspec
 from lacewing_common.decode_errors import DECODE_ERRORS
+from lacewing_common.whole_number import whole_number
 from lacewing_common.wire import CacheReport
 
 from lacewing_daemon.agent._metrics import MISMATCHED
@@ -157,13 +158,17 @@
 
 def _parse(text: bytes) -> Event | None:
     head, _, tail = text[:-2].partition(b'\n')
-    number = head[4:]
+    number = _number(head[4:])
     plain = head.startswith(b'id: ') and tail.startswith(b'data: ')
-    if plain and number.isdigit() and b'\n' not in tail:
-        return Event(int(number), tail[6:], text)
+    if plain and number is not None and b'\n' not in tail:
+        return Event(number, tail[6:], text)
     return _parse_fields(text)
 
 
+def _number(digits: bytes) -> int | None:
+    return whole_number(digits.decode('latin1'))
+
+
 def _parse_fields(text: bytes) -> Event | None:
     number = -1
     data: list[bytes] = []
@@ -171,8 +176,9 @@
         if line.startswith(b'data:'):
             data.append(line[5:].strip())
             continue
-        if line.startswith(b'id:') and line[3:].strip().isdigit():
-            number = int(line[3:])
+        if line.startswith(b'id:'):
+            found = _number(line[3:].strip())
+            number = number if found is None else found
     if not data:
         return None
     return Event(number, b'\n'.join(data), text)
--- a/packages/daemon/src/lacewing_daemon/agent/_transfer.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_transfer.py
@@ -1,12 +1,14 @@
 """Control one HTTP exchange with the worker and read its headers."""
 
 import asyncio
+import re
 import time
 from dataclasses import dataclass
 from io import BytesIO
 
 import pycurl
 
+_STATUS = re.compile(b'[0-9]{3}')
 _FIRST_FINAL_STATUS = 200
 
 
@@ -160,7 +162,7 @@
         if not self._lines:
             return None
         words = self._lines[0].split(None, 2)
-        if len(words) < 2 or not words[1].isdigit():
+        if len(words) < 2 or _STATUS.fullmatch(words[1]) is None:
             return None
         status = int(words[1])
         if status < _FIRST_FINAL_STATUS:
--- a/packages/daemon/src/lacewing_daemon/direct/_settings.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_settings.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 
 import msgspec
+from lacewing_common.decode_errors import DECODE_ERRORS
 from lacewing_common.settings import Address
 from lacewing_common.settings import LogLevel
 from lacewing_common.settings import parse_address
@@ -99,7 +100,7 @@
     """Decode settings; SettingsError names an invalid field."""
     try:
         settings = msgspec.json.decode(text, type=DirectSettings)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         raise SettingsError(
             f'settings: {error}{_expected_values(str(error))}'
         ) from error
