--- a/packages/daemon/src/lacewing_daemon/direct/_metrics.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_metrics.py
@@ -149,7 +149,7 @@
 )
 STORE_ERA = Gauge(
     'lacewing_direct_store_era',
-    'Era of the store, one higher each time that it lost changes',
+    'Era of the store, counted from 1; higher each time that it lost changes',
 )
 STORE_CALLS = Counter(
     'lacewing_direct_store_calls',
