Doubt the configuration of a store that may just have been restored

Cause: a process that starts takes its first list for the newest. It can't know how old the era is: answers tell its number only. Running routers wait 2 s after a return, but only if they have seen an earlier era.

Change: a router that has observed an era for 3 s records its number in the store (eras/settled). A copy of an earlier era can't have it, so a process that finds it knows that the era has lasted and confirms keys at once. Without it, it waits until 3 s after its first answer, or until the record is there. The record is read beside the first list. Clocks and peers are not needed. A first start of the whole system doesn't wait.

Ruled out: the number alone (its first value isn't told), a wait at each start (a start in calm would be ready 3 s later), asking peers (none after a loss of power of all routers).

"A router that starts in calm is ready at once" holds within 1 s.

Costs: one stale read a start, one stale read an era and router, one write an era.

--- a/features/steps/direct_tasks_steps.py
+++ b/features/steps/direct_tasks_steps.py
@@ -40,6 +40,7 @@
         'peers',
         'planner',
         'routers',
+        'settled era',
         'silence',
         'software records',
         'store calls',
--- a/features/steps/store_returns_steps.py
+++ b/features/steps/store_returns_steps.py
@@ -1,8 +1,10 @@
 """Check what routers serve after the store was restored."""
 
+import json
 import time
 from typing import Any
 
+from behave import given
 from behave import then
 from behave import when
 from behave.runner import Context
@@ -73,6 +75,73 @@
     bench.on_loop(lambda: bench.store.restore_from(snapshot))
 
 
+@when('a router starts')
+@when('a new router takes its place')
+def step_new_router(context: Context) -> None:
+    """Start a router with another name; it may not be ready yet."""
+    bench = direct_bench(context)
+    while bench.routers:
+        bench.run(bench.routers.pop().close())
+    bench.start_router('router-9')
+
+
+@then('it is ready within {limit_s:g} s')
+def step_ready_within(context: Context, limit_s: float) -> None:
+    """Wait for that time at the most."""
+    bench = direct_bench(context)
+    end_s = time.monotonic() + limit_s
+    while not bench.routers[0].ready:
+        assert time.monotonic() < end_s
+        time.sleep(0.01)
+
+
+@then('it is not ready within {limit_s:g} s')
+def step_unready(context: Context, limit_s: float) -> None:
+    """Check for that time."""
+    bench = direct_bench(context)
+    end_s = time.monotonic() + limit_s
+    while time.monotonic() < end_s:
+        assert not bench.routers[0].ready
+        time.sleep(0.05)
+
+
+@given('no router has recorded the era of the store')
+def step_no_record(context: Context) -> None:
+    """Remove what the bench has written."""
+    bench = direct_bench(context)
+    bench.on_loop(lambda: bench.store.remove('lacewing-eras', 'settled'))
+
+
+@given('the system starts for the first time')
+def step_first_start(context: Context) -> None:
+    """Start routers with that setting, and an empty store."""
+    step_no_record(context)
+    direct_bench(context).first_start = True
+
+
+@then('the store soon has the record of its era')
+def step_recorded(context: Context) -> None:
+    """Wait until a router has written it."""
+    bench = direct_bench(context)
+
+    def is_recorded() -> bool:
+        value = bench.store.specification('lacewing-eras', 'settled')
+        if not isinstance(value, dict):
+            return False
+        era: int = json.loads(value['text'])['era']
+        return era == bench.store.era + 1
+
+    bench.until(is_recorded, 'the record of the era')
+
+
+@when('the platform restores the store from a copy without that record')
+def step_without_record(context: Context) -> None:
+    """Lose the record."""
+    bench = direct_bench(context)
+    step_no_record(context)
+    bench.on_loop(lambda: bench.store.restore_from(bench.store.snapshot()))
+
+
 @when('the operator writes the configuration again')
 def step_rewrite_configuration(context: Context) -> None:
     """Repeat the lost write unchanged."""
--- a/features/store_returns.feature
+++ b/features/store_returns.feature
@@ -49,6 +49,46 @@
       And the platform restores the store, a key is revoked and other writes follow
       Then a request with that key soon gets 401
 
+  Rule: A router that starts knows whether the store was restored before
+
+    Background:
+      Given a store with a configuration
+      And plain upstreams "reg-1" and "reg-2"
+
+    Scenario: A router that starts right after a restore serves no revoked key
+      # Guards against a configuration of the copy that counts as confirmed at
+      # a process that knows nothing of the time before.
+      Given a direct router
+      When a key is revoked and the store is restored to a snapshot from before
+      And a new router takes its place
+      Then no request with that key is answered 200 for 2 s
+      When the operator writes the configuration again
+      Then a request with another key soon gets 200
+      And a request with that key soon gets 401
+
+    Scenario: A router that starts in calm is ready at once
+      # Guards against routers that are ready seconds later after each restart.
+      Given a direct router
+      When a new router takes its place
+      Then it is ready within 1 s
+
+    Scenario: A router records that the era has settled
+      # Guards against a record that nobody writes, in the first era or after a
+      # restore, so that all later starts wait.
+      Given the system starts for the first time
+      When a router starts
+      Then it is ready within 1 s
+      And the store soon has the record of its era
+      When the platform restores the store from a copy without that record
+      Then the store soon has the record of its era
+
+    Scenario: A router starts where no router has recorded the era
+      # Guards against a router that is never ready beside an older release.
+      Given no router has recorded the era of the store
+      When a router starts
+      Then it is not ready within 2.5 s
+      And it is ready within 2 s
+
   Rule: Watched entries belong to one era
 
     Background:
--- a/features/support/direct_bench.py
+++ b/features/support/direct_bench.py
@@ -13,6 +13,7 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
 from behave.runner import Context
 from lacewing_bench.loop_thread import LoopThread
 from lacewing_daemon.direct import Contention
@@ -82,6 +83,8 @@
         self.first_start = False
         self._reserved_sockets: list[socket.socket] = []
         self.store: FakeStore = self.run(_start_store())
+        # As in a deployment that has been running for a while.
+        self.on_loop(self.settle_era)
 
     @property
     def last_request(self) -> str:
@@ -93,6 +96,12 @@
         """Return the last answer."""
         return self.answers[-1]
 
+    def settle_era(self) -> None:
+        """Write that the store's era has settled, as routers do."""
+        # Routers count eras from 1, the platform from any number.
+        text = msgspec.json.encode({'era': self.store.era + 1}).decode()
+        self.store.put('lacewing-eras', 'settled', {'text': text})
+
     def run(self, coroutine: Any) -> Any:
         """Run a coroutine on the event loop of the routers."""
         return self._loop.call(coroutine)
--- a/packages/daemon/src/lacewing_daemon/direct/_collection_watcher.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_collection_watcher.py
@@ -25,6 +25,7 @@
 from lacewing_daemon.direct._observed_revisions import WATCH_GAP_S
 from lacewing_daemon.direct._restored_entries import IsOlder
 from lacewing_daemon.direct._restored_entries import RestoredEntries
+from lacewing_daemon.direct._settled_era import SettledEra
 from lacewing_daemon.direct._site import Changes
 from lacewing_daemon.direct._site import Collection
 from lacewing_daemon.direct._site import HistoryExpired
@@ -43,6 +44,9 @@
 # The time reserved for a large response shortens the wait of a call no further
 # than this, because each call is priced: at most three calls a second.
 MIN_WAIT_S = 0.3
+# How long a call waits while a process that starts does not know yet whether
+# the store was restored right before.
+START_WAIT_S = 0.3
 # How often to check, while a call waits, whether the process was suspended or
 # the store was restored from an older snapshot.
 CHECK_INTERVAL_S = 0.5
@@ -98,7 +102,9 @@
         eras: StoreEras | None = None,
         is_older: IsOlder[T] | None = None,
         restored_timeout_s: float = float('inf'),
+        settled_era: SettledEra | None = None,
     ) -> None:
+        self._settled_era = settled_era
         self._reconnect_leader = reconnect_leader
         self._reconnected = asyncio.Event()
         self._calls = calls or StoreCallCounter()
@@ -215,6 +221,8 @@
             self._revision = None
             return 0.0
         self._handle_success()
+        if self._settled_era is not None and not self.has_loaded:
+            await self._settled_era.wait_tried()
         self._last_response = ResponseStats(response.size, response.took_s)
         self._age.note_response(sent_s, wait_s, isinstance(response, Listing))
         self._apply(response)
@@ -245,12 +253,15 @@
         ``strict``, nothing is confirmed while an entry is unreadable or not
         applied, because such a configuration may revoke keys. Nor is anything
         confirmed right after a restore, while lost writes may not have been
-        repeated yet.
+        repeated yet, nor before a process that starts knows that the store
+        was not restored right before.
         """
         if self._strict and self._has_untrusted_entries:
             return
         if sent_s < self._confirmable_from_s:
             return
+        if response.era and sent_s < self._complete_from_s:
+            return
         if wait_s is None:
             wait_s = self._wait_s
         confirmed_s = sent_s
@@ -290,13 +301,17 @@
         """
         if self._disconnected:
             return 0.0
-        rewrite_left_s = self._confirmable_from_s - self._clock()
+        rewrite_left_s = self._complete_from_s - self._clock()
         if rewrite_left_s > 0:
+            if not self.has_loaded:
+                rewrite_left_s = min(rewrite_left_s, START_WAIT_S)
             return min(self._wait_s, rewrite_left_s)
         if self._strict and self._has_untrusted_entries:
             # No response can confirm the entries before the untrusted one
             # changes; calls that don't wait would only load the store.
             return self._wait_s
+        if self._settled_era is not None and not self.has_loaded:
+            return 0.0
         if self._confirmed_s is None or self._max_unconfirmed_s == float(
             'inf'
         ):
@@ -310,6 +325,15 @@
             min(self._wait_s, max(available_s, MIN_WAIT_S), until_confirm_s),
         )
 
+    @property
+    def _complete_from_s(self) -> float:
+        """Return from when on requested entries have all repeated writes."""
+        if self._settled_era is None or self.has_loaded:
+            return self._confirmable_from_s
+        return max(
+            self._confirmable_from_s, self._settled_era.confirmable_from_s
+        )
+
     @property
     def _has_untrusted_entries(self) -> bool:
         return (
--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -25,6 +25,7 @@
 from lacewing_daemon.direct._router_count import RouterCount
 from lacewing_daemon.direct._routing_config import RoutingConfig
 from lacewing_daemon.direct._settings import DirectSettings
+from lacewing_daemon.direct._settled_era import SettledEra
 from lacewing_daemon.direct._silence_detector import SilenceDetector
 from lacewing_daemon.direct._site import Site
 from lacewing_daemon.direct._statements import Statements
@@ -123,6 +124,9 @@
         self._store = InstrumentedObjects(
             site.store, self._store_calls, self._eras
         )
+        self._settled_era = SettledEra(
+            self._store, self._eras, random, settings.first_start
+        )
         self._config_watcher: CollectionWatcher[RoutingConfig] = (
             CollectionWatcher(
                 'configuration',
@@ -136,6 +140,7 @@
                 calls=self._store_calls,
                 eras=self._eras,
                 is_older=is_older_routing_config,
+                settled_era=self._settled_era,
             )
         )
         self._upstream_watcher: CollectionWatcher[Upstream] = (
@@ -368,6 +373,7 @@
         self._running = asyncio.create_task(
             keep_all_running(
                 {
+                    'settled era': self._settled_era.run,
                     'configuration': self._config_watcher.run,
                     'upstreams': self._upstream_watcher.run,
                     'weights': self._weights_watcher.run,
