Keep the tasks of agents and of their routers running too

A task of gossip, claims, placement, the audit trail, the platform's readers or a connection to an agent ended for good on any unforeseen error, some without a log line.

Change: they are started by keep_running, which restarts, logs and counts them; what a router with agents checks for each member is called back guarded. Four hand-made starters are gone.

Direct routers are not changed.

--- a/features/steps/direct_tasks_steps.py
+++ b/features/steps/direct_tasks_steps.py
@@ -1,28 +1,25 @@
 """Let background tasks of direct routers fail."""
 
-import asyncio
 import time
 from collections import Counter
 from collections.abc import Callable
 from functools import partial
 from operator import attrgetter
 from typing import Any
-from unittest.mock import patch
 
 from behave import given
 from behave import then
 from behave import when
 from behave.runner import Context
-from lacewing_daemon import background
-from lacewing_daemon.background import Run
-from lacewing_daemon.direct import _planner
 from lacewing_daemon.direct import RoutingConfig
 from lacewing_daemon.direct import Upstream
-from lacewing_daemon.direct.exchange import _load_exchange
 from prometheus_client import REGISTRY
 from structlog.testing import capture_logs
 from support.direct_bench import Answer
 from support.direct_bench import direct_bench
+from support.direct_bench import LIMIT_S
+from support.failing_runs import FailingRuns
+from support.failing_runs import InjectedError
 
 # All tasks of a router of this bench, but for the streams to its peers, which
 # are open only while a service is contended.
@@ -56,10 +53,6 @@
 )
 
 
-class InjectedError(Exception):
-    """Stand for an error that nobody foresaw."""
-
-
 class FailingOnce:
     """Fail at the first call, and pass on and count the others."""
 
@@ -75,52 +68,12 @@
         return self._call(*args, **kwargs)
 
 
-class FailingRuns:
-    """Let each task of each router fail once, after it ran for a while.
-
-    ``run_s``: for how long; 0: at its start.
-    """
-
-    def __init__(self, run_s: float) -> None:
-        self._run_s = run_s
-        self.begun: Counter[str] = Counter()
-        self.failed: Counter[str] = Counter()
-
-    async def keep_running(self, name: str, run: Run) -> None:
-        """Keep a task running that fails the first time."""
-        has_failed = False
-
-        async def run_or_fail() -> None:
-            nonlocal has_failed
-            self.begun[name] += 1
-            if has_failed:
-                return await run()
-            has_failed = True
-            if self._run_s:
-                running = asyncio.create_task(run())
-                try:
-                    await asyncio.wait((running,), timeout=self._run_s)
-                finally:
-                    running.cancel()
-                await asyncio.wait((running,))
-            self.failed[name] += 1
-            raise InjectedError
-
-        await KEEP_RUNNING(name, run_or_fail)
-
-
-KEEP_RUNNING = background.keep_running
-
-
 @given('each task fails once {when}')
 def step_all_fail(context: Context, when: str) -> None:
-    """Wrap what is kept running in all routers that start from now on."""
+    """Wrap what is kept running in all processes from now on."""
     run_s = 0.0 if when == 'at its start' else float(when.split()[1])
     context.runs = FailingRuns(run_s)
-    for module in (background, _planner, _load_exchange):
-        context.resources.enter_context(
-            patch.object(module, 'keep_running', context.runs.keep_running)
-        )
+    context.resources.enter_context(context.runs.installed())
 
 
 @when('requests are sent for {duration_s:g} s')
@@ -145,6 +98,17 @@
     assert statuses.keys() == {200}, statuses
 
 
+@then('each task that failed runs again, among them "{names}"')
+def step_these_again(context: Context, names: str) -> None:
+    """Wait until some tasks were started after their failures."""
+    runs: FailingRuns = context.runs
+    for name in names.split(', '):
+        end_s = time.monotonic() + LIMIT_S
+        while not 0 < runs.failed[name] < runs.begun[name]:
+            assert time.monotonic() < end_s, (name, runs.begun, runs.failed)
+            time.sleep(0.01)
+
+
 @then('each task has failed and runs again')
 def step_run_again(context: Context) -> None:
     """Check that each task of each router was started after its failure."""
--- a/packages/daemon/src/lacewing_daemon/_serve.py
+++ b/packages/daemon/src/lacewing_daemon/_serve.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import errno
-from collections.abc import Coroutine
 from dataclasses import replace
+from functools import partial
 from pathlib import Path
 from random import Random
 
@@ -33,6 +33,8 @@
 from lacewing_daemon._roles import start_role
 from lacewing_daemon._signals import on_sighup
 from lacewing_daemon._signals import StopSignals
+from lacewing_daemon.background import keep_running
+from lacewing_daemon.background import Run
 from lacewing_daemon.bundles import FileBundles
 from lacewing_daemon.bundles import ReplicatedBundles
 from lacewing_daemon.members import KnownMembers
@@ -100,14 +102,16 @@
         on_sighup(self._file_bundles.reload)
         self._file_bundles.reload()
         self._operators_address = str(self._operators_server.listen())
-        self._start_task(self._file_bundles.follow())
+        self._start_task('file bundles', self._file_bundles.follow)
         self._open_platform()
         await self._discover_members()
         self._role = await start_role(self._runtime)
         self._node.start(self._role.peers_address)
         if self._reader is not None:
             known_count = len(self._known_members.addresses())
-            self._start_task(self._reader.run(known_count))
+            self._start_task(
+                'platform reader', partial(self._reader.run, known_count)
+            )
         addresses = self._status().addresses
         self._log.info(
             'Listening.',
@@ -118,8 +122,8 @@
         await self._signals.stopping.wait()
         return await self._stop(self._role)
 
-    def _start_task(self, coroutine: Coroutine[None, None, None]) -> None:
-        self._tasks.append(asyncio.create_task(coroutine))
+    def _start_task(self, name: str, run: Run) -> None:
+        self._tasks.append(asyncio.create_task(keep_running(name, run)))
 
     def _bundles(self) -> BundleSource:
         if self._settings.bundle_file:
@@ -134,7 +138,7 @@
         self._platform = PlatformClient(self._settings.platform)
         self._runtime = replace(self._runtime, store=self._platform)
         self._audit.open(self._platform)
-        self._start_task(self._audit.run())
+        self._start_task('audit', self._audit.run)
         self._reader = PlatformReader(
             self._node,
             self._platform,
@@ -160,7 +164,7 @@
     async def _stop(self, role: RunningRole) -> Exit:
         exit_code = Exit.OK
         self._report_drain(role, 'begins')
-        self._start_task(self._node.announce_leaving())
+        self._start_task('leaving', self._node.announce_leaving)
         try:
             async with asyncio.timeout(self._settings.drain_s):
                 await role.drain()
--- a/packages/daemon/src/lacewing_daemon/claims/_claims.py
+++ b/packages/daemon/src/lacewing_daemon/claims/_claims.py
@@ -8,6 +8,7 @@
 from lacewing_common.claim_key import range_of
 from lacewing_common.store import ObjectStore
 
+from lacewing_daemon.background import keep_running
 from lacewing_daemon.claims._limits import ClaimLimits
 from lacewing_daemon.claims._metrics import CLAIM_ANSWERS
 from lacewing_daemon.claims._range_writer import RangeWriter
@@ -111,7 +112,9 @@
             self._clock,
         )
         self._writers[number] = writer
-        self._tasks.append(asyncio.create_task(writer.run()))
+        self._tasks.append(
+            asyncio.create_task(keep_running('claims', writer.run))
+        )
         return writer
 
 
--- a/packages/daemon/src/lacewing_daemon/peers/_node.py
+++ b/packages/daemon/src/lacewing_daemon/peers/_node.py
@@ -2,10 +2,8 @@
 
 import asyncio
 from collections.abc import Callable
-from collections.abc import Coroutine
 from collections.abc import Mapping
 from random import Random
-from typing import Any
 
 from lacewing_common.document import DocumentKind
 from lacewing_common.document import DocumentValidator
@@ -18,6 +16,7 @@
 from lacewing_common.wire_peers import Liveness
 from lacewing_common.wire_peers import MemberRecord
 
+from lacewing_daemon.background import keep_running
 from lacewing_daemon.peers._channels import PeerChannels
 from lacewing_daemon.peers._fetcher import Fetcher
 from lacewing_daemon.peers._gossip import Gossip
@@ -160,8 +159,11 @@
     def start(self, address: str) -> None:
         """Join the fleet with the address of the listener for peers."""
         self._table.set_address(address)
-        self._start_task(self._gossip.run())
-        self._start_task(self._gossip.run_urgent())
+        for name, run in (
+            ('gossip', self._gossip.run),
+            ('urgent gossip', self._gossip.run_urgent),
+        ):
+            self._tasks.append(asyncio.create_task(keep_running(name, run)))
 
     async def announce_leaving(self) -> None:
         """Tell a few peers that this process accepts no new work."""
@@ -176,16 +178,6 @@
         await self._fetcher.close()
         self._channels.close()
 
-    def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(work)
-        task.add_done_callback(_log_failure)
-        self._tasks.append(task)
-
-
-def _log_failure(task: asyncio.Task[None]) -> None:
-    if not task.cancelled() and task.exception() is not None:
-        _log.error('Exchange task failed.', error=repr(task.exception()))
-
 
 def _make_own_record(name: ProcessName, settings: Settings) -> MemberRecord:
     worker = settings.worker
--- a/packages/daemon/src/lacewing_daemon/peers/_reader.py
+++ b/packages/daemon/src/lacewing_daemon/peers/_reader.py
@@ -2,9 +2,8 @@
 
 import asyncio
 from collections.abc import Callable
-from collections.abc import Coroutine
+from functools import partial
 from random import Random
-from typing import Any
 
 from lacewing_common.document import DocumentName
 from lacewing_common.log import get_log
@@ -12,6 +11,8 @@
 from lacewing_common.settings import PeerSettings
 from lacewing_common.store import ObjectReads
 
+from lacewing_daemon.background import keep_running
+from lacewing_daemon.background import Run
 from lacewing_daemon.peers._document_watcher import DocumentWatcher
 from lacewing_daemon.peers._election import Election
 from lacewing_daemon.peers._election import ReaderRole
@@ -160,18 +161,17 @@
             self._task_key(name): name for name in self._watched_documents()
         }
         for key, name in wanted.items():
-            self._start_task(key, self._document_watcher.watch(name))
-        self._start_task('vm-list', self._poll_vm_list())
+            self._start_task(key, partial(self._document_watcher.watch, name))
+        self._start_task('vm-list', self._poll_vm_list)
         for key in list(self._tasks):
             if key != 'vm-list' and key not in wanted:
                 self._tasks.pop(key).cancel()
 
-    def _start_task(self, key: str, work: Coroutine[Any, Any, None]) -> None:
+    def _start_task(self, key: str, run: Run) -> None:
         task = self._tasks.get(key)
         if task is not None and not task.done():
-            work.close()
             return
-        self._tasks[key] = asyncio.create_task(work)
+        self._tasks[key] = asyncio.create_task(keep_running(key, run))
 
     async def _stop_tasks(self) -> None:
         tasks = list(self._tasks.values())
--- a/packages/daemon/src/lacewing_daemon/placement/_placement.py
+++ b/packages/daemon/src/lacewing_daemon/placement/_placement.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-from collections.abc import Coroutine
 from dataclasses import dataclass
 from random import Random
 
@@ -17,6 +16,8 @@
 from lacewing_common.store import ObjectStore
 from lacewing_common.verdict import Refusal
 
+from lacewing_daemon.background import keep_running
+from lacewing_daemon.background import Run
 from lacewing_daemon.lease import Lease
 from lacewing_daemon.peers import PeerNode
 from lacewing_daemon.placement._members import ServiceMembers
@@ -128,9 +129,9 @@
         held = self._node.documents.get(plan_name(self._service))
         if held is not None:
             self._plan_changed(held)
-        self._follow(self._planner.run())
-        self._follow(self._reporter.run())
-        self._follow(self._orders.run())
+        self._start('placement planner', self._planner.run)
+        self._start('placement reports', self._reporter.run)
+        self._start('placement orders', self._orders.run)
 
     def worker_changed(self) -> None:
         """Report soon what the worker holds now."""
@@ -167,18 +168,11 @@
         self._orders.take(plan)
         self._reporter.follow(plan)
 
-    def _follow(self, work: Coroutine[None, None, None]) -> None:
-        task = asyncio.create_task(work)
-        task.add_done_callback(_report_fault)
-        self._tasks.append(task)
+    def _start(self, name: str, run: Run) -> None:
+        self._tasks.append(asyncio.create_task(keep_running(name, run)))
 
 
 def order_lease_name(worker_url: str) -> str:
     """Return the name of the order lease of the worker at a URL."""
     address = worker_url.partition('://')[2].strip('/')
     return 'orders-' + address.replace('/', '-')
-
-
-def _report_fault(task: asyncio.Task[None]) -> None:
-    if not task.cancelled() and task.exception() is not None:
-        _log.error('Placement ended.', error=repr(task.exception()))
--- a/packages/daemon/src/lacewing_daemon/router/_links.py
+++ b/packages/daemon/src/lacewing_daemon/router/_links.py
@@ -16,6 +16,8 @@
 from lacewing_common.wire import Demands
 from lacewing_common.wire import Hello
 
+from lacewing_daemon.background import call_back
+from lacewing_daemon.background import keep_running
 from lacewing_daemon.limits import TeamLimiter
 from lacewing_daemon.rendezvous import highest_ranked
 from lacewing_daemon.router._knowledge import Knowledge
@@ -193,11 +195,13 @@
 
     async def run(self) -> None:
         """Follow the members until cancelled."""
-        reports = asyncio.create_task(self._limiter.run())
+        reports = asyncio.create_task(
+            keep_running('limits', self._limiter.run)
+        )
         try:
             while True:
-                self._follow()
-                self._check_silence()
+                call_back('members', self._follow)
+                call_back('agent silence', self._check_silence)
                 await asyncio.sleep(POLL_S)
         finally:
             reports.cancel()
@@ -232,7 +236,9 @@
             return
         link = Link(parsed, self, self._rng, self._tls)
         self._links[address] = link
-        self._tasks[address] = asyncio.create_task(link.run())
+        self._tasks[address] = asyncio.create_task(
+            keep_running('agent link', link.run)
+        )
         self.link_changed()
 
     def _remove(self, address: str) -> None:
