Draw reports without a limit on the time of a draw

Cause: the health check of hypothesis times the drawing of examples, not what is tested. It is no check of ours, and load decides it. The scenario was also the only one of the feature whose draws differ between runs.

Change: the draws are the same in each run, and their time is not checked. What is checked of each report is as before, of 100 examples.

--- a/features/steps/fuzzed_reads_steps.py
+++ b/features/steps/fuzzed_reads_steps.py
@@ -10,6 +10,7 @@
 from behave import when
 from behave.runner import Context
 from hypothesis import given as for_any
+from hypothesis import HealthCheck
 from hypothesis import settings
 from hypothesis import strategies as draw
 from lacewing_common.decode_errors import DECODE_ERRORS
@@ -31,7 +32,12 @@
 
 WAIT_S = 0.5
 ANSWERS = 150
-CHECKED = settings(deadline=None, derandomize=True)
+# Beside load the first draw alone may take longer than that check allows.
+CHECKED = settings(
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=(HealthCheck.too_slow,),
+)
 NAME = 'request-1'
 PARTS = (
     b'HTTP/1.1 200 OK\r\n',
@@ -207,6 +213,7 @@
     )
     values = draw.one_of(plain, draw.lists(entries, max_size=3))
 
+    @CHECKED
     @for_any(
         draw.one_of(
             draw.binary(), draw.dictionaries(names, values, max_size=7)
