Keep doubts about software to engines, and sends in order while one is resolved

Found on reading the change: a plain upstream that closed an idle connection was doubted for good, as it answers no report; a stream of it would have gone on nowhere. While a stream waited for a report, its send was not given back yet, and the list of open sends could change under the loop over it.

Change: closed idle connections are reported to RestartChecks, which knows which services have engines; a send is given back before the wait; the send to a target is looked up first.

No scenario of its own: the services of the deployments whose upstreams are plain have no streams.

--- a/packages/daemon/src/lacewing_daemon/direct/_attempt.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_attempt.py
@@ -15,7 +15,6 @@
 from lacewing_daemon.direct._answer_end import is_event_stream
 from lacewing_daemon.direct._answer_end import is_whole
 from lacewing_daemon.direct._call import CallerRequest
-from lacewing_daemon.direct._clock import boot_s
 from lacewing_daemon.direct._connection import UpstreamConnection
 from lacewing_daemon.direct._events import EventSplitter
 from lacewing_daemon.direct._pool import ConnectionPool
@@ -39,6 +38,10 @@
     return True
 
 
+def _ignore_lost() -> None:
+    return
+
+
 class Contact(Enum):
     """State whether an upstream could be reached.
 
@@ -101,6 +104,11 @@
         self._body_end: BodyEnd | None = None
         self._opened_s = 0.0
 
+    @property
+    def opened_s(self) -> float:
+        """Return when its connection was opened, 0 before it is."""
+        return self._opened_s
+
     async def run(
         self,
         pool: ConnectionPool,
@@ -111,6 +119,7 @@
         gap_wait_s: float,
         max_idle: int,
         should_abandon: Callable[[float], bool] = _abandon_immediately,
+        on_lost: Callable[[], None] = _ignore_lost,
     ) -> AttemptEnd:
         """Send the request; cancelling closes the connection.
 
@@ -118,6 +127,7 @@
         answer, ``gap_wait_s`` the time between pieces. After these times,
         ``should_abandon`` is called with the time waited, and again every
         ``RECHECK_INTERVAL_S``, until it returns true or a piece arrives.
+        ``on_lost`` is called if the upstream has closed an idle connection.
         """
         upstream = state.upstream
         try:
@@ -125,7 +135,7 @@
                 upstream,
                 not can_retry,
                 self._request,
-                lambda: state.doubt_software(boot_s()),
+                on_lost,
             )
         except ConnectionRefusedError:
             return _unreachable(Contact.REFUSED)
@@ -158,11 +168,6 @@
                 # request.
                 connection.close()
 
-    @property
-    def opened_s(self) -> float:
-        """Return when its connection was opened, 0 before it is."""
-        return self._opened_s
-
     def abort(self) -> None:
         """End the attempt as if the answer had been interrupted."""
         if not self._ended.done():
--- a/packages/daemon/src/lacewing_daemon/direct/_connection.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_connection.py
@@ -124,7 +124,7 @@
 
     @property
     def is_closed(self) -> bool:
-        """Return whether it was closed, if not here then by its peer."""
+        """Return whether it was closed, here or by its peer."""
         return self._stream.closed()
 
     @property
--- a/packages/daemon/src/lacewing_daemon/direct/_request_sends.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_request_sends.py
@@ -251,18 +251,25 @@
     async def _close_send(self, ended: EndedSend) -> None:
         self._open_sends.remove(ended.opened)
         self._try_log.append(ended.result.log_entry)
-        if self._relay.has_started and not self._is_answer(ended.end):
-            await self._fix_software(ended.opened.send)
         if ended.end.contact is Contact.CONNECTED:
             self._progress.has_reached_upstream = True
         else:
             self._chooser.refund()
+        if self._relay.has_started and not self._is_answer(ended.end):
+            await self._fix_software(ended.opened.send)
 
-    async def _fix_software(self, send: Send) -> None:
+    async def _fix_software(self, send: Send | None) -> None:
         """Let a started stream go on at the version that began it."""
-        if self._progress.software is None:
+        if send is not None and self._progress.software is None:
             self._progress.software = await send.software()
 
+    def _send_to(self, target: Target) -> Send | None:
+        """Return the open send to a target, None if it has ended."""
+        for opened in self._open_sends:
+            if opened.target is target:
+                return opened.send
+        return None
+
     def _end_others(self) -> None:
         """End a successor that was asked while the earlier run went on."""
         self.close()
@@ -289,9 +296,7 @@
     ) -> EndedSend | NoSuccessor:
         """Send the rest of a stream while its run goes on at ``left``."""
         self._progress.leave(left.state.upstream.upstream_id)
-        for opened in self._open_sends:
-            if opened.target is left:
-                await self._fix_software(opened.send)
+        await self._fix_software(self._send_to(left))
         if not self._may_ask(left):
             return NoSuccessor.NOBODY
         target = await self._chooser.choose(
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -211,6 +211,9 @@
                     self._fleet.cluster_state.router_count
                 ),
                 should_abandon,
+                partial(
+                    self._fleet.restart_checks.connection_lost, self._state
+                ),
             )
         finally:
             self._guard.run_closed(self._subjects, self._abort)
