Draw messages between routers with hostile values too

Change: hostile_documents.feature has a third outline: seven kinds of messages, 250 each, the same in each run, are decoded and handled by a router that is not started. What finds and replaces values is shared with the documents.

--- a/features/hostile_documents.feature
+++ b/features/hostile_documents.feature
@@ -36,3 +36,19 @@
       | document head |
       | event         |
       | etag          |
+
+  Scenario Outline: A message of another router
+    # Guards against a call between routers that ends the task of a router, or
+    # leaves it in a state that the next step can't bear.
+    When 250 messages of kind "<kind>" have hostile values
+    Then each is applied, or refused with the declared error
+
+    Examples:
+      | kind             |
+      | tokens           |
+      | crash report     |
+      | crash comparison |
+      | probe            |
+      | stream records   |
+      | stream question  |
+      | loads            |
--- a/features/steps/hostile_documents_steps.py
+++ b/features/steps/hostile_documents_steps.py
@@ -2,7 +2,6 @@
 
 import json
 from collections.abc import Callable
-from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Any
 
@@ -45,6 +44,9 @@
 from support.direct_bench import BOUNDS
 from support.direct_bench import direct_config
 from support.direct_bench import route
+from support.hostile_values import Path
+from support.hostile_values import replace_value
+from support.hostile_values import value_paths
 
 DIGITS = '1' * 5000
 # JSON texts. A document has at most two of them.
@@ -85,7 +87,20 @@
     '{"x":',
 )
 
-Path = tuple[str | int, ...]
+SERVER = {
+    'Service': 'models',
+    'Address': '127.0.0.1:8080',
+    'Zone': 'east',
+    'Version': 'v1',
+    'Slots': 4,
+    'State': 'ready',
+    'ColdRemainingMs': 0.0,
+    'Sequence': 3,
+    'Stage': 'ready',
+    'Models': [{'Name': 'tutor', 'Version': 2}],
+    'born': 1_764_800_000_000,
+}
+
 Read = Callable[[bytes], None]
 
 
@@ -109,7 +124,7 @@
     context.read = 0
     reader = _readers()[kind]
     reader.read(_encode(reader.valid).encode())
-    paths = draw.sampled_from(tuple(_paths(reader.valid)))
+    paths = draw.sampled_from(tuple(value_paths(reader.valid)))
     values = draw.sampled_from(HOSTILE)
     replaced = draw.lists(draw.tuples(paths, values), min_size=1, max_size=2)
 
@@ -124,7 +139,7 @@
     def read(replaced: list[tuple[Path, str]], repeats: bool) -> None:
         document = reader.valid
         for path, value in replaced:
-            document = _replace(document, path, Text(value))
+            document = replace_value(document, path, Text(value))
         text = _encode(document, repeats)
         context.read += 1
         try:
@@ -144,31 +159,6 @@
     assert not context.escaped, context.escaped[:5]
 
 
-def _paths(value: object, path: Path = ()) -> Iterator[Path]:
-    """Yield the path of each value of a document."""
-    yield path
-    if isinstance(value, dict):
-        for name, member in value.items():
-            yield from _paths(member, (*path, name))
-    if isinstance(value, list):
-        for index, member in enumerate(value):
-            yield from _paths(member, (*path, index))
-
-
-def _replace(document: Any, path: Path, value: Text) -> Any:
-    """Return a document with another value, if it still has the path."""
-    if not path:
-        return value
-    name = path[0]
-    if isinstance(document, dict) and name in document:
-        return {**document, name: _replace(document[name], path[1:], value)}
-    if isinstance(document, list) and isinstance(name, int):
-        changed = list(document)
-        changed[name] = _replace(changed[name], path[1:], value)
-        return changed
-    return document
-
-
 def _encode(value: object, repeats: bool = False) -> str:
     """Return a document as JSON; ``repeats``: each field stands twice."""
     if isinstance(value, Text):
@@ -186,19 +176,7 @@
 
 def _readers() -> dict[str, Reader]:
     """Return the readers by the kind of document."""
-    server = {
-        'Service': 'models',
-        'Address': '127.0.0.1:8080',
-        'Zone': 'east',
-        'Version': 'v1',
-        'Slots': 4,
-        'State': 'ready',
-        'ColdRemainingMs': 0.0,
-        'Sequence': 3,
-        'Stage': 'ready',
-        'Models': [{'Name': 'tutor', 'Version': 2}],
-        'born': 1_764_800_000_000,
-    }
+    server = SERVER
     weights = {'Model': 'tutor', 'Version': 3}
     report = {
         'Sequence': 1,
@@ -266,7 +244,7 @@
     }
     name = DocumentName(DocumentKind.BUNDLE, 'main')
     head = json.loads(encode_head(DocumentHead(name, 3, ('x',), b'x')))
-    fleet = _fleet(server)
+    fleet = fleet_of(server)
     return {
         'upstream': Reader(
             server,
@@ -365,7 +343,7 @@
     return config
 
 
-def _fleet(server: object = None) -> Fleet:
+def fleet_of(server: object = None) -> Fleet:
     """Return the state of a router that is not started."""
     fleet = Fleet(_settings(), PlatformSite('127.0.0.1:9'))
     if server is not None:
@@ -383,7 +361,7 @@
     """Apply a configuration at a new router, its limits too."""
     decoder = RoutingConfigDecoder()
     config = decoder.decode('main', msgspec.Raw(text))
-    fleet = _fleet()
+    fleet = fleet_of()
     fleet._apply_routing_config('main', config)
     teams = fleet.team_limiter
     teams._ledger.apply(teams._terms())
