--- a/features/steps/direct_tasks_steps.py
+++ b/features/steps/direct_tasks_steps.py
@@ -142,7 +142,7 @@
 
 @when('{step} fails each time')
 def step_fails_always(context: Context, step: str) -> None:
-    """Replace a method until told otherwise, and keep the log."""
+    """Replace a method, and keep the log."""
     bench = direct_bench(context)
     path, _, name = step.rpartition('.')
     owner = attrgetter(path)(bench.routers[0])
--- a/features/steps/hostile_documents_steps.py
+++ b/features/steps/hostile_documents_steps.py
@@ -10,8 +10,6 @@
 from behave import when
 from behave.runner import Context
 from hypothesis import given as for_any
-from hypothesis import HealthCheck
-from hypothesis import settings
 from hypothesis import strategies as draw
 from lacewing_common.audit._entries import decode_chunk
 from lacewing_common.decode_errors import DECODE_ERRORS
@@ -46,6 +44,7 @@
 from support.direct_bench import route
 from support.hostile_values import Path
 from support.hostile_values import replace_value
+from support.hostile_values import same_draws
 from support.hostile_values import value_paths
 
 DIGITS = '1' * 5000
@@ -128,13 +127,7 @@
     values = draw.sampled_from(HOSTILE)
     replaced = draw.lists(draw.tuples(paths, values), min_size=1, max_size=2)
 
-    @settings(
-        max_examples=count,
-        deadline=None,
-        derandomize=True,
-        database=None,
-        suppress_health_check=list(HealthCheck),
-    )
+    @same_draws(count)
     @for_any(replaced, draw.booleans())
     def read(replaced: list[tuple[Path, str]], repeats: bool) -> None:
         document = reader.valid
--- a/features/steps/hostile_messages_steps.py
+++ b/features/steps/hostile_messages_steps.py
@@ -11,8 +11,6 @@
 from behave import when
 from behave.runner import Context
 from hypothesis import given as for_any
-from hypothesis import HealthCheck
-from hypothesis import settings
 from hypothesis import strategies as draw
 from lacewing_common.decode_errors import DECODE_ERRORS
 from lacewing_daemon.direct._fleet import Fleet
@@ -31,6 +29,7 @@
 from steps.hostile_documents_steps import SERVER
 from support.hostile_values import Path
 from support.hostile_values import replace_value
+from support.hostile_values import same_draws
 from support.hostile_values import value_paths
 
 OWN = '127.0.0.1:1'
@@ -84,13 +83,7 @@
     values = draw.sampled_from(HOSTILE)
     replaced = draw.lists(draw.tuples(paths, values), min_size=1, max_size=2)
 
-    @settings(
-        max_examples=count,
-        deadline=None,
-        derandomize=True,
-        database=None,
-        suppress_health_check=list(HealthCheck),
-    )
+    @same_draws(count)
     @for_any(replaced)
     def handle(replaced: list[tuple[Path, object]]) -> None:
         message = handler.valid
--- a/features/support/hostile_values.py
+++ b/features/support/hostile_values.py
@@ -3,6 +3,9 @@
 from collections.abc import Iterator
 from typing import Any
 
+from hypothesis import HealthCheck
+from hypothesis import settings
+
 Path = tuple[str | int, ...]
 
 
@@ -32,3 +35,14 @@
         changed[name] = replace_value(changed[name], path[1:], value)
         return changed
     return document
+
+
+def same_draws(count: int) -> settings:
+    """Return settings to draw so many documents, the same in each run."""
+    return settings(
+        max_examples=count,
+        deadline=None,
+        derandomize=True,
+        database=None,
+        suppress_health_check=list(HealthCheck),
+    )
