--- a/features/day_files.feature
+++ b/features/day_files.feature
@@ -23,4 +23,7 @@
       | name = "x"; faults = [{ at = 1.0, kind = "burst", zone = "dha" }] |
       | name = "x"; faults = [{ at = -1.0, kind = "burst" }]       |
       | name = "x"; faults = [{ at = 1.0, kind = "burst" }]; labels = [] |
+      | name = "x"; faults = [{ at = 1.0, kind = "burst" }]; length_s = 0 |
+      | name = "x"; faults = [{ at = 1.0, kind = "burst" }]; classes = [{ name = "draft" }] |
+      | name = "x"; faults = [{ at = 1.0, kind = "burst" }]; classes = [{ name = "@c0", retry = 3 }] |
       | name = "x"; faults = [{ at = 1.0, kind = "burst" }]; closing = { kind = "burst" } |
--- a/features/steps/day_files_steps.py
+++ b/features/steps/day_files_steps.py
@@ -22,7 +22,10 @@
 )
 CLOSING = frozenset(('power_off_all', 'wipe_after_ack', 'kill_all'))
 CLOSING_FIELDS = frozenset(('kind', 'down_s', 'how'))
-DAY_FIELDS = frozenset(('name', 'plan', 'faults', 'closing'))
+DAY_FIELDS = frozenset(
+    ('name', 'length_s', 'classes', 'plan', 'faults', 'closing')
+)
+CLASS_FIELDS = frozenset(('name', 'retries'))
 FIELDS = frozenset(
     'at kind for_s gap_s share count x how on zone to_zone region service'
     ' class'.split()
@@ -44,6 +47,11 @@
         wrong.append('nothing happens')
     for entry in entries:
         wrong.extend(_faults_of_entry(entry))
+    for entry in day.get('classes', []):
+        wrong.extend(_faults_of_class(entry))
+    length_s = day.get('length_s', 1.0)
+    if not isinstance(length_s, int | float) or length_s <= 0:
+        wrong.append(f'no length: {length_s!r}')
     closing = day.get('closing')
     if closing is not None:
         if closing.get('kind') not in CLOSING:
@@ -53,6 +61,16 @@
     return wrong
 
 
+def _faults_of_class(entry: dict[str, Any]) -> list[str]:
+    wrong = [f'unknown {field}' for field in set(entry) - CLASS_FIELDS]
+    if entry.get('name') != PLACES['class']:
+        wrong.append(f'a class of one site: {entry}')
+    retries = entry.get('retries', 0)
+    if not isinstance(retries, int) or retries < 0:
+        wrong.append(f'no number: retries of {entry}')
+    return wrong
+
+
 def _faults_of_entry(entry: dict[str, Any]) -> list[str]:
     wrong = [f'unknown {field}' for field in set(entry) - FIELDS]
     if entry.get('kind') not in KINDS:
