Show answers that no request waits for in logs and metrics

A request was sent again after an answer without a signature, or after none; its log line did not tell which. A skipped answer was logged without its upstream, the request that waited, the one that it named, or its status, and without a bound on such lines. So a record of a run could not tell an upstream that answers twice from one that mixes requests up, or from one whose failures lack a signature.

- A send's log entry has unsigned (an answer that refuses nothing had no signature), earlier (requests that the connection carried before) and skipped (answers to other requests before its own).
- The lines about skipped and unexpected answers name the upstream, both requests, the status and a kind: earlier, unknown, refusal, unnamed.
- Counters: lacewing_direct_answers_skipped and _answers_unexpected by service and kind, _answers_unsigned by service.

The connection decodes each head once to decide whether it is expected, not twice. Which answers are expected is unchanged.

--- a/features/support/attempts.py
+++ b/features/support/attempts.py
@@ -1,5 +1,6 @@
 """Make attempts at fake upstreams, without a router."""
 
+import asyncio
 from collections.abc import Iterable
 
 from lacewing_common.verdict import Verdict
@@ -49,15 +50,25 @@
     fake: FakeUpstream, sends: Iterable[tuple[CallerRequest, Dispatch]]
 ) -> list[Verdict]:
     """Send requests one after the other over the connections of one pool."""
+    ends = await send_each(fake, sends)
+    return [end.verdict for end in ends]
+
+
+async def send_each(
+    fake: FakeUpstream,
+    sends: Iterable[tuple[CallerRequest, Dispatch]],
+    pause_s: float = 0.0,
+) -> list[AttemptEnd]:
+    """Send requests over one pool, with a pause after each."""
     pool = ConnectionPool()
-    verdicts = []
+    ends = []
     try:
         for request, dispatch in sends:
-            end = await _send(fake, pool, request, dispatch)
-            verdicts.append(end.verdict)
+            ends.append(await _send(fake, pool, request, dispatch))
+            await asyncio.sleep(pause_s)
     finally:
         pool.close()
-    return verdicts
+    return ends
 
 
 async def _send(
--- a/packages/common/src/lacewing_common/log_lines.py
+++ b/packages/common/src/lacewing_common/log_lines.py
@@ -21,7 +21,10 @@
     answer ended, '' if the router gave the send up before; ``partial_bytes``:
     the bytes after the last complete event of a stream. ``software``: the
     version of the upstream's software. ``given_up``: why the router itself
-    ended the send, '' if it did not.
+    ended the send, '' if it did not. ``unsigned``: an answer that is no
+    refusal had no signature; ``status`` is 0 where no head came at all.
+    ``earlier``: requests that the connection carried before; ``skipped``:
+    answers to other requests that came on it before the answer.
     """
 
     upstream: str
@@ -43,6 +46,9 @@
     partial_bytes: int = 0
     software: str = ''
     given_up: str = ''
+    unsigned: bool = False
+    earlier: int = 0
+    skipped: int = 0
 
 
 class BrokenRun(msgspec.Struct, frozen=True, kw_only=True):
@@ -72,7 +78,8 @@
     ``queue_ahead``: requests that preceded this one when it joined the
     router's queue, -1 if it did not wait there; ``queued_ms``: its wait.
     ``no_send``: why no further send was made, where ``message`` tells what an
-    earlier one met.
+    earlier one met. ``kind`` says which request a skipped answer named, and
+    ``answered`` has its id.
     """
 
     event: str
@@ -102,3 +109,5 @@
     queued_ms: int = 0
     queue_ahead: int = -1
     no_send: str = ''
+    kind: str = ''
+    answered: str = ''
--- a/packages/daemon/src/lacewing_daemon/direct/_attempt.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_attempt.py
@@ -56,6 +56,18 @@
     WITHDRAWN = 'withdrawn'
 
 
+@dataclass(frozen=True)
+class ConnectionUse:
+    """Hold how the connection of an attempt was used.
+
+    ``earlier_requests``: those that it carried before this one;
+    ``skipped_answers``: those to other requests that came before the answer.
+    """
+
+    earlier_requests: int = 0
+    skipped_answers: int = 0
+
+
 @dataclass(frozen=True)
 class AttemptEnd:
     """Hold how an attempt ended.
@@ -78,6 +90,14 @@
     opened_s: float = 0.0
     body_end: BodyEnd | None = None
     partial_bytes: int = 0
+    connection_use: ConnectionUse = ConnectionUse()
+
+    @property
+    def is_unsigned(self) -> bool:
+        """Return whether an answer that is no refusal has no signature."""
+        if self.head is None or self.verdict is Verdict.NOT_RUN:
+            return False
+        return not self.head.is_signed
 
 
 class Attempt:
@@ -103,6 +123,18 @@
         self._last_piece_s = 0.0
         self._body_end: BodyEnd | None = None
         self._opened_s = 0.0
+        self._earlier_requests = 0
+        self._skipped_answers = 0
+
+    @property
+    def wire(self) -> Wire:
+        """Return what decodes the heads of answers."""
+        return self._wire
+
+    @property
+    def connection_use(self) -> ConnectionUse:
+        """Return how its connection was used until now."""
+        return ConnectionUse(self._earlier_requests, self._skipped_answers)
 
     @property
     def opened_s(self) -> float:
@@ -173,14 +205,9 @@
         if not self._ended.done():
             self._ended.set_result(None)
 
-    def answered_request(self, status: int, headers: HTTPHeaders) -> str:
-        """Return the id of the request that an answer names, '' if none."""
-        return self._wire.read_reply(status, headers).request_id
-
-    def is_refusal(self, status: int, headers: HTTPHeaders) -> bool:
-        """Return whether an answer states that its request did not run."""
-        head = self._wire.read_reply(status, headers)
-        return head.not_run or head.misdirected
+    def on_skipped(self) -> None:
+        """Count an answer to another request."""
+        self._skipped_answers += 1
 
     def on_head(self, status: int, headers: HTTPHeaders) -> None:
         """Store the status and the headers of the answer."""
@@ -243,6 +270,7 @@
         self, connection: UpstreamConnection, dispatch: Dispatch
     ) -> None:
         self._opened_s = connection.opened_s
+        self._earlier_requests = connection.sent_requests
         self._after_event = dispatch.after_event
         connection.send(
             self._request, self._wire.forward(self._request, dispatch), self
@@ -297,6 +325,7 @@
             opened_s=self._opened_s,
             body_end=self._body_end,
             partial_bytes=partial_bytes,
+            connection_use=self.connection_use,
         )
 
     def _verdict(self, complete: bool) -> tuple[Verdict, Reason]:
--- a/packages/daemon/src/lacewing_daemon/direct/_connection.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_connection.py
@@ -14,8 +14,6 @@
 from typing import Protocol
 from weakref import WeakSet
 
-from lacewing_common.log import get_log
-from lacewing_common.log import Part
 from tornado.http1connection import HTTP1Connection
 from tornado.http1connection import HTTP1ConnectionParameters
 from tornado.httputil import HTTPHeaders
@@ -40,6 +38,10 @@
 from lacewing_daemon.direct._read_bounds import MAX_SKIPPED_BYTES
 from lacewing_daemon.direct._read_bounds import ReadSource
 from lacewing_daemon.direct._read_bounds import record_cut
+from lacewing_daemon.direct._site import ReplyHead
+from lacewing_daemon.direct._site import Wire
+from lacewing_daemon.direct._stray_answers import StrayAnswer
+from lacewing_daemon.direct._stray_answers import StrayKind
 
 # A peer without power sends nothing, not even a reset. The kernel closes the
 # connection once data stays unsent or unacknowledged for this long.
@@ -61,17 +63,16 @@
 STALL_THRESHOLD_S = 0.02
 _MIN_FINAL_STATUS = 200
 
-_log = get_log(Part.LINK)
-
 
 class ReplySink(Protocol):
     """Receive the response to one request as it arrives."""
 
-    def answered_request(self, status: int, headers: HTTPHeaders) -> str:
-        """Return the id of the request that a response names, '' if none."""
+    @property
+    def wire(self) -> Wire:
+        """Return what decodes the heads of responses."""
 
-    def is_refusal(self, status: int, headers: HTTPHeaders) -> bool:
-        """Return whether a response states that its request did not run."""
+    def on_skipped(self) -> None:
+        """Handle that a response to another request was skipped."""
 
     def on_head(self, status: int, headers: HTTPHeaders) -> None:
         """Handle the status and the headers."""
@@ -87,12 +88,17 @@
     return
 
 
+def _ignore_stray(_answer: StrayAnswer) -> None:
+    return
+
+
 class UpstreamConnection:
     """Handle one connection, with one request at a time.
 
     ``on_refusal`` is called with whether a refusal named its request. One
     that does not counts only as the first response on the connection: later
-    it may be a second response to an earlier request.
+    it may be a second response to an earlier request. ``on_stray`` is called
+    with each response that belongs to no request under way.
     """
 
     def __init__(
@@ -100,11 +106,15 @@
         stream: IOStream,
         opened_s: float,
         on_refusal: Callable[[bool], None] = _ignore_refusal,
+        on_stray: Callable[[StrayAnswer], None] = _ignore_stray,
     ) -> None:
         self._stream = stream
         self._opened_s = opened_s
         self._on_refusal = on_refusal
+        self._on_stray = on_stray
         self._sink: ReplySink | None = None
+        self._wire: Wire | None = None
+        self._sent_requests = 0
         self._method = ''
         self._request_id = ''
         self._idle_since_s = time.monotonic()
@@ -137,6 +147,11 @@
         """Return the time since the last request on it ended."""
         return time.monotonic() - self._idle_since_s
 
+    @property
+    def sent_requests(self) -> int:
+        """Return how many requests were sent on it."""
+        return self._sent_requests
+
     def has_carried(self, request: CallerRequest) -> bool:
         """Return whether it carried a request, or lately one with its id."""
         return (
@@ -149,6 +164,8 @@
     ) -> None:
         """Send one request; its response is passed to the sink."""
         self._sink = sink
+        self._wire = sink.wire
+        self._sent_requests += 1
         self._method = request.method
         self._request_id = request.request_id
         self._open_requests.add(request)
@@ -229,24 +246,32 @@
         self, status: int, headers: HTTPHeaders
     ) -> ReplySink | None:
         """Return the sink of this response; None if it is to be skipped."""
+        head = self._read_head(status, headers)
         if self._sink is None:
-            _log.info('Closed a connection: unexpected response.')
+            self._report_stray(status, head)
             self._stream.close()
             return None
-        if not self._is_expected(self._sink, status, headers):
-            _log.info('Skipped a response to another request.')
+        if head is None or not self._is_expected(head):
+            self._report_stray(status, head)
+            self._sink.on_skipped()
             return None
         self._has_responded = True
         self._sink.on_head(status, headers)
         return self._sink
 
-    def _is_expected(
-        self, sink: ReplySink, status: int, headers: HTTPHeaders
-    ) -> bool:
+    def _read_head(
+        self, status: int, headers: HTTPHeaders
+    ) -> ReplyHead | None:
+        """Decode a head; return None if no request was ever sent."""
+        if self._wire is None:
+            return None
+        return self._wire.read_reply(status, headers)
+
+    def _is_expected(self, head: ReplyHead) -> bool:
         """Return whether a response belongs to the request under way."""
-        answered_id = sink.answered_request(status, headers)
+        answered_id = head.request_id
         is_own = answered_id == self._request_id
-        is_refusal = sink.is_refusal(status, headers)
+        is_refusal = _is_refusal(head)
         if is_refusal and (is_own or not answered_id):
             self._on_refusal(bool(answered_id))
         if answered_id:
@@ -255,12 +280,37 @@
         # refusal may lack it.
         return is_refusal and not self._has_responded
 
+    def _report_stray(self, status: int, head: ReplyHead | None) -> None:
+        answered_id = '' if head is None else head.request_id
+        self._on_stray(
+            StrayAnswer(
+                self._stray_kind(head),
+                status,
+                '' if self._sink is None else self._request_id,
+                answered_id,
+                self._sent_requests - (self._sink is not None),
+            )
+        )
+
+    def _stray_kind(self, head: ReplyHead | None) -> StrayKind:
+        if head is None:
+            return StrayKind.UNNAMED
+        if head.request_id in self._carried_ids():
+            return StrayKind.EARLIER
+        if head.request_id:
+            return StrayKind.UNKNOWN
+        return StrayKind.REFUSAL if _is_refusal(head) else StrayKind.UNNAMED
+
+    def _carried_ids(self) -> frozenset[str]:
+        open_ids = [request.request_id for request in self._open_requests]
+        return frozenset((*open_ids, *self._recent_ids))
+
     def _skipped_has_body(self, status: int, headers: HTTPHeaders) -> bool:
         """Return whether a response to another request has a body."""
         method = self._method
-        if self._sink is not None:
-            answered_id = self._sink.answered_request(status, headers)
-            method = HEAD if answered_id in self._head_ids else ''
+        head = self._read_head(status, headers)
+        if self._sink is not None and head is not None:
+            method = HEAD if head.request_id in self._head_ids else ''
         return has_body(method, status)
 
     def _has_body(self, status: int) -> bool:
@@ -389,6 +439,7 @@
     address: str,
     timeout_s: float,
     on_refusal: Callable[[bool], None] = _ignore_refusal,
+    on_stray: Callable[[StrayAnswer], None] = _ignore_stray,
 ) -> UpstreamConnection:
     """Open a connection to ``ip:port``; raise OSError on failure."""
     host, _, port = address.rpartition(':')
@@ -407,7 +458,7 @@
     except BaseException:
         stream.close()
         raise
-    return UpstreamConnection(stream, opened_s, on_refusal)
+    return UpstreamConnection(stream, opened_s, on_refusal, on_stray)
 
 
 def prepare_socket(sock: socket.socket) -> None:
@@ -425,6 +476,11 @@
         sock.setsockopt(socket.IPPROTO_TCP, option, value)
 
 
+def _is_refusal(head: ReplyHead) -> bool:
+    """Return whether a response states that its request did not run."""
+    return head.not_run or head.misdirected
+
+
 def _format_head(
     method: str, path: str, headers: HTTPHeaders, body: bytes
 ) -> bytes:
--- a/packages/daemon/src/lacewing_daemon/direct/_metrics.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_metrics.py
@@ -26,6 +26,22 @@
     "Bodies of upstreams' answers, by service and how they ended",
     ['service', 'end'],
 )
+ANSWERS_SKIPPED = Counter(
+    'lacewing_direct_answers_skipped',
+    'Answers to other requests that came while one waited, by service and'
+    ' kind',
+    ['service', 'kind'],
+)
+ANSWERS_UNEXPECTED = Counter(
+    'lacewing_direct_answers_unexpected',
+    'Answers that came while no request waited, by service and kind',
+    ['service', 'kind'],
+)
+ANSWERS_UNSIGNED = Counter(
+    'lacewing_direct_answers_unsigned',
+    'Answers without a signature that refuse nothing, by service',
+    ['service'],
+)
 READS_CUT = Counter(
     'lacewing_direct_reads_cut',
     'Answers cut off as they exceeded a bound, by what they answered',
--- a/packages/daemon/src/lacewing_daemon/direct/_pool.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_pool.py
@@ -7,6 +7,7 @@
 from lacewing_daemon.direct._call import CallerRequest
 from lacewing_daemon.direct._connection import connect
 from lacewing_daemon.direct._connection import UpstreamConnection
+from lacewing_daemon.direct._stray_answers import StrayAnswers
 from lacewing_daemon.direct._upstream import Upstream
 
 # Connecting takes one round trip of a few ms. A lost SYN packet is resent only
@@ -37,6 +38,7 @@
     def __init__(self) -> None:
         self._idle: dict[_Endpoint, list[UpstreamConnection]] = {}
         self._single_use_services: set[str] = set()
+        self._stray_answers = StrayAnswers()
 
     async def acquire(
         self,
@@ -75,6 +77,7 @@
             upstream.address,
             CONNECT_TIMEOUT_S,
             partial(self._record_refusal, upstream.service),
+            partial(self._stray_answers.record, upstream),
         )
 
     def release(
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -3,6 +3,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
+from dataclasses import replace
 from functools import partial
 from typing import Any
 
@@ -23,6 +24,7 @@
 from lacewing_daemon.direct._first_event import record_first_event
 from lacewing_daemon.direct._fleet import Fleet
 from lacewing_daemon.direct._handover import Handover
+from lacewing_daemon.direct._metrics import ANSWERS_UNSIGNED
 from lacewing_daemon.direct._metrics import ATTEMPTS
 from lacewing_daemon.direct._metrics import BODY_ENDS
 from lacewing_daemon.direct._metrics import FIRST_SECONDS
@@ -136,7 +138,10 @@
     ) -> Try:
         """Return the log entry of a send that was abandoned."""
         self._given_up = given_up
-        return self._log_entry(AttemptEnd(Verdict.MAY_HAVE_RUN, reason))
+        end = AttemptEnd(Verdict.MAY_HAVE_RUN, reason)
+        if self._attempt is not None:
+            end = replace(end, connection_use=self._attempt.connection_use)
+        return self._log_entry(end)
 
     async def software(self) -> Software:
         """Return the version of the software that it reached."""
@@ -453,6 +458,8 @@
         ATTEMPTS.labels(service, end.verdict.value).inc()
         if end.body_end is not None:
             BODY_ENDS.labels(service, end.body_end.value).inc()
+        if end.is_unsigned:
+            ANSWERS_UNSIGNED.labels(service).inc()
         if self._target.is_continuation:
             RUNS_CONTINUED.labels(service, end.verdict.value).inc()
         now_s = time.monotonic()
--- a/packages/daemon/src/lacewing_daemon/direct/_try_entry.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_try_entry.py
@@ -58,6 +58,9 @@
         partial_bytes=end.partial_bytes,
         software=upstream.software_name,
         given_up=given_up.value,
+        unsigned=end.is_unsigned,
+        earlier=end.connection_use.earlier_requests,
+        skipped=end.connection_use.skipped_answers,
     )
 
 
