Explain an upstream that answers twice

"lacewingctl explain" names the answers to other requests that a send got before its own, with the earlier request that each names and its status, and says where an answer came without a signature. It shows the lines about them.

--- a/features/ctl_explain.feature
+++ b/features/ctl_explain.feature
@@ -102,5 +102,19 @@
     Given a log file in which the log of one of two routers ends early
     Then explaining an unlogged request fails and names that router
 
+  Scenario: An upstream that answers twice
+    # Guards against a log that doesn't tell an upstream that answers twice
+    # from one that fails.
+    Given upstreams send each answer twice, the second time late
+    When a caller fetches records until an answer has come twice
+    Then explaining it shows status 200 and "it answers twice, here request-"
+
+  Scenario: An answer without a signature
+    # Guards against a log that doesn't tell an answer without a signature
+    # from a connection that ended without an answer.
+    Given the next upstream unproven
+    When a caller fetches a record
+    Then explaining it shows status 200 and "answered 200 without a signature"
+
   Scenario: A request without a log line
     Then explaining an unlogged request fails and hints at dropped lines
--- a/features/steps/late_answers_steps.py
+++ b/features/steps/late_answers_steps.py
@@ -71,6 +71,19 @@
         context.fetched.append((bench.last_request, answer))
 
 
+@when('a caller fetches records until an answer has come twice')
+def step_fetch_until_twice(context: Context) -> None:
+    """Stop at the request before whose answer a copy was sent."""
+    bench = direct_bench(context)
+
+    def has_come() -> bool:
+        bench.ask()
+        upstreams = bench.upstreams.values()
+        return any(upstream.late_answers.sent for upstream in upstreams)
+
+    bench.until(has_come, 'an answer that came twice')
+
+
 @when('a caller asks a model {count:d} times, one after the other')
 def step_ask(context: Context, count: int) -> None:
     """Send prompts whose streams may run once."""
--- a/packages/ctl/src/lacewing_ctl/_causes.py
+++ b/packages/ctl/src/lacewing_ctl/_causes.py
@@ -13,11 +13,25 @@
 # From this many failures at one upstream at about the same time, a crash is
 # more likely than single broken answers.
 MIN_CRASH_FAILURES = 3
+# The kind of a skipped answer that names an earlier request of its connection.
+ANSWER_TO_EARLIER = 'earlier'
 _SUCCESS = range(200, 300)
 
 
 def describe_cause(timeline: RequestTimeline) -> str:
-    """Return one or two sentences on the cause of the outcome."""
+    """Return some sentences on the cause of the outcome."""
+    sentences = [_describe_outcome(timeline)]
+    for each in timeline.line.tries:
+        if each.unsigned:
+            sentences.append(
+                f'{each.upstream} answered {each.status} without a signature.'
+            )
+        if each.skipped:
+            sentences.append(_skipped_answers(timeline, each))
+    return ' '.join(sentences)
+
+
+def _describe_outcome(timeline: RequestTimeline) -> str:
     line = timeline.line
     if not line.reason:
         if line.status in _SUCCESS:
@@ -36,6 +50,20 @@
     return text
 
 
+def _skipped_answers(timeline: RequestTimeline, send: Try) -> str:
+    text = (
+        f'On this connection {send.upstream} first sent {send.skipped}'
+        ' answers to other requests:'
+    )
+    earlier = []
+    for line in timeline.skipped:
+        if line.upstream == send.upstream and line.kind == ANSWER_TO_EARLIER:
+            earlier.append(f'{line.answered} ({line.status})')
+    if not earlier:
+        return f'{text} it answers late, twice or the wrong request.'
+    return f'{text} it answers twice, here {", ".join(earlier)}.'
+
+
 def _stale_configuration(timeline: RequestTimeline) -> str:
     text = (
         'The configuration was last confirmed'
--- a/packages/ctl/src/lacewing_ctl/_queries/explain.py
+++ b/packages/ctl/src/lacewing_ctl/_queries/explain.py
@@ -91,6 +91,7 @@
         *story.process,
         *story.orders,
         *story.crashes,
+        *story.skipped,
         *story.related_lines[:_MAX_RELATED_LINES],
     ]
     for shown in shown_lines:
@@ -125,6 +126,8 @@
         line.collection,
         line.fault,
         str(line.version) if line.version else '',
+        line.kind,
+        line.answered,
     )
     details = ' '.join(text for text in fields if text)
     at = line.timestamp.strftime('%H:%M:%S.%f')
--- a/packages/ctl/src/lacewing_ctl/_timeline.py
+++ b/packages/ctl/src/lacewing_ctl/_timeline.py
@@ -10,6 +10,7 @@
 REQUEST_FAILED = 'callers: Request failed.'
 WEIGHTS_ORDERED = 'placement: Ordered weights.'
 UPSTREAM_CRASHED = 'link: An upstream crashed.'
+ANSWER_SKIPPED = 'link: Skipped a response to another request.'
 COLLECTION_LOST = 'platform: Lost a collection.'
 STARTED = 'main: Started.'
 DRAINING = 'main: Draining.'
@@ -31,7 +32,8 @@
     ``related_lines``: other requests that failed at one of these upstreams.
     ``process``: lost collections, starts and drains of the same process.
     ``crashes``: crashes of upstreams that interrupted the same request, or
-    prompts with a part for which it was blocked.
+    prompts with a part for which it was blocked. ``skipped``: answers to
+    other requests that were skipped while this one waited.
     """
 
     line: LogLine
@@ -39,6 +41,7 @@
     related_lines: tuple[LogLine, ...]
     process: tuple[LogLine, ...]
     crashes: tuple[LogLine, ...] = ()
+    skipped: tuple[LogLine, ...] = ()
 
 
 def find_timelines(
@@ -47,6 +50,8 @@
     """Return one timeline for each line of the request."""
     timelines = []
     for line in lines:
+        if line.event == ANSWER_SKIPPED:
+            continue
         if line.request == request_id:
             timelines.append(_build_timeline(lines, line))
     return tuple(timelines)
@@ -81,6 +86,7 @@
     related_lines = []
     process = []
     crashes = []
+    skipped = []
     for line in lines:
         if line is request_line:
             continue
@@ -108,6 +114,12 @@
             continue
         if line.event == WEIGHTS_ORDERED and line.upstream in tried:
             orders.append(line)
+        if (
+            line.event == ANSWER_SKIPPED
+            and line.process == request_line.process
+            and line.request == request_line.request
+        ):
+            skipped.append(line)
         if line.event == REQUEST_FAILED and _failed_at(line, tried):
             related_lines.append(line)
     return RequestTimeline(
@@ -116,6 +128,7 @@
         tuple(related_lines),
         tuple(process),
         tuple(crashes),
+        tuple(skipped),
     )
 
 
