Report responses that are cut off inside their heads as broken

A caller of an agent gets 200 with an empty body when the worker's connection is closed inside the head of its answer. A removal at the platform counts as acknowledged, an order of weights as taken or already loaded, a cancellation as done.

Cause: libcurl takes a connection that is closed after the status line for the end of the response, as no length is known. It passes each complete line to the header callback, and the empty line only if the head ended.

All code that still used tornado's client directly uses CurlClient (blocks of cache, the bench).

--- a/packages/bench/src/lacewing_bench/caller.py
+++ b/packages/bench/src/lacewing_bench/caller.py
@@ -8,7 +8,7 @@
 
 import msgspec
 import pycurl
-from tornado.curl_httpclient import CurlAsyncHTTPClient
+from lacewing_common.curl import CurlClient
 from tornado.curl_httpclient import CurlError
 from tornado.httpclient import HTTPRequest
 
@@ -113,7 +113,7 @@
     ) -> None:
         self._keys = keys
         self._ca_file = ca_file
-        self._client = CurlAsyncHTTPClient(
+        self._client = CurlClient(
             force_instance=True, max_clients=calls_at_once
         )
 
--- a/packages/bench/src/lacewing_bench/claims_cost/_measure.py
+++ b/packages/bench/src/lacewing_bench/claims_cost/_measure.py
@@ -8,8 +8,8 @@
 import msgspec
 from hdrh.histogram import HdrHistogram
 from lacewing_common.claim_key import RANGE_COUNT
+from lacewing_common.curl import CurlClient
 from lacewing_daemon.claims._document import KIND
-from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPRequest
 
 from lacewing_bench.fleet import Fleet
@@ -72,9 +72,7 @@
     def __init__(self, fleet: Fleet, random: Random) -> None:
         self._fleet = fleet
         self._random = random
-        self._client = CurlAsyncHTTPClient(
-            force_instance=True, max_clients=512
-        )
+        self._client = CurlClient(force_instance=True, max_clients=512)
         self._key = next(iter(fleet.team_keys.values()))
         self._number = 0
 
--- a/packages/bench/src/lacewing_bench/oracle/_policy.py
+++ b/packages/bench/src/lacewing_bench/oracle/_policy.py
@@ -8,6 +8,7 @@
 
 import msgspec
 from lacewing_common.bundle import PolicyName
+from lacewing_common.curl import CurlClient
 from lacewing_common.identity import Place
 from lacewing_common.online_estimates import PrefillCost
 from lacewing_common.verdict import Refusal
@@ -20,7 +21,6 @@
 from lacewing_daemon.router._score import Expected
 from lacewing_daemon.router._score import RUNNING_SHARE
 from lacewing_daemon.router._score import Scorer
-from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPClientError
 from tornado.httpclient import HTTPRequest
 
@@ -50,7 +50,7 @@
         self, place: Place, rng: random.Random, engines: Mapping[str, str]
     ) -> None:
         self._engines = engines
-        self._client = CurlAsyncHTTPClient(
+        self._client = CurlClient(
             force_instance=True, max_clients=_CALLS_AT_ONCE
         )
         self._prefill = PrefillCost()
--- a/packages/bench/src/lacewing_bench/standins/_transfer.py
+++ b/packages/bench/src/lacewing_bench/standins/_transfer.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import msgspec
-from tornado.curl_httpclient import CurlAsyncHTTPClient
+from lacewing_common.curl import CurlClient
 from tornado.httpclient import HTTPClientError
 from tornado.httpclient import HTTPResponse
 
@@ -35,9 +35,7 @@
     """Call the platform's weight store and the stores of KV cache."""
 
     def __init__(self) -> None:
-        self._client = CurlAsyncHTTPClient(
-            force_instance=True, max_clients=_MOST_CALLS
-        )
+        self._client = CurlClient(force_instance=True, max_clients=_MOST_CALLS)
 
     def close(self) -> None:
         """Give up all calls."""
--- a/packages/bench/src/lacewing_bench/standins_cost.py
+++ b/packages/bench/src/lacewing_bench/standins_cost.py
@@ -15,7 +15,7 @@
 import fire
 import msgspec
 import psutil
-from tornado.curl_httpclient import CurlAsyncHTTPClient
+from lacewing_common.curl import CurlClient
 
 from lacewing_bench.standins import EngineConfig
 from lacewing_bench.standins import EngineCosts
@@ -109,9 +109,7 @@
     addresses = _addresses(servers, engines)
     idle = _usage(servers)
     tally = _Tally()
-    client = CurlAsyncHTTPClient(
-        force_instance=True, max_clients=engines * streams
-    )
+    client = CurlClient(force_instance=True, max_clients=engines * streams)
     tasks: list[asyncio.Task[None]] = []
     for address in addresses:
         for number in range(streams):
@@ -166,7 +164,7 @@
 
 
 async def _stream(
-    client: CurlAsyncHTTPClient, address: str, number: int, tally: _Tally
+    client: CurlClient, address: str, number: int, tally: _Tally
 ) -> None:
     request_number = 0
     while True:
--- a/packages/daemon/src/lacewing_daemon/agent/_kv_client.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_kv_client.py
@@ -4,8 +4,8 @@
 
 import msgspec
 import pycurl
+from lacewing_common.curl import CurlClient
 from lacewing_common.decode_errors import DECODE_ERRORS
-from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPClientError
 from tornado.httpclient import HTTPRequest
 
@@ -40,7 +40,7 @@
     def __init__(self, store_url: str, engine_url: str) -> None:
         self._store_url = store_url.rstrip('/')
         self._engine_url = engine_url.rstrip('/')
-        self._client = CurlAsyncHTTPClient(
+        self._client = CurlClient(
             force_instance=True, max_clients=_CALLS_AT_ONCE
         )
 
