Give the sink of cut heads what connections ask of it now

UpstreamConnection reads heads itself since skipped answers are logged, so a sink needs the wire and a call for skipped answers.

--- a/features/support/curl_calls.py
+++ b/features/support/curl_calls.py
@@ -32,7 +32,7 @@
 from lacewing_daemon.placement._order_client import OrderKind
 from lacewing_daemon.placement._order_client import StaleFence
 from lacewing_platform import PlatformSite
-from support.cutting_server import PREFIX
+from lacewing_platform import PlatformWire
 from tornado.curl_httpclient import CurlError
 from tornado.httpclient import HTTPClientError
 from tornado.httputil import HTTPHeaders
@@ -82,6 +82,12 @@
     def __init__(self) -> None:
         self.heads = 0
         self.end: asyncio.Future[BodyEnd] = asyncio.Future()
+        self._wire = PlatformWire()
+
+    @property
+    def wire(self) -> PlatformWire:
+        """Return what decodes the heads of responses."""
+        return self._wire
 
     def begin(self, transfer: Transfer) -> None:
         """Ignore the control of the exchange."""
@@ -93,13 +99,8 @@
     def body(self, chunk: bytes) -> None:
         """Ignore bytes of the body."""
 
-    def answered_request(self, status: int, headers: HTTPHeaders) -> str:
-        """Return the id that a response names."""
-        return headers.get(PREFIX + 'Request-Id', '')
-
-    def is_refusal(self, status: int, headers: HTTPHeaders) -> bool:
-        """Return that no response states that its request did not run."""
-        return False
+    def on_skipped(self) -> None:
+        """Ignore a response to another request."""
 
     def on_head(self, status: int, headers: HTTPHeaders) -> None:
         """Count a head from an upstream."""
