Count a stream's software as known only once its start is confirmed

An engine was back under its id with other software while the store was away; routers to which no connection broke kept the version of the entry as last read for the streams that it then began, and went on with them at engines of that version.

Cause: an entry counted for connections that were opened after it was read, and only signs (a broken connection, a stale list) raised a doubt. Class: a doubt that needs a sign misses what gives none.

Now a connection's start is certain only once a report that was requested after it was opened names the start that the entry is of. The report is requested as a stream is sent, one at a time for each upstream, and is there before the first event in calm; until then the stream has no version on record. New streams wait for nothing.

Not measured here: what the further reports cost.

--- a/features/direct_software_versions.feature
+++ b/features/direct_software_versions.feature
@@ -96,6 +96,29 @@
         | an idle connection     | 0      |
         | no connection          | 4.5    |
 
+    Scenario: An engine that nobody saw start again ends under its streams
+      # Guards against the version of the start before for streams that a new
+      # start began while no connection broke and the list was not stale yet.
+      Given an engine "eng-1" of software "v1"
+      And an engine "eng-2" of software "v1"
+      And routers that believe keys for 60 s
+      And 1 routers that know each other
+      When no call reaches the store for 0 s
+      And "eng-1" ends and starts again with software "v2"
+      And a stream is open at each engine
+      And "eng-1" ends
+      Then no stream holds events of two software versions
+
+    Scenario: An engine that ends leaves its streams to others
+      # Guards against streams that are broken off as the start that began them
+      # was not asked for before it ended.
+      Given an engine "eng-1" of software "v1"
+      And an engine "eng-2" of software "v1"
+      And 1 routers that know each other
+      When a stream is open at each engine
+      And "eng-1" ends
+      Then each stream is whole
+
     Scenario: An engine that cut a stream off goes on with others
       # Guards against streams that are broken off in calm, as a single broken
       # connection raises a doubt about the engine for long.
--- a/features/steps/software_versions_steps.py
+++ b/features/steps/software_versions_steps.py
@@ -1,7 +1,10 @@
 """Check that streams go on only at the software version that began them."""
 
 import time
+from dataclasses import dataclass
 from http.client import HTTPConnection
+from http.client import HTTPResponse
+from http.client import IncompleteRead
 
 import msgspec
 from behave import given
@@ -39,10 +42,34 @@
 EVENT_GAP_S = 0.01
 # The factor of events, and of their gaps, in streams that stay open.
 LONG_FACTOR = 10
+# Events of a stream under which its engine ends.
+OPEN_EVENT_COUNT = 15
 # How long an engine that starts again accepts no connection.
 ENDED_S = 0.3
 
 
+@dataclass
+class OpenStream:
+    """Hold a stream of which the first event was read."""
+
+    connection: HTTPConnection
+    response: HTTPResponse
+    events: bytes
+
+    def read(self) -> None:
+        """Read the rest, if there is any."""
+        try:
+            self.events += self.response.read()
+        except IncompleteRead as error:
+            self.events += error.partial
+        self.connection.close()
+
+    @property
+    def versions(self) -> set[bytes]:
+        """Return the versions that its events name."""
+        return _versions(self.events)
+
+
 @given('an engine "{name}" of software "{software}"')
 def step_engine(context: Context, name: str, software: str) -> None:
     """Start an engine; all routers know it."""
@@ -193,15 +220,50 @@
         upstream.script.clear()
         upstream.script.append(Behaviour.CUT)
         answer = _ask_new(bench)
-        versions = {
-            line.split()[-1]
-            for line in answer.body.split(b'\n')
-            if line.startswith(b'data:')
-        }
-        assert len(versions) <= 1, answer.body
+        assert len(_versions(answer.body)) <= 1, answer.body
     upstream.script.clear()
 
 
+@when('a stream is open at each engine')
+def step_open_streams(context: Context) -> None:
+    """Open long streams until each engine has one; read an event of each."""
+    bench = direct_bench(context)
+    upstreams = bench.upstreams.values()
+    for upstream in upstreams:
+        upstream.pause_s = EVENT_GAP_S * LONG_FACTOR
+        upstream.event_count = OPEN_EVENT_COUNT
+        upstream.received.clear()
+    context.streams = []
+    end_s = time.monotonic() + LIMIT_S
+    while not all(upstream.received for upstream in upstreams):
+        assert time.monotonic() < end_s, 'expected a stream at each engine'
+        context.streams.append(_open_new(bench, len(context.streams)))
+
+
+@when('"{name}" ends')
+def step_ends(context: Context, name: str) -> None:
+    """Crash it; it does not start again."""
+    bench = direct_bench(context)
+    bench.on_loop(bench.upstreams[name].crash)
+
+
+@then('no stream holds events of two software versions')
+def step_none_mixed(context: Context) -> None:
+    """Read all open streams to their ends."""
+    for stream in context.streams:
+        stream.read()
+        assert len(stream.versions) == 1, stream.events
+
+
+@then('each stream is whole')
+def step_streams_whole(context: Context) -> None:
+    """Read all open streams to their ends."""
+    for stream in context.streams:
+        stream.read()
+        count = stream.events.count(b'id: ')
+        assert count == OPEN_EVENT_COUNT, stream.events
+
+
 @when('"{name}" is not cut off any more')
 def step_whole(context: Context, name: str) -> None:
     """Let it send whole streams."""
@@ -438,6 +500,31 @@
     return connection
 
 
+def _open_new(bench: DirectBench, number: int) -> OpenStream:
+    """Read the first event of a stream with a prompt that is not cached."""
+    connection = bench.connect(0)
+    headers = {
+        **PROMPT,
+        'Host': HOST,
+        'Authorization': f'Token {KEY}',
+        PREFIX + 'Request-Id': f'open-stream-{number}',
+        PREFIX + 'Deadline-Ms': '10000',
+        PREFIX + 'Prompt-Prefix': f'c{number}:100,d{number}:200',
+    }
+    connection.request('POST', '/chat/software', b'prompt', headers)
+    response = connection.getresponse()
+    return OpenStream(connection, response, response.read1())
+
+
+def _versions(events: bytes) -> set[bytes]:
+    """Return the software versions that events name."""
+    return {
+        line.split()[-1]
+        for line in events.split(b'\n')
+        if line.startswith(b'data:')
+    }
+
+
 def _ask_new(bench: DirectBench) -> Answer:
     """Ask with a prompt that no engine has cached."""
     number = len(bench.answers)
--- a/packages/daemon/src/lacewing_daemon/direct/_attempt.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_attempt.py
@@ -42,6 +42,10 @@
     return
 
 
+def _ignore_sent(_opened_s: float) -> None:
+    return
+
+
 class Contact(Enum):
     """State whether an upstream could be reached.
 
@@ -152,6 +156,7 @@
         max_idle: int,
         should_abandon: Callable[[float], bool] = _abandon_immediately,
         on_lost: Callable[[], None] = _ignore_lost,
+        on_sent: Callable[[float], None] = _ignore_sent,
     ) -> AttemptEnd:
         """Send the request; cancelling closes the connection.
 
@@ -159,7 +164,9 @@
         answer, ``gap_wait_s`` the time between pieces. After these times,
         ``should_abandon`` is called with the time waited, and again every
         ``RECHECK_INTERVAL_S``, until it returns true or a piece arrives.
-        ``on_lost`` is called if the upstream has closed an idle connection.
+        ``on_lost`` is called if the upstream has closed an idle connection,
+        ``on_sent`` once the request is sent, with when its connection was
+        opened.
         """
         upstream = state.upstream
         try:
@@ -179,6 +186,7 @@
             if not state.takes_requests:
                 return _unreachable(Contact.WITHDRAWN)
             self._send(connection, dispatch)
+            on_sent(connection.opened_s)
             await self._wait_for_end(first_wait_s, gap_wait_s, should_abandon)
             end = self._classify()
             # A second response without an id, sent late, would be taken for
--- a/packages/daemon/src/lacewing_daemon/direct/_restart_checks.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_restart_checks.py
@@ -1,19 +1,21 @@
-"""Ask upstreams that may have started again unseen whether they have.
+"""Ask upstreams which start of them writes a stream.
 
 The version of an upstream's software is known from its entry, which tells of
 a new start late, and not at all while the store is away. A connection belongs
-to one start. One that was opened after another one broke may belong to the
-next start, with other software, until a report of the same start says that
-there is none.
+to one start. Which one is certain once a report that was requested after the
+connection was opened names the start that the entry is of: any later start
+would have sent the report.
 """
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from lacewing_daemon.background import TaskSet
 from lacewing_daemon.direct._clock import boot_s
 from lacewing_daemon.direct._cluster_state import ClusterState
 from lacewing_daemon.direct._site import UpstreamControl
+from lacewing_daemon.direct._upstream import Software
 from lacewing_daemon.direct._upstream_state import UpstreamState
 from lacewing_daemon.direct.origins import MAX_LIST_AGE_S
 
@@ -21,13 +23,23 @@
 # answers within some ms.
 RESOLVE_TIMEOUT_S = 0.3
 
+OnSoftware = Callable[[Software], None]
+
+
+@dataclass(frozen=True)
+class _Begun:
+    """Hold a stream whose start is not known yet."""
+
+    opened_s: float
+    on_software: OnSoftware
+
 
 class RestartChecks:
     """Keep the doubts about upstreams, and resolve them by reports.
 
     ``is_engine`` returns whether the upstreams of a service answer reports
     and may have several software versions. ``list_age_s`` returns the age of
-    the list of upstreams.
+    the list of upstreams. All times are of the boot clock.
     """
 
     def __init__(
@@ -42,8 +54,16 @@
         self._is_engine = is_engine
         self._list_age_s = list_age_s
         self._open: dict[UpstreamState, asyncio.Task[None]] = {}
+        self._wanted_s: dict[UpstreamState, float] = {}
+        self._begun: dict[UpstreamState, list[_Begun]] = {}
         self._tasks = TaskSet('restart check')
 
+    def software_at(self, state: UpstreamState, opened_s: float) -> Software:
+        """Return the software at the other end of a connection."""
+        if not self._is_checked(state):
+            return state.upstream.software
+        return state.software_at(opened_s)
+
     def run_broken(self, state: UpstreamState) -> None:
         """Record that an upstream broke a run off; it may live on."""
         if self._doubt(state, boot_s()):
@@ -53,25 +73,44 @@
         """Record that an upstream refused or closed a connection."""
         self._doubt(state, boot_s())
 
-    def stream_began(self, state: UpstreamState, opened_s: float) -> None:
+    def stream_sent(self, state: UpstreamState, opened_s: float) -> None:
+        """Find out which start a connection that was opened then is to."""
+        if self._is_checked(state) and not state.is_confirmed(opened_s):
+            self._ask_for(state, opened_s)
+
+    def stream_began(
+        self,
+        state: UpstreamState,
+        opened_s: float,
+        on_software: OnSoftware | None,
+    ) -> None:
         """Record the first event on a connection that was opened then.
 
         While the list of upstreams is stale, nothing tells of new starts.
+        ``on_software`` is called once the version that began it is known.
         """
         listed_s = boot_s() - self._list_age_s()
         if opened_s > listed_s + MAX_LIST_AGE_S:
             self._doubt(state, opened_s)
-        if state.is_software_doubted:
-            self._ask(state)
-
-    async def resolve(self, state: UpstreamState) -> None:
-        """Wait until a doubt is resolved, or an upstream does not answer."""
+        is_known = not self._is_checked(state) or state.is_confirmed(opened_s)
+        if is_known and on_software is not None:
+            on_software(state.upstream.software)
+        if not is_known and on_software is not None:
+            begun = self._begun.setdefault(state, [])
+            begun.append(_Begun(opened_s, on_software))
+        if state.is_software_doubted or not is_known:
+            self._ask_for(state, opened_s)
+
+    async def resolve(self, state: UpstreamState, opened_s: float) -> None:
+        """Wait for the start of a connection, or a missing answer."""
         try:
             async with asyncio.timeout(RESOLVE_TIMEOUT_S):
                 open_call = self._open.get(state)
                 if open_call is not None:
                     await asyncio.wait((open_call,))
-                if state.is_software_doubted and self._ask(state):
+                if state.is_confirmed(opened_s):
+                    return
+                if self._ask_for(state, opened_s):
                     await asyncio.wait((self._open[state],))
         except TimeoutError:
             return
@@ -80,14 +119,27 @@
         """Cancel open calls."""
         self._tasks.cancel()
 
+    def _is_checked(self, state: UpstreamState) -> bool:
+        """Return whether an upstream may have several starts, and says so."""
+        upstream = state.upstream
+        return bool(upstream.started_ms) and self._is_engine(upstream.service)
+
     def _doubt(self, state: UpstreamState, since_s: float) -> bool:
         """Doubt the software of an upstream that may have several."""
-        upstream = state.upstream
-        if not upstream.started_ms or not self._is_engine(upstream.service):
+        if not self._is_checked(state):
             return False
         state.doubt_software(since_s)
         return True
 
+    def _ask_for(self, state: UpstreamState, opened_s: float) -> bool:
+        """Request a report that tells the start of a connection."""
+        wanted_s = self._wanted_s.get(state, opened_s)
+        self._wanted_s[state] = max(wanted_s, opened_s)
+        if self._ask(state):
+            return True
+        self._forget(state)
+        return False
+
     def _ask(self, state: UpstreamState) -> bool:
         """Request a report unless one is under way; return whether it is."""
         if not state.is_listed:
@@ -95,15 +147,41 @@
         if state not in self._open:
             task = self._tasks.start(self._check(state))
             self._open[state] = task
-            task.add_done_callback(lambda _task: self._open.pop(state, None))
+            task.add_done_callback(lambda _task: self._end(state))
         return True
 
+    def _end(self, state: UpstreamState) -> None:
+        self._open.pop(state, None)
+        self._forget(state)
+
+    def _forget(self, state: UpstreamState) -> None:
+        """Drop what waits for an upstream that does not answer for it."""
+        self._wanted_s.pop(state, None)
+        self._begun.pop(state, None)
+
     async def _check(self, state: UpstreamState) -> None:
-        """Request a report, which names the start that sends it."""
+        """Request reports until all connections are known, or one fails."""
+        while await self._confirm(state):
+            wanted_s = self._wanted_s.get(state)
+            if wanted_s is None or state.is_confirmed(wanted_s):
+                return
+
+    async def _confirm(self, state: UpstreamState) -> bool:
+        """Request a report; return whether the known start has sent it."""
         sent_s = boot_s()
         report = await self._control.report(state.upstream)
         if report is None:
-            return
+            return False
         is_same = self._cluster_state.apply_report(state, report)
-        if is_same and report.started_ms == state.upstream.started_ms:
-            state.confirm_software(sent_s)
+        if not is_same or report.started_ms != state.upstream.started_ms:
+            return False
+        state.confirm_software(sent_s)
+        remaining = []
+        for begun in self._begun.pop(state, ()):
+            if not state.is_confirmed(begun.opened_s):
+                remaining.append(begun)
+                continue
+            begun.on_software(state.upstream.software)
+        if remaining:
+            self._begun[state] = remaining
+        return True
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -145,14 +145,13 @@
 
     async def software(self) -> Software:
         """Return the version of the software that it reached."""
-        if self._software is UnknownSoftware.DOUBTED:
-            await self._fleet.restart_checks.resolve(self._state)
-        return self._software
-
-    @property
-    def _software(self) -> Software:
+        checks = self._fleet.restart_checks
         opened_s = 0.0 if self._attempt is None else self._attempt.opened_s
-        return self._state.software_at(opened_s)
+        if checks.software_at(self._state, opened_s) is (
+            UnknownSoftware.DOUBTED
+        ):
+            await checks.resolve(self._state, opened_s)
+        return checks.software_at(self._state, opened_s)
 
     async def run(self, relay: EventRelay, end_s: float) -> SendResult:
         """Send the request, relay a stream, and return how it ended."""
@@ -169,18 +168,13 @@
             if events and not self._has_events:
                 self._has_events = True
                 self._fleet.restart_checks.stream_began(
-                    self._state, attempt.opened_s
+                    self._state,
+                    attempt.opened_s,
+                    None if relay.has_started else self._record_origin,
                 )
                 if self._can_continue:
                     self._watch()
             self._record_first_event()
-            if events and not relay.has_started:
-                record_origin(
-                    self._request,
-                    self._admitted,
-                    self._software,
-                    self._fleet.stream_origins,
-                )
             await relay.forward(head, events)
 
         def should_abandon(waited_s: float) -> bool:
@@ -219,6 +213,7 @@
                 partial(
                     self._fleet.restart_checks.connection_lost, self._state
                 ),
+                self._check_start,
             )
         finally:
             self._guard.run_closed(self._subjects, self._abort)
@@ -235,6 +230,19 @@
             self._record_end(end)
         return SendResult(end, self._log_entry(end), has_newer_weights)
 
+    def _check_start(self, opened_s: float) -> None:
+        """Find out which start a stream is sent to, while it is waited for."""
+        if self._admitted.route.is_streaming and self._can_continue:
+            self._fleet.restart_checks.stream_sent(self._state, opened_s)
+
+    def _record_origin(self, software: Software) -> None:
+        record_origin(
+            self._request,
+            self._admitted,
+            software,
+            self._fleet.stream_origins,
+        )
+
     @property
     def _can_continue(self) -> bool:
         """Return whether another upstream could continue the stream."""
--- a/packages/daemon/src/lacewing_daemon/direct/_upstream_state.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_upstream_state.py
@@ -76,6 +76,7 @@
         self._limited_until_s = 0.0
         self._sent_parts = SentParts()
         self._doubted_since_s: float | None = None
+        self._confirmed_s = float('-inf')
         self._last_doubt_s = float('-inf')
 
     @property
@@ -112,13 +113,19 @@
         """Return whether a later start may have taken its place."""
         return self._doubted_since_s is not None
 
+    def is_confirmed(self, opened_s: float) -> bool:
+        """Return whether this start accepted a connection for certain.
+
+        ``opened_s`` is when it was opened, on the boot clock.
+        """
+        return opened_s <= self._confirmed_s
+
     def software_at(self, opened_s: float) -> Software:
         """Return the software of the start that accepted a connection.
 
         ``opened_s`` is when it was opened, on the boot clock.
         """
-        doubted_s = self._doubted_since_s
-        if doubted_s is not None and opened_s >= doubted_s:
+        if not self.is_confirmed(opened_s):
             return UnknownSoftware.DOUBTED
         return self._upstream.software
 
@@ -136,6 +143,7 @@
 
     def confirm_software(self, asked_s: float) -> None:
         """Record that this start answered a call that was made then."""
+        self._confirmed_s = max(self._confirmed_s, asked_s)
         if self._doubted_since_s is None:
             return
         self._doubted_since_s = max(self._doubted_since_s, asked_s)
