Let a record of versions outweigh the settings of a first start

What callers saw (a report from a system like this one): streams taken up after all routers had been killed were joined from two software versions.

Cause: a router whose settings say first_start takes the versions of its first list for those of all time, and writes the record anew. A process that is started again has the same settings.

Records are now read before the first list counts as observed; one that exists shows that the system ran before.

--- a/features/direct_software_records.feature
+++ b/features/direct_software_records.feature
@@ -33,6 +33,19 @@
       When it takes the stream up at router 3 with no Resumes
       Then it was refused within 1.0 s
 
+    Scenario: Routers start again with the settings of the first start
+      # Guards against streams that go on at another version: a restarted
+      # router took the versions that it saw for those of all time.
+      Given an engine "eng-2" of software "v2"
+      And 2 routers that know each other
+      And the store has the versions "v1, v2"
+      And "eng-2" has left
+      And all routers are killed
+      And a router that starts again with the same settings
+      When it takes the stream up at router 3 with no Resumes
+      Then it was refused within 1.0 s
+      And the store has the versions "v1, v2"
+
     Scenario: A version appears later
       # Guards against a record that lacks a version that began streams.
       Given 2 routers that know each other
--- a/features/steps/software_records_steps.py
+++ b/features/steps/software_records_steps.py
@@ -144,6 +144,15 @@
     bench.until(lambda: router.ready, 'a ready router')
 
 
+@given('a router that starts again with the same settings')
+def step_again(context: Context) -> None:
+    """Start a router whose settings are still those of the first start."""
+    bench = direct_bench(context)
+    assert bench.first_start
+    router = bench.start_router('router-again')
+    bench.until(lambda: router.ready, 'a ready router')
+
+
 @given('"{name}" has left')
 def step_left(context: Context, name: str) -> None:
     """Remove the entry of an upstream."""
--- a/packages/daemon/src/lacewing_daemon/direct/origins/_history.py
+++ b/packages/daemon/src/lacewing_daemon/direct/origins/_history.py
@@ -65,6 +65,12 @@
             if left_s < oldest_s:
                 del self._left_s[key]
 
+    def deny_first_start(self) -> None:
+        """Record that the system ran before, whatever the settings say."""
+        self._first_start = False
+        if self._observed_since_s == -inf:
+            self._observed_since_s = self._clock()
+
     def replaced(self, before: Upstream) -> None:
         """Record that an entry was removed or names another version."""
         self._left_s[before.service, before.software] = self._clock()
--- a/packages/daemon/src/lacewing_daemon/direct/origins/_version_records.py
+++ b/packages/daemon/src/lacewing_daemon/direct/origins/_version_records.py
@@ -87,6 +87,7 @@
         self._stored: dict[str, _Stored] = {}
         self._list_age_s = list_age_s
         self._has_tried = False
+        self._has_read_all = False
         eras.on_restore(self._stored.clear)
 
     @property
@@ -109,6 +110,10 @@
 
     async def update(self) -> bool:
         """Read and write what is needed now; false if that failed."""
+        if not self._has_read_all:
+            self._has_read_all = await self._read_all()
+            if not self._has_read_all:
+                return False
         self._confirm(self._list_age_s())
         if self._history.observed_s <= 0:
             # Other routers may write while this one is disconnected.
@@ -119,6 +124,19 @@
             succeeded &= await self._check(service)
         return succeeded
 
+    async def _read_all(self) -> bool:
+        """Read the records of all services; false if that failed.
+
+        A record shows that the system ran before: the settings of a process
+        that starts again may still be those of the first start.
+        """
+        for service in tuple(self._services() or ()):
+            if not await self._read(service):
+                return False
+            if self._stored[service].revision != MUST_NOT_EXIST:
+                self._history.deny_first_start()
+        return True
+
     async def _check(self, service: str) -> bool:
         """Read or write the record if needed; false if that failed."""
         stored = self._stored.get(service)
