Settle a first start by the store, and keep what waits for reports

Now a claim to a first start is held apart until the store has answered, and ends with a gap of the list as before. Reports are requested again while a doubt is left, and what waits is dropped only with its call.

The changes in RestartChecks have no scenario of their own.

--- a/features/direct_software_records.feature
+++ b/features/direct_software_records.feature
@@ -86,3 +86,16 @@
       And a store that fails the next 2 writes
       When an upstream of software "v2" is observed for 5 s
       Then the record has the versions "v1, v2"
+
+    Scenario Outline: Reads fail as the system starts for the first time
+      # Guards against a first start that is believed after a time in which
+      # versions may have come and gone, or no more once a read failed.
+      Given a first start whose first 1 reads of records fail
+      When records are updated with a list of age <ages>
+      Then the versions of all time are <known>
+
+      Examples:
+        | ages      | known   |
+        | 0, 0      | known   |
+        | 0, 4, 0   | unknown |
+        | 0         | unknown |
--- a/features/steps/software_records_steps.py
+++ b/features/steps/software_records_steps.py
@@ -1,6 +1,8 @@
 """Check that software versions are recorded in the store."""
 
+import asyncio
 import json
+from math import isinf
 from typing import Any
 
 from behave import given
@@ -28,15 +30,22 @@
 
 
 class _Objects:
-    """Hold one object; ``failing`` writes have no effect."""
+    """Hold one object; ``failing`` writes have no effect.
+
+    ``failing_reads`` are not answered.
+    """
 
     def __init__(self) -> None:
         self.value = b''
         self.version = 0
         self.failing = 0
+        self.failing_reads = 0
 
     async def get(self, kind: str, name: str) -> StoredObject | StoreError:
         """Return the object."""
+        if self.failing_reads:
+            self.failing_reads -= 1
+            return StoreError(StoreFault.UNAVAILABLE, 'down')
         if not self.version:
             return StoreError(StoreFault.NOT_FOUND, 'no such object')
         return StoredObject(kind, name, self.version, self.value)
@@ -58,13 +67,13 @@
 class _Site:
     """Drive a history and its records with a simulated clock."""
 
-    def __init__(self) -> None:
+    def __init__(self, first_start: bool = False) -> None:
         self.now_s = 0.0
         self.age_s = 0.0
         self.present = [_upstream('v1')]
         self.objects = _Objects()
         self.history = SoftwareHistory(
-            lambda _service: self.present, lambda: self.now_s
+            lambda _service: self.present, lambda: self.now_s, first_start
         )
         objects: Any = self.objects
         self.records = VersionRecords(
@@ -226,3 +235,27 @@
     """Compare what the store has."""
     found = json.loads(context.records_site.objects.value)['versions']
     assert found == versions.split(', '), found
+
+
+@given('a first start whose first {count:d} reads of records fail')
+def step_first_start_reads(context: Context, count: int) -> None:
+    """Create the records of a router with the settings of a first start."""
+    context.records_site = _Site(first_start=True)
+    context.records_site.objects.failing_reads = count
+
+
+@when('records are updated with a list of age {ages}')
+def step_update(context: Context, ages: str) -> None:
+    """Update once for each age, in seconds, a second apart."""
+    site = context.records_site
+    for age_s in ages.split(', '):
+        site.now_s += 1.0
+        site.age_s = float(age_s)
+        asyncio.run(site.records.update())
+
+
+@then('the versions of all time are {known}')
+def step_all_time(context: Context, known: str) -> None:
+    """Check what the router takes for observed."""
+    observed_s = context.records_site.history.observed_s
+    assert isinf(observed_s) is (known == 'known'), observed_s
--- a/packages/daemon/src/lacewing_daemon/direct/_restart_checks.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_restart_checks.py
@@ -98,7 +98,8 @@
         if not is_known and on_software is not None:
             begun = self._begun.setdefault(state, [])
             begun.append(_Begun(opened_s, on_software))
-        if state.is_software_doubted or not is_known:
+        is_wanted = not is_known and on_software is not None
+        if state.is_software_doubted or is_wanted:
             self._ask_for(state, opened_s)
 
     async def resolve(self, state: UpstreamState, opened_s: float) -> None:
@@ -137,7 +138,8 @@
         self._wanted_s[state] = max(wanted_s, opened_s)
         if self._ask(state):
             return True
-        self._forget(state)
+        if state not in self._open:
+            self._forget(state)
         return False
 
     def _ask(self, state: UpstreamState) -> bool:
@@ -145,26 +147,30 @@
         if not state.is_listed:
             return False
         if state not in self._open:
-            task = self._tasks.start(self._check(state))
-            self._open[state] = task
-            task.add_done_callback(lambda _task: self._end(state))
+            self._open[state] = self._tasks.start(self._check(state))
         return True
 
-    def _end(self, state: UpstreamState) -> None:
-        self._open.pop(state, None)
-        self._forget(state)
-
     def _forget(self, state: UpstreamState) -> None:
         """Drop what waits for an upstream that does not answer for it."""
         self._wanted_s.pop(state, None)
         self._begun.pop(state, None)
 
     async def _check(self, state: UpstreamState) -> None:
-        """Request reports until all connections are known, or one fails."""
-        while await self._confirm(state):
-            wanted_s = self._wanted_s.get(state)
-            if wanted_s is None or state.is_confirmed(wanted_s):
-                return
+        """Request reports until nothing is in doubt, or one fails."""
+        try:
+            while await self._confirm(state):
+                if not self._is_open(state):
+                    return
+        finally:
+            self._open.pop(state, None)
+            self._forget(state)
+
+    def _is_open(self, state: UpstreamState) -> bool:
+        """Return whether a connection or the upstream is still in doubt."""
+        if state.is_software_doubted:
+            return True
+        wanted_s = self._wanted_s.get(state)
+        return wanted_s is not None and not state.is_confirmed(wanted_s)
 
     async def _confirm(self, state: UpstreamState) -> bool:
         """Request a report; return whether the known start has sent it."""
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -167,10 +167,11 @@
                 return
             if events and not self._has_events:
                 self._has_events = True
+                is_new = self._can_continue and not relay.has_started
                 self._fleet.restart_checks.stream_began(
                     self._state,
                     attempt.opened_s,
-                    None if relay.has_started else self._record_origin,
+                    self._record_origin if is_new else None,
                 )
                 if self._can_continue:
                     self._watch()
--- a/packages/daemon/src/lacewing_daemon/direct/origins/_history.py
+++ b/packages/daemon/src/lacewing_daemon/direct/origins/_history.py
@@ -33,10 +33,16 @@
         self._present = present
         self._clock = clock
         self._first_start = first_start
+        self._claims_first_start = False
         self._observed_since_s: float | None = None
         self._left_s: dict[tuple[str, Software], float] = {}
         self._recorded: dict[str, frozenset[str]] = {}
 
+    @property
+    def claims_first_start(self) -> bool:
+        """Return whether a first start is stated and not settled yet."""
+        return self._claims_first_start
+
     @property
     def observed_s(self) -> float:
         """Return for how long versions are known, infinite for all time."""
@@ -55,6 +61,7 @@
             self._recorded.clear()
             if not isinf(list_age_s):
                 self._first_start = False
+                self._claims_first_start = False
         elif self._observed_since_s is None:
             self._observed_since_s = (
                 -inf if self._first_start else self._clock()
@@ -65,11 +72,21 @@
             if left_s < oldest_s:
                 del self._left_s[key]
 
-    def deny_first_start(self) -> None:
-        """Record that the system ran before, whatever the settings say."""
+    def suspend_first_start(self) -> None:
+        """Take no first start for granted until it is settled."""
+        self._claims_first_start |= self._first_start
         self._first_start = False
-        if self._observed_since_s == -inf:
-            self._observed_since_s = self._clock()
+
+    def settle_first_start(self, is_first: bool) -> None:
+        """Record whether no record of an earlier start exists.
+
+        A list that was not confirmed meanwhile has ended the claim.
+        """
+        if self._claims_first_start and is_first:
+            self._first_start = self._observed_since_s is None
+            if self._observed_since_s is not None:
+                self._observed_since_s = -inf
+        self._claims_first_start = False
 
     def replaced(self, before: Upstream) -> None:
         """Record that an entry was removed or names another version."""
--- a/packages/daemon/src/lacewing_daemon/direct/origins/_version_records.py
+++ b/packages/daemon/src/lacewing_daemon/direct/origins/_version_records.py
@@ -87,7 +87,7 @@
         self._stored: dict[str, _Stored] = {}
         self._list_age_s = list_age_s
         self._has_tried = False
-        self._has_read_all = False
+        history.suspend_first_start()
         eras.on_restore(self._stored.clear)
 
     @property
@@ -110,10 +110,8 @@
 
     async def update(self) -> bool:
         """Read and write what is needed now; false if that failed."""
-        if not self._has_read_all:
-            self._has_read_all = await self._read_all()
-            if not self._has_read_all:
-                return False
+        if self._history.claims_first_start:
+            await self._settle_first_start()
         self._confirm(self._list_age_s())
         if self._history.observed_s <= 0:
             # Other routers may write while this one is disconnected.
@@ -124,18 +122,25 @@
             succeeded &= await self._check(service)
         return succeeded
 
-    async def _read_all(self) -> bool:
-        """Read the records of all services; false if that failed.
+    async def _settle_first_start(self) -> None:
+        """Find out whether the system ran before.
 
-        A record shows that the system ran before: the settings of a process
-        that starts again may still be those of the first start.
+        The settings of a process that starts again may still be those of the
+        first start. Without an answer of the store it stays open.
         """
-        for service in tuple(self._services() or ()):
-            if not await self._read(service):
-                return False
-            if self._stored[service].revision != MUST_NOT_EXIST:
-                self._history.deny_first_start()
-        return True
+        services = tuple(self._services() or ())
+        if not services:
+            return
+        is_first = True
+        for service in services:
+            answer = await self._store.get(KIND, service)
+            if isinstance(answer, StoredObject):
+                is_first = False
+                continue
+            if answer.fault is not StoreFault.NOT_FOUND:
+                SOFTWARE_RECORDS.labels('read_failed').inc()
+                return
+        self._history.settle_first_start(is_first)
 
     async def _check(self, service: str) -> bool:
         """Read or write the record if needed; false if that failed."""
