Log how a taken-up stream's version is known, and which start was uncertain

Hypotheses on streams joined at a router out of step could not be told apart by the logs: `tries[].software` is the version of the entry, whichever start answered, and nothing told whether a router has a record of a stream or infers its version. A request that takes a stream up now logs `origin` (`recorded` or `inferred`), and a send `unconfirmed` where no report has told which start accepted its connection.

--- a/packages/common/src/lacewing_common/log_lines.py
+++ b/packages/common/src/lacewing_common/log_lines.py
@@ -25,6 +25,8 @@
     refusal had no signature; ``status`` is 0 where no head came at all.
     ``earlier``: requests that the connection carried before; ``skipped``:
     answers to other requests that came on it before the answer.
+    ``unconfirmed``: no report has told which start of the upstream accepted
+    the connection, so that ``software`` may be that of an earlier one.
     """
 
     upstream: str
@@ -49,6 +51,7 @@
     unsigned: bool = False
     earlier: int = 0
     skipped: int = 0
+    unconfirmed: bool = False
 
 
 class BrokenRun(msgspec.Struct, frozen=True, kw_only=True):
@@ -73,8 +76,10 @@
     order to load weights, ``collection`` and ``fault`` to a collection of the
     store that can't be watched; ``runs`` are those that a crash of
     ``upstream`` interrupted. ``resumes`` is the id of the request that brought
-    the first event of a stream that is taken up. ``parts`` are fingerprints
-    of the shared parts of the prompt of a request that was blocked.
+    the first event of a stream that is taken up; ``origin`` is 'recorded' if a
+    router has a record of the version that began it, and 'inferred' if only
+    one version can have begun it. ``parts`` are fingerprints of the shared
+    parts of the prompt of a request that was blocked.
     ``queue_ahead``: requests that preceded this one when it joined the
     router's queue, -1 if it did not wait there; ``queued_ms``: its wait.
     ``no_send``: why no further send was made, where ``message`` tells what an
@@ -105,6 +110,7 @@
     same: str = ''
     runs: tuple[BrokenRun, ...] = ()
     resumes: str = ''
+    origin: str = ''
     parts: tuple[str, ...] = ()
     queued_ms: int = 0
     queue_ahead: int = -1
--- a/packages/daemon/src/lacewing_daemon/direct/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_exchange.py
@@ -60,6 +60,7 @@
         self._sends: RequestSends | None = None
         self._charge_made: Charge | None = None
         self._no_send = ''
+        self._origin = ''
 
     async def run(self) -> None:
         """Serve the request; cancelled when the caller disconnects."""
@@ -117,6 +118,8 @@
         if isinstance(placed, Refusal):
             return placed
         admitted = self._admitted = placed.admitted
+        if placed.software is not None:
+            self._origin = 'inferred' if placed.is_inferred else 'recorded'
         budget = self._fleet.cluster_state.retry_budget(admitted.service)
         budget.count_request(time.monotonic())
         refusal = await self._charge(admitted)
@@ -226,6 +229,7 @@
             now_s,
             stay,
             self._no_send,
+            self._origin,
         )
         REQUESTS.labels(outcome.service, str(status), outcome.reason).inc()
         self._context.log.log_outcome(outcome, now_s)
--- a/packages/daemon/src/lacewing_daemon/direct/_request_log.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_request_log.py
@@ -68,6 +68,8 @@
         fields['queue_ahead'] = end.queue_ahead
     if end.resumed_request:
         fields['resumes'] = end.resumed_request
+    if end.origin:
+        fields['origin'] = end.origin
     if end.failed:
         fields['reason'] = end.reason
         fields['message'] = end.message
--- a/packages/daemon/src/lacewing_daemon/direct/_request_outcome.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_request_outcome.py
@@ -26,7 +26,8 @@
     ``resumed_request`` brought the first event of the stream that this one
     takes up. ``queue_ahead``: requests that preceded it when it joined the
     queue, -1 if it never did; ``queued_ms``: how long it waited there.
-    ``no_send``: why no further send was made, '' if ``message`` tells.
+    ``origin``: how the version that a stream must go on at is known, '' for a
+    new stream. ``no_send``: why no further send was made, '' if ``message`` tells.
     """
 
     request_id: str
@@ -44,6 +45,7 @@
     tries: tuple[Try, ...]
     subjects: RequestSubjects
     resumed_request: str = ''
+    origin: str = ''
     queued_ms: int = 0
     queue_ahead: int = -1
     no_send: str = ''
@@ -65,6 +67,7 @@
     now_s: float,
     stay: QueueStay,
     no_send: str,
+    origin: str,
 ) -> RequestOutcome:
     """Return the outcome of a request; ``admitted`` is None if refused."""
     routing_config = fleet.cluster_state.routing_config
@@ -89,6 +92,7 @@
         tries=tries,
         subjects=subjects,
         resumed_request=request.resumed_request,
+        origin=origin,
         queued_ms=int(stay.queued_s * _MS),
         queue_ahead=stay.ahead,
         no_send=no_send,
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -517,6 +517,14 @@
         reported_version = self._state.weights(prompt.model) or 0
         return reported_version > (self._target.weights or 0)
 
+    def _is_unconfirmed(self, opened_s: float) -> bool:
+        """Return whether the start that a stream reached is uncertain."""
+        if not opened_s or not self._admitted.route.is_streaming:
+            return False
+        checks = self._fleet.restart_checks
+        software = checks.software_at(self._state, opened_s)
+        return software is UnknownSoftware.DOUBTED
+
     def _log_entry(self, end: AttemptEnd) -> Try:
         first_ms = -1
         if self._first_event_s is not None:
@@ -528,4 +536,5 @@
             first_ms,
             self._other_requests,
             self._given_up,
+            self._is_unconfirmed(end.opened_s),
         )
--- a/packages/daemon/src/lacewing_daemon/direct/_take_up.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_take_up.py
@@ -36,11 +36,13 @@
 class StreamPlace:
     """Hold where a stream may run.
 
-    ``software`` is the version that it must go on at, None for a new stream.
+    ``software`` is the version that it must go on at, None for a new stream;
+    ``is_inferred``: no router has a record of it.
     """
 
     admitted: Admitted
     software: str | None = None
+    is_inferred: bool = False
 
 
 def is_taken_up(request: CallerRequest, admitted: Admitted) -> bool:
@@ -71,14 +73,14 @@
     if isinstance(origin, UnknownOrigin):
         return _refusal(_MESSAGES[origin])
     if origin.service == service_name:
-        return StreamPlace(admitted, origin.software)
+        return StreamPlace(admitted, origin.software, origin.is_inferred)
     # Requests of one route may be divided among services.
     for share in admitted.route.shares:
         if share.service == origin.service and config is not None:
             service = config.services.get(origin.service)
             if service is not None:
                 moved = replace(admitted, service=service)
-                return StreamPlace(moved, origin.software)
+                return StreamPlace(moved, origin.software, origin.is_inferred)
     return _refusal("the route no longer leads to the stream's service")
 
 
--- a/packages/daemon/src/lacewing_daemon/direct/_try_entry.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_try_entry.py
@@ -30,11 +30,13 @@
     first_ms: int,
     other_requests: int,
     given_up: GivenUp,
+    is_unconfirmed: bool,
 ) -> Try:
     """Return the log entry of a send.
 
     ``first_ms``: time to the first event, -1 if there was none.
     ``other_requests``: those of other routers at the upstream.
+    ``is_unconfirmed``: the start that it reached is not known for certain.
     """
     is_superseded = target.superseded_ms > 0
     upstream = target.state.upstream
@@ -61,6 +63,7 @@
         unsigned=end.is_unsigned,
         earlier=end.connection_use.earlier_requests,
         skipped=end.connection_use.skipped_answers,
+        unconfirmed=is_unconfirmed,
     )
 
 
--- a/packages/daemon/src/lacewing_daemon/direct/origins/_directory.py
+++ b/packages/daemon/src/lacewing_daemon/direct/origins/_directory.py
@@ -208,7 +208,7 @@
         """Return the origin of a stream; ask other routers if needed."""
         known = self.answer(question)
         if known.origin is UnknownOrigin.UNNAMED and known.only is not None:
-            return StreamOrigin(question.service, known.only)
+            return StreamOrigin(question.service, known.only, True)
         if _is_settled(known.origin):
             return known.origin
         answers = [known, *await self._ask(question)]
@@ -249,7 +249,7 @@
         versions = {each.only for each in answers if each.only is not None}
         if len(versions) != 1 or here != versions:
             return None
-        return StreamOrigin(service, versions.pop())
+        return StreamOrigin(service, versions.pop(), True)
 
     async def _ask(self, question: Question) -> list[Answer]:
         """Ask the candidates of a key; those of an unnamed stream are any."""
--- a/packages/daemon/src/lacewing_daemon/direct/origins/_records.py
+++ b/packages/daemon/src/lacewing_daemon/direct/origins/_records.py
@@ -3,6 +3,7 @@
 from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass
+from dataclasses import field
 from enum import Enum
 from hashlib import blake2b
 
@@ -13,10 +14,15 @@
 
 @dataclass(frozen=True)
 class StreamOrigin:
-    """Name the service and the software version that began a stream."""
+    """Name the service and the software version that began a stream.
+
+    ``is_inferred``: no record names the version, but no other one can have
+    begun the stream.
+    """
 
     service: str
     software: str
+    is_inferred: bool = field(default=False, compare=False)
 
 
 class UnknownOrigin(Enum):
