Send started streams only to a start that is certain to have their version

Cause: a send that must go on at a version went by the version of the entry as last read. A router with no open connection to the upstream gets no sign of the new start, and requests name its id, which the new start has too. The report that each stream asks for as it is sent told the truth some ms later, when the events were already passed on.

Evidence: both scenarios of direct_out_of_step.feature failed on the code before, with events of "v2" after "v1" and, in the log, `unconfirmed` on the send. With the change they hold.

Why it works: a connection belongs to one start; a report that was requested after it was opened names that start or a later one. A started stream is now held back until such a report names the start whose version the entry states; otherwise nothing is sent, and another upstream is chosen. A wait ends with the report that decides, no longer with the last of a series of reports that other streams asked for meanwhile.

--- /dev/null
+++ b/features/steps/out_of_step_steps.py
@@ -0,0 +1,273 @@
+"""Check take-ups of streams at a router that gets no news for a while."""
+
+import asyncio
+import time
+from http.client import HTTPConnection
+from http.client import IncompleteRead
+
+from behave import given
+from behave import then
+from behave import when
+from behave.runner import Context
+from lacewing_platform_testing import Behaviour
+from lacewing_platform_testing._server import FakeServer
+from lacewing_platform_testing._server import ReceivedRequest
+from structlog.testing import capture_logs
+from support.direct_bench import Answer
+from support.direct_bench import direct_bench
+from support.direct_bench import DirectBench
+from support.direct_bench import HOST
+from support.direct_bench import KEY
+from support.direct_bench import PREFIX
+from support.direct_bench import PROMPT
+
+PATH = '/chat/software'
+SECOND = 1
+# A long stream, so that its upstream ends under it.
+LONG_EVENT_COUNT = 20
+LONG_PAUSE_S = 0.1
+START_GAP_S = 0.05
+
+
+class StoreEntrance:
+    """Pass calls on to a store, until it is cut off."""
+
+    def __init__(self, bench: DirectBench) -> None:
+        self._store = bench.store
+        self._is_cut = False
+        self.server = FakeServer(self._handle)
+
+    def cut(self) -> None:
+        """Answer nothing from now on, open calls included."""
+        self._is_cut = True
+        self.server.reset_all()
+
+    async def _handle(self, received: ReceivedRequest) -> None:
+        if self._is_cut:
+            await asyncio.Event().wait()
+        await self._store.server.handle(received)
+
+
+@given('a router 2 with a connection of its own to the store')
+def step_entrance(context: Context) -> None:
+    """Let the second router reach the store through an entrance."""
+    bench = direct_bench(context)
+    entrance = StoreEntrance(bench)
+    bench.on_loop(entrance.server.start)
+    context.resources.callback(bench.on_loop, entrance.server.close)
+    bench.store_addresses['router-2'] = entrance.server.address
+    context.entrance = entrance
+
+
+@given('{count:d} streams of which router 1 has relayed the first event')
+def step_streams_begun(context: Context, count: int) -> None:
+    """Read one event of each stream, and leave."""
+    context.streams = [
+        _begin_and_leave(direct_bench(context), number)
+        for number in range(count)
+    ]
+
+
+@when(
+    '{count:d} streams of which router 1 has relayed the first event'
+    ' from "{name}"'
+)
+def step_streams_begun_at(context: Context, count: int, name: str) -> None:
+    """Let all other engines refuse while the streams begin."""
+    bench = direct_bench(context)
+    others = [
+        upstream
+        for upstream in bench.upstreams.values()
+        if upstream.upstream_id != name
+    ]
+    for upstream in others:
+        upstream.always = Behaviour.SHED
+    step_streams_begun(context, count)
+    for upstream in others:
+        upstream.always = None
+
+
+@given('router 2 relays a stream of "{name}"')
+def step_stream_open(context: Context, name: str) -> None:
+    """Read the first event of a long stream."""
+    bench = direct_bench(context)
+    for upstream in bench.upstreams.values():
+        upstream.event_count = LONG_EVENT_COUNT
+        upstream.pause_s = LONG_PAUSE_S
+    context.connection = bench.connect(SECOND)
+    # The other engines must get no connection from this router.
+    number = _number_placed_at(bench, name)
+    _send(context.connection, 'open-stream', number, {})
+    context.response = context.connection.getresponse()
+    context.events = context.response.read1()
+    assert bench.upstreams[name].received, 'expected the stream there'
+
+
+@when('no call of router 2 reaches the store')
+def step_store_cut(context: Context) -> None:
+    """Cut the second router off from the store."""
+    direct_bench(context).on_loop(context.entrance.cut)
+
+
+@when('"{name}" starts again with software "{software}", as router 1 knows')
+def step_starts_again(context: Context, name: str, software: str) -> None:
+    """Start it under its id and address; the first router knows its entry."""
+    bench = direct_bench(context)
+    upstream = bench.upstreams[name]
+    bench.on_loop(upstream.crash)
+    time.sleep(START_GAP_S)
+
+    def start() -> None:
+        upstream.start_new_incarnation()
+        upstream.software = software
+        upstream.server.start(upstream.server.port)
+
+    bench.on_loop(start)
+    bench.register(name)
+    _until_known(bench, name, software)
+
+
+@when('an engine "{name}" of software "{software}" joins, as router 1 knows')
+def step_joins(context: Context, name: str, software: str) -> None:
+    """Start an engine; the first router knows it."""
+    bench = direct_bench(context)
+    bench.add_upstream(name, 'models', software=software)
+    _until_known(bench, name, software)
+
+
+@when('the streams are taken up at router 2')
+def step_taken_up(context: Context) -> None:
+    """Ask for the rest of each stream."""
+    bench = direct_bench(context)
+    context.took_s = []
+    with capture_logs() as context.log:
+        for number, stream in enumerate(context.streams):
+            asked_s = time.monotonic()
+            _take_up(bench, stream, number)
+            context.took_s.append(time.monotonic() - asked_s)
+    context.answers = bench.answers[-len(context.streams) :]
+
+
+@then('no stream goes on at software "{software}"')
+def step_none_at(context: Context, software: str) -> None:
+    """Check the events of all answers."""
+    for answer in context.answers:
+        assert answer.status in (200, 503), answer
+        assert software.encode() not in answer.body, answer
+
+
+@then('at least {count:d} streams go on at software "{software}"')
+def step_some_at(context: Context, count: int, software: str) -> None:
+    """Count the answers with events of the version."""
+    found = 0
+    for answer in context.answers:
+        found += answer.status == 200 and software.encode() in answer.body
+    assert found >= count, context.answers
+
+
+@then('each take-up was refused within {limit_s:f} s')
+def step_refused(context: Context, limit_s: float) -> None:
+    """Check status, Retry-After and time."""
+    for answer, took_s in zip(context.answers, context.took_s, strict=True):
+        assert answer.status == 503, answer
+        assert 'Retry-After' in answer.headers, answer
+        assert took_s <= limit_s, took_s
+
+
+@then('the log tells that their versions were recorded')
+def step_logged(context: Context) -> None:
+    """Check the lines of the take-ups that were answered."""
+    answered = 0
+    for line in context.log:
+        if line['event'] != 'Request answered.':
+            continue
+        answered += 1
+        assert line['origin'] == 'recorded', line
+        assert not line['tries'][-1].get('unconfirmed'), line
+    assert answered, context.log
+
+
+@then('the open stream holds events of software "{software}" only')
+def step_open_stream(context: Context, software: str) -> None:
+    """Read the rest, if there is any."""
+    try:
+        context.events += context.response.read()
+    except IncompleteRead as error:
+        context.events += error.partial
+    context.connection.close()
+    for line in context.events.split(b'\n'):
+        if line.startswith(b'data:'):
+            assert line.split()[-1] == software.encode(), context.events
+
+
+def _until_known(bench: DirectBench, name: str, software: str) -> None:
+    """Wait until the first router knows the software of an upstream."""
+    cluster_state = bench.routers[0]._fleet.cluster_state
+
+    def is_known() -> bool:
+        found = cluster_state.upstream(name)
+        return found is not None and found.upstream.software == software
+
+    bench.until(is_known, f'{name} of software {software}')
+
+
+def _number_placed_at(bench: DirectBench, name: str) -> int:
+    """Return the number of a prompt that the first router sends there."""
+    upstream = bench.upstreams[name]
+    for number in range(100, 200):
+        upstream.received.clear()
+        _begin_and_leave(bench, number)
+        if upstream.received:
+            for each in bench.upstreams.values():
+                each.received.clear()
+            return number
+    raise AssertionError(f'expected a prompt that is sent to {name}')
+
+
+def _begin_and_leave(bench: DirectBench, number: int) -> str:
+    """Read the first event at the first router; return the request's id."""
+    request_id = f'stream-{number}'
+    connection = bench.connect(0)
+    for upstream in bench.upstreams.values():
+        upstream.script.append(Behaviour.STALLS)
+    _send(connection, request_id, number, {})
+    assert connection.getresponse().read1()
+    connection.close()
+    for upstream in bench.upstreams.values():
+        upstream.script.clear()
+    return request_id
+
+
+def _send(
+    connection: HTTPConnection,
+    request_id: str,
+    number: int,
+    headers: dict[str, str],
+) -> None:
+    """Ask with a prompt of its own."""
+    sent = {
+        **PROMPT,
+        'Host': HOST,
+        'Authorization': f'Token {KEY}',
+        PREFIX + 'Request-Id': request_id,
+        PREFIX + 'Deadline-Ms': '10000',
+        PREFIX + 'Prompt-Prefix': f'a{number}:100,b{number}:200',
+        **headers,
+    }
+    connection.request('POST', PATH, b'prompt', sent)
+
+
+def _take_up(bench: DirectBench, stream: str, number: int) -> Answer:
+    """Ask the second router for the events after the first one."""
+    connection = bench.connect(SECOND)
+    headers = {
+        'Last-Event-Id': '1',
+        'Resumes': stream,
+        PREFIX + 'Prompt-Prefix': f'a{number}:100,b{number}:200',
+    }
+    try:
+        return bench.ask_on(
+            connection, PATH, KEY, 'POST', b'prompt', **{**PROMPT, **headers}
+        )
+    finally:
+        connection.close()
--- a/features/steps/software_versions_steps.py
+++ b/features/steps/software_versions_steps.py
@@ -338,6 +338,7 @@
 
 
 @given('router {number:d} reaches no peer')
+@when('router {number:d} reaches no peer')
 def step_no_peer(context: Context, number: int) -> None:
     """Leave the calls of a router unanswered."""
     origins = direct_bench(context).routers[number - 1]._fleet.stream_origins
--- a/features/support/direct_bench.py
+++ b/features/support/direct_bench.py
@@ -81,6 +81,8 @@
         self.routers_call = False
         self.peer_ports_taken = False
         self.first_start = False
+        # By router; those that are missing call the store directly.
+        self.store_addresses: dict[str, str] = {}
         self._reserved_sockets: list[socket.socket] = []
         self.store: FakeStore = self.run(_start_store())
         # As in a deployment that has been running for a while.
@@ -288,7 +290,7 @@
             availability_zone='east',
             callers='127.0.0.1:0',
             ready='127.0.0.1:0',
-            platform=self.store.address,
+            platform=self.store_addresses.get(name, self.store.address),
             bounds=self.bounds,
             peers=self._peers_address(),
             policy=LoadPolicy(load_late_ms=LOAD_LATE_MS),
--- a/packages/daemon/src/lacewing_daemon/direct/_attempt.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_attempt.py
@@ -42,8 +42,8 @@
     return
 
 
-def _ignore_sent(_opened_s: float) -> None:
-    return
+async def _always_send(_opened_s: float) -> bool:
+    return True
 
 
 class Contact(Enum):
@@ -51,13 +51,15 @@
 
     REFUSED: no process listens at its address. UNREACHABLE: no connection
     could be opened for another reason, such as a lost packet. WITHDRAWN: it
-    stopped taking requests before this one was sent.
+    stopped taking requests before this one was sent. UNCONFIRMED: it is not
+    certain that the right start of it was reached, and nothing was sent.
     """
 
     CONNECTED = 'made'
     REFUSED = 'refused'
     UNREACHABLE = 'none'
     WITHDRAWN = 'withdrawn'
+    UNCONFIRMED = 'unconfirmed'
 
 
 @dataclass(frozen=True)
@@ -156,7 +158,7 @@
         max_idle: int,
         should_abandon: Callable[[float], bool] = _abandon_immediately,
         on_lost: Callable[[], None] = _ignore_lost,
-        on_sent: Callable[[float], None] = _ignore_sent,
+        may_send: Callable[[float], Awaitable[bool]] = _always_send,
     ) -> AttemptEnd:
         """Send the request; cancelling closes the connection.
 
@@ -165,8 +167,8 @@
         ``should_abandon`` is called with the time waited, and again every
         ``RECHECK_INTERVAL_S``, until it returns true or a piece arrives.
         ``on_lost`` is called if the upstream has closed an idle connection,
-        ``on_sent`` once the request is sent, with when its connection was
-        opened.
+        ``may_send`` with when the connection was opened, before the request
+        is sent on it.
         """
         upstream = state.upstream
         try:
@@ -182,11 +184,12 @@
             return _unreachable(Contact.UNREACHABLE)
         is_released = False
         try:
+            if not await may_send(connection.opened_s):
+                return _unreachable(Contact.UNCONFIRMED)
             # Checked last: nothing is awaited between this and the sending.
-            if not state.takes_requests:
+            if not state.takes_requests or self._ended.done():
                 return _unreachable(Contact.WITHDRAWN)
             self._send(connection, dispatch)
-            on_sent(connection.opened_s)
             await self._wait_for_end(first_wait_s, gap_wait_s, should_abandon)
             end = self._classify()
             # A second response without an id, sent late, would be taken for
--- a/packages/daemon/src/lacewing_daemon/direct/_metrics.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_metrics.py
@@ -73,6 +73,12 @@
     'Requests for the rest of a stream, by service and what is known of it',
     ['service', 'origin'],
 )
+STARTS_UNCONFIRMED = Counter(
+    'lacewing_direct_starts_unconfirmed',
+    'Started streams that were not sent to an upstream, as it was not certain'
+    ' that it has their software version, by service',
+    ['service'],
+)
 ORIGINS_SENT = Counter(
     'lacewing_direct_stream_origins_sent',
     'Origins of streams sent to other routers, by result',
--- a/packages/daemon/src/lacewing_daemon/direct/_request_sends.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_request_sends.py
@@ -243,6 +243,7 @@
             partial(self._can_move, target, handover),
             self._subjects,
             handover,
+            self._progress.software,
         )
         opened = OpenSend(target, send, handover)
         self._open_sends.append(opened)
--- a/packages/daemon/src/lacewing_daemon/direct/_restart_checks.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_restart_checks.py
@@ -16,6 +16,7 @@
 from lacewing_daemon.direct._cluster_state import ClusterState
 from lacewing_daemon.direct._site import UpstreamControl
 from lacewing_daemon.direct._upstream import Software
+from lacewing_daemon.direct._upstream import UnknownSoftware
 from lacewing_daemon.direct._upstream_state import UpstreamState
 from lacewing_daemon.direct.origins import MAX_LIST_AGE_S
 
@@ -56,6 +57,7 @@
         self._open: dict[UpstreamState, asyncio.Task[None]] = {}
         self._wanted_s: dict[UpstreamState, float] = {}
         self._begun: dict[UpstreamState, list[_Begun]] = {}
+        self._reported: dict[UpstreamState, asyncio.Event] = {}
         self._tasks = TaskSet('restart check')
 
     def software_at(self, state: UpstreamState, opened_s: float) -> Software:
@@ -103,19 +105,30 @@
             self._ask_for(state, opened_s)
 
     async def resolve(self, state: UpstreamState, opened_s: float) -> None:
-        """Wait for the start of a connection, or a missing answer."""
+        """Wait for the start of a connection, or a missing answer.
+
+        A report under way may have been requested before the connection was
+        opened; the one after it tells.
+        """
         try:
             async with asyncio.timeout(RESOLVE_TIMEOUT_S):
-                open_call = self._open.get(state)
-                if open_call is not None:
-                    await asyncio.wait((open_call,))
-                if state.is_confirmed(opened_s):
-                    return
-                if self._ask_for(state, opened_s):
-                    await asyncio.wait((self._open[state],))
+                for _ in range(2):
+                    if state.is_confirmed(opened_s):
+                        return
+                    if not self._ask_for(state, opened_s):
+                        return
+                    await self._next_report(state)
         except TimeoutError:
             return
 
+    async def has_software(
+        self, state: UpstreamState, opened_s: float, software: Software
+    ) -> bool:
+        """Return whether a connection is to a start with some software."""
+        if self.software_at(state, opened_s) is UnknownSoftware.DOUBTED:
+            await self.resolve(state, opened_s)
+        return self.software_at(state, opened_s) == software
+
     def close(self) -> None:
         """Cancel open calls."""
         self._tasks.cancel()
@@ -159,11 +172,23 @@
         """Request reports until nothing is in doubt, or one fails."""
         try:
             while await self._confirm(state):
+                self._notify(state)
                 if not self._is_open(state):
                     return
         finally:
             self._open.pop(state, None)
             self._forget(state)
+            self._notify(state)
+
+    async def _next_report(self, state: UpstreamState) -> None:
+        """Wait until a report has come, or failed."""
+        event = self._reported.setdefault(state, asyncio.Event())
+        await event.wait()
+
+    def _notify(self, state: UpstreamState) -> None:
+        event = self._reported.pop(state, None)
+        if event is not None:
+            event.set()
 
     def _is_open(self, state: UpstreamState) -> bool:
         """Return whether a connection or the upstream is still in doubt."""
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -30,6 +30,7 @@
 from lacewing_daemon.direct._metrics import FIRST_SECONDS
 from lacewing_daemon.direct._metrics import MACHINE_SLOWDOWN
 from lacewing_daemon.direct._metrics import RUNS_CONTINUED
+from lacewing_daemon.direct._metrics import STARTS_UNCONFIRMED
 from lacewing_daemon.direct._placing import Placer
 from lacewing_daemon.direct._site import Dispatch
 from lacewing_daemon.direct._site import ReplyHead
@@ -87,6 +88,7 @@
     requests that move at the same moment. ``subjects`` are what a crash under
     it may be attributed to. ``handover`` moves the stream once it has events;
     without one, its run is ended before another upstream is asked.
+    ``required_software``: the version that a started stream must go on at.
     """
 
     def __init__(
@@ -100,6 +102,7 @@
         can_move: Callable[[int], bool],
         subjects: RequestSubjects,
         handover: Handover[Any] | None = None,
+        required_software: Software | None = None,
     ) -> None:
         self._fleet = fleet
         self._handover = handover
@@ -111,6 +114,7 @@
         self._state = target.state
         self._can_move = can_move
         self._subjects = subjects
+        self._required_software = required_software
         self._guard = fleet.crash_guard
         self._start_s = time.monotonic()
         self._first_event_s: float | None = None
@@ -214,7 +218,7 @@
                 partial(
                     self._fleet.restart_checks.connection_lost, self._state
                 ),
-                self._check_start,
+                self._may_send,
             )
         finally:
             self._guard.run_closed(self._subjects, self._abort)
@@ -231,10 +235,23 @@
             self._record_end(end)
         return SendResult(end, self._log_entry(end), has_newer_weights)
 
-    def _check_start(self, opened_s: float) -> None:
-        """Find out which start a stream is sent to, while it is waited for."""
-        if self._admitted.route.is_streaming and self._can_continue:
-            self._fleet.restart_checks.stream_sent(self._state, opened_s)
+    async def _may_send(self, opened_s: float) -> bool:
+        """Return whether a connection is to a start that may get the stream.
+
+        A started stream is held back until that is certain. The start that a
+        new one is sent to is found out while its first event is awaited.
+        """
+        checks = self._fleet.restart_checks
+        required = self._required_software
+        if required is None:
+            if self._admitted.route.is_streaming and self._can_continue:
+                checks.stream_sent(self._state, opened_s)
+            return True
+        if await checks.has_software(self._state, opened_s, required):
+            return True
+        self._given_up = GivenUp.UNCONFIRMED
+        STARTS_UNCONFIRMED.labels(self._admitted.service.name).inc()
+        return False
 
     def _record_origin(self, software: Software) -> None:
         record_origin(
--- a/packages/daemon/src/lacewing_daemon/direct/_try_entry.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_try_entry.py
@@ -15,12 +15,15 @@
 
     SILENT: the upstream sent nothing on any stream. STALLED: the stream had
     no event for too long. RESUMED: the earlier run of the stream went on.
+    UNCONFIRMED: the stream must go on at one software version, and it was not
+    certain that the upstream still has it.
     """
 
     NO = ''
     SILENT = 'upstream_silent'
     STALLED = 'stalled'
     RESUMED = 'earlier_run_resumed'
+    UNCONFIRMED = 'start_unconfirmed'
 
 
 def describe_try(
