Infer the version of a stream only as the store confirms it

Callers saw: streams that began on upstreams of a new version through other routers broke, were taken up at a router that was out of step, and went on at another version (ORDER).

Cause: a router that finds no record of a stream goes on with it at the only version that its own list has had, or that its peers have. The list may be 3.5 s old and the stream newer. No record is found where the routers that have it are unreachable (cut off), or where nobody made one, as a report had named a start that had written no entry yet: its version is unknown.

Change: before an inferred version counts, the store is read once more. A stream whose start is not the one that the entry names is recorded as such, here and at the keepers, and is refused. Streams of the only version go on in calm although no router answers: a scenario.

--- a/features/direct_out_of_step.feature
+++ b/features/direct_out_of_step.feature
@@ -34,3 +34,43 @@
     And "eng-1" starts again with software "v2", as router 1 knows
     And "eng-2" ends
     Then the open stream holds events of software "v1" only
+
+  Scenario: A router that is cut off meets a stream of a version it never saw
+    # Guards against a version that is inferred from a list of upstreams that
+    # is older than the stream.
+    Given an engine "eng-1" of software "v1"
+    And 2 routers that know each other
+    And both routers have known the engines for long
+    When no call of router 2 reaches the store
+    And router 1 reaches no peer
+    And router 2 reaches no peer
+    And an engine "eng-2" of software "v2" joins, as router 1 knows
+    And 1 streams of which router 1 has relayed the first event from "eng-2"
+    And the streams are taken up at router 2
+    Then no stream goes on at software "v1"
+    And each take-up was refused within 0.6 s
+
+  Scenario: A stream of a start without an entry is taken up
+    # Guards against a version that is inferred where the start that began the
+    # stream has written no entry yet.
+    Given an engine "eng-1" of software "v1"
+    And an engine "eng-2" of software "v1"
+    And 2 routers that know each other
+    And both routers have known the engines for long
+    When "eng-1" starts again with software "v2", without an entry
+    And 1 streams of which router 1 has relayed the first event from "eng-1"
+    And the streams are taken up at router 2
+    Then no stream goes on at software "v1"
+    And each take-up was refused within 0.6 s
+
+  Scenario: Streams of the only version go on although nobody has a record
+    # Guards against streams that are refused in calm because the only router
+    # that has a record of them does not answer.
+    Given an engine "eng-1" of software "v1"
+    And 2 routers that know each other
+    And both routers have known the engines for long
+    And 6 streams of which router 1 has relayed the first event
+    When router 2 reaches no peer
+    And the streams are taken up at router 2
+    Then at least 6 streams go on at software "v1"
+    And the log tells that their versions were inferred
--- a/features/steps/out_of_step_steps.py
+++ b/features/steps/out_of_step_steps.py
@@ -113,20 +113,17 @@
 def step_starts_again(context: Context, name: str, software: str) -> None:
     """Start it under its id and address; the first router knows its entry."""
     bench = direct_bench(context)
-    upstream = bench.upstreams[name]
-    bench.on_loop(upstream.crash)
-    time.sleep(START_GAP_S)
-
-    def start() -> None:
-        upstream.start_new_incarnation()
-        upstream.software = software
-        upstream.server.start(upstream.server.port)
-
-    bench.on_loop(start)
+    _start_again(bench, name, software)
     bench.register(name)
     _until_known(bench, name, software)
 
 
+@when('"{name}" starts again with software "{software}", without an entry')
+def step_starts_unseen(context: Context, name: str, software: str) -> None:
+    """Start it under its id and address; its entry stays as it was."""
+    _start_again(direct_bench(context), name, software)
+
+
 @when('an engine "{name}" of software "{software}" joins, as router 1 knows')
 def step_joins(context: Context, name: str, software: str) -> None:
     """Start an engine; the first router knows it."""
@@ -174,15 +171,15 @@
         assert took_s <= limit_s, took_s
 
 
-@then('the log tells that their versions were recorded')
-def step_logged(context: Context) -> None:
+@then('the log tells that their versions were {origin}')
+def step_logged(context: Context, origin: str) -> None:
     """Check the lines of the take-ups that were answered."""
     answered = 0
     for line in context.log:
         if line['event'] != 'Request answered.':
             continue
         answered += 1
-        assert line['origin'] == 'recorded', line
+        assert line['origin'] == origin, line
         assert not line['tries'][-1].get('unconfirmed'), line
     assert answered, context.log
 
@@ -200,6 +197,20 @@
             assert line.split()[-1] == software.encode(), context.events
 
 
+def _start_again(bench: DirectBench, name: str, software: str) -> None:
+    """Crash an upstream and start it under its id and address."""
+    upstream = bench.upstreams[name]
+    bench.on_loop(upstream.crash)
+    time.sleep(START_GAP_S)
+
+    def start() -> None:
+        upstream.start_new_incarnation()
+        upstream.software = software
+        upstream.server.start(upstream.server.port)
+
+    bench.on_loop(start)
+
+
 def _until_known(bench: DirectBench, name: str, software: str) -> None:
     """Wait until the first router knows the software of an upstream."""
     cluster_state = bench.routers[0]._fleet.cluster_state
@@ -229,7 +240,8 @@
     request_id = f'stream-{number}'
     connection = bench.connect(0)
     for upstream in bench.upstreams.values():
-        upstream.script.append(Behaviour.STALLS)
+        if upstream.always is None:
+            upstream.script.append(Behaviour.STALLS)
     _send(connection, request_id, number, {})
     assert connection.getresponse().read1()
     connection.close()
--- a/features/support/origin_fleet.py
+++ b/features/support/origin_fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Sequence
 
+from lacewing_daemon.direct._upstream import Software
 from lacewing_daemon.direct._upstream import Upstream
 from lacewing_daemon.direct.origins import Question
 from lacewing_daemon.direct.origins import StreamOrigins
@@ -55,11 +56,20 @@
         origins = StreamOrigins(
             peers,
             lambda _service: self.present.get(address, []),
+            self._current,
             lambda: self.now_s,
         )
         origins.connect(self)
         return origins
 
+    async def _current(self, _service: str) -> frozenset[Software]:
+        """Return the versions that any router knows, as the store has them."""
+        found = set()
+        for upstreams in self.present.values():
+            for upstream in upstreams:
+                found.add(upstream.software)
+        return frozenset(found)
+
     async def record(
         self, address: str, origins: Sequence[SentOrigin], timeout_s: float
     ) -> bool:
--- a/packages/bench/src/lacewing_bench/origins_cost.py
+++ b/packages/bench/src/lacewing_bench/origins_cost.py
@@ -15,6 +15,7 @@
 import fire
 from grpclib.protocol import H2Protocol
 from lacewing_daemon.direct._peer_link import PeerLink
+from lacewing_daemon.direct._upstream import Software
 from lacewing_daemon.direct.origins import stream_key
 from lacewing_daemon.direct.origins import StreamOrigin
 from lacewing_daemon.direct.origins import StreamOrigins
@@ -98,13 +99,17 @@
     setattr(H2Protocol, 'data_received', data_received)
 
 
+async def _no_versions(_service: str) -> frozenset[Software]:
+    return frozenset()
+
+
 async def _measure_call() -> CallCost:
     """Record streams one by one at another router."""
     addresses = [f'127.0.0.1:{free_ports()}' for _ in range(2)]
     links = [PeerLink(address) for address in addresses]
     services = []
     for link in links:
-        origins = StreamOrigins(lambda: (), lambda _service: ())
+        origins = StreamOrigins(lambda: (), lambda _service: (), _no_versions)
         service = OriginService(link, origins)
         link.add_service(service)
         services.append(service)
--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -46,6 +46,7 @@
 from lacewing_daemon.direct.limits import TeamLimiter
 from lacewing_daemon.direct.limits import UpstreamLimiter
 from lacewing_daemon.direct.limits._limiters import Limiters
+from lacewing_daemon.direct.origins import CurrentVersions
 from lacewing_daemon.direct.origins import StreamOrigins
 from lacewing_daemon.direct.origins import VersionRecords
 from lacewing_daemon.direct.queueing import RequestQueues
@@ -205,9 +206,13 @@
         self._limiters = Limiters(
             settings.peers, self._cluster_state, self._router_count, random
         )
+        self._current_versions = CurrentVersions(
+            site.upstreams, self._store_calls, self._eras
+        )
         self._stream_origins = StreamOrigins(
             lambda: self._router_count.addresses,
             self._upstreams_of,
+            self._current_versions.versions,
             first_start=settings.first_start,
         )
         self._version_records = VersionRecords(
@@ -415,6 +420,7 @@
         self._queues.close()
         self._crash_guard.close()
         self._stream_origins.close()
+        self._current_versions.close()
         self._restart_checks.close()
         self._store_calls.log_counts()
         self._pool.close()
--- a/packages/daemon/src/lacewing_daemon/direct/_restart_checks.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_restart_checks.py
@@ -89,7 +89,8 @@
         """Record the first event on a connection that was opened then.
 
         While the list of upstreams is stale, nothing tells of new starts.
-        ``on_software`` is called once the version that began it is known.
+        ``on_software`` is called once the version that began it is known, or
+        another start is known to be there.
         """
         listed_s = boot_s() - self._list_age_s()
         if opened_s > listed_s + MAX_LIST_AGE_S:
@@ -98,6 +99,9 @@
         if is_known and on_software is not None:
             on_software(state.upstream.software)
         if not is_known and on_software is not None:
+            if state.replaced:
+                on_software(UnknownSoftware.DOUBTED)
+                return
             begun = self._begun.setdefault(state, [])
             begun.append(_Begun(opened_s, on_software))
         is_wanted = not is_known and on_software is not None
@@ -205,6 +209,8 @@
             return False
         is_same = self._cluster_state.apply_report(state, report)
         if not is_same or report.started_ms != state.upstream.started_ms:
+            for begun in self._begun.pop(state, ()):
+                begun.on_software(UnknownSoftware.DOUBTED)
             return False
         state.confirm_software(sent_s)
         remaining = []
--- a/packages/daemon/src/lacewing_daemon/direct/_store_calls.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_store_calls.py
@@ -27,6 +27,7 @@
     NO_CHANGE and CHANGE: the previous call waited for changes and returned
     none or some. FAILURE: the previous call failed. READ: a whole collection
     is read. PEEK: an eventually consistent read at a tenth of the price.
+    CONFIRM: a whole collection is read once more, beside the calls that wait.
     """
 
     READ = 'read'
@@ -34,6 +35,7 @@
     CHANGE = 'change'
     FAILURE = 'failure'
     PEEK = 'peek'
+    CONFIRM = 'confirm'
     GET = 'get'
     WRITE = 'write'
 
--- a/packages/daemon/src/lacewing_daemon/direct/_take_up.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_take_up.py
@@ -28,7 +28,11 @@
     UnknownOrigin.UNNAMED: 'it names no request that began the stream',
     UnknownOrigin.NO_RECORD: 'no router knows the stream',
     UnknownOrigin.NO_ANSWER: 'routers that may know the stream do not answer',
+    UnknownOrigin.UNCONFIRMED: (
+        'the platform does not confirm that one version only can have begun it'
+    ),
     UnknownOrigin.REUSED: 'two streams have the id of this one',
+    UnknownOrigin.OTHER_START: 'the upstream that began it had started again',
 }
 
 
@@ -97,13 +101,13 @@
     request_id = request.resumed_request or request.request_id
     if not admitted.route.can_retry or not request_id:
         return
-    if not isinstance(software, str):
+    key = stream_key(admitted.team_name, request_id)
+    service = admitted.service.name
+    life_s = min(_life_s(request, admitted), MAX_STREAM_LIFE_S)
+    if isinstance(software, str):
+        origins.record(key, StreamOrigin(service, software), life_s)
         return
-    origins.record(
-        stream_key(admitted.team_name, request_id),
-        StreamOrigin(admitted.service.name, software),
-        min(_life_s(request, admitted), MAX_STREAM_LIFE_S),
-    )
+    origins.record_unknown(key, service, life_s)
 
 
 def _life_s(request: CallerRequest, admitted: Admitted) -> float:
--- a/packages/daemon/src/lacewing_daemon/direct/origins/__init__.py
+++ b/packages/daemon/src/lacewing_daemon/direct/origins/__init__.py
@@ -1,5 +1,6 @@
 """Know at which software version each resumable stream began."""
 
+from lacewing_daemon.direct.origins._current_versions import CurrentVersions
 from lacewing_daemon.direct.origins._directory import MAX_LIVES
 from lacewing_daemon.direct.origins._directory import Question
 from lacewing_daemon.direct.origins._directory import StreamOrigins
@@ -10,6 +11,7 @@
 from lacewing_daemon.direct.origins._version_records import VersionRecords
 
 __all__ = [
+    'CurrentVersions',
     'MAX_LIST_AGE_S',
     'MAX_LIVES',
     'Question',
--- a/packages/daemon/src/lacewing_daemon/direct/origins/_directory.py
+++ b/packages/daemon/src/lacewing_daemon/direct/origins/_directory.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
@@ -17,10 +18,12 @@
 from lacewing_daemon.direct._metrics import ORIGIN_RECORDS
 from lacewing_daemon.direct._metrics import ORIGINS_SENT
 from lacewing_daemon.direct._metrics import SOFTWARE_OBSERVED_SECONDS
+from lacewing_daemon.direct._upstream import Software
 from lacewing_daemon.direct._upstream import Upstream
 from lacewing_daemon.direct.origins._history import SoftwareHistory
 from lacewing_daemon.direct.origins._records import combine
 from lacewing_daemon.direct.origins._records import OriginRecords
+from lacewing_daemon.direct.origins._records import SETTLED
 from lacewing_daemon.direct.origins._records import StreamOrigin
 from lacewing_daemon.direct.origins._records import UnknownOrigin
 from lacewing_daemon.rendezvous import rank_workers
@@ -46,6 +49,10 @@
 
 T = TypeVar('T')
 
+# Returns the versions that upstreams of a service have in the store now, None
+# if they are not known.
+Current = Callable[[str], Awaitable[frozenset[Software] | None]]
+
 
 @dataclass(frozen=True)
 class SentOrigin:
@@ -110,8 +117,10 @@
     may have several software versions, it sends the record to the keepers of
     the stream's key, without delaying the stream, and another router asks
     the keepers. While there is one version only, all that have observed that
-    for long enough know the origin. ``peer_addresses`` returns the other
-    routers, ``present`` the upstreams of a service; ``first_start`` is that of
+    for long enough know the origin, if the store confirms that no other
+    version has come since. ``peer_addresses`` returns the other routers,
+    ``present`` the upstreams of a service as last read, ``current`` the
+    versions as the store has them; ``first_start`` is that of
     ``SoftwareHistory``.
     """
 
@@ -119,15 +128,18 @@
         self,
         peer_addresses: Callable[[], Sequence[str]],
         present: Callable[[str], Iterable[Upstream]],
+        current: Current,
         clock: Callable[[], float] = time.monotonic,
         first_start: bool = False,
     ) -> None:
         self._peer_addresses = peer_addresses
         self._history = SoftwareHistory(present, clock, first_start)
+        self._current = current
         self._clock = clock
         self._records = OriginRecords()
         self._calls: OriginCalls | None = None
-        self._unsent: dict[bytes, StreamOrigin] = {}
+        # The service of each stream whose record is held back.
+        self._unsent: dict[bytes, str] = {}
         self._pending: dict[str, list[_Pending]] = {}
         self._tasks = TaskSet('origin call')
 
@@ -157,13 +169,11 @@
 
     def record(self, key: bytes, origin: StreamOrigin, life_s: float) -> None:
         """Record a stream that this router relays, here and at keepers."""
-        self._records.add(key, origin, life_s, self._clock())
-        since_s = MAX_LIVES * life_s
-        is_only = self._history.only_software(origin.service, since_s)
-        if self._calls is None or is_only is not None:
-            self._unsent[key] = origin
-            return
-        self._distribute(key)
+        self._record(key, origin.service, origin, life_s)
+
+    def record_unknown(self, key: bytes, service: str, life_s: float) -> None:
+        """Record that it is not known which start began a stream."""
+        self._record(key, service, UnknownOrigin.OTHER_START, life_s)
 
     def upstream_changed(
         self, before: Upstream | None, after: Upstream | None
@@ -179,8 +189,7 @@
         if self._calls is None:
             return
         is_only: dict[str, bool] = {}
-        for key, origin in tuple(self._unsent.items()):
-            service = origin.service
+        for key, service in tuple(self._unsent.items()):
             if service not in is_only:
                 only = self._history.only_software(service, 0.0)
                 is_only[service] = only is not None
@@ -208,14 +217,18 @@
         """Return the origin of a stream; ask other routers if needed."""
         known = self.answer(question)
         if known.origin is UnknownOrigin.UNNAMED and known.only is not None:
-            return StreamOrigin(question.service, known.only, True)
+            origin = StreamOrigin(question.service, known.only, True)
+            return await self._confirmed(origin)
         if _is_settled(known.origin):
             return known.origin
         answers = [known, *await self._ask(question)]
-        origin = combine(answer.origin for answer in answers)
-        if _is_settled(origin):
-            return origin
-        return self._only_origin(question.service, answers) or origin
+        recorded = combine(answer.origin for answer in answers)
+        if _is_settled(recorded):
+            return recorded
+        inferred = self._only_origin(question.service, answers)
+        if inferred is None:
+            return recorded
+        return await self._confirmed(inferred)
 
     async def run(self) -> None:
         """Remove expired records until cancelled."""
@@ -233,6 +246,20 @@
         """Cancel open calls."""
         self._tasks.cancel()
 
+    def _record(
+        self,
+        key: bytes,
+        service: str,
+        origin: StreamOrigin | UnknownOrigin,
+        life_s: float,
+    ) -> None:
+        self._records.add(key, origin, life_s, self._clock())
+        only = self._history.only_software(service, MAX_LIVES * life_s)
+        if self._calls is None or only is not None:
+            self._unsent[key] = service
+            return
+        self._distribute(key)
+
     def _candidates(self, key: bytes) -> tuple[str, ...]:
         addresses = tuple(self._peer_addresses())
         return rank_workers(key[:_RANK_BYTES], addresses, CANDIDATES)
@@ -251,6 +278,18 @@
             return None
         return StreamOrigin(service, versions.pop(), True)
 
+    async def _confirmed(
+        self, inferred: StreamOrigin
+    ) -> StreamOrigin | UnknownOrigin:
+        """Return an inferred origin if no other version has come by now.
+
+        It was inferred from lists that may be older than the stream.
+        """
+        versions = await self._current(inferred.service)
+        if versions is None or versions - {inferred.software}:
+            return UnknownOrigin.UNCONFIRMED
+        return inferred
+
     async def _ask(self, question: Question) -> list[Answer]:
         """Ask the candidates of a key; those of an unnamed stream are any."""
         candidates = self._candidates(
@@ -325,4 +364,4 @@
 
 def _is_settled(origin: StreamOrigin | UnknownOrigin) -> bool:
     """Return whether further answers can't tell more of a stream."""
-    return isinstance(origin, StreamOrigin) or origin is UnknownOrigin.REUSED
+    return isinstance(origin, StreamOrigin) or origin in SETTLED
--- a/packages/daemon/src/lacewing_daemon/direct/origins/_messages.py
+++ b/packages/daemon/src/lacewing_daemon/direct/origins/_messages.py
@@ -9,14 +9,15 @@
 class OriginRecord(msgspec.Struct, frozen=True, array_like=True):
     """Report at which software version a stream began.
 
-    ``life_s``: seconds until the stream is over. ``software`` is None if two
-    streams have the same key.
+    ``life_s``: seconds until the stream is over. ``software`` is None if it
+    is known to be unknown; ``unknown`` says why.
     """
 
     key: bytes
     service: str
     software: str | None
     life_s: float
+    unknown: str = ''
 
 
 class RecordRequest(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/daemon/src/lacewing_daemon/direct/origins/_records.py
+++ b/packages/daemon/src/lacewing_daemon/direct/origins/_records.py
@@ -30,13 +30,17 @@
 
     UNNAMED: the caller does not name the stream. NO_RECORD: no router has a
     record of it. NO_ANSWER: routers that may have one did not answer.
-    REUSED: two streams have the same name.
+    UNCONFIRMED: one version only may have begun it, but the store does not
+    confirm that no other has come. REUSED: two streams have the same name.
+    OTHER_START: an upstream that had started again unseen may have begun it.
     """
 
     UNNAMED = 'unnamed'
     NO_RECORD = 'no-record'
     NO_ANSWER = 'no-answer'
+    UNCONFIRMED = 'unconfirmed'
     REUSED = 'reused'
+    OTHER_START = 'other-start'
 
 
 def stream_key(team: str, request_id: str) -> bytes:
@@ -48,6 +52,8 @@
     return blake2b(text.encode(), digest_size=_KEY_BYTES).digest()
 
 
+# Records of these hold, whatever others name.
+SETTLED = frozenset((UnknownOrigin.REUSED, UnknownOrigin.OTHER_START))
 # Of several reasons the last one of these is given.
 _REASONS = (
     UnknownOrigin.NO_RECORD,
@@ -63,9 +69,9 @@
     origin: StreamOrigin | None = None
     unknown = UnknownOrigin.NO_RECORD
     for each in found:
-        if each is UnknownOrigin.REUSED:
-            return each
         if isinstance(each, UnknownOrigin):
+            if each in SETTLED:
+                return each
             unknown = max(unknown, each, key=_REASONS.index)
             continue
         if origin is not None and each != origin:
--- a/packages/daemon/src/lacewing_daemon/direct/origins/_service.py
+++ b/packages/daemon/src/lacewing_daemon/direct/origins/_service.py
@@ -17,6 +17,7 @@
 from lacewing_daemon.direct.origins._messages import RECORD_METHOD
 from lacewing_daemon.direct.origins._messages import RecordReply
 from lacewing_daemon.direct.origins._messages import RecordRequest
+from lacewing_daemon.direct.origins._records import SETTLED
 from lacewing_daemon.direct.origins._records import StreamOrigin
 from lacewing_daemon.direct.origins._records import UnknownOrigin
 from lacewing_daemon.peers import PeerCallFailed
@@ -96,11 +97,14 @@
     key: bytes, origin: StreamOrigin | UnknownOrigin, life_s: float
 ) -> OriginRecord:
     if isinstance(origin, UnknownOrigin):
-        return OriginRecord(key, '', None, life_s)
+        return OriginRecord(key, '', None, life_s, origin.value)
     return OriginRecord(key, origin.service, origin.software, life_s)
 
 
 def _decode(record: OriginRecord) -> StreamOrigin | UnknownOrigin:
-    if record.software is None:
-        return UnknownOrigin.REUSED
-    return StreamOrigin(record.service, record.software)
+    if record.software is not None:
+        return StreamOrigin(record.service, record.software)
+    for reason in SETTLED:
+        if record.unknown == reason.value:
+            return reason
+    return UnknownOrigin.REUSED
