--- a/features/direct_out_of_step.feature
+++ b/features/direct_out_of_step.feature
@@ -74,3 +74,16 @@
     And the streams are taken up at router 2
     Then at least 6 streams go on at software "v1"
     And the log tells that their versions were inferred
+
+  Scenario: A connection that takes long to open counts from its end on
+    # Guards against a report of the start before that is taken for one of the
+    # start that accepted the connection.
+    When a connection to an upstream takes 0.1 s to open
+    Then it counts as opened after that time
+
+  Scenario: Engines that do not answer hold no reports of others up
+    # Guards against streams that can't go on at sound engines because many
+    # others are silent.
+    Given 40 engines that answer no report and 1 that does
+    When reports of all of them are requested at once
+    Then the report of the one that answers comes while the others wait
--- a/features/steps/out_of_step_steps.py
+++ b/features/steps/out_of_step_steps.py
@@ -4,12 +4,19 @@
 import time
 from http.client import HTTPConnection
 from http.client import IncompleteRead
+from typing import Any
+from unittest.mock import patch
 
 from behave import given
 from behave import then
 from behave import when
 from behave.runner import Context
+from lacewing_daemon.direct import Upstream
+from lacewing_daemon.direct._clock import boot_s
+from lacewing_daemon.direct._connection import connect
+from lacewing_platform._control import PlatformControl
 from lacewing_platform_testing import Behaviour
+from lacewing_platform_testing import FakeUpstream
 from lacewing_platform_testing._server import FakeServer
 from lacewing_platform_testing._server import ReceivedRequest
 from structlog.testing import capture_logs
@@ -20,6 +27,7 @@
 from support.direct_bench import KEY
 from support.direct_bench import PREFIX
 from support.direct_bench import PROMPT
+from tornado.iostream import IOStream
 
 PATH = '/chat/software'
 SECOND = 1
@@ -197,6 +205,80 @@
             assert line.split()[-1] == software.encode(), context.events
 
 
+@when('a connection to an upstream takes {delay_s:f} s to open')
+def step_slow_connect(context: Context, delay_s: float) -> None:
+    """Delay the end of the connect."""
+    bench = direct_bench(context)
+    upstream = bench.add_upstream('eng-1', 'models')
+
+    opens = IOStream.connect
+
+    async def open_late(stream: IOStream, address: Any) -> IOStream:
+        await asyncio.sleep(delay_s)
+        return await opens(stream, address)
+
+    async def open_one() -> None:
+        asked_s = boot_s()
+        with patch.object(IOStream, 'connect', open_late):
+            connection = await connect(upstream.server.address, 1.0)
+        context.opened_after_s = connection.opened_s - asked_s
+        connection.close()
+
+    context.delay_s = delay_s
+    bench.run(open_one())
+
+
+@then('it counts as opened after that time')
+def step_opened_after(context: Context) -> None:
+    """Check the time."""
+    assert context.opened_after_s >= context.delay_s, context.opened_after_s
+
+
+@given('{silent:d} engines that answer no report and 1 that does')
+def step_silent_engines(context: Context, silent: int) -> None:
+    """Start them."""
+    bench = direct_bench(context)
+    upstreams = [FakeUpstream(f'eng-{each}', 'm') for each in range(silent)]
+    for upstream in upstreams:
+        upstream.server.handle = _answer_nothing
+    context.upstreams = [*upstreams, FakeUpstream('sound', 'm')]
+    for upstream in context.upstreams:
+        bench.on_loop(upstream.server.start)
+        context.resources.callback(bench.on_loop, upstream.server.close)
+
+
+@when('reports of all of them are requested at once')
+def step_request_reports(context: Context) -> None:
+    """Request the report of the sound one last."""
+    bench = direct_bench(context)
+
+    async def request_all() -> None:
+        control = PlatformControl()
+        calls = []
+        for each in context.upstreams:
+            entry = Upstream(
+                each.upstream_id, 'm', each.server.address, 'e', 4, False, {}
+            )
+            calls.append(asyncio.create_task(control.report(entry)))
+        context.report = await calls[-1]
+        context.still_wait = [not call.done() for call in calls[:-1]]
+        await asyncio.gather(*calls)
+        control.close()
+
+    bench.run(request_all())
+
+
+@then('the report of the one that answers comes while the others wait')
+def step_report_came(context: Context) -> None:
+    """Check the report and the other calls."""
+    assert context.report is not None
+    assert all(context.still_wait), context.still_wait
+
+
+async def _answer_nothing(_received: ReceivedRequest) -> None:
+    await asyncio.Event().wait()
+
+
 def _start_again(bench: DirectBench, name: str, software: str) -> None:
     """Crash an upstream and start it under its id and address."""
     upstream = bench.upstreams[name]
--- a/packages/daemon/src/lacewing_daemon/direct/_connection.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_connection.py
@@ -443,7 +443,6 @@
 ) -> UpstreamConnection:
     """Open a connection to ``ip:port``; raise OSError on failure."""
     host, _, port = address.rpartition(':')
-    opened_s = boot_s()
     sock = socket.socket(socket.AF_INET)
     stream = IOStream(sock, max_buffer_size=MAX_BUFFERED_BYTES)
     prepare_socket(sock)
@@ -458,7 +457,7 @@
     except BaseException:
         stream.close()
         raise
-    return UpstreamConnection(stream, opened_s, on_refusal, on_stray)
+    return UpstreamConnection(stream, boot_s(), on_refusal, on_stray)
 
 
 def prepare_socket(sock: socket.socket) -> None:
