Ask engines for their starts before a version is inferred

Cause: the read of the store that confirms an inferred version has an entry of every upstream, but that of the earlier start where a later one has not written yet. The routers that know better by a report are unreachable.

Change: each engine that the read lists confirms by a report that it is the start of its entry. Only one that refuses connections counts as ended. Inquiries are gathered for 20 ms and two run at a time; before, an inquiry waited for the one before it within its own time limit, so that a slow read refused the streams that came after it.

"A router without peers meets a stream of a start without an entry" holds with the change; without it the entry of "v1" confirms the wrong version.

--- a/features/direct_out_of_step.feature
+++ b/features/direct_out_of_step.feature
@@ -63,6 +63,21 @@
     Then no stream goes on at software "v1"
     And each take-up was refused within 0.6 s
 
+  Scenario: A router without peers meets a stream of a start without an entry
+    # Guards against an entry of the start before that confirms an inferred
+    # version, where the routers that know better are unreachable.
+    Given an engine "eng-1" of software "v1"
+    And an engine "eng-2" of software "v1"
+    And 2 routers that know each other
+    And both routers have known the engines for long
+    When router 1 reaches no peer
+    And router 2 reaches no peer
+    And "eng-1" starts again with software "v2", without an entry
+    And 1 streams of which router 1 has relayed the first event from "eng-1"
+    And the streams are taken up at router 2
+    Then no stream goes on at software "v1"
+    And each take-up was refused within 0.6 s
+
   Scenario: Streams of the only version go on although nobody has a record
     # Guards against streams that are refused in calm because the only router
     # that has a record of them does not answer.
--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -207,7 +207,12 @@
             settings.peers, self._cluster_state, self._router_count, random
         )
         self._current_versions = CurrentVersions(
-            site.upstreams, self._store_calls, self._eras
+            site.upstreams,
+            site.control,
+            _probe_connection,
+            self._is_engine_service,
+            self._store_calls,
+            self._eras,
         )
         self._stream_origins = StreamOrigins(
             lambda: self._router_count.addresses,
--- a/packages/daemon/src/lacewing_daemon/direct/origins/_current_versions.py
+++ b/packages/daemon/src/lacewing_daemon/direct/origins/_current_versions.py
@@ -1,77 +1,106 @@
-"""Read which software versions upstreams have in the store now."""
+"""Find out which software versions the upstreams of a service have now."""
 
 import asyncio
-import time
+from collections.abc import Awaitable
+from collections.abc import Callable
 
 from lacewing_common.store import StoreError
 
 from lacewing_daemon.background import TaskSet
+from lacewing_daemon.direct._attempt import Contact
 from lacewing_daemon.direct._site import Collection
-from lacewing_daemon.direct._site import Listing
+from lacewing_daemon.direct._site import UpstreamControl
 from lacewing_daemon.direct._store_calls import CallReason
 from lacewing_daemon.direct._store_calls import StoreCallCounter
 from lacewing_daemon.direct._store_eras import StoreEras
 from lacewing_daemon.direct._upstream import Software
 from lacewing_daemon.direct._upstream import Upstream
 
-# A store that is up answers within some ms.
-READ_TIMEOUT_S = 0.25
+# A store and upstreams that are up answer within some ms.
+TIMEOUT_S = 0.3
+# Callers that ask within this time share an inquiry.
+GATHER_S = 0.02
+# Inquiries that the store does not answer must leave calls to others.
+MAX_OPEN = 2
+
+_Versions = frozenset[Software] | None
 
 
 class CurrentVersions:
-    """Read the entries of upstreams on demand, beside those that watch them.
+    """Inquire about upstreams on demand, beside the calls that watch them.
 
-    Each question is answered by a read that began after it was asked. All
-    questions that are asked while a read is under way share the next one.
+    The store names the upstreams and their versions. Each one confirms by a
+    report that it is still the start that its entry is of: a later start may
+    not have written its entry yet. An inquiry that answers a caller begins
+    after the caller has asked. ``probe`` tries to connect; ``is_engine``
+    returns whether the upstreams of a service answer reports.
     """
 
     def __init__(
         self,
         upstreams: Collection[Upstream],
+        control: UpstreamControl,
+        probe: Callable[[Upstream], Awaitable[Contact]],
+        is_engine: Callable[[str], bool],
         calls: StoreCallCounter,
         eras: StoreEras,
     ) -> None:
         self._upstreams = upstreams
+        self._control = control
+        self._probe = probe
+        self._is_engine = is_engine
         self._calls = calls
         self._eras = eras
-        self._current: asyncio.Task[Listing[Upstream] | None] | None = None
-        self._next: asyncio.Task[Listing[Upstream] | None] | None = None
-        self._started_s = float('-inf')
-        self._tasks = TaskSet('read of versions')
+        self._next: dict[str, asyncio.Task[_Versions]] = {}
+        self._places = asyncio.Semaphore(MAX_OPEN)
+        self._tasks = TaskSet('inquiry about versions')
 
-    async def versions(self, service: str) -> frozenset[Software] | None:
-        """Return the versions of a service, None if they are not known."""
-        if self._next is None:
-            self._next = self._tasks.start(self._read_next())
-        read = self._next
-        await asyncio.wait((read,), timeout=READ_TIMEOUT_S)
-        if not read.done() or read.cancelled() or read.exception():
-            return None
-        listing = read.result()
-        if listing is None:
+    async def versions(self, service: str) -> _Versions:
+        """Return the versions of a service, None if they are not certain."""
+        inquiry = self._next.get(service)
+        if inquiry is None:
+            inquiry = self._tasks.start(self._inquire_next(service))
+            self._next[service] = inquiry
+        await asyncio.wait((inquiry,), timeout=TIMEOUT_S)
+        if not inquiry.done() or inquiry.cancelled() or inquiry.exception():
             return None
-        found = set()
-        for upstream in listing.entries.values():
-            if upstream.service == service:
-                found.add(upstream.software)
-        return frozenset(found)
+        return inquiry.result()
 
     def close(self) -> None:
-        """Cancel open reads."""
+        """Cancel open inquiries."""
         self._tasks.cancel()
 
-    async def _read_next(self) -> Listing[Upstream] | None:
-        """Read the entries once the read under way is over."""
-        wait_s = self._started_s + READ_TIMEOUT_S - time.monotonic()
-        if self._current is not None and wait_s > 0:
-            await asyncio.wait((self._current,), timeout=wait_s)
-        self._current, self._next = self._next, None
-        self._started_s = time.monotonic()
+    async def _inquire_next(self, service: str) -> _Versions:
+        async with self._places:
+            await asyncio.sleep(GATHER_S)
+            del self._next[service]
+            return await self._inquire(service)
+
+    async def _inquire(self, service: str) -> _Versions:
+        """Read the entries of the upstreams, and ask each for a report."""
         self._calls.count('upstreams', CallReason.CONFIRM)
         era = self._eras.current
         listing = await self._upstreams.read()
         if isinstance(listing, StoreError):
             return None
         self._eras.observe(listing.era)
-        # A store that has just lost writes may lack the entry of an upstream.
-        return None if self._eras.current != era else listing
+        if self._eras.current != era:
+            # The store has lost writes and may lack the entry of an upstream.
+            return None
+        found = []
+        for upstream in listing.entries.values():
+            if upstream.service == service:
+                found.append(upstream)
+        checks = [self._is_current(upstream) for upstream in found]
+        if not all(await asyncio.gather(*checks)):
+            return None
+        return frozenset(upstream.software for upstream in found)
+
+    async def _is_current(self, upstream: Upstream) -> bool:
+        """Return whether no later start has taken the place of an upstream."""
+        if not upstream.started_ms or not self._is_engine(upstream.service):
+            return True
+        report = await self._control.report(upstream)
+        if report is not None:
+            return report.started_ms == upstream.started_ms
+        return await self._probe(upstream) is Contact.REFUSED
--- a/packages/daemon/src/lacewing_daemon/direct/origins/_directory.py
+++ b/packages/daemon/src/lacewing_daemon/direct/origins/_directory.py
@@ -49,8 +49,8 @@
 
 T = TypeVar('T')
 
-# Returns the versions that upstreams of a service have in the store now, None
-# if they are not known.
+# Returns the versions that the upstreams of a service have now, None if they
+# are not certain.
 Current = Callable[[str], Awaitable[frozenset[Software] | None]]
 
 
@@ -119,8 +119,8 @@
     the keepers. While there is one version only, all that have observed that
     for long enough know the origin, if the store confirms that no other
     version has come since. ``peer_addresses`` returns the other routers,
-    ``present`` the upstreams of a service as last read, ``current`` the
-    versions as the store has them; ``first_start`` is that of
+    ``present`` the upstreams of a service as last read, ``current`` inquires
+    about their versions; ``first_start`` is that of
     ``SoftwareHistory``.
     """
 
