--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -22,6 +22,7 @@
         | 20000 levels that are not closed  |
         | a copy of a sound object          |
         | a copy of a list                  |
+        | a name that is escaped            |
         | a revision of 5000 digits         |
         | an end that is missing            |
         | a string that is not terminated   |
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -38,6 +38,7 @@
 ODDITIES = {
     'a copy of a sound object': _object('odd', f'{BESIDE_LEVELS}{STALE}}}'),
     'a copy of a list': _object('odd', f'{BESIDE_LEVELS}{STALE_LIST}}}'),
+    'a name that is escaped': _object('\\u006f\\u0064d', _lists(DEPTH)),
     'a revision of 5000 digits': _object('odd', '{}', '1' * 5000),
     'an end that is missing': _object('odd', '{"Slots":1'),
     'a string that is not terminated': _object('odd', '{"State":"rea'),
