Take no list for empty whose members are not found

A list that can't be decoded as a whole, and whose objects don't start with their metadata, counted as a list without entries: a router that reads it drops all upstreams, and callers get 503. The platform's pages name the metadata first, but don't promise the order.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -26,3 +26,9 @@
         | a revision of 5000 digits         |
         | an end that is missing            |
         | a string that is not terminated   |
+
+    Scenario: A list with objects whose fields stand in another order
+      # Guards against a list that counts as empty, so that a router drops
+      # all upstreams, because it is not split into its objects.
+      When the store returns an odd object with fields in another order
+      Then that answer is no list for it
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -61,6 +61,21 @@
     return f'{{"Events":[{events}],"At":{REVISION}}}'.encode()
 
 
+@when('the store returns an odd object with fields in another order')
+def step_other_order(context: Context) -> None:
+    """Read a list in which no object starts with its metadata."""
+    start = '{"Status":null,"Metadata":'
+    sound = SOUND.replace('{"Metadata":', start, 1)
+    odd = ODDITIES['20000 levels of lists'].replace('{"Metadata":', start, 1)
+    context.page = read_page(_page(sound, odd, sound))
+
+
+@then('that answer is no list for it')
+def step_unreadable(context: Context) -> None:
+    """Check that nothing is taken for the list."""
+    assert context.page is None, context.page
+
+
 @when('the store returns an odd object with {oddity} among sound ones')
 def step_odd_object(context: Context, oddity: str) -> None:
     """Read a list and changes, and time both."""
