--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -26,6 +26,13 @@
         | a revision of 5000 digits         |
         | an end that is missing            |
         | a string that is not terminated   |
+        | a closing bracket too many        |
+
+    Scenario: Objects with random brackets, quotes and fields among sound ones
+      # Guards against a sound entry that is lost in a broken one before it.
+      When the store returns 300 random broken objects among sound ones
+      Then the sound objects of each answer are read
+      And each answer takes less than 1 s of processor time
 
     Scenario: A list with objects whose fields stand in another order
       # Guards against a list that counts as empty, so that a router drops
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -1,6 +1,7 @@
 """Test answers and collections of the store that hold odd entries."""
 
 import time
+from random import Random
 
 from behave import then
 from behave import when
@@ -12,6 +13,13 @@
 
 DEPTH = 5000
 REVISION = 7
+# Texts of which random specifications consist.
+FRAGMENTS = (
+    *('{', '}', '[', ']', '"', '\\', ',', ':', ' ', '1', 'NaN', '"s"'),
+    *('{"a":', '"Metadata":', '"Object":', '{"Removed":'),
+    '{"Metadata":{"Name":"sound"',
+)
+RANDOM_LENGTHS = (1, 5, 30, 5000)
 
 
 def _object(name: str, specification: str, revision: str = '3') -> str:
@@ -42,6 +50,7 @@
     'a revision of 5000 digits': _object('odd', '{}', '1' * 5000),
     'an end that is missing': _object('odd', '{"Slots":1'),
     'a string that is not terminated': _object('odd', '{"State":"rea'),
+    'a closing bracket too many': _object('odd', '{"Slots":1}}'),
     '20000 levels of lists': _object('odd', _lists(20000)),
     '20000 levels that are not closed': _object('odd', '{"x":' * 20000),
 }
@@ -76,6 +85,50 @@
     assert context.page is None, context.page
 
 
+@when('the store returns {count:d} random broken objects among sound ones')
+def step_random_objects(context: Context, count: int) -> None:
+    """Read lists and changes, and keep the sound objects that are missing."""
+    random = Random(1)
+    context.missing = []
+    context.took_s = []
+    sound = [_object(f'sound-{number}', '{}') for number in range(3)]
+    for _ in range(count):
+        length = random.choice(RANDOM_LENGTHS)
+        fragments = FRAGMENTS
+        if length == max(RANDOM_LENGTHS):
+            fragments = tuple(random.sample(FRAGMENTS, 3))
+        text = ''.join(random.choices(fragments, k=length))
+        objects = (sound[0], _object('odd', text), *sound[1:])
+        for names in _timed_names(objects, context.took_s):
+            if not {'sound-0', 'sound-1', 'sound-2'} <= names:
+                context.missing.append((text[:100], names))
+
+
+def _timed_names(
+    objects: tuple[str, ...], took_s: list[float]
+) -> tuple[set[str], set[str]]:
+    """Return the names read of a list and of changes."""
+    started_s = time.thread_time()
+    page = read_page(_page(*objects))
+    read_s = time.thread_time()
+    events = read_events(_changes(*objects))
+    took_s.append(read_s - started_s)
+    took_s.append(time.thread_time() - read_s)
+    assert page is not None and events is not None
+    listed = {one.metadata.name for one in page.objects if one is not None}
+    changed = set()
+    for event in events.events:
+        if event.object is not None:
+            changed.add(event.object.metadata.name)
+    return listed, changed
+
+
+@then('the sound objects of each answer are read')
+def step_none_missing(context: Context) -> None:
+    """Check that no answer lacks one."""
+    assert not context.missing, context.missing[:3]
+
+
 @when('the store returns an odd object with {oddity} among sound ones')
 def step_odd_object(context: Context, oddity: str) -> None:
     """Read a list and changes, and time both."""
