Read no whole number that can't be written again

Cause: the JSON decoder takes whole numbers of up to 4,300 digits, the encoders for peers and for the store none of more than 64 bits, so that the digest of the records failed.

The documents of the store, crash records, lease records and records of eras now share one type of whole number of 64 bits. A larger one makes that entry unreadable, and no other.

features/odd_entries.feature has a scenario for each collection that routers read, with an odd entry of each kind in each field that stays: lists and fields nested 5,000 deep, numbers of 400 and 5,000 digits, 2**64, 1e400, ports out of range.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -39,3 +39,30 @@
       # all upstreams, because it is not split into its objects.
       When the store returns an odd object with fields in another order
       Then that answer is no list for it
+
+  Rule: Routers follow the sound entries beside it
+
+    Scenario Outline: Odd entries of every kind that stay
+      # Guards against routers that end, do not become ready or follow
+      # a collection no more, and against a background task that fails again
+      # and again for as long as the entry stays.
+      Given a store with a configuration
+      And plain upstreams "reg-1" and "reg-2"
+      And engines "eng-1" and "eng-2"
+      And an odd entry of each kind among those of "<collection>"
+      And routers that call each other
+      And two direct routers
+      Then all routers become ready
+      And an upstream that registers afterwards is used
+      And callers are answered by sound upstreams only
+      And no background task of the routers fails
+
+      Examples:
+        | collection |
+        | config     |
+        | versions   |
+        | crashes    |
+        | software   |
+        | eras       |
+        | leases     |
+        | routers    |
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -1,18 +1,37 @@
 """Test answers and collections of the store that hold odd entries."""
 
+import json
 import time
+from collections.abc import Iterator
+from functools import partial
 from random import Random
+from typing import Any
 
+import msgspec
+from behave import given
 from behave import then
 from behave import when
 from behave.runner import Context
+from lacewing_daemon.background import FAILURES
 from lacewing_platform._objects import Events
 from lacewing_platform._objects import Page
 from lacewing_platform._objects import read_events
 from lacewing_platform._objects import read_page
+from lacewing_platform_testing import FakeUpstream
+from support.direct_bench import direct_bench
+from support.direct_bench import MODEL
+from support.direct_bench import sleep
+from support.hostile_values import Path
+from support.hostile_values import replace_value
+from support.hostile_values import value_paths
 
 DEPTH = 5000
 REVISION = 7
+# Stands for the value that is replaced.
+MARK = 'replaced'
+LOOPBACK = '127.0.0.1:'
+# Routers compare crash records this often or more often.
+STEP_INTERVAL_S = 1.0
 # Texts of which random specifications consist.
 FRAGMENTS = (
     *('{', '}', '[', ']', '"', '\\', ',', ':', ' ', '1', 'NaN', '"s"'),
@@ -167,3 +186,139 @@
 def step_processor_time(context: Context, limit_s: int) -> None:
     """Check the time in which a router could do nothing else."""
     assert max(context.took_s) < limit_s, context.took_s
+
+
+@given('an odd entry of each kind among those of "{collection}"')
+def step_collection(context: Context, collection: str) -> None:
+    """Write them under names of their own, and under one that is read."""
+    bench = direct_bench(context)
+    context.failures_before = _failures()
+    context.decoy = FakeUpstream('odd', 'registry')
+    bench.on_loop(context.decoy.server.start)
+    context.resources.callback(bench.on_loop, context.decoy.server.close)
+    kind, name, document, is_text = _collections(context)[collection]
+    texts = list(_odd_texts(document))
+    for number, text in enumerate(texts):
+        value = text
+        if is_text:
+            value = json.dumps({'text': text})
+        entry = msgspec.Raw(value.encode())
+        put = bench.store.put
+        bench.on_loop(partial(put, kind, f'odd-{number}', entry))
+        if name and number == len(texts) - 1:
+            bench.on_loop(partial(put, kind, name, entry))
+
+
+def _collections(
+    context: Context,
+) -> dict[str, tuple[str, str, dict[str, Any], bool]]:
+    """Return the kind, a name that is read, and a sound value of each."""
+    context.decoy.weights[MODEL] = 1
+    server = context.decoy.store_entry()
+    crash = {
+        'start': {'upstream_id': 'eng-1', 'started_ms': 5, 'again': 0},
+        'suspects': [{'fingerprint': 'f', 'begun': True, 'parts': ['x']}],
+        'gone': True,
+        'crashed_ms': 5,
+    }
+    lease = {
+        'holder': 'h',
+        'nonce': 'n',
+        'duration_s': 0.5,
+        'acted_ago_s': 1.0,
+        'era': 2,
+    }
+    router = {'text': f'{"0" * 32} {LOOPBACK}80'}
+    return {
+        'servers': ('servers', '', server, False),
+        'config': ('config', '', direct_bench(context).config, False),
+        'versions': ('versions', '', {'Model': MODEL, 'Version': 1}, False),
+        'crashes': ('lacewing-crashes', '', crash, True),
+        'software': (
+            'lacewing-software',
+            'registry',
+            {'versions': ['v1']},
+            True,
+        ),
+        'eras': ('lacewing-eras', 'settled', {'era': 2}, True),
+        'leases': ('lacewing-leases', 'weights', lease, True),
+        'routers': ('lacewing-routers', '', router, False),
+    }
+
+
+def _odd_texts(document: dict[str, Any]) -> Iterator[str]:
+    """Yield a document with each of its values replaced in turn."""
+    values = (
+        _lists(DEPTH),
+        _levels('Metadata', DEPTH),
+        '1' * 400,
+        '1' * 5000,
+        str(2**64),
+        '1e400',
+    )
+    for path in value_paths(document):
+        for value in values:
+            if path == ('ColdRemainingMs',) and value == str(2**64):
+                # Any finite number is valid there.
+                continue
+            yield _replaced(document, path, value)
+    for path in value_paths(document):
+        for port in ('0', '65536', '99999', '1' * 5000):
+            value = _with_port(_value_at(document, path), port)
+            if value:
+                yield _replaced(document, path, json.dumps(value))
+
+
+def _replaced(document: object, path: Path, value: str) -> str:
+    marked = replace_value(document, path, MARK)
+    return json.dumps(marked).replace(json.dumps(MARK), value)
+
+
+def _value_at(value: Any, path: Path) -> object:
+    for name in path:
+        value = value[name]
+    return value
+
+
+def _with_port(value: object, port: str) -> str:
+    """Return a text that ends with an address with another port, or ''."""
+    if not isinstance(value, str) or LOOPBACK not in value:
+        return ''
+    return f'{value.partition(LOOPBACK)[0]}{LOOPBACK}{port}'
+
+
+def _failures() -> float:
+    """Return how often background tasks and callbacks have failed."""
+    total = 0.0
+    for metric in FAILURES.collect():
+        for sample in metric.samples:
+            if sample.name.endswith('_total'):
+                total += sample.value
+    return total
+
+
+@given('two direct routers')
+def step_two_routers(context: Context) -> None:
+    """Start two routers at once."""
+    bench = direct_bench(context)
+    for name in ('router-1', 'router-2'):
+        bench.start_router(name)
+
+
+@then('callers are answered by sound upstreams only')
+def step_answered(context: Context) -> None:
+    """Send requests and prompts, and check what the odd address received."""
+    bench = direct_bench(context)
+    for number in range(8):
+        assert bench.ask().status == 200, bench.answer
+        answer = bench.ask_model(f'/chat/{number}')
+        assert answer.status == 200, answer
+    assert not context.decoy.received, context.decoy.received
+
+
+@then('no background task of the routers fails')
+def step_no_failures(context: Context) -> None:
+    """Check for longer than tasks wait between two steps."""
+    direct_bench(context).run(sleep(STEP_INTERVAL_S))
+    failed = _failures() - context.failures_before
+    assert not failed, failed
--- a/packages/daemon/src/lacewing_daemon/direct/_settled_era.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_settled_era.py
@@ -16,6 +16,7 @@
 from lacewing_common.store import StoredObject
 from lacewing_common.store import StoreError
 from lacewing_common.store import StoreFault
+from lacewing_common.whole_number import WholeNumber
 
 from lacewing_daemon.direct._clock import boot_s
 from lacewing_daemon.direct._site import SystemObjects
@@ -40,7 +41,7 @@
 class EraRecord(msgspec.Struct, frozen=True):
     """Hold the latest era of the store that had lasted ``SETTLE_S``."""
 
-    era: int
+    era: WholeNumber
 
 
 class SettledEra:
--- a/packages/daemon/src/lacewing_daemon/direct/crashes/_record.py
+++ b/packages/daemon/src/lacewing_daemon/direct/crashes/_record.py
@@ -2,6 +2,7 @@
 
 import msgspec
 import xxhash
+from lacewing_common.whole_number import WholeNumber
 
 _encode = msgspec.msgpack.encode
 
@@ -13,8 +14,8 @@
     """
 
     upstream_id: str
-    started_ms: int
-    again: int = 0
+    started_ms: WholeNumber
+    again: WholeNumber = 0
 
 
 class Suspect(msgspec.Struct, frozen=True):
@@ -45,7 +46,7 @@
     cleared: tuple[str, ...] = ()
     gone: bool = False
     proven: tuple[str, ...] = ()
-    crashed_ms: int = 0
+    crashed_ms: WholeNumber = 0
 
 
 def record_digest(record: CrashRecord) -> int:
--- a/packages/daemon/src/lacewing_daemon/lease_record.py
+++ b/packages/daemon/src/lacewing_daemon/lease_record.py
@@ -4,6 +4,7 @@
 
 import msgspec
 from lacewing_common.decode_errors import DECODE_ERRORS
+from lacewing_common.whole_number import WholeNumber
 
 # Written if nobody ever acted, as JSON has no infinity.
 NEVER_ACTED_S = 3600.0
@@ -29,7 +30,7 @@
     nonce: str
     duration_s: float
     acted_ago_s: float = 0.0
-    era: int = 0
+    era: WholeNumber = 0
     acted_by: str | None = None
 
     @property
