--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -59,6 +59,7 @@
 
       Examples:
         | collection |
+        | servers    |
         | config     |
         | versions   |
         | crashes    |
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -27,6 +27,8 @@
 
 DEPTH = 5000
 REVISION = 7
+# Longer than any name.
+LONG_TEXT = 20_000
 # Stands for the value that is replaced.
 MARK = 'replaced'
 LOOPBACK = '127.0.0.1:'
@@ -255,6 +257,7 @@
         '1' * 5000,
         str(2**64),
         '1e400',
+        json.dumps('x' * LONG_TEXT),
     )
     for path in value_paths(document):
         for value in values:
