End a send whose connection closes while its start is asked for

A started stream waits for a report before it is sent. If the upstream closes the connection meanwhile (beyond its limit, idle for long, ended), writing to it raised an error that ended the caller's stream in place of the send; another upstream could have gone on. It now ends as not sent. The deadline that the upstream gets no longer counts the time until the request is sent.

--- a/packages/daemon/src/lacewing_daemon/direct/_attempt.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_attempt.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from dataclasses import dataclass
+from dataclasses import replace
 from enum import Enum
 
 from lacewing_common.verdict import Reason
@@ -187,6 +188,7 @@
         is sent on it.
         """
         upstream = state.upstream
+        asked_s = asyncio.get_running_loop().time()
         self._can_retry = can_retry
         try:
             connection = await pool.acquire(
@@ -203,10 +205,14 @@
         try:
             if not await may_send(connection.opened_s):
                 return _unreachable(Contact.UNCONFIRMED)
+            if connection.is_closed:
+                return _unreachable(Contact.UNREACHABLE)
             # Checked last: nothing is awaited between this and the sending.
             if not state.takes_requests or self._ended.done():
                 return _unreachable(Contact.WITHDRAWN)
-            self._send(connection, dispatch)
+            passed_s = asyncio.get_running_loop().time() - asked_s
+            left_s = max(0.0, dispatch.deadline_s - passed_s)
+            self._send(connection, replace(dispatch, deadline_s=left_s))
             await self._wait_for_end(first_wait_s, gap_wait_s, should_abandon)
             end = self._classify()
             # A second response without an id, sent late, would be taken for
--- a/packages/daemon/src/lacewing_daemon/direct/_connection.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_connection.py
@@ -139,7 +139,7 @@
 
     @property
     def opened_s(self) -> float:
-        """Return when the connection attempt started, on the boot clock."""
+        """Return when the connection was open, on the boot clock."""
         return self._opened_s
 
     @property
