Refuse no inferred stream for an engine that is silent, and remember restarts by report

- Callers whose stream nobody has on record were refused for as long as one engine of the service was silent: 12 of 12 new streams began, 0 of 12 taken up went on.
The inquiry wanted a report of each engine.
Engines are asked only where no keeper may have answered; elsewhere a keeper has the record of a start without an entry.
- A start that only a report told was not entered in the history of versions: the version before it was forgotten, and the time without an entry counted as a version of its own, so that the record of versions was not written for five minutes.
Without the registration in Fleet, "A version is remembered although a report told of its end first" fails.

--- a/features/steps/out_of_step_steps.py
+++ b/features/steps/out_of_step_steps.py
@@ -14,6 +14,7 @@
 from lacewing_daemon.direct import Upstream
 from lacewing_daemon.direct._clock import boot_s
 from lacewing_daemon.direct._connection import connect
+from lacewing_daemon.direct._upstream import UnknownSoftware
 from lacewing_platform._control import PlatformControl
 from lacewing_platform_testing import Behaviour
 from lacewing_platform_testing import FakeUpstream
@@ -95,20 +96,41 @@
         upstream.always = None
 
 
-@given('router 2 relays a stream of "{name}"')
-def step_stream_open(context: Context, name: str) -> None:
-    """Read the first event of a long stream."""
+@given('router 2 relays a stream of one of them')
+def step_stream_open(context: Context) -> None:
+    """Read the first event of a long stream; no other engine is connected."""
     bench = direct_bench(context)
     for upstream in bench.upstreams.values():
         upstream.event_count = LONG_EVENT_COUNT
         upstream.pause_s = LONG_PAUSE_S
     context.connection = bench.connect(SECOND)
-    # The other engines must get no connection from this router.
-    number = _number_placed_at(bench, name)
-    _send(context.connection, 'open-stream', number, {})
+    _send(context.connection, 'open-stream', 100, {})
     context.response = context.connection.getresponse()
     context.events = context.response.read1()
-    assert bench.upstreams[name].received, 'expected the stream there'
+    names = [
+        upstream.upstream_id
+        for upstream in bench.upstreams.values()
+        if upstream.received
+    ]
+    assert len(names) == 1, names
+    context.streaming = names[0]
+
+
+@when(
+    'the other one starts again with software "{software}", as router 1 knows'
+)
+def step_other_starts(context: Context, software: str) -> None:
+    """Start the engine without a stream."""
+    for name in direct_bench(context).upstreams:
+        if name != context.streaming:
+            step_starts_again(context, name, software)
+
+
+@when('the one with the stream ends')
+def step_streaming_ends(context: Context) -> None:
+    """Crash it; it does not start again."""
+    bench = direct_bench(context)
+    bench.on_loop(bench.upstreams[context.streaming].crash)
 
 
 @when('no call of router 2 reaches the store')
@@ -140,6 +162,37 @@
     _until_known(bench, name, software)
 
 
+@when('router 1 learns of the start by a report')
+def step_learns(context: Context) -> None:
+    """Ask for streams until one has shown the start."""
+    bench = direct_bench(context)
+    cluster_state = bench.routers[0]._fleet.cluster_state
+
+    def has_learnt() -> bool:
+        bench.ask_model(PATH)
+        state = cluster_state.upstream('eng-1')
+        if state is None:
+            return False
+        return state.upstream.software is UnknownSoftware.NO_ENTRY
+
+    bench.until(has_learnt, 'a start without an entry')
+
+
+@when('the entry of "{name}" tells of software "{software}"')
+def step_entry_tells(context: Context, name: str, software: str) -> None:
+    """Write the entry of the new start; the first router knows it."""
+    bench = direct_bench(context)
+    bench.register(name)
+    _until_known(bench, name, software)
+
+
+@then('router 1 remembers software "{first}" and "{second}"')
+def step_remembers(context: Context, first: str, second: str) -> None:
+    """Check the history of versions."""
+    history = direct_bench(context).routers[0]._fleet.stream_origins.history
+    assert history.recent_software('models') == {first, second}
+
+
 @when('the streams are taken up at router 2')
 def step_taken_up(context: Context) -> None:
     """Ask for the rest of each stream."""
@@ -304,19 +357,6 @@
     bench.until(is_known, f'{name} of software {software}')
 
 
-def _number_placed_at(bench: DirectBench, name: str) -> int:
-    """Return the number of a prompt that the first router sends there."""
-    upstream = bench.upstreams[name]
-    for number in range(100, 200):
-        upstream.received.clear()
-        _begin_and_leave(bench, number)
-        if upstream.received:
-            for each in bench.upstreams.values():
-                each.received.clear()
-            return number
-    raise AssertionError(f'expected a prompt that is sent to {name}')
-
-
 def _begin_and_leave(bench: DirectBench, number: int) -> str:
     """Read the first event at the first router; return the request's id."""
     for upstream in bench.upstreams.values():
--- a/features/support/origin_fleet.py
+++ b/features/support/origin_fleet.py
@@ -35,7 +35,8 @@
 
     It is the ``OriginCalls`` of each of them. Routers in ``killed`` refuse
     calls at once, those in ``dark`` answer none. ``present`` has the
-    upstreams that a router knows.
+    upstreams that a router knows; ``asked_engines`` counts the inquiries
+    that ask upstreams for their starts.
     """
 
     def __init__(self, count: int) -> None:
@@ -45,6 +46,7 @@
         self.routers: dict[str, StreamOrigins] = {}
         self.present: dict[str, list[Upstream]] = {}
         self.records_sent = 0
+        self.asked_engines = 0
         for number in range(count):
             address = f'10.0.{number // 250}.{number % 250}:7000'
             self.routers[address] = self._router(address)
@@ -62,8 +64,11 @@
         origins.connect(self)
         return origins
 
-    async def _current(self, _service: str) -> frozenset[Software]:
+    async def _current(
+        self, _service: str, asks_engines: bool
+    ) -> frozenset[Software]:
         """Return the versions that any router knows, as the store has them."""
+        self.asked_engines += asks_engines
         found = set()
         for upstreams in self.present.values():
             for upstream in upstreams:
--- a/packages/bench/src/lacewing_bench/origins_cost.py
+++ b/packages/bench/src/lacewing_bench/origins_cost.py
@@ -99,7 +99,9 @@
     setattr(H2Protocol, 'data_received', data_received)
 
 
-async def _no_versions(_service: str) -> frozenset[Software]:
+async def _no_versions(
+    _service: str, _asks_engines: bool
+) -> frozenset[Software]:
     return frozenset()
 
 
--- a/packages/daemon/src/lacewing_daemon/direct/_cluster_state.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_cluster_state.py
@@ -96,6 +96,10 @@
     computed_s: float
 
 
+# Called with an upstream and its later start.
+OnRestart = Callable[[Upstream, Upstream], None]
+
+
 class ClusterState:
     """Hold configuration, upstreams, released weights and cached parts.
 
@@ -131,6 +135,7 @@
         self._saved_parts: OrderedDict[tuple[str, str], float] = OrderedDict()
         self._line_budget = LineBudget(clock())
         self._process_started_s: float | None = None
+        self._restart_callbacks: list[OnRestart] = []
 
     @property
     def routing_config(self) -> RoutingConfig | None:
@@ -405,6 +410,10 @@
         before.update(value)
         self._add(before)
 
+    def on_restart(self, callback: OnRestart) -> None:
+        """Register a callback for a later start that only a report names."""
+        self._restart_callbacks.append(callback)
+
     def apply_report(
         self, state: UpstreamState, report: UpstreamReport
     ) -> bool:
@@ -417,10 +426,12 @@
                 return False
             if report.started_ms > upstream.started_ms:
                 if self._upstreams.get(upstream.upstream_id) is state:
-                    self.update_upstream(
-                        upstream.upstream_id,
-                        upstream.restarted(report.started_ms, report.weights),
+                    later = upstream.restarted(
+                        report.started_ms, report.weights
                     )
+                    self.update_upstream(upstream.upstream_id, later)
+                    for callback in self._restart_callbacks:
+                        callback(upstream, later)
                 return False
         for model, version in report.weights.items():
             state.update_weights(model, version)
--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -209,7 +209,6 @@
         self._current_versions = CurrentVersions(
             site.upstreams,
             site.control,
-            _probe_connection,
             self._is_engine_service,
             self._store_calls,
             self._eras,
@@ -263,6 +262,7 @@
         self._running: asyncio.Task[None] | None = None
         self._config_watcher.on_change(self._apply_routing_config)
         self._upstream_watcher.on_change(self._apply_upstream)
+        self._cluster_state.on_restart(self._stream_origins.upstream_changed)
         self._weights_watcher.on_change(self._apply_release)
 
     @property
--- a/packages/daemon/src/lacewing_daemon/direct/origins/_directory.py
+++ b/packages/daemon/src/lacewing_daemon/direct/origins/_directory.py
@@ -19,6 +19,7 @@
 from lacewing_daemon.direct._metrics import ORIGINS_SENT
 from lacewing_daemon.direct._metrics import SOFTWARE_OBSERVED_SECONDS
 from lacewing_daemon.direct._upstream import Software
+from lacewing_daemon.direct._upstream import UnknownSoftware
 from lacewing_daemon.direct._upstream import Upstream
 from lacewing_daemon.direct.origins._history import SoftwareHistory
 from lacewing_daemon.direct.origins._records import combine
@@ -50,8 +51,8 @@
 T = TypeVar('T')
 
 # Returns the versions that the upstreams of a service have now, None if they
-# are not certain.
-Current = Callable[[str], Awaitable[frozenset[Software] | None]]
+# are not certain; with true, upstreams are asked for their starts.
+Current = Callable[[str, bool], Awaitable[frozenset[Software] | None]]
 
 
 @dataclass(frozen=True)
@@ -179,7 +180,7 @@
         self, before: Upstream | None, after: Upstream | None
     ) -> None:
         """Record the change of an upstream's entry, None for no entry."""
-        if before is not None:
+        if before is not None and not _is_first_entry(before, after):
             if after is None or after.software != before.software:
                 self._history.replaced(before)
         self.send_held_back()
@@ -218,7 +219,7 @@
         known = self.answer(question)
         if known.origin is UnknownOrigin.UNNAMED and known.only is not None:
             origin = StreamOrigin(question.service, known.only, True)
-            return await self._confirmed(origin)
+            return await self._confirmed(origin, True)
         if _is_settled(known.origin):
             return known.origin
         answers = [known, *await self._ask(question)]
@@ -228,7 +229,7 @@
         inferred = self._only_origin(question.service, answers)
         if inferred is None:
             return recorded
-        return await self._confirmed(inferred)
+        return await self._confirmed(inferred, not _reaches_keeper(answers))
 
     async def run(self) -> None:
         """Remove expired records until cancelled."""
@@ -279,13 +280,15 @@
         return StreamOrigin(service, versions.pop(), True)
 
     async def _confirmed(
-        self, inferred: StreamOrigin
+        self, inferred: StreamOrigin, asks_engines: bool
     ) -> StreamOrigin | UnknownOrigin:
         """Return an inferred origin if no other version has come by now.
 
-        It was inferred from lists that may be older than the stream.
+        It was inferred from lists that may be older than the stream. A
+        keeper would know of a start without an entry; ``asks_engines`` if
+        none may have answered.
         """
-        versions = await self._current(inferred.service)
+        versions = await self._current(inferred.service, asks_engines)
         if versions is None or versions - {inferred.software}:
             return UnknownOrigin.UNCONFIRMED
         return inferred
@@ -362,6 +365,24 @@
             del self._pending[address]
 
 
+def _is_first_entry(before: Upstream, after: Upstream | None) -> bool:
+    """Return whether an entry names the version of a start known before."""
+    if after is None or before.software is not UnknownSoftware.NO_ENTRY:
+        return False
+    return after.started_ms == before.started_ms
+
+
+def _reaches_keeper(answers: Sequence[Answer]) -> bool:
+    """Return whether a keeper is among the routers that answered.
+
+    The first answer is this router's own.
+    """
+    missing = 0
+    for answer in answers[1:]:
+        missing += answer.origin is UnknownOrigin.NO_ANSWER
+    return missing < min(KEEPERS, len(answers) - 1)
+
+
 def _is_settled(origin: StreamOrigin | UnknownOrigin) -> bool:
     """Return whether further answers can't tell more of a stream."""
     return isinstance(origin, StreamOrigin) or origin in SETTLED
