--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -115,7 +115,7 @@
     sound = [_object(f'sound-{number}', '{}') for number in range(3)]
     for _ in range(count):
         length = random.choice(RANDOM_LENGTHS)
-        fragments = FRAGMENTS
+        fragments: tuple[str, ...] = FRAGMENTS
         if length == max(RANDOM_LENGTHS):
             fragments = tuple(random.sample(FRAGMENTS, 3))
         text = ''.join(random.choices(fragments, k=length))
--- a/packages/daemon/src/lacewing_daemon/direct/_connection.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_connection.py
@@ -71,8 +71,8 @@
     def wire(self) -> Wire:
         """Return what decodes the heads of responses."""
 
-    def on_skipped(self) -> None:
-        """Handle that a response to another request was skipped."""
+    def on_skipped(self, kind: StrayKind) -> None:
+        """Handle that a response was skipped as another request's."""
 
     def on_head(self, status: int, headers: HTTPHeaders) -> None:
         """Handle the status and the headers."""
@@ -253,7 +253,7 @@
             return None
         if head is None or not self._is_expected(head):
             self._report_stray(status, head)
-            self._sink.on_skipped()
+            self._sink.on_skipped(self._stray_kind(head))
             return None
         self._has_responded = True
         self._sink.on_head(status, headers)
@@ -443,7 +443,6 @@
 ) -> UpstreamConnection:
     """Open a connection to ``ip:port``; raise OSError on failure."""
     host, _, port = address.rpartition(':')
-    opened_s = boot_s()
     sock = socket.socket(socket.AF_INET)
     stream = IOStream(sock, max_buffer_size=MAX_BUFFERED_BYTES)
     prepare_socket(sock)
@@ -458,7 +457,7 @@
     except BaseException:
         stream.close()
         raise
-    return UpstreamConnection(stream, opened_s, on_refusal, on_stray)
+    return UpstreamConnection(stream, boot_s(), on_refusal, on_stray)
 
 
 def prepare_socket(sock: socket.socket) -> None:
