Pass on events that arrive together with the close of their connection

Callers saw 502 for a stream that may run once, although its first event and a copy of its run were there.

Cause: tornado 6.6.1 collects small chunks of a body for as long as reads complete at once, and passes them on before it waits. A read that fails at once raises instead, and what was collected is dropped. That happens if an upstream sends events and closes while the router has not read yet: it was held up, or the events waited for an acknowledgement behind another answer.

A trace of one shows the head of the answer, no event, and then a closed connection with an empty buffer, although the engine had written an event 10 ms before the close.

A read of UpstreamStream that fails never does so at once, so the parser passes on what it has before it meets the end.

Not covered: events in front of bytes that can't be parsed are still dropped.

--- a/packages/daemon/src/lacewing_daemon/direct/_connection.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_connection.py
@@ -42,6 +42,7 @@
 from lacewing_daemon.direct._site import Wire
 from lacewing_daemon.direct._stray_answers import StrayAnswer
 from lacewing_daemon.direct._stray_answers import StrayKind
+from lacewing_daemon.direct._upstream_stream import UpstreamStream
 
 # A peer without power sends nothing, not even a reset. The kernel closes the
 # connection once data stays unsent or unacknowledged for this long.
@@ -445,7 +446,7 @@
     host, _, port = address.rpartition(':')
     opened_s = boot_s()
     sock = socket.socket(socket.AF_INET)
-    stream = IOStream(sock, max_buffer_size=MAX_BUFFERED_BYTES)
+    stream = UpstreamStream(sock, max_buffer_size=MAX_BUFFERED_BYTES)
     prepare_socket(sock)
     try:
         async with asyncio.timeout(timeout_s):
