--- a/packages/daemon/src/lacewing_daemon/direct/_request_outcome.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_request_outcome.py
@@ -27,7 +27,8 @@
     takes up. ``queue_ahead``: requests that preceded it when it joined the
     queue, -1 if it never did; ``queued_ms``: how long it waited there.
     ``origin``: how the version that a stream must go on at is known, '' for a
-    new stream. ``no_send``: why no further send was made, '' if ``message`` tells.
+    new stream. ``no_send``: why no further send was made, '' if ``message``
+    tells.
     """
 
     request_id: str
