Record streams as unknown until a report names their start, and ask again

Cause: one stream was taken up at a router in step, which reached the router that had relayed it. That one had nothing on record, as no report had named the start, and the version was inferred. A report that failed was not requested again.

Change: from its first event on a stream is on record at its router as one whose start is unknown; the record of its version holds in place of that once a report has named the start. A report that fails is requested again, up to five times, 0.2 s apart, for streams that have begun. Where it stays unknown, the record goes to the keepers.

"A stream of a start that answers no report is taken up" failed on (events of "v1") and holds now.

--- a/features/direct_out_of_step.feature
+++ b/features/direct_out_of_step.feature
@@ -63,6 +63,20 @@
     Then no stream goes on at software "v1"
     And each take-up was refused within 1.0 s
 
+  Scenario: A stream of a start that answers no report is taken up
+    # Guards against a version that is inferred where no report has told which
+    # start began the stream.
+    Given an engine "eng-1" of software "v1"
+    And an engine "eng-2" of software "v1"
+    And 2 routers that know each other
+    And both routers have known the engines for long
+    When "eng-1" starts again with software "v2", without an entry
+    And "eng-1" answers no report
+    And 1 streams of which router 1 has relayed the first event from "eng-1"
+    And the streams are taken up at router 2
+    Then no stream goes on at software "v1"
+    And each take-up was refused within 1.0 s
+
   Scenario: A router without peers meets a stream of a start without an entry
     # Guards against an entry of the start before that confirms an inferred
     # version, where the routers that know better are unreachable.
--- a/features/steps/out_of_step_steps.py
+++ b/features/steps/out_of_step_steps.py
@@ -193,6 +193,20 @@
     assert history.recent_software('models') == {first, second}
 
 
+@when('"{name}" answers no report')
+def step_no_report(context: Context, name: str) -> None:
+    """Serve all but reports."""
+    server = direct_bench(context).upstreams[name].server
+    usual = server.handle
+
+    async def handle(received: ReceivedRequest) -> None:
+        if received.path == '/report':
+            await asyncio.Event().wait()
+        await usual(received)
+
+    server.handle = handle
+
+
 @when('the streams are taken up at router 2')
 def step_taken_up(context: Context) -> None:
     """Ask for the rest of each stream."""
--- a/packages/daemon/src/lacewing_daemon/direct/_restart_checks.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_restart_checks.py
@@ -23,6 +23,9 @@
 # How long a stream that broke off waits for a report: an upstream that lives
 # answers within some ms.
 RESOLVE_TIMEOUT_S = 0.3
+# A report that fails is requested again for streams that have begun.
+RETRY_DELAY_S = 0.2
+MAX_RETRIES = 5
 
 OnSoftware = Callable[[Software], None]
 
@@ -89,8 +92,8 @@
         """Record the first event on a connection that was opened then.
 
         While the list of upstreams is stale, nothing tells of new starts.
-        ``on_software`` is called once the version that began it is known, or
-        another start is known to be there.
+        ``on_software`` is called with DOUBTED until a report names the start
+        that began it, then with its version, or why that stays unknown.
         """
         listed_s = boot_s() - self._list_age_s()
         if opened_s > listed_s + MAX_LIST_AGE_S:
@@ -100,8 +103,9 @@
             on_software(state.upstream.software)
         if not is_known and on_software is not None:
             if state.replaced:
-                on_software(UnknownSoftware.DOUBTED)
+                on_software(UnknownSoftware.NO_ENTRY)
                 return
+            on_software(UnknownSoftware.DOUBTED)
             begun = self._begun.setdefault(state, [])
             begun.append(_Begun(opened_s, on_software))
         is_wanted = not is_known and on_software is not None
@@ -170,15 +174,28 @@
     def _forget(self, state: UpstreamState) -> None:
         """Drop what waits for an upstream that does not answer for it."""
         self._wanted_s.pop(state, None)
-        self._begun.pop(state, None)
+        for begun in self._begun.pop(state, ()):
+            begun.on_software(UnknownSoftware.NO_ENTRY)
 
     async def _check(self, state: UpstreamState) -> None:
-        """Request reports until nothing is in doubt, or one fails."""
+        """Request reports until nothing is in doubt, or they fail.
+
+        Only streams that have begun are worth another request.
+        """
         try:
-            while await self._confirm(state):
+            failures = 0
+            while failures <= MAX_RETRIES:
+                is_confirmed = await self._confirm(state)
                 self._notify(state)
-                if not self._is_open(state):
+                if is_confirmed and not self._is_open(state):
+                    return
+                if is_confirmed:
+                    failures = 0
+                    continue
+                if not state.is_listed or not self._begun.get(state):
                     return
+                failures += 1
+                await asyncio.sleep(RETRY_DELAY_S)
         finally:
             self._open.pop(state, None)
             self._forget(state)
@@ -209,8 +226,6 @@
             return False
         is_same = self._cluster_state.apply_report(state, report)
         if not is_same or report.started_ms != state.upstream.started_ms:
-            for begun in self._begun.pop(state, ()):
-                begun.on_software(UnknownSoftware.DOUBTED)
             return False
         state.confirm_software(sent_s)
         remaining = []
--- a/packages/daemon/src/lacewing_daemon/direct/_take_up.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_take_up.py
@@ -12,6 +12,7 @@
 from lacewing_daemon.direct._metrics import STREAMS_TAKEN_UP
 from lacewing_daemon.direct._routing_config import RoutingConfig
 from lacewing_daemon.direct._upstream import Software
+from lacewing_daemon.direct._upstream import UnknownSoftware
 from lacewing_daemon.direct.origins import MAX_LIVES
 from lacewing_daemon.direct.origins import Question
 from lacewing_daemon.direct.origins import stream_key
@@ -32,7 +33,9 @@
         'the platform does not confirm that one version only can have begun it'
     ),
     UnknownOrigin.REUSED: 'two streams have the id of this one',
-    UnknownOrigin.OTHER_START: 'the upstream that began it had started again',
+    UnknownOrigin.OTHER_START: (
+        'no report has confirmed the start of the upstream that began it'
+    ),
 }
 
 
@@ -107,6 +110,9 @@
     if isinstance(software, str):
         origins.record(key, StreamOrigin(service, software), life_s)
         return
+    if software is UnknownSoftware.DOUBTED:
+        origins.record_pending(key, life_s)
+        return
     origins.record_unknown(key, service, life_s)
 
 
--- a/packages/daemon/src/lacewing_daemon/direct/origins/_directory.py
+++ b/packages/daemon/src/lacewing_daemon/direct/origins/_directory.py
@@ -24,7 +24,6 @@
 from lacewing_daemon.direct.origins._history import SoftwareHistory
 from lacewing_daemon.direct.origins._records import combine
 from lacewing_daemon.direct.origins._records import OriginRecords
-from lacewing_daemon.direct.origins._records import SETTLED
 from lacewing_daemon.direct.origins._records import StreamOrigin
 from lacewing_daemon.direct.origins._records import UnknownOrigin
 from lacewing_daemon.rendezvous import rank_workers
@@ -176,6 +175,15 @@
         """Record that it is not known which start began a stream."""
         self._record(key, service, UnknownOrigin.OTHER_START, life_s)
 
+    def record_pending(self, key: bytes, life_s: float) -> None:
+        """Record here that it is not known yet which start began a stream.
+
+        A later record of its version holds in place of this one.
+        """
+        self._records.add(
+            key, UnknownOrigin.OTHER_START, life_s, self._clock()
+        )
+
     def upstream_changed(
         self, before: Upstream | None, after: Upstream | None
     ) -> None:
@@ -224,7 +232,7 @@
             return known.origin
         answers = [known, *await self._ask(question)]
         recorded = combine(answer.origin for answer in answers)
-        if _is_settled(recorded):
+        if _is_settled(recorded) or recorded is UnknownOrigin.OTHER_START:
             return recorded
         inferred = self._only_origin(question.service, answers)
         if inferred is None:
@@ -385,4 +393,4 @@
 
 def _is_settled(origin: StreamOrigin | UnknownOrigin) -> bool:
     """Return whether further answers can't tell more of a stream."""
-    return isinstance(origin, StreamOrigin) or origin in SETTLED
+    return isinstance(origin, StreamOrigin) or origin is UnknownOrigin.REUSED
--- a/packages/daemon/src/lacewing_daemon/direct/origins/_records.py
+++ b/packages/daemon/src/lacewing_daemon/direct/origins/_records.py
@@ -52,13 +52,14 @@
     return blake2b(text.encode(), digest_size=_KEY_BYTES).digest()
 
 
-# Records of these hold, whatever others name.
-SETTLED = frozenset((UnknownOrigin.REUSED, UnknownOrigin.OTHER_START))
+# Records that a stream has in place of a version.
+RECORDED = frozenset((UnknownOrigin.REUSED, UnknownOrigin.OTHER_START))
 # Of several reasons the last one of these is given.
 _REASONS = (
     UnknownOrigin.NO_RECORD,
     UnknownOrigin.NO_ANSWER,
     UnknownOrigin.UNNAMED,
+    UnknownOrigin.OTHER_START,
 )
 
 
@@ -69,9 +70,9 @@
     origin: StreamOrigin | None = None
     unknown = UnknownOrigin.NO_RECORD
     for each in found:
+        if each is UnknownOrigin.REUSED:
+            return each
         if isinstance(each, UnknownOrigin):
-            if each in SETTLED:
-                return each
             unknown = max(unknown, each, key=_REASONS.index)
             continue
         if origin is not None and each != origin:
--- a/packages/daemon/src/lacewing_daemon/direct/origins/_service.py
+++ b/packages/daemon/src/lacewing_daemon/direct/origins/_service.py
@@ -17,7 +17,7 @@
 from lacewing_daemon.direct.origins._messages import RECORD_METHOD
 from lacewing_daemon.direct.origins._messages import RecordReply
 from lacewing_daemon.direct.origins._messages import RecordRequest
-from lacewing_daemon.direct.origins._records import SETTLED
+from lacewing_daemon.direct.origins._records import RECORDED
 from lacewing_daemon.direct.origins._records import StreamOrigin
 from lacewing_daemon.direct.origins._records import UnknownOrigin
 from lacewing_daemon.peers import PeerCallFailed
@@ -104,7 +104,7 @@
 def _decode(record: OriginRecord) -> StreamOrigin | UnknownOrigin:
     if record.software is not None:
         return StreamOrigin(record.service, record.software)
-    for reason in SETTLED:
+    for reason in RECORDED:
         if record.unknown == reason.value:
             return reason
     return UnknownOrigin.REUSED
