--- a/packages/daemon/src/lacewing_daemon/direct/_restart_checks.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_restart_checks.py
@@ -138,7 +138,8 @@
         return self.software_at(state, opened_s) == software
 
     def close(self) -> None:
-        """Cancel open calls."""
+        """Cancel open calls; what they would tell is not recorded."""
+        self._begun.clear()
         self._tasks.cancel()
 
     def _is_checked(self, state: UpstreamState) -> bool:
