--- a/features/steps/removed_steps.py
+++ b/features/steps/removed_steps.py
@@ -150,6 +150,8 @@
 class _SlowPool:
     """Open a connection while something else happens."""
 
+    is_closed = False
+
     def __init__(self, meanwhile: Any) -> None:
         self._meanwhile = meanwhile
         self.sent: list[object] = []
