Log when each send of a request began, and measure overlaps of moved streams

Cause: a request's line told how long each send took, but not when it began, so that it could not be read whether two sends of one stream were under way at once, and for how long; nothing counted it.

Change: tries[].at_ms, and lacewing_direct_handover_overlap_seconds by service and end. Nothing is decided by either. direct_moves, direct_silence and ctl_explain pass (48 scenarios).

--- a/packages/daemon/src/lacewing_daemon/direct/_handover.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_handover.py
@@ -13,6 +13,7 @@
 from lacewing_common.log import get_log
 from lacewing_common.log import Part
 
+from lacewing_daemon.direct._metrics import HANDOVER_OVERLAP_SECONDS
 from lacewing_daemon.direct._metrics import HANDOVERS
 from lacewing_daemon.direct._site import ReplyHead
 from lacewing_daemon.direct._stream_relay import EventRelay
@@ -61,6 +62,7 @@
         self._take_over = take_over
         self._has_taken_over = False
         self._is_closed = False
+        self._sent_s: float | None = None
 
     @property
     def has_started(self) -> bool:
@@ -77,6 +79,15 @@
         """Return whether the successor has answered."""
         return self._has_taken_over
 
+    @property
+    def sent_s(self) -> float | None:
+        """Return when the successor was asked, None if it was not yet."""
+        return self._sent_s
+
+    def record_sending(self) -> None:
+        """Record that the rest of the stream is sent to the successor."""
+        self._sent_s = time.monotonic()
+
     def close(self) -> None:
         """Drop what a successor still sends that is not needed any more."""
         self._is_closed = True
@@ -169,6 +180,7 @@
         self._has_ended_run = True
         if self._task is None:
             return None
+        self._record_overlap(HandoverEnd.TAKEN_OVER)
         found = await self._task
         return None if isinstance(found, NoSuccessor) else found
 
@@ -199,6 +211,7 @@
         self._task = None
         self._pause(self._from_copy)
         self._count(HandoverEnd.RESUMED)
+        self._record_overlap(HandoverEnd.RESUMED)
         self._is_decided.set()
 
     async def _find_successor(self) -> T | NoSuccessor:
@@ -226,6 +239,14 @@
         pause_s = inf if for_good else RETRY_INTERVAL_S
         self._ask_again_s = time.monotonic() + pause_s
 
+    def _record_overlap(self, end: HandoverEnd) -> None:
+        """Record for how long two upstreams have had the stream."""
+        if self._asked is None or self._asked.sent_s is None:
+            return
+        HANDOVER_OVERLAP_SECONDS.labels(self._service, end.value).observe(
+            time.monotonic() - self._asked.sent_s
+        )
+
     def _count(self, end: HandoverEnd) -> None:
         HANDOVERS.labels(self._service, end.value).inc()
 
--- a/packages/daemon/src/lacewing_daemon/direct/_metrics.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_metrics.py
@@ -68,6 +68,13 @@
     ' on, by service and end',
     ['service', 'end'],
 )
+HANDOVER_OVERLAP_SECONDS = Histogram(
+    'lacewing_direct_handover_overlap_seconds',
+    'Seconds for which a started stream was under way at two upstreams, by'
+    ' service and end of the handover',
+    ['service', 'end'],
+    buckets=_BUCKETS_S,
+)
 STREAMS_TAKEN_UP = Counter(
     'lacewing_direct_streams_taken_up',
     'Requests for the rest of a stream, by service and what is known of it',
--- a/packages/daemon/src/lacewing_daemon/direct/_request_sends.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_request_sends.py
@@ -307,7 +307,9 @@
             return NoSuccessor.NOBODY
         opened = self._open(target)
         try:
-            result = await opened.send.run(relay, self._end_s)
+            result = await opened.send.run(
+                relay, self._end_s, relay.record_sending
+            )
         except asyncio.CancelledError:
             if opened in self._open_sends and len(self._open_sends) > 1:
                 self._open_sends.remove(opened)
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -66,6 +66,10 @@
 PLAIN_SILENT_S = 0.45
 
 
+def _ignore_sending() -> None:
+    return
+
+
 @dataclass(frozen=True)
 class SendResult:
     """Hold how a send ended and its entry in the request log.
@@ -124,6 +128,7 @@
         self._has_events = False
         self._relay: EventRelay | None = None
         self._attempt: Attempt | None = None
+        self._on_sending: Callable[[], None] = _ignore_sending
         self._other_requests = self._state.other_requests(self._start_s)
         self._copy_tokens = 0
         if target.copy_to is not None and request.prompt is not None:
@@ -157,11 +162,20 @@
             await checks.resolve(self._state, opened_s)
         return checks.software_at(self._state, opened_s)
 
-    async def run(self, relay: EventRelay, end_s: float) -> SendResult:
-        """Send the request, relay a stream, and return how it ended."""
+    async def run(
+        self,
+        relay: EventRelay,
+        end_s: float,
+        on_sending: Callable[[], None] = _ignore_sending,
+    ) -> SendResult:
+        """Send the request, relay a stream, and return how it ended.
+
+        ``on_sending`` is called right before the request is sent.
+        """
         self._record_sent_parts()
         is_streaming = self._admitted.route.is_streaming
         self._relay = relay
+        self._on_sending = on_sending
 
         async def on_events(head: ReplyHead, events: list[bytes]) -> None:
             self._fleet.silence_detector.data_received(
@@ -248,8 +262,10 @@
         if required is None:
             if self._admitted.route.is_streaming and self._can_continue:
                 checks.stream_sent(self._state, opened_s)
+            self._on_sending()
             return True
         if await checks.has_software(self._state, opened_s, required):
+            self._on_sending()
             return True
         self._given_up = GivenUp.UNCONFIRMED
         STARTS_UNCONFIRMED.labels(self._admitted.service.name).inc()
@@ -553,6 +569,7 @@
         return describe_try(
             self._target,
             end,
+            int((self._start_s - self._request.received_s) * _MS),
             int((time.monotonic() - self._start_s) * _MS),
             first_ms,
             self._other_requests,
--- a/packages/daemon/src/lacewing_daemon/direct/_try_entry.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_try_entry.py
@@ -31,6 +31,7 @@
 def describe_try(
     target: Target,
     end: AttemptEnd,
+    at_ms: int,
     took_ms: int,
     first_ms: int,
     other_requests: int,
@@ -39,6 +40,7 @@
 ) -> Try:
     """Return the log entry of a send.
 
+    ``at_ms``: when it began, since the request was received.
     ``first_ms``: time to the first event, -1 if there was none.
     ``other_requests``: those of other routers at the upstream.
     ``is_unconfirmed``: the start that it reached is not known for certain.
@@ -69,6 +71,7 @@
         earlier=end.connection_use.earlier_requests,
         skipped=end.connection_use.skipped_answers,
         unconfirmed=is_unconfirmed,
+        at_ms=at_ms,
     )
 
 
