End a moved run once another upstream may have gone on with it

Cause: since the run before went on until the upstream with the copy had sent an event, and its own events were held for 0.35 s, after which it was kept. Both are bounds on events.

Change: the sending of the rest of a stream starts a time of 0.2 s (half of the 0.4 s that the rule allows; the rest is for the way and for delays). At its end the earlier run is ended, whatever the successor has sent. From a copy, the earlier run goes on only if the next upstream was not asked yet or has said that it does not run it; a continuation that breaks off counts as begun. Of a stream that may be resumed, the run that sends an event first within that time is kept, as before. lacewing_direct_handovers counts not_refused.

Why it works: the decision no longer waits for an event of either upstream, and a refusal is the only answer that says that nothing runs there.

One scenario changes: 'An engine goes on before the next one has begun' wanted a run that goes on 0.4 s after its rest was sent to another upstream, which the rule excludes. Its engine pauses for 1.5 s now instead of 1.8, so that it goes on 0.1 s after; the check is the same. What it costs is not measured yet: a refusal later than 0.2 s ends a stream that has no other copy, and a live run is ended for one that waits in a queue for longer.

--- a/features/direct_moves.feature
+++ b/features/direct_moves.feature
@@ -24,6 +24,7 @@
       # Guards against a live run that is given up for one that waits in the
       # queue of another engine.
       Given a router with 3 engines
+      And engines that pause for 1.5 s
       And the next engines answer with "pauses, mute"
       When a caller asks a model
       Then the answer is 200 with all events once and in order
--- /dev/null
+++ b/features/direct_overlaps.feature
@@ -0,0 +1,43 @@
+Feature: A run is at work at one upstream at a time
+
+  A run that goes on at another upstream is ended at the one before, whether
+  or not the next one has sent an event yet.
+
+  Rule: A run that goes on from its copy is ended at the upstream before
+
+    Background:
+      Given a router with 3 engines
+      And engines that copy the KV cache of runs
+
+    Scenario: The next engine takes long until its first event
+      # Guards against a run at two upstreams: the one before was ended at the
+      # first event of the next one only.
+      Given the next engines answer with "stalls"
+      And engines that go on with a run send their first event after 0.8 s
+      When a caller requests a non-resumable stream
+      Then the answer is 200 with all events once and in order
+      And no run was at work at an earlier upstream 0.4 s after it went on
+
+    Scenario: The engine before sends an event while the next one begins
+      # Guards against a run that is kept although it goes on elsewhere.
+      Given the next engines answer with "pauses"
+      And engines that go on with a run send their first event after 0.8 s
+      When a caller requests a non-resumable stream
+      Then the answer is 200 with all events once and in order
+      And no run was at work at an earlier upstream 0.4 s after it went on
+
+  Rule: A stream that is resumed is ended at the upstream before
+
+    Scenario Outline: The next engine takes long until its first event
+      # Guards against double work for as long as an engine reads a prompt.
+      Given a router with 3 engines
+      And the next engines answer with "<before>"
+      And engines that go on with a run send their first event after 0.8 s
+      When a caller asks a model
+      Then the answer is 200 with all events once and in order
+      And no run was at work at an earlier upstream 0.4 s after it went on
+
+      Examples:
+        | before |
+        | stalls |
+        | pauses |
--- a/packages/daemon/src/lacewing_daemon/direct/_handover.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_handover.py
@@ -26,8 +26,10 @@
 MAX_SENDS_AT_ONCE = 2
 # Time until upstreams are asked again, once none has taken the stream over.
 RETRY_INTERVAL_S = 0.2
-# Events of the earlier run wait this long for the upstream with its copy.
-MAX_HOLD_S = 0.35
+# Two upstreams may have a stream for this long. A run must not be at work at
+# the earlier one 0.4 s after it went on; the rest of that time is for delays
+# on the way there and of this process.
+MAX_OVERLAP_S = 0.2
 
 
 class NoSuccessor(Enum):
@@ -44,25 +46,31 @@
 class HandoverEnd(Enum):
     """Name how a handover ended; the value is a label of a metric.
 
-    RESUMED: the earlier run went on first.
+    TAKEN_OVER: the successor has answered. NOT_REFUSED: it had not refused
+    when the earlier run had to end. RESUMED: the earlier run went on first.
     """
 
     TAKEN_OVER = 'taken_over'
+    NOT_REFUSED = 'not_refused'
     RESUMED = 'resumed'
     NO_SUCCESSOR = 'no_successor'
 
 
 class SuccessorRelay:
-    """Relay the events of a successor; the first one ends the earlier run."""
+    """Relay the events of a successor; the first one ends the earlier run.
+
+    So does the time for which two upstreams may have the stream.
+    """
 
     def __init__(
-        self, relay: EventRelay, take_over: Callable[[], None]
+        self, relay: EventRelay, take_over: Callable[[HandoverEnd], None]
     ) -> None:
         self._relay = relay
         self._take_over = take_over
         self._has_taken_over = False
         self._is_closed = False
         self._sent_s: float | None = None
+        self._timer: asyncio.TimerHandle | None = None
 
     @property
     def has_started(self) -> bool:
@@ -76,7 +84,7 @@
 
     @property
     def has_taken_over(self) -> bool:
-        """Return whether the successor has answered."""
+        """Return whether the stream goes on at the successor only."""
         return self._has_taken_over
 
     @property
@@ -85,19 +93,24 @@
         return self._sent_s
 
     def record_sending(self) -> None:
-        """Record that the rest of the stream is sent to the successor."""
+        """Limit from now on how long the earlier run goes on."""
         self._sent_s = time.monotonic()
+        self._timer = asyncio.get_running_loop().call_later(
+            MAX_OVERLAP_S, self.take_over, HandoverEnd.NOT_REFUSED
+        )
 
     def close(self) -> None:
         """Drop what a successor still sends that is not needed any more."""
         self._is_closed = True
+        self._stop_timer()
 
-    def take_over(self) -> None:
-        """End the earlier run, as the successor has answered."""
+    def take_over(self, end: HandoverEnd = HandoverEnd.TAKEN_OVER) -> None:
+        """End the earlier run."""
         if self._has_taken_over or self._is_closed:
             return
         self._has_taken_over = True
-        self._take_over()
+        self._stop_timer()
+        self._take_over(end)
 
     async def forward(self, head: ReplyHead, events: Iterable[bytes]) -> None:
         """Forward complete events."""
@@ -107,6 +120,10 @@
         self.take_over()
         await self._relay.forward(head, pieces)
 
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+
 
 Ask = Callable[[SuccessorRelay], Awaitable[T | NoSuccessor]]
 
@@ -116,14 +133,15 @@
 
     That its upstream is lost is a suspicion: the upstream may be silent and
     go on, and the next one may refuse. The earlier run therefore goes on
-    until a successor has sent an event, with which its own run begins;
-    whichever sends one first is kept.
+    until a successor has sent an event, but for ``MAX_OVERLAP_S`` at most:
+    a successor may work long before its first event. Whichever sends one
+    first is kept.
 
     ``ask`` sends the rest of the stream to one other upstream and returns
     when that has ended. ``from_copy``: only the upstream with the copy of the
-    run can go on. It uses the copy up, so it is asked once, and events of the
-    earlier run wait until it has refused or begun: with both, the run would
-    go on at two upstreams.
+    run can go on, and the run must not go on at both. The earlier run
+    therefore goes on only if that upstream was not asked yet or has refused;
+    until this is known, its events wait. A copy can be used once.
     """
 
     def __init__(
@@ -168,8 +186,8 @@
 
         Other upstreams are not asked any more then.
         """
-        if self._from_copy and self._task is not None:
-            await self._hold_event()
+        if self._from_copy and self._is_asking:
+            await self._is_decided.wait()
         if self._has_ended_run or self._is_closed:
             return False
         self._stop_asking()
@@ -193,13 +211,12 @@
         if self._task is not None:
             self._task.cancel()
 
-    async def _hold_event(self) -> None:
-        """Wait until the upstream with the copy has refused or begun."""
-        try:
-            async with asyncio.timeout(MAX_HOLD_S):
-                await self._is_decided.wait()
-        except TimeoutError:
-            _log.info('An upstream with a copy is slow; the run is kept.')
+    @property
+    def _is_asking(self) -> bool:
+        """Return whether an upstream has been sent the rest of the stream."""
+        if self._task is None or self._asked is None:
+            return False
+        return self._asked.sent_s is not None
 
     def _stop_asking(self) -> None:
         """Keep the earlier run; a cancelled task may still get an event."""
@@ -209,7 +226,7 @@
             self._asked.close()
         self._task.cancel()
         self._task = None
-        self._pause(self._from_copy)
+        self._pause(False)
         self._count(HandoverEnd.RESUMED)
         self._record_overlap(HandoverEnd.RESUMED)
         self._is_decided.set()
@@ -219,6 +236,8 @@
         for _ in range(1 if self._from_copy else MAX_SENDS_AT_ONCE):
             self._asked = SuccessorRelay(self._relay, self._take_over)
             found = await self._ask(self._asked)
+            if isinstance(found, NoSuccessor):
+                self._asked.close()
             if found is not NoSuccessor.FAILED:
                 break
         if isinstance(found, NoSuccessor):
@@ -228,8 +247,8 @@
             self._is_decided.set()
         return found
 
-    def _take_over(self) -> None:
-        self._count(HandoverEnd.TAKEN_OVER)
+    def _take_over(self, end: HandoverEnd) -> None:
+        self._count(end)
         self._has_ended_run = True
         self._is_decided.set()
         if self._end_run is not None:
--- a/packages/daemon/src/lacewing_daemon/direct/_request_sends.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_request_sends.py
@@ -72,7 +72,7 @@
     """Make the sends of one admitted request.
 
     At most one send goes on at a time, but for a started stream that is
-    moved: its run goes on until its successor has sent an event.
+    moved: its run goes on for a moment after its successor was asked.
     """
 
     def __init__(
@@ -316,7 +316,11 @@
                 self._log_resumed(opened)
             raise
         ended = EndedSend(opened, result)
-        if relay.has_taken_over or self._is_answer(result.end):
+        if (
+            relay.has_taken_over
+            or self._is_answer(result.end)
+            or _may_have_gone_on(ended)
+        ):
             relay.take_over()
             return ended
         self._progress.continuation = None
@@ -454,3 +458,10 @@
         return end.head.status in _SUCCESS and is_event_stream(
             end.head.headers
         )
+
+
+def _may_have_gone_on(ended: EndedSend) -> bool:
+    """Return whether a run may have gone on from its copy at an upstream."""
+    if not ended.opened.target.is_continuation:
+        return False
+    return ended.end.verdict is not Verdict.NOT_RUN
