Show that a run is not kept once its continuation may have begun

The scenario of an engine that sends an event while the next one begins let it speak after the time for two upstreams was over, so that it did not fail when its events no longer waited for the decision. The engine now goes on 0.1 s after the other one was asked, and its run lasts 0.6 s longer.

--- a/features/direct_overlaps.feature
+++ b/features/direct_overlaps.feature
@@ -20,8 +20,10 @@
 
     Scenario: The engine before sends an event while the next one begins
       # Guards against a run that is kept although it goes on elsewhere.
-      Given the next engines answer with "pauses"
-      And engines that go on with a run send their first event after 0.8 s
+      Given engines that send an event every 0.2 s
+      And engines that pause for 1.3 s
+      And the next engines answer with "pauses"
+      And engines that go on with a run send their first event after 0.5 s
       When a caller requests a non-resumable stream
       Then the answer is 200 with all events once and in order
       And no run was at work at an earlier upstream 0.4 s after it went on
--- a/features/steps/overlaps_steps.py
+++ b/features/steps/overlaps_steps.py
@@ -23,6 +23,13 @@
         upstream.silence_s = silence_s
 
 
+@given('engines that send an event every {gap_s:g} s')
+def step_event_gap(context: Context, gap_s: float) -> None:
+    """Set the time from one event to the next."""
+    for upstream in direct_bench(context).upstreams.values():
+        upstream.pause_s = gap_s
+
+
 @then(
     'no run was at work at an earlier upstream {allowed_s:g} s after it went'
     ' on'
