Say in explain which two upstreams had a request at once

Cause: that two sends of a request overlap could be read from tries[].at_ms and ms only by hand, one request at a time.

Change: lacewingctl explain names each two upstreams that had the request at once, with the time; sends that did not run are left out.

--- a/features/ctl_explain.feature
+++ b/features/ctl_explain.feature
@@ -117,5 +117,11 @@
     When a caller fetches a record
     Then explaining it shows status 200 and "answered 200 without a signature"
 
+  Scenario: A stream that two upstreams had at once
+    # Guards against a log that doesn't tell a run that is ended before it
+    # goes on elsewhere from one that is not.
+    Given a log file of a stream that two upstreams had at once
+    Then explaining it shows status 200 and "eng-1 and eng-3 had the request at once for 150 ms."
+
   Scenario: A request without a log line
     Then explaining an unlogged request fails and hints at dropped lines
--- a/features/steps/ctl_explain_steps.py
+++ b/features/steps/ctl_explain_steps.py
@@ -70,6 +70,27 @@
     context.explained = 'refused-1'
 
 
+@given('a log file of a stream that two upstreams had at once')
+def step_overlap(context: Context) -> None:
+    """Write the line of a stream that was moved after a refusal."""
+    tries = [
+        {'upstream': 'eng-2', 'verdict': 'not-run', 'at_ms': 440, 'ms': 5},
+        {'upstream': 'eng-1', 'verdict': 'may-have-run', 'ms': 600},
+        {'upstream': 'eng-3', 'verdict': 'ran', 'at_ms': 450, 'ms': 900},
+    ]
+    line = {
+        **_REFUSED,
+        'event': 'callers: Request answered.',
+        'status': 200,
+        'verdict': 'ran',
+        'reason': '',
+        'tries': [{'reason': '', **each} for each in tries],
+    }
+    context.log = context.log.with_name('overlap.log')
+    context.log.write_text(json.dumps(line))
+    context.explained = 'refused-1'
+
+
 @given('a log file of a started stream for which no retry was left')
 def step_no_retry(context: Context) -> None:
     """Write the line of the stream."""
--- a/packages/ctl/src/lacewing_ctl/_causes.py
+++ b/packages/ctl/src/lacewing_ctl/_causes.py
@@ -2,9 +2,11 @@
 
 from collections.abc import Callable
 from collections.abc import Mapping
+from collections.abc import Sequence
 
 from lacewing_common.log_lines import Try
 from lacewing_common.verdict import Reason
+from lacewing_common.verdict import Verdict
 
 from lacewing_ctl._timeline import COLLECTION_LOST
 from lacewing_ctl._timeline import DRAINING
@@ -28,6 +30,7 @@
             )
         if each.skipped:
             sentences.append(_skipped_answers(timeline, each))
+    sentences.extend(_overlapping_sends(timeline.line.tries))
     return ' '.join(sentences)
 
 
@@ -64,6 +67,31 @@
     return f'{text} it answers twice, here {", ".join(earlier)}.'
 
 
+def _overlapping_sends(tries: Sequence[Try]) -> list[str]:
+    """Return a sentence for each two upstreams that had a stream at once."""
+    sentences = []
+    run = [each for each in tries if each.verdict != Verdict.NOT_RUN.value]
+    run.sort(key=_start_ms)
+    for number, before in enumerate(run):
+        for after in run[number + 1 :]:
+            ends_ms = min(_end_ms(before), _end_ms(after))
+            if ends_ms <= after.at_ms:
+                continue
+            sentences.append(
+                f'{before.upstream} and {after.upstream} had the request at'
+                f' once for {ends_ms - after.at_ms} ms.'
+            )
+    return sentences
+
+
+def _start_ms(send: Try) -> int:
+    return send.at_ms
+
+
+def _end_ms(send: Try) -> int:
+    return send.at_ms + send.ms
+
+
 def _stale_configuration(timeline: RequestTimeline) -> str:
     text = (
         'The configuration was last confirmed'
