Measure an overlap up to the end of the earlier run

lacewing_direct_handover_overlap_seconds was observed after the report that may be asked for once a started stream has ended at an upstream, so that it counted up to 0.3 s too much, and not_refused was counted for runs that had ended by themselves. Handover.run_ended() is called as the send has ended, and stops the time for two upstreams. Found by reading; direct_overlaps, moves and silence pass (32 scenarios).

--- a/packages/daemon/src/lacewing_daemon/direct/_handover.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_handover.py
@@ -102,14 +102,19 @@
     def close(self) -> None:
         """Drop what a successor still sends that is not needed any more."""
         self._is_closed = True
-        self._stop_timer()
+        self.stop_timer()
+
+    def stop_timer(self) -> None:
+        """Wait for the successor's answer for as long as it takes."""
+        if self._timer is not None:
+            self._timer.cancel()
 
     def take_over(self, end: HandoverEnd = HandoverEnd.TAKEN_OVER) -> None:
         """End the earlier run."""
         if self._has_taken_over or self._is_closed:
             return
         self._has_taken_over = True
-        self._stop_timer()
+        self.stop_timer()
         self._take_over(end)
 
     async def forward(self, head: ReplyHead, events: Iterable[bytes]) -> None:
@@ -120,10 +125,6 @@
         self.take_over()
         await self._relay.forward(head, pieces)
 
-    def _stop_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-
 
 Ask = Callable[[SuccessorRelay], Awaitable[T | NoSuccessor]]
 
@@ -193,12 +194,18 @@
         self._stop_asking()
         return True
 
+    def run_ended(self) -> None:
+        """Record that the earlier run is at work no more."""
+        self._has_ended_run = True
+        if self._task is None or self._asked is None:
+            return
+        self._asked.stop_timer()
+        self._record_overlap(HandoverEnd.TAKEN_OVER)
+
     async def successor(self) -> T | None:
         """Return the successor of a run that ended, once it has ended too."""
-        self._has_ended_run = True
         if self._task is None:
             return None
-        self._record_overlap(HandoverEnd.TAKEN_OVER)
         found = await self._task
         return None if isinstance(found, NoSuccessor) else found
 
--- a/packages/daemon/src/lacewing_daemon/direct/_request_sends.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_request_sends.py
@@ -207,12 +207,14 @@
         result = await opened.send.run(self._relay, self._end_s)
         ended = EndedSend(opened, result)
         while True:
+            handover = ended.opened.handover
+            if handover is not None:
+                handover.run_ended()
             await self._close_send(ended)
             if self._is_answer(ended.end):
                 self._end_others()
                 return ended, None
             failure = self._record_failure(ended)
-            handover = ended.opened.handover
             successor = None
             if handover is not None:
                 successor = await handover.successor()
