Forget an earlier asking when others are asked again for a stream

Cause: a second handover of one run still had the relay of the first one, which had been sent, so that events of the run waited for a decision although nothing was sent yet. The wait ended with the next asking. Found by reading, not seen.

--- a/packages/daemon/src/lacewing_daemon/direct/_handover.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_handover.py
@@ -178,6 +178,7 @@
         if self._task is not None or self._is_closed:
             return
         self._end_run = end_run
+        self._asked = None
         self._is_decided.clear()
         self._task = asyncio.create_task(self._find_successor())
         self._task.add_done_callback(_log_error)
