--- a/features/soak.feature
+++ b/features/soak.feature
@@ -27,6 +27,23 @@
     When 6 other processes choose ports from a range with these
     Then none of them chose these
 
+  Scenario Outline: The soak finds runs at work at two upstreams
+    # Guards against a soak that passes while a run goes on at an upstream and
+    # the one before still works on it.
+    Given an upstream that works on a run <seconds> s after it went on elsewhere
+    And a disturbance of <subject> while it went on
+    When the soak checks for how long upstreams worked on it
+    Then it counts <overlaps> overlaps and <excused> excused ones
+
+    Examples:
+      | seconds | subject        | overlaps | excused |
+      | 0.3     | nothing        | 0        | 0       |
+      | 0.5     | nothing        | 1        | 0       |
+      | 0.5     | another router | 1        | 0       |
+      | 0.5     | its router     | 0        | 1       |
+      | 0.5     | its stops      | 0        | 1       |
+      | 0.5     | the soak       | 0        | 1       |
+
   Scenario: Seeds that failed once
     When every seed that ever failed is run
     Then no promise is broken
