--- a/features/steps/moved_runs_steps.py
+++ b/features/steps/moved_runs_steps.py
@@ -357,6 +357,7 @@
 def step_kept(context: Context) -> None:
     """Check that no other engine has worked on them."""
     streams = _streams(context)
+    streams.finish()
     moved_ids = {caller.request_id for caller in streams.moved}
     for work in streams.works():
         if work.request_id in moved_ids:
