Believe a first start only where the store has no record of its era

Callers saw: a key that was revoked before the store returned from a copy was served again (200) by a router that started right after, where its settings still said that the system starts for the first time.

Cause: SettledEra took the setting for true at each start, read no record then, and counted the first configuration of the copy as confirmed. The class is that of streams of two software versions: a setting that is true once is believed each time.

Change: the record of the era is read at each start.

A first start still is ready at once ("A router records that the era has settled").

Remains: no record exists in the first 3 to 5 s of a system, and a copy from that time has none. A restart and a restore within that time are taken for a first start.

--- a/packages/daemon/src/lacewing_daemon/direct/_settled_era.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_settled_era.py
@@ -47,8 +47,10 @@
 class SettledEra:
     """Hold from when on lists of the store have all repeated writes.
 
-    ``first_start``: the system starts for the first time, so that nothing was
-    written, or lost, before.
+    ``first_start``: the settings say that the system starts for the first
+    time, so that nothing was written, or lost, before. They may still say so
+    when the process starts again, so it counts once the store has answered
+    that no record exists.
     """
 
     def __init__(
@@ -68,7 +70,7 @@
         self._era = 0
         self._era_observed_s = float('-inf')
         self._settled_s = float('inf')
-        self._is_proven = first_start
+        self._is_proven = False
         self._has_recorded = False
 
     @property
@@ -84,8 +86,7 @@
     async def run(self) -> None:
         """Read the record, and write it once an era has settled."""
         try:
-            if not self._first_start:
-                await self._read()
+            await self._read()
         finally:
             self._has_tried.set()
         write_after_s = SETTLE_S + self._random.uniform(0.0, WRITE_SPREAD_S)
@@ -111,19 +112,24 @@
         self._era_observed_s = self._clock()
         self._has_recorded = False
         self._settled_s = self._era_observed_s + SETTLE_S
-        if is_first and self._first_start:
-            self._settled_s = float('-inf')
-            return
         # Only a process that starts in an era does not know its age.
         self._is_proven = not is_first
+        self._first_start &= is_first
 
     async def _read(self) -> StoredObject | StoreError:
-        """Read the record; it proves the era in which it was written."""
+        """Read the record; it proves the era in which it was written.
+
+        That there is none proves a first start.
+        """
         sent_s = self._clock()
         answer = await self._store.peek(KIND, NAME)
         self._observe()
         if isinstance(answer, StoreError):
+            if self._first_start and answer.fault is StoreFault.NOT_FOUND:
+                self._is_proven = True
+                self._settled_s = float('-inf')
             return answer
+        self._first_start = False
         if self._era and _decode(answer) == self._era == answer.era:
             self._has_recorded = True
             self._is_proven = True
