Record a new software version as soon as its entry is read

Callers saw: a stream went on at another version. It began at a version that had just appeared; all routers were killed, the upstream ended and its entry lapsed, and a router that started later found a record without that version, so that the only one there counted.

Cause: a router sends streams to an upstream as soon as it has read the entry, but looked for versions to record every 0.25 s only. The class: what a router does precedes the record that others need if it is killed.

Change: the entry of a version that is new to an upstream's id wakes the task that writes records.

Remains: a read and a write at the store, in which a stream may begin. To hold streams back until the record is written would keep new upstreams idle while the store is away.

--- a/features/steps/out_of_step_steps.py
+++ b/features/steps/out_of_step_steps.py
@@ -215,7 +215,7 @@
     with capture_logs() as context.log:
         for number, stream in enumerate(context.streams):
             asked_s = time.monotonic()
-            _take_up(bench, stream, number)
+            take_up(bench, stream, number)
             context.took_s.append(time.monotonic() - asked_s)
     context.answers = bench.answers[-len(context.streams) :]
 
@@ -414,9 +414,11 @@
     connection.request('POST', PATH, b'prompt', sent)
 
 
-def _take_up(bench: DirectBench, stream: str, number: int) -> Answer:
-    """Ask the second router for the events after the first one."""
-    connection = bench.connect(SECOND)
+def take_up(
+    bench: DirectBench, stream: str, number: int, at: int = SECOND
+) -> Answer:
+    """Ask a router, by default the second, for the later events."""
+    connection = bench.connect(at)
     headers = {
         'Last-Event-Id': '1',
         'Resumes': stream,
--- a/features/steps/software_records_steps.py
+++ b/features/steps/software_records_steps.py
@@ -137,6 +137,7 @@
 
 
 @given('all routers are killed')
+@when('all routers are killed')
 def step_all_killed(context: Context) -> None:
     """Close all routers without a drain."""
     bench = direct_bench(context)
@@ -145,6 +146,7 @@
 
 
 @given('a router that starts later')
+@when('a router that starts later')
 def step_later(context: Context) -> None:
     """Start a router once the system has run."""
     bench = direct_bench(context)
--- a/packages/daemon/src/lacewing_daemon/direct/_fleet.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_fleet.py
@@ -476,6 +476,8 @@
         self._stream_origins.upstream_changed(known, value)
         if value is None:
             return
+        if known is None or known.software != value.software:
+            self._version_records.check_soon()
         state = self._cluster_state.upstream(name)
         if state is not None:
             self._apply_entry_weights(state)
--- a/packages/daemon/src/lacewing_daemon/direct/origins/_version_records.py
+++ b/packages/daemon/src/lacewing_daemon/direct/origins/_version_records.py
@@ -87,6 +87,7 @@
         self._stored: dict[str, _Stored] = {}
         self._list_age_s = list_age_s
         self._has_tried = False
+        self._is_wanted = asyncio.Event()
         history.suspend_first_start()
         eras.on_restore(self._stored.clear)
 
@@ -95,18 +96,24 @@
         """Return whether the records were read once, or could not be."""
         return self._has_tried
 
+    def check_soon(self) -> None:
+        """Update at once: a version may have appeared."""
+        self._is_wanted.set()
+
     async def run(self) -> None:
         """Keep the records up to date until cancelled."""
         while self._services() is None or not isfinite(self._list_age_s()):
             await asyncio.sleep(START_INTERVAL_S)
         while True:
-            delay_s = CHECK_INTERVAL_S
+            self._is_wanted.clear()
             try:
-                if not await self.update():
-                    delay_s = RETRY_DELAY_S
+                succeeded = await self.update()
             finally:
                 self._has_tried = True
-            await asyncio.sleep(delay_s)
+            if succeeded:
+                await self._wait_wanted()
+            else:
+                await asyncio.sleep(RETRY_DELAY_S)
 
     async def update(self) -> bool:
         """Read and write what is needed now; false if that failed."""
@@ -122,6 +129,14 @@
             succeeded &= await self._check(service)
         return succeeded
 
+    async def _wait_wanted(self) -> None:
+        """Wait until the next check is due or wanted."""
+        try:
+            async with asyncio.timeout(CHECK_INTERVAL_S):
+                await self._is_wanted.wait()
+        except TimeoutError:
+            return
+
     async def _settle_first_start(self) -> None:
         """Find out whether the system ran before.
 
