Keep recorded versions when the store returns from a copy without them

Callers saw (shown with a router's records in a scenario): a router that had read the versions v1 and v2 took v1 for the only one once the store had returned from a copy whose record has v1, so that a stream that v2 had begun would go on at v1.

Cause: after a restore the record is read again, and replaced what was read before. The class: what is older takes the place of what is newer. A version that left before a router started is known to it from the record alone, so it wrote nothing back either.

Change: at a restore the versions that were read last, also before the store was away, count as those of upstreams that had left when they were read. So they count for as long as versions that the router has seen leave, and the record is written again with them.

Remains: a router that starts after a restore whose copy lacks a version believes the record until one that knew the version has written it again; if none runs, for good.

--- a/features/direct_remaining.feature
+++ b/features/direct_remaining.feature
@@ -21,6 +21,23 @@
       And the streams are taken up at the new router
       Then no stream goes on at software "v1"
 
+    Scenario: The store returns from a copy without a version that has left
+      # Guards against a record that is believed although it is older than the
+      # one that was read before.
+      Given recorded versions "v1, v2" of a list that is observed
+      When the store returns from a copy in which the record has "v1"
+      Then the only version of the last 20 s is unknown
+      And the record has the versions "v1, v2"
+
+    Scenario: The store was away before it returned from a copy
+      # Guards against a record of the copy that is believed by a router whose
+      # list of upstreams was unconfirmed for a while.
+      Given recorded versions "v1, v2" of a list that is observed
+      When the list is not observed for 4 s
+      And the store returns from a copy in which the record has "v1"
+      Then the only version of the last 20 s is unknown
+      And the record has the versions "v1, v2"
+
   Rule: A first start that the settings state again
 
     Background:
--- a/features/steps/remaining_steps.py
+++ b/features/steps/remaining_steps.py
@@ -22,3 +22,16 @@
     context.answers = []
     for number, stream in enumerate(context.streams):
         context.answers.append(take_up(bench, stream, number, at))
+
+
+@when('the store returns from a copy in which the record has "{versions}"')
+def step_returned(context: Context, versions: str) -> None:
+    """Start a new era, and let the router try for 3 s."""
+    site = context.records_site
+    site.eras.observe(1)
+    site.eras.observe(2)
+    site.record(versions)
+    for _ in range(3):
+        site.now_s += 1.0
+        site.history.confirm(0.0)
+        assert direct_bench(context).run(site.records.update())
--- a/features/steps/software_records_steps.py
+++ b/features/steps/software_records_steps.py
@@ -72,6 +72,7 @@
         self.age_s = 0.0
         self.present = [_upstream('v1')]
         self.objects = _Objects()
+        self.eras = StoreEras()
         self.history = SoftwareHistory(
             lambda _service: self.present, lambda: self.now_s, first_start
         )
@@ -83,7 +84,7 @@
             lambda: (SERVICE,),
             '10.0.0.1:7000',
             lambda: (),
-            StoreEras(),
+            self.eras,
             lambda: self.age_s,
         )
 
--- a/packages/daemon/src/lacewing_daemon/direct/origins/_history.py
+++ b/packages/daemon/src/lacewing_daemon/direct/origins/_history.py
@@ -37,6 +37,8 @@
         self._observed_since_s: float | None = None
         self._left_s: dict[tuple[str, Software], float] = {}
         self._recorded: dict[str, frozenset[str]] = {}
+        # As last read, and when; kept while the list is not observed.
+        self._last_read: dict[str, tuple[frozenset[str], float]] = {}
 
     @property
     def claims_first_start(self) -> bool:
@@ -99,6 +101,18 @@
         """
         if versions:
             self._recorded[service] = versions
+            self._last_read[service] = (versions, self._clock())
+
+    def store_restored(self) -> None:
+        """Remember the recorded versions: the store may have lost some.
+
+        Those that are gone had left before they were read.
+        """
+        for service, (versions, read_s) in self._last_read.items():
+            for software in versions:
+                key = (service, software)
+                left_s = self._left_s.get(key, read_s)
+                self._left_s[key] = max(left_s, read_s)
 
     def has_recorded(self, service: str) -> bool:
         """Return whether versions were set since the list is observed."""
--- a/packages/daemon/src/lacewing_daemon/direct/origins/_version_records.py
+++ b/packages/daemon/src/lacewing_daemon/direct/origins/_version_records.py
@@ -89,7 +89,7 @@
         self._has_tried = False
         self._is_wanted = asyncio.Event()
         history.suspend_first_start()
-        eras.on_restore(self._stored.clear)
+        eras.on_restore(self._on_restore)
 
     @property
     def has_tried(self) -> bool:
@@ -129,6 +129,11 @@
             succeeded &= await self._check(service)
         return succeeded
 
+    def _on_restore(self) -> None:
+        """Read and write again: the store may have lost versions."""
+        self._history.store_restored()
+        self._stored.clear()
+
     async def _wait_wanted(self) -> None:
         """Wait until the next check is due or wanted."""
         try:
