Keep versions that another router has recorded a moment before

Callers saw (shown with a router's records in a scenario): the record of versions lost one that had just been added, so that a router that started later would take the other version for the only one.

Cause: a router that has observed a list for five minutes writes its own versions in place of the record.

Change: such a router keeps what it has read in the record for less than the greatest age of a list.

--- a/features/direct_remaining.feature
+++ b/features/direct_remaining.feature
@@ -38,6 +38,14 @@
       Then the only version of the last 20 s is unknown
       And the record has the versions "v1, v2"
 
+    Scenario: A version that another router has just recorded is kept
+      # Guards against a record that lacks a version: a router that knows all
+      # versions removes one that left long ago, and with it one that its own
+      # list does not have yet.
+      Given recorded versions "v0, v1" of a list that has "v1" for long
+      When another router records "v0, v1, v2" before the next update
+      Then the record has the versions "v1, v2"
+
   Rule: A first start that the settings state again
 
     Background:
--- a/features/steps/remaining_steps.py
+++ b/features/steps/remaining_steps.py
@@ -1,8 +1,11 @@
 """Check what the pages of incidents list as remaining."""
 
+from behave import given
 from behave import when
 from behave.runner import Context
+from lacewing_daemon.direct.origins._history import MAX_HISTORY_S
 from steps.out_of_step_steps import take_up
+from steps.software_records_steps import RecordsSite
 from support.direct_bench import direct_bench
 
 
@@ -35,3 +38,23 @@
         site.now_s += 1.0
         site.history.confirm(0.0)
         assert direct_bench(context).run(site.records.update())
+
+
+@given('recorded versions "{versions}" of a list that has "v1" for long')
+def step_observed_long(context: Context, versions: str) -> None:
+    """Let a router read the record, and observe its list for 301 s."""
+    site = context.records_site = RecordsSite()
+    site.record(versions)
+    site.history.confirm(0.0)
+    site.now_s += 1.0
+    assert direct_bench(context).run(site.records.update())
+    site.now_s += MAX_HISTORY_S
+    site.history.confirm(0.0)
+
+
+@when('another router records "{versions}" before the next update')
+def step_other_records(context: Context, versions: str) -> None:
+    """Write the record, and let the router of the list update it."""
+    site = context.records_site
+    site.record(versions)
+    assert direct_bench(context).run(site.records.update())
--- a/features/steps/software_records_steps.py
+++ b/features/steps/software_records_steps.py
@@ -64,7 +64,7 @@
         return StoredObject(kind, name, self.version, value)
 
 
-class _Site:
+class RecordsSite:
     """Drive a history and its records with a simulated clock."""
 
     def __init__(self, first_start: bool = False) -> None:
@@ -183,7 +183,7 @@
 @given('recorded versions "{versions}" of a list that is observed')
 def step_observed(context: Context, versions: str) -> None:
     """Let a router read the record."""
-    site = context.records_site = _Site()
+    site = context.records_site = RecordsSite()
     site.record(versions)
     site.history.confirm(0.0)
     site.now_s += 1.0
@@ -243,7 +243,7 @@
 @given('a first start whose first {count:d} reads of records fail')
 def step_first_start_reads(context: Context, count: int) -> None:
     """Create the records of a router with the settings of a first start."""
-    context.records_site = _Site(first_start=True)
+    context.records_site = RecordsSite(first_start=True)
     context.records_site.objects.failing_reads = count
 
 
--- a/packages/daemon/src/lacewing_daemon/direct/origins/_history.py
+++ b/packages/daemon/src/lacewing_daemon/direct/origins/_history.py
@@ -39,6 +39,7 @@
         self._recorded: dict[str, frozenset[str]] = {}
         # As last read, and when; kept while the list is not observed.
         self._last_read: dict[str, tuple[frozenset[str], float]] = {}
+        self._first_read_s: dict[tuple[str, str], float] = {}
 
     @property
     def claims_first_start(self) -> bool:
@@ -99,9 +100,25 @@
 
         Read since the list is observed, they include all versions before.
         """
-        if versions:
-            self._recorded[service] = versions
-            self._last_read[service] = (versions, self._clock())
+        if not versions:
+            return
+        now_s = self._clock()
+        self._recorded[service] = versions
+        self._last_read[service] = (versions, now_s)
+        for key in tuple(self._first_read_s):
+            if key[0] == service and key[1] not in versions:
+                del self._first_read_s[key]
+        for software in versions:
+            self._first_read_s.setdefault((service, software), now_s)
+
+    def recently_recorded(self, service: str) -> frozenset[str]:
+        """Return recorded versions that the list may not have yet."""
+        since_s = self._clock() - MAX_LIST_AGE_S
+        return frozenset(
+            software
+            for (known, software), first_s in self._first_read_s.items()
+            if known == service and first_s > since_s
+        )
 
     def store_restored(self) -> None:
         """Remember the recorded versions: the store may have lost some.
--- a/packages/daemon/src/lacewing_daemon/direct/origins/_version_records.py
+++ b/packages/daemon/src/lacewing_daemon/direct/origins/_version_records.py
@@ -189,11 +189,13 @@
         if not stored.versions and not knows_all:
             return None
         versions = self._history.recent_software(service)
-        if not knows_all:
-            versions |= stored.versions
-        if not versions or versions == stored.versions:
+        if not versions:
             return None
-        return versions
+        kept = stored.versions
+        if knows_all:
+            kept &= self._history.recently_recorded(service)
+        versions |= kept
+        return None if versions == stored.versions else versions
 
     def _rank(self, service: str) -> int:
         """Return the place of this router in the order of writers."""
