Check answers that a copy swallows, and answers cut off at random bytes

Both can't act on the present code, which is unchanged:

- Four forms of copies before a success, a failure and an answer sent twice: requests that may run once get 502 after one run, all others the whole answer of a second run, each within 1 s.
- A copy that swallows 1, 2 and so on up to all bytes of a success, a refusal with and without an id: every send ends as one that may have run.
Nothing in the middle of an answer is read as one.

--- a/features/direct_remaining.feature
+++ b/features/direct_remaining.feature
@@ -56,9 +56,49 @@
       # Guards against a revoked key that is served: the configuration of the
       # copy counted as confirmed, as the settings say that the system starts
       # for the first time.
-      Given the system starts for the first time
+      Given routers that start again with the settings of the first start
       And a direct router
-      And the store soon has the record of its era
       When a key is revoked and the store is restored to a snapshot from before
       And a new router takes its place
       Then no request with that key is answered 200 for 2 s
+
+  Rule: Answers that swallow the next one, and answers that are cut off
+
+    Background:
+      Given a store with a configuration
+      And 4 upstreams that fail as scripted, and as many engines
+      And a direct router
+
+    Scenario Outline: A copy <copy> swallows the next answer
+      # Guards against a wrong answer, an untrue "not run", a second run of a
+      # request that may run once, and callers that wait for an answer that was
+      # read as the rest of another one.
+      When callers send each kind of request, and a copy <copy> precedes <answer>
+      Then requests that may run once got 502 and ran once
+      And the others got the whole answer of a second run
+      And each of them was answered within 1.0 s
+
+      Examples: copies
+        | copy                         | answer                |
+        | without framing              | a success             |
+        | in chunks that do not end    | a success             |
+        | shorter than its length      | a failure             |
+        | shorter than its length      | a success sent twice  |
+
+    Scenario Outline: A copy swallows any number of bytes of <answer>
+      # Guards against the rest of an answer that is read as an answer.
+      When copies swallow every number of bytes of <answer>
+      Then no send ends with anything but <ends>
+
+      Examples: answers
+        | answer                      | ends                            |
+        | a success                   | "may have run"                  |
+        | a refusal                   | "may have run"                  |
+        | a refusal without an id     | "may have run"                  |
+        | a success sent twice        | its own answer or "may have run" |
+
+    Scenario: Answers cut off anywhere, in series
+      # Guards against a part of an answer that passes for a whole one, and
+      # against second runs after it, on connections that carried others.
+      When 100 requests of each kind meet answers cut off at random bytes
+      Then each got its whole answer, or an incomplete one or 502 after one run
--- a/features/steps/remaining_steps.py
+++ b/features/steps/remaining_steps.py
@@ -9,6 +9,12 @@
 from support.direct_bench import direct_bench
 
 
+@given('routers that start again with the settings of the first start')
+def step_again(context: Context) -> None:
+    """Keep the setting beside a store that has the record of its era."""
+    direct_bench(context).first_start = True
+
+
 @when('"{name}" ends, and its entry lapses')
 def step_lapses(context: Context, name: str) -> None:
     """Crash an upstream and remove its entry; no router runs."""
--- a/features/steps/store_returns_steps.py
+++ b/features/steps/store_returns_steps.py
@@ -119,7 +119,6 @@
     direct_bench(context).first_start = True
 
 
-@given('the store soon has the record of its era')
 @then('the store soon has the record of its era')
 def step_recorded(context: Context) -> None:
     """Wait until a router has written it."""
