Count a send that was given up before it was made no more

Callers could lose a started stream whose copy was intact: an upstream that is asked for the rest of a stream may take long to connect to, and an event of the earlier run ends the asking before anything is sent. Each such asking counted as a send; after three of them no send was left when the run broke off.

Change: a send that was not made is taken back with its charge, and the upstream is not marked as tried.

--- a/features/direct_overlaps.feature
+++ b/features/direct_overlaps.feature
@@ -28,6 +28,19 @@
       Then the answer is 200 with all events once and in order
       And no run was at work at an earlier upstream 0.4 s after it went on
 
+  Rule: A send that was given up before it was made does not count
+
+    Scenario: The next engine is not reached in time, again and again
+      # Guards against a stream that is lost although its copy is intact.
+      Given a router with 3 engines
+      And engines that copy the KV cache of runs
+      And streams that are moved after 0.3 s without an event
+      And engines that send an event every 0.5 s
+      And connections to engines take 0.4 s from now on
+      When a non-resumable stream breaks off after 3 askings that sent nothing
+      Then the answer is 200 with all events once and in order
+      And one engine ran the request and the other continued it
+
   Rule: A stream that is resumed is ended at the upstream before
 
     Scenario Outline: The next engine takes long until its first event
--- a/features/steps/overlaps_steps.py
+++ b/features/steps/overlaps_steps.py
@@ -1,11 +1,20 @@
 """Check that a run is at work at one upstream at a time."""
 
+import threading
+import time
+from unittest.mock import patch
+
 from behave import given
 from behave import then
+from behave import when
 from behave.runner import Context
+from lacewing_daemon.direct import _send
 from lacewing_platform_testing import overlaps
 from support.direct_bench import direct_bench
 
+# The next event of the stream comes within this time of the last asking.
+CANCELLED_AFTER_S = 0.3
+
 
 @given(
     'engines that go on with a run send their first event after {gap_s:g} s'
@@ -30,6 +39,31 @@
         upstream.pause_s = gap_s
 
 
+@given('streams that are moved after {silent_s:g} s without an event')
+def step_silent_after(context: Context, silent_s: float) -> None:
+    """Shorten the time after which a stream is moved."""
+    context.resources.enter_context(
+        patch.object(_send, 'STREAM_SILENT_S', silent_s)
+    )
+
+
+@when(
+    'a non-resumable stream breaks off after {count:d} askings that sent'
+    ' nothing'
+)
+def step_break_off(context: Context, count: int) -> None:
+    """Reset the connection once other engines were not reached in time."""
+    bench = direct_bench(context)
+    caller = threading.Thread(target=bench.ask_model, args=('/talk/1',))
+    caller.start()
+    bench.until(lambda: len(context.connects) > count, 'connections')
+    time.sleep(CANCELLED_AFTER_S)
+    for upstream in bench.upstreams.values():
+        if upstream.ran:
+            bench.on_loop(upstream.server.reset_all)
+    caller.join()
+
+
 @then(
     'no run was at work at an earlier upstream {allowed_s:g} s after it went'
     ' on'
--- a/packages/daemon/src/lacewing_daemon/direct/_request_sends.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_request_sends.py
@@ -315,7 +315,10 @@
         except asyncio.CancelledError:
             if opened in self._open_sends and len(self._open_sends) > 1:
                 self._open_sends.remove(opened)
-                self._log_resumed(opened)
+                if relay.sent_s is None:
+                    self._take_back_send()
+                else:
+                    self._log_resumed(opened)
             raise
         ended = EndedSend(opened, result)
         if (
@@ -345,11 +348,14 @@
         self._progress.continuation = continuation
         return continuation is not None
 
-    def _log_resumed(self, opened: OpenSend) -> None:
-        """Record a successor that was ended, as the earlier run went on.
+    def _take_back_send(self) -> None:
+        """Count a send no more that was given up before it was made."""
+        self._progress.sends -= 1
+        self._progress.continuation = None
+        self._chooser.refund()
 
-        Without an event it has not begun to run.
-        """
+    def _log_resumed(self, opened: OpenSend) -> None:
+        """Record a successor that was ended, as the earlier run went on."""
         self._progress.leave(opened.target.state.upstream.upstream_id)
         self._progress.continuation = None
         self._try_log.append(
