Send a run that goes on from its copy on a new connection

Callers lost a started stream whose engine lived: the upstream with the copy refused it, without the id of the request, on a connection that had carried another one. Such a refusal counts on a new connection only, so the earlier run was ended after 0.2 s, and nothing went on. An idle connection that its peer had just closed would do the same: what is sent on it may have run.

Change: the pool is told for how long a connection may have been idle, and a continuation from a copy gets a new one. It costs one connection for each run that goes on, in place of an idle one.

--- a/features/direct_overlaps.feature
+++ b/features/direct_overlaps.feature
@@ -41,6 +41,22 @@
       Then the answer is 200 with all events once and in order
       And one engine ran the request and the other continued it
 
+  Rule: A run that goes on from its copy gets a new connection
+
+    Scenario: The upstream with the copy has an idle connection
+      # Guards against a run that is ended at the upstream before, as a refusal
+      # without an id does not count on a connection that was used.
+      Given a router with 3 engines
+      And engines that copy the KV cache of runs
+      And streams that are moved after 0.3 s without an event
+      And each engine has served a stream
+      And the copies are lost
+      And engines that pause for 0.6 s
+      And the next engines answer with "pauses"
+      When a caller requests a non-resumable stream
+      Then the answer is 200 with all events once and in order
+      And the run that was to go on had a connection of its own
+
   Rule: A stream that is resumed is ended at the upstream before
 
     Scenario Outline: The next engine takes long until its first event
--- a/features/steps/overlaps_steps.py
+++ b/features/steps/overlaps_steps.py
@@ -11,6 +11,7 @@
 from lacewing_daemon.direct import _send
 from lacewing_platform_testing import overlaps
 from support.direct_bench import direct_bench
+from support.direct_bench import PREFIX
 
 # The next event of the stream comes within this time of the last asking.
 CANCELLED_AFTER_S = 0.3
@@ -47,6 +48,37 @@
     )
 
 
+@given('each engine has served a stream')
+def step_served(context: Context) -> None:
+    """Request streams until each engine has an idle connection."""
+    bench = direct_bench(context)
+    number = 0
+    while not all(upstream.ran for upstream in bench.upstreams.values()):
+        callers = []
+        for _ in bench.upstreams:
+            number += 1
+            part = {PREFIX + 'Prompt-Prefix': f'part{number}:300'}
+            callers.append(
+                threading.Thread(
+                    target=bench.ask_model, args=('/talk/1',), kwargs=part
+                )
+            )
+        for caller in callers:
+            caller.start()
+        for caller in callers:
+            caller.join()
+
+
+@then('the run that was to go on had a connection of its own')
+def step_own_connection(context: Context) -> None:
+    """Check that nothing else was sent on its connection."""
+    received = direct_bench(context).received()
+    streams = [one.stream for one in received]
+    asked = [one for one in received if 'Kv-From' in one.headers]
+    assert len(asked) == 1, asked
+    assert streams.count(asked[0].stream) == 1
+
+
 @when(
     'a non-resumable stream breaks off after {count:d} askings that sent'
     ' nothing'
--- a/packages/daemon/src/lacewing_daemon/direct/_attempt.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_attempt.py
@@ -20,6 +20,8 @@
 from lacewing_daemon.direct._connection import UpstreamConnection
 from lacewing_daemon.direct._events import EventSplitter
 from lacewing_daemon.direct._pool import ConnectionPool
+from lacewing_daemon.direct._pool import MAX_IDLE_S
+from lacewing_daemon.direct._pool import MAX_NON_RETRYABLE_IDLE_S
 from lacewing_daemon.direct._read_bounds import MAX_EVENT_BYTES
 from lacewing_daemon.direct._read_bounds import MAX_HELD_BYTES
 from lacewing_daemon.direct._read_bounds import ReadSource
@@ -193,7 +195,7 @@
         try:
             connection = await pool.acquire(
                 upstream,
-                not can_retry,
+                _max_idle_s(can_retry, dispatch),
                 self._request,
                 on_lost,
             )
@@ -410,5 +412,13 @@
     )
 
 
+def _max_idle_s(can_retry: bool, dispatch: Dispatch) -> float:
+    if dispatch.continue_from is not None:
+        # The earlier run is kept only for a refusal, and only a refusal that
+        # is the first answer on its connection needs no id.
+        return 0.0
+    return MAX_IDLE_S if can_retry else MAX_NON_RETRYABLE_IDLE_S
+
+
 def _is_signed_success(head: ReplyHead) -> bool:
     return head.status in _SUCCESS and head.is_signed
--- a/packages/daemon/src/lacewing_daemon/direct/_pool.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_pool.py
@@ -43,12 +43,13 @@
     async def acquire(
         self,
         upstream: Upstream,
-        only_fresh: bool,
+        max_idle_s: float,
         request: CallerRequest,
         on_lost: Callable[[], None],
     ) -> UpstreamConnection:
         """Return an idle connection or a new one; raise OSError on failure.
 
+        ``max_idle_s`` is for how long it may have been idle, 0 for a new one.
         ``on_lost`` is called if the upstream has closed an idle one.
 
         A connection carries a request only once. An upstream may send a
@@ -58,7 +59,6 @@
         idle = self._idle.get(upstream.endpoint, [])
         if upstream.service in self._single_use_services:
             idle = []
-        max_idle_s = MAX_NON_RETRYABLE_IDLE_S if only_fresh else MAX_IDLE_S
         for connection in reversed(tuple(idle)):
             if not connection.is_usable:
                 if connection.is_closed:
