Believe a refusal without an id only as the first response of all

Callers saw (shown with stand-ins): 503 for a request that may run once and ran. Its upstream sent an answer of another request and a refusal without an id before the answer, on a new connection.

Cause: a refusal without an id counts as the first response on a connection, but only responses that were passed on counted as earlier ones, not those that were skipped as other requests'. The class: an answer that isn't the request's own decides it.

Change: a skipped response counts as a response.

"A refusal without an id comes ... on a new connection" failed before in two of its rows (503 for a request that ran) and holds now; the row in which the refusal comes first holds before and after: it is believed, as nothing else was sent on the connection.

--- a/features/direct_remaining.feature
+++ b/features/direct_remaining.feature
@@ -111,6 +111,19 @@
         | a refusal without an id     | "may have run"                  |
         | a success sent twice        | its own answer or "may have run" |
 
+    Scenario Outline: A refusal without an id comes <when> on a new connection
+      # Guards against a request that runs twice: such a refusal was believed
+      # as the first answer that counts, although the connection had brought
+      # another request's answer.
+      When a new connection brings a refusal without an id <when>
+      Then a request that may run once <ends>
+
+      Examples: refusals
+        | when                                | ends                        |
+        | first                               | did not run                 |
+        | after an answer to somebody         | got its own answer, one run |
+        | after a refusal of somebody         | got its own answer, one run |
+
     Scenario: Answers cut off anywhere, in series
       # Guards against a part of an answer that passes for a whole one, and
       # against second runs after it, on connections that carried others.
--- a/features/steps/remaining_wire_steps.py
+++ b/features/steps/remaining_wire_steps.py
@@ -42,6 +42,8 @@
 RESET_SHARE = 0.3
 # Until an upstream closes a connection on which nothing follows.
 IDLE_S = 0.3
+# Until a run that was announced as refused has its answer.
+RUN_S = 0.1
 # Sends that are open at the same time.
 SENDS = 50
 
@@ -85,6 +87,12 @@
     ),
 }
 
+BEFORE_REFUSALS = {
+    'first': b'',
+    'after an answer to somebody': _success('somebody'),
+    'after a refusal of somebody': ANSWERS['a refusal']('somebody'),
+}
+
 
 @dataclass(frozen=True)
 class Met:
@@ -189,6 +197,42 @@
         assert end.verdict is Verdict.MAY_HAVE_RUN, end
 
 
+@when('a new connection brings a refusal without an id {when}')
+def step_unnamed(context: Context, when: str) -> None:
+    """Answer a request that way; it runs unless the refusal is first."""
+    bench = direct_bench(context)
+    before = BEFORE_REFUSALS[when]
+    runs = bool(before)
+
+    async def handle(received: ReceivedRequest) -> None:
+        own = received.headers[REQUEST_ID]
+        await received.stream.write(before)
+        await received.stream.write(ANSWERS['a refusal without an id'](own))
+        if runs:
+            await asyncio.sleep(RUN_S)
+            fake_ran.append(own)
+            await received.stream.write(_success(own))
+
+    fake_ran: list[str] = []
+    for fake in bench.upstreams.values():
+        fake.server.handle = handle
+    context.answer = _ask(bench, '/certificates/', 1)
+    context.fake_ran = fake_ran
+
+
+@then('a request that may run once {ends}')
+def step_unnamed_ends(context: Context, ends: str) -> None:
+    """Check its answer and its runs."""
+    time.sleep(2 * RUN_S)
+    answer = context.answer
+    if ends == 'did not run':
+        assert answer.status == 503, answer
+        assert not context.fake_ran, context.fake_ran
+        return
+    assert (answer.status, answer.body) == (200, BODY), answer
+    assert len(context.fake_ran) == 1, context.fake_ran
+
+
 @when('{count:d} requests of each kind meet answers cut off at random bytes')
 def step_cut(context: Context, count: int) -> None:
     """Cut a share of the answers; close or reset their connections."""
--- a/packages/daemon/src/lacewing_daemon/direct/_connection.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_connection.py
@@ -254,6 +254,7 @@
             return None
         if head is None or not self._is_expected(head):
             self._report_stray(status, head)
+            self._has_responded = True
             self._sink.on_skipped(self._stray_kind(head))
             return None
         self._has_responded = True
