Check responses that are cut off on TLS connections

Heads that are cut off had been tried on plain connections only. Reads and writes of the platform's client, cut at every third byte of heads and framed bodies, closed with and without a notification (close_notify): none counts, the whole ones arrive. The code is unchanged. Without the check for whole heads the two rows with a notification fail (200 with an empty body after 19 bytes); without a notification libcurl ends the calls with an error itself.

--- a/features/direct_remaining.feature
+++ b/features/direct_remaining.feature
@@ -174,3 +174,18 @@
       # Guards against a report for each of many streams that begin together.
       When 40 streams are asked for at once
       Then engines were asked for fewer reports than streams
+
+  Rule: Responses cut off on TLS connections
+
+    Scenario Outline: No cut on a TLS connection leaves a response that counts
+      # Guards against a part of a response that counts as a whole one, whether
+      # the server says that it closes the connection or not.
+      When a <method> over TLS gets responses cut off, <notified> a notification
+      Then no cut response arrived, and the whole ones did
+
+      Examples:
+        | method | notified |
+        | get    | with     |
+        | post   | with     |
+        | get    | without  |
+        | post   | without  |
