Drop a label of the overlap metric that never differs

The overlap is observed as the earlier run ends, and had the label taken_over also where the handover counts not_refused (found by the review). It is counted by service now. The explanation of a failed asking says what it is for which kind of stream. direct_overlaps, direct_moves and ctl_explain pass.

--- a/packages/ctl/src/lacewing_ctl/_causes.py
+++ b/packages/ctl/src/lacewing_ctl/_causes.py
@@ -70,10 +70,10 @@
 def _overlapping_sends(tries: Sequence[Try]) -> list[str]:
     """Return a sentence for each two upstreams that had a stream at once."""
     sentences = []
-    run = [each for each in tries if each.verdict != Verdict.NOT_RUN.value]
-    run.sort(key=_start_ms)
-    for number, before in enumerate(run):
-        for after in run[number + 1 :]:
+    runs = [each for each in tries if each.verdict != Verdict.NOT_RUN.value]
+    runs.sort(key=_start_ms)
+    for number, before in enumerate(runs):
+        for after in runs[number + 1 :]:
             ends_ms = min(_end_ms(before), _end_ms(after))
             if ends_ms <= after.at_ms:
                 continue
--- a/packages/daemon/src/lacewing_daemon/direct/_handover.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_handover.py
@@ -35,8 +35,8 @@
 class NoSuccessor(Enum):
     """Say why an upstream did not go on with a stream.
 
-    FAILED: it refused, or broke off before its first event. NOBODY: no
-    upstream could be asked.
+    FAILED: it refused, or broke off a stream that may be resumed before its
+    first event. NOBODY: no upstream could be asked.
     """
 
     FAILED = 'failed'
@@ -137,12 +137,12 @@
     go on, and the next one may refuse. The earlier run therefore goes on
     until a successor has sent an event, but for ``MAX_OVERLAP_S`` at most:
     a successor may work long before its first event. Once the rest of the
-    stream was sent, the earlier run is kept only if the successor has
-    refused it; until this is known, its events wait.
+    stream was sent, the earlier run is kept only if that found no successor;
+    until this is known, its events wait.
 
     ``ask`` sends the rest of the stream to one other upstream and returns
-    when that has ended. ``from_copy``: only the upstream with the copy of the
-    run can go on, and a copy can be used once.
+    when that has ended, or why it is no successor. ``from_copy``: only the
+    upstream with the copy of the run can go on, and a copy can be used once.
     """
 
     def __init__(
@@ -201,7 +201,7 @@
         if self._task is None or self._asked is None:
             return
         self._asked.stop_timer()
-        self._record_overlap(HandoverEnd.TAKEN_OVER)
+        self._record_overlap()
 
     async def successor(self) -> T | None:
         """Return the successor of a run that ended, once it has ended too."""
@@ -265,11 +265,11 @@
         pause_s = inf if for_good else RETRY_INTERVAL_S
         self._ask_again_s = time.monotonic() + pause_s
 
-    def _record_overlap(self, end: HandoverEnd) -> None:
+    def _record_overlap(self) -> None:
         """Record for how long two upstreams have had the stream."""
         if self._asked is None or self._asked.sent_s is None:
             return
-        HANDOVER_OVERLAP_SECONDS.labels(self._service, end.value).observe(
+        HANDOVER_OVERLAP_SECONDS.labels(self._service).observe(
             time.monotonic() - self._asked.sent_s
         )
 
--- a/packages/daemon/src/lacewing_daemon/direct/_metrics.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_metrics.py
@@ -71,8 +71,8 @@
 HANDOVER_OVERLAP_SECONDS = Histogram(
     'lacewing_direct_handover_overlap_seconds',
     'Seconds for which a started stream was under way at two upstreams, by'
-    ' service and end of the handover',
-    ['service', 'end'],
+    ' service',
+    ['service'],
     buckets=_BUCKETS_S,
 )
 STREAMS_TAKEN_UP = Counter(
