Tell copies of earlier answers from other answers that name their requests

Cause: a connection kept the ids of the requests that it had carried and nothing of their answers, so its log lines called every answer that names one of them "earlier", whether it is the same answer once more or another one.

Change: a connection keeps status, signature and a digest of the body of its latest answers. A skipped answer that differs from the one that the named request got has the kind "different" in its log line and its count. What is skipped does not change.

--- a/packages/daemon/src/lacewing_daemon/direct/_connection.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_connection.py
@@ -31,6 +31,9 @@
 from lacewing_daemon.direct._answer_end import HEAD
 from lacewing_daemon.direct._call import CallerRequest
 from lacewing_daemon.direct._clock import boot_s
+from lacewing_daemon.direct._earlier_answers import AnswerDigest
+from lacewing_daemon.direct._earlier_answers import AnswerPrint
+from lacewing_daemon.direct._earlier_answers import EarlierAnswers
 from lacewing_daemon.direct._read_bounds import MAX_HEADER_BYTES
 from lacewing_daemon.direct._read_bounds import MAX_HELD_BYTES
 from lacewing_daemon.direct._read_bounds import MAX_INTERIM_ANSWERS
@@ -123,6 +126,7 @@
         self._has_responded = False
         self._open_requests: WeakSet[CallerRequest] = WeakSet()
         self._recent_ids: deque[str] = deque(maxlen=MAX_REMEMBERED_REQUESTS)
+        self._answers = EarlierAnswers(MAX_REMEMBERED_REQUESTS)
         self._head_ids: set[str] = set()
         self._reader = asyncio.create_task(self._read())
 
@@ -269,6 +273,12 @@
             return None
         return self._wire.read_reply(status, headers)
 
+    def _digest_of(
+        self, status: int, headers: HTTPHeaders
+    ) -> AnswerDigest | None:
+        head = self._read_head(status, headers)
+        return None if head is None else AnswerDigest(head)
+
     def _is_expected(self, head: ReplyHead) -> bool:
         """Return whether a response belongs to the request under way."""
         answered_id = head.request_id
@@ -298,7 +308,9 @@
         if head is None:
             return StrayKind.UNNAMED
         if head.request_id in self._carried_ids():
-            return StrayKind.EARLIER
+            if self._answers.may_be_copy(head):
+                return StrayKind.EARLIER
+            return StrayKind.DIFFERENT
         if head.request_id:
             return StrayKind.UNKNOWN
         return StrayKind.REFUSAL if _is_refusal(head) else StrayKind.UNNAMED
@@ -319,10 +331,15 @@
         return has_body(self._method, status)
 
     def _finish_reply(
-        self, sink: ReplySink, status: int, headers: HTTPHeaders
+        self,
+        sink: ReplySink,
+        status: int,
+        headers: HTTPHeaders,
+        answer: AnswerPrint,
     ) -> None:
         if sink is not self._sink:
             return
+        self._answers.record(self._request_id, answer)
         if not self._has_body(status):
             self._end_reply(BodyEnd.NO_BODY)
             return
@@ -341,6 +358,7 @@
         self._sink: ReplySink | None = None
         self._status = 0
         self._headers = HTTPHeaders()
+        self._digest: AnswerDigest | None = None
         self._has_detached = False
         self._interim_answers = 0
         self._skipped = 0
@@ -367,6 +385,7 @@
             return
         self._status = start_line.code
         self._headers = headers
+        self._digest = self._connection._digest_of(self._status, headers)
         self._sink = self._connection._start_reply(self._status, headers)
         if self._sink is None:
             has_body = self._connection._skipped_has_body(
@@ -386,6 +405,8 @@
 
     async def data_received(self, chunk: bytes) -> None:
         """Pass a chunk of the body to the sink."""
+        if self._digest is not None:
+            self._digest.update(chunk)
         if self._sink is not None:
             await self._sink.on_data(chunk)
             return
@@ -396,9 +417,12 @@
     def finish(self) -> None:
         """Report the end of the response."""
         self._end_skip()
-        if self._sink is not None:
+        if self._sink is not None and self._digest is not None:
             self._connection._finish_reply(
-                self._sink, self._status, self._headers
+                self._sink,
+                self._status,
+                self._headers,
+                self._digest.answer_print,
             )
 
     def on_connection_close(self) -> None:
--- a/packages/daemon/src/lacewing_daemon/direct/_site.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_site.py
@@ -252,7 +252,7 @@
 
     ``not_run``: the upstream reports that it did not run the request.
     ``misdirected``: another incarnation answered, and ran nothing.
-    ``is_signed``: the answer carries the upstream's signature.
+    ``signature``: the upstream's, None for an answer without one.
     ``responder_id`` is the id of the upstream that answered, '' if not given.
     ``request_limit``: the requests a second that the upstream takes from all
     routers together. ``retry_after_s``: with a 503, for how long the upstream
@@ -263,7 +263,7 @@
     request_id: str
     not_run: bool
     misdirected: bool
-    is_signed: bool
+    signature: str | None
     will_close: bool
     keep_alive_s: float | None
     load: UpstreamLoad | None
@@ -274,6 +274,11 @@
     request_limit: float | Unstated = Unstated.ABSENT
     is_leaving: bool = False
 
+    @property
+    def is_signed(self) -> bool:
+        """Return whether the answer carries the upstream's signature."""
+        return self.signature is not None
+
 
 class Wire(Protocol):
     """Translate the headers of requests and answers."""
--- a/packages/daemon/src/lacewing_daemon/direct/_stray_answers.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_stray_answers.py
@@ -18,12 +18,14 @@
 class StrayKind(Enum):
     """Name which request a stray answer belongs to; the value is logged.
 
-    EARLIER: one that its connection has carried. UNKNOWN: one that it has
-    not. REFUSAL: none is named, and the answer refuses one. UNNAMED: none is
-    named by any other answer.
+    EARLIER: one that its connection has carried, with the answer that it
+    got. DIFFERENT: the same, with another answer. UNKNOWN: one that the
+    connection has not carried. REFUSAL: none is named, and the answer refuses
+    one. UNNAMED: none is named by any other answer.
     """
 
     EARLIER = 'earlier'
+    DIFFERENT = 'different'
     UNKNOWN = 'unknown'
     REFUSAL = 'refusal'
     UNNAMED = 'unnamed'
