End a send at an answer that may be its own but does not name it

Callers got a success where the upstream had answered with a failure, as the users measured: 146 of 147 sends whose failure came first, without an id, and whose success came 5 to 400 ms later on the same connection.

Cause: a connection skipped each answer that it could not assign to the request under way, and believed what came after it. The class is that what can't be told apart is skipped.

Change: only a copy of an answer that the connection has carried (same request, status, signature and body) is skipped. Any other answer that does not name the request ends its send as one that may have run, and closes the connection. A copy that differs in its body ends the send too, as it may have taken the failure for its end. A connection carries nothing after a failure or a refusal, as a late copy of one could not be told from the next one. The wait of 0.1 s after a refusal without an id is gone with it.

Checks that said the opposite are replaced, as they asked for the answer that comes after one that can't be assigned: direct_stray_answers (what is skipped, and what ends a send, each with its line and count; 500 copies in place of 500 answers to others), direct.feature (502 after one run), direct_remaining (502 after one run), direct_late_refusals (502 after one run, or another run where the route allows it), direct_failed_answers (a copy is now the same answer again; other answers before a failure have a scenario of their own). direct_late_copies and direct_late_refusals check that nothing follows a refusal on its connection, where copies of it used to be skipped. direct_bodiless: an answer of 404 to HEAD has a scenario of its own, as its connection is not used again.

--- a/features/direct.feature
+++ b/features/direct.feature
@@ -89,13 +89,14 @@
       Then the answer is 503 with a time to come back
       And no upstream ran anything
 
-    Scenario: An answer to another request is skipped
-      # Guards against a caller that gets another caller's answer: an
-      # upstream sends a late answer to an earlier request before the next
-      # answer, and answers are matched to requests by their order alone.
+    Scenario: An answer to another request is not the caller's
+      # Guards against a caller that gets another caller's answer, or one that
+      # comes after an answer that may be its own: an upstream answers with the
+      # id of a request that its connection has not carried.
       Given the next upstream extra
       When a caller orders a certificate
-      Then the answer is 200 with the whole body and its proof
+      Then the answer is 502
+      And exactly one upstream ran the request
 
     Scenario: An answer without a length is complete at a clean close
       Given the next upstream unframed
--- a/features/direct_bodiless.feature
+++ b/features/direct_bodiless.feature
@@ -23,7 +23,6 @@
       | HEAD   | /records/1 | 200    | Content-Length: 9999999999 |
       | HEAD   | /records/1 | 200    | Transfer-Encoding: chunked |
       | HEAD   | /records/1 | 200    | no length                  |
-      | HEAD   | /records/1 | 404    | Content-Length: 12         |
       | HEAD   | /chat/1    | 200    | Content-Length: 1234       |
       | HEAD   | /chat/1    | 200    | Transfer-Encoding: chunked |
 
@@ -35,6 +34,14 @@
       | GET    | /records/1 | 204    | no length            |
       | POST   | /chat/1    | 204    | no length            |
 
+  Scenario: A failure without a body
+    # Guards against a body that is waited for until the time limit, and
+    # against a connection that is used again after a failure.
+    Given upstreams that answer with 404, "Content-Length: 12" and no body
+    When a caller sends HEAD to "/records/1"
+    Then it gets 404 and "Content-Length: 12" at once
+    And the next request goes over another connection
+
   Scenario: A body after the head of an answer to HEAD
     # Guards against bytes that are taken for the answer to the next request.
     Given another plain upstream
--- a/features/direct_failed_answers.feature
+++ b/features/direct_failed_answers.feature
@@ -30,6 +30,21 @@
       | cut inside its body    | what a failure not proven allows   |
       | cut inside a chunk     | what a failure not proven allows   |
 
+  Scenario Outline: A failure after an answer that may be the request's
+    # Guards against an answer that is believed after another one that may be
+    # the request's own: it names no request, or an earlier one that had
+    # another answer.
+    When callers send each kind of request, which meets another answer before a failure <shape>
+    Then each caller gets what a failure not proven allows
+
+    Examples: failures
+      | shape                  |
+      | of status 500          |
+      | of status 404          |
+      | of status 503          |
+      | in chunks              |
+      | without framing        |
+
   Scenario Outline: A failure after a send that was given up is passed on
     # Guards against a late answer to a send that was given up which counts as
     # the answer to the next send of the request.
--- a/features/direct_late_copies.feature
+++ b/features/direct_late_copies.feature
@@ -21,8 +21,8 @@
   Scenario Outline: A refusal that is passed on is true whatever its copies say
     # Guards against a "not run" that is not true, or a request that runs
     # twice: all upstreams refuse a request, so that its caller is refused, and
-    # copies of the refusals come where the answers to the next ones are
-    # expected.
+    # copies of the refusals would come where the next answers on the same
+    # connections are expected.
     Given plain upstreams "reg-1" and "reg-2"
     And a direct router
     And upstreams refuse with <status>, <named>, and copies <differ>
--- a/features/direct_late_refusals.feature
+++ b/features/direct_late_refusals.feature
@@ -46,7 +46,7 @@
     # that it had carried a request, as 64 others had been sent on it since.
     Given plain upstreams "reg-1" and "reg-2"
     When a refused request is sent again after 80 others
-    Then it ran once, on a connection of its own
+    Then it ran once, and nothing followed the refusal on its connection
 
   Scenario: A run that goes on from its copy is not refused by an earlier answer
     # Guards against a run that is given up: the engine with its copy refused
@@ -54,7 +54,7 @@
     # the continuation is expected.
     Given plain upstreams "reg-1" and "reg-2"
     When a refused request goes on there from its copy
-    Then it ran once, on a connection of its own
+    Then it ran once, and nothing followed the refusal on its connection
 
   Scenario: Upstreams that never name refused requests still refuse them
     # Guards against requests that wait for an answer until their time limit,
@@ -75,17 +75,18 @@
     Then upstreams ran each request once
     And all answers came at once
 
-  Scenario Outline: A late refusal without an id does not end <stream>
-    # Guards against a second run, or a stream that is given up, for a refusal
-    # that was another request's.
+  Scenario Outline: A refusal without an id proves nothing about <stream>
+    # Guards against a second run of what may run once, and against a success
+    # that is believed after a refusal that may be the stream's own.
     Given engines "eng-1" and "eng-2"
     And routes with <attempts> attempts
     And a direct router
-    When a late refusal without an id precedes <stream>
-    Then upstreams ran each request once
+    When a refusal without an id precedes <stream> on a used connection
+    Then that stream <ends>
+    And upstreams ran each of the others once
 
     Examples: streams
-      | stream                          | attempts |
-      | a stream                        | 2        |
-      | a slow stream that may run once | 2        |
-      | a slow stream                   | 1        |
+      | stream                          | attempts | ends                |
+      | a stream                        | 2        | is served elsewhere |
+      | a slow stream that may run once | 2        | gets 502, one run   |
+      | a slow stream                   | 1        | gets 502, one run   |
--- a/features/direct_remaining.feature
+++ b/features/direct_remaining.feature
@@ -121,8 +121,8 @@
       Examples: refusals
         | when                                | ends                        |
         | first                               | did not run                 |
-        | after an answer to somebody         | got its own answer, one run |
-        | after a refusal of somebody         | got its own answer, one run |
+        | after an answer to somebody         | got 502, one run            |
+        | after a refusal of somebody         | got 502, one run            |
 
     Scenario: Answers cut off anywhere, in series
       # Guards against a part of an answer that passes for a whole one, and
--- /dev/null
+++ b/features/direct_unassigned_answers.feature
@@ -0,0 +1,69 @@
+Feature: A late success is not believed after an answer that may be the request's
+
+  A faulty upstream answers a request with a failure that does not name it,
+  and later, on the same connection, with a success that does. Only a copy of
+  an earlier answer of the connection is known to belong to another request.
+
+  Background:
+    Given a store with a configuration
+    And 3 upstreams that answer twice, and as many engines
+    And a direct router
+
+  Scenario Outline: A success comes after a failure that is not named
+    # Guards against a success where the upstream had answered with a failure.
+    When each kind of request is answered with <answer>, then with a success
+    Then no caller gets that success, and what may run once ran once
+
+    Examples: no request is named
+      | answer                                 |
+      | a failure without an id                |
+      | a signed failure without an id         |
+      | a failure without an id, in chunks     |
+      | a failure without an id and a body     |
+      | a 503 without an id                    |
+      | a 504 without an id                    |
+      | a success without an id                |
+
+    Examples: another request is named
+      | answer                                 |
+      | a failure of an unknown request        |
+      | a refusal of an unknown request        |
+      | a success of an unknown request        |
+      | a failure that names two requests      |
+      | a failure of the request before        |
+      | a signed failure of the request before |
+      | a refusal of the request before        |
+      | another success of the request before  |
+
+    Examples: a copy is no copy
+      | answer                                 |
+      | a copy that swallows a failure         |
+      | a copy in chunks that swallows one     |
+      | a copy that is cut and swallows one    |
+
+  Scenario: A success comes after a failure on a new connection
+    # Guards against the same on the first request of a connection.
+    When each kind of request is answered first of all with a failure without an id, then with a success
+    Then no caller gets that success, and what may run once ran once
+
+  Scenario: A success comes after a failure of a run that goes on from its copy
+    # Guards against a stream that goes on after its continuation has failed.
+    Given engines that copy the KV cache of runs
+    When a run breaks off, and its continuation is answered with a failure without an id, then with events
+    Then its caller's stream is not complete, and it ran once
+
+  Scenario Outline: A copy of an earlier answer decides nothing
+    # Guards against answers that are lost because a copy came before them.
+    When each kind of request is answered with <answer>, then with a success
+    Then each caller gets that success
+
+    Examples: copies
+      | answer                                 |
+      | a copy of the answer before            |
+      | 20 copies of the answer before         |
+
+  Scenario: A connection carries nothing after a failure
+    # Guards against a late copy of a failure that is taken for a failure of
+    # the next request, or hides one.
+    When 6 requests are refused or fail, and as many are served
+    Then no connection carried a request after a failure
--- a/features/steps/bodiless_steps.py
+++ b/features/steps/bodiless_steps.py
@@ -122,6 +122,14 @@
     assert first.stream is second.stream
 
 
+@then('the next request goes over another connection')
+def step_other_connection(context: Context) -> None:
+    """Ask again and compare the connections."""
+    _ask_again(context)
+    first, second = context.asked
+    assert first.stream is not second.stream
+
+
 @then('the next {count:d} requests get their own answers')
 def step_own_answers(context: Context, count: int) -> None:
     """Ask again; a request may be sent to a second upstream."""
--- a/features/steps/failed_answers_steps.py
+++ b/features/steps/failed_answers_steps.py
@@ -31,18 +31,23 @@
 LENGTH = f'Content-Length: {len(BODY)}\r\n'.encode()
 CHUNKED = b'Transfer-Encoding: chunked\r\n'
 REPEATABLE = ('/records/', '/chat/')
+MANY = 10000
 # Longer than the router waits for an upstream that sends nothing.
 LATE_S = 2.0
 
 
 @dataclass(frozen=True)
 class Plan:
-    """Hold what an upstream sends to one request, and whether it closes."""
+    """Hold what an upstream sends to one request, and whether it closes.
+
+    ``repeats_earlier``: a copy of the connection's last answer comes first.
+    """
 
     failure: Callable[[str], bytes]
     before: Callable[[str], bytes]
     after: Callable[[str], bytes]
     closes: bool
+    repeats_earlier: bool = False
 
 
 def _failure(status: int, request_id: str, is_signed: bool = True) -> bytes:
@@ -79,24 +84,29 @@
 }
 CLOSING = ('cut inside', 'without framing')
 STATUSES = {'of status 404': 404, 'of status 503': 503}
+# The answer before on the same connection comes once more.
+EARLIER_AGAIN = 'the earlier success again'
 # Answers beside the failure, each as (before it, after it).
-COMPANIONS: dict[
-    str, tuple[Callable[[str], bytes], Callable[[str], bytes]]
-] = {
+Companions = dict[str, tuple[Callable[[str], bytes], Callable[[str], bytes]]]
+COMPANIONS: Companions = {
     'nothing': (_nothing, _nothing),
-    'an earlier success': (_success, _nothing),
+    EARLIER_AGAIN: (_nothing, _nothing),
+    'itself again': (_nothing, lambda own: _failure(500, own)),
+    'a success to the same request': (_nothing, _success),
+}
+# Answers that may be the request's own.
+UNASSIGNED: Companions = {
     'an earlier refusal': (
         lambda earlier: complete_response(
             503, {REQUEST_ID: earlier, NOT_RUN: '1'}, b''
         ),
         _nothing,
     ),
+    'another earlier success': (_success, _nothing),
     'a success without an id': (
         lambda _: complete_response(200, {SIGNATURE: 'signed'}, b'whose'),
         _nothing,
     ),
-    'itself again': (_nothing, lambda own: _failure(500, own)),
-    'a success to the same request': (_nothing, _success),
 }
 
 
@@ -131,6 +141,8 @@
             return
         plan = self.plans.pop(0)
         fake.ran.append(request_id)
+        if plan.repeats_earlier:
+            await fake.late_answers.send_due(received.stream)
         await received.stream.write(plan.before(earlier))
         await received.stream.write(plan.failure(request_id))
         if plan.closes:
@@ -153,14 +165,30 @@
 @when('callers send each kind of request, which meets a failure {shape}')
 def step_send(context: Context, shape: str) -> None:
     """Send each kind of request with each companion of the failure."""
+    for fake in direct_bench(context).upstreams.values():
+        fake.late_answers.count = MANY
+    _send_each(context, shape, COMPANIONS)
+
+
+@when(
+    'callers send each kind of request, which meets another answer before a'
+    ' failure {shape}'
+)
+def step_send_unassigned(context: Context, shape: str) -> None:
+    """Send each kind with each answer that is no copy."""
+    _send_each(context, shape, UNASSIGNED)
+
+
+def _send_each(context: Context, shape: str, companions: Companions) -> None:
     bench = direct_bench(context)
     context.skipped_before = _skipped()
     context.shape = shape
     context.met = []
     closes = shape.startswith(CLOSING)
-    for name, (before, after) in COMPANIONS.items():
+    for name, (before, after) in companions.items():
+        repeats = name == EARLIER_AGAIN
         for path in ('/records/', '/certificates/', '/chat/', '/talk/'):
-            plan = Plan(FAILURES[shape], before, after, closes)
+            plan = Plan(FAILURES[shape], before, after, closes, repeats)
             bench.on_loop(lambda: context.failing.plans.append(plan))
             # Requests that ask the same and break off would be blocked.
             answer = _ask(bench, path, len(context.met))
--- a/features/steps/late_answers_steps.py
+++ b/features/steps/late_answers_steps.py
@@ -8,11 +8,14 @@
 from behave import when
 from behave.runner import Context
 from lacewing_common.verdict import Verdict
+from lacewing_daemon.direct import Dispatch
 from lacewing_daemon.direct._attempt import AttemptEnd
 from lacewing_platform_testing import Behaviour
 from lacewing_platform_testing._server import complete_response
 from lacewing_platform_testing._server import ReceivedRequest
-from support.attempts import send_once
+from support.attempts import caller_request
+from support.attempts import LIMIT_S
+from support.attempts import send_each
 from support.direct_bench import direct_bench
 from support.direct_bench import MODEL
 from support.direct_bench import PREFIX
@@ -111,19 +114,30 @@
     """Block the loop of the attempt; its upstream has another one."""
     fake = direct_bench(context).upstreams['reg-1']
 
+    def answer_to(request_id: str) -> bytes:
+        headers = {
+            REQUEST_ID: request_id,
+            PREFIX + 'Response-Signature': 'signed',
+        }
+        return complete_response(200, headers, f'{request_id} body'.encode())
+
     async def handle(received: ReceivedRequest) -> None:
-        late = complete_response(200, {REQUEST_ID: 'earlier'}, b'late body')
-        own = {REQUEST_ID: 'own', PREFIX + 'Response-Signature': 'signed'}
+        late = answer_to('earlier')
+        if received.headers[REQUEST_ID] == 'earlier':
+            await received.stream.write(late)
+            return
         await received.stream.write(late[:-4])
         await asyncio.sleep(stall_s / 2)
         await received.stream.write(late[-4:])
-        await received.stream.write(complete_response(200, own, b'own body'))
+        await received.stream.write(answer_to('own'))
 
     fake.server.handle = handle
+    dispatch = Dispatch(fake.upstream_id, LIMIT_S)
+    sends = [(caller_request(name), dispatch) for name in ('earlier', 'own')]
 
     async def attempt() -> AttemptEnd:
         asyncio.get_running_loop().call_later(stall_s / 4, time.sleep, stall_s)
-        return await send_once(fake, 'own')
+        return (await send_each(fake, sends))[1]
 
     context.end = asyncio.run(attempt())
 
--- a/features/steps/stray_answers_steps.py
+++ b/features/steps/stray_answers_steps.py
@@ -26,6 +26,8 @@
 SIGNATURE = PREFIX + 'Response-Signature'
 NOT_RUN = PREFIX + 'Not-Executed'
 SKIPPED = 'Skipped a response to another request.'
+ENDED = 'Ended a send: the response names another request.'
+LINES = {'a skipped answer': SKIPPED, 'an ended send': ENDED}
 CLOSED = 'Closed a connection: unexpected response.'
 SKIPPED_METRIC = 'lacewing_direct_answers_skipped_total'
 UNEXPECTED_METRIC = 'lacewing_direct_answers_unexpected_total'
@@ -40,13 +42,16 @@
 
 ANSWERS: Mapping[str, bytes] = {
     'the first one again': _answer('first'),
+    'another answer to the first one': complete_response(
+        500, {REQUEST_ID: 'first'}, b'failed'
+    ),
     'an answer to another request': _answer('somebody'),
     'a refusal without an id': complete_response(503, {NOT_RUN: '1'}, b''),
     'an answer without an id': complete_response(200, {SIGNATURE: 's'}, b'x'),
     'a failure without an id': complete_response(500, {}, b'failed'),
 }
-KINDS = ('earlier', 'unknown', 'refusal', 'unnamed')
-NAMES = {'earlier': 'first', 'unknown': 'somebody'}
+KINDS = ('earlier', 'different', 'unknown', 'refusal', 'unnamed')
+NAMES = {'earlier': 'first', 'different': 'first', 'unknown': 'somebody'}
 
 
 @when('an upstream sends {answer} before the answer to the second request')
@@ -62,10 +67,13 @@
     _exchange(context, ANSWERS[answer], b'', PAUSE_S)
 
 
-@when('an upstream sends {count:d} answers to other requests before its own')
+@when(
+    'an upstream sends the first one again {count:d} times before the second'
+    ' one'
+)
 def step_many(context: Context, count: int) -> None:
-    """Send many stray answers where the second one is expected."""
-    _exchange(context, b'', _answer('somebody') * count, 0.0)
+    """Send many copies where the second answer is expected."""
+    _exchange(context, b'', _answer('first') * count, 0.0)
 
 
 def _exchange(
@@ -110,6 +118,16 @@
     assert context.end.body == b'second', context.end
 
 
+@then('the second request may have run, and its send has ended "{ended}"')
+def step_ended(context: Context, ended: str) -> None:
+    """Check that nothing of the answers counts."""
+    end = context.end
+    assert end.verdict is Verdict.MAY_HAVE_RUN, end
+    assert end.body_end is not None and end.body_end.value == ended, end
+    assert end.head is None and not end.body, end
+    assert not end.connection_broken, end
+
+
 @then('its send shows {skipped:d} skipped and {earlier:d} earlier')
 def step_use(context: Context, skipped: int, earlier: int) -> None:
     """Check what the log entry of the send is made of."""
@@ -118,10 +136,15 @@
     assert use.earlier_requests == earlier, use
 
 
-@then('a line names the upstream, both requests, the status and "{kind}"')
-def step_line(context: Context, kind: str) -> None:
-    """Compare the only line about skipped answers."""
-    lines = [line for line in context.lines if line['event'] == SKIPPED]
+@then(
+    'a line of {what} names the upstream, both requests, the status and'
+    ' "{kind}"'
+)
+def step_line(context: Context, what: str, kind: str) -> None:
+    """Compare the only line about other answers."""
+    both = LINES.values()
+    assert sum(line['event'] in both for line in context.lines) == 1
+    lines = [line for line in context.lines if line['event'] == LINES[what]]
     assert len(lines) == 1, context.lines
     line = lines[0]
     status = int(context.stray.split()[1])
--- a/features/support/curl_calls.py
+++ b/features/support/curl_calls.py
@@ -26,7 +26,6 @@
 from lacewing_daemon.direct._answer_end import BodyEnd
 from lacewing_daemon.direct._call import CallerRequest
 from lacewing_daemon.direct._connection import connect
-from lacewing_daemon.direct._stray_answers import StrayKind
 from lacewing_daemon.placement._order_client import Order
 from lacewing_daemon.placement._order_client import OrderClient
 from lacewing_daemon.placement._order_client import OrderFailed
@@ -100,8 +99,8 @@
     def body(self, chunk: bytes) -> None:
         """Ignore bytes of the body."""
 
-    def on_skipped(self, _kind: StrayKind) -> None:
-        """Ignore a response to another request."""
+    def on_skipped(self) -> None:
+        """Ignore a copy of an earlier response."""
 
     def on_head(self, status: int, headers: HTTPHeaders) -> None:
         """Count a head from an upstream."""
--- a/packages/daemon/src/lacewing_daemon/direct/_answer_end.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_answer_end.py
@@ -19,7 +19,9 @@
     received. NO_BODY: the answer ended with its head. CLOSED: the body had
     no framing and its connection was closed in an orderly way. BROKEN: the
     connection ended before the body did. CUT: more was received than may be,
-    and the router closed the connection.
+    and the router closed the connection. UNASSIGNED: an answer came that may
+    be the one to the request but does not name it, and the router closed the
+    connection.
     """
 
     LENGTH = 'length'
@@ -28,6 +30,11 @@
     CLOSED = 'closed'
     BROKEN = 'broken'
     CUT = 'cut'
+    UNASSIGNED = 'unassigned'
+
+
+# The answer is incomplete, though its connection was not broken.
+CLOSED_BY_ROUTER = frozenset((BodyEnd.CUT, BodyEnd.UNASSIGNED))
 
 
 def has_body(method: str, status: int) -> bool:
@@ -69,7 +76,7 @@
     an answer that is no stream of events. ``after_event`` is the event after
     which the stream was to start.
     """
-    if body_end in (None, BodyEnd.BROKEN, BodyEnd.CUT):
+    if body_end in (None, BodyEnd.BROKEN) or body_end in CLOSED_BY_ROUTER:
         return False
     if events is None:
         return True
--- a/packages/daemon/src/lacewing_daemon/direct/_attempt.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_attempt.py
@@ -12,11 +12,11 @@
 from tornado.httputil import HTTPHeaders
 
 from lacewing_daemon.direct._answer_end import BodyEnd
+from lacewing_daemon.direct._answer_end import CLOSED_BY_ROUTER
 from lacewing_daemon.direct._answer_end import has_body
 from lacewing_daemon.direct._answer_end import is_event_stream
 from lacewing_daemon.direct._answer_end import is_whole
 from lacewing_daemon.direct._call import CallerRequest
-from lacewing_daemon.direct._connection import STALL_THRESHOLD_S
 from lacewing_daemon.direct._connection import UpstreamConnection
 from lacewing_daemon.direct._events import EventSplitter
 from lacewing_daemon.direct._pool import ConnectionPool
@@ -29,15 +29,12 @@
 from lacewing_daemon.direct._site import Dispatch
 from lacewing_daemon.direct._site import ReplyHead
 from lacewing_daemon.direct._site import Wire
-from lacewing_daemon.direct._stray_answers import StrayKind
 from lacewing_daemon.direct._upstream_state import UpstreamState
 
 _SUCCESS = range(200, 300)
+_FIRST_FAILURE = 400
 # Interval at which an answer past its time limit is checked again.
 RECHECK_INTERVAL_S = 0.1
-# Time after a skipped refusal that names no request. If it was another
-# request's, the answer follows it.
-REFUSAL_WAIT_S = 0.1
 
 OnEvents = Callable[[ReplyHead, list[bytes]], Awaitable[None]]
 
@@ -75,7 +72,8 @@
     """Hold how the connection of an attempt was used.
 
     ``earlier_requests``: those that it carried before this one;
-    ``skipped_answers``: those to other requests that came before the answer.
+    ``skipped_answers``: copies of the answers to these that came before its
+    own answer.
     """
 
     earlier_requests: int = 0
@@ -139,10 +137,6 @@
         self._opened_s = 0.0
         self._earlier_requests = 0
         self._skipped_answers = 0
-        self._can_retry = False
-        self._refusal_skipped: asyncio.Future[None] = asyncio.Future()
-        self._refusal_due_s = 0.0
-        self._has_extended_refusal = False
 
     @property
     def wire(self) -> Wire:
@@ -159,11 +153,6 @@
         """Return when its connection was opened, 0 before it is."""
         return self._opened_s
 
-    @property
-    def may_be_refused(self) -> bool:
-        """Return whether a skipped refusal may have been of its request."""
-        return self._refusal_skipped.done() and self._head is None
-
     async def run(
         self,
         pool: ConnectionPool,
@@ -182,16 +171,13 @@
         ``first_wait_s`` bounds the time to the head and first piece of the
         answer, ``gap_wait_s`` the time between pieces. After these times,
         ``should_abandon`` is called with the time waited, and again every
-        ``RECHECK_INTERVAL_S``, until it returns true or a piece arrives. With
-        ``can_retry`` it is called ``REFUSAL_WAIT_S`` after a refusal that may
-        have been of this request, too.
+        ``RECHECK_INTERVAL_S``, until it returns true or a piece arrives.
         ``on_lost`` is called if the upstream has closed an idle connection,
         ``may_send`` with when the connection was opened, before the request
         is sent on it.
         """
         upstream = state.upstream
         asked_s = asyncio.get_running_loop().time()
-        self._can_retry = can_retry
         try:
             connection = await pool.acquire(
                 upstream,
@@ -217,14 +203,7 @@
             self._send(connection, replace(dispatch, deadline_s=left_s))
             await self._wait_for_end(first_wait_s, gap_wait_s, should_abandon)
             end = self._classify()
-            # A second response without an id, sent late, would be taken for
-            # the one to the next request.
-            if (
-                end.complete
-                and end.head is not None
-                and end.head.request_id
-                and not end.head.will_close
-            ):
+            if end.head is not None and _allows_reuse(end):
                 pool.release(
                     upstream, connection, end.head.keep_alive_s, max_idle
                 )
@@ -241,15 +220,9 @@
         if not self._ended.done():
             self._ended.set_result(None)
 
-    def on_skipped(self, kind: StrayKind) -> None:
-        """Count an answer to another request."""
+    def on_skipped(self) -> None:
+        """Count a copy of the answer to another request."""
         self._skipped_answers += 1
-        if not self._can_retry or kind is not StrayKind.REFUSAL:
-            return
-        if not self._refusal_skipped.done():
-            now_s = asyncio.get_running_loop().time()
-            self._refusal_due_s = now_s + REFUSAL_WAIT_S
-            self._refusal_skipped.set_result(None)
 
     def on_head(self, status: int, headers: HTTPHeaders) -> None:
         """Store the status and the headers of the answer."""
@@ -334,8 +307,6 @@
                 limit_s = first_wait_s
             waited_s = loop.time() - self._last_piece_s
             left_s = limit_s - waited_s
-            if self.may_be_refused:
-                left_s = min(left_s, self._refusal_left_s(loop.time()))
             if left_s <= 0:
                 if should_abandon(waited_s):
                     return
@@ -343,30 +314,11 @@
             # If the first piece arrives meanwhile, the gap limit applies from
             # then on.
             timeout_s = min(left_s, gap_wait_s)
-            awaited = {self._ended, self._refusal_skipped}
-            if self._refusal_skipped.done():
-                awaited.remove(self._refusal_skipped)
-            await asyncio.wait(
-                awaited,
-                timeout=timeout_s,
-                return_when=asyncio.FIRST_COMPLETED,
-            )
+            await asyncio.wait((self._ended,), timeout=timeout_s)
             if self._ended.done():
                 self._ended.result()
                 return
 
-    def _refusal_left_s(self, now_s: float) -> float:
-        """Return the time left for the answer after a skipped refusal.
-
-        After a stall of this process, wait once more: the answer may have
-        arrived meanwhile without being read.
-        """
-        late_s = now_s - self._refusal_due_s
-        if late_s > STALL_THRESHOLD_S and not self._has_extended_refusal:
-            self._has_extended_refusal = True
-            self._refusal_due_s = now_s + REFUSAL_WAIT_S
-        return self._refusal_due_s - now_s
-
     def _classify(self) -> AttemptEnd:
         complete = is_whole(self._body_end, self._events, self._after_event)
         verdict, reason = self._verdict(complete)
@@ -383,7 +335,9 @@
             body,
             complete,
             connection_broken=(
-                was_interrupted and self._body_end not in (None, BodyEnd.CUT)
+                was_interrupted
+                and self._body_end is not None
+                and self._body_end not in CLOSED_BY_ROUTER
             ),
             opened_s=self._opened_s,
             body_end=self._body_end,
@@ -420,5 +374,18 @@
     return MAX_IDLE_S if can_retry else MAX_NON_RETRYABLE_IDLE_S
 
 
+def _allows_reuse(end: AttemptEnd) -> bool:
+    """Return whether the connection of an attempt can carry another one.
+
+    An answer that names no request may come again. A late copy of a failure
+    could not be told from a failure of the next request.
+    """
+    if end.head is None or end.verdict is not Verdict.RAN:
+        return False
+    if not end.head.request_id or end.head.will_close:
+        return False
+    return end.head.status < _FIRST_FAILURE
+
+
 def _is_signed_success(head: ReplyHead) -> bool:
     return head.status in _SUCCESS and head.is_signed
--- a/packages/daemon/src/lacewing_daemon/direct/_connection.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_connection.py
@@ -2,8 +2,9 @@
 
 tornado's curl client is unsuitable here: it passes a response to the current
 call even if the response belongs to another request, and then closes the
-connection. This module skips a response to another request and still delivers
-the expected one after it. Responses are parsed by tornado's HTTP1Connection.
+connection. This module skips a late copy of an earlier response and still
+delivers the expected one after it. Responses are parsed by tornado's
+HTTP1Connection.
 """
 
 import asyncio
@@ -75,8 +76,8 @@
     def wire(self) -> Wire:
         """Return what decodes the heads of responses."""
 
-    def on_skipped(self, kind: StrayKind) -> None:
-        """Handle that a response was skipped as another request's."""
+    def on_skipped(self) -> None:
+        """Handle that a copy of an earlier response was skipped."""
 
     def on_head(self, status: int, headers: HTTPHeaders) -> None:
         """Handle the status and the headers."""
@@ -99,6 +100,11 @@
 class UpstreamConnection:
     """Handle one connection, with one request at a time.
 
+    A response that does not name the request under way is skipped only if it
+    is the same again as one that the connection has carried. Any other may be
+    the response to this request, which must not be believed to have another
+    one after it: it ends the request, and the connection is closed.
+
     ``on_refusal`` is called with whether a refusal named its request. One
     that does not counts only as the first response on the connection: later
     it may be a second response to an earlier request. ``on_stray`` is called
@@ -259,7 +265,10 @@
         if head is None or not self._is_expected(head):
             self._report_stray(status, head)
             self._has_responded = True
-            self._sink.on_skipped(self._stray_kind(head))
+            if head is None or not self._answers.may_be_copy(head):
+                self._end_unassigned()
+                return None
+            self._sink.on_skipped()
             return None
         self._has_responded = True
         self._sink.on_head(status, headers)
@@ -292,11 +301,13 @@
         # refusal may lack it.
         return is_refusal and not self._has_responded
 
-    def _report_stray(self, status: int, head: ReplyHead | None) -> None:
+    def _report_stray(
+        self, status: int, head: ReplyHead | None, is_copy: bool = True
+    ) -> None:
         answered_id = '' if head is None else head.request_id
         self._on_stray(
             StrayAnswer(
-                self._stray_kind(head),
+                self._stray_kind(head) if is_copy else StrayKind.DIFFERENT,
                 status,
                 '' if self._sink is None else self._request_id,
                 answered_id,
@@ -330,6 +341,21 @@
     def _has_body(self, status: int) -> bool:
         return has_body(self._method, status)
 
+    def _finish_copy(self, status: int, answer: AnswerDigest) -> None:
+        """End the request unless what was skipped is an earlier response.
+
+        One that is cut off may have taken the response to this request for
+        the rest of its body.
+        """
+        if self._sink is None or self._answers.is_copy(answer):
+            return
+        self._report_stray(status, answer.head, is_copy=False)
+        self._end_unassigned()
+
+    def _end_unassigned(self) -> None:
+        self._end_reply(BodyEnd.UNASSIGNED)
+        self._stream.close()
+
     def _finish_reply(
         self,
         sink: ReplySink,
@@ -417,13 +443,17 @@
     def finish(self) -> None:
         """Report the end of the response."""
         self._end_skip()
-        if self._sink is not None and self._digest is not None:
-            self._connection._finish_reply(
-                self._sink,
-                self._status,
-                self._headers,
-                self._digest.answer_print,
-            )
+        if self._digest is None:
+            return
+        if self._sink is None:
+            self._connection._finish_copy(self._status, self._digest)
+            return
+        self._connection._finish_reply(
+            self._sink,
+            self._status,
+            self._headers,
+            self._digest.answer_print,
+        )
 
     def on_connection_close(self) -> None:
         """Stop a timer; the connection's read task ends and reports it."""
--- a/packages/daemon/src/lacewing_daemon/direct/_earlier_answers.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_earlier_answers.py
@@ -26,6 +26,11 @@
         self._head = head
         self._body = blake2b(digest_size=_DIGEST_BYTES)
 
+    @property
+    def head(self) -> ReplyHead:
+        """Return the head of the answer."""
+        return self._head
+
     @property
     def answer_print(self) -> AnswerPrint:
         """Return what was read so far."""
@@ -66,6 +71,7 @@
             and head.not_run == known.not_run
         )
 
-    def is_copy(self, request_id: str, answer: AnswerPrint) -> bool:
+    def is_copy(self, answer: AnswerDigest) -> bool:
         """Return whether an answer that was read is an earlier one again."""
-        return self._prints.get(request_id) == answer
+        known = self._prints.get(answer.head.request_id)
+        return known == answer.answer_print
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -200,8 +200,6 @@
         def should_abandon(waited_s: float) -> bool:
             if not self._should_abandon(waited_s, relay.has_started):
                 return False
-            if attempt.may_be_refused:
-                return self._leave(GivenUp.REFUSED)
             return self._leave(GivenUp.STALLED)
 
         attempt = Attempt(
@@ -345,8 +343,6 @@
             return False
         if not route.is_streaming:
             return True
-        if self._attempt is not None and self._attempt.may_be_refused:
-            return True
         if waited_s >= route.abandon_after_s * STREAM_MOVE_FRACTION:
             return True
         return (
--- a/packages/daemon/src/lacewing_daemon/direct/_stray_answers.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_stray_answers.py
@@ -60,6 +60,8 @@
         if answer.request_id:
             counter = ANSWERS_SKIPPED
             event = 'Skipped a response to another request.'
+            if answer.kind is not StrayKind.EARLIER:
+                event = 'Ended a send: the response names another request.'
         counter.labels(upstream.service, answer.kind.value).inc()
         if not self._lines.allow(False, time.monotonic()):
             return
--- a/packages/daemon/src/lacewing_daemon/direct/_try_entry.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_try_entry.py
@@ -17,7 +17,6 @@
     no event for too long. RESUMED: the earlier run of the stream went on.
     UNCONFIRMED: the stream must go on at one software version, and it was not
     certain that the upstream still has it.
-    REFUSED: the upstream sent a refusal that names no request.
     """
 
     NO = ''
@@ -25,7 +24,6 @@
     STALLED = 'stalled'
     RESUMED = 'earlier_run_resumed'
     UNCONFIRMED = 'start_unconfirmed'
-    REFUSED = 'unnamed_refusal'
 
 
 def describe_try(
