Remember all requests of a connection, 64 at most

Cause: a connection remembered its last 64 requests and went on. A caller that sends a request again with the same id after more than that could get the copy of an answer to the first send, as nothing else tells both apart.

Change: a connection carries 64 requests and is closed then, so that all its ids and answers are known. The set of requests that are still open and the bound for HEAD are part of that now.

--- a/packages/daemon/src/lacewing_daemon/direct/_connection.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_connection.py
@@ -10,10 +10,8 @@
 import asyncio
 import socket
 import time
-from collections import deque
 from collections.abc import Callable
 from typing import Protocol
-from weakref import WeakSet
 
 from tornado.http1connection import HTTP1Connection
 from tornado.http1connection import HTTP1ConnectionParameters
@@ -59,11 +57,10 @@
 MAX_REPLY_BYTES = 1 << 40
 # The parser holds a body without framing until the connection is closed.
 MAX_BUFFERED_BYTES = MAX_HELD_BYTES + MAX_HEADER_BYTES
-# Ids of requests that have ended which a connection remembers: a caller may
-# send a request again with the same id.
-MAX_REMEMBERED_REQUESTS = 64
-# Requests with HEAD that a connection carries; it remembers the ids of all.
-MAX_HEAD_REQUESTS = 64
+# Requests that a connection carries. It remembers the ids of all and their
+# answers: a caller may send a request again with the same id, and an upstream
+# its answer at any later moment.
+MAX_CARRIED_REQUESTS = 64
 # A timer that is later than this indicates a stall of the process.
 STALL_THRESHOLD_S = 0.02
 _MIN_FINAL_STATUS = 200
@@ -130,9 +127,8 @@
         self._idle_since_s = time.monotonic()
         self._reuse_until_s = float('inf')
         self._has_responded = False
-        self._open_requests: WeakSet[CallerRequest] = WeakSet()
-        self._recent_ids: deque[str] = deque(maxlen=MAX_REMEMBERED_REQUESTS)
-        self._answers = EarlierAnswers(MAX_REMEMBERED_REQUESTS)
+        self._carried_ids: set[str] = set()
+        self._answers = EarlierAnswers()
         self._head_ids: set[str] = set()
         self._reader = asyncio.create_task(self._read())
 
@@ -164,11 +160,8 @@
         return self._sent_requests
 
     def has_carried(self, request: CallerRequest) -> bool:
-        """Return whether it carried a request, or lately one with its id."""
-        return (
-            request in self._open_requests
-            or request.request_id in self._recent_ids
-        )
+        """Return whether it carried a request, or one with its id."""
+        return request.request_id in self._carried_ids
 
     def send(
         self, request: CallerRequest, headers: HTTPHeaders, sink: ReplySink
@@ -179,8 +172,7 @@
         self._sent_requests += 1
         self._method = request.method
         self._request_id = request.request_id
-        self._open_requests.add(request)
-        self._recent_ids.append(request.request_id)
+        self._carried_ids.add(request.request_id)
         if request.method == HEAD:
             self._head_ids.add(request.request_id)
         head = _format_head(
@@ -204,7 +196,7 @@
             # may never read.
             self.close()
             return False
-        if len(self._head_ids) >= MAX_HEAD_REQUESTS:
+        if self._sent_requests >= MAX_CARRIED_REQUESTS:
             self.close()
             return False
         self._idle_since_s = time.monotonic()
@@ -318,7 +310,7 @@
     def _stray_kind(self, head: ReplyHead | None) -> StrayKind:
         if head is None:
             return StrayKind.UNNAMED
-        if head.request_id in self._carried_ids():
+        if head.request_id in self._carried_ids:
             if self._answers.may_be_copy(head):
                 return StrayKind.EARLIER
             return StrayKind.DIFFERENT
@@ -326,10 +318,6 @@
             return StrayKind.UNKNOWN
         return StrayKind.REFUSAL if _is_refusal(head) else StrayKind.UNNAMED
 
-    def _carried_ids(self) -> frozenset[str]:
-        open_ids = [request.request_id for request in self._open_requests]
-        return frozenset((*open_ids, *self._recent_ids))
-
     def _skipped_has_body(self, status: int, headers: HTTPHeaders) -> bool:
         """Return whether a response to another request has a body."""
         method = self._method
@@ -341,7 +329,7 @@
     def _has_body(self, status: int) -> bool:
         return has_body(self._method, status)
 
-    def _finish_copy(self, status: int, answer: AnswerDigest) -> None:
+    def _finish_copy(self, answer: AnswerDigest) -> None:
         """End the request unless what was skipped is an earlier response.
 
         One that is cut off may have taken the response to this request for
@@ -349,7 +337,7 @@
         """
         if self._sink is None or self._answers.is_copy(answer):
             return
-        self._report_stray(status, answer.head, is_copy=False)
+        self._report_stray(answer.head.status, answer.head, is_copy=False)
         self._end_unassigned()
 
     def _end_unassigned(self) -> None:
@@ -446,7 +434,7 @@
         if self._digest is None:
             return
         if self._sink is None:
-            self._connection._finish_copy(self._status, self._digest)
+            self._connection._finish_copy(self._digest)
             return
         self._connection._finish_reply(
             self._sink,
--- a/packages/daemon/src/lacewing_daemon/direct/_earlier_answers.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_earlier_answers.py
@@ -1,6 +1,5 @@
 """Tell copies of the answers that a connection carried from other answers."""
 
-from collections import OrderedDict
 from dataclasses import dataclass
 from hashlib import blake2b
 
@@ -47,18 +46,14 @@
 
 
 class EarlierAnswers:
-    """Remember the latest answers by the ids of their requests."""
+    """Remember the answers of a connection by the ids of their requests."""
 
-    def __init__(self, max_answers: int) -> None:
-        self._max_answers = max_answers
-        self._prints: OrderedDict[str, AnswerPrint] = OrderedDict()
+    def __init__(self) -> None:
+        self._prints: dict[str, AnswerPrint] = {}
 
     def record(self, request_id: str, answer: AnswerPrint) -> None:
         """Remember the answer to a request."""
         self._prints[request_id] = answer
-        self._prints.move_to_end(request_id)
-        if len(self._prints) > self._max_answers:
-            self._prints.popitem(last=False)
 
     def may_be_copy(self, head: ReplyHead) -> bool:
         """Return whether an answer begins like an earlier one."""
