--- a/features/ctl_explain.feature
+++ b/features/ctl_explain.feature
@@ -110,6 +110,13 @@
     When a caller fetches records until an answer has come twice
     Then explaining it shows status 200 and "it answers twice, here request-"
 
+  Scenario: An answer that names another request
+    # Guards against a log that doesn't tell an answer that may be the
+    # request's own from a connection that ended without an answer.
+    Given the next upstream extra
+    When a caller fetches a record
+    Then explaining it shows status 200 and "but names another-request (200)"
+
   Scenario: An answer without a signature
     # Guards against a log that doesn't tell an answer without a signature
     # from a connection that ended without an answer.
--- a/packages/ctl/src/lacewing_ctl/_causes.py
+++ b/packages/ctl/src/lacewing_ctl/_causes.py
@@ -11,12 +11,15 @@
 from lacewing_ctl._timeline import COLLECTION_LOST
 from lacewing_ctl._timeline import DRAINING
 from lacewing_ctl._timeline import RequestTimeline
+from lacewing_ctl._timeline import SEND_ENDED
 
 # From this many failures at one upstream at about the same time, a crash is
 # more likely than single broken answers.
 MIN_CRASH_FAILURES = 3
 # The kind of a skipped answer that names an earlier request of its connection.
 ANSWER_TO_EARLIER = 'earlier'
+# How a send ended at an answer that may be its own but does not name it.
+ENDED_UNASSIGNED = 'unassigned'
 _SUCCESS = range(200, 300)
 
 
@@ -30,6 +33,8 @@
             )
         if each.skipped:
             sentences.append(_skipped_answers(timeline, each))
+        if each.ended == ENDED_UNASSIGNED:
+            sentences.append(_unassigned_answer(timeline, each))
     sentences.extend(_overlapping_sends(timeline.line.tries))
     return ' '.join(sentences)
 
@@ -67,6 +72,18 @@
     return f'{text} it answers twice, here {", ".join(earlier)}.'
 
 
+def _unassigned_answer(timeline: RequestTimeline, send: Try) -> str:
+    named = 'does not name it'
+    for line in timeline.skipped:
+        if line.upstream != send.upstream or line.event != SEND_ENDED:
+            continue
+        named = f'names {line.answered or "no request"} ({line.status})'
+    return (
+        f'{send.upstream} sent an answer that may be the one to this request'
+        f' but {named}; nothing after it counts.'
+    )
+
+
 def _overlapping_sends(tries: Sequence[Try]) -> list[str]:
     """Return a sentence for each two upstreams that had a stream at once."""
     sentences = []
--- a/packages/ctl/src/lacewing_ctl/_timeline.py
+++ b/packages/ctl/src/lacewing_ctl/_timeline.py
@@ -11,6 +11,8 @@
 WEIGHTS_ORDERED = 'placement: Ordered weights.'
 UPSTREAM_CRASHED = 'link: An upstream crashed.'
 ANSWER_SKIPPED = 'link: Skipped a response to another request.'
+SEND_ENDED = 'link: Ended a send: the response names another request.'
+OTHER_ANSWERS = frozenset((ANSWER_SKIPPED, SEND_ENDED))
 COLLECTION_LOST = 'platform: Lost a collection.'
 STARTED = 'main: Started.'
 DRAINING = 'main: Draining.'
@@ -32,8 +34,8 @@
     ``related_lines``: other requests that failed at one of these upstreams.
     ``process``: lost collections, starts and drains of the same process.
     ``crashes``: crashes of upstreams that interrupted the same request, or
-    prompts with a part for which it was blocked. ``skipped``: answers to
-    other requests that were skipped while this one waited.
+    prompts with a part for which it was blocked. ``skipped``: answers that
+    did not name this request, while it waited.
     """
 
     line: LogLine
@@ -50,7 +52,7 @@
     """Return one timeline for each line of the request."""
     timelines = []
     for line in lines:
-        if line.event == ANSWER_SKIPPED:
+        if line.event in OTHER_ANSWERS:
             continue
         if line.request == request_id:
             timelines.append(_build_timeline(lines, line))
@@ -115,7 +117,7 @@
         if line.event == WEIGHTS_ORDERED and line.upstream in tried:
             orders.append(line)
         if (
-            line.event == ANSWER_SKIPPED
+            line.event in OTHER_ANSWERS
             and line.process == request_line.process
             and line.request == request_line.request
         ):
