Sign answers before a failure like the upstream's others in scenarios

Copies that swallow the next answer had a signature that the upstream's own answers don't have, so that their head alone told them from copies since. They have the same one now, and are read to their end.

--- a/features/steps/failed_answers_steps.py
+++ b/features/steps/failed_answers_steps.py
@@ -143,7 +143,8 @@
         fake.ran.append(request_id)
         if plan.repeats_earlier:
             await fake.late_answers.send_due(received.stream)
-        await received.stream.write(plan.before(earlier))
+        before = _signed_by(fake, plan.before(earlier))
+        await received.stream.write(before)
         await received.stream.write(plan.failure(request_id))
         if plan.closes:
             received.stream.close()
@@ -151,6 +152,13 @@
         await received.stream.write(plan.after(request_id))
 
 
+def _signed_by(fake: FakeUpstream, answer: bytes) -> bytes:
+    """Return an answer with the signature that the upstream's others have."""
+    signed = f'{SIGNATURE}: signed\r\n'
+    own = f'{SIGNATURE}: signed-{fake.upstream_id}\r\n'
+    return answer.replace(signed.encode(), own.encode())
+
+
 @given('{count:d} upstreams that fail as scripted, and as many engines')
 def step_upstreams(context: Context, count: int) -> None:
     """Start plain upstreams and engines, all with the same plans."""
