Reject an answer that was cut short and filled with the next one

Callers would get a body that is not the upstream's: an answer that lacks some of its bytes, on a connection that stays open, is taken for whole once the bytes of the next answer have filled its length.

Cause: the end of a body is only a count of bytes.

Change: a status line inside a body starts another answer if the head names a request, or if what follows the body does not start an answer. The answer is then incomplete, its send may have run, and its connection is closed. A text on HTTP is still passed on. Events are checked for a head that names a request before they are passed on.

A failure that names no request and is swallowed to its last byte remains: it can't be told from a text.

--- a/features/direct_unassigned_answers.feature
+++ b/features/direct_unassigned_answers.feature
@@ -62,6 +62,29 @@
       | a copy of the answer before            |
       | 20 copies of the answer before         |
 
+  Scenario Outline: An answer that is cut short is followed by <next>
+    # Guards against an answer that is taken for whole because the bytes of
+    # the next one fill its length.
+    When answers lack any number of bytes, and <next> follows <when>
+    Then each answer that counts is whole
+
+    Examples: answers
+      | next                      | when     |
+      | the whole one             | at once  |
+      | the whole one             | later    |
+      | a failure                 | at once  |
+      | a copy of an earlier one  | later    |
+
+  Scenario: A text on HTTP is passed on
+    # Guards against answers that are lost because they hold a status line.
+    When answers with a status line in their text are followed by nothing
+    Then each of them is whole
+
+  Scenario: A stream without framing that is cut short is followed by itself
+    # Guards against the head of an answer that is passed on as an event.
+    When a stream without framing is cut inside an event, and the whole one follows
+    Then its caller gets no part of the second one
+
   Scenario: A connection carries nothing after a failure
     # Guards against a late copy of a failure that is taken for a failure of
     # the next request, or hides one.
--- a/features/steps/unassigned_answers_steps.py
+++ b/features/steps/unassigned_answers_steps.py
@@ -2,22 +2,34 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import closing
+from contextlib import suppress
 from dataclasses import dataclass
+from http.client import IncompleteRead
 from weakref import WeakKeyDictionary
 
 from behave import given
 from behave import then
 from behave import when
 from behave.runner import Context
+from lacewing_common.verdict import Verdict
+from lacewing_daemon.direct import Dispatch
+from lacewing_daemon.direct._attempt import AttemptEnd
 from lacewing_platform_testing import Behaviour
 from lacewing_platform_testing import FakeUpstream
 from lacewing_platform_testing._server import chunk
 from lacewing_platform_testing._server import complete_response
 from lacewing_platform_testing._server import ReceivedRequest
+from support.attempts import caller_request
+from support.attempts import LIMIT_S
+from support.attempts import send_each
 from support.direct_bench import Answer
 from support.direct_bench import direct_bench
 from support.direct_bench import DirectBench
+from support.direct_bench import HOST
+from support.direct_bench import KEY
 from support.direct_bench import PREFIX
+from support.direct_bench import PROMPT
 from tornado.iostream import IOStream
 
 REQUEST_ID = PREFIX + 'Request-Id'
@@ -34,6 +46,12 @@
 KINDS = ('/records/', '/certificates/', '/chat/', '/talk/')
 # Time from the first answer to the second one.
 GAP_S = 0.02
+# Numbers of bytes that an answer may lack.
+CUTS = 200
+# Sends that are open at the same time.
+SENDS = 40
+# Until an upstream closes a connection on which nothing follows.
+IDLE_S = 0.2
 _CHUNKED = b'Transfer-Encoding: chunked\r\n'
 
 
@@ -156,6 +174,19 @@
 }
 
 
+FOLLOWING: dict[str, Callable[[str], bytes]] = {
+    'the whole one': lambda number: _answer(
+        200, f'second-{number}', PLAIN, signed=True
+    ),
+    'a failure': lambda number: _answer(
+        500, f'second-{number}', FAILURE, signed=True
+    ),
+    'a copy of an earlier one': lambda number: _answer(
+        200, f'first-{number}', PLAIN, signed=True
+    ),
+}
+
+
 class TwiceAnsweringUpstreams:
     """Have the next planned request get two answers, all others their own."""
 
@@ -369,3 +400,138 @@
     """Compare with the answers that each connection has carried."""
     assert len(context.twice.failed) > 1, context.twice.failed
     assert not context.twice.after_failures, context.twice.after_failures
+
+
+@when('answers lack any number of bytes, and {following} follows {when}')
+def step_cut(context: Context, following: str, when: str) -> None:
+    """Cut the second answer of a connection by each number of bytes."""
+    bench = direct_bench(context)
+    fake = bench.add_upstream('reg-cut', 'registry')
+
+    async def handle(received: ReceivedRequest) -> None:
+        name, _, number = received.headers[REQUEST_ID].partition('-')
+        own = _answer(200, f'{name}-{number}', PLAIN, signed=True)
+        if name == 'first':
+            await received.stream.write(own)
+            return
+        follow = FOLLOWING[following](number)
+        cut = own[: -1 - int(number)]
+        if when == 'at once':
+            await received.stream.write(cut + follow)
+        else:
+            await received.stream.write(cut)
+            await asyncio.sleep(GAP_S)
+            await received.stream.write(follow)
+        await asyncio.sleep(IDLE_S)
+        received.stream.close()
+
+    fake.server.handle = handle
+    context.ends = bench.run(_send_pairs(fake))
+
+
+async def _send_pairs(fake: FakeUpstream) -> list[AttemptEnd]:
+    """Return the ends of the second requests."""
+    places = asyncio.Semaphore(SENDS)
+    dispatch = Dispatch(fake.upstream_id, LIMIT_S)
+
+    async def send_pair(number: int) -> AttemptEnd:
+        requests = []
+        for name in ('first', 'second'):
+            requests.append((caller_request(f'{name}-{number}'), dispatch))
+        async with places:
+            first, second = await send_each(fake, requests)
+        assert first.verdict is Verdict.RAN, first
+        return second
+
+    return await asyncio.gather(*(send_pair(each) for each in range(CUTS)))
+
+
+@then('each answer that counts is whole')
+def step_whole(context: Context) -> None:
+    """Compare bodies with the one that the upstream has."""
+    assert len(context.ends) == CUTS
+    wrong = []
+    for lacking, end in enumerate(context.ends):
+        if end.verdict is Verdict.RAN and end.body != PLAIN:
+            wrong.append((lacking, end.body))
+    assert not wrong, (len(wrong), wrong[:3])
+
+
+@when('answers with a status line in their text are followed by nothing')
+def step_texts(context: Context) -> None:
+    """Fetch texts that have a status line at their start, middle and end."""
+    bench = direct_bench(context)
+    line = b'HTTP/1.1 200 OK\r\n'
+    context.texts = []
+    for body in (line + b'x', b'x' + line + b'\r\nx', b'x' + line):
+        for fake in bench.upstreams.values():
+            _answer_all(fake, body)
+        context.texts.append((body, bench.ask('/records/1')))
+
+
+def _answer_all(fake: FakeUpstream, body: bytes) -> None:
+    async def handle(received: ReceivedRequest) -> None:
+        own = received.headers.get(REQUEST_ID, '')
+        await received.stream.write(_answer(200, own, body, signed=True))
+
+    if fake.service == 'registry':
+        fake.server.handle = handle
+
+
+@then('each of them is whole')
+def step_texts_whole(context: Context) -> None:
+    """Compare the answers with the texts."""
+    for body, answer in context.texts:
+        assert (answer.status, answer.body) == (200, body), answer
+
+
+@when(
+    'a stream without framing is cut inside an event, and the whole one'
+    ' follows'
+)
+def step_cut_stream(context: Context) -> None:
+    """Answer a stream that may run once twice on one connection."""
+    bench = direct_bench(context)
+
+    async def handle(received: ReceivedRequest) -> None:
+        if received.path in CONTROL_PATHS:
+            return
+        headers = {
+            REQUEST_ID: received.headers[REQUEST_ID],
+            SIGNATURE: 'signed',
+            'Content-Type': 'text/event-stream',
+        }
+        head = complete_response(200, headers, b'').replace(
+            b'Content-Length: 0\r\n', b''
+        )
+        whole = head + b''.join(EVENTS)
+        await received.stream.write(head + EVENTS[0] + EVENTS[1][:9] + whole)
+        received.stream.close()
+
+    for fake in bench.upstreams.values():
+        if fake.service == 'models':
+            fake.server.handle = handle
+    with closing(bench.connect()) as connection:
+        connection.request(
+            'POST',
+            '/talk/1',
+            b'prompt',
+            {
+                'Host': HOST,
+                REQUEST_ID: 'cut-stream',
+                PREFIX + 'Deadline-Ms': '3000',
+                'Authorization': f'Token {KEY}',
+                **PROMPT,
+            },
+        )
+        response = connection.getresponse()
+        context.got = b''
+        with suppress(IncompleteRead):
+            while piece := response.read1():
+                context.got += piece
+
+
+@then('its caller gets no part of the second one')
+def step_no_part(context: Context) -> None:
+    """Expect the events before the cut."""
+    assert context.got in (b'', EVENTS[0]), context.got
--- a/features/support/curl_calls.py
+++ b/features/support/curl_calls.py
@@ -109,7 +109,7 @@
     async def on_data(self, piece: bytes) -> None:
         """Ignore bytes of the body."""
 
-    def on_end(self, body_end: BodyEnd) -> None:
+    def on_end(self, body_end: BodyEnd, _following: bytes = b'') -> None:
         """Record the end of the response."""
         self.end.set_result(body_end)
 
--- a/packages/daemon/src/lacewing_daemon/direct/_answer_end.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_answer_end.py
@@ -21,7 +21,8 @@
     connection ended before the body did. CUT: more was received than may be,
     and the router closed the connection. UNASSIGNED: an answer came that may
     be the one to the request but does not name it, and the router closed the
-    connection.
+    connection. OVERRUN: another answer began inside the body, which was cut
+    short.
     """
 
     LENGTH = 'length'
@@ -31,10 +32,13 @@
     BROKEN = 'broken'
     CUT = 'cut'
     UNASSIGNED = 'unassigned'
+    OVERRUN = 'overrun'
 
 
 # The answer is incomplete, though its connection was not broken.
-CLOSED_BY_ROUTER = frozenset((BodyEnd.CUT, BodyEnd.UNASSIGNED))
+CLOSED_BY_ROUTER = frozenset(
+    (BodyEnd.CUT, BodyEnd.UNASSIGNED, BodyEnd.OVERRUN)
+)
 
 
 def has_body(method: str, status: int) -> bool:
--- a/packages/daemon/src/lacewing_daemon/direct/_attempt.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_attempt.py
@@ -19,6 +19,7 @@
 from lacewing_daemon.direct._call import CallerRequest
 from lacewing_daemon.direct._connection import UpstreamConnection
 from lacewing_daemon.direct._events import EventSplitter
+from lacewing_daemon.direct._overrun import holds_answer
 from lacewing_daemon.direct._pool import ConnectionPool
 from lacewing_daemon.direct._pool import MAX_IDLE_S
 from lacewing_daemon.direct._pool import MAX_NON_RETRYABLE_IDLE_S
@@ -256,17 +257,25 @@
             return
         self._last_piece_s = asyncio.get_running_loop().time()
         assert self._head is not None and self._on_events is not None
+        for event in events:
+            if holds_answer(event, b'', self._wire.id_header):
+                self.on_end(BodyEnd.OVERRUN)
+                return
         try:
             await self._on_events(self._head, events)
         except Exception as error:
             if not self._ended.done():
                 self._ended.set_exception(error)
 
-    def on_end(self, body_end: BodyEnd) -> None:
+    def on_end(self, body_end: BodyEnd, following: bytes = b'') -> None:
         """End the attempt at the end of the answer."""
-        if not self._ended.done():
-            self._body_end = body_end
-            self._ended.set_result(None)
+        if self._ended.done():
+            return
+        body = b''.join(self._body)
+        if holds_answer(body, following, self._wire.id_header):
+            body_end = BodyEnd.OVERRUN
+        self._body_end = body_end
+        self._ended.set_result(None)
 
     def _collect(self, piece: bytes) -> None:
         self._last_piece_s = asyncio.get_running_loop().time()
--- a/packages/daemon/src/lacewing_daemon/direct/_connection.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_connection.py
@@ -19,7 +19,6 @@
 from tornado.httputil import HTTPMessageDelegate
 from tornado.httputil import RequestStartLine
 from tornado.httputil import ResponseStartLine
-from tornado.iostream import IOStream
 from tornado.iostream import StreamBufferFullError
 from tornado.iostream import StreamClosedError
 from tornado.iostream import UnsatisfiableReadError
@@ -82,8 +81,8 @@
     async def on_data(self, piece: bytes) -> None:
         """Handle a chunk of the body; return when ready for the next one."""
 
-    def on_end(self, body_end: BodyEnd) -> None:
-        """Handle the end of the response."""
+    def on_end(self, body_end: BodyEnd, following: bytes = b'') -> None:
+        """Handle the end of the response and what was received after it."""
 
 
 def _ignore_refusal(_is_named: bool) -> None:
@@ -110,7 +109,7 @@
 
     def __init__(
         self,
-        stream: IOStream,
+        stream: UpstreamStream,
         opened_s: float,
         on_refusal: Callable[[bool], None] = _ignore_refusal,
         on_stray: Callable[[StrayAnswer], None] = _ignore_stray,
@@ -238,12 +237,12 @@
         self._end_reply(BodyEnd.CUT)
         self._stream.close()
 
-    def _end_reply(self, body_end: BodyEnd) -> None:
+    def _end_reply(self, body_end: BodyEnd, following: bytes = b'') -> None:
         sink = self._sink
         if sink is None:
             return
         self._sink = None
-        sink.on_end(body_end)
+        sink.on_end(body_end, following)
 
     def _start_reply(
         self, status: int, headers: HTTPHeaders
@@ -358,7 +357,8 @@
             self._end_reply(BodyEnd.NO_BODY)
             return
         has_error = self._stream.error is not None
-        self._end_reply(end_of_parsed_body(headers, has_error))
+        body_end = end_of_parsed_body(headers, has_error)
+        self._end_reply(body_end, self._stream.unread)
 
 
 class _ReplyReader(HTTPMessageDelegate):
--- a/packages/daemon/src/lacewing_daemon/direct/_site.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_site.py
@@ -283,6 +283,10 @@
 class Wire(Protocol):
     """Translate the headers of requests and answers."""
 
+    @property
+    def id_header(self) -> str:
+        """Return the header in which an answer names its request."""
+
     def read_request(
         self,
         method: str,
--- a/packages/daemon/src/lacewing_daemon/direct/_upstream_stream.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_upstream_stream.py
@@ -15,6 +15,11 @@
     never does so at once, so the parser passes on what it has first.
     """
 
+    @property
+    def unread(self) -> bytes:
+        """Return what was received and not read yet."""
+        return bytes(self._read_buffer)
+
     def read_until(
         self, delimiter: bytes, max_bytes: int | None = None
     ) -> Awaitable[bytes]:
