--- a/features/direct_unassigned_answers.feature
+++ b/features/direct_unassigned_answers.feature
@@ -75,6 +75,18 @@
       | a failure                 | at once  |
       | a copy of an earlier one  | later    |
 
+  Scenario: An answer that is cut short is followed by a failure without an id
+    # Guards against the same where the next answer names no request. Only one
+    # that is swallowed to its last byte can't be told from a text.
+    When answers lack any number of bytes, and a failure without an id follows at once
+    Then each answer that counts is whole, but for the one with a whole failure
+
+  Scenario: A request with an id that its connection has forgotten
+    # Guards against a copy of an earlier answer that is taken for the answer
+    # to a request which its caller sends once more with the same id.
+    When a request comes again after 70 others, and a copy of its answer precedes its second one
+    Then it gets its second answer
+
   Scenario: A text on HTTP is passed on
     # Guards against answers that are lost because they hold a status line.
     When answers with a status line in their text are followed by nothing
--- a/features/steps/unassigned_answers_steps.py
+++ b/features/steps/unassigned_answers_steps.py
@@ -181,6 +181,7 @@
     'a failure': lambda number: _answer(
         500, f'second-{number}', FAILURE, signed=True
     ),
+    'a failure without an id': lambda _: _answer(500, '', FAILURE),
     'a copy of an earlier one': lambda number: _answer(
         200, f'first-{number}', PLAIN, signed=True
     ),
@@ -535,3 +536,53 @@
 def step_no_part(context: Context) -> None:
     """Expect the events before the cut."""
     assert context.got in (b'', EVENTS[0]), context.got
+
+
+@then('each answer that counts is whole, but for the one with a whole failure')
+def step_whole_but_one(context: Context) -> None:
+    """Leave out the answer that lacks just the bytes of the failure."""
+    failure = FOLLOWING['a failure without an id']('')
+    assert len(context.ends) == CUTS > len(failure)
+    counted = []
+    for number, end in enumerate(context.ends):
+        if number + 1 == len(failure) or end.verdict is not Verdict.RAN:
+            continue
+        counted.append((number + 1, end.body))
+    assert not counted, (len(counted), counted[:3])
+
+
+@when(
+    'a request comes again after {count:d} others, and a copy of its answer'
+    ' precedes its second one'
+)
+def step_forgotten(context: Context, count: int) -> None:
+    """Send it first and last over the connections of one pool."""
+    bench = direct_bench(context)
+    fake = bench.add_upstream('reg-again', 'registry')
+    first = _answer(200, 'again', b'first', signed=True)
+    carried: list[IOStream] = []
+
+    async def handle(received: ReceivedRequest) -> None:
+        own = received.headers[REQUEST_ID]
+        answer = _answer(200, own, b'other', signed=True)
+        if own == 'again':
+            answer = first
+            if carried:
+                answer = _answer(200, own, b'second', signed=True)
+            if received.stream in carried:
+                answer = first + answer
+            carried.append(received.stream)
+        await received.stream.write(answer)
+
+    fake.server.handle = handle
+    dispatch = Dispatch(fake.upstream_id, LIMIT_S)
+    names = ['again', *(f'other-{each}' for each in range(count)), 'again']
+    sends = [(caller_request(name), dispatch) for name in names]
+    context.ends = bench.run(send_each(fake, sends))
+
+
+@then('it gets its second answer')
+def step_second(context: Context) -> None:
+    """Check the last one."""
+    assert context.ends[0].body == b'first', context.ends[0]
+    assert context.ends[-1].body == b'second', context.ends[-1]
