--- a/features/soak.feature
+++ b/features/soak.feature
@@ -44,6 +44,26 @@
       | 0.5     | its stops      | 0        | 1       |
       | 0.5     | the soak       | 0        | 1       |
 
+  Scenario Outline: The soak finds answers that callers must not get
+    # Guards against a soak that passes while callers get what an upstream sent
+    # after a failure.
+    Given a request whose send was answered with <first>
+    And its next send was answered with <second>
+    When the soak checks a caller that got <status> signed by send <number>
+    Then it counts <faults> answers that the caller must not get
+
+    Examples:
+      | first                        | second                   | status | number | faults |
+      | a success                    | nothing                  | 200    | 0      | 0      |
+      | a failure, then a success    | nothing                  | 502    | 0      | 0      |
+      | a failure, then a success    | nothing                  | 200    | 0      | 1      |
+      | a failure, then a success    | a success                | 200    | 1      | 0      |
+      | a failure, then a success    | a success                | 200    | 0      | 1      |
+      | a success of another request | nothing                  | 200    | 0      | 1      |
+      | a success                    | nothing                  | 200    | 7      | 1      |
+      | a success                    | its rest                 | 200    | 0      | 0      |
+      | a success                    | a failure, then its rest | 200    | 0      | 1      |
+
   Scenario: Seeds that failed once
     When every seed that ever failed is run
     Then no promise is broken
