Send each request to a worker on a connection of its own

A call at an agent failed with the answer of an earlier call. A worker's failure may lack the request's id, as it may be made before the id is read, so that the agent takes it for the answer to whatever request is under way. Calls that may be repeated and have a body shared connections: the late copy of such a failure, which came where the next answer was due, was passed on to the next caller, while the call itself ran.

Each exchange has a connection of its own now, as those that may run once and polls had. A copy arrives on a connection that no later call uses. Whether a call may be repeated no longer matters to the client, so the field is gone.

Of the calls with cut heads, an exchange no longer gets a second response on its connection, as there is none; the one that may run once is a PUT now, since the former field distinguished it.

--- a/features/agent.feature
+++ b/features/agent.feature
@@ -369,6 +369,18 @@
       When "r1" starts call 1 that must not be repeated
       Then 1 of "r1" is refused as "may-have-run" for "answer_of_another_request"
 
+    Scenario: A late failure without an id fails no later call
+      # Guards against a call that fails with the answer of an earlier one: a
+      # worker sends a failure that names no request once more, late, where
+      # the answer to the next call on that connection is due.
+      Given an agent beside a plain worker
+      And the worker fails the next call, names none, and does so again late
+      When "r1" starts call 1
+      And "r1" has the outcome of 1
+      And "r1" starts call 2
+      Then "r1" has the answer "done " to call 2
+      And the worker ran 2 of "r1" 1 time
+
     Scenario: A cut stream goes on at the same engine
       Given an agent beside a model worker
       And the worker cuts the stream after event 3
--- a/features/steps/agent_steps.py
+++ b/features/steps/agent_steps.py
@@ -74,6 +74,12 @@
     setattr(bench_of(context).worker.plan, f'cross_{part}', True)
 
 
+@given('the worker fails the next call, names none, and does so again late')
+def given_late_failure(context: Context) -> None:
+    """Fail a call twice, without its id."""
+    bench_of(context).worker.plan.fail_unnamed = True
+
+
 @given('the worker swaps the answers of two calls')
 def given_swapped(context: Context) -> None:
     """Answer two calls on each other's connections."""
--- a/features/support/curl_calls.py
+++ b/features/support/curl_calls.py
@@ -153,7 +153,7 @@
             return Learned(True, True, str(result))
         return Learned(False, result.reached, str(result))
 
-    return Calls(worker, call, request.repeatable and bool(request.body))
+    return Calls(worker, call)
 
 
 def _poll(address: str) -> Calls:
@@ -289,7 +289,7 @@
         at, WorkerRequest('POST', '/', body=b'{}')
     ),
     'an exchange that may run once': lambda at: _exchange(
-        at, WorkerRequest('POST', '/', body=b'{}', repeatable=False)
+        at, WorkerRequest('PUT', '/', body=b'{}')
     ),
     'an exchange without a body': lambda at: _exchange(
         at, WorkerRequest('GET', '/')
--- a/features/support/scripted_worker.py
+++ b/features/support/scripted_worker.py
@@ -16,6 +16,7 @@
 FOREIGN = 'router-other.1-7-1'
 CACHED_TOKENS = 128
 PROMPT_TOKENS = 200
+FAILURE = b'no'
 
 
 @dataclass
@@ -34,6 +35,7 @@
     cross_header: bool = False
     cross_body: bool = False
     vanish: bool = False
+    fail_unnamed: bool = False
     status: int = 200
     body_bytes: int = 0
     go_on: asyncio.Event = field(default_factory=asyncio.Event)
@@ -133,17 +135,25 @@
 class _Handler(RequestHandler):
     gone = False
 
-    async def write_late(self, answer: dict[str, Any]) -> None:
-        """Answer, after a second copy of the connection's last answer."""
+    async def send_late_copy(self) -> None:
+        """Send what is to come again before the connection's next answer."""
         connection: Any = self.request.connection
         late = getattr(connection.stream, 'late_copy', b'')
         if late:
             await connection.stream.write(late)
+
+    def send_again(self, status: str, body: bytes) -> None:
+        """Have an answer without an id come again, late."""
+        connection: Any = self.request.connection
+        head = f'HTTP/1.1 {status}\r\nContent-Length: {len(body)}\r\n\r\n'
+        connection.stream.late_copy = head.encode() + body
+
+    async def write_late(self, answer: dict[str, Any]) -> None:
+        """Answer, after a second copy of the connection's last answer."""
+        await self.send_late_copy()
         self.write(answer)
         if self.worker.late_copies:
-            body = json.dumps(answer).encode()
-            head = f'HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n'
-            connection.stream.late_copy = head.encode() + body
+            self.send_again('200 OK', json.dumps(answer).encode())
 
     def initialize(self, worker: ScriptedWorker) -> None:
         self.worker = worker
@@ -255,6 +265,13 @@
         if worker.take('vanish'):
             self.close_connection()
             return
+        await self.send_late_copy()
+        if worker.take('fail_unnamed'):
+            self.clear_header(REQUEST_ID)
+            self.set_status(500)
+            self.write(FAILURE)
+            self.send_again('500 Internal Server Error', FAILURE)
+            return
         if worker.plan.hold_after:
             await worker.plan.go_on.wait()
         if worker.take('cross_header'):
--- a/packages/daemon/src/lacewing_daemon/agent/_requests.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_requests.py
@@ -59,6 +59,5 @@
         start.path,
         _headers(start, from_engine),
         body,
-        start.idempotent,
         answer_s,
     )
--- a/packages/daemon/src/lacewing_daemon/agent/_worker.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_worker.py
@@ -5,7 +5,6 @@
 from typing import Protocol
 
 import pycurl
-from lacewing_common.curl import connect_directly
 from lacewing_common.curl import connect_once
 from lacewing_common.curl import CurlClient
 from tornado.curl_httpclient import CurlError
@@ -29,16 +28,14 @@
 class WorkerRequest:
     """Hold one HTTP request to the worker.
 
-    ``repeatable`` lets it use a kept connection, which may break under it
-    for no reason of its own. ``stall_s`` bounds the time without a byte
-    of the answer; a paused answer does not stall.
+    ``stall_s`` bounds the time without a byte of the answer; a paused answer
+    does not stall.
     """
 
     method: str
     path: str
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes | None = None
-    repeatable: bool = True
     stall_s: float = 120.0
 
 
@@ -108,7 +105,11 @@
 
         def prepare(handle: pycurl.Curl) -> None:
             handle.setopt(pycurl.HEADERFUNCTION, headers.collect)
-            _set_options(handle, request)
+            # A kept connection may be closed by the worker just as the request
+            # goes out; without a body, libcurl would even send it again by
+            # itself. And the late copy of a failure that names no request
+            # would be taken for the answer.
+            connect_once(handle)
             transfer.begin(handle, request.body)
             sink.begin(transfer)
 
@@ -186,17 +187,6 @@
         )
 
 
-def _set_options(handle: pycurl.Curl, request: WorkerRequest) -> None:
-    if request.repeatable and request.body:
-        connect_directly(handle)
-        return
-    # A kept connection may be closed by the worker just as the request goes
-    # out. One that may be repeated goes elsewhere then; any other would end
-    # as one that may have run. Without a body, libcurl would even send it
-    # again by itself.
-    connect_once(handle)
-
-
 def _reached(
     request: WorkerRequest, transfer: Transfer, error: CurlError
 ) -> bool:
