Hold no more of a caller's body than the configuration allows

Callers saw nothing of it, the operator did: a body was held whole up to 16 MiB and only then compared with MaxBodyBytes, so that callers who send bodies without end took 16 MiB each.

Now a body is dropped once it exceeds the limit that was in force at its head. 1 MiB more is read, so that a caller that is a little above it still gets its 413 on an orderly connection; after that the request is refused and its connection closed. The request says that its body was dropped, so that it is refused also if a newer configuration allows more.

--- a/features/steps/endless_answers_steps.py
+++ b/features/steps/endless_answers_steps.py
@@ -65,8 +65,8 @@
 @given('a calm load for {lasts_s:g} s')
 def step_calm(context: Context, lasts_s: float) -> None:
     """Load the router and keep what that takes."""
-    _load(context, 0.5)
-    context.calm = _load(context, lasts_s)
+    load_router(context, 0.5)
+    context.calm = load_router(context, lasts_s)
     _keep_peak(context)
 
 
@@ -74,7 +74,7 @@
 def step_calm_weights(context: Context, lasts_s: float) -> None:
     """Load the router and keep what that takes, orders included."""
     context.version = 1
-    _load(context, 0.5)
+    load_router(context, 0.5)
     context.calm = _load_while_naming(context, lasts_s)
     _keep_peak(context)
 
@@ -95,7 +95,7 @@
     """Have the first engine answer all requests so."""
     answers = EndlessAnswers(Endless(what), pace == 'slowly')
     _first_engine(context).endless[''] = answers
-    context.load = _load(context, lasts_s)
+    context.load = load_router(context, lasts_s)
     assert answers.count > 0
 
 
@@ -120,7 +120,7 @@
     store = direct_bench(context).store
     store.mode = StoreMode.ENDLESS
     direct_bench(context).on_loop(store.server.reset_all)
-    context.load = _load(context, lasts_s)
+    context.load = load_router(context, lasts_s)
     assert store.endless.count > 0
 
 
@@ -143,7 +143,7 @@
     lasts_s = _length_s(context, lasts_s)
     naming = threading.Thread(target=_name_weights, args=(context, lasts_s))
     naming.start()
-    load = _load(context, lasts_s)
+    load = load_router(context, lasts_s)
     naming.join()
     return load
 
@@ -165,7 +165,7 @@
     return float(context.config.userdata.get('lasts_s', lasts_s))
 
 
-def _load(context: Context, lasts_s: float) -> Load:
+def load_router(context: Context, lasts_s: float) -> Load:
     """Send requests at a constant rate and wait for all answers.
 
     Some are streams that may run once; their answers are left out.
--- a/packages/daemon/src/lacewing_daemon/direct/_admission.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_admission.py
@@ -64,11 +64,12 @@
         team = routing_config.teams.get(request.key)
         if team is None:
             return not_run(Reason.BAD_KEY, 'unknown key')
-    if len(request.body) > routing_config.limits.max_body_bytes:
+    received_bytes = request.dropped_bytes or len(request.body)
+    max_body_bytes = routing_config.limits.max_body_bytes
+    if request.dropped_bytes or received_bytes > max_body_bytes:
         return not_run(
             Reason.TOO_LARGE,
-            f'at most {routing_config.limits.max_body_bytes} bytes are taken,'
-            f' got {len(request.body)}',
+            f'at most {max_body_bytes} bytes are taken, got {received_bytes}',
         )
     if route.is_streaming and request.place_error:
         return not_run(Reason.BAD_REQUEST, request.place_error)
--- a/packages/daemon/src/lacewing_daemon/direct/_call.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_call.py
@@ -44,7 +44,8 @@
     the caller states none. ``resumed_request`` is the id of the request that
     brought the first event of a stream that is taken up, '' if none is named.
     ``place_error`` says why it can't be told after which event a stream is to
-    go on, '' if it can.
+    go on, '' if it can. ``dropped_bytes``: what was read of a body that is
+    too large and was not kept, 0 if ``body`` is complete.
     """
 
     method: str
@@ -61,3 +62,4 @@
     stated_tokens: int | None = None
     resumed_request: str = ''
     place_error: str = ''
+    dropped_bytes: int = 0
--- a/packages/daemon/src/lacewing_daemon/direct/_caller_server.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_caller_server.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from dataclasses import replace
 from time import monotonic
 
 from lacewing_common.log import get_log
@@ -21,11 +22,15 @@
 from lacewing_daemon.direct._caller_reply import CallerGoneError
 from lacewing_daemon.direct._caller_reply import CallerReply
 from lacewing_daemon.direct._metrics import OPEN_REQUESTS
+from lacewing_daemon.direct._routing_config import Limits
 from lacewing_daemon.direct._site import Wire
 
 # The routing configuration sets a lower limit; this one applies until the
 # first configuration is loaded.
 MAX_BODY_BYTES = 16 * 1024 * 1024
+# What is read of a body past the limit, so that its caller, which still
+# sends, gets the answer. It is not held.
+MAX_DROPPED_BYTES = 1024 * 1024
 MAX_HEADER_BYTES = 65536
 # The routing configuration sets how long callers may keep connections idle;
 # this applies until the first one is loaded. This process closes them later by
@@ -52,6 +57,7 @@
         self._used: set[object] = set()
         self._receiving: set[object] = set()
         self._quiet: dict[object, HTTP1Connection] = {}
+        self._max_body_bytes = MAX_BODY_BYTES
         self._server = _NotifyingServer(
             self,
             idle_connection_timeout=IDLE_S + IDLE_MARGIN_S,
@@ -73,6 +79,11 @@
         """
         return len(self._open) + len(self._receiving)
 
+    @property
+    def max_body_bytes(self) -> int:
+        """Return how much of a body is held."""
+        return self._max_body_bytes
+
     def listen(self, host: str, port: int) -> None:
         """Start accepting connections."""
         sockets = bind_sockets(port, host, backlog=_BACKLOG)
@@ -80,9 +91,10 @@
         self._address = f'{bound[0]}:{bound[1]}'
         self._server.add_sockets(sockets)
 
-    def set_idle_timeout(self, idle_s: float) -> None:
-        """Set how long connections may be idle between requests."""
-        self._server.conn_params.header_timeout = idle_s + IDLE_MARGIN_S
+    def set_limits(self, limits: Limits) -> None:
+        """Set what callers may send, and how long they may be idle."""
+        self._server.conn_params.header_timeout = limits.idle_s + IDLE_MARGIN_S
+        self._max_body_bytes = min(limits.max_body_bytes, MAX_BODY_BYTES)
 
     def begin_drain(self) -> None:
         """Close each connection after its next answer.
@@ -149,10 +161,11 @@
         start_line: RequestStartLine,
         headers: HTTPHeaders,
         body: bytes,
+        dropped_bytes: int,
         received_s: float,
         connection: HTTP1Connection,
     ) -> None:
-        """Serve a request that was read completely."""
+        """Serve a request that was read completely, or refuse its body."""
         self._receiving.discard(server_conn)
         if connection.stream.closed():
             # The request was read in the same iteration of the event loop in
@@ -163,6 +176,8 @@
         request = self._wire.read_request(
             start_line.method, start_line.path, headers, body, received_s
         )
+        if dropped_bytes:
+            request = replace(request, dropped_bytes=dropped_bytes)
         accepts_chunks = start_line.version != _HTTP_WITHOUT_CHUNKS
         reply = CallerReply(connection, accepts_chunks, start_line.method)
         task = asyncio.create_task(self._run(request, reply))
@@ -205,6 +220,9 @@
         self._start_line = RequestStartLine('', '', '')
         self._headers = HTTPHeaders()
         self._body: list[bytes] = []
+        self._received_bytes = 0
+        self._max_body_bytes = 0
+        self._has_ended = False
         self._received_s = 0.0
 
     def headers_received(
@@ -218,18 +236,32 @@
         self._start_line = start_line
         self._headers = headers
         self._received_s = monotonic()
+        self._max_body_bytes = self._caller_server.max_body_bytes
 
     def data_received(self, chunk: bytes) -> None:
-        """Store a piece of the body."""
-        self._body.append(chunk)
+        """Store a piece of the body; drop a body that is too large."""
+        self._received_bytes += len(chunk)
+        if self._received_bytes <= self._max_body_bytes:
+            self._body.append(chunk)
+            return
+        self._body.clear()
+        if self._received_bytes > self._max_body_bytes + MAX_DROPPED_BYTES:
+            # An answer to a request that is not complete closes its
+            # connection.
+            self.finish()
 
     def finish(self) -> None:
-        """Pass the complete request on."""
+        """Pass on the request, complete or with a body too large."""
+        if self._has_ended:
+            return
+        self._has_ended = True
+        is_too_large = self._received_bytes > self._max_body_bytes
         self._caller_server.request_received(
             self._server_conn,
             self._start_line,
             self._headers,
             b''.join(self._body),
+            self._received_bytes if is_too_large else 0,
             self._received_s,
             self._connection,
         )
--- a/packages/daemon/src/lacewing_daemon/direct/_router.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_router.py
@@ -187,7 +187,7 @@
         self._metrics.close()
 
     def _apply_routing_config(self, routing_config: RoutingConfig) -> None:
-        self._caller_server.set_idle_timeout(routing_config.limits.idle_s)
+        self._caller_server.set_limits(routing_config.limits)
 
     def _metrics_page(self) -> Page:
         self._fleet.update_age_metrics()
