Read a caller's body until the deadline of its request at most

The body of a request had a bound of bytes and none of time: a caller that sends a byte now and then kept its connection, what was read and its place among the open requests, for which a stop waits, for as long as it liked.

A body is now read until the deadline that the request states, after which its caller is gone, at least 1 s and at most 60 s; 60 s without a deadline. Past that the connection is closed; nothing was passed on. The head is decoded when it arrives, as its deadline is needed then.

--- a/features/endless_requests.feature
+++ b/features/endless_requests.feature
@@ -18,3 +18,9 @@
     And all requests are served, at most 0.5 s later than before
     And each of these callers was refused for the size of its body
     And no engine was sent their requests
+
+  Scenario: A body that comes slowly does not outlast its request
+    # Guards against requests that stay open for as long as their callers
+    # send, long after their time limits.
+    When 4 callers with a time limit of 1 s send bodies slowly for 2 s
+    Then each of their connections was closed after at most 1.5 s
--- a/features/steps/endless_requests_steps.py
+++ b/features/steps/endless_requests_steps.py
@@ -10,6 +10,7 @@
 from support.endless_callers import EndlessCallers
 from support.endless_callers import FAST_INTERVAL_S
 from support.endless_callers import PIECE_BYTES
+from support.endless_callers import SLOW_INTERVAL_S
 
 TOO_LARGE = '413'
 
@@ -27,6 +28,25 @@
     sending.join()
 
 
+@when(
+    '{count:d} callers with a time limit of {limit_s:g} s send bodies slowly'
+    ' for {lasts_s:g} s'
+)
+def step_slow_bodies(
+    context: Context, count: int, limit_s: float, lasts_s: float
+) -> None:
+    """Send a byte at a time."""
+    context.callers = _callers(context, b'1\r\nx\r\n', SLOW_INTERVAL_S)
+    context.callers.deadline_ms = int(limit_s * 1000)
+    context.callers.start(count, lasts_s).join()
+
+
+@then('each of their connections was closed after at most {most_s:g} s')
+def step_closed(context: Context, most_s: float) -> None:
+    """Check how long one was open at most."""
+    assert context.callers.longest_s <= most_s, context.callers
+
+
 @then('memory peaks at most 16 MiB above')
 def step_memory(context: Context) -> None:
     """Compare with the calm load."""
--- a/packages/daemon/src/lacewing_daemon/direct/_caller_server.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_caller_server.py
@@ -31,6 +31,10 @@
 # What is read of a body past the limit, so that its caller, which still
 # sends, gets the answer. It is not held.
 MAX_DROPPED_BYTES = 1024 * 1024
+# A body is read until the deadline of its request: its caller is gone then.
+# The upper bound applies to requests without a deadline, too.
+MIN_BODY_S = 1.0
+MAX_BODY_S = 60.0
 MAX_HEADER_BYTES = 65536
 # The routing configuration sets how long callers may keep connections idle;
 # this applies until the first one is loaded. This process closes them later by
@@ -146,6 +150,17 @@
         self._receiving.discard(server_conn)
         self._used.discard(server_conn)
 
+    def read_head(
+        self,
+        start_line: RequestStartLine,
+        headers: HTTPHeaders,
+        received_s: float,
+    ) -> CallerRequest:
+        """Return a request of which only the head was read."""
+        return self._wire.read_request(
+            start_line.method, start_line.path, headers, b'', received_s
+        )
+
     def request_started(self, server_conn: object) -> None:
         """Record that a request is being received on a connection."""
         self._quiet.pop(server_conn, None)
@@ -158,11 +173,8 @@
     def request_received(
         self,
         server_conn: object,
-        start_line: RequestStartLine,
-        headers: HTTPHeaders,
-        body: bytes,
-        dropped_bytes: int,
-        received_s: float,
+        request: CallerRequest,
+        accepts_chunks: bool,
         connection: HTTP1Connection,
     ) -> None:
         """Serve a request that was read completely, or refuse its body."""
@@ -173,13 +185,7 @@
             # without a caller, who could not retry it if it must not run
             # twice.
             return
-        request = self._wire.read_request(
-            start_line.method, start_line.path, headers, body, received_s
-        )
-        if dropped_bytes:
-            request = replace(request, dropped_bytes=dropped_bytes)
-        accepts_chunks = start_line.version != _HTTP_WITHOUT_CHUNKS
-        reply = CallerReply(connection, accepts_chunks, start_line.method)
+        reply = CallerReply(connection, accepts_chunks, request.method)
         task = asyncio.create_task(self._run(request, reply))
         self._open[task] = reply
         task.add_done_callback(self._open.pop)
@@ -217,25 +223,26 @@
         self._caller_server = server
         self._server_conn = server_conn
         self._connection = connection
-        self._start_line = RequestStartLine('', '', '')
-        self._headers = HTTPHeaders()
+        self._request: CallerRequest | None = None
+        self._accepts_chunks = True
         self._body: list[bytes] = []
         self._received_bytes = 0
         self._max_body_bytes = 0
         self._has_ended = False
-        self._received_s = 0.0
 
     def headers_received(
         self,
         start_line: RequestStartLine | ResponseStartLine,
         headers: HTTPHeaders,
     ) -> None:
-        """Store the head."""
+        """Store the head, and bound the time that the body may take."""
         assert isinstance(start_line, RequestStartLine)
         self._caller_server.request_started(self._server_conn)
-        self._start_line = start_line
-        self._headers = headers
-        self._received_s = monotonic()
+        self._accepts_chunks = start_line.version != _HTTP_WITHOUT_CHUNKS
+        self._request = self._caller_server.read_head(
+            start_line, headers, monotonic()
+        )
+        self._connection.set_body_timeout(_body_limit_s(self._request))
         self._max_body_bytes = self._caller_server.max_body_bytes
 
     def data_received(self, chunk: bytes) -> None:
@@ -255,15 +262,14 @@
         if self._has_ended:
             return
         self._has_ended = True
-        is_too_large = self._received_bytes > self._max_body_bytes
+        assert self._request is not None
+        request = self._request
+        if self._received_bytes > self._max_body_bytes:
+            request = replace(request, dropped_bytes=self._received_bytes)
+        elif self._received_bytes:
+            request = replace(request, body=b''.join(self._body))
         self._caller_server.request_received(
-            self._server_conn,
-            self._start_line,
-            self._headers,
-            b''.join(self._body),
-            self._received_bytes if is_too_large else 0,
-            self._received_s,
-            self._connection,
+            self._server_conn, request, self._accepts_chunks, self._connection
         )
 
     def on_connection_close(self) -> None:
@@ -288,5 +294,11 @@
 _BACKLOG = 1024
 
 
+def _body_limit_s(request: CallerRequest) -> float:
+    if request.deadline_s is None:
+        return MAX_BODY_S
+    return max(MIN_BODY_S, min(request.deadline_s, MAX_BODY_S))
+
+
 def _cancel_request(task: 'asyncio.Task[None]') -> None:
     task.cancel()
