Keep what a connection has carried in one place

The ids, the requests with HEAD and the answers of a connection are one record that says which request an answer belongs to. No behavior changes.

--- a/packages/daemon/src/lacewing_daemon/direct/_earlier_answers.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_carried_requests.py
@@ -1,9 +1,12 @@
-"""Tell copies of the answers that a connection carried from other answers."""
+"""Tell copies of the answers on a connection from other answers."""
 
 from dataclasses import dataclass
 from hashlib import blake2b
 
+from lacewing_daemon.direct._answer_end import HEAD
+from lacewing_daemon.direct._call import CallerRequest
 from lacewing_daemon.direct._site import ReplyHead
+from lacewing_daemon.direct._stray_answers import StrayKind
 
 _DIGEST_BYTES = 16
 
@@ -45,18 +48,48 @@
         self._body.update(piece)
 
 
-class EarlierAnswers:
-    """Remember the answers of a connection by the ids of their requests."""
+class CarriedRequests:
+    """Remember the requests of a connection and their answers."""
 
     def __init__(self) -> None:
+        self._ids: set[str] = set()
+        self._head_ids: set[str] = set()
         self._prints: dict[str, AnswerPrint] = {}
 
-    def record(self, request_id: str, answer: AnswerPrint) -> None:
-        """Remember the answer to a request."""
+    def add(self, request: CallerRequest) -> None:
+        """Record that a request is sent."""
+        self._ids.add(request.request_id)
+        if request.method == HEAD:
+            self._head_ids.add(request.request_id)
+
+    def record_answer(self, request_id: str, answer: AnswerPrint) -> None:
+        """Record the answer to a request."""
         self._prints[request_id] = answer
 
-    def may_be_copy(self, head: ReplyHead) -> bool:
-        """Return whether an answer begins like an earlier one."""
+    def has_id(self, request_id: str) -> bool:
+        """Return whether a request with an id was sent."""
+        return request_id in self._ids
+
+    def method_of(self, request_id: str) -> str:
+        """Return HEAD for a request with that method, '' for all others."""
+        return HEAD if request_id in self._head_ids else ''
+
+    def kind_of(self, head: ReplyHead) -> StrayKind:
+        """Return which request an answer belongs to, judged by its head."""
+        if head.request_id in self._ids:
+            if self._begins_like_earlier(head):
+                return StrayKind.EARLIER
+            return StrayKind.DIFFERENT
+        if head.request_id:
+            return StrayKind.UNKNOWN
+        return StrayKind.REFUSAL if head.is_refusal else StrayKind.UNNAMED
+
+    def is_copy(self, answer: AnswerDigest) -> bool:
+        """Return whether an answer that was read is an earlier one again."""
+        known = self._prints.get(answer.head.request_id)
+        return known == answer.answer_print
+
+    def _begins_like_earlier(self, head: ReplyHead) -> bool:
         known = self._prints.get(head.request_id)
         if known is None:
             return False
@@ -65,8 +98,3 @@
             and head.signature == known.signature
             and head.not_run == known.not_run
         )
-
-    def is_copy(self, answer: AnswerDigest) -> bool:
-        """Return whether an answer that was read is an earlier one again."""
-        known = self._prints.get(answer.head.request_id)
-        return known == answer.answer_print
--- a/packages/daemon/src/lacewing_daemon/direct/_connection.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_connection.py
@@ -26,12 +26,11 @@
 from lacewing_daemon.direct._answer_end import BodyEnd
 from lacewing_daemon.direct._answer_end import end_of_parsed_body
 from lacewing_daemon.direct._answer_end import has_body
-from lacewing_daemon.direct._answer_end import HEAD
 from lacewing_daemon.direct._call import CallerRequest
+from lacewing_daemon.direct._carried_requests import AnswerDigest
+from lacewing_daemon.direct._carried_requests import AnswerPrint
+from lacewing_daemon.direct._carried_requests import CarriedRequests
 from lacewing_daemon.direct._clock import boot_s
-from lacewing_daemon.direct._earlier_answers import AnswerDigest
-from lacewing_daemon.direct._earlier_answers import AnswerPrint
-from lacewing_daemon.direct._earlier_answers import EarlierAnswers
 from lacewing_daemon.direct._read_bounds import MAX_HEADER_BYTES
 from lacewing_daemon.direct._read_bounds import MAX_HELD_BYTES
 from lacewing_daemon.direct._read_bounds import MAX_INTERIM_ANSWERS
@@ -126,9 +125,7 @@
         self._idle_since_s = time.monotonic()
         self._reuse_until_s = float('inf')
         self._has_responded = False
-        self._carried_ids: set[str] = set()
-        self._answers = EarlierAnswers()
-        self._head_ids: set[str] = set()
+        self._carried = CarriedRequests()
         self._reader = asyncio.create_task(self._read())
 
     @property
@@ -160,7 +157,7 @@
 
     def has_carried(self, request: CallerRequest) -> bool:
         """Return whether it carried a request, or one with its id."""
-        return request.request_id in self._carried_ids
+        return self._carried.has_id(request.request_id)
 
     def send(
         self, request: CallerRequest, headers: HTTPHeaders, sink: ReplySink
@@ -171,9 +168,7 @@
         self._sent_requests += 1
         self._method = request.method
         self._request_id = request.request_id
-        self._carried_ids.add(request.request_id)
-        if request.method == HEAD:
-            self._head_ids.add(request.request_id)
+        self._carried.add(request)
         head = _format_head(
             request.method, request.path, headers, request.body
         )
@@ -254,9 +249,9 @@
             self._stream.close()
             return None
         if head is None or not self._is_expected(head):
-            self._report_stray(status, head)
+            kind = self._report_stray(status, head)
             self._has_responded = True
-            if head is None or not self._answers.may_be_copy(head):
+            if kind is not StrayKind.EARLIER:
                 self._end_unassigned()
                 return None
             self._sink.on_skipped()
@@ -283,46 +278,41 @@
         """Return whether a response belongs to the request under way."""
         answered_id = head.request_id
         is_own = answered_id == self._request_id
-        is_refusal = _is_refusal(head)
-        if is_refusal and (is_own or not answered_id):
+        if head.is_refusal and (is_own or not answered_id):
             self._on_refusal(bool(answered_id))
         if answered_id:
             return is_own
         # Upstreams send the request id with every request they ran; only a
         # refusal may lack it.
-        return is_refusal and not self._has_responded
-
-    def _report_stray(
-        self, status: int, head: ReplyHead | None, is_copy: bool = True
+        return head.is_refusal and not self._has_responded
+
+    def _report_stray(self, status: int, head: ReplyHead | None) -> StrayKind:
+        """Record a response to no request under way; return its kind."""
+        kind = StrayKind.UNNAMED
+        if head is not None:
+            kind = self._carried.kind_of(head)
+        self._record_stray(status, head, kind)
+        return kind
+
+    def _record_stray(
+        self, status: int, head: ReplyHead | None, kind: StrayKind
     ) -> None:
-        answered_id = '' if head is None else head.request_id
         self._on_stray(
             StrayAnswer(
-                self._stray_kind(head) if is_copy else StrayKind.DIFFERENT,
+                kind,
                 status,
                 '' if self._sink is None else self._request_id,
-                answered_id,
+                '' if head is None else head.request_id,
                 self._sent_requests - (self._sink is not None),
             )
         )
 
-    def _stray_kind(self, head: ReplyHead | None) -> StrayKind:
-        if head is None:
-            return StrayKind.UNNAMED
-        if head.request_id in self._carried_ids:
-            if self._answers.may_be_copy(head):
-                return StrayKind.EARLIER
-            return StrayKind.DIFFERENT
-        if head.request_id:
-            return StrayKind.UNKNOWN
-        return StrayKind.REFUSAL if _is_refusal(head) else StrayKind.UNNAMED
-
     def _skipped_has_body(self, status: int, headers: HTTPHeaders) -> bool:
         """Return whether a response to another request has a body."""
         method = self._method
         head = self._read_head(status, headers)
         if self._sink is not None and head is not None:
-            method = HEAD if head.request_id in self._head_ids else ''
+            method = self._carried.method_of(head.request_id)
         return has_body(method, status)
 
     def _has_body(self, status: int) -> bool:
@@ -334,9 +324,10 @@
         One that is cut off may have taken the response to this request for
         the rest of its body.
         """
-        if self._sink is None or self._answers.is_copy(answer):
+        if self._sink is None or self._carried.is_copy(answer):
             return
-        self._report_stray(answer.head.status, answer.head, is_copy=False)
+        head = answer.head
+        self._record_stray(head.status, head, StrayKind.DIFFERENT)
         self._end_unassigned()
 
     def _end_unassigned(self) -> None:
@@ -352,7 +343,7 @@
     ) -> None:
         if sink is not self._sink:
             return
-        self._answers.record(self._request_id, answer)
+        self._carried.record_answer(self._request_id, answer)
         if not self._has_body(status):
             self._end_reply(BodyEnd.NO_BODY)
             return
@@ -519,11 +510,6 @@
         sock.setsockopt(socket.IPPROTO_TCP, option, value)
 
 
-def _is_refusal(head: ReplyHead) -> bool:
-    """Return whether a response states that its request did not run."""
-    return head.not_run or head.misdirected
-
-
 def _format_head(
     method: str, path: str, headers: HTTPHeaders, body: bytes
 ) -> bytes:
--- a/packages/daemon/src/lacewing_daemon/direct/_site.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_site.py
@@ -274,6 +274,11 @@
     request_limit: float | Unstated = Unstated.ABSENT
     is_leaving: bool = False
 
+    @property
+    def is_refusal(self) -> bool:
+        """Return whether it states that its request did not run."""
+        return self.not_run or self.misdirected
+
     @property
     def is_signed(self) -> bool:
         """Return whether the answer carries the upstream's signature."""
