--- a/features/steps/failed_answers_steps.py
+++ b/features/steps/failed_answers_steps.py
@@ -16,10 +16,11 @@
 from lacewing_platform_testing._server import complete_response
 from lacewing_platform_testing._server import ReceivedRequest
 from prometheus_client import REGISTRY
-from support.direct_bench import Answer
 from support.direct_bench import direct_bench
-from support.direct_bench import DirectBench
 from support.direct_bench import PREFIX
+from support.kinds import ask_kind
+from support.kinds import KINDS
+from support.kinds import REPEATABLE
 from tornado.iostream import IOStream
 
 REQUEST_ID = PREFIX + 'Request-Id'
@@ -30,7 +31,6 @@
 EVENTS = tuple(f'id: {n}\ndata: word {n}\n\n'.encode() for n in range(1, 5))
 LENGTH = f'Content-Length: {len(BODY)}\r\n'.encode()
 CHUNKED = b'Transfer-Encoding: chunked\r\n'
-REPEATABLE = ('/records/', '/chat/')
 MANY = 10000
 # Longer than the router waits for an upstream that sends nothing.
 LATE_S = 2.0
@@ -195,24 +195,15 @@
     closes = shape.startswith(CLOSING)
     for name, (before, after) in companions.items():
         repeats = name == EARLIER_AGAIN
-        for path in ('/records/', '/certificates/', '/chat/', '/talk/'):
+        for path in KINDS:
             plan = Plan(FAILURES[shape], before, after, closes, repeats)
             bench.on_loop(lambda: context.failing.plans.append(plan))
             # Requests that ask the same and break off would be blocked.
-            answer = _ask(bench, path, len(context.met))
+            answer = ask_kind(bench, path, len(context.met))
             assert not context.failing.plans, (name, path, answer)
             context.met.append((name, path, bench.last_request, answer))
             for warm_path in ('/records/', '/chat/'):
-                assert _ask(bench, warm_path, -1).status == 200
-
-
-def _ask(bench: DirectBench, path: str, number: int) -> Answer:
-    if path == '/records/':
-        return bench.ask(f'/records/{number}?page={number}')
-    if path == '/certificates/':
-        body = f'order {number}'.encode()
-        return bench.ask('/certificates/1', method='POST', body=body)
-    return bench.ask_model(f'{path}{number}')
+                assert ask_kind(bench, warm_path, -1).status == 200
 
 
 def _skipped() -> float:
--- a/features/steps/remaining_wire_steps.py
+++ b/features/steps/remaining_wire_steps.py
@@ -26,12 +26,13 @@
 from support.direct_bench import direct_bench
 from support.direct_bench import DirectBench
 from support.direct_bench import PREFIX
+from support.kinds import ask_kind
+from support.kinds import KINDS
+from support.kinds import REPEATABLE
 
 REQUEST_ID = PREFIX + 'Request-Id'
 SIGNATURE = PREFIX + 'Response-Signature'
 NOT_RUN = PREFIX + 'Not-Executed'
-KINDS = ('/records/', '/certificates/', '/chat/', '/talk/')
-REPEATABLE = ('/records/', '/chat/')
 REFUSALS = (429, 503)
 BODY = b'a success'
 COPY_BODY = b'copy'
@@ -112,7 +113,7 @@
     context.met = []
     for number, path in enumerate(KINDS):
         for warm_path in ('/records/', '/chat/'):
-            assert _ask(bench, warm_path, -1).status == 200
+            assert ask_kind(bench, warm_path, -1).status == 200
         bench.on_loop(lambda: context.failing.plans.append(plan))
         context.met.append(_send(bench, path, number))
         assert not context.failing.plans, context.met[-1]
@@ -217,7 +218,7 @@
     fake_ran: list[str] = []
     for fake in bench.upstreams.values():
         fake.server.handle = handle
-    context.answer = _ask(bench, '/certificates/', 1)
+    context.answer = ask_kind(bench, '/certificates/', 1)
     context.fake_ran = fake_ran
 
 
@@ -313,19 +314,6 @@
 
 def _send(bench: DirectBench, path: str, number: int) -> Met:
     asked_s = time.monotonic()
-    answer = _ask(bench, path, number)
+    answer = ask_kind(bench, path, number)
     took_s = time.monotonic() - asked_s
     return Met(path, answer, bench.ran().count(bench.last_request), took_s)
-
-
-def _ask(bench: DirectBench, path: str, number: int) -> Answer:
-    """Ask for what nobody else asks for: others would be held off."""
-    if path == '/records/':
-        return bench.ask(f'/records/{number}?page={number}')
-    if path == '/certificates/':
-        body = f'order {number}'.encode()
-        return bench.ask('/certificates/1', method='POST', body=body)
-    prefix = f'a{number}:100,b{number}:100'.replace('-', '')
-    return bench.ask_model(
-        f'{path}{number}', **{PREFIX + 'Prompt-Prefix': prefix}
-    )
--- a/features/steps/unassigned_answers_steps.py
+++ b/features/steps/unassigned_answers_steps.py
@@ -25,11 +25,13 @@
 from support.attempts import send_each
 from support.direct_bench import Answer
 from support.direct_bench import direct_bench
-from support.direct_bench import DirectBench
 from support.direct_bench import HOST
 from support.direct_bench import KEY
 from support.direct_bench import PREFIX
 from support.direct_bench import PROMPT
+from support.kinds import ask_kind
+from support.kinds import KINDS
+from support.kinds import REPEATABLE
 from tornado.iostream import IOStream
 
 REQUEST_ID = PREFIX + 'Request-Id'
@@ -42,8 +44,6 @@
 PLAIN = b'a record' * 64
 EVENTS = tuple(f'id: {n}\ndata: word {n}\n\n'.encode() for n in range(1, 5))
 LATE_EVENT = b'id: 1\ndata: late\n\n'
-REPEATABLE = ('/records/', '/chat/')
-KINDS = ('/records/', '/certificates/', '/chat/', '/talk/')
 # Time from the first answer to the second one.
 GAP_S = 0.02
 # Numbers of bytes that an answer may lack.
@@ -299,26 +299,14 @@
         if is_used:
             # Any of the upstreams may be chosen next.
             for warm in range(6):
-                assert _ask(bench, path, 100 * number + warm).status == 200
+                assert ask_kind(bench, path, 100 * number + warm).status == 200
         bench.on_loop(lambda: setattr(context.twice, 'planned', first))
-        answer = _ask(bench, path, 1000 + number)
+        answer = ask_kind(bench, path, 1000 + number)
         assert context.twice.planned is None, path
         runs = bench.ran().count(bench.last_request)
         context.met.append(Met(path, answer, runs))
 
 
-def _ask(bench: DirectBench, path: str, number: int) -> Answer:
-    if path == '/records/':
-        return bench.ask(f'/records/{number}?page={number}')
-    if path == '/certificates/':
-        body = f'order {number}'.encode()
-        return bench.ask('/certificates/1', method='POST', body=body)
-    prefix = f'a{number}:100,b{number}:100'
-    return bench.ask_model(
-        f'{path}{number}', **{PREFIX + 'Prompt-Prefix': prefix}
-    )
-
-
 @then('no caller gets that success, and what may run once ran once')
 def step_not_believed(context: Context) -> None:
     """Expect 502, or the success of another run where that is allowed."""
@@ -388,12 +376,12 @@
     """Send orders on connections that have carried others."""
     bench = direct_bench(context)
     for number in range(count):
-        assert _ask(bench, '/certificates/', number).status == 200
+        assert ask_kind(bench, '/certificates/', number).status == 200
     bench.on_loop(lambda: setattr(context.twice, 'fails', count))
     served = 0
     while context.twice.fails or served < count:
         # Upstreams that have failed get nothing for a moment.
-        served += _ask(bench, '/certificates/', 100).status == 200
+        served += ask_kind(bench, '/certificates/', 100).status == 200
 
 
 @then('no connection carried a request after a failure')
