Ask about and move KV cache blocks on connections of their own

An agent took the answer to an earlier question for the answer to the next one: how many blocks the store holds, how many an engine imported or exported. So blocks counted as moved that were not, or the other way round. The answers name neither their call nor their blocks, and libcurl takes whatever arrives on a kept connection for the answer to the call under way.

Each of these calls has a connection of its own now. The new feature makes each kind of call 48 times while another answer comes at once, 5 to 400 ms later and before the next answer. The cost is 1 connection a call in place of 1 a client while nothing comes twice; calls go to the store and to the engine beside the agent, up to two for each prompt that is looked up.

The feature's other ten rows, of writes of the platform and calls to workers, hold calls that already had connections of their own to that.

--- a/features/support/curl_calls.py
+++ b/features/support/curl_calls.py
@@ -201,7 +201,7 @@
         blocks = await ask(client)
         return Learned(blocks > 0, True, f'{blocks} blocks')
 
-    return Calls(client, call, True)
+    return Calls(client, call)
 
 
 def _operators(address: str, body: bytes | None) -> Calls:
--- a/packages/daemon/src/lacewing_daemon/agent/_kv_client.py
+++ b/packages/daemon/src/lacewing_daemon/agent/_kv_client.py
@@ -3,7 +3,7 @@
 from typing import TypeVar
 
 import msgspec
-import pycurl
+from lacewing_common.curl import connect_once
 from lacewing_common.curl import CurlClient
 from lacewing_common.decode_errors import DECODE_ERRORS
 from tornado.httpclient import HTTPClientError
@@ -85,7 +85,8 @@
             headers={'Content-Type': 'application/json'},
             connect_timeout=timeout_s,
             request_timeout=timeout_s,
-            prepare_curl_callback=_use_no_proxy,
+            # An answer names neither its call nor its blocks.
+            prepare_curl_callback=connect_once,
         )
         try:
             response = await self._client.fetch(request, raise_error=False)
@@ -108,8 +109,3 @@
 
 def _names(blocks: tuple[bytes, ...]) -> tuple[str, ...]:
     return tuple(block.hex() for block in blocks)
-
-
-def _use_no_proxy(handle: pycurl.Curl) -> None:
-    # libcurl would else take a proxy from the environment.
-    handle.setopt(pycurl.PROXY, '')
