Call operators' listeners on connections of their own

It would also send a command once more by itself if a kept connection broke. That a process of the system answers twice isn't known to happen; what stands between the two may.

The cost is one connection a call, and with TLS a handshake, where a command calls a process more than once.

--- a/features/earlier_answers.feature
+++ b/features/earlier_answers.feature
@@ -30,3 +30,8 @@
       | a question to a store |
       | an import of blocks   |
       | an export of blocks   |
+
+    Examples: processes of the system
+      | call                   |
+      | a read of operators    |
+      | a command of operators |
--- a/features/support/curl_calls.py
+++ b/features/support/curl_calls.py
@@ -215,7 +215,7 @@
         arrived = not isinstance(result, Unanswered)
         return Learned(arrived, True, str(result))
 
-    return Calls(client, call, True)
+    return Calls(client, call)
 
 
 def _bench_caller(address: str) -> Calls:
--- a/packages/ctl/src/lacewing_ctl/_operators_client.py
+++ b/packages/ctl/src/lacewing_ctl/_operators_client.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 import pycurl
-from lacewing_common.curl import connect_directly
+from lacewing_common.curl import connect_once
 from lacewing_common.curl import CurlClient
 from lacewing_common.settings import TlsFiles
 from tornado.curl_httpclient import CurlError
@@ -24,7 +24,10 @@
 
 
 class OperatorsClient:
-    """Call operators' listeners; create it inside an event loop."""
+    """Call operators' listeners; create it inside an event loop.
+
+    Each call has a connection of its own, as its answer does not name it.
+    """
 
     def __init__(self, tls: TlsFiles | None) -> None:
         self._tls = tls
@@ -72,7 +75,7 @@
             return HTTPRequest(
                 f'http://{address}{path}',
                 request_timeout=_TIMEOUT_S,
-                prepare_curl_callback=connect_directly,
+                prepare_curl_callback=connect_once,
             )
         return HTTPRequest(
             f'https://{address}{path}',
@@ -89,5 +92,5 @@
 
     VMs are replaced at any time and their addresses are reused.
     """
-    connect_directly(curl)
+    connect_once(curl)
     curl.setopt(pycurl.SSL_VERIFYHOST, 0)
