Hold that the first answer to an order or a report decides

The scenario sends two answers to one call, at once and 5, 100 and 400 ms apart: a refusal, an acceptance, a failure, bytes that are no answer, half a head, or a body that lacks bytes, and then another answer. The router learns the first one, or that the result is unknown; none is skipped so that a later one counts, as it was for requests that are passed on.

--- a/features/earlier_answers.feature
+++ b/features/earlier_answers.feature
@@ -35,3 +35,30 @@
       | call                   |
       | a read of operators    |
       | a command of operators |
+
+  Scenario Outline: An upstream answers an order or a report twice
+    # Guards against an answer that is skipped, so that the one after it is
+    # believed: an order that was refused and counts as accepted.
+    When an upstream answers <call> with <first>, and up to 0.4 s later with <second>
+    Then the router learns <learned> each time
+
+    Examples: orders
+      | call     | first                     | second | learned  |
+      | an order | a 409                     | a 202  | BUSY     |
+      | an order | a 412                     | a 202  | FENCED   |
+      | an order | a 500                     | a 202  | UNKNOWN  |
+      | an order | a 202                     | a 409  | ACCEPTED |
+      | an order | an interim answer         | a 202  | ACCEPTED |
+      | an order | bytes that are no answer  | a 202  | UNKNOWN  |
+      | an order | an empty line             | a 202  | UNKNOWN  |
+      | an order | half a head               | a 202  | UNKNOWN  |
+      | an order | a 409 that lacks 3 bytes  | a 202  | BUSY     |
+      | an order | a 409 that lacks 99 bytes | a 202  | UNKNOWN  |
+
+    Examples: reports
+      | call     | first                     | second        | learned    |
+      | a report | report 1                  | report 2      | report 1   |
+      | a report | a 500                     | report 2      | no report  |
+      | a report | a 200                     | report 2      | no report  |
+      | a report | bytes that are no answer  | report 2      | no report  |
+      | a report | half a head               | report 2      | no report  |
