Bound the messages between routers by 10 MiB

grpclib reads as many bytes as a message says that it has, and grants the sender more as it reads, so that a faulty router could take the memory of all others: messages that state 2 GiB, from 4 connections for 6 s, took 548 MiB in place of 49; a router that answers a call so, 65 MiB a second until the limit of the call.

A message that states more than 10 MiB is now refused once its length is read, in calls and in streams that a router serves and in answers to its own calls. The buffer of a stream is wrapped, as the library has neither a bound nor a hook. The largest sound message, a report of 100 crashes with 64 runs of 15 shared parts each, all cleared and proven, takes 8.7 MiB encoded. The channels of the agents keep none.

--- a/features/steps/endless_answers_steps.py
+++ b/features/steps/endless_answers_steps.py
@@ -62,6 +62,13 @@
     bench.start_process(Path(folder))
 
 
+@given('{count:d} engines and a router process that other routers call')
+def step_called_fleet(context: Context, count: int) -> None:
+    """Start them, the router with an address for others."""
+    direct_bench(context).routers_call = True
+    step_fleet(context, count)
+
+
 @given('a calm load for {lasts_s:g} s')
 def step_calm(context: Context, lasts_s: float) -> None:
     """Load the router and keep what that takes."""
--- a/features/support/direct_bench.py
+++ b/features/support/direct_bench.py
@@ -74,6 +74,8 @@
         self._last_request = ''
         self.routers: list[DirectRouter] = []
         self.process: RouterProcess | None = None
+        # At which other routers call the process.
+        self.peers_address = ''
         self.upstreams: dict[str, FakeUpstream] = {}
         self.answers: list[Answer] = []
         self.config = direct_config()
@@ -159,7 +161,10 @@
 
     def start_process(self, directory: Path) -> RouterProcess:
         """Start a router as a separate process; callers connect to it."""
-        self.process = RouterProcess(directory, self.store.address, BOUNDS)
+        self.peers_address = self._peers_address()
+        self.process = RouterProcess(
+            directory, self.store.address, BOUNDS, self.peers_address
+        )
         process = self.process
         self.until(lambda: process.callers_address != '', 'a started router')
         self.until(lambda: self.ask().status == 200, 'a serving router')
--- a/features/support/router_process.py
+++ b/features/support/router_process.py
@@ -22,7 +22,9 @@
 class RouterProcess:
     """Control a router process and read its log."""
 
-    def __init__(self, directory: Path, store: str, bounds: Bounds) -> None:
+    def __init__(
+        self, directory: Path, store: str, bounds: Bounds, peers: str = ''
+    ) -> None:
         self.log = directory / 'router.log'
         self._settings = settings = directory / 'router.json'
         settings.write_bytes(
@@ -34,6 +36,7 @@
                     'ready': '127.0.0.1:0',
                     'platform': store,
                     'bounds': bounds,
+                    'peers': peers,
                 }
             )
         )
--- a/packages/daemon/src/lacewing_daemon/direct/_peer_link.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_peer_link.py
@@ -18,6 +18,7 @@
 
 from lacewing_daemon.peers import PeerCallFailed
 from lacewing_daemon.peers import PeerChannels
+from lacewing_daemon.peers import receive_only_message
 
 # Retry interval if the port is in use at startup. The previous router process
 # keeps it for some seconds while it drains.
@@ -42,7 +43,7 @@
 
     def __init__(self, address: str) -> None:
         self._address = address
-        self._channels = PeerChannels(None)
+        self._channels = PeerChannels(None, has_small_replies=True)
         self._services: list[PeerService] = []
         self._server: Server | None = None
 
@@ -123,7 +124,7 @@
     """Return the handler of a method that takes and returns one message."""
 
     async def serve(stream: Stream[Any, Any]) -> None:
-        message = await stream.recv_message()
+        message = await receive_only_message(stream)
         if message is not None:
             await stream.send_message(handle(message))
 
--- a/packages/daemon/src/lacewing_daemon/direct/exchange/_service.py
+++ b/packages/daemon/src/lacewing_daemon/direct/exchange/_service.py
@@ -12,6 +12,7 @@
 from lacewing_daemon.direct.exchange._messages import EXCHANGE_METHOD
 from lacewing_daemon.direct.exchange._messages import ExchangeAck
 from lacewing_daemon.direct.exchange._messages import ExchangeMessage
+from lacewing_daemon.peers import bound_messages
 from lacewing_daemon.peers import PeerCallFailed
 
 # A peer that takes no message for this long does not read.
@@ -51,6 +52,7 @@
         return reply.message if isinstance(reply, PeerCallFailed) else None
 
     async def _serve(self, stream: Stream[msgspec.Raw, ExchangeAck]) -> None:
+        bound_messages(stream)
         async for data in stream:
             message = msgspec.msgpack.decode(data, type=ExchangeMessage)
             self._exchange.receive(message, len(bytes(data)))
--- a/packages/daemon/src/lacewing_daemon/peers/__init__.py
+++ b/packages/daemon/src/lacewing_daemon/peers/__init__.py
@@ -1,5 +1,7 @@
 """Maintain fleet membership and distribute documents by gossip."""
 
+from lacewing_daemon.peers._bounded_messages import bound_messages
+from lacewing_daemon.peers._bounded_messages import receive_only_message
 from lacewing_daemon.peers._channels import PeerCallFailed
 from lacewing_daemon.peers._channels import PeerChannels
 from lacewing_daemon.peers._node import PeerNode
@@ -12,4 +14,6 @@
     'PeerNode',
     'PlatformReader',
     'DocumentReplicas',
+    'bound_messages',
+    'receive_only_message',
 ]
--- a/packages/daemon/src/lacewing_daemon/peers/_channels.py
+++ b/packages/daemon/src/lacewing_daemon/peers/_channels.py
@@ -20,6 +20,7 @@
 from lacewing_common.settings import SettingsError
 from msgspec import DecodeError
 
+from lacewing_daemon.peers._bounded_messages import bound_messages
 from lacewing_daemon.peers._metrics import MESSAGE_BYTES
 
 T = TypeVar('T')
@@ -63,10 +64,17 @@
 
 
 class PeerChannels:
-    """Call peers by address; open, share and close connections."""
+    """Call peers by address; open, share and close connections.
 
-    def __init__(self, tls: ssl.SSLContext | None) -> None:
+    With ``has_small_replies`` a call fails once a reply states more than the
+    bound of a message.
+    """
+
+    def __init__(
+        self, tls: ssl.SSLContext | None, has_small_replies: bool = False
+    ) -> None:
         self._tls = tls
+        self._has_small_replies = has_small_replies
         self._connections: dict[str, _Connection] = {}
         self._retired: list[_Connection] = []
 
@@ -90,7 +98,10 @@
             connection.channel, method, type(request), reply_type
         )
         return await self._finish(
-            address, connection, _await_call(call, request), timeout_s
+            address,
+            connection,
+            _await_call(call, request, self._has_small_replies),
+            timeout_s,
         )
 
     async def stream(
@@ -204,9 +215,15 @@
 
 
 async def _await_call(
-    call: UnaryUnaryMethod[Any, Any], request: object
+    call: UnaryUnaryMethod[Any, Any], request: object, is_small: bool
 ) -> Any:
-    return await call(request)
+    async with call.open() as stream:
+        await stream.send_message(request, end=True)
+        if is_small:
+            bound_messages(stream)
+        reply = await stream.recv_message()
+    assert reply is not None
+    return reply
 
 
 async def _send_all(
