Await a message of another router for 2 s at most

Messages that a router receives as the one that is called had no limit of time: a router that sends a byte now and then, or stops within a message, kept a call, its task and what was read until its connection ended, 100 calls a connection. Four connections kept all their 400 calls for 6 s.

The only message of a call is now awaited for 2 s, and a message of a stream for 2 s once its length was read; then the call is refused. Callers among routers wait for half a second at most. The wait for the next message of a stream has no limit, as loads are sent when they change.

--- a/features/endless_requests.feature
+++ b/features/endless_requests.feature
@@ -12,8 +12,8 @@
   Scenario: Many callers send bodies without end
     # Guards against a router whose memory the callers take: each body is held
     # up to a bound that is far above the limit of the configuration.
-    Given a calm load for 1 s
-    When 8 callers send bodies without end under that load for 2 s
+    Given a calm load for 0.8 s
+    When 8 callers send bodies without end under that load for 1.5 s
     Then memory peaks at most 16 MiB above
     And all requests are served, at most 0.5 s later than before
     And each of these callers was refused for the size of its body
@@ -22,5 +22,5 @@
   Scenario: A body that comes slowly does not outlast its request
     # Guards against requests that stay open for as long as their callers
     # send, long after their time limits.
-    When 4 callers with a time limit of 1 s send bodies slowly for 2 s
+    When 4 callers with a time limit of 1 s send bodies slowly for 1.8 s
     Then each of their connections was closed after at most 1.5 s
--- a/features/steps/endless_messages_steps.py
+++ b/features/steps/endless_messages_steps.py
@@ -14,8 +14,11 @@
 from grpclib.server import Stream
 from lacewing_common.codec import MsgpackCodec
 from lacewing_daemon.direct._peer_link import PeerLink
+from lacewing_daemon.direct._peer_link import unary
 from lacewing_daemon.direct.crashes._messages import CrashReportAck
 from lacewing_daemon.direct.limits._messages import MOVE_METHOD
+from lacewing_daemon.direct.limits._messages import TokenReply
+from lacewing_daemon.direct.limits._messages import TokenRequest
 from lacewing_daemon.peers import PeerCallFailed
 from lacewing_platform_testing import free_ports
 from steps.endless_answers_steps import load_router
@@ -25,6 +28,8 @@
 LARGE_BYTES = 2**31 - 1
 PIECE_BYTES = 16384
 FAST_INTERVAL_S = 0.001
+SLOW_INTERVAL_S = 0.1
+LISTEN_S = 0.1
 
 
 @when(
@@ -45,6 +50,26 @@
     assert peer.calls > 0
 
 
+@when(
+    '{count:d} routers send one messages of {size:d} bytes slowly for'
+    ' {lasts_s:g} s'
+)
+def step_slow_messages(
+    context: Context, count: int, size: int, lasts_s: float
+) -> None:
+    """Send a byte at a time to a router in this event loop."""
+    address = f'127.0.0.1:{free_ports()}'
+    context.peer = EndlessPeer(address, size, b'x', SLOW_INTERVAL_S)
+    asyncio.run(_receive_from(context.peer, count, lasts_s))
+
+
+@then('each of these calls was refused after at most {most_s:g} s')
+def step_refused_late(context: Context, most_s: float) -> None:
+    """Check how long one was received for at most."""
+    assert context.peer.calls > 0
+    assert context.peer.longest_s <= most_s, context.peer
+
+
 @when(
     'a router answers a call of at most {limit_s:g} s with a message of 2 GiB'
 )
@@ -63,6 +88,29 @@
     assert context.took_s < most_s, context.took_s
 
 
+async def _receive_from(peer: EndlessPeer, count: int, lasts_s: float) -> None:
+    link = PeerLink(peer.address)
+    link.add_service(_MoveService())
+    running = asyncio.create_task(link.run())
+    await asyncio.sleep(LISTEN_S)
+    try:
+        await peer.send_all(count, lasts_s)
+    finally:
+        running.cancel()
+        link.close()
+
+
+class _MoveService:
+    """Grant nothing."""
+
+    def __mapping__(self) -> dict[str, Handler]:
+        return {
+            MOVE_METHOD: unary(
+                lambda _request: TokenReply(), TokenRequest, TokenReply
+            )
+        }
+
+
 async def _call_endless(limit_s: float) -> object:
     address = f'127.0.0.1:{free_ports()}'
     host, _, port = address.rpartition(':')
--- a/features/support/endless_peer.py
+++ b/features/support/endless_peer.py
@@ -36,12 +36,13 @@
     def start(self, connections: int, lasts_s: float) -> threading.Thread:
         """Send from a thread of its own, and return it."""
         thread = threading.Thread(
-            target=asyncio.run, args=(self._send_all(connections, lasts_s),)
+            target=asyncio.run, args=(self.send_all(connections, lasts_s),)
         )
         thread.start()
         return thread
 
-    async def _send_all(self, connections: int, lasts_s: float) -> None:
+    async def send_all(self, connections: int, lasts_s: float) -> None:
+        """Send over several connections at once."""
         end_s = monotonic() + lasts_s
         await asyncio.gather(
             *[self._send_calls(end_s) for _ in range(connections)]
--- a/packages/daemon/src/lacewing_daemon/peers/_bounded_messages.py
+++ b/packages/daemon/src/lacewing_daemon/peers/_bounded_messages.py
@@ -1,5 +1,6 @@
 """Bound the messages that are read from peers."""
 
+import asyncio
 from typing import Any
 
 from grpclib.const import Status
@@ -9,6 +10,9 @@
 # A report of 100 crashes with 64 runs each, whose prompts have 15 parts that
 # others may share, takes 8.7 MiB.
 MAX_MESSAGE_BYTES = 10 * 1024 * 1024
+# The time for a message once its length was read, and, where one is expected,
+# for its length too. Callers wait for half a second at most.
+MESSAGE_TIMEOUT_S = 2.0
 # The length of a message precedes it.
 _PREFIX_BYTES = 5
 
@@ -40,7 +44,11 @@
                 Status.RESOURCE_EXHAUSTED,
                 f'at most {MAX_MESSAGE_BYTES} bytes are taken, got {size}',
             )
-        return await self._buffer.read(size)
+        try:
+            async with asyncio.timeout(MESSAGE_TIMEOUT_S):
+                return await self._buffer.read(size)
+        except TimeoutError as error:
+            raise _late() from error
 
 
 def bound_messages(stream: Any) -> None:
@@ -57,4 +65,12 @@
 async def receive_only_message(stream: Any) -> Any:
     """Return the message of a call with one message, None if it has none."""
     bound_messages(stream)
-    return await stream.recv_message()
+    try:
+        async with asyncio.timeout(MESSAGE_TIMEOUT_S):
+            return await stream.recv_message()
+    except TimeoutError as error:
+        raise _late() from error
+
+
+def _late() -> GRPCError:
+    return GRPCError(Status.DEADLINE_EXCEEDED, 'the message is not complete')
