Answer what a stop of a direct router would cut, and take only what fits

Callers saw: a router that got SIGTERM took requests for 2.6 s and passed them on however long they may last; at the end of the stop all that was open was cut without an answer, also what may run only once. A body that came late was refused only by its own time limit, and a request whose head was read before the stop was answered without `Connection: close`.

Cause: nothing compared what a request may take with what is left of the stop, and the end of the stop closed connections without answering first.

Fix: a request that has not run is sent during a stop only if its time limit, or what recent answers of its route took with some room, ends before the stop; others get a true 503 at once. At the end, open requests without a sent byte of their answers get 502 (draining), or 503 if they never ran, and the sockets get time to take them. Streams that have begun are still cut: an answer that ends early must not look complete.

--- a/features/ctl_explain.feature
+++ b/features/ctl_explain.feature
@@ -77,13 +77,13 @@
     Then explaining it shows status 0 and "its own side"
 
   Scenario: An answer that takes longer than the router's drain
-    # A stopped router closes the connection of a caller whose answer takes
-    # longer than the drain. Every closed connection was attributed to the
-    # caller, so the log claimed that the caller had left.
+    # A stopped router ends a request whose answer takes longer than the
+    # drain. Every ended request was attributed to the caller, so the log
+    # claimed that the caller had left.
     Given a route with a long timeout
     And all upstreams hold their answers
     When the router is stopped during a request on that route
-    Then explaining it shows status 0 and "was stopped at"
+    Then explaining it shows status 502 and "was stopped at"
 
   Scenario: A store that does not answer
     When the store is silent
--- a/packages/daemon/src/lacewing_daemon/direct/_caller_reply.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_caller_reply.py
@@ -48,6 +48,19 @@
         """Return whether the head was sent."""
         return self._has_started
 
+    @property
+    def can_answer(self) -> bool:
+        """Return whether a complete answer can still be sent.
+
+        At the stop of this process, that includes requests whose answers
+        have begun and are held until they are complete.
+        """
+        if not self._stopped:
+            return not self._has_started
+        if self._has_ended or self._connection.stream.closed():
+            return False
+        return not self._has_started or not self._accepts_chunks
+
     @property
     def has_ended(self) -> bool:
         """Return whether the answer is complete or was aborted."""
@@ -60,7 +73,7 @@
 
     @property
     def stopped(self) -> bool:
-        """Return whether the stop of this process closed the connection."""
+        """Return whether this process stops before the answer is complete."""
         return self._stopped
 
     def mark_stopped(self) -> None:
--- a/packages/daemon/src/lacewing_daemon/direct/_caller_server.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_caller_server.py
@@ -34,6 +34,7 @@
 IDLE_MARGIN_S = 1.0
 
 _HTTP_WITHOUT_CHUNKS = 'HTTP/1.0'
+_SENT_CHECK_INTERVAL_S = 0.01
 
 Serve = Callable[[CallerRequest, CallerReply], Awaitable[None]]
 
@@ -49,8 +50,8 @@
         self._open: dict[asyncio.Task[None], CallerReply] = {}
         self._stopping = False
         self._address = ''
-        self._used: set[object] = set()
-        self._receiving: set[object] = set()
+        self._used: dict[object, HTTP1Connection] = {}
+        self._receiving: dict[object, _RequestReader] = {}
         self._quiet: dict[object, HTTP1Connection] = {}
         self._server = _NotifyingServer(
             self,
@@ -73,6 +74,16 @@
         """
         return len(self._open) + len(self._receiving)
 
+    @property
+    def is_busy(self) -> bool:
+        """Return whether answers are open or not sent completely."""
+        if self.open_requests:
+            return True
+        for connection in self._used.values():
+            if connection.stream.writing():
+                return True
+        return False
+
     def listen(self, host: str, port: int) -> None:
         """Start accepting connections."""
         sockets = bind_sockets(port, host, backlog=_BACKLOG)
@@ -107,6 +118,24 @@
             connection.close()
         self._quiet.clear()
 
+    async def answer_open(self, limit_s: float) -> None:
+        """Let all open requests be answered now; wait for their sockets.
+
+        Requests that are received only in part are served as they are, which
+        refuses them: they must not be sent any more when this is called.
+        """
+        end_s = monotonic() + limit_s
+        opened = tuple(self._open.items())
+        # A task that is cancelled before its first step answers nothing.
+        await asyncio.sleep(0)
+        for reader in tuple(self._receiving.values()):
+            reader.finish()
+        for task, reply in opened:
+            reply.mark_stopped()
+            task.cancel()
+        while self.is_busy and monotonic() < end_s:
+            await asyncio.sleep(_SENT_CHECK_INTERVAL_S)
+
     async def close(self) -> None:
         """Close all connections."""
         for reply in self._open.values():
@@ -124,24 +153,26 @@
             request_conn.stream.close()
         else:
             request_conn.stream.set_nodelay(True)
-        self._used.add(server_conn)
+        self._used[server_conn] = request_conn
         self._quiet[server_conn] = request_conn
         return _RequestReader(self, server_conn, request_conn)
 
     def on_close(self, server_conn: object) -> None:
         """Remove a connection; a close callback cancels its request."""
         self._quiet.pop(server_conn, None)
-        self._receiving.discard(server_conn)
-        self._used.discard(server_conn)
+        self._receiving.pop(server_conn, None)
+        self._used.pop(server_conn, None)
 
-    def request_started(self, server_conn: object) -> None:
+    def request_started(
+        self, server_conn: object, reader: '_RequestReader'
+    ) -> None:
         """Record that a request is being received on a connection."""
         self._quiet.pop(server_conn, None)
-        self._receiving.add(server_conn)
+        self._receiving[server_conn] = reader
 
     def request_dropped(self, server_conn: object) -> None:
         """Record that a request will not be received completely."""
-        self._receiving.discard(server_conn)
+        self._receiving.pop(server_conn, None)
 
     def request_received(
         self,
@@ -153,7 +184,7 @@
         connection: HTTP1Connection,
     ) -> None:
         """Serve a request that was read completely."""
-        self._receiving.discard(server_conn)
+        self._receiving.pop(server_conn, None)
         if connection.stream.closed():
             # The request was read in the same iteration of the event loop in
             # which the connection was closed. Forwarded, it would run
@@ -165,6 +196,9 @@
         )
         accepts_chunks = start_line.version != _HTTP_WITHOUT_CHUNKS
         reply = CallerReply(connection, accepts_chunks, start_line.method)
+        if self._stopping:
+            # Its head may have been read before the stop.
+            reply.announce_close()
         task = asyncio.create_task(self._run(request, reply))
         self._open[task] = reply
         task.add_done_callback(self._open.pop)
@@ -206,6 +240,7 @@
         self._headers = HTTPHeaders()
         self._body: list[bytes] = []
         self._received_s = 0.0
+        self._has_finished = False
 
     def headers_received(
         self,
@@ -214,7 +249,7 @@
     ) -> None:
         """Store the head."""
         assert isinstance(start_line, RequestStartLine)
-        self._caller_server.request_started(self._server_conn)
+        self._caller_server.request_started(self._server_conn, self)
         self._start_line = start_line
         self._headers = headers
         self._received_s = monotonic()
@@ -224,7 +259,10 @@
         self._body.append(chunk)
 
     def finish(self) -> None:
-        """Pass the complete request on."""
+        """Pass the request on, once."""
+        if self._has_finished:
+            return
+        self._has_finished = True
         self._caller_server.request_received(
             self._server_conn,
             self._start_line,
--- a/packages/daemon/src/lacewing_daemon/direct/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_exchange.py
@@ -25,6 +25,7 @@
 from lacewing_daemon.direct._request_outcome import describe_outcome
 from lacewing_daemon.direct._request_sends import RequestSends
 from lacewing_daemon.direct._serving_context import ServingContext
+from lacewing_daemon.direct._stop_window import STOP_RETRY_S
 from lacewing_daemon.direct._stream_relay import StreamRelay
 from lacewing_daemon.direct._take_up import place_stream
 from lacewing_daemon.direct.crashes._fingerprint import identify
@@ -36,7 +37,9 @@
 # the caller in time.
 RETURN_MARGIN_S = 0.02
 
-_ROUTER_NOT_READY = frozenset((Reason.NOT_READY, Reason.PLATFORM_UNAVAILABLE))
+_ROUTER_NOT_READY = frozenset(
+    (Reason.NOT_READY, Reason.PLATFORM_UNAVAILABLE, Reason.DRAINING)
+)
 _RETRIED_LATER = (429, UNAVAILABLE)
 # Logged as the status if the caller disconnected or its answer was aborted.
 _NO_STATUS = 0
@@ -61,9 +64,17 @@
         self._charge_made: Charge | None = None
         self._no_send = ''
         self._origin = ''
+        self._was_served = False
 
     async def run(self) -> None:
-        """Serve the request; cancelled when the caller disconnects."""
+        """Serve the request; cancelled when the caller disconnects.
+
+        At the end of a stop it is cancelled too, and answered if no part of
+        its answer was sent.
+        """
+        if self._context.stop_window.has_ended:
+            self._refuse(self._stopped_refusal())
+            return
         admitted = admit(
             self._request,
             self._fleet.cluster_state.routing_config,
@@ -75,16 +86,37 @@
             return
         self._admitted = admitted
         self._subjects = identify(self._request, admitted.team_name)
+        now_s = time.monotonic()
         end_s = self._request.received_s + self._time_limit_s(admitted)
+        route = admitted.route.name
+        stops = self._context.stop_window.refusal(route, end_s, now_s)
+        if stops is not None:
+            self._refuse(stops)
+            return
+        self._context.answer_times.begin(route, self, now_s)
+        try:
+            await self._serve(admitted, end_s)
+        finally:
+            self._context.answer_times.end(
+                route, self, time.monotonic(), self._was_served
+            )
+
+    async def _serve(self, admitted: Admitted, end_s: float) -> None:
         try:
             async with asyncio.timeout(end_s - time.monotonic()):
                 refusal = await self._send_until_answered(admitted, end_s)
         except TimeoutError:
             refusal = self._deadline_refusal()
         except (CallerGoneError, asyncio.CancelledError):
+            if self._reply.stopped:
+                self._refuse(self._stopped_refusal())
+                return
             if self._sends is None or not self._sends.has_sent:
                 self._refund()
-            self._record_outcome(_NO_STATUS, self._interrupted_refusal())
+            self._record_outcome(
+                _NO_STATUS,
+                may_have_run(Reason.CALLER_GONE, 'the caller left'),
+            )
             self._reply.abort()
             raise
         finally:
@@ -161,6 +193,7 @@
 
     async def _deliver(self, relay: StreamRelay, end: AttemptEnd) -> None:
         assert end.head is not None
+        self._was_served = True
         if self._reply.has_started:
             await relay.end(end.body)
         else:
@@ -176,18 +209,17 @@
             Reason.DEADLINE, 'no answer in time', BUDGET_RETRY_AFTER_S
         )
 
-    def _interrupted_refusal(self) -> Refusal:
-        if self._reply.stopped:
-            return may_have_run(
-                Reason.DRAINING, 'the time to stop was over before the answer'
-            )
-        return may_have_run(Reason.CALLER_GONE, 'the caller left')
+    def _stopped_refusal(self) -> Refusal:
+        text = 'the time to stop was over before the answer'
+        if self._sends is not None and self._sends.may_have_run:
+            return may_have_run(Reason.DRAINING, text)
+        return not_run(Reason.DRAINING, text, STOP_RETRY_S)
 
     def _refuse(self, refusal: Refusal) -> None:
         status = status_of(refusal)
         if refusal.verdict is Verdict.NOT_RUN:
             self._refund()
-        if self._reply.has_started:
+        if not self._reply.can_answer:
             # The caller has a part of the answer. Aborting it keeps the
             # caller from taking that part for the complete answer.
             self._reply.abort()
--- a/packages/daemon/src/lacewing_daemon/direct/_request_sends.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_request_sends.py
@@ -118,6 +118,15 @@
         """Return whether the request was sent to any upstream."""
         return self._progress.sends > 0
 
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether any upstream may have begun to run it."""
+        return (
+            bool(self._open_sends)
+            or self._progress.runs > 0
+            or self._reply.has_started
+        )
+
     @property
     def waits_again(self) -> bool:
         """Return whether it is queued and has not run before."""
@@ -158,6 +167,12 @@
         admitted = self._admitted
         self._progress.software = software
         while True:
+            if not self.may_have_run:
+                stops = self._context.stop_window.refusal(
+                    admitted.route.name, self._end_s, time.monotonic()
+                )
+                if stops is not None:
+                    return stops
             if not self._crash_checks.may_send(self.has_sent):
                 return self._crash_checks.refusal()
             was_blocked = self._crash_checks.is_blocked
--- a/packages/daemon/src/lacewing_daemon/direct/_router.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_router.py
@@ -14,6 +14,7 @@
 
 from lacewing_daemon._signals import on_sighup
 from lacewing_daemon._signals import StopSignals
+from lacewing_daemon.direct._answer_times import AnswerTimes
 from lacewing_daemon.direct._call import CallerRequest
 from lacewing_daemon.direct._caller_reply import CallerReply
 from lacewing_daemon.direct._caller_server import CallerServer
@@ -35,6 +36,7 @@
 from lacewing_daemon.direct._settings import DirectSettings
 from lacewing_daemon.direct._site import Site
 from lacewing_daemon.direct._site import Wire
+from lacewing_daemon.direct._stop_window import StopWindow
 from lacewing_daemon.lease import Lease
 
 # The load balancer checks readiness once a second and removes a VM after two
@@ -42,6 +44,8 @@
 OUT_OF_ROTATION_S = 2.6
 # Reserved for closing connections before the platform kills the process.
 CLOSE_S = 0.6
+# Of this, at most so long is waited until the last answers are sent.
+LAST_ANSWERS_S = 0.3
 _DRAIN_CHECK_INTERVAL_S = 0.05
 
 _log = get_log(Part.MAIN)
@@ -68,6 +72,8 @@
         self._fleet = Fleet(settings, site)
         if started_s is not None:
             self._fleet.cluster_state.set_process_start(started_s)
+        answer_times = AnswerTimes()
+        self._stop_window = StopWindow(answer_times)
         self._context = ServingContext(
             self._fleet,
             wire,
@@ -79,6 +85,8 @@
             settings.policy,
             Random(),
             RequestLog(time.monotonic()),
+            answer_times,
+            self._stop_window,
         )
         self._caller_server = CallerServer(wire, self._serve)
         self._fleet.on_routing_config(self._apply_routing_config)
@@ -175,13 +183,17 @@
 
     async def _drain(self) -> None:
         start_s = time.monotonic()
-        end_s = start_s + self._settings.bounds.drain_s - CLOSE_S
+        serve_s = max(0.0, self._settings.bounds.drain_s - CLOSE_S)
+        end_s = start_s + serve_s
+        self._stop_window.begin(end_s)
         self._caller_server.begin_drain()
         self._fleet.queues.close()
-        await asyncio.sleep(OUT_OF_ROTATION_S)
+        await asyncio.sleep(min(OUT_OF_ROTATION_S, serve_s))
         self._caller_server.stop_listening()
-        while self._caller_server.open_requests and time.monotonic() < end_s:
+        while self._caller_server.is_busy and time.monotonic() < end_s:
             await asyncio.sleep(_DRAIN_CHECK_INTERVAL_S)
+        self._stop_window.end()
+        await self._caller_server.answer_open(LAST_ANSWERS_S)
         await self._caller_server.close()
         self._ready.close()
         self._metrics.close()
