--- a/packages/daemon/src/lacewing_daemon/direct/_answer_times.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_answer_times.py
@@ -13,8 +13,8 @@
 MIN_ANSWERS = 3
 # The next answer may take so many times what a long one took; twice as much
 # with this number of answers, as fewer answers show less.
-LONG_ANSWER_FACTOR = 1.5
-FEW_ANSWERS = 10
+LONG_ANSWER_FACTOR = 1.25
+FEW_ANSWERS = 5
 # An upstream that hangs now and then must not stand for the whole route.
 LONG_SHARE = 0.99
 
