--- a/packages/daemon/src/lacewing_daemon/direct/_caller_server.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_caller_server.py
@@ -43,6 +43,7 @@
 IDLE_MARGIN_S = 1.0
 
 _HTTP_WITHOUT_CHUNKS = 'HTTP/1.0'
+_SENT_CHECK_INTERVAL_S = 0.01
 
 Serve = Callable[[CallerRequest, CallerReply], Awaitable[None]]
 
@@ -58,8 +59,8 @@
         self._open: dict[asyncio.Task[None], CallerReply] = {}
         self._stopping = False
         self._address = ''
-        self._used: set[object] = set()
-        self._receiving: set[object] = set()
+        self._used: dict[object, HTTP1Connection] = {}
+        self._receiving: dict[object, _RequestReader] = {}
         self._quiet: dict[object, HTTP1Connection] = {}
         self._max_body_bytes = MAX_BODY_BYTES
         self._server = _NotifyingServer(
@@ -88,6 +89,16 @@
         """Return how much of a body is held."""
         return self._max_body_bytes
 
+    @property
+    def is_busy(self) -> bool:
+        """Return whether answers are open or not sent completely."""
+        if self.open_requests:
+            return True
+        for connection in self._used.values():
+            if connection.stream.writing():
+                return True
+        return False
+
     def listen(self, host: str, port: int) -> None:
         """Start accepting connections."""
         sockets = bind_sockets(port, host, backlog=_BACKLOG)
@@ -123,6 +134,24 @@
             connection.close()
         self._quiet.clear()
 
+    async def answer_open(self, limit_s: float) -> None:
+        """Let all open requests be answered now; wait for their sockets.
+
+        Requests that are received only in part are served as they are, which
+        refuses them: they must not be sent any more when this is called.
+        """
+        end_s = monotonic() + limit_s
+        opened = tuple(self._open.items())
+        # A task that is cancelled before its first step answers nothing.
+        await asyncio.sleep(0)
+        for reader in tuple(self._receiving.values()):
+            reader.finish()
+        for task, reply in opened:
+            reply.mark_stopped()
+            task.cancel()
+        while self.is_busy and monotonic() < end_s:
+            await asyncio.sleep(_SENT_CHECK_INTERVAL_S)
+
     async def close(self) -> None:
         """Close all connections."""
         for reply in self._open.values():
@@ -140,15 +169,15 @@
             request_conn.stream.close()
         else:
             request_conn.stream.set_nodelay(True)
-        self._used.add(server_conn)
+        self._used[server_conn] = request_conn
         self._quiet[server_conn] = request_conn
         return _RequestReader(self, server_conn, request_conn)
 
     def on_close(self, server_conn: object) -> None:
         """Remove a connection; a close callback cancels its request."""
         self._quiet.pop(server_conn, None)
-        self._receiving.discard(server_conn)
-        self._used.discard(server_conn)
+        self._receiving.pop(server_conn, None)
+        self._used.pop(server_conn, None)
 
     def read_head(
         self,
@@ -161,14 +190,16 @@
             start_line.method, start_line.path, headers, b'', received_s
         )
 
-    def request_started(self, server_conn: object) -> None:
+    def request_started(
+        self, server_conn: object, reader: '_RequestReader'
+    ) -> None:
         """Record that a request is being received on a connection."""
         self._quiet.pop(server_conn, None)
-        self._receiving.add(server_conn)
+        self._receiving[server_conn] = reader
 
     def request_dropped(self, server_conn: object) -> None:
         """Record that a request will not be received completely."""
-        self._receiving.discard(server_conn)
+        self._receiving.pop(server_conn, None)
 
     def request_received(
         self,
@@ -178,7 +209,7 @@
         connection: HTTP1Connection,
     ) -> None:
         """Serve a request that was read completely, or refuse its body."""
-        self._receiving.discard(server_conn)
+        self._receiving.pop(server_conn, None)
         if connection.stream.closed():
             # The request was read in the same iteration of the event loop in
             # which the connection was closed. Forwarded, it would run
@@ -186,6 +217,9 @@
             # twice.
             return
         reply = CallerReply(connection, accepts_chunks, request.method)
+        if self._stopping:
+            # Its head may have been read before the stop.
+            reply.announce_close()
         task = asyncio.create_task(self._run(request, reply))
         self._open[task] = reply
         task.add_done_callback(self._open.pop)
@@ -237,7 +271,7 @@
     ) -> None:
         """Store the head, and bound the time that the body may take."""
         assert isinstance(start_line, RequestStartLine)
-        self._caller_server.request_started(self._server_conn)
+        self._caller_server.request_started(self._server_conn, self)
         self._accepts_chunks = start_line.version != _HTTP_WITHOUT_CHUNKS
         self._request = self._caller_server.read_head(
             start_line, headers, monotonic()
@@ -258,7 +292,7 @@
             self.finish()
 
     def finish(self) -> None:
-        """Pass on the request, complete or with a body too large."""
+        """Pass on the request once, complete or with a body too large."""
         if self._has_ended:
             return
         self._has_ended = True
