Make enough calls for copies that come 0.4 s late

The calls of features/earlier_answers.feature took 0.24 s in all, so that no copy that came 0.4 s after an answer came while one was made. There are 12 now in place of 6, which take 0.48 s.

--- a/features/steps/earlier_answers_steps.py
+++ b/features/steps/earlier_answers_steps.py
@@ -20,7 +20,8 @@
 from support.upstream_fleet import UPSTREAM
 from tornado.iostream import StreamClosedError
 
-_CALLS = 6
+# The copies that come last arrive while the last calls are made.
+_CALLS = 12
 _GAP_S = 0.03
 # Between two answers are some 0.04 s: some of these copies arrive while a
 # later call is under way.
