Reject events that hold the head of an answer without an id

A stream without framing that is cut inside an event, and is followed by a failure that names no request, was passed on with the head of the failure as an event. No line of an event states a framing, so such an event ends the send. The third row of "A stream without framing ..." failed before.

--- a/features/direct_unassigned_answers.feature
+++ b/features/direct_unassigned_answers.feature
@@ -119,11 +119,18 @@
     When answers with a status line in their text are followed by nothing
     Then each of them is whole
 
-  Scenario: A stream without framing that is cut short is followed by itself
+  Scenario Outline: A stream without framing that is cut short is followed by <next>
     # Guards against the head of an answer that is passed on as an event.
-    When a stream without framing is cut inside an event, and the whole one follows
+    When a stream without framing is cut <where> an event, and <next> follows
     Then its caller gets no part of the second one
 
+    Examples: answers
+      | where  | next                    |
+      | inside | the whole one           |
+      | after  | the whole one           |
+      | inside | a failure without an id |
+      | after  | a failure without an id |
+
   Scenario: A connection carries nothing after a failure
     # Guards against a late copy of a failure that is taken for a failure of
     # the next request, or hides one.
--- a/features/steps/unassigned_answers_steps.py
+++ b/features/steps/unassigned_answers_steps.py
@@ -493,10 +493,9 @@
 
 
 @when(
-    'a stream without framing is cut inside an event, and the whole one'
-    ' follows'
+    'a stream without framing is cut {where} an event, and {following} follows'
 )
-def step_cut_stream(context: Context) -> None:
+def step_cut_stream(context: Context, where: str, following: str) -> None:
     """Answer a stream that may run once twice on one connection."""
     bench = direct_bench(context)
 
@@ -512,7 +511,11 @@
             b'Content-Length: 0\r\n', b''
         )
         whole = head + b''.join(EVENTS)
-        await received.stream.write(head + EVENTS[0] + EVENTS[1][:9] + whole)
+        cut = EVENTS[1][:9] if where == 'inside' else b''
+        follow = whole
+        if following != 'the whole one':
+            follow = FOLLOWING[following]('')
+        await received.stream.write(head + EVENTS[0] + cut + follow)
         received.stream.close()
 
     for fake in bench.upstreams.values():
--- a/packages/daemon/src/lacewing_daemon/direct/_overrun.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_overrun.py
@@ -11,8 +11,9 @@
 _START = b'HTTP/'
 _STATUS_LINE = r'HTTP/[0-9]\.[0-9] [0-9]{3}'
 _TEXT_WITH_STATUS_LINE = re.compile(_STATUS_LINE)
-_LINE_WITH_STATUS_LINE = re.compile(
-    rb'^' + _STATUS_LINE.encode(), re.MULTILINE
+_LINE_OF_HEAD = re.compile(
+    rb'^(%b|content-length:|transfer-encoding:)' % _STATUS_LINE.encode(),
+    re.MULTILINE | re.IGNORECASE,
 )
 
 
@@ -56,11 +57,11 @@
     def is_in_event(self, event: bytes) -> bool:
         """Return whether another answer begins inside an event.
 
-        No line of an event begins with a status line.
+        No line of an event begins with a status line or states a framing.
         """
         if _START not in event:
             return False
-        if _LINE_WITH_STATUS_LINE.search(event) is not None:
+        if _LINE_OF_HEAD.search(event) is not None:
             return True
         return self.is_in_body(event, b'')
 
