--- a/packages/daemon/src/lacewing_daemon/direct/_carried_requests.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_carried_requests.py
@@ -12,7 +12,7 @@
 
 
 @dataclass(frozen=True)
-class AnswerPrint:
+class AnswerFingerprint:
     """Hold what an answer is compared by; ``body`` is a digest."""
 
     status: int
@@ -34,9 +34,9 @@
         return self._head
 
     @property
-    def answer_print(self) -> AnswerPrint:
+    def fingerprint(self) -> AnswerFingerprint:
         """Return what was read so far."""
-        return AnswerPrint(
+        return AnswerFingerprint(
             self._head.status,
             self._head.signature,
             self._head.not_run,
@@ -54,7 +54,7 @@
     def __init__(self) -> None:
         self._ids: set[str] = set()
         self._head_ids: set[str] = set()
-        self._prints: dict[str, AnswerPrint] = {}
+        self._fingerprints: dict[str, AnswerFingerprint] = {}
 
     def add(self, request: CallerRequest) -> None:
         """Record that a request is sent."""
@@ -62,9 +62,11 @@
         if request.method == HEAD:
             self._head_ids.add(request.request_id)
 
-    def record_answer(self, request_id: str, answer: AnswerPrint) -> None:
+    def record_answer(
+        self, request_id: str, answer: AnswerFingerprint
+    ) -> None:
         """Record the answer to a request."""
-        self._prints[request_id] = answer
+        self._fingerprints[request_id] = answer
 
     def has_id(self, request_id: str) -> bool:
         """Return whether a request with an id was sent."""
@@ -86,11 +88,11 @@
 
     def is_copy(self, answer: AnswerDigest) -> bool:
         """Return whether an answer that was read is an earlier one again."""
-        known = self._prints.get(answer.head.request_id)
-        return known == answer.answer_print
+        known = self._fingerprints.get(answer.head.request_id)
+        return known == answer.fingerprint
 
     def _begins_like_earlier(self, head: ReplyHead) -> bool:
-        known = self._prints.get(head.request_id)
+        known = self._fingerprints.get(head.request_id)
         if known is None:
             return False
         return (
--- a/packages/daemon/src/lacewing_daemon/direct/_connection.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_connection.py
@@ -28,7 +28,7 @@
 from lacewing_daemon.direct._answer_end import has_body
 from lacewing_daemon.direct._call import CallerRequest
 from lacewing_daemon.direct._carried_requests import AnswerDigest
-from lacewing_daemon.direct._carried_requests import AnswerPrint
+from lacewing_daemon.direct._carried_requests import AnswerFingerprint
 from lacewing_daemon.direct._carried_requests import CarriedRequests
 from lacewing_daemon.direct._clock import boot_s
 from lacewing_daemon.direct._overrun import is_in_head
@@ -346,7 +346,7 @@
         sink: ReplySink,
         status: int,
         headers: HTTPHeaders,
-        answer: AnswerPrint,
+        answer: AnswerFingerprint,
     ) -> None:
         if sink is not self._sink:
             return
@@ -444,7 +444,7 @@
             self._sink,
             self._status,
             self._headers,
-            self._digest.answer_print,
+            self._digest.fingerprint,
         )
 
     def on_connection_close(self) -> None:
