Take late requests of a stop by their time limit alone

What callers saw: a stream that began late in a router's stop, on a route whose answers had been short, was cut at the end of the stop: status 0, with a part of the answer in the caller's hands. Cause: during the whole stop a request was taken if what recent answers of its route took fits. That is an estimate; where an upstream then stalls, the stop ends first. While new connections arrive it is a fair exchange, as refusing all that might not fit refuses most of a route. Once the router has stopped listening (2.6 s) only bodies that were open come, and other routers take these requests at once. Change: from the end of the rotation on, only requests whose time limit ends before the stop are sent; the others get a true 503 with Retry-After 0.05 s.

--- a/features/direct_stop.feature
+++ b/features/direct_stop.feature
@@ -104,6 +104,22 @@
       And a request for "/slow/4" comes on it
       Then the caller gets 503 and "Connection: close" at once
 
+    Scenario Outline: A <body> that becomes whole when no callers come any more
+      # Guards against streams that begin late in a stop, as earlier ones were
+      # short, and are cut at its end.
+      Given a stream route with a long timeout and slow events
+      And 30 streams on that route were answered
+      And all upstreams stall after an event
+      When a <body> for that route is open as the stop begins
+      And its last bytes come 2.9 s later
+      Then the caller gets 503 and "Connection: close" at once
+      And no upstream received the request
+
+      Examples:
+        | body         |
+        | body         |
+        | chunked body |
+
     Scenario: A request whose time limit ends before the stop
       When a new connection is open as the stop begins
       And a request for "/certificates/4" comes on it
@@ -115,7 +131,7 @@
       When a request with <limit_s> s may be sent <left_s> s before the end
       Then it is <result>
 
-      Examples:
+      Examples: Callers still come
         | count | took_s | open | age_s | limit_s | left_s | result          |
         | 0     | 0.05   | 0    | 0     | 5       | 7      | sent            |
         | 0     | 0.05   | 0    | 0     | 8       | 7      | refused for now |
@@ -127,3 +143,8 @@
         | 20    | 7.5    | 0    | 0     | 6       | 7      | sent            |
         | 128   | 0.05   | 1    | 5     | 8       | 7      | sent            |
         | 128   | 0.05   | 4    | 8     | 9       | 7      | refused for now |
+
+      Examples: No callers come any more
+        | count | took_s | open | age_s | limit_s | left_s | result          |
+        | 128   | 0.05   | 0    | 0     | 5       | 4.8    | refused for now |
+        | 128   | 0.05   | 0    | 0     | 4.5     | 4.7    | sent            |
--- a/features/steps/stop_steps.py
+++ b/features/steps/stop_steps.py
@@ -16,7 +16,9 @@
 from lacewing_common.verdict import Verdict
 from lacewing_daemon.direct._answer_times import AnswerTimes
 from lacewing_daemon.direct._refusal_status import status_of
+from lacewing_daemon.direct._router import OUT_OF_ROTATION_S
 from lacewing_daemon.direct._stop_window import StopWindow
+from lacewing_platform_testing import Behaviour
 from msgspec.structs import replace
 from support.direct_bench import Answer
 from support.direct_bench import BOUNDS
@@ -33,6 +35,8 @@
 _AT_ONCE_S = 1.0
 _STREAM_PATH = '/long/'
 _NOW_S = 1000.0
+# From the signal until open requests are answered.
+_SERVE_S = 7.4
 _DRAINING = 'main: Draining.'
 _READ_AGAIN = 'main: Read the settings again.'
 
@@ -153,6 +157,21 @@
     bench.until(lambda: bench.ask(_STREAM_PATH).status != 404, 'the new route')
 
 
+@given('{count:d} streams on that route were answered')
+def step_streams_answered(context: Context, count: int) -> None:
+    """Let the router observe short streams."""
+    bench = direct_bench(context)
+    for _ in range(count):
+        assert bench.ask_model(f'{_STREAM_PATH}1').status == 200
+
+
+@given('all upstreams stall after an event')
+def step_stall(context: Context) -> None:
+    """Let each stream begin and not go on."""
+    for upstream in direct_bench(context).upstreams.values():
+        upstream.always = Behaviour.STALLS
+
+
 @given('{count:d} requests to "{path}" were answered')
 def step_answered(context: Context, count: int, path: str) -> None:
     """Let the router observe answers of a route."""
@@ -227,6 +246,33 @@
         process.send(signal.Signals[name])
 
 
+@when('a {way} for that route is open as the stop begins')
+def step_stream_body(context: Context, way: str) -> None:
+    """Begin the stop while a part of a body is withheld."""
+    bench = direct_bench(context)
+    context.way = way
+    _connect(context).send(
+        _STREAM_PATH,
+        'POST',
+        _PIECE,
+        withheld=4,
+        in_chunks=way.startswith('chunked'),
+        headers=PROMPT,
+    )
+    time.sleep(_SIGNAL_INTERVAL_S)
+    assert bench.process is not None
+    bench.process.send(signal.SIGTERM)
+    bench.until(lambda: _logged(context, _DRAINING), 'a router that stops')
+
+
+@when('its last bytes come {later_s:g} s later')
+def step_last_bytes(context: Context, later_s: float) -> None:
+    """Send what is left of the request and read the answer."""
+    time.sleep(later_s)
+    _call(context).send_rest()
+    _call(context).read()
+
+
 @when('a {way} is open as the stop begins')
 def step_stop_while_open(context: Context, way: str) -> None:
     """Begin the stop while a connection waits for its request."""
@@ -352,7 +398,8 @@
 def step_may_be_sent(context: Context, limit_s: float, left_s: float) -> None:
     """Ask whether a request is sent."""
     window = StopWindow(context.times)
-    window.begin(_NOW_S + left_s)
+    end_s = _NOW_S + left_s
+    window.begin(end_s, end_s - _SERVE_S + OUT_OF_ROTATION_S)
     context.refusal = window.refusal('slow', _NOW_S + limit_s, _NOW_S)
 
 
--- a/packages/daemon/src/lacewing_daemon/direct/_router.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_router.py
@@ -186,10 +186,11 @@
         start_s = time.monotonic()
         serve_s = max(0.0, self._drain_s - CLOSE_S)
         end_s = start_s + serve_s
-        self._stop_window.begin(end_s)
+        rotation_s = min(OUT_OF_ROTATION_S, serve_s)
+        self._stop_window.begin(end_s, start_s + rotation_s)
         self._caller_server.begin_drain()
         self._fleet.queues.close()
-        await asyncio.sleep(min(OUT_OF_ROTATION_S, serve_s))
+        await asyncio.sleep(rotation_s)
         self._caller_server.stop_listening()
         while self._caller_server.is_busy and time.monotonic() < end_s:
             await asyncio.sleep(_DRAIN_CHECK_INTERVAL_S)
--- a/packages/daemon/src/lacewing_daemon/direct/_stop_window.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_stop_window.py
@@ -21,6 +21,7 @@
     def __init__(self, answer_times: AnswerTimes) -> None:
         self._answer_times = answer_times
         self._end_s = inf
+        self._rotation_end_s = inf
         self._has_ended = False
 
     @property
@@ -28,9 +29,13 @@
         """Return whether nothing is sent to upstreams any more."""
         return self._has_ended
 
-    def begin(self, end_s: float) -> None:
-        """Begin to stop; open requests are answered at ``end_s``."""
+    def begin(self, end_s: float, rotation_end_s: float) -> None:
+        """Begin to stop; open requests are answered at ``end_s``.
+
+        ``rotation_end_s``: when the load balancer sends no new connections.
+        """
         self._end_s = end_s
+        self._rotation_end_s = rotation_end_s
 
     def end(self) -> None:
         """Send no request to an upstream any more."""
@@ -50,8 +55,7 @@
             return not_run(Reason.DRAINING, text, STOP_RETRY_S)
         if limit_end_s <= self._end_s:
             return None
-        may_take_s = self._answer_times.may_take_s(route, now_s)
-        if now_s + may_take_s <= self._end_s:
+        if self._fits(route, now_s):
             return None
         return not_run(
             Reason.DRAINING,
@@ -59,3 +63,15 @@
             ' may take longer',
             STOP_RETRY_S,
         )
+
+    def _fits(self, route: str, now_s: float) -> bool:
+        """Return whether an answer is likely to end before the stop does.
+
+        While new connections arrive, refusing all requests that might not
+        fit would refuse most of a route. The few that become complete later
+        are not worth that risk.
+        """
+        if now_s >= self._rotation_end_s:
+            return False
+        may_take_s = self._answer_times.may_take_s(route, now_s)
+        return now_s + may_take_s <= self._end_s
