Release what ended requests hold at once

What callers saw: nothing by itself; a router beside large bodies and answers kept them long after their requests had ended. Cause: a send and its attempt, and the sends of a request and its handovers, refer to each other, so answer and body stayed until a garbage collection; the reader of a request kept its pieces beside the whole body until the next request of the connection; an answer was joined twice; and glibc keeps freed blocks of some MiB in the heap once it has raised its threshold. Ruled out: kept exceptions and tasks (none refer to an ended send). Change: an attempt drops its callbacks and its body when it has ended, a request its sends; a body is joined once; blocks of 128 KiB and more are returned to the system (mallopt, where the allocator has it).

--- a/packages/daemon/src/lacewing_daemon/command.py
+++ b/packages/daemon/src/lacewing_daemon/command.py
@@ -13,6 +13,7 @@
 
 from lacewing_daemon._check import check_files
 from lacewing_daemon._serve import serve
+from lacewing_daemon.memory import return_large_blocks
 
 
 def run(settings: str, check: bool = False) -> None:
@@ -31,6 +32,7 @@
         print(f'lacewingd: {settings}: settings are valid')
         sys.exit(Exit.OK)
     set_up_logs(checked_settings.log_level.value, checked_settings.process_id)
+    return_large_blocks()
     sys.exit(asyncio.run(serve(checked_settings)))
 
 
--- a/packages/daemon/src/lacewing_daemon/direct/_attempt.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_attempt.py
@@ -53,6 +53,10 @@
     return True
 
 
+def _ignore_head(_head: ReplyHead) -> None:
+    return
+
+
 class Contact(Enum):
     """State whether an upstream could be reached.
 
@@ -213,6 +217,7 @@
                 is_released = True
             return end
         finally:
+            self._detach()
             if not is_released:
                 # Closing also stops the upstream's work on an abandoned
                 # request.
@@ -229,6 +234,8 @@
 
     def on_head(self, status: int, headers: HTTPHeaders) -> None:
         """Store the status and the headers of the answer."""
+        if self._ended.done():
+            return
         head = self._wire.read_reply(status, headers)
         self._head = head
         length = headers.get('Content-Length')
@@ -273,13 +280,27 @@
         """End the attempt at the end of the answer."""
         if self._ended.done():
             return
+        self._body = [b''.join(self._body)]
         if body_end in TRANSFERRED and self._finder.is_in_body(
-            b''.join(self._body), following
+            self._body[0], following
         ):
             body_end = BodyEnd.OVERRUN
         self._body_end = body_end
         self._ended.set_result(None)
 
+    def _detach(self) -> None:
+        """Drop what refers back to this, and with it what it holds.
+
+        Otherwise the answer would stay in memory until a garbage collection.
+        """
+        self.abort()
+        if not self._ended.cancelled():
+            # A cancelled run has not retrieved it.
+            self._ended.exception()
+        self._on_head = _ignore_head
+        self._on_events = None
+        self._body = []
+
     def _collect(self, piece: bytes) -> None:
         self._last_piece_s = asyncio.get_running_loop().time()
         self._body_bytes += len(piece)
--- a/packages/daemon/src/lacewing_daemon/direct/_caller_server.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_caller_server.py
@@ -302,6 +302,9 @@
             request = replace(request, dropped_bytes=self._received_bytes)
         elif self._received_bytes:
             request = replace(request, body=b''.join(self._body))
+        # This lives until the next request of the connection.
+        self._body.clear()
+        self._request = None
         self._caller_server.request_received(
             self._server_conn, request, self._accepts_chunks, self._connection
         )
--- a/packages/daemon/src/lacewing_daemon/direct/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_exchange.py
@@ -100,6 +100,8 @@
             self._context.answer_times.end(
                 route, self, time.monotonic(), self._was_served
             )
+            if self._sends is not None:
+                self._sends.forget()
 
     async def _serve(self, admitted: Admitted, end_s: float) -> None:
         try:
--- a/packages/daemon/src/lacewing_daemon/direct/_request_sends.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_request_sends.py
@@ -158,6 +158,14 @@
         for handover in self._handovers:
             handover.close()
 
+    def forget(self) -> None:
+        """Drop what refers back to this, and with it the request.
+
+        Otherwise its body would stay in memory until a garbage collection.
+        """
+        self._open_sends.clear()
+        self._handovers.clear()
+
     async def run(self, software: str | None) -> AttemptEnd | Refusal:
         """Return the end of the answer, or why there is none.
 
