Bound what all callers together make a direct router hold

What callers saw: ordinary ones got no connection, or none at all once the process had run out of memory. Cause: a body, a head, an answer and a stream has each a bound, all of them together have none; connections have no number; the configuration's limits of heads were not read; nothing ended a write without progress; a stream for a caller without chunks was held to its end. Ruled out: a limit a case (the sum of cases would still have none). Change: one account (lacewing_daemon.callers). Each connection of the callers', readiness and metrics ports counts its head, body, collected answer and unsent bytes. Bytes may take an eighth of the VM's memory, connections as much once more and half of the free descriptors; the size of the VM comes with the settings. Past a bound, room is made by ending what has cost most, in bytes times seconds, of connections whose callers are waited for; connections first by age without a request. A body that is ended so gets 503, not run; what the router itself works on is not ended: a new body is refused instead, and an answer without room is cut (502). Besides: MaxHeaderBytes and HeaderTimeoutMs (1 s more), 15 s without a byte acknowledged, 1,024 chunks and more only of 64 bytes on average, streams held for HTTP/1.0 up to 4 MiB. A metric and a log line name the limit that acted. Checks: "answers that nobody reads" has 30 callers and a stall limit of 1 s of its own; before, all scenarios had it, which would have ended slow readers in place of the account.

--- a/features/direct_settings.feature
+++ b/features/direct_settings.feature
@@ -17,10 +17,15 @@
       | first_start    | "yes"     | Expected `bool`, got `str` - at `$.first_start` |
       | contracts      | "pressure" | Expected `array`, got `str` - at `$.contracts` |
       | contracts      | ["a", 3]  | Expected `str`, got `int` - at `$.contracts[1]` |
+      | vm             | {"memory_mb": 0} | Expected `float` > 0.0 - at `$.vm.memory_mb` |
+      | vm             | {"file_descriptors": -1} | Expected `int` >= 0 - at `$.vm.file_descriptors` |
+      | caller_limits  | {"memory_share": 1.5} | Expected `float` <= 1.0 - at `$.caller_limits.memory_share` |
+      | caller_limits  | {"write_stall_s": 0} | Expected `float` > 0.0 - at `$.caller_limits.write_stall_s` |
 
   Scenario: The template for the platform renders to valid settings
     When the template is filled with the fields that the platform provides
     Then the settings are valid and have the platform's bounds in seconds
+    And the settings have the size of the VM
 
   Scenario Outline: Contracts set the contention where settings leave it open
     # Guards against a deployment under pressure that is served as usual, and
--- a/features/hostile_callers.feature
+++ b/features/hostile_callers.feature
@@ -28,6 +28,7 @@
   Scenario: Plain answers that nobody reads
     # Guards against answers that are held for as long as their callers stay.
     Given upstreams whose answers have 4000000 bytes
+    And a router that ends answers without progress after 1 s
     When 30 callers ask for "/records/1" and read nothing
     Then the router closes all of their connections
     And the router lives within its VM
--- a/features/steps/direct_settings_steps.py
+++ b/features/steps/direct_settings_steps.py
@@ -47,6 +47,8 @@
     'Bounds.RetryBudgetRatio': 0.2,
     'Bounds.RetryBudgetSlack': 54,
     'Bounds.BudgetWindowS': 10,
+    'Limits.MemoryMb': 150,
+    'Limits.FileDescriptors': 4100,
     'ActiveContracts': ['retry', 'deadline'],
     'Bootstrap': False,
 }
@@ -92,6 +94,14 @@
     context.settings = _read_settings(_render(TEMPLATE_FIELDS))
 
 
+@then('the settings have the size of the VM')
+def step_vm(context: Context) -> None:
+    """Compare with the fields that the platform provides."""
+    vm = context.settings.vm
+    assert vm.memory_mb == TEMPLATE_FIELDS['Limits.MemoryMb'], vm
+    assert vm.file_descriptors == TEMPLATE_FIELDS['Limits.FileDescriptors'], vm
+
+
 @when('the template is filled on a platform that limits teams')
 def step_template_limits(context: Context) -> None:
     """Add the bounds of teams' limits, one of which is 0."""
--- a/features/steps/handover_steps.py
+++ b/features/steps/handover_steps.py
@@ -27,6 +27,10 @@
         self.has_started = True
         self.last_event: str | None = '1'
 
+    def hold(self, _size: int) -> bool:
+        """Hold any answer."""
+        return True
+
     async def forward(self, _head: ReplyHead, events: Iterable[bytes]) -> None:
         """Record events."""
         self.events.extend(events)
--- a/features/steps/hostile_callers_steps.py
+++ b/features/steps/hostile_callers_steps.py
@@ -27,7 +27,6 @@
 _MAX_BODY_BYTES = 4 * 1024 * 1024
 # Longer than the scenarios wait, so that only other limits end connections.
 _IDLE_TIMEOUT_MS = 60000
-_STALL_S = 1.0
 _HELD_S = 3.0
 _STREAM_PATH = '/long/'
 _LONG_MS = 60000
@@ -89,13 +88,28 @@
     context.descriptors = descriptors
     bench.process_settings = {
         'vm': {'memory_mb': memory_mb, 'file_descriptors': descriptors},
-        'caller_limits': {'write_stall_s': _STALL_S},
     }
+    _start(context)
+
+
+@given('a router that ends answers without progress after {stall_s:g} s')
+def step_stalls(context: Context, stall_s: float) -> None:
+    """Start another process with a shorter limit."""
+    bench = direct_bench(context)
+    bench.process_settings['caller_limits'] = {'write_stall_s': stall_s}
+    _process(context).end()
+    _start(context)
+
+
+def _start(context: Context) -> None:
+    bench = direct_bench(context)
     directory = tempfile.TemporaryDirectory()
     context.resources.callback(directory.cleanup)
     process = bench.start_process(Path(directory.name))
     resource.prlimit(
-        process.pid, resource.RLIMIT_NOFILE, (descriptors, descriptors)
+        process.pid,
+        resource.RLIMIT_NOFILE,
+        (context.descriptors, context.descriptors),
     )
     context.descriptors_before = process.descriptors
 
--- a/packages/daemon/src/lacewing_daemon/direct/__init__.py
+++ b/packages/daemon/src/lacewing_daemon/direct/__init__.py
@@ -11,6 +11,8 @@
 from lacewing_daemon.direct._read_bounds import ReadSource
 from lacewing_daemon.direct._read_bounds import record_cut
 from lacewing_daemon.direct._router import DirectRouter
+from lacewing_daemon.direct._routing_config import DEFAULT_HEAD_S
+from lacewing_daemon.direct._routing_config import DEFAULT_HEADER_BYTES
 from lacewing_daemon.direct._routing_config import Engine
 from lacewing_daemon.direct._routing_config import KvStore
 from lacewing_daemon.direct._routing_config import Limits
@@ -50,6 +52,8 @@
     'Contention',
     'DirectRouter',
     'DirectSettings',
+    'DEFAULT_HEADER_BYTES',
+    'DEFAULT_HEAD_S',
     'RoutingConfig',
     'Dispatch',
     'Engine',
--- a/packages/daemon/src/lacewing_daemon/direct/_attempt.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_attempt.py
@@ -53,6 +53,10 @@
     return True
 
 
+def _always_hold(_size: int) -> bool:
+    return True
+
+
 def _ignore_head(_head: ReplyHead) -> None:
     return
 
@@ -127,8 +131,10 @@
         wire: Wire,
         on_head: Callable[[ReplyHead], None],
         on_events: OnEvents | None,
+        hold: Callable[[int], bool] = _always_hold,
     ) -> None:
         self._request = request
+        self._hold = hold
         self._wire = wire
         self._on_head = on_head
         self._on_events = on_events
@@ -299,6 +305,7 @@
             self._ended.exception()
         self._on_head = _ignore_head
         self._on_events = None
+        self._hold = _always_hold
         self._body = []
 
     def _collect(self, piece: bytes) -> None:
@@ -308,6 +315,10 @@
             self._body.clear()
             self._cut(self._body_bytes, 'body')
             return
+        if not self._hold(len(piece)):
+            self._body.clear()
+            self._cut(self._body_bytes, 'body without room')
+            return
         self._body.append(piece)
 
     def _cut(self, received: int, what: str) -> None:
--- a/packages/daemon/src/lacewing_daemon/direct/_call.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_call.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from lacewing_common.verdict import Refusal
 from tornado.httputil import HTTPHeaders
 
 
@@ -46,6 +47,7 @@
     ``place_error`` says why it can't be told after which event a stream is to
     go on, '' if it can. ``dropped_bytes``: what was read of a body that is
     too large and was not kept, 0 if ``body`` is complete.
+    ``receive_refusal``: why the rest of it was not received, None if it was.
     """
 
     method: str
@@ -63,3 +65,4 @@
     resumed_request: str = ''
     place_error: str = ''
     dropped_bytes: int = 0
+    receive_refusal: Refusal | None = None
--- a/packages/daemon/src/lacewing_daemon/direct/_caller_reply.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_caller_reply.py
@@ -9,13 +9,27 @@
 from tornado.httputil import ResponseStartLine
 from tornado.iostream import StreamClosedError
 
+from lacewing_daemon.callers import CallerLimit
+from lacewing_daemon.callers import CallerStream
+from lacewing_daemon.callers import Held
+from lacewing_daemon.callers import Wait
 from lacewing_daemon.direct._answer_end import has_body
+from lacewing_daemon.direct._read_bounds import MAX_HELD_BYTES
+
+# What a piece of a stream takes on its way from the connection of the
+# upstream to that of the caller, in multiples of its size.
+STREAM_COPIES = 6
+LARGE_BODY_BYTES = 64 * 1024
 
 
 class CallerGoneError(Exception):
     """Report that the caller closed its connection."""
 
 
+class AnswerNotHeldError(Exception):
+    """Report that there is no room to hold an answer until its end."""
+
+
 class CallerReply:
     """Send the answer to one request, complete or streamed.
 
@@ -37,6 +51,7 @@
         self._held_status = 0
         self._held_headers = HTTPHeaders()
         self._held_body: list[bytes] = []
+        self._held_bytes = 0
         self._will_close = False
         self._stopped = False
         self._has_started = False
@@ -76,6 +91,18 @@
         """Return whether this process stops before the answer is complete."""
         return self._stopped
 
+    def hold(self, size: int) -> bool:
+        """Hold more of an answer; return whether there is room for it."""
+        stream = self._stream
+        if stream is None or stream.holding.is_closed:
+            return True
+        return stream.holding.add(Held.ANSWER, size)
+
+    def release(self) -> None:
+        """Hold no part of an answer, as it is not used."""
+        if self._stream is not None:
+            self._stream.holding.set(Held.ANSWER, 0)
+
     def mark_stopped(self) -> None:
         """Record that this process stops before the answer is complete."""
         self._stopped = True
@@ -98,10 +125,17 @@
         """Send a piece; wait until the connection accepts more data."""
         self._written_s = time.monotonic()
         if not self._accepts_chunks:
-            self._held_body.append(data)
+            self._hold_piece(data)
             return
+        stream = self._stream
         try:
-            await self._connection.write(data)
+            written = self._connection.write(data)
+            if stream is None or not stream.writing():
+                await written
+                return
+            stream.write_begins(len(data) * STREAM_COPIES)
+            await written
+            stream.write_ends(Wait.OWN)
         except StreamClosedError as error:
             raise CallerGoneError from error
 
@@ -123,17 +157,47 @@
         self._add_close_header(headers)
         if has_body(self._method, status) and 'Content-Length' not in headers:
             headers['Content-Length'] = str(len(body))
-        written = self._connection.write_headers(
-            _status_line(status), headers, body
-        )
+        line = _status_line(status)
+        if len(body) < LARGE_BODY_BYTES:
+            written = self._connection.write_headers(line, headers, body)
+        else:
+            # In one write the head would be put before a copy of the body.
+            written = self._connection.write_headers(line, headers)
+            written.add_done_callback(_retrieve_exception)
+            written = self._connection.write(body)
         written.add_done_callback(_retrieve_exception)
         self._connection.finish()
+        self.release()
+        stream = self._stream
+        if stream is not None and stream.writing():
+            stream.write_begins(len(body))
 
     def abort(self) -> None:
         """Close the connection, so that the answer is seen as incomplete."""
         self._has_ended = True
         self._connection.close()
 
+    @property
+    def _stream(self) -> CallerStream | None:
+        """Return the stream if it counts what the connection holds."""
+        stream = self._connection.stream
+        return stream if isinstance(stream, CallerStream) else None
+
+    def _hold_piece(self, data: bytes) -> None:
+        self._held_bytes += len(data)
+        if self._held_bytes > MAX_HELD_BYTES:
+            if self._stream is not None:
+                self._stream.account.limits.record(
+                    CallerLimit.HELD_STREAM, self._held_bytes
+                )
+            raise AnswerNotHeldError(
+                f'a caller without chunks gets streams of at most'
+                f' {MAX_HELD_BYTES} bytes'
+            )
+        if not self.hold(len(data)):
+            raise AnswerNotHeldError('callers hold all that may be kept')
+        self._held_body.append(data)
+
     def _add_close_header(self, headers: HTTPHeaders) -> None:
         if self._will_close:
             headers['Connection'] = 'close'
--- a/packages/daemon/src/lacewing_daemon/direct/_caller_server.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_caller_server.py
@@ -8,8 +8,9 @@
 
 from lacewing_common.log import get_log
 from lacewing_common.log import Part
+from lacewing_common.verdict import not_run
+from lacewing_common.verdict import Reason
 from tornado.http1connection import HTTP1Connection
-from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPConnection
 from tornado.httputil import HTTPHeaders
 from tornado.httputil import HTTPMessageDelegate
@@ -18,6 +19,8 @@
 from tornado.httputil import ResponseStartLine
 from tornado.netutil import bind_sockets
 
+from lacewing_daemon.callers import BoundedServer
+from lacewing_daemon.callers import CallerAccount
 from lacewing_daemon.direct._call import CallerRequest
 from lacewing_daemon.direct._caller_reply import CallerGoneError
 from lacewing_daemon.direct._caller_reply import CallerReply
@@ -36,6 +39,8 @@
 MIN_BODY_S = 1.0
 MAX_BODY_S = 60.0
 MAX_HEADER_BYTES = 65536
+# A caller that was refused for lack of room may come again after this.
+NO_ROOM_RETRY_S = 1.0
 # The routing configuration sets how long callers may keep connections idle;
 # this applies until the first one is loaded. This process closes them later by
 # the margin, so that no request is sent while the connection is being closed.
@@ -53,7 +58,9 @@
 class CallerServer(HTTPServerConnectionDelegate):
     """Serve callers with one task for each request."""
 
-    def __init__(self, wire: Wire, serve: Serve) -> None:
+    def __init__(
+        self, wire: Wire, serve: Serve, account: CallerAccount
+    ) -> None:
         self._wire = wire
         self._serve = serve
         self._open: dict[asyncio.Task[None], CallerReply] = {}
@@ -65,6 +72,7 @@
         self._max_body_bytes = MAX_BODY_BYTES
         self._server = _NotifyingServer(
             self,
+            account,
             idle_connection_timeout=IDLE_S + IDLE_MARGIN_S,
             max_header_size=MAX_HEADER_BYTES,
             max_body_size=MAX_BODY_BYTES,
@@ -108,7 +116,10 @@
 
     def set_limits(self, limits: Limits) -> None:
         """Set what callers may send, and how long they may be idle."""
-        self._server.conn_params.header_timeout = limits.idle_s + IDLE_MARGIN_S
+        params = self._server.conn_params
+        params.header_timeout = limits.idle_s + IDLE_MARGIN_S
+        params.max_header_size = min(limits.max_header_bytes, MAX_HEADER_BYTES)
+        self._server.head_s = limits.head_s
         self._max_body_bytes = min(limits.max_body_bytes, MAX_BODY_BYTES)
 
     def begin_drain(self) -> None:
@@ -291,6 +302,23 @@
             # connection.
             self.finish()
 
+    def refuse_held(self) -> None:
+        """Refuse a request, as its body takes room that others need."""
+        if self._request is None or self._has_ended:
+            self._connection.close()
+            return
+        self._body.clear()
+        self._received_bytes = 0
+        self._request = replace(
+            self._request,
+            receive_refusal=not_run(
+                Reason.QUEUE_FULL,
+                'callers hold all that this router may keep for them',
+                NO_ROOM_RETRY_S,
+            ),
+        )
+        self.finish()
+
     def finish(self) -> None:
         """Pass on the request once, complete or with a body too large."""
         if self._has_ended:
@@ -314,7 +342,7 @@
         self._caller_server.request_dropped(self._server_conn)
 
 
-class _NotifyingServer(HTTPServer):
+class _NotifyingServer(BoundedServer):
     """Notify the caller server of closed connections.
 
     Tornado does not pass this event on to the delegate.
--- a/packages/daemon/src/lacewing_daemon/direct/_exchange.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_exchange.py
@@ -15,6 +15,7 @@
 from lacewing_daemon.direct._admission import Admitted
 from lacewing_daemon.direct._attempt import AttemptEnd
 from lacewing_daemon.direct._call import CallerRequest
+from lacewing_daemon.direct._caller_reply import AnswerNotHeldError
 from lacewing_daemon.direct._caller_reply import CallerGoneError
 from lacewing_daemon.direct._caller_reply import CallerReply
 from lacewing_daemon.direct._metrics import REQUESTS
@@ -75,6 +76,10 @@
         if self._context.stop_window.has_ended:
             self._refuse(self._stopped_refusal())
             return
+        if self._request.receive_refusal is not None:
+            self._reply.announce_close()
+            self._refuse(self._request.receive_refusal)
+            return
         admitted = admit(
             self._request,
             self._fleet.cluster_state.routing_config,
@@ -109,6 +114,8 @@
                 refusal = await self._send_until_answered(admitted, end_s)
         except TimeoutError:
             refusal = self._deadline_refusal()
+        except AnswerNotHeldError as error:
+            refusal = may_have_run(Reason.ANSWER_NOT_KEPT, str(error))
         except (CallerGoneError, asyncio.CancelledError):
             if self._reply.stopped:
                 self._refuse(self._stopped_refusal())
--- a/packages/daemon/src/lacewing_daemon/direct/_handover.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_handover.py
@@ -93,6 +93,10 @@
         """Return when the successor was asked, None if it was not yet."""
         return self._sent_s
 
+    def hold(self, size: int) -> bool:
+        """Hold more of an answer that is no stream, if there is room."""
+        return self._relay.hold(size)
+
     def record_sending(self) -> None:
         """Limit from now on how long the earlier run goes on."""
         self._sent_s = time.monotonic()
--- a/packages/daemon/src/lacewing_daemon/direct/_pages.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_pages.py
@@ -6,14 +6,20 @@
 from prometheus_client import CONTENT_TYPE_LATEST
 from prometheus_client import generate_latest
 from tornado.http1connection import HTTP1Connection
-from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPConnection
 from tornado.httputil import HTTPHeaders
 from tornado.httputil import HTTPMessageDelegate
 from tornado.httputil import HTTPServerConnectionDelegate
 
+from lacewing_daemon.callers import BoundedServer
+from lacewing_daemon.callers import CallerAccount
 from lacewing_daemon.direct._caller_reply import CallerReply
 
+# Requests for a page are small.
+MAX_HEADER_BYTES = 16384
+MAX_BODY_BYTES = 16384
+HEAD_S = 3.0
+IDLE_S = 15.0
 _OK = 200
 _UNAVAILABLE = 503
 _PLAIN_TEXT = 'text/plain'
@@ -31,9 +37,19 @@
 class PageServer(HTTPServerConnectionDelegate):
     """Answer every request on one address with the same page."""
 
-    def __init__(self, page: Callable[[], Page]) -> None:
+    def __init__(
+        self, page: Callable[[], Page], account: CallerAccount
+    ) -> None:
         self._make_page = page
-        self._server = HTTPServer(self)
+        self._server = BoundedServer(
+            self,
+            account,
+            HEAD_S,
+            idle_connection_timeout=IDLE_S,
+            body_timeout=HEAD_S,
+            max_header_size=MAX_HEADER_BYTES,
+            max_body_size=MAX_BODY_BYTES,
+        )
 
     def listen(self, host: str, port: int) -> None:
         """Start listening."""
--- a/packages/daemon/src/lacewing_daemon/direct/_request_sends.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_request_sends.py
@@ -405,6 +405,7 @@
     def _record_failure(self, ended: EndedSend) -> Refusal:
         """Record a send that did not answer the request."""
         target, end = ended.opened.target, ended.end
+        self._reply.release()
         upstream_id = target.state.upstream.upstream_id
         if end.verdict is Verdict.NOT_RUN and target.is_continuation:
             # The upstream has no copy of the run. The run has started, so
--- a/packages/daemon/src/lacewing_daemon/direct/_router.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_router.py
@@ -14,6 +14,8 @@
 
 from lacewing_daemon._signals import on_sighup
 from lacewing_daemon._signals import StopSignals
+from lacewing_daemon.callers import caller_bounds
+from lacewing_daemon.callers import CallerAccount
 from lacewing_daemon.direct._answer_times import AnswerTimes
 from lacewing_daemon.direct._call import CallerRequest
 from lacewing_daemon.direct._caller_reply import CallerReply
@@ -89,10 +91,13 @@
             answer_times,
             self._stop_window,
         )
-        self._caller_server = CallerServer(wire, self._serve)
+        account = CallerAccount(
+            caller_bounds(settings.vm, settings.caller_limits)
+        )
+        self._caller_server = CallerServer(wire, self._serve, account)
         self._fleet.on_routing_config(self._apply_routing_config)
-        self._ready = PageServer(lambda: ready_page(self.ready))
-        self._metrics = PageServer(self._metrics_page)
+        self._ready = PageServer(lambda: ready_page(self.ready), account)
+        self._metrics = PageServer(self._metrics_page, account)
         lease = Lease(
             self._fleet.store,
             LEASE_NAME,
--- a/packages/daemon/src/lacewing_daemon/direct/_routing_config.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_routing_config.py
@@ -161,15 +161,23 @@
     quota: Quota | None = None
 
 
+# Used by configurations that do not limit the heads of requests.
+DEFAULT_HEADER_BYTES = 65536
+DEFAULT_HEAD_S = 15.0
+
+
 @dataclass(frozen=True)
 class Limits:
     """Limit what a caller may send; bytes and seconds.
 
-    ``idle_s``: how long a caller may leave its connection unused.
+    ``idle_s``: how long a caller may leave its connection unused; ``head_s``:
+    how long the head of a request may take.
     """
 
     max_body_bytes: int
     idle_s: float
+    max_header_bytes: int = DEFAULT_HEADER_BYTES
+    head_s: float = DEFAULT_HEAD_S
 
 
 @dataclass(frozen=True)
--- a/packages/daemon/src/lacewing_daemon/direct/_send.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_send.py
@@ -207,6 +207,7 @@
             self._wire,
             self._learn,
             on_events if is_streaming else None,
+            relay.hold,
         )
         self._attempt = attempt
         self._abort = attempt.abort
--- a/packages/daemon/src/lacewing_daemon/direct/_settings.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_settings.py
@@ -10,6 +10,8 @@
 from lacewing_common.settings import parse_address
 from lacewing_common.settings import SettingsError
 
+from lacewing_daemon.callers import CallerLimits
+from lacewing_daemon.callers import VmSize
 from lacewing_daemon.direct._contention import Contention
 from lacewing_daemon.direct._policy import LoadPolicy
 
@@ -49,7 +51,8 @@
     listen on, the last two '' for none; ``platform`` is the address of the
     store. Other routers call at ``peers``. ``contention``: when services are
     contended. ``first_start``: the whole system is starting for the first
-    time, so no stream has begun before this process was started.
+    time, so no stream has begun before this process was started. ``vm`` and
+    ``caller_limits`` bound what all callers together may hold.
     """
 
     process_id: str
@@ -64,6 +67,8 @@
     policy: LoadPolicy = LoadPolicy()
     contention: Contention = Contention.OFF
     first_start: bool = False
+    vm: VmSize = VmSize()
+    caller_limits: CallerLimits = CallerLimits()
 
     @property
     def callers_address(self) -> Address:
--- a/packages/daemon/src/lacewing_daemon/direct/_stream_relay.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_stream_relay.py
@@ -23,6 +23,9 @@
     def last_event(self) -> str | None:
         """Return the id of the last event that the caller has."""
 
+    def hold(self, size: int) -> bool:
+        """Hold more of an answer that is no stream, if there is room."""
+
     async def forward(self, head: ReplyHead, events: Iterable[bytes]) -> None:
         """Forward complete events."""
 
@@ -64,6 +67,10 @@
         """
         return self._has_ids or not self._has_data
 
+    def hold(self, size: int) -> bool:
+        """Hold more of an answer that is no stream, if there is room."""
+        return self._reply.hold(size)
+
     async def forward(self, head: ReplyHead, events: Iterable[bytes]) -> None:
         """Forward complete events; the first ones send the head."""
         new_events = []
