Release the events of a stream that is ended past its bound

Cause: what was held stayed with the reply of the ended request, which its error's traceback refers to. Change: an aborted reply drops what it held, and a completed one does before it is written.

--- a/packages/daemon/src/lacewing_daemon/direct/_caller_reply.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_caller_reply.py
@@ -143,6 +143,7 @@
         """Complete a streamed answer."""
         if not self._accepts_chunks:
             body = b''.join(self._held_body)
+            self._held_body.clear()
             self.send_complete(self._held_status, self._held_headers, body)
             return
         self._has_ended = True
@@ -175,6 +176,8 @@
     def abort(self) -> None:
         """Close the connection, so that the answer is seen as incomplete."""
         self._has_ended = True
+        self._held_body.clear()
+        self.release()
         self._connection.close()
 
     @property
