--- a/features/steps/hostile_callers_steps.py
+++ b/features/steps/hostile_callers_steps.py
@@ -27,7 +27,7 @@
 _MAX_BODY_BYTES = 4 * 1024 * 1024
 # Longer than the scenarios wait, so that only other limits end connections.
 _IDLE_TIMEOUT_MS = 60000
-_HELD_S = 3.0
+HELD_S = 3.0
 _STREAM_PATH = '/long/'
 _LONG_MS = 60000
 _SLOTS = 400
@@ -308,7 +308,7 @@
     context.crowd = crowd
     context.resources.callback(crowd.leave)
     crowd.arrive()
-    time.sleep(_HELD_S)
+    time.sleep(HELD_S)
 
 
 def _process(context: Context) -> RouterProcess:
--- a/features/support/hostile_crowd.py
+++ b/features/support/hostile_crowd.py
@@ -188,7 +188,9 @@
     return act
 
 
-def withholds_last_byte(size: int) -> Behaviour:
+def withholds_last_byte(
+    size: int, path: str = '/certificates/1', key: str = f'Token {KEY}'
+) -> Behaviour:
     """Send a body but for its last byte."""
     body = b'x' * (size - 1)
 
@@ -198,8 +200,8 @@
         writer: asyncio.StreamWriter,
         acted: asyncio.Event,
     ) -> str:
-        fields = {'Content_Length': str(size)}
-        writer.write(head(request_id, '/certificates/1', 'POST', **fields))
+        fields = {'Content_Length': str(size), 'Authorization': key}
+        writer.write(head(request_id, path, 'POST', **fields))
         writer.write(body)
         return await _drain_and_read(reader, writer, acted)
 
--- a/features/support/router_process.py
+++ b/features/support/router_process.py
@@ -20,6 +20,16 @@
     callers: str
 
 
+def peak_bytes(pid: int) -> int:
+    """Return the most memory that a process has had resident."""
+    status = Path(f'/proc/{pid}/status').read_text()
+    for line in status.splitlines():
+        name, _, value = line.partition(':')
+        if name == 'VmHWM':
+            return int(value.split()[0]) * 1024
+    raise AssertionError('expected the peak of memory in the status')
+
+
 class RouterProcess:
     """Control a router process and read its log."""
 
@@ -82,12 +92,7 @@
     @property
     def peak_bytes(self) -> int:
         """Return the most memory that the process has had resident."""
-        status = Path(f'/proc/{self._process.pid}/status').read_text()
-        for line in status.splitlines():
-            name, _, value = line.partition(':')
-            if name == 'VmHWM':
-                return int(value.split()[0]) * 1024
-        raise AssertionError('expected the peak of memory in the status')
+        return peak_bytes(self._process.pid)
 
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the process, if it still runs."""
