--- a/packages/daemon/src/lacewing_daemon/callers/_bounds.py
+++ b/packages/daemon/src/lacewing_daemon/callers/_bounds.py
@@ -21,10 +21,16 @@
     write_stall_s: float
 
 
-def caller_bounds(vm: VmSize, limits: CallerLimits) -> CallerBounds:
-    """Return the bounds on a VM."""
+def caller_bounds(
+    vm: VmSize, limits: CallerLimits, descriptors: int | None = None
+) -> CallerBounds:
+    """Return the bounds on a VM.
+
+    ``descriptors``: the limit of the process, None to ask the system.
+    """
     max_bytes = int(vm.memory_bytes * limits.memory_share)
-    descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if descriptors is None:
+        descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     if vm.file_descriptors:
         descriptors = min(descriptors, vm.file_descriptors)
     free = max(0, descriptors - RESERVED_DESCRIPTORS)
