Refuse bodies that become whole while an agents' router drains

What callers saw: a request whose head came before SIGTERM and whose body became whole after it was taken by a router that drains, and cut without an answer if it outlasted the drain. Cause: the drain was only looked at as the head came. Change: it is looked at again once the request is whole; 503, not run.

--- a/features/router.feature
+++ b/features/router.feature
@@ -211,6 +211,14 @@
     Then a new request is refused with 503 "draining" and its connection closed
     And the drain ends only after the open stream got all 6 tokens
 
+  Scenario: A body that becomes whole while the router drains
+    # Guards against requests that are taken late in a drain, and cut at its
+    # end, while other routers could serve them.
+    Given an agent of "tutor" that streams 6 tokens and holds after 2
+    When the router drains while "rahmat" sends a body
+    Then the request is refused with 503 "draining" and its connection closed
+    And no agent was sent it
+
   Scenario: A request that comes as the router closes is told that it did not run
     # Symptom: at a restart of a router a caller's connection is reset, and
     # it can't know whether its request ran.
--- a/features/steps/router_callers_steps.py
+++ b/features/steps/router_callers_steps.py
@@ -16,6 +16,7 @@
 from lacewing_daemon.router._baselines import RoundRobin
 from lacewing_daemon.router._exchange import Exchange
 from lacewing_daemon.router._transcript import Transcript
+from support.router_bench import Answer
 from support.router_bench import ask
 from support.router_bench import ask_all_agents
 from support.router_bench import Caller
@@ -224,6 +225,44 @@
     context.drain = context.loop.call(spawn(context.router.drain()))
 
 
+@when('the router drains while "rahmat" sends a body')
+def when_body(context: Context) -> None:
+    """Send the end of a body once the drain has begun."""
+    caller = Caller(context)
+    body = chat_body(stream=True)
+    connection = caller.connection
+    connection.putrequest('POST', CHAT)
+    connection.putheader('Authorization', 'Bearer key-rahmat')
+    connection.putheader('Content-Length', str(len(body)))
+    connection.endheaders(body[:-2])
+    router = context.router
+    context.loop.call(until(lambda: router.status.open_requests == 1))
+    context.drain = context.loop.call(spawn(router.drain()))
+    connection.send(body[-2:])
+    response = connection.getresponse()
+    context.answer = Answer(
+        response.status, dict(response.getheaders()), response.read()
+    )
+
+
+@then(
+    'the request is refused with {status:d} "{code}" and its connection closed'
+)
+def then_body_refused(context: Context, status: int, code: str) -> None:
+    """Check the answer."""
+    answer = context.answer
+    assert answer.status == status, answer
+    assert answer.error['code'] == code, answer
+    assert answer.headers['Connection'] == 'close', answer.headers
+
+
+@then('no agent was sent it')
+def then_not_sent(context: Context) -> None:
+    """Check that a status that says so is true."""
+    for agent in context.agents:
+        assert not agent.seen.starts, agent.seen.starts
+
+
 @when('"rahmat" keeps a connection open while the router closes')
 def when_closing(context: Context) -> None:
     """Ask once, then drain and begin to close."""
--- a/packages/daemon/src/lacewing_daemon/router/_caller_handler.py
+++ b/packages/daemon/src/lacewing_daemon/router/_caller_handler.py
@@ -178,7 +178,10 @@
             return
         self._service_name = call.service.name
         if self._serving.draining:
+            # Its head came before the drain; it may outlast what is left.
             self.set_header('Connection', 'close')
+            await self._refuse(_draining())
+            return
         refusal = await self._serving.links.limiter.admit(
             call.team, call.expected_tokens
         )
