Close no idle connection to make room for bytes

What callers saw: kept connections without a request were closed while others held too many bytes, which made no room. Cause: what costs most was chosen among all connections whose caller is waited for, and an idle one costs its own place times its age. Found by reading. Change: for bytes only connections that hold some count; a request's body counts no more once its answer is written. With it, names and shape: a holding ends itself, the account has its clock, both kinds of reply wait for a piece in one place, and the crowd's senders share one.

--- a/features/caller_account.feature
+++ b/features/caller_account.feature
@@ -17,6 +17,13 @@
     And 505 bytes are held
     And the limit "held_bytes" has acted
 
+  Scenario: An idle connection holds no bytes to make room with
+    # Guards against kept connections that are closed for nothing.
+    Given "slow" holds 900 bytes of an answer since 9 s
+    And "idle" is idle since 1 s
+    When "new" holds 200 bytes of a body
+    Then these were ended: "slow"
+
   Scenario: What the process works on is not ended
     # Guards against answers that are lost for requests that come later.
     Given "work" collects 900 bytes of an answer since 1 s
--- a/features/support/hostile_crowd.py
+++ b/features/support/hostile_crowd.py
@@ -192,54 +192,26 @@
     size: int, path: str = '/certificates/1', key: str = f'Token {KEY}'
 ) -> Behaviour:
     """Send a body but for its last byte."""
+    fields = {'Content_Length': str(size), 'Authorization': key}
     body = b'x' * (size - 1)
-
-    async def act(
-        request_id: str,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        acted: asyncio.Event,
-    ) -> str:
-        fields = {'Content_Length': str(size), 'Authorization': key}
-        writer.write(head(request_id, path, 'POST', **fields))
-        writer.write(body)
-        return await _drain_and_read(reader, writer, acted)
-
-    return act
+    return _sends(lambda own: head(own, path, 'POST', **fields) + body)
 
 
 def sends_endless_head(size: int) -> Behaviour:
     """Send a part of a head, and never its end."""
-
-    async def act(
-        request_id: str,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        acted: asyncio.Event,
-    ) -> str:
-        whole = head(request_id, '/records/1', X_Filler='x' * size)
-        writer.write(whole[:-_TAIL_BYTES])
-        return await _drain_and_read(reader, writer, acted)
-
-    return act
+    filler = 'x' * size
+    return _sends(
+        lambda own: head(own, '/records/1', X_Filler=filler)[:-_TAIL_BYTES]
+    )
 
 
 def sends_tiny_chunks(count: int) -> Behaviour:
     """Send a body in chunks of one byte."""
+    fields = {'Transfer_Encoding': 'chunked'}
     body = b'1\r\nx\r\n' * count + b'0\r\n\r\n'
-
-    async def act(
-        request_id: str,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        acted: asyncio.Event,
-    ) -> str:
-        fields = {'Transfer_Encoding': 'chunked'}
-        writer.write(head(request_id, '/certificates/1', 'POST', **fields))
-        writer.write(body)
-        return await _drain_and_read(reader, writer, acted)
-
-    return act
+    return _sends(
+        lambda own: head(own, '/certificates/1', 'POST', **fields) + body
+    )
 
 
 def stays_idle(asks_first: bool) -> Behaviour:
@@ -265,6 +237,21 @@
     return act
 
 
+def _sends(make: Callable[[str], bytes]) -> Behaviour:
+    """Send what is made for an id of a request, and wait for an answer."""
+
+    async def act(
+        request_id: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        acted: asyncio.Event,
+    ) -> str:
+        writer.write(make(request_id))
+        return await _drain_and_read(reader, writer, acted)
+
+    return act
+
+
 async def _drain_and_read(
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
--- a/packages/daemon/src/lacewing_daemon/callers/_account.py
+++ b/packages/daemon/src/lacewing_daemon/callers/_account.py
@@ -39,24 +39,40 @@
     OWN = 'own'
 
 
-End = Callable[[], None]
+OnEnd = Callable[[], None]
 
 
 class Holding:
     """Hold what one connection counts in an account.
 
-    ``end`` releases it at once, by a refusal or by closing the connection.
+    ``on_end`` is called when it is ended to make room: its request is to be
+    refused, or its connection closed.
     """
 
-    def __init__(self, account: 'CallerAccount', end: End) -> None:
+    def __init__(self, account: 'CallerAccount', on_end: OnEnd) -> None:
         self._account = account
-        self.end = end
-        self.wait = Wait.REQUEST
-        self.since_s = account.now_s()
+        self._on_end = on_end
+        self._wait = Wait.REQUEST
+        self._since_s = account.now_s()
         self._sizes: dict[Held, int] = {}
         self._bytes = 0
         self._is_closed = False
 
+    @property
+    def account(self) -> 'CallerAccount':
+        """Return the account."""
+        return self._account
+
+    @property
+    def wait(self) -> Wait:
+        """Return what is waited for."""
+        return self._wait
+
+    @property
+    def since_s(self) -> float:
+        """Return since when, by the clock of the account."""
+        return self._since_s
+
     @property
     def bytes(self) -> int:
         """Return how many bytes are held."""
@@ -73,12 +89,12 @@
 
     def cost(self, now_s: float) -> float:
         """Return the bytes held, times the seconds that they are."""
-        return (CONNECTION_BYTES + self._bytes) * (now_s - self.since_s)
+        return (CONNECTION_BYTES + self._bytes) * (now_s - self._since_s)
 
     def wait_for(self, wait: Wait) -> None:
         """Record what is waited for from now on."""
-        self.wait = wait
-        self.since_s = self._account.now_s()
+        self._wait = wait
+        self._since_s = self._account.now_s()
 
     def add(self, held: Held, size: int) -> bool:
         """Hold more; return whether there is room for it."""
@@ -107,6 +123,11 @@
         self._sizes.clear()
         self._bytes = 0
 
+    def end(self) -> None:
+        """Remove it from the account to make room for others."""
+        self.close()
+        self._on_end()
+
     def close(self) -> None:
         """Remove it from the account."""
         if self._is_closed:
@@ -128,10 +149,10 @@
     def __init__(
         self,
         bounds: CallerBounds,
-        now_s: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._bounds = bounds
-        self.now_s = now_s
+        self._clock = clock
         self.limits = LimitRecorder()
         self._held_bytes = 0
         self._holdings: dict[Holding, None] = {}
@@ -151,17 +172,21 @@
         """Return those of all open connections, oldest first."""
         return tuple(self._holdings)
 
-    def open(self, end: End) -> Holding | None:
+    def now_s(self) -> float:
+        """Return the time by the clock of the account."""
+        return self._clock()
+
+    def open(self, on_end: OnEnd) -> Holding | None:
         """Count a new connection; return None if there is no room for it."""
         if len(self._holdings) >= self._bounds.max_connections:
-            victim = self._longest_idle() or self._costliest()
+            victim = self._longest_idle() or self._costliest(0)
             self.limits.record(
                 CallerLimit.CONNECTIONS, 0 if victim is None else victim.bytes
             )
             if victim is None:
                 return None
-            self._end(victim)
-        holding = Holding(self, end)
+            victim.end()
+        holding = Holding(self, on_end)
         self._holdings[holding] = None
         return holding
 
@@ -179,21 +204,16 @@
         Returns whether ``newest`` may keep what it holds.
         """
         while self._held_bytes > self._bounds.max_bytes:
-            victim = self._costliest()
+            victim = self._costliest(1)
             if victim is None:
                 self.limits.record(CallerLimit.HELD_BYTES, newest.bytes)
                 return False
             self.limits.record(CallerLimit.HELD_BYTES, victim.bytes)
-            self._end(victim)
+            victim.end()
             if victim is newest:
                 return False
         return True
 
-    def _end(self, victim: Holding) -> None:
-        end = victim.end
-        victim.close()
-        end()
-
     def _longest_idle(self) -> Holding | None:
         idle = None
         for holding in self._holdings:
@@ -203,12 +223,12 @@
                 idle = holding
         return idle
 
-    def _costliest(self) -> Holding | None:
-        """Return what costs most of the connections that hold bytes."""
+    def _costliest(self, min_bytes: int) -> Holding | None:
+        """Return what costs most of those that hold a number of bytes."""
         now_s = self.now_s()
         found = None
         for holding in self._holdings:
-            if holding.wait is Wait.OWN:
+            if holding.wait is Wait.OWN or holding.bytes < min_bytes:
                 continue
             if found is None or holding.cost(now_s) > found.cost(now_s):
                 found = holding
--- a/packages/daemon/src/lacewing_daemon/callers/_server.py
+++ b/packages/daemon/src/lacewing_daemon/callers/_server.py
@@ -82,8 +82,7 @@
         self._streams[server_conn] = stream
         self._delegates[stream] = delegate
         holding = stream.holding
-        holding.set(Held.BODY, 0)
-        holding.set(Held.ANSWER, 0)
+        stream.request_ends()
         if not stream.writing():
             holding.set(Held.WRITE, 0)
             holding.wait_for(Wait.REQUEST)
@@ -156,8 +155,7 @@
         except (OSError, ssl.SSLError):
             holding.close()
             raise
-        stream.holding = holding
-        stream.account = self._account
+        stream.attach(holding)
         streams.append(stream)
         return stream
 
--- a/packages/daemon/src/lacewing_daemon/callers/_stream.py
+++ b/packages/daemon/src/lacewing_daemon/callers/_stream.py
@@ -12,7 +12,6 @@
 from tornado.iostream import IOStream
 from tornado.iostream import SSLIOStream
 
-from lacewing_daemon.callers._account import CallerAccount
 from lacewing_daemon.callers._account import Held
 from lacewing_daemon.callers._account import Holding
 from lacewing_daemon.callers._account import Wait
@@ -40,12 +39,11 @@
 class _Counting(BaseIOStream):
     """Count bytes, chunks and progress.
 
-    A mixin of streams with a socket. ``holding`` is set before anything is
+    A mixin of streams with a socket. ``attach`` is called before anything is
     read or written.
     """
 
-    holding: Holding
-    account: CallerAccount
+    _holding: Holding
     _received = 0
     _chunks = 0
     _sent_bytes = 0
@@ -53,18 +51,27 @@
     _progress_s = 0.0
     _head_s = 0.0
 
+    @property
+    def holding(self) -> Holding:
+        """Return what the connection holds."""
+        return self._holding
+
+    def attach(self, holding: Holding) -> None:
+        """Set where to count."""
+        self._holding = holding
+
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Read, and count what belongs to a head."""
         size = super().read_from_fd(buf)
         if not size:
             return size
         self._received += size
-        holding = self.holding
+        holding = self._holding
         if holding.wait is Wait.CALLER and not holding.size(Held.WRITE):
             return size
         # During a request these are the first bytes of the next one.
         if not holding.size(Held.HEAD):
-            self._head_s = self.account.now_s()
+            self._head_s = self._holding.account.now_s()
         holding.add(Held.HEAD, size)
         return size
 
@@ -81,42 +88,54 @@
         self._chunks += 1
         least = (self._chunks - FREE_CHUNKS) * MIN_MEAN_CHUNK_BYTES
         if least > self._received:
-            self.account.limits.record(CallerLimit.CHUNK_SIZE, self._received)
+            self._holding.account.limits.record(
+                CallerLimit.CHUNK_SIZE, self._received
+            )
             raise HTTPInputError('the chunks of the body are too small')
         return super().read_until(delimiter, max_bytes)
 
     def body_begins(self) -> None:
         """Record that a head was parsed and its body is to be received."""
-        self._received = self.holding.size(Held.HEAD)
+        self._received = self._holding.size(Held.HEAD)
         self._chunks = 0
-        self.holding.set(Held.HEAD, 0)
-        self.holding.wait_for(Wait.CALLER)
+        self._holding.set(Held.HEAD, 0)
+        self._holding.wait_for(Wait.CALLER)
 
     def write_begins(self, size: int) -> bool:
         """Hold bytes until the socket has taken them; return if there is room.
 
         Nothing may be written without room.
         """
-        self._progress_s = self.account.now_s()
-        self.holding.wait_for(Wait.CALLER)
-        return self.holding.set(Held.WRITE, size)
-
-    def write_ends(self, wait: Wait) -> None:
-        """Record that the socket has taken all bytes."""
-        self.holding.set(Held.WRITE, 0)
-        self.holding.wait_for(wait)
+        self._progress_s = self._holding.account.now_s()
+        self._holding.wait_for(Wait.CALLER)
+        return self._holding.set(Held.WRITE, size)
+
+    async def hold_write(self, written: Awaitable[None], size: int) -> None:
+        """Wait until the socket has taken a piece, and hold it until then."""
+        if not self.writing():
+            await written
+            return
+        self.write_begins(size)
+        await written
+        self._holding.set(Held.WRITE, 0)
+        self._holding.wait_for(Wait.OWN)
+
+    def request_ends(self) -> None:
+        """Hold its body and the parts of its answer no more."""
+        self._holding.set(Held.BODY, 0)
+        self._holding.set(Held.ANSWER, 0)
 
     def head_age_s(self, now_s: float) -> float:
         """Return how long a head has been received that is not complete."""
-        if self.holding.wait is not Wait.REQUEST:
+        if self._holding.wait is not Wait.REQUEST:
             return 0.0
-        if not self.holding.size(Held.HEAD):
+        if not self._holding.size(Held.HEAD):
             return 0.0
-        return now_s - max(self._head_s, self.holding.since_s)
+        return now_s - max(self._head_s, self._holding.since_s)
 
     def stalled_s(self, now_s: float) -> float:
         """Return for how long the caller has taken no byte of an answer."""
-        if not self.holding.size(Held.WRITE):
+        if not self._holding.size(Held.WRITE):
             return 0.0
         acked_bytes = self._sent_bytes - unsent_bytes(self.fileno())
         if acked_bytes > self._acked_bytes:
--- a/packages/daemon/src/lacewing_daemon/direct/_caller_reply.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_caller_reply.py
@@ -13,7 +13,6 @@
 from lacewing_daemon.callers import counted_stream
 from lacewing_daemon.callers import CountedStream
 from lacewing_daemon.callers import Held
-from lacewing_daemon.callers import Wait
 from lacewing_daemon.direct._answer_end import has_body
 from lacewing_daemon.direct._read_bounds import MAX_HELD_BYTES
 
@@ -131,12 +130,10 @@
         stream = self._stream
         try:
             written = self._connection.write(data)
-            if stream is None or not stream.writing():
+            if stream is None:
                 await written
-                return
-            stream.write_begins(len(data) * STREAM_COPIES)
-            await written
-            stream.write_ends(Wait.OWN)
+            else:
+                await stream.hold_write(written, len(data) * STREAM_COPIES)
         except StreamClosedError as error:
             raise CallerGoneError from error
 
@@ -169,9 +166,11 @@
             written = self._connection.write(body)
         written.add_done_callback(_retrieve_exception)
         self._connection.finish()
-        self.release()
         stream = self._stream
-        if stream is not None and stream.writing():
+        if stream is None:
+            return
+        stream.request_ends()
+        if stream.writing():
             stream.write_begins(len(body))
 
     def abort(self) -> None:
@@ -190,7 +189,7 @@
         self._held_bytes += len(data)
         if self._held_bytes > MAX_HELD_BYTES:
             if self._stream is not None:
-                self._stream.account.limits.record(
+                self._stream.holding.account.limits.record(
                     CallerLimit.HELD_STREAM, self._held_bytes
                 )
             raise AnswerNotHeldError(
--- a/packages/daemon/src/lacewing_daemon/router/_reply.py
+++ b/packages/daemon/src/lacewing_daemon/router/_reply.py
@@ -9,7 +9,6 @@
 from tornado.web import RequestHandler
 
 from lacewing_daemon.callers import counted_stream
-from lacewing_daemon.callers import Wait
 from lacewing_daemon.router._errors import error_body
 from lacewing_daemon.router._errors import error_event
 from lacewing_daemon.router._errors import retry_after_of
@@ -204,12 +203,10 @@
         # wake the loop twice, although the socket has taken it at once.
         written = connection.stream.write(_chunk(payload))
         stream = counted_stream(connection)
-        if stream is None or not stream.writing():
+        if stream is None:
             await written
-            return
-        stream.write_begins(len(payload) * STREAM_COPIES)
-        await written
-        stream.write_ends(Wait.OWN)
+        else:
+            await stream.hold_write(written, len(payload) * STREAM_COPIES)
 
     async def _flush(self) -> None:
         try:
@@ -223,8 +220,10 @@
         try:
             written = self._handler.finish(payload)
             stream = counted_stream(self._handler.request.connection)
-            if stream is not None and stream.writing():
-                stream.write_begins(len(payload))
+            if stream is not None:
+                stream.request_ends()
+                if stream.writing():
+                    stream.write_begins(len(payload))
             await written
         except StreamClosedError:
             self._gone = True
