Let daemons of test fleets listen below the ephemeral ports

The kernel had chosen them; while their router is down, an outgoing connection of any process may take one as its source, and binding it then fails, with SO_REUSEADDR too (tried: connect, then bind the source port: EADDRINUSE). Which of the three ports it was is not in the log, so that this is what happened is inferred.

--- a/packages/bench/src/lacewing_bench/fleet/_daemon.py
+++ b/packages/bench/src/lacewing_bench/fleet/_daemon.py
@@ -5,6 +5,7 @@
 from lacewing_common.identity import Role
 from lacewing_common.settings import Listen
 from lacewing_common.status import Addresses
+from lacewing_platform_testing import free_ports
 
 from lacewing_bench.fleet._layout import Common
 from lacewing_bench.fleet._layout import daemon_settings
@@ -68,7 +69,9 @@
 
     async def start(self, same_address: bool) -> None:
         """Start with the last start's addresses, or with new ones."""
-        self.write_settings(self._listen() if same_address else Listen())
+        if not same_address:
+            self._addresses = _new_addresses()
+        self.write_settings(self._listen())
         self._process.start()
         lines = await self._process.lines(_LISTENING)
         line = lines[0]
@@ -90,3 +93,11 @@
             operators=last.operators,
             callers=last.callers,
         )
+
+
+def _new_addresses() -> Addresses:
+    """Return addresses that no outgoing connection takes before a restart."""
+    port = free_ports()
+    return Addresses(
+        f'127.0.0.1:{port}', f'127.0.0.1:{port + 1}', f'127.0.0.1:{port + 2}'
+    )
