--- a/features/direct_settings.feature
+++ b/features/direct_settings.feature
@@ -17,7 +17,7 @@
       | first_start    | "yes"     | Expected `bool`, got `str` - at `$.first_start` |
       | contracts      | "pressure" | Expected `array`, got `str` - at `$.contracts` |
       | contracts      | ["a", 3]  | Expected `str`, got `int` - at `$.contracts[1]` |
-      | vm             | {"memory_mb": 0} | Expected `float` > 0.0 - at `$.vm.memory_mb` |
+      | vm             | {"memory_mb": -1} | Expected `float` >= 0.0 - at `$.vm.memory_mb` |
       | vm             | {"file_descriptors": -1} | Expected `int` >= 0 - at `$.vm.file_descriptors` |
       | caller_limits  | {"memory_share": 1.5} | Expected `float` <= 1.0 - at `$.caller_limits.memory_share` |
       | caller_limits  | {"write_stall_s": 0} | Expected `float` > 0.0 - at `$.caller_limits.write_stall_s` |
