--- a/features/hostile_agent_callers.feature
+++ b/features/hostile_agent_callers.feature
@@ -4,8 +4,7 @@
   A fleet whose router has a VM with 100 MB and 300 descriptors.
 
   Background:
-    Given a fleet of 1 router(s), 1 model worker(s) and 1 plain worker(s)
-    And its router has a VM with 100 MB and 300 descriptors
+    Given a fleet with a router of a VM with 100 MB and 300 descriptors
 
   Scenario: Bodies for agents whose last byte never comes
     # Guards against bodies that are each bounded, but not all together.
--- a/features/steps/hostile_agent_callers_steps.py
+++ b/features/steps/hostile_agent_callers_steps.py
@@ -8,10 +8,14 @@
 from behave import then
 from behave import when
 from behave.runner import Context
+from lacewing_bench.fleet import FleetOptions
+from lacewing_common.caller_limits import VmSize
 from steps.hostile_callers_steps import HELD_S
 from steps.hostile_callers_steps import MB
 from support.fleet_bench import check
+from support.fleet_bench import FleetBench
 from support.fleet_bench import plain
+from support.fleet_bench import small
 from support.hostile_crowd import Behaviour
 from support.hostile_crowd import Crowd
 from support.hostile_crowd import stays_idle
@@ -22,9 +26,15 @@
 _PATH = '/services/registry/motors/crowd'
 
 
-@given('its router has a VM with {memory_mb:d} MB and {count:d} descriptors')
+@given(
+    'a fleet with a router of a VM with {memory_mb:d} MB and {count:d}'
+    ' descriptors'
+)
 def step_vm(context: Context, memory_mb: int, count: int) -> None:
-    """Limit the descriptors as the VM does."""
+    """Start it, and limit the descriptors as the VM does."""
+    vm = VmSize(memory_mb=memory_mb, file_descriptors=count)
+    context.bench = FleetBench(context)
+    context.bench.start(small(1, 1, 1), FleetOptions(vm=vm))
     context.memory_bytes = memory_mb * MB
     context.descriptors = count
     resource.prlimit(_pid(context), resource.RLIMIT_NOFILE, (count, count))
--- a/packages/bench/src/lacewing_bench/fleet/_fleet.py
+++ b/packages/bench/src/lacewing_bench/fleet/_fleet.py
@@ -14,6 +14,7 @@
 from lacewing_common.bundle import Bundle
 from lacewing_common.bundle import Operator
 from lacewing_common.bundle import PolicyName
+from lacewing_common.caller_limits import VmSize
 from lacewing_common.document import Document
 from lacewing_common.identity import Role
 from lacewing_common.settings import LogLevel
@@ -72,6 +73,7 @@
     signed: bool = False
     peers: PeerSettings = PeerSettings()
     placement: PlacementSettings = PlacementSettings()
+    vm: VmSize = VmSize()
 
 
 class Fleet:
@@ -424,6 +426,7 @@
             root_operators=self._root_operators,
             peers=self._options.peers,
             placement=self._options.placement,
+            vm=self._options.vm,
             seeds=self._seeds,
             log_level=self._options.log_level,
             drain_s=self._options.drain_s,
--- a/packages/bench/src/lacewing_bench/fleet/_layout.py
+++ b/packages/bench/src/lacewing_bench/fleet/_layout.py
@@ -8,6 +8,7 @@
 
 import msgspec
 from lacewing_common.bundle import Operator
+from lacewing_common.caller_limits import VmSize
 from lacewing_common.identity import Place
 from lacewing_common.identity import Role
 from lacewing_common.settings import Listen
@@ -64,6 +65,7 @@
     root_operators: tuple[Operator, ...] = ()
     peers: PeerSettings = PeerSettings()
     placement: PlacementSettings = PlacementSettings()
+    vm: VmSize = VmSize()
     seeds: tuple[str, ...] = ()
 
 
@@ -162,6 +164,7 @@
         root_operators=common.root_operators,
         peers=common.peers,
         placement=common.placement,
+        vm=common.vm,
         seeds=common.seeds,
         log_level=common.log_level,
         tls=common.tls,
--- a/packages/common/src/lacewing_common/settings.py
+++ b/packages/common/src/lacewing_common/settings.py
@@ -9,6 +9,8 @@
 import msgspec
 
 from lacewing_common.bundle import Operator
+from lacewing_common.caller_limits import CallerLimits
+from lacewing_common.caller_limits import VmSize
 from lacewing_common.decode_errors import DECODE_ERRORS
 from lacewing_common.identity import Place
 from lacewing_common.identity import Role
@@ -135,6 +137,7 @@
     ``allow_plain`` permits non-loopback listeners without TLS;
     ``drain_s`` is the maximum time in seconds for open requests to complete
     after SIGTERM;
+    ``vm`` and ``caller_limits`` bound what callers of a router may hold;
     the sign-offs of every bundle must lead back to ``root_operators``, see
     docs/reference.
     """
@@ -154,6 +157,8 @@
     drain_s: float = 30.0
     peers: PeerSettings = PeerSettings()
     placement: PlacementSettings = PlacementSettings()
+    vm: VmSize = VmSize()
+    caller_limits: CallerLimits = CallerLimits()
 
 
 def parse_address(text: str) -> Address:
--- a/packages/daemon/src/lacewing_daemon/callers/_server.py
+++ b/packages/daemon/src/lacewing_daemon/callers/_server.py
@@ -7,7 +7,6 @@
 from typing import Protocol
 from typing import runtime_checkable
 
-from tornado.http1connection import HTTP1Connection
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPConnection
 from tornado.httputil import HTTPHeaders
@@ -25,6 +24,8 @@
 from lacewing_daemon.callers._limit import HELD_BYTES
 from lacewing_daemon.callers._stream import CallerStream
 from lacewing_daemon.callers._stream import CallerTlsStream
+from lacewing_daemon.callers._stream import counted_stream
+from lacewing_daemon.callers._stream import CountedStream
 
 # The largest head that a configuration may allow.
 MAX_HEADER_BYTES = 65536
@@ -33,8 +34,6 @@
 HEAD_MARGIN_S = 1.0
 CHECK_INTERVAL_S = 0.5
 
-CountedStream = CallerStream | CallerTlsStream
-
 
 @runtime_checkable
 class Refusable(Protocol):
@@ -78,9 +77,8 @@
     ) -> HTTPMessageDelegate:
         """Count what the next request of a connection holds."""
         delegate = super().start_request(server_conn, request_conn)
-        assert isinstance(request_conn, HTTP1Connection)
-        stream = request_conn.stream
-        assert isinstance(stream, CountedStream)
+        stream = counted_stream(request_conn)
+        assert stream is not None
         self._streams[server_conn] = stream
         self._delegates[stream] = delegate
         holding = stream.holding
--- a/packages/daemon/src/lacewing_daemon/callers/_stream.py
+++ b/packages/daemon/src/lacewing_daemon/callers/_stream.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable
 from typing import Any
 
+from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPInputError
 from tornado.iostream import BaseIOStream
 from tornado.iostream import IOStream
@@ -132,6 +133,12 @@
     """Count what is received and sent on an encrypted connection."""
 
 
-def holding_of(stream: Any) -> Holding | None:
-    """Return what a stream counts, None if it does not."""
-    return stream.holding if isinstance(stream, _Counting) else None
+CountedStream = CallerStream | CallerTlsStream
+
+
+def counted_stream(connection: object) -> CountedStream | None:
+    """Return the stream of a connection, None if it does not count."""
+    if not isinstance(connection, HTTP1Connection):
+        return None
+    stream = connection.stream
+    return stream if isinstance(stream, CountedStream) else None
--- a/packages/daemon/src/lacewing_daemon/direct/_caller_reply.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_caller_reply.py
@@ -10,7 +10,8 @@
 from tornado.iostream import StreamClosedError
 
 from lacewing_daemon.callers import CallerLimit
-from lacewing_daemon.callers import CallerStream
+from lacewing_daemon.callers import counted_stream
+from lacewing_daemon.callers import CountedStream
 from lacewing_daemon.callers import Held
 from lacewing_daemon.callers import Wait
 from lacewing_daemon.direct._answer_end import has_body
@@ -181,10 +182,9 @@
         self._connection.close()
 
     @property
-    def _stream(self) -> CallerStream | None:
+    def _stream(self) -> CountedStream | None:
         """Return the stream if it counts what the connection holds."""
-        stream = self._connection.stream
-        return stream if isinstance(stream, CallerStream) else None
+        return counted_stream(self._connection)
 
     def _hold_piece(self, data: bytes) -> None:
         self._held_bytes += len(data)
--- a/packages/daemon/src/lacewing_daemon/direct/_settings.py
+++ b/packages/daemon/src/lacewing_daemon/direct/_settings.py
@@ -4,14 +4,14 @@
 from pathlib import Path
 
 import msgspec
+from lacewing_common.caller_limits import CallerLimits
+from lacewing_common.caller_limits import VmSize
 from lacewing_common.decode_errors import DECODE_ERRORS
 from lacewing_common.settings import Address
 from lacewing_common.settings import LogLevel
 from lacewing_common.settings import parse_address
 from lacewing_common.settings import SettingsError
 
-from lacewing_daemon.callers import CallerLimits
-from lacewing_daemon.callers import VmSize
 from lacewing_daemon.direct._contention import Contention
 from lacewing_daemon.direct._policy import LoadPolicy
 
--- a/packages/daemon/src/lacewing_daemon/router/_caller_handler.py
+++ b/packages/daemon/src/lacewing_daemon/router/_caller_handler.py
@@ -99,6 +99,8 @@
 
     def on_connection_close(self) -> None:
         """Stop the request of a caller that hung up."""
+        # A handler is in memory until a garbage collection.
+        self._pieces.clear()
         self._reply.hang_up()
         if self._exchange is not None:
             self._exchange.hang_up()
@@ -147,6 +149,8 @@
 
     def _asked(self, path: str) -> Asked:
         headers = self.request.headers
+        body = b''.join(self._pieces)
+        self._pieces.clear()
         traceparent = headers.get('traceparent', '')
         if not _TRACEPARENT.fullmatch(traceparent):
             traceparent = ''
@@ -155,7 +159,7 @@
             method=self.request.method or '',
             path=path,
             content_type=headers.get('Content-Type', JSON),
-            body=b''.join(self._pieces),
+            body=body,
             idempotency_key=headers.get('Idempotency-Key', ''),
             traceparent=traceparent,
         )
--- a/packages/daemon/src/lacewing_daemon/router/_reply.py
+++ b/packages/daemon/src/lacewing_daemon/router/_reply.py
@@ -8,6 +8,8 @@
 from tornado.iostream import StreamClosedError
 from tornado.web import RequestHandler
 
+from lacewing_daemon.callers import counted_stream
+from lacewing_daemon.callers import Wait
 from lacewing_daemon.router._errors import error_body
 from lacewing_daemon.router._errors import error_event
 from lacewing_daemon.router._errors import retry_after_of
@@ -21,6 +23,9 @@
 EVENT_STREAM_TYPE = 'text/event-stream'
 _CHUNKED_VERSION = 'HTTP/1.1'
 _OK = 200
+# What a piece of a stream takes on its way from the link to the agent to the
+# connection of the caller, in multiples of its size.
+STREAM_COPIES = 2
 
 
 class Reply(Protocol):
@@ -197,7 +202,14 @@
             return
         # Through the connection each token would pass two more futures and
         # wake the loop twice, although the socket has taken it at once.
-        await connection.stream.write(_chunk(payload))
+        written = connection.stream.write(_chunk(payload))
+        stream = counted_stream(connection)
+        if stream is None or not stream.writing():
+            await written
+            return
+        stream.write_begins(len(payload) * STREAM_COPIES)
+        await written
+        stream.write_ends(Wait.OWN)
 
     async def _flush(self) -> None:
         try:
@@ -209,7 +221,11 @@
         if self._gone:
             return
         try:
-            await self._handler.finish(payload)
+            written = self._handler.finish(payload)
+            stream = counted_stream(self._handler.request.connection)
+            if stream is not None and stream.writing():
+                stream.write_begins(len(payload))
+            await written
         except StreamClosedError:
             self._gone = True
 
--- a/packages/daemon/src/lacewing_daemon/router/_running.py
+++ b/packages/daemon/src/lacewing_daemon/router/_running.py
@@ -10,12 +10,14 @@
 from lacewing_common.tls import client_context
 from lacewing_common.tls import ClientCertificate
 from lacewing_common.tls import server_context
-from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 from tornado.web import Application
 from tornado.web import RequestHandler
 
 from lacewing_daemon._peers_server import PeersServer
+from lacewing_daemon.callers import BoundedServer
+from lacewing_daemon.callers import caller_bounds
+from lacewing_daemon.callers import CallerAccount
 from lacewing_daemon.router._callers import routes
 from lacewing_daemon.router._explain import DecisionLog
 from lacewing_daemon.router._explain import RequestRecord
@@ -42,7 +44,7 @@
         self,
         serving: Serving,
         links_task: asyncio.Task[None],
-        server: HTTPServer,
+        server: BoundedServer,
         address: Address,
         peers_server: PeersServer,
     ) -> None:
@@ -104,8 +106,10 @@
     knowledge = Knowledge(settings.place, rng)
     links = Links(runtime, knowledge, rng, client_context(settings))
     serving = Serving(runtime, links, knowledge, DecisionLog())
-    server = HTTPServer(
+    account = CallerAccount(caller_bounds(settings.vm, settings.caller_limits))
+    server = BoundedServer(
         Application(routes(serving), log_function=_no_access_log),
+        account,
         ssl_options=server_context(settings, ClientCertificate.CALLERS),
         max_body_size=_MAX_READ_BYTES,
     )
